Meta: Start the build, the value types and the interfaces

Cause: nothing exists yet, and the parts can only be written side by side when the types and interfaces between them stand.

--- /dev/null
+++ b/Libraries/LibServing/RequestFlow.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <LibBackend/BackendClient.h>
+#include <LibServing/CallerRequest.h>
+#include <LibServing/ClaimVerdict.h>
+#include <LibServing/FailureAnswer.h>
+#include <LibServing/ServerChooser.h>
+
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// The life of one accepted request: claim, route, dispatch, recover, answer.
+/// A deterministic state machine without sockets, threads or clocks: whoever
+/// drives it carries out the actions and hands their results back as events.
+/// Events about attempts that are over are ignored, so late, duplicate and
+/// reordered events are harmless.
+namespace laburnum {
+
+namespace flow {
+
+// Events.
+
+struct Started {};
+struct ClaimSettled {
+  ClaimVerdict Verdict_;
+};
+struct PieceReceived {
+  TokenPiece Piece_;
+};
+struct PlainAttemptEnded {
+  AttemptNumber Attempt_ = 0;
+  PlainResult Result_;
+};
+struct CompletionAttemptEnded {
+  AttemptNumber Attempt_ = 0;
+  CompletionResult Result_;
+};
+/// A server takes no new work any more and is gone after Remaining_.
+struct ServerLeaving {
+  ServerId Server_;
+  Duration Remaining_{};
+};
+/// The pause asked for by WaitBeforeRetry is over.
+struct RetryDue {};
+struct CallerGone {};
+struct DeadlineReached {};
+
+using Event =
+    std::variant<Started, ClaimSettled, PieceReceived, PlainAttemptEnded,
+                 CompletionAttemptEnded, ServerLeaving, RetryDue, CallerGone,
+                 DeadlineReached>;
+
+// Actions.
+
+struct MakeClaim {
+  AccountName Account_;
+  IdempotencyKey Key_;
+  std::uint64_t Fingerprint_ = 0;
+  auto operator<=>(MakeClaim const &) const = default;
+};
+struct StartPlainAttempt {
+  BackendServer Server_;
+  PlainCall Call_;
+  auto operator<=>(StartPlainAttempt const &) const = default;
+};
+struct StartCompletionAttempt {
+  BackendServer Server_;
+  CompletionCall Call_;
+  auto operator<=>(StartCompletionAttempt const &) const = default;
+};
+/// Stop the attempt and, for an engine, cancel it there.
+struct CancelAttempt {
+  AttemptNumber Attempt_ = 0;
+  auto operator<=>(CancelAttempt const &) const = default;
+};
+struct SendToken {
+  std::uint32_t Offset_ = 0;
+  std::string Text_;
+  auto operator<=>(SendToken const &) const = default;
+};
+/// Remember the outcome of a claimed call; the answer does not wait for it.
+struct RecordOutcome {
+  AccountName Account_;
+  IdempotencyKey Key_;
+  ClaimOutcome Outcome_;
+  auto operator<=>(RecordOutcome const &) const = default;
+};
+struct WaitBeforeRetry {
+  Duration Pause_{};
+  auto operator<=>(WaitBeforeRetry const &) const = default;
+};
+/// The last action of every flow, one of these three.
+struct FinishPlain {
+  PlainAnswer Answer_;
+  auto operator<=>(FinishPlain const &) const = default;
+};
+struct FinishCompletion {
+  std::uint32_t Tokens_ = 0; ///< All tokens of the completion.
+  auto operator<=>(FinishCompletion const &) const = default;
+};
+struct FinishFailed {
+  FailureAnswer Failure_;
+  auto operator<=>(FinishFailed const &) const = default;
+};
+
+using Action =
+    std::variant<MakeClaim, StartPlainAttempt, StartCompletionAttempt,
+                 CancelAttempt, SendToken, RecordOutcome, WaitBeforeRetry,
+                 FinishPlain, FinishCompletion, FinishFailed>;
+
+} // namespace flow
+
+/// Counts of what became of a request, for the metrics.
+struct FlowCounts {
+  std::uint32_t Attempts_ = 0;
+  std::uint32_t Retries_ = 0;
+  std::uint32_t Moves_ = 0; ///< Attempts moved because a server was leaving.
+  std::uint64_t RecomputedTokens_ = 0;
+
+  auto operator<=>(FlowCounts const &) const = default;
+};
+
+class RequestFlow {
+public:
+  RequestFlow(CallerRequest Request, ServerChooser &Chooser,
+              RetryAllowance &Retries);
+
+  std::vector<flow::Action> handle(flow::Event const &Event, TimePoint Now);
+
+  bool isFinished() const { return Finished_; }
+  FlowCounts const &counts() const { return Counts_; }
+
+private:
+  CallerRequest Request_;
+  ServerChooser &Chooser_;
+  RetryAllowance &Retries_;
+  FlowCounts Counts_;
+  bool Finished_ = false;
+};
+
+} // namespace laburnum
--- /dev/null
+++ b/Tests/TestMain/TestMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
