LibCallers, laburnumd: Serve callers over HTTP

Cause: nothing answers a caller yet. Change: LibCallers reads requests, drives one RequestFlow on a traffic thread and writes answers and streams; laburnumd joins the control cores, the platform, peers and operators. A stream's flow has a thread of its own, as the answer's status is known only with its first token.

--- /dev/null
+++ b/Libraries/LibCallers/CallerServer.cpp
@@ -0,0 +1,234 @@
+#include <LibCallers/CallerServer.h>
+
+#include <LibCallers/ElasticTaskQueue.h>
+#include <LibCore/Time.h>
+
+#include <httplib.h>
+
+namespace laburnum {
+
+namespace {
+
+constexpr char EventStreamType[] = "text/event-stream";
+constexpr int KeepAliveSeconds = 5;
+constexpr std::size_t RequestsPerConnection = 1000000;
+
+CallerMessage messageOf(httplib::Request const &Request) {
+  CallerMessage Message;
+  Message.Method_ = Request.method;
+  Message.Target_ = Request.target;
+  for (auto const &[Name, Value] : Request.headers)
+    Message.Fields_.push_back({Name, Value});
+  return Message;
+}
+
+void write(HttpAnswer const &Answer, httplib::Response &Response) {
+  Response.status = Answer.Status_;
+  for (auto const &Field : Answer.Fields_)
+    Response.set_header(Field.Name_, Field.Value_);
+  Response.set_content(Answer.Body_, Answer.ContentType_);
+}
+
+/// Writes one item; false ends the stream.
+bool writeItem(StreamItem const &Item, ReadRequest const &Read,
+               httplib::DataSink &Sink) {
+  auto const Write = [&Sink](std::string const &Text) {
+    return Sink.write(Text.data(), Text.size());
+  };
+  if (auto const *Token = std::get_if<TokenOut>(&Item))
+    return Write(eventOf(*Token, Read));
+  if (auto const *Failure = std::get_if<FailureAnswer>(&Item)) {
+    Write(failureEvent(*Failure, Read.Request_.Id_));
+    Sink.done();
+    return true;
+  }
+  Write(endEvent());
+  Sink.done();
+  return true;
+}
+
+void write(StreamAnswer const &Answer, httplib::Response &Response) {
+  Response.status = 200;
+  Response.set_header("Laburnum-Request-Id", Answer.Read_.Request_.Id_.text());
+  Response.set_header("Cache-Control", "no-store");
+  auto const Started = std::make_shared<bool>(false);
+  Response.set_chunked_content_provider(
+      EventStreamType,
+      [Answer, Started](std::size_t, httplib::DataSink &Sink) {
+        if (*Started)
+          return writeItem(Answer.Rest_->pop(), Answer.Read_, Sink);
+        *Started = true;
+        return writeItem(Answer.First_, Answer.Read_, Sink);
+      },
+      [Pipe = Answer.Rest_](bool) { Pipe->abandon(); });
+}
+
+Error errorOfStatus(int Status) {
+  constexpr int PayloadTooLarge = 413;
+  constexpr int UriTooLong = 414;
+  if (Status == PayloadTooLarge)
+    return {ErrorKind::InvalidArgument, "the body is too large",
+            "send a smaller body; the operators set max_body_bytes"};
+  if (Status == UriTooLong)
+    return {ErrorKind::InvalidArgument, "the request's target is too long",
+            "send a shorter path and query"};
+  return {ErrorKind::InvalidArgument, "the request is not valid HTTP/1.1",
+          "check the method, the headers and their size (RFC 9112)"};
+}
+
+} // namespace
+
+/// Widens the library's backlog of 5 connections, which a burst overflows.
+class BurstServer : public httplib::Server {
+public:
+  void widenBacklog() {
+    constexpr int Backlog = 1024;
+    ::listen(svr_sock_, Backlog);
+  }
+};
+
+class CallerServer::Implementation {
+public:
+  Implementation(CallerServerSettings const &Settings, CallerHandler Handler,
+                 RefusalWriter Refuse)
+      : Settings_(Settings), Handler_(std::move(Handler)),
+        Refuse_(std::move(Refuse)) {
+    setLimits();
+    setRoutes();
+    setErrors();
+  }
+
+  void setLimits() {
+    Server_.set_tcp_nodelay(true);
+    Server_.set_read_timeout(Settings_.ReadTimeout_);
+    Server_.set_payload_max_length(Settings_.MostBodyBytes_);
+    Server_.set_keep_alive_timeout(KeepAliveSeconds);
+    Server_.set_keep_alive_max_count(RequestsPerConnection);
+    auto const Threads = Settings_.MostThreads_;
+    Server_.new_task_queue = [Threads] {
+      return new ElasticTaskQueue(Threads);
+    };
+  }
+
+  void setRoutes() {
+    constexpr char AnyPath[] = ".*";
+    auto const WithoutBody = [this](httplib::Request const &Request,
+                                    httplib::Response &Response) {
+      answer(messageOf(Request), Response);
+    };
+    auto const WithBody = [this](httplib::Request const &Request,
+                                 httplib::Response &Response,
+                                 httplib::ContentReader const &Reader) {
+      readBodyAndAnswer(Request, Response, Reader);
+    };
+    Server_.Get(AnyPath, WithoutBody);
+    Server_.Options(AnyPath, WithoutBody);
+    Server_.Post(AnyPath, WithBody);
+    Server_.Put(AnyPath, WithBody);
+    Server_.Patch(AnyPath, WithBody);
+    Server_.Delete(AnyPath, WithBody);
+    // The library takes this one for a DELETE that announces no body.
+    Server_.Delete(AnyPath, WithoutBody);
+  }
+
+  void setErrors() {
+    Server_.set_error_handler(
+        [this](httplib::Request const &, httplib::Response &Response) {
+          if (!Response.body.empty())
+            return;
+          auto Answer = Refuse_(errorOfStatus(Response.status));
+          Answer.Status_ = Response.status;
+          write(Answer, Response);
+        });
+    Server_.set_exception_handler([this](httplib::Request const &,
+                                         httplib::Response &Response,
+                                         std::exception_ptr const &) {
+      write(Refuse_({ErrorKind::Internal, "the request met an internal fault",
+                     "send it again; report it if it happens again"}),
+            Response);
+    });
+  }
+
+  /// A sender that trickles its body is cut off when the body's time is over.
+  void readBodyAndAnswer(httplib::Request const &Request,
+                         httplib::Response &Response,
+                         httplib::ContentReader const &Reader) {
+    auto Message = messageOf(Request);
+    // Without either field there is no body (RFC 9112, section 6.3); the
+    // library would read until the connection closes.
+    if (!Request.has_header("Content-Length") &&
+        !Request.has_header("Transfer-Encoding"))
+      return answer(Message, Response);
+    auto const GivenUpAt = readClock() + Settings_.BodyTimeout_;
+    bool InTime = true;
+    auto const Whole = Reader([&](char const *Data, std::size_t Size) {
+      Message.Body_.append(Data, Size);
+      InTime = readClock() < GivenUpAt;
+      return InTime && Message.Body_.size() <= Settings_.MostBodyBytes_;
+    });
+    if (Whole)
+      return answer(Message, Response);
+    if (Message.Body_.size() > Settings_.MostBodyBytes_ ||
+        Response.status == 413)
+      return refuse(413, Response);
+    Response.set_header("Connection", "close");
+    write(Refuse_({ErrorKind::DeadlineExceeded,
+                   "the body did not arrive whole in time",
+                   "send the body without long pauses"}),
+          Response);
+  }
+
+  void refuse(int Status, httplib::Response &Response) {
+    auto Answer = Refuse_(errorOfStatus(Status));
+    Answer.Status_ = Status;
+    write(Answer, Response);
+  }
+
+  void answer(CallerMessage const &Message, httplib::Response &Response) {
+    auto const Answer = Handler_(Message);
+    std::visit([&](auto const &One) { write(One, Response); }, Answer);
+  }
+
+  CallerServerSettings const Settings_;
+  CallerHandler const Handler_;
+  RefusalWriter const Refuse_;
+  BurstServer Server_;
+  Endpoint Endpoint_;
+};
+
+CallerServer::CallerServer(std::unique_ptr<Implementation> Made)
+    : Implementation_(std::move(Made)) {}
+
+CallerServer::~CallerServer() = default;
+
+Result<std::unique_ptr<CallerServer>>
+CallerServer::create(CallerServerSettings const &Settings,
+                     CallerHandler Handler, RefusalWriter Refuse) {
+  auto Made = std::make_unique<Implementation>(Settings, std::move(Handler),
+                                               std::move(Refuse));
+  auto const &Listen = Settings.Listen_;
+  auto Port = static_cast<int>(Listen.Port_);
+  bool IsBound = false;
+  if (Port == 0) {
+    Port = Made->Server_.bind_to_any_port(Listen.Host_);
+    IsBound = Port > 0;
+  } else {
+    IsBound = Made->Server_.bind_to_port(Listen.Host_, Port);
+  }
+  if (!IsBound)
+    return Error{ErrorKind::Unavailable,
+                 "cannot listen on " + Listen.Host_ + ":" +
+                     std::to_string(Listen.Port_),
+                 "choose an address of this instance and a port that is free"};
+  Made->Server_.widenBacklog();
+  Made->Endpoint_ = {Listen.Host_, static_cast<std::uint16_t>(Port)};
+  return std::unique_ptr<CallerServer>(new CallerServer(std::move(Made)));
+}
+
+Endpoint CallerServer::endpoint() const { return Implementation_->Endpoint_; }
+
+void CallerServer::run() { Implementation_->Server_.listen_after_bind(); }
+
+void CallerServer::stop() { Implementation_->Server_.stop(); }
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibCallers/RequestReader.cpp
@@ -0,0 +1,255 @@
+#include <LibCallers/RequestReader.h>
+
+#include <LibCore/Hash.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace laburnum {
+
+namespace {
+
+constexpr std::string_view BearerPrefix = "Bearer ";
+constexpr std::string_view ServicesPrefix = "/services/";
+constexpr std::size_t LongestKey = 200;
+
+/// Fields that are meant for one connection (RFC 9110, section 7.6.1) or for
+/// this system, and are not handed to the backend server.
+constexpr std::string_view KeptBack[] = {"authorization",
+                                         "connection",
+                                         "content-length",
+                                         "host",
+                                         "idempotency-key",
+                                         "keep-alive",
+                                         "te",
+                                         "trailer",
+                                         "transfer-encoding",
+                                         "upgrade",
+                                         "expect",
+                                         "accept-encoding"};
+
+Error wrong(std::string const &What, std::string const &Remedy) {
+  return Error{ErrorKind::InvalidArgument, What, Remedy};
+}
+
+std::string lowerCase(std::string Text) {
+  std::transform(Text.begin(), Text.end(), Text.begin(),
+                 [](unsigned char Letter) { return std::tolower(Letter); });
+  return Text;
+}
+
+bool isHandedOn(HttpField const &Field) {
+  auto const Name = lowerCase(Field.Name_);
+  if (Name.starts_with("laburnum-") || Name.starts_with("local_") ||
+      Name.starts_with("remote_"))
+    return false;
+  return std::find(std::begin(KeptBack), std::end(KeptBack), Name) ==
+         std::end(KeptBack);
+}
+
+std::optional<std::int64_t> wholeNumber(std::string const &Text) {
+  std::int64_t Value = 0;
+  auto const *End = Text.data() + Text.size();
+  auto const Parsed = std::from_chars(Text.data(), End, Value);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End)
+    return std::nullopt;
+  return Value;
+}
+
+Result<ClientAccount> authenticate(CallerMessage const &Message,
+                                   Configuration const &InForce) {
+  Error const Refusal{ErrorKind::Unauthenticated,
+                      "the request carries no valid account key",
+                      "send the header \"Authorization: Bearer KEY\" with the "
+                      "key of your client account"};
+  auto const Field = Message.field("Authorization");
+  if (!Field || !Field->starts_with(BearerPrefix))
+    return Refusal;
+  auto const *Account =
+      InForce.accountByKeyDigest(keyDigest(Field->substr(BearerPrefix.size())));
+  if (!Account)
+    return Refusal;
+  return *Account;
+}
+
+Result<Duration> deadlineOf(CallerMessage const &Message,
+                            RequestBounds const &Bounds) {
+  auto const Field = Message.field("Laburnum-Deadline-Ms");
+  if (!Field)
+    return Bounds.DefaultDeadline_;
+  auto const Longest = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Bounds.LongestDeadline_);
+  auto const Value = wholeNumber(*Field);
+  if (!Value || *Value < 1 || *Value > Longest.count())
+    return wrong("the header Laburnum-Deadline-Ms is out of range",
+                 "give whole milliseconds from 1 to " +
+                     std::to_string(Longest.count()));
+  return Duration(std::chrono::milliseconds(*Value));
+}
+
+Result<std::optional<IdempotencyKey>> keyOf(CallerMessage const &Message) {
+  auto const Field = Message.field("Idempotency-Key");
+  if (!Field)
+    return std::optional<IdempotencyKey>();
+  if (Field->empty() || Field->size() > LongestKey)
+    return wrong("the header Idempotency-Key is empty or too long",
+                 "give 1 to " + std::to_string(LongestKey) + " characters");
+  return std::optional<IdempotencyKey>(IdempotencyKey(*Field));
+}
+
+/// The first token that the caller lacks: its own header, or the last event
+/// that an SSE client saw (WHATWG HTML, section 9.2.4).
+Result<std::uint32_t> resumeOffsetOf(CallerMessage const &Message) {
+  auto const Own = Message.field("Laburnum-Resume-From");
+  auto const Last = Message.field("Last-Event-ID");
+  if (!Own && !Last)
+    return std::uint32_t(0);
+  auto const Value = wholeNumber(Own ? *Own : *Last);
+  constexpr std::int64_t MostTokens = 1 << 30;
+  if (!Value || *Value < 0 || *Value >= MostTokens)
+    return wrong("the offset to resume from is not a whole number",
+                 "send the id of the last event that arrived");
+  return static_cast<std::uint32_t>(Own ? *Value : *Value + 1);
+}
+
+Result<Service> permittedService(ServiceName const &Name, ServiceKind Kind,
+                                 ClientAccount const &Account,
+                                 Configuration const &InForce) {
+  auto const *Found = InForce.service(Name);
+  if (!Found || Found->Kind_ != Kind)
+    return Error{ErrorKind::NotFound,
+                 "there is no such service: " + Name.text(),
+                 Kind == ServiceKind::Model
+                     ? "name a model service in \"model\""
+                     : "use /services/NAME/PATH with a plain service's name"};
+  auto const &Allowed = Account.Services_;
+  if (!Allowed.empty() &&
+      std::find(Allowed.begin(), Allowed.end(), Name) == Allowed.end())
+    return Error{ErrorKind::PermissionDenied,
+                 "the account may not use the service " + Name.text(),
+                 "ask the operators to add the service to the account"};
+  return *Found;
+}
+
+/// Path without query.
+std::string pathOf(std::string const &Target) {
+  return Target.substr(0, Target.find('?'));
+}
+
+Result<Success> fillPlain(CallerMessage const &Message,
+                          ClientAccount const &Account,
+                          Configuration const &InForce,
+                          CallerRequest &Request) {
+  auto const Rest = Message.Target_.substr(ServicesPrefix.size());
+  auto const End = Rest.find_first_of("/?");
+  Request.Service_ = ServiceName(Rest.substr(0, End));
+  Request.Path_ = End == std::string::npos ? "/" : Rest.substr(End);
+  if (Request.Path_.front() == '?')
+    Request.Path_.insert(0, "/");
+  auto const Found =
+      permittedService(Request.Service_, ServiceKind::Plain, Account, InForce);
+  if (isError(Found))
+    return errorOf(Found);
+  Request.Kind_ = ServiceKind::Plain;
+  Request.Priority_ = valueOf(Found).Priority_;
+  Request.Method_ = Message.Method_;
+  Request.Body_ = Message.Body_;
+  std::copy_if(Message.Fields_.begin(), Message.Fields_.end(),
+               std::back_inserter(Request.Fields_), isHandedOn);
+  if (!isNonIdempotent(valueOf(Found), Request.Method_, Request.Path_))
+    return Success{};
+  Request.Idempotence_ = Idempotence::NonIdempotent;
+  if (!Request.Key_)
+    return wrong("this call must not run twice and has no Idempotency-Key",
+                 "send a header Idempotency-Key that is new for each action "
+                 "and the same when the action is sent again");
+  return Success{};
+}
+
+Result<AnswerForm> fillCompletion(CompletionStyle Style,
+                                  CallerMessage const &Message,
+                                  ClientAccount const &Account,
+                                  Configuration const &InForce,
+                                  CallerRequest &Request) {
+  auto const Body = parseCompletionBody(Style, Message.Body_);
+  if (isError(Body))
+    return errorOf(Body);
+  auto const Resume = resumeOffsetOf(Message);
+  if (isError(Resume))
+    return errorOf(Resume);
+  auto const Found = permittedService(valueOf(Body).Model_, ServiceKind::Model,
+                                      Account, InForce);
+  if (isError(Found))
+    return errorOf(Found);
+  Request.Kind_ = ServiceKind::Model;
+  Request.Service_ = valueOf(Body).Model_;
+  Request.Priority_ = valueOf(Found).Priority_;
+  Request.Prompt_ = valueOf(Body).Prompt_;
+  Request.MaxTokens_ = valueOf(Body).MaxTokens_;
+  Request.ResumeFrom_ = valueOf(Resume);
+  return AnswerForm{ServiceKind::Model, Style, valueOf(Body).Streaming_};
+}
+
+Result<AnswerForm> fillByPath(CallerMessage const &Message,
+                              ClientAccount const &Account,
+                              Configuration const &InForce,
+                              CallerRequest &Request) {
+  auto const Path = pathOf(Message.Target_);
+  if (Path.starts_with(ServicesPrefix)) {
+    auto const Filled = fillPlain(Message, Account, InForce, Request);
+    if (isError(Filled))
+      return errorOf(Filled);
+    return AnswerForm{};
+  }
+  auto const IsText = Path == "/v1/completions";
+  if (!IsText && Path != "/v1/chat/completions")
+    return Error{ErrorKind::NotFound, "there is nothing at this path",
+                 "use /v1/completions, /v1/chat/completions or "
+                 "/services/NAME/PATH"};
+  if (Message.Method_ != "POST")
+    return wrong("completions take the method POST only",
+                 "send the request with POST");
+  return fillCompletion(IsText ? CompletionStyle::Text : CompletionStyle::Chat,
+                        Message, Account, InForce, Request);
+}
+
+/// The same for the same content, whatever its key.
+std::uint64_t fingerprintOf(CallerRequest const &Request) {
+  auto Hash = stableHash(Request.Service_.text());
+  Hash = stableHash(Request.Method_, Hash);
+  Hash = stableHash(Request.Path_, Hash);
+  Hash = stableHash(Request.Body_, Hash);
+  Hash = stableHash(std::to_string(Request.MaxTokens_), Hash);
+  return stableHash(Request.Prompt_, Hash);
+}
+
+} // namespace
+
+Result<ReadRequest> readRequest(CallerMessage const &Message,
+                                Configuration const &InForce,
+                                RequestBounds const &Bounds, RequestId Id,
+                                TimePoint Now) {
+  auto const Account = authenticate(Message, InForce);
+  if (isError(Account))
+    return errorOf(Account);
+  auto const Allowed = deadlineOf(Message, Bounds);
+  if (isError(Allowed))
+    return errorOf(Allowed);
+  auto const Key = keyOf(Message);
+  if (isError(Key))
+    return errorOf(Key);
+
+  CallerRequest Request;
+  Request.Id_ = std::move(Id);
+  Request.Account_ = valueOf(Account).Name_;
+  Request.Worth_ = valueOf(Account).Worth_;
+  Request.Deadline_ = Now + valueOf(Allowed);
+  Request.Key_ = valueOf(Key);
+  auto const Form = fillByPath(Message, valueOf(Account), InForce, Request);
+  if (isError(Form))
+    return errorOf(Form);
+  Request.Fingerprint_ = fingerprintOf(Request);
+  return ReadRequest{std::move(Request), valueOf(Form)};
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibCallers/TokenPipe.cpp
@@ -0,0 +1,31 @@
+#include <LibCallers/TokenPipe.h>
+
+namespace laburnum {
+
+Continue TokenPipe::push(StreamItem Item) {
+  std::unique_lock Lock(Mutex_);
+  Changed_.wait(Lock,
+                [this] { return Abandoned_ || Items_.size() < MostItems_; });
+  if (Abandoned_)
+    return Continue::No;
+  Items_.push_back(std::move(Item));
+  Changed_.notify_all();
+  return Continue::Yes;
+}
+
+StreamItem TokenPipe::pop() {
+  std::unique_lock Lock(Mutex_);
+  Changed_.wait(Lock, [this] { return !Items_.empty(); });
+  auto Item = std::move(Items_.front());
+  Items_.pop_front();
+  Changed_.notify_all();
+  return Item;
+}
+
+void TokenPipe::abandon() {
+  std::lock_guard const Lock(Mutex_);
+  Abandoned_ = true;
+  Changed_.notify_all();
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Services/laburnumd/ClaimService.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "ControlThread.h"
+
+#include <LibCallers/FlowRunner.h>
+#include <LibPlatform/ObjectStore.h>
+#include <LibServing/ClaimJournal.h>
+
+#include <asio/thread_pool.hpp>
+
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace laburnum {
+
+/// Connects traffic threads that need claims with the claim journal on the
+/// control thread and the platform calls that it orders.
+class ClaimService : public ClaimKeeper {
+public:
+  ClaimService(ControlThread &Control, ObjectStore &Store,
+               ClaimJournalSettings const &Settings, Duration PlatformTimeout,
+               std::size_t PlatformThreads, std::uint64_t Seed);
+  ~ClaimService() override;
+
+  /// Called once, before the control thread runs.
+  void start();
+  /// Waits for the platform calls in progress.
+  void stop();
+
+  ClaimVerdict claim(flow::MakeClaim const &Wanted,
+                     TimePoint Deadline) override;
+  void record(flow::RecordOutcome const &Outcome) override;
+
+private:
+  /// A traffic thread waiting for its verdict.
+  struct Waiter {
+    flow::MakeClaim Wanted_;
+    std::mutex Mutex_;
+    std::condition_variable Settled_;
+    std::optional<ClaimVerdict> Verdict_;
+    bool HasLeft_ = false;
+  };
+
+  // On the control thread.
+  void feed(claims::Event const &Event);
+  void perform(claims::ReadBucket const &Action);
+  void perform(claims::WriteBucket const &Action);
+  void perform(claims::SettleClaim const &Action);
+  /// A claim granted to nobody is given back, as nothing was dispatched.
+  void giveBack(flow::MakeClaim const &Unused);
+
+  ControlThread &Control_;
+  ObjectStore &Store_;
+  Duration const PlatformTimeout_;
+  asio::thread_pool PlatformCalls_;
+  ClaimJournal Journal_;
+  std::map<claims::Ticket, std::shared_ptr<Waiter>> Waiting_;
+  claims::Ticket NextTicket_ = 1;
+};
+
+} // namespace laburnum
--- /dev/null
+++ b/Services/laburnumd/ControlPlane.cpp
@@ -0,0 +1,263 @@
+#include "ControlPlane.h"
+
+#include <asio/post.hpp>
+#include <glog/logging.h>
+
+namespace laburnum {
+
+namespace {
+
+constexpr Duration CoreTick = std::chrono::milliseconds(100);
+constexpr Duration InstanceListPeriod = std::chrono::seconds(2);
+constexpr Duration NoticeRetryPause = std::chrono::seconds(1);
+/// How long one long poll of the platform waits. Bounds the time of stop().
+constexpr Duration LongPoll = std::chrono::seconds(2);
+/// Three collections, the notices, the instance list and one to spare.
+constexpr std::size_t ReadThreads = 6;
+
+} // namespace
+
+ControlPlane::ControlPlane(ControlThread &Control,
+                           PlatformInterfaces const &Platform,
+                           TrafficView &View,
+                           std::function<void()> OnViewChanged)
+    : Control_(Control), Platform_(Platform), View_(View),
+      OnViewChanged_(std::move(OnViewChanged)), PlatformReads_(ReadThreads) {}
+
+ControlPlane::~ControlPlane() { stop(); }
+
+Result<Success> ControlPlane::start(ControlPlaneSettings const &Settings) {
+  PeerTransportSettings Transport;
+  Transport.Secret_ = Settings.PeerSecret_;
+  Transport.Self_ = Settings.Self_;
+  auto Made = AsioPeerTransport::create(
+      Control_.context(), Transport,
+      [this](InstanceId const &From, PeerMessage const &Message) {
+        receive(From, Message);
+      });
+  if (isError(Made))
+    return errorOf(Made);
+  Transport_ = takeValue(std::move(Made));
+  auto Self = Settings.Self_;
+  Self.Peers_ = Transport_->localEndpoint();
+  Self_ = Self.Id_;
+  PlatformTimeout_ = Settings.PlatformTimeout_;
+
+  configuration::Settings ForConfiguration;
+  ForConfiguration.Self_ = Self;
+  ForConfiguration.Seed_ = Settings.Seed_;
+  Configuration_ = std::make_unique<ConfigurationStore>(ForConfiguration);
+  membership::Settings ForMembership;
+  ForMembership.Self_ = Self;
+  ForMembership.Seeds_ = Settings.Seeds_;
+  ForMembership.Seed_ = Settings.Seed_;
+  Membership_ = std::make_unique<Membership>(ForMembership);
+  servers::Settings ForServers;
+  ForServers.Self_ = Self;
+  ForServers.Seed_ = Settings.Seed_;
+  Directory_ = std::make_unique<ServerDirectory>(ForServers);
+
+  Control_.every(CoreTick, [this] {
+    feed(membership::Event(membership::TimePassed{}));
+    feed(configuration::Event(configuration::TimePassed{}));
+    feed(servers::Event(servers::TimePassed{}));
+  });
+  Control_.every(InstanceListPeriod, [this] { readInstanceList(); });
+  Control_.post([this] {
+    readInstanceList();
+    readNotices();
+  });
+  return Success{};
+}
+
+void ControlPlane::stop() {
+  Stopping_ = true;
+  PlatformReads_.join();
+}
+
+void ControlPlane::applyOwnChange(ConfigurationObject const &Object) {
+  Control_.post([this, Object] {
+    feed(configuration::Event(configuration::OwnChangeAccepted{Object}));
+  });
+}
+
+void ControlPlane::reportRefusal(ServerId const &Server) {
+  Control_.post(
+      [this, Server] { feed(servers::Event(servers::ServerRefused{Server})); });
+}
+
+void ControlPlane::announceLeaving() {
+  Control_.post([this] { feed(membership::Event(membership::OwnLeaving{})); });
+}
+
+void ControlPlane::drainServer(ServerId const &Server, Duration Within) {
+  Control_.post([this, Server, Within] {
+    feed(servers::Event(
+        servers::NoticeReceived{{Server.text(), DataCentre(), Within}}));
+  });
+}
+
+std::vector<Member> ControlPlane::members() {
+  return Control_.ask([this] { return Membership_->members(); });
+}
+
+std::vector<ConfigurationObject> ControlPlane::objects(ObjectKind Kind) {
+  return Control_.ask([this, Kind] {
+    std::vector<ConfigurationObject> Found;
+    for (auto const &[Name, Object] : Configuration_->objects()) {
+      if (Name.Kind_ == Kind && !Object.IsDeleted_)
+        Found.push_back(Object);
+    }
+    return Found;
+  });
+}
+
+std::vector<ObjectName> ControlPlane::objectNames() {
+  return Control_.ask([this] {
+    std::vector<ObjectName> Names;
+    for (auto const &[Name, Object] : Configuration_->objects())
+      Names.push_back(Name);
+    return Names;
+  });
+}
+
+Version ControlPlane::configurationVersion() {
+  return Control_.ask([this] { return Configuration_->version(); });
+}
+
+void ControlPlane::receive(InstanceId const &From, PeerMessage const &Message) {
+  if (auto const *Beat = std::get_if<Heartbeat>(&Message))
+    feed(membership::Event(membership::HeartbeatFromPeer{From, *Beat}));
+  else if (auto const *Digest = std::get_if<ConfigurationDigest>(&Message))
+    feed(configuration::Event(configuration::DigestFromPeer{*Digest}));
+  else if (auto const *Objects = std::get_if<ConfigurationObjects>(&Message))
+    feed(configuration::Event(configuration::ObjectsFromPeer{*Objects}));
+  else if (auto const *Request = std::get_if<ConfigurationRequest>(&Message))
+    feed(configuration::Event(configuration::RequestFromPeer{*Request}));
+  else if (auto const *Notice = std::get_if<ServerLeavingNotice>(&Message))
+    feed(servers::Event(servers::NoticeFromPeer{*Notice}));
+}
+
+void ControlPlane::feed(configuration::Event const &Event) {
+  for (auto const &Action : Configuration_->handle(Event, readClock()))
+    std::visit([this](auto const &One) { perform(One); }, Action);
+}
+
+void ControlPlane::feed(membership::Event const &Event) {
+  for (auto const &Action : Membership_->handle(Event, readClock()))
+    std::visit([this](auto const &One) { perform(One); }, Action);
+}
+
+void ControlPlane::feed(servers::Event const &Event) {
+  for (auto const &Action : Directory_->handle(Event, readClock()))
+    std::visit([this](auto const &One) { perform(One); }, Action);
+}
+
+void ControlPlane::perform(SendToPeer const &Action) {
+  Transport_->send(Action.To_, Action.Message_);
+}
+
+template <typename Call, typename Next>
+void ControlPlane::callPlatform(Call Blocking, Next Then) {
+  if (Stopping_)
+    return;
+  asio::post(PlatformReads_, [this, Blocking, Then] {
+    auto Outcome = Blocking();
+    bool const IsReachable = !isError(Outcome);
+    if (PlatformReachable_.exchange(IsReachable) != IsReachable)
+      LOG(INFO) << "instance=" << Self_.text()
+                << " platform=" << (IsReachable ? "reachable" : "unreachable");
+    Control_.post([Then, Outcome = std::move(Outcome)] { Then(Outcome); });
+  });
+}
+
+void ControlPlane::perform(configuration::ListCollection const &Action) {
+  callPlatform(
+      [this, Action] {
+        return Platform_.Objects_.list(toString(Action.Kind_),
+                                       PlatformTimeout_);
+      },
+      [this, Action](Result<ObjectList> const &List) {
+        if (isError(List))
+          feed(configuration::Event(
+              configuration::PlatformFailed{Action.Kind_}));
+        else
+          feed(configuration::Event(
+              configuration::CollectionListed{Action.Kind_, valueOf(List)}));
+      });
+}
+
+void ControlPlane::perform(configuration::WatchCollection const &Action) {
+  callPlatform(
+      [this, Action] {
+        return Platform_.Objects_.watch(toString(Action.Kind_), Action.From_,
+                                        LongPoll);
+      },
+      [this, Action](Result<WatchBatch> const &Batch) {
+        if (isError(Batch))
+          feed(configuration::Event(
+              configuration::PlatformFailed{Action.Kind_}));
+        else
+          feed(configuration::Event(
+              configuration::CollectionWatched{Action.Kind_, valueOf(Batch)}));
+      });
+}
+
+void ControlPlane::perform(configuration::SnapshotChanged const &Action) {
+  View_.setConfiguration(Action.Snapshot_);
+  feed(servers::Event(servers::ObjectsApplied{Action.Changed_}));
+  feed(membership::Event(membership::OwnConfigurationChanged{
+      Configuration_->version(), Configuration_->digest()}));
+  OnViewChanged_();
+  LOG(INFO) << "instance=" << Self_.text()
+            << " configuration_version=" << Configuration_->version();
+}
+
+void ControlPlane::perform(configuration::RaiseAlarm const &Action) {
+  LOG(ERROR) << "instance=" << Self_.text() << " alarm=\"" << Action.Message_
+             << "\"";
+}
+
+void ControlPlane::perform(membership::MembersChanged const &Action) {
+  feed(configuration::Event(configuration::MembersChanged{Action.Members_}));
+  feed(servers::Event(servers::MembersChanged{Action.Members_}));
+}
+
+void ControlPlane::perform(servers::DirectoryChanged const &Action) {
+  View_.setDepartures(Action.Departures_);
+  OnViewChanged_();
+  for (auto const &Server : Action.News_)
+    LOG(INFO) << "instance=" << Self_.text()
+              << " server_departure=" << Server.text();
+}
+
+void ControlPlane::readInstanceList() {
+  callPlatform(
+      [this] { return Platform_.Instances_.fetch(PlatformTimeout_); },
+      [this](Result<InstanceListing> const &Listing) {
+        if (isError(Listing))
+          return;
+        feed(membership::Event(membership::InstancesListed{valueOf(Listing)}));
+        feed(servers::Event(servers::InstancesListed{valueOf(Listing)}));
+      });
+}
+
+void ControlPlane::readNotices() {
+  callPlatform(
+      [this, From = NextNotice_] {
+        auto Batch = Platform_.Cloud_.notices(From, LongPoll);
+        if (isError(Batch))
+          std::this_thread::sleep_for(NoticeRetryPause);
+        return Batch;
+      },
+      [this](Result<NoticeBatch> const &Batch) {
+        if (!isError(Batch)) {
+          NextNotice_ = valueOf(Batch).Next_;
+          for (auto const &Notice : valueOf(Batch).Notices_)
+            feed(servers::Event(servers::NoticeReceived{Notice}));
+        }
+        readNotices();
+      });
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Services/laburnumd/ControlThread.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+
+#include <functional>
+#include <future>
+#include <thread>
+#include <type_traits>
+#include <utility>
+
+namespace laburnum {
+
+/// The one thread that owns the control state: the decision cores, the peer
+/// connections and the timers. Other threads hand it work.
+class ControlThread {
+public:
+  ControlThread();
+  ~ControlThread();
+
+  asio::io_context &context() { return Context_; }
+
+  void start();
+  /// Ends the thread; work that has not begun is dropped.
+  void stop();
+
+  template <typename Work> void post(Work &&Task) {
+    asio::post(Context_, std::forward<Work>(Task));
+  }
+
+  /// Runs Task on the control thread and waits for its value. Not to be
+  /// called from the control thread itself, nor after stop().
+  template <typename Work> auto ask(Work Task) {
+    using Value = std::invoke_result_t<Work>;
+    auto Promise = std::make_shared<std::promise<Value>>();
+    auto Future = Promise->get_future();
+    post([Promise, Task = std::move(Task)] { Promise->set_value(Task()); });
+    return Future.get();
+  }
+
+  /// Calls Task on the control thread, each Period after the call before.
+  void every(Duration Period, std::function<void()> Task);
+
+private:
+  asio::io_context Context_;
+  asio::executor_work_guard<asio::io_context::executor_type> KeepRunning_;
+  std::thread Thread_;
+};
+
+} // namespace laburnum
--- /dev/null
+++ b/Services/laburnumd/Daemon.cpp
@@ -0,0 +1,240 @@
+#include "Daemon.h"
+
+#include "ClaimService.h"
+#include "ControlPlane.h"
+#include "DrainGate.h"
+#include "ObservingBackendClient.h"
+#include "OperatorDesk.h"
+#include "RequestService.h"
+#include "ServingMetrics.h"
+
+#include <LibAdmin/OperatorServer.h>
+#include <LibBackend/HttpBackendClient.h>
+#include <LibPlatform/HttpCloudApi.h>
+#include <LibPlatform/HttpInstanceList.h>
+#include <LibPlatform/HttpObjectStore.h>
+#include <LibPlatform/MeteredObjectStore.h>
+#include <LibPlatform/RetryingObjectStore.h>
+#include <LibPlatform/SystemStoreClock.h>
+#include <LibServing/LeastLoadedChooser.h>
+#include <LibServing/RetryBudget.h>
+
+#include <glog/logging.h>
+
+#include <future>
+#include <random>
+#include <set>
+
+namespace laburnum {
+
+namespace {
+
+/// How long callers still reach an unready instance, until the platform's
+/// balancer has noticed.
+constexpr Duration BalancerLag = std::chrono::seconds(1);
+
+std::uint64_t randomSeed() {
+  std::random_device Device;
+  constexpr unsigned WordBits = 32;
+  return (std::uint64_t(Device()) << WordBits) | Device();
+}
+
+CallerServerSettings callerSettings(DaemonSettings const &Settings) {
+  CallerServerSettings Wanted;
+  Wanted.Listen_ = Settings.Callers_.Endpoint_;
+  Wanted.MostThreads_ = Settings.Callers_.Threads_;
+  Wanted.MostBodyBytes_ = Settings.Callers_.MaxBodyBytes_;
+  Wanted.ReadTimeout_ = Settings.Callers_.HeaderTimeout_;
+  return Wanted;
+}
+
+BackendClientSettings backendSettings(DaemonSettings const &Settings) {
+  BackendClientSettings Wanted;
+  Wanted.StallTimeout_ = Settings.Backends_.StallTimeout_;
+  Wanted.MaxIdlePerEndpoint_ = Settings.Backends_.ConnectionsPerServer_;
+  return Wanted;
+}
+
+ClaimJournalSettings claimSettings(DaemonSettings const &Settings) {
+  ClaimJournalSettings Wanted;
+  Wanted.Buckets_ = Settings.Serving_.ClaimBuckets_;
+  Wanted.AnswerBytes_ = Settings.Serving_.ClaimAnswerBytes_;
+  return Wanted;
+}
+
+ObjectStoreLimits storeLimits(DaemonSettings const &Settings) {
+  return {static_cast<double>(Settings.Platform_.ReadsPerSecond_),
+          static_cast<double>(Settings.Platform_.WritesPerSecond_)};
+}
+
+} // namespace
+
+class Daemon::Implementation : public BackendObserver {
+public:
+  explicit Implementation(DaemonSettings Given)
+      : Settings_(std::move(Given)), Seed_(randomSeed()),
+        Platform_(Settings_.Platform_.Endpoint_), RemoteObjects_(Platform_),
+        Metered_(RemoteObjects_, Clock_, storeLimits(Settings_)),
+        Objects_(Metered_, Clock_, ReadRetryPolicy(), Seed_),
+        Instances_(Platform_), Cloud_(Platform_),
+        RemoteBackends_(backendSettings(Settings_)),
+        Backends_(RemoteBackends_, *this), Chooser_(Seed_),
+        ServingMetrics_(Metrics_),
+        Plane_(Control_, {Objects_, Instances_, Cloud_}, View_,
+               [this] { publish(); }),
+        Claims_(Control_, Objects_, claimSettings(Settings_),
+                Settings_.Platform_.Timeout_, Settings_.Platform_.Threads_,
+                Seed_),
+        Requests_(View_, Limiter_, Gate_, ServingMetrics_,
+                  {Chooser_, Retries_, Backends_, Claims_, View_},
+                  {Settings_.Callers_.DefaultDeadline_,
+                   Settings_.Callers_.MaxDeadline_},
+                  Seed_),
+        Writer_(Objects_, Settings_.Platform_.Timeout_) {
+    if (Settings_.Instance_.Id_.isEmpty())
+      Settings_.Instance_.Id_ = InstanceId(IdentifierSource(Seed_).next());
+  }
+
+  Result<Success> bind() {
+    auto Callers = CallerServer::create(
+        callerSettings(Settings_),
+        [this](CallerMessage const &Message) {
+          return Requests_.answer(Message);
+        },
+        [this](Error const &Failure) { return Requests_.refuse(Failure); });
+    if (isError(Callers))
+      return errorOf(Callers);
+    Callers_ = takeValue(std::move(Callers));
+    Desk_ = std::make_unique<OperatorDesk>(
+        Settings_.Instance_.Id_, Plane_, View_, Writer_, Metrics_,
+        [this](Duration Within) { requestStop(Within); });
+    auto Operators = OperatorServer::create(Settings_.Operators_, *Desk_);
+    if (isError(Operators))
+      return errorOf(Operators);
+    Operators_ = takeValue(std::move(Operators));
+    auto const Started = Plane_.start(planeSettings());
+    if (isError(Started))
+      return errorOf(Started);
+    Claims_.start();
+    return Success{};
+  }
+
+  ControlPlaneSettings planeSettings() const {
+    ControlPlaneSettings Wanted;
+    Wanted.Self_ = {Settings_.Instance_.Id_, Settings_.Instance_.DataCentre_,
+                    Callers_->endpoint(), Settings_.Peers_.Endpoint_,
+                    Operators_->endpoint()};
+    Wanted.Seeds_ = Settings_.Peers_.Seeds_;
+    Wanted.PeerSecret_ = Settings_.Peers_.Secret_;
+    Wanted.PlatformTimeout_ = Settings_.Platform_.Timeout_;
+    Wanted.Seed_ = Seed_;
+    return Wanted;
+  }
+
+  void run() {
+    Control_.start();
+    std::thread Serving([this] { Callers_->run(); });
+    LOG(INFO) << "instance=" << Settings_.Instance_.Id_.text()
+              << " state=serving callers_port=" << Callers_->endpoint().Port_
+              << " operators_port=" << Operators_->endpoint().Port_;
+    auto const Within = StopRequested_.get_future().get();
+    drain(Within);
+    Callers_->stop();
+    Serving.join();
+    Operators_->stop();
+    Plane_.stop();
+    Claims_.stop();
+    Control_.stop();
+    LOG(INFO) << "instance=" << Settings_.Instance_.Id_.text()
+              << " state=stopped";
+  }
+
+  /// Lets the balancer turn away, then refuses new work and waits for what is
+  /// in progress.
+  void drain(Duration Within) {
+    LOG(INFO) << "instance=" << Settings_.Instance_.Id_.text()
+              << " state=draining in_progress=" << Gate_.inProgress();
+    auto const Start = readClock();
+    Plane_.announceLeaving();
+    Gate_.setUnready();
+    std::this_thread::sleep_for(std::min(BalancerLag, Within));
+    Gate_.close();
+    auto const Left = Within - (readClock() - Start);
+    if (!Gate_.waitUntilEmpty(std::chrono::duration_cast<Duration>(Left)))
+      LOG(WARNING) << "instance=" << Settings_.Instance_.Id_.text()
+                   << " state=drain_overrun in_progress=" << Gate_.inProgress();
+  }
+
+  void requestStop(Duration Within) {
+    if (!IsStopRequested_.exchange(true))
+      StopRequested_.set_value(Within);
+  }
+
+  void requestStop() { requestStop(Settings_.Serving_.Drain_); }
+
+  /// Hands the control thread's new snapshots to the filters.
+  void publish() {
+    std::set<ServerId> Leaving;
+    for (auto const &[Id, Departure] : *View_.departures())
+      Leaving.insert(Id);
+    Chooser_.setSnapshot(View_.configuration(), std::move(Leaving));
+    Retries_.setSnapshot(View_.configuration());
+  }
+
+  void loadReported(ServerId const &Server, LoadReport const &Load) override {
+    Chooser_.setLoad(Server, Load);
+  }
+
+  void workRefused(ServerId const &Server) override {
+    Plane_.reportRefusal(Server);
+  }
+
+private:
+  DaemonSettings Settings_;
+  std::uint64_t const Seed_;
+  SystemStoreClock Clock_;
+  PlatformConnection Platform_;
+  HttpObjectStore RemoteObjects_;
+  MeteredObjectStore Metered_;
+  RetryingObjectStore Objects_;
+  HttpInstanceList Instances_;
+  HttpCloudApi Cloud_;
+  HttpBackendClient RemoteBackends_;
+  ObservingBackendClient Backends_;
+  LeastLoadedChooser Chooser_;
+  RetryBudget Retries_;
+  AccountLimiter Limiter_;
+  DrainGate Gate_;
+  MetricsRegistry Metrics_;
+  ServingMetrics ServingMetrics_;
+  TrafficView View_;
+  ControlThread Control_;
+  ControlPlane Plane_;
+  ClaimService Claims_;
+  RequestService Requests_;
+  ChangeWriter Writer_;
+  std::unique_ptr<OperatorDesk> Desk_;
+  std::unique_ptr<CallerServer> Callers_;
+  std::unique_ptr<OperatorServer> Operators_;
+  std::atomic<bool> IsStopRequested_ = false;
+  std::promise<Duration> StopRequested_;
+};
+
+Daemon::Daemon(std::unique_ptr<Implementation> Made)
+    : Implementation_(std::move(Made)) {}
+
+Daemon::~Daemon() = default;
+
+Result<std::unique_ptr<Daemon>> Daemon::create(DaemonSettings Settings) {
+  auto Made = std::make_unique<Implementation>(std::move(Settings));
+  auto const Bound = Made->bind();
+  if (isError(Bound))
+    return errorOf(Bound);
+  return std::unique_ptr<Daemon>(new Daemon(std::move(Made)));
+}
+
+void Daemon::run() { Implementation_->run(); }
+
+void Daemon::requestStop() { Implementation_->requestStop(); }
+
+} // namespace laburnum
--- /dev/null
+++ b/Services/laburnumd/DrainGate.cpp
@@ -0,0 +1,54 @@
+#include "DrainGate.h"
+
+namespace laburnum {
+
+DrainGate::Pass::Pass(Pass &&Other) noexcept : Owner_(Other.Owner_) {
+  Other.Owner_ = nullptr;
+}
+
+DrainGate::Pass::~Pass() {
+  if (Owner_)
+    Owner_->leave();
+}
+
+std::optional<DrainGate::Pass> DrainGate::enter() {
+  std::lock_guard const Lock(Mutex_);
+  if (IsClosed_)
+    return std::nullopt;
+  ++InProgress_;
+  return Pass(*this);
+}
+
+void DrainGate::leave() {
+  std::lock_guard const Lock(Mutex_);
+  --InProgress_;
+  Changed_.notify_all();
+}
+
+bool DrainGate::isReady() const {
+  std::lock_guard const Lock(Mutex_);
+  return IsReady_;
+}
+
+void DrainGate::setUnready() {
+  std::lock_guard const Lock(Mutex_);
+  IsReady_ = false;
+}
+
+void DrainGate::close() {
+  std::lock_guard const Lock(Mutex_);
+  IsReady_ = false;
+  IsClosed_ = true;
+}
+
+std::uint32_t DrainGate::inProgress() const {
+  std::lock_guard const Lock(Mutex_);
+  return InProgress_;
+}
+
+bool DrainGate::waitUntilEmpty(Duration Limit) {
+  std::unique_lock Lock(Mutex_);
+  return Changed_.wait_for(Lock, Limit, [this] { return InProgress_ == 0; });
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Services/laburnumd/OperatorDesk.cpp
@@ -0,0 +1,214 @@
+#include "OperatorDesk.h"
+
+#include "StatusReport.h"
+
+#include <LibModel/JsonCodec.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace laburnum {
+
+namespace {
+
+std::int64_t unixSeconds() {
+  return std::chrono::duration_cast<std::chrono::seconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string addressOf(Endpoint const &Where) {
+  return Where.Host_ + ":" + std::to_string(Where.Port_);
+}
+
+} // namespace
+
+OperatorDesk::OperatorDesk(InstanceId Self, ControlPlane &Plane,
+                           TrafficView &View, ChangeWriter &Writer,
+                           MetricsRegistry &Metrics,
+                           std::function<void(Duration)> DrainSelf)
+    : Self_(std::move(Self)), Plane_(Plane), View_(View), Writer_(Writer),
+      Metrics_(Metrics), DrainSelf_(std::move(DrainSelf)) {}
+
+Result<ChangeOutcome> OperatorDesk::write(OperatorChange const &Asked,
+                                          ChangeKind Kind,
+                                          ObjectName const &Name,
+                                          std::string Specification) {
+  Change Wanted;
+  Wanted.Change_ = Kind;
+  Wanted.Name_ = Name;
+  Wanted.Specification_ = std::move(Specification);
+  Wanted.Id_ = Asked.Id_;
+  Wanted.Expected_ = Asked.Expected_;
+  Wanted.Operator_ = Asked.OperatorName_;
+  Wanted.UnixTime_ = unixSeconds();
+  auto const Written = Writer_.apply(Wanted);
+  if (isError(Written))
+    return errorOf(Written);
+  auto const &Accepted = valueOf(Written);
+  Plane_.applyOwnChange(Accepted.Object_);
+  auto const Verdict = Accepted.Repeated_ == Repeated::Yes
+                           ? ChangeVerdict::Repeated
+                           : ChangeVerdict::Accepted;
+  return ChangeOutcome{Verdict, Accepted.Object_.Version_};
+}
+
+Result<ChangeOutcome> OperatorDesk::applyService(OperatorChange const &Change,
+                                                 Service const &Value) {
+  return write(Change, ChangeKind::Apply,
+               {ObjectKind::Service, Value.Name_.text()}, encodeJson(Value));
+}
+
+Result<ChangeOutcome> OperatorDesk::applyAccount(OperatorChange const &Change,
+                                                 AccountChange const &Value) {
+  ClientAccount Account;
+  Account.Name_ = Value.Name_;
+  Account.Limits_ = Value.Limits_;
+  Account.Worth_ = Value.Worth_;
+  Account.Services_ = Value.Services_;
+  if (Value.NewKey_) {
+    Account.KeyDigest_ = Value.NewKey_->Digest_;
+    Account.KeyHint_ = Value.NewKey_->Hint_;
+  } else {
+    auto const InForce = View_.configuration();
+    auto const *Present = InForce->account(Value.Name_);
+    if (!Present)
+      return Error{ErrorKind::InvalidArgument,
+                   "the account " + Value.Name_.text() + " has no key yet",
+                   "give a key when the account is made"};
+    Account.KeyDigest_ = Present->KeyDigest_;
+    Account.KeyHint_ = Present->KeyHint_;
+  }
+  return write(Change, ChangeKind::Apply,
+               {ObjectKind::Account, Value.Name_.text()}, encodeJson(Account));
+}
+
+Result<ChangeOutcome> OperatorDesk::applyServer(OperatorChange const &Change,
+                                                BackendServer const &Value) {
+  return write(Change, ChangeKind::Apply,
+               {ObjectKind::Server, Value.Id_.text()}, encodeJson(Value));
+}
+
+Result<ChangeOutcome> OperatorDesk::remove(OperatorChange const &Change,
+                                           ObjectName const &Name) {
+  return write(Change, ChangeKind::Delete, Name, "");
+}
+
+Result<std::vector<ObjectView>>
+OperatorDesk::listObjects(ObjectQuery const &Query) {
+  std::vector<ObjectView> Views;
+  for (auto const &Object : Plane_.objects(Query.Kind_)) {
+    if (!Query.Name_.empty() && Object.Name_.Name_ != Query.Name_)
+      continue;
+    if (auto View = viewOf(Object))
+      Views.push_back(*View);
+  }
+  if (!Query.Name_.empty() && Views.empty())
+    return Error{ErrorKind::NotFound,
+                 "there is no " + toString(Query.Kind_) + " " + Query.Name_,
+                 "list all to see the names"};
+  return Views;
+}
+
+Result<std::vector<InstanceView>> OperatorDesk::listInstances() {
+  std::vector<InstanceView> Views;
+  for (auto const &Member : Plane_.members()) {
+    InstanceView View;
+    View.Id_ = Member.Instance_.Id_.text();
+    View.DataCentre_ = Member.Instance_.DataCentre_;
+    View.Liveness_ = Member.Liveness_;
+    View.Address_ = addressOf(Member.Instance_.Callers_);
+    Views.push_back(View);
+  }
+  auto const InForce = View_.configuration();
+  auto const Departures = View_.departures();
+  for (auto const &[Name, Defined] : InForce->services()) {
+    for (auto const &Server : InForce->serversOf(Name))
+      Views.push_back(viewOf(Server, *Departures));
+  }
+  return Views;
+}
+
+Result<std::vector<ConfigurationInForce>>
+OperatorDesk::listConfigurationInForce() {
+  std::vector<ConfigurationInForce> Views;
+  for (auto const &Member : Plane_.members()) {
+    if (Member.Liveness_ == Liveness::Gone)
+      continue;
+    ConfigurationInForce View;
+    View.Instance_ = Member.Instance_.Id_;
+    View.DataCentre_ = Member.Instance_.DataCentre_;
+    View.Version_ = Member.ConfigurationVersion_;
+    View.Digest_ = Member.ConfigurationDigest_;
+    Views.push_back(View);
+  }
+  return Views;
+}
+
+Result<std::vector<AuditEntry>>
+OperatorDesk::listAuditTrail(AuditQuery const &Query) {
+  std::vector<AuditEntry> Entries;
+  for (auto const &Name : Plane_.objectNames()) {
+    if (Query.Kind_ && Name.Kind_ != *Query.Kind_)
+      continue;
+    if (!Query.Name_.empty() && Name.Name_ != Query.Name_)
+      continue;
+    auto const Trail = Writer_.auditTrail(Name, Query.Limit_);
+    if (isError(Trail))
+      return errorOf(Trail);
+    for (auto const &Record : valueOf(Trail))
+      Entries.push_back(auditEntryOf(Name, Record));
+  }
+  std::stable_sort(Entries.begin(), Entries.end(),
+                   [](AuditEntry const &Left, AuditEntry const &Right) {
+                     return Left.UnixTimeMilliseconds_ >
+                            Right.UnixTimeMilliseconds_;
+                   });
+  if (Entries.size() > Query.Limit_)
+    Entries.resize(Query.Limit_);
+  return Entries;
+}
+
+Result<std::vector<ReclaimView>> OperatorDesk::listReclaims() {
+  std::vector<ReclaimView> Views;
+  auto const InForce = View_.configuration();
+  auto const Now = readClock();
+  for (auto const &[Id, Departure] : *View_.departures()) {
+    ReclaimView View;
+    View.Instance_ = Id.text();
+    if (auto const *Server = InForce->server(Id))
+      View.DataCentre_ = Server->DataCentre_;
+    if (Departure.GoneAt_)
+      View.Remaining_ = *Departure.GoneAt_ - Now;
+    Views.push_back(View);
+  }
+  return Views;
+}
+
+Result<std::vector<MetricSnapshot>>
+OperatorDesk::readMetrics(std::string const &Prefix) {
+  return Metrics_.snapshot(Prefix);
+}
+
+Result<StatusView> OperatorDesk::readStatus() {
+  return statusOf({Self_, Plane_.members(), View_.configuration(),
+                   View_.departures(), Plane_.configurationVersion(),
+                   Plane_.isPlatformReachable()
+                       ? PlatformContact::Reachable
+                       : PlatformContact::Unreachable});
+}
+
+Result<Success> OperatorDesk::drain(DrainOrder const &Order) {
+  if (Order.Server_.isEmpty()) {
+    DrainSelf_(Order.Within_);
+    return Success{};
+  }
+  if (!View_.configuration()->server(Order.Server_))
+    return Error{ErrorKind::NotFound,
+                 "there is no backend server " + Order.Server_.text(),
+                 "list the backend servers to see their names"};
+  Plane_.drainServer(Order.Server_, Order.Within_);
+  return Success{};
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Services/laburnumd/RequestService.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "DrainGate.h"
+#include "ServingMetrics.h"
+#include "TrafficView.h"
+
+#include <LibCallers/CallerServer.h>
+#include <LibCallers/FlowRunner.h>
+#include <LibCore/IdentifierSource.h>
+#include <LibServing/AccountLimiter.h>
+
+#include <mutex>
+
+namespace laburnum {
+
+/// Takes a caller's message through the filters: read, admit, limit, then the
+/// request's flow, and writes the answer. Called on traffic threads.
+class RequestService {
+public:
+  RequestService(TrafficView &View, AccountLimiter &Limiter, DrainGate &Gate,
+                 ServingMetrics &Metrics, FlowResources const &Resources,
+                 RequestBounds const &Bounds, std::uint64_t Seed);
+
+  CallerAnswer answer(CallerMessage const &Message);
+  HttpAnswer refuse(Error const &Failure);
+
+private:
+  /// Releases what the filters took when the request has ended.
+  struct Admission;
+
+  CallerAnswer answerPlain(ReadRequest const &Read, Admission Held);
+  CallerAnswer answerWholeCompletion(ReadRequest const &Read, Admission Held);
+  CallerAnswer answerStream(ReadRequest const &Read, Admission Held);
+  FlowReport runFlow(CallerRequest const &Request, TokenSink const &Sink);
+  RequestId nextId();
+
+  TrafficView &View_;
+  AccountLimiter &Limiter_;
+  DrainGate &Gate_;
+  ServingMetrics &Metrics_;
+  FlowResources const Resources_;
+  RequestBounds const Bounds_;
+  std::mutex Mutex_;
+  IdentifierSource Identifiers_;
+};
+
+} // namespace laburnum
