--- a/Services/laburnumd/ControlPlane.h
+++ b/Services/laburnumd/ControlPlane.h
@@ -65,6 +65,8 @@
   /// The names of all objects, deleted ones included.
   std::vector<ObjectName> objectNames();
   Version configurationVersion();
+  /// Where this instance listens for its peers; known after start().
+  Endpoint peerEndpoint() const { return Transport_->localEndpoint(); }
   bool isPlatformReachable() const { return PlatformReachable_; }
 
 private:
--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -136,7 +136,8 @@
     std::thread Serving([this] { Callers_->run(); });
     LOG(INFO) << "instance=" << Settings_.Instance_.Id_.text()
               << " state=serving callers_port=" << Callers_->endpoint().Port_
-              << " operators_port=" << Operators_->endpoint().Port_;
+              << " operators_port=" << Operators_->endpoint().Port_
+              << " peers_port=" << Plane_.peerEndpoint().Port_;
     auto const Within = StopRequested_.get_future().get();
     drain(Within);
     Callers_->stop();
--- /dev/null
+++ b/Tests/LibCallers/TestCallerServer.cpp
@@ -0,0 +1,126 @@
+#include <LibCallers/CallerServer.h>
+
+#include <catch2/catch.hpp>
+#include <httplib.h>
+
+#include <thread>
+
+using namespace laburnum;
+
+namespace {
+
+constexpr std::size_t BodyLimit = 64;
+
+/// A server that echoes bodies and streams for the target /stream.
+class RunningServer {
+public:
+  explicit RunningServer(CallerHandler Handler) {
+    CallerServerSettings Settings;
+    Settings.Listen_ = {"127.0.0.1", 0};
+    Settings.MostThreads_ = 4;
+    Settings.MostBodyBytes_ = BodyLimit;
+    Settings.ReadTimeout_ = std::chrono::seconds(1);
+    auto Made = CallerServer::create(
+        Settings, std::move(Handler), [](Error const &Failure) {
+          return refusalOf(Failure, RequestId("r"));
+        });
+    REQUIRE_FALSE(isError(Made));
+    Server_ = takeValue(std::move(Made));
+    Thread_ = std::thread([this] { Server_->run(); });
+  }
+
+  ~RunningServer() {
+    Server_->stop();
+    Thread_.join();
+  }
+
+  httplib::Client client() const {
+    httplib::Client Client("127.0.0.1", Server_->endpoint().Port_);
+    Client.set_tcp_nodelay(true);
+    return Client;
+  }
+
+private:
+  std::unique_ptr<CallerServer> Server_;
+  std::thread Thread_;
+};
+
+CallerAnswer echo(CallerMessage const &Message) {
+  return HttpAnswer{200, "text/plain", Message.Method_ + Message.Body_, {}};
+}
+
+} // namespace
+
+TEST_CASE("Every method reaches the handler, with or without a body") {
+  RunningServer const Server(echo);
+  auto Client = Server.client();
+  CHECK(Client.Get("/x")->body == "GET");
+  CHECK(Client.Post("/x", "a", "text/plain")->body == "POSTa");
+  CHECK(Client.Post("/x")->body == "POST");
+  CHECK(Client.Put("/x", "b", "text/plain")->body == "PUTb");
+  CHECK(Client.Patch("/x", "c", "text/plain")->body == "PATCHc");
+  CHECK(Client.Delete("/x")->body == "DELETE");
+}
+
+TEST_CASE("A body that is too large is refused with a typed error") {
+  RunningServer const Server(echo);
+  auto Client = Server.client();
+  auto const Answer =
+      Client.Post("/x", std::string(BodyLimit + 1, 'a'), "text/plain");
+  REQUIRE(Answer);
+  CHECK(Answer->status == 413);
+  CHECK(Answer->body.find("invalid_argument") != std::string::npos);
+}
+
+TEST_CASE("An unknown method is refused with a typed error") {
+  RunningServer const Server(echo);
+  auto Client = Server.client();
+  httplib::Request Request;
+  Request.method = "FROB";
+  Request.path = "/x";
+  auto const Answer = Client.send(Request);
+  REQUIRE(Answer);
+  CHECK(Answer->status == 400);
+  CHECK(Answer->body.find("invalid_argument") != std::string::npos);
+}
+
+TEST_CASE("A handler that throws yields an internal error") {
+  RunningServer const Server([](CallerMessage const &) -> CallerAnswer {
+    throw std::runtime_error("fault");
+  });
+  auto const Answer = Server.client().Get("/x");
+  REQUIRE(Answer);
+  CHECK(Answer->status == 500);
+}
+
+TEST_CASE("A stream carries its tokens by offset and ends with [DONE]") {
+  RunningServer const Server([](CallerMessage const &) -> CallerAnswer {
+    auto const Pipe = std::make_shared<TokenPipe>(4);
+    Pipe->push(TokenOut{1, "two"});
+    Pipe->push(StreamWhole{});
+    ReadRequest Read;
+    Read.Form_ = {ServiceKind::Model, CompletionStyle::Text, Streaming::Yes};
+    return StreamAnswer{Read, TokenOut{0, "one"}, Pipe};
+  });
+  auto const Answer = Server.client().Get("/x");
+  REQUIRE(Answer);
+  auto const &Body = Answer->body;
+  auto const First = Body.find("id: 0\ndata: ");
+  auto const Second = Body.find("id: 1\ndata: ");
+  CHECK(First < Second);
+  CHECK(Body.ends_with("data: [DONE]\n\n"));
+}
+
+TEST_CASE("A stream that fails ends with an error event and no [DONE]") {
+  RunningServer const Server([](CallerMessage const &) -> CallerAnswer {
+    auto const Pipe = std::make_shared<TokenPipe>(4);
+    Pipe->push(FailureAnswer{{ErrorKind::Unavailable, "gone", "again"},
+                             RunState::Ran,
+                             std::nullopt});
+    return StreamAnswer{ReadRequest{}, TokenOut{0, "one"}, Pipe};
+  });
+  auto const Answer = Server.client().Get("/x");
+  REQUIRE(Answer);
+  CHECK(Answer->body.find("event: error\n") != std::string::npos);
+  CHECK(Answer->body.find("[DONE]") == std::string::npos);
+}
--- /dev/null
+++ b/Tests/LibCallers/TestTokenPipe.cpp
@@ -0,0 +1,35 @@
+#include <LibCallers/TokenPipe.h>
+
+#include <catch2/catch.hpp>
+
+#include <future>
+
+using namespace laburnum;
+
+TEST_CASE("Items come out in the order in which they went in") {
+  TokenPipe Pipe(2);
+  CHECK(Pipe.push(TokenOut{0, "a"}) == Continue::Yes);
+  CHECK(Pipe.push(StreamWhole{}) == Continue::Yes);
+  CHECK(Pipe.pop() == StreamItem(TokenOut{0, "a"}));
+  CHECK(Pipe.pop() == StreamItem(StreamWhole{}));
+}
+
+TEST_CASE("A full pipe holds the writer back until the reader takes one") {
+  TokenPipe Pipe(1);
+  Pipe.push(TokenOut{0, "a"});
+  auto Second = std::async(std::launch::async, [&] {
+    return Pipe.push(TokenOut{1, "b"});
+  });
+  CHECK(Pipe.pop() == StreamItem(TokenOut{0, "a"}));
+  CHECK(Second.get() == Continue::Yes);
+}
+
+TEST_CASE("A writer whose reader has gone is told to stop") {
+  TokenPipe Pipe(1);
+  Pipe.push(TokenOut{0, "a"});
+  auto Second = std::async(std::launch::async, [&] {
+    return Pipe.push(TokenOut{1, "b"});
+  });
+  Pipe.abandon();
+  CHECK(Second.get() == Continue::No);
+}
