LibPlatform: Call the platform over HTTP, with a stand-in and fakes

The daemon and the tests need the object API, the instance list and the cloud API behind their interfaces, and a platform to call.

HttpObjectStore, HttpInstanceList and HttpCloudApi share one PlatformConnection and classify what took effect by how far a call got.

--- /dev/null
+++ b/Libraries/LibPlatform/HttpCloudApi.cpp
@@ -0,0 +1,44 @@
+#include <LibPlatform/HttpCloudApi.h>
+
+#include <LibPlatform/LongPoll.h>
+#include <LibPlatform/PlatformCodec.h>
+#include <LibPlatform/PlatformErrors.h>
+
+namespace laburnum {
+
+Result<NoticeBatch> HttpCloudApi::notices(std::uint64_t From, Duration Wait) {
+  std::string const What = "reading reclaim notices";
+  auto const Path = "/cloud/notices?" + longPollQuery(From, Wait);
+  auto const Reply =
+      Connection_.call({"GET", Path, {}}, Wait + AnswerAllowance);
+  if (auto Failure = errorIn(Reply, CallEffect::ReadsOnly, What))
+    return *Failure;
+  auto Batch = decodeNoticeBatch(std::get<PlatformAnswer>(Reply).Body_);
+  if (!Batch)
+    return malformedAnswer(CallEffect::ReadsOnly, What);
+  return *std::move(Batch);
+}
+
+Result<ServerId> HttpCloudApi::start(StartOrder const &Order,
+                                     Duration Timeout) {
+  auto const What = "start order " + Order.OrderId_;
+  auto const Reply =
+      Connection_.call({"POST", "/cloud/start", encodeStart(Order)}, Timeout);
+  if (auto Failure = errorIn(Reply, CallEffect::Writes, What))
+    return *Failure;
+  auto Id = decodeServerId(std::get<PlatformAnswer>(Reply).Body_);
+  if (!Id)
+    return malformedAnswer(CallEffect::Writes, What);
+  return *std::move(Id);
+}
+
+Result<Success> HttpCloudApi::stop(ServerId const &Id, Duration Timeout) {
+  auto const What = "stopping " + Id.text();
+  auto const Reply =
+      Connection_.call({"POST", "/cloud/stop", encodeStop(Id)}, Timeout);
+  if (auto Failure = errorIn(Reply, CallEffect::Writes, What))
+    return *Failure;
+  return Success{};
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibPlatform/HttpInstanceList.cpp
@@ -0,0 +1,19 @@
+#include <LibPlatform/HttpInstanceList.h>
+
+#include <LibPlatform/PlatformCodec.h>
+#include <LibPlatform/PlatformErrors.h>
+
+namespace laburnum {
+
+Result<InstanceListing> HttpInstanceList::fetch(Duration Timeout) {
+  std::string const What = "reading the instance list";
+  auto const Reply = Connection_.call({"GET", "/instances", {}}, Timeout);
+  if (auto Failure = errorIn(Reply, CallEffect::ReadsOnly, What))
+    return *Failure;
+  auto Listing = decodeInstanceListing(std::get<PlatformAnswer>(Reply).Body_);
+  if (!Listing)
+    return malformedAnswer(CallEffect::ReadsOnly, What);
+  return *std::move(Listing);
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibPlatform/LongPoll.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <cstdint>
+#include <string>
+
+namespace laburnum {
+
+/// How much longer than its wait a long poll may take to be answered.
+constexpr Duration AnswerAllowance = std::chrono::seconds(2);
+
+/// The query of a long poll, without the question mark.
+inline std::string longPollQuery(std::uint64_t From, Duration Wait) {
+  auto const Milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Wait).count();
+  return "from=" + std::to_string(From) +
+         "&wait_ms=" + std::to_string(Milliseconds);
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibPlatform/PlatformConnection.cpp
@@ -0,0 +1,111 @@
+#include <LibPlatform/PlatformConnection.h>
+
+#include <httplib.h>
+
+namespace laburnum {
+
+namespace {
+
+constexpr std::size_t MostIdleClients = 8;
+
+/// Below the time after which a server closes an idle connection, so that a
+/// put does not meet a connection that is being closed.
+constexpr Duration LongestIdle = std::chrono::seconds(1);
+
+void setTimeouts(httplib::Client &Client, Duration Timeout) {
+  auto const Connecting = Timeout / 2;
+  auto const Exchange =
+      Client.is_socket_open() ? Timeout : Timeout - Connecting;
+  Client.set_connection_timeout(Connecting);
+  Client.set_write_timeout(Exchange);
+  Client.set_read_timeout(Exchange);
+}
+
+httplib::Request requestFor(PlatformCall const &Call, TimePoint Deadline) {
+  httplib::Request Request;
+  Request.method = Call.Method_;
+  Request.path = Call.Path_;
+  Request.body = Call.Body_;
+  if (!Call.Body_.empty())
+    Request.set_header("Content-Type", "application/json");
+  Request.progress = [Deadline](std::uint64_t, std::uint64_t) {
+    return readClock() < Deadline;
+  };
+  return Request;
+}
+
+SendProgress progressOf(httplib::Error Failure) {
+  switch (Failure) {
+  case httplib::Error::Connection:
+  case httplib::Error::ConnectionTimeout:
+  case httplib::Error::BindIPAddress:
+    return SendProgress::NotSent;
+  default:
+    return SendProgress::MayHaveBeenSent;
+  }
+}
+
+} // namespace
+
+PlatformConnection::PlatformConnection(Endpoint Platform)
+    : Platform_(std::move(Platform)) {}
+
+PlatformConnection::~PlatformConnection() = default;
+
+PlatformReply PlatformConnection::call(PlatformCall const &Call,
+                                       Duration Timeout) {
+  if (Timeout <= Duration::zero())
+    return TransportFailure{SendProgress::NotSent, "no time was left"};
+  auto const Deadline = readClock() + Timeout;
+  auto Client = borrow(readClock());
+  if (!Client)
+    return TransportFailure{SendProgress::NotSent, "the connection is closed"};
+  setTimeouts(*Client, Timeout);
+  auto Request = requestFor(Call, Deadline);
+  httplib::Response Response;
+  auto Failure = httplib::Error::Success;
+  auto const IsAnswered = Client->send(Request, Response, Failure);
+  giveBack(std::move(Client), readClock(), IsAnswered);
+  if (!IsAnswered)
+    return TransportFailure{progressOf(Failure), httplib::to_string(Failure)};
+  return PlatformAnswer{Response.status, std::move(Response.body)};
+}
+
+std::unique_ptr<httplib::Client> PlatformConnection::borrow(TimePoint Now) {
+  std::lock_guard const Lock(Mutex_);
+  if (IsClosed_)
+    return nullptr;
+  std::unique_ptr<httplib::Client> Client;
+  if (!Idle_.empty() && Now - Idle_.back().IdleSince_ < LongestIdle) {
+    Client = std::move(Idle_.back().Client_);
+    Idle_.pop_back();
+  } else {
+    // The last one was used most recently: all others are older still.
+    Idle_.clear();
+    Client =
+        std::make_unique<httplib::Client>(Platform_.Host_, Platform_.Port_);
+    Client->set_keep_alive(true);
+    Client->set_tcp_nodelay(true);
+  }
+  Busy_.insert(Client.get());
+  return Client;
+}
+
+void PlatformConnection::giveBack(std::unique_ptr<httplib::Client> Client,
+                                  TimePoint Now, bool IsReusable) {
+  std::lock_guard const Lock(Mutex_);
+  Busy_.erase(Client.get());
+  if (!IsReusable || IsClosed_ || Idle_.size() >= MostIdleClients)
+    return;
+  Idle_.push_back({std::move(Client), Now});
+}
+
+void PlatformConnection::close() {
+  std::lock_guard const Lock(Mutex_);
+  IsClosed_ = true;
+  Idle_.clear();
+  for (auto *Client : Busy_)
+    Client->stop();
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibPlatform/PlatformConnection.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibModel/BackendServer.h>
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace httplib {
+class Client;
+} // namespace httplib
+
+namespace laburnum {
+
+/// One HTTP call of the platform. Path_ is percent-encoded, with the query.
+struct PlatformCall {
+  std::string Method_;
+  std::string Path_;
+  std::string Body_; ///< JSON, or empty.
+
+  auto operator<=>(PlatformCall const &) const = default;
+};
+
+/// A whole answer, whatever its status.
+struct PlatformAnswer {
+  std::int32_t Status_ = 0;
+  std::string Body_;
+
+  auto operator<=>(PlatformAnswer const &) const = default;
+};
+
+/// How far a call without a whole answer got.
+enum class SendProgress {
+  NotSent,         ///< No byte of the call left this process.
+  MayHaveBeenSent, ///< The platform may have seen the call.
+};
+
+struct TransportFailure {
+  SendProgress Progress_ = SendProgress::NotSent;
+  std::string Detail_;
+
+  auto operator<=>(TransportFailure const &) const = default;
+};
+
+using PlatformReply = std::variant<PlatformAnswer, TransportFailure>;
+
+/// Calls the platform over a small pool of keep-alive connections. A call is
+/// sent once. Several threads may call at once, each on its own connection.
+class PlatformConnection {
+public:
+  explicit PlatformConnection(Endpoint Platform);
+  ~PlatformConnection();
+
+  /// Blocks for at most Timeout, half of which may go into connecting.
+  /// FIXME: An answer whose head comes in small pieces can take longer.
+  PlatformReply call(PlatformCall const &Call, Duration Timeout);
+
+  /// Ends the calls in progress and fails all later ones, so that threads in a
+  /// waiting watch can be joined.
+  void close();
+
+private:
+  struct IdleClient {
+    std::unique_ptr<httplib::Client> Client_;
+    TimePoint IdleSince_;
+  };
+
+  std::unique_ptr<httplib::Client> borrow(TimePoint Now);
+  void giveBack(std::unique_ptr<httplib::Client> Client, TimePoint Now,
+                bool IsReusable);
+
+  Endpoint const Platform_;
+  std::mutex Mutex_; ///< Guards all below.
+  std::vector<IdleClient> Idle_;
+  std::set<httplib::Client *> Busy_;
+  bool IsClosed_ = false;
+};
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibPlatform/PlatformErrors.cpp
@@ -0,0 +1,78 @@
+#include <LibPlatform/PlatformErrors.h>
+
+#include <nlohmann/json.hpp>
+
+namespace laburnum {
+
+namespace {
+
+enum HttpStatus : std::int32_t {
+  Ok = 200,
+  BadRequest = 400,
+  NotFound = 404,
+  Conflict = 409,
+  TooManyRequests = 429,
+  InternalServerError = 500,
+  ServiceUnavailable = 503,
+};
+
+Error unsettled(CallEffect Effect, std::string const &Message) {
+  if (Effect == CallEffect::Writes)
+    return {ErrorKind::OutcomeUnknown, Message,
+            "read back to see whether it took effect"};
+  return {ErrorKind::Unavailable, Message, "try again later"};
+}
+
+Error conflict(std::string const &Body, std::string const &What) {
+  auto const Parsed = nlohmann::json::parse(Body, nullptr, false);
+  std::string Present = "unknown";
+  if (Parsed.is_object() && Parsed.contains("version"))
+    Present = Parsed["version"].dump();
+  return {ErrorKind::Conflict,
+          What + " was refused: the present version is " + Present,
+          "read the object again and decide anew"};
+}
+
+Error refusal(PlatformAnswer const &Answer, CallEffect Effect,
+              std::string const &What) {
+  auto const Message =
+      What + " was answered with status " + std::to_string(Answer.Status_);
+  switch (Answer.Status_) {
+  case NotFound:
+    return {ErrorKind::NotFound, Message, "check the name"};
+  case Conflict:
+    return conflict(Answer.Body_, What);
+  case TooManyRequests:
+    return {ErrorKind::ResourceExhausted, Message, "try again in a second"};
+  case ServiceUnavailable:
+    return {ErrorKind::Unavailable, Message, "try again later"};
+  default:
+    break;
+  }
+  if (Answer.Status_ >= InternalServerError || Answer.Status_ < BadRequest)
+    return unsettled(Effect, Message);
+  return {ErrorKind::InvalidArgument, Message,
+          "correct the call; sending it again fails too"};
+}
+
+} // namespace
+
+std::optional<Error> errorIn(PlatformReply const &Reply, CallEffect Effect,
+                             std::string const &What) {
+  if (auto const *Failure = std::get_if<TransportFailure>(&Reply)) {
+    auto const Message = What + " got no answer: " + Failure->Detail_;
+    if (Failure->Progress_ == SendProgress::NotSent)
+      return Error{ErrorKind::Unavailable, Message, "try again later"};
+    return unsettled(Effect, Message);
+  }
+  auto const &Answer = std::get<PlatformAnswer>(Reply);
+  if (Answer.Status_ == Ok)
+    return std::nullopt;
+  return refusal(Answer, Effect, What);
+}
+
+Error malformedAnswer(CallEffect Effect, std::string const &What) {
+  return unsettled(Effect, What + " got an answer that is not understood");
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Tests/PlatformStandin/PlatformStandin.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <PlatformStandin/BreakableServer.h>
+#include <PlatformStandin/StandinCloud.h>
+#include <PlatformStandin/StandinCounters.h>
+#include <PlatformStandin/StandinFaults.h>
+#include <PlatformStandin/StandinStore.h>
+
+#include <LibPlatform/CallRateLimit.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace laburnum {
+
+/// Rates of 0 mean no limit.
+struct StandinOptions {
+  std::string Host_ = "127.0.0.1";
+  std::uint16_t Port_ = 0; ///< 0 takes any free port.
+  double WritesPerSecond_ = 0;
+  double ReadsPerSecond_ = 0; ///< get, list and watch.
+  double WeightsPerSecond_ = 0;
+  Duration ListLag_{};
+  std::size_t Threads_ = 64; ///< One for each open connection.
+};
+
+/// The platform of docs/PROTOCOLS.md over HTTP, in memory, with switchable
+/// faults. Besides the platform's calls:
+///   POST /faults {"kind", "on", "delay_ms", "count"}: kinds as StandinFault in
+///     snake case, stale_reads (as of this moment) and restore (takes back the
+///     last `count` writes);
+///   POST /reclaims {"instance", "data_centre", "remaining_ms"};
+///   GET /counters.
+/// These three work in an outage too.
+class PlatformStandin {
+public:
+  /// nullptr when the address cannot be bound.
+  static std::unique_ptr<PlatformStandin> start(StandinOptions const &Options);
+  ~PlatformStandin();
+
+  std::uint16_t port() const { return Port_; }
+  StandinStore &store() { return Store_; }
+  StandinCloud &cloud() { return Cloud_; }
+  StandinFaults &faults() { return Faults_; }
+  StandinCounters const &counters() const { return Counters_; }
+
+private:
+  using Request = httplib::Request;
+  using Response = httplib::Response;
+  using Handler = void (PlatformStandin::*)(Request const &, Response &);
+  using Counter = std::atomic<std::uint64_t> StandinCounters::*;
+
+  explicit PlatformStandin(StandinOptions const &Options);
+  bool listen(StandinOptions const &Options);
+  void addRoutes();
+
+  /// Wraps a platform call: counts it, lets it meet slowness, an outage and
+  /// the rate limit, then has Handle answer.
+  httplib::Server::Handler platformCall(Counter Kind, CallRateLimit *Limit,
+                                        Handler Handle);
+  httplib::Server::Handler direct(Handler Handle);
+  bool isWithin(CallRateLimit *Limit);
+  void refuse(Response &Answer, int Status);
+
+  void readObject(Request const &Asked, Response &Answer);
+  void listObjects(Request const &Asked, Response &Answer);
+  void writeObject(Request const &Asked, Response &Answer);
+  void watchObjects(Request const &Asked, Response &Answer);
+  void listInstances(Request const &Asked, Response &Answer);
+  void registerInstance(Request const &Asked, Response &Answer);
+  void giveNotices(Request const &Asked, Response &Answer);
+  void startInstance(Request const &Asked, Response &Answer);
+  void stopInstance(Request const &Asked, Response &Answer);
+  void serveWeights(Request const &Asked, Response &Answer);
+  void switchFault(Request const &Asked, Response &Answer);
+  void reclaimInstance(Request const &Asked, Response &Answer);
+  void showCounters(Request const &Asked, Response &Answer);
+
+  StandinStore Store_;
+  StandinCloud Cloud_;
+  StandinFaults Faults_;
+  StandinCounters Counters_;
+  std::mutex LimitsMutex_; ///< Guards the three limits.
+  CallRateLimit Reads_;
+  CallRateLimit Writes_;
+  CallRateLimit Weights_;
+  BreakableServer Server_;
+  std::uint16_t Port_ = 0;
+  std::thread Listener_;
+};
+
+} // namespace laburnum
--- /dev/null
+++ b/Tests/PlatformStandin/StandinFaults.cpp
@@ -0,0 +1,59 @@
+#include <PlatformStandin/StandinFaults.h>
+
+namespace laburnum {
+
+std::optional<StandinFault> standinFaultNamed(std::string const &Name) {
+  static std::map<std::string, StandinFault> const Named = {
+      {"outage", StandinFault::Outage},
+      {"slow", StandinFault::Slow},
+      {"lose_write_answers", StandinFault::LoseWriteAnswers},
+      {"lose_writes", StandinFault::LoseWrites},
+      {"watch_gap", StandinFault::WatchGap},
+      {"refuse_starts", StandinFault::RefuseStarts},
+  };
+  auto const Found = Named.find(Name);
+  if (Found == Named.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+void StandinFaults::switchOn(StandinFault Fault, std::uint32_t Count,
+                             Duration Delay) {
+  std::lock_guard const Lock(Mutex_);
+  On_[Fault] = {Count, Delay};
+}
+
+void StandinFaults::switchOff(StandinFault Fault) {
+  std::lock_guard const Lock(Mutex_);
+  On_.erase(Fault);
+}
+
+bool StandinFaults::meets(StandinFault Fault) {
+  std::lock_guard const Lock(Mutex_);
+  return take(Fault).has_value();
+}
+
+std::optional<StandinFaults::Setting> StandinFaults::take(StandinFault Fault) {
+  auto const Found = On_.find(Fault);
+  if (Found == On_.end())
+    return std::nullopt;
+  auto const Met = Found->second;
+  if (Met.Left_ > 0 && --Found->second.Left_ == 0)
+    On_.erase(Found);
+  return Met;
+}
+
+void StandinFaults::hold() {
+  std::unique_lock Lock(Mutex_);
+  auto const Met = take(StandinFault::Slow);
+  if (Met)
+    Stopped_.wait_for(Lock, Met->Delay_, [&] { return IsStopped_; });
+}
+
+void StandinFaults::stop() {
+  std::lock_guard const Lock(Mutex_);
+  IsStopped_ = true;
+  Stopped_.notify_all();
+}
+
+} // namespace laburnum
