LibBackend: Call backend servers over cpp-httplib

The serving code needs attempts whose evidence never claims less than may have happened. The client pools connections, bounds each exchange and the silences in it by a watch thread, and reads engine streams as server-sent events.

--- /dev/null
+++ b/Libraries/LibBackend/EngineMessages.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <LibBackend/BackendClient.h>
+#include <LibCore/Result.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace laburnum {
+
+/// The last message of an engine's stream.
+struct CompletionDone {
+  std::uint32_t ComputedTokens_ = 0;
+  LoadReport Load_;
+
+  auto operator<=>(CompletionDone const &) const = default;
+};
+
+using CompletionMessage = std::variant<TokenPiece, CompletionDone>;
+
+/// The body of POST /v1/completions at an engine.
+std::string completionBody(CompletionCall const &Call);
+
+/// The body of POST /v1/cancel.
+std::string cancelBody(RequestId const &Request, AttemptNumber Attempt);
+
+/// One message of an engine's stream; Attempt is the attempt that it answers.
+/// InvalidArgument when it is not of the protocol.
+Result<CompletionMessage> parseCompletionMessage(std::string const &Text,
+                                                 AttemptNumber Attempt);
+
+/// The value of a Laburnum-Load header; none when it is not of the protocol.
+std::optional<LoadReport> parseLoad(std::string const &Value);
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibBackend/HttpBackendClient.cpp
@@ -0,0 +1,245 @@
+#include <LibBackend/EngineMessages.h>
+#include <LibBackend/HttpBackendClient.h>
+#include <LibBackend/HttpFields.h>
+#include <LibBackend/ServerSentEvents.h>
+
+#include <algorithm>
+
+namespace laburnum {
+
+/// The longest wait for a connection to a backend server.
+static constexpr Duration ConnectTimeout = std::chrono::seconds(1);
+/// The longest wait for an engine to take a cancellation.
+static constexpr Duration CancelTimeout = std::chrono::milliseconds(500);
+static constexpr int ServiceUnavailable = 503;
+static constexpr int Ok = 200;
+
+HttpBackendClient::HttpBackendClient(BackendClientSettings Settings)
+    : Settings_(Settings),
+      Pool_(Settings.MaxIdlePerEndpoint_, Settings.MaxIdle_) {}
+
+/// Timeouts of httplib bound single reads and writes; the watch, which shuts
+/// the socket down, bounds the whole exchange and the silences within it.
+HttpBackendClient::Outcome
+HttpBackendClient::exchange(Endpoint const &Target, httplib::Request &Request,
+                            httplib::Response &Response, Duration Timeout,
+                            BodySink const &Sink, bool &HasBegun) {
+  if (Timeout <= Duration::zero())
+    return {httplib::Error::ConnectionTimeout, true};
+  auto Client = Pool_.take(Target);
+  Client->set_connection_timeout(std::min(ConnectTimeout, Timeout));
+  Client->set_read_timeout(Timeout);
+  Client->set_write_timeout(Timeout);
+  TimePoint const Deadline = readClock() + Timeout;
+  auto const Watched = Watch_.add(Deadline, [&Client] { Client->stop(); });
+  auto const NoteProgress = [&] {
+    Watch_.move(Watched,
+                std::min(Deadline, readClock() + Settings_.StallTimeout_));
+  };
+  Request.response_handler = [&](httplib::Response const &) {
+    HasBegun = true;
+    NoteProgress();
+    return true;
+  };
+  Request.content_receiver = [&](char const *Bytes, std::size_t Size,
+                                 std::uint64_t, std::uint64_t) {
+    NoteProgress();
+    return Sink(Bytes, Size);
+  };
+  Outcome Seen;
+  auto SeenError = httplib::Error::Success;
+  bool const IsDone = Client->send(Request, Response, SeenError);
+  bool const HasFired = Watch_.remove(Watched);
+  Seen.Error_ = IsDone ? httplib::Error::Success : SeenError;
+  Seen.IsTimedOut_ = HasFired || (!IsDone && readClock() >= Deadline);
+  if (IsDone && !HasFired)
+    Pool_.giveBack(Target, std::move(Client));
+  return Seen;
+}
+
+/// httplib reports these only while it makes a connection, before it writes.
+static bool isNotConnected(httplib::Error Seen) {
+  return Seen == httplib::Error::Connection ||
+         Seen == httplib::Error::ConnectionTimeout ||
+         Seen == httplib::Error::BindIPAddress;
+}
+
+static AttemptProgress progressOf(httplib::Error Seen, bool HasBegun) {
+  if (HasBegun)
+    return AttemptProgress::AnswerBegun;
+  if (isNotConnected(Seen))
+    return AttemptProgress::NotConnected;
+  // A status line cut off before the end of the header counts as unanswered.
+  return AttemptProgress::RequestSent;
+}
+
+static AttemptEvidence evidenceOf(httplib::Error Seen, bool IsTimedOut,
+                                  httplib::Response const &Response,
+                                  bool HasBegun) {
+  AttemptEvidence Evidence;
+  Evidence.Progress_ = progressOf(Seen, HasBegun);
+  Evidence.End_ =
+      IsTimedOut ? AttemptEnd::TimedOut : AttemptEnd::ConnectionFailed;
+  if (HasBegun)
+    Evidence.Status_ = Response.status;
+  if (Seen != httplib::Error::Success)
+    Evidence.Detail_ = httplib::to_string(Seen);
+  return Evidence;
+}
+
+/// Marks the answer as whole, or as a refusal, if it says so itself.
+static void judgeAnswer(AttemptEvidence &Evidence,
+                        httplib::Request const &Request,
+                        httplib::Response const &Response,
+                        httplib::Error Seen) {
+  if (Evidence.Progress_ < AttemptProgress::AnswerBegun)
+    return;
+  if (Seen == httplib::Error::Success) {
+    if (isFramed(Request.method, Response)) {
+      Evidence.Progress_ = AttemptProgress::AnswerWhole;
+      Evidence.End_ = AttemptEnd::Answered;
+    } else {
+      Evidence.Detail_ = "the answer has neither a length nor chunks";
+    }
+  }
+  if (Response.status == ServiceUnavailable &&
+      Response.get_header_value("Laburnum-Refused") == "yes")
+    Evidence.End_ = AttemptEnd::Refused;
+}
+
+PlainResult HttpBackendClient::call(BackendServer const &Server,
+                                    PlainCall const &Call) {
+  PlainResult Result;
+  if (!isSendable(Call)) {
+    Result.Evidence_.Detail_ = "the request holds control characters";
+    return Result;
+  }
+  httplib::Request Request = plainRequest(Call);
+  httplib::Response Response;
+  bool HasBegun = false;
+  auto const Take = [&](char const *Bytes, std::size_t Size) {
+    Result.Answer_.Body_.append(Bytes, Size);
+    return Result.Answer_.Body_.size() <= Settings_.MaxAnswerBytes_;
+  };
+  auto const Seen = exchange(Server.Endpoint_, Request, Response, Call.Timeout_,
+                             Take, HasBegun);
+  Result.Evidence_ =
+      evidenceOf(Seen.Error_, Seen.IsTimedOut_, Response, HasBegun);
+  judgeAnswer(Result.Evidence_, Request, Response, Seen.Error_);
+  if (!HasBegun)
+    return Result;
+  Result.Answer_.Status_ = Response.status;
+  Result.Answer_.ContentType_ = Response.get_header_value("Content-Type");
+  Result.Load_ = parseLoad(Response.get_header_value("Laburnum-Load"));
+  return Result;
+}
+
+namespace {
+
+/// Reads an engine's stream into a result and hands the pieces on.
+class StreamReader {
+public:
+  StreamReader(CompletionResult &Result, CompletionCall const &Call,
+               PieceSink const &Sink)
+      : Result_(Result), Call_(Call), Sink_(Sink) {}
+
+  bool take(std::string_view Bytes) {
+    auto const Events = Events_.feed(Bytes);
+    if (isError(Events))
+      return fail(errorOf(Events));
+    for (auto const &Event : valueOf(Events))
+      if (!takeEvent(Event))
+        return false;
+    return true;
+  }
+
+  bool isDone() const { return IsDone_; }
+  bool isGivenUp() const { return IsGivenUp_; }
+  std::string const &fault() const { return Fault_; }
+
+private:
+  bool takeEvent(std::string const &Event) {
+    auto const Message = parseCompletionMessage(Event, Call_.Attempt_);
+    if (isError(Message))
+      return fail(errorOf(Message));
+    if (auto const *Done = std::get_if<CompletionDone>(&valueOf(Message))) {
+      Result_.ComputedTokens_ = Done->ComputedTokens_;
+      Result_.Load_ = Done->Load_;
+      IsDone_ = true;
+      return true;
+    }
+    IsGivenUp_ = Sink_(std::get<TokenPiece>(valueOf(Message))) == Continue::No;
+    return !IsGivenUp_;
+  }
+
+  bool fail(Error const &Failure) {
+    Fault_ = toString(Failure);
+    return false;
+  }
+
+  CompletionResult &Result_;
+  CompletionCall const &Call_;
+  PieceSink const &Sink_;
+  ServerSentEvents Events_;
+  bool IsDone_ = false;
+  bool IsGivenUp_ = false;
+  std::string Fault_;
+};
+
+} // namespace
+
+/// The stream's own last message, not the connection's end, makes it whole.
+static void judgeStream(AttemptEvidence &Evidence, StreamReader const &Reader) {
+  if (Reader.isDone()) {
+    Evidence.Progress_ = AttemptProgress::AnswerWhole;
+    Evidence.End_ = AttemptEnd::Answered;
+    return;
+  }
+  if (Reader.isGivenUp())
+    Evidence.End_ = AttemptEnd::Cancelled;
+  if (!Reader.fault().empty())
+    Evidence.Detail_ = Reader.fault();
+}
+
+CompletionResult HttpBackendClient::complete(BackendServer const &Server,
+                                             CompletionCall const &Call,
+                                             PieceSink const &Sink) {
+  CompletionResult Result;
+  StreamReader Reader(Result, Call, Sink);
+  httplib::Request Request = completionRequest(Call);
+  httplib::Response Response;
+  bool HasBegun = false;
+  auto const Take = [&](char const *Bytes, std::size_t Size) {
+    // The body of an error answer is read only to keep the connection.
+    return Response.status != Ok || Reader.take({Bytes, Size});
+  };
+  auto const Seen = exchange(Server.Endpoint_, Request, Response, Call.Timeout_,
+                             Take, HasBegun);
+  Result.Evidence_ =
+      evidenceOf(Seen.Error_, Seen.IsTimedOut_, Response, HasBegun);
+  auto &Evidence = Result.Evidence_;
+  if (HasBegun && Response.status == Ok)
+    judgeStream(Evidence, Reader);
+  else
+    judgeAnswer(Evidence, Request, Response, Seen.Error_);
+  if (HasBegun && !Result.Load_)
+    Result.Load_ = parseLoad(Response.get_header_value("Laburnum-Load"));
+  bool const MayRun = Evidence.Progress_ != AttemptProgress::NotConnected &&
+                      Evidence.End_ != AttemptEnd::Answered &&
+                      Evidence.End_ != AttemptEnd::Refused;
+  if (MayRun)
+    cancel(Server.Endpoint_, Call);
+  return Result;
+}
+
+void HttpBackendClient::cancel(Endpoint const &Target,
+                               CompletionCall const &Call) {
+  httplib::Request Request = cancelRequest(Call);
+  httplib::Response Response;
+  bool HasBegun = false;
+  exchange(
+      Target, Request, Response, CancelTimeout,
+      [](char const *, std::size_t) { return true; }, HasBegun);
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibBackend/HttpClientPool.cpp
@@ -0,0 +1,42 @@
+#include <LibBackend/HttpClientPool.h>
+
+namespace laburnum {
+
+static std::unique_ptr<httplib::Client> makeClient(Endpoint const &Target) {
+  auto Client = std::make_unique<httplib::Client>(Target.Host_, Target.Port_);
+  Client->set_keep_alive(true);
+  Client->set_tcp_nodelay(true);
+  // The path goes to the service exactly as the caller wrote it.
+  Client->set_url_encode(false);
+  return Client;
+}
+
+std::unique_ptr<httplib::Client> HttpClientPool::take(Endpoint const &Target) {
+  {
+    std::lock_guard const Lock(Mutex_);
+    auto const Found = Idle_.find(Target);
+    if (Found != Idle_.end()) {
+      auto Client = std::move(Found->second.back());
+      Found->second.pop_back();
+      --IdleCount_;
+      if (Found->second.empty())
+        Idle_.erase(Found);
+      return Client;
+    }
+  }
+  return makeClient(Target);
+}
+
+void HttpClientPool::giveBack(Endpoint const &Target,
+                              std::unique_ptr<httplib::Client> Client) {
+  std::lock_guard const Lock(Mutex_);
+  if (IdleCount_ >= MaxIdle_)
+    return;
+  auto &Clients = Idle_[Target];
+  if (Clients.size() >= MaxIdlePerEndpoint_)
+    return;
+  Clients.push_back(std::move(Client));
+  ++IdleCount_;
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibBackend/HttpFields.cpp
@@ -0,0 +1,122 @@
+#include <LibBackend/EngineMessages.h>
+#include <LibBackend/HttpFields.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace laburnum {
+
+/// Fields of one connection, and those that this client sets itself.
+static constexpr std::array<std::string_view, 13> OwnFields = {
+    "accept-encoding",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "idempotency-key",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "proxy-authorization"};
+
+static std::string lowerCase(std::string Text) {
+  std::transform(Text.begin(), Text.end(), Text.begin(), [](unsigned char One) {
+    return static_cast<char>(std::tolower(One));
+  });
+  return Text;
+}
+
+static bool isOwnField(std::string const &Name) {
+  auto const Lower = lowerCase(Name);
+  return Lower.starts_with("laburnum-") ||
+         std::find(OwnFields.begin(), OwnFields.end(), Lower) !=
+             OwnFields.end();
+}
+
+static bool hasControls(std::string const &Text) {
+  return std::any_of(Text.begin(), Text.end(), [](unsigned char One) {
+    return std::iscntrl(One) != 0 && One != '\t';
+  });
+}
+
+static bool isToken(std::string const &Text) {
+  return !Text.empty() &&
+         std::all_of(Text.begin(), Text.end(), [](unsigned char One) {
+           return std::isgraph(One) != 0 && One != ':';
+         });
+}
+
+static bool isTarget(std::string const &Path) {
+  return Path.starts_with('/') &&
+         std::none_of(Path.begin(), Path.end(), [](unsigned char One) {
+           return std::iscntrl(One) != 0 || One == ' ';
+         });
+}
+
+bool isSendable(PlainCall const &Call) {
+  if (!isToken(Call.Method_) || !isTarget(Call.Path_))
+    return false;
+  if (Call.Key_ && hasControls(Call.Key_->text()))
+    return false;
+  return std::all_of(Call.Fields_.begin(), Call.Fields_.end(),
+                     [](HttpField const &One) {
+                       return isToken(One.Name_) && !hasControls(One.Value_);
+                     });
+}
+
+static httplib::Headers attemptHeaders(RequestId const &Request,
+                                       AttemptNumber Attempt) {
+  return {{"Laburnum-Request-Id", Request.text()},
+          {"Laburnum-Attempt", std::to_string(Attempt)},
+          {"Accept-Encoding", "identity"}};
+}
+
+httplib::Request plainRequest(PlainCall const &Call) {
+  httplib::Request Request;
+  Request.method = Call.Method_;
+  Request.path = Call.Path_;
+  Request.headers = attemptHeaders(Call.Request_, Call.Attempt_);
+  for (auto const &One : Call.Fields_)
+    if (!isOwnField(One.Name_))
+      Request.headers.emplace(One.Name_, One.Value_);
+  if (Call.Key_)
+    Request.headers.emplace("Idempotency-Key", Call.Key_->text());
+  Request.body = Call.Body_;
+  return Request;
+}
+
+static httplib::Request engineRequest(CompletionCall const &Call,
+                                      std::string Path, std::string Body) {
+  httplib::Request Request;
+  Request.method = "POST";
+  Request.path = std::move(Path);
+  Request.headers = attemptHeaders(Call.Request_, Call.Attempt_);
+  Request.headers.emplace("Content-Type", "application/json");
+  Request.body = std::move(Body);
+  return Request;
+}
+
+httplib::Request completionRequest(CompletionCall const &Call) {
+  return engineRequest(Call, "/v1/completions", completionBody(Call));
+}
+
+httplib::Request cancelRequest(CompletionCall const &Call) {
+  return engineRequest(Call, "/v1/cancel",
+                       cancelBody(Call.Request_, Call.Attempt_));
+}
+
+bool isFramed(std::string const &Method, httplib::Response const &Response) {
+  static constexpr int NoContent = 204;
+  static constexpr int NotModified = 304;
+  if (Method == "HEAD" || Response.status == NoContent ||
+      Response.status == NotModified)
+    return true;
+  return Response.has_header("Content-Length") ||
+         lowerCase(Response.get_header_value("Transfer-Encoding")) == "chunked";
+}
+
+} // namespace laburnum
