--- a/Libraries/LibBackend/HttpBackendClient.h
+++ b/Libraries/LibBackend/HttpBackendClient.h
@@ -13,7 +13,7 @@
   Duration StallTimeout_ = std::chrono::seconds(10);
   std::size_t MaxIdlePerEndpoint_ = 16; ///< Connections kept for reuse.
   std::size_t MaxIdle_ = 256;           ///< The same, of all endpoints.
-  std::size_t MaxAnswerBytes_ = 16 * 1024 * 1024; ///< Of a plain answer.
+  std::size_t MaxAnswerBytes_ = std::size_t{16} << 20; ///< Of a plain answer.
 
   auto operator<=>(BackendClientSettings const &) const = default;
 };
--- a/Libraries/LibBackend/ServerSentEvents.h
+++ b/Libraries/LibBackend/ServerSentEvents.h
@@ -14,7 +14,7 @@
 /// identifiers and reconnection times are ignored.
 class ServerSentEvents {
 public:
-  static constexpr std::size_t DefaultMaxEventBytes = 1024 * 1024;
+  static constexpr std::size_t DefaultMaxEventBytes = std::size_t{1} << 20;
 
   explicit ServerSentEvents(std::size_t MaxEventBytes = DefaultMaxEventBytes)
       : MaxEventBytes_(MaxEventBytes) {}
--- /dev/null
+++ b/Tests/EngineStandin/EngineServer.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <EngineStandin/EngineCore.h>
+#include <EngineStandin/Hosting/HttpHost.h>
+
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace laburnum {
+
+/// An EngineCore behind the engines' HTTP protocol of docs/PROTOCOLS.md.
+/// Beyond it: GET /counts, GET /orders and, between engines, GET /kv/blocks.
+class EngineServer {
+public:
+  EngineServer(EngineSettings Settings, std::size_t Threads);
+  ~EngineServer();
+
+  /// The port listened on, 0 on failure.
+  std::uint16_t start(std::uint16_t Port);
+
+  /// Ends streams in progress where they are.
+  void stop();
+
+  EngineCounts counts();
+
+private:
+  struct Stream {
+    std::deque<EngineOutput> Outputs_;
+    bool IsSubmitted_ = false;
+  };
+
+  void runTicks();
+  void dispatch(EngineOutput Output);
+  void setRoutes();
+  void complete(httplib::Request const &Request, httplib::Response &Response);
+  bool writeNext(StreamKey const &Key, Stream &Queue, httplib::DataSink &Sink);
+  void forget(StreamKey const &Key);
+  void cancel(httplib::Request const &Request, httplib::Response &Response);
+  void load(httplib::Response &Response);
+  void events(httplib::Request const &Request, httplib::Response &Response);
+  void exportKv(httplib::Request const &Request, httplib::Response &Response);
+  void blocks(httplib::Request const &Request, httplib::Response &Response);
+  void importKv(httplib::Request const &Request, httplib::Response &Response);
+  void order(httplib::Request const &Request, httplib::Response &Response);
+  void orders(httplib::Response &Response);
+  void countsAnswer(httplib::Response &Response);
+
+  EngineSettings const Settings_;
+  std::mutex Mutex_;
+  std::condition_variable Changed_; ///< The core or the streams changed.
+  EngineCore Core_;
+  std::map<StreamKey, std::shared_ptr<Stream>> Streams_;
+  std::map<std::string, std::vector<std::uint64_t>> Exports_;
+  bool IsStopping_ = false;
+  HttpHost Host_;
+  std::thread Ticks_;
+};
+
+} // namespace laburnum
--- /dev/null
+++ b/Tests/EngineStandin/Program/Main.cpp
@@ -0,0 +1,81 @@
+#include <EngineStandin/EngineServer.h>
+
+#include <cxxopts.hpp>
+#include <iostream>
+
+using namespace laburnum;
+
+static cxxopts::Options options() {
+  cxxopts::Options Options("engine-standin", "Plays a model engine in tests.");
+  auto Add = Options.add_options();
+  auto const Number = [&](char const *Name, char const *Default,
+                          char const *Help) {
+    Add(Name, Help, cxxopts::value<std::uint32_t>()->default_value(Default));
+  };
+  Number("port", "0", "port to listen on, 0 for any");
+  Number("threads", "256", "connections served at once");
+  Number("token-interval-ms", "5", "time between two tokens of a request");
+  Number("slots", "16", "requests that run at once");
+  Number("prefix-cache-tokens", "65536", "size of the prefix cache");
+  Number("kv-tokens", "131072", "tokens of all running requests");
+  Number("prefill-tokens-per-second", "10000", "speed of reading prompts");
+  Number("load-lag-ms", "0", "age of the answers of /load");
+  Number("crash-after-tokens", "0", "tokens before a marked prompt crashes");
+  Number("kept-events", "1024", "cache events that can be read again");
+  Number("lose-each-event", "0", "each Nth cache event is lost, 0 for none");
+  Add("honour-fencing", "refuse orders with an old fencing number");
+  Add("crash-marker", "prompts holding this text crash the process",
+      cxxopts::value<std::string>()->default_value(""));
+  Add("help", "print this");
+  return Options;
+}
+
+static EngineSettings settings(cxxopts::ParseResult const &Given) {
+  auto const Number = [&](char const *Name) {
+    return Given[Name].as<std::uint32_t>();
+  };
+  EngineSettings Settings;
+  Settings.TokenInterval_ =
+      std::chrono::milliseconds(Number("token-interval-ms"));
+  Settings.Slots_ = Number("slots");
+  Settings.PrefixCacheTokens_ = Number("prefix-cache-tokens");
+  Settings.KvTokens_ = Number("kv-tokens");
+  Settings.PrefillTokensPerSecond_ = Number("prefill-tokens-per-second");
+  Settings.LoadLag_ = std::chrono::milliseconds(Number("load-lag-ms"));
+  Settings.Fencing_ = Given.count("honour-fencing") != 0
+                          ? FencingCheck::Honoured
+                          : FencingCheck::Ignored;
+  Settings.CrashMarker_ = Given["crash-marker"].as<std::string>();
+  Settings.CrashAfterTokens_ = Number("crash-after-tokens");
+  Settings.KeptEvents_ = Number("kept-events");
+  Settings.LoseEachEvent_ = Number("lose-each-event");
+  return Settings;
+}
+
+static int run(cxxopts::ParseResult const &Given) {
+  blockEndSignals();
+  EngineServer Server(settings(Given), Given["threads"].as<std::uint32_t>());
+  auto const Port = Server.start(
+      static_cast<std::uint16_t>(Given["port"].as<std::uint32_t>()));
+  if (Port == 0) {
+    std::cerr << "engine-standin: cannot listen; choose another --port\n";
+    return 1;
+  }
+  serveUntilEndSignal(Port);
+  Server.stop();
+  return 0;
+}
+
+int main(int Count, char **Arguments) {
+  auto Options = options();
+  try {
+    auto const Given = Options.parse(Count, Arguments);
+    if (Given.count("help") == 0)
+      return run(Given);
+    std::cout << Options.help();
+    return 0;
+  } catch (std::exception const &Failure) {
+    std::cerr << "engine-standin: " << Failure.what() << "; see --help\n";
+    return 2;
+  }
+}
