--- /dev/null
+++ b/Libraries/LibAdmin/OperatorViews.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibModel/BackendServer.h>
+#include <LibModel/ClientAccount.h>
+#include <LibModel/ConfigurationObject.h>
+#include <LibModel/EntryInstance.h>
+#include <LibModel/Service.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace laburnum {
+
+/// One configuration object as operators see it.
+struct ObjectView {
+  Version Version_ = 0;
+  std::variant<Service, ClientAccount, BackendServer> Value_;
+
+  auto operator<=>(ObjectView const &) const = default;
+};
+
+/// Which objects are asked for; an empty name means all of the kind.
+struct ObjectQuery {
+  ObjectKind Kind_ = ObjectKind::Service;
+  std::string Name_;
+
+  auto operator<=>(ObjectQuery const &) const = default;
+};
+
+enum class InstanceRole { Entry, Server };
+
+struct InstanceView {
+  std::string Id_; ///< An InstanceId or a ServerId, as Role_ says.
+  InstanceRole Role_ = InstanceRole::Entry;
+  DataCentre DataCentre_;
+  Liveness Liveness_ = Liveness::Live;
+  ServiceName Service_;       ///< Empty for an entry instance.
+  std::string Address_;       ///< "host:port".
+  std::uint32_t Running_ = 0; ///< Requests in progress, as last heard.
+
+  auto operator<=>(InstanceView const &) const = default;
+};
+
+/// Which configuration an entry instance works with.
+struct ConfigurationInForce {
+  InstanceId Instance_;
+  DataCentre DataCentre_;
+  Version Version_ = 0;      ///< The highest version in force there.
+  std::uint64_t Digest_ = 0; ///< Equal digests: the same objects and versions.
+  Duration Age_{};           ///< How old this knowledge is.
+
+  auto operator<=>(ConfigurationInForce const &) const = default;
+};
+
+struct ReclaimView {
+  std::string Instance_;
+  DataCentre DataCentre_;
+  Duration Remaining_{}; ///< Negative when it should be gone already.
+  std::string Source_;   ///< "notice", "list", "peer" or "refusal".
+  std::uint32_t StreamsMoved_ = 0;
+
+  auto operator<=>(ReclaimView const &) const = default;
+};
+
+enum class Severity { Ok, Warning, Critical };
+
+/// Something an operator should know, and what to do about it.
+struct Finding {
+  Severity Severity_ = Severity::Ok;
+  std::string What_;
+  std::string Remedy_;
+
+  auto operator<=>(Finding const &) const = default;
+};
+
+/// Whether the platform answered the asked instance lately.
+enum class PlatformContact { Reachable, Unreachable };
+
+/// The system's state as one entry instance sees it.
+struct StatusView {
+  InstanceId Instance_;
+  Severity Overall_ = Severity::Ok;
+  std::vector<Finding> Findings_;
+  std::uint32_t EntryInstances_ = 0;
+  std::uint32_t ServersLive_ = 0;
+  std::uint32_t ServersLeaving_ = 0;
+  std::uint32_t Services_ = 0;
+  std::uint32_t Accounts_ = 0;
+  Version ConfigurationVersion_ = 0;
+  PlatformContact Platform_ = PlatformContact::Unreachable;
+
+  auto operator<=>(StatusView const &) const = default;
+};
+
+} // namespace laburnum
