LibSettings: Read the daemon's settings from an INI file

A table of key descriptions drives parsing, checking and docs/SETTINGS.md. All problems of a file are reported at once, each with file, line, key, what is allowed and the remedy; secrets are never quoted.

--- /dev/null
+++ b/Libraries/LibSettings/KeyDescription.cpp
@@ -0,0 +1,267 @@
+#include <LibSettings/KeyDescription.h>
+#include <LibSettings/ValueParsers.h>
+
+namespace laburnum {
+
+namespace {
+
+constexpr std::int64_t MaxPort = 65535;
+constexpr std::int64_t MaxThreads = 65536;
+constexpr std::int64_t MaxBytes = 1LL << 30;
+constexpr std::int64_t MaxMilliseconds = 86'400'000;
+constexpr std::int64_t MaxPerSecond = 1'000'000;
+constexpr std::int64_t MaxClaimBuckets = 65536;
+constexpr std::int64_t MaxClaimAnswerBytes = 65536;
+
+struct Range {
+  std::int64_t Minimum_;
+  std::int64_t Maximum_;
+};
+
+std::string describe(Range Allowed, std::string const &What) {
+  return What + " from " + std::to_string(Allowed.Minimum_) + " to " +
+         std::to_string(Allowed.Maximum_);
+}
+
+/// Parse turns the text into an optional value; Field yields where it goes.
+template <typename Parser, typename Field>
+auto storing(Parser Parse, Field Place) {
+  return [=](DaemonSettings &Settings, std::string const &Text) {
+    auto const Value = Parse(Text);
+    if (!Value)
+      return false;
+    Place(Settings) = *Value;
+    return true;
+  };
+}
+
+/// A whole number stored in a field of any integer type.
+template <typename Field> auto storingInteger(Range Allowed, Field Place) {
+  return [=](DaemonSettings &Settings, std::string const &Text) {
+    auto const Value = parseInteger(Text, Allowed.Minimum_, Allowed.Maximum_);
+    if (!Value)
+      return false;
+    auto &Target = Place(Settings);
+    Target = static_cast<std::remove_reference_t<decltype(Target)>>(*Value);
+    return true;
+  };
+}
+
+template <typename Field>
+KeyDescription integerKey(std::string Section, std::string Key,
+                          std::string Default, Range Allowed, std::string Help,
+                          Field Place) {
+  return {std::move(Section),
+          std::move(Key),
+          describe(Allowed, "a whole number"),
+          std::move(Default),
+          std::move(Help),
+          Sensitivity::Open,
+          storingInteger(Allowed, Place)};
+}
+
+template <typename Field>
+KeyDescription durationKey(std::string Section, std::string Key,
+                           std::string Default, std::string Help, Field Place) {
+  Range const Allowed{1, MaxMilliseconds};
+  auto const Parse = [=](std::string const &Text) -> std::optional<Duration> {
+    auto const Value = parseInteger(Text, Allowed.Minimum_, Allowed.Maximum_);
+    if (!Value)
+      return std::nullopt;
+    return std::chrono::milliseconds(*Value);
+  };
+  return {
+      std::move(Section),   std::move(Key),  describe(Allowed, "milliseconds"),
+      std::move(Default),   std::move(Help), Sensitivity::Open,
+      storing(Parse, Place)};
+}
+
+std::optional<std::string> nonEmpty(std::string const &Text) {
+  return Text.empty() ? std::nullopt : std::optional(Text);
+}
+
+std::optional<std::string> secret(std::string const &Text) {
+  return Text.size() < MinimumSecretCharacters ? std::nullopt
+                                               : std::optional(Text);
+}
+
+template <typename Listener>
+void addListener(std::vector<KeyDescription> &Keys, std::string const &Section,
+                 std::string const &Port, Listener Place) {
+  Keys.push_back({Section, "host", "an IP address or host name", "127.0.0.1",
+                  "Address to listen on, which is told to others.",
+                  Sensitivity::Open,
+                  storing(
+                      nonEmpty, [=](DaemonSettings & All) -> auto & {
+                        return Place(All).Host_;
+                      })});
+  Keys.push_back(integerKey(
+      Section, "port", Port, {0, MaxPort},
+      "Port to listen on; 0 takes any free one.",
+      [=](DaemonSettings & All) -> auto & { return Place(All).Port_; }));
+}
+
+// Names the field of DaemonSettings that a key sets.
+#define FIELD(Path)                                                            \
+  [](DaemonSettings & All) -> auto & { return All.Path; }
+
+void addInstance(std::vector<KeyDescription> &Keys) {
+  auto const AnyId = [](std::string const &Text) {
+    return std::optional(InstanceId(Text));
+  };
+  auto const Centre = [](std::string const &Text) {
+    return Text.empty() ? std::nullopt : std::optional(DataCentre(Text));
+  };
+  Keys.push_back({"instance", "id", "any text, or empty", "",
+                  "Name of this entry instance; made at start when empty.",
+                  Sensitivity::Open, storing(AnyId, FIELD(Instance_.Id_))});
+  Keys.push_back({"instance", "data_centre", "a name", std::nullopt,
+                  "The data centre that this instance runs in.",
+                  Sensitivity::Open,
+                  storing(Centre, FIELD(Instance_.DataCentre_))});
+  Keys.push_back({"instance", "log_level", "info, warning or error", "info",
+                  "The least severe messages that are logged.",
+                  Sensitivity::Open,
+                  storing(parseLogLevel, FIELD(Instance_.LogLevel_))});
+}
+
+void addCallers(std::vector<KeyDescription> &Keys) {
+  addListener(Keys, "callers", "8080", FIELD(Callers_.Endpoint_));
+  Keys.push_back(integerKey("callers", "threads", "256", {1, MaxThreads},
+                            "Connections served at once, one thread each.",
+                            FIELD(Callers_.Threads_)));
+  Keys.push_back(integerKey("callers", "max_body_bytes", "8388608",
+                            {1, MaxBytes},
+                            "Requests with a larger body are refused.",
+                            FIELD(Callers_.MaxBodyBytes_)));
+  Keys.push_back(integerKey("callers", "max_header_bytes", "65536",
+                            {1, MaxBytes},
+                            "Requests with larger headers are refused.",
+                            FIELD(Callers_.MaxHeaderBytes_)));
+  Keys.push_back(durationKey("callers", "header_timeout_ms", "5000",
+                             "A connection that is slower to send is closed.",
+                             FIELD(Callers_.HeaderTimeout_)));
+  Keys.push_back(durationKey("callers", "max_deadline_ms", "600000",
+                             "The longest deadline a caller may ask for.",
+                             FIELD(Callers_.MaxDeadline_)));
+  Keys.push_back(durationKey("callers", "default_deadline_ms", "60000",
+                             "The deadline of requests that name none.",
+                             FIELD(Callers_.DefaultDeadline_)));
+}
+
+void addOperators(std::vector<KeyDescription> &Keys) {
+  addListener(Keys, "operators", "8081", FIELD(Operators_.Endpoint_));
+  Keys.push_back({"operators", "keys",
+                  "name:key pairs separated by commas, each key at least 16 "
+                  "characters, no name or key twice",
+                  std::nullopt, "Who may use the operators' interface.",
+                  Sensitivity::Secret,
+                  storing(parseOperatorKeys, FIELD(Operators_.Keys_))});
+}
+
+void addPeers(std::vector<KeyDescription> &Keys) {
+  addListener(Keys, "peers", "8082", FIELD(Peers_.Endpoint_));
+  Keys.push_back({"peers", "secret", "at least 16 characters", std::nullopt,
+                  "Shared by all entry instances to recognise each other.",
+                  Sensitivity::Secret, storing(secret, FIELD(Peers_.Secret_))});
+  Keys.push_back({"peers", "seeds", "host:port pairs separated by commas", "",
+                  "Peers to ask first, also when the platform is down.",
+                  Sensitivity::Open,
+                  storing(parseEndpoints, FIELD(Peers_.Seeds_))});
+}
+
+void addPlatform(std::vector<KeyDescription> &Keys) {
+  Keys.push_back({"platform", "endpoint", "host:port", std::nullopt,
+                  "Where the platform's API answers.", Sensitivity::Open,
+                  storing(parseEndpoint, FIELD(Platform_.Endpoint_))});
+  Keys.push_back(integerKey("platform", "reads_per_second", "50",
+                            {1, MaxPerSecond},
+                            "Reads that this instance allows itself.",
+                            FIELD(Platform_.ReadsPerSecond_)));
+  Keys.push_back(integerKey("platform", "writes_per_second", "20",
+                            {1, MaxPerSecond},
+                            "Writes that this instance allows itself.",
+                            FIELD(Platform_.WritesPerSecond_)));
+  Keys.push_back(durationKey("platform", "timeout_ms", "2000",
+                             "How long one call may take.",
+                             FIELD(Platform_.Timeout_)));
+  Keys.push_back(integerKey("platform", "threads", "8", {1, MaxThreads},
+                            "Calls that may be in progress at once.",
+                            FIELD(Platform_.Threads_)));
+}
+
+void addBackends(std::vector<KeyDescription> &Keys) {
+  Keys.push_back(durationKey("backends", "connect_timeout_ms", "1000",
+                             "How long connecting to a server may take.",
+                             FIELD(Backends_.ConnectTimeout_)));
+  Keys.push_back(durationKey("backends", "stall_timeout_ms", "10000",
+                             "Silence after which a call counts as lost.",
+                             FIELD(Backends_.StallTimeout_)));
+  Keys.push_back(integerKey("backends", "connections_per_server", "32",
+                            {1, MaxThreads},
+                            "Connections kept open to one backend server.",
+                            FIELD(Backends_.ConnectionsPerServer_)));
+}
+
+void addServing(std::vector<KeyDescription> &Keys) {
+  Keys.push_back(durationKey("serving", "drain_ms", "25000",
+                             "Time for requests to finish before a stop.",
+                             FIELD(Serving_.Drain_)));
+  Keys.push_back(integerKey("serving", "claim_buckets", "64",
+                            {1, MaxClaimBuckets},
+                            "Objects that share the claims; equal everywhere.",
+                            FIELD(Serving_.ClaimBuckets_)));
+  Keys.push_back(integerKey("serving", "claim_answer_bytes", "4096",
+                            {0, MaxClaimAnswerBytes},
+                            "The largest answer that is kept with its claim.",
+                            FIELD(Serving_.ClaimAnswerBytes_)));
+}
+
+#undef FIELD
+
+std::vector<KeyDescription> allKeys() {
+  std::vector<KeyDescription> Keys;
+  addInstance(Keys);
+  addCallers(Keys);
+  addOperators(Keys);
+  addPeers(Keys);
+  addPlatform(Keys);
+  addBackends(Keys);
+  addServing(Keys);
+  return Keys;
+}
+
+std::string defaultText(KeyDescription const &Key) {
+  if (!Key.Default_)
+    return "required";
+  return Key.Default_->empty() ? "empty" : "`" + *Key.Default_ + "`";
+}
+
+} // namespace
+
+std::vector<KeyDescription> const &keyDescriptions() {
+  static auto const Keys = allKeys();
+  return Keys;
+}
+
+std::string settingsPage() {
+  std::string Page =
+      "# Settings of laburnumd\n\n"
+      "An INI file; the names are case-sensitive. Unknown sections and keys, "
+      "keys given\ntwice and values out of range are errors, all reported at "
+      "once when the daemon\nstarts. This page is made from the table in "
+      "`Libraries/LibSettings`:\n`TestLibSettings '[write-page]'`.\n";
+  std::string Section;
+  for (auto const &Key : keyDescriptions()) {
+    if (Key.Section_ != Section) {
+      Section = Key.Section_;
+      Page += "\n## [" + Section + "]\n\n";
+      Page += "| key | allowed | default | |\n|---|---|---|---|\n";
+    }
+    Page += "| `" + Key.Key_ + "` | " + Key.Allowed_ + " | " +
+            defaultText(Key) + " | " + Key.Help_ + " |\n";
+  }
+  return Page;
+}
+
+} // namespace laburnum
