--- a/Libraries/LibSettings/KeyDescription.cpp
+++ b/Libraries/LibSettings/KeyDescription.cpp
@@ -23,6 +23,12 @@
          std::to_string(Allowed.Maximum_);
 }
 
+/// Yields where a value lies in the settings.
+template <typename Section, typename Value>
+auto field(Section DaemonSettings::*Outer, Value Section::*Inner) {
+  return [=](DaemonSettings &All) -> Value & { return (All.*Outer).*Inner; };
+}
+
 /// Parse turns the text into an optional value; Field yields where it goes.
 template <typename Parser, typename Field>
 auto storing(Parser Parse, Field Place) {
@@ -91,20 +97,16 @@
   Keys.push_back({Section, "host", "an IP address or host name", "127.0.0.1",
                   "Address to listen on, which is told to others.",
                   Sensitivity::Open,
-                  storing(
-                      nonEmpty, [=](DaemonSettings & All) -> auto & {
-                        return Place(All).Host_;
-                      })});
-  Keys.push_back(integerKey(
-      Section, "port", Port, {0, MaxPort},
-      "Port to listen on; 0 takes any free one.",
-      [=](DaemonSettings & All) -> auto & { return Place(All).Port_; }));
+                  storing(nonEmpty, [=](DaemonSettings &All) -> std::string & {
+                    return Place(All).Host_;
+                  })});
+  Keys.push_back(integerKey(Section, "port", Port, {0, MaxPort},
+                            "Port to listen on; 0 takes any free one.",
+                            [=](DaemonSettings &All) -> std::uint16_t & {
+                              return Place(All).Port_;
+                            }));
 }
 
-// Names the field of DaemonSettings that a key sets.
-#define FIELD(Path)                                                            \
-  [](DaemonSettings & All) -> auto & { return All.Path; }
-
 void addInstance(std::vector<KeyDescription> &Keys) {
   auto const AnyId = [](std::string const &Text) {
     return std::optional(InstanceId(Text));
@@ -114,111 +116,132 @@
   };
   Keys.push_back({"instance", "id", "any text, or empty", "",
                   "Name of this entry instance; made at start when empty.",
-                  Sensitivity::Open, storing(AnyId, FIELD(Instance_.Id_))});
+                  Sensitivity::Open,
+                  storing(AnyId, field(&DaemonSettings::Instance_,
+                                       &InstanceSettings::Id_))});
   Keys.push_back({"instance", "data_centre", "a name", std::nullopt,
                   "The data centre that this instance runs in.",
                   Sensitivity::Open,
-                  storing(Centre, FIELD(Instance_.DataCentre_))});
+                  storing(Centre, field(&DaemonSettings::Instance_,
+                                        &InstanceSettings::DataCentre_))});
   Keys.push_back({"instance", "log_level", "info, warning or error", "info",
                   "The least severe messages that are logged.",
                   Sensitivity::Open,
-                  storing(parseLogLevel, FIELD(Instance_.LogLevel_))});
+                  storing(parseLogLevel, field(&DaemonSettings::Instance_,
+                                               &InstanceSettings::LogLevel_))});
 }
 
 void addCallers(std::vector<KeyDescription> &Keys) {
-  addListener(Keys, "callers", "8080", FIELD(Callers_.Endpoint_));
-  Keys.push_back(integerKey("callers", "threads", "256", {1, MaxThreads},
-                            "Connections served at once, one thread each.",
-                            FIELD(Callers_.Threads_)));
-  Keys.push_back(integerKey("callers", "max_body_bytes", "8388608",
-                            {1, MaxBytes},
-                            "Requests with a larger body are refused.",
-                            FIELD(Callers_.MaxBodyBytes_)));
-  Keys.push_back(integerKey("callers", "max_header_bytes", "65536",
-                            {1, MaxBytes},
-                            "Requests with larger headers are refused.",
-                            FIELD(Callers_.MaxHeaderBytes_)));
-  Keys.push_back(durationKey("callers", "header_timeout_ms", "5000",
-                             "A connection that is slower to send is closed.",
-                             FIELD(Callers_.HeaderTimeout_)));
-  Keys.push_back(durationKey("callers", "max_deadline_ms", "600000",
-                             "The longest deadline a caller may ask for.",
-                             FIELD(Callers_.MaxDeadline_)));
-  Keys.push_back(durationKey("callers", "default_deadline_ms", "60000",
-                             "The deadline of requests that name none.",
-                             FIELD(Callers_.DefaultDeadline_)));
+  addListener(Keys, "callers", "8080",
+              field(&DaemonSettings::Callers_, &CallersSettings::Endpoint_));
+  Keys.push_back(
+      integerKey("callers", "threads", "256", {1, MaxThreads},
+                 "Connections served at once, one thread each.",
+                 field(&DaemonSettings::Callers_, &CallersSettings::Threads_)));
+  Keys.push_back(integerKey(
+      "callers", "max_body_bytes", "8388608", {1, MaxBytes},
+      "Requests with a larger body are refused.",
+      field(&DaemonSettings::Callers_, &CallersSettings::MaxBodyBytes_)));
+  Keys.push_back(integerKey(
+      "callers", "max_header_bytes", "65536", {1, MaxBytes},
+      "Requests with larger headers are refused.",
+      field(&DaemonSettings::Callers_, &CallersSettings::MaxHeaderBytes_)));
+  Keys.push_back(durationKey(
+      "callers", "header_timeout_ms", "5000",
+      "A connection that is slower to send is closed.",
+      field(&DaemonSettings::Callers_, &CallersSettings::HeaderTimeout_)));
+  Keys.push_back(durationKey(
+      "callers", "max_deadline_ms", "600000",
+      "The longest deadline a caller may ask for.",
+      field(&DaemonSettings::Callers_, &CallersSettings::MaxDeadline_)));
+  Keys.push_back(durationKey(
+      "callers", "default_deadline_ms", "60000",
+      "The deadline of requests that name none.",
+      field(&DaemonSettings::Callers_, &CallersSettings::DefaultDeadline_)));
 }
 
 void addOperators(std::vector<KeyDescription> &Keys) {
-  addListener(Keys, "operators", "8081", FIELD(Operators_.Endpoint_));
-  Keys.push_back({"operators", "keys",
-                  "name:key pairs separated by commas, each key at least 16 "
-                  "characters, no name or key twice",
-                  std::nullopt, "Who may use the operators' interface.",
-                  Sensitivity::Secret,
-                  storing(parseOperatorKeys, FIELD(Operators_.Keys_))});
+  addListener(
+      Keys, "operators", "8081",
+      field(&DaemonSettings::Operators_, &OperatorsSettings::Endpoint_));
+  Keys.push_back(
+      {"operators", "keys",
+       "name:key pairs separated by commas, each key at least 16 "
+       "characters, no name or key twice",
+       std::nullopt, "Who may use the operators' interface.",
+       Sensitivity::Secret,
+       storing(parseOperatorKeys,
+               field(&DaemonSettings::Operators_, &OperatorsSettings::Keys_))});
 }
 
 void addPeers(std::vector<KeyDescription> &Keys) {
-  addListener(Keys, "peers", "8082", FIELD(Peers_.Endpoint_));
+  addListener(Keys, "peers", "8082",
+              field(&DaemonSettings::Peers_, &PeersSettings::Endpoint_));
   Keys.push_back({"peers", "secret", "at least 16 characters", std::nullopt,
                   "Shared by all entry instances to recognise each other.",
-                  Sensitivity::Secret, storing(secret, FIELD(Peers_.Secret_))});
-  Keys.push_back({"peers", "seeds", "host:port pairs separated by commas", "",
-                  "Peers to ask first, also when the platform is down.",
-                  Sensitivity::Open,
-                  storing(parseEndpoints, FIELD(Peers_.Seeds_))});
+                  Sensitivity::Secret,
+                  storing(secret, field(&DaemonSettings::Peers_,
+                                        &PeersSettings::Secret_))});
+  Keys.push_back(
+      {"peers", "seeds", "host:port pairs separated by commas", "",
+       "Peers to ask first, also when the platform is down.", Sensitivity::Open,
+       storing(parseEndpoints,
+               field(&DaemonSettings::Peers_, &PeersSettings::Seeds_))});
 }
 
 void addPlatform(std::vector<KeyDescription> &Keys) {
   Keys.push_back({"platform", "endpoint", "host:port", std::nullopt,
                   "Where the platform's API answers.", Sensitivity::Open,
-                  storing(parseEndpoint, FIELD(Platform_.Endpoint_))});
-  Keys.push_back(integerKey("platform", "reads_per_second", "50",
-                            {1, MaxPerSecond},
-                            "Reads that this instance allows itself.",
-                            FIELD(Platform_.ReadsPerSecond_)));
-  Keys.push_back(integerKey("platform", "writes_per_second", "20",
-                            {1, MaxPerSecond},
-                            "Writes that this instance allows itself.",
-                            FIELD(Platform_.WritesPerSecond_)));
-  Keys.push_back(durationKey("platform", "timeout_ms", "2000",
-                             "How long one call may take.",
-                             FIELD(Platform_.Timeout_)));
-  Keys.push_back(integerKey("platform", "threads", "8", {1, MaxThreads},
-                            "Calls that may be in progress at once.",
-                            FIELD(Platform_.Threads_)));
+                  storing(parseEndpoint, field(&DaemonSettings::Platform_,
+                                               &PlatformSettings::Endpoint_))});
+  Keys.push_back(integerKey(
+      "platform", "reads_per_second", "50", {1, MaxPerSecond},
+      "Reads that this instance allows itself.",
+      field(&DaemonSettings::Platform_, &PlatformSettings::ReadsPerSecond_)));
+  Keys.push_back(integerKey(
+      "platform", "writes_per_second", "20", {1, MaxPerSecond},
+      "Writes that this instance allows itself.",
+      field(&DaemonSettings::Platform_, &PlatformSettings::WritesPerSecond_)));
+  Keys.push_back(durationKey(
+      "platform", "timeout_ms", "2000", "How long one call may take.",
+      field(&DaemonSettings::Platform_, &PlatformSettings::Timeout_)));
+  Keys.push_back(integerKey(
+      "platform", "threads", "8", {1, MaxThreads},
+      "Calls that may be in progress at once.",
+      field(&DaemonSettings::Platform_, &PlatformSettings::Threads_)));
 }
 
 void addBackends(std::vector<KeyDescription> &Keys) {
-  Keys.push_back(durationKey("backends", "connect_timeout_ms", "1000",
-                             "How long connecting to a server may take.",
-                             FIELD(Backends_.ConnectTimeout_)));
-  Keys.push_back(durationKey("backends", "stall_timeout_ms", "10000",
-                             "Silence after which a call counts as lost.",
-                             FIELD(Backends_.StallTimeout_)));
+  Keys.push_back(durationKey(
+      "backends", "connect_timeout_ms", "1000",
+      "How long connecting to a server may take.",
+      field(&DaemonSettings::Backends_, &BackendsSettings::ConnectTimeout_)));
+  Keys.push_back(durationKey(
+      "backends", "stall_timeout_ms", "10000",
+      "Silence after which a call counts as lost.",
+      field(&DaemonSettings::Backends_, &BackendsSettings::StallTimeout_)));
   Keys.push_back(integerKey("backends", "connections_per_server", "32",
                             {1, MaxThreads},
                             "Connections kept open to one backend server.",
-                            FIELD(Backends_.ConnectionsPerServer_)));
+                            field(&DaemonSettings::Backends_,
+                                  &BackendsSettings::ConnectionsPerServer_)));
 }
 
 void addServing(std::vector<KeyDescription> &Keys) {
-  Keys.push_back(durationKey("serving", "drain_ms", "25000",
-                             "Time for requests to finish before a stop.",
-                             FIELD(Serving_.Drain_)));
-  Keys.push_back(integerKey("serving", "claim_buckets", "64",
-                            {1, MaxClaimBuckets},
-                            "Objects that share the claims; equal everywhere.",
-                            FIELD(Serving_.ClaimBuckets_)));
-  Keys.push_back(integerKey("serving", "claim_answer_bytes", "4096",
-                            {0, MaxClaimAnswerBytes},
-                            "The largest answer that is kept with its claim.",
-                            FIELD(Serving_.ClaimAnswerBytes_)));
+  Keys.push_back(
+      durationKey("serving", "drain_ms", "25000",
+                  "Time for requests to finish before a stop.",
+                  field(&DaemonSettings::Serving_, &ServingSettings::Drain_)));
+  Keys.push_back(integerKey(
+      "serving", "claim_buckets", "64", {1, MaxClaimBuckets},
+      "Objects that share the claims; equal everywhere.",
+      field(&DaemonSettings::Serving_, &ServingSettings::ClaimBuckets_)));
+  Keys.push_back(integerKey(
+      "serving", "claim_answer_bytes", "4096", {0, MaxClaimAnswerBytes},
+      "The largest answer that is kept with its claim.",
+      field(&DaemonSettings::Serving_, &ServingSettings::ClaimAnswerBytes_)));
 }
 
-#undef FIELD
-
 std::vector<KeyDescription> allKeys() {
   std::vector<KeyDescription> Keys;
   addInstance(Keys);
