--- a/Libraries/LibAdmin/OperatorActions.h
+++ b/Libraries/LibAdmin/OperatorActions.h
@@ -6,6 +6,7 @@
 #include <LibCore/Result.h>
 #include <LibMetrics/MetricSnapshot.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,17 +23,17 @@
 
 /// What is to be drained and within which time.
 struct DrainOrder {
-  ServerId Server_; ///< Empty means the entry instance that is asked.
-  Duration Within_{};
+  ServerId Server_;   ///< Empty means the entry instance that is asked.
+  Duration Within_{}; ///< Zero: as long as the daemon's settings say.
   std::string OperatorName_;
 
   auto operator<=>(DrainOrder const &) const = default;
 };
 
 /// All that operators can ask for, one function for each call of the gRPC
-/// service. The daemon implements it and OperatorClient offers it remotely.
-/// Calls come from several threads at once and may block on the platform. The
-/// arguments are checked and the operator is authenticated.
+/// service. The daemon implements it and OperatorServer calls it. Calls come
+/// from several threads at once and may block on the platform. The arguments
+/// are checked and the operator is authenticated.
 ///
 /// A change that lost against another is a success with the verdict Conflict
 /// and the present version. OutcomeUnknown means that sending the change again
