LibServing: Run one request from claim to answer

Cause: requests need one place that decides on retries, moves and answers. Non-idempotent calls without a key are dispatched once without a claim.

--- /dev/null
+++ b/Libraries/LibServing/RequestFlow.cpp
@@ -0,0 +1,330 @@
+#include <LibServing/FlowFailures.h>
+#include <LibServing/RequestFlow.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace laburnum {
+
+namespace {
+
+constexpr Duration FirstRetryPause = std::chrono::milliseconds(5);
+constexpr std::uint32_t MaximumPauseDoublings = 6;
+constexpr std::int32_t FirstErrorStatus = 400;
+constexpr std::int32_t FirstServerErrorStatus = 500;
+
+bool isWhole(AttemptEvidence const &Evidence) {
+  return Evidence.Progress_ == AttemptProgress::AnswerWhole &&
+         Evidence.End_ == AttemptEnd::Answered;
+}
+
+/// Answers of a gateway or an overloaded server, which another may not give.
+bool isPassingStatus(std::int32_t Status) {
+  return Status == 502 || Status == 503 || Status == 504;
+}
+
+Duration retryPause(std::uint32_t FailedAttempts) {
+  auto const Doublings = std::min(FailedAttempts - 1, MaximumPauseDoublings);
+  return FirstRetryPause * (1 << Doublings);
+}
+
+} // namespace
+
+RequestFlow::RequestFlow(CallerRequest Request, ServerChooser &Chooser,
+                         RetryAllowance &Retries)
+    : Request_(std::move(Request)), Chooser_(Chooser), Retries_(Retries) {}
+
+std::vector<flow::Action> RequestFlow::handle(flow::Event const &Event,
+                                              TimePoint Now) {
+  Actions Out;
+  if (Finished_)
+    return Out;
+  std::visit([&](auto const &One) { on(One, Now, Out); }, Event);
+  return Out;
+}
+
+void RequestFlow::on(flow::Started const &, TimePoint Now, Actions &Out) {
+  if (Stage_ != Stage::New)
+    return;
+  Retries_.countRequest(Request_.Service_, Now);
+  // A call without a key cannot be named again, so a claim would guard nothing:
+  // it is dispatched at most once by this flow.
+  if (Request_.Idempotence_ == Idempotence::Idempotent || !Request_.Key_)
+    return dispatch(Now, Out);
+  Stage_ = Stage::Claiming;
+  Out.push_back(flow::MakeClaim{Request_.Account_, *Request_.Key_,
+                                Request_.Fingerprint_});
+}
+
+void RequestFlow::on(flow::ClaimSettled const &Event, TimePoint Now,
+                     Actions &Out) {
+  if (Stage_ != Stage::Claiming)
+    return;
+  if (auto const *Answered = std::get_if<ClaimAnswered>(&Event.Verdict_))
+    return finishWithAnswer(Answered->Answer_, RunState::Ran, Out);
+  if (std::holds_alternative<ClaimPending>(Event.Verdict_))
+    return finishFailed(detail::claimPending(), Out);
+  if (std::holds_alternative<ClaimKeyReused>(Event.Verdict_))
+    return finishFailed(detail::claimKeyReused(), Out);
+  if (auto const *Refused = std::get_if<ClaimUnavailable>(&Event.Verdict_))
+    return finishFailed(detail::claimUnavailable(Refused->RetryAfter_), Out);
+  ClaimHold_ = ClaimHold::Granted;
+  if (CallerPresence_ == CallerPresence::Gone)
+    return finishFailed(detail::callerGone(RunState::NotRun), Out);
+  dispatch(Now, Out);
+}
+
+void RequestFlow::on(flow::PieceReceived const &Event, TimePoint Now,
+                     Actions &Out) {
+  if (!isPresent(Event.Piece_.Attempt_))
+    return;
+  switch (Progress_.accept(Event.Piece_, Now)) {
+  case PieceFit::Known:
+    return;
+  case PieceFit::Next:
+    if (Event.Piece_.Offset_ >= Request_.ResumeFrom_)
+      Out.push_back(flow::SendToken{Event.Piece_.Offset_, Event.Piece_.Text_});
+    return;
+  case PieceFit::Hole:
+    Out.push_back(flow::CancelAttempt{Attempt_});
+    return recover({AttemptProgress::AnswerBegun, AttemptEnd::Cancelled, 0,
+                    "the stream has a hole"},
+                   Now, Out);
+  }
+}
+
+void RequestFlow::on(flow::PlainAttemptEnded const &Event, TimePoint Now,
+                     Actions &Out) {
+  if (!isPresent(Event.Attempt_))
+    return;
+  auto const &Evidence = Event.Result_.Evidence_;
+  auto const &Answer = Event.Result_.Answer_;
+  if (!isWhole(Evidence))
+    return recover(Evidence, Now, Out);
+  // A service that answered a non-idempotent call has the last word on it,
+  // whatever its status, so that its answer is passed on as it is.
+  auto const Repeat =
+      Request_.Idempotence_ == Idempotence::Idempotent &&
+      isPassingStatus(Answer.Status_) &&
+      Now + retryPause(FailedAttempts_ + 1) < Request_.Deadline_ &&
+      Retries_.tryTake(Request_.Service_, Now);
+  if (!Repeat) {
+    releaseServer(Evidence, Now);
+    return finishWithAnswer(Answer, RunState::Ran, Out);
+  }
+  StateSoFar_ = RunState::Ran;
+  FailedServers_.insert(Server_->Id_);
+  ++FailedAttempts_;
+  releaseServer(Evidence, Now);
+  pauseForRetry(Out);
+}
+
+void RequestFlow::on(flow::CompletionAttemptEnded const &Event, TimePoint Now,
+                     Actions &Out) {
+  if (!isPresent(Event.Attempt_))
+    return;
+  auto const &Evidence = Event.Result_.Evidence_;
+  // The first attempt that ran computes; whatever computes after it does so
+  // again.
+  if (StateSoFar_ != RunState::NotRun)
+    Counts_.RecomputedTokens_ += Event.Result_.ComputedTokens_;
+  if (!isWhole(Evidence) || Evidence.Status_ >= FirstServerErrorStatus)
+    return recover(Evidence, Now, Out);
+  releaseServer(Evidence, Now);
+  if (Evidence.Status_ >= FirstErrorStatus) {
+    auto Failure = detail::engineRefusedRequest(Evidence.Status_);
+    Failure.RunState_ = combine(StateSoFar_, Failure.RunState_);
+    return finishFailed(std::move(Failure), Out);
+  }
+  Stage_ = Stage::Finished;
+  Finished_ = true;
+  Out.push_back(flow::FinishCompletion{Progress_.count()});
+}
+
+void RequestFlow::on(flow::ServerLeaving const &Event, TimePoint Now,
+                     Actions &Out) {
+  LeavingServers_.insert(Event.Server_);
+  if (Stage_ != Stage::Attempting || Server_->Id_ != Event.Server_)
+    return;
+  if (Request_.Kind_ == ServiceKind::Plain)
+    return;
+  auto const Expected = Progress_.expectedRemaining(Request_.MaxTokens_);
+  if (Expected && *Expected < Event.Remaining_)
+    return;
+  moveStream(Now, Out);
+}
+
+void RequestFlow::on(flow::RetryDue const &, TimePoint Now, Actions &Out) {
+  if (Stage_ == Stage::Pausing)
+    dispatch(Now, Out);
+}
+
+void RequestFlow::on(flow::CallerGone const &, TimePoint Now, Actions &Out) {
+  CallerPresence_ = CallerPresence::Gone;
+  // A claim on its way must be settled first: if it is granted, it is recorded
+  // as not run, so that the caller can send the call again.
+  if (Stage_ == Stage::Claiming)
+    return;
+  if (Stage_ != Stage::Attempting)
+    return finishFailed(detail::callerGone(StateSoFar_), Out);
+  if (Request_.Idempotence_ == Idempotence::NonIdempotent)
+    return;
+  cancelAttempt(Now, Out);
+  finishFailed(detail::callerGone(StateSoFar_), Out);
+}
+
+// FIXME: A claim that is granted just after the deadline leaves an intent
+// without an outcome, so that a later call with its key is told may_have_run.
+void RequestFlow::on(flow::DeadlineReached const &, TimePoint Now,
+                     Actions &Out) {
+  if (Stage_ == Stage::Attempting)
+    cancelAttempt(Now, Out);
+  finishFailed(detail::deadlineExceeded(StateSoFar_), Out);
+}
+
+bool RequestFlow::isPresent(AttemptNumber Attempt) const {
+  return Stage_ == Stage::Attempting && Attempt == Attempt_;
+}
+
+bool RequestFlow::mayRepeat(RunState Ended) const {
+  return Request_.Idempotence_ == Idempotence::Idempotent ||
+         Ended == RunState::NotRun;
+}
+
+RouteQuery RequestFlow::routeQuery() const {
+  RouteQuery Query{Request_.Service_,   Request_.Fingerprint_, Request_.Prompt_,
+                   Request_.MaxTokens_, Request_.Priority_,    FailedServers_};
+  Query.Excluded_.insert(LeavingServers_.begin(), LeavingServers_.end());
+  return Query;
+}
+
+void RequestFlow::dispatch(TimePoint Now, Actions &Out) {
+  if (Now >= Request_.Deadline_)
+    return finishFailed(detail::deadlineExceeded(StateSoFar_), Out);
+  auto Query = routeQuery();
+  auto const Chosen = Chooser_.choose(Query, Now);
+  if (isError(Chosen))
+    return finishFailed(detail::noServer(errorOf(Chosen), StateSoFar_), Out);
+  ChosenWith_ = std::move(Query);
+  startAttempt(valueOf(Chosen), Now, Out);
+}
+
+void RequestFlow::startAttempt(BackendServer const &Server, TimePoint Now,
+                               Actions &Out) {
+  Stage_ = Stage::Attempting;
+  Server_ = Server;
+  ++Attempt_;
+  ++Counts_.Attempts_;
+  if (Request_.Kind_ == ServiceKind::Plain)
+    startPlain(Server, Now, Out);
+  else
+    startCompletion(Server, Now, Out);
+}
+
+void RequestFlow::startPlain(BackendServer const &Server, TimePoint Now,
+                             Actions &Out) {
+  PlainCall Call{Request_.Id_,     Attempt_,
+                 Request_.Method_, Request_.Path_,
+                 Request_.Fields_, Request_.Body_,
+                 Request_.Key_,    Request_.Deadline_ - Now};
+  Out.push_back(flow::StartPlainAttempt{Server, std::move(Call)});
+}
+
+void RequestFlow::startCompletion(BackendServer const &Server, TimePoint Now,
+                                  Actions &Out) {
+  Progress_.beginAttempt(Now);
+  CompletionCall Call{Request_.Id_,
+                      Attempt_,
+                      Request_.Service_,
+                      Request_.Prompt_,
+                      Request_.MaxTokens_,
+                      Request_.Priority_,
+                      Progress_.count(),
+                      Progress_.tokens(),
+                      Request_.Deadline_ - Now};
+  Out.push_back(flow::StartCompletionAttempt{Server, std::move(Call)});
+}
+
+void RequestFlow::releaseServer(AttemptEvidence const &Evidence,
+                                TimePoint Now) {
+  Chooser_.release(Server_->Id_, ChosenWith_, Evidence, Now);
+  Server_.reset();
+}
+
+/// What a cancelled attempt did is not known.
+void RequestFlow::cancelAttempt(TimePoint Now, Actions &Out) {
+  Out.push_back(flow::CancelAttempt{Attempt_});
+  releaseServer({AttemptProgress::RequestSent, AttemptEnd::Cancelled, 0, ""},
+                Now);
+  StateSoFar_ = combine(StateSoFar_, RunState::MayHaveRun);
+}
+
+/// Chooses the new server before the old attempt is given up: with nowhere to
+/// go, the stream stays for as long as its server does.
+void RequestFlow::moveStream(TimePoint Now, Actions &Out) {
+  auto Query = routeQuery();
+  auto const Chosen = Chooser_.choose(Query, Now);
+  if (isError(Chosen))
+    return;
+  cancelAttempt(Now, Out);
+  ++Counts_.Moves_;
+  ChosenWith_ = std::move(Query);
+  startAttempt(valueOf(Chosen), Now, Out);
+}
+
+/// After an attempt that brought no whole answer.
+void RequestFlow::recover(AttemptEvidence const &Evidence, TimePoint Now,
+                          Actions &Out) {
+  auto const Ended = runStateOf(Evidence);
+  auto const Left = Server_->Id_;
+  StateSoFar_ = combine(StateSoFar_, Ended);
+  releaseServer(Evidence, Now);
+  if (!mayRepeat(Ended))
+    return finishFailed(
+        detail::outcomeUnknown("the connection to the service was lost after "
+                               "the call was sent"),
+        Out);
+  if (CallerPresence_ == CallerPresence::Gone)
+    return finishFailed(detail::callerGone(StateSoFar_), Out);
+  if (LeavingServers_.contains(Left)) {
+    ++Counts_.Moves_;
+    return dispatch(Now, Out);
+  }
+  FailedServers_.insert(Left);
+  ++FailedAttempts_;
+  if (Now + retryPause(FailedAttempts_) >= Request_.Deadline_ ||
+      !Retries_.tryTake(Request_.Service_, Now))
+    return finishFailed(detail::retriesUsedUp(StateSoFar_), Out);
+  pauseForRetry(Out);
+}
+
+void RequestFlow::pauseForRetry(Actions &Out) {
+  ++Counts_.Retries_;
+  Stage_ = Stage::Pausing;
+  Out.push_back(flow::WaitBeforeRetry{retryPause(FailedAttempts_)});
+}
+
+void RequestFlow::finishWithAnswer(PlainAnswer const &Answer, RunState State,
+                                   Actions &Out) {
+  record(State, Answer, Out);
+  Stage_ = Stage::Finished;
+  Finished_ = true;
+  Out.push_back(flow::FinishPlain{Answer});
+}
+
+void RequestFlow::finishFailed(FailureAnswer Failure, Actions &Out) {
+  record(Failure.RunState_, {}, Out);
+  Stage_ = Stage::Finished;
+  Finished_ = true;
+  Out.push_back(flow::FinishFailed{std::move(Failure)});
+}
+
+/// Only the flow that holds the claim may speak about its outcome.
+void RequestFlow::record(RunState State, PlainAnswer Answer, Actions &Out) {
+  if (ClaimHold_ != ClaimHold::Granted)
+    return;
+  Out.push_back(flow::RecordOutcome{
+      Request_.Account_, *Request_.Key_, {State, std::move(Answer)}});
+}
+
+} // namespace laburnum
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -5,6 +5,7 @@
 #include <LibServing/ClaimVerdict.h>
 #include <LibServing/FailureAnswer.h>
 #include <LibServing/ServerChooser.h>
+#include <LibServing/TokenProgress.h>
 
 #include <optional>
 #include <set>
@@ -134,11 +135,58 @@
   FlowCounts const &counts() const { return Counts_; }
 
 private:
+  using Actions = std::vector<flow::Action>;
+
+  enum class Stage { New, Claiming, Attempting, Pausing, Finished };
+  enum class ClaimHold { None, Granted };
+  enum class CallerPresence { Waiting, Gone };
+
+  void on(flow::Started const &, TimePoint Now, Actions &Out);
+  void on(flow::ClaimSettled const &Event, TimePoint Now, Actions &Out);
+  void on(flow::PieceReceived const &Event, TimePoint Now, Actions &Out);
+  void on(flow::PlainAttemptEnded const &Event, TimePoint Now, Actions &Out);
+  void on(flow::CompletionAttemptEnded const &Event, TimePoint Now,
+          Actions &Out);
+  void on(flow::ServerLeaving const &Event, TimePoint Now, Actions &Out);
+  void on(flow::RetryDue const &, TimePoint Now, Actions &Out);
+  void on(flow::CallerGone const &, TimePoint Now, Actions &Out);
+  void on(flow::DeadlineReached const &, TimePoint Now, Actions &Out);
+
+  bool isPresent(AttemptNumber Attempt) const;
+  bool mayRepeat(RunState Ended) const;
+  RouteQuery routeQuery() const;
+  void dispatch(TimePoint Now, Actions &Out);
+  void startAttempt(BackendServer const &Server, TimePoint Now, Actions &Out);
+  void startPlain(BackendServer const &Server, TimePoint Now, Actions &Out);
+  void startCompletion(BackendServer const &Server, TimePoint Now,
+                       Actions &Out);
+  void releaseServer(AttemptEvidence const &Evidence, TimePoint Now);
+  void cancelAttempt(TimePoint Now, Actions &Out);
+  void moveStream(TimePoint Now, Actions &Out);
+  void recover(AttemptEvidence const &Evidence, TimePoint Now, Actions &Out);
+  void pauseForRetry(Actions &Out);
+  void finishWithAnswer(PlainAnswer const &Answer, RunState State,
+                        Actions &Out);
+  void finishFailed(FailureAnswer Failure, Actions &Out);
+  void record(RunState State, PlainAnswer Answer, Actions &Out);
+
   CallerRequest Request_;
   ServerChooser &Chooser_;
   RetryAllowance &Retries_;
   FlowCounts Counts_;
   bool Finished_ = false;
+
+  Stage Stage_ = Stage::New;
+  ClaimHold ClaimHold_ = ClaimHold::None;
+  CallerPresence CallerPresence_ = CallerPresence::Waiting;
+  AttemptNumber Attempt_ = 0;
+  std::optional<BackendServer> Server_; ///< Chosen and not yet released.
+  RouteQuery ChosenWith_;               ///< The query that Server_ answered.
+  std::set<ServerId> FailedServers_;
+  std::set<ServerId> LeavingServers_;
+  std::uint32_t FailedAttempts_ = 0;
+  RunState StateSoFar_ = RunState::NotRun; ///< Of the attempts that ended.
+  TokenProgress Progress_;
 };
 
 } // namespace laburnum
