--- /dev/null
+++ b/Libraries/LibServing/LeastLoadedChooser.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <LibBackend/BackendClient.h>
+#include <LibModel/Configuration.h>
+#include <LibServing/ServerChooser.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace laburnum {
+
+/// Takes two random servers among those that take new work and prefers the
+/// less loaded. A server counts as full by the attempts that run there through
+/// this chooser; what the server reports of its load lags, so that it only
+/// breaks the choice. A server that could not be connected to is avoided for a
+/// cool-down that doubles each time it fails anew. Safe to call from several
+/// threads.
+class LeastLoadedChooser : public ServerChooser {
+public:
+  explicit LeastLoadedChooser(std::uint64_t Seed) : Generator_(Seed) {}
+
+  /// The configuration in force and the servers that take no new work.
+  void setSnapshot(std::shared_ptr<Configuration const> Snapshot,
+                   std::set<ServerId> Leaving);
+  /// What a server last said of its load.
+  void setLoad(ServerId const &Server, LoadReport const &Load);
+  /// Attempts that were chosen and not yet released.
+  std::uint32_t running(ServerId const &Server) const;
+
+  Result<BackendServer> choose(RouteQuery const &Query, TimePoint Now) override;
+  void release(ServerId const &Server, RouteQuery const &Query,
+               AttemptEvidence const &Evidence, TimePoint Now) override;
+
+private:
+  struct ServerState {
+    std::uint32_t Running_ = 0;
+    LoadReport Load_;
+    std::uint32_t FailedConnections_ = 0; ///< In a row.
+    TimePoint AvoidUntil_ = TimePoint::min();
+  };
+
+  bool isUsable(BackendServer const &Server, RouteQuery const &Query,
+                TimePoint Now) const;
+  double loadOf(BackendServer const &Server) const;
+  BackendServer const &pick(std::vector<BackendServer const *> const &Free);
+  ServerState const &stateOf(ServerId const &Server) const;
+  void dropAbsentServers();
+
+  mutable std::mutex Mutex_;
+  std::shared_ptr<Configuration const> Snapshot_ =
+      std::make_shared<Configuration const>();
+  std::set<ServerId> Leaving_;
+  std::map<ServerId, ServerState> Servers_;
+  std::mt19937_64 Generator_;
+};
+
+} // namespace laburnum
--- a/Libraries/LibServing/RequestFlow.cpp
+++ b/Libraries/LibServing/RequestFlow.cpp
@@ -131,11 +131,8 @@
   if (!isWhole(Evidence) || Evidence.Status_ >= FirstServerErrorStatus)
     return recover(Evidence, Now, Out);
   releaseServer(Evidence, Now);
-  if (Evidence.Status_ >= FirstErrorStatus) {
-    auto Failure = detail::engineRefusedRequest(Evidence.Status_);
-    Failure.RunState_ = combine(StateSoFar_, Failure.RunState_);
-    return finishFailed(std::move(Failure), Out);
-  }
+  if (Evidence.Status_ >= FirstErrorStatus)
+    return finishFailed(detail::engineRefusedRequest(Evidence.Status_), Out);
   Stage_ = Stage::Finished;
   Finished_ = true;
   Out.push_back(flow::FinishCompletion{Progress_.count()});
