--- a/Libraries/LibServing/LeastLoadedChooser.cpp
+++ b/Libraries/LibServing/LeastLoadedChooser.cpp
@@ -40,13 +40,17 @@
   std::lock_guard const Lock(Mutex_);
   Snapshot_ = std::move(Snapshot);
   Leaving_ = std::move(Leaving);
+  Known_.clear();
+  for (auto const &[Name, Unused] : Snapshot_->services())
+    for (auto const &Server : Snapshot_->serversOf(Name))
+      Known_.insert(Server.Id_);
   dropAbsentServers();
 }
 
 void LeastLoadedChooser::setLoad(ServerId const &Server,
                                  LoadReport const &Load) {
   std::lock_guard const Lock(Mutex_);
-  if (Snapshot_->server(Server))
+  if (Known_.contains(Server))
     Servers_[Server].Load_ = Load;
 }
 
@@ -95,7 +99,8 @@
   // Attempts that began together fail together, and count as one failure.
   if (CouldNotConnect && Now >= State.AvoidUntil_)
     State.AvoidUntil_ = Now + coolDown(++State.FailedConnections_);
-  dropAbsentServers();
+  if (State.Running_ == 0 && !Known_.contains(Server))
+    Servers_.erase(Found);
 }
 
 bool LeastLoadedChooser::isUsable(BackendServer const &Server,
@@ -135,7 +140,7 @@
 /// Servers that left the configuration are forgotten once nothing runs there.
 void LeastLoadedChooser::dropAbsentServers() {
   std::erase_if(Servers_, [&](auto const &Entry) {
-    return Entry.second.Running_ == 0 && !Snapshot_->server(Entry.first);
+    return Entry.second.Running_ == 0 && !Known_.contains(Entry.first);
   });
 }
 
--- a/Libraries/LibServing/LeastLoadedChooser.h
+++ b/Libraries/LibServing/LeastLoadedChooser.h
@@ -54,6 +54,7 @@
   mutable std::mutex Mutex_;
   std::shared_ptr<Configuration const> Snapshot_ =
       std::make_shared<Configuration const>();
+  std::set<ServerId> Known_; ///< Every server of the snapshot.
   std::set<ServerId> Leaving_;
   std::map<ServerId, ServerState> Servers_;
   std::mt19937_64 Generator_;
