--- a/Libraries/LibServing/ClaimBucketWriter.cpp
+++ b/Libraries/LibServing/ClaimBucketWriter.cpp
@@ -156,7 +156,7 @@
   Phase_ = Phase::Reading;
   for (auto &Wanted : Waiting_)
     Wanted.Freshness_ = Freshness::Read;
-  Out.push_back(claims::ReadBucket{Bucket_});
+  Out.emplace_back(claims::ReadBucket{Bucket_});
 }
 
 /// Puts all that waits into one conditional update. While there is doubt, the
@@ -175,7 +175,7 @@
   Write_ = Nonce(Names_.next());
   auto Value = Working.encode(Write_);
   Written_ = std::move(Working);
-  Out.push_back(
+  Out.emplace_back(
       claims::WriteBucket{Bucket_, Known_->Version_, std::move(Value), Write_});
 }
 
@@ -384,7 +384,7 @@
   if (Wanted.Settled_ == Settled::Yes)
     return;
   Wanted.Settled_ = Settled::Yes;
-  Out.push_back(
+  Out.emplace_back(
       claims::SettleClaim{Wanted.Wanted_.Ticket_, std::move(Verdict)});
 }
 
