--- /dev/null
+++ b/Libraries/LibFleet/ChangeWriter.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <LibCore/Result.h>
+#include <LibCore/Time.h>
+#include <LibFleet/StoredConfiguration.h>
+#include <LibModel/ConfigurationObject.h>
+#include <LibPlatform/ObjectStore.h>
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace laburnum {
+
+/// What an operator asks for.
+struct Change {
+  ChangeKind Change_ = ChangeKind::Apply;
+  ObjectName Name_;
+  std::string Specification_; ///< JSON; empty for Delete.
+  ChangeId Id_;               ///< Not empty.
+  /// The version that the operator saw; 0 for an object that does not exist.
+  /// Empty: whatever is there now.
+  std::optional<Version> Expected_;
+  std::string Operator_;
+  std::int64_t UnixTime_ = 0; ///< Seconds.
+
+  auto operator<=>(Change const &) const = default;
+};
+
+enum class Repeated { No, Yes };
+
+/// An accepted change: the object as it is now in the platform.
+struct ChangeOutcome {
+  ConfigurationObject Object_;
+  /// Yes when the same change identifier had been accepted before.
+  Repeated Repeated_ = Repeated::No;
+
+  auto operator<=>(ChangeOutcome const &) const = default;
+};
+
+/// Writes operators' changes to the platform, each with its audit entry in the
+/// same conditional update. Blocks; for operators' threads, any number at once.
+class ChangeWriter {
+public:
+  /// Timeout bounds each call of the platform.
+  ChangeWriter(ObjectStore &Store, Duration Timeout)
+      : Store_(Store), Timeout_(Timeout) {}
+
+  /// Errors: InvalidArgument; NotFound (Delete of nothing); Conflict (the
+  /// object is at another version, which Message_ names); Unavailable or
+  /// ResourceExhausted (nothing changed, nor will); OutcomeUnknown (send the
+  /// same change identifier again).
+  Result<ChangeOutcome> apply(Change const &Asked);
+
+  /// The newest Limit entries, the newest first. Errors are the platform's.
+  Result<std::vector<AuditEntry>> auditTrail(ObjectName const &Name,
+                                             std::size_t Limit);
+
+private:
+  struct Present {
+    Version Version_ = 0;
+    StoredConfiguration Stored_;
+    std::string Value_; ///< As read, for an unchanged rewrite.
+  };
+
+  Result<Present> read(ObjectKey const &Key);
+  Result<ChangeOutcome> write(Change const &Asked, Present const &Before);
+  Result<ChangeOutcome> settle(Change const &Asked, Present const &Before);
+  Result<Success> archive(Change const &Asked, StoredConfiguration &Next);
+
+  ObjectStore &Store_;
+  Duration Timeout_;
+};
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibFleet/ServerDirectory.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibFleet/Member.h>
+#include <LibFleet/SendToPeer.h>
+#include <LibModel/ReclaimNotice.h>
+#include <LibPlatform/InstanceList.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <variant>
+#include <vector>
+
+namespace laburnum {
+
+namespace servers {
+
+/// What is known of a server that takes no new work.
+struct Departure {
+  Liveness Liveness_ = Liveness::Leaving;
+  /// When it is expected to be gone; empty when that is not known.
+  std::optional<TimePoint> GoneAt_;
+  Version ServerVersion_ = 0; ///< Of its configuration object then.
+
+  auto operator<=>(Departure const &) const = default;
+};
+
+/// The servers that take no new work. A server without entry is live.
+using Departures = std::map<ServerId, Departure>;
+
+/// The cloud API gave notice; one for an entry instance is ignored.
+struct NoticeReceived {
+  ReclaimNotice Notice_;
+};
+struct InstancesListed {
+  InstanceListing Listing_;
+};
+struct NoticeFromPeer {
+  ServerLeavingNotice Notice_;
+};
+/// The server itself said that it is leaving.
+struct ServerRefused {
+  ServerId Server_;
+};
+/// Objects that the ConfigurationStore applied; those that are not servers
+/// are ignored.
+struct ObjectsApplied {
+  std::vector<ConfigurationObject> Objects_;
+};
+struct MembersChanged {
+  std::vector<Member> Members_;
+};
+/// Sent at least five times a second.
+struct TimePassed {};
+
+using Event =
+    std::variant<NoticeReceived, InstancesListed, NoticeFromPeer, ServerRefused,
+                 ObjectsApplied, MembersChanged, TimePassed>;
+
+/// Publish the departures to the traffic threads. News_ are those servers
+/// whose state changed with this event.
+struct DirectoryChanged {
+  std::shared_ptr<Departures const> Departures_;
+  std::vector<ServerId> News_;
+
+  auto operator<=>(DirectoryChanged const &) const = default;
+};
+
+using Action = std::variant<SendToPeer, DirectoryChanged>;
+
+struct Settings {
+  EntryInstance Self_;
+  std::uint64_t Seed_ = 0;
+  std::size_t FanOut_ = 8; ///< Peers told of each piece of news.
+};
+
+} // namespace servers
+
+/// Knows which backend servers are leaving or gone, from whichever sign comes
+/// first. States only advance, from live to leaving to gone; a server comes
+/// back only when it is applied anew at a higher version.
+class ServerDirectory {
+public:
+  explicit ServerDirectory(servers::Settings Settings);
+
+  std::vector<servers::Action> handle(servers::Event const &Event,
+                                      TimePoint Now);
+
+  std::shared_ptr<servers::Departures const> departures() const {
+    return Departures_;
+  }
+
+private:
+  void on(servers::NoticeReceived const &Event);
+  void on(servers::InstancesListed const &Event);
+  void on(servers::NoticeFromPeer const &Event);
+  void on(servers::ServerRefused const &Event);
+  void on(servers::ObjectsApplied const &Event);
+  void on(servers::MembersChanged const &Event);
+  void on(servers::TimePassed const &Event);
+
+  void advance(ServerId const &Id, servers::Departure const &Seen);
+  void tellPeers(ServerId const &Id, servers::Departure const &News);
+  Version versionOf(ServerId const &Id) const;
+
+  servers::Settings Settings_;
+  std::mt19937_64 Generator_;
+  std::shared_ptr<servers::Departures const> Departures_;
+  servers::Departures Next_;
+  std::map<ServerId, Version> Versions_;
+  /// Listed at least once since they were applied, so that absence means gone.
+  std::map<ServerId, Version> Listed_;
+  std::vector<Member> Members_;
+  std::vector<ServerId> News_;
+  TimePoint Now_;
+  std::vector<servers::Action> Actions_;
+};
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibPeer/PeerTransport.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <LibModel/BackendServer.h>
+#include <LibPeer/PeerMessage.h>
+
+#include <cstdint>
+#include <functional>
+
+namespace laburnum {
+
+/// What a transport did, in messages and bytes since its start.
+struct PeerTransportCounters {
+  std::uint64_t Sent_ = 0;
+  std::uint64_t Received_ = 0;
+  std::uint64_t Dropped_ = 0;  ///< Not sent: queue full or peer unreachable.
+  std::uint64_t Rejected_ = 0; ///< Connections closed for what they sent.
+  std::uint64_t BytesSent_ = 0;
+  std::uint64_t BytesReceived_ = 0;
+
+  auto operator<=>(PeerTransportCounters const &) const = default;
+};
+
+/// Called for each message with the instance that sent it.
+using PeerReceiver =
+    std::function<void(InstanceId const &From, PeerMessage const &Message)>;
+
+/// Carries messages between entry instances. Messages may be lost; whoever
+/// needs one to arrive repeats it.
+class PeerTransport {
+public:
+  virtual ~PeerTransport() = default;
+
+  /// Queues the message and returns at once. A message that cannot be sent is
+  /// dropped and counted.
+  virtual void send(Endpoint const &To, PeerMessage const &Message) = 0;
+
+  virtual PeerTransportCounters counters() const = 0;
+};
+
+} // namespace laburnum
