--- /dev/null
+++ b/Libraries/LibPeer/InboundPeer.cpp
@@ -0,0 +1,114 @@
+#include <LibPeer/InboundPeer.h>
+
+#include <asio/read.hpp>
+#include <glog/logging.h>
+#include <openssl/crypto.h>
+
+#include <utility>
+
+namespace laburnum::detail {
+
+namespace {
+
+/// The largest body, in bytes, taken from a peer that is not yet known.
+constexpr std::size_t LargestHello = 4096;
+/// The opener closes idle connections; the receiver waits this much longer, so
+/// that no message is sent into a connection that is being closed.
+constexpr int IdleFactor = 2;
+
+bool equalSecrets(std::string const &Left, std::string const &Right) {
+  return Left.size() == Right.size() &&
+         CRYPTO_memcmp(Left.data(), Right.data(), Left.size()) == 0;
+}
+
+} // namespace
+
+InboundPeer::InboundPeer(asio::ip::tcp::socket Socket,
+                         std::shared_ptr<PeerTransportState> State)
+    : Socket_(std::move(Socket)), Deadline_(Socket_.get_executor()),
+      State_(std::move(State)) {}
+
+void InboundPeer::start() {
+  closeAfter(State_->Settings_.ConnectTimeout_);
+  readHeader();
+}
+
+void InboundPeer::close() {
+  asio::error_code Ignored;
+  Socket_.close(Ignored);
+  Deadline_.cancel();
+}
+
+void InboundPeer::closeAfter(Duration Span) {
+  Deadline_.expires_after(Span);
+  Deadline_.async_wait([Self = shared_from_this()](asio::error_code Failure) {
+    if (!Failure &&
+        Self->Deadline_.expiry() <= asio::steady_timer::clock_type::now())
+      Self->close();
+  });
+}
+
+void InboundPeer::readHeader() {
+  asio::async_read(
+      Socket_, asio::buffer(Header_),
+      [Self = shared_from_this()](asio::error_code Failure, std::size_t) {
+        if (Failure || Self->State_->IsStopped_)
+          return Self->close();
+        auto const Size =
+            decodePeerHeader({Self->Header_.data(), Self->Header_.size()});
+        if (isError(Size))
+          return Self->reject(errorOf(Size).Message_);
+        Self->readBody(valueOf(Size));
+      });
+}
+
+void InboundPeer::readBody(std::size_t Size) {
+  if (Sender_.isEmpty() && Size > LargestHello)
+    return reject("the first message is too large for a Hello");
+  Body_.resize(Size);
+  asio::async_read(
+      Socket_, asio::buffer(Body_),
+      [Self = shared_from_this()](asio::error_code Failure, std::size_t) {
+        if (Failure || Self->State_->IsStopped_)
+          return Self->close();
+        Self->State_->Counters_.BytesReceived_ +=
+            PeerHeaderSize + Self->Body_.size();
+        Self->received();
+      });
+}
+
+void InboundPeer::received() {
+  auto const Message = decodePeerBody(Body_);
+  Body_ = {};
+  if (isError(Message))
+    return reject(errorOf(Message).Message_);
+  auto const *Greeting = std::get_if<Hello>(&valueOf(Message));
+  if ((Greeting != nullptr) != Sender_.isEmpty())
+    return reject("a Hello must come first and once");
+  if (Greeting)
+    return greeted(*Greeting);
+  closeAfter(State_->Settings_.IdleTimeout_ * IdleFactor);
+  ++State_->Counters_.Received_;
+  State_->Receiver_(Sender_, valueOf(Message));
+  if (Socket_.is_open())
+    readHeader();
+}
+
+void InboundPeer::greeted(Hello const &Greeting) {
+  if (!equalSecrets(Greeting.Secret_, State_->Settings_.Secret_))
+    return reject("the shared secret is wrong");
+  if (Greeting.Sender_.Id_.isEmpty())
+    return reject("the sender has no identifier");
+  Sender_ = Greeting.Sender_.Id_;
+  closeAfter(State_->Settings_.IdleTimeout_ * IdleFactor);
+  readHeader();
+}
+
+void InboundPeer::reject(std::string const &Why) {
+  // Only the first is logged; the counter tells of the others.
+  if (State_->Counters_.Rejected_++ == 0)
+    LOG(WARNING) << "peer connection rejected: " << Why;
+  close();
+}
+
+} // namespace laburnum::detail
--- /dev/null
+++ b/Libraries/LibPeer/OutboundPeer.cpp
@@ -0,0 +1,167 @@
+#include <LibPeer/OutboundPeer.h>
+
+#include <LibPeer/PeerCodec.h>
+
+#include <asio/write.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace laburnum::detail {
+
+namespace {
+
+/// The most bytes that wait for one peer, besides the one being written.
+constexpr std::size_t LargestQueue = std::size_t(16) << 20;
+/// How long a write may take before the connection counts as broken.
+constexpr Duration WriteTimeout = std::chrono::seconds(10);
+
+} // namespace
+
+OutboundPeer::OutboundPeer(asio::io_context &Context, Endpoint Remote,
+                           std::shared_ptr<PeerTransportState> State)
+    : Remote_(std::move(Remote)), State_(std::move(State)), Socket_(Context),
+      Deadline_(Context) {}
+
+bool OutboundPeer::isFull(std::string const &Frame) const {
+  return Queue_.size() >= State_->Settings_.QueueLimit_ ||
+         QueuedBytes_ + Frame.size() > LargestQueue;
+}
+
+void OutboundPeer::send(std::string Frame) {
+  bool const IsWaiting = Phase_ == Phase::Closed && readClock() < NotBefore_;
+  if (IsWaiting || isFull(Frame)) {
+    ++State_->Counters_.Dropped_;
+    return;
+  }
+  QueuedBytes_ += Frame.size();
+  Queue_.push_back(std::move(Frame));
+  if (Phase_ == Phase::Closed)
+    connect();
+  else if (Phase_ == Phase::Open)
+    write();
+}
+
+void OutboundPeer::connect() {
+  asio::error_code Failure;
+  auto const Address = asio::ip::make_address(Remote_.Host_, Failure);
+  if (Failure)
+    return fail();
+  Phase_ = Phase::Connecting;
+  armDeadline(State_->Settings_.ConnectTimeout_);
+  Socket_.async_connect({Address, Remote_.Port_},
+                        [Self = shared_from_this(),
+                         Mine = Generation_](asio::error_code Outcome) {
+                          if (Mine != Self->Generation_)
+                            return;
+                          if (Outcome)
+                            return Self->fail();
+                          Self->connected();
+                        });
+}
+
+void OutboundPeer::connected() {
+  asio::error_code Ignored;
+  Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  Phase_ = Phase::Open;
+  auto Frame = helloFrame();
+  QueuedBytes_ += Frame.size();
+  Queue_.push_front(std::move(Frame));
+  watchForClose();
+  write();
+}
+
+std::string OutboundPeer::helloFrame() const {
+  auto Frame = encodePeerFrame(
+      Hello{State_->Settings_.Secret_, State_->Settings_.Self_});
+  return isError(Frame) ? std::string() : takeValue(std::move(Frame));
+}
+
+void OutboundPeer::write() {
+  if (IsWriting_ || Queue_.empty())
+    return;
+  IsWriting_ = true;
+  armDeadline(WriteTimeout);
+  asio::async_write(Socket_, asio::buffer(Queue_.front()),
+                    [Self = shared_from_this(), Mine = Generation_](
+                        asio::error_code Outcome, std::size_t Bytes) {
+                      if (Mine != Self->Generation_)
+                        return;
+                      if (Outcome)
+                        return Self->fail();
+                      Self->wrote(Bytes);
+                    });
+}
+
+void OutboundPeer::wrote(std::size_t Bytes) {
+  IsWriting_ = false;
+  if (IsGreeted_)
+    ++State_->Counters_.Sent_;
+  IsGreeted_ = true;
+  State_->Counters_.BytesSent_ += Bytes;
+  QueuedBytes_ -= Queue_.front().size();
+  Queue_.pop_front();
+  armDeadline(State_->Settings_.IdleTimeout_);
+  write();
+}
+
+/// A peer sends nothing on this connection, so that anything that can be read
+/// means that it has closed it; noticing saves the next message.
+void OutboundPeer::watchForClose() {
+  Socket_.async_read_some(asio::buffer(Unexpected_),
+                          [Self = shared_from_this(),
+                           Mine = Generation_](asio::error_code, std::size_t) {
+                            if (Mine == Self->Generation_)
+                              Self->fail();
+                          });
+}
+
+/// Drops what is queued: it is old when the peer comes back.
+void OutboundPeer::fail() {
+  bool const HasHello = Phase_ == Phase::Open && !IsGreeted_;
+  State_->Counters_.Dropped_ += Queue_.size() - (HasHello ? 1 : 0);
+  shut();
+  auto const &Settings = State_->Settings_;
+  Backoff_ = std::clamp(Backoff_ * 2, Settings.FirstBackoff_,
+                        Settings.LongestBackoff_);
+  NotBefore_ = readClock() + Backoff_;
+}
+
+void OutboundPeer::shut() {
+  ++Generation_;
+  asio::error_code Ignored;
+  Socket_.close(Ignored);
+  Deadline_.cancel();
+  Queue_.clear();
+  QueuedBytes_ = 0;
+  IsWriting_ = false;
+  IsGreeted_ = false;
+  Phase_ = Phase::Closed;
+}
+
+void OutboundPeer::close() { shut(); }
+
+bool OutboundPeer::isForgettable() const {
+  return Phase_ == Phase::Closed && readClock() >= NotBefore_;
+}
+
+void OutboundPeer::armDeadline(Duration Span) {
+  Deadline_.expires_after(Span);
+  Deadline_.async_wait([Self = shared_from_this(),
+                        Mine = Generation_](asio::error_code Outcome) {
+    if (!Outcome && Mine == Self->Generation_)
+      Self->deadlinePassed();
+  });
+}
+
+void OutboundPeer::deadlinePassed() {
+  if (Deadline_.expiry() > asio::steady_timer::clock_type::now())
+    return;
+  if (Phase_ == Phase::Open && Queue_.empty()) {
+    Backoff_ = Duration(0);
+    return shut();
+  }
+  fail();
+}
+
+} // namespace laburnum::detail
--- /dev/null
+++ b/Libraries/LibPeer/OutboundPeer.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <LibPeer/PeerTransportState.h>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace laburnum::detail {
+
+/// The connection to one peer: opened when there is something to send, closed
+/// when idle. After a failure nothing is tried until the backoff has passed.
+class OutboundPeer : public std::enable_shared_from_this<OutboundPeer> {
+public:
+  OutboundPeer(asio::io_context &Context, Endpoint Remote,
+               std::shared_ptr<PeerTransportState> State);
+
+  void send(std::string Frame);
+  void close();
+  /// True when forgetting this connection loses nothing.
+  bool isForgettable() const;
+
+private:
+  enum class Phase { Closed, Connecting, Open };
+
+  bool isFull(std::string const &Frame) const;
+  void connect();
+  void connected();
+  void write();
+  void wrote(std::size_t Bytes);
+  void watchForClose();
+  void fail();
+  void shut();
+  void armDeadline(Duration Span);
+  void deadlinePassed();
+  std::string helloFrame() const;
+
+  Endpoint Remote_;
+  std::shared_ptr<PeerTransportState> State_;
+  asio::ip::tcp::socket Socket_;
+  asio::steady_timer Deadline_;
+  Phase Phase_ = Phase::Closed;
+  std::deque<std::string> Queue_; ///< The first one is being written.
+  std::size_t QueuedBytes_ = 0;
+  bool IsWriting_ = false;
+  bool IsGreeted_ = false;       ///< The Hello was written.
+  std::uint64_t Generation_ = 0; ///< Tells handlers of an older connection.
+  Duration Backoff_{};
+  TimePoint NotBefore_{};
+  std::array<char, 1> Unexpected_{};
+};
+
+} // namespace laburnum::detail
--- /dev/null
+++ b/Libraries/LibPeer/PeerFields.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <LibPeer/PeerMessage.h>
+
+#include <msgpack.hpp>
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <type_traits>
+#include <vector>
+
+/// The fields of each type that goes over a peer connection, in their order on
+/// the wire, and how they are packed: a structure is an array of its fields.
+/// A new message type needs its fieldsOf() here and nothing else.
+namespace laburnum::detail {
+
+template <typename Value, typename Target>
+concept Of = std::same_as<std::remove_cvref_t<Value>, Target>;
+
+auto fieldsOf(Of<Endpoint> auto &Value) {
+  return std::tie(Value.Host_, Value.Port_);
+}
+auto fieldsOf(Of<EntryInstance> auto &Value) {
+  return std::tie(Value.Id_, Value.DataCentre_, Value.Callers_, Value.Peers_,
+                  Value.Operators_);
+}
+auto fieldsOf(Of<Hello> auto &Value) {
+  return std::tie(Value.Secret_, Value.Sender_);
+}
+auto fieldsOf(Of<MemberUpdate> auto &Value) {
+  return std::tie(Value.Instance_, Value.State_, Value.Incarnation_,
+                  Value.ConfigurationVersion_, Value.ConfigurationDigest_);
+}
+auto fieldsOf(Of<Heartbeat> auto &Value) {
+  return std::tie(Value.Kind_, Value.Sequence_, Value.Target_, Value.Updates_);
+}
+auto fieldsOf(Of<ConfigurationDigest> auto &Value) {
+  return std::tie(Value.Version_, Value.Digest_, Value.ReplyTo_);
+}
+auto fieldsOf(Of<ObjectName> auto &Value) {
+  return std::tie(Value.Kind_, Value.Name_);
+}
+auto fieldsOf(Of<ConfigurationObject> auto &Value) {
+  return std::tie(Value.Name_, Value.Version_, Value.IsDeleted_,
+                  Value.Specification_);
+}
+auto fieldsOf(Of<ConfigurationObjects> auto &Value) {
+  return std::tie(Value.Objects_);
+}
+auto fieldsOf(Of<ObjectVersion> auto &Value) {
+  return std::tie(Value.Name_, Value.Version_);
+}
+auto fieldsOf(Of<ConfigurationRequest> auto &Value) {
+  return std::tie(Value.Held_, Value.ReplyTo_);
+}
+auto fieldsOf(Of<ServerLeavingNotice> auto &Value) {
+  return std::tie(Value.Server_, Value.Liveness_, Value.Remaining_,
+                  Value.ServerVersion_);
+}
+
+/// The last enumerator of each enumeration, so that a number beyond it is
+/// refused.
+constexpr MemberState lastOf(MemberState /*Any*/) { return MemberState::Gone; }
+constexpr HeartbeatKind lastOf(HeartbeatKind /*Any*/) {
+  return HeartbeatKind::Gossip;
+}
+constexpr ObjectKind lastOf(ObjectKind /*Any*/) { return ObjectKind::Server; }
+constexpr Liveness lastOf(Liveness /*Any*/) { return Liveness::Gone; }
+
+template <typename Value> struct IsVector : std::false_type {};
+template <typename Item> struct IsVector<std::vector<Item>> : std::true_type {};
+
+template <typename Value> struct IsIdentifier : std::false_type {};
+template <typename Tag>
+struct IsIdentifier<Identifier<Tag>> : std::true_type {};
+
+template <typename Value>
+constexpr bool IsPlain =
+    std::is_integral_v<Value> || std::same_as<Value, std::string>;
+
+template <typename Packer, typename Value>
+void packFields(Packer &Into, Value const &From) {
+  if constexpr (IsPlain<Value>) {
+    Into.pack(From);
+  } else if constexpr (std::is_enum_v<Value>) {
+    Into.pack(static_cast<std::uint64_t>(From));
+  } else if constexpr (IsIdentifier<Value>::value) {
+    Into.pack(From.text());
+  } else if constexpr (std::same_as<Value, Duration>) {
+    Into.pack(static_cast<std::int64_t>(From.count()));
+  } else if constexpr (IsVector<Value>::value) {
+    Into.pack_array(static_cast<std::uint32_t>(From.size()));
+    for (auto const &Item : From)
+      packFields(Into, Item);
+  } else {
+    auto const Fields = fieldsOf(From);
+    Into.pack_array(std::tuple_size_v<decltype(Fields)>);
+    std::apply([&](auto const &...Each) { (packFields(Into, Each), ...); },
+               Fields);
+  }
+}
+
+/// The items of an array; anything else is a msgpack::type_error.
+inline msgpack::object_array const &itemsOf(msgpack::object const &From) {
+  if (From.type != msgpack::type::ARRAY)
+    throw msgpack::type_error();
+  return From.via.array;
+}
+
+/// Throws msgpack::type_error when the object does not hold such a value.
+template <typename Value>
+void unpackFields(msgpack::object const &From, Value &To) {
+  if constexpr (IsPlain<Value>) {
+    To = From.as<Value>();
+  } else if constexpr (std::is_enum_v<Value>) {
+    auto const Number = From.as<std::uint64_t>();
+    if (Number > static_cast<std::uint64_t>(lastOf(Value())))
+      throw msgpack::type_error();
+    To = static_cast<Value>(Number);
+  } else if constexpr (IsIdentifier<Value>::value) {
+    To = Value(From.as<std::string>());
+  } else if constexpr (std::same_as<Value, Duration>) {
+    To = Duration(From.as<std::int64_t>());
+  } else if constexpr (IsVector<Value>::value) {
+    auto const &Items = itemsOf(From);
+    for (std::uint32_t Place = 0; Place < Items.size; ++Place)
+      unpackFields(Items.ptr[Place], To.emplace_back());
+  } else {
+    auto const Fields = fieldsOf(To);
+    auto const &Items = itemsOf(From);
+    if (Items.size != std::tuple_size_v<decltype(Fields)>)
+      throw msgpack::type_error();
+    auto const *Next = Items.ptr;
+    std::apply([&](auto &...Each) { (unpackFields(*Next++, Each), ...); },
+               Fields);
+  }
+}
+
+} // namespace laburnum::detail
--- /dev/null
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -0,0 +1,73 @@
+#include <LibPeer/PeerCodec.h>
+
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+
+static EntryInstance instance() {
+  return {InstanceId("i1"),
+          DataCentre("north"),
+          {"127.0.0.1", 1},
+          {"127.0.0.1", 2},
+          {"127.0.0.1", 3}};
+}
+
+static std::vector<PeerMessage> examples() {
+  MemberUpdate const Update{instance(), MemberState::Suspect, 3, 9,
+                            0xffffffffffffffffU};
+  ConfigurationObject const Object{
+      {ObjectKind::Server, "s"}, 8, true, std::string("\0{}", 3)};
+  return {Hello{"secret", instance()},
+          Heartbeat{HeartbeatKind::PingRequest, 7, InstanceId("x"), {Update}},
+          ConfigurationDigest{4, 5, {"127.0.0.1", 6}},
+          ConfigurationObjects{{Object}},
+          ConfigurationRequest{{{{ObjectKind::Account, "a"}, 2}}, {}},
+          ServerLeavingNotice{ServerId("s"), Liveness::Gone, Duration(-1), 4}};
+}
+
+TEST_CASE("Every message survives encoding and decoding") {
+  REQUIRE(examples().size() == std::variant_size_v<PeerMessage>);
+  for (auto const &Message : examples()) {
+    auto const Body = encodePeerBody(Message);
+    REQUIRE(!isError(Body));
+    auto const Decoded = decodePeerBody(valueOf(Body));
+    REQUIRE(!isError(Decoded));
+    CHECK(valueOf(Decoded) == Message);
+  }
+}
+
+TEST_CASE("Cut, extended and altered bodies are errors or other messages") {
+  for (auto const &Message : examples()) {
+    auto const Body = valueOf(encodePeerBody(Message));
+    for (std::size_t Size = 0; Size < Body.size(); ++Size)
+      CHECK(isError(decodePeerBody(Body.substr(0, Size))));
+    CHECK(isError(decodePeerBody(Body + '\0')));
+    for (std::size_t Place = 0; Place < Body.size(); ++Place) {
+      auto Altered = Body;
+      Altered[Place] = static_cast<char>(Altered[Place] ^ 0x80);
+      decodePeerBody(Altered);
+    }
+  }
+}
+
+TEST_CASE("Unknown types and enumerators are errors") {
+  CHECK(isError(decodePeerBody("\x92\x63\x90")));
+  auto Body =
+      valueOf(encodePeerBody(Heartbeat{HeartbeatKind::Gossip, 0, {}, {}}));
+  REQUIRE(Body[3] == 4);
+  Body[3] = 5;
+  CHECK(isError(decodePeerBody(Body)));
+}
+
+TEST_CASE("A claimed size is refused before memory is taken for it") {
+  CHECK(isError(decodePeerBody("\x92\x03\x91\xdd\xff\xff\xff\xff")));
+  CHECK(isError(decodePeerHeader(std::string("\x00\x40\x00\x01", 4))));
+  CHECK(valueOf(decodePeerHeader(std::string("\x00\x40\x00\x00", 4))) ==
+        LargestPeerBody);
+}
+
+TEST_CASE("A message that is too large is not encoded") {
+  ConfigurationObject Object;
+  Object.Specification_ = std::string(LargestPeerBody, 'x');
+  CHECK(isError(encodePeerFrame(ConfigurationObjects{{Object}})));
+}
