LibFleet: Write changes with their audit entry in one update

A change and its audit entry must never exist apart, and an operator must not be told that nothing changed while a write may still arrive. A lost answer is settled by a conditional rewrite of the unchanged value, after which the lost write's condition cannot hold. The configuration store applies only higher versions and passes news on in a tree.

--- /dev/null
+++ b/Libraries/LibFleet/ChangeChecks.cpp
@@ -0,0 +1,69 @@
+#include <LibFleet/ChangeChecks.h>
+
+#include <LibModel/JsonCodec.h>
+
+namespace laburnum::detail {
+
+namespace {
+
+/// With its escapes and audit entries the value stays below the platform's
+/// limit of 1 MiB.
+constexpr std::size_t LongestSpecification = std::size_t(256) << 10;
+/// Of names, change identifiers and operators, in bytes.
+constexpr std::size_t LongestText = 256;
+
+Error invalid(std::string const &What, std::string const &Remedy) {
+  return {ErrorKind::InvalidArgument, What, Remedy};
+}
+
+bool isGoodText(std::string const &Text) {
+  return !Text.empty() && Text.size() <= LongestText;
+}
+
+/// The name that the specification gives to its object.
+Result<std::string> specifiedName(Change const &Asked) {
+  auto const NameOf = [](auto const &Decoded,
+                         auto const &Text) -> Result<std::string> {
+    if (isError(Decoded))
+      return errorOf(Decoded);
+    return Text(valueOf(Decoded));
+  };
+  switch (Asked.Name_.Kind_) {
+  case ObjectKind::Service:
+    return NameOf(decodeService(Asked.Specification_),
+                  [](Service const &Value) { return Value.Name_.text(); });
+  case ObjectKind::Account:
+    return NameOf(
+        decodeClientAccount(Asked.Specification_),
+        [](ClientAccount const &Value) { return Value.Name_.text(); });
+  case ObjectKind::Server:
+    return NameOf(decodeBackendServer(Asked.Specification_),
+                  [](BackendServer const &Value) { return Value.Id_.text(); });
+  }
+  return invalid("the kind is not known", "use service, account or server");
+}
+
+} // namespace
+
+Result<Success> checkChange(Change const &Asked) {
+  if (!isGoodText(Asked.Id_.text()))
+    return invalid("the change identifier is empty or too long",
+                   "choose one of 1 to 256 bytes");
+  if (!isGoodText(Asked.Name_.Name_) || Asked.Operator_.size() > LongestText)
+    return invalid("the object's or the operator's name is empty or too long",
+                   "give names of 1 to 256 bytes");
+  if (Asked.Change_ == ChangeKind::Delete)
+    return Success{};
+  if (Asked.Specification_.size() > LongestSpecification)
+    return invalid("the specification is too large", "keep it below 256 KiB");
+  auto const Named = specifiedName(Asked);
+  if (isError(Named))
+    return errorOf(Named);
+  if (valueOf(Named) != Asked.Name_.Name_)
+    return invalid("the specification names \"" + valueOf(Named) +
+                       "\", the change \"" + Asked.Name_.Name_ + "\"",
+                   "give both the same name");
+  return Success{};
+}
+
+} // namespace laburnum::detail
--- /dev/null
+++ b/Libraries/LibFleet/ChangeChecks.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <LibFleet/ChangeWriter.h>
+
+namespace laburnum::detail {
+
+/// Whether the change is well formed on its own: names, sizes and a
+/// specification that decodes and carries the object's own name. Errors are
+/// InvalidArgument.
+Result<Success> checkChange(Change const &Asked);
+
+} // namespace laburnum::detail
--- /dev/null
+++ b/Libraries/LibFleet/ChangeWriter.cpp
@@ -0,0 +1,299 @@
+#include <LibFleet/ChangeWriter.h>
+
+#include <LibFleet/ChangeChecks.h>
+
+#include <algorithm>
+
+namespace laburnum {
+
+namespace {
+
+/// Entries in the object itself; beyond it the oldest go to a page.
+constexpr std::size_t MostEntries = 50;
+constexpr std::size_t EntriesPerPage = 25;
+/// Tries against racing operators, and to settle one write.
+constexpr int MostAttempts = 8;
+constexpr int MostSettlements = 4;
+
+ObjectKey keyOf(ObjectName const &Name) {
+  return {toString(Name.Kind_), Name.Name_};
+}
+
+ObjectKey pageKey(ObjectName const &Name, std::uint64_t Number) {
+  return {"audit", toString(Name.Kind_) + "." + Name.Name_ + "." +
+                       std::to_string(Number)};
+}
+
+bool contains(std::vector<AuditEntry> const &Entries, ChangeId const &Id) {
+  return std::any_of(Entries.begin(), Entries.end(),
+                     [&](AuditEntry const &One) { return One.Change_ == Id; });
+}
+
+ChangeOutcome outcome(Change const &Asked, Version At,
+                      StoredConfiguration const &Stored, Repeated Again) {
+  return {{Asked.Name_, At, Stored.IsDeleted_, Stored.Specification_}, Again};
+}
+
+std::string label(ObjectName const &Name) {
+  return toString(Name.Kind_) + " \"" + Name.Name_ + "\"";
+}
+
+Error conflict(Change const &Asked, Version Now) {
+  return {ErrorKind::Conflict,
+          label(Asked.Name_) + " is at version " + std::to_string(Now) +
+              "; nothing changed",
+          "read it again and send a new change that expects version " +
+              std::to_string(Now)};
+}
+
+Error nothingChanged(Change const &Asked) {
+  return {ErrorKind::Unavailable,
+          "the change of " + label(Asked.Name_) +
+              " did not take effect; nothing changed",
+          "send it again later"};
+}
+
+Error unknown(Change const &Asked) {
+  return {ErrorKind::OutcomeUnknown,
+          "the change of " + label(Asked.Name_) +
+              " may or may not have taken effect",
+          "send it again with the same change identifier"};
+}
+
+Error behind(Change const &Asked, Version Now) {
+  return {ErrorKind::OutcomeUnknown,
+          "the platform shows version " + std::to_string(Now) + " of " +
+              label(Asked.Name_) + ", which is older than the expected one",
+          "send it again with the same change identifier; if this stays, read "
+          "the object and expect its present version"};
+}
+
+/// An object that is a tombstone does not exist for the operator either.
+bool isExpected(Change const &Asked, Version Now, bool IsDeleted) {
+  if (!Asked.Expected_ || *Asked.Expected_ == Now)
+    return true;
+  return *Asked.Expected_ == 0 && IsDeleted;
+}
+
+StoredConfiguration changed(Change const &Asked, Version Replaced,
+                            StoredConfiguration Next) {
+  Next.IsDeleted_ = Asked.Change_ == ChangeKind::Delete;
+  Next.Specification_ = Next.IsDeleted_ ? "" : Asked.Specification_;
+  Next.LastChange_ = Asked.Id_;
+  Next.Audit_.push_back(
+      {Asked.Id_, Asked.Change_, Asked.Operator_, Asked.UnixTime_, Replaced});
+  return Next;
+}
+
+} // namespace
+
+Result<ChangeOutcome> ChangeWriter::apply(Change const &Asked) {
+  auto const Checked = detail::checkChange(Asked);
+  if (isError(Checked))
+    return errorOf(Checked);
+  Version Refused = 0;
+  for (int Attempt = 0; Attempt < MostAttempts; ++Attempt) {
+    auto Outcome = attempt(Asked, Refused);
+    if (Outcome)
+      return std::move(*Outcome);
+  }
+  // Each attempt was refused or behind, and no read was new enough to show
+  // whether an earlier sending of this change was accepted.
+  return unknown(Asked);
+}
+
+std::optional<Result<ChangeOutcome>> ChangeWriter::attempt(Change const &Asked,
+                                                           Version &Refused) {
+  auto const Before = read(keyOf(Asked.Name_));
+  if (isError(Before))
+    return errorOf(Before);
+  auto const &Seen = valueOf(Before);
+  auto const Accepted = wasAccepted(Asked, Seen);
+  if (isError(Accepted))
+    return errorOf(Accepted);
+  if (valueOf(Accepted))
+    return outcome(Asked, Seen.Version_, Seen.Stored_, Repeated::Yes);
+  if (Refused != 0 && Seen.Version_ < Refused)
+    return std::nullopt;
+  if (!isExpected(Asked, Seen.Version_, Seen.Stored_.IsDeleted_)) {
+    if (Seen.Version_ < *Asked.Expected_)
+      return behind(Asked, Seen.Version_);
+    return conflict(Asked, Seen.Version_);
+  }
+  if (Asked.Change_ == ChangeKind::Delete && Seen.Stored_.IsDeleted_)
+    return Error{ErrorKind::NotFound, label(Asked.Name_) + " does not exist",
+                 "check its name"};
+  return write(Asked, Seen, Refused);
+}
+
+std::optional<Result<ChangeOutcome>> ChangeWriter::write(Change const &Asked,
+                                                         Present const &Before,
+                                                         Version &Refused) {
+  auto Next = changed(Asked, Before.Version_, Before.Stored_);
+  auto const Archived = archive(Asked.Name_, Next);
+  if (isError(Archived))
+    return errorOf(Archived);
+  auto const Written = Store_.putIf(keyOf(Asked.Name_), Before.Version_,
+                                    encodeStored(Next), Timeout_);
+  if (!isError(Written))
+    return outcome(Asked, valueOf(Written), Next, Repeated::No);
+  switch (errorOf(Written).Kind_) {
+  case ErrorKind::Conflict:
+    // Only a read above this version can decide; an older one is stale.
+    Refused = Before.Version_ + 1;
+    return std::nullopt;
+  case ErrorKind::OutcomeUnknown:
+  case ErrorKind::DeadlineExceeded:
+    return afterLostAnswer(Asked, Before);
+  default:
+    return errorOf(Written);
+  }
+}
+
+std::optional<Result<ChangeOutcome>>
+ChangeWriter::afterLostAnswer(Change const &Asked, Present const &Before) {
+  switch (settle(Asked, Before)) {
+  case Settlement::Accepted: {
+    auto const Now = read(keyOf(Asked.Name_));
+    if (isError(Now) || !contains(valueOf(Now).Stored_.Audit_, Asked.Id_))
+      return unknown(Asked);
+    return outcome(Asked, valueOf(Now).Version_, valueOf(Now).Stored_,
+                   Repeated::No);
+  }
+  case Settlement::NeverWill:
+    return nothingChanged(Asked);
+  case Settlement::StillUnknown:
+    return unknown(Asked);
+  }
+  return unknown(Asked);
+}
+
+/// The lost write was conditional on Before's version. It is decided once the
+/// object is seen above that version, with or without the change; rewriting
+/// the unchanged value under the same condition brings that about. What a read
+/// shows at or below that version decides nothing: it may be stale, and the
+/// write may still be on its way.
+ChangeWriter::Settlement ChangeWriter::settle(Change const &Asked,
+                                              Present const &Before) {
+  auto const Key = keyOf(Asked.Name_);
+  for (int Try = 0; Try < MostSettlements; ++Try) {
+    auto const Now = read(Key);
+    if (!isError(Now)) {
+      auto const Accepted = wasAccepted(Asked, valueOf(Now));
+      if (!isError(Accepted) && valueOf(Accepted))
+        return Settlement::Accepted;
+      if (!isError(Accepted) && valueOf(Now).Version_ > Before.Version_)
+        return Settlement::NeverWill;
+    }
+    auto const Rewritten =
+        Store_.putIf(Key, Before.Version_, Before.Value_, Timeout_);
+    if (!isError(Rewritten))
+      return Settlement::NeverWill;
+  }
+  return Settlement::StillUnknown;
+}
+
+Result<ChangeWriter::Present> ChangeWriter::read(ObjectKey const &Key) {
+  auto const Stored = Store_.get(Key, Timeout_);
+  if (isError(Stored))
+    return errorOf(Stored);
+  Present Found;
+  Found.Version_ = valueOf(Stored).Version_;
+  if (Found.Version_ == 0) {
+    // Absence is written as a tombstone when it must be written.
+    Found.Stored_.IsDeleted_ = true;
+    Found.Value_ = encodeStored(Found.Stored_);
+    return Found;
+  }
+  auto Decoded = decodeStored(valueOf(Stored).Value_);
+  if (isError(Decoded))
+    return Error{ErrorKind::Internal,
+                 Key.Collection_ + " \"" + Key.Name_ +
+                     "\" is damaged: " + errorOf(Decoded).Message_,
+                 errorOf(Decoded).Remedy_};
+  Found.Stored_ = takeValue(std::move(Decoded));
+  Found.Value_ = valueOf(Stored).Value_;
+  return Found;
+}
+
+Result<bool> ChangeWriter::wasAccepted(Change const &Asked,
+                                       Present const &Now) {
+  if (contains(Now.Stored_.Audit_, Asked.Id_))
+    return true;
+  for (auto Page = Now.Stored_.ArchivedPages_; Page > 0; --Page) {
+    auto const Entries = readPage(Asked.Name_, Page - 1);
+    if (isError(Entries))
+      return errorOf(Entries);
+    if (contains(valueOf(Entries), Asked.Id_))
+      return true;
+  }
+  return false;
+}
+
+/// While the number of pages stays, the oldest entries are the same in each
+/// version of the object, so that whoever writes the page writes the same.
+Result<Success> ChangeWriter::archive(ObjectName const &Name,
+                                      StoredConfiguration &Next) {
+  if (Next.Audit_.size() <= MostEntries)
+    return Success{};
+  auto const End = Next.Audit_.begin() + EntriesPerPage;
+  std::vector<AuditEntry> const Oldest(Next.Audit_.begin(), End);
+  auto const Written =
+      writePage(pageKey(Name, Next.ArchivedPages_), encodeAuditPage(Oldest));
+  if (isError(Written))
+    return errorOf(Written);
+  Next.Audit_.erase(Next.Audit_.begin(), End);
+  ++Next.ArchivedPages_;
+  return Success{};
+}
+
+Result<Success> ChangeWriter::writePage(ObjectKey const &Key,
+                                        std::string const &Value) {
+  auto const Written = Store_.putIf(Key, 0, Value, Timeout_);
+  if (!isError(Written))
+    return Success{};
+  auto const Kind = errorOf(Written).Kind_;
+  if (Kind == ErrorKind::Unavailable || Kind == ErrorKind::ResourceExhausted)
+    return errorOf(Written);
+  auto const Stored = Store_.get(Key, Timeout_);
+  if (!isError(Stored) && valueOf(Stored).Version_ != 0 &&
+      valueOf(Stored).Value_ == Value)
+    return Success{};
+  return Error{ErrorKind::Unavailable,
+               "the audit page \"" + Key.Name_ +
+                   "\" could not be confirmed; nothing changed",
+               "send the change again; if this stays, compare the page with "
+               "the object's audit entries"};
+}
+
+Result<std::vector<AuditEntry>> ChangeWriter::readPage(ObjectName const &Name,
+                                                       std::uint64_t Number) {
+  auto const Stored = Store_.get(pageKey(Name, Number), Timeout_);
+  if (isError(Stored))
+    return errorOf(Stored);
+  if (valueOf(Stored).Version_ == 0)
+    return Error{ErrorKind::Unavailable,
+                 "an audit page of " + label(Name) + " cannot be read",
+                 "try again later"};
+  return decodeAuditPage(valueOf(Stored).Value_);
+}
+
+Result<std::vector<AuditEntry>> ChangeWriter::auditTrail(ObjectName const &Name,
+                                                         std::size_t Limit) {
+  auto const Now = read(keyOf(Name));
+  if (isError(Now))
+    return errorOf(Now);
+  auto const &Inline = valueOf(Now).Stored_.Audit_;
+  std::vector<AuditEntry> Newest(Inline.rbegin(), Inline.rend());
+  auto Page = valueOf(Now).Stored_.ArchivedPages_;
+  for (; Page > 0 && Newest.size() < Limit; --Page) {
+    auto const Older = readPage(Name, Page - 1);
+    if (isError(Older))
+      return errorOf(Older);
+    Newest.insert(Newest.end(), valueOf(Older).rbegin(), valueOf(Older).rend());
+  }
+  Newest.resize(std::min(Newest.size(), Limit));
+  return Newest;
+}
+
+} // namespace laburnum
--- a/Libraries/LibFleet/ChangeWriter.h
+++ b/Libraries/LibFleet/ChangeWriter.h
@@ -64,10 +64,28 @@
     std::string Value_; ///< As read, for an unchanged rewrite.
   };
 
+  /// What became of a write whose answer was lost.
+  enum class Settlement {
+    Accepted,    ///< It took effect.
+    NeverWill,   ///< It did not, and its condition can't hold any more.
+    StillUnknown ///< The platform could not be made to tell.
+  };
+
   Result<Present> read(ObjectKey const &Key);
-  Result<ChangeOutcome> write(Change const &Asked, Present const &Before);
-  Result<ChangeOutcome> settle(Change const &Asked, Present const &Before);
-  Result<Success> archive(Change const &Asked, StoredConfiguration &Next);
+  Result<bool> wasAccepted(Change const &Asked, Present const &Now);
+  /// Empty: another change came between; read again and decide.
+  std::optional<Result<ChangeOutcome>> attempt(Change const &Asked,
+                                               Version &Refused);
+  std::optional<Result<ChangeOutcome>>
+  write(Change const &Asked, Present const &Before, Version &Refused);
+  std::optional<Result<ChangeOutcome>> afterLostAnswer(Change const &Asked,
+                                                       Present const &Before);
+  Settlement settle(Change const &Asked, Present const &Before);
+  /// Moves the oldest entries to a page of their own when there are too many.
+  Result<Success> archive(ObjectName const &Name, StoredConfiguration &Next);
+  Result<Success> writePage(ObjectKey const &Key, std::string const &Value);
+  Result<std::vector<AuditEntry>> readPage(ObjectName const &Name,
+                                           std::uint64_t Number);
 
   ObjectStore &Store_;
   Duration Timeout_;
--- a/Libraries/LibFleet/ConfigurationStore.h
+++ b/Libraries/LibFleet/ConfigurationStore.h
@@ -124,7 +124,7 @@
     Version HighestSeen_ = 0;
     bool IsAwaited_ = false; ///< An answer is outstanding.
     TimePoint NotBefore_{};
-    bool IsAlarmed_ = false;
+    int TimesBehind_ = 0; ///< Answers in a row older than what is held.
   };
   enum class Source { Platform, Peer };
 
@@ -147,10 +147,14 @@
   void sendDigest();
   void sendRequest(Endpoint const &To);
   void readPlatform();
-  void checkStoreVersion(ObjectKind Kind, Version StoreVersion);
+  bool isBehind(ObjectKind Kind, Version StoreVersion);
+  void readOn(ObjectKind Kind, Version StoreVersion);
+  void sendTo(EntryInstance const &Peer, PeerMessage const &Message);
+  std::vector<EntryInstance> fanOut(Source From);
   Collection &collection(ObjectKind Kind);
-  std::vector<EntryInstance> liveIn(DataCentre const &Where) const;
+  std::vector<EntryInstance> treeOf(DataCentre const &Where) const;
   std::vector<EntryInstance> livePeers() const;
+  EntryInstance const &randomOf(std::vector<EntryInstance> const &Choices);
 
   configuration::Settings Settings_;
   std::mt19937_64 Generator_;
--- /dev/null
+++ b/Tests/LibFleet/TestChangeWriter.cpp
@@ -0,0 +1,180 @@
+#include <LibFleet/ChangeWriter.h>
+
+#include <LibModel/JsonCodec.h>
+
+#include "ScriptedStore.h"
+
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+using test::ScriptedStore;
+using test::WriteFate;
+
+namespace {
+
+constexpr Duration Timeout = std::chrono::seconds(1);
+ObjectName const Chat = {ObjectKind::Service, "chat"};
+
+Change change(std::string const &Id, std::optional<Version> Expected = {},
+              std::int32_t Priority = 0) {
+  Service Wanted;
+  Wanted.Name_ = ServiceName("chat");
+  Wanted.Priority_ = Priority;
+  return {ChangeKind::Apply,
+          Chat,
+          encodeJson(Wanted),
+          ChangeId(Id),
+          Expected,
+          "ada",
+          1000};
+}
+
+struct Fixture {
+  ScriptedStore Store_;
+  ChangeWriter Writer_{Store_, Timeout};
+
+  std::size_t entriesOf(std::string const &Id) {
+    auto const Trail = valueOf(Writer_.auditTrail(Chat, 10000));
+    return static_cast<std::size_t>(
+        std::count_if(Trail.begin(), Trail.end(), [&](AuditEntry const &One) {
+          return One.Change_ == ChangeId(Id);
+        }));
+  }
+  ErrorKind failure(Change const &Asked) {
+    auto const Outcome = Writer_.apply(Asked);
+    REQUIRE(isError(Outcome));
+    CHECK(!errorOf(Outcome).Remedy_.empty());
+    return errorOf(Outcome).Kind_;
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "A repeated change has one effect and one entry") {
+  auto const First = Writer_.apply(change("c1", 0));
+  auto const Again = Writer_.apply(change("c1", 0));
+  REQUIRE(!isError(First));
+  REQUIRE(!isError(Again));
+  CHECK(valueOf(First).Repeated_ == Repeated::No);
+  CHECK(valueOf(Again).Repeated_ == Repeated::Yes);
+  CHECK(valueOf(First).Object_ == valueOf(Again).Object_);
+  CHECK(entriesOf("c1") == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "Of racing operators one wins, the other is told") {
+  REQUIRE(!isError(Writer_.apply(change("c0", 0))));
+  Store_.BeforeWrite_ = [&] { Writer_.apply(change("c1", 1, 1)); };
+  auto const Loser = Writer_.apply(change("c2", 1, 2));
+  REQUIRE(isError(Loser));
+  CHECK(errorOf(Loser).Kind_ == ErrorKind::Conflict);
+  CHECK(errorOf(Loser).Message_.find("version 2") != std::string::npos);
+  CHECK(entriesOf("c1") == 1);
+  CHECK(entriesOf("c2") == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "Without an expected version a race is retried") {
+  Store_.BeforeWrite_ = [&] { Writer_.apply(change("c1")); };
+  CHECK(!isError(Writer_.apply(change("c2"))));
+  CHECK(entriesOf("c1") == 1);
+  CHECK(entriesOf("c2") == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "A lost answer is settled by reading back") {
+  Store_.Writes_ = {WriteFate::LostAnswer};
+  auto const Outcome = Writer_.apply(change("c1", 0));
+  REQUIRE(!isError(Outcome));
+  CHECK(valueOf(Outcome).Object_.Version_ == 1);
+  CHECK(entriesOf("c1") == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "A stale read does not hide an accepted change") {
+  REQUIRE(!isError(Writer_.apply(change("c0", 0))));
+  Store_.Writes_ = {WriteFate::LostAnswer};
+  Store_.BeforeWrite_ = [&] { Store_.StaleReads_ = 1; };
+  auto const Outcome = Writer_.apply(change("c1", 1));
+  REQUIRE(!isError(Outcome));
+  CHECK(entriesOf("c1") == 1);
+
+  Store_.StaleReads_ = 1;
+  auto const Again = Writer_.apply(change("c1", 1));
+  REQUIRE(!isError(Again));
+  CHECK(valueOf(Again).Repeated_ == Repeated::Yes);
+  CHECK(entriesOf("c1") == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "Only stale reads leave the outcome unknown") {
+  REQUIRE(!isError(Writer_.apply(change("c0", 0))));
+  Store_.Writes_ = {WriteFate::LostAnswer};
+  Store_.BeforeWrite_ = [&] { Store_.StaleReads_ = 100; };
+  CHECK(failure(change("c1", 1)) == ErrorKind::OutcomeUnknown);
+  CHECK(failure(change("c1", 1)) == ErrorKind::OutcomeUnknown);
+  Store_.StaleReads_ = 0;
+  CHECK(valueOf(Writer_.apply(change("c1", 1))).Repeated_ == Repeated::Yes);
+}
+
+TEST_CASE_METHOD(Fixture, "A delayed write cannot arrive once it is denied") {
+  auto const Present = GENERATE(Version(0), Version(1));
+  if (Present == 1)
+    REQUIRE(!isError(Writer_.apply(change("c0", 0))));
+  Store_.Writes_ = {WriteFate::Delayed};
+  CHECK(failure(change("c1", Present, 5)) == ErrorKind::Unavailable);
+  Store_.arrive();
+  CHECK(entriesOf("c1") == 0);
+  CHECK(!isError(Writer_.apply(change("c1", {}, 5))));
+  CHECK(entriesOf("c1") == 1);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "What cannot be settled is unknown, then repeatable") {
+  REQUIRE(!isError(Writer_.apply(change("c0", 0))));
+  Store_.Writes_ = {WriteFate::Delayed};
+  Store_.Writes_.insert(Store_.Writes_.end(), 4, WriteFate::Unavailable);
+  CHECK(failure(change("c1", 1)) == ErrorKind::OutcomeUnknown);
+  Store_.arrive();
+  CHECK(valueOf(Writer_.apply(change("c1", 1))).Repeated_ == Repeated::Yes);
+  CHECK(entriesOf("c1") == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "An outage refuses and changes nothing") {
+  Store_.Writes_ = {WriteFate::Unavailable};
+  CHECK(failure(change("c1", 0)) == ErrorKind::Unavailable);
+  Store_.FailedReads_ = 1;
+  CHECK(failure(change("c1", 0)) == ErrorKind::Unavailable);
+  CHECK(entriesOf("c1") == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "Each accepted change has exactly one entry") {
+  for (int Each = 0; Each < 130; ++Each) {
+    if (Each % 3 == 0)
+      Store_.Writes_ = {WriteFate::LostAnswer, WriteFate::LostAnswer};
+    REQUIRE(!isError(Writer_.apply(change("c" + std::to_string(Each)))));
+    Store_.Writes_.clear();
+  }
+  for (int Each = 0; Each < 130; ++Each)
+    CHECK(entriesOf("c" + std::to_string(Each)) == 1);
+  auto const Newest = valueOf(Writer_.auditTrail(Chat, 1));
+  REQUIRE(Newest.size() == 1);
+  CHECK(Newest.front().Change_ == ChangeId("c129"));
+  CHECK(valueOf(Writer_.apply(change("c0"))).Repeated_ == Repeated::Yes);
+}
+
+TEST_CASE_METHOD(Fixture, "Deleting leaves a tombstone that can be replaced") {
+  Change Removal{ChangeKind::Delete, Chat, "", ChangeId("d"), {}, "ada", 0};
+  CHECK(failure(Removal) == ErrorKind::NotFound);
+  REQUIRE(!isError(Writer_.apply(change("c1", 0))));
+  auto const Deleted = Writer_.apply(Removal);
+  REQUIRE(!isError(Deleted));
+  CHECK(valueOf(Deleted).Object_.IsDeleted_);
+  CHECK(!isError(Writer_.apply(change("c2", 0))));
+}
+
+TEST_CASE_METHOD(Fixture, "Malformed changes are refused") {
+  auto Bad = change("c1");
+  Bad.Specification_ = "{}";
+  CHECK(failure(Bad) == ErrorKind::InvalidArgument);
+  Bad = change("");
+  CHECK(failure(Bad) == ErrorKind::InvalidArgument);
+  Bad = change("c1");
+  Bad.Name_.Name_ = "other";
+  CHECK(failure(Bad) == ErrorKind::InvalidArgument);
+}
