LibFleet: Name the writer's records apart from the operators' views

Cause: LibFleet and LibAdmin each had an AuditEntry and a ChangeOutcome in one namespace, which cannot be included together. Change: ChangeRecord and AcceptedChange in LibFleet; objects() to list them.

--- a/Libraries/LibFleet/ChangeWriter.cpp
+++ b/Libraries/LibFleet/ChangeWriter.cpp
@@ -24,12 +24,12 @@
                        std::to_string(Number)};
 }
 
-bool contains(std::vector<AuditEntry> const &Entries, ChangeId const &Id) {
+bool contains(std::vector<ChangeRecord> const &Entries, ChangeId const &Id) {
   return std::any_of(Entries.begin(), Entries.end(),
-                     [&](AuditEntry const &One) { return One.Change_ == Id; });
+                     [&](ChangeRecord const &One) { return One.Change_ == Id; });
 }
 
-ChangeOutcome outcome(Change const &Asked, Version At,
+AcceptedChange outcome(Change const &Asked, Version At,
                       StoredConfiguration const &Stored, Repeated Again) {
   return {{Asked.Name_, At, Stored.IsDeleted_, Stored.Specification_}, Again};
 }
@@ -87,7 +87,7 @@
 
 } // namespace
 
-Result<ChangeOutcome> ChangeWriter::apply(Change const &Asked) {
+Result<AcceptedChange> ChangeWriter::apply(Change const &Asked) {
   auto const Checked = detail::checkChange(Asked);
   if (isError(Checked))
     return errorOf(Checked);
@@ -102,7 +102,7 @@
   return unknown(Asked);
 }
 
-std::optional<Result<ChangeOutcome>> ChangeWriter::attempt(Change const &Asked,
+std::optional<Result<AcceptedChange>> ChangeWriter::attempt(Change const &Asked,
                                                            Version &Refused) {
   auto const Before = read(keyOf(Asked.Name_));
   if (isError(Before))
@@ -126,7 +126,7 @@
   return write(Asked, Seen, Refused);
 }
 
-std::optional<Result<ChangeOutcome>> ChangeWriter::write(Change const &Asked,
+std::optional<Result<AcceptedChange>> ChangeWriter::write(Change const &Asked,
                                                          Present const &Before,
                                                          Version &Refused) {
   auto Next = changed(Asked, Before.Version_, Before.Stored_);
@@ -150,7 +150,7 @@
   }
 }
 
-std::optional<Result<ChangeOutcome>>
+std::optional<Result<AcceptedChange>>
 ChangeWriter::afterLostAnswer(Change const &Asked, Present const &Before) {
   switch (settle(Asked, Before)) {
   case Settlement::Accepted: {
@@ -237,7 +237,7 @@
   if (Next.Audit_.size() <= MostEntries)
     return Success{};
   auto const End = Next.Audit_.begin() + EntriesPerPage;
-  std::vector<AuditEntry> const Oldest(Next.Audit_.begin(), End);
+  std::vector<ChangeRecord> const Oldest(Next.Audit_.begin(), End);
   auto const Written =
       writePage(pageKey(Name, Next.ArchivedPages_), encodeAuditPage(Oldest));
   if (isError(Written))
@@ -266,7 +266,7 @@
                "the object's audit entries"};
 }
 
-Result<std::vector<AuditEntry>> ChangeWriter::readPage(ObjectName const &Name,
+Result<std::vector<ChangeRecord>> ChangeWriter::readPage(ObjectName const &Name,
                                                        std::uint64_t Number) {
   auto const Stored = Store_.get(pageKey(Name, Number), Timeout_);
   if (isError(Stored))
@@ -278,13 +278,13 @@
   return decodeAuditPage(valueOf(Stored).Value_);
 }
 
-Result<std::vector<AuditEntry>> ChangeWriter::auditTrail(ObjectName const &Name,
+Result<std::vector<ChangeRecord>> ChangeWriter::auditTrail(ObjectName const &Name,
                                                          std::size_t Limit) {
   auto const Now = read(keyOf(Name));
   if (isError(Now))
     return errorOf(Now);
   auto const &Inline = valueOf(Now).Stored_.Audit_;
-  std::vector<AuditEntry> Newest(Inline.rbegin(), Inline.rend());
+  std::vector<ChangeRecord> Newest(Inline.rbegin(), Inline.rend());
   auto Page = valueOf(Now).Stored_.ArchivedPages_;
   for (; Page > 0 && Newest.size() < Limit; --Page) {
     auto const Older = readPage(Name, Page - 1);
--- a/Libraries/LibFleet/ChangeWriter.h
+++ b/Libraries/LibFleet/ChangeWriter.h
@@ -31,12 +31,12 @@
 enum class Repeated { No, Yes };
 
 /// An accepted change: the object as it is now in the platform.
-struct ChangeOutcome {
+struct AcceptedChange {
   ConfigurationObject Object_;
   /// Yes when the same change identifier had been accepted before.
   Repeated Repeated_ = Repeated::No;
 
-  auto operator<=>(ChangeOutcome const &) const = default;
+  auto operator<=>(AcceptedChange const &) const = default;
 };
 
 /// Writes operators' changes to the platform, each with its audit entry in the
@@ -51,10 +51,10 @@
   /// object is at another version, which Message_ names); Unavailable or
   /// ResourceExhausted (nothing changed, nor will); OutcomeUnknown (send the
   /// same change identifier again).
-  Result<ChangeOutcome> apply(Change const &Asked);
+  Result<AcceptedChange> apply(Change const &Asked);
 
   /// The newest Limit entries, the newest first. Errors are the platform's.
-  Result<std::vector<AuditEntry>> auditTrail(ObjectName const &Name,
+  Result<std::vector<ChangeRecord>> auditTrail(ObjectName const &Name,
                                              std::size_t Limit);
 
 private:
@@ -74,17 +74,17 @@
   Result<Present> read(ObjectKey const &Key);
   Result<bool> wasAccepted(Change const &Asked, Present const &Now);
   /// Empty: another change came between; read again and decide.
-  std::optional<Result<ChangeOutcome>> attempt(Change const &Asked,
+  std::optional<Result<AcceptedChange>> attempt(Change const &Asked,
                                                Version &Refused);
-  std::optional<Result<ChangeOutcome>>
+  std::optional<Result<AcceptedChange>>
   write(Change const &Asked, Present const &Before, Version &Refused);
-  std::optional<Result<ChangeOutcome>> afterLostAnswer(Change const &Asked,
+  std::optional<Result<AcceptedChange>> afterLostAnswer(Change const &Asked,
                                                        Present const &Before);
   Settlement settle(Change const &Asked, Present const &Before);
   /// Moves the oldest entries to a page of their own when there are too many.
   Result<Success> archive(ObjectName const &Name, StoredConfiguration &Next);
   Result<Success> writePage(ObjectKey const &Key, std::string const &Value);
-  Result<std::vector<AuditEntry>> readPage(ObjectName const &Name,
+  Result<std::vector<ChangeRecord>> readPage(ObjectName const &Name,
                                            std::uint64_t Number);
 
   ObjectStore &Store_;
--- a/Libraries/LibFleet/ConfigurationStore.h
+++ b/Libraries/LibFleet/ConfigurationStore.h
@@ -114,6 +114,10 @@
   std::uint64_t digest() const { return Digest_; }
   /// nullptr when it was never there. A deleted object is a tombstone.
   ConfigurationObject const *object(ObjectName const &Name) const;
+  /// Everything held, tombstones included.
+  std::map<ObjectName, ConfigurationObject> const &objects() const {
+    return Objects_;
+  }
   /// Whether this instance reads the platform itself.
   bool isWatcher() const;
 
--- a/Libraries/LibFleet/StoredConfiguration.cpp
+++ b/Libraries/LibFleet/StoredConfiguration.cpp
@@ -16,7 +16,7 @@
   return Kind == ChangeKind::Delete ? "delete" : "apply";
 }
 
-Json encodeEntries(std::vector<AuditEntry> const &Entries) {
+Json encodeEntries(std::vector<ChangeRecord> const &Entries) {
   Json Encoded = Json::array();
   for (auto const &Entry : Entries)
     Encoded.push_back({{"change", Entry.Change_.text()},
@@ -27,8 +27,8 @@
   return Encoded;
 }
 
-AuditEntry readEntry(JsonReader &Reader) {
-  AuditEntry Entry;
+ChangeRecord readEntry(JsonReader &Reader) {
+  ChangeRecord Entry;
   Entry.Change_ = ChangeId(Reader.text("change"));
   auto const Kind = Reader.text("kind");
   if (Kind != "apply" && Kind != "delete")
@@ -41,8 +41,8 @@
   return Entry;
 }
 
-std::vector<AuditEntry> readEntries(JsonReader &Reader) {
-  std::vector<AuditEntry> Entries;
+std::vector<ChangeRecord> readEntries(JsonReader &Reader) {
+  std::vector<ChangeRecord> Entries;
   auto const *Items = Reader.array("audit");
   if (!Items)
     return Entries;
@@ -91,11 +91,11 @@
   return Value;
 }
 
-std::string encodeAuditPage(std::vector<AuditEntry> const &Entries) {
+std::string encodeAuditPage(std::vector<ChangeRecord> const &Entries) {
   return dump({{"audit", encodeEntries(Entries)}});
 }
 
-Result<std::vector<AuditEntry>> decodeAuditPage(std::string const &Text) {
+Result<std::vector<ChangeRecord>> decodeAuditPage(std::string const &Text) {
   auto const Parsed = Json::parse(Text, nullptr, false);
   if (Parsed.is_discarded())
     return notJson();
--- a/Libraries/LibFleet/StoredConfiguration.h
+++ b/Libraries/LibFleet/StoredConfiguration.h
@@ -13,14 +13,14 @@
 enum class ChangeKind { Apply, Delete };
 
 /// Who made one accepted change, and when.
-struct AuditEntry {
+struct ChangeRecord {
   ChangeId Change_;
   ChangeKind Kind_ = ChangeKind::Apply;
   std::string Operator_;
   std::int64_t UnixTime_ = 0;   ///< Seconds; the accepting instance's clock.
   Version ReplacedVersion_ = 0; ///< The version that it was written over.
 
-  auto operator<=>(AuditEntry const &) const = default;
+  auto operator<=>(ChangeRecord const &) const = default;
 };
 
 /// The value of a configuration object in the platform: the specification and
@@ -29,7 +29,7 @@
   std::string Specification_;
   bool IsDeleted_ = false;
   ChangeId LastChange_;
-  std::vector<AuditEntry> Audit_;   ///< The newest last.
+  std::vector<ChangeRecord> Audit_;   ///< The newest last.
   std::uint64_t ArchivedPages_ = 0; ///< Objects that hold older entries.
 
   auto operator<=>(StoredConfiguration const &) const = default;
@@ -39,8 +39,8 @@
 /// InvalidArgument when the text is not such a value.
 Result<StoredConfiguration> decodeStored(std::string const &Json);
 
-std::string encodeAuditPage(std::vector<AuditEntry> const &Entries);
-Result<std::vector<AuditEntry>> decodeAuditPage(std::string const &Json);
+std::string encodeAuditPage(std::vector<ChangeRecord> const &Entries);
+Result<std::vector<ChangeRecord>> decodeAuditPage(std::string const &Json);
 
 /// The object that a platform's value stands for.
 Result<ConfigurationObject> configurationObjectOf(ObjectKind Kind,
--- a/Tests/LibFleet/TestChangeWriter.cpp
+++ b/Tests/LibFleet/TestChangeWriter.cpp
@@ -36,7 +36,7 @@
   std::size_t entriesOf(std::string const &Id) {
     auto const Trail = valueOf(Writer_.auditTrail(Chat, 10000));
     return static_cast<std::size_t>(
-        std::count_if(Trail.begin(), Trail.end(), [&](AuditEntry const &One) {
+        std::count_if(Trail.begin(), Trail.end(), [&](ChangeRecord const &One) {
           return One.Change_ == ChangeId(Id);
         }));
   }
