LibPlatform: End calls reliably on close, and accept bursts

The library listens with a backlog of 5: eight connections made at once to the stand-in took 1.0 s in TestLibPlatform. PlatformConnection::close() stops calls until all have returned, since stopping a client that has not begun to send has no effect. The history of VersionedStore is bounded in bytes too.

--- a/Libraries/LibPlatform/PlatformConnection.cpp
+++ b/Libraries/LibPlatform/PlatformConnection.cpp
@@ -12,6 +12,9 @@
 /// put does not meet a connection that is being closed.
 constexpr Duration LongestIdle = std::chrono::seconds(1);
 
+/// How often close() stops the calls that are still in progress.
+constexpr Duration StopInterval = std::chrono::milliseconds(10);
+
 void setTimeouts(httplib::Client &Client, Duration Timeout) {
   auto const Connecting = Timeout / 2;
   auto const Exchange =
@@ -95,17 +98,22 @@
                                   TimePoint Now, bool IsReusable) {
   std::lock_guard const Lock(Mutex_);
   Busy_.erase(Client.get());
+  Returned_.notify_all();
   if (!IsReusable || IsClosed_ || Idle_.size() >= MostIdleClients)
     return;
   Idle_.push_back({std::move(Client), Now});
 }
 
 void PlatformConnection::close() {
-  std::lock_guard const Lock(Mutex_);
+  std::unique_lock Lock(Mutex_);
   IsClosed_ = true;
   Idle_.clear();
-  for (auto *Client : Busy_)
-    Client->stop();
+  // Stopping a client that has not begun to send does nothing: repeat it.
+  while (!Busy_.empty()) {
+    for (auto *Client : Busy_)
+      Client->stop();
+    Returned_.wait_for(Lock, StopInterval);
+  }
 }
 
 } // namespace laburnum
--- a/Libraries/LibPlatform/PlatformConnection.h
+++ b/Libraries/LibPlatform/PlatformConnection.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibModel/BackendServer.h>
 
+#include <condition_variable>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -60,8 +61,8 @@
   /// FIXME: An answer whose head comes in small pieces can take longer.
   PlatformReply call(PlatformCall const &Call, Duration Timeout);
 
-  /// Ends the calls in progress and fails all later ones, so that threads in a
-  /// waiting watch can be joined.
+  /// Ends the calls in progress, waits until they have returned and fails all
+  /// later ones, so that threads in a waiting watch can be joined.
   void close();
 
 private:
@@ -76,6 +77,7 @@
 
   Endpoint const Platform_;
   std::mutex Mutex_; ///< Guards all below.
+  std::condition_variable Returned_;
   std::vector<IdleClient> Idle_;
   std::set<httplib::Client *> Busy_;
   bool IsClosed_ = false;
--- a/Tests/Fakes/VersionedStore.cpp
+++ b/Tests/Fakes/VersionedStore.cpp
@@ -54,13 +54,18 @@
   StoredObject const Written{Key, ++Version_, Value};
   Objects_[Key] = Written;
   History_.push_back(Written);
-  if (History_.size() > HistoryLength_) {
-    Forgotten_ = History_.front().Version_;
-    History_.pop_front();
-  }
+  HistoryBytes_ += Value.size();
+  while (History_.size() > HistoryLength_ || HistoryBytes_ > MostHistoryBytes)
+    forgetOldest();
   return Version_;
 }
 
+void VersionedStore::forgetOldest() {
+  Forgotten_ = History_.front().Version_;
+  HistoryBytes_ -= History_.front().Value_.size();
+  History_.pop_front();
+}
+
 WatchBatch VersionedStore::changesAfter(std::string const &Collection,
                                         Version From) const {
   if (From < Forgotten_ || From > Version_)
@@ -83,8 +88,10 @@
       Restored.emplace(Key, std::move(Earlier));
   }
   Objects_ = std::move(Restored);
-  while (!History_.empty() && History_.back().Version_ > AsOf)
+  while (!History_.empty() && History_.back().Version_ > AsOf) {
+    HistoryBytes_ -= History_.back().Value_.size();
     History_.pop_back();
+  }
   Version_ = std::min(AsOf, Version_);
   Forgotten_ = std::min(Forgotten_, Version_);
 }
--- a/Tests/Fakes/VersionedStore.h
+++ b/Tests/Fakes/VersionedStore.h
@@ -14,8 +14,10 @@
 class VersionedStore {
 public:
   /// The greatest size of a value, in bytes.
-  static constexpr std::size_t MostValueBytes = 1024 * 1024;
-  static constexpr std::size_t DefaultHistory = 1024;
+  static constexpr std::size_t MostValueBytes = 1U << 20;
+  static constexpr std::size_t DefaultHistory = 1024; ///< In changes.
+  /// The history is cut short where its values take more than this, in bytes.
+  static constexpr std::size_t MostHistoryBytes = 64U << 20;
 
   /// Watches from before the last HistoryLength changes report a gap.
   explicit VersionedStore(std::size_t HistoryLength = DefaultHistory)
@@ -48,9 +50,12 @@
   void restoreTo(Version AsOf);
 
 private:
+  void forgetOldest();
+
   std::map<ObjectKey, StoredObject> Objects_;
   std::deque<StoredObject> History_; ///< Every change, the oldest first.
   std::size_t HistoryLength_;
+  std::size_t HistoryBytes_ = 0;
   Version Version_ = 0;
   Version Forgotten_ = 0; ///< Changes up to this version left the history.
 };
--- a/Tests/LibPlatform/TestHttpCloudApi.cpp
+++ b/Tests/LibPlatform/TestHttpCloudApi.cpp
@@ -68,9 +68,9 @@
   auto const First = Cloud.listing(Start + Lag);
   REQUIRE(First.EntryInstances_.size() == 1);
   CHECK(First.EntryInstances_[0].Liveness_ == Liveness::Live);
-  auto const Second_ = Cloud.listing(Start + Lag + Second);
-  REQUIRE(Second_.EntryInstances_.size() == 1);
-  CHECK(Second_.EntryInstances_[0].Liveness_ == Liveness::Leaving);
+  auto const Later = Cloud.listing(Start + Lag + Second);
+  REQUIRE(Later.EntryInstances_.size() == 1);
+  CHECK(Later.EntryInstances_[0].Liveness_ == Liveness::Leaving);
   CHECK(Cloud.listing(Start + Lag + 2 * Second).EntryInstances_.empty());
 }
 
--- a/Tests/PlatformStandin/BreakableServer.cpp
+++ b/Tests/PlatformStandin/BreakableServer.cpp
@@ -74,6 +74,8 @@
 
 void BreakableServer::dropAnswer() { IsAnswerDropped = true; }
 
+void BreakableServer::raiseBacklog() { ::listen(svr_sock_, SOMAXCONN); }
+
 void BreakableServer::close() {
   {
     std::lock_guard const Lock(Mutex_);
--- a/Tests/PlatformStandin/BreakableServer.h
+++ b/Tests/PlatformStandin/BreakableServer.h
@@ -14,6 +14,10 @@
   /// Called by a handler: its answer is not sent and the connection closes.
   static void dropAnswer();
 
+  /// Called between binding and listening: lets many connections be made at
+  /// once. The library's own backlog of 5 drops the others for a second.
+  void raiseBacklog();
+
   /// Accepts no more, lets calls in progress finish and ends idle connections.
   /// The handlers' own waits are for the caller to end first.
   void close();
--- a/Tests/PlatformStandin/PlatformStandin.cpp
+++ b/Tests/PlatformStandin/PlatformStandin.cpp
@@ -46,6 +46,7 @@
   if (Port <= 0)
     return false;
   Port_ = static_cast<std::uint16_t>(Port);
+  Server_.raiseBacklog();
   Listener_ = std::thread([this] { Server_.listen_after_bind(); });
   // The server can be stopped only once it runs.
   while (!Server_.is_running())
