--- a/Tests/EngineStandin/Hosting/HttpHost.cpp
+++ b/Tests/EngineStandin/Hosting/HttpHost.cpp
@@ -2,20 +2,16 @@
 
 #include <csignal>
 #include <iostream>
-#include <limits>
 
 namespace laburnum {
 
 static constexpr char const *Loopback = "127.0.0.1";
-static constexpr std::time_t KeepAliveSeconds = 2;
 
 HttpHost::HttpHost(std::size_t Threads) {
   Server_.new_task_queue = [Threads] {
     return new httplib::ThreadPool(Threads);
   };
   Server_.set_tcp_nodelay(true);
-  Server_.set_keep_alive_timeout(KeepAliveSeconds);
-  Server_.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
 }
 
 HttpHost::~HttpHost() { stop(); }
--- a/Tests/EngineStandin/Hosting/HttpHost.h
+++ b/Tests/EngineStandin/Hosting/HttpHost.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include <EngineStandin/Hosting/AbortableServer.h>
+
 #include <cstddef>
 #include <cstdint>
-#include <httplib.h>
 #include <string>
 #include <thread>
 
@@ -28,7 +29,7 @@
   void stop();
 
 private:
-  httplib::Server Server_;
+  AbortableServer Server_;
   std::thread Thread_;
 };
 
