LibBackend: Read the evidence off the connection itself

httplib took a chunked answer that broke between CR and LF of a chunk's end as finished, and told of no answer where the answer has no body. The client now counts the bytes that it wrote and read in its own stream, so that each stage of an attempt is seen and not inferred from error codes.

--- a/Libraries/LibBackend/HttpBackendClient.cpp
+++ b/Libraries/LibBackend/HttpBackendClient.cpp
@@ -23,10 +23,11 @@
 HttpBackendClient::Outcome
 HttpBackendClient::exchange(Endpoint const &Target, httplib::Request &Request,
                             httplib::Response &Response, Duration Timeout,
-                            BodySink const &Sink, bool &HasBegun) {
+                            BodySink const &Sink) {
   if (Timeout <= Duration::zero())
-    return {httplib::Error::ConnectionTimeout, true};
+    return {httplib::Error::ConnectionTimeout, true, {}};
   auto Client = Pool_.take(Target);
+  Client->clearTrace();
   Client->set_connection_timeout(std::min(ConnectTimeout, Timeout));
   Client->set_read_timeout(Timeout);
   Client->set_write_timeout(Timeout);
@@ -37,7 +38,6 @@
                 std::min(Deadline, readClock() + Settings_.StallTimeout_));
   };
   Request.response_handler = [&](httplib::Response const &) {
-    HasBegun = true;
     NoteProgress();
     return true;
   };
@@ -52,6 +52,7 @@
   bool const HasFired = Watch_.remove(Watched);
   Seen.Error_ = IsDone ? httplib::Error::Success : SeenError;
   Seen.IsTimedOut_ = HasFired || (!IsDone && readClock() >= Deadline);
+  Seen.Trace_ = Client->trace();
   if (IsDone && !HasFired)
     Pool_.giveBack(Target, std::move(Client));
   return Seen;
@@ -64,43 +65,43 @@
          Seen == httplib::Error::BindIPAddress;
 }
 
-static AttemptProgress progressOf(httplib::Error Seen, bool HasBegun) {
-  if (HasBegun)
+static AttemptProgress progressOf(httplib::Error Seen,
+                                  ConnectionTrace const &Trace) {
+  if (Trace.HasStatusLine_)
     return AttemptProgress::AnswerBegun;
-  if (isNotConnected(Seen))
-    return AttemptProgress::NotConnected;
-  // A status line cut off before the end of the header counts as unanswered.
-  return AttemptProgress::RequestSent;
+  if (Trace.BytesWritten_ > 0)
+    return AttemptProgress::RequestSent;
+  return isNotConnected(Seen) ? AttemptProgress::NotConnected
+                              : AttemptProgress::Connected;
 }
 
-static AttemptEvidence evidenceOf(httplib::Error Seen, bool IsTimedOut,
-                                  httplib::Response const &Response,
-                                  bool HasBegun) {
+AttemptEvidence
+HttpBackendClient::evidenceOf(Outcome const &Seen,
+                              httplib::Response const &Response) {
   AttemptEvidence Evidence;
-  Evidence.Progress_ = progressOf(Seen, HasBegun);
+  Evidence.Progress_ = progressOf(Seen.Error_, Seen.Trace_);
   Evidence.End_ =
-      IsTimedOut ? AttemptEnd::TimedOut : AttemptEnd::ConnectionFailed;
-  if (HasBegun)
+      Seen.IsTimedOut_ ? AttemptEnd::TimedOut : AttemptEnd::ConnectionFailed;
+  if (Seen.hasAnswer())
     Evidence.Status_ = Response.status;
-  if (Seen != httplib::Error::Success)
-    Evidence.Detail_ = httplib::to_string(Seen);
+  if (Seen.Error_ != httplib::Error::Success)
+    Evidence.Detail_ = httplib::to_string(Seen.Error_);
   return Evidence;
 }
 
 /// Marks the answer as whole, or as a refusal, if it says so itself.
-static void judgeAnswer(AttemptEvidence &Evidence,
-                        httplib::Request const &Request,
-                        httplib::Response const &Response,
-                        httplib::Error Seen) {
-  if (Evidence.Progress_ < AttemptProgress::AnswerBegun)
+void HttpBackendClient::judgeAnswer(AttemptEvidence &Evidence,
+                                    httplib::Request const &Request,
+                                    httplib::Response const &Response,
+                                    Outcome const &Seen) {
+  if (!Seen.hasAnswer())
     return;
-  if (Seen == httplib::Error::Success) {
-    if (isFramed(Request.method, Response)) {
-      Evidence.Progress_ = AttemptProgress::AnswerWhole;
-      Evidence.End_ = AttemptEnd::Answered;
-    } else {
-      Evidence.Detail_ = "the answer has neither a length nor chunks";
-    }
+  bool const IsDone = Seen.Error_ == httplib::Error::Success;
+  if (IsDone && hasWholeBody(Request.method, Response, Seen.Trace_)) {
+    Evidence.Progress_ = AttemptProgress::AnswerWhole;
+    Evidence.End_ = AttemptEnd::Answered;
+  } else if (IsDone) {
+    Evidence.Detail_ = "the answer's end is not marked by its framing";
   }
   if (Response.status == ServiceUnavailable &&
       Response.get_header_value("Laburnum-Refused") == "yes")
@@ -116,17 +117,15 @@
   }
   httplib::Request Request = plainRequest(Call);
   httplib::Response Response;
-  bool HasBegun = false;
   auto const Take = [&](char const *Bytes, std::size_t Size) {
     Result.Answer_.Body_.append(Bytes, Size);
     return Result.Answer_.Body_.size() <= Settings_.MaxAnswerBytes_;
   };
-  auto const Seen = exchange(Server.Endpoint_, Request, Response, Call.Timeout_,
-                             Take, HasBegun);
-  Result.Evidence_ =
-      evidenceOf(Seen.Error_, Seen.IsTimedOut_, Response, HasBegun);
-  judgeAnswer(Result.Evidence_, Request, Response, Seen.Error_);
-  if (!HasBegun)
+  auto const Seen =
+      exchange(Server.Endpoint_, Request, Response, Call.Timeout_, Take);
+  Result.Evidence_ = evidenceOf(Seen, Response);
+  judgeAnswer(Result.Evidence_, Request, Response, Seen);
+  if (!Seen.hasAnswer())
     return Result;
   Result.Answer_.Status_ = Response.status;
   Result.Answer_.ContentType_ = Response.get_header_value("Content-Type");
@@ -208,21 +207,19 @@
   StreamReader Reader(Result, Call, Sink);
   httplib::Request Request = completionRequest(Call);
   httplib::Response Response;
-  bool HasBegun = false;
   auto const Take = [&](char const *Bytes, std::size_t Size) {
     // The body of an error answer is read only to keep the connection.
     return Response.status != Ok || Reader.take({Bytes, Size});
   };
-  auto const Seen = exchange(Server.Endpoint_, Request, Response, Call.Timeout_,
-                             Take, HasBegun);
-  Result.Evidence_ =
-      evidenceOf(Seen.Error_, Seen.IsTimedOut_, Response, HasBegun);
+  auto const Seen =
+      exchange(Server.Endpoint_, Request, Response, Call.Timeout_, Take);
+  Result.Evidence_ = evidenceOf(Seen, Response);
   auto &Evidence = Result.Evidence_;
-  if (HasBegun && Response.status == Ok)
+  if (Seen.hasAnswer() && Response.status == Ok)
     judgeStream(Evidence, Reader);
   else
-    judgeAnswer(Evidence, Request, Response, Seen.Error_);
-  if (HasBegun && !Result.Load_)
+    judgeAnswer(Evidence, Request, Response, Seen);
+  if (Seen.hasAnswer() && !Result.Load_)
     Result.Load_ = parseLoad(Response.get_header_value("Laburnum-Load"));
   bool const MayRun = Evidence.Progress_ != AttemptProgress::NotConnected &&
                       Evidence.End_ != AttemptEnd::Answered &&
@@ -236,10 +233,8 @@
                                CompletionCall const &Call) {
   httplib::Request Request = cancelRequest(Call);
   httplib::Response Response;
-  bool HasBegun = false;
-  exchange(
-      Target, Request, Response, CancelTimeout,
-      [](char const *, std::size_t) { return true; }, HasBegun);
+  exchange(Target, Request, Response, CancelTimeout,
+           [](char const *, std::size_t) { return true; });
 }
 
 } // namespace laburnum
--- a/Libraries/LibBackend/HttpBackendClient.h
+++ b/Libraries/LibBackend/HttpBackendClient.h
@@ -37,13 +37,22 @@
   struct Outcome {
     httplib::Error Error_ = httplib::Error::Unknown;
     bool IsTimedOut_ = false;
+    ConnectionTrace Trace_;
+
+    bool hasAnswer() const { return Trace_.HasStatusLine_; }
   };
   /// Takes a piece of the answer's body; false ends the exchange.
   using BodySink = std::function<bool(char const *, std::size_t)>;
 
   Outcome exchange(Endpoint const &Target, httplib::Request &Request,
                    httplib::Response &Response, Duration Timeout,
-                   BodySink const &Sink, bool &HasBegun);
+                   BodySink const &Sink);
+  static AttemptEvidence evidenceOf(Outcome const &Seen,
+                                    httplib::Response const &Response);
+  static void judgeAnswer(AttemptEvidence &Evidence,
+                          httplib::Request const &Request,
+                          httplib::Response const &Response,
+                          Outcome const &Seen);
   void cancel(Endpoint const &Target, CompletionCall const &Call);
 
   BackendClientSettings const Settings_;
--- a/Libraries/LibBackend/HttpClientPool.cpp
+++ b/Libraries/LibBackend/HttpClientPool.cpp
@@ -2,8 +2,8 @@
 
 namespace laburnum {
 
-static std::unique_ptr<httplib::Client> makeClient(Endpoint const &Target) {
-  auto Client = std::make_unique<httplib::Client>(Target.Host_, Target.Port_);
+static std::unique_ptr<TracedClient> makeClient(Endpoint const &Target) {
+  auto Client = std::make_unique<TracedClient>(Target.Host_, Target.Port_);
   Client->set_keep_alive(true);
   Client->set_tcp_nodelay(true);
   // The path goes to the service exactly as the caller wrote it.
@@ -11,7 +11,7 @@
   return Client;
 }
 
-std::unique_ptr<httplib::Client> HttpClientPool::take(Endpoint const &Target) {
+std::unique_ptr<TracedClient> HttpClientPool::take(Endpoint const &Target) {
   {
     std::lock_guard const Lock(Mutex_);
     auto const Found = Idle_.find(Target);
@@ -28,7 +28,7 @@
 }
 
 void HttpClientPool::giveBack(Endpoint const &Target,
-                              std::unique_ptr<httplib::Client> Client) {
+                              std::unique_ptr<TracedClient> Client) {
   std::lock_guard const Lock(Mutex_);
   if (IdleCount_ >= MaxIdle_)
     return;
--- a/Libraries/LibBackend/HttpClientPool.h
+++ b/Libraries/LibBackend/HttpClientPool.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include <LibBackend/TracedClient.h>
 #include <LibModel/BackendServer.h>
 
 #include <cstddef>
-#include <httplib.h>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -18,18 +18,17 @@
       : MaxIdlePerEndpoint_(MaxIdlePerEndpoint), MaxIdle_(MaxIdle) {}
 
   /// An idle client of the endpoint, or a new one.
-  std::unique_ptr<httplib::Client> take(Endpoint const &Target);
+  std::unique_ptr<TracedClient> take(Endpoint const &Target);
 
   /// Keeps the client for later, or drops it when enough are idle.
-  void giveBack(Endpoint const &Target,
-                std::unique_ptr<httplib::Client> Client);
+  void giveBack(Endpoint const &Target, std::unique_ptr<TracedClient> Client);
 
 private:
   std::size_t const MaxIdlePerEndpoint_;
   std::size_t const MaxIdle_;
   std::mutex Mutex_;
   std::size_t IdleCount_ = 0;
-  std::map<Endpoint, std::vector<std::unique_ptr<httplib::Client>>> Idle_;
+  std::map<Endpoint, std::vector<std::unique_ptr<TracedClient>>> Idle_;
 };
 
 } // namespace laburnum
--- a/Libraries/LibBackend/HttpFields.cpp
+++ b/Libraries/LibBackend/HttpFields.cpp
@@ -109,14 +109,16 @@
                        cancelBody(Call.Request_, Call.Attempt_));
 }
 
-bool isFramed(std::string const &Method, httplib::Response const &Response) {
+bool hasWholeBody(std::string const &Method, httplib::Response const &Response,
+                  ConnectionTrace const &Trace) {
   static constexpr int NoContent = 204;
   static constexpr int NotModified = 304;
   if (Method == "HEAD" || Response.status == NoContent ||
       Response.status == NotModified)
     return true;
-  return Response.has_header("Content-Length") ||
-         lowerCase(Response.get_header_value("Transfer-Encoding")) == "chunked";
+  if (lowerCase(Response.get_header_value("Transfer-Encoding")) == "chunked")
+    return Trace.endsWithEmptyLine();
+  return Response.has_header("Content-Length");
 }
 
 } // namespace laburnum
--- a/Libraries/LibBackend/HttpFields.h
+++ b/Libraries/LibBackend/HttpFields.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBackend/BackendClient.h>
+#include <LibBackend/TracedClient.h>
 
 #include <httplib.h>
 
@@ -19,8 +20,9 @@
 
 httplib::Request cancelRequest(CompletionCall const &Call);
 
-/// Whether the end of the answer's body is marked by something other than the
-/// end of the connection.
-bool isFramed(std::string const &Method, httplib::Response const &Response);
+/// Whether an answer that httplib took as finished is whole: its end is marked
+/// by something other than the end of the connection, and the mark was read.
+bool hasWholeBody(std::string const &Method, httplib::Response const &Response,
+                  ConnectionTrace const &Trace);
 
 } // namespace laburnum
