--- a/Tests/LibMetrics/TestMetricsRegistry.cpp
+++ b/Tests/LibMetrics/TestMetricsRegistry.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-template <typename Work> void onThreads(int Count, Work const &Each) {
+template <typename Work> void onThreads(std::uint64_t Count, Work const &Each) {
   std::vector<std::thread> Threads;
-  for (int Index = 0; Index < Count; ++Index)
+  for (std::uint64_t Index = 0; Index < Count; ++Index)
     Threads.emplace_back(Each);
   for (auto &One : Threads)
     One.join();
@@ -36,13 +36,13 @@
 }
 
 TEST_CASE("Nothing is lost when many threads count and record") {
-  constexpr int Threads = 20;
-  constexpr int PerThread = 1001;
+  constexpr std::uint64_t Threads = 20;
+  constexpr std::uint64_t PerThread = 1001;
   MetricsRegistry Registry;
   auto &Events = Registry.counter("events", "events");
   auto &Values = Registry.distribution("values", "ms");
   onThreads(Threads, [&] {
-    for (int Index = 0; Index < PerThread; ++Index) {
+    for (std::uint64_t Index = 0; Index < PerThread; ++Index) {
       Events.add();
       Values.record(2.0);
     }
@@ -50,7 +50,7 @@
   CHECK(Events.count() == Threads * PerThread);
   auto const Seen = Values.snapshot();
   CHECK(Seen.Count_ == Threads * PerThread);
-  CHECK(Seen.Sum_ == 2.0 * Threads * PerThread);
+  CHECK(Seen.Sum_ == 2.0 * static_cast<double>(Threads * PerThread));
 }
 
 TEST_CASE("Quantiles of few values are exact") {
