LibServing: Authenticate, limit accounts and guard against crashes

Change: Authenticator, AccountLimiter and CrashGuard; the chooser asks the guard, gives suspect content a server for itself and runs one copy of it.

--- /dev/null
+++ b/Libraries/LibServing/Authenticator.cpp
@@ -0,0 +1,57 @@
+#include <LibServing/Authenticator.h>
+
+#include <algorithm>
+#include <cctype>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace laburnum {
+
+namespace {
+
+constexpr std::string_view Scheme = "bearer ";
+
+/// The scheme's name is matched in either case (RFC 9110, section 11.1).
+std::optional<std::string> bearerKey(std::string const &Field) {
+  bool const IsBearer = Field.size() > Scheme.size() &&
+                        std::equal(Scheme.begin(), Scheme.end(), Field.begin(),
+                                   [](char Expected, unsigned char Given) {
+                                     return Expected == std::tolower(Given);
+                                   });
+  if (!IsBearer)
+    return std::nullopt;
+  return Field.substr(Scheme.size());
+}
+
+/// The same for each cause, so that it tells nothing about which keys exist.
+Error notAuthenticated() {
+  return {ErrorKind::Unauthenticated, "the request carries no valid key",
+          "send the account's key as \"Authorization: Bearer KEY\""};
+}
+
+} // namespace
+
+Authenticator::Authenticator(std::shared_ptr<Configuration const> Snapshot)
+    : Snapshot_(std::move(Snapshot)) {}
+
+Result<ClientAccount>
+Authenticator::authenticate(std::string const &AuthorizationField,
+                            ServiceName const &Service) const {
+  auto const Key = bearerKey(AuthorizationField);
+  if (!Key)
+    return notAuthenticated();
+  auto const *Account = Snapshot_->accountByKeyDigest(keyDigest(*Key));
+  if (!Account)
+    return notAuthenticated();
+  auto const &Allowed = Account->Services_;
+  if (!Allowed.empty() &&
+      std::find(Allowed.begin(), Allowed.end(), Service) == Allowed.end())
+    return Error{ErrorKind::PermissionDenied,
+                 "account " + Account->Name_.text() + " may not use service " +
+                     Service.text(),
+                 "ask the operators to allow the service to the account"};
+  return *Account;
+}
+
+} // namespace laburnum
--- a/Libraries/LibServing/LeastLoadedChooser.cpp
+++ b/Libraries/LibServing/LeastLoadedChooser.cpp
@@ -33,6 +33,19 @@
           "send the request again later, or add servers to the service"};
 }
 
+Error requestCrashesServers() {
+  return {ErrorKind::InvalidArgument,
+          "servers crashed while they ran requests of this content",
+          "do not send this content again; tell the operators if it is valid"};
+}
+
+Error requestUnderTrial() {
+  return {ErrorKind::ResourceExhausted,
+          "a request of the same content crashed a server and is being tried "
+          "apart from others",
+          "send the request again later"};
+}
+
 } // namespace
 
 void LeastLoadedChooser::setSnapshot(
@@ -61,7 +74,16 @@
 
 Result<BackendServer> LeastLoadedChooser::choose(RouteQuery const &Query,
                                                  TimePoint Now) {
+  // All starts take this lock, so that two copies are not both let through.
   std::lock_guard const Lock(Mutex_);
+  auto const Verdict =
+      Guard_ ? Guard_->verdict(Query.Fingerprint_, Now) : CrashVerdict::Run;
+  if (Verdict == CrashVerdict::Refuse)
+    return requestCrashesServers();
+  if (Verdict == CrashVerdict::Wait)
+    return requestUnderTrial();
+  auto const Wanted = Verdict == CrashVerdict::RunAlone ? Occupancy::Exclusive
+                                                        : Occupancy::Shared;
   auto const &All = Snapshot_->serversOf(Query.Service_);
   if (All.empty())
     return noServerConfigured(Query.Service_);
@@ -72,18 +94,25 @@
   if (Usable.empty())
     return noServerUsable(Query.Service_);
   std::erase_if(Usable, [&](BackendServer const *Server) {
-    return stateOf(Server->Id_).Running_ >= Server->Capacity_;
+    return !hasRoom(*Server, Wanted);
   });
   if (Usable.empty())
     return allServersFull(Query.Service_);
   auto const &Chosen = pick(Usable);
-  ++Servers_[Chosen.Id_].Running_;
+  auto &State = Servers_[Chosen.Id_];
+  ++State.Running_;
+  State.Occupancy_ = Wanted;
+  if (Guard_)
+    Guard_->onStarted(Query.Fingerprint_, Chosen.Id_);
   return Chosen;
 }
 
-void LeastLoadedChooser::release(ServerId const &Server, RouteQuery const &,
+void LeastLoadedChooser::release(ServerId const &Server,
+                                 RouteQuery const &Query,
                                  AttemptEvidence const &Evidence,
                                  TimePoint Now) {
+  if (Guard_)
+    Guard_->onEnded(Query.Fingerprint_, Server, Evidence, Now);
   std::lock_guard const Lock(Mutex_);
   auto const Found = Servers_.find(Server);
   if (Found == Servers_.end())
@@ -91,6 +120,8 @@
   auto &State = Found->second;
   if (State.Running_ > 0)
     --State.Running_;
+  if (State.Running_ == 0)
+    State.Occupancy_ = Occupancy::Shared;
   if (Evidence.Progress_ >= AttemptProgress::AnswerBegun)
     State.FailedConnections_ = 0;
   auto const CouldNotConnect =
@@ -111,6 +142,15 @@
          Now >= stateOf(Server.Id_).AvoidUntil_;
 }
 
+bool LeastLoadedChooser::hasRoom(BackendServer const &Server,
+                                 Occupancy Wanted) const {
+  auto const &State = stateOf(Server.Id_);
+  if (Wanted == Occupancy::Exclusive)
+    return State.Running_ == 0;
+  return State.Occupancy_ == Occupancy::Shared &&
+         State.Running_ < Server.Capacity_;
+}
+
 double LeastLoadedChooser::loadOf(BackendServer const &Server) const {
   auto const &State = stateOf(Server.Id_);
   auto const Requests = static_cast<double>(State.Running_) +
--- a/Libraries/LibServing/ServerChooser.h
+++ b/Libraries/LibServing/ServerChooser.h
@@ -30,8 +30,8 @@
   virtual ~ServerChooser() = default;
 
   /// Errors: NotFound (the service has no server), Unavailable (none takes new
-  /// work now), ResourceExhausted (all are full, or the request is known to
-  /// crash servers).
+  /// work now), ResourceExhausted (all are full), InvalidArgument (the request
+  /// is known to crash servers).
   virtual Result<BackendServer> choose(RouteQuery const &Query,
                                        TimePoint Now) = 0;
 
