--- /dev/null
+++ b/Libraries/LibFleet/ServerDirectory.cpp
@@ -0,0 +1,174 @@
+#include <LibFleet/ServerDirectory.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace laburnum {
+
+using namespace servers;
+
+namespace {
+
+/// A departure at an older version of the configuration is forgotten when the
+/// server is applied anew; a notice without version is about any.
+bool concerns(Version NoticeVersion, Version Applied) {
+  return NoticeVersion == 0 || NoticeVersion >= Applied;
+}
+
+std::optional<TimePoint> earlier(std::optional<TimePoint> Left,
+                                 std::optional<TimePoint> Right) {
+  if (!Left || !Right)
+    return Left ? Left : Right;
+  return std::min(*Left, *Right);
+}
+
+} // namespace
+
+ServerDirectory::ServerDirectory(servers::Settings Settings)
+    : Settings_(std::move(Settings)), Generator_(Settings_.Seed_),
+      Departures_(std::make_shared<Departures const>()) {}
+
+std::vector<Action> ServerDirectory::handle(Event const &Event, TimePoint Now) {
+  Now_ = Now;
+  Actions_.clear();
+  News_.clear();
+  std::visit([&](auto const &Each) { on(Each); }, Event);
+  if (!News_.empty()) {
+    Departures_ = std::make_shared<Departures const>(Next_);
+    // First, so that no work goes there while the peers are being told.
+    Actions_.emplace(Actions_.begin(), DirectoryChanged{Departures_, News_});
+  }
+  return std::move(Actions_);
+}
+
+Version ServerDirectory::versionOf(ServerId const &Id) const {
+  auto const Found = Versions_.find(Id);
+  return Found == Versions_.end() ? 0 : Found->second;
+}
+
+void ServerDirectory::on(NoticeReceived const &Event) {
+  ServerId const Id(Event.Notice_.InstanceName_);
+  auto const IsInstance = [&](Member const &One) {
+    return One.Instance_.Id_.text() == Id.text();
+  };
+  if (Settings_.Self_.Id_.text() == Id.text() ||
+      std::any_of(Members_.begin(), Members_.end(), IsInstance))
+    return;
+  advance(Id,
+          {Liveness::Leaving, Now_ + Event.Notice_.Remaining_, versionOf(Id)});
+}
+
+void ServerDirectory::on(ServerRefused const &Event) {
+  advance(Event.Server_,
+          {Liveness::Leaving, std::nullopt, versionOf(Event.Server_)});
+}
+
+void ServerDirectory::on(NoticeFromPeer const &Event) {
+  auto const &Notice = Event.Notice_;
+  if (Notice.Liveness_ == Liveness::Live ||
+      !concerns(Notice.ServerVersion_, versionOf(Notice.Server_)))
+    return;
+  std::optional<TimePoint> GoneAt;
+  if (Notice.Remaining_ > Duration(0))
+    GoneAt = Now_ + Notice.Remaining_;
+  advance(Notice.Server_,
+          {Notice.Liveness_, GoneAt,
+           std::max(Notice.ServerVersion_, versionOf(Notice.Server_))});
+}
+
+/// The list lags, so that "live" in it says nothing about a server that is
+/// known to be leaving, and absence counts only for a server seen in it.
+void ServerDirectory::on(servers::InstancesListed const &Event) {
+  std::map<ServerId, Liveness> Listed;
+  for (auto const &One : Event.Listing_.Servers_)
+    Listed[One.Id_] = One.Liveness_;
+  for (auto const &[Id, At] : Listed_) {
+    if (!Listed.contains(Id) && At == versionOf(Id))
+      advance(Id, {Liveness::Gone, Now_, At});
+  }
+  for (auto const &[Id, State] : Listed) {
+    Listed_[Id] = versionOf(Id);
+    if (State != Liveness::Live)
+      advance(Id, {State, std::nullopt, versionOf(Id)});
+  }
+}
+
+void ServerDirectory::on(ObjectsApplied const &Event) {
+  for (auto const &Object : Event.Objects_) {
+    if (Object.Name_.Kind_ != ObjectKind::Server)
+      continue;
+    ServerId const Id(Object.Name_.Name_);
+    auto &Applied = Versions_[Id];
+    if (Object.Version_ <= Applied)
+      continue;
+    Applied = Object.Version_;
+    auto const Found = Next_.find(Id);
+    if (Found == Next_.end())
+      continue;
+    // A sign that came before this instance knew the server stays; it is
+    // about the version that is applied now or an older one.
+    if (Found->second.ServerVersion_ == 0 ||
+        Found->second.ServerVersion_ >= Object.Version_) {
+      Found->second.ServerVersion_ =
+          std::max(Found->second.ServerVersion_, Object.Version_);
+      continue;
+    }
+    Next_.erase(Found);
+    Listed_.erase(Id);
+    News_.push_back(Id);
+  }
+}
+
+void ServerDirectory::on(servers::MembersChanged const &Event) {
+  Members_ = Event.Members_;
+}
+
+void ServerDirectory::on(servers::TimePassed const & /*Event*/) {
+  for (auto &[Id, Known] : Next_) {
+    if (Known.Liveness_ == Liveness::Gone || !Known.GoneAt_ ||
+        Now_ < *Known.GoneAt_)
+      continue;
+    Known.Liveness_ = Liveness::Gone;
+    News_.push_back(Id);
+  }
+}
+
+void ServerDirectory::advance(ServerId const &Id, Departure const &Seen) {
+  auto const Found = Next_.find(Id);
+  if (Found == Next_.end()) {
+    Next_.emplace(Id, Seen);
+    News_.push_back(Id);
+    tellPeers(Id, Seen);
+    return;
+  }
+  auto &Known = Found->second;
+  auto const GoneAt = earlier(Known.GoneAt_, Seen.GoneAt_);
+  bool const IsAdvance = Seen.Liveness_ > Known.Liveness_;
+  bool const IsFirstTime = !Known.GoneAt_ && GoneAt;
+  Known.Liveness_ = std::max(Known.Liveness_, Seen.Liveness_);
+  Known.GoneAt_ = GoneAt;
+  Known.ServerVersion_ = std::max(Known.ServerVersion_, Seen.ServerVersion_);
+  if (!IsAdvance && !IsFirstTime)
+    return;
+  News_.push_back(Id);
+  tellPeers(Id, Known);
+}
+
+/// Each instance passes a piece of news on once, when it learns it, to a few
+/// random peers: the instance list reaches whoever was left out.
+void ServerDirectory::tellPeers(ServerId const &Id, Departure const &News) {
+  std::vector<Endpoint> Peers;
+  for (auto const &One : Members_)
+    if (One.Liveness_ == Liveness::Live &&
+        One.Instance_.Id_ != Settings_.Self_.Id_)
+      Peers.push_back(One.Instance_.Peers_);
+  ServerLeavingNotice Notice{Id, News.Liveness_, {}, News.ServerVersion_};
+  if (News.GoneAt_)
+    Notice.Remaining_ = std::max(Duration(0), *News.GoneAt_ - Now_);
+  std::shuffle(Peers.begin(), Peers.end(), Generator_);
+  Peers.resize(std::min(Peers.size(), Settings_.FanOut_));
+  for (auto const &To : Peers)
+    Actions_.emplace_back(SendToPeer{To, Notice});
+}
+
+} // namespace laburnum
