LibFleet: Add SWIM-style membership

Instances must know one another without a full mesh. Each probes one random member a period, asks two others before it suspects, and carries gossip of bounded size, so that traffic does not grow with the fleet.

Tested: TestLibFleet passes.

--- /dev/null
+++ b/Libraries/LibFleet/Membership.cpp
@@ -0,0 +1,396 @@
+#include <LibFleet/Membership.h>
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+namespace laburnum {
+
+using namespace membership;
+
+namespace {
+
+/// Members asked to ping one that did not answer.
+constexpr std::size_t IndirectPings = 2;
+/// Members told directly when this instance leaves.
+constexpr std::size_t LeavingFanOut = 8;
+constexpr std::size_t SeedsTried = 3;
+/// Updates that answer a Join.
+constexpr std::size_t JoinUpdates = 48;
+/// Gone members are tried once in so many periods.
+constexpr std::uint64_t GonePeriods = 10;
+/// How often news of a member's configuration is passed on; news of its state
+/// go further and first.
+constexpr std::uint32_t ConfigurationSpreads = 4;
+constexpr std::uint32_t SpreadsPerDoubling = 3;
+
+Liveness livenessOf(MemberState State) {
+  switch (State) {
+  case MemberState::Alive:
+  case MemberState::Suspect:
+    return Liveness::Live;
+  case MemberState::Leaving:
+    return Liveness::Leaving;
+  case MemberState::Gone:
+    return Liveness::Gone;
+  }
+  return Liveness::Gone;
+}
+
+bool isNewerState(MemberUpdate const &New, MemberUpdate const &Old) {
+  if (New.Incarnation_ != Old.Incarnation_)
+    return New.Incarnation_ > Old.Incarnation_;
+  return New.State_ > Old.State_;
+}
+
+Member memberOf(MemberUpdate const &Update) {
+  return {Update.Instance_, livenessOf(Update.State_),
+          Update.ConfigurationVersion_, Update.ConfigurationDigest_};
+}
+
+} // namespace
+
+Membership::Membership(membership::Settings Settings)
+    : Settings_(std::move(Settings)), Generator_(Settings_.Seed_) {
+  Self_.Instance_ = Settings_.Self_;
+}
+
+std::vector<Action> Membership::handle(Event const &Event, TimePoint Now) {
+  Now_ = Now;
+  Actions_.clear();
+  Changed_ = false;
+  std::visit([&](auto const &Each) { on(Each); }, Event);
+  if (Changed_)
+    Actions_.emplace_back(MembersChanged{members()});
+  return std::move(Actions_);
+}
+
+std::vector<Member> Membership::members() const {
+  std::vector<Member> Members = {memberOf(Self_)};
+  for (auto const &[Id, Other] : Others_)
+    Members.push_back(memberOf(Other.Update_));
+  std::sort(Members.begin(), Members.end(),
+            [](Member const &Left, Member const &Right) {
+              return Left.Instance_.Id_ < Right.Instance_.Id_;
+            });
+  return Members;
+}
+
+// What others say.
+
+/// The list is read by every instance, so that what it says is not passed on.
+void Membership::on(InstancesListed const &Event) {
+  for (auto const &Listed : Event.Listing_.EntryInstances_) {
+    if (Listed.Instance_.Id_ == Self_.Instance_.Id_)
+      continue;
+    auto const Found = Others_.find(Listed.Instance_.Id_);
+    if (Found == Others_.end() && Listed.Liveness_ != Liveness::Gone) {
+      MemberUpdate Update;
+      Update.Instance_ = Listed.Instance_;
+      Others_[Listed.Instance_.Id_] = {Update, Now_, 0};
+      Changed_ = true;
+    }
+    if (Listed.Liveness_ == Liveness::Leaving &&
+        Others_[Listed.Instance_.Id_].Update_.State_ < MemberState::Leaving)
+      setState(Listed.Instance_.Id_, MemberState::Leaving);
+  }
+}
+
+void Membership::on(HeartbeatFromPeer const &Event) {
+  auto const &Message = Event.Heartbeat_;
+  if (Message.Updates_.empty() ||
+      Message.Updates_.front().Instance_.Id_ != Event.From_ ||
+      Event.From_ == Self_.Instance_.Id_)
+    return;
+  for (auto const &Update : Message.Updates_)
+    learn(Update);
+  answer(Message.Updates_.front().Instance_.Peers_, Event.From_, Message);
+}
+
+void Membership::answer(Endpoint const &To, InstanceId const &Asker,
+                        Heartbeat const &Message) {
+  Heartbeat const Answer{HeartbeatKind::Acknowledge, Message.Sequence_, {}, {}};
+  switch (Message.Kind_) {
+  case HeartbeatKind::Ping:
+    return send(To, Asker, Answer);
+  case HeartbeatKind::Join: {
+    auto Full = Answer;
+    Full.Updates_ = updates(Asker, JoinUpdates);
+    Actions_.emplace_back(SendToPeer{To, std::move(Full)});
+    return;
+  }
+  case HeartbeatKind::Acknowledge:
+    return acknowledged(Message.Sequence_);
+  case HeartbeatKind::PingRequest:
+    return relayPing(To, Message);
+  case HeartbeatKind::Gossip:
+    return;
+  }
+}
+
+void Membership::learn(MemberUpdate const &Update) {
+  auto const &Id = Update.Instance_.Id_;
+  if (Id == Self_.Instance_.Id_)
+    return learnOfSelf(Update);
+  auto const Found = Others_.find(Id);
+  if (Found == Others_.end()) {
+    // Old gossip must not bring back whom nobody can reach any more.
+    if (Update.State_ == MemberState::Gone)
+      return;
+    Others_[Id] = {Update, Now_, spreads()};
+    Changed_ = true;
+    return;
+  }
+  auto &Held = Found->second;
+  learnConfiguration(Held, Update);
+  if (!isNewerState(Update, Held.Update_))
+    return;
+  Changed_ |= livenessOf(Held.Update_.State_) != livenessOf(Update.State_);
+  Held.Update_.State_ = Update.State_;
+  Held.Update_.Incarnation_ = Update.Incarnation_;
+  Held.Since_ = Now_;
+  Held.SpreadsLeft_ = spreads();
+}
+
+void Membership::learnConfiguration(Known &Held, MemberUpdate const &Update) {
+  if (Update.ConfigurationVersion_ <= Held.Update_.ConfigurationVersion_)
+    return;
+  Held.Update_.ConfigurationVersion_ = Update.ConfigurationVersion_;
+  Held.Update_.ConfigurationDigest_ = Update.ConfigurationDigest_;
+  Held.SpreadsLeft_ = std::max(Held.SpreadsLeft_, ConfigurationSpreads);
+}
+
+/// Whoever doubts this instance is answered with a higher incarnation, which
+/// goes out first in each message.
+void Membership::learnOfSelf(MemberUpdate const &Update) {
+  if (Update.State_ > Self_.State_ && Update.Incarnation_ >= Self_.Incarnation_)
+    Self_.Incarnation_ = Update.Incarnation_ + 1;
+}
+
+void Membership::setState(InstanceId const &Id, MemberState State) {
+  auto &Held = Others_[Id];
+  Changed_ |= livenessOf(Held.Update_.State_) != livenessOf(State);
+  Held.Update_.State_ = State;
+  Held.Since_ = Now_;
+  Held.SpreadsLeft_ = spreads();
+}
+
+// This instance's own state.
+
+void Membership::on(OwnConfigurationChanged const &Event) {
+  Self_.ConfigurationVersion_ = Event.Version_;
+  Self_.ConfigurationDigest_ = Event.Digest_;
+}
+
+void Membership::on(OwnLeaving const & /*Event*/) {
+  if (Self_.State_ == MemberState::Leaving)
+    return;
+  Self_.State_ = MemberState::Leaving;
+  Changed_ = true;
+  for (auto const &Id : randomReachable(LeavingFanOut))
+    send(Others_[Id].Update_.Instance_.Peers_, Id,
+         {HeartbeatKind::Gossip, 0, {}, {}});
+}
+
+// Probing.
+
+void Membership::on(TimePassed const & /*Event*/) {
+  if (Probe_ && !Probe_->AskedOthers_ &&
+      Now_ >= Probe_->Started_ + Settings_.PingTimeout_)
+    askOthers();
+  if (NextPeriod_ && Now_ < *NextPeriod_)
+    return;
+  NextPeriod_ = Now_ + Settings_.Period_;
+  ++Periods_;
+  endProbe();
+  expire();
+  contactSeeds();
+  if (Periods_ % GonePeriods == 0)
+    contactGone();
+  startProbe();
+}
+
+void Membership::startProbe() {
+  auto const Target = nextTarget();
+  if (!Target)
+    return;
+  Probe_ = Probe{*Target, NextSequence_++, Now_, false};
+  send(Others_[*Target].Update_.Instance_.Peers_, *Target,
+       {HeartbeatKind::Ping, Probe_->Sequence_, {}, {}});
+}
+
+void Membership::askOthers() {
+  Probe_->AskedOthers_ = true;
+  for (auto const &Id : randomReachable(IndirectPings + 1)) {
+    if (Id == Probe_->Target_)
+      continue;
+    send(Others_[Id].Update_.Instance_.Peers_, Id,
+         {HeartbeatKind::PingRequest, Probe_->Sequence_, Probe_->Target_, {}});
+  }
+}
+
+/// A member that is leaving is not given time to refute.
+void Membership::endProbe() {
+  if (!Probe_)
+    return;
+  auto const Target = std::exchange(Probe_, std::nullopt)->Target_;
+  auto const Found = Others_.find(Target);
+  if (Found == Others_.end())
+    return;
+  if (Found->second.Update_.State_ == MemberState::Alive)
+    setState(Target, MemberState::Suspect);
+  else if (Found->second.Update_.State_ == MemberState::Leaving)
+    setState(Target, MemberState::Gone);
+}
+
+void Membership::acknowledged(std::uint64_t Sequence) {
+  if (Probe_ && Probe_->Sequence_ == Sequence)
+    Probe_.reset();
+  auto const Found =
+      std::find_if(Relays_.begin(), Relays_.end(),
+                   [&](Relay const &One) { return One.Sequence_ == Sequence; });
+  if (Found == Relays_.end())
+    return;
+  auto const Answered = *Found;
+  Relays_.erase(Found);
+  send(Answered.ReplyTo_, {},
+       {HeartbeatKind::Acknowledge, Answered.OriginalSequence_, {}, {}});
+}
+
+void Membership::relayPing(Endpoint const &ReplyTo, Heartbeat const &Request) {
+  auto const Found = Others_.find(Request.Target_);
+  if (Found == Others_.end())
+    return;
+  Relays_.push_back({NextSequence_, Request.Sequence_, ReplyTo, Now_});
+  send(Found->second.Update_.Instance_.Peers_, Request.Target_,
+       {HeartbeatKind::Ping, NextSequence_++, {}, {}});
+}
+
+void Membership::expire() {
+  std::erase_if(Relays_, [&](Relay const &One) {
+    return Now_ >= One.Started_ + Settings_.Period_;
+  });
+  for (auto &[Id, Other] : Others_) {
+    if (Other.Update_.State_ == MemberState::Suspect &&
+        Now_ >= Other.Since_ + Settings_.SuspicionTimeout_)
+      setState(Id, MemberState::Gone);
+  }
+  auto const Forgotten = std::erase_if(Others_, [&](auto const &One) {
+    return One.second.Update_.State_ == MemberState::Gone &&
+           Now_ >= One.second.Since_ + Settings_.GoneRetention_;
+  });
+  Changed_ |= Forgotten > 0;
+}
+
+void Membership::contactSeeds() {
+  if (!withState(MemberState::Alive, MemberState::Leaving).empty())
+    return;
+  auto Seeds = Settings_.Seeds_;
+  std::erase(Seeds, Self_.Instance_.Peers_);
+  std::shuffle(Seeds.begin(), Seeds.end(), Generator_);
+  Seeds.resize(std::min(Seeds.size(), SeedsTried));
+  for (auto const &Seed : Seeds)
+    send(Seed, {}, {HeartbeatKind::Join, NextSequence_++, {}, {}});
+}
+
+/// The ping tells the member that it is held for gone, which it refutes.
+void Membership::contactGone() {
+  auto const Gone = withState(MemberState::Gone, MemberState::Gone);
+  if (Gone.empty())
+    return;
+  auto const &Id = Gone[Generator_() % Gone.size()];
+  send(Others_[Id].Update_.Instance_.Peers_, Id,
+       {HeartbeatKind::Ping, NextSequence_++, {}, {}});
+}
+
+std::vector<InstanceId> Membership::withState(MemberState First,
+                                              MemberState Last) const {
+  std::vector<InstanceId> Found;
+  for (auto const &[Id, Other] : Others_)
+    if (Other.Update_.State_ >= First && Other.Update_.State_ <= Last)
+      Found.push_back(Id);
+  return Found;
+}
+
+std::vector<InstanceId> Membership::randomReachable(std::size_t Count) {
+  auto Found = withState(MemberState::Alive, MemberState::Leaving);
+  std::shuffle(Found.begin(), Found.end(), Generator_);
+  Found.resize(std::min(Found.size(), Count));
+  return Found;
+}
+
+/// Round robin in a random order, so that each member is probed in bounded
+/// time.
+std::optional<InstanceId> Membership::nextTarget() {
+  if (ProbeOrder_.empty())
+    ProbeOrder_ = randomReachable(Others_.size());
+  while (!ProbeOrder_.empty()) {
+    auto const Id = std::move(ProbeOrder_.back());
+    ProbeOrder_.pop_back();
+    auto const Found = Others_.find(Id);
+    if (Found != Others_.end() &&
+        Found->second.Update_.State_ != MemberState::Gone)
+      return Id;
+  }
+  return std::nullopt;
+}
+
+// Gossip.
+
+void Membership::send(Endpoint const &To, InstanceId const &Receiver,
+                      Heartbeat Message) {
+  Message.Updates_ = updates(Receiver, Settings_.UpdatesPerMessage_);
+  Actions_.emplace_back(SendToPeer{To, std::move(Message)});
+}
+
+std::vector<MemberUpdate> Membership::updates(InstanceId const &To,
+                                              std::size_t Limit) {
+  std::vector<MemberUpdate> Chosen = {Self_};
+  auto const Found = Others_.find(To);
+  if (Found != Others_.end() &&
+      Found->second.Update_.State_ != MemberState::Alive)
+    Chosen.push_back(Found->second.Update_);
+  addFreshest(Chosen, Limit + 1);
+  addRandom(Chosen, Limit + 1);
+  return Chosen;
+}
+
+void Membership::addFreshest(std::vector<MemberUpdate> &Into,
+                             std::size_t Limit) {
+  std::vector<Known *> News;
+  for (auto &[Id, Other] : Others_)
+    if (Other.SpreadsLeft_ > 0)
+      News.push_back(&Other);
+  auto const Count =
+      std::min(News.size(), Limit - std::min(Limit, Into.size()));
+  std::partial_sort(News.begin(),
+                    News.begin() + static_cast<std::ptrdiff_t>(Count),
+                    News.end(), [](Known const *Left, Known const *Right) {
+                      return Left->SpreadsLeft_ > Right->SpreadsLeft_;
+                    });
+  for (std::size_t Each = 0; Each < Count; ++Each) {
+    --News[Each]->SpreadsLeft_;
+    Into.push_back(News[Each]->Update_);
+  }
+}
+
+void Membership::addRandom(std::vector<MemberUpdate> &Into, std::size_t Limit) {
+  if (Into.size() >= Limit || Others_.empty())
+    return;
+  std::vector<MemberUpdate const *> Choices;
+  for (auto const &[Id, Other] : Others_)
+    Choices.push_back(&Other.Update_);
+  std::vector<MemberUpdate const *> Picked;
+  std::sample(Choices.begin(), Choices.end(), std::back_inserter(Picked),
+              Limit - Into.size(), Generator_);
+  for (auto const *Update : Picked)
+    if (std::find(Into.begin(), Into.end(), *Update) == Into.end())
+      Into.push_back(*Update);
+}
+
+std::uint32_t Membership::spreads() const {
+  return SpreadsPerDoubling *
+         static_cast<std::uint32_t>(std::bit_width(Others_.size() + 1));
+}
+
+} // namespace laburnum
--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -102,19 +102,27 @@
 
   void learn(MemberUpdate const &Update);
   void learnOfSelf(MemberUpdate const &Update);
+  void learnConfiguration(Known &Held, MemberUpdate const &Update);
+  void setState(InstanceId const &Id, MemberState State);
+  void answer(Endpoint const &To, InstanceId const &Asker,
+              Heartbeat const &Message);
   void acknowledged(std::uint64_t Sequence);
-  void relayPing(MemberUpdate const &Asker, Heartbeat const &Request);
+  void relayPing(Endpoint const &ReplyTo, Heartbeat const &Request);
   void startProbe();
   void askOthers();
   void endProbe();
   void expire();
   void contactSeeds();
   void contactGone();
-  std::vector<InstanceId> reachable() const;
+  std::vector<InstanceId> withState(MemberState First, MemberState Last) const;
+  std::vector<InstanceId> randomReachable(std::size_t Count);
   std::optional<InstanceId> nextTarget();
-  std::vector<MemberUpdate> updates(std::size_t Limit);
-  std::vector<MemberUpdate> randomUpdates(std::size_t Limit);
-  void sendHeartbeat(Endpoint const &To, Heartbeat Message);
+  /// This instance's own update, the one about To unless it is alive, the
+  /// freshest news, then random members up to Limit besides its own.
+  std::vector<MemberUpdate> updates(InstanceId const &To, std::size_t Limit);
+  void addFreshest(std::vector<MemberUpdate> &Into, std::size_t Limit);
+  void addRandom(std::vector<MemberUpdate> &Into, std::size_t Limit);
+  void send(Endpoint const &To, InstanceId const &Receiver, Heartbeat Message);
   std::uint32_t spreads() const;
 
   membership::Settings Settings_;
--- a/Libraries/LibFleet/ServerDirectory.cpp
+++ b/Libraries/LibFleet/ServerDirectory.cpp
@@ -93,6 +93,8 @@
   }
 }
 
+// FIXME: The rewrite by which ChangeWriter settles a lost answer also raises
+// the version, and so brings a leaving server back until the next sign of it.
 void ServerDirectory::on(ObjectsApplied const &Event) {
   for (auto const &Object : Event.Objects_) {
     if (Object.Name_.Kind_ != ObjectKind::Server)
--- /dev/null
+++ b/Tests/LibFleet/TestMembership.cpp
@@ -0,0 +1,226 @@
+#include <LibFleet/Membership.h>
+
+#include <LibFleet/ConfigurationStore.h>
+#include <LibPeer/PeerCodec.h>
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <iostream>
+#include <set>
+
+using namespace laburnum;
+using namespace laburnum::membership;
+
+namespace {
+
+constexpr Duration Step = std::chrono::milliseconds(200);
+
+EntryInstance instance(std::size_t Number) {
+  EntryInstance Made;
+  auto const Port = static_cast<std::uint16_t>(Number + 1);
+  Made.Id_ = InstanceId("entry-north-" + std::to_string(1000 + Number));
+  Made.DataCentre_ = DataCentre("north-" + std::to_string(Number % 3));
+  Made.Callers_ = {"10.111.112.113", 8080};
+  Made.Peers_ = {"10.111.112.113", Port};
+  Made.Operators_ = {"10.111.112.113", 9090};
+  return Made;
+}
+
+/// Memberships on one clock, whose messages arrive at the next step. Nodes can
+/// be down, and parts of the fleet cut from one another.
+struct Fleet {
+  explicit Fleet(std::size_t Count) {
+    for (std::size_t Each = 0; Each < Count; ++Each) {
+      Settings Mine;
+      Mine.Self_ = instance(Each);
+      Mine.Seed_ = Each;
+      Mine.Seeds_ = {instance(0).Peers_, instance(1).Peers_};
+      Nodes_.emplace_back(Mine);
+    }
+    Parts_.resize(Count, 0);
+  }
+
+  void feed(std::size_t Number, Event const &Event) {
+    for (auto const &Each : Nodes_[Number].handle(Event, Now_)) {
+      auto const *Sent = std::get_if<SendToPeer>(&Each);
+      if (!Sent)
+        continue;
+      Bytes_ += valueOf(encodePeerFrame(Sent->Message_)).size();
+      if (Links_.insert({Number, Sent->To_.Port_}).second)
+        Bytes_ += HelloBytes_;
+      Queue_.emplace_back(Number, *Sent);
+    }
+  }
+
+  void listAll() {
+    InstanceListing Listing;
+    for (std::size_t Each = 0; Each < Nodes_.size(); ++Each)
+      Listing.EntryInstances_.push_back({instance(Each), Liveness::Live});
+    for (std::size_t Each = 0; Each < Nodes_.size(); ++Each)
+      feed(Each, InstancesListed{Listing});
+  }
+
+  void step() {
+    Now_ += Step;
+    auto const Arriving = std::exchange(Queue_, {});
+    for (auto const &[From, Sent] : Arriving) {
+      auto const To = Sent.To_.Port_ - 1U;
+      if (Down_.contains(To) || Parts_[From] != Parts_[To])
+        continue;
+      auto const Frame = valueOf(encodePeerFrame(Sent.Message_));
+      auto const Decoded = decodePeerBody(Frame.substr(PeerHeaderSize));
+      feed(To, HeartbeatFromPeer{instance(From).Id_,
+                                 std::get<Heartbeat>(valueOf(Decoded))});
+    }
+    for (std::size_t Each = 0; Each < Nodes_.size(); ++Each)
+      if (!Down_.contains(Each))
+        feed(Each, TimePassed{});
+  }
+
+  template <typename Condition>
+  bool runUntil(Condition const &IsMet, int Seconds) {
+    for (int Each = 0; Each < Seconds * 5 && !IsMet(); ++Each)
+      step();
+    return IsMet();
+  }
+
+  Liveness seen(std::size_t By, std::size_t Number) const {
+    for (auto const &One : Nodes_[By].members())
+      if (One.Instance_.Id_ == instance(Number).Id_)
+        return One.Liveness_;
+    return Liveness::Gone;
+  }
+
+  /// Whether each node that is up sees the Number-th in the state.
+  bool allSee(std::size_t Number, Liveness State) const {
+    for (std::size_t Each = 0; Each < Nodes_.size(); ++Each)
+      if (!Down_.contains(Each) && seen(Each, Number) != State)
+        return false;
+    return true;
+  }
+
+  bool allLive() const {
+    for (std::size_t Each = 0; Each < Nodes_.size(); ++Each)
+      if (!allSee(Each, Liveness::Live))
+        return false;
+    return true;
+  }
+
+  TimePoint Now_;
+  std::deque<Membership> Nodes_;
+  std::vector<int> Parts_;
+  std::set<std::size_t> Down_;
+  std::vector<std::pair<std::size_t, SendToPeer>> Queue_;
+  std::uint64_t Bytes_ = 0;
+  /// Connections opened since the last idle timeout; each costs a Hello.
+  std::set<std::pair<std::size_t, std::size_t>> Links_;
+  std::uint64_t HelloBytes_ =
+      valueOf(encodePeerFrame(Hello{std::string(32, 's'), instance(0)})).size();
+};
+
+} // namespace
+
+TEST_CASE("Instances find each other through seeds") {
+  Fleet Fleet(20);
+  CHECK(Fleet.runUntil([&] { return Fleet.allLive(); }, 60));
+}
+
+TEST_CASE("A dead instance is gone everywhere, the others stay") {
+  Fleet Fleet(20);
+  Fleet.listAll();
+  Fleet.Down_.insert(7);
+  CHECK(Fleet.runUntil([&] { return Fleet.allSee(7, Liveness::Gone); }, 60));
+  for (std::size_t Each = 0; Each < 20; ++Each)
+    if (Each != 7)
+      CHECK(Fleet.allSee(Each, Liveness::Live));
+}
+
+TEST_CASE("A false suspicion is refuted with a higher incarnation") {
+  Fleet Fleet(5);
+  Fleet.listAll();
+  MemberUpdate const Doubt{instance(2), MemberState::Suspect, 0, 0, 0};
+  MemberUpdate const Sender{instance(1), MemberState::Alive, 0, 0, 0};
+  Fleet.feed(
+      0, HeartbeatFromPeer{instance(1).Id_,
+                           {HeartbeatKind::Gossip, 0, {}, {Sender, Doubt}}});
+  for (int Each = 0; Each < 5 * 30; ++Each) {
+    Fleet.step();
+    CHECK(Fleet.allSee(2, Liveness::Live));
+  }
+}
+
+TEST_CASE("A leaving instance is known as such before it is gone") {
+  Fleet Fleet(20);
+  Fleet.listAll();
+  Fleet.feed(3, OwnLeaving{});
+  CHECK(Fleet.runUntil([&] { return Fleet.allSee(3, Liveness::Leaving); }, 15));
+  Fleet.Down_.insert(3);
+  CHECK(Fleet.runUntil([&] { return Fleet.allSee(3, Liveness::Gone); }, 60));
+}
+
+TEST_CASE("The lagging list does not bring a gone instance back") {
+  Fleet Fleet(5);
+  Fleet.listAll();
+  Fleet.Down_.insert(4);
+  REQUIRE(Fleet.runUntil([&] { return Fleet.allSee(4, Liveness::Gone); }, 60));
+  Fleet.listAll();
+  CHECK(Fleet.allSee(4, Liveness::Gone));
+}
+
+TEST_CASE("A data centre that was cut off is gone, and rejoins") {
+  Fleet Fleet(30);
+  Fleet.listAll();
+  for (std::size_t Each = 0; Each < 30; Each += 3)
+    Fleet.Parts_[Each] = 1;
+  auto const IsCut = [&] {
+    for (std::size_t By = 0; By < 30; ++By)
+      for (std::size_t Each = 0; Each < 30; ++Each)
+        if (Fleet.Parts_[By] != Fleet.Parts_[Each] &&
+            Fleet.seen(By, Each) != Liveness::Gone)
+          return false;
+    return true;
+  };
+  REQUIRE(Fleet.runUntil(IsCut, 120));
+  Fleet.Parts_.assign(30, 0);
+  CHECK(Fleet.runUntil([&] { return Fleet.allLive(); }, 120));
+}
+
+TEST_CASE("Members learn which configuration each one holds") {
+  Fleet Fleet(20);
+  Fleet.listAll();
+  Fleet.feed(5, OwnConfigurationChanged{9, 77});
+  auto const IsKnown = [&] {
+    for (auto const &Node : Fleet.Nodes_)
+      if (Node.members()[5].ConfigurationVersion_ != 9 ||
+          Node.members()[5].ConfigurationDigest_ != 77)
+        return false;
+    return true;
+  };
+  CHECK(Fleet.runUntil(IsKnown, 30));
+}
+
+TEST_CASE("Traffic of 410 members stays within 3 KB a second for each") {
+  constexpr std::size_t Count = 410;
+  constexpr int Seconds = 20; // The transport's idle timeout.
+  Fleet Fleet(Count);
+  Fleet.listAll();
+  Fleet.Down_ = {1, 2, 3};
+  for (int Each = 0; Each < 5 * Seconds; ++Each)
+    Fleet.step();
+  Fleet.Bytes_ = 0;
+  Fleet.Links_.clear();
+  for (int Each = 0; Each < 5 * Seconds; ++Each)
+    Fleet.step();
+  auto const Digest = valueOf(encodePeerFrame(
+      ConfigurationDigest{1U << 30U, ~std::uint64_t(0), instance(0).Peers_}));
+  auto const Sent = static_cast<double>(Fleet.Bytes_) / Count / Seconds +
+                    (static_cast<double>(Digest.size()) +
+                     static_cast<double>(Fleet.HelloBytes_)) /
+                        2;
+  std::cout << "410 members: each sends " << Sent << " B/s and receives as "
+            << "many, frames and Hellos with digests\n";
+  CHECK(2 * Sent <= 3000);
+  for (std::size_t Each = 4; Each < Count; ++Each)
+    CHECK(Fleet.seen(0, Each) == Liveness::Live);
+}
--- /dev/null
+++ b/Tests/LibFleet/TestServerDirectory.cpp
@@ -0,0 +1,106 @@
+#include <LibFleet/ServerDirectory.h>
+
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+using namespace laburnum::servers;
+
+namespace {
+
+ServerId const Id("s1");
+constexpr TimePoint Start{};
+
+std::vector<Member> members(std::size_t Count) {
+  std::vector<Member> Made(Count);
+  for (std::size_t Each = 0; Each < Count; ++Each) {
+    Made[Each].Instance_.Id_ = InstanceId("i" + std::to_string(Each));
+    Made[Each].Instance_.Peers_.Port_ = static_cast<std::uint16_t>(Each + 1);
+  }
+  return Made;
+}
+
+ObjectsApplied applied(Version At) {
+  return {{{{ObjectKind::Server, Id.text()}, At, false, "{}"}}};
+}
+
+struct Fixture {
+  Fixture() : Directory_({members(1).front().Instance_, 1, 8}) {
+    handle(servers::MembersChanged{members(100)});
+    handle(applied(5));
+  }
+
+  /// Yields the number of messages to peers.
+  std::size_t handle(Event const &Event, TimePoint Now = Start) {
+    std::size_t Messages = 0;
+    for (auto const &Each : Directory_.handle(Event, Now)) {
+      if (auto const *Sent = std::get_if<SendToPeer>(&Each)) {
+        ++Messages;
+        Last_ = std::get<ServerLeavingNotice>(Sent->Message_);
+      }
+    }
+    return Messages;
+  }
+
+  Liveness state() const {
+    auto const Found = Directory_.departures()->find(Id);
+    return Found == Directory_.departures()->end() ? Liveness::Live
+                                                   : Found->second.Liveness_;
+  }
+
+  ServerDirectory Directory_;
+  ServerLeavingNotice Last_;
+};
+
+NoticeReceived notice() { return {{Id.text(), {}, std::chrono::seconds(30)}}; }
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "Any first sign stops new work and is told once") {
+  Event const Sign = GENERATE(
+      Event(notice()), Event(ServerRefused{Id}),
+      Event(NoticeFromPeer{{Id, Liveness::Leaving, Duration(9), 5}}),
+      Event(servers::InstancesListed{{{}, {{Id, Liveness::Leaving}}}}));
+  CHECK(handle(Sign) == 8);
+  CHECK(state() == Liveness::Leaving);
+  CHECK(handle(Sign) == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "A stale list does not override a notice") {
+  handle(notice());
+  handle(servers::InstancesListed{{{}, {{Id, Liveness::Live}}}});
+  CHECK(state() == Liveness::Leaving);
+  CHECK(Last_.Remaining_ == std::chrono::seconds(30));
+}
+
+TEST_CASE_METHOD(Fixture, "Only a server that was listed is gone by absence") {
+  handle(servers::InstancesListed{{{}, {}}});
+  CHECK(state() == Liveness::Live);
+  handle(servers::InstancesListed{{{}, {{Id, Liveness::Live}}}});
+  handle(servers::InstancesListed{{{}, {}}});
+  CHECK(state() == Liveness::Gone);
+}
+
+TEST_CASE_METHOD(Fixture, "A leaving server is gone when its time is over") {
+  handle(notice());
+  handle(servers::TimePassed{}, Start + std::chrono::seconds(29));
+  CHECK(state() == Liveness::Leaving);
+  handle(servers::TimePassed{}, Start + std::chrono::seconds(30));
+  CHECK(state() == Liveness::Gone);
+}
+
+TEST_CASE_METHOD(Fixture, "A server returns only at a higher version") {
+  handle(ServerRefused{Id});
+  handle(applied(5));
+  CHECK(state() == Liveness::Leaving);
+  handle(applied(6));
+  CHECK(state() == Liveness::Live);
+  handle(NoticeFromPeer{{Id, Liveness::Gone, Duration(0), 5}});
+  CHECK(state() == Liveness::Live);
+  handle(NoticeFromPeer{{Id, Liveness::Gone, Duration(0), 6}});
+  CHECK(state() == Liveness::Gone);
+}
+
+TEST_CASE_METHOD(Fixture, "A notice for an entry instance is not a server's") {
+  CHECK(handle(NoticeReceived{{"i7", {}, Duration(1)}}) == 0);
+  CHECK(Directory_.departures()->empty());
+}
