laburnumd: Join the account limiter and the drain gate to requests

Cause: the daemon was written before the libraries it joins. Change: admission takes a pass and the account's limits and gives both back. Tested: it compiles and links.

--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -33,6 +33,9 @@
 /// balancer has noticed.
 constexpr Duration BalancerLag = std::chrono::seconds(1);
 
+/// How long operators' calls in progress may take at the end.
+constexpr Duration OperatorGrace = std::chrono::seconds(2);
+
 std::uint64_t randomSeed() {
   std::random_device Device;
   constexpr unsigned WordBits = 32;
@@ -58,7 +61,7 @@
 ClaimJournalSettings claimSettings(DaemonSettings const &Settings) {
   ClaimJournalSettings Wanted;
   Wanted.Buckets_ = Settings.Serving_.ClaimBuckets_;
-  Wanted.AnswerBytes_ = Settings.Serving_.ClaimAnswerBytes_;
+  Wanted.MaximumAnswerBytes_ = Settings.Serving_.ClaimAnswerBytes_;
   return Wanted;
 }
 
@@ -142,7 +145,7 @@
     drain(Within);
     Callers_->stop();
     Serving.join();
-    Operators_->stop();
+    Operators_->stop(OperatorGrace);
     Plane_.stop();
     Claims_.stop();
     Control_.stop();
--- a/Services/laburnumd/RequestService.cpp
+++ b/Services/laburnumd/RequestService.cpp
@@ -1,6 +1,7 @@
 #include "RequestService.h"
 
 #include <thread>
+#include <utility>
 
 namespace laburnum {
 
@@ -32,10 +33,25 @@
 
 /// Kept while a request is in progress; what was taken is given back when it
 /// goes.
-struct RequestService::Admission {
+class RequestService::Admission {
+public:
+  Admission(DrainGate::Pass Pass, AccountLimiter &Limiter, AccountName Account)
+      : Pass_(std::move(Pass)), Limiter_(&Limiter),
+        Account_(std::move(Account)) {}
+  Admission(Admission &&Other) noexcept
+      : Pass_(std::move(Other.Pass_)),
+        Limiter_(std::exchange(Other.Limiter_, nullptr)),
+        Account_(std::move(Other.Account_)) {}
+  Admission &operator=(Admission &&) = delete;
+  ~Admission() {
+    if (Limiter_)
+      Limiter_->release(Account_);
+  }
+
+private:
   DrainGate::Pass Pass_;
-  AccountLimiter::Permit Permit_;
-  TimePoint Start_;
+  AccountLimiter *Limiter_;
+  AccountName Account_;
 };
 
 RequestService::RequestService(TrafficView &View, AccountLimiter &Limiter,
@@ -79,19 +95,18 @@
                     Request.Id_);
   }
   auto const *Account = InForce->account(Request.Account_);
-  auto Admitted = Limiter_.admit(*Account, Request, Start);
-  if (auto const *Refusal = std::get_if<FailureAnswer>(&Admitted)) {
+  if (auto const Refusal =
+          Limiter_.admit(*Account, Request.MaxTokens_, Start)) {
     Metrics_.Refused_.add();
     return answerOf(*Refusal, Request.Id_);
   }
   Metrics_.Accepted_.add();
-  Admission Held{std::move(*Pass),
-                 std::move(std::get<AccountLimiter::Permit>(Admitted)), Start};
+  Admission Held(std::move(*Pass), Limiter_, Request.Account_);
   if (Request.Kind_ == ServiceKind::Plain)
-    return answerPlain(valueOf(Read), std::move(Held));
+    return answerPlain(valueOf(Read));
   if (valueOf(Read).Form_.Streaming_ == Streaming::Yes)
     return answerStream(valueOf(Read), std::move(Held));
-  return answerWholeCompletion(valueOf(Read), std::move(Held));
+  return answerWholeCompletion(valueOf(Read));
 }
 
 FlowReport RequestService::runFlow(CallerRequest const &Request,
@@ -118,8 +133,7 @@
   return Report;
 }
 
-CallerAnswer RequestService::answerPlain(ReadRequest const &Read,
-                                         Admission Held) {
+CallerAnswer RequestService::answerPlain(ReadRequest const &Read) {
   auto const &Request = Read.Request_;
   auto const Report = runFlow(Request, [](std::uint32_t, std::string const &) {
     return Continue::Yes;
@@ -130,8 +144,7 @@
                   Request.Id_);
 }
 
-CallerAnswer RequestService::answerWholeCompletion(ReadRequest const &Read,
-                                                   Admission Held) {
+CallerAnswer RequestService::answerWholeCompletion(ReadRequest const &Read) {
   std::string Text;
   auto const Report =
       runFlow(Read.Request_, [&Text](std::uint32_t, std::string const &Piece) {
--- a/Services/laburnumd/RequestService.h
+++ b/Services/laburnumd/RequestService.h
@@ -26,10 +26,11 @@
 
 private:
   /// Releases what the filters took when the request has ended.
-  struct Admission;
+  class Admission;
 
-  CallerAnswer answerPlain(ReadRequest const &Read, Admission Held);
-  CallerAnswer answerWholeCompletion(ReadRequest const &Read, Admission Held);
+  CallerAnswer answerPlain(ReadRequest const &Read);
+  CallerAnswer answerWholeCompletion(ReadRequest const &Read);
+  /// Held goes with the stream, which outlives this call.
   CallerAnswer answerStream(ReadRequest const &Read, Admission Held);
   FlowReport runFlow(CallerRequest const &Request, TokenSink const &Sink);
   RequestId nextId();
