--- a/Libraries/LibPlatform/HttpCloudApi.cpp
+++ b/Libraries/LibPlatform/HttpCloudApi.cpp
@@ -11,11 +11,11 @@
   auto const Path = "/cloud/notices?" + longPollQuery(From, Wait);
   auto const Reply =
       Connection_.call({"GET", Path, {}}, Wait + AnswerAllowance);
-  if (auto Failure = errorIn(Reply, CallEffect::ReadsOnly, What))
+  if (auto Failure = errorIn(Reply, PlatformCallEffect::ReadsOnly, What))
     return *Failure;
   auto Batch = decodeNoticeBatch(std::get<PlatformAnswer>(Reply).Body_);
   if (!Batch)
-    return malformedAnswer(CallEffect::ReadsOnly, What);
+    return malformedAnswer(PlatformCallEffect::ReadsOnly, What);
   return *std::move(Batch);
 }
 
@@ -24,11 +24,11 @@
   auto const What = "start order " + Order.OrderId_;
   auto const Reply =
       Connection_.call({"POST", "/cloud/start", encodeStart(Order)}, Timeout);
-  if (auto Failure = errorIn(Reply, CallEffect::Writes, What))
+  if (auto Failure = errorIn(Reply, PlatformCallEffect::Writes, What))
     return *Failure;
   auto Id = decodeServerId(std::get<PlatformAnswer>(Reply).Body_);
   if (!Id)
-    return malformedAnswer(CallEffect::Writes, What);
+    return malformedAnswer(PlatformCallEffect::Writes, What);
   return *std::move(Id);
 }
 
@@ -36,7 +36,7 @@
   auto const What = "stopping " + Id.text();
   auto const Reply =
       Connection_.call({"POST", "/cloud/stop", encodeStop(Id)}, Timeout);
-  if (auto Failure = errorIn(Reply, CallEffect::Writes, What))
+  if (auto Failure = errorIn(Reply, PlatformCallEffect::Writes, What))
     return *Failure;
   return Success{};
 }
--- a/Libraries/LibPlatform/HttpInstanceList.cpp
+++ b/Libraries/LibPlatform/HttpInstanceList.cpp
@@ -8,11 +8,11 @@
 Result<InstanceListing> HttpInstanceList::fetch(Duration Timeout) {
   std::string const What = "reading the instance list";
   auto const Reply = Connection_.call({"GET", "/instances", {}}, Timeout);
-  if (auto Failure = errorIn(Reply, CallEffect::ReadsOnly, What))
+  if (auto Failure = errorIn(Reply, PlatformCallEffect::ReadsOnly, What))
     return *Failure;
   auto Listing = decodeInstanceListing(std::get<PlatformAnswer>(Reply).Body_);
   if (!Listing)
-    return malformedAnswer(CallEffect::ReadsOnly, What);
+    return malformedAnswer(PlatformCallEffect::ReadsOnly, What);
   return *std::move(Listing);
 }
 
--- a/Libraries/LibPlatform/HttpObjectStore.cpp
+++ b/Libraries/LibPlatform/HttpObjectStore.cpp
@@ -23,14 +23,14 @@
                                           Duration Timeout) {
   auto const What = "reading " + textOf(Key);
   auto const Reply = Connection_.call({"GET", pathOf(Key), {}}, Timeout);
-  if (auto Failure = errorIn(Reply, CallEffect::ReadsOnly, What)) {
+  if (auto Failure = errorIn(Reply, PlatformCallEffect::ReadsOnly, What)) {
     if (Failure->Kind_ == ErrorKind::NotFound)
       return StoredObject{Key, 0, {}};
     return *Failure;
   }
   auto Object = decodeStoredObject(std::get<PlatformAnswer>(Reply).Body_);
   if (!Object || Object->Key_ != Key)
-    return malformedAnswer(CallEffect::ReadsOnly, What);
+    return malformedAnswer(PlatformCallEffect::ReadsOnly, What);
   return *std::move(Object);
 }
 
@@ -39,12 +39,12 @@
   auto const What = "listing " + Collection;
   auto const Path = "/objects/" + encodePathSegment(Collection);
   auto const Reply = Connection_.call({"GET", Path, {}}, Timeout);
-  if (auto Failure = errorIn(Reply, CallEffect::ReadsOnly, What))
+  if (auto Failure = errorIn(Reply, PlatformCallEffect::ReadsOnly, What))
     return *Failure;
   auto List =
       decodeObjectList(Collection, std::get<PlatformAnswer>(Reply).Body_);
   if (!List)
-    return malformedAnswer(CallEffect::ReadsOnly, What);
+    return malformedAnswer(PlatformCallEffect::ReadsOnly, What);
   return *std::move(List);
 }
 
@@ -58,11 +58,11 @@
                  "encode the value as text"};
   auto const Path = pathOf(Key) + "?expected=" + std::to_string(Expected);
   auto const Reply = Connection_.call({"PUT", Path, *std::move(Body)}, Timeout);
-  if (auto Failure = errorIn(Reply, CallEffect::Writes, What))
+  if (auto Failure = errorIn(Reply, PlatformCallEffect::Writes, What))
     return *Failure;
   auto const Written = decodeVersion(std::get<PlatformAnswer>(Reply).Body_);
   if (!Written)
-    return malformedAnswer(CallEffect::Writes, What);
+    return malformedAnswer(PlatformCallEffect::Writes, What);
   return *Written;
 }
 
@@ -73,12 +73,12 @@
                     longPollQuery(From, Wait);
   auto const Reply =
       Connection_.call({"GET", Path, {}}, Wait + AnswerAllowance);
-  if (auto Failure = errorIn(Reply, CallEffect::ReadsOnly, What))
+  if (auto Failure = errorIn(Reply, PlatformCallEffect::ReadsOnly, What))
     return *Failure;
   auto Batch =
       decodeWatchBatch(Collection, std::get<PlatformAnswer>(Reply).Body_);
   if (!Batch)
-    return malformedAnswer(CallEffect::ReadsOnly, What);
+    return malformedAnswer(PlatformCallEffect::ReadsOnly, What);
   return *std::move(Batch);
 }
 
--- a/Libraries/LibPlatform/PlatformErrors.cpp
+++ b/Libraries/LibPlatform/PlatformErrors.cpp
@@ -16,8 +16,8 @@
   ServiceUnavailable = 503,
 };
 
-Error unsettled(CallEffect Effect, std::string const &Message) {
-  if (Effect == CallEffect::Writes)
+Error unsettled(PlatformCallEffect Effect, std::string const &Message) {
+  if (Effect == PlatformCallEffect::Writes)
     return {ErrorKind::OutcomeUnknown, Message,
             "read back to see whether it took effect"};
   return {ErrorKind::Unavailable, Message, "try again later"};
@@ -33,7 +33,7 @@
           "read the object again and decide anew"};
 }
 
-Error refusal(PlatformAnswer const &Answer, CallEffect Effect,
+Error refusal(PlatformAnswer const &Answer, PlatformCallEffect Effect,
               std::string const &What) {
   auto const Message =
       What + " was answered with status " + std::to_string(Answer.Status_);
@@ -57,7 +57,8 @@
 
 } // namespace
 
-std::optional<Error> errorIn(PlatformReply const &Reply, CallEffect Effect,
+std::optional<Error> errorIn(PlatformReply const &Reply,
+                             PlatformCallEffect Effect,
                              std::string const &What) {
   if (auto const *Failure = std::get_if<TransportFailure>(&Reply)) {
     auto const Message = What + " got no answer: " + Failure->Detail_;
@@ -71,7 +72,7 @@
   return refusal(Answer, Effect, What);
 }
 
-Error malformedAnswer(CallEffect Effect, std::string const &What) {
+Error malformedAnswer(PlatformCallEffect Effect, std::string const &What) {
   return unsettled(Effect, What + " got an answer that is not understood");
 }
 
