--- a/Tests/LibFleet/TestConfigurationStore.cpp
+++ b/Tests/LibFleet/TestConfigurationStore.cpp
@@ -209,7 +209,7 @@
   CHECK(Fleet.Queue_.size() <= 12);
   auto const Messages = Fleet.deliver();
   CHECK(Fleet.agree(5));
-  CHECK(Messages <= 2 * 410);
+  CHECK(Messages <= 820);
 }
 
 TEST_CASE("Digests repair what the fan-out lost") {
