LibFleet: Expect a deleted object at its own version

A change that expects 0 was also matched by a tombstone. A read from before the deletion then looked like a conflict, although an earlier sending of the change could have been accepted over the tombstone. Only a tombstone that settled a lost write still stands for 0. The test of deletion asked for the old behaviour; it now checks both the refusal and the right version.

--- a/Libraries/LibFleet/ChangeWriter.cpp
+++ b/Libraries/LibFleet/ChangeWriter.cpp
@@ -68,11 +68,15 @@
           "the object and expect its present version"};
 }
 
-/// An object that is a tombstone does not exist for the operator either.
-bool isExpected(Change const &Asked, Version Now, bool IsDeleted) {
+/// A tombstone that only settled a lost write stands for an object that never
+/// was. One that a change left has to be expected at its own version: were it
+/// matched by 0, a read from before the deletion would look like a conflict.
+bool isExpected(Change const &Asked, Version Now,
+                StoredConfiguration const &Stored) {
   if (!Asked.Expected_ || *Asked.Expected_ == Now)
     return true;
-  return *Asked.Expected_ == 0 && IsDeleted;
+  bool const NeverWas = Stored.Audit_.empty() && Stored.ArchivedPages_ == 0;
+  return *Asked.Expected_ == 0 && Stored.IsDeleted_ && NeverWas;
 }
 
 StoredConfiguration changed(Change const &Asked, Version Replaced,
@@ -115,7 +119,7 @@
     return outcome(Asked, Seen.Version_, Seen.Stored_, Repeated::Yes);
   if (Refused != 0 && Seen.Version_ < Refused)
     return std::nullopt;
-  if (!isExpected(Asked, Seen.Version_, Seen.Stored_.IsDeleted_)) {
+  if (!isExpected(Asked, Seen.Version_, Seen.Stored_)) {
     if (Seen.Version_ < *Asked.Expected_)
       return behind(Asked, Seen.Version_);
     return conflict(Asked, Seen.Version_);
--- a/Libraries/LibFleet/ChangeWriter.h
+++ b/Libraries/LibFleet/ChangeWriter.h
@@ -19,7 +19,8 @@
   ObjectName Name_;
   std::string Specification_; ///< JSON; empty for Delete.
   ChangeId Id_;               ///< Not empty.
-  /// The version that the operator saw; 0 for an object that does not exist.
+  /// The version that the operator saw; 0 for an object that never existed. A
+  /// deleted object is expected at the version of its deletion.
   /// Empty: whatever is there now.
   std::optional<Version> Expected_;
   std::string Operator_;
--- a/Tests/LibFleet/TestChangeWriter.cpp
+++ b/Tests/LibFleet/TestChangeWriter.cpp
@@ -165,7 +165,9 @@
   auto const Deleted = Writer_.apply(Removal);
   REQUIRE(!isError(Deleted));
   CHECK(valueOf(Deleted).Object_.IsDeleted_);
-  CHECK(!isError(Writer_.apply(change("c2", 0))));
+  CHECK(failure(change("c2", 0)) == ErrorKind::Conflict);
+  auto const At = valueOf(Deleted).Object_.Version_;
+  CHECK(!isError(Writer_.apply(change("c2", At))));
 }
 
 TEST_CASE_METHOD(Fixture, "Malformed changes are refused") {
