laburnumctl: Give operators a command line over gRPC

One module for each noun; apply starts from the present object, changes the given fields and expects the present version, so that a race is a conflict. The change identifier is printed before the change is sent. Built, and tried by hand: help, misuse, no key, and a server that is not there.

--- /dev/null
+++ b/Utilities/laburnumctl/AuditCommands.cpp
@@ -0,0 +1,97 @@
+#include "Command.h"
+#include "Table.h"
+
+#include <LibAdmin/ViewCodec.h>
+
+#include <ctime>
+
+namespace laburnum {
+
+namespace {
+
+constexpr std::int64_t MillisecondsPerSecond = 1000;
+
+/// The time in UTC as ISO 8601, to the second.
+std::string timeText(std::int64_t UnixMilliseconds) {
+  constexpr std::size_t Length = 32;
+  auto const Seconds =
+      static_cast<std::time_t>(UnixMilliseconds / MillisecondsPerSecond);
+  std::tm Parts{};
+  gmtime_r(&Seconds, &Parts);
+  char Text[Length];
+  std::strftime(Text, sizeof(Text), "%Y-%m-%dT%H:%M:%SZ", &Parts);
+  return Text;
+}
+
+Result<AuditQuery> queryOf(Session const &Now) {
+  AuditQuery Query;
+  Now.read("name", Query.Name_);
+  Now.read("limit", Query.Limit_);
+  if (!Now.has("kind"))
+    return Query;
+  auto const Kind = Now.text("kind");
+  if (Kind == "service")
+    Query.Kind_ = ObjectKind::Service;
+  else if (Kind == "account")
+    Query.Kind_ = ObjectKind::Account;
+  else if (Kind == "backend")
+    Query.Kind_ = ObjectKind::Server;
+  else
+    return Error{ErrorKind::InvalidArgument, "--kind has a value not allowed",
+                 "give service, account or backend"};
+  return Query;
+}
+
+nlohmann::json jsonOf(AuditEntry const &One) {
+  return {{"change_id", One.ChangeId_.text()},
+          {"operator", One.OperatorName_},
+          {"unix_time_ms", One.UnixTimeMilliseconds_},
+          {"kind", toString(One.Object_.Kind_)},
+          {"name", One.Object_.Name_},
+          {"expected_version", One.ExpectedVersion_},
+          {"specification", One.Specification_},
+          {"action", toString(One.Action_)},
+          {"instance", One.Instance_.text()}};
+}
+
+CommandOutcome list(Session &Now) {
+  auto const Query = queryOf(Now);
+  if (isError(Query))
+    return CommandFailure{errorOf(Query), std::nullopt};
+  auto const Entries = Now.Client_.listAuditTrail(valueOf(Query));
+  if (isError(Entries))
+    return CommandFailure{errorOf(Entries), std::nullopt};
+  Table Rows({"TIME", "OPERATOR", "ACTION", "KIND", "NAME", "EXPECTED",
+              "CHANGE-ID", "INSTANCE"});
+  auto Json = nlohmann::json::array();
+  for (auto const &One : valueOf(Entries)) {
+    Rows.add({timeText(One.UnixTimeMilliseconds_), One.OperatorName_,
+              toString(One.Action_), toString(One.Object_.Kind_),
+              One.Object_.Name_, std::to_string(One.ExpectedVersion_),
+              One.ChangeId_.text(), One.Instance_.text()});
+    Json.push_back(jsonOf(One));
+  }
+  return Report{Rows.text(), Json};
+}
+
+void addOptions(cxxopts::Options &Options) {
+  auto Add = Options.add_options("audit");
+  Add("kind", "service, account or backend", cxxopts::value<std::string>(),
+      "KIND");
+  Add("name", "only of this object", cxxopts::value<std::string>(), "NAME");
+  Add("limit", "at most this many, the newest first",
+      cxxopts::value<WholeNumber<std::uint32_t>>(), "N");
+}
+
+} // namespace
+
+std::vector<Command> auditCommands() {
+  return {{"audit",
+           "list",
+           "list who changed what and when",
+           {"audit list --limit 20", "audit list --kind service --name desk"},
+           addOptions,
+           list}};
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Utilities/laburnumctl/ServiceCommands.cpp
@@ -0,0 +1,128 @@
+#include "Change.h"
+#include "ObjectCommands.h"
+
+namespace laburnum {
+
+namespace {
+
+KindWords const Words{ObjectKind::Service, "service", "name", "entry-desk"};
+
+void addOptions(cxxopts::Options &Options) {
+  auto const Text = [] { return cxxopts::value<std::string>(); };
+  auto const Texts = [] { return cxxopts::value<std::vector<std::string>>(); };
+  auto const Number = [] { return cxxopts::value<double>(); };
+  auto Add = Options.add_options("service");
+  Add("name", "the service's name", Text(), "NAME");
+  Add("kind", "model or plain", Text(), "KIND");
+  Add("data-centres", "where its servers may run; empty: anywhere", Texts(),
+      "NAMES");
+  Add("desired-servers", "how many servers to keep",
+      cxxopts::value<WholeNumber<std::uint32_t>>(), "N");
+  Add("on-demand-share", "least share that cannot be reclaimed, 0 to 1",
+      Number(), "X");
+  Add("priority", "the higher is refused later",
+      cxxopts::value<WholeNumber<std::int32_t>>(), "N");
+  Add("latency-target-ms", "95 in 100 first answers within this",
+      cxxopts::value<WholeNumber<std::uint32_t>>(), "N");
+  Add("non-idempotent",
+      "calls that must not run twice; no METHOD: all but GET, HEAD, OPTIONS",
+      Texts(), "METHOD:/PATH");
+  Add("recomputed-token-weight", "cost units per token computed again",
+      Number(), "X");
+  Add("cost-weight", "cost units per unit of machine price", Number(), "X");
+  Add("retry-budget", "retries per request, 0 to 1", Number(), "X");
+  addChangeOptions(Options);
+}
+
+std::optional<Error> readKind(Session const &Now, Service &Value) {
+  if (!Now.has("kind"))
+    return std::nullopt;
+  auto const Kind = Now.text("kind");
+  if (Kind != "model" && Kind != "plain")
+    return Error{ErrorKind::InvalidArgument, "--kind has a value not allowed",
+                 "give model or plain"};
+  Value.Kind_ = Kind == "model" ? ServiceKind::Model : ServiceKind::Plain;
+  return std::nullopt;
+}
+
+std::optional<Error> readCalls(Session const &Now, Service &Value) {
+  if (!Now.has("non-idempotent"))
+    return std::nullopt;
+  Value.NonIdempotentCalls_.clear();
+  for (auto const &Text : Now.texts("non-idempotent")) {
+    auto const Colon = Text.find(':');
+    if (Colon == std::string::npos || !Text.substr(Colon + 1).starts_with('/'))
+      return Error{ErrorKind::InvalidArgument,
+                   "--non-idempotent has a value not allowed",
+                   "give METHOD:/PATH or :/PATH"};
+    Value.NonIdempotentCalls_.push_back(
+        {Text.substr(0, Colon), Text.substr(Colon + 1)});
+  }
+  return std::nullopt;
+}
+
+void readPlacement(Session const &Now, Placement &Value) {
+  Now.read("desired-servers", Value.DesiredServers_);
+  Now.read("on-demand-share", Value.OnDemandShare_);
+  if (!Now.has("data-centres"))
+    return;
+  Value.DataCentres_.clear();
+  for (auto const &Name : Now.texts("data-centres"))
+    Value.DataCentres_.emplace_back(Name);
+}
+
+std::optional<Error> readOptions(Session const &Now, Service &Value) {
+  readPlacement(Now, Value.Placement_);
+  Now.read("priority", Value.Priority_);
+  if (Now.has("latency-target-ms"))
+    Value.LatencyTarget_ =
+        std::chrono::milliseconds(Now.Arguments_["latency-target-ms"]
+                                      .as<WholeNumber<std::uint32_t>>()
+                                      .Value_);
+  Now.read("recomputed-token-weight", Value.Weights_.RecomputedToken_);
+  Now.read("cost-weight", Value.Weights_.Cost_);
+  Now.read("retry-budget", Value.RetryBudget_);
+  if (auto Failure = readKind(Now, Value))
+    return Failure;
+  return readCalls(Now, Value);
+}
+
+CommandOutcome apply(Session &Now, ObjectName const &Name) {
+  auto const Present = lookUp(Now, Name);
+  if (isError(Present))
+    return CommandFailure{errorOf(Present), std::nullopt};
+  Service Value;
+  if (valueOf(Present))
+    Value = std::get<Service>(valueOf(Present)->Value_);
+  Value.Name_ = ServiceName(Name.Name_);
+  if (auto const Failure = readOptions(Now, Value))
+    return CommandFailure{*Failure, std::nullopt};
+  return sendChange(Now, Name, valueOf(Present),
+                    [&](OperatorChange const &Change) {
+                      return Now.Client_.applyService(Change, Value);
+                    });
+}
+
+} // namespace
+
+std::vector<Command> serviceCommands() {
+  std::vector<Command> All = {
+      {"service",
+       "apply",
+       "make a service, or change the given fields of one",
+       {"service apply --name entry-desk --kind plain "
+        "--non-idempotent POST:/fees",
+        "service apply --name dossier-writer --kind model "
+        "--data-centres wien-1,graz-1 --desired-servers 12"},
+       addOptions,
+       [](Session &Now) {
+         return withName(Now, Words, [&](ObjectName const &Name) {
+           return apply(Now, Name);
+         });
+       }}};
+  auto const Common = commonCommands(Words);
+  All.insert(All.end(), Common.begin(), Common.end());
+  return All;
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Utilities/laburnumctl/WholeNumber.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <LibSettings/ValueParsers.h>
+
+#include <istream>
+#include <limits>
+#include <string>
+#include <utility>
+
+namespace laburnum {
+
+/// An option's value of an integer type. Unlike the option library's own
+/// integers, it takes decimal digits only.
+template <typename Integer> struct WholeNumber { Integer Value_ = 0; };
+
+template <typename Integer>
+std::istream &operator>>(std::istream &Stream, WholeNumber<Integer> &Number) {
+  using Limits = std::numeric_limits<Integer>;
+  constexpr auto Most = std::numeric_limits<std::int64_t>::max();
+  constexpr std::int64_t Maximum =
+      std::cmp_greater(Limits::max(), Most) ? Most : Limits::max();
+  std::string Text;
+  Stream >> Text;
+  auto const Parsed = parseInteger(Text, Limits::min(), Maximum);
+  if (!Parsed)
+    Stream.setstate(std::ios::failbit);
+  Number.Value_ = static_cast<Integer>(Parsed.value_or(0));
+  return Stream;
+}
+
+} // namespace laburnum
