--- a/Libraries/LibBackend/TracedClient.cpp
+++ b/Libraries/LibBackend/TracedClient.cpp
@@ -96,7 +96,7 @@
 
 /// poll() counts whole milliseconds in an int; a fraction is rounded up.
 static int toMilliseconds(std::time_t Seconds, std::time_t Microseconds) {
-  static constexpr std::int64_t Longest = 24 * 60 * 60 * 1000;
+  static constexpr std::int64_t Longest = 86400000; // A day.
   std::int64_t const Milliseconds =
       std::int64_t{Seconds} * 1000 + (Microseconds + 999) / 1000;
   return static_cast<int>(std::min(Milliseconds, Longest));
