--- a/Tests/LibServing/TestClaimJournal.cpp
+++ b/Tests/LibServing/TestClaimJournal.cpp
@@ -112,6 +112,20 @@
   CHECK(One.has<ClaimGranted>(2));
 }
 
+TEST_CASE("A claim is not decided by another of the same unfinished write") {
+  SharedBucket Store;
+  JournalRun One(Store, 1);
+  One.handle(wanted(1, "other"));
+  One.answerRead();
+  One.handle(wanted(2, "a"));
+  One.handle(wanted(3, "a"));
+  One.answerWrite();
+  CHECK(One.isOpen(3));
+  One.answerWrite(One.takeWrite(), failure(ErrorKind::Unavailable));
+  CHECK(One.has<ClaimUnavailable>(2));
+  CHECK(One.has<ClaimUnavailable>(3));
+}
+
 TEST_CASE("A lost write that took effect is recognised") {
   SharedBucket Store;
   JournalRun One(Store, 1);
