--- a/Tests/EngineStandin/EngineServer.h
+++ b/Tests/EngineStandin/EngineServer.h
@@ -29,7 +29,6 @@
 private:
   struct Stream {
     std::deque<EngineOutput> Outputs_;
-    bool IsSubmitted_ = false;
   };
 
   void runTicks();
--- a/Tests/LibBackend/TestCompletions.cpp
+++ b/Tests/LibBackend/TestCompletions.cpp
@@ -131,3 +131,26 @@
   CHECK(Result.Load_ == LoadReport{1, 0});
   CHECK(Cancelled.empty());
 }
+
+TEST_CASE("A stream that falls silent is timed out and cancelled") {
+  std::string Last;
+  RawServer Raw([&](RawServer::Socket &Peer) {
+    Last = RawServer::readRequest(Peer);
+    RawServer::send(Peer, "HTTP/1.1 200 OK\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n" +
+                              chunk(R"({"offset":0,"text":"a"})"));
+    RawServer::waitForClose(Peer);
+  });
+  BackendClientSettings Settings;
+  Settings.StallTimeout_ = std::chrono::milliseconds(50);
+  std::uint32_t Pieces = 0;
+  auto const Result = HttpBackendClient(Settings).complete(
+      serverAt(Raw.port()), makeCall(), [&](TokenPiece const &) {
+        ++Pieces;
+        return Continue::Yes;
+      });
+  CHECK(Pieces == 1);
+  CHECK(Result.Evidence_.End_ == AttemptEnd::TimedOut);
+  CHECK(Result.Evidence_.Progress_ == AttemptProgress::AnswerBegun);
+  CHECK(Last.starts_with("POST /v1/cancel"));
+}
