--- a/Libraries/LibServing/ClaimBucket.cpp
+++ b/Libraries/LibServing/ClaimBucket.cpp
@@ -154,14 +154,18 @@
 }
 
 std::string ClaimBucket::encode(Nonce const &Write) const {
-  json Entries = json::array();
+  std::string Json = "{\"last_write\":" + dump(Write.text()) + ",\"entries\":[";
+  Json.reserve(encodedBytes());
+  char const *Separator = "";
+  auto const Append = [&](Slot const &Held) {
+    Json += std::exchange(Separator, ",") + Held.Json_;
+  };
   for (auto const &[Id, Held] : Slots_)
     if (Held.Entry_.State_ == ClaimState::Intent)
-      Entries.push_back(toJson(Held.Entry_));
+      Append(Held);
   for (auto const &[Order, Id] : FinishedInOrder_)
-    Entries.push_back(toJson(Slots_.at(Id).Entry_));
-  return dump(
-      json{{"last_write", Write.text()}, {"entries", std::move(Entries)}});
+    Append(Slots_.at(Id));
+  return Json + "]}";
 }
 
 ClaimEntry const *ClaimBucket::find(ClaimId const &Id) const {
@@ -188,11 +192,11 @@
 void ClaimBucket::add(ClaimEntry Entry, std::uint64_t Order) {
   auto const Id = Entry.Id_;
   erase(Id);
-  Slot Held{std::move(Entry), 0, Order};
-  Held.Bytes_ = encodedBytes(Held.Entry_);
-  Bytes_ += Held.Bytes_;
+  auto Json = dump(toJson(Entry));
+  Slot Held{std::move(Entry), std::move(Json), Order};
+  Bytes_ += Held.bytes();
   if (Held.Entry_.State_ == ClaimState::Intent)
-    IntentBytes_ += Held.Bytes_;
+    IntentBytes_ += Held.bytes();
   else
     FinishedInOrder_.emplace(Order, Id);
   if (Held.Entry_.IsAnswerKept_)
@@ -205,9 +209,9 @@
   if (Found == Slots_.end())
     return;
   auto const &Held = Found->second;
-  Bytes_ -= Held.Bytes_;
+  Bytes_ -= Held.bytes();
   if (Held.Entry_.State_ == ClaimState::Intent)
-    IntentBytes_ -= Held.Bytes_;
+    IntentBytes_ -= Held.bytes();
   FinishedInOrder_.erase(Held.Order_);
   AnswersInOrder_.erase(Held.Order_);
   Slots_.erase(Found);
--- a/Libraries/LibServing/ClaimBucket.h
+++ b/Libraries/LibServing/ClaimBucket.h
@@ -69,8 +69,10 @@
 
   struct Slot {
     ClaimEntry Entry_;
-    std::size_t Bytes_ = 0;
+    std::string Json_; ///< Kept, as an entry seldom changes between writes.
     std::uint64_t Order_ = 0;
+
+    std::size_t bytes() const { return Json_.size() + 1; } // With its comma.
   };
 
   void add(ClaimEntry Entry, std::uint64_t Order);
