--- a/Tests/LibPlatform/TestHttpObjectStore.cpp
+++ b/Tests/LibPlatform/TestHttpObjectStore.cpp
@@ -169,3 +169,15 @@
   CHECK(valueOf(Listed).StoreVersion_ == 8);
   CHECK(valueOf(Listed).Objects_.size() == 8);
 }
+
+TEST_CASE("Stale reads of the stand-in end after their count") {
+  StandinFixture Platform;
+  auto &Store = Platform.Store_;
+  REQUIRE_FALSE(isError(Store.putIf(Key, 0, "one", Ample)));
+  Platform.Standin_->store().beginStaleReads(1);
+  REQUIRE_FALSE(isError(Store.putIf(Key, 1, "two", Ample)));
+  CHECK(Store.get(Key, Ample) ==
+        Result<StoredObject>(StoredObject{Key, 1, "one"}));
+  CHECK(Store.get(Key, Ample) ==
+        Result<StoredObject>(StoredObject{Key, 2, "two"}));
+}
