LibFleet: Type version conflicts, record what changed, survive rewrites

A refused change reports the present version as a number, and the operator desk answers it as a Conflict. Expecting version 0 matches the tombstone that the instance holds. An account keeps its key only from the expected version. Audit entries keep the specification (without key digests, cut at 4 KiB) and the accepting instance. ConfigurationObject carries ChangeVersion_, which a settling rewrite leaves as it is, so that a leaving server stays leaving. Members tell when they were last heard.

Tested: TestLibFleet.

--- a/Libraries/LibFleet/ChangeChecks.cpp
+++ b/Libraries/LibFleet/ChangeChecks.cpp
@@ -2,6 +2,8 @@
 
 #include <LibModel/JsonCodec.h>
 
+#include <nlohmann/json.hpp>
+
 namespace laburnum::detail {
 
 namespace {
@@ -12,6 +14,23 @@
 /// Of names, change identifiers and operators, in bytes.
 constexpr std::size_t LongestText = 256;
 
+/// Of a specification in an audit entry, in bytes. Fifty such entries, with
+/// each byte escaped, and the longest specification fit into one object.
+constexpr std::size_t LongestAudited = std::size_t(4) << 10;
+
+/// Cuts Text to at most Most bytes, not within a character of UTF-8.
+std::string cut(std::string Text, std::size_t Most) {
+  constexpr unsigned ContinuationMask = 0xC0;
+  constexpr unsigned Continuation = 0x80;
+  if (Text.size() <= Most)
+    return Text;
+  while (Most > 0 && (static_cast<unsigned char>(Text[Most]) &
+                      ContinuationMask) == Continuation)
+    --Most;
+  Text.resize(Most);
+  return Text + "... (cut)";
+}
+
 Error invalid(std::string const &What, std::string const &Remedy) {
   return {ErrorKind::InvalidArgument, What, Remedy};
 }
@@ -66,4 +85,16 @@
   return Success{};
 }
 
+std::string auditedSpecification(Change const &Asked) {
+  if (Asked.Name_.Kind_ != ObjectKind::Account)
+    return cut(Asked.Specification_, LongestAudited);
+  auto Parsed = nlohmann::json::parse(Asked.Specification_, nullptr, false);
+  if (!Parsed.is_object())
+    return "";
+  Parsed.erase("key_digest");
+  return cut(
+      Parsed.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
+      LongestAudited);
+}
+
 } // namespace laburnum::detail
--- a/Libraries/LibFleet/ChangeChecks.h
+++ b/Libraries/LibFleet/ChangeChecks.h
@@ -9,4 +9,8 @@
 /// InvalidArgument.
 Result<Success> checkChange(Change const &Asked);
 
+/// The specification as its audit entry holds it: an account's without the
+/// digest of its key, and a long one cut.
+std::string auditedSpecification(Change const &Asked);
+
 } // namespace laburnum::detail
--- a/Libraries/LibFleet/ChangeWriter.cpp
+++ b/Libraries/LibFleet/ChangeWriter.cpp
@@ -25,25 +25,29 @@
 }
 
 bool contains(std::vector<ChangeRecord> const &Entries, ChangeId const &Id) {
-  return std::any_of(Entries.begin(), Entries.end(),
-                     [&](ChangeRecord const &One) { return One.Change_ == Id; });
+  return std::any_of(
+      Entries.begin(), Entries.end(),
+      [&](ChangeRecord const &One) { return One.Change_ == Id; });
 }
 
-AcceptedChange outcome(Change const &Asked, Version At,
-                      StoredConfiguration const &Stored, Repeated Again) {
-  return {{Asked.Name_, At, Stored.IsDeleted_, Stored.Specification_}, Again};
+AcceptedChange outcome(ObjectName const &Name, Version At,
+                       StoredConfiguration const &Stored, Repeated Again) {
+  return {{Name, At, Stored.IsDeleted_, Stored.Specification_,
+           changeVersionOf(Stored)},
+          Again};
 }
 
 std::string label(ObjectName const &Name) {
   return toString(Name.Kind_) + " \"" + Name.Name_ + "\"";
 }
 
-Error conflict(Change const &Asked, Version Now) {
-  return {ErrorKind::Conflict,
-          label(Asked.Name_) + " is at version " + std::to_string(Now) +
-              "; nothing changed",
-          "read it again and send a new change that expects version " +
-              std::to_string(Now)};
+VersionConflict conflict(Change const &Asked, Version Now) {
+  return {Now,
+          {ErrorKind::Conflict,
+           label(Asked.Name_) + " is at version " + std::to_string(Now) +
+               "; nothing changed",
+           "read it again and send a new change that expects version " +
+               std::to_string(Now)}};
 }
 
 Error nothingChanged(Change const &Asked) {
@@ -84,14 +88,29 @@
   Next.IsDeleted_ = Asked.Change_ == ChangeKind::Delete;
   Next.Specification_ = Next.IsDeleted_ ? "" : Asked.Specification_;
   Next.LastChange_ = Asked.Id_;
-  Next.Audit_.push_back(
-      {Asked.Id_, Asked.Change_, Asked.Operator_, Asked.UnixTime_, Replaced});
+  Next.Audit_.push_back({Asked.Id_, Asked.Change_, Asked.Operator_,
+                         Asked.UnixTime_, Replaced,
+                         detail::auditedSpecification(Asked), Asked.Instance_});
   return Next;
 }
 
 } // namespace
 
-Result<AcceptedChange> ChangeWriter::apply(Change const &Asked) {
+bool isError(ChangeResult const &Outcome) {
+  return !std::holds_alternative<AcceptedChange>(Outcome);
+}
+
+Error const &errorOf(ChangeResult const &Outcome) {
+  if (auto const *Refused = std::get_if<VersionConflict>(&Outcome))
+    return Refused->Error_;
+  return std::get<Error>(Outcome);
+}
+
+AcceptedChange const &valueOf(ChangeResult const &Outcome) {
+  return std::get<AcceptedChange>(Outcome);
+}
+
+ChangeResult ChangeWriter::apply(Change const &Asked) {
   auto const Checked = detail::checkChange(Asked);
   if (isError(Checked))
     return errorOf(Checked);
@@ -106,17 +125,17 @@
   return unknown(Asked);
 }
 
-std::optional<Result<AcceptedChange>> ChangeWriter::attempt(Change const &Asked,
-                                                           Version &Refused) {
+std::optional<ChangeResult> ChangeWriter::attempt(Change const &Asked,
+                                                  Version &Refused) {
   auto const Before = read(keyOf(Asked.Name_));
   if (isError(Before))
     return errorOf(Before);
   auto const &Seen = valueOf(Before);
-  auto const Accepted = wasAccepted(Asked, Seen);
+  auto const Accepted = wasAccepted(Asked.Name_, Asked.Id_, Seen);
   if (isError(Accepted))
     return errorOf(Accepted);
   if (valueOf(Accepted))
-    return outcome(Asked, Seen.Version_, Seen.Stored_, Repeated::Yes);
+    return outcome(Asked.Name_, Seen.Version_, Seen.Stored_, Repeated::Yes);
   if (Refused != 0 && Seen.Version_ < Refused)
     return std::nullopt;
   if (!isExpected(Asked, Seen.Version_, Seen.Stored_)) {
@@ -130,9 +149,9 @@
   return write(Asked, Seen, Refused);
 }
 
-std::optional<Result<AcceptedChange>> ChangeWriter::write(Change const &Asked,
-                                                         Present const &Before,
-                                                         Version &Refused) {
+std::optional<ChangeResult> ChangeWriter::write(Change const &Asked,
+                                                Present const &Before,
+                                                Version &Refused) {
   auto Next = changed(Asked, Before.Version_, Before.Stored_);
   auto const Archived = archive(Asked.Name_, Next);
   if (isError(Archived))
@@ -140,7 +159,7 @@
   auto const Written = Store_.putIf(keyOf(Asked.Name_), Before.Version_,
                                     encodeStored(Next), Timeout_);
   if (!isError(Written))
-    return outcome(Asked, valueOf(Written), Next, Repeated::No);
+    return outcome(Asked.Name_, valueOf(Written), Next, Repeated::No);
   switch (errorOf(Written).Kind_) {
   case ErrorKind::Conflict:
     // Only a read above this version can decide; an older one is stale.
@@ -154,14 +173,14 @@
   }
 }
 
-std::optional<Result<AcceptedChange>>
+std::optional<ChangeResult>
 ChangeWriter::afterLostAnswer(Change const &Asked, Present const &Before) {
   switch (settle(Asked, Before)) {
   case Settlement::Accepted: {
     auto const Now = read(keyOf(Asked.Name_));
     if (isError(Now) || !contains(valueOf(Now).Stored_.Audit_, Asked.Id_))
       return unknown(Asked);
-    return outcome(Asked, valueOf(Now).Version_, valueOf(Now).Stored_,
+    return outcome(Asked.Name_, valueOf(Now).Version_, valueOf(Now).Stored_,
                    Repeated::No);
   }
   case Settlement::NeverWill:
@@ -183,7 +202,7 @@
   for (int Try = 0; Try < MostSettlements; ++Try) {
     auto const Now = read(Key);
     if (!isError(Now)) {
-      auto const Accepted = wasAccepted(Asked, valueOf(Now));
+      auto const Accepted = wasAccepted(Asked.Name_, Asked.Id_, valueOf(Now));
       if (!isError(Accepted) && valueOf(Accepted))
         return Settlement::Accepted;
       if (!isError(Accepted) && valueOf(Now).Version_ > Before.Version_)
@@ -220,15 +239,35 @@
   return Found;
 }
 
-Result<bool> ChangeWriter::wasAccepted(Change const &Asked,
-                                       Present const &Now) {
-  if (contains(Now.Stored_.Audit_, Asked.Id_))
+Result<std::optional<AcceptedChange>>
+ChangeWriter::acceptedBefore(ObjectName const &Name, ChangeId const &Id,
+                             Version AtLeast) {
+  auto const Now = read(keyOf(Name));
+  if (isError(Now))
+    return errorOf(Now);
+  auto const &Seen = valueOf(Now);
+  auto const Accepted = wasAccepted(Name, Id, Seen);
+  if (isError(Accepted))
+    return errorOf(Accepted);
+  if (valueOf(Accepted))
+    return std::optional(
+        outcome(Name, Seen.Version_, Seen.Stored_, Repeated::Yes));
+  if (Seen.Version_ >= AtLeast)
+    return std::optional<AcceptedChange>();
+  return Error{ErrorKind::Unavailable,
+               "the platform shows an old version of " + label(Name),
+               "send the change again later"};
+}
+
+Result<bool> ChangeWriter::wasAccepted(ObjectName const &Name,
+                                       ChangeId const &Id, Present const &Now) {
+  if (contains(Now.Stored_.Audit_, Id))
     return true;
   for (auto Page = Now.Stored_.ArchivedPages_; Page > 0; --Page) {
-    auto const Entries = readPage(Asked.Name_, Page - 1);
+    auto const Entries = readPage(Name, Page - 1);
     if (isError(Entries))
       return errorOf(Entries);
-    if (contains(valueOf(Entries), Asked.Id_))
+    if (contains(valueOf(Entries), Id))
       return true;
   }
   return false;
@@ -271,7 +310,7 @@
 }
 
 Result<std::vector<ChangeRecord>> ChangeWriter::readPage(ObjectName const &Name,
-                                                       std::uint64_t Number) {
+                                                         std::uint64_t Number) {
   auto const Stored = Store_.get(pageKey(Name, Number), Timeout_);
   if (isError(Stored))
     return errorOf(Stored);
@@ -282,8 +321,8 @@
   return decodeAuditPage(valueOf(Stored).Value_);
 }
 
-Result<std::vector<ChangeRecord>> ChangeWriter::auditTrail(ObjectName const &Name,
-                                                         std::size_t Limit) {
+Result<std::vector<ChangeRecord>>
+ChangeWriter::auditTrail(ObjectName const &Name, std::size_t Limit) {
   auto const Now = read(keyOf(Name));
   if (isError(Now))
     return errorOf(Now);
--- a/Libraries/LibFleet/Member.h
+++ b/Libraries/LibFleet/Member.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Time.h>
 #include <LibModel/ConfigurationObject.h>
 #include <LibModel/EntryInstance.h>
 
@@ -14,6 +15,8 @@
   Liveness Liveness_ = Liveness::Live;
   Version ConfigurationVersion_ = 0;
   std::uint64_t ConfigurationDigest_ = 0;
+  /// When the member itself was last heard, or news of its configuration.
+  TimePoint HeardAt_ = {};
 
   auto operator<=>(Member const &) const = default;
 };
--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -43,9 +43,9 @@
   return New.State_ > Old.State_;
 }
 
-Member memberOf(MemberUpdate const &Update) {
+Member memberOf(MemberUpdate const &Update, TimePoint HeardAt) {
   return {Update.Instance_, livenessOf(Update.State_),
-          Update.ConfigurationVersion_, Update.ConfigurationDigest_};
+          Update.ConfigurationVersion_, Update.ConfigurationDigest_, HeardAt};
 }
 
 } // namespace
@@ -66,9 +66,9 @@
 }
 
 std::vector<Member> Membership::members() const {
-  std::vector<Member> Members = {memberOf(Self_)};
+  std::vector<Member> Members = {memberOf(Self_, Now_)};
   for (auto const &[Id, Other] : Others_)
-    Members.push_back(memberOf(Other.Update_));
+    Members.push_back(memberOf(Other.Update_, Other.HeardAt_));
   std::sort(Members.begin(), Members.end(),
             [](Member const &Left, Member const &Right) {
               return Left.Instance_.Id_ < Right.Instance_.Id_;
@@ -87,7 +87,7 @@
     if (Found == Others_.end() && Listed.Liveness_ != Liveness::Gone) {
       MemberUpdate Update;
       Update.Instance_ = Listed.Instance_;
-      Others_[Listed.Instance_.Id_] = {Update, Now_, 0};
+      Others_[Listed.Instance_.Id_] = {Update, Now_, 0, Now_};
       Changed_ = true;
     }
     if (Listed.Liveness_ == Liveness::Leaving &&
@@ -104,6 +104,9 @@
     return;
   for (auto const &Update : Message.Updates_)
     learn(Update);
+  auto const Sender = Others_.find(Event.From_);
+  if (Sender != Others_.end())
+    Sender->second.HeardAt_ = Now_;
   answer(Message.Updates_.front().Instance_.Peers_, Event.From_, Message);
 }
 
@@ -137,7 +140,7 @@
     // Old gossip must not bring back whom nobody can reach any more.
     if (Update.State_ == MemberState::Gone)
       return;
-    Others_[Id] = {Update, Now_, spreads()};
+    Others_[Id] = {Update, Now_, spreads(), Now_};
     Changed_ = true;
     return;
   }
@@ -158,6 +161,7 @@
   Held.Update_.ConfigurationVersion_ = Update.ConfigurationVersion_;
   Held.Update_.ConfigurationDigest_ = Update.ConfigurationDigest_;
   Held.SpreadsLeft_ = std::max(Held.SpreadsLeft_, ConfigurationSpreads);
+  Held.HeardAt_ = Now_;
 }
 
 /// Whoever doubts this instance is answered with a higher incarnation, which
--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -80,6 +80,7 @@
     MemberUpdate Update_;
     TimePoint Since_; ///< When State_ was learned.
     std::uint32_t SpreadsLeft_ = 0;
+    TimePoint HeardAt_ = {}; ///< As of Member.
   };
   struct Probe {
     InstanceId Target_;
--- a/Libraries/LibFleet/ServerDirectory.cpp
+++ b/Libraries/LibFleet/ServerDirectory.cpp
@@ -93,26 +93,28 @@
   }
 }
 
-// FIXME: The rewrite by which ChangeWriter settles a lost answer also raises
-// the version, and so brings a leaving server back until the next sign of it.
+/// A server is applied anew by a change; the rewrite by which ChangeWriter
+/// settles a lost answer raises only the version.
 void ServerDirectory::on(ObjectsApplied const &Event) {
   for (auto const &Object : Event.Objects_) {
     if (Object.Name_.Kind_ != ObjectKind::Server)
       continue;
     ServerId const Id(Object.Name_.Name_);
     auto &Applied = Versions_[Id];
-    if (Object.Version_ <= Applied)
+    auto const Changed =
+        Object.ChangeVersion_ != 0 ? Object.ChangeVersion_ : Object.Version_;
+    if (Changed <= Applied)
       continue;
-    Applied = Object.Version_;
+    Applied = Changed;
     auto const Found = Next_.find(Id);
     if (Found == Next_.end())
       continue;
     // A sign that came before this instance knew the server stays; it is
     // about the version that is applied now or an older one.
     if (Found->second.ServerVersion_ == 0 ||
-        Found->second.ServerVersion_ >= Object.Version_) {
+        Found->second.ServerVersion_ >= Changed) {
       Found->second.ServerVersion_ =
-          std::max(Found->second.ServerVersion_, Object.Version_);
+          std::max(Found->second.ServerVersion_, Changed);
       continue;
     }
     Next_.erase(Found);
--- a/Libraries/LibFleet/ServerDirectory.h
+++ b/Libraries/LibFleet/ServerDirectory.h
@@ -23,7 +23,7 @@
   Liveness Liveness_ = Liveness::Leaving;
   /// When it is expected to be gone; empty when that is not known.
   std::optional<TimePoint> GoneAt_;
-  Version ServerVersion_ = 0; ///< Of its configuration object then.
+  Version ServerVersion_ = 0; ///< ChangeVersion_ of its object then.
 
   auto operator<=>(Departure const &) const = default;
 };
@@ -110,7 +110,7 @@
   std::mt19937_64 Generator_;
   std::shared_ptr<servers::Departures const> Departures_;
   servers::Departures Next_;
-  std::map<ServerId, Version> Versions_;
+  std::map<ServerId, Version> Versions_; ///< Of the last changes.
   /// Listed at least once since they were applied, so that absence means gone.
   std::map<ServerId, Version> Listed_;
   std::vector<Member> Members_;
--- a/Libraries/LibFleet/StoredConfiguration.cpp
+++ b/Libraries/LibFleet/StoredConfiguration.cpp
@@ -23,7 +23,9 @@
                        {"kind", changeName(Entry.Kind_)},
                        {"operator", Entry.Operator_},
                        {"unix_time", Entry.UnixTime_},
-                       {"replaced_version", Entry.ReplacedVersion_}});
+                       {"replaced_version", Entry.ReplacedVersion_},
+                       {"specification", Entry.Specification_},
+                       {"instance", Entry.Instance_.text()}});
   return Encoded;
 }
 
@@ -38,6 +40,8 @@
   Entry.UnixTime_ = Reader.integer("unix_time", -MostInteger, MostInteger);
   Entry.ReplacedVersion_ =
       static_cast<Version>(Reader.integer("replaced_version", 0, MostInteger));
+  Entry.Specification_ = Reader.textOr("specification", "");
+  Entry.Instance_ = InstanceId(Reader.textOr("instance", ""));
   return Entry;
 }
 
@@ -66,6 +70,10 @@
 
 } // namespace
 
+Version changeVersionOf(StoredConfiguration const &Value) {
+  return Value.Audit_.empty() ? 0 : Value.Audit_.back().ReplacedVersion_ + 1;
+}
+
 std::string encodeStored(StoredConfiguration const &Value) {
   return dump({{"specification", Value.Specification_},
                {"deleted", Value.IsDeleted_},
@@ -115,7 +123,8 @@
   return ConfigurationObject{{Kind, Stored.Key_.Name_},
                              Stored.Version_,
                              Value.IsDeleted_,
-                             Value.Specification_};
+                             Value.Specification_,
+                             changeVersionOf(Value)};
 }
 
 } // namespace laburnum
--- a/Libraries/LibFleet/StoredConfiguration.h
+++ b/Libraries/LibFleet/StoredConfiguration.h
@@ -17,8 +17,10 @@
   ChangeId Change_;
   ChangeKind Kind_ = ChangeKind::Apply;
   std::string Operator_;
-  std::int64_t UnixTime_ = 0;   ///< Seconds; the accepting instance's clock.
-  Version ReplacedVersion_ = 0; ///< The version that it was written over.
+  std::int64_t UnixTime_ = 0;      ///< Seconds; the accepting instance's clock.
+  Version ReplacedVersion_ = 0;    ///< The version that it was written over.
+  std::string Specification_ = {}; ///< Without keys; a long one is cut.
+  InstanceId Instance_ = {};       ///< That took the change.
 
   auto operator<=>(ChangeRecord const &) const = default;
 };
@@ -29,12 +31,15 @@
   std::string Specification_;
   bool IsDeleted_ = false;
   ChangeId LastChange_;
-  std::vector<ChangeRecord> Audit_;   ///< The newest last.
+  std::vector<ChangeRecord> Audit_; ///< The newest last.
   std::uint64_t ArchivedPages_ = 0; ///< Objects that hold older entries.
 
   auto operator<=>(StoredConfiguration const &) const = default;
 };
 
+/// ConfigurationObject::ChangeVersion_ of the value.
+Version changeVersionOf(StoredConfiguration const &Value);
+
 std::string encodeStored(StoredConfiguration const &Value);
 /// InvalidArgument when the text is not such a value.
 Result<StoredConfiguration> decodeStored(std::string const &Json);
--- a/Libraries/LibModel/ConfigurationObject.h
+++ b/Libraries/LibModel/ConfigurationObject.h
@@ -33,6 +33,10 @@
   Version Version_ = 0;
   bool IsDeleted_ = false;
   std::string Specification_; ///< JSON of the Service, ClientAccount or server.
+  /// The least version that the object's last accepted change can have had;
+  /// 0 when that is not known. Unlike Version_ it stays when the same value is
+  /// written again.
+  Version ChangeVersion_ = 0;
 
   auto operator<=>(ConfigurationObject const &) const = default;
 };
--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -44,7 +44,7 @@
 }
 auto fieldsOf(Of<ConfigurationObject> auto &Value) {
   return std::tie(Value.Name_, Value.Version_, Value.IsDeleted_,
-                  Value.Specification_);
+                  Value.Specification_, Value.ChangeVersion_);
 }
 auto fieldsOf(Of<ConfigurationObjects> auto &Value) {
   return std::tie(Value.Objects_);
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -92,8 +92,8 @@
   ServerId Server_;
   Liveness Liveness_ = Liveness::Leaving;
   Duration Remaining_{}; ///< Until it is gone, when sent; 0 if not known.
-  /// The version of the server's configuration object that it is about; a
-  /// server applied anew at a higher version is not touched.
+  /// ChangeVersion_ of the server's configuration object that it is about; a
+  /// server applied anew by a later change is not touched.
   Version ServerVersion_ = 0;
 
   auto operator<=>(ServerLeavingNotice const &) const = default;
--- a/Services/laburnumd/ControlPlane.cpp
+++ b/Services/laburnumd/ControlPlane.cpp
@@ -112,6 +112,14 @@
   });
 }
 
+std::optional<ConfigurationObject>
+ControlPlane::object(ObjectName const &Name) {
+  return Control_.ask([this, Name]() -> std::optional<ConfigurationObject> {
+    auto const *Held = Configuration_->object(Name);
+    return Held ? std::optional(*Held) : std::nullopt;
+  });
+}
+
 std::vector<ObjectName> ControlPlane::objectNames() {
   return Control_.ask([this] {
     std::vector<ObjectName> Names;
--- a/Services/laburnumd/ControlPlane.h
+++ b/Services/laburnumd/ControlPlane.h
@@ -62,6 +62,8 @@
   std::vector<Member> members();
   /// The configuration objects of a kind, without tombstones.
   std::vector<ConfigurationObject> objects(ObjectKind Kind);
+  /// One object, also when it is a tombstone.
+  std::optional<ConfigurationObject> object(ObjectName const &Name);
   /// The names of all objects, deleted ones included.
   std::vector<ObjectName> objectNames();
   Version configurationVersion();
--- a/Services/laburnumd/OperatorDesk.cpp
+++ b/Services/laburnumd/OperatorDesk.cpp
@@ -2,6 +2,7 @@
 
 #include "StatusReport.h"
 
+#include <LibFleet/OperatorExpectation.h>
 #include <LibModel/JsonCodec.h>
 
 #include <algorithm>
@@ -39,10 +40,14 @@
   Wanted.Name_ = Name;
   Wanted.Specification_ = std::move(Specification);
   Wanted.Id_ = Asked.Id_;
-  Wanted.Expected_ = Asked.Expected_;
+  auto const Held = Plane_.object(Name);
+  Wanted.Expected_ = expectedVersion(Asked.Expected_, Held);
   Wanted.Operator_ = Asked.OperatorName_;
   Wanted.UnixTime_ = unixSeconds();
+  Wanted.Instance_ = Self_;
   auto const Written = Writer_.apply(Wanted);
+  if (auto const *Refused = std::get_if<VersionConflict>(&Written))
+    return ChangeOutcome{ChangeVerdict::Conflict, Refused->Present_};
   if (isError(Written))
     return errorOf(Written);
   auto const &Accepted = valueOf(Written);
@@ -53,6 +58,20 @@
   return ChangeOutcome{Verdict, Accepted.Object_.Version_};
 }
 
+/// The change expects a version that is no more, so that only an earlier
+/// sending of it can have been accepted.
+Result<ChangeOutcome>
+OperatorDesk::repeatedOrConflict(OperatorChange const &Asked,
+                                 ConfigurationObject const &Held) {
+  auto const Earlier =
+      Writer_.acceptedBefore(Held.Name_, Asked.Id_, Held.Version_);
+  if (isError(Earlier))
+    return errorOf(Earlier);
+  if (auto const &Accepted = valueOf(Earlier))
+    return ChangeOutcome{ChangeVerdict::Repeated, Accepted->Object_.Version_};
+  return ChangeOutcome{ChangeVerdict::Conflict, Held.Version_};
+}
+
 Result<ChangeOutcome> OperatorDesk::applyService(OperatorChange const &Change,
                                                  Service const &Value) {
   return write(Change, ChangeKind::Apply,
@@ -61,6 +80,7 @@
 
 Result<ChangeOutcome> OperatorDesk::applyAccount(OperatorChange const &Change,
                                                  AccountChange const &Value) {
+  ObjectName const Name{ObjectKind::Account, Value.Name_.text()};
   ClientAccount Account;
   Account.Name_ = Value.Name_;
   Account.Limits_ = Value.Limits_;
@@ -70,17 +90,16 @@
     Account.KeyDigest_ = Value.NewKey_->Digest_;
     Account.KeyHint_ = Value.NewKey_->Hint_;
   } else {
-    auto const InForce = View_.configuration();
-    auto const *Present = InForce->account(Value.Name_);
-    if (!Present)
-      return Error{ErrorKind::InvalidArgument,
-                   "the account " + Value.Name_.text() + " has no key yet",
-                   "give a key when the account is made"};
-    Account.KeyDigest_ = Present->KeyDigest_;
-    Account.KeyHint_ = Present->KeyHint_;
+    auto const Held = Plane_.object(Name);
+    if (isNewer(Held, Change.Expected_))
+      return repeatedOrConflict(Change, *Held);
+    auto const Key = accountKeyAt(Name, Change.Expected_, Held);
+    if (isError(Key))
+      return errorOf(Key);
+    Account.KeyDigest_ = valueOf(Key).Digest_;
+    Account.KeyHint_ = valueOf(Key).Hint_;
   }
-  return write(Change, ChangeKind::Apply,
-               {ObjectKind::Account, Value.Name_.text()}, encodeJson(Account));
+  return write(Change, ChangeKind::Apply, Name, encodeJson(Account));
 }
 
 Result<ChangeOutcome> OperatorDesk::applyServer(OperatorChange const &Change,
@@ -132,6 +151,7 @@
 Result<std::vector<ConfigurationInForce>>
 OperatorDesk::listConfigurationInForce() {
   std::vector<ConfigurationInForce> Views;
+  auto const Now = readClock();
   for (auto const &Member : Plane_.members()) {
     if (Member.Liveness_ == Liveness::Gone)
       continue;
@@ -140,6 +160,7 @@
     View.DataCentre_ = Member.Instance_.DataCentre_;
     View.Version_ = Member.ConfigurationVersion_;
     View.Digest_ = Member.ConfigurationDigest_;
+    View.Age_ = Now - Member.HeardAt_;
     Views.push_back(View);
   }
   return Views;
--- a/Services/laburnumd/OperatorDesk.h
+++ b/Services/laburnumd/OperatorDesk.h
@@ -42,6 +42,8 @@
   Result<ChangeOutcome> write(OperatorChange const &Asked, ChangeKind Kind,
                               ObjectName const &Name,
                               std::string Specification);
+  Result<ChangeOutcome> repeatedOrConflict(OperatorChange const &Asked,
+                                           ConfigurationObject const &Held);
 
   InstanceId const Self_;
   ControlPlane &Plane_;
--- a/Services/laburnumd/StatusReport.cpp
+++ b/Services/laburnumd/StatusReport.cpp
@@ -120,6 +120,8 @@
   Entry.UnixTimeMilliseconds_ = Record.UnixTime_ * MillisecondsPerSecond;
   Entry.Object_ = Name;
   Entry.ExpectedVersion_ = Record.ReplacedVersion_;
+  Entry.Specification_ = Record.Specification_;
+  Entry.Instance_ = Record.Instance_;
   Entry.Action_ = Record.Kind_ == ChangeKind::Delete ? ChangeAction::Delete
                                                      : ChangeAction::Apply;
   return Entry;
--- a/Tests/LibFleet/TestChangeWriter.cpp
+++ b/Tests/LibFleet/TestChangeWriter.cpp
@@ -170,6 +170,77 @@
   CHECK(!isError(Writer_.apply(change("c2", At))));
 }
 
+TEST_CASE_METHOD(Fixture, "A conflict carries the present version") {
+  REQUIRE(!isError(Writer_.apply(change("c1", 0))));
+  REQUIRE(!isError(Writer_.apply(change("c2", 1))));
+  auto const Refused = Writer_.apply(change("c3", 1));
+  REQUIRE(std::holds_alternative<VersionConflict>(Refused));
+  CHECK(std::get<VersionConflict>(Refused).Present_ == 2);
+  // The identifier decides before the expected version does.
+  CHECK(valueOf(Writer_.apply(change("c1", 0))).Repeated_ == Repeated::Yes);
+}
+
+TEST_CASE_METHOD(Fixture, "Whether a change was accepted can be asked") {
+  REQUIRE(!isError(Writer_.apply(change("c1", 0))));
+  auto const Known = Writer_.acceptedBefore(Chat, ChangeId("c1"), 1);
+  REQUIRE(!isError(Known));
+  CHECK(valueOf(Known).has_value());
+  CHECK(valueOf(Writer_.acceptedBefore(Chat, ChangeId("c2"), 1)) ==
+        std::nullopt);
+  auto const Behind = Writer_.acceptedBefore(Chat, ChangeId("c2"), 2);
+  REQUIRE(isError(Behind));
+  CHECK(errorOf(Behind).Kind_ == ErrorKind::Unavailable);
+}
+
+TEST_CASE_METHOD(Fixture, "An audit entry tells what and through whom") {
+  auto Asked = change("c1", 0, 7);
+  Asked.Instance_ = InstanceId("entry-1");
+  REQUIRE(!isError(Writer_.apply(Asked)));
+  auto const Trail = valueOf(Writer_.auditTrail(Chat, 1));
+  REQUIRE(Trail.size() == 1);
+  CHECK(Trail.front().Specification_ == Asked.Specification_);
+  CHECK(Trail.front().Instance_ == InstanceId("entry-1"));
+}
+
+TEST_CASE_METHOD(Fixture, "An audit entry holds no key of an account") {
+  ClientAccount Account;
+  Account.Name_ = AccountName("ada");
+  Account.KeyDigest_ = keyDigest("secret");
+  Account.KeyHint_ = "cret";
+  ObjectName const Name{ObjectKind::Account, "ada"};
+  Change const Asked{ChangeKind::Apply,
+                     Name,
+                     encodeJson(Account),
+                     ChangeId("c1"),
+                     0,
+                     "ada",
+                     0};
+  REQUIRE(!isError(Writer_.apply(Asked)));
+  auto const Trail = valueOf(Writer_.auditTrail(Name, 1));
+  REQUIRE(Trail.size() == 1);
+  auto const &Held = Trail.front().Specification_;
+  CHECK(Held.find("cret") != std::string::npos);
+  CHECK(Held.find(Account.KeyDigest_) == std::string::npos);
+}
+
+TEST_CASE_METHOD(Fixture, "A full object stays far below 1 MiB") {
+  constexpr std::size_t Half = std::size_t(512) << 10;
+  Service Wanted;
+  Wanted.Name_ = ServiceName("chat");
+  for (int Each = 0; Each < 1000; ++Each)
+    Wanted.NonIdempotentCalls_.push_back({"POST", std::string(200, 'a')});
+  auto Asked = change("c");
+  Asked.Specification_ = encodeJson(Wanted);
+  REQUIRE(Asked.Specification_.size() > 200000);
+  for (int Each = 0; Each < 60; ++Each) {
+    Asked.Id_ = ChangeId(std::to_string(Each) + std::string(250, 'i'));
+    Asked.Operator_ = std::string(256, 'o');
+    REQUIRE(!isError(Writer_.apply(Asked)));
+    auto const Stored = Store_.get({"service", "chat"}, Timeout);
+    REQUIRE(valueOf(Stored).Value_.size() < Half + Half / 2);
+  }
+}
+
 TEST_CASE_METHOD(Fixture, "Malformed changes are refused") {
   auto Bad = change("c1");
   Bad.Specification_ = "{}";
--- a/Tests/LibFleet/TestMembership.cpp
+++ b/Tests/LibFleet/TestMembership.cpp
@@ -200,6 +200,52 @@
   CHECK(Fleet.runUntil(IsKnown, 30));
 }
 
+TEST_CASE("The age of what is known of a member grows while it is silent") {
+  Fleet Fleet(5);
+  Fleet.listAll();
+  for (int Each = 0; Each < 5 * 10; ++Each)
+    Fleet.step();
+  Fleet.Down_.insert(4);
+  auto const Silent = Fleet.Now_;
+  for (int Each = 0; Each < 5 * 20; ++Each)
+    Fleet.step();
+  auto const Members = Fleet.Nodes_[0].members();
+  CHECK(Members[0].HeardAt_ == Fleet.Now_);
+  CHECK(Members[1].HeardAt_ > Silent);
+  CHECK(Members[4].HeardAt_ <= Silent + Step);
+}
+
+TEST_CASE("All of 410 members learn what all others have in force") {
+  constexpr std::size_t Count = 410;
+  Fleet Fleet(Count);
+  Fleet.listAll();
+  for (std::size_t Each = 0; Each < Count; ++Each)
+    Fleet.feed(Each, OwnConfigurationChanged{9, 77});
+  auto const Known = [&](std::size_t By) {
+    for (auto const &One : Fleet.Nodes_[By].members())
+      if (One.ConfigurationVersion_ != 9)
+        return false;
+    return true;
+  };
+  auto const Start = Fleet.Now_;
+  auto const Seconds = [&] {
+    return std::chrono::duration_cast<std::chrono::seconds>(Fleet.Now_ - Start)
+        .count();
+  };
+  REQUIRE(Fleet.runUntil([&] { return Known(0); }, 600));
+  std::cout << "410 members: one knows all others' versions after " << Seconds()
+            << " s\n";
+  auto const AllKnow = [&] {
+    for (std::size_t Each = 0; Each < Count; ++Each)
+      if (!Known(Each))
+        return false;
+    return true;
+  };
+  REQUIRE(Fleet.runUntil(AllKnow, 600));
+  std::cout << "410 members: all know all versions after " << Seconds()
+            << " s\n";
+}
+
 TEST_CASE("Traffic of 410 members stays within 3 KB a second for each") {
   constexpr std::size_t Count = 410;
   constexpr int Seconds = 20; // The transport's idle timeout.
--- a/Tests/LibFleet/TestServerDirectory.cpp
+++ b/Tests/LibFleet/TestServerDirectory.cpp
@@ -100,6 +100,26 @@
   CHECK(state() == Liveness::Gone);
 }
 
+TEST_CASE_METHOD(Fixture, "A rewrite of the same change brings nothing back") {
+  auto Rewritten = applied(9);
+  Rewritten.Objects_.front().ChangeVersion_ = 5;
+  auto Changed = applied(12);
+  Changed.Objects_.front().ChangeVersion_ = 10;
+  handle(ServerRefused{Id});
+  handle(Rewritten);
+  CHECK(state() == Liveness::Leaving);
+  handle(Changed);
+  CHECK(state() == Liveness::Live);
+}
+
+TEST_CASE_METHOD(Fixture, "A notice from before a rewrite counts after it") {
+  auto Rewritten = applied(9);
+  Rewritten.Objects_.front().ChangeVersion_ = 5;
+  handle(Rewritten);
+  handle(NoticeFromPeer{{Id, Liveness::Leaving, Duration(9), 5}});
+  CHECK(state() == Liveness::Leaving);
+}
+
 TEST_CASE_METHOD(Fixture, "A notice for an entry instance is not a server's") {
   CHECK(handle(NoticeReceived{{"i7", {}, Duration(1)}}) == 0);
   CHECK(Directory_.departures()->empty());
