LibPlacement: Hold the controller's lease without comparing clocks

A challenger takes over by conditional update after it has seen one version for the lease's length and margin; the holder counts from before its write. Lost answers are settled by reading back the write's nonce.

--- /dev/null
+++ b/Libraries/LibPlacement/LeaseRecord.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <LibCore/Identifier.h>
+#include <LibCore/Result.h>
+
+#include <string>
+
+namespace laburnum {
+
+/// The value of the lease object: who wrote it last, and that write's nonce.
+struct LeaseRecord {
+  InstanceId Holder_;
+  Nonce Nonce_;
+
+  auto operator<=>(LeaseRecord const &) const = default;
+};
+
+std::string encodeLease(LeaseRecord const &Value);
+/// InvalidArgument when the text is not such a value.
+Result<LeaseRecord> decodeLease(std::string const &Json);
+
+} // namespace laburnum
--- /dev/null
+++ b/Tests/LibPlacement/TestLeaseHolder.cpp
@@ -0,0 +1,168 @@
+#include "LeaseFleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace laburnum;
+using test::LeaseFleet;
+using test::LeaseWriteFate;
+
+namespace {
+
+using std::chrono::seconds;
+
+} // namespace
+
+TEST_CASE("One of many instances holds the lease and keeps it") {
+  LeaseFleet Fleet(8);
+  Fleet.run(seconds(10));
+  REQUIRE(Fleet.holders() == 1);
+  auto const First = Fleet.holder();
+  auto const Fencing = Fleet.held(First)->Fencing_;
+  Fleet.run(seconds(300));
+  CHECK(Fleet.holder() == First);
+  CHECK(Fleet.held(First)->Fencing_ == Fencing);
+  CHECK(Fleet.MostHolders_ == 1);
+}
+
+TEST_CASE("A paused holder wakes without the lease") {
+  LeaseFleet Fleet(3);
+  Fleet.run(seconds(10));
+  auto const Old = Fleet.holder();
+  auto const Fencing = Fleet.held(Old)->Fencing_;
+  Fleet.Paused_[Old] = true;
+  Fleet.run(seconds(60));
+  // Nothing was handled meanwhile; only the clock tells.
+  CHECK(!Fleet.held(Old));
+  REQUIRE(Fleet.holders() == 1);
+  auto const New = Fleet.holder();
+  CHECK(New != Old);
+  CHECK(Fleet.held(New)->Fencing_ > Fencing);
+  Fleet.Paused_[Old] = false;
+  Fleet.run(seconds(60));
+  CHECK(Fleet.holder() == New);
+  CHECK(Fleet.MostHolders_ == 1);
+}
+
+TEST_CASE("A lost answer of the acquiring write is settled by reading") {
+  LeaseFleet Fleet(3);
+  Fleet.Writes_ = {LeaseWriteFate::LostAnswer};
+  Fleet.run(seconds(3));
+  REQUIRE(Fleet.holders() == 1);
+  CHECK(Fleet.held(Fleet.holder())->Fencing_ == Fleet.Object_.Version_);
+  CHECK(Fleet.MostHolders_ == 1);
+}
+
+TEST_CASE("Lost answers of renewals do not lose the lease") {
+  LeaseFleet Fleet(3);
+  Fleet.run(seconds(10));
+  auto const First = Fleet.holder();
+  auto const Fencing = Fleet.held(First)->Fencing_;
+  for (int Each = 0; Each < 20; ++Each) {
+    Fleet.Writes_ = {LeaseWriteFate::LostAnswer};
+    Fleet.run(seconds(4));
+    REQUIRE(Fleet.holder() == First);
+    CHECK(Fleet.held(First)->Fencing_ == Fencing);
+  }
+}
+
+TEST_CASE("A renewal that arrives late proves nothing beyond its sending") {
+  LeaseFleet Fleet(1);
+  Fleet.run(seconds(3));
+  REQUIRE(Fleet.holders() == 1);
+  Fleet.Writes_ = {LeaseWriteFate::Delayed};
+  while (!Fleet.Writes_.empty())
+    Fleet.step();
+  auto const Proven = Fleet.held(0)->ProvenUntil_;
+  Fleet.IsDown_ = true;
+  Fleet.run(seconds(8));
+  Fleet.arrive();
+  Fleet.IsDown_ = false;
+  Fleet.Paused_[0] = true;
+  Fleet.run(seconds(6));
+  CHECK(!Fleet.held(0));
+  Fleet.Paused_[0] = false;
+  Fleet.run(seconds(2));
+  REQUIRE(Fleet.held(0));
+  CHECK(Fleet.held(0)->GainedAt_ > Proven);
+}
+
+TEST_CASE("A late acquiring write does not make a second holder") {
+  LeaseFleet Fleet(3);
+  Fleet.Writes_ = {LeaseWriteFate::Delayed};
+  Fleet.run(seconds(1));
+  Fleet.arrive();
+  Fleet.run(seconds(60));
+  CHECK(Fleet.MostHolders_ == 1);
+  CHECK(Fleet.holders() == 1);
+}
+
+TEST_CASE("Of two challengers one takes over") {
+  LeaseFleet Fleet(4);
+  Fleet.run(seconds(10));
+  auto const Old = Fleet.holder();
+  Fleet.Paused_[Old] = true;
+  // Every challenger reads at once, for as long as it takes.
+  for (int Each = 0; Each < 100; ++Each) {
+    Fleet.step();
+    for (std::size_t One = 0; One < 4; ++One)
+      if (One != Old)
+        Fleet.feed(One, lease::LeaseRead{Fleet.Object_});
+  }
+  CHECK(Fleet.MostHolders_ == 1);
+  CHECK(Fleet.holders() == 1);
+}
+
+TEST_CASE("In an outage the holder's proven time ends") {
+  LeaseFleet Fleet(3);
+  Fleet.run(seconds(10));
+  auto const First = Fleet.holder();
+  Fleet.IsDown_ = true;
+  Fleet.run(seconds(6));
+  CHECK(Fleet.held(First));
+  Fleet.run(seconds(5));
+  CHECK(Fleet.holders() == 0);
+  Fleet.run(seconds(300));
+  Fleet.IsDown_ = false;
+  Fleet.run(seconds(40));
+  CHECK(Fleet.holders() == 1);
+  CHECK(Fleet.MostHolders_ == 1);
+}
+
+TEST_CASE("A leaving instance and one that was superseded give way") {
+  LeaseFleet Fleet(2);
+  Fleet.run(seconds(10));
+  auto const First = Fleet.holder();
+  SECTION("superseded") {
+    auto const Fencing = Fleet.held(First)->Fencing_;
+    Fleet.feed(First, lease::StepDown{});
+    CHECK(!Fleet.held(First));
+    Fleet.run(seconds(30));
+    CHECK(Fleet.held(Fleet.holder())->Fencing_ > Fencing);
+  }
+  SECTION("leaving") {
+    Member Other;
+    Other.Instance_.Id_ = InstanceId("i" + std::to_string(1 - First));
+    Fleet.feed(First, lease::MembersChanged{{Other}});
+    Fleet.run(seconds(40));
+    CHECK(Fleet.holder() == 1 - First);
+  }
+  CHECK(Fleet.MostHolders_ == 1);
+}
+
+TEST_CASE("The platform's calls do not grow with the fleet") {
+  constexpr std::size_t Count = 410;
+  LeaseFleet Fleet(Count);
+  Fleet.run(seconds(60));
+  Fleet.Reads_ = 0;
+  auto const Before = Fleet.Object_.Version_;
+  Fleet.run(seconds(600));
+  auto const Writes = (Fleet.Object_.Version_ - Before) / 3;
+  auto const PerSecond =
+      (static_cast<double>(Fleet.Reads_) + static_cast<double>(Writes)) / 600;
+  std::cout << "410 instances: the lease costs " << PerSecond
+            << " platform calls a second\n";
+  CHECK(PerSecond < 3);
+  CHECK(Fleet.MostHolders_ == 1);
+}
