LibServing: Let a flow go on behind known tokens

A stream that another instance began is continued by a flow of its own, which must neither produce its tokens again nor say that the request did not run. CallerRequest carries the tokens produced before; a flow that lacks none asks no server.

--- a/Libraries/LibServing/CallerRequest.h
+++ b/Libraries/LibServing/CallerRequest.h
@@ -37,6 +37,8 @@
   std::string Prompt_;
   std::uint32_t MaxTokens_ = 0;
   std::uint32_t ResumeFrom_ = 0; ///< The first token the caller still lacks.
+  /// Tokens from offset 0 on that an earlier flow of this request produced.
+  std::vector<std::string> Produced_;
 
   auto operator<=>(CallerRequest const &) const = default;
 };
--- a/Libraries/LibServing/RequestFlow.cpp
+++ b/Libraries/LibServing/RequestFlow.cpp
@@ -32,7 +32,11 @@
 
 RequestFlow::RequestFlow(CallerRequest Request, ServerChooser &Chooser,
                          RetryAllowance &Retries)
-    : Request_(std::move(Request)), Chooser_(Chooser), Retries_(Retries) {}
+    : Request_(std::move(Request)), Chooser_(Chooser), Retries_(Retries),
+      Progress_(Request_.Produced_) {
+  if (Progress_.count() > 0)
+    StateSoFar_ = RunState::MayHaveRun;
+}
 
 std::vector<flow::Action> RequestFlow::handle(flow::Event const &Event,
                                               TimePoint Now) {
@@ -47,6 +51,8 @@
   if (Stage_ != Stage::New)
     return;
   Retries_.countRequest(Request_.Service_, Now);
+  if (hasAllTokens())
+    return finishCompletion(Out);
   // A call without a key cannot be named again, so a claim would guard nothing:
   // it is dispatched at most once by this flow.
   if (Request_.Idempotence_ == Idempotence::Idempotent || !Request_.Key_)
@@ -133,9 +139,7 @@
   releaseServer(Evidence, Now);
   if (Evidence.Status_ >= FirstErrorStatus)
     return finishFailed(detail::engineRefusedRequest(Evidence.Status_), Out);
-  Stage_ = Stage::Finished;
-  Finished_ = true;
-  Out.push_back(flow::FinishCompletion{Progress_.count()});
+  finishCompletion(Out);
 }
 
 void RequestFlow::on(flow::ServerLeaving const &Event, TimePoint Now,
@@ -183,6 +187,11 @@
   return Stage_ == Stage::Attempting && Attempt == Attempt_;
 }
 
+bool RequestFlow::hasAllTokens() const {
+  return Request_.Kind_ == ServiceKind::Model && Progress_.count() > 0 &&
+         Progress_.count() >= Request_.MaxTokens_;
+}
+
 bool RequestFlow::mayRepeat(RunState Ended) const {
   return Request_.Idempotence_ == Idempotence::Idempotent ||
          Ended == RunState::NotRun;
@@ -301,6 +310,12 @@
   Out.push_back(flow::WaitBeforeRetry{retryPause(FailedAttempts_)});
 }
 
+void RequestFlow::finishCompletion(Actions &Out) {
+  Stage_ = Stage::Finished;
+  Finished_ = true;
+  Out.push_back(flow::FinishCompletion{Progress_.count()});
+}
+
 void RequestFlow::finishWithAnswer(PlainAnswer const &Answer, RunState State,
                                    Actions &Out) {
   record(State, Answer, Out);
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -153,6 +153,8 @@
   void on(flow::DeadlineReached const &, TimePoint Now, Actions &Out);
 
   bool isPresent(AttemptNumber Attempt) const;
+  /// Earlier flows produced all that was asked for.
+  bool hasAllTokens() const;
   bool mayRepeat(RunState Ended) const;
   RouteQuery routeQuery() const;
   void dispatch(TimePoint Now, Actions &Out);
@@ -165,6 +167,7 @@
   void moveStream(TimePoint Now, Actions &Out);
   void recover(AttemptEvidence const &Evidence, TimePoint Now, Actions &Out);
   void pauseForRetry(Actions &Out);
+  void finishCompletion(Actions &Out);
   void finishWithAnswer(PlainAnswer const &Answer, RunState State,
                         Actions &Out);
   void finishFailed(FailureAnswer Failure, Actions &Out);
--- a/Libraries/LibServing/TokenProgress.h
+++ b/Libraries/LibServing/TokenProgress.h
@@ -21,6 +21,11 @@
 /// present attempt.
 class TokenProgress {
 public:
+  TokenProgress() = default;
+  /// Goes on behind tokens that were produced before.
+  explicit TokenProgress(std::vector<std::string> Produced)
+      : Tokens_(std::move(Produced)) {}
+
   /// An attempt begins that resumes after all tokens so far.
   void beginAttempt(TimePoint Now);
   PieceFit accept(TokenPiece const &Piece, TimePoint Now);
