--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -60,6 +60,32 @@
                   Value.ServerVersion_);
 }
 
+auto fieldsOf(Of<StreamName> auto &Value) {
+  return std::tie(Value.Account_, Value.Key_);
+}
+auto fieldsOf(Of<StreamContent> auto &Value) {
+  return std::tie(Value.Service_, Value.Fingerprint_, Value.Prompt_,
+                  Value.MaxTokens_, Value.Priority_, Value.Remaining_);
+}
+auto fieldsOf(Of<StreamEpoch> auto &Value) {
+  return std::tie(Value.Run_, Value.Number_, Value.Owner_, Value.Age_);
+}
+auto fieldsOf(Of<StreamCheckpoint> auto &Value) {
+  return std::tie(Value.Name_, Value.Owner_, Value.Epoch_, Value.Content_,
+                  Value.From_, Value.Tokens_, Value.Total_, Value.Phase_);
+}
+auto fieldsOf(Of<StreamQuery> auto &Value) {
+  return std::tie(Value.Name_, Value.Fingerprint_, Value.Asker_, Value.Ticket_,
+                  Value.Ask_);
+}
+auto fieldsOf(Of<StreamState> auto &Value) {
+  return std::tie(Value.Name_, Value.Ticket_, Value.Knowledge_, Value.Epoch_,
+                  Value.Owner_, Value.Count_);
+}
+auto fieldsOf(Of<StreamHandOver> auto &Value) {
+  return std::tie(Value.Stream_, Value.Ticket_);
+}
+
 /// The last enumerator of each enumeration, so that a number beyond it is
 /// refused.
 constexpr MemberState lastOf(MemberState /*Any*/) { return MemberState::Gone; }
@@ -68,6 +94,11 @@
 }
 constexpr ObjectKind lastOf(ObjectKind /*Any*/) { return ObjectKind::Server; }
 constexpr Liveness lastOf(Liveness /*Any*/) { return Liveness::Gone; }
+constexpr StreamPhase lastOf(StreamPhase /*Any*/) { return StreamPhase::Whole; }
+constexpr StreamAsk lastOf(StreamAsk /*Any*/) { return StreamAsk::Adopt; }
+constexpr StreamKnowledge lastOf(StreamKnowledge /*Any*/) {
+  return StreamKnowledge::KeyReused;
+}
 
 template <typename Value> struct IsVector : std::false_type {};
 template <typename Item> struct IsVector<std::vector<Item>> : std::true_type {};
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibModel/ConfigurationObject.h>
 #include <LibModel/EntryInstance.h>
+#include <LibPeer/StreamMessages.h>
 
 #include <compare>
 #include <cstdint>
@@ -103,6 +104,7 @@
 /// its place is its number on the wire.
 using PeerMessage =
     std::variant<Hello, Heartbeat, ConfigurationDigest, ConfigurationObjects,
-                 ConfigurationRequest, ServerLeavingNotice>;
+                 ConfigurationRequest, ServerLeavingNotice, StreamCheckpoint,
+                 StreamQuery, StreamState, StreamHandOver>;
 
 } // namespace laburnum
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -17,12 +17,24 @@
                             0xffffffffffffffffU};
   ConfigurationObject const Object{
       {ObjectKind::Server, "s"}, 8, true, std::string("\0{}", 3)};
-  return {Hello{"secret", instance()},
-          Heartbeat{HeartbeatKind::PingRequest, 7, InstanceId("x"), {Update}},
-          ConfigurationDigest{4, 5, {"127.0.0.1", 6}},
-          ConfigurationObjects{{Object}},
-          ConfigurationRequest{{{{ObjectKind::Account, "a"}, 2}}, {}},
-          ServerLeavingNotice{ServerId("s"), Liveness::Gone, Duration(-1), 4}};
+  StreamName const Stream{AccountName("a"), IdempotencyKey("k")};
+  StreamEpoch const Epoch{RequestId("r"), 2, InstanceId("i1"), Duration(5)};
+  StreamCheckpoint const Checkpoint{
+      Stream, instance(),
+      Epoch,  {ServiceName("s"), 7, "prompt", 9, -1, Duration(6)},
+      0,      {"one", "two"},
+      2,      StreamPhase::Whole};
+  return {
+      Hello{"secret", instance()},
+      Heartbeat{HeartbeatKind::PingRequest, 7, InstanceId("x"), {Update}},
+      ConfigurationDigest{4, 5, {"127.0.0.1", 6}},
+      ConfigurationObjects{{Object}},
+      ConfigurationRequest{{{{ObjectKind::Account, "a"}, 2}}, {}},
+      ServerLeavingNotice{ServerId("s"), Liveness::Gone, Duration(-1), 4},
+      Checkpoint,
+      StreamQuery{Stream, 7, instance(), 3, StreamAsk::Adopt},
+      StreamState{Stream, 3, StreamKnowledge::KeyReused, Epoch, instance(), 2},
+      StreamHandOver{Checkpoint, 3}};
 }
 
 TEST_CASE("Every message survives encoding and decoding") {
