FaultMatrix: Add the fault harness and the matrix's first table

One thread in virtual time drives the decision cores with fakes at their interfaces; rows are faults, columns the steps of each promise's flow.

--- a/Libraries/LibFleet/ChangeWriter.cpp
+++ b/Libraries/LibFleet/ChangeWriter.cpp
@@ -25,12 +25,13 @@
 }
 
 bool contains(std::vector<ChangeRecord> const &Entries, ChangeId const &Id) {
-  return std::any_of(Entries.begin(), Entries.end(),
-                     [&](ChangeRecord const &One) { return One.Change_ == Id; });
+  return std::any_of(
+      Entries.begin(), Entries.end(),
+      [&](ChangeRecord const &One) { return One.Change_ == Id; });
 }
 
 AcceptedChange outcome(Change const &Asked, Version At,
-                      StoredConfiguration const &Stored, Repeated Again) {
+                       StoredConfiguration const &Stored, Repeated Again) {
   return {{Asked.Name_, At, Stored.IsDeleted_, Stored.Specification_}, Again};
 }
 
@@ -107,7 +108,7 @@
 }
 
 std::optional<Result<AcceptedChange>> ChangeWriter::attempt(Change const &Asked,
-                                                           Version &Refused) {
+                                                            Version &Refused) {
   auto const Before = read(keyOf(Asked.Name_));
   if (isError(Before))
     return errorOf(Before);
@@ -131,8 +132,8 @@
 }
 
 std::optional<Result<AcceptedChange>> ChangeWriter::write(Change const &Asked,
-                                                         Present const &Before,
-                                                         Version &Refused) {
+                                                          Present const &Before,
+                                                          Version &Refused) {
   auto Next = changed(Asked, Before.Version_, Before.Stored_);
   auto const Archived = archive(Asked.Name_, Next);
   if (isError(Archived))
@@ -271,7 +272,7 @@
 }
 
 Result<std::vector<ChangeRecord>> ChangeWriter::readPage(ObjectName const &Name,
-                                                       std::uint64_t Number) {
+                                                         std::uint64_t Number) {
   auto const Stored = Store_.get(pageKey(Name, Number), Timeout_);
   if (isError(Stored))
     return errorOf(Stored);
@@ -282,8 +283,8 @@
   return decodeAuditPage(valueOf(Stored).Value_);
 }
 
-Result<std::vector<ChangeRecord>> ChangeWriter::auditTrail(ObjectName const &Name,
-                                                         std::size_t Limit) {
+Result<std::vector<ChangeRecord>>
+ChangeWriter::auditTrail(ObjectName const &Name, std::size_t Limit) {
   auto const Now = read(keyOf(Name));
   if (isError(Now))
     return errorOf(Now);
--- a/Libraries/LibFleet/ChangeWriter.h
+++ b/Libraries/LibFleet/ChangeWriter.h
@@ -56,7 +56,7 @@
 
   /// The newest Limit entries, the newest first. Errors are the platform's.
   Result<std::vector<ChangeRecord>> auditTrail(ObjectName const &Name,
-                                             std::size_t Limit);
+                                               std::size_t Limit);
 
 private:
   struct Present {
@@ -76,17 +76,17 @@
   Result<bool> wasAccepted(Change const &Asked, Present const &Now);
   /// Empty: another change came between; read again and decide.
   std::optional<Result<AcceptedChange>> attempt(Change const &Asked,
-                                               Version &Refused);
+                                                Version &Refused);
   std::optional<Result<AcceptedChange>>
   write(Change const &Asked, Present const &Before, Version &Refused);
   std::optional<Result<AcceptedChange>> afterLostAnswer(Change const &Asked,
-                                                       Present const &Before);
+                                                        Present const &Before);
   Settlement settle(Change const &Asked, Present const &Before);
   /// Moves the oldest entries to a page of their own when there are too many.
   Result<Success> archive(ObjectName const &Name, StoredConfiguration &Next);
   Result<Success> writePage(ObjectKey const &Key, std::string const &Value);
   Result<std::vector<ChangeRecord>> readPage(ObjectName const &Name,
-                                           std::uint64_t Number);
+                                             std::uint64_t Number);
 
   ObjectStore &Store_;
   Duration Timeout_;
--- a/Libraries/LibFleet/StoredConfiguration.h
+++ b/Libraries/LibFleet/StoredConfiguration.h
@@ -29,7 +29,7 @@
   std::string Specification_;
   bool IsDeleted_ = false;
   ChangeId LastChange_;
-  std::vector<ChangeRecord> Audit_;   ///< The newest last.
+  std::vector<ChangeRecord> Audit_; ///< The newest last.
   std::uint64_t ArchivedPages_ = 0; ///< Objects that hold older entries.
 
   auto operator<=>(StoredConfiguration const &) const = default;
--- /dev/null
+++ b/Tests/FaultMatrix/Fault.cpp
@@ -0,0 +1,64 @@
+#include <FaultMatrix/Fault.h>
+
+#include <array>
+
+namespace laburnum::faults {
+
+namespace {
+
+constexpr std::array<std::string_view, 17> FaultNames = {
+    "process-killed",
+    "process-paused",
+    "data-centres-cut",
+    "platform-cut",
+    "platform-slow",
+    "platform-down",
+    "answer-lost",
+    "stale-read",
+    "watch-gap",
+    "lease-lapsed",
+    "reclaim-with-notice",
+    "reclaim-without-notice",
+    "wave",
+    "replacement-refused",
+    "operators-racing",
+    "crashing-request",
+    "late-and-duplicate"};
+
+constexpr std::array<std::string_view, 17> MutantNames = {
+    "dispatch-before-verdict",
+    "lost-answer-is-refusal",
+    "blind-writes",
+    "stale-reads-look-new",
+    "understated-evidence",
+    "refuse-after-work",
+    "dispatch-while-stopping",
+    "say-not-run",
+    "ignore-attempts",
+    "ignore-offsets",
+    "ignore-departures",
+    "list-overrides-notice",
+    "stop-at-once",
+    "apply-any-version",
+    "drop-configuration-news",
+    "accept-unwritten",
+    "forget-change-id"};
+
+} // namespace
+
+std::string_view nameOf(Fault One) {
+  return FaultNames.at(static_cast<std::size_t>(One));
+}
+
+std::string_view nameOf(Mutant One) {
+  return MutantNames.at(static_cast<std::size_t>(One));
+}
+
+std::optional<Mutant> mutantNamed(std::string_view Name) {
+  for (std::size_t Each = 0; Each < MutantNames.size(); ++Each)
+    if (MutantNames.at(Each) == Name)
+      return static_cast<Mutant>(Each);
+  return std::nullopt;
+}
+
+} // namespace laburnum::faults
--- /dev/null
+++ b/Tests/FaultMatrix/Oracle.cpp
@@ -0,0 +1,59 @@
+#include <FaultMatrix/Oracle.h>
+
+#include <algorithm>
+
+namespace laburnum::faults {
+
+void Oracle::ran(std::string const &Key, RequestId const &Sending) {
+  ++RunsOfSending_[Sending];
+  if (++Runs_[Key] == 2)
+    violate("call " + Key + " ran twice");
+}
+
+std::size_t Oracle::runsOf(std::string const &Key) const {
+  auto const Found = Runs_.find(Key);
+  return Found == Runs_.end() ? 0 : Found->second;
+}
+
+void Oracle::toldFailure(RequestId const &Sending, RunState State) {
+  if (State == RunState::NotRun)
+    ToldNotRun_.insert(Sending);
+}
+
+void Oracle::inForce(InstanceId const &Life, ObjectName const &Name,
+                     Version At) {
+  auto &Held = InForce_[Life][Name];
+  if (At < Held)
+    violate("configuration " + Name.Name_ + " went back at " + Life.text());
+  Held = At;
+}
+
+void Oracle::toldAccepted(ObjectName const &Name, Version At,
+                          ChangeId const &Id) {
+  auto &Highest = Accepted_[Name];
+  Highest = std::max(Highest, At);
+  AcceptedChanges_.insert(Id);
+}
+
+void Oracle::checkAudit(std::map<ChangeId, std::size_t> const &Entries) {
+  std::map<std::string, std::size_t> OfWish;
+  for (auto const &[Id, Count] : Entries) {
+    // One wish of an operator that got several identifiers by mistake.
+    auto const Wish = Id.text().substr(0, Id.text().find('?'));
+    if ((OfWish[Wish] += Count) > 1)
+      violate("change " + Wish + " has several audit entries");
+    if (Unchanged_.contains(Id) && !AcceptedChanges_.contains(Id))
+      violate("change " + Id.text() + " was told as unchanged and was made");
+  }
+  for (auto const &Id : AcceptedChanges_)
+    if (!Entries.contains(Id))
+      violate("accepted change " + Id.text() + " has no audit entry");
+}
+
+void Oracle::checkRuns() {
+  for (auto const &Sending : ToldNotRun_)
+    if (RunsOfSending_.contains(Sending))
+      violate("sending " + Sending.text() + " was told not_run and ran");
+}
+
+} // namespace laburnum::faults
--- /dev/null
+++ b/Tests/FaultMatrix/PlatformFake.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <FaultMatrix/EventQueue.h>
+#include <FaultMatrix/Fault.h>
+
+#include <Fakes/VersionedStore.h>
+#include <LibPlatform/ObjectStore.h>
+
+#include <functional>
+#include <optional>
+#include <set>
+
+namespace laburnum::faults {
+
+enum class PlatformPace { Normal, Slow };
+
+/// The platform's object API in virtual time. A request and its answer each
+/// take a while, so that a fault can fall between a write's sending, its
+/// effect and its answer.
+class PlatformFake {
+public:
+  template <typename Value> using Answer = std::function<void(Result<Value>)>;
+
+  static constexpr Duration Hop = std::chrono::milliseconds(1);
+  static constexpr Duration SlowHop = std::chrono::milliseconds(2500);
+  static constexpr Duration Timeout = std::chrono::seconds(1);
+  static constexpr Duration WatchWait = std::chrono::milliseconds(200);
+
+  PlatformFake(EventQueue &Queue, Mutants const &Out)
+      : Queue_(Queue), Out_(Out), Store_(1U << 16) {}
+
+  void get(std::size_t Instance, ObjectKey const &Key,
+           Answer<StoredObject> Then);
+  void put(std::size_t Instance, ObjectKey const &Key, Version Expected,
+           std::string const &Value, Answer<Version> Then);
+  void list(std::size_t Instance, std::string const &Collection,
+            Answer<ObjectList> Then);
+  void watch(std::size_t Instance, std::string const &Collection, Version From,
+             Answer<WatchBatch> Then);
+
+  bool reaches(std::size_t Instance) const {
+    return !IsDown_ && !Cut_.contains(Instance);
+  }
+  VersionedStore &store() { return Store_; }
+
+  // Faults.
+  void setDown(bool IsDown) { IsDown_ = IsDown; }
+  void setPace(PlatformPace Pace) { Pace_ = Pace; }
+  void cut(std::size_t Instance) { Cut_.insert(Instance); }
+  void healCuts() { Cut_.clear(); }
+  void loseAnswers(std::uint32_t Count) { AnswersToLose_ = Count; }
+  void serveReadsAsOf(std::optional<Version> AsOf) { ReadsAsOf_ = AsOf; }
+  void breakWatches(std::uint32_t Count) { WatchesToBreak_ = Count; }
+  /// Called when an operator's write is sent and before it arrives.
+  void beforeOperatorsPut(std::function<void()> Then) {
+    BeforePut_ = std::move(Then);
+  }
+
+  /// The next operator's write takes effect, and then the platform is down.
+  void goDownAfterOperatorsPut() { IsDownAfterPut_ = true; }
+
+  // Calls that block, for the operators' ChangeWriter.
+  Result<StoredObject> getNow(std::size_t Instance, ObjectKey const &Key);
+  Result<Version> putNow(std::size_t Instance, ObjectKey const &Key,
+                         Version Expected, std::string const &Value);
+
+private:
+  template <typename Value>
+  void call(std::size_t Instance, Error const &Lost, Duration Wait,
+            std::function<std::optional<Result<Value>>()> Effect,
+            Answer<Value> Then);
+  StoredObject read(ObjectKey const &Key) const;
+  Result<Version> write(ObjectKey const &Key, Version Expected,
+                        std::string const &Value);
+  Error lostWrite() const;
+  bool losesAnswer();
+  Duration pace() const { return Pace_ == PlatformPace::Slow ? SlowHop : Hop; }
+
+  EventQueue &Queue_;
+  Mutants const &Out_;
+  VersionedStore Store_;
+  bool IsDown_ = false;
+  bool IsDownAfterPut_ = false;
+  PlatformPace Pace_ = PlatformPace::Normal;
+  std::set<std::size_t> Cut_;
+  std::uint32_t AnswersToLose_ = 0;
+  std::uint32_t WatchesToBreak_ = 0;
+  std::optional<Version> ReadsAsOf_;
+  std::function<void()> BeforePut_;
+};
+
+/// The operators' view of the platform through one instance. Blocks in no
+/// virtual time.
+class OperatorStore : public ObjectStore {
+public:
+  OperatorStore(PlatformFake &Platform, std::size_t Instance)
+      : Platform_(Platform), Instance_(Instance) {}
+
+  Result<StoredObject> get(ObjectKey const &Key, Duration) override {
+    return Platform_.getNow(Instance_, Key);
+  }
+  Result<ObjectList> list(std::string const &, Duration) override;
+  Result<Version> putIf(ObjectKey const &Key, Version Expected,
+                        std::string const &Value, Duration) override {
+    return Platform_.putNow(Instance_, Key, Expected, Value);
+  }
+  Result<WatchBatch> watch(std::string const &, Version, Duration) override;
+
+private:
+  PlatformFake &Platform_;
+  std::size_t const Instance_;
+};
+
+} // namespace laburnum::faults
--- /dev/null
+++ b/Tests/FaultMatrix/Program/Cell.cpp
@@ -0,0 +1,95 @@
+#include "Cell.h"
+
+#include <algorithm>
+
+namespace laburnum::faults {
+
+namespace {
+
+constexpr std::uint64_t Seed = 7;
+
+bool has(Row const &Faults, Fault One) {
+  return std::find(Faults.Faults_.begin(), Faults.Faults_.end(), One) !=
+         Faults.Faults_.end();
+}
+
+bool isServerFault(Fault One) {
+  return One == Fault::ReclaimWithNotice ||
+         One == Fault::ReclaimWithoutNotice || One == Fault::Wave ||
+         One == Fault::ReplacementRefused || One == Fault::CrashingRequest;
+}
+
+/// After these a call that was dispatched cannot always be told to have run.
+bool leavesDoubt(Fault One) {
+  return isServerFault(One) || One == Fault::ProcessKilled ||
+         One == Fault::ProcessPaused || One == Fault::DataCentresCut;
+}
+
+std::vector<Row> allRows() {
+  std::vector<Row> All;
+  for (int Each = 0; Each <= static_cast<int>(Fault::LateAndDuplicate); ++Each)
+    All.push_back({{static_cast<Fault>(Each)}});
+  for (auto const Platform :
+       {Fault::PlatformCut, Fault::PlatformSlow, Fault::PlatformDown,
+        Fault::AnswerLost, Fault::StaleRead, Fault::WatchGap})
+    for (auto const Process : {Fault::ProcessKilled, Fault::ProcessPaused})
+      All.push_back({{Platform, Process}});
+  All.push_back({{Fault::DataCentresCut, Fault::PlatformDown}});
+  All.push_back({{Fault::DataCentresCut, Fault::ProcessKilled}});
+  All.push_back({{Fault::ReclaimWithNotice, Fault::ProcessKilled}});
+  All.push_back({{Fault::ReclaimWithoutNotice, Fault::PlatformDown}});
+  All.push_back({{Fault::Wave, Fault::ProcessPaused}});
+  All.push_back({{Fault::Wave, Fault::ReplacementRefused}});
+  All.push_back({{Fault::AnswerLost, Fault::StaleRead}});
+  All.push_back({{Fault::OperatorsRacing, Fault::AnswerLost}});
+  All.push_back({{Fault::LateAndDuplicate, Fault::ProcessKilled}});
+  All.push_back({{Fault::LateAndDuplicate, Fault::StaleRead}});
+  return All;
+}
+
+} // namespace
+
+std::string Row::name() const {
+  std::string Joined;
+  for (auto const One : Faults_)
+    Joined += (Joined.empty() ? "" : "+") + std::string(nameOf(One));
+  return Joined;
+}
+
+std::vector<Row> const &rows() {
+  static std::vector<Row> const All = allRows();
+  return All;
+}
+
+std::optional<std::string> whyNotApplicable(Row const &Faults,
+                                            Column const &Step) {
+  if (has(Faults, Fault::LeaseLapsed))
+    return "no flow holds a lease yet";
+  if (Step.Promise_ == Promise::ConfigurationStays &&
+      std::all_of(Faults.Faults_.begin(), Faults.Faults_.end(), isServerFault))
+    return "configuration needs no backend server";
+  if (Step.Promise_ == Promise::StopIsGraceful &&
+      has(Faults, Fault::ProcessKilled))
+    return "a killed process makes no planned stop";
+  return std::nullopt;
+}
+
+std::vector<std::string> runCell(Row const &Faults, Column const &Step,
+                                 Mutants const &Out) {
+  World In(Seed, Out);
+  bool IsReached = false;
+  Step.Start_(In, [&](Place const &Where) {
+    IsReached = true;
+    for (auto const One : Faults.Faults_)
+      In.inject(One, Where);
+  });
+  bool const IsDoubtful =
+      std::any_of(Faults.Faults_.begin(), Faults.Faults_.end(), leavesDoubt);
+  In.settle(IsDoubtful ? Doubt::Allowed : Step.Doubt_);
+  auto Violations = In.oracle().violations();
+  if (!IsReached)
+    Violations.insert(Violations.begin(), "the step was not reached");
+  return Violations;
+}
+
+} // namespace laburnum::faults
--- /dev/null
+++ b/Tests/FaultMatrix/Program/Main.cpp
@@ -0,0 +1,57 @@
+#include "Report.h"
+
+#include <cxxopts.hpp>
+#include <glog/logging.h>
+
+#include <iostream>
+
+using namespace laburnum::faults;
+
+namespace {
+
+cxxopts::Options describe() {
+  cxxopts::Options Options("fault-matrix",
+                           "Every fault at every step of each promise's flow");
+  auto Add = Options.add_options();
+  Add("row", "only this row", cxxopts::value<std::string>());
+  Add("column", "only this column", cxxopts::value<std::string>());
+  Add("mutant", "take this mechanism out", cxxopts::value<std::string>());
+  Add("mutants", "run each cell against its mutants");
+  Add("known-red", "file of failures that are known",
+      cxxopts::value<std::string>()->default_value("KNOWN-RED.txt"));
+  Add("list", "print rows, columns and mutants");
+  Add("help", "print this");
+  return Options;
+}
+
+template <typename Parsed>
+std::string textOf(Parsed const &Options, std::string const &Name) {
+  return Options.count(Name) ? Options[Name].template as<std::string>() : "";
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  google::InitGoogleLogging(Arguments[0]);
+  auto Options = describe();
+  auto const Parsed = Options.parse(Count, Arguments);
+  if (Parsed.count("help")) {
+    std::cout << Options.help();
+    return 0;
+  }
+  if (Parsed.count("list")) {
+    printNames(std::cout);
+    return 0;
+  }
+  Selection Wanted{textOf(Parsed, "row"), textOf(Parsed, "column"),
+                   textOf(Parsed, "known-red"), std::nullopt};
+  if (Parsed.count("mutant")) {
+    Wanted.Mutant_ = mutantNamed(textOf(Parsed, "mutant"));
+    if (!Wanted.Mutant_) {
+      std::cerr << "no such mutant; --list prints them\n";
+      return 2;
+    }
+  }
+  return Parsed.count("mutants") ? reportMutants(Wanted, std::cout)
+                                 : reportMatrix(Wanted, std::cout);
+}
--- /dev/null
+++ b/Tests/FaultMatrix/World.cpp
@@ -0,0 +1,352 @@
+#include <FaultMatrix/World.h>
+
+#include <LibModel/JsonCodec.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace laburnum::faults {
+
+namespace {
+
+constexpr Duration Tick = std::chrono::milliseconds(100);
+constexpr Duration LocalHop = std::chrono::milliseconds(1);
+constexpr Duration RemoteHop = std::chrono::milliseconds(5);
+constexpr Duration ListLag = std::chrono::seconds(1);
+constexpr Duration StopPoll = std::chrono::milliseconds(10);
+constexpr Duration RestartTime = std::chrono::milliseconds(500);
+constexpr Duration CallSpacing = std::chrono::milliseconds(40);
+constexpr std::uint64_t LongestDuplicateDelay = 300; ///< Milliseconds.
+constexpr std::uint16_t FirstPort = 1000;
+
+EntryInstance addressOf(std::size_t Number) {
+  EntryInstance Made;
+  Made.DataCentre_ = DataCentre(Number < 3 ? "near" : "far");
+  Made.Peers_ = {"10.0.0.1", static_cast<std::uint16_t>(FirstPort + Number)};
+  return Made;
+}
+
+BackendServer serverNamed(std::string const &Name, std::string const &Service,
+                          std::string const &Where) {
+  BackendServer Made;
+  Made.Id_ = ServerId(Name);
+  Made.Service_ = ServiceName(Service);
+  Made.DataCentre_ = DataCentre(Where);
+  Made.Endpoint_ = {"10.0.0.2", 80};
+  return Made;
+}
+
+} // namespace
+
+World::World(std::uint64_t Seed, Mutants Out)
+    : Out_(std::move(Out)), Platform_(Queue_, Out_),
+      Backends_(Queue_, Oracle_, Out_, backendHooks()),
+      Callers_(
+          Queue_, Oracle_,
+          [this](std::size_t Instance, Sending const &Sent) {
+            sendToInstance(Instance, Sent);
+          },
+          [this](RequestId const &Id) { leaveInstance(Id); }, Instances),
+      Hooks_(entryHooks()), Generator_(Seed), Hosts_(Instances),
+      NextLife_(Seed * 1000 + 1) {
+  for (std::size_t Each = 0; Each < Instances; ++Each)
+    Hosts_[Each].Address_ = addressOf(Each);
+  configure();
+  for (std::size_t Each = 0; Each < Instances; ++Each)
+    start(Each);
+  tick();
+  run(std::chrono::seconds(2));
+}
+
+EntryHooks World::entryHooks() {
+  return {Queue_,
+          Platform_,
+          Backends_,
+          Oracle_,
+          Out_,
+          [this](std::size_t From, SendToPeer const &Message) {
+            sendToPeer(From, Message);
+          },
+          [this](RequestId const &Id, flow::SendToken const &Token) {
+            Queue_.after(LocalHop, [=, this] { Callers_.onToken(Id, Token); });
+          },
+          [this](RequestId const &Id, FlowEnd const &End) {
+            Queue_.after(LocalHop, [=, this] { Callers_.onEnd(Id, End); });
+          },
+          [this] { return listing(); },
+          [this](std::size_t Instance, std::size_t From) {
+            return notices(Instance, From);
+          },
+          [this](Step Reached, Place const &Where) { reach(Reached, Where); }};
+}
+
+BackendFake::Hooks World::backendHooks() {
+  return {[this](AttemptOwner const &Owner, ServerId const &Server,
+                 flow::Event const &Event) {
+            auto &Host = Hosts_[Owner.Instance_];
+            if (Host.Entry_ && Host.Entry_->life() == Owner.Life_)
+              Host.Entry_->deliver(
+                  [=, &Host] { Host.Entry_->onAttempt(Owner, Server, Event); });
+          },
+          [this](Step Reached, Place const &Where) { reach(Reached, Where); },
+          [this](std::size_t Instance, DataCentre const &Where) {
+            return areCut(Instance, Where);
+          },
+          [this](ServerId const &Server, AttemptOwner const &Owner) {
+            onWork(Server, Owner);
+          },
+          [this](ServerId const &Server) { onCrash(Server); }};
+}
+
+// Instances.
+
+void World::start(std::size_t Number) {
+  if (isRunning(Number))
+    return;
+  auto &Host = Hosts_[Number];
+  auto const Life = NextLife_++;
+  auto Self = Host.Address_;
+  Self.Id_ =
+      InstanceId("i" + std::to_string(Number) + "." + std::to_string(Life));
+  Host.Address_ = Self;
+  Host.ReturnedAt_ = Queue_.now();
+  Host.Entry_ = std::make_unique<Entry>(Hooks_, Number, Life, Self);
+  std::vector<EntryInstance> Others;
+  for (auto const &One : Hosts_)
+    if (One.Entry_ && &One != &Host)
+      Others.push_back(One.Address_);
+  Host.Entry_->setMembers(Others);
+}
+
+/// Its callers notice that their connections broke.
+void World::end(std::size_t Number) {
+  Hosts_[Number].Entry_.reset();
+  std::vector<RequestId> Broken;
+  for (auto const &[Id, Where] : At_)
+    if (Where.first == Number)
+      Broken.push_back(Id);
+  for (auto const &Id : Broken) {
+    At_.erase(Id);
+    Queue_.after(LocalHop, [=, this] { Callers_.onBroken(Id); });
+  }
+}
+
+void World::kill(std::size_t Number) {
+  if (!isRunning(Number))
+    return;
+  end(Number);
+  Queue_.after(RestartTime, [=, this] { start(Number); });
+}
+
+void World::pause(std::size_t Number) {
+  if (!isRunning(Number) || Hosts_[Number].Entry_->isPaused())
+    return;
+  auto const Life = Hosts_[Number].Entry_->life();
+  Hosts_[Number].Entry_->pause();
+  Queue_.after(FaultTime, [=, this] {
+    auto &Host = Hosts_[Number];
+    if (!Host.Entry_ || Host.Entry_->life() != Life)
+      return;
+    Host.ReturnedAt_ = Queue_.now();
+    Host.Entry_->resume();
+  });
+}
+
+void World::stopInstance(std::size_t Number) {
+  if (!isRunning(Number))
+    return;
+  auto &Stopping = *Hosts_[Number].Entry_;
+  Stopping.deliver([&Stopping] { Stopping.beginStop(); });
+  finishStop(Number, Stopping.life());
+}
+
+void World::finishStop(std::size_t Number, std::uint64_t Life) {
+  auto &Host = Hosts_[Number];
+  if (!Host.Entry_ || Host.Entry_->life() != Life)
+    return;
+  bool const IsHeld = Host.Entry_->isPaused() || Host.Entry_->inProgress() > 0;
+  if (IsHeld && !Out_.contains(Mutant::StopAtOnce))
+    return Queue_.after(StopPoll, [=, this] { finishStop(Number, Life); });
+  if (Host.Entry_->inProgress() > 0)
+    Oracle_.violate("a planned stop cut off requests in progress");
+  // What was told a moment ago still reaches its caller.
+  Queue_.after(StopPoll, [=, this] {
+    if (Hosts_[Number].Entry_ && Hosts_[Number].Entry_->life() == Life)
+      kill(Number);
+  });
+}
+
+void World::tick() {
+  Queue_.after(Tick, [this] { tick(); });
+  for (auto &Host : Hosts_)
+    if (Host.Entry_ && !Host.Entry_->isPaused())
+      Host.Entry_->tick();
+  for (auto &[Id, One] : Departing_) {
+    bool const IsKnown =
+        std::any_of(Hosts_.begin(), Hosts_.end(), [&](Host const &Each) {
+          return Each.Entry_ && Each.Entry_->knowsOfDeparture(Id);
+        });
+    if (IsKnown && !One.KnownSince_)
+      One.KnownSince_ = Queue_.now();
+  }
+}
+
+bool World::areCut(std::size_t Instance, DataCentre const &Where) const {
+  return AreCentresCut_ && Hosts_[Instance].Address_.DataCentre_ != Where;
+}
+
+void World::sendToPeer(std::size_t From, SendToPeer const &Message) {
+  auto const To = static_cast<std::size_t>(Message.To_.Port_ - FirstPort);
+  auto const &Sender = Hosts_[From].Address_;
+  if (To >= Instances)
+    return;
+  bool const IsLocal = Sender.DataCentre_ == Hosts_[To].Address_.DataCentre_;
+  auto const Deliver = [this, To, From, Id = Sender.Id_,
+                        Content = Message.Message_] {
+    if (!areCut(From, Hosts_[To].Address_.DataCentre_))
+      handToPeer(To, Id, Content);
+  };
+  Queue_.after(IsLocal ? LocalHop : RemoteHop, Deliver);
+  if (AreMessagesDuplicated_)
+    Queue_.after(
+        std::chrono::milliseconds(Generator_() % LongestDuplicateDelay),
+        Deliver);
+}
+
+void World::handToPeer(std::size_t To, InstanceId const &From,
+                       PeerMessage const &Message) {
+  if (!isRunning(To))
+    return;
+  auto &Receiver = *Hosts_[To].Entry_;
+  Receiver.deliver(
+      [&Receiver, From, Message] { Receiver.onPeer(From, Message); });
+}
+
+InstanceListing World::listing() const {
+  InstanceListing Seen;
+  for (auto const &Host : Hosts_)
+    if (Host.Entry_)
+      Seen.EntryInstances_.push_back({Host.Address_, Liveness::Live});
+  for (auto const &Where : {DataCentre("near"), DataCentre("far")})
+    for (auto const &Id : Backends_.serversIn(Where)) {
+      auto const Found = Departing_.find(Id);
+      bool const IsListed =
+          Found != Departing_.end() && Found->second.ListedFrom_ &&
+          Queue_.now() >= *Found->second.ListedFrom_ + ListLag;
+      Seen.Servers_.push_back(
+          {Id, IsListed ? Liveness::Leaving : Liveness::Live});
+    }
+  return Seen;
+}
+
+std::vector<ReclaimNotice> World::notices(std::size_t Instance,
+                                          std::size_t From) {
+  if (OnlyNoticed_ && *OnlyNoticed_ != Instance)
+    return {};
+  return {Notices_.begin() + static_cast<std::ptrdiff_t>(From), Notices_.end()};
+}
+
+// Callers.
+
+std::size_t World::call(std::string const &Key, Idempotence Kind,
+                        std::size_t Instance, Duration Patience) {
+  CallerRequest Request;
+  Request.Account_ = AccountName("account");
+  Request.Service_ = ServiceName("desk");
+  Request.Idempotence_ = Kind;
+  Request.Key_ = IdempotencyKey(Key);
+  Request.Fingerprint_ = std::hash<std::string>()(Key);
+  Request.Method_ = Kind == Idempotence::NonIdempotent ? "POST" : "GET";
+  Request.Path_ = "/";
+  return Callers_.start(std::move(Request), Instance, Patience);
+}
+
+std::size_t World::stream(std::string const &Prompt, std::uint32_t Tokens,
+                          std::size_t Instance) {
+  CallerRequest Request;
+  Request.Account_ = AccountName("account");
+  Request.Service_ = ServiceName("writer");
+  Request.Kind_ = ServiceKind::Model;
+  Request.Key_ = IdempotencyKey(Prompt);
+  Request.Fingerprint_ = std::hash<std::string>()(Prompt);
+  Request.Prompt_ = Prompt;
+  Request.MaxTokens_ = Tokens;
+  return Callers_.start(std::move(Request), Instance, DefaultPatience);
+}
+
+void World::keepCalling(Duration Span) {
+  std::size_t Number = 0;
+  for (Duration At{}; At < Span; At += CallSpacing, ++Number)
+    Queue_.after(At, [this, Number] {
+      call("load-" + std::to_string(Number), Idempotence::Idempotent,
+           Number % Instances);
+    });
+}
+
+void World::sendToInstance(std::size_t Number, Sending const &Sent) {
+  Queue_.after(LocalHop, [=, this] {
+    auto const &Id = Sent.Request_.Id_;
+    if (!isRunning(Number))
+      return Callers_.onBroken(Id);
+    auto &Receiver = *Hosts_[Number].Entry_;
+    At_[Id] = {Number, Receiver.life()};
+    Receiver.deliver([&Receiver, Sent] { Receiver.accept(Sent); });
+  });
+}
+
+void World::leaveInstance(RequestId const &Id) {
+  auto const Found = At_.find(Id);
+  if (Found == At_.end())
+    return;
+  auto const Number = Found->second.first;
+  At_.erase(Found);
+  if (!isRunning(Number))
+    return;
+  auto &Receiver = *Hosts_[Number].Entry_;
+  Receiver.deliver([&Receiver, Id] { Receiver.callerGone(Id); });
+}
+
+// Steps.
+
+void World::atStep(Step Wanted, std::string const &Key,
+                   std::function<void(Place const &)> Then) {
+  Wanted_ = Wanted;
+  WantedKey_ = Key;
+  OnWanted_ = std::move(Then);
+}
+
+void World::reach(Step Reached, Place const &Where) {
+  if (Wanted_ != Reached || (!Where.Key_.empty() && Where.Key_ != WantedKey_))
+    return;
+  Wanted_.reset();
+  // Not within the event that reached it: a fault may end the instance.
+  Queue_.after(Duration(0), [Then = std::exchange(OnWanted_, nullptr), Where] {
+    Then(Where);
+  });
+}
+
+void World::configure() {
+  Service Desk;
+  Desk.Name_ = ServiceName("desk");
+  Desk.NonIdempotentCalls_ = {{"POST", "/"}};
+  Service Writer;
+  Writer.Name_ = ServiceName("writer");
+  Writer.Kind_ = ServiceKind::Model;
+  auto const Apply = [&](ObjectName const &Name, std::string const &Text) {
+    applyChange({ChangeKind::Apply, Name, Text, ChangeId("setup-" + Name.Name_),
+                 std::nullopt, "setup", 0},
+                0);
+  };
+  Apply({ObjectKind::Service, "desk"}, encodeJson(Desk));
+  Apply({ObjectKind::Service, "writer"}, encodeJson(Writer));
+  for (auto const &Server :
+       {serverNamed("p1", "desk", "near"), serverNamed("p2", "desk", "near"),
+        serverNamed("p3", "desk", "far"), serverNamed("e1", "writer", "near"),
+        serverNamed("e2", "writer", "near"),
+        serverNamed("e3", "writer", "far")}) {
+    Backends_.add(Server);
+    Apply({ObjectKind::Server, Server.Id_.text()}, encodeJson(Server));
+  }
+}
+
+} // namespace laburnum::faults
--- /dev/null
+++ b/Tests/FaultMatrix/WorldFaults.cpp
@@ -0,0 +1,342 @@
+#include <FaultMatrix/World.h>
+
+#include <LibModel/JsonCodec.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace laburnum::faults {
+
+namespace {
+
+constexpr Duration ReclaimNoticeTime = std::chrono::seconds(2);
+constexpr Duration WaveNoticeTime = std::chrono::seconds(1);
+constexpr Duration ReplacementTime = std::chrono::seconds(4);
+constexpr Duration LateReplacementTime = std::chrono::seconds(7);
+constexpr Duration CrashSightTime = std::chrono::milliseconds(3);
+constexpr Duration CrashRestartTime = std::chrono::seconds(1);
+/// After the last fault: the configuration is in force everywhere.
+constexpr Duration ConvergenceTime = std::chrono::seconds(6);
+constexpr Duration RestTime = std::chrono::seconds(14);
+constexpr Duration OperatorPause = std::chrono::seconds(1);
+constexpr std::uint32_t WatchesBroken = 20;
+/// Two, and one that a retry may reach before the first crash is seen.
+constexpr std::size_t MostCrashes = 3;
+
+ObjectName const RacedObject{ObjectKind::Service, "desk"};
+
+} // namespace
+
+void World::inject(Fault One, Place const &Where) {
+  switch (One) {
+  case Fault::ProcessKilled:
+    return kill(Where.Instance_);
+  case Fault::ProcessPaused:
+    return pause(Where.Instance_);
+  case Fault::DataCentresCut:
+    return cutCentres(FaultTime);
+  case Fault::LateAndDuplicate:
+    AreMessagesDuplicated_ = true;
+    Backends_.setDuplicates(true);
+    return Queue_.after(FaultTime, [this] {
+      AreMessagesDuplicated_ = false;
+      Backends_.setDuplicates(false);
+    });
+  case Fault::OperatorsRacing:
+    return race("race", Where.Instance_);
+  case Fault::LeaseLapsed:
+    return;
+  default:
+    injectPlatform(One, Where);
+    injectServers(One, Where);
+  }
+}
+
+void World::cutCentres(Duration Span) {
+  AreCentresCut_ = true;
+  Queue_.after(Span, [this] { AreCentresCut_ = false; });
+}
+
+void World::injectPlatform(Fault One, Place const &Where) {
+  switch (One) {
+  case Fault::PlatformCut:
+    Platform_.cut(Where.Instance_);
+    return Queue_.after(FaultTime, [this] { Platform_.healCuts(); });
+  case Fault::PlatformSlow:
+    Platform_.setPace(PlatformPace::Slow);
+    return Queue_.after(FaultTime,
+                        [this] { Platform_.setPace(PlatformPace::Normal); });
+  case Fault::PlatformDown:
+    Platform_.setDown(true);
+    return Queue_.after(FaultTime, [this] { Platform_.setDown(false); });
+  case Fault::AnswerLost:
+    return Platform_.loseAnswers(1);
+  case Fault::StaleRead:
+    Platform_.serveReadsAsOf(Platform_.store().version() - 1);
+    return Queue_.after(FaultTime,
+                        [this] { Platform_.serveReadsAsOf(std::nullopt); });
+  case Fault::WatchGap:
+    return Platform_.breakWatches(WatchesBroken);
+  default:
+    return;
+  }
+}
+
+void World::injectServers(Fault One, Place const &Where) {
+  auto const Hit = Where.Server_.value_or(ServerId("p1"));
+  auto const &Server = Backends_.server(Hit);
+  switch (One) {
+  case Fault::ReclaimWithNotice:
+    return reclaim(Hit, ReclaimNoticeTime);
+  case Fault::ReclaimWithoutNotice:
+    return lose(Hit);
+  case Fault::Wave:
+    for (auto const &Id : Backends_.serversIn(Server.DataCentre_))
+      reclaim(Id, WaveNoticeTime);
+    return;
+  case Fault::ReplacementRefused:
+    for (auto const &Where : {DataCentre("near"), DataCentre("far")})
+      for (auto const &Id : Backends_.serversIn(Where))
+        if (Backends_.server(Id).Service_ == Server.Service_) {
+          Backends_.stop(Id);
+          replaceLater(Id, LateReplacementTime);
+        }
+    return;
+  case Fault::CrashingRequest:
+    if (Server.Service_ == ServiceName("desk"))
+      call("crash", Idempotence::Idempotent, Where.Instance_);
+    else
+      stream("crash", 4, Where.Instance_);
+    return;
+  default:
+    return;
+  }
+}
+
+void World::reclaim(ServerId const &Id, Duration Notice) {
+  Notices_.push_back({Id.text(), Backends_.server(Id).DataCentre_, Notice});
+  Departing_[Id].ListedFrom_ = Queue_.now();
+  Queue_.after(Notice, [=, this] { Backends_.stop(Id); });
+  replaceLater(Id, ReplacementTime);
+}
+
+void World::lose(ServerId const &Id) {
+  Backends_.stop(Id);
+  replaceLater(Id, ReplacementTime);
+}
+
+/// The replacement takes the same name at a higher version.
+void World::replaceLater(ServerId const &Id, Duration Delay) {
+  Queue_.after(Delay, [=, this] {
+    if (Kept_.contains(Id))
+      return;
+    Departing_.erase(Id);
+    Backends_.start(Id);
+    applyServer(Id,
+                "replace-" + Id.text() + "-" + std::to_string(NextChange_++));
+  });
+}
+
+void World::leave(ServerId const &Server, LeavingSign Sign,
+                  Duration Remaining) {
+  Kept_.insert(Server);
+  auto &One = Departing_[Server];
+  ReclaimNotice const Notice{Server.text(),
+                             Backends_.server(Server).DataCentre_, Remaining};
+  if (Sign != LeavingSign::Refusal)
+    One.ListedFrom_ =
+        Queue_.now() +
+        (Sign == LeavingSign::List ? Duration(0) : std::chrono::seconds(1));
+  if (Sign == LeavingSign::Refusal)
+    Backends_.setRefusing(Server, true);
+  if (Sign == LeavingSign::Peer)
+    OnlyNoticed_ = 0;
+  if (Sign == LeavingSign::Notice || Sign == LeavingSign::Peer)
+    Notices_.push_back(Notice);
+}
+
+void World::onWork(ServerId const &Server, AttemptOwner const &Owner) {
+  auto const Found = Departing_.find(Server);
+  if (Found == Departing_.end() || !Found->second.KnownSince_)
+    return;
+  auto const Since =
+      std::max(*Found->second.KnownSince_, Hosts_[Owner.Instance_].ReturnedAt_);
+  if (Queue_.now() > Since + LeavingBound)
+    Oracle_.violate("leaving server " + Server.text() + " got new work from " +
+                    Hosts_[Owner.Instance_].Address_.Id_.text());
+}
+
+void World::onCrash(ServerId const &Server) {
+  if (!Backends_.isUp(Server))
+    return;
+  Backends_.stop(Server);
+  if (++Crashes_ > MostCrashes)
+    Oracle_.violate("one request crashed more servers than the bound");
+  Queue_.after(CrashSightTime, [=, this] {
+    for (auto &Host : Hosts_)
+      if (Host.Entry_)
+        Host.Entry_->onCrash(Backends_.server(Server));
+  });
+  Queue_.after(CrashRestartTime, [=, this] { Backends_.start(Server); });
+}
+
+// Operators.
+
+Change World::changeNamed(std::string const &Id) {
+  Service Next;
+  Next.Name_ = ServiceName(RacedObject.Name_);
+  Next.NonIdempotentCalls_ = {{"POST", "/"}};
+  Next.Priority_ = static_cast<std::int32_t>(NextChange_++ % 100);
+  return {ChangeKind::Apply,
+          RacedObject,
+          encodeJson(Next),
+          ChangeId(Id),
+          std::nullopt,
+          "operator",
+          0};
+}
+
+void World::change(std::string const &Id, std::size_t Instance) {
+  applyChange(changeNamed(Id), Instance);
+}
+
+/// The second operator's change comes between the first one's read and write;
+/// both expect what is there now.
+void World::race(std::string const &Id, std::size_t Instance) {
+  auto const Present =
+      Platform_.store().find({toString(RacedObject.Kind_), RacedObject.Name_});
+  auto First = changeNamed(Id + "-first");
+  auto Second = changeNamed(Id + "-second");
+  First.Expected_ = Present.Version_;
+  Second.Expected_ = Present.Version_;
+  Platform_.beforeOperatorsPut([=, this] {
+    reach(Step::OperatorWriteSent, {Instance, {}, {}});
+    applyChange(Second, (Instance + 1) % Instances);
+  });
+  applyChange(First, Instance);
+}
+
+void World::applyServer(ServerId const &Id, std::string const &ChangeName) {
+  applyChange({ChangeKind::Apply,
+               {ObjectKind::Server, Id.text()},
+               encodeJson(Backends_.server(Id)),
+               ChangeId(ChangeName),
+               std::nullopt,
+               "operator",
+               0},
+              0);
+}
+
+void World::applyChange(Change const &Asked, std::size_t Instance) {
+  OperatorStore Store(Platform_, Instance);
+  auto const Outcome = ChangeWriter(Store, PlatformFake::Timeout).apply(Asked);
+  Queue_.after(Duration(1),
+               [=, this] { onChangeEnd(Asked, Instance, Outcome); });
+}
+
+/// An operator in doubt, or refused for now, sends the same change again
+/// through another instance until it is told how it ended.
+void World::onChangeEnd(Change const &Asked, std::size_t Instance,
+                        Result<AcceptedChange> const &Outcome) {
+  bool const IsHeard = isRunning(Instance) || Asked.Operator_ == "setup";
+  auto Next = Asked;
+  if (IsHeard && !isError(Outcome)) {
+    auto const &Object = valueOf(Outcome).Object_;
+    Oracle_.toldAccepted(Object.Name_, Object.Version_, Asked.Id_);
+    if (!isRunning(Instance))
+      return;
+    auto &Accepting = *Hosts_[Instance].Entry_;
+    return Accepting.deliver(
+        [&Accepting, Object] { Accepting.onOwnChange(Object); });
+  }
+  auto const Kind =
+      IsHeard ? errorOf(Outcome).Kind_ : ErrorKind::OutcomeUnknown;
+  if (IsHeard && Out_.contains(Mutant::AcceptUnwritten))
+    return Oracle_.toldAccepted(Asked.Name_, 0, Asked.Id_);
+  if (Kind == ErrorKind::Conflict)
+    return Oracle_.toldUnchanged(Asked.Id_);
+  if (Kind == ErrorKind::Unavailable && Asked.Operator_ != "patient") {
+    Oracle_.toldUnchanged(Asked.Id_);
+    Next.Id_ = ChangeId(Asked.Id_.text() + "+");
+  }
+  // After a doubt, a refusal of the next sending says nothing of the first.
+  if (Kind == ErrorKind::OutcomeUnknown)
+    Next.Operator_ = "patient";
+  if (Out_.contains(Mutant::ForgetChangeId))
+    Next.Id_ = ChangeId(Asked.Id_.text() + "?");
+  Queue_.after(OperatorPause,
+               [=, this] { applyChange(Next, (Instance + 1) % Instances); });
+}
+
+// The end.
+
+void World::heal() {
+  AreCentresCut_ = false;
+  AreMessagesDuplicated_ = false;
+  Backends_.setDuplicates(false);
+  Backends_.setHabits({});
+  Platform_.setDown(false);
+  Platform_.setPace(PlatformPace::Normal);
+  Platform_.healCuts();
+  Platform_.loseAnswers(0);
+  Platform_.serveReadsAsOf(std::nullopt);
+  Platform_.breakWatches(0);
+}
+
+void World::settle(Doubt Allowed) {
+  run(LateReplacementTime);
+  heal();
+  run(ConvergenceTime);
+  for (std::size_t Each = 0; Each < Instances; ++Each)
+    checkInForce(Each);
+  run(RestTime);
+  checkCallers(Allowed);
+  checkAudit();
+  Oracle_.checkRuns();
+}
+
+void World::checkCallers(Doubt Allowed) {
+  for (std::size_t Each = 0; Each < Callers_.count(); ++Each) {
+    auto const &Of = Callers_.caller(Each);
+    auto const Key = Of.Request_.Key_->text();
+    if (Key.starts_with("crash") || Of.Status_ == CallerState::Status::Answered)
+      continue;
+    bool const IsUnrepeatable =
+        Of.Request_.Idempotence_ == Idempotence::NonIdempotent;
+    if (IsUnrepeatable && Allowed == Doubt::Allowed &&
+        Of.Status_ == CallerState::Status::Doubtful)
+      continue;
+    Oracle_.violate("request " + Key + " was not answered");
+  }
+}
+
+void World::checkInForce(std::size_t Number) {
+  auto const &Host = Hosts_[Number];
+  if (!Host.Entry_)
+    return;
+  for (auto const &[Name, Accepted] : Oracle_.accepted()) {
+    auto const *Held = Host.Entry_->configuration().object(Name);
+    if (!Held || Held->Version_ < Accepted)
+      Oracle_.violate("accepted version " + std::to_string(Accepted) + " of " +
+                      Name.Name_ + " is not in force at " +
+                      Host.Address_.Id_.text());
+  }
+}
+
+void World::checkAudit() {
+  std::map<ChangeId, std::size_t> Entries;
+  OperatorStore Store(Platform_, 0);
+  ChangeWriter Reader(Store, PlatformFake::Timeout);
+  for (auto const &[Name, Unused] : Oracle_.accepted()) {
+    auto const Trail = Reader.auditTrail(Name, 1000);
+    if (isError(Trail)) {
+      Oracle_.violate("the audit trail cannot be read");
+      continue;
+    }
+    for (auto const &Entry : valueOf(Trail))
+      ++Entries[Entry.Change_];
+  }
+  Oracle_.checkAudit(Entries);
+}
+
+} // namespace laburnum::faults
