--- a/Tests/FaultMatrix/BackendFake.cpp
+++ b/Tests/FaultMatrix/BackendFake.cpp
@@ -175,9 +175,9 @@
     One->Progress_ = AttemptProgress::AnswerWhole;
     return end(One, AttemptEnd::Answered);
   }
-  bool const IsSkipped = Habits_.SkipsOnce_ && Offset == SkippedOffset;
+  bool const IsSkipped = Habits_.Skips_ > 0 && Offset == SkippedOffset;
   if (IsSkipped)
-    Habits_.SkipsOnce_ = false;
+    --Habits_.Skips_;
   else
     sendPiece(One, Offset);
   if (Offset + 1 == Last)
--- a/Tests/FaultMatrix/BackendFake.h
+++ b/Tests/FaultMatrix/BackendFake.h
@@ -31,7 +31,7 @@
 struct EngineHabits {
   bool GoesOnAfterCancel_ = false; ///< Its text is wrong from then on.
   bool SendsTwice_ = false;
-  bool SkipsOnce_ = false;      ///< Leaves out one token of its next stream.
+  std::uint32_t Skips_ = 0;     ///< So many next streams lack one token.
   bool StartsFromZero_ = false; ///< Ignores ResumeFrom_.
 };
 
--- a/Tests/FaultMatrix/Callers.cpp
+++ b/Tests/FaultMatrix/Callers.cpp
@@ -37,6 +37,7 @@
 
 void Callers::send(std::size_t Caller, std::size_t Instance) {
   auto &Of = Callers_.at(Caller);
+  ++Of.Sendings_;
   Of.NextInstance_ = (Instance + 1) % Instances_;
   auto Request = Of.Request_;
   Request.Id_ = RequestId("s" + std::to_string(NextSending_++));
--- a/Tests/FaultMatrix/Callers.h
+++ b/Tests/FaultMatrix/Callers.h
@@ -20,6 +20,7 @@
   std::size_t NextInstance_ = 0;
   std::set<RequestId> Open_; ///< Sendings whose end is not known.
   std::uint32_t Tokens_ = 0;
+  std::uint32_t Sendings_ = 0;
   Status Status_ = Status::Open;
   bool IsResending_ = false;
   std::uint64_t Signs_ = 0; ///< Signs of life, to see that one is missing.
--- a/Tests/FaultMatrix/EntryRequests.cpp
+++ b/Tests/FaultMatrix/EntryRequests.cpp
@@ -56,6 +56,10 @@
     if (auto *End = std::get_if<flow::PlainAttemptEnded>(&Seen))
       End->Attempt_ = Of.Current_;
   }
+  auto const *Broken = std::get_if<flow::CompletionAttemptEnded>(&Seen);
+  if (Broken && Broken->Result_.Evidence_.End_ != AttemptEnd::Answered &&
+      Hooks_.Out_.contains(Mutant::NoRecovery))
+    Seen = flow::DeadlineReached{};
   auto const *Piece = std::get_if<flow::PieceReceived>(&Seen);
   if (Piece && Hooks_.Out_.contains(Mutant::IgnoreOffsets))
     Hooks_.TellToken_(
--- a/Tests/FaultMatrix/Fault.cpp
+++ b/Tests/FaultMatrix/Fault.cpp
@@ -25,7 +25,7 @@
     "crashing-request",
     "late-and-duplicate"};
 
-constexpr std::array<std::string_view, 17> MutantNames = {
+constexpr std::array<std::string_view, 18> MutantNames = {
     "dispatch-before-verdict",
     "lost-answer-is-refusal",
     "blind-writes",
@@ -36,6 +36,7 @@
     "say-not-run",
     "ignore-attempts",
     "ignore-offsets",
+    "no-recovery",
     "ignore-departures",
     "list-overrides-notice",
     "stop-at-once",
--- a/Tests/FaultMatrix/Fault.h
+++ b/Tests/FaultMatrix/Fault.h
@@ -44,6 +44,7 @@
   SayNotRun,             ///< Every failure is told as not run.
   IgnoreAttempts,        ///< Events of older attempts count as present ones.
   IgnoreOffsets,         ///< Pieces go to the caller as they come.
+  NoRecovery,            ///< A stream whose attempt broke is given up.
   IgnoreDepartures,      ///< Leaving servers are chosen like others.
   ListOverridesNotice,   ///< The lagging list brings a server back.
   StopAtOnce,            ///< A planned stop does not wait.
--- a/Tests/FaultMatrix/PlatformFake.cpp
+++ b/Tests/FaultMatrix/PlatformFake.cpp
@@ -134,8 +134,8 @@
   }
   auto Made = write(Key, Expected, Value);
   if (std::exchange(IsDownAfterPut_, false))
-    IsDown_ = true;
-  if (IsDown_ || losesAnswer())
+    beginOutage();
+  if (!reaches(Instance) || losesAnswer())
     return lostWrite();
   return Made;
 }
--- a/Tests/FaultMatrix/PlatformFake.h
+++ b/Tests/FaultMatrix/PlatformFake.h
@@ -39,12 +39,18 @@
              Answer<WatchBatch> Then);
 
   bool reaches(std::size_t Instance) const {
-    return !IsDown_ && !Cut_.contains(Instance);
+    return Outages_ == 0 && !Cut_.contains(Instance);
   }
   VersionedStore &store() { return Store_; }
 
   // Faults.
-  void setDown(bool IsDown) { IsDown_ = IsDown; }
+  /// Outages may overlap: each ends by itself.
+  void beginOutage() { ++Outages_; }
+  void endOutage() {
+    if (Outages_ > 0)
+      --Outages_;
+  }
+  void endOutages() { Outages_ = 0; }
   void setPace(PlatformPace Pace) { Pace_ = Pace; }
   void cut(std::size_t Instance) { Cut_.insert(Instance); }
   void healCuts() { Cut_.clear(); }
@@ -79,7 +85,7 @@
   EventQueue &Queue_;
   Mutants const &Out_;
   VersionedStore Store_;
-  bool IsDown_ = false;
+  std::uint32_t Outages_ = 0;
   bool IsDownAfterPut_ = false;
   PlatformPace Pace_ = PlatformPace::Normal;
   std::set<std::size_t> Cut_;
--- a/Tests/FaultMatrix/Program/Cell.cpp
+++ b/Tests/FaultMatrix/Program/Cell.cpp
@@ -25,6 +25,12 @@
          One == Fault::ProcessPaused || One == Fault::DataCentresCut;
 }
 
+/// After these a caller may have to send its stream again.
+bool interrupts(Fault One) {
+  return One == Fault::ProcessKilled || One == Fault::ProcessPaused ||
+         One == Fault::ReplacementRefused;
+}
+
 std::vector<Row> allRows() {
   std::vector<Row> All;
   for (int Each = 0; Each <= static_cast<int>(Fault::LateAndDuplicate); ++Each)
@@ -86,6 +92,11 @@
   bool const IsDoubtful =
       std::any_of(Faults.Faults_.begin(), Faults.Faults_.end(), leavesDoubt);
   In.settle(IsDoubtful ? Doubt::Allowed : Step.Doubt_);
+  bool const MayInterrupt =
+      std::any_of(Faults.Faults_.begin(), Faults.Faults_.end(), interrupts);
+  if (Step.Promise_ == Promise::StreamsSurvive && !MayInterrupt &&
+      In.callers().caller(0).Sendings_ > 1)
+    In.oracle().violate("the caller had to send its stream again");
   auto Violations = In.oracle().violations();
   if (!IsReached)
     Violations.insert(Violations.begin(), "the step was not reached");
--- a/Tests/FaultMatrix/Program/FleetColumns.cpp
+++ b/Tests/FaultMatrix/Program/FleetColumns.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 constexpr std::size_t First = 0;
-constexpr std::size_t Restarted = 4;
+constexpr std::size_t Restarted = 5;
 constexpr Duration LoadTime = std::chrono::seconds(9);
 constexpr Duration LoadLead = std::chrono::milliseconds(500);
 constexpr Duration LongNotice = std::chrono::seconds(60);
@@ -16,7 +16,7 @@
     In.keepCalling(LoadTime);
     In.after(LoadLead, [&In, Sign, Now] {
       In.leave(ServerId("p1"), Sign, LongNotice);
-      Now({First, ServerId("p2"), {}});
+      Now({First, ServerId("p3"), {}});
     });
   };
   return {Promise::LeavingGetsNoWork, Name, Doubt::Never, std::move(Mutants),
@@ -80,7 +80,7 @@
 /// configuration from its peers before the platform is back.
 Column restartFromPeers() {
   auto const Start = [](World &In, Inject const &Now) {
-    In.platform().setDown(true);
+    In.platform().beginOutage();
     In.kill(Restarted);
     In.after(std::chrono::milliseconds(600), [Now] {
       Now({Restarted, {}, {}});
@@ -96,14 +96,14 @@
 /// is healed.
 Column partitionHeal() {
   auto const Start = [](World &In, Inject const &Now) {
-    In.platform().cut(3);
     In.platform().cut(4);
+    In.platform().cut(5);
     In.cutCentres(World::FaultTime);
     In.change("change", First);
     In.after(World::FaultTime, [Now] { Now({First, {}, {}}); });
     In.after(std::chrono::milliseconds(12900), [&In] {
-      In.checkInForce(3);
       In.checkInForce(4);
+      In.checkInForce(5);
     });
     In.run(std::chrono::seconds(6));
   };
@@ -116,7 +116,7 @@
 Column auditOnce() {
   auto const Start = [](World &In, Inject const &Now) {
     In.platform().goDownAfterOperatorsPut();
-    In.after(std::chrono::seconds(2), [&In] { In.platform().setDown(false); });
+    In.after(std::chrono::seconds(2), [&In] { In.platform().endOutage(); });
     In.platform().beforeOperatorsPut([Now] { Now({First, {}, {}}); });
     In.change("change", First);
   };
--- a/Tests/FaultMatrix/Program/RequestColumns.cpp
+++ b/Tests/FaultMatrix/Program/RequestColumns.cpp
@@ -7,17 +7,19 @@
 constexpr char Key[] = "order";
 constexpr std::size_t First = 0;
 /// In the other data centre.
-constexpr std::size_t Second = 3;
+constexpr std::size_t Second = 4;
+constexpr std::size_t Third = 1;
 /// Shorter than the work of a call.
 constexpr Duration ShortPatience = std::chrono::milliseconds(5);
 
 /// A call that must not be repeated; when the step is reached its caller also
-/// sends it through another instance.
+/// sends it through two others.
 Column claimStep(std::string const &Name, Step At) {
   auto const Start = [At](World &In, Inject const &Now) {
     In.atStep(At, Key, [&In, Now](Place const &Where) {
       Now(Where);
       In.sendAgain(0, Second);
+      In.sendAgain(0, Third);
     });
     In.call(Key, Idempotence::NonIdempotent, First);
   };
@@ -33,7 +35,10 @@
 Column sentAgain() {
   auto const Start = [](World &In, Inject const &Now) {
     In.atStep(Step::Running, Key, [&In, Now](Place const &) {
-      In.atStep(Step::ClaimRequested, Key, Now);
+      In.atStep(Step::ClaimRequested, Key, [&In, Now](Place const &Where) {
+        Now(Where);
+        In.sendAgain(0, Third);
+      });
       In.sendAgain(0, Second);
     });
     In.call(Key, Idempotence::NonIdempotent, First);
--- a/Tests/FaultMatrix/Program/StreamColumns.cpp
+++ b/Tests/FaultMatrix/Program/StreamColumns.cpp
@@ -10,8 +10,8 @@
 /// Longer than it takes to see the notice, shorter than the rest of a stream.
 constexpr Duration Notice = std::chrono::milliseconds(150);
 
-std::vector<Mutant> const StreamMutants = {Mutant::IgnoreOffsets,
-                                           Mutant::IgnoreAttempts};
+std::vector<Mutant> const StreamMutants = {
+    Mutant::IgnoreOffsets, Mutant::IgnoreAttempts, Mutant::NoRecovery};
 
 /// The stream's server is lost at the step, together with the faults.
 Column lostAt(std::string const &Name, Step At) {
@@ -75,7 +75,7 @@
 /// The piece is missing before the move, so that it shows by itself.
 Column hole() {
   auto const Start = [](World &In, Inject const &Now) {
-    In.backends().setHabits({.SkipsOnce_ = true});
+    In.backends().setHabits({.Skips_ = 2});
     In.atStep(Step::FirstTokenDue, Prompt, Now);
     In.stream(Prompt, Tokens, Instance);
   };
@@ -93,13 +93,15 @@
           reclaimedInMidStream(),
           lostAt("last-token", Step::LastToken),
           secondMove(),
-          misbehaving("late-piece", {.GoesOnAfterCancel_ = true},
+          misbehaving("late-piece",
+                      {.GoesOnAfterCancel_ = true, .StartsFromZero_ = true},
                       Step::MidStream,
                       {Mutant::IgnoreAttempts, Mutant::IgnoreOffsets}),
           misbehaving("duplicate-piece", {.SendsTwice_ = true}, Step::MidStream,
                       {Mutant::IgnoreOffsets}),
           hole(),
-          misbehaving("older-attempt", {.GoesOnAfterCancel_ = true},
+          misbehaving("older-attempt",
+                      {.GoesOnAfterCancel_ = true, .StartsFromZero_ = true},
                       Step::SecondAttempt,
                       {Mutant::IgnoreAttempts, Mutant::IgnoreOffsets})};
 }
--- a/Tests/FaultMatrix/World.cpp
+++ b/Tests/FaultMatrix/World.cpp
@@ -21,7 +21,7 @@
 
 EntryInstance addressOf(std::size_t Number) {
   EntryInstance Made;
-  Made.DataCentre_ = DataCentre(Number < 3 ? "near" : "far");
+  Made.DataCentre_ = DataCentre(Number < 4 ? "near" : "far");
   Made.Peers_ = {"10.0.0.1", static_cast<std::uint16_t>(FirstPort + Number)};
   return Made;
 }
--- a/Tests/FaultMatrix/World.h
+++ b/Tests/FaultMatrix/World.h
@@ -26,7 +26,7 @@
 /// operators and callers, in one thread and virtual time.
 class World {
 public:
-  static constexpr std::size_t Instances = 5;
+  static constexpr std::size_t Instances = 6;
   static constexpr Duration FaultTime = std::chrono::seconds(3);
   /// A leaving server takes no new work after this.
   static constexpr Duration LeavingBound = std::chrono::seconds(3);
--- a/Tests/FaultMatrix/WorldFaults.cpp
+++ b/Tests/FaultMatrix/WorldFaults.cpp
@@ -67,8 +67,8 @@
     return Queue_.after(FaultTime,
                         [this] { Platform_.setPace(PlatformPace::Normal); });
   case Fault::PlatformDown:
-    Platform_.setDown(true);
-    return Queue_.after(FaultTime, [this] { Platform_.setDown(false); });
+    Platform_.beginOutage();
+    return Queue_.after(FaultTime, [this] { Platform_.endOutage(); });
   case Fault::AnswerLost:
     return Platform_.loseAnswers(1);
   case Fault::StaleRead:
@@ -283,7 +283,7 @@
   AreMessagesDuplicated_ = false;
   Backends_.setDuplicates(false);
   Backends_.setHabits({});
-  Platform_.setDown(false);
+  Platform_.endOutages();
   Platform_.setPace(PlatformPace::Normal);
   Platform_.healCuts();
   Platform_.loseAnswers(0);
