--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibModel/ConfigurationObject.h>
 #include <LibModel/EntryInstance.h>
+#include <LibPeer/StreamMessages.h>
 
 #include <compare>
 #include <cstdint>
@@ -92,8 +93,8 @@
   ServerId Server_;
   Liveness Liveness_ = Liveness::Leaving;
   Duration Remaining_{}; ///< Until it is gone, when sent; 0 if not known.
-  /// The version of the server's configuration object that it is about; a
-  /// server applied anew at a higher version is not touched.
+  /// ChangeVersion_ of the server's configuration object that it is about; a
+  /// server applied anew by a later change is not touched.
   Version ServerVersion_ = 0;
 
   auto operator<=>(ServerLeavingNotice const &) const = default;
@@ -103,6 +104,7 @@
 /// its place is its number on the wire.
 using PeerMessage =
     std::variant<Hello, Heartbeat, ConfigurationDigest, ConfigurationObjects,
-                 ConfigurationRequest, ServerLeavingNotice>;
+                 ConfigurationRequest, ServerLeavingNotice, StreamCheckpoint,
+                 StreamQuery, StreamState, StreamHandOver>;
 
 } // namespace laburnum
