--- a/Tests/FaultMatrix/Callers.cpp
+++ b/Tests/FaultMatrix/Callers.cpp
@@ -8,7 +8,7 @@
 
 using Status = CallerState::Status;
 
-constexpr Duration Persistence = std::chrono::seconds(25);
+constexpr Duration Persistence = std::chrono::minutes(10);
 constexpr Duration Silence = std::chrono::seconds(2);
 constexpr Duration PauseAfterBreak = std::chrono::milliseconds(20);
 constexpr Duration PauseAfterDoubt = std::chrono::seconds(1);
@@ -37,6 +37,7 @@
 
 void Callers::send(std::size_t Caller, std::size_t Instance) {
   auto &Of = Callers_.at(Caller);
+  ++Of.Sendings_;
   Of.NextInstance_ = (Instance + 1) % Instances_;
   auto Request = Of.Request_;
   Request.Id_ = RequestId("s" + std::to_string(NextSending_++));
--- a/Tests/FaultMatrix/Program/Cell.cpp
+++ b/Tests/FaultMatrix/Program/Cell.cpp
@@ -25,6 +25,17 @@
          One == Fault::ProcessPaused || One == Fault::DataCentresCut;
 }
 
+/// Whether the caller's instance goes away, or no engine is left within its
+/// reach, so that the caller may have to send its stream again.
+bool mayInterrupt(Row const &Faults, Column const &Step) {
+  bool const LosesNearEngines = Step.Name_ == "second-move";
+  return has(Faults, Fault::ProcessKilled) ||
+         has(Faults, Fault::ProcessPaused) ||
+         has(Faults, Fault::ReplacementRefused) ||
+         has(Faults, Fault::CrashingRequest) ||
+         (LosesNearEngines && has(Faults, Fault::DataCentresCut));
+}
+
 std::vector<Row> allRows() {
   std::vector<Row> All;
   for (int Each = 0; Each <= static_cast<int>(Fault::LateAndDuplicate); ++Each)
@@ -86,6 +97,9 @@
   bool const IsDoubtful =
       std::any_of(Faults.Faults_.begin(), Faults.Faults_.end(), leavesDoubt);
   In.settle(IsDoubtful ? Doubt::Allowed : Step.Doubt_);
+  if (Step.Promise_ == Promise::StreamsSurvive && !mayInterrupt(Faults, Step) &&
+      In.callers().caller(0).Sendings_ > 1)
+    In.oracle().violate("the caller had to send its stream again");
   auto Violations = In.oracle().violations();
   if (!IsReached)
     Violations.insert(Violations.begin(), "the step was not reached");
