LibPlacement: Place servers and order engines under the lease

The planner minimises price and expected recomputed tokens by the operators' weights and keeps the need when any one data centre is lost. The controller records an order in the platform before it asks the cloud. Engine orders carry the fencing number; engines that ignore it are ordered only within the lease's proven time, and anew by each new holder.

--- /dev/null
+++ b/Libraries/LibBackend/HttpOrderClient.cpp
@@ -0,0 +1,70 @@
+#include <LibBackend/HttpOrderClient.h>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace laburnum {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusPreconditionFailed = 412;
+
+std::string kindName(EngineOrderKind Kind) {
+  switch (Kind) {
+  case EngineOrderKind::LoadModel:
+    return "load_model";
+  case EngineOrderKind::LoadAdapter:
+    return "load_adapter";
+  case EngineOrderKind::SetRole:
+    return "set_role";
+  }
+  return "";
+}
+
+EngineOrderOutcome outcomeOf(httplib::Result const &Answer) {
+  if (!Answer)
+    return EngineOrderOutcome::Failed;
+  if (Answer->status == StatusPreconditionFailed)
+    return EngineOrderOutcome::Fenced;
+  return Answer->status == StatusOk ? EngineOrderOutcome::Done
+                                    : EngineOrderOutcome::Failed;
+}
+
+} // namespace
+
+std::string encodeJson(FencedOrder const &Order) {
+  nlohmann::json const Body = {{"fencing", Order.Fencing_},
+                               {"order_id", Order.OrderId_},
+                               {"kind", kindName(Order.Kind_)},
+                               {"argument", Order.Argument_}};
+  return Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+/// The time is checked again when the connection stands and the body is about
+/// to be written, so that a slow connection or a pause does not send it late.
+EngineOrderOutcome HttpOrderClient::send(BackendServer const &Server,
+                                         FencedOrder const &Order,
+                                         TimePoint SendBefore,
+                                         Duration Timeout) {
+  constexpr int Phases = 3; // Connecting, writing and reading.
+  auto const Each = Timeout / Phases;
+  httplib::Client Client(Server.Endpoint_.Host_, Server.Endpoint_.Port_);
+  Client.set_tcp_nodelay(true);
+  Client.set_connection_timeout(Each);
+  Client.set_write_timeout(Each);
+  Client.set_read_timeout(Each);
+  auto const Body = encodeJson(Order);
+  auto const WriteBody = [&](std::size_t Offset, std::size_t Length,
+                             httplib::DataSink &Sink) {
+    if (readClock() >= SendBefore)
+      return false;
+    return Sink.write(Body.data() + Offset, Length);
+  };
+  if (readClock() >= SendBefore)
+    return EngineOrderOutcome::Failed;
+  return outcomeOf(
+      Client.Post("/orders", Body.size(), WriteBody, "application/json"));
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibPlacement/FleetController.cpp
@@ -0,0 +1,313 @@
+#include <LibPlacement/FleetController.h>
+
+#include <algorithm>
+
+namespace laburnum {
+
+using namespace controller;
+
+FleetController::FleetController(controller::Settings Settings)
+    : Settings_(Settings), InForce_(std::make_shared<Configuration const>()),
+      Departures_(std::make_shared<servers::Departures const>()),
+      Engines_(Settings_.Orders_),
+      Rates_(Settings_.PriorReclaimsPerHour_, Settings_.PriorServerHours_) {}
+
+std::vector<Action> FleetController::handle(Event const &Event, TimePoint Now) {
+  Now_ = Now;
+  Actions_.clear();
+  std::visit([&](auto const &Each) { on(Each); }, Event);
+  act();
+  return std::move(Actions_);
+}
+
+// What is seen.
+
+/// Under a new lease the record is read anew: another holder may have written.
+void FleetController::on(LeaseSeen const &Event) {
+  bool const IsSame =
+      Lease_ && Event.Lease_ && Lease_->Fencing_ == Event.Lease_->Fencing_;
+  Lease_ = Event.Lease_;
+  if (IsSame)
+    return;
+  Record_.reset();
+  Writing_.reset();
+  Started_.clear();
+  Refused_.clear();
+  Stopped_.clear();
+  DrainedAt_.clear();
+  NextRecordCall_ = Now_;
+}
+
+void FleetController::on(ConfigurationSeen const &Event) {
+  InForce_ = Event.InForce_;
+  updateEngines();
+}
+
+void FleetController::on(DeparturesSeen const &Event) {
+  for (auto const &[Id, Departure] : *Event.Departures_) {
+    auto const *Server = InForce_->server(Id);
+    if (Server && Server->IsReclaimable_ && !Departures_->contains(Id))
+      Rates_.reclaimed(Server->DataCentre_);
+  }
+  Departures_ = Event.Departures_;
+  updateEngines();
+}
+
+void FleetController::updateEngines() {
+  std::vector<BackendServer> Engines;
+  for (auto const &[Name, Owner] : InForce_->services()) {
+    if (Owner.Kind_ != ServiceKind::Model ||
+        Owner.Placement_.DesiredServers_ == 0)
+      continue;
+    for (auto const &Server : InForce_->serversOf(Name))
+      if (!Departures_->contains(Server.Id_))
+        Engines.push_back(Server);
+  }
+  Engines_.setServers(std::move(Engines));
+}
+
+void FleetController::on(controller::TimePassed const & /*Event*/) {
+  watchReclaims();
+}
+
+void FleetController::watchReclaims() {
+  auto const Length = WatchedUntil_ ? Now_ - *WatchedUntil_ : Duration(0);
+  WatchedUntil_ = Now_;
+  for (auto const &[Name, Owner] : InForce_->services())
+    for (auto const &Server : InForce_->serversOf(Name))
+      if (Server.IsReclaimable_ && !Departures_->contains(Server.Id_))
+        Rates_.watched(Server.DataCentre_, 1, Length);
+}
+
+// Answers.
+
+void FleetController::on(RecordRead const &Event) {
+  IsRecordAwaited_ = false;
+  if (Event.Object_.Version_ < RecordVersion_) {
+    NextRecordCall_ = Now_ + Settings_.RetryPause_; // A stale read.
+    return;
+  }
+  auto Decoded = decodeOrders(Event.Object_.Value_);
+  if (isError(Decoded)) {
+    NextRecordCall_ = Now_ + Settings_.LongestBackoff_;
+    return;
+  }
+  RecordVersion_ = Event.Object_.Version_;
+  Record_ = takeValue(std::move(Decoded));
+  forgetOldOrders();
+}
+
+void FleetController::on(RecordWritten const &Event) {
+  IsRecordAwaited_ = false;
+  if (!Writing_) // Begun under an earlier lease.
+    return;
+  RecordVersion_ = std::max(RecordVersion_, Event.Version_);
+  Record_ = std::exchange(Writing_, std::nullopt);
+  forgetOldOrders();
+}
+
+/// Whatever became of the write, the record that a read shows is acted upon.
+void FleetController::on(RecordFailed const & /*Event*/) {
+  IsRecordAwaited_ = false;
+  Record_.reset();
+  Writing_.reset();
+  NextRecordCall_ = Now_ + Settings_.RetryPause_;
+}
+
+void FleetController::on(ServerStarted const &Event) {
+  Calls_.erase(Event.OrderId_);
+  Started_[Event.OrderId_] = Event.Server_;
+  if (auto const *Order = find(Event.OrderId_))
+    Refusals_.erase(Order->Slot_);
+}
+
+void FleetController::on(StartRefused const &Event) {
+  Calls_.erase(Event.OrderId_);
+  Refused_.insert(Event.OrderId_);
+  auto const *Order = find(Event.OrderId_);
+  if (!Order)
+    return;
+  auto &Slot = Refusals_[Order->Slot_];
+  if (Now_ < Slot.Until_)
+    return; // Asked at the same time as one that was refused.
+  Slot.Backoff_ = std::clamp(Slot.Backoff_ * 2, Settings_.FirstBackoff_,
+                             Settings_.LongestBackoff_);
+  Slot.Until_ = Now_ + Slot.Backoff_;
+}
+
+void FleetController::on(StartFailed const &Event) {
+  retryLater(Event.OrderId_);
+}
+
+void FleetController::on(ServerStopped const &Event) {
+  if (!Record_)
+    return;
+  for (auto const &One : Record_->Orders_)
+    if (One.Server_ == Event.Server_) {
+      Calls_.erase(One.OrderId_);
+      Stopped_.insert(One.OrderId_);
+    }
+}
+
+void FleetController::on(StopFailed const &Event) {
+  if (!Record_)
+    return;
+  for (auto const &One : Record_->Orders_)
+    if (One.Server_ == Event.Server_)
+      retryLater(One.OrderId_);
+}
+
+void FleetController::on(EngineOrderEnded const &Event) {
+  if (Event.Outcome_ != EngineOrderOutcome::Fenced)
+    return Engines_.ended(Event.OrderId_, Event.Outcome_, Now_);
+  Engines_.ended(Event.OrderId_, EngineOrderOutcome::Failed, Now_);
+  if (!Lease_ || Lease_->Fencing_ != Event.Fencing_)
+    return; // About an earlier lease.
+  Lease_.reset();
+  Record_.reset();
+  Actions_.emplace_back(GiveUpLease{});
+}
+
+ServerOrder const *FleetController::find(std::string const &OrderId) const {
+  if (!Record_)
+    return nullptr;
+  for (auto const &One : Record_->Orders_)
+    if (One.OrderId_ == OrderId)
+      return &One;
+  return nullptr;
+}
+
+void FleetController::forgetOldOrders() {
+  auto const IsOld = [&](std::string const &Id) { return !find(Id); };
+  std::erase_if(Refused_, IsOld);
+  std::erase_if(Stopped_, IsOld);
+  std::erase_if(Started_, [&](auto const &One) { return IsOld(One.first); });
+  std::erase_if(DrainedAt_, [&](auto const &One) { return IsOld(One.first); });
+  std::erase_if(Calls_, [&](auto const &One) { return IsOld(One.first); });
+}
+
+void FleetController::retryLater(std::string const &OrderId) {
+  Calls_[OrderId] = {false, Now_ + Settings_.RetryPause_};
+}
+
+// What is done.
+
+void FleetController::act() {
+  if (!mayCall())
+    return;
+  sendEngineOrders();
+  if (!Record_ && !IsRecordAwaited_ && Now_ >= NextRecordCall_) {
+    IsRecordAwaited_ = true;
+    Actions_.emplace_back(ReadRecord{});
+  }
+  if (!Record_ || IsRecordAwaited_)
+    return;
+  reconcile();
+  if (!IsRecordAwaited_)
+    callCloud();
+}
+
+bool FleetController::mayCall() const {
+  return Lease_ &&
+         Now_ + Settings_.Orders_.LongestFlight_ < Lease_->ProvenUntil_;
+}
+
+/// The next record is computed from the present one; what differs is written
+/// before anything is done about it.
+void FleetController::reconcile() {
+  auto Next = *Record_;
+  applyAnswers(Next);
+  dropGone(Next);
+  for (auto const &[Name, Owner] : InForce_->services())
+    if (Owner.Placement_.DesiredServers_ > 0)
+      place(Owner, Next);
+  if (Next == *Record_)
+    return;
+  IsRecordAwaited_ = true;
+  Actions_.emplace_back(WriteRecord{RecordVersion_, encodeOrders(Next)});
+  Writing_ = std::move(Next);
+}
+
+void FleetController::applyAnswers(OrderRecord &Next) {
+  for (auto &One : Next.Orders_) {
+    auto const Found = Started_.find(One.OrderId_);
+    if (Found == Started_.end() || One.State_ != OrderState::Asked)
+      continue;
+    One.State_ = OrderState::Started;
+    One.Server_ = Found->second;
+  }
+  std::erase_if(Next.Orders_, [&](ServerOrder const &One) {
+    if (One.State_ == OrderState::Asked)
+      return Refused_.contains(One.OrderId_);
+    return One.State_ == OrderState::Stopping &&
+           Stopped_.contains(One.OrderId_);
+  });
+}
+
+void FleetController::dropGone(OrderRecord &Next) {
+  std::erase_if(Next.Orders_, [&](ServerOrder const &One) {
+    auto const Found = Departures_->find(One.Server_);
+    return Found != Departures_->end() &&
+           Found->second.Liveness_ == Liveness::Gone;
+  });
+}
+
+void FleetController::place(Service const &Owner, OrderRecord &Next) {
+  auto const Offers =
+      offersFor(Owner, *InForce_, Rates_, refusedSlots(), Settings_.Placement_);
+  auto State = stateOf(Owner, *InForce_, *Departures_, Next);
+  State.HasRefusals_ = !refusedSlots().empty();
+  auto const Change =
+      changeFor(Owner, Offers, State, Next, Settings_.Placement_);
+  for (auto const &Slot : Change.Starts_)
+    addOrder(Next, Owner.Name_, Slot);
+  for (auto const &OrderId : Change.Stops_)
+    for (auto &One : Next.Orders_)
+      if (One.OrderId_ == OrderId)
+        One.State_ = OrderState::Stopping;
+}
+
+std::set<PlacementSlot> FleetController::refusedSlots() const {
+  std::set<PlacementSlot> Slots;
+  for (auto const &[Slot, Refused] : Refusals_)
+    if (Now_ < Refused.Until_)
+      Slots.insert(Slot);
+  return Slots;
+}
+
+void FleetController::callCloud() {
+  for (auto const &One : Record_->Orders_)
+    if (One.State_ != OrderState::Started)
+      callFor(One);
+}
+
+void FleetController::callFor(ServerOrder const &One) {
+  auto &At = Calls_[One.OrderId_];
+  if (At.IsAwaited_ || Now_ < At.NotBefore_)
+    return;
+  if (One.State_ == OrderState::Stopping)
+    return stop(One);
+  At.IsAwaited_ = true;
+  Actions_.emplace_back(StartServer{
+      {One.OrderId_, One.Service_, One.Slot_.DataCentre_, One.Slot_.Tenure_},
+      Lease_->ProvenUntil_ - Settings_.Orders_.LongestFlight_});
+}
+
+/// A holder that found the order drains the server for the whole time again.
+void FleetController::stop(ServerOrder const &One) {
+  auto const [Found, IsNew] = DrainedAt_.emplace(One.OrderId_, Now_);
+  if (IsNew)
+    Actions_.emplace_back(DrainServer{One.Server_, Settings_.DrainTime_});
+  if (Now_ < Found->second + Settings_.DrainTime_)
+    return;
+  Calls_[One.OrderId_].IsAwaited_ = true;
+  Actions_.emplace_back(StopServer{
+      One.Server_, Lease_->ProvenUntil_ - Settings_.Orders_.LongestFlight_});
+}
+
+void FleetController::sendEngineOrders() {
+  for (auto &Due : Engines_.due(*Lease_, Now_))
+    Actions_.emplace_back(SendEngineOrder{std::move(Due)});
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibPlacement/ServicePlacement.cpp
@@ -0,0 +1,282 @@
+#include <LibPlacement/ServicePlacement.h>
+
+#include <algorithm>
+
+namespace laburnum {
+
+namespace {
+
+PlacementSlot slotOf(BackendServer const &Server) {
+  return {Server.DataCentre_,
+          Server.IsReclaimable_ ? Tenure::Reclaimable : Tenure::OnDemand};
+}
+
+/// The mean price of the known servers of one tenure, in one place if any is
+/// known there, else in all.
+class PriceBook {
+public:
+  PriceBook(Configuration const &InForce, PlacementSettings const &Settings)
+      : Settings_(Settings) {
+    for (auto const &[Name, Owner] : InForce.services())
+      for (auto const &Server : InForce.serversOf(Name)) {
+        add(BySlot_[slotOf(Server)], Server);
+        add(ByTenure_[slotOf(Server).Tenure_], Server);
+      }
+  }
+
+  double price(PlacementSlot const &Slot) const {
+    if (auto const Found = BySlot_.find(Slot); Found != BySlot_.end())
+      return Found->second.mean();
+    if (auto const Found = ByTenure_.find(Slot.Tenure_);
+        Found != ByTenure_.end())
+      return Found->second.mean();
+    return Slot.Tenure_ == Tenure::OnDemand ? Settings_.OnDemandPrice_
+                                            : Settings_.ReclaimablePrice_;
+  }
+
+  std::vector<DataCentre> dataCentres() const {
+    std::set<DataCentre> Names;
+    for (auto const &[Slot, Prices] : BySlot_)
+      Names.insert(Slot.DataCentre_);
+    return {Names.begin(), Names.end()};
+  }
+
+private:
+  struct Prices {
+    double Sum_ = 0;
+    double Count_ = 0;
+    double mean() const { return Sum_ / Count_; }
+  };
+
+  static void add(Prices &Into, BackendServer const &Server) {
+    Into.Sum_ += Server.PricePerHour_;
+    Into.Count_ += 1;
+  }
+
+  PlacementSettings const &Settings_;
+  std::map<PlacementSlot, Prices> BySlot_;
+  std::map<Tenure, Prices> ByTenure_;
+};
+
+/// Whether the need is met also after the loss of any one data centre, if the
+/// servers may be spread at all.
+bool holds(SlotCounts const &Present, std::uint32_t Needed,
+           std::size_t DataCentres) {
+  std::map<DataCentre, std::uint32_t> Sites;
+  std::uint32_t Total = 0;
+  std::uint32_t Largest = 0;
+  for (auto const &[Slot, Count] : Present) {
+    Total += Count;
+    auto &Here = Sites[Slot.DataCentre_];
+    Here += Count;
+    Largest = std::max(Largest, Here);
+  }
+  return DataCentres < 2 ? Total >= Needed : Total - Largest >= Needed;
+}
+
+/// The slot that lacks the most servers of its plan.
+std::optional<PlacementSlot> neediest(SlotCounts const &Wanted,
+                                      SlotCounts const &Present) {
+  std::optional<PlacementSlot> Found;
+  std::uint32_t Most = 0;
+  for (auto const &[Slot, Count] : Wanted) {
+    auto const At = Present.find(Slot);
+    auto const Held = At == Present.end() ? 0 : At->second;
+    if (Count <= Held || Count - Held <= Most)
+      continue;
+    Most = Count - Held;
+    Found = Slot;
+  }
+  return Found;
+}
+
+std::size_t sitesIn(std::vector<PlacementOffer> const &Offers) {
+  std::set<DataCentre> Names;
+  for (auto const &One : Offers)
+    Names.insert(One.Slot_.DataCentre_);
+  return Names.size();
+}
+
+/// Compares one service's servers with their plan.
+class Changer {
+public:
+  Changer(PlacementNeed const &Need, std::vector<PlacementOffer> const &Offers,
+          PlacementState const &State, PlacementSettings const &Settings)
+      : Need_(Need), Settings_(Settings), Sites_(sitesIn(Offers)),
+        State_(State) {
+    for (auto const &One : planPlacement(Need, Offers))
+      Wanted_[One.Slot_] = One.Count_;
+    for (auto const &One : Offers)
+      Costs_[One.Slot_] = weightedCost(One, Need);
+  }
+
+  void startLacking() {
+    while (!holds(State_.Present_, Need_.Servers_, Sites_) && startNeediest())
+      continue;
+  }
+
+  void startCheaper(Service const &Owner, OrderRecord const &Record) {
+    double PlanCost = 0;
+    double Missing = 0;
+    for (auto const &[Slot, Count] : Wanted_) {
+      auto const Held = std::min(Count, countIn(State_.Present_, Slot));
+      PlanCost += Count * Costs_[Slot];
+      Missing += (Count - Held) * Costs_[Slot];
+    }
+    if (surplusCost(Owner, Record) - Missing <
+        Settings_.LeastSaving_ * PlanCost)
+      return;
+    while (startNeediest())
+      continue;
+  }
+
+  void stopSpare(Service const &Owner, OrderRecord const &Record) {
+    for (auto const &One : Record.Orders_) {
+      if (One.Service_ != Owner.Name_ || One.State_ != OrderState::Started)
+        continue;
+      if (isSurplus(One.Slot_) && canSpare(One))
+        Change_.Stops_.push_back(One.OrderId_);
+    }
+  }
+
+  bool hasStarts() const { return !Change_.Starts_.empty(); }
+  PlacementChange const &change() const { return Change_; }
+
+private:
+  static std::uint32_t countIn(SlotCounts const &Counts,
+                               PlacementSlot const &Slot) {
+    auto const Found = Counts.find(Slot);
+    return Found == Counts.end() ? 0 : Found->second;
+  }
+
+  bool isSurplus(PlacementSlot const &Slot) const {
+    return countIn(State_.Present_, Slot) > countIn(Wanted_, Slot);
+  }
+
+  bool startNeediest() {
+    auto const Slot = neediest(Wanted_, State_.Present_);
+    if (!Slot)
+      return false;
+    ++State_.Present_[*Slot];
+    Change_.Starts_.push_back(*Slot);
+    return true;
+  }
+
+  /// The weighted cost of the ordered servers beyond the plan.
+  double surplusCost(Service const &Owner, OrderRecord const &Record) {
+    auto Left = State_.Present_;
+    double Sum = 0;
+    for (auto const &One : Record.Orders_) {
+      if (One.Service_ != Owner.Name_ || One.State_ != OrderState::Started ||
+          countIn(Left, One.Slot_) <= countIn(Wanted_, One.Slot_))
+        continue;
+      --Left[One.Slot_];
+      Sum += Costs_[One.Slot_];
+    }
+    return Sum;
+  }
+
+  /// Takes the server out of the counts if the need is met without it.
+  bool canSpare(ServerOrder const &One) {
+    auto Started = State_.Started_;
+    auto Serving = State_.Serving_;
+    if (countIn(Started, One.Slot_) == 0)
+      return false;
+    --Started[One.Slot_];
+    if (!holds(Started, Need_.Servers_, Sites_))
+      return false;
+    if (State_.Introduced_.contains(One.Server_)) {
+      if (countIn(Serving, One.Slot_) > 0)
+        --Serving[One.Slot_];
+      if (!holds(Serving, Need_.Servers_, Sites_))
+        return false;
+    }
+    --State_.Present_[One.Slot_];
+    State_.Started_ = std::move(Started);
+    State_.Serving_ = std::move(Serving);
+    return true;
+  }
+
+  PlacementNeed const &Need_;
+  PlacementSettings const &Settings_;
+  std::size_t const Sites_;
+  PlacementState State_;
+  SlotCounts Wanted_;
+  std::map<PlacementSlot, double> Costs_;
+  PlacementChange Change_;
+};
+
+} // namespace
+
+std::vector<PlacementOffer> offersFor(Service const &Owner,
+                                      Configuration const &InForce,
+                                      ReclaimRates const &Rates,
+                                      std::set<PlacementSlot> const &Refused,
+                                      PlacementSettings const &Settings) {
+  PriceBook const Prices(InForce, Settings);
+  auto Where = Owner.Placement_.DataCentres_;
+  if (Where.empty())
+    Where = Prices.dataCentres();
+  std::vector<PlacementOffer> Offers;
+  for (auto const &Name : Where)
+    for (auto const Terms : {Tenure::Reclaimable, Tenure::OnDemand}) {
+      PlacementSlot const Slot{Name, Terms};
+      bool const IsStable = Terms == Tenure::OnDemand;
+      if (!Refused.contains(Slot))
+        Offers.push_back(
+            {Slot, Prices.price(Slot), IsStable ? 0.0 : Rates.perHour(Name)});
+    }
+  return Offers;
+}
+
+PlacementState stateOf(Service const &Owner, Configuration const &InForce,
+                       servers::Departures const &Departures,
+                       OrderRecord const &Record) {
+  PlacementState State;
+  std::set<ServerId> Ordered;
+  std::set<ServerId> Stopping;
+  for (auto const &One : Record.Orders_) {
+    Ordered.insert(One.Server_);
+    if (One.State_ == OrderState::Stopping)
+      Stopping.insert(One.Server_);
+    if (One.State_ == OrderState::Stopping || One.Service_ != Owner.Name_ ||
+        Departures.contains(One.Server_))
+      continue;
+    ++State.Present_[One.Slot_];
+    if (One.State_ == OrderState::Started)
+      ++State.Started_[One.Slot_];
+  }
+  for (auto const &Server : InForce.serversOf(Owner.Name_)) {
+    if (Departures.contains(Server.Id_) || Stopping.contains(Server.Id_))
+      continue;
+    State.Introduced_.insert(Server.Id_);
+    ++State.Serving_[slotOf(Server)];
+    if (Ordered.contains(Server.Id_))
+      continue;
+    ++State.Present_[slotOf(Server)];
+    ++State.Started_[slotOf(Server)];
+  }
+  return State;
+}
+
+PlacementChange changeFor(Service const &Owner,
+                          std::vector<PlacementOffer> const &Offers,
+                          PlacementState const &State,
+                          OrderRecord const &Record,
+                          PlacementSettings const &Settings) {
+  PlacementNeed Need;
+  Need.Servers_ = Owner.Placement_.DesiredServers_;
+  Need.OnDemandShare_ = Owner.Placement_.OnDemandShare_;
+  Need.Weights_ = Owner.Weights_;
+  if (Owner.Kind_ == ServiceKind::Model)
+    Need.TokensPerReclaim_ = Settings.TokensPerReclaim_;
+  Changer Made(Need, Offers, State, Settings);
+  Made.startLacking();
+  if (!Made.hasStarts() && !State.HasRefusals_) {
+    Made.startCheaper(Owner, Record);
+    Made.stopSpare(Owner, Record);
+  }
+  return Made.change();
+}
+
+} // namespace laburnum
--- a/Services/laburnumd/ControlPlane.cpp
+++ b/Services/laburnumd/ControlPlane.cpp
@@ -64,6 +64,7 @@
   });
   Control_.every(InstanceListPeriod, [this] { readInstanceList(); });
   Control_.post([this] {
+    MembersTold_(Membership_->members());
     readInstanceList();
     readNotices();
   });
@@ -229,6 +230,7 @@
 void ControlPlane::perform(membership::MembersChanged const &Action) {
   feed(configuration::Event(configuration::MembersChanged{Action.Members_}));
   feed(servers::Event(servers::MembersChanged{Action.Members_}));
+  MembersTold_(Action.Members_);
 }
 
 void ControlPlane::perform(servers::DirectoryChanged const &Action) {
--- a/Services/laburnumd/ControlPlane.h
+++ b/Services/laburnumd/ControlPlane.h
@@ -31,6 +31,8 @@
   EntryInstance Self_; ///< With the ports that its listeners chose.
   std::vector<Endpoint> Seeds_;
   std::string PeerSecret_;
+  std::function<void(std::vector<Member> const &)> MembersTold_ =
+      [](std::vector<Member> const & /*Members*/) {};
   Duration PlatformTimeout_{};
   std::uint64_t Seed_ = 0;
 };
@@ -44,6 +46,12 @@
                TrafficView &View, std::function<void()> OnViewChanged);
   ~ControlPlane();
 
+  /// Called before start(). Told is called on the control thread, first with
+  /// the members known at the start.
+  void onMembersChanged(std::function<void(std::vector<Member> const &)> Told) {
+    MembersTold_ = std::move(Told);
+  }
+
   /// Called once, before the control thread runs. Errors as of
   /// AsioPeerTransport::create.
   Result<Success> start(ControlPlaneSettings const &Settings);
@@ -96,6 +104,8 @@
   PlatformInterfaces const Platform_;
   TrafficView &View_;
   std::function<void()> const OnViewChanged_;
+  std::function<void(std::vector<Member> const &)> MembersTold_ =
+      [](std::vector<Member> const & /*Members*/) {};
   Duration PlatformTimeout_{};
   asio::thread_pool PlatformReads_;
   std::shared_ptr<AsioPeerTransport> Transport_;
--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "ClaimService.h"
 #include "ControlPlane.h"
+#include "ControllerService.h"
 #include "DrainGate.h"
 #include "ObservingBackendClient.h"
 #include "OperatorDesk.h"
@@ -10,6 +11,7 @@
 
 #include <LibAdmin/OperatorServer.h>
 #include <LibBackend/HttpBackendClient.h>
+#include <LibBackend/HttpOrderClient.h>
 #include <LibPlatform/HttpCloudApi.h>
 #include <LibPlatform/HttpInstanceList.h>
 #include <LibPlatform/HttpObjectStore.h>
@@ -93,6 +95,7 @@
                   {Settings_.Callers_.DefaultDeadline_,
                    Settings_.Callers_.MaxDeadline_},
                   Seed_),
+        Controller_(Control_, controllerInterfaces(), Metrics_),
         Writer_(Objects_, Settings_.Platform_.Timeout_) {
     if (Settings_.Instance_.Id_.isEmpty())
       Settings_.Instance_.Id_ = InstanceId(IdentifierSource(Seed_).next());
@@ -115,6 +118,11 @@
     if (isError(Operators))
       return errorOf(Operators);
     Operators_ = takeValue(std::move(Operators));
+    Controller_.start(
+        {Settings_.Instance_.Id_, Seed_, Settings_.Platform_.Timeout_});
+    Plane_.onMembersChanged([this](std::vector<Member> const &Members) {
+      Controller_.membersChanged(Members);
+    });
     auto const Started = Plane_.start(planeSettings());
     if (isError(Started))
       return errorOf(Started);
@@ -122,6 +130,13 @@
     return Success{};
   }
 
+  ControllerInterfaces controllerInterfaces() {
+    return {Objects_, Cloud_, Orders_,
+            [this](ServerId const &Server, Duration Within) {
+              Plane_.drainServer(Server, Within);
+            }};
+  }
+
   ControlPlaneSettings planeSettings() const {
     ControlPlaneSettings Wanted;
     Wanted.Self_ = {Settings_.Instance_.Id_, Settings_.Instance_.DataCentre_,
@@ -148,6 +163,7 @@
     Operators_->stop(OperatorGrace);
     Plane_.stop();
     Claims_.stop();
+    Controller_.stop();
     Control_.stop();
     LOG(INFO) << "instance=" << Settings_.Instance_.Id_.text()
               << " state=stopped";
@@ -183,6 +199,7 @@
       Leaving.insert(Id);
     Chooser_.setSnapshot(View_.configuration(), std::move(Leaving));
     Retries_.setSnapshot(View_.configuration());
+    Controller_.viewChanged(View_);
   }
 
   void loadReported(ServerId const &Server, LoadReport const &Load) override {
@@ -216,6 +233,8 @@
   ControlPlane Plane_;
   ClaimService Claims_;
   RequestService Requests_;
+  HttpOrderClient Orders_;
+  ControllerService Controller_;
   ChangeWriter Writer_;
   std::unique_ptr<OperatorDesk> Desk_;
   std::unique_ptr<CallerServer> Callers_;
--- /dev/null
+++ b/Tests/Bench/Placement/Main.cpp
@@ -0,0 +1,92 @@
+#include "FleetModel.h"
+
+#include <cxxopts.hpp>
+
+#include <cstdio>
+#include <iostream>
+
+using namespace laburnum;
+using namespace laburnum::bench;
+
+namespace {
+
+PlacementOffer offer(std::string const &Where, Tenure Terms, double Price,
+                     double Reclaims) {
+  return {{DataCentre(Where), Terms}, Price, Reclaims};
+}
+
+/// Twenty runners of long dossiers.
+Workload tsukushi() {
+  Workload Made;
+  Made.Name_ = "tsukushi";
+  Made.Need_.Servers_ = 20;
+  Made.Need_.Weights_ = {0.001, 1.0};
+  Made.Need_.TokensPerReclaim_ = 12 * 1800;
+  Made.Offers_ = {offer("kumamoto-a", Tenure::Reclaimable, 1.0, 0.20),
+                  offer("kumamoto-a", Tenure::OnDemand, 3.0, 0),
+                  offer("kagoshima-a", Tenure::Reclaimable, 1.1, 0.05),
+                  offer("kagoshima-a", Tenure::OnDemand, 3.1, 0),
+                  offer("fukuoka-a", Tenure::Reclaimable, 1.3, 0.10),
+                  offer("fukuoka-a", Tenure::OnDemand, 3.3, 0)};
+  return Made;
+}
+
+/// Ten runners of short descriptions.
+Workload kartenhuelle() {
+  Workload Made;
+  Made.Name_ = "kartenhuelle";
+  Made.Need_.Servers_ = 10;
+  Made.Need_.Weights_ = {0.00005, 1.0};
+  Made.Need_.TokensPerReclaim_ = 12 * 350;
+  Made.Offers_ = {offer("wien-1", Tenure::Reclaimable, 0.9, 0.20),
+                  offer("wien-1", Tenure::OnDemand, 2.8, 0),
+                  offer("wien-2", Tenure::Reclaimable, 1.0, 0.10),
+                  offer("wien-2", Tenure::OnDemand, 2.9, 0),
+                  offer("innsbruck-1", Tenure::Reclaimable, 1.2, 0.05),
+                  offer("innsbruck-1", Tenure::OnDemand, 3.0, 0)};
+  return Made;
+}
+
+Workload only(Workload Changed, Tenure Terms) {
+  std::erase_if(Changed.Offers_, [&](PlacementOffer const &One) {
+    return One.Slot_.Tenure_ != Terms;
+  });
+  return Changed;
+}
+
+void print(char const *Policy, Workload const &Judge, Outcome const &Seen) {
+  auto const Weighted =
+      Judge.Need_.Weights_.Cost_ * Seen.PricePerHour_ +
+      Judge.Need_.Weights_.RecomputedToken_ * Seen.RecomputedPerHour_;
+  std::printf("%-13s %-22s %10.2f %10.2f %12.0f %10.2f %10.3f\n",
+              Judge.Name_.c_str(), Policy, Seen.PricePerHour_, Seen.OnDemand_,
+              Seen.RecomputedPerHour_, Weighted, 100 * Seen.TimeAtTarget_);
+}
+
+void compare(Workload const &Mine, Workload const &Other, std::uint64_t Seed) {
+  auto Swapped = Mine;
+  Swapped.Need_.Weights_ = Other.Need_.Weights_;
+  print("own weights", Mine, simulate(Mine, Seed));
+  print("other user's weights", Mine, simulate(Swapped, Seed));
+  print("all on-demand", Mine, simulate(only(Mine, Tenure::OnDemand), Seed));
+  print("all reclaimable", Mine,
+        simulate(only(Mine, Tenure::Reclaimable), Seed));
+}
+
+} // namespace
+
+/// Prints what each user's fleet costs under the planner and under two plain
+/// policies, in virtual time.
+int main(int Count, char **Arguments) {
+  cxxopts::Options Options("bench-placement", "Measures placement policies.");
+  Options.add_options()("seed", "of the reclaim waves",
+                        cxxopts::value<std::uint64_t>()->default_value("1"));
+  auto const Seed = Options.parse(Count, Arguments)["seed"].as<std::uint64_t>();
+  std::printf("seed %llu, 90 days of virtual time\n",
+              static_cast<unsigned long long>(Seed));
+  std::printf("%-13s %-22s %10s %10s %12s %10s %10s\n", "fleet", "policy",
+              "price/h", "on-demand", "recomputed/h", "weighted/h", "target %");
+  compare(tsukushi(), kartenhuelle(), Seed);
+  compare(kartenhuelle(), tsukushi(), Seed);
+  return 0;
+}
--- /dev/null
+++ b/Tests/LibPlacement/CloudFixture.h
@@ -0,0 +1,245 @@
+#pragma once
+
+#include <LibPlacement/FleetController.h>
+
+#include <LibModel/JsonCodec.h>
+
+#include <map>
+#include <set>
+
+namespace laburnum::test {
+
+/// The cloud in memory. An order starts one server however often it is sent.
+struct FakeCloud {
+  struct Server {
+    PlacementSlot Slot_;
+    bool IsRunning_ = true;
+  };
+
+  void reclaim(DataCentre const &Where) {
+    for (auto &[Id, One] : Servers_)
+      if (One.Slot_.DataCentre_ == Where)
+        One.IsRunning_ = false;
+  }
+
+  void refuseAll() {
+    for (auto const *Where : {"a", "b"})
+      for (auto const Terms : {Tenure::Reclaimable, Tenure::OnDemand})
+        Refused_.insert({DataCentre(Where), Terms});
+  }
+
+  controller::Event start(StartOrder const &Order) {
+    PlacementSlot const Slot{Order.DataCentre_, Order.Tenure_};
+    if (IsDown_)
+      return controller::StartFailed{Order.OrderId_};
+    auto const Known = Started_.contains(Order.OrderId_);
+    if (!Known && Refused_.contains(Slot)) {
+      ++Refusals_;
+      return controller::StartRefused{Order.OrderId_};
+    }
+    if (!Known) {
+      Started_[Order.OrderId_] = ServerId("vm-" + Order.OrderId_);
+      Servers_[Started_[Order.OrderId_]] = {Slot, true};
+    }
+    if (LosesAnswers_)
+      return controller::StartFailed{Order.OrderId_};
+    return controller::ServerStarted{Order.OrderId_, Started_[Order.OrderId_]};
+  }
+
+  bool IsDown_ = false;
+  bool LosesAnswers_ = false;
+  std::set<PlacementSlot> Refused_;
+  std::size_t Refusals_ = 0;
+  std::map<std::string, ServerId> Started_; ///< By order.
+  std::map<ServerId, Server> Servers_;
+};
+
+/// The record's object in memory.
+struct FakeRecordStore {
+  controller::Event answer(controller::ReadRecord const & /*Call*/) const {
+    if (IsDown_)
+      return controller::RecordFailed{};
+    return controller::RecordRead{Object_};
+  }
+
+  controller::Event answer(controller::WriteRecord const &Call) {
+    if (IsDown_ || Call.Expected_ != Object_.Version_)
+      return controller::RecordFailed{};
+    Object_ = {orderRecordKey(), Object_.Version_ + 1, Call.Value_};
+    if (LostAnswers_ > 0 && LostAnswers_--)
+      return controller::RecordFailed{};
+    return controller::RecordWritten{Object_.Version_};
+  }
+
+  bool IsDown_ = false;
+  int LostAnswers_ = 0;
+  StoredObject Object_ = {orderRecordKey(), 0, ""};
+};
+
+/// A controller of one service with three desired servers in the data centres
+/// a and b. Calls are answered at the next step.
+class CloudFixture {
+public:
+  static constexpr Duration Step = std::chrono::milliseconds(500);
+  static constexpr Duration LeaseLength = std::chrono::seconds(10);
+
+  CloudFixture() { desire(3); }
+
+  void desire(std::uint32_t Servers) {
+    Desired_ = Servers;
+    configure();
+  }
+
+  void introduce(std::string const &Id) {
+    BackendServer Server;
+    Server.Id_ = ServerId(Id);
+    Server.Service_ = ServiceName("chat");
+    Server.DataCentre_ = DataCentre("a");
+    Server.Endpoint_ = {"127.0.0.1", 1};
+    Server.Fencing_ = FencingCheck::Honoured;
+    Introduced_[Server.Id_] = Server;
+    configure();
+  }
+
+  /// The operators introduce what was started.
+  void introduceStarted() {
+    for (auto const &[Id, One] : Cloud_.Servers_) {
+      introduce(Id.text());
+      auto &Server = Introduced_[Id];
+      Server.DataCentre_ = One.Slot_.DataCentre_;
+      Server.IsReclaimable_ = One.Slot_.Tenure_ == Tenure::Reclaimable;
+      Server.PricePerHour_ = Server.IsReclaimable_ ? 1.0 : 3.0;
+    }
+    configure();
+  }
+
+  void gain(std::uint64_t Fencing) {
+    Lease_ = HeldLease{Fencing, Now_, Now_ + LeaseLength};
+    feed(controller::LeaseSeen{Lease_});
+  }
+
+  void lose() {
+    Lease_.reset();
+    feed(controller::LeaseSeen{});
+  }
+
+  /// Another instance goes on, or the same after a restart.
+  void restart() {
+    Controller_ = FleetController(controller::Settings());
+    Pending_.clear();
+    configure();
+    tellDepartures();
+  }
+
+  void tellDepartures() {
+    auto Gone = std::make_shared<servers::Departures>();
+    for (auto const &[Id, One] : Cloud_.Servers_)
+      if (!One.IsRunning_)
+        (*Gone)[Id] = {Liveness::Leaving, {}, 0};
+    feed(controller::DeparturesSeen{Gone});
+  }
+
+  void feed(controller::Event const &Event) {
+    for (auto const &Each : Controller_.handle(Event, Now_))
+      Pending_.push_back(Each);
+  }
+
+  void run(Duration Length) {
+    for (auto const End = Now_ + Length; Now_ < End;) {
+      Now_ += Step;
+      if (Lease_ && IsRenewing_) {
+        Lease_->ProvenUntil_ = Now_ + LeaseLength;
+        feed(controller::LeaseSeen{Lease_});
+      }
+      for (auto const &Each : std::exchange(Pending_, {}))
+        std::visit([&](auto const &Call) { perform(Call); }, Each);
+      feed(controller::TimePassed{});
+    }
+  }
+
+  std::size_t running() const { return afterLosing(""); }
+
+  std::size_t running(Tenure Terms) const {
+    std::size_t Count = 0;
+    for (auto const &[Id, One] : Cloud_.Servers_)
+      Count += One.IsRunning_ && One.Slot_.Tenure_ == Terms;
+    return Count;
+  }
+
+  std::size_t afterLosing(std::string const &Where) const {
+    std::size_t Count = 0;
+    for (auto const &[Id, One] : Cloud_.Servers_)
+      Count += One.IsRunning_ && One.Slot_.DataCentre_ != DataCentre(Where);
+    return Count;
+  }
+
+  OrderRecord recorded() const {
+    return valueOf(decodeOrders(Store_.Object_.Value_));
+  }
+
+  TimePoint Now_ = TimePoint(std::chrono::hours(1));
+  FleetController Controller_{controller::Settings()};
+  FakeCloud Cloud_;
+  FakeRecordStore Store_;
+  std::size_t Calls_ = 0; ///< Of the platform and the engines.
+  std::set<ServerId> Drained_;
+  std::vector<DueEngineOrder> EngineOrders_;
+  EngineOrderOutcome Outcome_ = EngineOrderOutcome::Done;
+  std::size_t GivenUp_ = 0;
+  bool IsRenewing_ = true;
+
+private:
+  void configure() {
+    Service Chat;
+    Chat.Name_ = ServiceName("chat");
+    Chat.Kind_ = ServiceKind::Model;
+    Chat.Placement_.DataCentres_ = {DataCentre("a"), DataCentre("b")};
+    Chat.Placement_.DesiredServers_ = Desired_;
+    Chat.Weights_.RecomputedToken_ = 0.001;
+    std::vector<ConfigurationObject> Objects = {
+        {{ObjectKind::Service, "chat"}, 1, false, encodeJson(Chat)}};
+    for (auto const &[Id, Server] : Introduced_)
+      Objects.push_back(
+          {{ObjectKind::Server, Id.text()}, 2, false, encodeJson(Server)});
+    feed(controller::ConfigurationSeen{Configuration::create(Objects)});
+  }
+
+  void perform(controller::ReadRecord const &Call) {
+    ++Calls_;
+    feed(Store_.answer(Call));
+  }
+  void perform(controller::WriteRecord const &Call) {
+    ++Calls_;
+    feed(Store_.answer(Call));
+  }
+  void perform(controller::StartServer const &Call) {
+    ++Calls_;
+    feed(Cloud_.start(Call.Order_));
+  }
+  void perform(controller::DrainServer const &Call) {
+    Drained_.insert(Call.Server_);
+  }
+  void perform(controller::StopServer const &Call) {
+    ++Calls_;
+    Cloud_.Servers_[Call.Server_].IsRunning_ = false;
+    feed(controller::ServerStopped{Call.Server_});
+  }
+  void perform(controller::SendEngineOrder const &Call) {
+    ++Calls_;
+    EngineOrders_.push_back(Call.Order_);
+    auto const &Order = Call.Order_.Order_;
+    feed(
+        controller::EngineOrderEnded{Order.OrderId_, Order.Fencing_, Outcome_});
+  }
+  void perform(controller::GiveUpLease const & /*Call*/) {
+    ++GivenUp_;
+    Lease_.reset();
+  }
+
+  std::optional<HeldLease> Lease_;
+  std::uint32_t Desired_ = 3;
+  std::map<ServerId, BackendServer> Introduced_;
+  std::vector<controller::Action> Pending_;
+};
+
+} // namespace laburnum::test
