--- a/Services/laburnumd/ControllerService.cpp
+++ b/Services/laburnumd/ControllerService.cpp
@@ -96,8 +96,8 @@
   if (Stopping_)
     return;
   asio::post(Pool, [this, Blocking] {
-    auto Outcome = Blocking();
-    Control_.post([this, Outcome = std::move(Outcome)] { feed(Outcome); });
+    auto const Outcome = std::make_shared<decltype(Blocking())>(Blocking());
+    Control_.post([this, Outcome] { feed(*Outcome); });
   });
 }
 
--- a/Services/laburnumd/ControllerService.h
+++ b/Services/laburnumd/ControllerService.h
@@ -13,6 +13,7 @@
 #include <asio/thread_pool.hpp>
 
 #include <functional>
+#include <memory>
 
 namespace laburnum {
 
