--- a/Tests/LaburnumLoad/LoadReport.cpp
+++ b/Tests/LaburnumLoad/LoadReport.cpp
@@ -69,26 +69,28 @@
   return Counts;
 }
 
-static json reportOf(std::vector<CallOutcome> const &Outcomes) {
+static json reportOf(LoadRun const &Run) {
+  auto const &Outcomes = Run.Outcomes_;
+  auto const Seconds = std::chrono::duration<double>(Run.Elapsed_).count();
   auto const Whole =
       std::count_if(Outcomes.begin(), Outcomes.end(),
                     [](CallOutcome const &One) { return One.IsWhole_; });
   json Report = {{"calls", Outcomes.size()},
                  {"whole", Whole},
+                 {"elapsed_s", Seconds},
                  {"outcomes", countsOf(Outcomes)}};
   for (auto const Kind : {LoadKind::Plain, LoadKind::Short, LoadKind::Long})
     Report["latency"][nameOf(Kind)] = latenciesOf(Outcomes, Kind);
   return Report;
 }
 
-std::string jsonOf(std::vector<CallOutcome> const &Outcomes) {
-  return reportOf(Outcomes).dump(2) + '\n';
-}
+std::string jsonOf(LoadRun const &Run) { return reportOf(Run).dump(2) + '\n'; }
 
-std::string tableOf(std::vector<CallOutcome> const &Outcomes) {
-  auto const Report = reportOf(Outcomes);
+std::string tableOf(LoadRun const &Run) {
+  auto const Report = reportOf(Run);
   std::ostringstream Table;
-  Table << "calls " << Report["calls"] << ", whole " << Report["whole"] << '\n';
+  Table << "calls " << Report["calls"] << ", whole " << Report["whole"]
+        << ", seconds " << Report["elapsed_s"] << '\n';
   for (auto const &[Name, Count] : Report["outcomes"].items())
     Table << "  " << Name << ": " << Count << '\n';
   Table << "kind what count p50_ms p95_ms p99_ms max_ms\n";
--- a/Tests/LaburnumLoad/LoadReport.h
+++ b/Tests/LaburnumLoad/LoadReport.h
@@ -7,9 +7,17 @@
 
 namespace laburnum {
 
+/// All calls of a run.
+struct LoadRun {
+  std::vector<CallOutcome> Outcomes_;
+  Duration Elapsed_{}; ///< From the first planned start to the last end.
+
+  auto operator<=>(LoadRun const &) const = default;
+};
+
 /// Percentiles of latency by kind of call and counts by outcome, as a table
 /// for people or as JSON.
-std::string tableOf(std::vector<CallOutcome> const &Outcomes);
-std::string jsonOf(std::vector<CallOutcome> const &Outcomes);
+std::string tableOf(LoadRun const &Run);
+std::string jsonOf(LoadRun const &Run);
 
 } // namespace laburnum
--- a/Tests/LaburnumLoad/Main.cpp
+++ b/Tests/LaburnumLoad/Main.cpp
@@ -75,7 +75,7 @@
 
 /// Each thread takes the next planned call and waits for its start; a call
 /// that no thread was free for starts late, and its latency shows that.
-static std::vector<CallOutcome> runCalls(LoadSettings const &Settings) {
+static LoadRun runCalls(LoadSettings const &Settings) {
   auto const Calls = planCalls(Settings);
   std::vector<CallOutcome> Outcomes(Calls.size());
   std::atomic<std::size_t> Next = 0;
@@ -99,7 +99,7 @@
     Threads.emplace_back(Work);
   for (auto &One : Threads)
     One.join();
-  return Outcomes;
+  return {std::move(Outcomes), readClock() - Begin};
 }
 
 static int run(cxxopts::ParseResult const &Given) {
@@ -109,9 +109,9 @@
     std::cerr << "laburnum-load: give --target and --service or --model\n";
     return 2;
   }
-  auto const Outcomes = runCalls(Settings);
+  auto const Run = runCalls(Settings);
   bool const IsJson = Given["output"].as<std::string>() == "json";
-  std::cout << (IsJson ? jsonOf(Outcomes) : tableOf(Outcomes));
+  std::cout << (IsJson ? jsonOf(Run) : tableOf(Run));
   return 0;
 }
 
