--- a/Tests/EngineStandin/Hosting/AbortableServer.cpp
+++ b/Tests/EngineStandin/Hosting/AbortableServer.cpp
@@ -77,6 +77,8 @@
 
 } // namespace
 
+void AbortableServer::raiseBacklog() { ::listen(svr_sock_, SOMAXCONN); }
+
 void AbortableServer::abortConnection() { IsAborted = true; }
 
 bool AbortableServer::waitForRequest(socket_t Socket) const {
--- a/Tests/EngineStandin/Hosting/AbortableServer.h
+++ b/Tests/EngineStandin/Hosting/AbortableServer.h
@@ -12,6 +12,10 @@
   /// connection, and it is closed with a reset.
   static void abortConnection();
 
+  /// Called after binding: lets a burst of connections wait to be accepted.
+  /// The library's own backlog of 5 drops the others for a second.
+  void raiseBacklog();
+
 private:
   bool process_and_close_socket(socket_t Socket) override;
   bool waitForRequest(socket_t Socket) const;
--- a/Tests/EngineStandin/Hosting/HttpHost.cpp
+++ b/Tests/EngineStandin/Hosting/HttpHost.cpp
@@ -22,6 +22,7 @@
                         : Server_.bind_to_any_port(Loopback);
   if (Bound <= 0)
     return 0;
+  Server_.raiseBacklog();
   Thread_ = std::thread([this] { Server_.listen_after_bind(); });
   while (!Server_.is_running())
     std::this_thread::yield();
