laburnumd: Let streams outlive their entry instance

A model's stream ended with its entry instance or its caller's connection. The new StreamLedger knows the streams of an instance and checkpoints of its peers' streams; StreamService connects it with callers, flows and peers. A caller sends its key and last event to any instance and gets the rest. On SIGTERM, the drain call or a notice that names this instance, streams that would not end in time are handed over, and their callers get 'event: moved'. Completions without streaming take the same way.

--- a/Libraries/LibCallers/AnswerWriter.cpp
+++ b/Libraries/LibCallers/AnswerWriter.cpp
@@ -76,6 +76,13 @@
 
 std::string endEvent() { return "data: [DONE]\n\n"; }
 
+std::string movedEvent(ReadRequest const &Read) {
+  auto const &Key = Read.Request_.Key_;
+  Json const Body = {
+      {"idempotency_key", Key ? Key->text() : Read.Request_.Id_.text()}};
+  return "event: moved\ndata: " + dump(Body) + "\n\n";
+}
+
 std::string failureEvent(FailureAnswer const &Failure,
                          RequestId const &Request) {
   return "event: error\ndata: " + toJson(Failure, Request) + "\n\n";
--- a/Libraries/LibCallers/AnswerWriter.h
+++ b/Libraries/LibCallers/AnswerWriter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibCallers/RequestReader.h>
-#include <LibCallers/TokenPipe.h>
+#include <LibCallers/StreamSource.h>
 #include <LibServing/FailureAnswer.h>
 
 #include <string>
@@ -37,6 +37,10 @@
 /// The last events of a stream that is whole.
 std::string endEvent();
 
+/// A stream that goes on at another instance ends with this event: the caller
+/// sends its request again with the key named here and the last event's id.
+std::string movedEvent(ReadRequest const &Read);
+
 /// A stream that failed after its first token ends with this event and without
 /// the closing [DONE].
 std::string failureEvent(FailureAnswer const &Failure,
--- a/Libraries/LibCallers/CallerServer.cpp
+++ b/Libraries/LibCallers/CallerServer.cpp
@@ -42,7 +42,8 @@
     Sink.done();
     return true;
   }
-  Write(endEvent());
+  Write(std::holds_alternative<StreamMoved>(Item) ? movedEvent(Read)
+                                                  : endEvent());
   Sink.done();
   return true;
 }
@@ -60,7 +61,9 @@
         *Started = true;
         return writeItem(Answer.First_, Answer.Read_, Sink);
       },
-      [Pipe = Answer.Rest_](bool) { Pipe->abandon(); });
+      [Source = Answer.Rest_](bool IsWritten) {
+        Source->release(IsWritten ? Delivery::Written : Delivery::Broken);
+      });
 }
 
 Error errorOfStatus(int Status) {
--- a/Libraries/LibCallers/CallerServer.h
+++ b/Libraries/LibCallers/CallerServer.h
@@ -2,7 +2,7 @@
 
 #include <LibCallers/AnswerWriter.h>
 #include <LibCallers/CallerMessage.h>
-#include <LibCallers/TokenPipe.h>
+#include <LibCallers/StreamSource.h>
 #include <LibCore/Result.h>
 #include <LibModel/BackendServer.h>
 
@@ -18,7 +18,7 @@
 struct StreamAnswer {
   ReadRequest Read_;
   StreamItem First_;
-  std::shared_ptr<TokenPipe> Rest_;
+  std::shared_ptr<StreamSource> Rest_;
 };
 
 using CallerAnswer = std::variant<HttpAnswer, StreamAnswer>;
--- /dev/null
+++ b/Libraries/LibCallers/StreamLog.cpp
@@ -0,0 +1,79 @@
+#include <LibCallers/StreamLog.h>
+
+#include <utility>
+
+namespace laburnum {
+
+Continue StreamLog::push(std::uint32_t Offset, std::string const &Text) {
+  std::lock_guard const Lock(Mutex_);
+  if (IsClosed_ || Offset != Tokens_.size())
+    return Continue::No;
+  Tokens_.push_back(Text);
+  Changed_.notify_all();
+  return Continue::Yes;
+}
+
+void StreamLog::finish() {
+  std::lock_guard const Lock(Mutex_);
+  if (std::exchange(IsClosed_, true))
+    return;
+  End_ = StreamWhole{};
+  Changed_.notify_all();
+}
+
+void StreamLog::fail(FailureAnswer Failure) {
+  std::lock_guard const Lock(Mutex_);
+  if (std::exchange(IsClosed_, true))
+    return;
+  End_ = std::move(Failure);
+  Changed_.notify_all();
+}
+
+void StreamLog::close() {
+  std::lock_guard const Lock(Mutex_);
+  IsClosed_ = true;
+}
+
+void StreamLog::end(StreamItem Item) {
+  std::lock_guard const Lock(Mutex_);
+  IsClosed_ = true;
+  if (!End_)
+    End_ = std::move(Item);
+  Changed_.notify_all();
+}
+
+void StreamLog::markMoved() { end(StreamMoved{}); }
+
+void StreamLog::supersede(FailureAnswer Failure) { end(std::move(Failure)); }
+
+bool StreamLog::attach(ReaderNumber Reader, std::uint32_t Offset) {
+  std::lock_guard const Lock(Mutex_);
+  if (Offset > Tokens_.size())
+    return false;
+  Newest_ = Reader;
+  Changed_.notify_all();
+  return true;
+}
+
+bool StreamLog::isServed(ReaderNumber Reader, std::uint32_t Offset) const {
+  return Reader != Newest_ || Offset < Tokens_.size() || End_.has_value();
+}
+
+StreamItem StreamLog::read(ReaderNumber Reader, std::uint32_t Offset) {
+  std::unique_lock Lock(Mutex_);
+  Changed_.wait(Lock, [&] { return isServed(Reader, Offset); });
+  if (Reader != Newest_)
+    return StreamMoved{};
+  if (Offset < Tokens_.size())
+    return TokenOut{Offset, Tokens_[Offset]};
+  return *End_;
+}
+
+std::vector<std::string> StreamLog::tokensFrom(std::uint32_t Offset) const {
+  std::lock_guard const Lock(Mutex_);
+  if (Offset >= Tokens_.size())
+    return {};
+  return {Tokens_.begin() + Offset, Tokens_.end()};
+}
+
+} // namespace laburnum
--- a/Libraries/LibCallers/TokenPipe.cpp
+++ b/Libraries/LibCallers/TokenPipe.cpp
@@ -22,7 +22,7 @@
   return Item;
 }
 
-void TokenPipe::abandon() {
+void TokenPipe::release(Delivery /*Outcome*/) {
   std::lock_guard const Lock(Mutex_);
   Abandoned_ = true;
   Changed_.notify_all();
--- /dev/null
+++ b/Libraries/LibRecovery/StreamPlaces.cpp
@@ -0,0 +1,90 @@
+#include <LibRecovery/StreamPlaces.h>
+
+#include <LibCore/Hash.h>
+
+#include <algorithm>
+
+namespace laburnum::streams {
+
+namespace {
+
+std::string keyOf(StreamName const &Name) {
+  return Name.Account_.text() + '\n' + Name.Key_.text();
+}
+
+std::vector<EntryInstance> inOrder(StreamName const &Name,
+                                   std::vector<EntryInstance> Instances) {
+  return rendezvousOrder(
+      keyOf(Name), std::move(Instances),
+      [](EntryInstance const &One) { return One.Id_.text(); });
+}
+
+} // namespace
+
+void StreamPlaces::setMembers(std::vector<Member> const &Members) {
+  Live_.clear();
+  Leaving_.clear();
+  for (auto const &One : Members) {
+    if (One.Instance_.Id_ == Self_.Id_)
+      continue;
+    if (One.Liveness_ == Liveness::Live)
+      Live_.push_back(One.Instance_);
+    if (One.Liveness_ == Liveness::Leaving)
+      Leaving_.insert(One.Instance_.Id_);
+  }
+}
+
+std::vector<EntryInstance> StreamPlaces::others(StreamName const &Name) const {
+  return inOrder(Name, Live_);
+}
+
+std::optional<EntryInstance>
+StreamPlaces::keeperOf(StreamName const &Name,
+                       std::set<InstanceId> const &Excluded) const {
+  std::optional<EntryInstance> Near;
+  for (auto const &One : others(Name)) {
+    if (Excluded.contains(One.Id_))
+      continue;
+    if (One.DataCentre_ != Self_.DataCentre_)
+      return One;
+    if (!Near)
+      Near = One;
+  }
+  return Near;
+}
+
+std::vector<EntryInstance>
+StreamPlaces::candidates(StreamName const &Name) const {
+  constexpr std::size_t Wanted = 3;
+  auto All = Live_;
+  All.push_back(Self_);
+  auto const Order = inOrder(Name, std::move(All));
+  std::vector<EntryInstance> Chosen;
+  auto const Choose = [&](EntryInstance const &One) {
+    if (Chosen.size() < Wanted &&
+        std::find(Chosen.begin(), Chosen.end(), One) == Chosen.end())
+      Chosen.push_back(One);
+  };
+  Choose(Order.front());
+  auto const Other =
+      std::find_if(Order.begin(), Order.end(), [&](EntryInstance const &One) {
+        return One.DataCentre_ != Order.front().DataCentre_;
+      });
+  if (Other != Order.end())
+    Choose(*Other);
+  for (auto const &One : Order)
+    Choose(One);
+  std::erase(Chosen, Self_);
+  return Chosen;
+}
+
+bool StreamPlaces::isLive(InstanceId const &Id) const {
+  return std::any_of(Live_.begin(), Live_.end(),
+                     [&](EntryInstance const &One) { return One.Id_ == Id; });
+}
+
+bool StreamPlaces::mayAnswer(InstanceId const &Id) const {
+  return isLive(Id) || Leaving_.contains(Id);
+}
+
+} // namespace laburnum::streams
--- a/Services/laburnumd/ControlPlane.cpp
+++ b/Services/laburnumd/ControlPlane.cpp
@@ -41,6 +41,7 @@
   auto Self = Settings.Self_;
   Self.Peers_ = Transport_->localEndpoint();
   Self_ = Self.Id_;
+  Hooks_ = Settings.Hooks_;
   PlatformTimeout_ = Settings.PlatformTimeout_;
 
   configuration::Settings ForConfiguration;
@@ -136,6 +137,8 @@
     feed(configuration::Event(configuration::RequestFromPeer{*Request}));
   else if (auto const *Notice = std::get_if<ServerLeavingNotice>(&Message))
     feed(servers::Event(servers::NoticeFromPeer{*Notice}));
+  else
+    Hooks_.OnPeerMessage_(From, Message);
 }
 
 void ControlPlane::feed(configuration::Event const &Event) {
@@ -221,6 +224,7 @@
 void ControlPlane::perform(membership::MembersChanged const &Action) {
   feed(configuration::Event(configuration::MembersChanged{Action.Members_}));
   feed(servers::Event(servers::MembersChanged{Action.Members_}));
+  Hooks_.OnMembers_(Action.Members_);
 }
 
 void ControlPlane::perform(servers::DirectoryChanged const &Action) {
@@ -253,8 +257,11 @@
       [this](Result<NoticeBatch> const &Batch) {
         if (!isError(Batch)) {
           NextNotice_ = valueOf(Batch).Next_;
-          for (auto const &Notice : valueOf(Batch).Notices_)
+          for (auto const &Notice : valueOf(Batch).Notices_) {
             feed(servers::Event(servers::NoticeReceived{Notice}));
+            if (Notice.InstanceName_ == Self_.text())
+              Hooks_.OnOwnReclaim_(Notice.Remaining_);
+          }
         }
         readNotices();
       });
--- a/Services/laburnumd/ControlPlane.h
+++ b/Services/laburnumd/ControlPlane.h
@@ -27,12 +27,21 @@
   CloudApi &Cloud_;
 };
 
+/// What other parts hear of the control plane's news, on the control thread.
+struct ControlPlaneHooks {
+  std::function<void(std::vector<Member> const &)> OnMembers_;
+  std::function<void(InstanceId const &, PeerMessage const &)> OnPeerMessage_;
+  /// The cloud takes this instance back after the time given.
+  std::function<void(Duration)> OnOwnReclaim_;
+};
+
 struct ControlPlaneSettings {
   EntryInstance Self_; ///< With the ports that its listeners chose.
   std::vector<Endpoint> Seeds_;
   std::string PeerSecret_;
   Duration PlatformTimeout_{};
   std::uint64_t Seed_ = 0;
+  ControlPlaneHooks Hooks_;
 };
 
 /// Drives the fleet cores on the control thread: membership, configuration and
@@ -69,6 +78,9 @@
   Endpoint peerEndpoint() const { return Transport_->localEndpoint(); }
   bool isPlatformReachable() const { return PlatformReachable_; }
 
+  /// Called on the control thread.
+  void send(SendToPeer const &Message) { perform(Message); }
+
 private:
   // On the control thread.
   void receive(InstanceId const &From, PeerMessage const &Message);
@@ -101,6 +113,7 @@
   std::unique_ptr<Membership> Membership_;
   std::unique_ptr<ServerDirectory> Directory_;
   InstanceId Self_;
+  ControlPlaneHooks Hooks_;
   std::uint64_t NextNotice_ = 0;
   std::atomic<bool> PlatformReachable_ = false;
   std::atomic<bool> Stopping_ = false;
--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -3,10 +3,12 @@
 #include "ClaimService.h"
 #include "ControlPlane.h"
 #include "DrainGate.h"
+#include "MeteredFlows.h"
 #include "ObservingBackendClient.h"
 #include "OperatorDesk.h"
 #include "RequestService.h"
 #include "ServingMetrics.h"
+#include "StreamService.h"
 
 #include <LibAdmin/OperatorServer.h>
 #include <LibBackend/HttpBackendClient.h>
@@ -36,6 +38,12 @@
 /// How long operators' calls in progress may take at the end.
 constexpr Duration OperatorGrace = std::chrono::seconds(2);
 
+/// The part of a reclaim's time that a stop may use; the rest is for its end.
+Duration usableTime(Duration Remaining) {
+  constexpr int UsablePercent = 90;
+  return Remaining * UsablePercent / 100;
+}
+
 std::uint64_t randomSeed() {
   std::random_device Device;
   constexpr unsigned WordBits = 32;
@@ -88,8 +96,10 @@
         Claims_(Control_, Objects_, claimSettings(Settings_),
                 Settings_.Platform_.Timeout_, Settings_.Platform_.Threads_,
                 Seed_),
-        Requests_(View_, Limiter_, Gate_, ServingMetrics_,
-                  {Chooser_, Retries_, Backends_, Claims_, View_},
+        Flows_({Chooser_, Retries_, Backends_, Claims_, View_},
+               ServingMetrics_),
+        Streams_(Control_, View_, Flows_, Metrics_, Seed_ + 1),
+        Requests_(View_, Limiter_, Gate_, ServingMetrics_, Flows_, Streams_,
                   {Settings_.Callers_.DefaultDeadline_,
                    Settings_.Callers_.MaxDeadline_},
                   Seed_),
@@ -119,10 +129,14 @@
     if (isError(Started))
       return errorOf(Started);
     Claims_.start();
+    auto Self = planeSettings().Self_;
+    Self.Peers_ = Plane_.peerEndpoint();
+    Streams_.start(Self,
+                   [this](SendToPeer const &Message) { Plane_.send(Message); });
     return Success{};
   }
 
-  ControlPlaneSettings planeSettings() const {
+  ControlPlaneSettings planeSettings() {
     ControlPlaneSettings Wanted;
     Wanted.Self_ = {Settings_.Instance_.Id_, Settings_.Instance_.DataCentre_,
                     Callers_->endpoint(), Settings_.Peers_.Endpoint_,
@@ -131,9 +145,18 @@
     Wanted.PeerSecret_ = Settings_.Peers_.Secret_;
     Wanted.PlatformTimeout_ = Settings_.Platform_.Timeout_;
     Wanted.Seed_ = Seed_;
+    Wanted.Hooks_ = hooks();
     return Wanted;
   }
 
+  ControlPlaneHooks hooks() {
+    return {[this](auto const &Members) { Streams_.membersChanged(Members); },
+            [this](auto const &From, auto const &Message) {
+              Streams_.receive(From, Message);
+            },
+            [this](Duration Remaining) { requestStop(usableTime(Remaining)); }};
+  }
+
   void run() {
     Control_.start();
     std::thread Serving([this] { Callers_->run(); });
@@ -145,6 +168,7 @@
     drain(Within);
     Callers_->stop();
     Serving.join();
+    Streams_.stop();
     Operators_->stop(OperatorGrace);
     Plane_.stop();
     Claims_.stop();
@@ -160,11 +184,13 @@
               << " state=draining in_progress=" << Gate_.inProgress();
     auto const Start = readClock();
     Plane_.announceLeaving();
+    Streams_.leave(Within);
     Gate_.setUnready();
     std::this_thread::sleep_for(std::min(BalancerLag, Within));
     Gate_.close();
-    auto const Left = Within - (readClock() - Start);
-    if (!Gate_.waitUntilEmpty(std::chrono::duration_cast<Duration>(Left)))
+    auto const Left = [&] { return Within - (readClock() - Start); };
+    bool const IsEmpty = Gate_.waitUntilEmpty(Left());
+    if (!Streams_.waitUntilSafe(Left()) || !IsEmpty)
       LOG(WARNING) << "instance=" << Settings_.Instance_.Id_.text()
                    << " state=drain_overrun in_progress=" << Gate_.inProgress();
   }
@@ -215,6 +241,8 @@
   ControlThread Control_;
   ControlPlane Plane_;
   ClaimService Claims_;
+  MeteredFlows Flows_;
+  StreamService Streams_;
   RequestService Requests_;
   ChangeWriter Writer_;
   std::unique_ptr<OperatorDesk> Desk_;
--- a/Services/laburnumd/RequestService.cpp
+++ b/Services/laburnumd/RequestService.cpp
@@ -1,23 +1,17 @@
 #include "RequestService.h"
 
-#include <thread>
+#include <algorithm>
 #include <utility>
 
 namespace laburnum {
 
 namespace {
 
-/// Tokens that wait for a caller who reads slowly.
-constexpr std::size_t MostWaitingTokens = 256;
 constexpr Duration DrainRetryAfter = std::chrono::seconds(1);
 
 constexpr char ReadyPath[] = "/healthz/ready";
 constexpr char LivePath[] = "/healthz/live";
 
-double millisecondsSince(TimePoint Start) {
-  return std::chrono::duration<double, std::milli>(readClock() - Start).count();
-}
-
 HttpAnswer healthAnswer(int Status, std::string const &Body) {
   return {Status, "text/plain", Body, {}};
 }
@@ -29,6 +23,41 @@
           {{"Laburnum-Request-Id", Id.text()}}};
 }
 
+/// What a resumed stream still has to generate; the rest was counted before.
+std::uint32_t tokensAsked(CallerRequest const &Request) {
+  return Request.MaxTokens_ - std::min(Request.ResumeFrom_, Request.MaxTokens_);
+}
+
+/// A whole answer that goes on at another instance cannot be told to its
+/// caller in mid-answer, as a stream can.
+FailureAnswer movedFailure(CallerRequest const &Request) {
+  auto const Key = Request.Key_ ? Request.Key_->text() : Request.Id_.text();
+  return {{ErrorKind::Unavailable,
+           "this entry instance is stopping; the completion goes on at another",
+           "send the request again with the Idempotency-Key " + Key},
+          RunState::MayHaveRun,
+          DrainRetryAfter};
+}
+
+HttpAnswer wholeCompletion(ReadRequest const &Read, StreamReader &Reader) {
+  std::string Text;
+  std::uint32_t Tokens = 0;
+  while (true) {
+    auto const Item = Reader.pop();
+    auto const *Token = std::get_if<TokenOut>(&Item);
+    if (!Token) {
+      if (auto const *Failure = std::get_if<FailureAnswer>(&Item))
+        return answerOf(*Failure, Read.Request_.Id_);
+      if (std::holds_alternative<StreamMoved>(Item))
+        return answerOf(movedFailure(Read.Request_), Read.Request_.Id_);
+      Reader.release(Delivery::Written);
+      return answerOfCompletion(Text, Tokens, Read);
+    }
+    Text += Token->Text_;
+    ++Tokens;
+  }
+}
+
 } // namespace
 
 /// Kept while a request is in progress; what was taken is given back when it
@@ -56,10 +85,10 @@
 
 RequestService::RequestService(TrafficView &View, AccountLimiter &Limiter,
                                DrainGate &Gate, ServingMetrics &Metrics,
-                               FlowResources const &Resources,
+                               MeteredFlows &Flows, StreamService &Streams,
                                RequestBounds const &Bounds, std::uint64_t Seed)
     : View_(View), Limiter_(Limiter), Gate_(Gate), Metrics_(Metrics),
-      Resources_(Resources), Bounds_(Bounds), Identifiers_(Seed) {}
+      Flows_(Flows), Streams_(Streams), Bounds_(Bounds), Identifiers_(Seed) {}
 
 RequestId RequestService::nextId() {
   std::lock_guard const Lock(Mutex_);
@@ -96,88 +125,44 @@
   }
   auto const *Account = InForce->account(Request.Account_);
   if (auto const Refusal =
-          Limiter_.admit(*Account, Request.MaxTokens_, Start)) {
+          Limiter_.admit(*Account, tokensAsked(Request), Start)) {
     Metrics_.Refused_.add();
     return answerOf(*Refusal, Request.Id_);
   }
   Metrics_.Accepted_.add();
-  Admission Held(std::move(*Pass), Limiter_, Request.Account_);
+  auto Held =
+      std::make_shared<Admission>(std::move(*Pass), Limiter_, Request.Account_);
   if (Request.Kind_ == ServiceKind::Plain)
     return answerPlain(valueOf(Read));
-  if (valueOf(Read).Form_.Streaming_ == Streaming::Yes)
-    return answerStream(valueOf(Read), std::move(Held));
-  return answerWholeCompletion(valueOf(Read));
-}
-
-FlowReport RequestService::runFlow(CallerRequest const &Request,
-                                   TokenSink const &Sink) {
-  auto const Start = readClock();
-  bool IsFirst = true;
-  auto const Counting = [&](std::uint32_t Offset, std::string const &Text) {
-    if (IsFirst)
-      Metrics_.FirstToken_.record(millisecondsSince(Start));
-    IsFirst = false;
-    Metrics_.Tokens_.add();
-    return Sink(Offset, Text);
-  };
-  auto Report = FlowRunner(Resources_, Request, Counting).run();
-  Metrics_.Attempts_.add(Report.Counts_.Attempts_);
-  Metrics_.Retries_.add(Report.Counts_.Retries_);
-  Metrics_.Moves_.add(Report.Counts_.Moves_);
-  Metrics_.RecomputedTokens_.add(Report.Counts_.RecomputedTokens_);
-  Metrics_.WholeAnswer_.record(millisecondsSince(Start));
-  if (std::holds_alternative<flow::FinishFailed>(Report.End_))
-    Metrics_.Failed_.add();
-  else
-    Metrics_.Completed_.add();
-  return Report;
+  return answerCompletion(valueOf(Read), std::move(Held));
 }
 
 CallerAnswer RequestService::answerPlain(ReadRequest const &Read) {
   auto const &Request = Read.Request_;
-  auto const Report = runFlow(Request, [](std::uint32_t, std::string const &) {
-    return Continue::Yes;
-  });
-  if (auto const *Plain = std::get_if<flow::FinishPlain>(&Report.End_))
-    return answerOfPlain(Plain->Answer_, Request.Id_);
-  return answerOf(std::get<flow::FinishFailed>(Report.End_).Failure_,
-                  Request.Id_);
-}
-
-CallerAnswer RequestService::answerWholeCompletion(ReadRequest const &Read) {
-  std::string Text;
   auto const Report =
-      runFlow(Read.Request_, [&Text](std::uint32_t, std::string const &Piece) {
-        Text += Piece;
+      Flows_.run(Request, [](std::uint32_t, std::string const &) {
         return Continue::Yes;
       });
-  if (auto const *Whole = std::get_if<flow::FinishCompletion>(&Report.End_))
-    return answerOfCompletion(Text, Whole->Tokens_, Read);
+  if (auto const *Plain = std::get_if<flow::FinishPlain>(&Report.End_))
+    return answerOfPlain(Plain->Answer_, Request.Id_);
   return answerOf(std::get<flow::FinishFailed>(Report.End_).Failure_,
-                  Read.Request_.Id_);
+                  Request.Id_);
 }
 
-/// The flow runs on a thread of its own, since the answer's status can be
-/// chosen only when its first token, or its failure, is known.
-CallerAnswer RequestService::answerStream(ReadRequest const &Read,
-                                          Admission Held) {
-  auto const Pipe = std::make_shared<TokenPipe>(MostWaitingTokens);
-  auto const Run = [this, Pipe, Request = Read.Request_,
-                    Held = std::make_shared<Admission>(std::move(Held))] {
-    auto const Report = runFlow(
-        Request, [&Pipe](std::uint32_t Offset, std::string const &Text) {
-          return Pipe->push(TokenOut{Offset, Text});
-        });
-    if (auto const *Failed = std::get_if<flow::FinishFailed>(&Report.End_))
-      Pipe->push(Failed->Failure_);
-    else
-      Pipe->push(StreamWhole{});
-  };
-  std::thread(Run).detach();
-  auto First = Pipe->pop();
+/// The answer's status is chosen when the first token, or the failure, is
+/// known.
+CallerAnswer RequestService::answerCompletion(ReadRequest const &Read,
+                                              std::shared_ptr<Admission> Held) {
+  auto const Opened = Streams_.open(Read, std::move(Held));
+  if (auto const *Failure = std::get_if<FailureAnswer>(&Opened))
+    return answerOf(*Failure, Read.Request_.Id_);
+  auto const &Reader = std::get<std::shared_ptr<StreamReader>>(Opened);
+  if (Read.Form_.Streaming_ == Streaming::No)
+    return wholeCompletion(Read, *Reader);
+  auto First = Reader->pop();
   if (auto const *Failure = std::get_if<FailureAnswer>(&First))
     return answerOf(*Failure, Read.Request_.Id_);
-  return StreamAnswer{Read, std::move(First), Pipe};
+  return StreamAnswer{Read, std::move(First), Reader};
 }
 
 } // namespace laburnum
--- a/Services/laburnumd/RequestService.h
+++ b/Services/laburnumd/RequestService.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "DrainGate.h"
+#include "MeteredFlows.h"
 #include "ServingMetrics.h"
+#include "StreamService.h"
 #include "TrafficView.h"
 
 #include <LibCallers/CallerServer.h>
@@ -18,8 +20,9 @@
 class RequestService {
 public:
   RequestService(TrafficView &View, AccountLimiter &Limiter, DrainGate &Gate,
-                 ServingMetrics &Metrics, FlowResources const &Resources,
-                 RequestBounds const &Bounds, std::uint64_t Seed);
+                 ServingMetrics &Metrics, MeteredFlows &Flows,
+                 StreamService &Streams, RequestBounds const &Bounds,
+                 std::uint64_t Seed);
 
   CallerAnswer answer(CallerMessage const &Message);
   HttpAnswer refuse(Error const &Failure);
@@ -29,17 +32,17 @@
   class Admission;
 
   CallerAnswer answerPlain(ReadRequest const &Read);
-  CallerAnswer answerWholeCompletion(ReadRequest const &Read);
   /// Held goes with the stream, which outlives this call.
-  CallerAnswer answerStream(ReadRequest const &Read, Admission Held);
-  FlowReport runFlow(CallerRequest const &Request, TokenSink const &Sink);
+  CallerAnswer answerCompletion(ReadRequest const &Read,
+                                std::shared_ptr<Admission> Held);
   RequestId nextId();
 
   TrafficView &View_;
   AccountLimiter &Limiter_;
   DrainGate &Gate_;
   ServingMetrics &Metrics_;
-  FlowResources const Resources_;
+  MeteredFlows &Flows_;
+  StreamService &Streams_;
   RequestBounds const Bounds_;
   std::mutex Mutex_;
   IdentifierSource Identifiers_;
--- /dev/null
+++ b/Services/laburnumd/StreamService.cpp
@@ -0,0 +1,309 @@
+#include "StreamService.h"
+
+#include <LibRecovery/StreamFailures.h>
+
+#include <glog/logging.h>
+
+#include <thread>
+#include <utility>
+
+namespace laburnum {
+
+namespace {
+
+constexpr Duration LedgerTick = std::chrono::milliseconds(100);
+/// Between two looks at whether a stop would lose anything.
+constexpr Duration SafetyPoll = std::chrono::milliseconds(20);
+/// How long flows may take to notice that their streams were closed.
+constexpr Duration FlowGrace = std::chrono::seconds(2);
+
+StreamName nameOf(CallerRequest const &Request) {
+  return {Request.Account_,
+          Request.Key_.value_or(IdempotencyKey(Request.Id_.text()))};
+}
+
+StreamContent contentOf(CallerRequest const &Request, TimePoint Now) {
+  return {Request.Service_,   Request.Fingerprint_, Request.Prompt_,
+          Request.MaxTokens_, Request.Priority_,    Request.Deadline_ - Now};
+}
+
+std::uint32_t firstWanted(ReadRequest const &Read) {
+  return Read.Form_.Streaming_ == Streaming::Yes ? Read.Request_.ResumeFrom_
+                                                 : 0;
+}
+
+} // namespace
+
+StreamService::StreamService(ControlThread &Control, TrafficView const &View,
+                             MeteredFlows &Flows, MetricsRegistry &Metrics,
+                             std::uint64_t Seed)
+    : Control_(Control), View_(View), Flows_(Flows),
+      HandedOver_(Metrics.counter("streams.handed_over", "streams")),
+      TakenOver_(Metrics.counter("streams.taken_over", "streams")),
+      Resumed_(Metrics.counter("streams.resumed", "streams")),
+      CheckpointBytes_(Metrics.counter("streams.checkpoint_bytes", "bytes")),
+      Identifiers_(Seed) {}
+
+StreamService::~StreamService() { stop(); }
+
+void StreamService::start(EntryInstance const &Self, Send Send) {
+  Send_ = std::move(Send);
+  streams::Settings Wanted;
+  Wanted.Self_ = Self;
+  Ledger_ = std::make_unique<StreamLedger>(Wanted);
+  Control_.every(LedgerTick, [this] {
+    report();
+    feed(streams::TimePassed{});
+  });
+}
+
+StreamService::Opened StreamService::open(ReadRequest const &Read,
+                                          std::shared_ptr<void> Admission) {
+  auto const &Request = Read.Request_;
+  streams::StreamWanted Wanted;
+  Wanted.Name_ = nameOf(Request);
+  Wanted.From_ = firstWanted(Read);
+  Wanted.Run_ = Request.Id_;
+  if (!Request.Key_)
+    Wanted.Naming_ = streams::Naming::ByThisInstance;
+  auto Promise = std::make_shared<std::promise<Connected>>();
+  auto Future = Promise->get_future();
+  Control_.post([this, Promise, Wanted, Request]() mutable {
+    Wanted.Ticket_ = NextTicket_++;
+    Wanted.Content_ = contentOf(Request, readClock());
+    Waiting_.emplace(Wanted.Ticket_, std::move(*Promise));
+    feed(Wanted);
+  });
+  auto const Outcome = Future.get();
+  if (auto const *Failure = std::get_if<FailureAnswer>(&Outcome))
+    return *Failure;
+  auto const &Made = std::get<Connection>(Outcome);
+  auto const Left = [this, Name = Wanted.Name_,
+                     Reader = Made.Reader_](StreamReader::Outcome How) {
+    auto const Received = How == StreamReader::Outcome::Whole
+                              ? streams::Received::Whole
+                              : streams::Received::Part;
+    Control_.post([this, Name, Reader, Received] {
+      feed(streams::ReaderLeft{Name, Reader, Received});
+    });
+  };
+  return std::make_shared<StreamReader>(Made.Log_, Made.Reader_, Wanted.From_,
+                                        std::move(Admission), Left);
+}
+
+void StreamService::leave(Duration Within) {
+  Control_.post([this, Within] { feed(streams::OwnLeaving{Within}); });
+}
+
+bool StreamService::waitUntilSafe(Duration Limit) {
+  auto const GivenUpAt = readClock() + Limit;
+  while (Control_.ask([this] { return Ledger_->streamsAtRisk(); }) > 0) {
+    if (readClock() >= GivenUpAt)
+      return false;
+    std::this_thread::sleep_for(SafetyPoll);
+  }
+  return true;
+}
+
+/// Flows see that their streams are closed when their next token comes.
+void StreamService::stop() {
+  Control_.post([this] {
+    for (auto const &[Name, One] : Live_)
+      One.Log_->markMoved();
+  });
+  std::unique_lock Lock(Mutex_);
+  if (!ThreadEnded_.wait_for(Lock, FlowGrace, [this] { return Threads_ == 0; }))
+    LOG(WARNING) << "state=flows_left count=" << Threads_;
+}
+
+void StreamService::membersChanged(std::vector<Member> const &Members) {
+  feed(streams::MembersChanged{Members});
+}
+
+void StreamService::receive(InstanceId const &From,
+                            PeerMessage const &Message) {
+  if (auto const *Part = std::get_if<StreamCheckpoint>(&Message))
+    feed(streams::PeerSaid{From, *Part});
+  else if (auto const *Query = std::get_if<StreamQuery>(&Message))
+    feed(streams::PeerSaid{From, *Query});
+  else if (auto const *State = std::get_if<StreamState>(&Message))
+    feed(streams::PeerSaid{From, *State});
+  else if (auto const *Given = std::get_if<StreamHandOver>(&Message))
+    feed(streams::PeerSaid{From, *Given});
+}
+
+/// Actions may yield events in turn; those wait until the actions are done.
+void StreamService::feed(streams::Event Event) {
+  Events_.push_back(std::move(Event));
+  if (std::exchange(IsFeeding_, true))
+    return;
+  while (!Events_.empty()) {
+    auto const Next = std::move(Events_.front());
+    Events_.pop_front();
+    for (auto const &Action : Ledger_->handle(Next, readClock()))
+      std::visit([this](auto const &One) { perform(One); }, Action);
+  }
+  IsFeeding_ = false;
+  countChanges();
+}
+
+void StreamService::perform(SendToPeer const &Action) { Send_(Action); }
+
+void StreamService::perform(streams::StartStream const &Action) {
+  auto const Log = std::make_shared<StreamLog>(Action.Produced_);
+  auto const Former = Live_.find(Action.Name_);
+  if (Former != Live_.end())
+    Former->second.Log_->markMoved();
+  auto const Count = static_cast<std::uint32_t>(Action.Produced_.size());
+  Live_.insert_or_assign(Action.Name_, Live{Log, Action.Epoch_, Count});
+  if (Action.Ticket_)
+    connect(*Action.Ticket_, Action.Name_, Action.From_);
+  if (Action.Phase_ == StreamPhase::Whole)
+    return Log->finish();
+  beginThread();
+  std::thread([this, Name = Action.Name_, Epoch = Action.Epoch_,
+               Request = requestOf(Action), Log] {
+    runFlow(Name, Epoch, Request, Log);
+    endThread();
+  }).detach();
+}
+
+CallerRequest StreamService::requestOf(streams::StartStream const &Action) {
+  auto const &Content = Action.Content_;
+  CallerRequest Request;
+  // Engines know attempts by request and number, so that each flow needs a
+  // request identifier of its own.
+  Request.Id_ = RequestId(Identifiers_.next());
+  Request.Account_ = Action.Name_.Account_;
+  Request.Service_ = Content.Service_;
+  Request.Kind_ = ServiceKind::Model;
+  Request.Key_ = Action.Name_.Key_;
+  Request.Fingerprint_ = Content.Fingerprint_;
+  Request.Deadline_ = readClock() + Content.Remaining_;
+  Request.Priority_ = Content.Priority_;
+  if (auto const *Account = View_.configuration()->account(Request.Account_))
+    Request.Worth_ = Account->Worth_;
+  Request.Prompt_ = Content.Prompt_;
+  Request.MaxTokens_ = Content.MaxTokens_;
+  Request.ResumeFrom_ = static_cast<std::uint32_t>(Action.Produced_.size());
+  Request.Produced_ = Action.Produced_;
+  return Request;
+}
+
+void StreamService::runFlow(StreamName const &Name, StreamEpoch const &Epoch,
+                            CallerRequest const &Request,
+                            std::shared_ptr<StreamLog> const &Log) {
+  auto const Report = Flows_.run(
+      Request, [&Log](std::uint32_t Offset, std::string const &Text) {
+        return Log->push(Offset, Text);
+      });
+  auto Phase = StreamPhase::Whole;
+  if (auto const *Failed = std::get_if<flow::FinishFailed>(&Report.End_)) {
+    Phase = StreamPhase::Stopped;
+    Log->fail(Failed->Failure_);
+  } else {
+    Log->finish();
+  }
+  Control_.post([this, Name, Epoch, Phase] { reportEnd(Name, Epoch, Phase); });
+}
+
+void StreamService::beginThread() {
+  std::lock_guard const Lock(Mutex_);
+  ++Threads_;
+}
+
+void StreamService::endThread() {
+  std::lock_guard const Lock(Mutex_);
+  --Threads_;
+  ThreadEnded_.notify_all();
+}
+
+void StreamService::perform(streams::AttachReader const &Action) {
+  connect(Action.Ticket_, Action.Name_, Action.From_);
+}
+
+void StreamService::connect(streams::Ticket Ticket, StreamName const &Name,
+                            std::uint32_t From) {
+  auto const Found = Live_.find(Name);
+  auto const Reader = NextReader_++;
+  if (Found == Live_.end() || !Found->second.Log_->attach(Reader, From))
+    return settle(Ticket, streams::detail::offsetUnknown());
+  settle(Ticket, Connection{Found->second.Log_, Reader});
+  feed(streams::ReaderAttached{Name, Reader});
+}
+
+void StreamService::settle(streams::Ticket Ticket, Connected Outcome) {
+  auto const Found = Waiting_.find(Ticket);
+  if (Found == Waiting_.end())
+    return;
+  Found->second.set_value(std::move(Outcome));
+  Waiting_.erase(Found);
+}
+
+void StreamService::perform(streams::RefuseStream const &Action) {
+  settle(Action.Ticket_, Action.Failure_);
+}
+
+void StreamService::perform(streams::CloseStream const &Action) {
+  auto const Found = Live_.find(Action.Name_);
+  if (Found == Live_.end())
+    return;
+  auto &One = Found->second;
+  One.Log_->close();
+  feed(streams::StreamClosed{Action.Name_, Action.From_,
+                             One.Log_->tokensFrom(Action.From_)});
+}
+
+void StreamService::perform(streams::TellMoved const &Action) {
+  auto const Found = Live_.find(Action.Name_);
+  if (Found != Live_.end())
+    Found->second.Log_->markMoved();
+}
+
+void StreamService::perform(streams::TellSuperseded const &Action) {
+  auto const Found = Live_.find(Action.Name_);
+  if (Found != Live_.end())
+    Found->second.Log_->supersede(streams::detail::superseded());
+}
+
+void StreamService::perform(streams::ForgetStream const &Action) {
+  Live_.erase(Action.Name_);
+}
+
+void StreamService::report() {
+  std::vector<streams::Event> News;
+  for (auto &[Name, One] : Live_) {
+    auto Tokens = One.Log_->tokensFrom(One.Reported_);
+    if (Tokens.empty())
+      continue;
+    auto const From = One.Reported_;
+    One.Reported_ += static_cast<std::uint32_t>(Tokens.size());
+    News.emplace_back(
+        streams::TokensProduced{Name, One.Epoch_, From, std::move(Tokens)});
+  }
+  for (auto &One : News)
+    feed(std::move(One));
+}
+
+void StreamService::reportEnd(StreamName const &Name, StreamEpoch const &Epoch,
+                              StreamPhase Phase) {
+  auto const Found = Live_.find(Name);
+  if (Found == Live_.end() || Found->second.Epoch_ != Epoch)
+    return;
+  auto &One = Found->second;
+  auto Tokens = One.Log_->tokensFrom(One.Reported_);
+  auto const From = One.Reported_;
+  One.Reported_ += static_cast<std::uint32_t>(Tokens.size());
+  feed(streams::FlowEnded{Name, Epoch, Phase, From, std::move(Tokens)});
+}
+
+void StreamService::countChanges() {
+  auto const &Now = Ledger_->counts();
+  HandedOver_.add(Now.HandedOver_ - Counted_.HandedOver_);
+  TakenOver_.add(Now.TakenOver_ - Counted_.TakenOver_);
+  Resumed_.add(Now.Resumed_ - Counted_.Resumed_);
+  CheckpointBytes_.add(Now.CheckpointBytes_ - Counted_.CheckpointBytes_);
+  Counted_ = Now;
+}
+
+} // namespace laburnum
--- a/Tests/LibCallers/TestCallerServer.cpp
+++ b/Tests/LibCallers/TestCallerServer.cpp
@@ -1,4 +1,5 @@
 #include <LibCallers/CallerServer.h>
+#include <LibCallers/TokenPipe.h>
 
 #include <catch2/catch.hpp>
 #include <httplib.h>
--- a/Tests/LibCallers/TestTokenPipe.cpp
+++ b/Tests/LibCallers/TestTokenPipe.cpp
@@ -30,6 +30,6 @@
   auto Second = std::async(std::launch::async, [&] {
     return Pipe.push(TokenOut{1, "b"});
   });
-  Pipe.abandon();
+  Pipe.release(Delivery::Broken);
   CHECK(Second.get() == Continue::No);
 }
--- /dev/null
+++ b/Tests/LibRecovery/TestStreamLedger.cpp
@@ -0,0 +1,3 @@
+#include <LibRecovery/StreamLedger.h>
+
+#include <catch2/catch.hpp>
