--- /dev/null
+++ b/Tests/LibRecovery/LedgerFleet.cpp
@@ -0,0 +1,282 @@
+#include <LibRecovery/LedgerFleet.h>
+
+#include <algorithm>
+
+namespace laburnum::test {
+
+namespace {
+
+constexpr Duration Step = milliseconds(10);
+constexpr int StepsPerTick = 10;
+
+} // namespace
+
+LedgerFleet::LedgerFleet(std::vector<std::string> const &Names,
+                         NetworkFaults Faults, std::uint64_t Seed)
+    : Faults_(Faults), Random_(Seed) {
+  std::uint16_t Port = 1;
+  for (auto const &Name : Names) {
+    streams::Settings Settings;
+    Settings.Self_.Id_ = InstanceId(Name);
+    Settings.Self_.DataCentre_ = DataCentre(Name.substr(0, 1));
+    Settings.Self_.Peers_ = {"127.0.0.1", Port++};
+    auto &Made = Nodes_.try_emplace(Name, Settings).first->second;
+    Made.Self_ = Settings.Self_;
+  }
+  tellMembers();
+}
+
+void LedgerFleet::tellMembers() {
+  streams::MembersChanged News;
+  for (auto const &[Name, One] : Nodes_)
+    News.Members_.push_back({One.Self_, One.Seen_, 0, 0});
+  for (auto &[Name, One] : Nodes_)
+    feed(One, News);
+}
+
+void LedgerFleet::tell(std::string const &Name, Liveness Seen) {
+  Nodes_.at(Name).Seen_ = Seen;
+  tellMembers();
+}
+
+void LedgerFleet::kill(std::string const &Name) {
+  Nodes_.at(Name).IsAlive_ = false;
+  Nodes_.at(Name).Flows_.clear();
+  for (auto &One : Connections_)
+    if (One.Node_ == Name)
+      One.Caller_->IsConnected_ = false;
+  std::erase_if(Connections_,
+                [&](Connection const &One) { return One.Node_ == Name; });
+}
+
+void LedgerFleet::leave(std::string const &Name, Duration Within) {
+  tell(Name, Liveness::Leaving);
+  feed(Nodes_.at(Name), streams::OwnLeaving{Within});
+}
+
+void LedgerFleet::connect(TestCaller &Caller, std::string const &Name) {
+  Caller.IsMoved_ = false;
+  Caller.Failure_.reset();
+  streams::StreamWanted Wanted;
+  Wanted.Ticket_ = NextTicket_++;
+  Wanted.Name_ = nameOf(Caller.Key_);
+  Wanted.Content_ = {ServiceName("dossier-writer"),
+                     Caller.Fingerprint_,
+                     "prompt",
+                     Caller.MaxTokens_,
+                     0,
+                     seconds(600)};
+  Wanted.From_ = Caller.next();
+  Wanted.Run_ = RequestId("run-" + std::to_string(Wanted.Ticket_));
+  Waiting_[Wanted.Ticket_] = &Caller;
+  feed(Nodes_.at(Name), Wanted);
+}
+
+void LedgerFleet::hangUp(TestCaller &Caller) {
+  Caller.IsConnected_ = false;
+  for (auto const &One : std::vector<Connection>(Connections_))
+    if (One.Caller_ == &Caller)
+      feed(Nodes_.at(One.Node_), streams::ReaderLeft{One.Name_, One.Reader_,
+                                                     streams::Received::Part});
+  std::erase_if(Connections_,
+                [&](Connection const &One) { return One.Caller_ == &Caller; });
+}
+
+void LedgerFleet::feed(Node &On, streams::Event const &Event) {
+  if (!On.IsAlive_)
+    return;
+  for (auto const &Action : On.Ledger_.handle(Event, Now_))
+    std::visit([&](auto const &One) { perform(On, One); }, Action);
+}
+
+void LedgerFleet::perform(Node &On, SendToPeer const &Action) {
+  Sent_.push_back(Action.Message_);
+  auto const Chance = [this] { return Random_() % 100; };
+  if (Chance() < Faults_.Lost_)
+    return;
+  auto const Copies = Chance() < Faults_.Doubled_ ? 2 : 1;
+  for (int Copy = 0; Copy < Copies; ++Copy) {
+    Duration const Delay(Random_() % (Faults_.LongestDelay_.count() + 1));
+    Flights_.push_back(
+        {Now_ + Delay, On.Self_.Id_.text(), Action.To_.Port_, Action.Message_});
+  }
+}
+
+void LedgerFleet::perform(Node &On, streams::StartStream const &Action) {
+  end(On, Action.Name_, true);
+  Flow New;
+  New.Epoch_ = Action.Epoch_;
+  New.Tokens_ = Action.Produced_;
+  New.Reported_ = New.Tokens_.size();
+  New.MaxTokens_ = Action.Phase_ == StreamPhase::Whole
+                       ? static_cast<std::uint32_t>(New.Tokens_.size())
+                       : Action.Content_.MaxTokens_;
+  New.Generation_ = std::to_string(++Generations_);
+  On.Flows_.insert_or_assign(Action.Name_, New);
+  if (Action.Ticket_)
+    attach(On, *Action.Ticket_, Action.Name_);
+}
+
+void LedgerFleet::perform(Node &On, streams::AttachReader const &Action) {
+  attach(On, Action.Ticket_, Action.Name_);
+}
+
+void LedgerFleet::attach(Node &On, streams::Ticket Ticket,
+                         StreamName const &Name) {
+  auto &Caller = *Waiting_.at(Ticket);
+  Waiting_.erase(Ticket);
+  for (auto &One : Connections_)
+    if (One.Node_ == On.Self_.Id_.text() && One.Name_ == Name)
+      One.Caller_->IsMoved_ = true;
+  std::erase_if(Connections_, [&](Connection const &One) {
+    return One.Node_ == On.Self_.Id_.text() && One.Name_ == Name;
+  });
+  Caller.IsConnected_ = true;
+  Connections_.push_back({&Caller, On.Self_.Id_.text(), Name, NextReader_,
+                          On.Flows_.at(Name).Epoch_});
+  feed(On, streams::ReaderAttached{Name, NextReader_++});
+}
+
+void LedgerFleet::perform(Node &, streams::RefuseStream const &Action) {
+  Waiting_.at(Action.Ticket_)->Failure_ = Action.Failure_;
+  Waiting_.erase(Action.Ticket_);
+}
+
+void LedgerFleet::perform(Node &On, streams::CloseStream const &Action) {
+  auto &Closed = On.Flows_.at(Action.Name_);
+  Closed.IsClosed_ = true;
+  streams::Tokens Rest;
+  if (Action.From_ < Closed.Tokens_.size())
+    Rest = {Closed.Tokens_.begin() + Action.From_, Closed.Tokens_.end()};
+  feed(On, streams::StreamClosed{Action.Name_, Action.From_, Rest});
+}
+
+void LedgerFleet::end(Node const &On, StreamName const &Name, bool IsMoved) {
+  read();
+  std::erase_if(Connections_, [&](Connection const &One) {
+    if (One.Node_ != On.Self_.Id_.text() || One.Name_ != Name)
+      return false;
+    One.Caller_->IsConnected_ = false;
+    One.Caller_->IsMoved_ = IsMoved;
+    return true;
+  });
+}
+
+void LedgerFleet::perform(Node &On, streams::TellMoved const &Action) {
+  end(On, Action.Name_, true);
+}
+
+void LedgerFleet::perform(Node &On, streams::TellSuperseded const &Action) {
+  end(On, Action.Name_, false);
+}
+
+void LedgerFleet::perform(Node &On, streams::ForgetStream const &Action) {
+  On.Flows_.erase(Action.Name_);
+}
+
+void LedgerFleet::run(Duration Span) {
+  auto const Until = Now_ + Span;
+  while (Now_ < Until)
+    step();
+}
+
+void LedgerFleet::runUntilTokens(TestCaller const &Caller, std::size_t Count) {
+  constexpr int MostSteps = 100'000;
+  for (int Taken = 0; Caller.Got_.size() < Count && Taken < MostSteps; ++Taken)
+    step();
+}
+
+void LedgerFleet::step() {
+  Now_ += Step;
+  deliver();
+  for (auto &[Name, One] : Nodes_)
+    if (One.IsAlive_)
+      generate(One);
+  read();
+  if (++Steps_ % StepsPerTick == 0) {
+    for (auto &[Name, One] : Nodes_) {
+      report(One);
+      feed(One, streams::TimePassed{});
+    }
+  }
+}
+
+void LedgerFleet::deliver() {
+  auto Flying = std::move(Flights_);
+  Flights_.clear();
+  for (auto &One : Flying) {
+    if (One.Due_ > Now_) {
+      Flights_.push_back(std::move(One));
+      continue;
+    }
+    for (auto &[Name, To] : Nodes_) {
+      if (To.Self_.Peers_.Port_ != One.To_ || Cut_.contains(Name) ||
+          Cut_.contains(One.From_))
+        continue;
+      std::visit(
+          [&](auto const &Message) {
+            if constexpr (requires { streams::PeerSaid{{}, Message}; })
+              feed(To, streams::PeerSaid{InstanceId(One.From_), Message});
+          },
+          One.Message_);
+    }
+  }
+}
+
+void LedgerFleet::generate(Node &On) {
+  for (auto &[Name, One] : On.Flows_) {
+    if (!One.IsClosed_ && One.Tokens_.size() < One.MaxTokens_)
+      One.Tokens_.push_back(std::to_string(One.Tokens_.size()) + "/" +
+                            One.Generation_);
+  }
+}
+
+void LedgerFleet::report(Node &On) {
+  std::vector<streams::Event> News;
+  for (auto &[Name, One] : On.Flows_) {
+    if (One.IsClosed_ || One.Reported_ == One.Tokens_.size())
+      continue;
+    auto const From = static_cast<std::uint32_t>(One.Reported_);
+    streams::Tokens const Rest(One.Tokens_.begin() + From, One.Tokens_.end());
+    One.Reported_ = One.Tokens_.size();
+    if (One.Tokens_.size() < One.MaxTokens_)
+      News.emplace_back(streams::TokensProduced{Name, One.Epoch_, From, Rest});
+    else
+      News.emplace_back(
+          streams::FlowEnded{Name, One.Epoch_, StreamPhase::Whole, From, Rest});
+  }
+  for (auto const &One : News)
+    feed(On, One);
+}
+
+void LedgerFleet::read() {
+  for (auto const &One : Connections_) {
+    auto const &Flows = Nodes_.at(One.Node_).Flows_;
+    auto const Found = Flows.find(One.Name_);
+    if (Found == Flows.end() || Found->second.Epoch_ != One.Epoch_)
+      continue;
+    auto const &Tokens = Found->second.Tokens_;
+    auto &Got = One.Caller_->Got_;
+    if (Got.size() < Tokens.size())
+      Got.insert(Got.end(),
+                 Tokens.begin() + static_cast<std::ptrdiff_t>(Got.size()),
+                 Tokens.end());
+    One.Caller_->IsWhole_ = Got.size() == Found->second.MaxTokens_;
+  }
+}
+
+std::vector<std::string> LedgerFleet::generators(std::string const &Key) const {
+  std::vector<std::string> Names;
+  for (auto const &[Name, One] : Nodes_) {
+    auto const Found = One.Flows_.find(nameOf(Key));
+    if (One.IsAlive_ && Found != One.Flows_.end() && !Found->second.IsClosed_)
+      Names.push_back(Name);
+  }
+  return Names;
+}
+
+StreamLedger const &LedgerFleet::ledger(std::string const &Name) const {
+  return Nodes_.at(Name).Ledger_;
+}
+
+} // namespace laburnum::test
--- a/Tests/LibRecovery/TestStreamLedger.cpp
+++ b/Tests/LibRecovery/TestStreamLedger.cpp
@@ -1,3 +1,240 @@
-#include <LibRecovery/StreamLedger.h>
+#include <LibRecovery/LedgerFleet.h>
 
 #include <catch2/catch.hpp>
+
+using namespace laburnum;
+using namespace laburnum::test;
+
+namespace {
+
+std::vector<std::string> const Names{"a1", "a2", "b1", "b2", "c1", "c2"};
+
+/// The offsets are without gap or repetition, and the owner where the stream
+/// ended has exactly the tokens that the caller received: a caller who comes
+/// with nothing is given the same.
+void checkByteExact(LedgerFleet &Fleet, TestCaller &Caller,
+                    std::string const &Anywhere) {
+  REQUIRE(Caller.IsWhole_);
+  REQUIRE(Caller.Got_.size() == Caller.MaxTokens_);
+  for (std::size_t Offset = 0; Offset < Caller.Got_.size(); ++Offset)
+    REQUIRE(Caller.Got_[Offset].starts_with(std::to_string(Offset) + "/"));
+  TestCaller Again{Caller.Key_, Caller.Fingerprint_, Caller.MaxTokens_};
+  Fleet.hangUp(Caller);
+  Fleet.connect(Again, Anywhere);
+  Fleet.runUntilTokens(Again, Again.MaxTokens_);
+  CHECK(Again.Got_ == Caller.Got_);
+}
+
+/// The caller comes back until its stream is whole.
+void followUntilWhole(LedgerFleet &Fleet, TestCaller &Caller,
+                      std::string const &Through) {
+  for (int Tries = 0; Tries < 20 && !Caller.IsWhole_; ++Tries) {
+    if (!Caller.IsConnected_)
+      Fleet.connect(Caller, Through);
+    Fleet.run(seconds(3));
+    INFO((Caller.Failure_ ? Caller.Failure_->Error_.Message_ : ""));
+  }
+}
+
+} // namespace
+
+TEST_CASE(
+    "A caller whose connection broke gets the rest through any instance") {
+  auto const *Through = GENERATE("a1", "a2", "c2");
+  LedgerFleet Fleet(Names);
+  TestCaller Caller;
+  Fleet.connect(Caller, "a1");
+  Fleet.runUntilTokens(Caller, 50);
+  Fleet.hangUp(Caller);
+  Fleet.run(milliseconds(300));
+  Fleet.connect(Caller, Through);
+  Fleet.runUntilTokens(Caller, 60);
+  CHECK(Fleet.generators("key") == std::vector<std::string>{Through});
+  Fleet.runUntilTokens(Caller, 200);
+  checkByteExact(Fleet, Caller, "b2");
+}
+
+TEST_CASE("A stream whose owner died goes on from its checkpoint") {
+  LedgerFleet Fleet(Names);
+  TestCaller Caller{"key", 7, 1000};
+  Fleet.connect(Caller, "a1");
+  // The connection breaks before the next checkpoint, so that the caller has
+  // no token that only the owner knew.
+  Fleet.runUntilTokens(Caller, 100);
+  Fleet.hangUp(Caller);
+  Fleet.run(seconds(4));
+  Fleet.kill("a1");
+  bool const IsNoticed = GENERATE(true, false);
+  if (IsNoticed)
+    Fleet.tell("a1", Liveness::Gone);
+  Fleet.connect(Caller, "c1");
+  Fleet.runUntilTokens(Caller, 1000);
+  checkByteExact(Fleet, Caller, "a2");
+}
+
+TEST_CASE("Tokens that died with their owner are not generated anew") {
+  LedgerFleet Fleet(Names);
+  TestCaller Caller{"key", 7, 1000};
+  Fleet.connect(Caller, "a1");
+  Fleet.runUntilTokens(Caller, 150);
+  Fleet.kill("a1");
+  Fleet.tell("a1", Liveness::Gone);
+  Fleet.connect(Caller, "c1");
+  Fleet.run(seconds(2));
+  REQUIRE(Caller.Failure_);
+  CHECK(Caller.Failure_->Error_.Kind_ == ErrorKind::OutcomeUnknown);
+  CHECK(Caller.Failure_->RunState_ == RunState::MayHaveRun);
+  CHECK(Caller.Got_.size() == 150);
+}
+
+TEST_CASE("A stop hands over what would not end in time and only that") {
+  LedgerFleet Fleet(Names);
+  TestCaller Long{"long", 7, 1000};
+  TestCaller Short{"short", 7, 100};
+  Fleet.connect(Long, "a1");
+  Fleet.connect(Short, "a1");
+  Fleet.runUntilTokens(Short, 20);
+  Fleet.leave("a1", seconds(5));
+  Fleet.run(milliseconds(500));
+  CHECK(Long.IsMoved_);
+  CHECK_FALSE(Short.IsMoved_);
+  Fleet.run(seconds(1));
+  CHECK(Short.IsWhole_);
+  REQUIRE(Fleet.generators("long").size() == 1);
+  CHECK(Fleet.generators("long")[0][0] != 'a');
+  Fleet.hangUp(Short);
+  Fleet.run(seconds(3));
+  CHECK(Fleet.ledger("a1").streamsAtRisk() == 0);
+  Fleet.kill("a1");
+  Fleet.connect(Long, "b1");
+  Fleet.runUntilTokens(Long, 1000);
+  checkByteExact(Fleet, Long, "c1");
+}
+
+TEST_CASE("A data centre's stop and a second wave in it lose no token") {
+  auto const Seed = GENERATE(1U, 2U, 3U, 4U);
+  LedgerFleet Fleet(Names, {20, 20, milliseconds(60)}, Seed);
+  TestCaller Caller{"key" + std::to_string(Seed), 7, 2000};
+  Fleet.connect(Caller, "a1");
+  Fleet.runUntilTokens(Caller, 200);
+  Fleet.leave("a1", seconds(4));
+  Fleet.leave("a2", seconds(4));
+  // The receivers of the hand-over are reclaimed while it is under way.
+  Fleet.run(milliseconds(20));
+  Fleet.leave("b1", seconds(4));
+  Fleet.leave("b2", seconds(4));
+  Fleet.run(seconds(4));
+  for (auto const *Name : {"a1", "a2", "b1", "b2"}) {
+    CHECK(Fleet.ledger(Name).streamsAtRisk() == 0);
+    Fleet.kill(Name);
+    Fleet.tell(Name, Liveness::Gone);
+  }
+  followUntilWhole(Fleet, Caller, "c1");
+  checkByteExact(Fleet, Caller, "c2");
+}
+
+TEST_CASE("Owner and checkpoint keeper reclaimed at once lose no token") {
+  auto const Seed = GENERATE(1U, 2U, 3U);
+  LedgerFleet Fleet(Names, {10, 10, milliseconds(30)}, Seed);
+  TestCaller Caller{"key", 7, 2000};
+  Fleet.connect(Caller, "a1");
+  Fleet.runUntilTokens(Caller, 300);
+  for (auto const *Name : {"a1", "a2", "b1", "b2"})
+    Fleet.leave(Name, seconds(4));
+  Fleet.run(seconds(4));
+  for (auto const *Name : {"a1", "a2", "b1", "b2"}) {
+    Fleet.kill(Name);
+    Fleet.tell(Name, Liveness::Gone);
+  }
+  followUntilWhole(Fleet, Caller, "c2");
+  checkByteExact(Fleet, Caller, "c1");
+}
+
+TEST_CASE("A former owner that was cut off stops when it is heard again") {
+  LedgerFleet Fleet(Names);
+  TestCaller Caller{"key", 7, 3000};
+  Fleet.connect(Caller, "a1");
+  Fleet.runUntilTokens(Caller, 100);
+  Fleet.hangUp(Caller);
+  Fleet.run(seconds(4));
+  Fleet.cut("a1");
+  Fleet.connect(Caller, "c1");
+  Fleet.run(seconds(2));
+  CHECK(Fleet.generators("key") == std::vector<std::string>{"a1", "c1"});
+  Fleet.heal("a1");
+  Fleet.run(seconds(5));
+  CHECK(Fleet.generators("key") == std::vector<std::string>{"c1"});
+  Fleet.runUntilTokens(Caller, 3000);
+  checkByteExact(Fleet, Caller, "a1");
+}
+
+TEST_CASE("Lost, doubled and reordered messages mix no streams") {
+  auto const Seed = GENERATE(range(1U, 9U));
+  LedgerFleet Fleet(Names, {25, 25, milliseconds(150)}, Seed);
+  TestCaller Caller{"key", 7, 1500};
+  std::size_t Wanted = 0;
+  for (auto const *Through : {"a1", "c2", "b1", "a2", "b2", "c1"}) {
+    Wanted += 200;
+    if (!Caller.IsConnected_)
+      Fleet.connect(Caller, Through);
+    Fleet.run(seconds(3));
+    if (Caller.IsConnected_)
+      Fleet.hangUp(Caller);
+  }
+  followUntilWhole(Fleet, Caller, "a1");
+  checkByteExact(Fleet, Caller, "a1");
+}
+
+TEST_CASE("A key that was used for other content is refused") {
+  auto const *Through = GENERATE("a1", "c1");
+  LedgerFleet Fleet(Names);
+  TestCaller Caller;
+  TestCaller Other{"key", 8};
+  Fleet.connect(Caller, "a1");
+  Fleet.runUntilTokens(Caller, 10);
+  Fleet.connect(Other, Through);
+  Fleet.run(seconds(1));
+  REQUIRE(Other.Failure_);
+  CHECK(Other.Failure_->Error_.Kind_ == ErrorKind::InvalidArgument);
+  CHECK(Other.Failure_->RunState_ == RunState::NotRun);
+  CHECK(Caller.IsConnected_);
+}
+
+TEST_CASE("The newest connection gets the stream") {
+  auto const *Through = GENERATE("a1", "c1");
+  LedgerFleet Fleet(Names);
+  TestCaller Older;
+  TestCaller Newer;
+  Fleet.connect(Older, "a1");
+  Fleet.runUntilTokens(Older, 100);
+  Fleet.connect(Newer, Through);
+  Fleet.runUntilTokens(Newer, 200);
+  CHECK(Older.IsMoved_);
+  CHECK(Newer.IsWhole_);
+  CHECK(std::equal(Older.Got_.begin(), Older.Got_.end(), Newer.Got_.begin()));
+}
+
+TEST_CASE("A stream without a caller is cancelled after a while and kept") {
+  LedgerFleet Fleet(Names);
+  TestCaller Caller{"key", 7, 5000};
+  Fleet.connect(Caller, "a1");
+  Fleet.runUntilTokens(Caller, 10);
+  Fleet.hangUp(Caller);
+  Fleet.run(seconds(29));
+  CHECK(Fleet.generators("key").size() == 1);
+  Fleet.run(seconds(2));
+  CHECK(Fleet.generators("key").empty());
+  Fleet.connect(Caller, "b1");
+  Fleet.runUntilTokens(Caller, 5000);
+  checkByteExact(Fleet, Caller, "a2");
+}
+
+TEST_CASE("Short streams send no checkpoint") {
+  LedgerFleet Fleet(Names);
+  TestCaller Caller{"key", 7, 63};
+  Fleet.connect(Caller, "a1");
+  Fleet.run(seconds(10));
+  CHECK(Caller.IsWhole_);
+  for (auto const &Message : Fleet.sent())
+    CHECK_FALSE(std::holds_alternative<StreamCheckpoint>(Message));
+}
