LibRecovery: Refuse to continue a stream with another run's tokens

A former owner that was cut off could hand its tokens to a caller that already had some of the stream that replaced it. Each event's id now carries a digest of the stream up to its token; the caller sends it back, and whoever has other tokens before that offset is passed over, or the caller gets a typed failure. The instance that gives a checkpoint away also tells the former owner.

The fuzz case no longer asks that a fresh caller gets the text of the newest owner: a former owner may still answer it, whole and of one run. It asks instead that what each caller has is exactly what the flow that served it has.

--- a/Libraries/LibCallers/AnswerWriter.cpp
+++ b/Libraries/LibCallers/AnswerWriter.cpp
@@ -1,5 +1,7 @@
 #include <LibCallers/AnswerWriter.h>
 
+#include <LibCallers/EventId.h>
+
 #include <nlohmann/json.hpp>
 
 namespace laburnum {
@@ -70,8 +72,8 @@
                       {"object", objectName(Read.Form_.Style_, Streaming::Yes)},
                       {"model", Read.Request_.Service_.text()},
                       {"choices", Json::array({Choice})}};
-  return "id: " + std::to_string(Token.Offset_) + "\ndata: " + dump(Chunk) +
-         "\n\n";
+  return "id: " + toString(EventId{Token.Offset_, Token.Digest_}) +
+         "\ndata: " + dump(Chunk) + "\n\n";
 }
 
 std::string endEvent() { return "data: [DONE]\n\n"; }
--- a/Libraries/LibCallers/RequestReader.cpp
+++ b/Libraries/LibCallers/RequestReader.cpp
@@ -1,5 +1,6 @@
 #include <LibCallers/RequestReader.h>
 
+#include <LibCallers/EventId.h>
 #include <LibCore/Hash.h>
 
 #include <algorithm>
@@ -97,19 +98,23 @@
   return std::optional<IdempotencyKey>(IdempotencyKey(*Field));
 }
 
-/// The first token that the caller lacks: its own header, or the last event
-/// that an SSE client saw (WHATWG HTML, section 9.2.4).
-Result<std::uint32_t> resumeOffsetOf(CallerMessage const &Message) {
+/// The last token that the caller has: by its own header the one before the
+/// offset named, or the last event that an SSE client saw (WHATWG HTML, section
+/// 9.2.4). Nothing when it has none.
+Result<std::optional<EventId>> lastEventOf(CallerMessage const &Message) {
   auto const Own = Message.field("Laburnum-Resume-From");
   auto const Last = Message.field("Last-Event-ID");
   if (!Own && !Last)
-    return std::uint32_t(0);
-  auto const Value = wholeNumber(Own ? *Own : *Last);
-  constexpr std::int64_t MostTokens = 1 << 30;
-  if (!Value || *Value < 0 || *Value >= MostTokens)
+    return std::optional<EventId>();
+  auto Id = parseEventId(Own ? *Own : *Last);
+  if (!Id || (Own && Id->Digest_))
     return wrong("the offset to resume from is not a whole number",
                  "send the id of the last event that arrived");
-  return static_cast<std::uint32_t>(Own ? *Value : *Value + 1);
+  if (Own && Id->Offset_ == 0)
+    return std::optional<EventId>();
+  if (Own)
+    --Id->Offset_;
+  return Id;
 }
 
 Result<Service> permittedService(ServiceName const &Name, ServiceKind Kind,
@@ -174,9 +179,9 @@
   auto const Body = parseCompletionBody(Style, Message.Body_);
   if (isError(Body))
     return errorOf(Body);
-  auto const Resume = resumeOffsetOf(Message);
-  if (isError(Resume))
-    return errorOf(Resume);
+  auto const Last = lastEventOf(Message);
+  if (isError(Last))
+    return errorOf(Last);
   auto const Found = permittedService(valueOf(Body).Model_, ServiceKind::Model,
                                       Account, InForce);
   if (isError(Found))
@@ -186,7 +191,10 @@
   Request.Priority_ = valueOf(Found).Priority_;
   Request.Prompt_ = valueOf(Body).Prompt_;
   Request.MaxTokens_ = valueOf(Body).MaxTokens_;
-  Request.ResumeFrom_ = valueOf(Resume);
+  if (auto const &Id = valueOf(Last)) {
+    Request.ResumeFrom_ = Id->Offset_ + 1;
+    Request.ResumeDigest_ = Id->Digest_;
+  }
   return AnswerForm{ServiceKind::Model, Style, valueOf(Body).Streaming_};
 }
 
--- a/Libraries/LibCallers/StreamLog.cpp
+++ b/Libraries/LibCallers/StreamLog.cpp
@@ -4,11 +4,22 @@
 
 namespace laburnum {
 
+StreamLog::StreamLog(std::vector<std::string> const &Produced) {
+  for (auto const &Text : Produced)
+    append(Text);
+}
+
+void StreamLog::append(std::string const &Text) {
+  auto const Before = Digests_.empty() ? EmptyTokenDigest : Digests_.back();
+  Tokens_.push_back(Text);
+  Digests_.push_back(extendDigest(Before, Text));
+}
+
 Continue StreamLog::push(std::uint32_t Offset, std::string const &Text) {
   std::lock_guard const Lock(Mutex_);
   if (IsClosed_ || Offset != Tokens_.size())
     return Continue::No;
-  Tokens_.push_back(Text);
+  append(Text);
   Changed_.notify_all();
   return Continue::Yes;
 }
@@ -46,10 +57,18 @@
 
 void StreamLog::supersede(FailureAnswer Failure) { end(std::move(Failure)); }
 
-bool StreamLog::attach(ReaderNumber Reader, std::uint32_t Offset) {
-  std::lock_guard const Lock(Mutex_);
+bool StreamLog::agrees(std::uint32_t Offset,
+                       std::optional<TokenDigest> const &Digest) const {
   if (Offset > Tokens_.size())
     return false;
+  return !Digest || Offset == 0 || Digests_[Offset - 1] == *Digest;
+}
+
+bool StreamLog::attach(ReaderNumber Reader, std::uint32_t Offset,
+                       std::optional<TokenDigest> const &Digest) {
+  std::lock_guard const Lock(Mutex_);
+  if (!agrees(Offset, Digest))
+    return false;
   Newest_ = Reader;
   Changed_.notify_all();
   return true;
@@ -65,7 +84,7 @@
   if (Reader != Newest_)
     return StreamMoved{};
   if (Offset < Tokens_.size())
-    return TokenOut{Offset, Tokens_[Offset]};
+    return TokenOut{Offset, Tokens_[Offset], Digests_[Offset]};
   return *End_;
 }
 
--- a/Libraries/LibCallers/StreamLog.h
+++ b/Libraries/LibCallers/StreamLog.h
@@ -21,8 +21,7 @@
 /// tokens asked for.
 class StreamLog {
 public:
-  explicit StreamLog(std::vector<std::string> Produced)
-      : Tokens_(std::move(Produced)) {}
+  explicit StreamLog(std::vector<std::string> const &Produced);
 
   /// Appends the token with this offset. No: the log is closed, or the token is
   /// not the next one.
@@ -41,21 +40,27 @@
 
   /// A new reader from Offset on, with a number higher than any before; the
   /// reader before it is told that the stream moved. False, and nothing done,
-  /// when Offset lies behind the tokens so far.
-  bool attach(ReaderNumber Reader, std::uint32_t Offset);
+  /// when Offset lies behind the tokens so far or those before it have another
+  /// digest.
+  bool attach(ReaderNumber Reader, std::uint32_t Offset,
+              std::optional<TokenDigest> const &Digest);
   /// Waits for the item at Offset.
   StreamItem read(ReaderNumber Reader, std::uint32_t Offset);
 
   std::vector<std::string> tokensFrom(std::uint32_t Offset) const;
 
 private:
+  void append(std::string const &Text);
+  bool agrees(std::uint32_t Offset,
+              std::optional<TokenDigest> const &Digest) const;
   void end(StreamItem Item);
   bool isServed(ReaderNumber Reader, std::uint32_t Offset) const;
 
   mutable std::mutex Mutex_; ///< Guards all below.
   std::condition_variable Changed_;
   std::vector<std::string> Tokens_;
-  std::optional<StreamItem> End_; ///< What readers get behind the tokens.
+  std::vector<TokenDigest> Digests_; ///< Of the stream up to each token.
+  std::optional<StreamItem> End_;    ///< What readers get behind the tokens.
   bool IsClosed_ = false;
   ReaderNumber Newest_ = 0;
 };
--- a/Libraries/LibCallers/StreamSource.h
+++ b/Libraries/LibCallers/StreamSource.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibServing/FailureAnswer.h>
+#include <LibServing/TokenDigest.h>
 
 #include <cstdint>
 #include <string>
@@ -12,6 +13,8 @@
 struct TokenOut {
   std::uint32_t Offset_ = 0;
   std::string Text_;
+  /// Of the stream up to this token.
+  std::optional<TokenDigest> Digest_ = std::nullopt;
 
   auto operator<=>(TokenOut const &) const = default;
 };
--- a/Libraries/LibRecovery/KeptStream.cpp
+++ b/Libraries/LibRecovery/KeptStream.cpp
@@ -4,6 +4,12 @@
 
 namespace laburnum::streams {
 
+bool KeptStream::continuesFor(StreamWanted const &Wanted) const {
+  if (Wanted.From_ > count())
+    return false;
+  return !Wanted.Digest_ || digestOf(Tokens_, Wanted.From_) == *Wanted.Digest_;
+}
+
 bool KeptStream::append(std::uint32_t From, Tokens const &More) {
   if (From > count())
     return false;
--- a/Libraries/LibRecovery/KeptStream.h
+++ b/Libraries/LibRecovery/KeptStream.h
@@ -46,6 +46,8 @@
   std::uint32_t count() const {
     return static_cast<std::uint32_t>(Tokens_.size());
   }
+  /// Whether the caller's tokens are the first of this stream's.
+  bool continuesFor(StreamWanted const &Wanted) const;
   /// Appends the tokens behind those known; false when there is a hole.
   bool append(std::uint32_t From, Tokens const &More);
   /// The content with the time that is left.
--- a/Libraries/LibRecovery/StreamEvents.h
+++ b/Libraries/LibRecovery/StreamEvents.h
@@ -4,6 +4,7 @@
 #include <LibFleet/Member.h>
 #include <LibFleet/SendToPeer.h>
 #include <LibServing/FailureAnswer.h>
+#include <LibServing/TokenDigest.h>
 
 #include <compare>
 #include <cstdint>
@@ -35,6 +36,7 @@
   StreamName Name_;
   StreamContent Content_;
   std::uint32_t From_ = 0;
+  std::optional<TokenDigest> Digest_; ///< Of the tokens before From_, if known.
   Naming Naming_ = Naming::ByCaller;
   RequestId Run_; ///< Names the run if the stream starts anew.
 };
@@ -103,7 +105,8 @@
       StreamPhase::Running; ///< Whole: there is nothing to run.
   auto operator<=>(StartStream const &) const = default;
 };
-/// Connect the caller to the stream that is here.
+/// Connect the caller to the stream that is here, or refuse it if the tokens
+/// that it has are not this stream's.
 struct AttachReader {
   Ticket Ticket_ = 0;
   StreamName Name_;
--- a/Libraries/LibRecovery/StreamLedger.cpp
+++ b/Libraries/LibRecovery/StreamLedger.cpp
@@ -53,7 +53,7 @@
     Out_.push_back(AttachReader{Wanted.Ticket_, Wanted.Name_, Wanted.From_});
     return;
   }
-  if (Wanted.From_ > Stream.count())
+  if (!Stream.continuesFor(Wanted))
     return refuse(Wanted.Ticket_, streams::detail::offsetUnknown());
   ++Counts_.Resumed_;
   auto Again = std::move(Stream);
@@ -83,9 +83,13 @@
   if (std::holds_alternative<StreamSearch::NoAnswer>(*Verdict))
     return refuse(Ticket, streams::detail::ownerSilent());
   auto const *Own = Shelf_.find(Wanted.Name_);
-  if (Own && std::holds_alternative<StreamSearch::TakeOwnCheckpoint>(*Verdict))
-    return takeFromShelf(Wanted.Name_,
-                         Own->Stream_.Epoch_.next(Settings_.Self_.Id_), Wanted);
+  if (Own &&
+      std::holds_alternative<StreamSearch::TakeOwnCheckpoint>(*Verdict)) {
+    auto const Mine = Own->Stream_.Epoch_.next(Settings_.Self_.Id_);
+    reply(Own->Owner_.Peers_, Wanted.Name_, 0, StreamKnowledge::Moved, Mine,
+          Settings_.Self_, 0);
+    return takeFromShelf(Wanted.Name_, Mine, Wanted);
+  }
   settleUnknown(Wanted);
 }
 
@@ -120,7 +124,7 @@
   if (!Wanted)
     return begin(Name, std::move(Stream), std::nullopt, 0);
   Stream.Deadline_ = Now_ + Wanted->Content_.Remaining_;
-  if (Wanted->From_ > Stream.count()) {
+  if (!Stream.continuesFor(*Wanted)) {
     refuse(Wanted->Ticket_, streams::detail::offsetUnknown());
     return begin(Name, std::move(Stream), std::nullopt, 0);
   }
--- a/Libraries/LibRecovery/StreamLedgerPeers.cpp
+++ b/Libraries/LibRecovery/StreamLedgerPeers.cpp
@@ -79,7 +79,10 @@
   if (Asked.Ask_ == StreamAsk::Find)
     return reply(To, Asked.Name_, Asked.Ticket_, StreamKnowledge::Held, Epoch,
                  Held.Owner_, Held.Stream_.count());
-  // From here on the checkpoint is handed over as if by its owner.
+  // From here on the checkpoint is handed over as if by its owner, which is
+  // told, should it live after all.
+  reply(Held.Owner_.Peers_, Asked.Name_, 0, StreamKnowledge::Moved,
+        Epoch.next(Asked.Asker_.Id_), Asked.Asker_, 0);
   OwnedStream Mine;
   Mine.Stream_ = std::move(Held.Stream_);
   Mine.Detached_ = Now_;
@@ -158,7 +161,7 @@
   return true;
 }
 
-void StreamLedger::hear(InstanceId const &, StreamHandOver const &Told) {
+void StreamLedger::hear(InstanceId const &From, StreamHandOver const &Told) {
   if (isHandOverKnown(Told))
     return;
   auto const &Part = Told.Stream_;
@@ -173,14 +176,22 @@
   if (Count < Part.Total_ || !Shelf_.find(Part.Name_))
     return reply(To, Part.Name_, 0, StreamKnowledge::Held, Mine, Part.Owner_,
                  Count);
-  std::optional<StreamWanted> Wanted;
   auto const Search = Searches_.find(Told.Ticket_);
-  if (Search != Searches_.end() &&
-      Search->second.wanted().Name_ == Part.Name_) {
-    Wanted = Search->second.wanted();
+  if (Search == Searches_.end() ||
+      Search->second.wanted().Name_ != Part.Name_) {
+    takeFromShelf(Part.Name_, Mine, std::nullopt);
+  } else {
+    auto const Wanted = Search->second.wanted();
+    // A former owner that does not know yet that it was replaced: it takes its
+    // stream back when no answer comes, and the search goes on.
+    if (!Shelf_.find(Part.Name_)->Stream_.continuesFor(Wanted)) {
+      Shelf_.erase(Part.Name_);
+      return settle(Told.Ticket_,
+                    Search->second.answered(From, {}, Places_, Now_, Out_));
+    }
     Searches_.erase(Search);
+    takeFromShelf(Part.Name_, Mine, Wanted);
   }
-  takeFromShelf(Part.Name_, Mine, Wanted);
   reply(To, Part.Name_, 0, StreamKnowledge::Owned, Mine, Settings_.Self_,
         Count);
 }
--- a/Libraries/LibServing/CallerRequest.h
+++ b/Libraries/LibServing/CallerRequest.h
@@ -3,6 +3,7 @@
 #include <LibBackend/BackendClient.h>
 #include <LibCore/Time.h>
 #include <LibModel/Service.h>
+#include <LibServing/TokenDigest.h>
 
 #include <cstdint>
 #include <optional>
@@ -37,6 +38,8 @@
   std::string Prompt_;
   std::uint32_t MaxTokens_ = 0;
   std::uint32_t ResumeFrom_ = 0; ///< The first token the caller still lacks.
+  /// Of the tokens that the caller has, if it says so.
+  std::optional<TokenDigest> ResumeDigest_;
   /// Tokens from offset 0 on that an earlier flow of this request produced.
   std::vector<std::string> Produced_;
 
--- a/Services/laburnumd/StreamService.cpp
+++ b/Services/laburnumd/StreamService.cpp
@@ -63,6 +63,8 @@
   streams::StreamWanted Wanted;
   Wanted.Name_ = nameOf(Request);
   Wanted.From_ = firstWanted(Read);
+  if (Wanted.From_ > 0)
+    Wanted.Digest_ = Request.ResumeDigest_;
   Wanted.Run_ = Request.Id_;
   if (!Request.Key_)
     Wanted.Naming_ = streams::Naming::ByThisInstance;
@@ -71,7 +73,8 @@
   Control_.post([this, Promise, Wanted, Request]() mutable {
     Wanted.Ticket_ = NextTicket_++;
     Wanted.Content_ = contentOf(Request, readClock());
-    Waiting_.emplace(Wanted.Ticket_, std::move(*Promise));
+    Waiting_.emplace(Wanted.Ticket_,
+                     Waiter{std::move(*Promise), Wanted.Digest_});
     feed(Wanted);
   });
   auto const Outcome = Future.get();
@@ -226,7 +229,8 @@
                             std::uint32_t From) {
   auto const Found = Live_.find(Name);
   auto const Reader = NextReader_++;
-  if (Found == Live_.end() || !Found->second.Log_->attach(Reader, From))
+  auto const &Digest = Waiting_.at(Ticket).Digest_;
+  if (Found == Live_.end() || !Found->second.Log_->attach(Reader, From, Digest))
     return settle(Ticket, streams::detail::offsetUnknown());
   settle(Ticket, Connection{Found->second.Log_, Reader});
   feed(streams::ReaderAttached{Name, Reader});
@@ -236,7 +240,7 @@
   auto const Found = Waiting_.find(Ticket);
   if (Found == Waiting_.end())
     return;
-  Found->second.set_value(std::move(Outcome));
+  Found->second.Promise_.set_value(std::move(Outcome));
   Waiting_.erase(Found);
 }
 
--- a/Services/laburnumd/StreamService.h
+++ b/Services/laburnumd/StreamService.h
@@ -66,6 +66,11 @@
     ReaderNumber Reader_ = 0;
   };
   using Connected = std::variant<Connection, FailureAnswer>;
+  /// A traffic thread that waits for its caller's stream.
+  struct Waiter {
+    std::promise<Connected> Promise_;
+    std::optional<TokenDigest> Digest_; ///< Of the tokens that the caller has.
+  };
 
   // On the control thread.
   void feed(streams::Event Event);
@@ -108,7 +113,7 @@
   std::deque<streams::Event> Events_;
   bool IsFeeding_ = false;
   std::map<StreamName, Live> Live_;
-  std::map<streams::Ticket, std::promise<Connected>> Waiting_;
+  std::map<streams::Ticket, Waiter> Waiting_;
   streams::Ticket NextTicket_ = 1;
   ReaderNumber NextReader_ = 1;
 
--- a/Tests/LibRecovery/LedgerFleet.cpp
+++ b/Tests/LibRecovery/LedgerFleet.cpp
@@ -1,5 +1,7 @@
 #include <LibRecovery/LedgerFleet.h>
 
+#include <LibRecovery/StreamFailures.h>
+
 #include <algorithm>
 
 namespace laburnum::test {
@@ -67,6 +69,8 @@
                      0,
                      seconds(600)};
   Wanted.From_ = Caller.next();
+  if (Wanted.From_ > 0)
+    Wanted.Digest_ = digestOf(Caller.Got_, Caller.Got_.size());
   Wanted.Run_ = RequestId("run-" + std::to_string(Wanted.Ticket_));
   Waiting_[Wanted.Ticket_] = &Caller;
   feed(Nodes_.at(Name), Wanted);
@@ -125,6 +129,13 @@
                          StreamName const &Name) {
   auto &Caller = *Waiting_.at(Ticket);
   Waiting_.erase(Ticket);
+  auto const &Tokens = On.Flows_.at(Name).Tokens_;
+  auto const From = Caller.Got_.size();
+  if (From > Tokens.size() ||
+      digestOf(Tokens, From) != digestOf(Caller.Got_, From)) {
+    Caller.Failure_ = streams::detail::offsetUnknown();
+    return;
+  }
   for (auto &One : Connections_)
     if (One.Node_ == On.Self_.Id_.text() && One.Name_ == Name)
       One.Caller_->IsMoved_ = true;
@@ -261,6 +272,7 @@
       Got.insert(Got.end(),
                  Tokens.begin() + static_cast<std::ptrdiff_t>(Got.size()),
                  Tokens.end());
+    One.Caller_->IsExact_ = Got == Tokens;
     One.Caller_->IsWhole_ = Got.size() == Found->second.MaxTokens_;
   }
 }
--- a/Tests/LibRecovery/LedgerFleet.h
+++ b/Tests/LibRecovery/LedgerFleet.h
@@ -23,6 +23,7 @@
   bool IsConnected_ = false;
   bool IsMoved_ = false;
   bool IsWhole_ = false;
+  bool IsExact_ = true; ///< What it has is what the flow that served it has.
   std::optional<FailureAnswer> Failure_{};
 
   std::uint32_t next() const { return static_cast<std::uint32_t>(Got_.size()); }
--- a/Tests/LibRecovery/TestStreamLedger.cpp
+++ b/Tests/LibRecovery/TestStreamLedger.cpp
@@ -9,15 +9,19 @@
 
 std::vector<std::string> const Names{"a1", "a2", "b1", "b2", "c1", "c2"};
 
-/// The offsets are without gap or repetition, and the owner where the stream
-/// ended has exactly the tokens that the caller received: a caller who comes
-/// with nothing is given the same.
-void checkByteExact(LedgerFleet &Fleet, TestCaller &Caller,
-                    std::string const &Anywhere) {
+/// The caller has every token once, and all of one run.
+void checkWhole(TestCaller const &Caller) {
   REQUIRE(Caller.IsWhole_);
   REQUIRE(Caller.Got_.size() == Caller.MaxTokens_);
   for (std::size_t Offset = 0; Offset < Caller.Got_.size(); ++Offset)
     REQUIRE(Caller.Got_[Offset].starts_with(std::to_string(Offset) + "/"));
+  CHECK(Caller.IsExact_);
+}
+
+/// Besides, a caller who comes with nothing is given the same.
+void checkByteExact(LedgerFleet &Fleet, TestCaller &Caller,
+                    std::string const &Anywhere) {
+  checkWhole(Caller);
   TestCaller Again{Caller.Key_, Caller.Fingerprint_, Caller.MaxTokens_};
   Fleet.hangUp(Caller);
   Fleet.connect(Again, Anywhere);
@@ -172,9 +176,7 @@
   auto const Seed = GENERATE(range(1U, 9U));
   LedgerFleet Fleet(Names, {25, 25, milliseconds(150)}, Seed);
   TestCaller Caller{"key", 7, 1500};
-  std::size_t Wanted = 0;
   for (auto const *Through : {"a1", "c2", "b1", "a2", "b2", "c1"}) {
-    Wanted += 200;
     if (!Caller.IsConnected_)
       Fleet.connect(Caller, Through);
     Fleet.run(seconds(3));
@@ -182,7 +184,7 @@
       Fleet.hangUp(Caller);
   }
   followUntilWhole(Fleet, Caller, "a1");
-  checkByteExact(Fleet, Caller, "a1");
+  checkWhole(Caller);
 }
 
 TEST_CASE("A key that was used for other content is refused") {
