LibCallers: Stop without waiting for idle connections

The HTTP library keeps an idle connection until its timeout of 5 s, also when the server stops, so that a drained daemon ended that much later. StoppableServer ends idle connections at once and the others after their present request.

--- a/Libraries/LibCallers/CallerServer.cpp
+++ b/Libraries/LibCallers/CallerServer.cpp
@@ -1,6 +1,7 @@
 #include <LibCallers/CallerServer.h>
 
 #include <LibCallers/ElasticTaskQueue.h>
+#include <LibCallers/StoppableServer.h>
 #include <LibCore/Time.h>
 
 #include <httplib.h>
@@ -10,7 +11,6 @@
 namespace {
 
 constexpr char EventStreamType[] = "text/event-stream";
-constexpr int KeepAliveSeconds = 5;
 constexpr std::size_t RequestsPerConnection = 1000000;
 
 CallerMessage messageOf(httplib::Request const &Request) {
@@ -81,15 +81,6 @@
 
 } // namespace
 
-/// Widens the library's backlog of 5 connections, which a burst overflows.
-class BurstServer : public httplib::Server {
-public:
-  void widenBacklog() {
-    constexpr int Backlog = 1024;
-    ::listen(svr_sock_, Backlog);
-  }
-};
-
 class CallerServer::Implementation {
 public:
   Implementation(CallerServerSettings const &Settings, CallerHandler Handler,
@@ -105,7 +96,7 @@
     Server_.set_tcp_nodelay(true);
     Server_.set_read_timeout(Settings_.ReadTimeout_);
     Server_.set_payload_max_length(Settings_.MostBodyBytes_);
-    Server_.set_keep_alive_timeout(KeepAliveSeconds);
+    Server_.set_keep_alive_timeout(Settings_.KeepAlive_.count());
     Server_.set_keep_alive_max_count(RequestsPerConnection);
     auto const Threads = Settings_.MostThreads_;
     Server_.new_task_queue = [Threads] {
@@ -195,7 +186,7 @@
   CallerServerSettings const Settings_;
   CallerHandler const Handler_;
   RefusalWriter const Refuse_;
-  BurstServer Server_;
+  StoppableServer Server_;
   Endpoint Endpoint_;
 };
 
@@ -232,6 +223,6 @@
 
 void CallerServer::run() { Implementation_->Server_.listen_after_bind(); }
 
-void CallerServer::stop() { Implementation_->Server_.stop(); }
+void CallerServer::stop() { Implementation_->Server_.close(); }
 
 } // namespace laburnum
--- a/Libraries/LibCallers/CallerServer.h
+++ b/Libraries/LibCallers/CallerServer.h
@@ -29,6 +29,8 @@
   std::size_t MostBodyBytes_ = std::size_t(1) << 20;
   Duration BodyTimeout_ = std::chrono::seconds(10);
   Duration ReadTimeout_ = std::chrono::seconds(5);
+  /// How long a connection may be idle.
+  std::chrono::seconds KeepAlive_ = std::chrono::seconds(5);
 
   auto operator<=>(CallerServerSettings const &) const = default;
 };
@@ -53,7 +55,8 @@
   Endpoint endpoint() const;
   /// Serves until stop(); blocks.
   void run();
-  /// Takes no new connection; those in progress end their present request.
+  /// Takes no new connection; idle ones are ended at once, the others end
+  /// their present request first.
   void stop();
 
 private:
--- /dev/null
+++ b/Libraries/LibCallers/ConnectionStream.cpp
@@ -0,0 +1,65 @@
+#include <LibCallers/ConnectionStream.h>
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace laburnum {
+
+namespace {
+
+bool waitFor(socket_t Socket, short Events, Duration Timeout) {
+  auto const Milliseconds =
+      std::chrono::ceil<std::chrono::milliseconds>(Timeout).count();
+  pollfd Waiting{Socket, Events, 0};
+  return ::poll(&Waiting, 1, static_cast<int>(Milliseconds)) > 0;
+}
+
+bool isClosedByPeer(socket_t Socket) {
+  char Byte = 0;
+  return ::recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+} // namespace
+
+bool ConnectionStream::is_readable() const {
+  return Begin_ != End_ || waitFor(Socket_, POLLIN, ReadTimeout_);
+}
+
+bool ConnectionStream::is_writable() const {
+  return waitFor(Socket_, POLLOUT, WriteTimeout_) && !isClosedByPeer(Socket_);
+}
+
+bool ConnectionStream::waitForRequest(Duration Timeout) const {
+  return Begin_ != End_ || waitFor(Socket_, POLLIN, Timeout);
+}
+
+/// The library reads heads byte by byte.
+ssize_t ConnectionStream::read(char *Data, size_t Size) {
+  if (Begin_ == End_ && !fill())
+    return 0;
+  auto const Taken = std::min(Size, End_ - Begin_);
+  std::copy_n(Buffer_.data() + Begin_, Taken, Data);
+  Begin_ += Taken;
+  return static_cast<ssize_t>(Taken);
+}
+
+bool ConnectionStream::fill() {
+  if (!waitFor(Socket_, POLLIN, ReadTimeout_))
+    return false;
+  auto const Received = ::recv(Socket_, Buffer_.data(), Buffer_.size(), 0);
+  if (Received <= 0)
+    return false;
+  Begin_ = 0;
+  End_ = static_cast<size_t>(Received);
+  return true;
+}
+
+ssize_t ConnectionStream::write(char const *Data, size_t Size) {
+  if (!waitFor(Socket_, POLLOUT, WriteTimeout_))
+    return -1;
+  return ::send(Socket_, Data, Size, MSG_NOSIGNAL);
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibCallers/StoppableServer.cpp
@@ -0,0 +1,64 @@
+#include <LibCallers/StoppableServer.h>
+
+#include <LibCallers/ConnectionStream.h>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace laburnum {
+
+namespace {
+
+Duration span(time_t Seconds, time_t Microseconds) {
+  return std::chrono::seconds(Seconds) +
+         std::chrono::microseconds(Microseconds);
+}
+
+} // namespace
+
+void StoppableServer::widenBacklog() {
+  constexpr int Backlog = 1024;
+  ::listen(svr_sock_, Backlog);
+}
+
+void StoppableServer::close() {
+  {
+    std::lock_guard const Lock(Mutex_);
+    IsClosed_ = true;
+    for (auto const &[Socket, Present] : Open_)
+      if (Present == Use::Idle)
+        ::shutdown(Socket, SHUT_RD);
+  }
+  stop();
+}
+
+bool StoppableServer::process_and_close_socket(socket_t Socket) {
+  ConnectionStream Stream(Socket, span(read_timeout_sec_, read_timeout_usec_),
+                          span(write_timeout_sec_, write_timeout_usec_));
+  auto const KeepAlive = span(keep_alive_timeout_sec_, 0);
+  auto IsOpen = true;
+  for (auto Left = keep_alive_max_count_; Left > 0 && IsOpen; --Left) {
+    IsOpen = setUse(Socket, Use::Idle) && Stream.waitForRequest(KeepAlive) &&
+             setUse(Socket, Use::Busy);
+    auto IsLast = false;
+    if (IsOpen)
+      IsOpen = process_request(Stream, Left == 1, IsLast, nullptr) && !IsLast;
+  }
+  release(Socket);
+  return true;
+}
+
+bool StoppableServer::setUse(socket_t Socket, Use Now) {
+  std::lock_guard const Lock(Mutex_);
+  Open_[Socket] = Now;
+  return !IsClosed_;
+}
+
+void StoppableServer::release(socket_t Socket) {
+  std::lock_guard const Lock(Mutex_);
+  Open_.erase(Socket);
+  ::shutdown(Socket, SHUT_RDWR);
+  ::close(Socket);
+}
+
+} // namespace laburnum
--- a/Tests/LibCallers/TestCallerServer.cpp
+++ b/Tests/LibCallers/TestCallerServer.cpp
@@ -4,6 +4,12 @@
 #include <catch2/catch.hpp>
 #include <httplib.h>
 
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <future>
 #include <thread>
 
 using namespace laburnum;
@@ -21,6 +27,7 @@
     Settings.MostThreads_ = 4;
     Settings.MostBodyBytes_ = BodyLimit;
     Settings.ReadTimeout_ = std::chrono::seconds(1);
+    Settings.KeepAlive_ = std::chrono::hours(1);
     auto Made = CallerServer::create(
         Settings, std::move(Handler), [](Error const &Failure) {
           return refusalOf(Failure, RequestId("r"));
@@ -30,9 +37,12 @@
     Thread_ = std::thread([this] { Server_->run(); });
   }
 
-  ~RunningServer() {
+  ~RunningServer() { stop(); }
+
+  void stop() {
     Server_->stop();
-    Thread_.join();
+    if (Thread_.joinable())
+      Thread_.join();
   }
 
   httplib::Client client() const {
@@ -41,6 +51,25 @@
     return Client;
   }
 
+  /// Sends the text as it is and reads until the server closes.
+  std::string exchange(std::string const &Sent) const {
+    auto const Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_port = htons(Server_->endpoint().Port_);
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::connect(Socket, reinterpret_cast<sockaddr *>(&Address),
+                      sizeof(Address)) == 0);
+    REQUIRE(::send(Socket, Sent.data(), Sent.size(), 0) ==
+            static_cast<ssize_t>(Sent.size()));
+    std::string Answer;
+    char Buffer[256];
+    for (ssize_t Read = 0; (Read = ::recv(Socket, Buffer, 256, 0)) > 0;)
+      Answer.append(Buffer, static_cast<std::size_t>(Read));
+    ::close(Socket);
+    return Answer;
+  }
+
 private:
   std::unique_ptr<CallerServer> Server_;
   std::thread Thread_;
@@ -125,3 +154,57 @@
   CHECK(Answer->body.find("event: error\n") != std::string::npos);
   CHECK(Answer->body.find("[DONE]") == std::string::npos);
 }
+
+TEST_CASE("A stream that moved says so, with the key, and has no [DONE]") {
+  RunningServer const Server([](CallerMessage const &) -> CallerAnswer {
+    auto const Pipe = std::make_shared<TokenPipe>(4);
+    Pipe->push(StreamMoved{});
+    ReadRequest Read;
+    Read.Request_.Id_ = RequestId("r1");
+    return StreamAnswer{Read, TokenOut{0, "one", 0xab}, Pipe};
+  });
+  auto const Answer = Server.client().Get("/x");
+  REQUIRE(Answer);
+  CHECK(Answer->body.find("id: 0-ab\n") != std::string::npos);
+  CHECK(Answer->body.ends_with(
+      "event: moved\ndata: {\"idempotency_key\":\"r1\"}\n\n"));
+}
+
+TEST_CASE("A stop ends idle connections and lets a request in progress end") {
+  std::promise<void> Entered;
+  std::promise<void> MayEnd;
+  RunningServer Server([&](CallerMessage const &Message) -> CallerAnswer {
+    if (Message.Target_ == "/slow") {
+      Entered.set_value();
+      MayEnd.get_future().wait();
+    }
+    return echo(Message);
+  });
+  auto Idle = Server.client();
+  Idle.set_keep_alive(true);
+  REQUIRE(Idle.Get("/x"));
+  auto Slow = std::async(std::launch::async,
+                         [&] { return Server.client().Get("/slow"); });
+  Entered.get_future().wait();
+  // The idle connection is closed by the server while a request is running.
+  std::thread Stopping([&] { Server.stop(); });
+  auto const Socket = static_cast<int>(Idle.socket());
+  pollfd Closed{Socket, POLLIN, 0};
+  CHECK(::poll(&Closed, 1, -1) == 1);
+  char Byte = 0;
+  CHECK(::recv(Socket, &Byte, 1, 0) == 0);
+  MayEnd.set_value();
+  auto const Answer = Slow.get();
+  Stopping.join();
+  REQUIRE(Answer);
+  CHECK(Answer->body == "GET");
+}
+
+TEST_CASE("A request without body and length is served") {
+  auto const *Method = GENERATE("PUT", "POST", "PATCH", "DELETE");
+  RunningServer const Server(echo);
+  CHECK(Server
+            .exchange(std::string(Method) +
+                      " /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            .starts_with("HTTP/1.1 200"));
+}
