--- a/Services/laburnumd/ControlPlane.h
+++ b/Services/laburnumd/ControlPlane.h
@@ -27,14 +27,22 @@
   CloudApi &Cloud_;
 };
 
+/// What other parts hear of the control plane's news, on the control thread.
+struct ControlPlaneHooks {
+  /// Called first with the members known at the start.
+  std::function<void(std::vector<Member> const &)> OnMembers_;
+  std::function<void(InstanceId const &, PeerMessage const &)> OnPeerMessage_;
+  /// The cloud takes this instance back after the time given.
+  std::function<void(Duration)> OnOwnReclaim_;
+};
+
 struct ControlPlaneSettings {
   EntryInstance Self_; ///< With the ports that its listeners chose.
   std::vector<Endpoint> Seeds_;
   std::string PeerSecret_;
-  std::function<void(std::vector<Member> const &)> MembersTold_ =
-      [](std::vector<Member> const & /*Members*/) {};
   Duration PlatformTimeout_{};
   std::uint64_t Seed_ = 0;
+  ControlPlaneHooks Hooks_;
 };
 
 /// Drives the fleet cores on the control thread: membership, configuration and
@@ -46,12 +54,6 @@
                TrafficView &View, std::function<void()> OnViewChanged);
   ~ControlPlane();
 
-  /// Called before start(). Told is called on the control thread, first with
-  /// the members known at the start.
-  void onMembersChanged(std::function<void(std::vector<Member> const &)> Told) {
-    MembersTold_ = std::move(Told);
-  }
-
   /// Called once, before the control thread runs. Errors as of
   /// AsioPeerTransport::create.
   Result<Success> start(ControlPlaneSettings const &Settings);
@@ -79,6 +81,9 @@
   Endpoint peerEndpoint() const { return Transport_->localEndpoint(); }
   bool isPlatformReachable() const { return PlatformReachable_; }
 
+  /// Called on the control thread.
+  void send(SendToPeer const &Message) { perform(Message); }
+
 private:
   // On the control thread.
   void receive(InstanceId const &From, PeerMessage const &Message);
@@ -104,8 +109,6 @@
   PlatformInterfaces const Platform_;
   TrafficView &View_;
   std::function<void()> const OnViewChanged_;
-  std::function<void(std::vector<Member> const &)> MembersTold_ =
-      [](std::vector<Member> const & /*Members*/) {};
   Duration PlatformTimeout_{};
   asio::thread_pool PlatformReads_;
   std::shared_ptr<AsioPeerTransport> Transport_;
@@ -113,6 +116,7 @@
   std::unique_ptr<Membership> Membership_;
   std::unique_ptr<ServerDirectory> Directory_;
   InstanceId Self_;
+  ControlPlaneHooks Hooks_;
   std::uint64_t NextNotice_ = 0;
   std::atomic<bool> PlatformReachable_ = false;
   std::atomic<bool> Stopping_ = false;
