--- a/Tests/FaultMatrix/World.h
+++ b/Tests/FaultMatrix/World.h
@@ -114,7 +114,7 @@
   void tellCrash(ServerId const &Server);
   void applyChange(Change const &Asked, std::size_t Instance);
   void onChangeEnd(Change const &Asked, std::size_t Instance,
-                   Result<AcceptedChange> const &Outcome);
+                   ChangeResult const &Outcome);
   Change changeNamed(std::string const &Id);
 
   void injectPlatform(Fault One, Place const &Where);
--- a/Tests/FaultMatrix/WorldFaults.cpp
+++ b/Tests/FaultMatrix/WorldFaults.cpp
@@ -245,7 +245,7 @@
 /// An operator in doubt, or refused for now, sends the same change again
 /// through another instance until it is told how it ended.
 void World::onChangeEnd(Change const &Asked, std::size_t Instance,
-                        Result<AcceptedChange> const &Outcome) {
+                        ChangeResult const &Outcome) {
   bool const IsHeard = isRunning(Instance) || Asked.Operator_ == "setup";
   auto Next = Asked;
   if (IsHeard && !isError(Outcome)) {
--- a/Tests/StatefulFuzz/Commands.cpp
+++ b/Tests/StatefulFuzz/Commands.cpp
@@ -169,22 +169,30 @@
 public:
   explicit BreakConnection(Drawn const &) {}
   void act(Drawn const &, World &In) const override {
-    if (IsRefusal_)
-      return In.backends().refuseOnce(Key_);
     In.backends().breakOnce(Key_, At_);
   }
   void show(std::ostream &Out) const override {
-    Out << (IsRefusal_ ? "refuse " : "break ") << Key_ << " after progress "
-        << static_cast<int>(At_);
+    Out << "break " << Key_ << " after progress " << static_cast<int>(At_);
   }
 
 private:
   std::string const Key_ = anyKey();
-  bool const IsRefusal_ = *rc::gen::arbitrary<bool>();
   AttemptProgress const At_ =
       static_cast<AttemptProgress>(*rc::gen::inRange(0, 4));
 };
 
+class RefuseOnce : public CountedCommand {
+public:
+  explicit RefuseOnce(Drawn const &Before) { RC_PRE(Before.HasRefusals_); }
+  void act(Drawn const &, World &In) const override {
+    In.backends().refuseOnce(Key_);
+  }
+  void show(std::ostream &Out) const override { Out << "refuse " << Key_; }
+
+private:
+  std::string const Key_ = anyKey();
+};
+
 class SpoilEngines : public CountedCommand {
 public:
   explicit SpoilEngines(Drawn const &) {}
@@ -210,7 +218,7 @@
   auto const Kinds = rc::state::gen::execOneOfWithArgs<
       SendCall, SendCall, SendStream, SendAgain, PassTime, PassTime, PassTime,
       InjectFault, InjectFault, ChangeConfiguration, StopInstance, LeaveForGood,
-      BreakConnection, SpoilEngines>();
+      BreakConnection, RefuseOnce, SpoilEngines>();
   return Kinds(Before);
 }
 
--- a/Tests/StatefulFuzz/Commands.h
+++ b/Tests/StatefulFuzz/Commands.h
@@ -12,6 +12,8 @@
 
 /// What is needed to name new things; the oracle of a run is the World's.
 struct Drawn {
+  /// Whether servers that go on working refuse a call now and then.
+  bool HasRefusals_ = false;
   std::uint32_t Streams_ = 0;
   std::uint32_t Changes_ = 0;
 };
--- a/Tests/StatefulFuzz/Main.cpp
+++ b/Tests/StatefulFuzz/Main.cpp
@@ -21,7 +21,8 @@
 };
 
 /// Runs one batch; yields whether no case failed.
-bool runBatch(std::uint64_t Seed, Mutants const &Out, std::uint64_t &Steps) {
+bool runBatch(std::uint64_t Seed, Drawn const &First, Mutants const &Out,
+              std::uint64_t &Steps) {
   rc::detail::TestMetadata Metadata;
   Metadata.id = "promises";
   Metadata.description = "the promises hold, seed " + std::to_string(Seed);
@@ -32,7 +33,7 @@
   auto const Property = [&] {
     World Tried(*rc::gen::inRange<std::uint64_t>(1, 1000), Out);
     Tested On{Tried, Steps};
-    rc::state::check(Drawn{}, On, anyCommand);
+    rc::state::check(First, On, anyCommand);
     Tried.settle(Doubt::Allowed);
     if (!Tried.oracle().violations().empty())
       RC_FAIL(Tried.oracle().violations().front());
@@ -46,7 +47,8 @@
   return IsGood;
 }
 
-int fuzz(std::uint64_t Seed, Budget const &Limit, Mutants const &Out) {
+int fuzz(std::uint64_t Seed, Budget const &Limit, Drawn const &First,
+         Mutants const &Out) {
   auto const Start = std::chrono::steady_clock::now();
   std::uint64_t Steps = 0;
   auto const IsSpent = [&] {
@@ -56,7 +58,7 @@
             Spent >= std::chrono::seconds(Limit.Seconds_));
   };
   for (auto Batch = Seed; !IsSpent(); ++Batch) {
-    if (runBatch(Batch, Out, Steps))
+    if (runBatch(Batch, First, Out, Steps))
       continue;
     std::cout << "found with --seed " << Batch << " after " << Steps
               << " steps\n";
@@ -81,6 +83,7 @@
   Add("steps", "stop after so many commands, 0 for no limit",
       cxxopts::value<std::uint64_t>()->default_value("0"));
   Add("mutant", "take this mechanism out", cxxopts::value<std::string>());
+  Add("refusals", "also let servers that stay refuse a call now and then");
   Add("help", "print this");
   auto const Parsed = Options.parse(Count, Arguments);
   Budget Limit{Parsed["steps"].as<std::uint64_t>(),
@@ -98,5 +101,7 @@
     }
     Out.insert(*One);
   }
-  return fuzz(Parsed["seed"].as<std::uint64_t>(), Limit, Out);
+  Drawn First;
+  First.HasRefusals_ = Parsed.count("refusals") > 0;
+  return fuzz(Parsed["seed"].as<std::uint64_t>(), Limit, First, Out);
 }
