--- a/Tests/FaultMatrix/BackendFake.cpp
+++ b/Tests/FaultMatrix/BackendFake.cpp
@@ -175,7 +175,9 @@
     One->Progress_ = AttemptProgress::AnswerWhole;
     return end(One, AttemptEnd::Answered);
   }
-  bool const IsSkipped = Habits_.Skips_ > 0 && Offset == SkippedOffset;
+  // A missing last token could not be told from an early end.
+  bool const IsSkipped =
+      Habits_.Skips_ > 0 && Offset == SkippedOffset && Offset + 1 < Last;
   if (IsSkipped)
     --Habits_.Skips_;
   else
--- a/Tests/FaultMatrix/Callers.cpp
+++ b/Tests/FaultMatrix/Callers.cpp
@@ -30,13 +30,14 @@
   auto &Of = Callers_.at(Caller);
   if (Of.Status_ == Status::Answered)
     return;
-  if (Of.Request_.Kind_ == ServiceKind::Model)
-    closeAll(Of);
   send(Caller, Instance);
 }
 
 void Callers::send(std::size_t Caller, std::size_t Instance) {
   auto &Of = Callers_.at(Caller);
+  // A stream is read from one connection at a time.
+  if (Of.Request_.Kind_ == ServiceKind::Model)
+    closeAll(Of);
   ++Of.Sendings_;
   Of.NextInstance_ = (Instance + 1) % Instances_;
   auto Request = Of.Request_;
--- a/Tests/StatefulFuzz/Main.cpp
+++ b/Tests/StatefulFuzz/Main.cpp
@@ -58,7 +58,8 @@
             Spent >= std::chrono::seconds(Limit.Seconds_));
   };
   for (auto Batch = Seed; !IsSpent(); ++Batch) {
-    if (runBatch(Batch, First, Out, Steps))
+    bool const IsGood = runBatch(Batch, First, Out, Steps);
+    if (IsGood)
       continue;
     std::cout << "found with --seed " << Batch << " after " << Steps
               << " steps\n";
