LibPlacement: Test the lease's own arithmetic and unconfirmed records

Three mechanisms could be taken out without a test failing: counting from before the write, reading back nonces, asking the cloud only after the record was confirmed; and one more, keeping servers while slots are refused. Each has a test now.

--- a/Tests/LibPlacement/CloudFixture.h
+++ b/Tests/LibPlacement/CloudFixture.h
@@ -63,7 +63,7 @@
   }
 
   controller::Event answer(controller::WriteRecord const &Call) {
-    if (IsDown_ || Call.Expected_ != Object_.Version_)
+    if (IsDown_ || IsReadOnly_ || Call.Expected_ != Object_.Version_)
       return controller::RecordFailed{};
     Object_ = {orderRecordKey(), Object_.Version_ + 1, Call.Value_};
     if (LostAnswers_ > 0 && LostAnswers_--)
@@ -72,6 +72,7 @@
   }
 
   bool IsDown_ = false;
+  bool IsReadOnly_ = false;
   int LostAnswers_ = 0;
   StoredObject Object_ = {orderRecordKey(), 0, ""};
 };
--- a/Tests/LibPlacement/TestFleetController.cpp
+++ b/Tests/LibPlacement/TestFleetController.cpp
@@ -44,11 +44,12 @@
 }
 
 TEST_CASE_METHOD(CloudFixture, "No order reaches the cloud before its record") {
-  Store_.IsDown_ = true;
+  bool &Fault = GENERATE(true, false) ? Store_.IsDown_ : Store_.IsReadOnly_;
+  Fault = true;
   gain(1);
   run(seconds(30));
   CHECK(Cloud_.Started_.empty());
-  Store_.IsDown_ = false;
+  Fault = false;
   run(seconds(30));
   CHECK(running() == 6);
 }
@@ -134,6 +135,17 @@
   }
 }
 
+TEST_CASE_METHOD(CloudFixture, "Who cannot replace a server keeps it") {
+  gain(1);
+  run(seconds(30));
+  Cloud_.Refused_ = {{DataCentre("a"), Tenure::Reclaimable},
+                     {DataCentre("a"), Tenure::OnDemand}};
+  desire(4);
+  run(seconds(60));
+  CHECK(Drained_.empty());
+  CHECK(running() >= 7);
+}
+
 TEST_CASE_METHOD(CloudFixture, "Reclaimed servers are replaced at the notice") {
   gain(1);
   run(seconds(30));
--- a/Tests/LibPlacement/TestLeaseHolder.cpp
+++ b/Tests/LibPlacement/TestLeaseHolder.cpp
@@ -14,6 +14,54 @@
 
 } // namespace
 
+namespace {
+
+constexpr Duration Length = seconds(10);
+
+/// A lone instance that has just sent its first write of the lease.
+struct FirstWrite {
+  FirstWrite() {
+    lease::Settings Mine;
+    Mine.Self_ = InstanceId("i0");
+    Mine.Length_ = Length;
+    Holder_ = LeaseHolder(Mine);
+    Member Self;
+    Self.Instance_.Id_ = Mine.Self_;
+    Holder_.handle(lease::MembersChanged{{Self}}, Sent_);
+    Holder_.handle(lease::TimePassed{}, Sent_);
+    auto const Actions = Holder_.handle(lease::LeaseRead{}, Sent_);
+    Write_ = std::get<lease::WriteLease>(Actions.at(0));
+  }
+
+  TimePoint const Sent_ = TimePoint(seconds(1000));
+  LeaseHolder Holder_{lease::Settings()};
+  lease::WriteLease Write_;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(FirstWrite, "The lease counts from before its write") {
+  Holder_.handle(lease::LeaseWritten{7}, Sent_ + seconds(4));
+  REQUIRE(Holder_.held(Sent_ + seconds(4)));
+  CHECK(Holder_.held(Sent_ + seconds(4))->ProvenUntil_ == Sent_ + Length);
+  CHECK(!Holder_.held(Sent_ + Length));
+}
+
+TEST_CASE_METHOD(FirstWrite, "An answer later than the lease proves nothing") {
+  Holder_.handle(lease::LeaseWritten{7}, Sent_ + Length);
+  CHECK(!Holder_.held(Sent_ + Length));
+}
+
+TEST_CASE_METHOD(FirstWrite, "Reading back finds the write by its nonce") {
+  Holder_.handle(lease::WriteUnknown{}, Sent_ + seconds(2));
+  Holder_.handle(lease::LeaseRead{{lease::leaseKey(), 7, Write_.Value_}},
+                 Sent_ + seconds(3));
+  auto const Held = Holder_.held(Sent_ + seconds(3));
+  REQUIRE(Held);
+  CHECK(Held->Fencing_ == 7);
+  CHECK(Held->ProvenUntil_ == Sent_ + Length);
+}
+
 TEST_CASE("One of many instances holds the lease and keeps it") {
   LeaseFleet Fleet(8);
   Fleet.run(seconds(10));
