LibBackend: Wake the deadline watch only for deadlines before its next look

Cause: each call to a backend server woke the watch's thread, which went through the deadlines of all calls in progress. Calls nearly always end long before their deadline. Change: deadlines are ordered, a later one leaves its place until it is looked at, and the thread is woken only when it would sleep past a new one. Ruled out: the pool's lock (held for a map's look-up and a vector's end). TestLibBackend passes.

--- a/Libraries/LibBackend/DeadlineWatch.cpp
+++ b/Libraries/LibBackend/DeadlineWatch.cpp
@@ -1,7 +1,5 @@
 #include <LibBackend/DeadlineWatch.h>
 
-#include <algorithm>
-
 namespace laburnum {
 
 /// The longest wait of the thread when no deadline is near.
@@ -22,21 +20,27 @@
                                          std::function<void()> Interrupt) {
   std::lock_guard const Lock(Mutex_);
   auto const Added = NextTicket_++;
-  Entries_[Added] = Entry{Deadline, std::move(Interrupt), false};
-  Changed_.notify_all();
+  Entries_[Added] = Entry{Deadline, Deadline, std::move(Interrupt), false};
+  Looks_.insert({Deadline, Added});
+  wakeBy(Deadline);
   return Added;
 }
 
+/// A later deadline leaves the look where it is: moving it at each token of a
+/// stream would cost more than one look too many.
 void DeadlineWatch::move(Ticket Watched, TimePoint Deadline) {
   std::lock_guard const Lock(Mutex_);
   auto const Found = Entries_.find(Watched);
   if (Found == Entries_.end())
     return;
-  bool const IsEarlier = Deadline < Found->second.Deadline_;
-  Found->second.Deadline_ = Deadline;
-  // The thread wakes at the old deadline anyway and reads the later one then.
-  if (IsEarlier)
-    Changed_.notify_all();
+  auto &Moved = Found->second;
+  Moved.Deadline_ = Deadline;
+  if (Moved.HasFired_ || Deadline >= Moved.LookAt_)
+    return;
+  Looks_.erase({Moved.LookAt_, Watched});
+  Moved.LookAt_ = Deadline;
+  Looks_.insert({Deadline, Watched});
+  wakeBy(Deadline);
 }
 
 bool DeadlineWatch::remove(Ticket Watched) {
@@ -45,29 +49,40 @@
   if (Found == Entries_.end())
     return false;
   bool const HasFired = Found->second.HasFired_;
+  Looks_.erase({Found->second.LookAt_, Watched});
   Entries_.erase(Found);
   return HasFired;
 }
 
+/// The thread is woken only when it would otherwise sleep past the deadline,
+/// since most calls end long before theirs.
+void DeadlineWatch::wakeBy(TimePoint Deadline) {
+  if (Deadline < WakesAt_)
+    Changed_.notify_all();
+}
+
 void DeadlineWatch::run() {
   std::unique_lock Lock(Mutex_);
-  while (!IsStopping_)
-    Changed_.wait_until(Lock, fireDue(readClock()));
+  while (!IsStopping_) {
+    WakesAt_ = fireDue(readClock());
+    Changed_.wait_until(Lock, WakesAt_);
+  }
 }
 
 TimePoint DeadlineWatch::fireDue(TimePoint Now) {
-  TimePoint Next = Now + IdleWait;
-  for (auto &[Watched, One] : Entries_) {
-    if (One.HasFired_)
-      continue;
-    if (One.Deadline_ > Now) {
-      Next = std::min(Next, One.Deadline_);
+  while (!Looks_.empty() && Looks_.begin()->first <= Now) {
+    auto const Watched = Looks_.begin()->second;
+    Looks_.erase(Looks_.begin());
+    auto &Due = Entries_.at(Watched);
+    if (Due.Deadline_ > Now) {
+      Due.LookAt_ = Due.Deadline_;
+      Looks_.insert({Due.LookAt_, Watched});
       continue;
     }
-    One.HasFired_ = true;
-    One.Interrupt_();
+    Due.HasFired_ = true;
+    Due.Interrupt_();
   }
-  return Next;
+  return Looks_.empty() ? Now + IdleWait : Looks_.begin()->first;
 }
 
 } // namespace laburnum
--- a/Libraries/LibBackend/DeadlineWatch.h
+++ b/Libraries/LibBackend/DeadlineWatch.h
@@ -5,9 +5,11 @@
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <mutex>
+#include <set>
 #include <thread>
+#include <unordered_map>
+#include <utility>
 
 namespace laburnum {
 
@@ -34,17 +36,22 @@
 private:
   struct Entry {
     TimePoint Deadline_;
+    TimePoint LookAt_; ///< Its place in Looks_, not after Deadline_.
     std::function<void()> Interrupt_;
     bool HasFired_ = false;
   };
 
   void run();
-  /// Fires what is due and returns the next deadline.
+  /// Fires what is due and returns when to look again.
   TimePoint fireDue(TimePoint Now);
+  void wakeBy(TimePoint Deadline);
 
   std::mutex Mutex_;
   std::condition_variable Changed_;
-  std::map<Ticket, Entry> Entries_;
+  std::unordered_map<Ticket, Entry> Entries_;
+  /// When to look at each ticket that has not fired.
+  std::set<std::pair<TimePoint, Ticket>> Looks_;
+  TimePoint WakesAt_ = TimePoint::max(); ///< The end of the thread's wait.
   Ticket NextTicket_ = 1;
   bool IsStopping_ = false;
   std::thread Thread_;
