--- /dev/null
+++ b/Tests/Bench/Capacity/Main.cpp
@@ -0,0 +1,243 @@
+#include "FleetModel.h"
+#include "HeapMeter.h"
+
+#include <cstdio>
+#include <optional>
+#include <string_view>
+
+using namespace laburnum;
+using namespace laburnum::bench;
+
+namespace {
+
+constexpr std::uint64_t Seed = 1;
+constexpr Duration WarmUp = std::chrono::seconds(40);
+constexpr Duration Measured = std::chrono::seconds(30);
+constexpr Duration Step = std::chrono::milliseconds(50);
+constexpr double Percent = 100.0;
+constexpr FleetShape DesignShape{410, 650, 8};
+
+double secondsOf(Duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+void printSteadyHead() {
+  std::puts("Steady state, for each node: peers' bytes a second (frames, and "
+            "with TCP/IP), messages and\nnew connections a second, platform "
+            "bytes a second, share of a core by kind of work, heap.");
+  std::puts("members servers | frame_B/s wire_B/s  msg/s conn/s | plat_B/s | "
+            "member%  config%  servers%  codec%   list%   total% | heap_KiB | "
+            "fleet's platform calls/s");
+}
+
+/// One row of the steady state.
+void runSteady(FleetShape Shape) {
+  FleetModel Fleet(Shape, Seed);
+  Fleet.runFor(WarmUp);
+  Fleet.resetCounters();
+  Fleet.runFor(Measured);
+  auto const Span = secondsOf(Measured);
+  auto const PerNode = Span * Shape.Members_;
+  auto const &Wire = Fleet.wire();
+  auto const &Cpu = Fleet.cpu();
+  auto const Share = [&](Work Kind) {
+    return Percent * Cpu.seconds(Kind) / PerNode;
+  };
+  auto const Platform = Fleet.platform().counters();
+  auto const Frames = static_cast<double>(Wire.FrameBytes_) / PerNode;
+  auto const All = static_cast<double>(Wire.FrameBytes_ + Wire.OverheadBytes_);
+  auto const Total = Percent * Cpu.total() / PerNode;
+  auto const Messages = static_cast<double>(Wire.Messages_) / PerNode;
+  auto const Connections = static_cast<double>(Wire.Connections_) / PerNode;
+  auto const Calls = static_cast<double>(Platform.Reads_) / Span;
+  auto const PlatformBytes = static_cast<double>(Platform.Bytes_) / PerNode;
+  auto const Before = heapBytes();
+  for (auto const &Node : Fleet.nodes()) {
+    Node->stop();
+    Node->releaseCores();
+  }
+  auto const Heap = static_cast<double>(Before - heapBytes()) / Shape.Members_;
+  std::printf("%7u %7u | %9.0f %8.0f %6.2f %6.2f | %8.0f | %7.4f %8.4f %9.4f "
+              "%7.4f %7.4f %8.4f | %8.0f | %6.0f\n",
+              Shape.Members_, Shape.Servers_, Frames, All / PerNode, Messages,
+              Connections, PlatformBytes, Share(Work::Membership),
+              Share(Work::Configuration), Share(Work::Servers),
+              Share(Work::Codec), Share(Work::InstanceList), Total,
+              Heap / 1024.0, Calls);
+  std::fflush(stdout);
+}
+
+/// Time until Condition holds, in steps; nothing after Limit.
+template <typename Call>
+std::optional<double> timeUntil(FleetModel &Fleet, Duration Limit,
+                                Call Condition) {
+  auto const Start = Fleet.now();
+  while (!Condition()) {
+    if (Fleet.now() - Start >= Limit)
+      return std::nullopt;
+    Fleet.runFor(Step);
+  }
+  return secondsOf(Fleet.now() - Start);
+}
+
+void printTime(char const *What, std::optional<double> Seconds) {
+  if (Seconds)
+    std::printf("  %-66s %6.2f s\n", What, *Seconds);
+  else
+    std::printf("  %-66s never\n", What);
+  std::fflush(stdout);
+}
+
+/// The longest of several changes until each is in force everywhere.
+std::optional<double> slowestChange(FleetModel &Fleet,
+                                    std::set<DataCentre> const &Except) {
+  constexpr std::uint32_t Changes = 10;
+  constexpr Duration Limit = std::chrono::seconds(120);
+  double Slowest = 0;
+  for (std::uint32_t Number = 0; Number < Changes; ++Number) {
+    auto const Object = Fleet.changeService(100 + Number);
+    auto const Time = timeUntil(
+        Fleet, Limit, [&] { return Fleet.isInForce(Object, Except); });
+    if (!Time)
+      return std::nullopt;
+    Slowest = std::max(Slowest, *Time);
+    Fleet.runFor(std::chrono::seconds(3));
+  }
+  return Slowest;
+}
+
+void runChanges(FleetShape Shape) {
+  std::printf("\nA change in force everywhere, the slowest of 10 (%u members, "
+              "goal 8 s)\n",
+              Shape.Members_);
+  constexpr double Loss = 0.05;
+  FleetModel Fleet(Shape, Seed);
+  Fleet.runFor(WarmUp);
+  printTime("platform up", slowestChange(Fleet, {}));
+  Fleet.setLoss(Loss);
+  printTime("platform up, 5% of messages lost", slowestChange(Fleet, {}));
+  Fleet.setLoss(0);
+  Fleet.platform().setDown(true);
+  Fleet.runFor(std::chrono::seconds(5));
+  printTime("by peers only, the platform down after the write",
+            slowestChange(Fleet, {}));
+  Fleet.setLoss(Loss);
+  printTime("by peers only, 5% of messages lost", slowestChange(Fleet, {}));
+  Fleet.setLoss(0);
+  Fleet.platform().setDown(false);
+  Fleet.runFor(WarmUp);
+  auto const Lost = Fleet.dataCentre(1);
+  Fleet.cut(Lost);
+  printTime("elsewhere, just after a data centre was cut off",
+            slowestChange(Fleet, {Lost}));
+  auto const Object = Fleet.changeService(200);
+  Fleet.runFor(std::chrono::seconds(60));
+  Fleet.heal();
+  printTime("in the cut data centre, after the cut has healed",
+            timeUntil(Fleet, std::chrono::minutes(10),
+                      [&] { return Fleet.isInForce(Object, {}); }));
+  printTime("all members known as live again, after that",
+            timeUntil(Fleet, std::chrono::minutes(20),
+                      [&] { return Fleet.isSettled(); }));
+}
+
+/// The most bytes and calls of one second while a fleet settles.
+struct Peak {
+  double WireBytesPerNode_ = 0;
+  double PlatformCalls_ = 0;
+  double PlatformBytes_ = 0;
+  double CpuShare_ = 0;
+};
+
+std::optional<double> settle(FleetModel &Fleet, Peak &Most) {
+  constexpr Duration Second = std::chrono::seconds(1);
+  constexpr Duration Limit = std::chrono::minutes(5);
+  auto const Start = Fleet.now();
+  while (!Fleet.isSettled()) {
+    if (Fleet.now() - Start >= Limit)
+      return std::nullopt;
+    Fleet.resetCounters();
+    Fleet.runFor(Second);
+    auto const Live = static_cast<double>(Fleet.live());
+    auto const &Wire = Fleet.wire();
+    auto const &Platform = Fleet.platform().counters();
+    auto const Bytes =
+        static_cast<double>(Wire.FrameBytes_ + Wire.OverheadBytes_);
+    Most.WireBytesPerNode_ = std::max(Most.WireBytesPerNode_, Bytes / Live);
+    Most.PlatformCalls_ =
+        std::max(Most.PlatformCalls_, static_cast<double>(Platform.Reads_));
+    Most.PlatformBytes_ =
+        std::max(Most.PlatformBytes_, static_cast<double>(Platform.Bytes_));
+    Most.CpuShare_ =
+        std::max(Most.CpuShare_, Percent * Fleet.cpu().total() / Live);
+  }
+  return secondsOf(Fleet.now() - Start);
+}
+
+void printPeak(char const *What, std::optional<double> Seconds,
+               Peak const &Most) {
+  printTime(What, Seconds);
+  std::printf("    in its worst second: %.0f wire B a node, %.2f%% of a core "
+              "a node, %.0f platform calls, %.1f MB from the platform\n",
+              Most.WireBytesPerNode_, Most.CpuShare_, Most.PlatformCalls_,
+              Most.PlatformBytes_ / 1e6);
+  std::fflush(stdout);
+}
+
+void runHerd(FleetShape Shape, double Share, char const *What,
+             bool IsPlatformDown) {
+  FleetModel Fleet(Shape, Seed);
+  Fleet.runFor(WarmUp);
+  Fleet.platform().setDown(IsPlatformDown);
+  auto const Before = Fleet.live();
+  Fleet.killShare(Share);
+  Fleet.addInstances(Before - Fleet.live());
+  Peak Most;
+  auto const Time = settle(Fleet, Most);
+  printPeak(What, Time, Most);
+}
+
+void runHerds(FleetShape Shape) {
+  std::printf("\nReplacements at once, until all hold the configuration and "
+              "know all members (%u members)\n",
+              Shape.Members_);
+  constexpr double Reclaimable = 0.66;
+  runHerd(Shape, 1.0 / Shape.DataCentres_, "an eighth replaced", false);
+  runHerd(Shape, Reclaimable, "66% replaced", false);
+  runHerd(Shape, Reclaimable, "66% replaced, the platform down", true);
+}
+
+void runColdStart(FleetShape Shape) {
+  FleetModel Fleet(Shape, Seed);
+  Peak Most;
+  auto const Time = settle(Fleet, Most);
+  printPeak("all started at once", Time, Most);
+}
+
+bool isAsked(int Count, char **Arguments, std::string_view Part) {
+  if (Count < 2)
+    return true;
+  for (int Index = 1; Index < Count; ++Index)
+    if (Arguments[Index] == Part)
+      return true;
+  return false;
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  if (isAsked(Count, Arguments, "steady")) {
+    printSteadyHead();
+    for (std::uint32_t const Members : {8U, 32U, 128U, 410U})
+      for (std::uint32_t const Servers : {65U, 650U})
+        runSteady({Members, Servers, DesignShape.DataCentres_});
+  }
+  if (isAsked(Count, Arguments, "changes")) {
+    for (std::uint32_t const Members : {8U, 128U, 410U})
+      runChanges({Members, DesignShape.Servers_, DesignShape.DataCentres_});
+  }
+  if (isAsked(Count, Arguments, "herds")) {
+    runHerds(DesignShape);
+    runColdStart(DesignShape);
+  }
+}
--- /dev/null
+++ b/Tests/Bench/Capacity/Wire.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+
+namespace laburnum::bench {
+
+struct WireCounters {
+  std::uint64_t Messages_ = 0;
+  std::uint64_t Connections_ = 0;
+  std::uint64_t FrameBytes_ = 0;    ///< Of messages and greetings.
+  std::uint64_t OverheadBytes_ = 0; ///< TCP/IP headers, set-up and end.
+
+  auto operator<=>(WireCounters const &) const = default;
+};
+
+/// Counts what peers send over TCP as AsioPeerTransport does: a connection for
+/// each direction, opened with a Hello and closed when idle.
+class Wire {
+public:
+  /// HelloBytes is the size of the frame that opens a connection.
+  explicit Wire(std::size_t HelloBytes) : HelloBytes_(HelloBytes) {}
+
+  void send(std::uint32_t From, std::uint32_t To, std::size_t FrameBytes,
+            TimePoint Now);
+  void reset() { Counters_ = {}; }
+  WireCounters const &counters() const { return Counters_; }
+
+private:
+  std::size_t const HelloBytes_;
+  std::unordered_map<std::uint64_t, TimePoint> LastUses_;
+  WireCounters Counters_;
+};
+
+} // namespace laburnum::bench
--- a/Tests/Bench/Path/bench.py
+++ b/Tests/Bench/Path/bench.py
@@ -90,7 +90,7 @@
     report = short_calls(fleet, port, OVERLOAD_PER_SECOND, 1, 1)
     used = cpu_seconds(pid) - before
     return (report["whole"] / report["elapsed_s"], used / report["whole"],
-            report["calls"] - report["whole"])
+            report["calls"] - report["whole"], report["outcomes"])
 
 
 def compare(fleet, desk, entry, rate, options) -> dict:
@@ -119,12 +119,15 @@
 
 def show_short_calls(fleet, desk, entry, options) -> None:
     pid = entry.process.popen.pid
-    runs = sorted(saturate(fleet, entry.callers, pid)
-                  for _ in range(options.repeats))
-    rate, cpu, _ = runs[len(runs) // 2]
+    runs = sorted((saturate(fleet, entry.callers, pid)
+                   for _ in range(options.repeats)), key=lambda run: run[0])
+    rate, cpu, *_ = runs[len(runs) // 2]
     print(f"saturation: {rate:.0f} calls/s through one instance, "
           f"{1 / cpu:.0f} calls/s per core ({1e6 * cpu:.0f} us of processor "
-          f"time a call), failed {sum(run[2] for run in runs)}")
+          f"time a call)")
+    for run in runs:
+        if run[2]:
+            print(f"  {run[2]} failed: {run[3]}")
     print("rate      direct p50/p99 ms   added p50/p99 ms   added p99 of each"
           " run          us/call  calls/s/core  failed")
     for share in options.shares:
