LibFleet: Pace the readings of the instance list by its size

Change: ListingPace lets an instance read 12 entries a second, at times of its own; up to 24 entries nothing changes.

--- a/Services/laburnumd/ControlPlane.cpp
+++ b/Services/laburnumd/ControlPlane.cpp
@@ -56,6 +56,7 @@
   ForServers.Self_ = Self;
   ForServers.Seed_ = Settings.Seed_;
   Directory_ = std::make_unique<ServerDirectory>(ForServers);
+  ListingPace_ = std::make_unique<ListingPace>(Settings.Seed_);
 
   Control_.every(CoreTick, [this] {
     feed(membership::Event(membership::TimePassed{}));
@@ -232,11 +233,14 @@
 }
 
 void ControlPlane::readInstanceList() {
+  if (!ListingPace_->isDue(readClock()))
+    return;
   callPlatform(
       [this] { return Platform_.Instances_.fetch(PlatformTimeout_); },
       [this](Result<InstanceListing> const &Listing) {
         if (isError(Listing))
           return;
+        ListingPace_->listed(valueOf(Listing), readClock());
         feed(membership::Event(membership::InstancesListed{valueOf(Listing)}));
         feed(servers::Event(servers::InstancesListed{valueOf(Listing)}));
       });
--- a/Services/laburnumd/ControlPlane.h
+++ b/Services/laburnumd/ControlPlane.h
@@ -4,6 +4,7 @@
 #include "TrafficView.h"
 
 #include <LibFleet/ConfigurationStore.h>
+#include <LibFleet/ListingPace.h>
 #include <LibFleet/Membership.h>
 #include <LibFleet/ServerDirectory.h>
 #include <LibPeer/AsioPeerTransport.h>
@@ -100,6 +101,7 @@
   std::unique_ptr<ConfigurationStore> Configuration_;
   std::unique_ptr<Membership> Membership_;
   std::unique_ptr<ServerDirectory> Directory_;
+  std::unique_ptr<ListingPace> ListingPace_;
   InstanceId Self_;
   std::uint64_t NextNotice_ = 0;
   std::atomic<bool> PlatformReachable_ = false;
--- /dev/null
+++ b/Tests/Bench/Capacity/ClaimModel.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "CpuMeter.h"
+#include "VirtualTime.h"
+
+#include <LibServing/ClaimJournal.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace laburnum::bench {
+
+struct ClaimShape {
+  std::uint32_t Instances_ = 8;
+  double ClaimsPerSecond_ = 100; ///< Of all instances together.
+  Duration ServiceTime_ = std::chrono::milliseconds(50);
+
+  auto operator<=>(ClaimShape const &) const = default;
+};
+
+struct ClaimCounters {
+  std::uint64_t Reads_ = 0;
+  std::uint64_t Writes_ = 0;
+  std::uint64_t Conflicts_ = 0;
+  std::uint64_t WrittenBytes_ = 0;
+  std::uint64_t ReadBytes_ = 0;
+  std::uint64_t LargestBytes_ = 0;
+  std::uint64_t Granted_ = 0;
+  std::uint64_t Refused_ = 0;
+  Duration Waited_{}; ///< Of all granted claims.
+
+  auto operator<=>(ClaimCounters const &) const = default;
+};
+
+/// The claim journals of many instances that share the platform's buckets, in
+/// virtual time. Each claim's call takes a while and its outcome is recorded.
+class ClaimModel {
+public:
+  explicit ClaimModel(ClaimShape Shape);
+
+  void runFor(Duration Span) { Time_.runFor(Span); }
+  void reset();
+  ClaimCounters const &counters() const { return Counters_; }
+  double cpuSeconds() const { return Cpu_.total(); }
+
+private:
+  struct Pending {
+    claims::ClaimWanted Wanted_;
+    TimePoint Asked_;
+  };
+
+  void arrive();
+  void tick(std::uint32_t Instance);
+  void feed(std::uint32_t Instance, claims::Event const &Event);
+  void perform(std::uint32_t Instance, claims::ReadBucket const &Action);
+  void perform(std::uint32_t Instance, claims::WriteBucket const &Action);
+  void perform(std::uint32_t Instance, claims::SettleClaim const &Action);
+
+  ClaimShape const Shape_;
+  VirtualTime Time_;
+  CpuMeter Cpu_;
+  std::mt19937_64 Generator_;
+  std::vector<std::unique_ptr<ClaimJournal>> Journals_;
+  std::map<ObjectKey, StoredObject> Store_;
+  Version Version_ = 0;
+  std::map<claims::Ticket, Pending> Pending_;
+  claims::Ticket NextTicket_ = 1;
+  ClaimCounters Counters_;
+};
+
+} // namespace laburnum::bench
--- a/Tests/Bench/Capacity/Main.cpp
+++ b/Tests/Bench/Capacity/Main.cpp
@@ -1,3 +1,4 @@
+#include "ClaimModel.h"
 #include "FleetModel.h"
 #include "HeapMeter.h"
 
@@ -214,6 +215,42 @@
   printPeak("all started at once", Time, Most);
 }
 
+void runClaims(ClaimShape Shape) {
+  constexpr Duration Warm = std::chrono::seconds(20);
+  constexpr Duration Span = std::chrono::seconds(20);
+  ClaimModel Model(Shape);
+  Model.runFor(Warm);
+  Model.reset();
+  Model.runFor(Span);
+  auto const &Counters = Model.counters();
+  auto const Seconds = secondsOf(Span);
+  auto const PerSecond = [&](std::uint64_t Count) {
+    return static_cast<double>(Count) / Seconds;
+  };
+  auto const Granted = std::max(1.0, static_cast<double>(Counters.Granted_));
+  std::printf("%9u %7.0f | %8.1f %7.1f %8.1f %9.1f | %7.1f %7.1f | %8.1f %7.1f "
+              "%9.1f %7.1f\n",
+              Shape.Instances_, Shape.ClaimsPerSecond_,
+              PerSecond(Counters.Granted_), PerSecond(Counters.Writes_),
+              PerSecond(Counters.Reads_), PerSecond(Counters.Conflicts_),
+              1e-6 * PerSecond(Counters.WrittenBytes_),
+              1e-6 * PerSecond(Counters.ReadBytes_),
+              1e-3 * static_cast<double>(Counters.LargestBytes_),
+              1e3 * secondsOf(Counters.Waited_) / Granted,
+              1e6 * Model.cpuSeconds() / Granted, PerSecond(Counters.Refused_));
+  std::fflush(stdout);
+}
+
+void runAllClaims() {
+  std::puts("\nClaims of all instances together, 64 buckets, 20 s after 20 s "
+            "(buckets still grow)");
+  std::puts("instances claims/s | granted/s writes/s reads/s conflicts/s | "
+            "MB/s written, read | largest_kB wait_ms cpu_us/claim refused/s");
+  for (std::uint32_t const Instances : {8U, 32U, 128U, 410U})
+    for (double const Rate : {10.0, 100.0, 300.0})
+      runClaims({Instances, Rate, std::chrono::milliseconds(50)});
+}
+
 bool isAsked(int Count, char **Arguments, std::string_view Part) {
   if (Count < 2)
     return true;
@@ -232,6 +269,8 @@
       for (std::uint32_t const Servers : {65U, 650U})
         runSteady({Members, Servers, DesignShape.DataCentres_});
   }
+  if (isAsked(Count, Arguments, "claims"))
+    runAllClaims();
   if (isAsked(Count, Arguments, "changes")) {
     for (std::uint32_t const Members : {8U, 128U, 410U})
       runChanges({Members, DesignShape.Servers_, DesignShape.DataCentres_});
--- a/Tests/Bench/Capacity/ModelNode.cpp
+++ b/Tests/Bench/Capacity/ModelNode.cpp
@@ -10,7 +10,8 @@
 
 ModelNode::ModelNode(NodeResources Resources, std::uint32_t Index,
                      EntryInstance Self, std::vector<Endpoint> Seeds)
-    : Resources_(Resources), Index_(Index), Self_(std::move(Self)) {
+    : Resources_(Resources), Index_(Index), Self_(std::move(Self)),
+      ListingPace_(Index) {
   auto const Seed = std::uint64_t{Index} + 1;
   configuration::Settings ForConfiguration;
   ForConfiguration.Self_ = Self_;
@@ -68,15 +69,18 @@
 }
 
 void ModelNode::readInstances() {
+  after(InstanceListPeriod, [this] { readInstances(); });
+  if (!ListingPace_.isDue(Resources_.Time_.now()))
+    return;
   Resources_.Platform_.fetchInstances(
       Self_.DataCentre_,
       whileUp([this](Result<ModelPlatform::Listing> const &Answer) {
         if (isError(Answer))
           return;
+        ListingPace_.listed(*valueOf(Answer), Resources_.Time_.now());
         feed(membership::Event(membership::InstancesListed{*valueOf(Answer)}));
         feed(servers::Event(servers::InstancesListed{*valueOf(Answer)}));
       }));
-  after(InstanceListPeriod, [this] { readInstances(); });
 }
 
 void ModelNode::readNotices() {
--- a/Tests/Bench/Capacity/ModelNode.h
+++ b/Tests/Bench/Capacity/ModelNode.h
@@ -5,6 +5,7 @@
 #include "VirtualTime.h"
 
 #include <LibFleet/ConfigurationStore.h>
+#include <LibFleet/ListingPace.h>
 #include <LibFleet/Membership.h>
 #include <LibFleet/ServerDirectory.h>
 
@@ -76,6 +77,7 @@
   std::unique_ptr<ConfigurationStore> Configuration_;
   std::unique_ptr<Membership> Membership_;
   std::unique_ptr<ServerDirectory> Directory_;
+  ListingPace ListingPace_;
 };
 
 } // namespace laburnum::bench
--- a/Tests/Bench/Capacity/bench.py
+++ b/Tests/Bench/Capacity/bench.py
@@ -66,7 +66,7 @@
     parser = argparse.ArgumentParser(prog="Meta/laburnum bench capacity")
     parser.add_argument("build")
     parser.add_argument("parts", nargs="*",
-                        help="of steady, changes, herds, daemons; none: all")
+                        help="of steady, claims, changes, herds, daemons; none: all")
     parser.add_argument("--daemons", type=int, default=8)
     parser.add_argument("--servers", type=int, default=13)
     parser.add_argument("--seconds", type=int, default=20)
