laburnumd: End in bounded time when an engine is silent

A flow that waits for a silent engine outlived the parts that it uses when the daemon was destroyed. The daemon waits 0.5 s for closed streams' flows and then exits without destroying anything.

--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -25,6 +25,7 @@
 
 #include <glog/logging.h>
 
+#include <cstdlib>
 #include <future>
 #include <random>
 #include <set>
@@ -183,7 +184,7 @@
     drain(Within);
     Callers_->stop();
     Serving.join();
-    Streams_.stop();
+    bool const AreFlowsEnded = Streams_.stop();
     Operators_->stop(OperatorGrace);
     Plane_.stop();
     Claims_.stop();
@@ -191,6 +192,12 @@
     Control_.stop();
     LOG(INFO) << "instance=" << Settings_.Instance_.Id_.text()
               << " state=stopped";
+    // A flow that waits for a silent engine still uses the parts of this
+    // object, so that they must not be destroyed.
+    if (!AreFlowsEnded) {
+      google::FlushLogFiles(google::GLOG_INFO);
+      std::_Exit(EXIT_SUCCESS);
+    }
   }
 
   /// Lets the balancer turn away, then refuses new work and waits for what is
--- a/Services/laburnumd/StreamService.cpp
+++ b/Services/laburnumd/StreamService.cpp
@@ -2,8 +2,6 @@
 
 #include <LibRecovery/StreamFailures.h>
 
-#include <glog/logging.h>
-
 #include <thread>
 #include <utility>
 
@@ -15,7 +13,7 @@
 /// Between two looks at whether a stop would lose anything.
 constexpr Duration SafetyPoll = std::chrono::milliseconds(20);
 /// How long flows may take to notice that their streams were closed.
-constexpr Duration FlowGrace = std::chrono::seconds(2);
+constexpr Duration FlowGrace = std::chrono::milliseconds(500);
 
 StreamName nameOf(CallerRequest const &Request) {
   return {Request.Account_,
@@ -109,14 +107,14 @@
 }
 
 /// Flows see that their streams are closed when their next token comes.
-void StreamService::stop() {
+bool StreamService::stop() {
   Control_.post([this] {
     for (auto const &[Name, One] : Live_)
       One.Log_->markMoved();
   });
   std::unique_lock Lock(Mutex_);
-  if (!ThreadEnded_.wait_for(Lock, FlowGrace, [this] { return Threads_ == 0; }))
-    LOG(WARNING) << "state=flows_left count=" << Threads_;
+  return ThreadEnded_.wait_for(Lock, FlowGrace,
+                               [this] { return Threads_ == 0; });
 }
 
 void StreamService::membersChanged(std::vector<Member> const &Members) {
--- a/Services/laburnumd/StreamService.h
+++ b/Services/laburnumd/StreamService.h
@@ -45,8 +45,9 @@
   /// Waits until nothing would be lost if this instance were gone; false when
   /// Limit passed first.
   bool waitUntilSafe(Duration Limit);
-  /// Ends all flows and waits for them.
-  void stop();
+  /// Ends all flows and waits for them a little; false when one is left, which
+  /// still uses this object.
+  bool stop();
 
   // Called on the control thread.
 
--- a/Tests/LibRecovery/TestStreamLedger.cpp
+++ b/Tests/LibRecovery/TestStreamLedger.cpp
@@ -155,8 +155,10 @@
 }
 
 TEST_CASE("A former owner that was cut off stops when it is heard again") {
+  // Different instances keep the checkpoints of different keys.
+  auto const Key = "key" + std::to_string(GENERATE(range(0, 8)));
   LedgerFleet Fleet(Names);
-  TestCaller Caller{"key", 7, 3000};
+  TestCaller Caller{Key, 7, 3000};
   Fleet.connect(Caller, "a1");
   Fleet.runUntilTokens(Caller, 100);
   Fleet.hangUp(Caller);
@@ -164,14 +166,34 @@
   Fleet.cut("a1");
   Fleet.connect(Caller, "c1");
   Fleet.run(seconds(2));
-  CHECK(Fleet.generators("key") == std::vector<std::string>{"a1", "c1"});
+  CHECK(Fleet.generators(Key) == std::vector<std::string>{"a1", "c1"});
   Fleet.heal("a1");
   Fleet.run(seconds(5));
-  CHECK(Fleet.generators("key") == std::vector<std::string>{"c1"});
+  CHECK(Fleet.generators(Key) == std::vector<std::string>{"c1"});
   Fleet.runUntilTokens(Caller, 3000);
   checkByteExact(Fleet, Caller, "a1");
 }
 
+TEST_CASE("A former owner that answers does not get its successor's caller") {
+  auto const Key = "key" + std::to_string(GENERATE(range(0, 8)));
+  LedgerFleet Fleet(Names);
+  TestCaller Caller{Key, 7, 1500};
+  Fleet.connect(Caller, "a1");
+  Fleet.runUntilTokens(Caller, 100);
+  Fleet.hangUp(Caller);
+  Fleet.run(seconds(4));
+  Fleet.cut("a1");
+  Fleet.connect(Caller, "c1");
+  Fleet.run(seconds(2));
+  Fleet.hangUp(Caller);
+  Fleet.heal("a1");
+  Fleet.connect(Caller, "a2");
+  Fleet.run(seconds(1));
+  CHECK_FALSE(Caller.Failure_);
+  Fleet.runUntilTokens(Caller, 1500);
+  checkWhole(Caller);
+}
+
 TEST_CASE("Lost, doubled and reordered messages mix no streams") {
   auto const Seed = GENERATE(range(1U, 9U));
   LedgerFleet Fleet(Names, {25, 25, milliseconds(150)}, Seed);
