--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -41,10 +41,13 @@
 /// How long operators' calls in progress may take at the end.
 constexpr Duration OperatorGrace = std::chrono::seconds(2);
 
-/// The part of a reclaim's time that a stop may use; the rest is for its end.
-Duration usableTime(Duration Remaining) {
-  constexpr int UsablePercent = 90;
-  return Remaining * UsablePercent / 100;
+/// What ending may take once nothing is in progress: flows of closed streams,
+/// operators' calls and the platform's long polls are waited for.
+constexpr Duration EndTime = std::chrono::milliseconds(4500);
+
+/// The part of a stop's time in which requests may go on.
+Duration usableTime(Duration Within) {
+  return std::max(Within - EndTime, Within / 2);
 }
 
 std::uint64_t randomSeed() {
@@ -170,7 +173,7 @@
             [this](auto const &From, auto const &Message) {
               Streams_.receive(From, Message);
             },
-            [this](Duration Remaining) { requestStop(usableTime(Remaining)); }};
+            [this](Duration Remaining) { requestStop(Remaining); }};
   }
 
   void run() {
@@ -181,7 +184,7 @@
               << " operators_port=" << Operators_->endpoint().Port_
               << " peers_port=" << Plane_.peerEndpoint().Port_;
     auto const Within = StopRequested_.get_future().get();
-    drain(Within);
+    drain(usableTime(Within));
     Callers_->stop();
     Serving.join();
     bool const AreFlowsEnded = Streams_.stop();
--- a/Tests/LibRecovery/TestStreamLedger.cpp
+++ b/Tests/LibRecovery/TestStreamLedger.cpp
@@ -262,3 +262,41 @@
   for (auto const &Message : Fleet.sent())
     CHECK_FALSE(std::holds_alternative<StreamCheckpoint>(Message));
 }
+
+TEST_CASE("A stream longer than one message is handed over in parts") {
+  LedgerFleet Fleet(Names);
+  TestCaller Caller{"key", 7, 20'000};
+  Fleet.connect(Caller, "a1");
+  Fleet.runUntilTokens(Caller, 18'000);
+  Fleet.hangUp(Caller);
+  Fleet.connect(Caller, "c2");
+  Fleet.runUntilTokens(Caller, 20'000);
+  checkByteExact(Fleet, Caller, "a2");
+}
+
+TEST_CASE("Ended streams beyond the bound are forgotten, the oldest first") {
+  streams::Settings Settings;
+  Settings.Self_.Id_ = InstanceId("a1");
+  Settings.MostKeptTokens_ = 3;
+  StreamLedger Ledger(Settings);
+  TimePoint Now{seconds(1)};
+  auto const NameOf = [](std::string const &Key) {
+    return StreamName{AccountName("account"), IdempotencyKey(Key)};
+  };
+  for (auto const *Key : {"older", "newer"}) {
+    streams::StreamWanted Wanted;
+    Wanted.Ticket_ = 1;
+    Wanted.Name_ = NameOf(Key);
+    Wanted.Naming_ = streams::Naming::ByThisInstance;
+    auto const Started = Ledger.handle(Wanted, Now);
+    REQUIRE(Started.size() == 1);
+    auto const Epoch = std::get<streams::StartStream>(Started[0]).Epoch_;
+    Ledger.handle(
+        streams::FlowEnded{
+            Wanted.Name_, Epoch, StreamPhase::Whole, 0, {"one", "two"}},
+        Now);
+    Now += seconds(1);
+  }
+  auto const Actions = Ledger.handle(streams::TimePassed{}, Now);
+  CHECK(Actions == streams::Actions{streams::ForgetStream{NameOf("older")}});
+}
