--- a/Services/laburnumd/ControlPlane.cpp
+++ b/Services/laburnumd/ControlPlane.cpp
@@ -89,6 +89,7 @@
 }
 
 void ControlPlane::announceLeaving() {
+  Leaving_ = true;
   Control_.post([this] { feed(membership::Event(membership::OwnLeaving{})); });
 }
 
@@ -200,6 +201,8 @@
 }
 
 void ControlPlane::perform(configuration::WatchCollection const &Action) {
+  if (Leaving_)
+    return;
   callPlatform(
       [this, Action] {
         return Platform_.Objects_.watch(toString(Action.Kind_), Action.From_,
@@ -256,6 +259,8 @@
 }
 
 void ControlPlane::readNotices() {
+  if (Leaving_)
+    return;
   callPlatform(
       [this, From = NextNotice_] {
         auto Batch = Platform_.Cloud_.notices(From, LongPoll);
--- a/Services/laburnumd/ControlPlane.h
+++ b/Services/laburnumd/ControlPlane.h
@@ -66,6 +66,8 @@
   /// A change that this instance wrote and the platform accepted.
   void applyOwnChange(ConfigurationObject const &Object);
   void reportRefusal(ServerId const &Server);
+  /// Tells the peers, and begins no more long polls of the platform, which a
+  /// stop would wait for: from now on the peers bring what is new.
   void announceLeaving();
   /// A backend server that its operator takes out of use.
   void drainServer(ServerId const &Server, Duration Within);
@@ -120,6 +122,7 @@
   std::uint64_t NextNotice_ = 0;
   std::atomic<bool> PlatformReachable_ = false;
   std::atomic<bool> Stopping_ = false;
+  std::atomic<bool> Leaving_ = false;
 };
 
 } // namespace laburnum
--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -41,9 +41,9 @@
 /// How long operators' calls in progress may take at the end.
 constexpr Duration OperatorGrace = std::chrono::seconds(2);
 
-/// What ending may take once nothing is in progress: flows of closed streams,
-/// operators' calls and the platform's long polls are waited for.
-constexpr Duration EndTime = std::chrono::milliseconds(4500);
+/// What ending may take once nothing is in progress: flows of closed streams
+/// and operators' calls are waited for.
+constexpr Duration EndTime = std::chrono::milliseconds(2500);
 
 /// The part of a stop's time in which requests may go on.
 Duration usableTime(Duration Within) {
