--- a/Tests/Bench/Capacity/Main.cpp
+++ b/Tests/Bench/Capacity/Main.cpp
@@ -4,7 +4,9 @@
 
 #include <cstdio>
 #include <optional>
-#include <string_view>
+#include <set>
+#include <string>
+#include <vector>
 
 using namespace laburnum;
 using namespace laburnum::bench;
@@ -202,6 +204,7 @@
   std::printf("\nReplacements at once, until all hold the configuration and "
               "know all members (%u members)\n",
               Shape.Members_);
+  std::fflush(stdout);
   constexpr double Reclaimable = 0.66;
   runHerd(Shape, 1.0 / Shape.DataCentres_, "an eighth replaced", false);
   runHerd(Shape, Reclaimable, "66% replaced", false);
@@ -241,42 +244,65 @@
   std::fflush(stdout);
 }
 
-void runAllClaims() {
+void runAllClaims(std::vector<std::uint32_t> const &Sizes) {
   std::puts("\nClaims of all instances together, 64 buckets, 20 s after 20 s "
             "(buckets still grow)");
   std::puts("instances claims/s | granted/s writes/s reads/s conflicts/s | "
             "MB/s written, read | largest_kB wait_ms cpu_us/claim refused/s");
-  for (std::uint32_t const Instances : {8U, 32U, 128U, 410U})
+  for (auto const Instances : Sizes)
     for (double const Rate : {10.0, 100.0, 300.0})
       runClaims({Instances, Rate, std::chrono::milliseconds(50)});
 }
 
-bool isAsked(int Count, char **Arguments, std::string_view Part) {
-  if (Count < 2)
-    return true;
-  for (int Index = 1; Index < Count; ++Index)
-    if (Arguments[Index] == Part)
-      return true;
-  return false;
+/// What is asked for: names of parts and numbers of members; none means all.
+struct Arguments {
+  std::set<std::string> Parts_;
+  std::set<std::uint32_t> Sizes_;
+
+  bool has(std::string const &Part) const {
+    return Parts_.empty() || Parts_.contains(Part);
+  }
+  bool has(std::uint32_t Size) const {
+    return Sizes_.empty() || Sizes_.contains(Size);
+  }
+};
+
+Arguments argumentsOf(int Count, char **Texts) {
+  Arguments Asked;
+  for (int Index = 1; Index < Count; ++Index) {
+    std::string const Text = Texts[Index];
+    if (Text.find_first_not_of("0123456789") == std::string::npos)
+      Asked.Sizes_.insert(static_cast<std::uint32_t>(std::stoul(Text)));
+    else
+      Asked.Parts_.insert(Text);
+  }
+  return Asked;
 }
 
 } // namespace
 
-int main(int Count, char **Arguments) {
-  if (isAsked(Count, Arguments, "steady")) {
+int main(int Count, char **Texts) {
+  auto const Asked = argumentsOf(Count, Texts);
+  std::vector<std::uint32_t> Sizes;
+  for (std::uint32_t const Size : {8U, 32U, 128U, 410U})
+    if (Asked.has(Size))
+      Sizes.push_back(Size);
+  if (Asked.has("steady")) {
     printSteadyHead();
-    for (std::uint32_t const Members : {8U, 32U, 128U, 410U})
+    for (auto const Size : Sizes)
       for (std::uint32_t const Servers : {65U, 650U})
-        runSteady({Members, Servers, DesignShape.DataCentres_});
-  }
-  if (isAsked(Count, Arguments, "claims"))
-    runAllClaims();
-  if (isAsked(Count, Arguments, "changes")) {
-    for (std::uint32_t const Members : {8U, 128U, 410U})
-      runChanges({Members, DesignShape.Servers_, DesignShape.DataCentres_});
+        runSteady({Size, Servers, DesignShape.DataCentres_});
   }
-  if (isAsked(Count, Arguments, "herds")) {
-    runHerds(DesignShape);
-    runColdStart(DesignShape);
+  if (Asked.has("claims"))
+    runAllClaims(Sizes);
+  for (auto const Size : Sizes) {
+    FleetShape const Shape{Size, DesignShape.Servers_,
+                           DesignShape.DataCentres_};
+    if (Asked.has("changes"))
+      runChanges(Shape);
+    if (Asked.has("herds")) {
+      runHerds(Shape);
+      runColdStart(Shape);
+    }
   }
 }
--- a/Tests/Bench/Capacity/bench.py
+++ b/Tests/Bench/Capacity/bench.py
@@ -66,7 +66,8 @@
     parser = argparse.ArgumentParser(prog="Meta/laburnum bench capacity")
     parser.add_argument("build")
     parser.add_argument("parts", nargs="*",
-                        help="of steady, claims, changes, herds, daemons; none: all")
+                        help="of steady, claims, changes, herds, daemons, and "
+                        "numbers of members; none: all")
     parser.add_argument("--daemons", type=int, default=8)
     parser.add_argument("--servers", type=int, default=13)
     parser.add_argument("--seconds", type=int, default=20)
