--- a/Tests/Processes/TestDaemons.cpp
+++ b/Tests/Processes/TestDaemons.cpp
@@ -132,7 +132,8 @@
   IsReady = false;
   for (auto &One : Callers)
     One.get();
-  REQUIRE(Failures == std::vector<std::string>{});
+  CAPTURE(Failures);
+  REQUIRE(Failures.empty());
   REQUIRE(Running.instance(0).Process_->awaitEnd() == 0);
 }
 
