LibFleet: Tell an instance that starts which servers are leaving

An instance that started during a platform outage got the configuration from its peers, but no departures, and sent new work to a server that was leaving. Eight instances in rendezvous order, the same in the view of all, now tell a newcomer what they know.

--- a/Libraries/LibFleet/ServerDirectory.cpp
+++ b/Libraries/LibFleet/ServerDirectory.cpp
@@ -1,5 +1,7 @@
 #include <LibFleet/ServerDirectory.h>
 
+#include <LibCore/Hash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -124,7 +126,17 @@
 }
 
 void ServerDirectory::on(servers::MembersChanged const &Event) {
-  Members_ = Event.Members_;
+  auto const Before = std::exchange(Members_, Event.Members_);
+  for (auto const &One : Members_) {
+    auto const IsSame = [&](Member const &Other) {
+      return Other.Instance_.Id_ == One.Instance_.Id_ &&
+             Other.Liveness_ == Liveness::Live;
+    };
+    bool const IsNew = One.Liveness_ == Liveness::Live &&
+                       std::none_of(Before.begin(), Before.end(), IsSame);
+    if (IsNew && One.Instance_.Id_ != Settings_.Self_.Id_)
+      tellNewcomer(One.Instance_);
+  }
 }
 
 void ServerDirectory::on(servers::TimePassed const & /*Event*/) {
@@ -166,13 +178,38 @@
     if (One.Liveness_ == Liveness::Live &&
         One.Instance_.Id_ != Settings_.Self_.Id_)
       Peers.push_back(One.Instance_.Peers_);
-  ServerLeavingNotice Notice{Id, News.Liveness_, {}, News.ServerVersion_};
-  if (News.GoneAt_)
-    Notice.Remaining_ = std::max(Duration(0), *News.GoneAt_ - Now_);
+  auto const Notice = noticeOf(Id, News);
   std::shuffle(Peers.begin(), Peers.end(), Generator_);
   Peers.resize(std::min(Peers.size(), Settings_.FanOut_));
   for (auto const &To : Peers)
     Actions_.emplace_back(SendToPeer{To, Notice});
 }
 
+ServerLeavingNotice ServerDirectory::noticeOf(ServerId const &Id,
+                                              Departure const &News) const {
+  ServerLeavingNotice Notice{Id, News.Liveness_, {}, News.ServerVersion_};
+  if (News.GoneAt_)
+    Notice.Remaining_ = std::max(Duration(0), *News.GoneAt_ - Now_);
+  return Notice;
+}
+
+/// An instance that starts, or comes back after a cut, missed the notices that
+/// were passed on once, and the platform's list may be out of its reach. A few
+/// instances, the same in the view of all, tell it what they know.
+void ServerDirectory::tellNewcomer(EntryInstance const &Newcomer) {
+  std::vector<InstanceId> Tellers;
+  for (auto const &One : Members_)
+    if (One.Liveness_ == Liveness::Live && One.Instance_.Id_ != Newcomer.Id_)
+      Tellers.push_back(One.Instance_.Id_);
+  Tellers = rendezvousOrder(
+      "departures/" + Newcomer.Id_.text(), std::move(Tellers),
+      [](InstanceId const &One) -> std::string const & { return One.text(); });
+  Tellers.resize(std::min(Tellers.size(), Settings_.FanOut_));
+  if (std::find(Tellers.begin(), Tellers.end(), Settings_.Self_.Id_) ==
+      Tellers.end())
+    return;
+  for (auto const &[Id, Known] : Next_)
+    Actions_.emplace_back(SendToPeer{Newcomer.Peers_, noticeOf(Id, Known)});
+}
+
 } // namespace laburnum
--- a/Libraries/LibFleet/ServerDirectory.h
+++ b/Libraries/LibFleet/ServerDirectory.h
@@ -104,6 +104,9 @@
 
   void advance(ServerId const &Id, servers::Departure const &Seen);
   void tellPeers(ServerId const &Id, servers::Departure const &News);
+  void tellNewcomer(EntryInstance const &Newcomer);
+  ServerLeavingNotice noticeOf(ServerId const &Id,
+                               servers::Departure const &News) const;
   Version versionOf(ServerId const &Id) const;
 
   servers::Settings Settings_;
--- a/Tests/FaultMatrix/Program/Main.cpp
+++ b/Tests/FaultMatrix/Program/Main.cpp
@@ -44,7 +44,7 @@
     return 0;
   }
   Selection Wanted{textOf(Parsed, "row"), textOf(Parsed, "column"),
-                   textOf(Parsed, "known-red"), std::nullopt};
+                   Parsed["known-red"].as<std::string>(), std::nullopt};
   if (Parsed.count("mutant")) {
     Wanted.Mutant_ = mutantNamed(textOf(Parsed, "mutant"));
     if (!Wanted.Mutant_) {
--- a/Tests/FaultMatrix/World.cpp
+++ b/Tests/FaultMatrix/World.cpp
@@ -181,7 +181,9 @@
   for (auto &Host : Hosts_)
     if (Host.Entry_ && !Host.Entry_->isPaused())
       Host.Entry_->tick();
-  for (auto &[Id, One] : Departing_) {
+  for (auto &Each : Departing_) {
+    auto const &Id = Each.first;
+    auto &One = Each.second;
     bool const IsKnown =
         std::any_of(Hosts_.begin(), Hosts_.end(), [&](Host const &Each) {
           return Each.Entry_ && Each.Entry_->knowsOfDeparture(Id);
--- a/Tests/LibFleet/TestServerDirectory.cpp
+++ b/Tests/LibFleet/TestServerDirectory.cpp
@@ -124,3 +124,29 @@
   CHECK(handle(NoticeReceived{{"i7", {}, Duration(1)}}) == 0);
   CHECK(Directory_.departures()->empty());
 }
+
+TEST_CASE_METHOD(Fixture, "An instance that starts is told of departures") {
+  handle(notice());
+  auto Fewer = members(8);
+  CHECK(handle(servers::MembersChanged{Fewer}) == 0);
+  Fewer.push_back(members(101).back());
+  CHECK(handle(servers::MembersChanged{Fewer},
+               Start + std::chrono::seconds(10)) == 1);
+  CHECK(Last_.Server_ == Id);
+  CHECK(Last_.Remaining_ == std::chrono::seconds(20));
+  CHECK(handle(servers::MembersChanged{Fewer}) == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "A few instances tell one that comes back") {
+  handle(notice());
+  std::size_t Tellers = 0;
+  for (std::size_t Each = 0; Each < 100; ++Each) {
+    ServerDirectory One({members(100)[Each].Instance_, 1, 8});
+    One.handle(notice(), Start);
+    auto Without = members(100);
+    Without.pop_back();
+    One.handle(servers::MembersChanged{Without}, Start);
+    Tellers += One.handle(servers::MembersChanged{members(100)}, Start).size();
+  }
+  CHECK(Tellers == 8);
+}
