--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -59,6 +59,26 @@
   return std::tie(Value.Server_, Value.Liveness_, Value.Remaining_,
                   Value.ServerVersion_);
 }
+auto fieldsOf(Of<CrashReport> auto &Value) {
+  return std::tie(Value.Incident_, Value.Fingerprint_, Value.Server_,
+                  Value.Evidence_, Value.Age_);
+}
+auto fieldsOf(Of<CrashReports> auto &Value) { return std::tie(Value.Reports_); }
+auto fieldsOf(Of<ServerReserved> auto &Value) {
+  return std::tie(Value.Server_, Value.Fingerprint_, Value.Owner_, Value.State_,
+                  Value.Remaining_);
+}
+auto fieldsOf(Of<AccountDemand> auto &Value) {
+  return std::tie(Value.Account_, Value.RequestsPerSecond_,
+                  Value.TokensPerSecond_);
+}
+auto fieldsOf(Of<DemandReport> auto &Value) { return std::tie(Value.Demands_); }
+auto fieldsOf(Of<AccountShare> auto &Value) {
+  return std::tie(Value.Account_, Value.PartsPerMillion_);
+}
+auto fieldsOf(Of<ShareGrant> auto &Value) {
+  return std::tie(Value.Shares_, Value.Valid_);
+}
 
 /// The last enumerator of each enumeration, so that a number beyond it is
 /// refused.
@@ -68,6 +88,12 @@
 }
 constexpr ObjectKind lastOf(ObjectKind /*Any*/) { return ObjectKind::Server; }
 constexpr Liveness lastOf(Liveness /*Any*/) { return Liveness::Gone; }
+constexpr CrashEvidence lastOf(CrashEvidence /*Any*/) {
+  return CrashEvidence::Cleared;
+}
+constexpr ReservationState lastOf(ReservationState /*Any*/) {
+  return ReservationState::Over;
+}
 
 template <typename Value> struct IsVector : std::false_type {};
 template <typename Item> struct IsVector<std::vector<Item>> : std::true_type {};
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -3,6 +3,10 @@
 #include <LibCore/Time.h>
 #include <LibModel/ConfigurationObject.h>
 #include <LibModel/EntryInstance.h>
+#include <LibPeer/CrashReports.h>
+#include <LibPeer/DemandReport.h>
+#include <LibPeer/ServerReserved.h>
+#include <LibPeer/ShareGrant.h>
 
 #include <compare>
 #include <cstdint>
@@ -103,6 +107,7 @@
 /// its place is its number on the wire.
 using PeerMessage =
     std::variant<Hello, Heartbeat, ConfigurationDigest, ConfigurationObjects,
-                 ConfigurationRequest, ServerLeavingNotice>;
+                 ConfigurationRequest, ServerLeavingNotice, CrashReports,
+                 ServerReserved, DemandReport, ShareGrant>;
 
 } // namespace laburnum
--- /dev/null
+++ b/Libraries/LibPeer/ShareGrant.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <LibCore/Identifier.h>
+#include <LibCore/Time.h>
+
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+namespace laburnum {
+
+/// The part of an account's limits that the receiver may give out.
+struct AccountShare {
+  AccountName Account_;
+  std::uint32_t PartsPerMillion_ = 0;
+
+  auto operator<=>(AccountShare const &) const = default;
+};
+
+/// Answers a DemandReport.
+struct ShareGrant {
+  std::vector<AccountShare> Shares_;
+  Duration Valid_{}; ///< After this the receiver must not rely on it.
+
+  auto operator<=>(ShareGrant const &) const = default;
+};
+
+} // namespace laburnum
--- a/Libraries/LibServing/CrashGuard.cpp
+++ b/Libraries/LibServing/CrashGuard.cpp
@@ -8,162 +8,290 @@
 
 /// How long a crash counts.
 constexpr Duration Expiry = std::chrono::minutes(10);
-/// How long before a crash is seen its broken connections may be.
-constexpr Duration BreakToCrash = std::chrono::seconds(5);
+/// How long a break may wait for its judgement.
+constexpr Duration JudgementTime = std::chrono::seconds(1);
 /// How long after a notice a crash in its data centre is part of the reclaim.
 constexpr Duration ReclaimWave = std::chrono::seconds(60);
+/// Servers that went within this time went together.
+constexpr Duration ServersGoTogether = std::chrono::seconds(5);
 
 bool mayBeCrash(AttemptEvidence const &Evidence) {
   return Evidence.End_ == AttemptEnd::ConnectionFailed &&
          Evidence.Progress_ >= AttemptProgress::RequestSent;
 }
 
+bool isWhole(AttemptEvidence const &Evidence) {
+  return Evidence.Progress_ == AttemptProgress::AnswerWhole &&
+         Evidence.End_ == AttemptEnd::Answered;
+}
+
 } // namespace
 
 CrashVerdict CrashGuard::verdict(std::uint64_t Fingerprint,
                                  TimePoint Now) const {
   std::lock_guard const Lock(Mutex_);
-  auto const Crashes = countingCrashes(Fingerprint, Now);
-  if (Crashes >= 2)
+  auto const Found = Suspicions_.find(Fingerprint);
+  if (Found == Suspicions_.end())
+    return CrashVerdict::Run;
+  auto const &Known = Found->second;
+  if (isRefused(Known, Now))
     return CrashVerdict::Refuse;
-  if (Crashes == 0)
+  if (std::none_of(Known.begin(), Known.end(), [&](auto const &Entry) {
+        return counts(Entry.second, Now);
+      }))
     return CrashVerdict::Run;
-  return isUnderTrial(Fingerprint, Now) ? CrashVerdict::Wait
-                                        : CrashVerdict::RunAlone;
+  if (isRunning(Fingerprint) || awaitsJudgement(Known, Now))
+    return CrashVerdict::Wait;
+  return CrashVerdict::RunAlone;
 }
 
-void CrashGuard::onStarted(std::uint64_t Fingerprint, ServerId const &Server) {
+std::set<ServerId> CrashGuard::brokenOffOn(std::uint64_t Fingerprint,
+                                           TimePoint Now) const {
   std::lock_guard const Lock(Mutex_);
-  Running_[Server].insert(Fingerprint);
+  std::set<ServerId> Servers;
+  auto const Found = Suspicions_.find(Fingerprint);
+  if (Found == Suspicions_.end())
+    return Servers;
+  for (auto const &[Name, One] : Found->second)
+    if (counts(One, Now))
+      Servers.insert(One.Server_);
+  return Servers;
 }
 
-void CrashGuard::onEnded(std::uint64_t Fingerprint, ServerId const &Server,
-                         AttemptEvidence const &Evidence, TimePoint Now) {
+bool CrashGuard::isWitness(ServerId const &Server, ServerId const &Other,
+                           TimePoint Now) const {
   std::lock_guard const Lock(Mutex_);
-  auto const Found = Running_.find(Server);
-  if (Found != Running_.end()) {
-    auto const One = Found->second.find(Fingerprint);
-    if (One != Found->second.end())
-      Found->second.erase(One);
-    if (Found->second.empty())
-      Running_.erase(Found);
+  for (auto const &[Fingerprint, Known] : Suspicions_) {
+    bool IsOnServer = false;
+    bool IsOnOther = false;
+    for (auto const &[Name, One] : Known) {
+      if (One.Server_ == Other && Now - One.At_ > ServersGoTogether)
+        return false;
+      IsOnServer |= One.Server_ == Server;
+      IsOnOther |= One.Server_ == Other;
+    }
+    if (IsOnServer && IsOnOther)
+      return false;
   }
-  if (mayBeCrash(Evidence))
-    Broken_[Server].push_back({Fingerprint, Now});
-  auto const Suspected = Suspicions_.find(Fingerprint);
-  bool const IsWhole = Evidence.Progress_ == AttemptProgress::AnswerWhole &&
-                       Evidence.End_ == AttemptEnd::Answered;
-  // A copy that still ran elsewhere does not clear one that is refused already.
-  if (!IsWhole || Suspected == Suspicions_.end() ||
-      countingCrashes(Fingerprint, Now) != 1)
-    return;
-  Suspected->second.Crashes_.clear();
-  Suspected->second.ClearedAt_ = Now;
+  return true;
+}
+
+void CrashGuard::onStarted(std::uint64_t Fingerprint, ServerId const &Server,
+                           Company Company_) {
+  std::lock_guard const Lock(Mutex_);
+  auto &Counts = Running_[Server][Fingerprint];
+  ++(Company_ == Company::Alone ? Counts.Alone_ : Counts.Shared_);
+}
+
+std::vector<CrashReport> CrashGuard::onEnded(std::uint64_t Fingerprint,
+                                             ServerId const &Server,
+                                             AttemptEvidence const &Evidence,
+                                             TimePoint Now) {
+  std::lock_guard const Lock(Mutex_);
+  auto const Ran = endAttempt(Fingerprint, Server);
+  if (isWhole(Evidence))
+    return clear(Fingerprint, Now);
+  auto const Reclaim = Reclaimed_.find(Server);
+  if (!mayBeCrash(Evidence) || !Ran ||
+      (Reclaim != Reclaimed_.end() && Now - Reclaim->second < Expiry))
+    return {};
+  Incident const Seen{Server, CrashEvidence::BrokenOff, Now, *Ran};
+  return {addIncident(Fingerprint, Seen, Now)};
+}
+
+std::vector<CrashReport> CrashGuard::onJudged(BackendServer const &Server,
+                                              BreakCause Cause, TimePoint Now) {
+  if (Cause == BreakCause::Crash)
+    return onCrash(Server, Now);
+  std::lock_guard const Lock(Mutex_);
+  auto const Evidence = Cause == BreakCause::MachineLost
+                            ? CrashEvidence::ServerLost
+                            : CrashEvidence::Cleared;
+  return settleBreaks(Server.Id_, Evidence, Now);
 }
 
 std::vector<CrashReport> CrashGuard::onCrash(BackendServer const &Server,
                                              TimePoint Now) {
   std::lock_guard const Lock(Mutex_);
-  auto const Victims = takeVictims(Server.Id_, Now);
-  std::vector<CrashReport> Reports;
   if (isInReclaim(Server, Now))
-    return Reports;
-  for (auto const Fingerprint : Victims) {
-    addCrash(Fingerprint, Server.Id_, Now);
-    Reports.push_back({Fingerprint, Server.Id_, Duration::zero()});
-  }
+    return settleBreaks(Server.Id_, CrashEvidence::Cleared, Now);
+  auto Reports = settleBreaks(Server.Id_, CrashEvidence::Crashed, Now);
+  auto const Others = crashRunning(Server.Id_, Now);
+  Reports.insert(Reports.end(), Others.begin(), Others.end());
   return Reports;
 }
 
 void CrashGuard::onReclaim(BackendServer const &Server, TimePoint Now) {
   std::lock_guard const Lock(Mutex_);
   LastReclaim_[Server.DataCentre_] = Now;
-  for (auto &[Fingerprint, Suspected] : Suspicions_) {
-    auto const Found = Suspected.Crashes_.find(Server.Id_);
-    if (Found != Suspected.Crashes_.end() && Now - Found->second <= ReclaimWave)
-      Suspected.Crashes_.erase(Found);
-  }
+  Reclaimed_[Server.Id_] = Now;
+  for (auto &[Fingerprint, Known] : Suspicions_)
+    for (auto &[Name, One] : Known)
+      if (One.Server_ == Server.Id_ && Now - One.At_ <= ReclaimWave)
+        One.Evidence_ = CrashEvidence::Cleared;
 }
 
 std::vector<CrashReport> CrashGuard::reports(TimePoint Now) const {
   std::lock_guard const Lock(Mutex_);
   std::vector<CrashReport> Reports;
-  for (auto const &[Fingerprint, Suspected] : Suspicions_)
-    for (auto const &[Server, At] : Suspected.Crashes_)
-      if (Now - At < Expiry)
-        Reports.push_back({Fingerprint, Server, Now - At});
+  for (auto const &[Fingerprint, Known] : Suspicions_)
+    addReports(Fingerprint, Known, Now, Reports);
+  return Reports;
+}
+
+std::vector<CrashReport> CrashGuard::reportsOf(std::uint64_t Fingerprint,
+                                               TimePoint Now) const {
+  std::lock_guard const Lock(Mutex_);
+  std::vector<CrashReport> Reports;
+  auto const Found = Suspicions_.find(Fingerprint);
+  if (Found != Suspicions_.end())
+    addReports(Fingerprint, Found->second, Now, Reports);
   return Reports;
 }
 
 void CrashGuard::merge(std::vector<CrashReport> const &Reports, TimePoint Now) {
   std::lock_guard const Lock(Mutex_);
-  for (auto const &Report : Reports)
-    addCrash(Report.Fingerprint_, Report.Server_, Now - Report.Age_);
+  for (auto const &Report : Reports) {
+    auto const At = Now - std::max(Report.Age_, Duration::zero());
+    auto &One = Suspicions_[Report.Fingerprint_]
+                    .try_emplace(Report.Incident_,
+                                 Incident{Report.Server_, Report.Evidence_, At,
+                                          Company::Shared})
+                    .first->second;
+    One.Evidence_ = std::max(One.Evidence_, Report.Evidence_);
+    One.At_ = std::min(One.At_, At);
+  }
 }
 
 void CrashGuard::expire(TimePoint Now) {
   std::lock_guard const Lock(Mutex_);
-  for (auto &[Fingerprint, Suspected] : Suspicions_)
-    std::erase_if(Suspected.Crashes_, [&](auto const &Crash) {
-      return Now - Crash.second >= Expiry;
+  for (auto &[Fingerprint, Known] : Suspicions_)
+    std::erase_if(Known, [&](auto const &Entry) {
+      return Now - Entry.second.At_ >= Expiry;
     });
-  std::erase_if(Suspicions_, [&](auto const &Entry) {
-    auto const &Suspected = Entry.second;
-    return Suspected.Crashes_.empty() && Suspected.ClearedAt_ + Expiry <= Now;
-  });
-  for (auto &[Server, Attempts] : Broken_)
-    std::erase_if(Attempts, [&](BrokenAttempt const &One) {
-      return Now - One.At_ > BreakToCrash;
-    });
-  std::erase_if(Broken_,
+  std::erase_if(Suspicions_,
                 [](auto const &Entry) { return Entry.second.empty(); });
+  std::erase_if(Reclaimed_, [&](auto const &Entry) {
+    return Now - Entry.second >= Expiry;
+  });
 }
 
-std::size_t CrashGuard::countingCrashes(std::uint64_t Fingerprint,
-                                        TimePoint Now) const {
-  auto const Found = Suspicions_.find(Fingerprint);
-  if (Found == Suspicions_.end())
-    return 0;
-  auto const &Crashes = Found->second.Crashes_;
-  return static_cast<std::size_t>(
-      std::count_if(Crashes.begin(), Crashes.end(), [&](auto const &Crash) {
-        return Now - Crash.second < Expiry;
-      }));
-}
-
-/// True while an attempt's end may still turn out to be a crash.
-bool CrashGuard::isUnderTrial(std::uint64_t Fingerprint, TimePoint Now) const {
-  for (auto const &[Server, Fingerprints] : Running_)
-    if (Fingerprints.contains(Fingerprint))
-      return true;
-  for (auto const &[Server, Attempts] : Broken_)
-    for (auto const &One : Attempts)
-      if (One.Fingerprint_ == Fingerprint && Now - One.At_ <= BreakToCrash)
+void CrashGuard::addReports(std::uint64_t Fingerprint, Incidents const &Known,
+                            TimePoint Now, std::vector<CrashReport> &Into) {
+  for (auto const &[Name, One] : Known)
+    if (Now - One.At_ < Expiry)
+      Into.push_back(
+          {Name, Fingerprint, One.Server_, One.Evidence_, Now - One.At_});
+}
+
+bool CrashGuard::counts(Incident const &One, TimePoint Now) const {
+  return One.Evidence_ != CrashEvidence::Cleared && Now - One.At_ < Expiry;
+}
+
+bool CrashGuard::isRunning(std::uint64_t Fingerprint) const {
+  return std::any_of(Running_.begin(), Running_.end(), [&](auto const &Entry) {
+    return Entry.second.contains(Fingerprint);
+  });
+}
+
+/// A content broke off somewhere, and another server crashed under it alone.
+bool CrashGuard::isRefused(Incidents const &Known, TimePoint Now) const {
+  for (auto const &[Name, Alone] : Known) {
+    if (Alone.Evidence_ != CrashEvidence::CrashedAlone || !counts(Alone, Now))
+      continue;
+    for (auto const &[OtherName, Other] : Known)
+      if (counts(Other, Now) && Other.Server_ != Alone.Server_)
         return true;
+  }
   return false;
 }
 
-/// A crash from before the content was cleared, told late, changes nothing.
-void CrashGuard::addCrash(std::uint64_t Fingerprint, ServerId const &Server,
-                          TimePoint At) {
-  auto &Suspected = Suspicions_[Fingerprint];
-  if (At <= Suspected.ClearedAt_)
-    return;
-  auto &Last = Suspected.Crashes_.try_emplace(Server, At).first->second;
-  Last = std::max(Last, At);
-}
-
-/// What ran on the server: each crash is counted once.
-std::set<std::uint64_t> CrashGuard::takeVictims(ServerId const &Server,
-                                                TimePoint Now) {
-  std::set<std::uint64_t> Victims;
-  if (auto const Found = Running_.find(Server); Found != Running_.end())
-    Victims.insert(Found->second.begin(), Found->second.end());
-  for (auto const &One : Broken_[Server])
-    if (Now - One.At_ <= BreakToCrash)
-      Victims.insert(One.Fingerprint_);
-  Broken_.erase(Server);
-  return Victims;
+bool CrashGuard::awaitsJudgement(Incidents const &Known, TimePoint Now) const {
+  return std::any_of(Known.begin(), Known.end(), [&](auto const &Entry) {
+    return Entry.second.Evidence_ == CrashEvidence::BrokenOff &&
+           Now - Entry.second.At_ < JudgementTime;
+  });
+}
+
+/// In which company it ran; nothing when no such attempt was running.
+std::optional<Company> CrashGuard::endAttempt(std::uint64_t Fingerprint,
+                                              ServerId const &Server) {
+  auto const OnServer = Running_.find(Server);
+  if (OnServer == Running_.end())
+    return std::nullopt;
+  auto const Found = OnServer->second.find(Fingerprint);
+  if (Found == OnServer->second.end())
+    return std::nullopt;
+  auto &Counts = Found->second;
+  auto const Ran = Counts.Alone_ > 0 ? Company::Alone : Company::Shared;
+  --(Ran == Company::Alone ? Counts.Alone_ : Counts.Shared_);
+  if (Counts.Alone_ + Counts.Shared_ == 0)
+    OnServer->second.erase(Found);
+  if (OnServer->second.empty())
+    Running_.erase(OnServer);
+  return Ran;
+}
+
+CrashReport CrashGuard::addIncident(std::uint64_t Fingerprint, Incident Seen,
+                                    TimePoint Now) {
+  auto const Name = Generator_();
+  Suspicions_[Fingerprint][Name] = Seen;
+  return {Name, Fingerprint, Seen.Server_, Seen.Evidence_, Now - Seen.At_};
+}
+
+/// After a whole answer. A copy that ran elsewhere does not clear a content
+/// that is refused already.
+std::vector<CrashReport> CrashGuard::clear(std::uint64_t Fingerprint,
+                                           TimePoint Now) {
+  auto const Found = Suspicions_.find(Fingerprint);
+  if (Found == Suspicions_.end() || isRefused(Found->second, Now))
+    return {};
+  std::vector<CrashReport> Reports;
+  for (auto &[Name, One] : Found->second) {
+    if (!counts(One, Now))
+      continue;
+    One.Evidence_ = CrashEvidence::Cleared;
+    Reports.push_back(
+        {Name, Fingerprint, One.Server_, One.Evidence_, Now - One.At_});
+  }
+  return Reports;
+}
+
+std::vector<CrashReport> CrashGuard::settleBreaks(ServerId const &Server,
+                                                  CrashEvidence Evidence,
+                                                  TimePoint Now) {
+  std::vector<CrashReport> Reports;
+  for (auto &[Fingerprint, Known] : Suspicions_) {
+    for (auto &[Name, One] : Known) {
+      if (One.Server_ != Server || One.Evidence_ != CrashEvidence::BrokenOff)
+        continue;
+      One.Evidence_ = Evidence;
+      if (Evidence == CrashEvidence::Crashed && One.Company_ == Company::Alone)
+        One.Evidence_ = CrashEvidence::CrashedAlone;
+      Reports.push_back(
+          {Name, Fingerprint, Server, One.Evidence_, Now - One.At_});
+    }
+  }
+  return Reports;
+}
+
+/// Attempts on a crashed server whose broken connection is still to be seen.
+/// They are taken out, so that the sight of it does not count again.
+std::vector<CrashReport> CrashGuard::crashRunning(ServerId const &Server,
+                                                  TimePoint Now) {
+  std::vector<CrashReport> Reports;
+  auto const Found = Running_.find(Server);
+  if (Found == Running_.end())
+    return Reports;
+  for (auto const &[Fingerprint, Counts] : Found->second) {
+    auto const IsAlone = Counts.Alone_ > 0;
+    Incident const Seen{
+        Server, IsAlone ? CrashEvidence::CrashedAlone : CrashEvidence::Crashed,
+        Now, IsAlone ? Company::Alone : Company::Shared};
+    Reports.push_back(addIncident(Fingerprint, Seen, Now));
+  }
+  Running_.erase(Found);
+  return Reports;
 }
 
 bool CrashGuard::isInReclaim(BackendServer const &Server, TimePoint Now) const {
--- a/Libraries/LibServing/CrashGuard.h
+++ b/Libraries/LibServing/CrashGuard.h
@@ -3,10 +3,14 @@
 #include <LibBackend/AttemptEvidence.h>
 #include <LibCore/Time.h>
 #include <LibModel/BackendServer.h>
+#include <LibPeer/CrashReports.h>
+#include <LibServing/CrashJudge.h>
 
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
+#include <random>
 #include <set>
 #include <vector>
 
@@ -17,78 +21,103 @@
   Run,
   RunAlone, ///< Suspect: only on a server with no other work.
   Wait,     ///< Suspect, and a copy of it runs or has just broken off.
-  Refuse,   ///< Two servers crashed under it.
+  Refuse,   ///< A second server crashed under it while nothing else ran there.
 };
 
-/// That a server crashed while requests of this content ran on it. Instances
-/// tell it to each other.
-struct CrashReport {
-  std::uint64_t Fingerprint_ = 0;
-  ServerId Server_;
-  Duration Age_{}; ///< Since the crash, when the report was made.
-
-  auto operator<=>(CrashReport const &) const = default;
-};
+/// Whether anything else may run on the server of an attempt.
+enum class Company { Shared, Alone };
 
 /// Keeps requests that crash servers from crashing more of them. Requests are
 /// known by their content, since a caller sends the same one under a new key.
-/// Every content that ran on a server when it crashed is a suspect; one that
-/// then completes is cleared. Safe to call from several threads.
 ///
-/// A content that always crashes its server takes two servers for each instance
-/// that is cut off from its peers, plus those on which it already ran, or was
-/// tried again, before the first crash was seen.
-/// FIXME: Retries may outrun the sight of the first crash. A broken connection
-/// is no suspicion of its own, since a reclaim without notice breaks many.
-/// FIXME: Harmless content that ran beside it on both servers is refused with
-/// it, until the reports expire.
+/// An attempt whose connection broke on a server that is not known to be
+/// leaving makes its content a suspect at once. The break is then judged (see
+/// judgeBreak()): a broken link or a reclaim clears the content, a crash leaves
+/// it suspect. A suspect runs apart; if that server crashes too, the content is
+/// refused, and if the answer comes back whole, it is cleared. Content that
+/// only shared crashed servers is never refused.
+///
+/// Reports merge by value: any order, loss of all but one, and repetition of
+/// reports give the same state. Safe to call from several threads.
 class CrashGuard {
 public:
-  CrashVerdict verdict(std::uint64_t Fingerprint, TimePoint Now) const;
+  /// Seed must differ between processes: incidents are named from it.
+  explicit CrashGuard(std::uint64_t Seed) : Generator_(Seed) {}
 
-  void onStarted(std::uint64_t Fingerprint, ServerId const &Server);
-  void onEnded(std::uint64_t Fingerprint, ServerId const &Server,
-               AttemptEvidence const &Evidence, TimePoint Now);
-
-  /// The server crashed, which is not said of one that left the list of
-  /// instances. Attempts whose connection it broke shortly before are
-  /// counted as running on it. Yields what to tell peers; nothing when it is
-  /// part of a reclaim.
+  CrashVerdict verdict(std::uint64_t Fingerprint, TimePoint Now) const;
+  /// Servers on which the content broke off.
+  std::set<ServerId> brokenOffOn(std::uint64_t Fingerprint,
+                                 TimePoint Now) const;
+  /// Whether it tells of a reclaim when Other has gone too. Not when Other
+  /// broke off long ago, nor when a content broke off on both.
+  bool isWitness(ServerId const &Server, ServerId const &Other,
+                 TimePoint Now) const;
+
+  void onStarted(std::uint64_t Fingerprint, ServerId const &Server,
+                 Company Company_);
+  /// Yields what to tell peers at once. A report of BrokenOff among it asks
+  /// for the break to be judged.
+  std::vector<CrashReport> onEnded(std::uint64_t Fingerprint,
+                                   ServerId const &Server,
+                                   AttemptEvidence const &Evidence,
+                                   TimePoint Now);
+
+  /// The cause of the breaks on the server that were not judged yet. Yields
+  /// what to tell peers at once.
+  std::vector<CrashReport> onJudged(BackendServer const &Server,
+                                    BreakCause Cause, TimePoint Now);
+  /// The server's process is gone: the breaks there, and whatever still runs
+  /// there, count as crashed, unless it is part of a reclaim.
   std::vector<CrashReport> onCrash(BackendServer const &Server, TimePoint Now);
 
   /// A server of the data centre is being reclaimed: for some time, crashes
   /// there count for nothing, nor does an earlier crash of the server itself.
   void onReclaim(BackendServer const &Server, TimePoint Now);
 
-  /// Every crash that still counts, for peers that just started.
+  /// Every incident that still counts, for the periodic exchange.
   std::vector<CrashReport> reports(TimePoint Now) const;
+  std::vector<CrashReport> reportsOf(std::uint64_t Fingerprint,
+                                     TimePoint Now) const;
   void merge(std::vector<CrashReport> const &Reports, TimePoint Now);
 
   /// Forgets what has expired. To be called every few seconds.
   void expire(TimePoint Now);
 
 private:
-  struct Suspicion {
-    std::map<ServerId, TimePoint> Crashes_; ///< The last one on each server.
-    TimePoint ClearedAt_ = TimePoint::min();
-  };
-  /// An attempt that ended with a broken connection.
-  struct BrokenAttempt {
-    std::uint64_t Fingerprint_ = 0;
+  struct Incident {
+    ServerId Server_;
+    CrashEvidence Evidence_ = CrashEvidence::BrokenOff;
     TimePoint At_{};
+    /// Known only where the attempt ran.
+    Company Company_ = Company::Shared;
+  };
+  using Incidents = std::map<std::uint64_t, Incident>;
+  struct Attempts {
+    std::uint32_t Shared_ = 0;
+    std::uint32_t Alone_ = 0;
   };
 
-  std::size_t countingCrashes(std::uint64_t Fingerprint, TimePoint Now) const;
-  bool isUnderTrial(std::uint64_t Fingerprint, TimePoint Now) const;
-  void addCrash(std::uint64_t Fingerprint, ServerId const &Server,
-                TimePoint At);
-  std::set<std::uint64_t> takeVictims(ServerId const &Server, TimePoint Now);
+  static void addReports(std::uint64_t Fingerprint, Incidents const &Known,
+                         TimePoint Now, std::vector<CrashReport> &Into);
+  bool counts(Incident const &One, TimePoint Now) const;
+  bool isRunning(std::uint64_t Fingerprint) const;
+  bool isRefused(Incidents const &Known, TimePoint Now) const;
+  bool awaitsJudgement(Incidents const &Known, TimePoint Now) const;
+  std::optional<Company> endAttempt(std::uint64_t Fingerprint,
+                                    ServerId const &Server);
+  CrashReport addIncident(std::uint64_t Fingerprint, Incident Seen,
+                          TimePoint Now);
+  std::vector<CrashReport> clear(std::uint64_t Fingerprint, TimePoint Now);
+  std::vector<CrashReport> settleBreaks(ServerId const &Server,
+                                        CrashEvidence Evidence, TimePoint Now);
+  std::vector<CrashReport> crashRunning(ServerId const &Server, TimePoint Now);
   bool isInReclaim(BackendServer const &Server, TimePoint Now) const;
 
   mutable std::mutex Mutex_;
-  std::map<std::uint64_t, Suspicion> Suspicions_;
-  std::map<ServerId, std::multiset<std::uint64_t>> Running_;
-  std::map<ServerId, std::vector<BrokenAttempt>> Broken_;
+  std::mt19937_64 Generator_;
+  std::map<std::uint64_t, Incidents> Suspicions_; ///< By content.
+  std::map<ServerId, std::map<std::uint64_t, Attempts>> Running_;
+  std::map<ServerId, TimePoint> Reclaimed_;
   std::map<DataCentre, TimePoint> LastReclaim_;
 };
 
--- a/Libraries/LibServing/LeastLoadedChooser.cpp
+++ b/Libraries/LibServing/LeastLoadedChooser.cpp
@@ -33,19 +33,6 @@
           "send the request again later, or add servers to the service"};
 }
 
-Error requestCrashesServers() {
-  return {ErrorKind::InvalidArgument,
-          "servers crashed while they ran requests of this content",
-          "do not send this content again; tell the operators if it is valid"};
-}
-
-Error requestUnderTrial() {
-  return {ErrorKind::ResourceExhausted,
-          "a request of the same content crashed a server and is being tried "
-          "apart from others",
-          "send the request again later"};
-}
-
 } // namespace
 
 void LeastLoadedChooser::setSnapshot(
@@ -72,18 +59,15 @@
   return stateOf(Server).Running_;
 }
 
+bool LeastLoadedChooser::isAvoided(ServerId const &Server,
+                                   TimePoint Now) const {
+  std::lock_guard const Lock(Mutex_);
+  return Now < stateOf(Server).AvoidUntil_;
+}
+
 Result<BackendServer> LeastLoadedChooser::choose(RouteQuery const &Query,
                                                  TimePoint Now) {
-  // All starts take this lock, so that two copies are not both let through.
   std::lock_guard const Lock(Mutex_);
-  auto const Verdict =
-      Guard_ ? Guard_->verdict(Query.Fingerprint_, Now) : CrashVerdict::Run;
-  if (Verdict == CrashVerdict::Refuse)
-    return requestCrashesServers();
-  if (Verdict == CrashVerdict::Wait)
-    return requestUnderTrial();
-  auto const Wanted = Verdict == CrashVerdict::RunAlone ? Occupancy::Exclusive
-                                                        : Occupancy::Shared;
   auto const &All = Snapshot_->serversOf(Query.Service_);
   if (All.empty())
     return noServerConfigured(Query.Service_);
@@ -93,26 +77,19 @@
       Usable.push_back(&Server);
   if (Usable.empty())
     return noServerUsable(Query.Service_);
-  std::erase_if(Usable, [&](BackendServer const *Server) {
-    return !hasRoom(*Server, Wanted);
-  });
+  std::erase_if(Usable,
+                [&](BackendServer const *Server) { return !hasRoom(*Server); });
   if (Usable.empty())
     return allServersFull(Query.Service_);
   auto const &Chosen = pick(Usable);
-  auto &State = Servers_[Chosen.Id_];
-  ++State.Running_;
-  State.Occupancy_ = Wanted;
-  if (Guard_)
-    Guard_->onStarted(Query.Fingerprint_, Chosen.Id_);
+  ++Servers_[Chosen.Id_].Running_;
   return Chosen;
 }
 
 void LeastLoadedChooser::release(ServerId const &Server,
-                                 RouteQuery const &Query,
+                                 RouteQuery const & /*Query*/,
                                  AttemptEvidence const &Evidence,
                                  TimePoint Now) {
-  if (Guard_)
-    Guard_->onEnded(Query.Fingerprint_, Server, Evidence, Now);
   std::lock_guard const Lock(Mutex_);
   auto const Found = Servers_.find(Server);
   if (Found == Servers_.end())
@@ -120,8 +97,6 @@
   auto &State = Found->second;
   if (State.Running_ > 0)
     --State.Running_;
-  if (State.Running_ == 0)
-    State.Occupancy_ = Occupancy::Shared;
   if (Evidence.Progress_ >= AttemptProgress::AnswerBegun)
     State.FailedConnections_ = 0;
   auto const CouldNotConnect =
@@ -139,16 +114,12 @@
                                   TimePoint Now) const {
   return !Leaving_.contains(Server.Id_) &&
          !Query.Excluded_.contains(Server.Id_) &&
+         (!Query.Only_ || *Query.Only_ == Server.Id_) &&
          Now >= stateOf(Server.Id_).AvoidUntil_;
 }
 
-bool LeastLoadedChooser::hasRoom(BackendServer const &Server,
-                                 Occupancy Wanted) const {
-  auto const &State = stateOf(Server.Id_);
-  if (Wanted == Occupancy::Exclusive)
-    return State.Running_ == 0;
-  return State.Occupancy_ == Occupancy::Shared &&
-         State.Running_ < Server.Capacity_;
+bool LeastLoadedChooser::hasRoom(BackendServer const &Server) const {
+  return stateOf(Server.Id_).Running_ < Server.Capacity_;
 }
 
 double LeastLoadedChooser::loadOf(BackendServer const &Server) const {
--- a/Libraries/LibServing/LeastLoadedChooser.h
+++ b/Libraries/LibServing/LeastLoadedChooser.h
@@ -2,7 +2,6 @@
 
 #include <LibBackend/BackendClient.h>
 #include <LibModel/Configuration.h>
-#include <LibServing/CrashGuard.h>
 #include <LibServing/ServerChooser.h>
 
 #include <cstdint>
@@ -19,33 +18,27 @@
 /// less loaded. A server counts as full by the attempts that run there through
 /// this chooser; what the server reports of its load lags, so that it only
 /// breaks the choice. A server that could not be connected to is avoided for a
-/// cool-down that doubles each time it fails anew. A request that the crash
-/// guard suspects gets a server for itself, as far as this chooser's attempts
-/// go. Safe to call from several threads.
-class LeastLoadedChooser : public ServerChooser {
+/// cool-down that doubles each time it fails anew. Safe to
+/// call from several threads.
+class LeastLoadedChooser : public ObservableChooser {
 public:
-  /// Without a guard, every request may run.
-  explicit LeastLoadedChooser(std::uint64_t Seed, CrashGuard *Guard = nullptr)
-      : Guard_(Guard), Generator_(Seed) {}
+  explicit LeastLoadedChooser(std::uint64_t Seed) : Generator_(Seed) {}
 
   /// The configuration in force and the servers that take no new work.
   void setSnapshot(std::shared_ptr<Configuration const> Snapshot,
                    std::set<ServerId> Leaving);
   /// What a server last said of its load.
   void setLoad(ServerId const &Server, LoadReport const &Load);
-  /// Attempts that were chosen and not yet released.
-  std::uint32_t running(ServerId const &Server) const;
+  std::uint32_t running(ServerId const &Server) const override;
+  bool isAvoided(ServerId const &Server, TimePoint Now) const override;
 
   Result<BackendServer> choose(RouteQuery const &Query, TimePoint Now) override;
   void release(ServerId const &Server, RouteQuery const &Query,
                AttemptEvidence const &Evidence, TimePoint Now) override;
 
 private:
-  enum class Occupancy { Shared, Exclusive };
-
   struct ServerState {
     std::uint32_t Running_ = 0;
-    Occupancy Occupancy_ = Occupancy::Shared;
     LoadReport Load_;
     std::uint32_t FailedConnections_ = 0; ///< In a row.
     TimePoint AvoidUntil_ = TimePoint::min();
@@ -53,13 +46,12 @@
 
   bool isUsable(BackendServer const &Server, RouteQuery const &Query,
                 TimePoint Now) const;
-  bool hasRoom(BackendServer const &Server, Occupancy Wanted) const;
+  bool hasRoom(BackendServer const &Server) const;
   double loadOf(BackendServer const &Server) const;
   BackendServer const &pick(std::vector<BackendServer const *> const &Free);
   ServerState const &stateOf(ServerId const &Server) const;
   void dropAbsentServers();
 
-  CrashGuard *const Guard_;
   mutable std::mutex Mutex_;
   std::shared_ptr<Configuration const> Snapshot_ =
       std::make_shared<Configuration const>();
--- a/Libraries/LibServing/RequestFlow.cpp
+++ b/Libraries/LibServing/RequestFlow.cpp
@@ -190,7 +190,8 @@
 
 RouteQuery RequestFlow::routeQuery() const {
   RouteQuery Query{Request_.Service_,   Request_.Fingerprint_, Request_.Prompt_,
-                   Request_.MaxTokens_, Request_.Priority_,    FailedServers_};
+                   Request_.MaxTokens_, Request_.Priority_,    FailedServers_,
+                   std::nullopt};
   Query.Excluded_.insert(LeavingServers_.begin(), LeavingServers_.end());
   return Query;
 }
@@ -199,6 +200,8 @@
   if (Now >= Request_.Deadline_)
     return finishFailed(detail::deadlineExceeded(StateSoFar_), Out);
   auto Query = routeQuery();
+  if (auto const Pause = Chooser_.holdBack(Query, Now))
+    return pause(std::min(*Pause, Request_.Deadline_ - Now), Out);
   auto const Chosen = Chooser_.choose(Query, Now);
   if (isError(Chosen))
     return finishFailed(detail::noServer(errorOf(Chosen), StateSoFar_), Out);
@@ -260,6 +263,8 @@
 /// go, the stream stays for as long as its server does.
 void RequestFlow::moveStream(TimePoint Now, Actions &Out) {
   auto Query = routeQuery();
+  if (Chooser_.holdBack(Query, Now))
+    return;
   auto const Chosen = Chooser_.choose(Query, Now);
   if (isError(Chosen))
     return;
@@ -297,8 +302,12 @@
 
 void RequestFlow::pauseForRetry(Actions &Out) {
   ++Counts_.Retries_;
+  pause(retryPause(FailedAttempts_), Out);
+}
+
+void RequestFlow::pause(Duration Length, Actions &Out) {
   Stage_ = Stage::Pausing;
-  Out.push_back(flow::WaitBeforeRetry{retryPause(FailedAttempts_)});
+  Out.push_back(flow::WaitBeforeRetry{Length});
 }
 
 void RequestFlow::finishWithAnswer(PlainAnswer const &Answer, RunState State,
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -165,6 +165,7 @@
   void moveStream(TimePoint Now, Actions &Out);
   void recover(AttemptEvidence const &Evidence, TimePoint Now, Actions &Out);
   void pauseForRetry(Actions &Out);
+  void pause(Duration Length, Actions &Out);
   void finishWithAnswer(PlainAnswer const &Answer, RunState State,
                         Actions &Out);
   void finishFailed(FailureAnswer Failure, Actions &Out);
--- a/Services/laburnumd/ControlPlane.cpp
+++ b/Services/laburnumd/ControlPlane.cpp
@@ -81,6 +81,10 @@
   });
 }
 
+void ControlPlane::sendToPeer(Endpoint const &To, PeerMessage const &Message) {
+  Control_.post([this, To, Message] { Transport_->send(To, Message); });
+}
+
 void ControlPlane::reportRefusal(ServerId const &Server) {
   Control_.post(
       [this, Server] { feed(servers::Event(servers::ServerRefused{Server})); });
@@ -136,6 +140,8 @@
     feed(configuration::Event(configuration::RequestFromPeer{*Request}));
   else if (auto const *Notice = std::get_if<ServerLeavingNotice>(&Message))
     feed(servers::Event(servers::NoticeFromPeer{*Notice}));
+  for (auto *Service : Services_)
+    Service->receive(From, Message);
 }
 
 void ControlPlane::feed(configuration::Event const &Event) {
@@ -221,6 +227,8 @@
 void ControlPlane::perform(membership::MembersChanged const &Action) {
   feed(configuration::Event(configuration::MembersChanged{Action.Members_}));
   feed(servers::Event(servers::MembersChanged{Action.Members_}));
+  for (auto *Service : Services_)
+    Service->setMembers(Action.Members_);
 }
 
 void ControlPlane::perform(servers::DirectoryChanged const &Action) {
--- a/Services/laburnumd/ControlPlane.h
+++ b/Services/laburnumd/ControlPlane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ControlThread.h"
+#include "PeerService.h"
 #include "TrafficView.h"
 
 #include <LibFleet/ConfigurationStore.h>
@@ -47,12 +48,15 @@
   /// Called once, before the control thread runs. Errors as of
   /// AsioPeerTransport::create.
   Result<Success> start(ControlPlaneSettings const &Settings);
+  /// Called before start(); the service outlives the control thread.
+  void addPeerService(PeerService &Service) { Services_.push_back(&Service); }
   /// Ends the platform reads in progress; called before the control thread is
   /// stopped.
   void stop();
 
   // Called from any thread.
 
+  void sendToPeer(Endpoint const &To, PeerMessage const &Message);
   /// A change that this instance wrote and the platform accepted.
   void applyOwnChange(ConfigurationObject const &Object);
   void reportRefusal(ServerId const &Server);
@@ -94,6 +98,7 @@
   PlatformInterfaces const Platform_;
   TrafficView &View_;
   std::function<void()> const OnViewChanged_;
+  std::vector<PeerService *> Services_;
   Duration PlatformTimeout_{};
   asio::thread_pool PlatformReads_;
   std::shared_ptr<AsioPeerTransport> Transport_;
--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "ClaimService.h"
 #include "ControlPlane.h"
+#include "CrashService.h"
 #include "DrainGate.h"
 #include "ObservingBackendClient.h"
 #include "OperatorDesk.h"
@@ -65,6 +66,12 @@
   return Wanted;
 }
 
+DaemonSettings withInstanceName(DaemonSettings Settings, std::uint64_t Seed) {
+  if (Settings.Instance_.Id_.isEmpty())
+    Settings.Instance_.Id_ = InstanceId(IdentifierSource(Seed).next());
+  return Settings;
+}
+
 ObjectStoreLimits storeLimits(DaemonSettings const &Settings) {
   return {static_cast<double>(Settings.Platform_.ReadsPerSecond_),
           static_cast<double>(Settings.Platform_.WritesPerSecond_)};
@@ -75,7 +82,8 @@
 class Daemon::Implementation : public BackendObserver {
 public:
   explicit Implementation(DaemonSettings Given)
-      : Settings_(std::move(Given)), Seed_(randomSeed()),
+      : Seed_(randomSeed()),
+        Settings_(withInstanceName(std::move(Given), Seed_)),
         Platform_(Settings_.Platform_.Endpoint_), RemoteObjects_(Platform_),
         Metered_(RemoteObjects_, Clock_, storeLimits(Settings_)),
         Objects_(Metered_, Clock_, ReadRetryPolicy(), Seed_),
@@ -83,19 +91,20 @@
         RemoteBackends_(backendSettings(Settings_)),
         Backends_(RemoteBackends_, *this), Chooser_(Seed_),
         ServingMetrics_(Metrics_),
+        Crashes_(Control_, View_, Chooser_, Settings_.Instance_.Id_, Metrics_,
+                 Seed_),
         Plane_(Control_, {Objects_, Instances_, Cloud_}, View_,
                [this] { publish(); }),
         Claims_(Control_, Objects_, claimSettings(Settings_),
                 Settings_.Platform_.Timeout_, Settings_.Platform_.Threads_,
                 Seed_),
         Requests_(View_, Limiter_, Gate_, ServingMetrics_,
-                  {Chooser_, Retries_, Backends_, Claims_, View_},
+                  {Crashes_.chooser(), Retries_, Backends_, Claims_, View_},
                   {Settings_.Callers_.DefaultDeadline_,
                    Settings_.Callers_.MaxDeadline_},
                   Seed_),
         Writer_(Objects_, Settings_.Platform_.Timeout_) {
-    if (Settings_.Instance_.Id_.isEmpty())
-      Settings_.Instance_.Id_ = InstanceId(IdentifierSource(Seed_).next());
+    Plane_.addPeerService(Crashes_);
   }
 
   Result<Success> bind() {
@@ -119,6 +128,9 @@
     if (isError(Started))
       return errorOf(Started);
     Claims_.start();
+    Crashes_.start([this](Endpoint const &To, PeerMessage const &Message) {
+      Plane_.sendToPeer(To, Message);
+    });
     return Success{};
   }
 
@@ -148,6 +160,7 @@
     Operators_->stop(OperatorGrace);
     Plane_.stop();
     Claims_.stop();
+    Crashes_.stop();
     Control_.stop();
     LOG(INFO) << "instance=" << Settings_.Instance_.Id_.text()
               << " state=stopped";
@@ -183,6 +196,7 @@
       Leaving.insert(Id);
     Chooser_.setSnapshot(View_.configuration(), std::move(Leaving));
     Retries_.setSnapshot(View_.configuration());
+    Crashes_.onViewChanged();
   }
 
   void loadReported(ServerId const &Server, LoadReport const &Load) override {
@@ -194,8 +208,8 @@
   }
 
 private:
-  DaemonSettings Settings_;
   std::uint64_t const Seed_;
+  DaemonSettings Settings_;
   SystemStoreClock Clock_;
   PlatformConnection Platform_;
   HttpObjectStore RemoteObjects_;
@@ -213,6 +227,7 @@
   ServingMetrics ServingMetrics_;
   TrafficView View_;
   ControlThread Control_;
+  CrashService Crashes_;
   ControlPlane Plane_;
   ClaimService Claims_;
   RequestService Requests_;
--- /dev/null
+++ b/Services/laburnumd/ServerProbe.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibModel/BackendServer.h>
+#include <LibServing/CrashJudge.h>
+
+#include <vector>
+
+namespace laburnum {
+
+/// Opens a connection to each endpoint and closes it again. Blocks until each
+/// has answered, at most for Timeout. The answers are in the same order.
+std::vector<ProbeAnswer> probeServers(std::vector<Endpoint> const &Targets,
+                                      Duration Timeout);
+
+} // namespace laburnum
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -22,7 +22,13 @@
           ConfigurationDigest{4, 5, {"127.0.0.1", 6}},
           ConfigurationObjects{{Object}},
           ConfigurationRequest{{{{ObjectKind::Account, "a"}, 2}}, {}},
-          ServerLeavingNotice{ServerId("s"), Liveness::Gone, Duration(-1), 4}};
+          ServerLeavingNotice{ServerId("s"), Liveness::Gone, Duration(-1), 4},
+          CrashReports{
+              {{1, 2, ServerId("s"), CrashEvidence::Cleared, Duration(3)}}},
+          ServerReserved{ServerId("s"), 5, InstanceId("i1"),
+                         ReservationState::Over, Duration(6)},
+          DemandReport{{{AccountName("a"), 7, 8}}},
+          ShareGrant{{{AccountName("a"), 250000}}, Duration(9)}};
 }
 
 TEST_CASE("Every message survives encoding and decoding") {
