--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -44,7 +44,7 @@
 }
 auto fieldsOf(Of<ConfigurationObject> auto &Value) {
   return std::tie(Value.Name_, Value.Version_, Value.IsDeleted_,
-                  Value.Specification_);
+                  Value.Specification_, Value.ChangeVersion_);
 }
 auto fieldsOf(Of<ConfigurationObjects> auto &Value) {
   return std::tie(Value.Objects_);
@@ -80,6 +80,32 @@
   return std::tie(Value.Shares_, Value.Valid_);
 }
 
+auto fieldsOf(Of<StreamName> auto &Value) {
+  return std::tie(Value.Account_, Value.Key_);
+}
+auto fieldsOf(Of<StreamContent> auto &Value) {
+  return std::tie(Value.Service_, Value.Fingerprint_, Value.Prompt_,
+                  Value.MaxTokens_, Value.Priority_, Value.Remaining_);
+}
+auto fieldsOf(Of<StreamEpoch> auto &Value) {
+  return std::tie(Value.Run_, Value.Number_, Value.Owner_, Value.Age_);
+}
+auto fieldsOf(Of<StreamCheckpoint> auto &Value) {
+  return std::tie(Value.Name_, Value.Owner_, Value.Epoch_, Value.Content_,
+                  Value.From_, Value.Tokens_, Value.Total_, Value.Phase_);
+}
+auto fieldsOf(Of<StreamQuery> auto &Value) {
+  return std::tie(Value.Name_, Value.Fingerprint_, Value.Asker_, Value.Ticket_,
+                  Value.Ask_);
+}
+auto fieldsOf(Of<StreamState> auto &Value) {
+  return std::tie(Value.Name_, Value.Ticket_, Value.Knowledge_, Value.Epoch_,
+                  Value.Owner_, Value.Count_);
+}
+auto fieldsOf(Of<StreamHandOver> auto &Value) {
+  return std::tie(Value.Stream_, Value.Ticket_);
+}
+
 /// The last enumerator of each enumeration, so that a number beyond it is
 /// refused.
 constexpr MemberState lastOf(MemberState /*Any*/) { return MemberState::Gone; }
@@ -94,6 +120,11 @@
 constexpr ReservationState lastOf(ReservationState /*Any*/) {
   return ReservationState::Over;
 }
+constexpr StreamPhase lastOf(StreamPhase /*Any*/) { return StreamPhase::Whole; }
+constexpr StreamAsk lastOf(StreamAsk /*Any*/) { return StreamAsk::Adopt; }
+constexpr StreamKnowledge lastOf(StreamKnowledge /*Any*/) {
+  return StreamKnowledge::KeyReused;
+}
 
 template <typename Value> struct IsVector : std::false_type {};
 template <typename Item> struct IsVector<std::vector<Item>> : std::true_type {};
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -7,6 +7,7 @@
 #include <LibPeer/DemandReport.h>
 #include <LibPeer/ServerReserved.h>
 #include <LibPeer/ShareGrant.h>
+#include <LibPeer/StreamMessages.h>
 
 #include <compare>
 #include <cstdint>
@@ -96,8 +97,8 @@
   ServerId Server_;
   Liveness Liveness_ = Liveness::Leaving;
   Duration Remaining_{}; ///< Until it is gone, when sent; 0 if not known.
-  /// The version of the server's configuration object that it is about; a
-  /// server applied anew at a higher version is not touched.
+  /// ChangeVersion_ of the server's configuration object that it is about; a
+  /// server applied anew by a later change is not touched.
   Version ServerVersion_ = 0;
 
   auto operator<=>(ServerLeavingNotice const &) const = default;
@@ -108,6 +109,7 @@
 using PeerMessage =
     std::variant<Hello, Heartbeat, ConfigurationDigest, ConfigurationObjects,
                  ConfigurationRequest, ServerLeavingNotice, CrashReports,
-                 ServerReserved, DemandReport, ShareGrant>;
+                 ServerReserved, DemandReport, ShareGrant, StreamCheckpoint,
+                 StreamQuery, StreamState, StreamHandOver>;
 
 } // namespace laburnum
