--- a/Services/laburnumd/ControlPlane.cpp
+++ b/Services/laburnumd/ControlPlane.cpp
@@ -41,6 +41,7 @@
   auto Self = Settings.Self_;
   Self.Peers_ = Transport_->localEndpoint();
   Self_ = Self.Id_;
+  Hooks_ = Settings.Hooks_;
   PlatformTimeout_ = Settings.PlatformTimeout_;
 
   configuration::Settings ForConfiguration;
@@ -64,6 +65,7 @@
   });
   Control_.every(InstanceListPeriod, [this] { readInstanceList(); });
   Control_.post([this] {
+    Hooks_.OnMembers_(Membership_->members());
     readInstanceList();
     readNotices();
   });
@@ -148,8 +150,8 @@
     feed(configuration::Event(configuration::RequestFromPeer{*Request}));
   else if (auto const *Notice = std::get_if<ServerLeavingNotice>(&Message))
     feed(servers::Event(servers::NoticeFromPeer{*Notice}));
-  for (auto *Service : Services_)
-    Service->receive(From, Message);
+  else
+    Hooks_.OnPeerMessage_(From, Message);
 }
 
 void ControlPlane::feed(configuration::Event const &Event) {
@@ -235,8 +237,7 @@
 void ControlPlane::perform(membership::MembersChanged const &Action) {
   feed(configuration::Event(configuration::MembersChanged{Action.Members_}));
   feed(servers::Event(servers::MembersChanged{Action.Members_}));
-  for (auto *Service : Services_)
-    Service->setMembers(Action.Members_);
+  Hooks_.OnMembers_(Action.Members_);
 }
 
 void ControlPlane::perform(servers::DirectoryChanged const &Action) {
@@ -269,8 +270,11 @@
       [this](Result<NoticeBatch> const &Batch) {
         if (!isError(Batch)) {
           NextNotice_ = valueOf(Batch).Next_;
-          for (auto const &Notice : valueOf(Batch).Notices_)
+          for (auto const &Notice : valueOf(Batch).Notices_) {
             feed(servers::Event(servers::NoticeReceived{Notice}));
+            if (Notice.InstanceName_ == Self_.text())
+              Hooks_.OnOwnReclaim_(Notice.Remaining_);
+          }
         }
         readNotices();
       });
--- a/Services/laburnumd/ControlPlane.h
+++ b/Services/laburnumd/ControlPlane.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "ControlThread.h"
-#include "PeerService.h"
 #include "TrafficView.h"
 
 #include <LibFleet/ConfigurationStore.h>
@@ -28,12 +27,22 @@
   CloudApi &Cloud_;
 };
 
+/// What other parts hear of the control plane's news, on the control thread.
+struct ControlPlaneHooks {
+  /// Called first with the members known at the start.
+  std::function<void(std::vector<Member> const &)> OnMembers_;
+  std::function<void(InstanceId const &, PeerMessage const &)> OnPeerMessage_;
+  /// The cloud takes this instance back after the time given.
+  std::function<void(Duration)> OnOwnReclaim_;
+};
+
 struct ControlPlaneSettings {
   EntryInstance Self_; ///< With the ports that its listeners chose.
   std::vector<Endpoint> Seeds_;
   std::string PeerSecret_;
   Duration PlatformTimeout_{};
   std::uint64_t Seed_ = 0;
+  ControlPlaneHooks Hooks_;
 };
 
 /// Drives the fleet cores on the control thread: membership, configuration and
@@ -48,8 +57,6 @@
   /// Called once, before the control thread runs. Errors as of
   /// AsioPeerTransport::create.
   Result<Success> start(ControlPlaneSettings const &Settings);
-  /// Called before start(); the service outlives the control thread.
-  void addPeerService(PeerService &Service) { Services_.push_back(&Service); }
   /// Ends the platform reads in progress; called before the control thread is
   /// stopped.
   void stop();
@@ -75,6 +82,9 @@
   Endpoint peerEndpoint() const { return Transport_->localEndpoint(); }
   bool isPlatformReachable() const { return PlatformReachable_; }
 
+  /// Called on the control thread.
+  void send(SendToPeer const &Message) { perform(Message); }
+
 private:
   // On the control thread.
   void receive(InstanceId const &From, PeerMessage const &Message);
@@ -100,7 +110,6 @@
   PlatformInterfaces const Platform_;
   TrafficView &View_;
   std::function<void()> const OnViewChanged_;
-  std::vector<PeerService *> Services_;
   Duration PlatformTimeout_{};
   asio::thread_pool PlatformReads_;
   std::shared_ptr<AsioPeerTransport> Transport_;
@@ -108,6 +117,7 @@
   std::unique_ptr<Membership> Membership_;
   std::unique_ptr<ServerDirectory> Directory_;
   InstanceId Self_;
+  ControlPlaneHooks Hooks_;
   std::uint64_t NextNotice_ = 0;
   std::atomic<bool> PlatformReachable_ = false;
   std::atomic<bool> Stopping_ = false;
--- a/Services/laburnumd/CrashService.cpp
+++ b/Services/laburnumd/CrashService.cpp
@@ -80,7 +80,7 @@
     Chooser_.receive(From, *Reserved, readClock());
 }
 
-void CrashService::setMembers(std::vector<Member> const &Members) {
+void CrashService::membersChanged(std::vector<Member> const &Members) {
   std::set<InstanceId> Names;
   {
     std::lock_guard const Lock(Mutex_);
--- a/Services/laburnumd/CrashService.h
+++ b/Services/laburnumd/CrashService.h
@@ -1,23 +1,27 @@
 #pragma once
 
 #include "ControlThread.h"
-#include "PeerService.h"
 #include "TrafficView.h"
 
+#include <LibFleet/Member.h>
 #include <LibMetrics/MetricsRegistry.h>
 #include <LibServing/GuardedChooser.h>
 
 #include <asio/thread_pool.hpp>
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <set>
 
 namespace laburnum {
 
+/// Sends a message to a peer, from any thread.
+using PeerSend = std::function<void(Endpoint const &, PeerMessage const &)>;
+
 /// Connects the crash guard with the daemon: judges broken connections by
 /// probing servers, tells peers, and hears of reclaims from the directory.
-class CrashService : public GuardListener, public PeerService {
+class CrashService : public GuardListener {
 public:
   CrashService(ControlThread &Control, TrafficView const &View,
                ObservableChooser &Inner, InstanceId const &Self,
@@ -35,8 +39,9 @@
   void onViewChanged();
 
   void onGuardNews(GuardNews const &News) override;
-  void receive(InstanceId const &From, PeerMessage const &Message) override;
-  void setMembers(std::vector<Member> const &Members) override;
+  /// Called on the control thread; messages of other parts are ignored.
+  void receive(InstanceId const &From, PeerMessage const &Message);
+  void membersChanged(std::vector<Member> const &Members);
 
 private:
   void judge(ServerId const &Server);
--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -2,15 +2,19 @@
 
 #include "ClaimService.h"
 #include "ControlPlane.h"
+#include "ControllerService.h"
 #include "CrashService.h"
 #include "DrainGate.h"
+#include "MeteredFlows.h"
 #include "ObservingBackendClient.h"
 #include "OperatorDesk.h"
 #include "RequestService.h"
 #include "ServingMetrics.h"
+#include "StreamService.h"
 
 #include <LibAdmin/OperatorServer.h>
 #include <LibBackend/HttpBackendClient.h>
+#include <LibBackend/HttpOrderClient.h>
 #include <LibPlatform/HttpCloudApi.h>
 #include <LibPlatform/HttpInstanceList.h>
 #include <LibPlatform/HttpObjectStore.h>
@@ -37,6 +41,12 @@
 /// How long operators' calls in progress may take at the end.
 constexpr Duration OperatorGrace = std::chrono::seconds(2);
 
+/// The part of a reclaim's time that a stop may use; the rest is for its end.
+Duration usableTime(Duration Remaining) {
+  constexpr int UsablePercent = 90;
+  return Remaining * UsablePercent / 100;
+}
+
 std::uint64_t randomSeed() {
   std::random_device Device;
   constexpr unsigned WordBits = 32;
@@ -98,14 +108,15 @@
         Claims_(Control_, Objects_, claimSettings(Settings_),
                 Settings_.Platform_.Timeout_, Settings_.Platform_.Threads_,
                 Seed_),
-        Requests_(View_, Limiter_, Gate_, ServingMetrics_,
-                  {Crashes_.chooser(), Retries_, Backends_, Claims_, View_},
+        Flows_({Crashes_.chooser(), Retries_, Backends_, Claims_, View_},
+               ServingMetrics_),
+        Streams_(Control_, View_, Flows_, Metrics_, Seed_ + 1),
+        Requests_(View_, Limiter_, Gate_, ServingMetrics_, Flows_, Streams_,
                   {Settings_.Callers_.DefaultDeadline_,
                    Settings_.Callers_.MaxDeadline_},
                   Seed_),
-        Writer_(Objects_, Settings_.Platform_.Timeout_) {
-    Plane_.addPeerService(Crashes_);
-  }
+        Controller_(Control_, controllerInterfaces(), Metrics_),
+        Writer_(Objects_, Settings_.Platform_.Timeout_) {}
 
   Result<Success> bind() {
     auto Callers = CallerServer::create(
@@ -124,6 +135,8 @@
     if (isError(Operators))
       return errorOf(Operators);
     Operators_ = takeValue(std::move(Operators));
+    Controller_.start(
+        {Settings_.Instance_.Id_, Seed_, Settings_.Platform_.Timeout_});
     auto const Started = Plane_.start(planeSettings());
     if (isError(Started))
       return errorOf(Started);
@@ -131,10 +144,21 @@
     Crashes_.start([this](Endpoint const &To, PeerMessage const &Message) {
       Plane_.sendToPeer(To, Message);
     });
+    auto Self = planeSettings().Self_;
+    Self.Peers_ = Plane_.peerEndpoint();
+    Streams_.start(Self,
+                   [this](SendToPeer const &Message) { Plane_.send(Message); });
     return Success{};
   }
 
-  ControlPlaneSettings planeSettings() const {
+  ControllerInterfaces controllerInterfaces() {
+    return {Objects_, Cloud_, Orders_,
+            [this](ServerId const &Server, Duration Within) {
+              Plane_.drainServer(Server, Within);
+            }};
+  }
+
+  ControlPlaneSettings planeSettings() {
     ControlPlaneSettings Wanted;
     Wanted.Self_ = {Settings_.Instance_.Id_, Settings_.Instance_.DataCentre_,
                     Callers_->endpoint(), Settings_.Peers_.Endpoint_,
@@ -143,9 +167,23 @@
     Wanted.PeerSecret_ = Settings_.Peers_.Secret_;
     Wanted.PlatformTimeout_ = Settings_.Platform_.Timeout_;
     Wanted.Seed_ = Seed_;
+    Wanted.Hooks_ = hooks();
     return Wanted;
   }
 
+  ControlPlaneHooks hooks() {
+    return {[this](auto const &Members) {
+              Streams_.membersChanged(Members);
+              Controller_.membersChanged(Members);
+              Crashes_.membersChanged(Members);
+            },
+            [this](auto const &From, auto const &Message) {
+              Streams_.receive(From, Message);
+              Crashes_.receive(From, Message);
+            },
+            [this](Duration Remaining) { requestStop(usableTime(Remaining)); }};
+  }
+
   void run() {
     Control_.start();
     std::thread Serving([this] { Callers_->run(); });
@@ -157,10 +195,12 @@
     drain(Within);
     Callers_->stop();
     Serving.join();
+    Streams_.stop();
     Operators_->stop(OperatorGrace);
     Plane_.stop();
     Claims_.stop();
     Crashes_.stop();
+    Controller_.stop();
     Control_.stop();
     LOG(INFO) << "instance=" << Settings_.Instance_.Id_.text()
               << " state=stopped";
@@ -173,11 +213,13 @@
               << " state=draining in_progress=" << Gate_.inProgress();
     auto const Start = readClock();
     Plane_.announceLeaving();
+    Streams_.leave(Within);
     Gate_.setUnready();
     std::this_thread::sleep_for(std::min(BalancerLag, Within));
     Gate_.close();
-    auto const Left = Within - (readClock() - Start);
-    if (!Gate_.waitUntilEmpty(std::chrono::duration_cast<Duration>(Left)))
+    auto const Left = [&] { return Within - (readClock() - Start); };
+    bool const IsEmpty = Gate_.waitUntilEmpty(Left());
+    if (!Streams_.waitUntilSafe(Left()) || !IsEmpty)
       LOG(WARNING) << "instance=" << Settings_.Instance_.Id_.text()
                    << " state=drain_overrun in_progress=" << Gate_.inProgress();
   }
@@ -197,6 +239,7 @@
     Chooser_.setSnapshot(View_.configuration(), std::move(Leaving));
     Retries_.setSnapshot(View_.configuration());
     Crashes_.onViewChanged();
+    Controller_.viewChanged(View_);
   }
 
   void loadReported(ServerId const &Server, LoadReport const &Load) override {
@@ -230,7 +273,11 @@
   CrashService Crashes_;
   ControlPlane Plane_;
   ClaimService Claims_;
+  MeteredFlows Flows_;
+  StreamService Streams_;
   RequestService Requests_;
+  HttpOrderClient Orders_;
+  ControllerService Controller_;
   ChangeWriter Writer_;
   std::unique_ptr<OperatorDesk> Desk_;
   std::unique_ptr<CallerServer> Callers_;
