LibServing: Run suspects of crashes apart, by agreement with peers

A retry outran the sight of the first crash, so that one request could take several servers, and content that only shared crashed servers was refused.

--- a/Libraries/LibPeer/ServerReserved.h
+++ b/Libraries/LibPeer/ServerReserved.h
@@ -11,7 +11,7 @@
 enum class ReservationState {
   Wanted, ///< Asks the receiver to send the server nothing new.
   Agreed, ///< Answers that nothing of the sender's runs there any more.
-  Busy,   ///< Answers that the sender's own reservation goes first.
+  Busy,   ///< Answers that the receiver has to wait, and to ask again.
   Over,   ///< The server is free again.
 };
 
--- a/Libraries/LibServing/CrashGuard.cpp
+++ b/Libraries/LibServing/CrashGuard.cpp
@@ -194,13 +194,14 @@
   });
 }
 
-/// A content broke off somewhere, and another server crashed under it alone.
+/// A content broke off, and later or elsewhere a server crashed under it alone.
 bool CrashGuard::isRefused(Incidents const &Known, TimePoint Now) const {
   for (auto const &[Name, Alone] : Known) {
     if (Alone.Evidence_ != CrashEvidence::CrashedAlone || !counts(Alone, Now))
       continue;
     for (auto const &[OtherName, Other] : Known)
-      if (counts(Other, Now) && Other.Server_ != Alone.Server_)
+      if (counts(Other, Now) &&
+          (Other.Server_ != Alone.Server_ || Other.At_ < Alone.At_))
         return true;
   }
   return false;
--- a/Libraries/LibServing/GuardedChooser.cpp
+++ b/Libraries/LibServing/GuardedChooser.cpp
@@ -109,6 +109,7 @@
         !mayBeTriedByPeer(Message.Fingerprint_, Now)) {
       // The peer would not ask if it knew what is known here.
       News.Reports_ = Guard_.reportsOf(Message.Fingerprint_, Now);
+      Reservations_.putOff(From, Message);
     } else {
       auto const IsIdle = Inner_.running(Message.Server_) == 0;
       Reservations_.receive(From, Message, IsIdle, Now);
@@ -209,17 +210,22 @@
   return Verdict == CrashVerdict::Run || Verdict == CrashVerdict::RunAlone;
 }
 
+/// Servers on which the content broke off are of use only when nothing else is.
 std::vector<ServerId> GuardedChooser::usableServers(RouteQuery const &Query,
                                                     TimePoint Now) const {
   auto const BrokenOff = Guard_.brokenOffOn(Query.Fingerprint_, Now);
-  std::vector<ServerId> Usable;
+  std::vector<ServerId> Fresh;
+  std::vector<ServerId> All;
   for (auto const &Server : Snapshot_->serversOf(Query.Service_)) {
     auto const &Id = Server.Id_;
-    if (!Leaving_.contains(Id) && !Query.Excluded_.contains(Id) &&
-        !BrokenOff.contains(Id) && !Inner_.isAvoided(Id, Now))
-      Usable.push_back(Id);
+    if (Leaving_.contains(Id) || Query.Excluded_.contains(Id) ||
+        Inner_.isAvoided(Id, Now))
+      continue;
+    All.push_back(Id);
+    if (!BrokenOff.contains(Id))
+      Fresh.push_back(Id);
   }
-  return Usable;
+  return Fresh.empty() ? All : Fresh;
 }
 
 /// Nothing when as many servers are reserved as may be.
--- a/Libraries/LibServing/ServerReservations.cpp
+++ b/Libraries/LibServing/ServerReservations.cpp
@@ -12,6 +12,8 @@
 /// An agreement is relied on this long after it came, so that it is younger
 /// than Lapse at the peer when messages take less than the difference.
 constexpr Duration AgreementTime = std::chrono::seconds(1);
+/// A peer that answers nothing for this long is cut off.
+constexpr Duration AnswerPatience = std::chrono::seconds(1);
 constexpr Duration RepeatPeriod = std::chrono::milliseconds(100);
 
 } // namespace
@@ -60,7 +62,10 @@
                              TimePoint Now) {
   auto &Mine = Own_[Fingerprint];
   Mine = {Server, {}, Now, false};
-  sendAll(Fingerprint, Mine, ReservationState::Wanted);
+  // A peer that was cut off some time ago gets its time to answer anew.
+  if (Now - LastAsked_ >= Lapse)
+    SilentSince_.clear();
+  askAll(Fingerprint, Mine, Now);
 }
 
 void ServerReservations::start(std::uint64_t Fingerprint) {
@@ -82,10 +87,10 @@
   Own_.erase(Found);
 }
 
-std::optional<std::uint64_t>
-ServerReservations::receive(InstanceId const &From,
-                            ServerReserved const &Message, bool IsIdle,
-                            TimePoint Now) {
+void ServerReservations::receive(InstanceId const &From,
+                                 ServerReserved const &Message, bool IsIdle,
+                                 TimePoint Now) {
+  SilentSince_.erase(From);
   if (Message.State_ == ReservationState::Wanted)
     return receiveWanted(From, Message, IsIdle, Now);
   if (Message.State_ == ReservationState::Over) {
@@ -94,63 +99,60 @@
              Entry.second.Owner_ == Message.Owner_ &&
              Entry.second.Fingerprint_ == Message.Fingerprint_;
     });
-    return std::nullopt;
+    return;
   }
   auto const Found = Own_.find(Message.Fingerprint_);
   if (Message.Owner_ != Self_ || Found == Own_.end() ||
       Found->second.Server_ != Message.Server_)
-    return std::nullopt;
-  if (Message.State_ == ReservationState::Agreed) {
+    return;
+  if (Message.State_ == ReservationState::Agreed)
     Found->second.Agreed_[From] = Now;
-    return std::nullopt;
-  }
-  if (agreed(Found->second, Now))
-    return std::nullopt;
-  end(Message.Fingerprint_);
-  return Message.Fingerprint_;
 }
 
-/// The instance with the lesser name goes first, but for a reservation that
-/// every peer has agreed to. A third instance only stays silent: it agrees when
-/// one of the two has given up.
-std::optional<std::uint64_t>
-ServerReservations::receiveWanted(InstanceId const &From,
-                                  ServerReserved const &Message, bool IsIdle,
-                                  TimePoint Now) {
+void ServerReservations::putOff(InstanceId const &From,
+                                ServerReserved const &Message) {
   auto Reply = Message;
+  Reply.State_ = ReservationState::Busy;
+  Messages_.push_back({From, Reply});
+}
+
+/// The instance with the lesser name goes first, but for a reservation that
+/// every peer has agreed to.
+void ServerReservations::receiveWanted(InstanceId const &From,
+                                       ServerReserved const &Message,
+                                       bool IsIdle, TimePoint Now) {
   auto const Rival = rivalOf(Message);
-  if (Rival && (agreed(Own_.at(*Rival), Now) || Self_ < Message.Owner_)) {
-    Reply.State_ = ReservationState::Busy;
-    Messages_.push_back({From, Reply});
-    return std::nullopt;
-  }
+  if (Rival && (agreed(Own_.at(*Rival), Now) || Self_ < Message.Owner_))
+    return putOff(From, Message);
   if (Rival)
     end(*Rival);
-  auto const IsTakenByAnother =
-      std::any_of(Foreign_.begin(), Foreign_.end(), [&](auto const &Entry) {
-        auto const &Theirs = Entry.second;
-        return Theirs.Owner_ != Message.Owner_ && Now < Theirs.Until_ &&
-               (Entry.first == Message.Server_ ||
-                Theirs.Fingerprint_ == Message.Fingerprint_);
-      });
-  if (IsTakenByAnother)
-    return Rival;
+  if (isTakenByAnother(Message, Now))
+    return putOff(From, Message);
   auto const Until =
       Now + std::clamp(Message.Remaining_, Duration::zero(), Lapse);
   Foreign_[Message.Server_] = {Message.Owner_, Message.Fingerprint_, Until};
-  if (IsIdle) {
-    Reply.State_ = ReservationState::Agreed;
-    Messages_.push_back({From, Reply});
-  }
-  return Rival;
+  if (!IsIdle)
+    return putOff(From, Message);
+  auto Reply = Message;
+  Reply.State_ = ReservationState::Agreed;
+  Messages_.push_back({From, Reply});
+}
+
+bool ServerReservations::isTakenByAnother(ServerReserved const &Message,
+                                          TimePoint Now) const {
+  return std::any_of(Foreign_.begin(), Foreign_.end(), [&](auto const &Entry) {
+    auto const &Theirs = Entry.second;
+    return Theirs.Owner_ != Message.Owner_ && Now < Theirs.Until_ &&
+           (Entry.first == Message.Server_ ||
+            Theirs.Fingerprint_ == Message.Fingerprint_);
+  });
 }
 
 void ServerReservations::onTimePassed(TimePoint Now) {
   for (auto &[Fingerprint, Mine] : Own_) {
     if (Now - Mine.LastAsked_ < RepeatPeriod)
       continue;
-    Mine.LastAsked_ = Now;
-    sendAll(Fingerprint, Mine, ReservationState::Wanted);
+    askAll(Fingerprint, Mine, Now);
   }
   std::erase_if(Foreign_,
                 [&](auto const &Entry) { return Now >= Entry.second.Until_; });
@@ -165,7 +167,11 @@
     return true;
   return std::all_of(Peers_.begin(), Peers_.end(), [&](InstanceId const &Peer) {
     auto const Found = Mine.Agreed_.find(Peer);
-    return Found != Mine.Agreed_.end() && Now - Found->second < AgreementTime;
+    if (Found != Mine.Agreed_.end() && Now - Found->second < AgreementTime)
+      return true;
+    auto const Silent = SilentSince_.find(Peer);
+    return Silent != SilentSince_.end() &&
+           Now - Silent->second >= AnswerPatience;
   });
 }
 
@@ -178,6 +184,15 @@
   return std::nullopt;
 }
 
+void ServerReservations::askAll(std::uint64_t Fingerprint, Own &Mine,
+                                TimePoint Now) {
+  Mine.LastAsked_ = Now;
+  LastAsked_ = Now;
+  for (auto const &Peer : Peers_)
+    SilentSince_.try_emplace(Peer, Now);
+  sendAll(Fingerprint, Mine, ReservationState::Wanted);
+}
+
 void ServerReservations::sendAll(std::uint64_t Fingerprint, Own const &Mine,
                                  ReservationState State) {
   for (auto const &Peer : Peers_)
--- a/Libraries/LibServing/ServerReservations.h
+++ b/Libraries/LibServing/ServerReservations.h
@@ -32,8 +32,8 @@
 /// and Agrawala 1981, with instance names in place of clocks): a peer that
 /// agrees sends the server nothing new until the reservation is over or lapses,
 /// and it agrees only when nothing of its own runs there any more. Lost
-/// messages delay a reservation, and never let two hold it. Instances that are
-/// cut off from each other do not ask each other.
+/// messages delay a reservation; two hold it only if every answer of a peer is
+/// lost for AnswerPatience, after which the peer counts as cut off.
 class ServerReservations {
 public:
   explicit ServerReservations(InstanceId Self) : Self_(std::move(Self)) {}
@@ -54,11 +54,11 @@
   void start(std::uint64_t Fingerprint);
   bool isStarted(std::uint64_t Fingerprint) const;
   void end(std::uint64_t Fingerprint);
-  /// IsIdle tells whether nothing of this instance runs on the server. Yields
-  /// the content whose own reservation was given up for the peer's.
-  std::optional<std::uint64_t> receive(InstanceId const &From,
-                                       ServerReserved const &Message,
-                                       bool IsIdle, TimePoint Now);
+  /// IsIdle tells whether nothing of this instance runs on the server.
+  void receive(InstanceId const &From, ServerReserved const &Message,
+               bool IsIdle, TimePoint Now);
+  /// Lets a peer that asks wait, and takes no note of its reservation.
+  void putOff(InstanceId const &From, ServerReserved const &Message);
   /// Repeats what is in force. To be called at least ten times a second.
   void onTimePassed(TimePoint Now);
 
@@ -80,14 +80,18 @@
 
   bool agreed(Own const &Mine, TimePoint Now) const;
   std::optional<std::uint64_t> rivalOf(ServerReserved const &Message) const;
-  std::optional<std::uint64_t> receiveWanted(InstanceId const &From,
-                                             ServerReserved const &Message,
-                                             bool IsIdle, TimePoint Now);
+  void receiveWanted(InstanceId const &From, ServerReserved const &Message,
+                     bool IsIdle, TimePoint Now);
+  bool isTakenByAnother(ServerReserved const &Message, TimePoint Now) const;
+  void askAll(std::uint64_t Fingerprint, Own &Mine, TimePoint Now);
   void sendAll(std::uint64_t Fingerprint, Own const &Mine,
                ReservationState State);
 
   InstanceId const Self_;
   std::set<InstanceId> Peers_;
+  /// Peers that owe an answer, since when.
+  std::map<InstanceId, TimePoint> SilentSince_;
+  TimePoint LastAsked_{};
   std::map<std::uint64_t, Own> Own_;    ///< By content.
   std::map<ServerId, Foreign> Foreign_; ///< By server.
   std::vector<ReservationMessage> Messages_;
