--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -3,6 +3,10 @@
 #include <LibCore/Time.h>
 #include <LibModel/ConfigurationObject.h>
 #include <LibModel/EntryInstance.h>
+#include <LibPeer/CrashReports.h>
+#include <LibPeer/DemandReport.h>
+#include <LibPeer/ServerReserved.h>
+#include <LibPeer/ShareGrant.h>
 #include <LibPeer/StreamMessages.h>
 
 #include <compare>
@@ -104,7 +108,8 @@
 /// its place is its number on the wire.
 using PeerMessage =
     std::variant<Hello, Heartbeat, ConfigurationDigest, ConfigurationObjects,
-                 ConfigurationRequest, ServerLeavingNotice, StreamCheckpoint,
+                 ConfigurationRequest, ServerLeavingNotice, CrashReports,
+                 ServerReserved, DemandReport, ShareGrant, StreamCheckpoint,
                  StreamQuery, StreamState, StreamHandOver>;
 
 } // namespace laburnum
--- a/Services/laburnumd/ControlPlane.cpp
+++ b/Services/laburnumd/ControlPlane.cpp
@@ -84,6 +84,10 @@
   });
 }
 
+void ControlPlane::sendToPeer(Endpoint const &To, PeerMessage const &Message) {
+  Control_.post([this, To, Message] { Transport_->send(To, Message); });
+}
+
 void ControlPlane::reportRefusal(ServerId const &Server) {
   Control_.post(
       [this, Server] { feed(servers::Event(servers::ServerRefused{Server})); });
--- a/Services/laburnumd/ControlPlane.h
+++ b/Services/laburnumd/ControlPlane.h
@@ -64,6 +64,7 @@
 
   // Called from any thread.
 
+  void sendToPeer(Endpoint const &To, PeerMessage const &Message);
   /// A change that this instance wrote and the platform accepted.
   void applyOwnChange(ConfigurationObject const &Object);
   void reportRefusal(ServerId const &Server);
--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -3,6 +3,7 @@
 #include "ClaimService.h"
 #include "ControlPlane.h"
 #include "ControllerService.h"
+#include "CrashService.h"
 #include "DrainGate.h"
 #include "MeteredFlows.h"
 #include "ObservingBackendClient.h"
@@ -81,6 +82,12 @@
   return Wanted;
 }
 
+DaemonSettings withInstanceName(DaemonSettings Settings, std::uint64_t Seed) {
+  if (Settings.Instance_.Id_.isEmpty())
+    Settings.Instance_.Id_ = InstanceId(IdentifierSource(Seed).next());
+  return Settings;
+}
+
 ObjectStoreLimits storeLimits(DaemonSettings const &Settings) {
   return {static_cast<double>(Settings.Platform_.ReadsPerSecond_),
           static_cast<double>(Settings.Platform_.WritesPerSecond_)};
@@ -91,7 +98,8 @@
 class Daemon::Implementation : public BackendObserver {
 public:
   explicit Implementation(DaemonSettings Given)
-      : Settings_(std::move(Given)), Seed_(randomSeed()),
+      : Seed_(randomSeed()),
+        Settings_(withInstanceName(std::move(Given), Seed_)),
         Platform_(Settings_.Platform_.Endpoint_), RemoteObjects_(Platform_),
         Metered_(RemoteObjects_, Clock_, storeLimits(Settings_)),
         Objects_(Metered_, Clock_, ReadRetryPolicy(), Seed_),
@@ -99,12 +107,14 @@
         RemoteBackends_(backendSettings(Settings_)),
         Backends_(RemoteBackends_, *this), Chooser_(Seed_),
         ServingMetrics_(Metrics_),
+        Crashes_(Control_, View_, Chooser_, Settings_.Instance_.Id_, Metrics_,
+                 Seed_),
         Plane_(Control_, {Objects_, Instances_, Cloud_}, View_,
                [this] { publish(); }),
         Claims_(Control_, Objects_, claimSettings(Settings_),
                 Settings_.Platform_.Timeout_, Settings_.Platform_.Threads_,
                 Seed_),
-        Flows_({Chooser_, Retries_, Backends_, Claims_, View_},
+        Flows_({Crashes_.chooser(), Retries_, Backends_, Claims_, View_},
                ServingMetrics_),
         Streams_(Control_, View_, Flows_, Metrics_, Seed_ + 1),
         Requests_(View_, Limiter_, Gate_, ServingMetrics_, Flows_, Streams_,
@@ -112,10 +122,7 @@
                    Settings_.Callers_.MaxDeadline_},
                   Seed_),
         Controller_(Control_, controllerInterfaces(), Metrics_),
-        Writer_(Objects_, Settings_.Platform_.Timeout_) {
-    if (Settings_.Instance_.Id_.isEmpty())
-      Settings_.Instance_.Id_ = InstanceId(IdentifierSource(Seed_).next());
-  }
+        Writer_(Objects_, Settings_.Platform_.Timeout_) {}
 
   Result<Success> bind() {
     auto Callers = CallerServer::create(
@@ -140,6 +147,9 @@
     if (isError(Started))
       return errorOf(Started);
     Claims_.start();
+    Crashes_.start([this](Endpoint const &To, PeerMessage const &Message) {
+      Plane_.sendToPeer(To, Message);
+    });
     auto Self = planeSettings().Self_;
     Self.Peers_ = Plane_.peerEndpoint();
     Streams_.start(Self,
@@ -171,9 +181,11 @@
     return {[this](auto const &Members) {
               Streams_.membersChanged(Members);
               Controller_.membersChanged(Members);
+              Crashes_.membersChanged(Members);
             },
             [this](auto const &From, auto const &Message) {
               Streams_.receive(From, Message);
+              Crashes_.receive(From, Message);
             },
             [this](Duration Remaining) { requestStop(Remaining); }};
   }
@@ -193,6 +205,7 @@
     Operators_->stop(OperatorGrace);
     Plane_.stop();
     Claims_.stop();
+    Crashes_.stop();
     Controller_.stop();
     Control_.stop();
     LOG(INFO) << "instance=" << Settings_.Instance_.Id_.text()
@@ -237,6 +250,7 @@
       Leaving.insert(Id);
     Chooser_.setSnapshot(View_.configuration(), std::move(Leaving));
     Retries_.setSnapshot(View_.configuration());
+    Crashes_.onViewChanged();
     Controller_.viewChanged(View_);
   }
 
@@ -249,8 +263,8 @@
   }
 
 private:
-  DaemonSettings Settings_;
   std::uint64_t const Seed_;
+  DaemonSettings Settings_;
   SystemStoreClock Clock_;
   PlatformConnection Platform_;
   HttpObjectStore RemoteObjects_;
@@ -268,6 +282,7 @@
   ServingMetrics ServingMetrics_;
   TrafficView View_;
   ControlThread Control_;
+  CrashService Crashes_;
   ControlPlane Plane_;
   ClaimService Claims_;
   MeteredFlows Flows_;
--- a/Tests/FaultMatrix/Entry.h
+++ b/Tests/FaultMatrix/Entry.h
@@ -8,7 +8,7 @@
 #include <LibFleet/Membership.h>
 #include <LibFleet/ServerDirectory.h>
 #include <LibServing/ClaimJournal.h>
-#include <LibServing/CrashGuard.h>
+#include <LibServing/GuardedChooser.h>
 #include <LibServing/LeastLoadedChooser.h>
 #include <LibServing/RequestFlow.h>
 
@@ -54,7 +54,7 @@
 
 /// One life of an entry instance: the decision cores as the daemon connects
 /// them, with the fakes in place of its clients.
-class Entry {
+class Entry : private GuardListener {
 public:
   Entry(EntryHooks const &Hooks, std::size_t Number, std::uint64_t Life,
         EntryInstance Self);
@@ -131,6 +131,11 @@
   void perform(servers::DirectoryChanged const &Action);
   void perform(SendToPeer const &Action);
 
+  void onGuardNews(GuardNews const &News) override;
+  void tellPeers(std::vector<CrashReport> const &Reports);
+  void judge(ServerId const &Server);
+  void setGuardPeers(std::vector<Member> const &Members);
+
   void tell(Step Reached) { Hooks_.OnStep_(Reached, {Number_, {}, {}}); }
   void giveBack(flow::MakeClaim const &Unused);
   void readPlatform();
@@ -148,7 +153,9 @@
   std::deque<std::function<void()>> Backlog_;
 
   CrashGuard Guard_;
-  LeastLoadedChooser Chooser_;
+  LeastLoadedChooser Servers_;
+  GuardedChooser Chooser_;
+  std::map<InstanceId, Endpoint> Peers_;
   EndlessAllowance Allowance_;
   DrainGate Gate_;
   ClaimJournal Journal_;
--- /dev/null
+++ b/Tests/FaultMatrix/EntryGuard.cpp
@@ -0,0 +1,53 @@
+#include <FaultMatrix/Entry.h>
+
+namespace laburnum::faults {
+
+namespace {
+
+/// From a break to the answers of the probes after it.
+constexpr Duration ProbeTime = std::chrono::milliseconds(20);
+
+} // namespace
+
+void Entry::onGuardNews(GuardNews const &News) {
+  for (auto const &One : News.Reservations_)
+    if (auto const Found = Peers_.find(One.To_); Found != Peers_.end())
+      Hooks_.SendToPeer_(Number_, {Found->second, One.Message_});
+  tellPeers(News.Reports_);
+  if (News.BrokenOff_)
+    later(ProbeTime, [this, Id = *News.BrokenOff_] { judge(Id); });
+}
+
+void Entry::tellPeers(std::vector<CrashReport> const &Reports) {
+  if (Reports.empty())
+    return;
+  for (auto const &[Id, Where] : Peers_)
+    Hooks_.SendToPeer_(Number_, {Where, CrashReports{Reports}});
+}
+
+void Entry::judge(ServerId const &Id) {
+  auto const &Backends = Hooks_.Backends_;
+  auto const AnswerOf = [&](ServerId const &One) {
+    return Backends.isUp(One) ? ProbeAnswer::Accepted : ProbeAnswer::Silent;
+  };
+  auto const &Server = Backends.server(Id);
+  BreakProbes Probes{{AnswerOf(Id)}, {}};
+  for (auto const &Other : Backends.serversIn(Server.DataCentre_))
+    if (Other != Id && Guard_.isWitness(Id, Other, Hooks_.Queue_.now()))
+      Probes.Neighbours_.push_back(AnswerOf(Other));
+  tellPeers(Guard_.onJudged(Server, judgeBreak(Probes), Hooks_.Queue_.now()));
+}
+
+void Entry::setGuardPeers(std::vector<Member> const &Members) {
+  Peers_.clear();
+  std::set<InstanceId> Names;
+  for (auto const &One : Members) {
+    if (One.Liveness_ == Liveness::Gone || One.Instance_.Id_ == Self_.Id_)
+      continue;
+    Peers_[One.Instance_.Id_] = One.Instance_.Peers_;
+    Names.insert(One.Instance_.Id_);
+  }
+  Chooser_.setPeers(std::move(Names));
+}
+
+} // namespace laburnum::faults
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -31,6 +31,12 @@
       ConfigurationObjects{{Object}},
       ConfigurationRequest{{{{ObjectKind::Account, "a"}, 2}}, {}},
       ServerLeavingNotice{ServerId("s"), Liveness::Gone, Duration(-1), 4},
+      CrashReports{
+          {{1, 2, ServerId("s"), CrashEvidence::Cleared, Duration(3)}}},
+      ServerReserved{ServerId("s"), 5, InstanceId("i1"), ReservationState::Over,
+                     Duration(6)},
+      DemandReport{{{AccountName("a"), 7, 8}}},
+      ShareGrant{{{AccountName("a"), 250000}}, Duration(9)},
       Checkpoint,
       StreamQuery{Stream, 7, instance(), 3, StreamAsk::Adopt},
       StreamState{Stream, 3, StreamKnowledge::KeyReused, Epoch, instance(), 2},
