LibBackend: Send a cancellation again when its kept connection closes

Cause: an engine that ends a broken stream with a whole chunked body leaves the connection in the pool; if the engine closes it just then, the cancellation written to it was lost and the attempt went on running. Change: the cancellation, which is idempotent, is sent once more on another connection when the first ended without an answer in time. Tested: a new case in which the kept connection always closes; it fails with one call allowed and passes with two.

--- a/Libraries/LibBackend/HttpBackendClient.cpp
+++ b/Libraries/LibBackend/HttpBackendClient.cpp
@@ -11,6 +11,7 @@
 static constexpr Duration ConnectTimeout = std::chrono::seconds(1);
 /// The longest wait for an engine to take a cancellation.
 static constexpr Duration CancelTimeout = std::chrono::milliseconds(500);
+static constexpr int MostCancelCalls = 2;
 static constexpr int ServiceUnavailable = 503;
 static constexpr int Ok = 200;
 
@@ -229,12 +230,18 @@
   return Result;
 }
 
+/// Sent again on another connection when the kept one was just being closed by
+/// the engine, whose broken stream may have used it. Cancelling is idempotent.
 void HttpBackendClient::cancel(Endpoint const &Target,
                                CompletionCall const &Call) {
-  httplib::Request Request = cancelRequest(Call);
-  httplib::Response Response;
-  exchange(Target, Request, Response, CancelTimeout,
-           [](char const *, std::size_t) { return true; });
+  for (int Sent = 0; Sent < MostCancelCalls; ++Sent) {
+    httplib::Request Request = cancelRequest(Call);
+    httplib::Response Response;
+    auto const Seen = exchange(Target, Request, Response, CancelTimeout,
+                               [](char const *, std::size_t) { return true; });
+    if (Seen.hasAnswer() || Seen.IsTimedOut_)
+      return;
+  }
 }
 
 } // namespace laburnum
--- a/Tests/LibBackend/TestCompletions.cpp
+++ b/Tests/LibBackend/TestCompletions.cpp
@@ -120,6 +120,27 @@
   }
 }
 
+TEST_CASE("A cancellation cut off by a closing connection is sent again") {
+  std::string Cancelled;
+  RawServer Raw([&](RawServer::Socket &Peer) {
+    auto const Request = RawServer::readRequest(Peer);
+    if (Request.starts_with("POST /v1/cancel")) {
+      Cancelled = Request;
+      RawServer::send(Peer, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      return;
+    }
+    RawServer::send(Peer, "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                          "chunked\r\n\r\n0\r\n\r\n");
+    // The cancellation comes on the kept connection, which then closes.
+    RawServer::readRequest(Peer);
+  });
+  HttpBackendClient().complete(
+      serverAt(Raw.port()), makeCall(4),
+      [](TokenPiece const &) { return Continue::Yes; });
+  CHECK(Cancelled.find(R"("attempt":4,"request_id":"r1")") !=
+        std::string::npos);
+}
+
 TEST_CASE("A stream whose last message came is whole even if it breaks") {
   std::string Cancelled;
   auto const Result = breakStream(
