--- a/Libraries/LibBackend/HttpBackendClient.cpp
+++ b/Libraries/LibBackend/HttpBackendClient.cpp
@@ -9,8 +9,6 @@
 
 /// The longest wait for a connection to a backend server.
 static constexpr Duration ConnectTimeout = std::chrono::seconds(1);
-/// The longest wait for an engine to take a cancellation.
-static constexpr Duration CancelTimeout = std::chrono::milliseconds(500);
 static constexpr int MostCancelCalls = 2;
 static constexpr int ServiceUnavailable = 503;
 static constexpr int Ok = 200;
@@ -237,8 +235,9 @@
   for (int Sent = 0; Sent < MostCancelCalls; ++Sent) {
     httplib::Request Request = cancelRequest(Call);
     httplib::Response Response;
-    auto const Seen = exchange(Target, Request, Response, CancelTimeout,
-                               [](char const *, std::size_t) { return true; });
+    auto const Seen =
+        exchange(Target, Request, Response, Settings_.CancelTimeout_,
+                 [](char const *, std::size_t) { return true; });
     if (Seen.hasAnswer() || Seen.IsTimedOut_)
       return;
   }
--- a/Libraries/LibCallers/CallerServer.h
+++ b/Libraries/LibCallers/CallerServer.h
@@ -2,7 +2,8 @@
 
 #include <LibCallers/AnswerWriter.h>
 #include <LibCallers/CallerMessage.h>
-#include <LibCallers/TokenPipe.h>
+#include <LibCallers/HeadBounds.h>
+#include <LibCallers/StreamSource.h>
 #include <LibCore/Result.h>
 #include <LibModel/BackendServer.h>
 
@@ -18,7 +19,7 @@
 struct StreamAnswer {
   ReadRequest Read_;
   StreamItem First_;
-  std::shared_ptr<TokenPipe> Rest_;
+  std::shared_ptr<StreamSource> Rest_;
 };
 
 using CallerAnswer = std::variant<HttpAnswer, StreamAnswer>;
@@ -29,6 +30,9 @@
   std::size_t MostBodyBytes_ = std::size_t(1) << 20;
   Duration BodyTimeout_ = std::chrono::seconds(10);
   Duration ReadTimeout_ = std::chrono::seconds(5);
+  HeadBounds Head_;
+  /// How long a connection may be idle.
+  std::chrono::seconds KeepAlive_ = std::chrono::seconds(5);
 
   auto operator<=>(CallerServerSettings const &) const = default;
 };
@@ -53,7 +57,8 @@
   Endpoint endpoint() const;
   /// Serves until stop(); blocks.
   void run();
-  /// Takes no new connection; those in progress end their present request.
+  /// Takes no new connection; idle ones are ended at once, the others end
+  /// their present request first.
   void stop();
 
 private:
--- a/Libraries/LibServing/RequestFlow.cpp
+++ b/Libraries/LibServing/RequestFlow.cpp
@@ -32,7 +32,11 @@
 
 RequestFlow::RequestFlow(CallerRequest Request, ServerChooser &Chooser,
                          RetryAllowance &Retries)
-    : Request_(std::move(Request)), Chooser_(Chooser), Retries_(Retries) {}
+    : Request_(std::move(Request)), Chooser_(Chooser), Retries_(Retries),
+      Progress_(Request_.Produced_) {
+  if (Progress_.count() > 0)
+    StateSoFar_ = RunState::MayHaveRun;
+}
 
 std::vector<flow::Action> RequestFlow::handle(flow::Event const &Event,
                                               TimePoint Now) {
@@ -47,6 +51,8 @@
   if (Stage_ != Stage::New)
     return;
   Retries_.countRequest(Request_.Service_, Now);
+  if (hasAllTokens())
+    return finishCompletion(Out);
   // A call without a key cannot be named again, so a claim would guard nothing:
   // it is dispatched at most once by this flow.
   if (Request_.Idempotence_ == Idempotence::Idempotent || !Request_.Key_)
@@ -133,9 +139,7 @@
   releaseServer(Evidence, Now);
   if (Evidence.Status_ >= FirstErrorStatus)
     return finishFailed(detail::engineRefusedRequest(Evidence.Status_), Out);
-  Stage_ = Stage::Finished;
-  Finished_ = true;
-  Out.push_back(flow::FinishCompletion{Progress_.count()});
+  finishCompletion(Out);
 }
 
 void RequestFlow::on(flow::ServerLeaving const &Event, TimePoint Now,
@@ -183,6 +187,11 @@
   return Stage_ == Stage::Attempting && Attempt == Attempt_;
 }
 
+bool RequestFlow::hasAllTokens() const {
+  return Request_.Kind_ == ServiceKind::Model && Progress_.count() > 0 &&
+         Progress_.count() >= Request_.MaxTokens_;
+}
+
 bool RequestFlow::mayRepeat(RunState Ended) const {
   return Request_.Idempotence_ == Idempotence::Idempotent ||
          Ended == RunState::NotRun;
@@ -190,7 +199,8 @@
 
 RouteQuery RequestFlow::routeQuery() const {
   RouteQuery Query{Request_.Service_,   Request_.Fingerprint_, Request_.Prompt_,
-                   Request_.MaxTokens_, Request_.Priority_,    FailedServers_};
+                   Request_.MaxTokens_, Request_.Priority_,    FailedServers_,
+                   std::nullopt};
   Query.Excluded_.insert(LeavingServers_.begin(), LeavingServers_.end());
   return Query;
 }
@@ -199,6 +209,8 @@
   if (Now >= Request_.Deadline_)
     return finishFailed(detail::deadlineExceeded(StateSoFar_), Out);
   auto Query = routeQuery();
+  if (auto const Pause = Chooser_.holdBack(Query, Now))
+    return pause(std::min(*Pause, Request_.Deadline_ - Now), Out);
   auto const Chosen = Chooser_.choose(Query, Now);
   if (isError(Chosen))
     return finishFailed(detail::noServer(errorOf(Chosen), StateSoFar_), Out);
@@ -260,6 +272,8 @@
 /// go, the stream stays for as long as its server does.
 void RequestFlow::moveStream(TimePoint Now, Actions &Out) {
   auto Query = routeQuery();
+  if (Chooser_.holdBack(Query, Now))
+    return;
   auto const Chosen = Chooser_.choose(Query, Now);
   if (isError(Chosen))
     return;
@@ -297,8 +311,18 @@
 
 void RequestFlow::pauseForRetry(Actions &Out) {
   ++Counts_.Retries_;
+  pause(retryPause(FailedAttempts_), Out);
+}
+
+void RequestFlow::pause(Duration Length, Actions &Out) {
   Stage_ = Stage::Pausing;
-  Out.push_back(flow::WaitBeforeRetry{retryPause(FailedAttempts_)});
+  Out.push_back(flow::WaitBeforeRetry{Length});
+}
+
+void RequestFlow::finishCompletion(Actions &Out) {
+  Stage_ = Stage::Finished;
+  Finished_ = true;
+  Out.push_back(flow::FinishCompletion{Progress_.count()});
 }
 
 void RequestFlow::finishWithAnswer(PlainAnswer const &Answer, RunState State,
--- a/Services/laburnumd/ControlPlane.h
+++ b/Services/laburnumd/ControlPlane.h
@@ -28,12 +28,22 @@
   CloudApi &Cloud_;
 };
 
+/// What other parts hear of the control plane's news, on the control thread.
+struct ControlPlaneHooks {
+  /// Called first with the members known at the start.
+  std::function<void(std::vector<Member> const &)> OnMembers_;
+  std::function<void(InstanceId const &, PeerMessage const &)> OnPeerMessage_;
+  /// The cloud takes this instance back after the time given.
+  std::function<void(Duration)> OnOwnReclaim_;
+};
+
 struct ControlPlaneSettings {
   EntryInstance Self_; ///< With the ports that its listeners chose.
   std::vector<Endpoint> Seeds_;
   std::string PeerSecret_;
   Duration PlatformTimeout_{};
   std::uint64_t Seed_ = 0;
+  ControlPlaneHooks Hooks_;
 };
 
 /// Drives the fleet cores on the control thread: membership, configuration and
@@ -54,15 +64,20 @@
 
   // Called from any thread.
 
+  void sendToPeer(Endpoint const &To, PeerMessage const &Message);
   /// A change that this instance wrote and the platform accepted.
   void applyOwnChange(ConfigurationObject const &Object);
   void reportRefusal(ServerId const &Server);
+  /// Tells the peers, and begins no more long polls of the platform, which a
+  /// stop would wait for: from now on the peers bring what is new.
   void announceLeaving();
   /// A backend server that its operator takes out of use.
   void drainServer(ServerId const &Server, Duration Within);
   std::vector<Member> members();
   /// The configuration objects of a kind, without tombstones.
   std::vector<ConfigurationObject> objects(ObjectKind Kind);
+  /// One object, also when it is a tombstone.
+  std::optional<ConfigurationObject> object(ObjectName const &Name);
   /// The names of all objects, deleted ones included.
   std::vector<ObjectName> objectNames();
   Version configurationVersion();
@@ -70,6 +85,9 @@
   Endpoint peerEndpoint() const { return Transport_->localEndpoint(); }
   bool isPlatformReachable() const { return PlatformReachable_; }
 
+  /// Called on the control thread.
+  void send(SendToPeer const &Message) { perform(Message); }
+
 private:
   // On the control thread.
   void receive(InstanceId const &From, PeerMessage const &Message);
@@ -103,9 +121,11 @@
   std::unique_ptr<ServerDirectory> Directory_;
   std::unique_ptr<ListingPace> ListingPace_;
   InstanceId Self_;
+  ControlPlaneHooks Hooks_;
   std::uint64_t NextNotice_ = 0;
   std::atomic<bool> PlatformReachable_ = false;
   std::atomic<bool> Stopping_ = false;
+  std::atomic<bool> Leaving_ = false;
 };
 
 } // namespace laburnum
--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -2,14 +2,19 @@
 
 #include "ClaimService.h"
 #include "ControlPlane.h"
+#include "ControllerService.h"
+#include "CrashService.h"
 #include "DrainGate.h"
+#include "MeteredFlows.h"
 #include "ObservingBackendClient.h"
 #include "OperatorDesk.h"
 #include "RequestService.h"
 #include "ServingMetrics.h"
+#include "StreamService.h"
 
 #include <LibAdmin/OperatorServer.h>
 #include <LibBackend/HttpBackendClient.h>
+#include <LibBackend/HttpOrderClient.h>
 #include <LibPlatform/HttpCloudApi.h>
 #include <LibPlatform/HttpInstanceList.h>
 #include <LibPlatform/HttpObjectStore.h>
@@ -21,6 +26,7 @@
 
 #include <glog/logging.h>
 
+#include <cstdlib>
 #include <future>
 #include <random>
 #include <set>
@@ -36,6 +42,15 @@
 /// How long operators' calls in progress may take at the end.
 constexpr Duration OperatorGrace = std::chrono::seconds(2);
 
+/// What ending may take once nothing is in progress: flows of closed streams
+/// and operators' calls are waited for.
+constexpr Duration EndTime = std::chrono::milliseconds(2500);
+
+/// The part of a stop's time in which requests may go on.
+Duration usableTime(Duration Within) {
+  return std::max(Within - EndTime, Within / 2);
+}
+
 std::uint64_t randomSeed() {
   std::random_device Device;
   constexpr unsigned WordBits = 32;
@@ -48,6 +63,8 @@
   Wanted.MostThreads_ = Settings.Callers_.Threads_;
   Wanted.MostBodyBytes_ = Settings.Callers_.MaxBodyBytes_;
   Wanted.ReadTimeout_ = Settings.Callers_.HeaderTimeout_;
+  Wanted.Head_ = {Settings.Callers_.MaxHeaderBytes_,
+                  Settings.Callers_.HeaderTimeout_};
   return Wanted;
 }
 
@@ -65,6 +82,12 @@
   return Wanted;
 }
 
+DaemonSettings withInstanceName(DaemonSettings Settings, std::uint64_t Seed) {
+  if (Settings.Instance_.Id_.isEmpty())
+    Settings.Instance_.Id_ = InstanceId(IdentifierSource(Seed).next());
+  return Settings;
+}
+
 ObjectStoreLimits storeLimits(DaemonSettings const &Settings) {
   return {static_cast<double>(Settings.Platform_.ReadsPerSecond_),
           static_cast<double>(Settings.Platform_.WritesPerSecond_)};
@@ -75,7 +98,8 @@
 class Daemon::Implementation : public BackendObserver {
 public:
   explicit Implementation(DaemonSettings Given)
-      : Settings_(std::move(Given)), Seed_(randomSeed()),
+      : Seed_(randomSeed()),
+        Settings_(withInstanceName(std::move(Given), Seed_)),
         Platform_(Settings_.Platform_.Endpoint_), RemoteObjects_(Platform_),
         Metered_(RemoteObjects_, Clock_, storeLimits(Settings_)),
         Objects_(Metered_, Clock_, ReadRetryPolicy(), Seed_),
@@ -83,20 +107,22 @@
         RemoteBackends_(backendSettings(Settings_)),
         Backends_(RemoteBackends_, *this), Chooser_(Seed_),
         ServingMetrics_(Metrics_),
+        Crashes_(Control_, View_, Chooser_, Settings_.Instance_.Id_, Metrics_,
+                 Seed_),
         Plane_(Control_, {Objects_, Instances_, Cloud_}, View_,
                [this] { publish(); }),
         Claims_(Control_, Objects_, claimSettings(Settings_),
                 Settings_.Platform_.Timeout_, Settings_.Platform_.Threads_,
                 Seed_),
-        Requests_(View_, Limiter_, Gate_, ServingMetrics_,
-                  {Chooser_, Retries_, Backends_, Claims_, View_},
+        Flows_({Crashes_.chooser(), Retries_, Backends_, Claims_, View_},
+               ServingMetrics_),
+        Streams_(Control_, View_, Flows_, Metrics_, Seed_ + 1),
+        Requests_(View_, Limiter_, Gate_, ServingMetrics_, Flows_, Streams_,
                   {Settings_.Callers_.DefaultDeadline_,
                    Settings_.Callers_.MaxDeadline_},
                   Seed_),
-        Writer_(Objects_, Settings_.Platform_.Timeout_) {
-    if (Settings_.Instance_.Id_.isEmpty())
-      Settings_.Instance_.Id_ = InstanceId(IdentifierSource(Seed_).next());
-  }
+        Controller_(Control_, controllerInterfaces(), Metrics_),
+        Writer_(Objects_, Settings_.Platform_.Timeout_) {}
 
   Result<Success> bind() {
     auto Callers = CallerServer::create(
@@ -115,14 +141,30 @@
     if (isError(Operators))
       return errorOf(Operators);
     Operators_ = takeValue(std::move(Operators));
+    Controller_.start(
+        {Settings_.Instance_.Id_, Seed_, Settings_.Platform_.Timeout_});
     auto const Started = Plane_.start(planeSettings());
     if (isError(Started))
       return errorOf(Started);
     Claims_.start();
+    Crashes_.start([this](Endpoint const &To, PeerMessage const &Message) {
+      Plane_.sendToPeer(To, Message);
+    });
+    auto Self = planeSettings().Self_;
+    Self.Peers_ = Plane_.peerEndpoint();
+    Streams_.start(Self,
+                   [this](SendToPeer const &Message) { Plane_.send(Message); });
     return Success{};
   }
 
-  ControlPlaneSettings planeSettings() const {
+  ControllerInterfaces controllerInterfaces() {
+    return {Objects_, Cloud_, Orders_,
+            [this](ServerId const &Server, Duration Within) {
+              Plane_.drainServer(Server, Within);
+            }};
+  }
+
+  ControlPlaneSettings planeSettings() {
     ControlPlaneSettings Wanted;
     Wanted.Self_ = {Settings_.Instance_.Id_, Settings_.Instance_.DataCentre_,
                     Callers_->endpoint(), Settings_.Peers_.Endpoint_,
@@ -131,9 +173,23 @@
     Wanted.PeerSecret_ = Settings_.Peers_.Secret_;
     Wanted.PlatformTimeout_ = Settings_.Platform_.Timeout_;
     Wanted.Seed_ = Seed_;
+    Wanted.Hooks_ = hooks();
     return Wanted;
   }
 
+  ControlPlaneHooks hooks() {
+    return {[this](auto const &Members) {
+              Streams_.membersChanged(Members);
+              Controller_.membersChanged(Members);
+              Crashes_.membersChanged(Members);
+            },
+            [this](auto const &From, auto const &Message) {
+              Streams_.receive(From, Message);
+              Crashes_.receive(From, Message);
+            },
+            [this](Duration Remaining) { requestStop(Remaining); }};
+  }
+
   void run() {
     Control_.start();
     std::thread Serving([this] { Callers_->run(); });
@@ -142,15 +198,24 @@
               << " operators_port=" << Operators_->endpoint().Port_
               << " peers_port=" << Plane_.peerEndpoint().Port_;
     auto const Within = StopRequested_.get_future().get();
-    drain(Within);
+    drain(usableTime(Within));
     Callers_->stop();
     Serving.join();
+    bool const AreFlowsEnded = Streams_.stop();
     Operators_->stop(OperatorGrace);
     Plane_.stop();
     Claims_.stop();
+    Crashes_.stop();
+    Controller_.stop();
     Control_.stop();
     LOG(INFO) << "instance=" << Settings_.Instance_.Id_.text()
               << " state=stopped";
+    // A flow that waits for a silent engine still uses the parts of this
+    // object, so that they must not be destroyed.
+    if (!AreFlowsEnded) {
+      google::FlushLogFiles(google::GLOG_INFO);
+      std::_Exit(EXIT_SUCCESS);
+    }
   }
 
   /// Lets the balancer turn away, then refuses new work and waits for what is
@@ -160,11 +225,13 @@
               << " state=draining in_progress=" << Gate_.inProgress();
     auto const Start = readClock();
     Plane_.announceLeaving();
+    Streams_.leave(Within);
     Gate_.setUnready();
     std::this_thread::sleep_for(std::min(BalancerLag, Within));
     Gate_.close();
-    auto const Left = Within - (readClock() - Start);
-    if (!Gate_.waitUntilEmpty(std::chrono::duration_cast<Duration>(Left)))
+    auto const Left = [&] { return Within - (readClock() - Start); };
+    bool const IsEmpty = Gate_.waitUntilEmpty(Left());
+    if (!Streams_.waitUntilSafe(Left()) || !IsEmpty)
       LOG(WARNING) << "instance=" << Settings_.Instance_.Id_.text()
                    << " state=drain_overrun in_progress=" << Gate_.inProgress();
   }
@@ -183,6 +250,8 @@
       Leaving.insert(Id);
     Chooser_.setSnapshot(View_.configuration(), std::move(Leaving));
     Retries_.setSnapshot(View_.configuration());
+    Crashes_.onViewChanged();
+    Controller_.viewChanged(View_);
   }
 
   void loadReported(ServerId const &Server, LoadReport const &Load) override {
@@ -194,8 +263,8 @@
   }
 
 private:
-  DaemonSettings Settings_;
   std::uint64_t const Seed_;
+  DaemonSettings Settings_;
   SystemStoreClock Clock_;
   PlatformConnection Platform_;
   HttpObjectStore RemoteObjects_;
@@ -213,9 +282,14 @@
   ServingMetrics ServingMetrics_;
   TrafficView View_;
   ControlThread Control_;
+  CrashService Crashes_;
   ControlPlane Plane_;
   ClaimService Claims_;
+  MeteredFlows Flows_;
+  StreamService Streams_;
   RequestService Requests_;
+  HttpOrderClient Orders_;
+  ControllerService Controller_;
   ChangeWriter Writer_;
   std::unique_ptr<OperatorDesk> Desk_;
   std::unique_ptr<CallerServer> Callers_;
