--- a/Services/laburnumd/ControlPlane.cpp
+++ b/Services/laburnumd/ControlPlane.cpp
@@ -41,6 +41,7 @@
   auto Self = Settings.Self_;
   Self.Peers_ = Transport_->localEndpoint();
   Self_ = Self.Id_;
+  Hooks_ = Settings.Hooks_;
   PlatformTimeout_ = Settings.PlatformTimeout_;
 
   configuration::Settings ForConfiguration;
@@ -56,6 +57,7 @@
   ForServers.Self_ = Self;
   ForServers.Seed_ = Settings.Seed_;
   Directory_ = std::make_unique<ServerDirectory>(ForServers);
+  ListingPace_ = std::make_unique<ListingPace>(Settings.Seed_);
 
   Control_.every(CoreTick, [this] {
     feed(membership::Event(membership::TimePassed{}));
@@ -64,6 +66,7 @@
   });
   Control_.every(InstanceListPeriod, [this] { readInstanceList(); });
   Control_.post([this] {
+    Hooks_.OnMembers_(Membership_->members());
     readInstanceList();
     readNotices();
   });
@@ -81,12 +84,17 @@
   });
 }
 
+void ControlPlane::sendToPeer(Endpoint const &To, PeerMessage const &Message) {
+  Control_.post([this, To, Message] { Transport_->send(To, Message); });
+}
+
 void ControlPlane::reportRefusal(ServerId const &Server) {
   Control_.post(
       [this, Server] { feed(servers::Event(servers::ServerRefused{Server})); });
 }
 
 void ControlPlane::announceLeaving() {
+  Leaving_ = true;
   Control_.post([this] { feed(membership::Event(membership::OwnLeaving{})); });
 }
 
@@ -144,6 +152,8 @@
     feed(configuration::Event(configuration::RequestFromPeer{*Request}));
   else if (auto const *Notice = std::get_if<ServerLeavingNotice>(&Message))
     feed(servers::Event(servers::NoticeFromPeer{*Notice}));
+  else
+    Hooks_.OnPeerMessage_(From, Message);
 }
 
 void ControlPlane::feed(configuration::Event const &Event) {
@@ -196,6 +206,8 @@
 }
 
 void ControlPlane::perform(configuration::WatchCollection const &Action) {
+  if (Leaving_)
+    return;
   callPlatform(
       [this, Action] {
         return Platform_.Objects_.watch(toString(Action.Kind_), Action.From_,
@@ -229,6 +241,7 @@
 void ControlPlane::perform(membership::MembersChanged const &Action) {
   feed(configuration::Event(configuration::MembersChanged{Action.Members_}));
   feed(servers::Event(servers::MembersChanged{Action.Members_}));
+  Hooks_.OnMembers_(Action.Members_);
 }
 
 void ControlPlane::perform(servers::DirectoryChanged const &Action) {
@@ -240,17 +253,22 @@
 }
 
 void ControlPlane::readInstanceList() {
+  if (!ListingPace_->isDue(readClock()))
+    return;
   callPlatform(
       [this] { return Platform_.Instances_.fetch(PlatformTimeout_); },
       [this](Result<InstanceListing> const &Listing) {
         if (isError(Listing))
           return;
+        ListingPace_->listed(valueOf(Listing), readClock());
         feed(membership::Event(membership::InstancesListed{valueOf(Listing)}));
         feed(servers::Event(servers::InstancesListed{valueOf(Listing)}));
       });
 }
 
 void ControlPlane::readNotices() {
+  if (Leaving_)
+    return;
   callPlatform(
       [this, From = NextNotice_] {
         auto Batch = Platform_.Cloud_.notices(From, LongPoll);
@@ -261,8 +279,11 @@
       [this](Result<NoticeBatch> const &Batch) {
         if (!isError(Batch)) {
           NextNotice_ = valueOf(Batch).Next_;
-          for (auto const &Notice : valueOf(Batch).Notices_)
+          for (auto const &Notice : valueOf(Batch).Notices_) {
             feed(servers::Event(servers::NoticeReceived{Notice}));
+            if (Notice.InstanceName_ == Self_.text())
+              Hooks_.OnOwnReclaim_(Notice.Remaining_);
+          }
         }
         readNotices();
       });
--- a/Services/laburnumd/ControlPlane.h
+++ b/Services/laburnumd/ControlPlane.h
@@ -4,6 +4,7 @@
 #include "TrafficView.h"
 
 #include <LibFleet/ConfigurationStore.h>
+#include <LibFleet/ListingPace.h>
 #include <LibFleet/Membership.h>
 #include <LibFleet/ServerDirectory.h>
 #include <LibPeer/AsioPeerTransport.h>
@@ -27,12 +28,22 @@
   CloudApi &Cloud_;
 };
 
+/// What other parts hear of the control plane's news, on the control thread.
+struct ControlPlaneHooks {
+  /// Called first with the members known at the start.
+  std::function<void(std::vector<Member> const &)> OnMembers_;
+  std::function<void(InstanceId const &, PeerMessage const &)> OnPeerMessage_;
+  /// The cloud takes this instance back after the time given.
+  std::function<void(Duration)> OnOwnReclaim_;
+};
+
 struct ControlPlaneSettings {
   EntryInstance Self_; ///< With the ports that its listeners chose.
   std::vector<Endpoint> Seeds_;
   std::string PeerSecret_;
   Duration PlatformTimeout_{};
   std::uint64_t Seed_ = 0;
+  ControlPlaneHooks Hooks_;
 };
 
 /// Drives the fleet cores on the control thread: membership, configuration and
@@ -53,9 +64,12 @@
 
   // Called from any thread.
 
+  void sendToPeer(Endpoint const &To, PeerMessage const &Message);
   /// A change that this instance wrote and the platform accepted.
   void applyOwnChange(ConfigurationObject const &Object);
   void reportRefusal(ServerId const &Server);
+  /// Tells the peers, and begins no more long polls of the platform, which a
+  /// stop would wait for: from now on the peers bring what is new.
   void announceLeaving();
   /// A backend server that its operator takes out of use.
   void drainServer(ServerId const &Server, Duration Within);
@@ -71,6 +85,9 @@
   Endpoint peerEndpoint() const { return Transport_->localEndpoint(); }
   bool isPlatformReachable() const { return PlatformReachable_; }
 
+  /// Called on the control thread.
+  void send(SendToPeer const &Message) { perform(Message); }
+
 private:
   // On the control thread.
   void receive(InstanceId const &From, PeerMessage const &Message);
@@ -102,10 +119,13 @@
   std::unique_ptr<ConfigurationStore> Configuration_;
   std::unique_ptr<Membership> Membership_;
   std::unique_ptr<ServerDirectory> Directory_;
+  std::unique_ptr<ListingPace> ListingPace_;
   InstanceId Self_;
+  ControlPlaneHooks Hooks_;
   std::uint64_t NextNotice_ = 0;
   std::atomic<bool> PlatformReachable_ = false;
   std::atomic<bool> Stopping_ = false;
+  std::atomic<bool> Leaving_ = false;
 };
 
 } // namespace laburnum
--- a/Tests/FaultMatrix/Entry.cpp
+++ b/Tests/FaultMatrix/Entry.cpp
@@ -30,7 +30,9 @@
 Entry::Entry(EntryHooks const &Hooks, std::size_t Number, std::uint64_t Life,
              EntryInstance Self)
     : Hooks_(Hooks), Number_(Number), Life_(Life), Self_(std::move(Self)),
-      Chooser_(Life, &Guard_), Journal_({.Buckets_ = 2}, Life),
+      Guard_(Life), Servers_(Life),
+      Chooser_(Servers_, Guard_, *this, Self_.Id_),
+      Journal_({.Buckets_ = 2}, Life),
       Configuration_({.Self_ = Self_, .Seed_ = Life}),
       Directory_({.Self_ = Self_, .Seed_ = Life}),
       Membership_(membershipSettings(Self_, Life)) {}
@@ -68,6 +70,7 @@
   feed(membership::Event(membership::TimePassed{}));
   feed(servers::Event(servers::TimePassed{}));
   feed(configuration::Event(configuration::TimePassed{}));
+  Chooser_.onTimePassed(Hooks_.Queue_.now());
   readPlatform();
 }
 
@@ -98,6 +101,10 @@
     return feed(membership::Event(membership::HeartbeatFromPeer{From, *One}));
   if (auto const *One = std::get_if<ServerLeavingNotice>(&Message))
     return feed(servers::Event(servers::NoticeFromPeer{*One}));
+  if (auto const *One = std::get_if<CrashReports>(&Message))
+    return onCrashReports(One->Reports_);
+  if (auto const *One = std::get_if<ServerReserved>(&Message))
+    return Chooser_.receive(From, *One, Hooks_.Queue_.now());
   if (auto const *One = std::get_if<ConfigurationDigest>(&Message))
     return feed(configuration::Event(configuration::DigestFromPeer{*One}));
   if (auto const *One = std::get_if<ConfigurationRequest>(&Message))
@@ -142,6 +149,7 @@
     for (auto const &[Id, Unused] : *Directory_.departures())
       if (!Overridden_.contains(Id))
         Leaving.insert(Id);
+  Servers_.setSnapshot(Configuration_.snapshot(), Leaving);
   Chooser_.setSnapshot(Configuration_.snapshot(), std::move(Leaving));
 }
 
@@ -262,6 +270,7 @@
 void Entry::perform(membership::MembersChanged const &Action) {
   feed(configuration::Event(configuration::MembersChanged{Action.Members_}));
   feed(servers::Event(servers::MembersChanged{Action.Members_}));
+  setGuardPeers(Action.Members_);
 }
 
 void Entry::perform(servers::DirectoryChanged const &Action) {
