LibFleet: Let refusals count for a while only, and ignore notices of the past

Cause: the fuzzer found two ways to lose every server of a service. A server that refused one call (503 with Laburnum-Refused, which an overloaded server says too) counted as leaving until an operator applied it anew. An instance that started read the cloud's notices from the first one on and took those of servers since replaced under the same name for news, which its peers believed. Ruled out: the guard's choice of servers and tellNewcomer, without which both happen as well. Change: a refusal alone holds new work back for 30 s, longer than the instance list lags; any other sign makes it permanent. A notice whose time was over when it was read is ignored; the stand-in and the harness give the time that is left, as the protocol says, also when it is negative. Two tests used a refusal where any lasting sign was meant; they use a notice now and check the same. Tested: TestLibFleet passes, 4 new cases.

--- a/Libraries/LibFleet/ServerDirectory.cpp
+++ b/Libraries/LibFleet/ServerDirectory.cpp
@@ -56,13 +56,19 @@
   if (Settings_.Self_.Id_.text() == Id.text() ||
       std::any_of(Members_.begin(), Members_.end(), IsInstance))
     return;
-  advance(Id,
-          {Liveness::Leaving, Now_ + Event.Notice_.Remaining_, versionOf(Id)});
+  // An instance that starts reads the notices of days past. The instance list
+  // tells who is gone; a server of the same name may have come since.
+  if (Event.Notice_.Remaining_ < Duration(0))
+    return;
+  advance(
+      Id,
+      {Liveness::Leaving, Now_ + Event.Notice_.Remaining_, versionOf(Id), {}});
 }
 
 void ServerDirectory::on(ServerRefused const &Event) {
   advance(Event.Server_,
-          {Liveness::Leaving, std::nullopt, versionOf(Event.Server_)});
+          {Liveness::Leaving, std::nullopt, versionOf(Event.Server_),
+           Now_ + Settings_.RefusalHold_});
 }
 
 void ServerDirectory::on(NoticeFromPeer const &Event) {
@@ -73,9 +79,13 @@
   std::optional<TimePoint> GoneAt;
   if (Notice.Remaining_ > Duration(0))
     GoneAt = Now_ + Notice.Remaining_;
+  std::optional<TimePoint> HoldUntil;
+  if (Notice.Hold_ > Duration(0))
+    HoldUntil = Now_ + std::min(Notice.Hold_, Settings_.RefusalHold_);
   advance(Notice.Server_,
           {Notice.Liveness_, GoneAt,
-           std::max(Notice.ServerVersion_, versionOf(Notice.Server_))});
+           std::max(Notice.ServerVersion_, versionOf(Notice.Server_)),
+           HoldUntil});
 }
 
 /// The list lags, so that "live" in it says nothing about a server that is
@@ -86,12 +96,12 @@
     Listed[One.Id_] = One.Liveness_;
   for (auto const &[Id, At] : Listed_) {
     if (!Listed.contains(Id) && At == versionOf(Id))
-      advance(Id, {Liveness::Gone, Now_, At});
+      advance(Id, {Liveness::Gone, Now_, At, {}});
   }
   for (auto const &[Id, State] : Listed) {
     Listed_[Id] = versionOf(Id);
     if (State != Liveness::Live)
-      advance(Id, {State, std::nullopt, versionOf(Id)});
+      advance(Id, {State, std::nullopt, versionOf(Id), {}});
   }
 }
 
@@ -147,6 +157,13 @@
     Known.Liveness_ = Liveness::Gone;
     News_.push_back(Id);
   }
+  std::erase_if(Next_, [&](auto const &Entry) {
+    auto const &[Id, Known] = Entry;
+    bool const IsOver = Known.HoldUntil_ && *Known.HoldUntil_ <= Now_;
+    if (IsOver)
+      News_.push_back(Id);
+    return IsOver;
+  });
 }
 
 void ServerDirectory::advance(ServerId const &Id, Departure const &Seen) {
@@ -159,17 +176,30 @@
   }
   auto &Known = Found->second;
   auto const GoneAt = earlier(Known.GoneAt_, Seen.GoneAt_);
-  bool const IsAdvance = Seen.Liveness_ > Known.Liveness_;
+  bool const IsConfirmed = Known.HoldUntil_ && !Seen.HoldUntil_;
+  bool const IsAdvance = Seen.Liveness_ > Known.Liveness_ || IsConfirmed;
   bool const IsFirstTime = !Known.GoneAt_ && GoneAt;
   Known.Liveness_ = std::max(Known.Liveness_, Seen.Liveness_);
   Known.GoneAt_ = GoneAt;
   Known.ServerVersion_ = std::max(Known.ServerVersion_, Seen.ServerVersion_);
+  holdBack(Known, Seen);
   if (!IsAdvance && !IsFirstTime)
     return;
   News_.push_back(Id);
   tellPeers(Id, Known);
 }
 
+/// A refusal prolongs a hold and never weakens a departure that another sign
+/// told of; any other sign ends the hold's bound in time.
+void ServerDirectory::holdBack(Departure &Known, Departure const &Seen) {
+  if (!Known.HoldUntil_)
+    return;
+  if (Seen.HoldUntil_)
+    Known.HoldUntil_ = std::max(*Known.HoldUntil_, *Seen.HoldUntil_);
+  else
+    Known.HoldUntil_.reset();
+}
+
 /// Each instance passes a piece of news on once, when it learns it, to a few
 /// random peers: the instance list reaches whoever was left out.
 void ServerDirectory::tellPeers(ServerId const &Id, Departure const &News) {
@@ -187,7 +217,9 @@
 
 ServerLeavingNotice ServerDirectory::noticeOf(ServerId const &Id,
                                               Departure const &News) const {
-  ServerLeavingNotice Notice{Id, News.Liveness_, {}, News.ServerVersion_};
+  ServerLeavingNotice Notice{Id, News.Liveness_, {}, News.ServerVersion_, {}};
+  if (News.HoldUntil_)
+    Notice.Hold_ = std::max(Duration(1), *News.HoldUntil_ - Now_);
   if (News.GoneAt_)
     Notice.Remaining_ = std::max(Duration(0), *News.GoneAt_ - Now_);
   return Notice;
--- a/Libraries/LibFleet/ServerDirectory.h
+++ b/Libraries/LibFleet/ServerDirectory.h
@@ -24,6 +24,9 @@
   /// When it is expected to be gone; empty when that is not known.
   std::optional<TimePoint> GoneAt_;
   Version ServerVersion_ = 0; ///< ChangeVersion_ of its object then.
+  /// Set while only its own refusals say that it is leaving: a server that is
+  /// merely overloaded refuses too, so that it is tried again after this.
+  std::optional<TimePoint> HoldUntil_;
 
   auto operator<=>(Departure const &) const = default;
 };
@@ -31,7 +34,8 @@
 /// The servers that take no new work. A server without entry is live.
 using Departures = std::map<ServerId, Departure>;
 
-/// The cloud API gave notice; one for an entry instance is ignored.
+/// The cloud API gave notice; one for an entry instance is ignored, and so is
+/// one whose time was over before it was read.
 struct NoticeReceived {
   ReclaimNotice Notice_;
 };
@@ -41,7 +45,7 @@
 struct NoticeFromPeer {
   ServerLeavingNotice Notice_;
 };
-/// The server itself said that it is leaving.
+/// The server refused work: it is leaving or overloaded.
 struct ServerRefused {
   ServerId Server_;
 };
@@ -75,13 +79,17 @@
   EntryInstance Self_;
   std::uint64_t Seed_ = 0;
   std::size_t FanOut_ = 8; ///< Peers told of each piece of news.
+  /// How long a refusal keeps new work away. Longer than the instance list's
+  /// lag, so that a server that is really leaving is confirmed meanwhile.
+  Duration RefusalHold_ = std::chrono::seconds(30);
 };
 
 } // namespace servers
 
 /// Knows which backend servers are leaving or gone, from whichever sign comes
 /// first. States only advance, from live to leaving to gone; a server comes
-/// back only when it is applied anew at a higher version.
+/// back only when it is applied anew at a higher version, or when nothing but
+/// its own refusals spoke against it and their time is over.
 class ServerDirectory {
 public:
   explicit ServerDirectory(servers::Settings Settings);
@@ -103,6 +111,7 @@
   void on(servers::TimePassed const &Event);
 
   void advance(ServerId const &Id, servers::Departure const &Seen);
+  void holdBack(servers::Departure &Known, servers::Departure const &Seen);
   void tellPeers(ServerId const &Id, servers::Departure const &News);
   void tellNewcomer(EntryInstance const &Newcomer);
   ServerLeavingNotice noticeOf(ServerId const &Id,
--- a/Libraries/LibModel/ReclaimNotice.h
+++ b/Libraries/LibModel/ReclaimNotice.h
@@ -11,7 +11,8 @@
 struct ReclaimNotice {
   std::string InstanceName_; ///< ServerId or InstanceId, as in the list.
   DataCentre DataCentre_;
-  Duration Remaining_{}; ///< Until the instance is gone, when received.
+  /// Until the instance is gone, when received; negative when that is over.
+  Duration Remaining_{};
 
   auto operator<=>(ReclaimNotice const &) const = default;
 };
--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -57,7 +57,7 @@
 }
 auto fieldsOf(Of<ServerLeavingNotice> auto &Value) {
   return std::tie(Value.Server_, Value.Liveness_, Value.Remaining_,
-                  Value.ServerVersion_);
+                  Value.ServerVersion_, Value.Hold_);
 }
 auto fieldsOf(Of<CrashReport> auto &Value) {
   return std::tie(Value.Incident_, Value.Fingerprint_, Value.Server_,
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -100,6 +100,8 @@
   /// ChangeVersion_ of the server's configuration object that it is about; a
   /// server applied anew by a later change is not touched.
   Version ServerVersion_ = 0;
+  /// Not 0: only a refusal stands behind it, which counts this long from now.
+  Duration Hold_{};
 
   auto operator<=>(ServerLeavingNotice const &) const = default;
 };
--- a/Tests/FaultMatrix/World.cpp
+++ b/Tests/FaultMatrix/World.cpp
@@ -245,7 +245,13 @@
                                           std::size_t From) {
   if (OnlyNoticed_ && *OnlyNoticed_ != Instance)
     return {};
-  return {Notices_.begin() + static_cast<std::ptrdiff_t>(From), Notices_.end()};
+  std::vector<ReclaimNotice> Read;
+  for (auto Next = From; Next < Notices_.size(); ++Next) {
+    auto [Notice, GoneAt] = Notices_[Next];
+    Notice.Remaining_ = GoneAt - Queue_.now();
+    Read.push_back(std::move(Notice));
+  }
+  return Read;
 }
 
 // Callers.
--- a/Tests/FaultMatrix/World.h
+++ b/Tests/FaultMatrix/World.h
@@ -138,7 +138,8 @@
   std::vector<Host> Hosts_;
   std::uint64_t NextLife_ = 1;
   std::map<RequestId, std::pair<std::size_t, std::uint64_t>> At_;
-  std::vector<ReclaimNotice> Notices_;
+  /// In the cloud's order, each with the moment when its instance goes.
+  std::vector<std::pair<ReclaimNotice, TimePoint>> Notices_;
   std::optional<std::size_t> OnlyNoticed_; ///< Who alone gets notices.
   std::map<ServerId, Departing> Departing_;
   std::set<ServerId> Kept_; ///< Departing for good; not to be replaced.
--- a/Tests/FaultMatrix/WorldFaults.cpp
+++ b/Tests/FaultMatrix/WorldFaults.cpp
@@ -114,7 +114,8 @@
 }
 
 void World::reclaim(ServerId const &Id, Duration Notice) {
-  Notices_.push_back({Id.text(), Backends_.server(Id).DataCentre_, Notice});
+  Notices_.push_back({{Id.text(), Backends_.server(Id).DataCentre_, Notice},
+                      Queue_.now() + Notice});
   Departing_[Id].ListedFrom_ = Queue_.now();
   Queue_.after(Notice, [=, this] { Backends_.stop(Id); });
   replaceLater(Id, ReplacementTime);
@@ -152,7 +153,7 @@
   if (Sign == LeavingSign::Peer)
     OnlyNoticed_ = 0;
   if (Sign == LeavingSign::Notice || Sign == LeavingSign::Peer)
-    Notices_.push_back(Notice);
+    Notices_.push_back({Notice, Queue_.now() + Remaining});
 }
 
 void World::onWork(ServerId const &Server, AttemptOwner const &Owner) {
--- a/Tests/LibFleet/TestServerDirectory.cpp
+++ b/Tests/LibFleet/TestServerDirectory.cpp
@@ -88,8 +88,43 @@
   CHECK(state() == Liveness::Gone);
 }
 
-TEST_CASE_METHOD(Fixture, "A server returns only at a higher version") {
+TEST_CASE_METHOD(Fixture, "A refusal keeps work away for its hold only") {
+  servers::Settings const Defaults;
   handle(ServerRefused{Id});
+  CHECK(state() == Liveness::Leaving);
+  handle(servers::TimePassed{}, Start + Defaults.RefusalHold_ - Duration(1));
+  CHECK(state() == Liveness::Leaving);
+  handle(servers::TimePassed{}, Start + Defaults.RefusalHold_);
+  CHECK(state() == Liveness::Live);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "A refusal that another sign confirms counts for good") {
+  handle(ServerRefused{Id});
+  handle(NoticeFromPeer{{Id, Liveness::Leaving, Duration(0), 5, {}}});
+  handle(ServerRefused{Id});
+  handle(servers::TimePassed{}, Start + std::chrono::hours(1));
+  CHECK(state() == Liveness::Leaving);
+}
+
+TEST_CASE_METHOD(Fixture, "A peer's refusal is held no longer than one's own") {
+  servers::Settings const Defaults;
+  handle(NoticeFromPeer{
+      {Id, Liveness::Leaving, Duration(0), 5, std::chrono::hours(1)}});
+  CHECK(state() == Liveness::Leaving);
+  handle(servers::TimePassed{}, Start + Defaults.RefusalHold_);
+  CHECK(state() == Liveness::Live);
+}
+
+TEST_CASE_METHOD(Fixture, "A notice whose time was over says nothing") {
+  handle(NoticeReceived{{Id.text(), {}, Duration(-1)}});
+  CHECK(state() == Liveness::Live);
+  handle(NoticeReceived{{Id.text(), {}, Duration(0)}});
+  CHECK(state() != Liveness::Live);
+}
+
+TEST_CASE_METHOD(Fixture, "A server returns only at a higher version") {
+  handle(notice());
   handle(applied(5));
   CHECK(state() == Liveness::Leaving);
   handle(applied(6));
@@ -105,7 +140,7 @@
   Rewritten.Objects_.front().ChangeVersion_ = 5;
   auto Changed = applied(12);
   Changed.Objects_.front().ChangeVersion_ = 10;
-  handle(ServerRefused{Id});
+  handle(notice());
   handle(Rewritten);
   CHECK(state() == Liveness::Leaving);
   handle(Changed);
--- a/Tests/PlatformStandin/StandinCloud.cpp
+++ b/Tests/PlatformStandin/StandinCloud.cpp
@@ -45,8 +45,7 @@
   NoticeBatch Batch{Notices_.size(), {}};
   for (auto Next = From; Next < Notices_.size(); ++Next) {
     auto Notice = Notices_[Next].Notice_;
-    Notice.Remaining_ =
-        std::max(Duration::zero(), Notices_[Next].GoneAt_ - Now);
+    Notice.Remaining_ = Notices_[Next].GoneAt_ - Now;
     Batch.Notices_.push_back(std::move(Notice));
   }
   return Batch;
