--- a/Libraries/LibServing/CrashGuard.cpp
+++ b/Libraries/LibServing/CrashGuard.cpp
@@ -77,10 +77,10 @@
 }
 
 void CrashGuard::onStarted(std::uint64_t Fingerprint, ServerId const &Server,
-                           Company Company_) {
+                           Company Beside) {
   std::lock_guard const Lock(Mutex_);
   auto &Counts = Running_[Server][Fingerprint];
-  ++(Company_ == Company::Alone ? Counts.Alone_ : Counts.Shared_);
+  ++(Beside == Company::Alone ? Counts.Alone_ : Counts.Shared_);
 }
 
 std::vector<CrashReport> CrashGuard::onEnded(std::uint64_t Fingerprint,
--- a/Libraries/LibServing/CrashGuard.h
+++ b/Libraries/LibServing/CrashGuard.h
@@ -54,7 +54,7 @@
                  TimePoint Now) const;
 
   void onStarted(std::uint64_t Fingerprint, ServerId const &Server,
-                 Company Company_);
+                 Company Beside);
   /// Yields what to tell peers at once. A report of BrokenOff among it asks
   /// for the break to be judged.
   std::vector<CrashReport> onEnded(std::uint64_t Fingerprint,
