--- a/Tests/LibRecovery/LedgerFleet.cpp
+++ b/Tests/LibRecovery/LedgerFleet.cpp
@@ -220,7 +220,8 @@
       Flights_.push_back(std::move(One));
       continue;
     }
-    for (auto &[Name, To] : Nodes_) {
+    for (auto &[Name, Node] : Nodes_) {
+      auto &To = Node;
       if (To.Self_.Peers_.Port_ != One.To_ || Cut_.contains(Name) ||
           Cut_.contains(One.From_))
         continue;
