--- a/Tests/Bench/Placement/FleetModel.cpp
+++ b/Tests/Bench/Placement/FleetModel.cpp
@@ -1,6 +1,7 @@
 #include "FleetModel.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <random>
 #include <set>
@@ -63,7 +64,7 @@
     double Held = 0;
     for (auto const &One : Record_.Orders_)
       Held += One.Slot_ == Slot && One.State_ == OrderState::Started ? 1 : 0;
-    auto Left = static_cast<int>(Held * WaveShare + 0.5);
+    auto Left = std::lround(Held * WaveShare);
     Seen_.RecomputedPerHour_ += Left * Given_.Need_.TokensPerReclaim_;
     std::erase_if(Record_.Orders_, [&](ServerOrder const &One) {
       return One.Slot_ == Slot && One.State_ == OrderState::Started &&
