--- a/Tests/LaburnumLoad/LoadCall.cpp
+++ b/Utilities/laburnum-load/LoadCall.cpp
@@ -1,4 +1,4 @@
-#include <LaburnumLoad/LoadCall.h>
+#include "LoadCall.h"
 #include <LibBackend/ServerSentEvents.h>
 
 #include <nlohmann/json.hpp>
--- a/Tests/LaburnumLoad/LoadCall.h
+++ b/Utilities/laburnum-load/LoadCall.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LaburnumLoad/LoadPlan.h>
+#include "LoadPlan.h"
 
 #include <cstdint>
 #include <httplib.h>
--- a/Tests/LaburnumLoad/LoadPlan.cpp
+++ b/Utilities/laburnum-load/LoadPlan.cpp
@@ -1,4 +1,4 @@
-#include <LaburnumLoad/LoadPlan.h>
+#include "LoadPlan.h"
 
 #include <random>
 
--- a/Tests/LaburnumLoad/LoadReport.h
+++ b/Utilities/laburnum-load/LoadReport.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LaburnumLoad/LoadCall.h>
+#include "LoadCall.h"
 
 #include <string>
 #include <vector>
--- a/Tests/LaburnumLoad/Main.cpp
+++ b/Utilities/laburnum-load/Main.cpp
@@ -1,4 +1,4 @@
-#include <LaburnumLoad/LoadReport.h>
+#include "LoadReport.h"
 
 #include <atomic>
 #include <cxxopts.hpp>
