EngineStandin: Wake only the stream that a token is for

Cause: 1,000 streams opened in one instant through one laburnumd had their first token after 5.5 s at the median. All streams of the stand-in waited on one condition variable, so that each token woke a thousand threads; the stand-in did not answer its own /load until 991 streams had ended. Ruled out: the daemon's buffering; a slower opener through the same daemon had its first token after 0.07 s at the median. Change: a condition variable for each stream.

--- a/Tests/EngineStandin/EngineServer.cpp
+++ b/Tests/EngineStandin/EngineServer.cpp
@@ -31,6 +31,8 @@
   {
     std::lock_guard const Lock(Mutex_);
     IsStopping_ = true;
+    for (auto const &[Key, One] : Streams_)
+      One->Ready_.notify_all();
   }
   Changed_.notify_all();
   if (Ticks_.joinable())
@@ -49,8 +51,6 @@
     auto Outputs = Core_.advance(readClock());
     for (auto &Output : Outputs)
       dispatch(std::move(Output));
-    if (!Outputs.empty())
-      Changed_.notify_all();
     if (auto const Next = Core_.nextDue())
       Changed_.wait_until(Lock, *Next);
     else
@@ -62,8 +62,10 @@
   if (std::holds_alternative<EngineCrash>(Output.Message_))
     _exit(CrashStatus);
   auto const Found = Streams_.find(Output.Stream_);
-  if (Found != Streams_.end())
-    Found->second->Outputs_.push_back(std::move(Output));
+  if (Found == Streams_.end())
+    return;
+  Found->second->Outputs_.push_back(std::move(Output));
+  Found->second->Ready_.notify_all();
 }
 
 void EngineServer::setRoutes() {
@@ -182,8 +184,8 @@
   {
     std::unique_lock Lock(Mutex_);
     auto const IsOver = [&] { return IsStopping_ || !Streams_.contains(Key); };
-    Changed_.wait_for(Lock, ConnectionCheck,
-                      [&] { return IsOver() || !Queue.Outputs_.empty(); });
+    Queue.Ready_.wait_for(Lock, ConnectionCheck,
+                          [&] { return IsOver() || !Queue.Outputs_.empty(); });
     if (IsOver())
       return false;
     for (auto const &Output : Queue.Outputs_) {
@@ -204,8 +206,12 @@
 /// The connection is over: what still runs for it is cancelled.
 void EngineServer::forget(StreamKey const &Key) {
   std::lock_guard const Lock(Mutex_);
-  if (Streams_.erase(Key) != 0)
-    Core_.cancel(Key, readClock());
+  auto const Found = Streams_.find(Key);
+  if (Found == Streams_.end())
+    return;
+  Found->second->Ready_.notify_all();
+  Streams_.erase(Found);
+  Core_.cancel(Key, readClock());
   Changed_.notify_all();
 }
 
--- a/Tests/EngineStandin/EngineServer.h
+++ b/Tests/EngineStandin/EngineServer.h
@@ -29,6 +29,8 @@
 private:
   struct Stream {
     std::deque<EngineOutput> Outputs_;
+    /// One for each stream: a token must not wake a thousand others.
+    std::condition_variable Ready_;
   };
 
   void runTicks();
@@ -49,7 +51,7 @@
 
   EngineSettings const Settings_;
   std::mutex Mutex_;
-  std::condition_variable Changed_; ///< The core or the streams changed.
+  std::condition_variable Changed_; ///< The core has something new to do.
   EngineCore Core_;
   std::map<StreamKey, std::shared_ptr<Stream>> Streams_;
   std::map<std::string, std::vector<std::uint64_t>> Exports_;
