laburnumd: Show the platform's calls by kind in the metrics

Cause: the calls were counted and held to a rate, but no operator could see them. Change: MetricsRegistry::addReading, for counters that another object keeps; platform.gets, lists, puts, watches and refused_here. Tested: TestLibMetrics, one new case.

--- a/Libraries/LibMetrics/MetricsRegistry.cpp
+++ b/Libraries/LibMetrics/MetricsRegistry.cpp
@@ -22,6 +22,13 @@
   return *Entry.Distribution_;
 }
 
+void MetricsRegistry::addReading(std::string const &Name,
+                                 std::string const &Unit,
+                                 std::function<std::uint64_t()> Read) {
+  std::lock_guard const Lock(Mutex_);
+  Readings_[Name] = {Unit, std::move(Read)};
+}
+
 std::vector<MetricSnapshot>
 MetricsRegistry::snapshot(std::string const &Prefix) {
   std::lock_guard const Lock(Mutex_);
@@ -29,6 +36,9 @@
   for (auto const &[Name, Entry] : Counters_)
     if (Name.starts_with(Prefix))
       Snapshots.push_back({Name, Entry.Unit_, Entry.Counter_->count()});
+  for (auto const &[Name, Entry] : Readings_)
+    if (Name.starts_with(Prefix))
+      Snapshots.push_back({Name, Entry.Unit_, Entry.Read_()});
   for (auto const &[Name, Entry] : Distributions_) {
     if (!Name.starts_with(Prefix))
       continue;
--- a/Libraries/LibMetrics/MetricsRegistry.h
+++ b/Libraries/LibMetrics/MetricsRegistry.h
@@ -4,6 +4,7 @@
 #include <LibMetrics/Distribution.h>
 #include <LibMetrics/MetricSnapshot.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -23,6 +24,11 @@
   /// The distribution of this name, made at the first call.
   Distribution &distribution(std::string const &Name, std::string const &Unit);
 
+  /// A counter that another object keeps: Read yields it, is called for each
+  /// snapshot on any thread, and stays good as long as the registry lives.
+  void addReading(std::string const &Name, std::string const &Unit,
+                  std::function<std::uint64_t()> Read);
+
   /// All metrics whose names start with Prefix, sorted by name.
   std::vector<MetricSnapshot> snapshot(std::string const &Prefix = "");
 
@@ -36,8 +42,14 @@
     std::unique_ptr<Distribution> Distribution_;
   };
 
+  struct NamedReading {
+    std::string Unit_;
+    std::function<std::uint64_t()> Read_;
+  };
+
   std::mutex Mutex_;
   std::map<std::string, NamedCounter> Counters_;
+  std::map<std::string, NamedReading> Readings_;
   std::map<std::string, NamedDistribution> Distributions_;
 };
 
--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -125,6 +125,20 @@
         Controller_(Control_, controllerInterfaces(), Metrics_),
         Writer_(Objects_, Settings_.Platform_.Timeout_) {}
 
+  /// The platform's calls by kind, and those that our own rates refused.
+  void addPlatformReadings() {
+    auto const Add = [this](std::string const &Name,
+                            std::uint64_t ObjectStoreCounts::*Kind) {
+      Metrics_.addReading("platform." + Name, "calls",
+                          [this, Kind] { return Metered_.counts().*Kind; });
+    };
+    Add("gets", &ObjectStoreCounts::Gets_);
+    Add("lists", &ObjectStoreCounts::Lists_);
+    Add("puts", &ObjectStoreCounts::Puts_);
+    Add("watches", &ObjectStoreCounts::Watches_);
+    Add("refused_here", &ObjectStoreCounts::Refused_);
+  }
+
   Result<Success> bind() {
     auto Callers = CallerServer::create(
         callerSettings(Settings_),
--- a/Tests/LibMetrics/TestMetricsRegistry.cpp
+++ b/Tests/LibMetrics/TestMetricsRegistry.cpp
@@ -82,3 +82,13 @@
 TEST_CASE("A distribution without values is all zero") {
   CHECK(Distribution().snapshot() == MetricSnapshot{});
 }
+
+TEST_CASE("A reading is taken anew for each snapshot") {
+  MetricsRegistry Registry;
+  std::uint64_t Kept = 1;
+  Registry.addReading("platform.gets", "calls", [&] { return Kept; });
+  CHECK(Registry.snapshot("platform.").front().Count_ == 1);
+  Kept = 2;
+  CHECK(Registry.snapshot("platform.").front().Count_ == 2);
+  CHECK(Registry.snapshot("peer.").empty());
+}
