LibCallers: Use LibServing's check of keys and permissions

Cause: RequestReader and Authenticator held the same two checks; only the first ran. Change: Authenticator is two functions, who calls and what it may use, and RequestReader calls them. The scheme's name is taken in either case now. The test makes the same seven checks through both functions.

--- a/Libraries/LibCallers/RequestReader.cpp
+++ b/Libraries/LibCallers/RequestReader.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCallers/EventId.h>
 #include <LibCore/Hash.h>
+#include <LibServing/Authenticator.h>
 
 #include <algorithm>
 #include <charconv>
@@ -10,7 +11,6 @@
 
 namespace {
 
-constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr std::string_view ServicesPrefix = "/services/";
 constexpr std::size_t LongestKey = 200;
 
@@ -57,22 +57,6 @@
   return Value;
 }
 
-Result<ClientAccount> authenticate(CallerMessage const &Message,
-                                   Configuration const &InForce) {
-  Error const Refusal{ErrorKind::Unauthenticated,
-                      "the request carries no valid account key",
-                      "send the header \"Authorization: Bearer KEY\" with the "
-                      "key of your client account"};
-  auto const Field = Message.field("Authorization");
-  if (!Field || !Field->starts_with(BearerPrefix))
-    return Refusal;
-  auto const *Account =
-      InForce.accountByKeyDigest(keyDigest(Field->substr(BearerPrefix.size())));
-  if (!Account)
-    return Refusal;
-  return *Account;
-}
-
 Result<Duration> deadlineOf(CallerMessage const &Message,
                             RequestBounds const &Bounds) {
   auto const Field = Message.field("Laburnum-Deadline-Ms");
@@ -127,12 +111,9 @@
                  Kind == ServiceKind::Model
                      ? "name a model service in \"model\""
                      : "use /services/NAME/PATH with a plain service's name"};
-  auto const &Allowed = Account.Services_;
-  if (!Allowed.empty() &&
-      std::find(Allowed.begin(), Allowed.end(), Name) == Allowed.end())
-    return Error{ErrorKind::PermissionDenied,
-                 "the account may not use the service " + Name.text(),
-                 "ask the operators to add the service to the account"};
+  auto const Allowed = checkPermission(Account, Name);
+  if (isError(Allowed))
+    return errorOf(Allowed);
   return *Found;
 }
 
@@ -237,7 +218,8 @@
                                 Configuration const &InForce,
                                 RequestBounds const &Bounds, RequestId Id,
                                 TimePoint Now) {
-  auto const Account = authenticate(Message, InForce);
+  auto const Account =
+      authenticate(Message.field("Authorization").value_or(""), InForce);
   if (isError(Account))
     return errorOf(Account);
   auto const Allowed = deadlineOf(Message, Bounds);
--- a/Libraries/LibServing/Authenticator.cpp
+++ b/Libraries/LibServing/Authenticator.cpp
@@ -4,7 +4,6 @@
 #include <cctype>
 #include <optional>
 #include <string_view>
-#include <utility>
 
 namespace laburnum {
 
@@ -32,26 +31,27 @@
 
 } // namespace
 
-Authenticator::Authenticator(std::shared_ptr<Configuration const> Snapshot)
-    : Snapshot_(std::move(Snapshot)) {}
-
-Result<ClientAccount>
-Authenticator::authenticate(std::string const &AuthorizationField,
-                            ServiceName const &Service) const {
+Result<ClientAccount> authenticate(std::string const &AuthorizationField,
+                                   Configuration const &InForce) {
   auto const Key = bearerKey(AuthorizationField);
   if (!Key)
     return notAuthenticated();
-  auto const *Account = Snapshot_->accountByKeyDigest(keyDigest(*Key));
+  auto const *Account = InForce.accountByKeyDigest(keyDigest(*Key));
   if (!Account)
     return notAuthenticated();
-  auto const &Allowed = Account->Services_;
-  if (!Allowed.empty() &&
-      std::find(Allowed.begin(), Allowed.end(), Service) == Allowed.end())
-    return Error{ErrorKind::PermissionDenied,
-                 "account " + Account->Name_.text() + " may not use service " +
-                     Service.text(),
-                 "ask the operators to allow the service to the account"};
   return *Account;
 }
 
+Result<Success> checkPermission(ClientAccount const &Account,
+                                ServiceName const &Service) {
+  auto const &Allowed = Account.Services_;
+  if (Allowed.empty() ||
+      std::find(Allowed.begin(), Allowed.end(), Service) != Allowed.end())
+    return Success{};
+  return Error{ErrorKind::PermissionDenied,
+               "account " + Account.Name_.text() + " may not use service " +
+                   Service.text(),
+               "ask the operators to allow the service to the account"};
+}
+
 } // namespace laburnum
--- a/Libraries/LibServing/Authenticator.h
+++ b/Libraries/LibServing/Authenticator.h
@@ -1,25 +1,19 @@
 #pragma once
 
+#include <LibCore/Result.h>
 #include <LibModel/Configuration.h>
 
-#include <memory>
 #include <string>
 
 namespace laburnum {
 
-/// Tells who calls, by one configuration.
-class Authenticator {
-public:
-  explicit Authenticator(std::shared_ptr<Configuration const> Snapshot);
+/// Who calls: the account whose key the Authorization field carries. Error:
+/// Unauthenticated (no key, another scheme or an unknown key).
+Result<ClientAccount> authenticate(std::string const &AuthorizationField,
+                                   Configuration const &InForce);
 
-  /// The account whose key the Authorization field carries. Errors:
-  /// Unauthenticated (no key, another scheme or an unknown key),
-  /// PermissionDenied (the account may not use the service).
-  Result<ClientAccount> authenticate(std::string const &AuthorizationField,
-                                     ServiceName const &Service) const;
-
-private:
-  std::shared_ptr<Configuration const> Snapshot_;
-};
+/// Whether the account may use the service. Error: PermissionDenied.
+Result<Success> checkPermission(ClientAccount const &Account,
+                                ServiceName const &Service);
 
 } // namespace laburnum
--- a/Tests/LibServing/TestAccounts.cpp
+++ b/Tests/LibServing/TestAccounts.cpp
@@ -23,12 +23,15 @@
 } // namespace
 
 TEST_CASE("A key names its account and the services that it may use") {
-  Authenticator const Filter(Configuration::create(
-      {{{ObjectKind::Account, "account"}, 1, false, encodeJson(account())}}));
+  auto const InForce = Configuration::create(
+      {{{ObjectKind::Account, "account"}, 1, false, encodeJson(account())}});
   auto const KindOf = [&](std::string const &Field, std::string const &Name) {
-    auto const Found = Filter.authenticate(Field, ServiceName(Name));
-    return isError(Found) ? toString(errorOf(Found).Kind_)
-                          : valueOf(Found).Name_.text();
+    auto const Found = authenticate(Field, *InForce);
+    if (isError(Found))
+      return toString(errorOf(Found).Kind_);
+    auto const Allowed = checkPermission(valueOf(Found), ServiceName(Name));
+    return isError(Allowed) ? toString(errorOf(Allowed).Kind_)
+                            : valueOf(Found).Name_.text();
   };
   CHECK(KindOf("Bearer secret-key", "allowed") == "account");
   CHECK(KindOf("bearer secret-key", "allowed") == "account");
