EngineStandin: Let writers have the mutex between two tokens

Cause: the first token of 1,000 streams opened in one instant came after 5.5 s. The tick thread asked the core anew for each token, every few microseconds, and held the mutex that the writing threads need. Change: at most one round of the core a millisecond.

--- a/Tests/EngineStandin/EngineServer.cpp
+++ b/Tests/EngineStandin/EngineServer.cpp
@@ -1,5 +1,6 @@
 #include <EngineStandin/EngineServer.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
@@ -10,6 +11,10 @@
 
 /// How often a waiting stream looks whether its connection is still there.
 static constexpr Duration ConnectionCheck = std::chrono::milliseconds(100);
+/// The core is not asked more often than this: with a thousand streams a token
+/// is due every few microseconds, and asking for each would hold the mutex
+/// against the threads that write them.
+static constexpr Duration ShortestTick = std::chrono::milliseconds(1);
 static constexpr std::size_t KvBytesPerToken = 1024;
 static constexpr int CrashStatus = 70;
 
@@ -52,7 +57,7 @@
     for (auto &Output : Outputs)
       dispatch(std::move(Output));
     if (auto const Next = Core_.nextDue())
-      Changed_.wait_until(Lock, *Next);
+      Changed_.wait_until(Lock, std::max(*Next, readClock() + ShortestTick));
     else
       Changed_.wait(Lock);
   }
