--- /dev/null
+++ b/Libraries/LibHttp/Connection.cpp
@@ -0,0 +1,182 @@
+#include <LibHttp/Connection.h>
+
+#include <asio/write.hpp>
+
+#include <array>
+#include <netinet/tcp.h>
+#include <utility>
+
+namespace laburnum {
+
+namespace {
+
+/// Shared by the connections of a thread, so that an idle one holds no buffer.
+constexpr std::size_t ReadBufferBytes = 32768;
+/// How long a peer may take to close after this side has.
+constexpr std::chrono::seconds CloseLinger{1};
+
+std::array<char, ReadBufferBytes> &readBuffer() {
+  thread_local std::array<char, ReadBufferBytes> Buffer;
+  return Buffer;
+}
+
+void setOption(asio::ip::tcp::socket &Socket, int Name, int Value) {
+  // A refused option leaves the kernel's default, which is only slower.
+  ::setsockopt(Socket.native_handle(), IPPROTO_TCP, Name, &Value,
+               sizeof(Value));
+}
+
+} // namespace
+
+void configureSocket(asio::ip::tcp::socket &Socket) {
+  asio::error_code Ignored;
+  Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
+  auto const Limit = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Connection::SilenceLimit);
+  setOption(Socket, TCP_USER_TIMEOUT, static_cast<int>(Limit.count()));
+  setOption(Socket, TCP_KEEPIDLE, 1);
+  setOption(Socket, TCP_KEEPINTVL, 1);
+  setOption(Socket, TCP_KEEPCNT, 2);
+}
+
+Result<asio::ip::tcp::endpoint> resolve(Endpoint const &Address) {
+  asio::error_code Failure;
+  auto const Host = asio::ip::make_address(Address.Host_, Failure);
+  if (Failure)
+    return Error{ErrorKind::InvalidArgument,
+                 "'" + Address.Host_ + "' is not an IP address",
+                 "give an address such as 127.0.0.1:8080"};
+  return asio::ip::tcp::endpoint(Host, Address.Port_);
+}
+
+Connection::Connection(asio::ip::tcp::socket Socket)
+    : Socket_(std::move(Socket)), CloseTimer_(Socket_.get_executor()) {}
+
+std::shared_ptr<Connection> Connection::create(asio::ip::tcp::socket Socket) {
+  configureSocket(Socket);
+  asio::error_code Ignored;
+  Socket.non_blocking(true, Ignored);
+  return std::shared_ptr<Connection>(new Connection(std::move(Socket)));
+}
+
+void Connection::start(std::shared_ptr<ConnectionObserver> Observer) {
+  Observer_ = std::move(Observer);
+  waitForBytes();
+}
+
+void Connection::waitForBytes() {
+  if (IsWaiting_ || State_ == State::Closed || Reading_ == Reading::Paused)
+    return;
+  IsWaiting_ = true;
+  Socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [Self = shared_from_this()](asio::error_code Failure) {
+                       Self->IsWaiting_ = false;
+                       if (Failure || Self->State_ == State::Closed)
+                         return;
+                       if (Self->Reading_ == Reading::Running)
+                         Self->readAvailable();
+                     });
+}
+
+void Connection::readAvailable() {
+  auto &Buffer = readBuffer();
+  asio::error_code Failure;
+  auto const Count = Socket_.read_some(asio::buffer(Buffer), Failure);
+  if (Failure == asio::error::would_block)
+    return waitForBytes();
+  if (Failure)
+    return end(Failure == asio::error::eof ? ConnectionEnd::Orderly
+                                           : ConnectionEnd::Broken);
+  // Bytes that come after close() are discarded, as unread ones would reset.
+  if (State_ == State::Open) {
+    auto const Observer = Observer_;
+    // The observer may read on the same buffer through another connection.
+    Observer->onBytes(std::string_view(Buffer.data(), Count));
+  }
+  waitForBytes();
+}
+
+void Connection::write(std::string Bytes) {
+  if (State_ != State::Open || Bytes.empty())
+    return;
+  Unwritten_ += Bytes.size();
+  Writes_.push_back(std::move(Bytes));
+  if (!IsWriting_)
+    writeNext();
+}
+
+void Connection::writeNext() {
+  IsWriting_ = true;
+  asio::async_write(
+      Socket_, asio::buffer(Writes_.front()),
+      [Self = shared_from_this()](asio::error_code Failure, std::size_t Count) {
+        Self->IsWriting_ = false;
+        if (Self->State_ == State::Closed)
+          return;
+        if (Failure)
+          return Self->end(ConnectionEnd::Broken);
+        Self->Unwritten_ -= Count;
+        Self->Writes_.pop_front();
+        if (!Self->Writes_.empty())
+          return Self->writeNext();
+        if (Self->State_ == State::Closing)
+          return Self->finishClosing();
+        if (auto const Observer = Self->Observer_)
+          Observer->onWritten();
+      });
+}
+
+void Connection::pauseReading() { Reading_ = Reading::Paused; }
+
+void Connection::resumeReading() {
+  Reading_ = Reading::Running;
+  waitForBytes();
+}
+
+void Connection::close() {
+  if (State_ != State::Open)
+    return;
+  State_ = State::Closing;
+  Observer_.reset();
+  if (!IsWriting_)
+    finishClosing();
+}
+
+void Connection::finishClosing() {
+  asio::error_code Ignored;
+  Socket_.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
+  resumeReading();
+  CloseTimer_.expires_after(CloseLinger);
+  CloseTimer_.async_wait([Self = shared_from_this()](asio::error_code Failure) {
+    if (!Failure)
+      Self->release();
+  });
+}
+
+void Connection::abort() {
+  if (State_ == State::Closed)
+    return;
+  asio::error_code Ignored;
+  Socket_.set_option(asio::socket_base::linger(true, 0), Ignored);
+  release();
+}
+
+void Connection::end(ConnectionEnd End) {
+  auto const Observer = std::move(Observer_);
+  release();
+  if (Observer)
+    Observer->onEnd(End);
+}
+
+void Connection::release() {
+  if (State_ == State::Closed)
+    return;
+  State_ = State::Closed;
+  Observer_.reset();
+  CloseTimer_.cancel();
+  asio::error_code Ignored;
+  Socket_.close(Ignored);
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibHttp/HttpListener.cpp
@@ -0,0 +1,92 @@
+#include <LibHttp/HttpServerConnection.h>
+
+#include <algorithm>
+
+namespace laburnum {
+
+namespace {
+
+/// Pause after a failed accept, such as for want of file descriptors.
+constexpr std::chrono::milliseconds AcceptRetryPause{50};
+
+} // namespace
+
+HttpListener::HttpListener(asio::io_context &Context, HttpService &Service)
+    : Acceptor_(Context), RetryTimer_(Context), Service_(Service) {}
+
+Result<std::shared_ptr<HttpListener>>
+HttpListener::create(asio::io_context &Context, Endpoint const &Address,
+                     HttpService &Service) {
+  auto const Resolved = resolve(Address);
+  if (isError(Resolved))
+    return errorOf(Resolved);
+  std::shared_ptr<HttpListener> Made(new HttpListener(Context, Service));
+  auto const &Local = valueOf(Resolved);
+  asio::error_code Failure;
+  auto &Acceptor = Made->Acceptor_;
+  Acceptor.open(Local.protocol(), Failure);
+  if (!Failure)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Failure);
+  if (!Failure)
+    Acceptor.bind(Local, Failure);
+  if (!Failure)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Failure);
+  if (Failure)
+    return Error{ErrorKind::Unavailable,
+                 "cannot listen on " + Address.Host_ + ":" +
+                     std::to_string(Address.Port_) + ": " + Failure.message(),
+                 "free the port or change the settings"};
+  Made->accept();
+  return Made;
+}
+
+Endpoint HttpListener::localEndpoint() const {
+  asio::error_code Ignored;
+  auto const Local = Acceptor_.local_endpoint(Ignored);
+  return {Local.address().to_string(), Local.port()};
+}
+
+void HttpListener::accept() {
+  Acceptor_.async_accept([Self = shared_from_this()](
+                             asio::error_code Failure,
+                             asio::ip::tcp::socket Socket) {
+    if (Failure == asio::error::operation_aborted || !Self->Acceptor_.is_open())
+      return;
+    if (Failure)
+      return Self->retryLater();
+    auto const Opened = std::make_shared<HttpServerConnection>(
+        Self, Connection::create(std::move(Socket)));
+    Self->Connections_.insert(Opened);
+    Opened->start();
+    Self->accept();
+  });
+}
+
+void HttpListener::retryLater() {
+  RetryTimer_.expires_after(AcceptRetryPause);
+  RetryTimer_.async_wait([Self = shared_from_this()](asio::error_code Failure) {
+    if (!Failure && Self->Acceptor_.is_open())
+      Self->accept();
+  });
+}
+
+void HttpListener::stopAccepting() {
+  asio::error_code Ignored;
+  RetryTimer_.cancel();
+  Acceptor_.close(Ignored);
+}
+
+void HttpListener::drainConnections() {
+  IsDraining_ = true;
+  auto const Open = Connections_;
+  for (auto const &One : Open)
+    One->drain();
+}
+
+std::size_t HttpListener::busyConnections() const {
+  return static_cast<std::size_t>(
+      std::count_if(Connections_.begin(), Connections_.end(),
+                    [](auto const &One) { return One->isBusy(); }));
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -0,0 +1,215 @@
+#include <LibHttp/HttpServerConnection.h>
+
+#include <utility>
+
+namespace laburnum {
+
+namespace {
+
+/// The exchange that a service holds; it may outlive the connection.
+class ConnectionExchange : public Exchange {
+public:
+  ConnectionExchange(std::shared_ptr<HttpServerConnection> Owner,
+                     std::uint64_t Number)
+      : Owner_(std::move(Owner)), Number_(Number) {}
+
+  void observe(std::shared_ptr<ClientObserver> Observer) override {
+    Owner_->observe(Number_, std::move(Observer));
+  }
+  void answer(AnswerHead const &Head, std::string_view Body) override {
+    Owner_->answer(Number_, Head, Body);
+  }
+  void beginStream(AnswerHead const &Head) override {
+    Owner_->beginStream(Number_, Head);
+  }
+  void send(std::string_view Bytes) override { Owner_->send(Number_, Bytes); }
+  void finishStream() override { Owner_->finishStream(Number_); }
+  void abort() override { Owner_->abort(Number_); }
+  std::size_t unwrittenBytes() const override {
+    return Owner_->unwrittenBytes();
+  }
+
+private:
+  std::shared_ptr<HttpServerConnection> Owner_;
+  std::uint64_t Number_;
+};
+
+std::int32_t statusOf(MessageFault Fault) {
+  switch (Fault) {
+  case MessageFault::HeadTooLarge:
+    return 431;
+  case MessageFault::BodyTooLarge:
+    return 413;
+  default:
+    return 400;
+  }
+}
+
+} // namespace
+
+HttpServerConnection::HttpServerConnection(
+    std::shared_ptr<HttpListener> Listener, std::shared_ptr<Connection> Opened)
+    : Listener_(std::move(Listener)), Connection_(std::move(Opened)),
+      Timer_(Listener_->Acceptor_.get_executor()),
+      Reader_(Listener_->Service_.bounds().Message_) {}
+
+void HttpServerConnection::start() {
+  armTimer(Listener_->Service_.bounds().IdleTimeout_);
+  Connection_->start(shared_from_this());
+}
+
+void HttpServerConnection::drain() {
+  ClosesAfterAnswer_ = true;
+  if (State_ == State::Idle)
+    leave();
+}
+
+void HttpServerConnection::onBytes(std::string_view Bytes) {
+  if (State_ == State::Idle || State_ == State::Reading)
+    return feed(Bytes);
+  ClosesAfterAnswer_ = true;
+}
+
+void HttpServerConnection::feed(std::string_view Bytes) {
+  if (State_ == State::Idle) {
+    State_ = State::Reading;
+    ++Number_;
+    BegunAt_ = readClock();
+    armTimer(Listener_->Service_.bounds().RequestTimeout_);
+  }
+  bool const HadHead = Reader_.isHeadDone();
+  Reader_.feed(Bytes);
+  if (Reader_.fault() != MessageFault::None)
+    return reject(Reader_.fault());
+  if (Reader_.isDone())
+    return handOver();
+  if (Reader_.isHeadDone() && !HadHead) {
+    armTimer(Listener_->Service_.bounds().RequestTimeout_);
+    if (Reader_.head().Fields_.hasToken("Expect", "100-continue"))
+      Connection_->write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void HttpServerConnection::handOver() {
+  Timer_.cancel();
+  State_ = State::Answering;
+  if (!Reader_.keepsAlive() || !Reader_.takeRest().empty() ||
+      Listener_->IsDraining_)
+    ClosesAfterAnswer_ = true;
+  ReceivedRequest Request{Reader_.takeHead(), Reader_.takeBody(), BegunAt_};
+  Reader_ = RequestReader(Listener_->Service_.bounds().Message_);
+  Listener_->Service_.onRequest(
+      std::make_shared<ConnectionExchange>(shared_from_this(), Number_),
+      std::move(Request));
+}
+
+void HttpServerConnection::reject(MessageFault Fault) {
+  Listener_->Service_.onRejected(Fault);
+  refuse(statusOf(Fault));
+}
+
+void HttpServerConnection::refuse(std::int32_t Status) {
+  Connection_->write(
+      serialize(AnswerHead{Status, {}}, 0, ConnectionReuse::Close));
+  leave();
+}
+
+void HttpServerConnection::armTimer(Duration After) {
+  Timer_.expires_after(After);
+  Timer_.async_wait([Self = weak_from_this()](asio::error_code Failure) {
+    auto const Alive = Self.lock();
+    if (!Failure && Alive)
+      Alive->onTimeout();
+  });
+}
+
+void HttpServerConnection::onTimeout() {
+  constexpr std::int32_t RequestTimeout = 408;
+  if (State_ == State::Idle)
+    leave();
+  else if (State_ == State::Reading)
+    refuse(RequestTimeout);
+}
+
+bool HttpServerConnection::isCurrent(std::uint64_t Number) const {
+  return Number == Number_ &&
+         (State_ == State::Answering || State_ == State::Streaming);
+}
+
+ConnectionReuse HttpServerConnection::reuse() const {
+  return ClosesAfterAnswer_ || Listener_->IsDraining_
+             ? ConnectionReuse::Close
+             : ConnectionReuse::KeepOpen;
+}
+
+void HttpServerConnection::observe(std::uint64_t Number,
+                                   std::shared_ptr<ClientObserver> Observer) {
+  if (isCurrent(Number))
+    Observer_ = std::move(Observer);
+  else
+    Observer->onClientLeft();
+}
+
+void HttpServerConnection::answer(std::uint64_t Number, AnswerHead const &Head,
+                                  std::string_view Body) {
+  if (!isCurrent(Number))
+    return;
+  auto const Reuse = reuse();
+  ClosesAfterAnswer_ = Reuse == ConnectionReuse::Close;
+  Connection_->write(serialize(Head, Body.size(), Reuse).append(Body));
+  finishAnswer();
+}
+
+void HttpServerConnection::beginStream(std::uint64_t Number,
+                                       AnswerHead const &Head) {
+  if (!isCurrent(Number))
+    return;
+  State_ = State::Streaming;
+  auto const Reuse = reuse();
+  ClosesAfterAnswer_ = Reuse == ConnectionReuse::Close;
+  Connection_->write(serializeChunked(Head, Reuse));
+}
+
+void HttpServerConnection::send(std::uint64_t Number, std::string_view Bytes) {
+  if (isCurrent(Number) && !Bytes.empty())
+    Connection_->write(serializeChunk(Bytes));
+}
+
+void HttpServerConnection::finishStream(std::uint64_t Number) {
+  if (!isCurrent(Number))
+    return;
+  Connection_->write(std::string(LastChunk));
+  finishAnswer();
+}
+
+void HttpServerConnection::abort(std::uint64_t Number) {
+  if (!isCurrent(Number))
+    return;
+  Connection_->abort();
+  leave();
+}
+
+void HttpServerConnection::finishAnswer() {
+  Observer_.reset();
+  State_ = State::Idle;
+  if (ClosesAfterAnswer_)
+    return leave();
+  armTimer(Listener_->Service_.bounds().IdleTimeout_);
+}
+
+void HttpServerConnection::leave() {
+  State_ = State::Ended;
+  Timer_.cancel();
+  Observer_.reset();
+  Connection_->close();
+  Listener_->Connections_.erase(shared_from_this());
+}
+
+void HttpServerConnection::onEnd(ConnectionEnd /*End*/) {
+  auto const Observer = std::move(Observer_);
+  leave();
+  if (Observer)
+    Observer->onClientLeft();
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <LibHttp/HttpListener.h>
+
+#include <memory>
+#include <string>
+
+namespace laburnum {
+
+/// One client's connection: reads a request, hands it to the service, and
+/// carries the answer. Whatever follows a request before its answer has ended
+/// is not taken: the connection then ends with that answer.
+class HttpServerConnection
+    : public ConnectionObserver,
+      public std::enable_shared_from_this<HttpServerConnection> {
+public:
+  HttpServerConnection(std::shared_ptr<HttpListener> Listener,
+                       std::shared_ptr<Connection> Opened);
+
+  void start();
+  /// Ends with the next answer, or at once when idle.
+  void drain();
+  bool isBusy() const { return State_ != State::Idle; }
+
+  void onBytes(std::string_view Bytes) override;
+  void onEnd(ConnectionEnd End) override;
+
+  /// The exchange's side; Number names the request that is answered.
+  void observe(std::uint64_t Number, std::shared_ptr<ClientObserver> Observer);
+  void answer(std::uint64_t Number, AnswerHead const &Head,
+              std::string_view Body);
+  void beginStream(std::uint64_t Number, AnswerHead const &Head);
+  void send(std::uint64_t Number, std::string_view Bytes);
+  void finishStream(std::uint64_t Number);
+  void abort(std::uint64_t Number);
+  std::size_t unwrittenBytes() const { return Connection_->unwrittenBytes(); }
+
+private:
+  enum class State { Idle, Reading, Answering, Streaming, Ended };
+
+  void feed(std::string_view Bytes);
+  void handOver();
+  void reject(MessageFault Fault);
+  void refuse(std::int32_t Status);
+  void armTimer(Duration After);
+  void onTimeout();
+  void finishAnswer();
+  void leave();
+  bool isCurrent(std::uint64_t Number) const;
+  ConnectionReuse reuse() const;
+
+  std::shared_ptr<HttpListener> Listener_;
+  std::shared_ptr<Connection> Connection_;
+  asio::steady_timer Timer_;
+  RequestReader Reader_;
+  std::shared_ptr<ClientObserver> Observer_;
+  TimePoint BegunAt_{};
+  std::uint64_t Number_ = 0; ///< Of the request that is read or answered.
+  State State_ = State::Idle;
+  bool ClosesAfterAnswer_ = false;
+};
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibHttp/MessageReader.cpp
@@ -0,0 +1,232 @@
+#include <LibHttp/MessageReader.h>
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <limits>
+#include <utility>
+
+namespace laburnum {
+
+namespace detail {
+
+namespace http = boost::beast::http;
+using ParserError = boost::beast::error_code;
+using ParserText = boost::beast::string_view;
+
+namespace {
+
+std::string toText(ParserText Text) { return {Text.data(), Text.size()}; }
+
+MessageFault faultOf(ParserError Failure) {
+  if (Failure == http::error::header_limit)
+    return MessageFault::HeadTooLarge;
+  if (Failure == http::error::body_limit)
+    return MessageFault::BodyTooLarge;
+  if (Failure == http::error::partial_message ||
+      Failure == http::error::end_of_stream)
+    return MessageFault::Truncated;
+  return MessageFault::Malformed;
+}
+
+} // namespace
+
+/// What both directions share: the fields, the body, and the bytes that the
+/// parser has not taken yet.
+template <bool IsRequest>
+class CommonParser : public http::basic_parser<IsRequest> {
+public:
+  explicit CommonParser(MessageBounds Bounds) {
+    this->eager(true);
+    this->header_limit(Bounds.HeadBytes_);
+    this->body_limit(Bounds.BodyBytes_);
+  }
+
+  void feedBytes(std::string_view Bytes) {
+    Pending_.append(Bytes);
+    HasBegun_ = HasBegun_ || !Bytes.empty();
+    std::size_t Used = 0;
+    while (Fault_ == MessageFault::None && !this->is_done() &&
+           Used < Pending_.size()) {
+      ParserError Failure;
+      auto const Taken = this->put(
+          boost::asio::const_buffer(Pending_.data() + Used,
+                                    Pending_.size() - Used),
+          Failure);
+      Used += Taken;
+      if (Failure == http::error::need_more)
+        break;
+      if (Failure)
+        Fault_ = faultOf(Failure);
+      else if (Taken == 0)
+        break;
+    }
+    Pending_.erase(0, Used);
+  }
+
+  void end() {
+    if (Fault_ != MessageFault::None || this->is_done())
+      return;
+    ParserError Failure;
+    this->put_eof(Failure);
+    if (Failure)
+      Fault_ = faultOf(Failure);
+    else if (!this->is_done())
+      Fault_ = MessageFault::Truncated;
+  }
+
+  HeaderFields Fields_;
+  std::string Body_;
+  std::string Pending_;
+  MessageFault Fault_ = MessageFault::None;
+  bool HasBegun_ = false;
+
+protected:
+  void on_field_impl(http::field /*Field*/, ParserText Name, ParserText Value,
+                     ParserError & /*Failure*/) override {
+    // Trailer fields come after the head and are not forwarded.
+    if (!this->is_header_done())
+      Fields_.add(toText(Name), toText(Value));
+  }
+  void on_body_init_impl(boost::optional<std::uint64_t> const & /*Length*/,
+                         ParserError & /*Failure*/) override {}
+  std::size_t on_body_impl(ParserText Body, ParserError & /*Failure*/) override {
+    Body_.append(Body.data(), Body.size());
+    return Body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t /*Size*/, ParserText /*Extensions*/,
+                            ParserError & /*Failure*/) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t /*Remaining*/, ParserText Body,
+                                 ParserError & /*Failure*/) override {
+    Body_.append(Body.data(), Body.size());
+    return Body.size();
+  }
+  void on_finish_impl(ParserError & /*Failure*/) override {}
+};
+
+class RequestParser : public CommonParser<true> {
+public:
+  using CommonParser::CommonParser;
+
+  RequestHead Head_;
+
+private:
+  void on_request_impl(http::verb /*Verb*/, ParserText Method,
+                       ParserText Target, int Version,
+                       ParserError &Failure) override {
+    constexpr int Http11 = 11;
+    if (Version != Http11)
+      Failure = http::error::bad_version;
+    Head_.Method_ = toText(Method);
+    Head_.Target_ = toText(Target);
+  }
+  void on_response_impl(int /*Status*/, ParserText /*Reason*/, int /*Version*/,
+                        ParserError & /*Failure*/) override {}
+  void on_header_impl(ParserError &Failure) override {
+    Head_.Fields_ = std::move(Fields_);
+    auto const &Fields = Head_.Fields_;
+    auto const Encoding = Fields.find("Transfer-Encoding");
+    bool const IsAmbiguous =
+        Fields.count("Content-Length") > 1 ||
+        Fields.count("Transfer-Encoding") > 1 ||
+        (Encoding && (Fields.count("Content-Length") > 0 ||
+                      !equalsIgnoringCase(*Encoding, "chunked")));
+    if (IsAmbiguous)
+      Failure = http::error::bad_transfer_encoding;
+    // The Host field is part of the address of every HTTP/1.1 request.
+    else if (Fields.count("Host") != 1)
+      Failure = http::error::bad_field;
+  }
+};
+
+class AnswerParser : public CommonParser<false> {
+public:
+  AnswerParser(MessageBounds Bounds, std::string_view Method)
+      : CommonParser(Bounds), Bounds_(Bounds), Method_(Method) {
+    this->skip(Method_ == "HEAD");
+  }
+
+  bool isInterim() const {
+    constexpr std::int32_t FirstFinalStatus = 200;
+    return this->is_done() && Head_.Status_ < FirstFinalStatus;
+  }
+
+  AnswerHead Head_;
+  MessageBounds Bounds_;
+  std::string Method_;
+
+private:
+  void on_request_impl(http::verb /*Verb*/, ParserText /*Method*/,
+                       ParserText /*Target*/, int /*Version*/,
+                       ParserError & /*Failure*/) override {}
+  void on_response_impl(int Status, ParserText /*Reason*/, int /*Version*/,
+                        ParserError & /*Failure*/) override {
+    Head_.Status_ = Status;
+  }
+  void on_header_impl(ParserError &Failure) override {
+    Head_.Fields_ = std::move(Fields_);
+    if (Head_.Fields_.count("Content-Length") > 1 ||
+        Head_.Fields_.count("Transfer-Encoding") > 1)
+      Failure = http::error::bad_transfer_encoding;
+  }
+};
+
+} // namespace detail
+
+RequestReader::RequestReader(MessageBounds Bounds)
+    : Parser_(std::make_unique<detail::RequestParser>(Bounds)) {}
+RequestReader::~RequestReader() = default;
+RequestReader::RequestReader(RequestReader &&) noexcept = default;
+RequestReader &RequestReader::operator=(RequestReader &&) noexcept = default;
+
+void RequestReader::feed(std::string_view Bytes) { Parser_->feedBytes(Bytes); }
+bool RequestReader::hasBegun() const { return Parser_->HasBegun_; }
+bool RequestReader::isHeadDone() const { return Parser_->is_header_done(); }
+bool RequestReader::isDone() const { return Parser_->is_done(); }
+MessageFault RequestReader::fault() const { return Parser_->Fault_; }
+bool RequestReader::keepsAlive() const { return Parser_->keep_alive(); }
+RequestHead const &RequestReader::head() const { return Parser_->Head_; }
+RequestHead RequestReader::takeHead() { return std::move(Parser_->Head_); }
+std::string RequestReader::takeBody() {
+  return std::exchange(Parser_->Body_, {});
+}
+std::string RequestReader::takeRest() {
+  return std::exchange(Parser_->Pending_, {});
+}
+
+AnswerReader::AnswerReader(MessageBounds Bounds, std::string_view Method)
+    : Parser_(std::make_unique<detail::AnswerParser>(Bounds, Method)) {}
+AnswerReader::~AnswerReader() = default;
+AnswerReader::AnswerReader(AnswerReader &&) noexcept = default;
+AnswerReader &AnswerReader::operator=(AnswerReader &&) noexcept = default;
+
+void AnswerReader::feed(std::string_view Bytes) {
+  Parser_->feedBytes(Bytes);
+  // An interim answer (100 Continue) announces the final one.
+  while (Parser_->isInterim() && Parser_->Fault_ == MessageFault::None) {
+    auto const Rest = std::move(Parser_->Pending_);
+    auto const Bounds = Parser_->Bounds_;
+    auto const Method = Parser_->Method_;
+    Parser_ = std::make_unique<detail::AnswerParser>(Bounds, Method);
+    Parser_->feedBytes(Rest);
+  }
+}
+void AnswerReader::endOfInput() { Parser_->end(); }
+bool AnswerReader::hasBegun() const { return Parser_->HasBegun_; }
+bool AnswerReader::isHeadDone() const { return Parser_->is_header_done(); }
+bool AnswerReader::isDone() const { return Parser_->is_done(); }
+MessageFault AnswerReader::fault() const { return Parser_->Fault_; }
+bool AnswerReader::keepsAlive() const { return Parser_->keep_alive(); }
+AnswerFraming AnswerReader::framing() const {
+  return Parser_->need_eof() ? AnswerFraming::EndsWithConnection
+                             : AnswerFraming::Delimited;
+}
+AnswerHead const &AnswerReader::head() const { return Parser_->Head_; }
+std::string AnswerReader::takeBody() {
+  return std::exchange(Parser_->Body_, {});
+}
+std::string AnswerReader::takeRest() {
+  return std::exchange(Parser_->Pending_, {});
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -0,0 +1,147 @@
+#include <LibHttp/OutboundCall.h>
+
+#include <LibHttp/OutboundPool.h>
+
+#include <utility>
+
+namespace laburnum {
+
+OutboundCall::OutboundCall(std::shared_ptr<OutboundPool> Pool,
+                           OutboundRequest Request,
+                           std::shared_ptr<AnswerObserver> Observer)
+    : Pool_(std::move(Pool)), Request_(std::move(Request)),
+      Observer_(std::move(Observer)), Connecting_(Pool_->Context_),
+      ConnectTimer_(Pool_->Context_),
+      Reader_(Request_.AnswerBounds_, Request_.Head_.Method_) {}
+
+void OutboundCall::connect(Endpoint const &Address) {
+  auto const Self = shared_from_this();
+  auto const Resolved = resolve(Address);
+  if (isError(Resolved)) {
+    // The observer is not called from inside start().
+    asio::post(Pool_->Context_, [Self, Why = errorOf(Resolved).Message_] {
+      Self->fail(AttemptEnd::ConnectionFailed, Why);
+    });
+    return;
+  }
+  ConnectTimer_.expires_after(Request_.ConnectTimeout_);
+  ConnectTimer_.async_wait([Self](asio::error_code Failure) {
+    if (!Failure && Self->Progress_ == AttemptProgress::NotConnected)
+      Self->fail(AttemptEnd::TimedOut, "no connection in time");
+  });
+  Connecting_.async_connect(
+      valueOf(Resolved), [Self](asio::error_code Failure) {
+        if (Self->isOver())
+          return;
+        Self->ConnectTimer_.cancel();
+        if (Failure)
+          return Self->fail(AttemptEnd::ConnectionFailed, Failure.message());
+        Self->useConnection(Connection::create(std::move(Self->Connecting_)));
+        Self->Connection_->start(Self);
+      });
+}
+
+void OutboundCall::useConnection(std::shared_ptr<Connection> Kept) {
+  Connection_ = std::move(Kept);
+  Connection_->observeBy(shared_from_this());
+  Progress_ = AttemptProgress::RequestSent;
+  Connection_->write(serialize(Request_.Head_, Request_.Body_.size())
+                         .append(Request_.Body_));
+}
+
+void OutboundCall::onWritten() { HasWrittenAll_ = true; }
+
+void OutboundCall::cancel() {
+  if (isOver())
+    return;
+  Observer_.reset();
+  ConnectTimer_.cancel();
+  asio::error_code Ignored;
+  Connecting_.close(Ignored);
+  if (Connection_)
+    Connection_->abort();
+}
+
+void OutboundCall::onBytes(std::string_view Bytes) {
+  if (isOver())
+    return;
+  Reader_.feed(Bytes);
+  deliver();
+}
+
+void OutboundCall::takeHead() {
+  HasTakenHead_ = true;
+  Progress_ = std::max(Progress_, AttemptProgress::AnswerBegun);
+  IsSkipping_ = Observer_->onHead(Reader_.head()) == HeadVerdict::Skip;
+}
+
+void OutboundCall::deliver() {
+  auto const Self = shared_from_this();
+  while (!isOver()) {
+    if (Reader_.isHeadDone() && !HasTakenHead_)
+      takeHead();
+    if (isOver())
+      return;
+    auto const Body = Reader_.takeBody();
+    if (!Body.empty() && !IsSkipping_)
+      Observer_->onBody(Body);
+    if (isOver())
+      return;
+    if (Reader_.fault() != MessageFault::None)
+      return fail(AttemptEnd::ConnectionFailed, "the answer is not valid HTTP");
+    if (!Reader_.isDone())
+      return;
+    if (!IsSkipping_)
+      return complete();
+    auto const Rest = Reader_.takeRest();
+    Reader_ = AnswerReader(Request_.AnswerBounds_, Request_.Head_.Method_);
+    HasTakenHead_ = false;
+    Progress_ = AttemptProgress::RequestSent;
+    if (Rest.empty())
+      return;
+    Reader_.feed(Rest);
+  }
+}
+
+void OutboundCall::complete() {
+  auto const Observer = std::exchange(Observer_, nullptr);
+  Progress_ = AttemptProgress::AnswerWhole;
+  // An early answer leaves a part of the request's body owed, and bytes beyond
+  // the answer belong to no request: neither connection is used again.
+  bool const IsClean = Reader_.keepsAlive() && HasWrittenAll_ &&
+                       Connection_->isOpen() && Reader_.takeRest().empty() &&
+                       Reader_.framing() == AnswerFraming::Delimited;
+  if (IsClean)
+    Pool_->keep(Connection_, Reader_.head());
+  else
+    Connection_->close();
+  Observer->onComplete();
+}
+
+void OutboundCall::onEnd(ConnectionEnd End) {
+  if (isOver())
+    return;
+  if (End == ConnectionEnd::Orderly && HasTakenHead_ && !IsSkipping_) {
+    Reader_.endOfInput();
+    if (Reader_.isDone())
+      return deliver();
+  }
+  fail(AttemptEnd::ConnectionFailed,
+       End == ConnectionEnd::Orderly ? "closed before the answer was whole"
+                                     : "connection reset");
+}
+
+void OutboundCall::fail(AttemptEnd End, std::string Detail) {
+  auto const Observer = std::exchange(Observer_, nullptr);
+  if (!Observer)
+    return;
+  ConnectTimer_.cancel();
+  asio::error_code Ignored;
+  Connecting_.close(Ignored);
+  if (Connection_)
+    Connection_->abort();
+  auto const Status = HasTakenHead_ ? Reader_.head().Status_ : 0;
+  Observer->onFailed({Progress_, End, Status, std::move(Detail)});
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibHttp/OutboundCall.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <LibHttp/Connection.h>
+#include <LibHttp/MessageReader.h>
+#include <LibModel/AttemptEvidence.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace laburnum {
+
+/// What to do with an answer whose head has come.
+enum class HeadVerdict {
+  Take,
+  /// It belongs to an earlier request: the next one is awaited.
+  Skip,
+};
+
+/// Is told how a call goes. After onComplete() or onFailed() nothing more
+/// comes, nor after cancel().
+class AnswerObserver {
+public:
+  virtual ~AnswerObserver() = default;
+  virtual HeadVerdict onHead(AnswerHead const &Head) = 0;
+  virtual void onBody(std::string_view Bytes) = 0;
+  virtual void onComplete() = 0;
+  virtual void onFailed(AttemptEvidence const &Evidence) = 0;
+};
+
+/// A request to send to a server.
+struct OutboundRequest {
+  RequestHead Head_; ///< Without framing.
+  std::string Body_;
+  Duration ConnectTimeout_ = std::chrono::seconds(1);
+  MessageBounds AnswerBounds_;
+
+  auto operator<=>(OutboundRequest const &) const = default;
+};
+
+class OutboundPool;
+
+/// One request under way on a connection of its own for that time.
+class OutboundCall : public ConnectionObserver,
+                     public std::enable_shared_from_this<OutboundCall> {
+public:
+  OutboundCall(std::shared_ptr<OutboundPool> Pool, OutboundRequest Request,
+               std::shared_ptr<AnswerObserver> Observer);
+
+  /// Gives the call up: its connection ends, which tells the server.
+  void cancel();
+  /// How far the call has got.
+  AttemptProgress progress() const { return Progress_; }
+
+  void onBytes(std::string_view Bytes) override;
+  void onWritten() override;
+  void onEnd(ConnectionEnd End) override;
+
+private:
+  friend class OutboundPool;
+
+  void connect(Endpoint const &Address);
+  void useConnection(std::shared_ptr<Connection> Kept);
+  void takeHead();
+  void deliver();
+  void complete();
+  void fail(AttemptEnd End, std::string Detail);
+  bool isOver() const { return !Observer_; }
+
+  std::shared_ptr<OutboundPool> Pool_;
+  OutboundRequest Request_;
+  std::shared_ptr<AnswerObserver> Observer_;
+  asio::ip::tcp::socket Connecting_;
+  asio::steady_timer ConnectTimer_;
+  std::shared_ptr<Connection> Connection_;
+  AnswerReader Reader_;
+  AttemptProgress Progress_ = AttemptProgress::NotConnected;
+  bool HasWrittenAll_ = false;
+  bool HasTakenHead_ = false;
+  bool IsSkipping_ = false;
+};
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibHttp/OutboundPool.cpp
@@ -0,0 +1,110 @@
+#include <LibHttp/OutboundPool.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace laburnum {
+
+namespace {
+
+/// How much sooner than the server a kept connection is dropped here, for the
+/// way of a request that crosses the server's close.
+constexpr std::chrono::milliseconds ReuseMargin{300};
+/// For a server that states no time in whole seconds: its time is below one.
+constexpr std::chrono::milliseconds UnstatedReuseLimit{300};
+
+/// How long the server says that it keeps the connection open (RFC 2068,
+/// section 19.7.1.1), less the margin.
+Duration reuseLimit(HeaderFields const &Fields) {
+  constexpr std::string_view Name = "timeout=";
+  auto const Value = Fields.valueOr("Keep-Alive");
+  auto const At = Value.find(Name);
+  std::int64_t Seconds = 0;
+  if (At == std::string_view::npos)
+    return UnstatedReuseLimit;
+  auto const Digits = Value.substr(At + Name.size());
+  std::from_chars(Digits.data(), Digits.data() + Digits.size(), Seconds);
+  return std::chrono::seconds(Seconds) - ReuseMargin;
+}
+
+} // namespace
+
+/// A connection between two calls. Anything that happens on it ends it.
+class OutboundPool::IdleConnection
+    : public ConnectionObserver,
+      public std::enable_shared_from_this<IdleConnection> {
+public:
+  IdleConnection(std::shared_ptr<Connection> Kept, asio::io_context &Context)
+      : Kept_(std::move(Kept)), Timer_(Context) {}
+
+  void expireAfter(Duration Limit) {
+    Timer_.expires_after(Limit);
+    Timer_.async_wait([Self = weak_from_this()](asio::error_code Failure) {
+      auto const Alive = Self.lock();
+      if (!Failure && Alive)
+        Alive->drop();
+    });
+  }
+  std::shared_ptr<Connection> take() {
+    Timer_.cancel();
+    return std::move(Kept_);
+  }
+  bool isUsable() const { return Kept_ && Kept_->isOpen(); }
+  void drop() {
+    Timer_.cancel();
+    if (auto const Kept = std::move(Kept_))
+      Kept->close();
+  }
+  void onBytes(std::string_view /*Bytes*/) override { drop(); }
+  void onEnd(ConnectionEnd /*End*/) override { Kept_.reset(); }
+
+private:
+  std::shared_ptr<Connection> Kept_;
+  asio::steady_timer Timer_;
+};
+
+std::shared_ptr<OutboundCall>
+OutboundPool::start(OutboundRequest Request,
+                    std::shared_ptr<AnswerObserver> Observer) {
+  auto const Call = std::make_shared<OutboundCall>(
+      shared_from_this(), std::move(Request), std::move(Observer));
+  if (auto Kept = takeIdle()) {
+    ++Counts_.Reused_;
+    Call->useConnection(std::move(Kept));
+  } else {
+    ++Counts_.Opened_;
+    Call->connect(Address_);
+  }
+  return Call;
+}
+
+void OutboundPool::keep(std::shared_ptr<Connection> Idle,
+                        AnswerHead const &Last) {
+  auto const Limit = reuseLimit(Last.Fields_);
+  if (Limit <= Duration(0))
+    return Idle->close();
+  auto const Kept = std::make_shared<IdleConnection>(Idle, Context_);
+  Idle->observeBy(Kept);
+  Kept->expireAfter(Limit);
+  std::erase_if(Idle_, [](auto const &One) { return !One->isUsable(); });
+  Idle_.push_back(Kept);
+}
+
+std::shared_ptr<Connection> OutboundPool::takeIdle() {
+  // The one used last is the least likely to be closed meanwhile.
+  while (!Idle_.empty()) {
+    auto const Last = Idle_.back();
+    Idle_.pop_back();
+    if (Last->isUsable())
+      return Last->take();
+  }
+  return nullptr;
+}
+
+void OutboundPool::closeIdle() {
+  for (auto const &One : Idle_)
+    One->drop();
+  Idle_.clear();
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibLog/LogLine.cpp
@@ -0,0 +1,50 @@
+#include <LibLog/LogLine.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cstdio>
+
+namespace laburnum {
+
+namespace {
+
+bool isPlain(std::string_view Value) {
+  return !Value.empty() &&
+         std::all_of(Value.begin(), Value.end(), [](unsigned char One) {
+           return std::isalnum(One) || std::string_view("._:/-+,").find(
+                                           static_cast<char>(One)) !=
+                                           std::string_view::npos;
+         });
+}
+
+} // namespace
+
+LogLine::LogLine(std::string_view Event) { add("event", Event); }
+
+LogLine &LogLine::add(std::string_view Name, std::string_view Value) {
+  if (!Text_.empty())
+    Text_ += ' ';
+  Text_.append(Name).append("=");
+  if (isPlain(Value)) {
+    Text_.append(Value);
+    return *this;
+  }
+  Text_ += '"';
+  for (char const One : Value) {
+    if (One == '"' || One == '\\')
+      Text_ += '\\';
+    Text_ += std::iscntrl(static_cast<unsigned char>(One)) ? ' ' : One;
+  }
+  Text_ += '"';
+  return *this;
+}
+
+LogLine &LogLine::add(std::string_view Name, Duration Value) {
+  std::array<char, 32> Text{};
+  std::snprintf(Text.data(), Text.size(), "%.1f",
+                std::chrono::duration<double, std::milli>(Value).count());
+  return add(Name, std::string_view(Text.data()));
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibLog/LogLine.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <concepts>
+#include <string>
+#include <string_view>
+
+namespace laburnum {
+
+/// One structured line: an event and its fields as name=value, in the order in
+/// which they were added. Values with other than plain characters are quoted.
+class LogLine {
+public:
+  explicit LogLine(std::string_view Event);
+
+  LogLine &add(std::string_view Name, std::string_view Value);
+  LogLine &add(std::string_view Name, std::integral auto Value) {
+    return add(Name, std::string_view(std::to_string(Value)));
+  }
+  /// In milliseconds, under a name that ends in _ms.
+  LogLine &add(std::string_view Name, Duration Value);
+
+  std::string const &text() const { return Text_; }
+
+private:
+  std::string Text_;
+};
+
+} // namespace laburnum
--- a/Libraries/LibModel/BackendServer.h
+++ b/Libraries/LibModel/BackendServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Identifier.h>
+#include <LibModel/Endpoint.h>
 
 #include <compare>
 #include <cstdint>
@@ -8,14 +9,6 @@
 
 namespace laburnum {
 
-/// An IP address and a port.
-struct Endpoint {
-  std::string Host_;
-  std::uint16_t Port_ = 0;
-
-  auto operator<=>(Endpoint const &) const = default;
-};
-
 /// Whether an engine refuses an order that carries an old fencing number.
 enum class FencingCheck { Ignored, Honoured };
 
--- a/Libraries/LibServing/RunState.cpp
+++ b/Libraries/LibModel/RunState.cpp
@@ -1,4 +1,4 @@
-#include <LibServing/RunState.h>
+#include <LibModel/RunState.h>
 
 #include <algorithm>
 
--- a/Libraries/LibServing/RunState.h
+++ b/Libraries/LibModel/RunState.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibBackend/AttemptEvidence.h>
+#include <LibModel/AttemptEvidence.h>
 
 #include <string>
 
--- /dev/null
+++ b/Libraries/LibPlatform/AsyncObjectStore.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <LibPlatform/ObjectStore.h>
+
+#include <functional>
+#include <string>
+
+namespace laburnum {
+
+/// The platform's object API for programs that wait for nothing: each call
+/// returns at once, and Done is called once, later, on the thread of the
+/// store's io_context. Errors are those of ObjectStore.
+class AsyncObjectStore {
+public:
+  template <typename Value> using Done = std::function<void(Result<Value>)>;
+
+  virtual ~AsyncObjectStore() = default;
+
+  virtual void list(std::string const &Collection, Duration Timeout,
+                    Done<ObjectList> Done) = 0;
+  /// A deleted object comes with Version_ 0.
+  virtual void watch(std::string const &Collection, Version From, Duration Wait,
+                     Done<WatchBatch> Done) = 0;
+  virtual void get(ObjectKey const &Key, Duration Timeout,
+                   Done<StoredObject> Done) = 0;
+  virtual void putIf(ObjectKey const &Key, Version Expected,
+                     std::string const &Value, Duration Timeout,
+                     Done<Version> Done) = 0;
+};
+
+} // namespace laburnum
--- a/Libraries/LibServing/ClaimVerdict.h
+++ b/Libraries/LibServing/ClaimVerdict.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibBackend/BackendClient.h>
-#include <LibServing/RunState.h>
+#include <LibModel/RunState.h>
 
 #include <compare>
 #include <variant>
--- a/Libraries/LibServing/FailureAnswer.h
+++ b/Libraries/LibServing/FailureAnswer.h
@@ -3,7 +3,7 @@
 #include <LibCore/Error.h>
 #include <LibCore/Identifier.h>
 #include <LibCore/Time.h>
-#include <LibServing/RunState.h>
+#include <LibModel/RunState.h>
 
 #include <optional>
 #include <string>
--- /dev/null
+++ b/Libraries/LibTraffic/AdmissionQueue.cpp
@@ -0,0 +1,59 @@
+#include <LibTraffic/AdmissionQueue.h>
+
+namespace laburnum {
+
+namespace {
+
+/// When a request that found no room may come back: the servers' places have
+/// turned over once by then.
+constexpr std::chrono::milliseconds ReturnAfterFull{400};
+/// When a request whose service has no server may come back: the list of
+/// servers follows changes within about a second.
+constexpr std::chrono::milliseconds ReturnAfterNone{700};
+
+} // namespace
+
+std::optional<AdmissionOutcome>
+AdmissionQueue::tryAdmit(WaitingRequest const &Request, TimePoint Now) {
+  if (auto const Server = Roster_.choose(Request.Query_, Now)) {
+    Roster_.onSent(Server->Id_);
+    return Admitted{Request.Ticket_, *Server};
+  }
+  if (Now >= Request.GiveUpAt_)
+    return Roster_.isServed(Request.Query_.Service_, Now)
+               ? TurnedAway{Request.Ticket_, "every server is full",
+                            ReturnAfterFull}
+               : TurnedAway{Request.Ticket_, "no server takes requests",
+                            ReturnAfterNone};
+  return std::nullopt;
+}
+
+std::vector<AdmissionOutcome> AdmissionQueue::add(WaitingRequest Request,
+                                                  TimePoint Now) {
+  if (auto Outcome = tryAdmit(Request, Now))
+    return {std::move(*Outcome)};
+  Place const Key{Request.Rank_, Request.Ticket_};
+  Waiting_.emplace(Key, std::move(Request));
+  return {};
+}
+
+void AdmissionQueue::remove(std::uint64_t Ticket) {
+  std::erase_if(Waiting_,
+                [&](auto const &One) { return One.first.Ticket_ == Ticket; });
+}
+
+std::vector<AdmissionOutcome> AdmissionQueue::advance(TimePoint Now) {
+  std::vector<AdmissionOutcome> Outcomes;
+  for (auto Next = Waiting_.begin(); Next != Waiting_.end();) {
+    auto Outcome = tryAdmit(Next->second, Now);
+    if (!Outcome) {
+      ++Next;
+      continue;
+    }
+    Outcomes.push_back(std::move(*Outcome));
+    Next = Waiting_.erase(Next);
+  }
+  return Outcomes;
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -0,0 +1,237 @@
+#include <LibTraffic/ExchangeFlow.h>
+
+#include <LibModel/RunState.h>
+
+#include <algorithm>
+
+namespace laburnum {
+
+using namespace exchange;
+
+namespace {
+
+/// Sends of one request, also of those that servers refused: a request that
+/// finds this many servers unwilling is better told to come back.
+constexpr std::uint32_t MaxSends = 4;
+/// Time that a further attempt needs to be worth its place.
+constexpr std::chrono::milliseconds LeastTimeForRetry{30};
+/// Told to a client whose request found only servers that refused it.
+constexpr std::chrono::milliseconds RetryAfterRefusals{200};
+
+constexpr std::int32_t BadGateway = 502;
+constexpr std::int32_t ServiceUnavailable = 503;
+constexpr std::int32_t GatewayTimeout = 504;
+
+/// Statuses by which clients are promised that their request has not run. A
+/// server's own answer with one of them is no such promise.
+bool isPromise(std::int32_t Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+} // namespace
+
+ExchangeFlow::ExchangeFlow(Subject Subject, RetryPermit &Permit)
+    : Subject_(std::move(Subject)), Permit_(Permit),
+      LastEventId_(Subject_.Facts_.LastEventId_) {}
+
+std::vector<Action> ExchangeFlow::start(TimePoint Now) {
+  Now_ = Now;
+  Actions_.push_back(AskForServer{});
+  return std::exchange(Actions_, {});
+}
+
+std::vector<Action> ExchangeFlow::handle(Event const &Event, TimePoint Now) {
+  Now_ = Now;
+  if (State_ != State::Over)
+    std::visit([this](auto const &Kind) { on(Kind); }, Event);
+  return std::exchange(Actions_, {});
+}
+
+void ExchangeFlow::on(ServerAssigned const &Event) {
+  if (State_ != State::Waiting)
+    return;
+  State_ = State::Attempting;
+  Tried_.insert(Event.Server_.Id_);
+  ++Sent_;
+  Answer_.reset();
+  Body_.clear();
+  Cutter_ = EventStreamCutter();
+  Actions_.push_back(SendAttempt{
+      Event.Server_,
+      {Event.Server_.Id_, Subject_.Account_,
+       std::max(Subject_.Expiry_ - Now_, Duration(0)), LastEventId_}});
+}
+
+void ExchangeFlow::on(NoServer const &Event) {
+  if (State_ != State::Waiting)
+    return;
+  if (Runs_ > 0)
+    return fail(Event.Reason_);
+  refuse(ServiceUnavailable, Event.Reason_, Event.RetryAfter_);
+}
+
+void ExchangeFlow::on(HeadArrived const &Event) {
+  if (State_ == State::Attempting)
+    Answer_ = Event.Answer_;
+}
+
+void ExchangeFlow::on(BodyArrived const &Event) {
+  if (State_ != State::Attempting || !Answer_)
+    return;
+  if (Answer_->Claim_ != AnswerClaim::Succeeded || !isStream()) {
+    Body_ += Event.Bytes_;
+    return;
+  }
+  relay(Cutter_.feed(Event.Bytes_));
+  if (State_ == State::Attempting && Cutter_.isOverlong()) {
+    Actions_.push_back(CancelAttempt{});
+    endAttempt(true, "event too long");
+  }
+}
+
+void ExchangeFlow::relay(std::vector<StreamEvent> Events) {
+  std::string Bytes;
+  for (auto &Event : Events) {
+    if (Event.Id_ && LastEventId_) {
+      if (*Event.Id_ <= *LastEventId_)
+        continue;
+      if (*Event.Id_ != *LastEventId_ + 1) {
+        Actions_.push_back(CancelAttempt{});
+        ++Runs_;
+        return fail("the server left out an event");
+      }
+    }
+    if (Event.Id_)
+      LastEventId_ = Event.Id_;
+    Bytes += Event.Bytes_;
+  }
+  if (Bytes.empty())
+    return;
+  countRun();
+  if (!HasBegunStream_) {
+    HasBegunStream_ = true;
+    Actions_.push_back(BeginStream{Answer_->Head_});
+  }
+  Actions_.push_back(RelayEvents{std::move(Bytes)});
+}
+
+void ExchangeFlow::countRun() {
+  if (HasCountedRun_)
+    return;
+  HasCountedRun_ = true;
+  Actions_.push_back(CountRun{});
+}
+
+void ExchangeFlow::on(AnswerCompleted const & /*Event*/) {
+  if (State_ != State::Attempting || !Answer_)
+    return;
+  auto const &Head = Answer_->Head_;
+  switch (Answer_->Claim_) {
+  case AnswerClaim::Succeeded:
+    if (isStream())
+      return completeStream();
+    countRun();
+    State_ = State::Over;
+    Actions_.push_back(AnswerWhole{Head, std::move(Body_)});
+    return;
+  case AnswerClaim::NotRun:
+    return endAttempt(false, "refused by the server with " +
+                                 std::to_string(Head.Status_));
+  case AnswerClaim::Failed:
+    countRun();
+    if (!isPromise(Head.Status_))
+      LastFailure_ = AnswerWhole{Head, std::move(Body_)};
+    return endAttempt(true, "the server failed with " +
+                                std::to_string(Head.Status_));
+  case AnswerClaim::Untrusted:
+    return endAttempt(true, "the server's answer bears no signature");
+  }
+}
+
+void ExchangeFlow::completeStream() {
+  if (Cutter_.isInsideEvent())
+    return endAttempt(true, "the stream ended inside an event");
+  countRun();
+  State_ = State::Over;
+  if (!HasBegunStream_)
+    Actions_.push_back(BeginStream{Answer_->Head_});
+  Actions_.push_back(FinishStream{});
+}
+
+void ExchangeFlow::on(AttemptFailed const &Event) {
+  if (State_ != State::Attempting)
+    return;
+  endAttempt(runStateOf(Event.Evidence_) != RunState::NotRun,
+             Event.Evidence_.Detail_);
+}
+
+void ExchangeFlow::endAttempt(bool MayHaveRun, std::string const &Reason) {
+  if (MayHaveRun)
+    ++Runs_;
+  if (!mayTryAgain(MayHaveRun))
+    return fail(Reason);
+  State_ = State::Waiting;
+  Actions_.push_back(AskForServer{Tried_});
+}
+
+bool ExchangeFlow::mayTryAgain(bool MayHaveRun) {
+  if (MayHaveRun && Subject_.Route_->Repeatability_ == Repeatability::Never)
+    return false;
+  bool const CanGoOn =
+      Subject_.Route_->Repeatability_ == Repeatability::Resumable &&
+      LastEventId_.has_value();
+  if (HasBegunStream_ && !CanGoOn)
+    return false;
+  if (Runs_ >= std::max(Subject_.Route_->MaxAttempts_, 1U) || Sent_ >= MaxSends)
+    return false;
+  if (Subject_.Expiry_ - Now_ < LeastTimeForRetry)
+    return false;
+  return Permit_.tryTake(Subject_.Service_, Now_);
+}
+
+void ExchangeFlow::fail(std::string const &Reason) {
+  State_ = State::Over;
+  if (HasBegunStream_)
+    Actions_.push_back(AbortStream{Reason});
+  else if (LastFailure_)
+    Actions_.push_back(*LastFailure_);
+  else if (Runs_ > 0)
+    Actions_.push_back(Refuse{BadGateway, Reason, std::nullopt});
+  else
+    Actions_.push_back(Refuse{ServiceUnavailable, Reason, RetryAfterRefusals});
+}
+
+void ExchangeFlow::refuse(std::int32_t Status, std::string const &Reason,
+                          std::optional<Duration> RetryAfter) {
+  State_ = State::Over;
+  Actions_.push_back(Refuse{Status, Reason, RetryAfter});
+}
+
+void ExchangeFlow::on(ClientLeft const & /*Event*/) {
+  if (State_ == State::Attempting)
+    Actions_.push_back(CancelAttempt{});
+  else
+    Actions_.push_back(StopAsking{});
+  State_ = State::Over;
+}
+
+void ExchangeFlow::on(TimePassed const & /*Event*/) {
+  if (Now_ < Subject_.Expiry_)
+    return;
+  bool const IsAttempting = State_ == State::Attempting;
+  if (IsAttempting)
+    Actions_.push_back(CancelAttempt{});
+  else
+    Actions_.push_back(StopAsking{});
+  if (HasBegunStream_) {
+    State_ = State::Over;
+    Actions_.push_back(AbortStream{"the time allowed is over"});
+    return;
+  }
+  if (!IsAttempting && Runs_ == 0)
+    return refuse(ServiceUnavailable, "no server in the time allowed",
+                  RetryAfterRefusals);
+  refuse(GatewayTimeout, "no answer in the time allowed", std::nullopt);
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibTraffic/RouteTable.cpp
@@ -0,0 +1,87 @@
+#include <LibTraffic/RouteTable.h>
+
+#include <LibCore/Hash.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace laburnum {
+
+namespace {
+
+std::string lowered(std::string_view Text) {
+  std::string Result(Text);
+  std::transform(Result.begin(), Result.end(), Result.begin(),
+                 [](unsigned char One) { return std::tolower(One); });
+  return Result;
+}
+
+std::string_view withoutPort(std::string_view Host) {
+  return Host.substr(0, Host.find(':'));
+}
+
+std::string_view pathOf(std::string_view Target) {
+  return Target.substr(0, Target.find_first_of("?#"));
+}
+
+} // namespace
+
+RouteTable::RouteTable(std::uint64_t Version, std::vector<Route> Routes,
+                       std::vector<RoutedService> Services,
+                       std::vector<RoutedAccount> Accounts, ClientBounds Bounds)
+    : Version_(Version), Routes_(std::move(Routes)),
+      Accounts_(std::move(Accounts)), Bounds_(Bounds) {
+  for (auto &Service : Services)
+    Services_.emplace(Service.Name_, std::move(Service));
+  for (auto const &Route : Routes_)
+    ByHost_[lowered(Route.Host_)].push_back(&Route);
+  for (auto &[Host, Prefixes] : ByHost_)
+    std::stable_sort(Prefixes.begin(), Prefixes.end(),
+                     [](Route const *Left, Route const *Right) {
+                       return Left->PathPrefix_.size() >
+                              Right->PathPrefix_.size();
+                     });
+  for (auto const &Account : Accounts_)
+    for (auto const &Key : Account.Keys_)
+      ByKey_.emplace(Key, &Account);
+}
+
+Route const *RouteTable::match(std::string_view Host,
+                               std::string_view Target) const {
+  auto const Found = ByHost_.find(lowered(withoutPort(Host)));
+  if (Found == ByHost_.end())
+    return nullptr;
+  auto const Path = pathOf(Target);
+  for (auto const *Candidate : Found->second)
+    if (Path.starts_with(Candidate->PathPrefix_))
+      return Candidate;
+  return nullptr;
+}
+
+RoutedAccount const *RouteTable::accountByKey(std::string_view Key) const {
+  auto const Found = ByKey_.find(std::string(Key));
+  return Found == ByKey_.end() ? nullptr : Found->second;
+}
+
+RoutedService const *RouteTable::service(ServiceName const &Name) const {
+  auto const Found = Services_.find(Name);
+  return Found == Services_.end() ? nullptr : &Found->second;
+}
+
+ServiceName serviceFor(Route const &Route, std::string_view Seed) {
+  std::uint64_t Total = 0;
+  for (auto const &Part : Route.Services_)
+    Total += Part.Weight_;
+  if (Total == 0)
+    return Route.Services_.empty() ? ServiceName()
+                                   : Route.Services_.front().Service_;
+  auto Point = stableHash(Seed) % Total;
+  for (auto const &Part : Route.Services_) {
+    if (Point < Part.Weight_)
+      return Part.Service_;
+    Point -= Part.Weight_;
+  }
+  return Route.Services_.back().Service_;
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -0,0 +1,188 @@
+#include <LibTraffic/ServerRoster.h>
+
+#include <LibCore/Hash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace laburnum {
+
+namespace {
+
+/// For how long a server's word on its load counts: requests of other
+/// instances have turned over by then.
+constexpr std::chrono::milliseconds LoadValidity{400};
+/// How long a server is left out after a failure; doubles with each further
+/// one in a row.
+constexpr std::chrono::milliseconds FirstAvoidance{250};
+constexpr std::uint32_t MostDoublings = 4;
+constexpr std::chrono::milliseconds RefusalAvoidance{50};
+/// A server that others of the same prefix go to is passed over once its load
+/// is this much above the mean (consistent hashing with bounded loads).
+constexpr double AffinityLoadBound = 1.25;
+/// What distance costs in the comparison of loads, as a part of all slots:
+/// bytes between regions cost ten times those between data centres.
+constexpr double OtherCentreCost = 0.03;
+constexpr double OtherRegionCost = 0.3;
+
+std::string regionOf(Geography const &Places, DataCentre const &Centre) {
+  auto const Found = Places.Regions_.find(Centre);
+  return Found == Places.Regions_.end() ? std::string() : Found->second;
+}
+
+double slotsOf(ServerRecord const &Record) {
+  return std::max(1.0, static_cast<double>(Record.Slots_));
+}
+
+} // namespace
+
+ServerRoster::ServerRoster(Geography Places, std::uint64_t Seed)
+    : Places_(std::move(Places)), Generator_(Seed) {}
+
+void ServerRoster::replaceAll(std::vector<ServerRecord> const &Records,
+                              TimePoint Now) {
+  std::set<ServerId> Present;
+  for (auto const &Record : Records) {
+    Present.insert(Record.Id_);
+    update(Record, Now);
+  }
+  std::erase_if(Servers_,
+                [&](auto const &One) { return !Present.contains(One.first); });
+}
+
+void ServerRoster::update(ServerRecord const &Record, TimePoint /*Now*/) {
+  auto &Server = Servers_[Record.Id_];
+  bool const IsReborn = Server.Record_.BornAtMilliseconds_ !=
+                            Record.BornAtMilliseconds_ ||
+                        Server.Record_.Endpoint_ != Record.Endpoint_;
+  if (IsReborn)
+    Server = Entry{};
+  Server.Record_ = Record;
+}
+
+void ServerRoster::remove(ServerId const &Id) { Servers_.erase(Id); }
+
+bool ServerRoster::takesRequests(Entry const &Server, TimePoint Now) const {
+  return Server.Record_.Phase_ == ServerPhase::Ready && !Server.IsLeaving_ &&
+         Server.AvoidUntil_ <= Now;
+}
+
+double ServerRoster::load(Entry const &Server, TimePoint Now) const {
+  bool const IsFresh = Server.ToldAt_ + LoadValidity > Now;
+  return Server.Running_ + (IsFresh ? Server.Others_ : 0.0);
+}
+
+double ServerRoster::cost(Entry const &Server, TimePoint Now) const {
+  double Distance = 0.0;
+  auto const &Centre = Server.Record_.DataCentre_;
+  if (Centre != Places_.Own_)
+    Distance = regionOf(Places_, Centre) == regionOf(Places_, Places_.Own_)
+                   ? OtherCentreCost
+                   : OtherRegionCost;
+  return (load(Server, Now) + 1.0) / slotsOf(Server.Record_) + Distance;
+}
+
+std::vector<ServerRoster::Entry const *>
+ServerRoster::usable(ServerQuery const &Query, TimePoint Now) const {
+  std::vector<Entry const *> Usable;
+  for (auto const &[Id, Server] : Servers_)
+    if (Server.Record_.Service_ == Query.Service_ &&
+        !Query.Excluded_.contains(Id) && takesRequests(Server, Now) &&
+        load(Server, Now) < slotsOf(Server.Record_))
+      Usable.push_back(&Server);
+  return Usable;
+}
+
+ServerRoster::Entry const *
+ServerRoster::byAffinity(std::vector<Entry const *> const &Usable,
+                         std::string const &Affinity, TimePoint Now) const {
+  double Total = 1.0;
+  for (auto const *Server : Usable)
+    Total += load(*Server, Now);
+  auto const Bound = std::ceil(AffinityLoadBound * Total /
+                               static_cast<double>(Usable.size()));
+  auto const Order = rendezvousOrder(
+      Affinity, Usable, [](Entry const *Server) -> std::string const & {
+        return Server->Record_.Id_.text();
+      });
+  for (auto const *Server : Order)
+    if (load(*Server, Now) + 1.0 <= Bound)
+      return Server;
+  return Order.front();
+}
+
+std::optional<ServerRecord> ServerRoster::choose(ServerQuery const &Query,
+                                                 TimePoint Now) {
+  auto Usable = usable(Query, Now);
+  if (Usable.empty())
+    return std::nullopt;
+  if (!Query.Affinity_.empty())
+    return byAffinity(Usable, Query.Affinity_, Now)->Record_;
+  // Equal costs are broken at random, so that instances do not herd.
+  std::shuffle(Usable.begin(), Usable.end(), Generator_);
+  return (*std::min_element(Usable.begin(), Usable.end(),
+                            [&](Entry const *Left, Entry const *Right) {
+                              return cost(*Left, Now) < cost(*Right, Now);
+                            }))
+      ->Record_;
+}
+
+bool ServerRoster::isServed(ServiceName const &Service, TimePoint Now) const {
+  return std::any_of(Servers_.begin(), Servers_.end(), [&](auto const &One) {
+    return One.second.Record_.Service_ == Service &&
+           takesRequests(One.second, Now);
+  });
+}
+
+void ServerRoster::onSent(ServerId const &Id) {
+  if (auto const Found = Servers_.find(Id); Found != Servers_.end())
+    ++Found->second.Running_;
+}
+
+void ServerRoster::onEnded(ServerId const &Id, ServerVerdict Verdict,
+                           TimePoint Now) {
+  auto const Found = Servers_.find(Id);
+  if (Found == Servers_.end())
+    return;
+  auto &Server = Found->second;
+  if (Server.Running_ > 0)
+    --Server.Running_;
+  if (Verdict == ServerVerdict::Worked) {
+    Server.Failures_ = 0;
+  } else if (Verdict == ServerVerdict::Refused) {
+    Server.AvoidUntil_ = std::max(Server.AvoidUntil_, Now + RefusalAvoidance);
+  } else {
+    auto const Doublings = std::min(Server.Failures_++, MostDoublings);
+    Server.AvoidUntil_ = Now + FirstAvoidance * (1U << Doublings);
+  }
+}
+
+void ServerRoster::onLoad(ServerId const &Id, ServerLoad const &Load,
+                          TimePoint Now) {
+  auto const Found = Servers_.find(Id);
+  if (Found == Servers_.end())
+    return;
+  auto &Server = Found->second;
+  auto const Total = static_cast<double>(Load.Running_ + Load.Waiting_);
+  Server.Others_ = std::max(0.0, Total - Server.Running_);
+  Server.ToldAt_ = Now;
+}
+
+void ServerRoster::onLeaving(ServerId const &Id) {
+  if (auto const Found = Servers_.find(Id); Found != Servers_.end())
+    Found->second.IsLeaving_ = true;
+}
+
+std::vector<ServerRecord> ServerRoster::records() const {
+  std::vector<ServerRecord> Records;
+  for (auto const &[Id, Server] : Servers_)
+    Records.push_back(Server.Record_);
+  return Records;
+}
+
+std::uint32_t ServerRoster::running(ServerId const &Id) const {
+  auto const Found = Servers_.find(Id);
+  return Found == Servers_.end() ? 0 : Found->second.Running_;
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <LibModel/AttemptEvidence.h>
+#include <LibTraffic/ServerRecord.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace laburnum {
+
+/// Where data centres lie.
+struct Geography {
+  DataCentre Own_;
+  std::map<DataCentre, std::string> Regions_;
+
+  auto operator<=>(Geography const &) const = default;
+};
+
+/// What a choice of server depends on.
+struct ServerQuery {
+  ServiceName Service_;
+  std::set<ServerId> Excluded_;
+  /// Requests with the same text are better served by the same server. Empty:
+  /// any will do.
+  std::string Affinity_;
+
+  auto operator<=>(ServerQuery const &) const = default;
+};
+
+/// How an attempt at a server ended, as far as the server's health goes.
+enum class ServerVerdict {
+  Worked,
+  Refused, ///< It was full.
+  Failed,  ///< It could not be reached or its answer was no answer.
+};
+
+/// The backend servers of all services: what the platform's list says, what
+/// was seen of them here, and which is best for a request. A server takes no
+/// new request from the first sign that it leaves.
+class ServerRoster {
+public:
+  ServerRoster(Geography Places, std::uint64_t Seed);
+
+  /// The whole list; servers that are not in it are gone.
+  void replaceAll(std::vector<ServerRecord> const &Records, TimePoint Now);
+  void update(ServerRecord const &Record, TimePoint Now);
+  void remove(ServerId const &Id);
+
+  /// Nothing when no server has room.
+  std::optional<ServerRecord> choose(ServerQuery const &Query, TimePoint Now);
+  /// Whether any server of the service takes requests, with room or not.
+  bool isServed(ServiceName const &Service, TimePoint Now) const;
+
+  /// The attempt chosen last for this server goes out.
+  void onSent(ServerId const &Id);
+  void onEnded(ServerId const &Id, ServerVerdict Verdict, TimePoint Now);
+  void onLoad(ServerId const &Id, ServerLoad const &Load, TimePoint Now);
+  /// The server itself said that it leaves, or another one has its address.
+  void onLeaving(ServerId const &Id);
+
+  std::vector<ServerRecord> records() const;
+  std::uint32_t running(ServerId const &Id) const;
+
+private:
+  struct Entry {
+    ServerRecord Record_;
+    std::uint32_t Running_ = 0; ///< Sent from here and not ended.
+    double Others_ = 0.0;       ///< Of other instances, when last told.
+    TimePoint ToldAt_ = TimePoint::min();
+    std::uint32_t Failures_ = 0; ///< In a row.
+    TimePoint AvoidUntil_ = TimePoint::min();
+    bool IsLeaving_ = false;
+  };
+
+  bool takesRequests(Entry const &Server, TimePoint Now) const;
+  double load(Entry const &Server, TimePoint Now) const;
+  double cost(Entry const &Server, TimePoint Now) const;
+  std::vector<Entry const *> usable(ServerQuery const &Query,
+                                    TimePoint Now) const;
+  Entry const *byAffinity(std::vector<Entry const *> const &Usable,
+                          std::string const &Affinity, TimePoint Now) const;
+
+  Geography Places_;
+  std::mt19937_64 Generator_;
+  std::map<ServerId, Entry> Servers_;
+};
+
+} // namespace laburnum
--- a/Meta/Laburnum.cmake
+++ b/Meta/Laburnum.cmake
@@ -7,7 +7,9 @@
 # its threads crash when they are joined.
 pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
 pkg_check_modules(GLOG REQUIRED IMPORTED_TARGET libglog)
-pkg_check_modules(GRPC REQUIRED IMPORTED_TARGET grpc++)
+if(NOT LABURNUM_PARTS STREQUAL "entry")
+  pkg_check_modules(GRPC REQUIRED IMPORTED_TARGET grpc++)
+endif()
 
 add_library(LaburnumFlags INTERFACE)
 target_include_directories(LaburnumFlags INTERFACE
--- /dev/null
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -0,0 +1,250 @@
+#include "ControlPlane.h"
+
+#include <asio/post.hpp>
+
+#include <csignal>
+
+namespace laburnum {
+
+namespace {
+
+constexpr std::chrono::milliseconds LogPeriod{100};
+/// From SIGTERM until the balancer has surely noticed: it asks once a second
+/// and goes by two answers, and new connections that cross this are served.
+constexpr std::chrono::milliseconds BalancerNotice{2600};
+constexpr std::chrono::milliseconds StopLookPeriod{50};
+/// Kept free at the end of the stop's time for the process to end by itself.
+constexpr std::chrono::milliseconds StopReserve{300};
+
+} // namespace
+
+/// Takes the configuration from the store.
+class ControlPlane::ConfigurationReader : public CollectionReader {
+public:
+  explicit ConfigurationReader(ControlPlane &Plane) : Plane_(Plane) {}
+
+  void onListed(ObjectList const &Listed) override { apply(Listed.Objects_); }
+  void onChanged(WatchBatch const &Changes) override {
+    apply(Changes.Objects_);
+  }
+  void onLost(Error const &Reason) override {
+    Plane_.Parts_.Log_.write(LogLine("dependency_lost")
+                                 .add("what", "store/configuration")
+                                 .add("version", Plane_.ConfigurationVersion_)
+                                 .add("why", Reason.Message_));
+  }
+  void onRegained() override {
+    Plane_.Parts_.Log_.write(LogLine("dependency_regained")
+                                 .add("what", "store/configuration")
+                                 .add("version", Plane_.ConfigurationVersion_));
+  }
+
+private:
+  void apply(std::vector<StoredObject> const &Objects) {
+    for (auto const &Object : Objects)
+      if (Object.Version_ != 0)
+        Plane_.applyConfiguration(Object);
+  }
+
+  ControlPlane &Plane_;
+};
+
+/// Takes the list of backend servers from the store.
+class ControlPlane::ServerReader : public CollectionReader {
+public:
+  explicit ServerReader(ControlPlane &Plane) : Plane_(Plane) {}
+
+  void onListed(ObjectList const &Listed) override {
+    std::vector<ServerRecord> Records;
+    for (auto const &Object : Listed.Objects_)
+      if (auto const Record = Plane_.Parts_.Codec_.decodeServer(Object))
+        Records.push_back(*Record);
+    Plane_.Parts_.Log_.write(LogLine("servers_listed")
+                                 .add("revision", Listed.StoreVersion_)
+                                 .add("servers", Records.size()));
+    auto &Traffic = Plane_.Parts_.Traffic_;
+    Plane_.onTraffic([&Traffic, Records] { Traffic.replaceServers(Records); });
+    Plane_.onServersKnown();
+  }
+  void onChanged(WatchBatch const &Changes) override {
+    for (auto const &Object : Changes.Objects_)
+      change(Object);
+  }
+  void onLost(Error const &Reason) override {
+    Plane_.Parts_.Log_.write(LogLine("dependency_lost")
+                                 .add("what", "store/servers")
+                                 .add("why", Reason.Message_));
+  }
+  void onRegained() override {
+    Plane_.Parts_.Log_.write(
+        LogLine("dependency_regained").add("what", "store/servers"));
+  }
+
+private:
+  void change(StoredObject const &Object) {
+    auto &Traffic = Plane_.Parts_.Traffic_;
+    auto const Record = Object.Version_ == 0
+                            ? std::nullopt
+                            : Plane_.Parts_.Codec_.decodeServer(Object);
+    LogLine Line("server_changed");
+    Line.add("server", Object.Key_.Name_).add("revision", Object.Version_);
+    if (!Record) {
+      Plane_.Parts_.Log_.write(Line.add("state", "gone"));
+      ServerId const Id(Object.Key_.Name_);
+      return Plane_.onTraffic([&Traffic, Id] { Traffic.removeServer(Id); });
+    }
+    bool const IsReady = Record->Phase_ == ServerPhase::Ready;
+    Plane_.Parts_.Log_.write(Line.add("state", IsReady ? "ready" : "draining")
+                                 .add("service", Record->Service_.text()));
+    Plane_.onTraffic([&Traffic, Record] { Traffic.updateServer(*Record); });
+  }
+
+  ControlPlane &Plane_;
+};
+
+ControlPlane::ControlPlane(ControlParts Parts, std::uint64_t Seed)
+    : Parts_(Parts),
+      ConfigurationReader_(std::make_unique<ConfigurationReader>(*this)),
+      ServerReader_(std::make_unique<ServerReader>(*this)),
+      ConfigurationFollower_(std::make_shared<CollectionFollower>(
+          Parts.Context_, Parts.Store_, Parts.Codec_.configurationCollection(),
+          *ConfigurationReader_, Seed)),
+      ServerFollower_(std::make_shared<CollectionFollower>(
+          Parts.Context_, Parts.Store_, Parts.Codec_.serverCollection(),
+          *ServerReader_, Seed + 1)),
+      ReadinessService_([this] { return readiness(); }),
+      MetricsService_([this] { return metrics(); }),
+      Signals_(Parts.Context_, SIGTERM, SIGINT, SIGHUP),
+      LogTimer_(Parts.Context_), StopTimer_(Parts.Context_) {}
+
+ControlPlane::~ControlPlane() = default;
+
+template <typename Function> void ControlPlane::onTraffic(Function Task) {
+  asio::post(Parts_.TrafficContext_, std::move(Task));
+}
+
+Result<Success> ControlPlane::start() {
+  auto Readiness = HttpListener::create(
+      Parts_.Context_, Parts_.Settings_.Readiness_, ReadinessService_);
+  if (isError(Readiness))
+    return errorOf(Readiness);
+  ReadinessListener_ = takeValue(std::move(Readiness));
+  auto Metrics = HttpListener::create(
+      Parts_.Context_, Parts_.Settings_.Metrics_, MetricsService_);
+  if (isError(Metrics))
+    Parts_.Log_.write(
+        LogLine("metrics_unavailable").add("why", errorOf(Metrics).Message_));
+  else
+    MetricsListener_ = takeValue(std::move(Metrics));
+  ConfigurationFollower_->start();
+  ServerFollower_->start();
+  awaitSignals();
+  flushLog();
+  return Success{};
+}
+
+void ControlPlane::applyConfiguration(StoredObject const &Object) {
+  auto const Decoded = Parts_.Codec_.decodeConfiguration(Object);
+  if (isError(Decoded)) {
+    Parts_.Log_.write(LogLine("configuration_unreadable")
+                          .add("revision", Object.Version_)
+                          .add("why", errorOf(Decoded).Message_));
+    return;
+  }
+  auto const &Table = valueOf(Decoded);
+  if (!Table)
+    return;
+  // Lists and watches may show an older state than one that was seen already.
+  if (Table->version() <= ConfigurationVersion_)
+    return;
+  Parts_.Log_.write(LogLine("configuration_applied")
+                        .add("version", Table->version())
+                        .add("from", ConfigurationVersion_)
+                        .add("revision", Object.Version_)
+                        .add("routes", Table->routes().size())
+                        .add("accounts", Table->accounts().size()));
+  ConfigurationVersion_ = Table->version();
+  onTraffic([&Traffic = Parts_.Traffic_, Table] { Traffic.setTable(Table); });
+}
+
+void ControlPlane::onServersKnown() { KnowsServers_ = true; }
+
+bool ControlPlane::isReady() const {
+  return ConfigurationVersion_ != 0 && KnowsServers_ && !IsStopping_;
+}
+
+StatusService::Page ControlPlane::readiness() const {
+  return isReady() ? StatusService::Page{200, "ready\n"}
+                   : StatusService::Page{503, "not ready\n"};
+}
+
+StatusService::Page ControlPlane::metrics() const {
+  return {200, "laburnum_configuration_version " +
+                   std::to_string(ConfigurationVersion_) +
+                   "\nlaburnum_log_lines_dropped_total " +
+                   std::to_string(Parts_.Log_.dropped()) + '\n'};
+}
+
+void ControlPlane::flushLog() {
+  Parts_.Log_.flush();
+  LogTimer_.expires_after(LogPeriod);
+  LogTimer_.async_wait([this](asio::error_code Failure) {
+    if (!Failure)
+      flushLog();
+  });
+}
+
+void ControlPlane::awaitSignals() {
+  Signals_.async_wait([this](asio::error_code Failure, int Signal) {
+    if (Failure)
+      return;
+    if (Signal == SIGHUP)
+      Parts_.Log_.write(LogLine("reload").add("signal", Signal));
+    else
+      beginStop();
+    awaitSignals();
+  });
+}
+
+void ControlPlane::beginStop() {
+  if (IsStopping_)
+    return;
+  IsStopping_ = true;
+  StopBegunAt_ = readClock();
+  Parts_.Log_.write(LogLine("stop").add("time_ms", Parts_.Settings_.StopTime_));
+  StopTimer_.expires_after(BalancerNotice);
+  StopTimer_.async_wait([this](asio::error_code Failure) {
+    if (Failure)
+      return;
+    onTraffic([&Traffic = Parts_.Traffic_] { Traffic.drain(); });
+    continueStop();
+  });
+}
+
+void ControlPlane::continueStop() {
+  onTraffic([this] {
+    auto const Busy = Parts_.Traffic_.busyConnections();
+    asio::post(Parts_.Context_, [this, Busy] {
+      auto const Elapsed = readClock() - StopBegunAt_;
+      if (Busy == 0 || Elapsed > Parts_.Settings_.StopTime_ - StopReserve)
+        return endProcess();
+      StopTimer_.expires_after(StopLookPeriod);
+      StopTimer_.async_wait([this](asio::error_code Failure) {
+        if (!Failure)
+          continueStop();
+      });
+    });
+  });
+}
+
+void ControlPlane::endProcess() {
+  Parts_.Log_.write(
+      LogLine("stopped").add("after_ms", readClock() - StopBegunAt_));
+  Parts_.Log_.flush();
+  ConfigurationFollower_->stop();
+  ServerFollower_->stop();
+  Parts_.TrafficContext_.stop();
+  Parts_.Context_.stop();
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "StatusService.h"
+#include "TrafficPlane.h"
+
+#include <LibControl/CollectionFollower.h>
+
+#include <asio/signal_set.hpp>
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace laburnum {
+
+/// How the platform's records are spelled.
+class RecordCodec {
+public:
+  virtual ~RecordCodec() = default;
+  virtual std::string configurationCollection() const = 0;
+  virtual std::string serverCollection() const = 0;
+  /// nullptr when the object holds no configuration of this system.
+  virtual Result<std::shared_ptr<RouteTable const>>
+  decodeConfiguration(StoredObject const &Object) const = 0;
+  virtual std::optional<ServerRecord>
+  decodeServer(StoredObject const &Object) const = 0;
+};
+
+/// What the control thread shares with others, and outlives them.
+struct ControlParts {
+  asio::io_context &Context_;
+  asio::io_context &TrafficContext_;
+  EntrySettings const &Settings_;
+  AsyncObjectStore &Store_;
+  RecordCodec const &Codec_;
+  TrafficPlane &Traffic_;
+  EventLog &Log_;
+};
+
+/// Keeps what this instance knows up to date, tells the balancer whether it is
+/// ready, and leads it through a planned stop. Runs on the control thread.
+class ControlPlane {
+public:
+  ControlPlane(ControlParts Parts, std::uint64_t Seed);
+  ~ControlPlane();
+
+  /// Listens for the balancer and the metrics reader, and begins to follow
+  /// the store.
+  Result<Success> start();
+
+private:
+  class ConfigurationReader;
+  class ServerReader;
+
+  void applyConfiguration(StoredObject const &Object);
+  void onServersKnown();
+  bool isReady() const;
+  StatusService::Page readiness() const;
+  StatusService::Page metrics() const;
+  void flushLog();
+  void awaitSignals();
+  void beginStop();
+  void continueStop();
+  void endProcess();
+  /// Runs Task on the traffic thread.
+  template <typename Function> void onTraffic(Function Task);
+
+  ControlParts Parts_;
+  std::unique_ptr<ConfigurationReader> ConfigurationReader_;
+  std::unique_ptr<ServerReader> ServerReader_;
+  std::shared_ptr<CollectionFollower> ConfigurationFollower_;
+  std::shared_ptr<CollectionFollower> ServerFollower_;
+  StatusService ReadinessService_;
+  StatusService MetricsService_;
+  std::shared_ptr<HttpListener> ReadinessListener_;
+  std::shared_ptr<HttpListener> MetricsListener_;
+  asio::signal_set Signals_;
+  asio::steady_timer LogTimer_;
+  asio::steady_timer StopTimer_;
+  std::uint64_t ConfigurationVersion_ = 0;
+  bool KnowsServers_ = false;
+  bool IsStopping_ = false;
+  TimePoint StopBegunAt_{};
+};
+
+} // namespace laburnum
--- /dev/null
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -0,0 +1,237 @@
+#include "RequestSession.h"
+
+#include <LibModel/RunState.h>
+
+namespace laburnum {
+
+using namespace exchange;
+
+namespace {
+
+/// A client that leaves this much unread is not following its stream.
+constexpr std::size_t MaxUnwrittenBytes = std::size_t{1} << 20;
+/// A wait in the queue may take this part of the time to the latency target;
+/// the rest is for the server.
+constexpr std::int64_t QueuePart = 2;
+
+Duration trueTime() {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
+} // namespace
+
+RequestSession::RequestSession(TrafficPlane &Plane,
+                               std::shared_ptr<Exchange> Exchange,
+                               ReceivedRequest Request,
+                               exchange::Subject Subject)
+    : Plane_(Plane), Exchange_(std::move(Exchange)),
+      Request_(std::move(Request)), Subject_(std::move(Subject)),
+      Flow_(Subject_, Plane_.Retries_), Expiry_(Plane_.Parts_.Context_) {}
+
+void RequestSession::start() {
+  Exchange_->observe(shared_from_this());
+  Expiry_.expires_after(Subject_.Expiry_ - readClock());
+  Expiry_.async_wait([Self = shared_from_this()](asio::error_code Failure) {
+    if (!Failure)
+      Self->handle(TimePassed{});
+  });
+  carryOut(Flow_.start(readClock()));
+}
+
+void RequestSession::handle(Event const &Event) {
+  if (!IsFinished_)
+    carryOut(Flow_.handle(Event, readClock()));
+}
+
+void RequestSession::carryOut(std::vector<Action> const &Actions) {
+  auto const Self = shared_from_this();
+  for (auto const &Action : Actions)
+    std::visit([this](auto const &Kind) { on(Kind); }, Action);
+}
+
+void RequestSession::on(AskForServer const &Action) {
+  auto const Now = readClock();
+  auto const &Route = *Subject_.Route_;
+  auto const *const Account =
+      Subject_.Table_->accountByKey(Subject_.Facts_.Key_);
+  WaitingRequest Waiting;
+  Waiting.Ticket_ = Ticket_ = Plane_.NextTicket_++;
+  Waiting.Query_ = {Subject_.Service_, Action.Excluded_,
+                    Subject_.Facts_.SharedPrefix_};
+  Waiting.Rank_ = Account ? Account->Rank_.value_or(Route.Rank_) : Route.Rank_;
+  Waiting.GiveUpAt_ =
+      Now + std::min<Duration>(Route.LatencyTarget_ / QueuePart,
+                               (Subject_.Expiry_ - Now) / QueuePart);
+  Plane_.enqueue(shared_from_this(), std::move(Waiting));
+}
+
+void RequestSession::onAdmission(AdmissionOutcome const &Outcome) {
+  if (auto const *const Place = std::get_if<Admitted>(&Outcome)) {
+    if (IsFinished_)
+      return Plane_.Roster_.onEnded(Place->Server_.Id_, ServerVerdict::Worked,
+                                    readClock());
+    return handle(ServerAssigned{Place->Server_});
+  }
+  auto const &Away = std::get<TurnedAway>(Outcome);
+  handle(NoServer{Away.Reason_, Away.RetryAfter_});
+}
+
+void RequestSession::on(StopAsking const & /*Action*/) {
+  Plane_.dequeue(Ticket_);
+}
+
+void RequestSession::on(SendAttempt const &Action) {
+  Server_ = Action.Server_;
+  Answer_.reset();
+  LastServer_ = Server_->Id_.text();
+  if (FirstSentAt_ == TimePoint())
+    FirstSentAt_ = readClock();
+  OutboundRequest Outbound;
+  Outbound.Head_ = Plane_.Parts_.Dialect_.encode(Request_.Head_, Action.Facts_);
+  Outbound.Body_ = Request_.Body_;
+  Call_ = Plane_.poolOf(*Server_).start(std::move(Outbound), shared_from_this());
+}
+
+HeadVerdict RequestSession::onHead(AnswerHead const &Head) {
+  auto const &Dialect = Plane_.Parts_.Dialect_;
+  if (Dialect.match(Head, Subject_.Facts_.AttemptId_) ==
+      AnswerMatch::AnotherRequest) {
+    Plane_.Parts_.Log_.write(LogLine("foreign_answer")
+                                 .add("id", Subject_.Facts_.AttemptId_)
+                                 .add("server", LastServer_));
+    return HeadVerdict::Skip;
+  }
+  Answer_ = Dialect.decode(Head);
+  if (FirstAnswerAt_ == TimePoint())
+    FirstAnswerAt_ = readClock();
+  if (Answer_->Load_)
+    Plane_.Roster_.onLoad(Server_->Id_, *Answer_->Load_, readClock());
+  if (Answer_->IsOtherServer_)
+    Plane_.Roster_.onLeaving(Server_->Id_);
+  handle(HeadArrived{*Answer_});
+  return HeadVerdict::Take;
+}
+
+void RequestSession::onBody(std::string_view Bytes) {
+  handle(BodyArrived{std::string(Bytes)});
+}
+
+void RequestSession::onComplete() {
+  Call_.reset();
+  auto const Claim = Answer_ ? Answer_->Claim_ : AnswerClaim::Untrusted;
+  endAttempt(Claim == AnswerClaim::Succeeded ? ServerVerdict::Worked
+             : Claim == AnswerClaim::NotRun  ? ServerVerdict::Refused
+             : Claim == AnswerClaim::Failed  ? ServerVerdict::Worked
+                                             : ServerVerdict::Failed);
+  handle(AnswerCompleted{});
+}
+
+void RequestSession::onFailed(AttemptEvidence const &Evidence) {
+  Call_.reset();
+  Plane_.Parts_.Log_.write(LogLine("attempt_failed")
+                               .add("id", Subject_.Facts_.AttemptId_)
+                               .add("server", LastServer_)
+                               .add("run_state", toString(runStateOf(Evidence)))
+                               .add("why", Evidence.Detail_));
+  endAttempt(ServerVerdict::Failed);
+  handle(AttemptFailed{Evidence});
+}
+
+void RequestSession::endAttempt(ServerVerdict Verdict) {
+  if (!Server_)
+    return;
+  Plane_.Roster_.onEnded(Server_->Id_, Verdict, readClock());
+  Server_.reset();
+  Plane_.advanceQueue();
+}
+
+void RequestSession::on(CancelAttempt const & /*Action*/) {
+  if (auto const Call = std::exchange(Call_, nullptr))
+    Call->cancel();
+  endAttempt(ServerVerdict::Worked);
+}
+
+void RequestSession::on(CountRun const & /*Action*/) {
+  if (!Subject_.Account_.isEmpty())
+    Plane_.Parts_.Usage_.count(Subject_.Account_, trueTime());
+}
+
+void RequestSession::on(AnswerWhole const &Action) {
+  Exchange_->answer(Action.Head_, Action.Body_);
+  finish("answered", Action.Head_.Status_, {});
+}
+
+void RequestSession::on(BeginStream const &Action) {
+  RelayedStatus_ = Action.Head_.Status_;
+  Exchange_->beginStream(Action.Head_);
+}
+
+void RequestSession::on(RelayEvents const &Action) {
+  Exchange_->send(Action.Bytes_);
+  if (Exchange_->unwrittenBytes() <= MaxUnwrittenBytes)
+    return;
+  Exchange_->abort();
+  handle(ClientLeft{});
+  finish("aborted", RelayedStatus_, "the client does not read its stream");
+}
+
+void RequestSession::on(FinishStream const & /*Action*/) {
+  Exchange_->finishStream();
+  finish("answered", RelayedStatus_, {});
+}
+
+void RequestSession::on(AbortStream const &Action) {
+  Exchange_->abort();
+  finish("aborted", RelayedStatus_, Action.Reason_);
+}
+
+void RequestSession::on(Refuse const &Action) {
+  Exchange_->answer(Plane_.Parts_.Dialect_.refusal(Action.Status_,
+                                                   Action.RetryAfter_,
+                                                   Subject_.Facts_.AttemptId_),
+                    {});
+  finish(Action.Status_ == 503 ? "refused" : "failed", Action.Status_,
+         Action.Reason_);
+}
+
+void RequestSession::onClientLeft() {
+  if (IsFinished_)
+    return;
+  handle(ClientLeft{});
+  finish("client_left", 0, {});
+}
+
+void RequestSession::finish(std::string_view Outcome, std::int32_t Status,
+                            std::string_view Reason) {
+  if (IsFinished_)
+    return;
+  IsFinished_ = true;
+  Expiry_.cancel();
+  log(Outcome, Status, Reason);
+}
+
+void RequestSession::log(std::string_view Outcome, std::int32_t Status,
+                         std::string_view Reason) {
+  auto const Now = readClock();
+  LogLine Line("request");
+  Line.add("id", Subject_.Facts_.AttemptId_)
+      .add("outcome", Outcome)
+      .add("status", Status)
+      .add("account", Subject_.Account_.text())
+      .add("route", Subject_.Route_->Name_)
+      .add("service", Subject_.Service_.text())
+      .add("config", Subject_.Table_->version())
+      .add("server", LastServer_)
+      .add("attempts", Flow_.attempts());
+  if (FirstSentAt_ != TimePoint())
+    Line.add("queued_ms", FirstSentAt_ - Request_.BegunAt_);
+  if (FirstAnswerAt_ != TimePoint())
+    Line.add("first_byte_ms", FirstAnswerAt_ - Request_.BegunAt_);
+  Line.add("total_ms", Now - Request_.BegunAt_);
+  if (!Reason.empty())
+    Line.add("why", Reason);
+  Plane_.Parts_.Log_.write(Line);
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Services/laburnum-entry/RequestSession.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "TrafficPlane.h"
+
+#include <LibTraffic/ExchangeFlow.h>
+
+#include <memory>
+#include <optional>
+
+namespace laburnum {
+
+/// One request at one instance: carries out what its flow decides.
+class RequestSession : public ClientObserver,
+                       public AnswerObserver,
+                       public std::enable_shared_from_this<RequestSession> {
+public:
+  RequestSession(TrafficPlane &Plane, std::shared_ptr<Exchange> Exchange,
+                 ReceivedRequest Request, exchange::Subject Subject);
+
+  void start();
+  void onAdmission(AdmissionOutcome const &Outcome);
+
+  void onClientLeft() override;
+  HeadVerdict onHead(AnswerHead const &Head) override;
+  void onBody(std::string_view Bytes) override;
+  void onComplete() override;
+  void onFailed(AttemptEvidence const &Evidence) override;
+
+private:
+  void handle(exchange::Event const &Event);
+  void carryOut(std::vector<exchange::Action> const &Actions);
+  void on(exchange::AskForServer const &Action);
+  void on(exchange::StopAsking const &Action);
+  void on(exchange::SendAttempt const &Action);
+  void on(exchange::CancelAttempt const &Action);
+  void on(exchange::CountRun const &Action);
+  void on(exchange::AnswerWhole const &Action);
+  void on(exchange::BeginStream const &Action);
+  void on(exchange::RelayEvents const &Action);
+  void on(exchange::FinishStream const &Action);
+  void on(exchange::AbortStream const &Action);
+  void on(exchange::Refuse const &Action);
+
+  void endAttempt(ServerVerdict Verdict);
+  void finish(std::string_view Outcome, std::int32_t Status,
+              std::string_view Reason);
+  void log(std::string_view Outcome, std::int32_t Status,
+           std::string_view Reason);
+
+  TrafficPlane &Plane_;
+  std::shared_ptr<Exchange> Exchange_;
+  ReceivedRequest Request_;
+  exchange::Subject Subject_;
+  ExchangeFlow Flow_;
+  asio::steady_timer Expiry_;
+  std::uint64_t Ticket_ = 0;
+  std::optional<ServerRecord> Server_; ///< Of the attempt under way.
+  std::optional<ServerAnswer> Answer_;
+  std::shared_ptr<OutboundCall> Call_;
+  std::string LastServer_;
+  TimePoint FirstSentAt_{};
+  TimePoint FirstAnswerAt_{};
+  std::int32_t RelayedStatus_ = 0;
+  bool IsFinished_ = false;
+};
+
+} // namespace laburnum
--- /dev/null
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -0,0 +1,202 @@
+#include "TrafficPlane.h"
+
+#include "RequestSession.h"
+
+#include <algorithm>
+
+namespace laburnum {
+
+namespace {
+
+/// How often waiting requests are looked at besides each time a place falls
+/// free here: other instances' requests free places too.
+constexpr std::chrono::milliseconds QueuePeriod{15};
+/// When a request that came before any configuration may come back.
+constexpr std::chrono::milliseconds ReturnAfterUnready{500};
+
+constexpr std::int32_t BadRequest = 400;
+constexpr std::int32_t Unauthorized = 401;
+constexpr std::int32_t NotFound = 404;
+constexpr std::int32_t ServiceUnavailable = 503;
+
+} // namespace
+
+TrafficPlane::TrafficPlane(TrafficParts Parts, std::uint64_t Seed)
+    : Parts_(Parts),
+      Roster_({Parts.Settings_.DataCentre_, Parts.Settings_.Regions_}, Seed),
+      Queue_(Roster_),
+      Retries_({Parts.Settings_.RetryRatio_, Parts.Settings_.RetrySlack_,
+                Parts.Settings_.RetryWindow_}),
+      QueueTimer_(Parts.Context_) {}
+
+TrafficPlane::~TrafficPlane() = default;
+
+Result<Success> TrafficPlane::listen() {
+  auto Made =
+      HttpListener::create(Parts_.Context_, Parts_.Settings_.Traffic_, *this);
+  if (isError(Made))
+    return errorOf(Made);
+  Listener_ = takeValue(std::move(Made));
+  return Success{};
+}
+
+void TrafficPlane::setTable(std::shared_ptr<RouteTable const> Table) {
+  Table_ = std::move(Table);
+}
+
+void TrafficPlane::setShare(double Share) { Retries_.setShare(Share); }
+
+void TrafficPlane::replaceServers(std::vector<ServerRecord> const &Records) {
+  Roster_.replaceAll(Records, readClock());
+  std::erase_if(Pools_, [&](auto const &One) {
+    return std::none_of(
+        Records.begin(), Records.end(),
+        [&](ServerRecord const &Record) { return Record.Id_ == One.first; });
+  });
+  advanceQueue();
+}
+
+void TrafficPlane::updateServer(ServerRecord const &Record) {
+  Roster_.update(Record, readClock());
+  advanceQueue();
+}
+
+void TrafficPlane::removeServer(ServerId const &Id) {
+  Roster_.remove(Id);
+  if (auto const Found = Pools_.find(Id); Found != Pools_.end()) {
+    Found->second->closeIdle();
+    Pools_.erase(Found);
+  }
+}
+
+void TrafficPlane::drain() {
+  if (!Listener_)
+    return;
+  Listener_->stopAccepting();
+  Listener_->drainConnections();
+}
+
+std::size_t TrafficPlane::busyConnections() const {
+  return Listener_ ? Listener_->busyConnections() : 0;
+}
+
+ClientBounds TrafficPlane::bounds() const {
+  return Table_ ? Table_->bounds() : ClientBounds{};
+}
+
+void TrafficPlane::onRejected(MessageFault Fault) {
+  Parts_.Log_.write(
+      LogLine("request_rejected").add("fault", static_cast<int>(Fault)));
+}
+
+void TrafficPlane::refuse(Exchange &Exchange, std::int32_t Status,
+                          std::string_view Reason, RequestFacts const &Facts,
+                          std::optional<Duration> RetryAfter) {
+  Exchange.answer(Parts_.Dialect_.refusal(Status, RetryAfter, Facts.AttemptId_),
+                  {});
+  Parts_.Log_.write(LogLine("request")
+                        .add("id", Facts.AttemptId_)
+                        .add("outcome", "refused")
+                        .add("status", Status)
+                        .add("config", Table_ ? Table_->version() : 0)
+                        .add("why", Reason));
+}
+
+void TrafficPlane::onRequest(std::shared_ptr<Exchange> Exchange,
+                             ReceivedRequest Request) {
+  if (auto const Session = admit(Exchange, Request))
+    Session->start();
+}
+
+std::shared_ptr<RequestSession>
+TrafficPlane::admit(std::shared_ptr<Exchange> const &Exchange,
+                    ReceivedRequest &Request) {
+  auto const Decoded = Parts_.Dialect_.decode(Request.Head_);
+  if (!Table_) {
+    refuse(*Exchange, ServiceUnavailable, "no configuration yet",
+           isError(Decoded) ? RequestFacts{} : valueOf(Decoded),
+           ReturnAfterUnready);
+    return nullptr;
+  }
+  if (isError(Decoded)) {
+    refuse(*Exchange, BadRequest, errorOf(Decoded).Message_, {}, std::nullopt);
+    return nullptr;
+  }
+  auto const &Facts = valueOf(Decoded);
+  auto const *const Route = Table_->match(
+      Request.Head_.Fields_.valueOr("Host"), Request.Head_.Target_);
+  if (!Route) {
+    refuse(*Exchange, NotFound, "no route", Facts, std::nullopt);
+    return nullptr;
+  }
+  exchange::Subject Subject{Table_, Route, {}, {}, Facts, {}};
+  if (Table_->hasAccounts() && Route->Access_ == RouteAccess::KeyRequired) {
+    auto const *const Account = Table_->accountByKey(Facts.Key_);
+    if (!Account) {
+      refuse(*Exchange, Unauthorized, "unknown key", Facts, std::nullopt);
+      return nullptr;
+    }
+    Subject.Account_ = Account->Name_;
+  }
+  Subject.Service_ = serviceFor(*Route, Facts.AttemptId_);
+  auto const Allowed =
+      std::min(Route->Timeout_, Facts.TimeAllowed_.value_or(Route->Timeout_));
+  Subject.Expiry_ = Request.BegunAt_ + Allowed;
+  Retries_.countRequest(Subject.Service_, readClock());
+  return std::make_shared<RequestSession>(*this, Exchange, std::move(Request),
+                                          std::move(Subject));
+}
+
+void TrafficPlane::enqueue(std::shared_ptr<RequestSession> const &Session,
+                           WaitingRequest Request) {
+  auto const Ticket = Request.Ticket_;
+  Waiting_[Ticket] = Session;
+  settle(Queue_.add(std::move(Request), readClock()));
+  armQueueTimer();
+}
+
+void TrafficPlane::dequeue(std::uint64_t Ticket) {
+  Queue_.remove(Ticket);
+  Waiting_.erase(Ticket);
+}
+
+void TrafficPlane::settle(std::vector<AdmissionOutcome> const &Outcomes) {
+  for (auto const &Outcome : Outcomes) {
+    auto const Ticket =
+        std::visit([](auto const &Kind) { return Kind.Ticket_; }, Outcome);
+    auto const Found = Waiting_.find(Ticket);
+    if (Found == Waiting_.end())
+      continue;
+    auto const Session = Found->second;
+    Waiting_.erase(Found);
+    Session->onAdmission(Outcome);
+  }
+}
+
+void TrafficPlane::advanceQueue() {
+  if (Queue_.size() > 0)
+    settle(Queue_.advance(readClock()));
+}
+
+void TrafficPlane::armQueueTimer() {
+  if (IsQueueTimerArmed_ || Queue_.size() == 0)
+    return;
+  IsQueueTimerArmed_ = true;
+  QueueTimer_.expires_after(QueuePeriod);
+  QueueTimer_.async_wait([this](asio::error_code Failure) {
+    IsQueueTimerArmed_ = false;
+    if (Failure)
+      return;
+    advanceQueue();
+    armQueueTimer();
+  });
+}
+
+OutboundPool &TrafficPlane::poolOf(ServerRecord const &Server) {
+  auto &Pool = Pools_[Server.Id_];
+  if (!Pool || Pool->address() != Server.Endpoint_)
+    Pool = std::make_shared<OutboundPool>(Parts_.Context_, Server.Endpoint_);
+  return *Pool;
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <LibControl/UsageCounter.h>
+#include <LibHttp/HttpListener.h>
+#include <LibHttp/OutboundPool.h>
+#include <LibLog/EventLog.h>
+#include <LibSettings/EntrySettings.h>
+#include <LibTraffic/AdmissionQueue.h>
+#include <LibTraffic/RetryLedger.h>
+#include <LibTraffic/RouteTable.h>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+
+namespace laburnum {
+
+class RequestSession;
+
+/// What the traffic thread shares with others, and outlives them.
+struct TrafficParts {
+  asio::io_context &Context_;
+  EntrySettings const &Settings_;
+  TrafficDialect const &Dialect_;
+  UsageCounter &Usage_;
+  EventLog &Log_;
+};
+
+/// Takes clients' requests to backend servers. Everything here runs on the
+/// traffic thread.
+class TrafficPlane : public HttpService {
+public:
+  TrafficPlane(TrafficParts Parts, std::uint64_t Seed);
+  ~TrafficPlane() override;
+
+  Result<Success> listen();
+
+  void setTable(std::shared_ptr<RouteTable const> Table);
+  void replaceServers(std::vector<ServerRecord> const &Records);
+  void updateServer(ServerRecord const &Record);
+  void removeServer(ServerId const &Id);
+  /// The part of what all instances share that this one may use.
+  void setShare(double Share);
+
+  /// A planned stop: takes no new connections and ends each one that is open
+  /// after its answer.
+  void drain();
+  std::size_t busyConnections() const;
+
+  ClientBounds bounds() const override;
+  void onRequest(std::shared_ptr<Exchange> Exchange,
+                 ReceivedRequest Request) override;
+  void onRejected(MessageFault Fault) override;
+
+private:
+  friend class RequestSession;
+
+  /// Nothing when the request was answered already.
+  std::shared_ptr<RequestSession>
+  admit(std::shared_ptr<Exchange> const &Exchange, ReceivedRequest &Request);
+  void refuse(Exchange &Exchange, std::int32_t Status, std::string_view Reason,
+              RequestFacts const &Facts, std::optional<Duration> RetryAfter);
+  void enqueue(std::shared_ptr<RequestSession> const &Session,
+               WaitingRequest Request);
+  void dequeue(std::uint64_t Ticket);
+  void settle(std::vector<AdmissionOutcome> const &Outcomes);
+  void advanceQueue();
+  void armQueueTimer();
+  OutboundPool &poolOf(ServerRecord const &Server);
+
+  TrafficParts Parts_;
+  std::shared_ptr<HttpListener> Listener_;
+  std::shared_ptr<RouteTable const> Table_;
+  ServerRoster Roster_;
+  AdmissionQueue Queue_;
+  RetryLedger Retries_;
+  asio::steady_timer QueueTimer_;
+  bool IsQueueTimerArmed_ = false;
+  std::uint64_t NextTicket_ = 1;
+  std::map<std::uint64_t, std::shared_ptr<RequestSession>> Waiting_;
+  std::map<ServerId, std::shared_ptr<OutboundPool>> Pools_;
+};
+
+} // namespace laburnum
--- a/Tests/FaultMatrix/Oracle.h
+++ b/Tests/FaultMatrix/Oracle.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibModel/ConfigurationObject.h>
-#include <LibServing/RunState.h>
+#include <LibModel/RunState.h>
 
 #include <map>
 #include <set>
