LibControl, LibTraffic: Report usage, hold quotas over all instances, follow the store closely

Cause: limits were each instance's own affair and nobody reported usage. Peers now find each other through the store and speak by LibPeer and Membership; each tells the others four times a second what its accounts consumed, and every instance keeps the token bucket that the sum shows (AccountMeter). Usage is settled in the store by one conditional write a window before it is reported, so that a repeat carries the same counts. A cut watch is followed by a list, as the store may keep a watch from a dropped version waiting.

Ruled out for quotas: equal shares (clients are spread unevenly and a large request exceeds an eighth of a second's rate); a divider that grants shares (more state, and as much traffic at this size).

--- a/Libraries/LibControl/CollectionFollower.cpp
+++ b/Libraries/LibControl/CollectionFollower.cpp
@@ -7,16 +7,15 @@
 namespace {
 
 constexpr std::chrono::milliseconds ListTimeout{1500};
-/// How long one watch waits. Longer saves calls; a silent connection is found
-/// by the kernel's probes, whatever the wait.
-constexpr std::chrono::seconds WatchWait{10};
+/// How long one watch waits. A store that has gone silent is noticed when its
+/// answer is overdue, so that this bounds how late a change is seen after it;
+/// each watch that ends is a call that is paid for.
+constexpr std::chrono::milliseconds WatchWait{2000};
 /// Pauses between tries while the store does not answer: short, as an accepted
 /// configuration has to be in force within seconds of the store's return.
 constexpr std::chrono::milliseconds FirstPause{50};
 constexpr std::chrono::milliseconds LongestPause{400};
 constexpr std::uint32_t MostDoublings = 4;
-/// Failed watches in a row after which the collection is listed again.
-constexpr std::uint32_t FailuresBeforeListing = 3;
 
 } // namespace
 
@@ -81,9 +80,9 @@
                                            Failures_ - 1, MostDoublings)));
   std::uniform_int_distribution<Duration::rep> Spread(Longest.count() / 2,
                                                       Longest.count());
-  bool const ListsNext = From_ == 0 || Failures_ >= FailuresBeforeListing;
-  after(Duration(Spread(Generator_)), ListsNext ? &CollectionFollower::list
-                                                : &CollectionFollower::watch);
+  // A watch that is cut may have missed changes whose history is gone, and the
+  // store may then keep a watch from the old version waiting.
+  after(Duration(Spread(Generator_)), &CollectionFollower::list);
 }
 
 void CollectionFollower::onSuccess() {
--- /dev/null
+++ b/Libraries/LibControl/PeerNetwork.cpp
@@ -0,0 +1,191 @@
+#include <LibControl/PeerNetwork.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace laburnum {
+
+namespace {
+
+constexpr char const *InstanceCollection = "entry-instances";
+constexpr std::chrono::milliseconds StoreTimeout{1500};
+constexpr std::chrono::milliseconds RetryPause{500};
+/// Instances that register later make themselves known to those that they
+/// find; the list repairs what that misses, and tells which ones are gone.
+constexpr std::chrono::seconds ListPeriod{10};
+/// Right after the start the others are starting too.
+constexpr std::chrono::seconds FirstListPause{1};
+constexpr std::chrono::milliseconds TickPeriod{200};
+
+ObjectKey secretKey() { return {"entry-secrets", "peers"}; }
+
+std::string encodeInstance(EntryInstance const &Instance) {
+  nlohmann::json Value;
+  Value["id"] = Instance.Id_.text();
+  Value["data_centre"] = Instance.DataCentre_.text();
+  Value["host"] = Instance.Peers_.Host_;
+  Value["port"] = Instance.Peers_.Port_;
+  return Value.dump();
+}
+
+std::optional<EntryInstance> decodeInstance(std::string const &Text) {
+  auto const Value = nlohmann::json::parse(Text, nullptr, false);
+  EntryInstance Decoded;
+  try {
+    Decoded.Id_ = InstanceId(Value.at("id").get<std::string>());
+    Decoded.DataCentre_ =
+        DataCentre(Value.at("data_centre").get<std::string>());
+    Decoded.Peers_ = {Value.at("host").get<std::string>(),
+                      Value.at("port").get<std::uint16_t>()};
+  } catch (nlohmann::json::exception const &) {
+    return std::nullopt; // Not written by this system.
+  }
+  return Decoded;
+}
+
+membership::Settings membershipOf(EntryInstance const &Self,
+                                  std::uint64_t Seed) {
+  membership::Settings Settings;
+  Settings.Self_ = Self;
+  Settings.Seed_ = Seed;
+  Settings.SuspicionTimeout_ = std::chrono::seconds(2);
+  return Settings;
+}
+
+} // namespace
+
+PeerNetwork::PeerNetwork(asio::io_context &Context, AsyncObjectStore &Store,
+                         std::string Name, EntryInstance Self,
+                         std::uint64_t Seed, Callbacks Callbacks)
+    : Context_(Context), Store_(Store), Name_(std::move(Name)),
+      Self_(std::move(Self)), Membership_(membershipOf(Self_, Seed)),
+      Identifiers_(Seed + 1), Callbacks_(std::move(Callbacks)),
+      TickTimer_(Context), StoreTimer_(Context) {}
+
+void PeerNetwork::start() {
+  View_.Members_ = Membership_.members();
+  obtainSecret();
+}
+
+void PeerNetwork::after(asio::steady_timer &Timer, Duration Pause,
+                        void (PeerNetwork::*Next)()) {
+  Timer.expires_after(Pause);
+  Timer.async_wait([Self = shared_from_this(), Next](asio::error_code Failure) {
+    if (!Failure)
+      (Self.get()->*Next)();
+  });
+}
+
+/// The first instance that asks makes the secret; the others read it.
+void PeerNetwork::obtainSecret() {
+  auto const Self = shared_from_this();
+  Store_.get(secretKey(), StoreTimeout, [Self](Result<StoredObject> Read) {
+    if (isError(Read))
+      return Self->after(Self->StoreTimer_, RetryPause,
+                         &PeerNetwork::obtainSecret);
+    auto const Held = nlohmann::json::parse(valueOf(Read).Value_, nullptr, false);
+    if (valueOf(Read).Version_ != 0 && Held.is_string())
+      return Self->openTransport(Held.get<std::string>());
+    nlohmann::json const Made = Self->Identifiers_.next();
+    Self->Store_.putIf(secretKey(), valueOf(Read).Version_, Made.dump(),
+                       StoreTimeout, [Self](Result<Version> const &) {
+                         Self->obtainSecret();
+                       });
+  });
+}
+
+void PeerNetwork::openTransport(std::string const &Secret) {
+  PeerTransportSettings Settings;
+  Settings.Secret_ = Secret;
+  Settings.Self_ = Self_;
+  auto Made = AsioPeerTransport::create(
+      Context_, Settings,
+      [Self = weak_from_this()](InstanceId const &From,
+                                PeerMessage const &Message) {
+        auto const Alive = Self.lock();
+        if (!Alive)
+          return;
+        if (auto const *const Beat = std::get_if<Heartbeat>(&Message))
+          return Alive->handle(membership::HeartbeatFromPeer{From, *Beat});
+        Alive->Callbacks_.Received_(From, Message);
+      });
+  if (isError(Made))
+    return Callbacks_.Failed_(errorOf(Made));
+  Transport_ = takeValue(std::move(Made));
+  registerSelf();
+  tick();
+}
+
+void PeerNetwork::registerSelf() {
+  Store_.put({InstanceCollection, Name_}, encodeInstance(Self_), StoreTimeout,
+             [Self = shared_from_this()](Result<Version> const &Written) {
+               if (isError(Written))
+                 return Self->after(Self->StoreTimer_, RetryPause,
+                                    &PeerNetwork::registerSelf);
+               Self->listInstances();
+             });
+}
+
+void PeerNetwork::listInstances() {
+  Store_.list(InstanceCollection, StoreTimeout,
+              [Self = shared_from_this()](Result<ObjectList> const &Listed) {
+                if (!isError(Listed))
+                  Self->takeListing(valueOf(Listed));
+                bool const IsFirst = !std::exchange(Self->HasListed_, true);
+                Self->after(Self->StoreTimer_,
+                            IsFirst ? Duration(FirstListPause) : ListPeriod,
+                            &PeerNetwork::listInstances);
+              });
+}
+
+void PeerNetwork::takeListing(ObjectList const &Listed) {
+  InstanceListing Listing;
+  for (auto const &Object : Listed.Objects_)
+    if (auto const Instance = decodeInstance(Object.Value_))
+      Listing.EntryInstances_.push_back({*Instance, Liveness::Live});
+  View_.Registered_ =
+      std::max<std::size_t>(1, Listing.EntryInstances_.size());
+  handle(membership::InstancesListed{Listing});
+  Callbacks_.Changed_(View_);
+}
+
+void PeerNetwork::tick() {
+  handle(membership::TimePassed{});
+  after(TickTimer_, TickPeriod, &PeerNetwork::tick);
+}
+
+void PeerNetwork::handle(membership::Event const &Event) {
+  for (auto const &Action : Membership_.handle(Event, readClock()))
+    std::visit([this](auto const &Kind) { on(Kind); }, Action);
+}
+
+void PeerNetwork::on(SendToPeer const &Action) {
+  if (Transport_)
+    Transport_->send(Action.To_, Action.Message_);
+}
+
+void PeerNetwork::on(membership::MembersChanged const &Action) {
+  View_.Members_ = Action.Members_;
+  Callbacks_.Changed_(View_);
+}
+
+void PeerNetwork::sendToAll(PeerMessage const &Message) {
+  if (!Transport_)
+    return;
+  for (auto const &Other : View_.Members_)
+    if (Other.Liveness_ == Liveness::Live &&
+        Other.Instance_.Id_ != Self_.Id_)
+      Transport_->send(Other.Instance_.Peers_, Message);
+}
+
+void PeerNetwork::leave() {
+  handle(membership::OwnLeaving{});
+  Store_.remove({InstanceCollection, Name_}, StoreTimeout,
+                [](Result<Success> const &) {
+                  // An entry that stays is known by its silence.
+                });
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibControl/UsageReporter.cpp
@@ -0,0 +1,205 @@
+#include <LibControl/UsageReporter.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace laburnum {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr char const *CountsCollection = "entry-usage";
+constexpr std::chrono::milliseconds StoreTimeout{1000};
+constexpr std::chrono::milliseconds ReportTimeout{1000};
+/// After a window's end, for requests whose first event is on its way and for
+/// clocks that differ a little.
+constexpr std::chrono::milliseconds PublishDelay{700};
+/// When the holder first adds the counts up.
+constexpr std::chrono::milliseconds CollectDelay{1800};
+/// The part of the time to the due moment after which instances that have not
+/// written their counts are no longer waited for.
+constexpr double WaitPart = 0.65;
+constexpr std::chrono::milliseconds RetryPause{400};
+/// Windows kept in an instance's record and in the settled counts.
+constexpr std::int64_t KeptWindows = 6;
+
+ObjectKey settledKey() { return {"entry-usage-settled", "windows"}; }
+
+Json encodeWindows(std::map<std::int64_t, UsageCounts> const &Windows) {
+  Json Value = Json::object();
+  for (auto const &[Window, Counts] : Windows) {
+    auto &Entry = Value[std::to_string(Window)] = Json::object();
+    for (auto const &[Account, Count] : Counts)
+      Entry[Account.text()] = Count;
+  }
+  return Value;
+}
+
+} // namespace
+
+std::string encodeUsage(UsageRecord const &Record) {
+  return encodeWindows(Record.Windows_).dump();
+}
+
+std::optional<UsageRecord> decodeUsage(std::string const &Text) {
+  auto const Value = Json::parse(Text, nullptr, false);
+  UsageRecord Record;
+  if (!Value.is_object())
+    return std::nullopt;
+  try {
+    for (auto const &[Window, Counts] : Value.items()) {
+      auto &Into = Record.Windows_[std::stoll(Window)];
+      for (auto const &[Account, Count] : Counts.items())
+        Into[AccountName(Account)] = Count.get<std::uint64_t>();
+    }
+  } catch (std::exception const &) {
+    return std::nullopt; // Not written by this system.
+  }
+  return Record;
+}
+
+UsageReporter::UsageReporter(AsyncObjectStore &Store, FencedDuties &Duties,
+                             UsageCounter &Counter, Settings Settings, Log Log,
+                             StepDown StepDown)
+    : Store_(Store), Duties_(Duties), Counter_(Counter),
+      Settings_(std::move(Settings)), Log_(std::move(Log)),
+      StepDown_(std::move(StepDown)) {}
+
+void UsageReporter::tick(std::optional<Fence> const &Fence, Duration TrueTime) {
+  Fence_ = Fence;
+  LastTick_ = TrueTime;
+  publish(TrueTime);
+  if (!Fence_ || IsReporting_ || TrueTime < NotBefore_)
+    return;
+  if (auto const Window = nextWindow(TrueTime))
+    collect(*Window, TrueTime);
+}
+
+void UsageReporter::publish(Duration TrueTime) {
+  auto const Last = Counter_.windowOf(TrueTime - PublishDelay) - 1;
+  if (IsPublishing_ || Last <= Published_)
+    return;
+  IsPublishing_ = true;
+  UsageRecord Record{Counter_.since(Last - KeptWindows + 1)};
+  Record.Windows_.erase(Record.Windows_.upper_bound(Last),
+                        Record.Windows_.end());
+  // An empty window is written too: it says that nothing ran here.
+  Record.Windows_[Last];
+  Counter_.forgetBefore(Last - KeptWindows);
+  Store_.put({CountsCollection, Settings_.Life_}, encodeUsage(Record),
+             StoreTimeout,
+             [Self = shared_from_this(), Last](Result<Version> const &Written) {
+               Self->IsPublishing_ = false;
+               if (!isError(Written))
+                 Self->Published_ = Last;
+             });
+}
+
+/// The first window that is still to be reported and has ended long enough.
+std::optional<std::int64_t>
+UsageReporter::nextWindow(Duration TrueTime) const {
+  auto const Newest = Counter_.windowOf(TrueTime - CollectDelay) - 1;
+  for (auto Window = std::max(Reported_ + 1, Newest - KeptWindows + 1);
+       Window <= Newest; ++Window)
+    if (Counter_.endOf(Window) + Settings_.Due_ > TrueTime)
+      return Window;
+  return std::nullopt;
+}
+
+void UsageReporter::collect(std::int64_t Window, Duration TrueTime) {
+  IsReporting_ = true;
+  Store_.list(CountsCollection, StoreTimeout,
+              [Self = shared_from_this(), Window,
+               TrueTime](Result<ObjectList> const &Listed) {
+                if (isError(Listed))
+                  return Self->finish(Window, "collect_failed",
+                                      errorOf(Listed).Message_);
+                Self->add(Window, valueOf(Listed), TrueTime);
+              });
+}
+
+void UsageReporter::add(std::int64_t Window, ObjectList const &Listed,
+                        Duration TrueTime) {
+  UsageCounts Sum;
+  std::string Missing;
+  for (auto const &Object : Listed.Objects_) {
+    auto const Record = decodeUsage(Object.Value_);
+    if (!Record || Record->Windows_.empty())
+      continue;
+    auto const Newest = Record->Windows_.rbegin()->first;
+    // A life that wrote nothing for a while has ended.
+    if (Newest + 1 == Window)
+      Missing += Object.Key_.Name_ + ' ';
+    if (Newest + KeptWindows < Window)
+      Store_.remove(Object.Key_, StoreTimeout, [](Result<Success> const &) {
+        // Tried again with the next window.
+      });
+    auto const Found = Record->Windows_.find(Window);
+    if (Found == Record->Windows_.end())
+      continue;
+    for (auto const &[Account, Count] : Found->second)
+      Sum[Account] += Count;
+  }
+  auto const GiveUpAt =
+      Counter_.endOf(Window) +
+      Duration(static_cast<Duration::rep>(
+          static_cast<double>(Settings_.Due_.count()) * WaitPart));
+  if (!Missing.empty() && TrueTime < GiveUpAt)
+    return finish(Window, "waiting", Missing);
+  settle(Window, std::move(Sum));
+}
+
+void UsageReporter::settle(std::int64_t Window, UsageCounts Counts) {
+  auto const Self = shared_from_this();
+  Store_.get(settledKey(), StoreTimeout, [Self, Window, Counts = std::move(Counts)](
+                                             Result<StoredObject> const &Read) {
+    if (isError(Read))
+      return Self->finish(Window, "settle_failed", errorOf(Read).Message_);
+    auto Settled =
+        decodeUsage(valueOf(Read).Value_).value_or(UsageRecord{});
+    if (auto const Found = Settled.Windows_.find(Window);
+        Found != Settled.Windows_.end())
+      return Self->report(Window, Found->second);
+    Settled.Windows_[Window] = Counts;
+    Settled.Windows_.erase(Settled.Windows_.begin(),
+                           Settled.Windows_.lower_bound(Window - KeptWindows));
+    Self->Store_.putIf(settledKey(), valueOf(Read).Version_,
+                       encodeUsage(Settled), StoreTimeout,
+                       [Self, Window, Counts](Result<Version> const &Written) {
+                         // Whatever came of it is read back the next time.
+                         if (isError(Written))
+                           return Self->finish(Window, "settle_failed",
+                                               errorOf(Written).Message_);
+                         Self->report(Window, Counts);
+                       });
+  });
+}
+
+void UsageReporter::report(std::int64_t Window, UsageCounts const &Counts) {
+  if (!Fence_)
+    return finish(Window, "lease_lost", {});
+  Duties_.reportUsage(*Fence_, Window, Counts, ReportTimeout,
+                      [Self = shared_from_this(),
+                       Window](Result<Success> const &Sent) {
+                        if (!isError(Sent)) {
+                          Self->Reported_ = Window;
+                          return Self->finish(Window, "reported", {});
+                        }
+                        if (errorOf(Sent).Kind_ == ErrorKind::Conflict)
+                          Self->StepDown_();
+                        Self->finish(Window, "report_failed",
+                                     errorOf(Sent).Message_);
+                      });
+}
+
+void UsageReporter::finish(std::int64_t Window, std::string const &Step,
+                           std::string const &Detail) {
+  IsReporting_ = false;
+  if (Step != "reported")
+    NotBefore_ = LastTick_ + RetryPause;
+  Log_(Window, Step, Detail);
+}
+
+} // namespace laburnum
--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -19,6 +19,12 @@
 template <typename Value, typename Target>
 concept Of = std::same_as<std::remove_cvref_t<Value>, Target>;
 
+auto fieldsOf(Of<AccountConsumption> auto &Value) {
+  return std::tie(Value.Account_, Value.Admitted_, Value.Asked_);
+}
+auto fieldsOf(Of<ConsumptionReport> auto &Value) {
+  return std::tie(Value.Accounts_);
+}
 auto fieldsOf(Of<Endpoint> auto &Value) {
   return std::tie(Value.Host_, Value.Port_);
 }
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibModel/ConfigurationObject.h>
 #include <LibModel/EntryInstance.h>
+#include <LibPeer/ConsumptionReport.h>
 #include <LibPeer/CrashReports.h>
 #include <LibPeer/DemandReport.h>
 #include <LibPeer/ServerReserved.h>
@@ -112,6 +113,6 @@
     std::variant<Hello, Heartbeat, ConfigurationDigest, ConfigurationObjects,
                  ConfigurationRequest, ServerLeavingNotice, CrashReports,
                  ServerReserved, DemandReport, ShareGrant, StreamCheckpoint,
-                 StreamQuery, StreamState, StreamHandOver>;
+                 StreamQuery, StreamState, StreamHandOver, ConsumptionReport>;
 
 } // namespace laburnum
--- a/Libraries/LibPlatform/AsyncObjectStore.h
+++ b/Libraries/LibPlatform/AsyncObjectStore.h
@@ -26,6 +26,12 @@
   virtual void putIf(ObjectKey const &Key, Version Expected,
                      std::string const &Value, Duration Timeout,
                      Done<Version> Done) = 0;
+  /// Writes the object whatever it holds, and creates it if need be.
+  virtual void put(ObjectKey const &Key, std::string const &Value,
+                   Duration Timeout, Done<Version> Done) = 0;
+  /// An object that does not exist is a success.
+  virtual void remove(ObjectKey const &Key, Duration Timeout,
+                      Done<Success> Done) = 0;
 };
 
 } // namespace laburnum
--- a/Libraries/LibSettings/EntrySettings.h
+++ b/Libraries/LibSettings/EntrySettings.h
@@ -21,7 +21,7 @@
   Endpoint Metrics_;
   Endpoint Store_;
   Endpoint CloudApi_;
-  std::uint16_t FirstPeerPort_ = 0; ///< Free for this system's own messages.
+  Endpoint Peers_; ///< For messages between instances.
 
   Duration StopTime_{}; ///< From SIGTERM to SIGKILL.
   Duration LeaseLength_{};
--- /dev/null
+++ b/Libraries/LibTraffic/AccountMeter.cpp
@@ -0,0 +1,182 @@
+#include <LibTraffic/AccountMeter.h>
+
+#include <algorithm>
+
+namespace laburnum {
+
+namespace {
+
+/// Weight of the newest period in the smoothed demand.
+constexpr double DemandWeight = 0.2;
+/// An instance may always use this part of its equal share of the bucket, so
+/// that the first requests of an account are not refused for want of history.
+constexpr double LeastPart = 0.5;
+/// After this many reports that did not come, a peer is taken for cut off, and
+/// its equal part of the quota is left to it.
+constexpr std::int64_t MissedReports = 4;
+/// How long a silent peer's totals are kept, to go on from.
+constexpr std::chrono::seconds PeerRetention{60};
+/// The part of a quota that an instance gives out that does not know yet how
+/// many others there are.
+constexpr double PartWhenAlone = 0.1;
+/// Bounds of when a refused request is told to come back.
+constexpr std::chrono::milliseconds SoonestReturn{100};
+constexpr std::chrono::seconds LatestReturn{5};
+
+} // namespace
+
+double quotaCost(AccountQuota const &Quota,
+                 std::optional<std::uint64_t> const &Tokens) {
+  if (Quota.Unit_ == QuotaUnit::Requests)
+    return 1.0;
+  return Tokens ? static_cast<double>(*Tokens) : Quota.PlainTokens_;
+}
+
+AccountQuota const *AccountMeter::quotaOf(AccountName const &Account) const {
+  if (!Table_)
+    return nullptr;
+  auto const &Accounts = Table_->accounts();
+  auto const Found =
+      std::find_if(Accounts.begin(), Accounts.end(),
+                   [&](RoutedAccount const &One) { return One.Name_ == Account; });
+  return Found == Accounts.end() || Found->Quota_.RatePerSecond_ <= 0.0
+             ? nullptr
+             : &Found->Quota_;
+}
+
+double AccountMeter::heardPart() const {
+  if (Registered_ == 0)
+    return PartWhenAlone;
+  return static_cast<double>(Reachable_) /
+         static_cast<double>(std::max(Registered_, Reachable_));
+}
+
+double AccountMeter::rate(AccountQuota const &Quota) const {
+  return Quota.RatePerSecond_ * Settings_.UsedPart_ * heardPart();
+}
+
+void AccountMeter::countReachable(TimePoint Now) {
+  std::size_t Heard = 1;
+  for (auto const &[Id, Peer] : Peers_)
+    if (Peer.HeardAt_ + Settings_.ReportPeriod_ * MissedReports >= Now)
+      ++Heard;
+  if (Heard == Reachable_)
+    return;
+  // What has flowed in so far did so at the old rate.
+  for (auto const &[Account, Usage] : Usage_)
+    if (auto const *const Quota = quotaOf(Account))
+      fill(*Quota, Account, Now);
+  Reachable_ = Heard;
+  std::erase_if(Peers_, [&](auto const &One) {
+    return One.second.HeardAt_ + PeerRetention < Now;
+  });
+}
+
+AccountMeter::Usage &AccountMeter::fill(AccountQuota const &Quota,
+                                        AccountName const &Account,
+                                        TimePoint Now) {
+  auto const [Found, IsNew] = Usage_.try_emplace(Account);
+  auto &Usage = Found->second;
+  // The burst is part of what a window may hold, shared like the rate.
+  auto const Depth =
+      Quota.Burst_ * rate(Quota) / std::max(Quota.RatePerSecond_, 1e-9);
+  if (IsNew) {
+    Usage.Level_ = Depth;
+    Usage.Filled_ = Now;
+    Usage.Allowance_ = Depth * part(Usage);
+  }
+  auto const Elapsed =
+      std::chrono::duration<double>(Now - Usage.Filled_).count();
+  Usage.Level_ =
+      std::min(Depth, Usage.Level_ + std::max(0.0, Elapsed) * rate(Quota));
+  Usage.Filled_ = Now;
+  return Usage;
+}
+
+double AccountMeter::part(Usage const &Account) const {
+  auto const Equal =
+      1.0 / static_cast<double>(Reachable_);
+  auto const Total = Account.OwnDemand_ + Account.OthersDemand_;
+  auto const ByDemand = Total > 0.0 ? Account.OwnDemand_ / Total : Equal;
+  return std::clamp(ByDemand, LeastPart * Equal, 1.0);
+}
+
+void AccountMeter::setTable(std::shared_ptr<RouteTable const> Table,
+                            TimePoint Now) {
+  Table_ = std::move(Table);
+  std::erase_if(Usage_, [&](auto const &One) {
+    return quotaOf(One.first) == nullptr;
+  });
+  for (auto &[Account, Usage] : Usage_) {
+    // A lower limit binds at once, also what is left of the period.
+    fill(*quotaOf(Account), Account, Now);
+    Usage.Allowance_ =
+        std::min(Usage.Allowance_, std::max(0.0, Usage.Level_) * part(Usage));
+  }
+}
+
+std::optional<Duration> AccountMeter::admit(AccountName const &Account,
+                                            double Amount, TimePoint Now) {
+  auto const *const Quota = quotaOf(Account);
+  if (!Quota)
+    return std::nullopt;
+  auto &Usage = fill(*Quota, Account, Now);
+  auto const Whole = static_cast<std::uint64_t>(Amount);
+  Usage.Asked_ += Whole;
+  if (Usage.Level_ > 0.0 && Usage.Allowance_ > 0.0) {
+    Usage.Admitted_ += Whole;
+    Usage.Level_ -= Amount;
+    Usage.Allowance_ -= Amount;
+    return std::nullopt;
+  }
+  auto const Debt = std::max(0.0, -Usage.Level_) + Amount;
+  auto const Wait = Duration(static_cast<Duration::rep>(
+      Debt / std::max(rate(*Quota), 1e-9) * 1e6));
+  return std::clamp<Duration>(Wait, SoonestReturn, LatestReturn);
+}
+
+ConsumptionReport AccountMeter::report(TimePoint Now) {
+  countReachable(Now);
+  ConsumptionReport Report;
+  for (auto &[Account, Usage] : Usage_) {
+    auto const *const Quota = quotaOf(Account);
+    if (!Quota)
+      continue;
+    fill(*Quota, Account, Now);
+    auto const Asked = static_cast<double>(Usage.Asked_ - Usage.AskedBefore_);
+    Usage.AskedBefore_ = Usage.Asked_;
+    Usage.OwnDemand_ += DemandWeight * (Asked - Usage.OwnDemand_);
+    Usage.OthersDemand_ +=
+        DemandWeight * (Usage.OthersAsked_ - Usage.OthersDemand_);
+    Usage.OthersAsked_ = 0.0;
+    Usage.Allowance_ = std::max(0.0, Usage.Level_) * part(Usage);
+    Report.Accounts_.push_back({Account, Usage.Admitted_, Usage.Asked_});
+  }
+  return Report;
+}
+
+void AccountMeter::onReport(InstanceId const &From,
+                            ConsumptionReport const &Report, TimePoint Now) {
+  bool const IsKnown = Peers_.contains(From);
+  auto &Peer = Peers_[From];
+  Peer.HeardAt_ = Now;
+  countReachable(Now);
+  auto &Totals = Peer.Totals_;
+  for (auto const &One : Report.Accounts_) {
+    auto const *const Quota = quotaOf(One.Account_);
+    auto const [Before, IsNew] = Totals.try_emplace(One.Account_, One);
+    // Of a peer that was not heard before, only what comes from now on counts:
+    // when it was admitted is not known.
+    AccountConsumption const Last =
+        IsNew ? (IsKnown ? AccountConsumption{One.Account_, 0, 0} : One)
+              : Before->second;
+    Before->second = One;
+    if (!Quota || One.Admitted_ < Last.Admitted_ || One.Asked_ < Last.Asked_)
+      continue;
+    auto &Usage = fill(*Quota, One.Account_, Now);
+    Usage.Level_ -= static_cast<double>(One.Admitted_ - Last.Admitted_);
+    Usage.OthersAsked_ += static_cast<double>(One.Asked_ - Last.Asked_);
+  }
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibTraffic/AccountMeter.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibPeer/ConsumptionReport.h>
+#include <LibTraffic/RouteTable.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace laburnum {
+
+/// Holds accounts to their quotas over all entry instances together.
+///
+/// Every instance tells the others a few times a second what it has admitted.
+/// Each keeps the account's token bucket as the sum shows it, and between two
+/// reports admits no more than its part of what the bucket holds, by how much
+/// of the account's requests come to it. Instances that are not heard from are
+/// left an equal part of the quota each, so that the sum holds also when the
+/// fleet is cut apart. A request may be larger than what is left and then puts
+/// the bucket into debt, so that large requests are not starved.
+class AccountMeter {
+public:
+  struct Settings {
+    /// How often reports() is sent; also the time that a report is late.
+    Duration ReportPeriod_ = std::chrono::milliseconds(250);
+    /// The part of each quota that is given out: what is admitted here reaches
+    /// a server at another moment, and in a window that slides.
+    double UsedPart_ = 1.0;
+  };
+
+  explicit AccountMeter(Settings Settings) : Settings_(Settings) {}
+
+  void setTable(std::shared_ptr<RouteTable const> Table, TimePoint Now);
+  /// How many instances there may be, this one included.
+  void setRegistered(std::size_t Registered) { Registered_ = Registered; }
+
+  /// Nothing when the request is admitted; otherwise when it may come back.
+  std::optional<Duration> admit(AccountName const &Account, double Amount,
+                                TimePoint Now);
+  /// What to tell the other instances. Begins a new period.
+  ConsumptionReport report(TimePoint Now);
+  void onReport(InstanceId const &From, ConsumptionReport const &Report,
+                TimePoint Now);
+
+private:
+  struct Usage {
+    double Level_ = 0.0; ///< Of the account's bucket; below zero is debt.
+    TimePoint Filled_{};
+    std::uint64_t Admitted_ = 0; ///< Here, since the start.
+    std::uint64_t Asked_ = 0;
+    std::uint64_t AskedBefore_ = 0; ///< As of the last report.
+    double Allowance_ = 0.0;        ///< Left to admit in this period.
+    double OwnDemand_ = 0.0;        ///< Per period, smoothed.
+    double OthersDemand_ = 0.0;
+    double OthersAsked_ = 0.0; ///< Heard of in this period.
+  };
+  struct Peer {
+    std::map<AccountName, AccountConsumption> Totals_;
+    TimePoint HeardAt_{};
+  };
+
+  void countReachable(TimePoint Now);
+  Usage &fill(AccountQuota const &Quota, AccountName const &Account,
+              TimePoint Now);
+  AccountQuota const *quotaOf(AccountName const &Account) const;
+  /// The part of the quota that the instances which are heard from share.
+  double heardPart() const;
+  double rate(AccountQuota const &Quota) const;
+  double part(Usage const &Account) const;
+
+  Settings Settings_;
+  std::size_t Registered_ = 0; ///< 0 until it is known.
+  std::size_t Reachable_ = 1;  ///< Heard from lately, this one included.
+  std::shared_ptr<RouteTable const> Table_;
+  std::map<AccountName, Usage> Usage_;
+  std::map<InstanceId, Peer> Peers_;
+};
+
+/// What a request counts for in its account's quota.
+double quotaCost(AccountQuota const &Quota,
+                 std::optional<std::uint64_t> const &Tokens);
+
+} // namespace laburnum
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds LogPeriod{100};
+constexpr std::chrono::milliseconds DutyPeriod{200};
+/// How often instances tell each other what accounts have used.
+constexpr std::chrono::milliseconds ReportPeriod{250};
 /// From SIGTERM until the balancer has surely noticed: it asks once a second
 /// and goes by two answers, and new connections that cross this are served.
 constexpr std::chrono::milliseconds BalancerNotice{2600};
@@ -16,6 +19,15 @@
 /// Kept free at the end of the stop's time for the process to end by itself.
 constexpr std::chrono::milliseconds StopReserve{300};
 
+EntryInstance instanceOf(EntrySettings const &Settings,
+                         InstanceId const &Life) {
+  EntryInstance Self;
+  Self.Id_ = Life;
+  Self.DataCentre_ = Settings.DataCentre_;
+  Self.Peers_ = Settings.Peers_;
+  return Self;
+}
+
 } // namespace
 
 /// Takes the configuration from the store.
@@ -114,6 +126,23 @@
           *ServerReader_, Seed + 1)),
       ReadinessService_([this] { return readiness(); }),
       MetricsService_([this] { return metrics(); }),
+      Life_(Parts.Settings_.Name_ + "." + IdentifierSource(Seed + 2).next()),
+      Duties_({Parts.Settings_, Parts.Store_, Parts.Duties_, Parts.Usage_,
+               Parts.Log_},
+              Life_, Seed + 3),
+      Peers_(std::make_shared<PeerNetwork>(
+          Parts.Context_, Parts.Store_, Parts.Settings_.Name_,
+          instanceOf(Parts.Settings_, Life_), Seed + 4,
+          PeerNetwork::Callbacks{
+              [this](FleetView const &View) { onFleet(View); },
+              [this](InstanceId const &From, PeerMessage const &Message) {
+                onPeerMessage(From, Message);
+              },
+              [this](Error const &Failure) {
+                Parts_.Log_.write(LogLine("peers_unavailable")
+                                      .add("why", toString(Failure)));
+              }})),
+      DutyTimer_(Parts.Context_), ReportTimer_(Parts.Context_),
       Signals_(Parts.Context_, SIGTERM, SIGINT, SIGHUP),
       LogTimer_(Parts.Context_), StopTimer_(Parts.Context_) {}
 
@@ -138,6 +167,9 @@
     MetricsListener_ = takeValue(std::move(Metrics));
   ConfigurationFollower_->start();
   ServerFollower_->start();
+  Peers_->start();
+  tickDuties();
+  reportConsumption();
   awaitSignals();
   flushLog();
   return Success{};
@@ -194,6 +226,54 @@
   });
 }
 
+void ControlPlane::onFleet(FleetView const &View) {
+  std::size_t Live = 0;
+  for (auto const &Member : View.Members_)
+    if (Member.Liveness_ == Liveness::Live)
+      ++Live;
+  Parts_.Log_.write(LogLine("fleet_changed")
+                        .add("live", Live)
+                        .add("registered", View.Registered_));
+  Duties_.setMembers(View.Members_, readClock());
+  onTraffic([&Traffic = Parts_.Traffic_, Registered = View.Registered_] {
+    Traffic.setRegistered(Registered);
+  });
+}
+
+void ControlPlane::onPeerMessage(InstanceId const &From,
+                                 PeerMessage const &Message) {
+  auto const *const Report = std::get_if<ConsumptionReport>(&Message);
+  if (!Report)
+    return;
+  onTraffic([&Traffic = Parts_.Traffic_, From, Report = *Report] {
+    Traffic.onConsumption(From, Report);
+  });
+}
+
+void ControlPlane::reportConsumption() {
+  onTraffic([this] {
+    auto const Report = Parts_.Traffic_.reportConsumption();
+    asio::post(Parts_.Context_,
+               [this, Report] { Peers_->sendToAll(Report); });
+  });
+  ReportTimer_.expires_after(ReportPeriod);
+  ReportTimer_.async_wait([this](asio::error_code Failure) {
+    if (!Failure)
+      reportConsumption();
+  });
+}
+
+void ControlPlane::tickDuties() {
+  auto const TrueTime = std::chrono::duration_cast<Duration>(
+      std::chrono::system_clock::now().time_since_epoch());
+  Duties_.tick(readClock(), TrueTime);
+  DutyTimer_.expires_after(DutyPeriod);
+  DutyTimer_.async_wait([this](asio::error_code Failure) {
+    if (!Failure)
+      tickDuties();
+  });
+}
+
 void ControlPlane::awaitSignals() {
   Signals_.async_wait([this](asio::error_code Failure, int Signal) {
     if (Failure)
@@ -212,6 +292,7 @@
   IsStopping_ = true;
   StopBegunAt_ = readClock();
   Parts_.Log_.write(LogLine("stop").add("time_ms", Parts_.Settings_.StopTime_));
+  Peers_->leave();
   StopTimer_.expires_after(BalancerNotice);
   StopTimer_.async_wait([this](asio::error_code Failure) {
     if (Failure)
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "DutyDesk.h"
 #include "StatusService.h"
 #include "TrafficPlane.h"
 
 #include <LibControl/CollectionFollower.h>
+#include <LibControl/PeerNetwork.h>
 
 #include <asio/signal_set.hpp>
 
@@ -32,7 +34,9 @@
   asio::io_context &TrafficContext_;
   EntrySettings const &Settings_;
   AsyncObjectStore &Store_;
+  FencedDuties &Duties_;
   RecordCodec const &Codec_;
+  UsageCounter &Usage_;
   TrafficPlane &Traffic_;
   EventLog &Log_;
 };
@@ -58,6 +62,10 @@
   StatusService::Page readiness() const;
   StatusService::Page metrics() const;
   void flushLog();
+  void onFleet(FleetView const &View);
+  void onPeerMessage(InstanceId const &From, PeerMessage const &Message);
+  void reportConsumption();
+  void tickDuties();
   void awaitSignals();
   void beginStop();
   void continueStop();
@@ -74,6 +82,11 @@
   StatusService MetricsService_;
   std::shared_ptr<HttpListener> ReadinessListener_;
   std::shared_ptr<HttpListener> MetricsListener_;
+  InstanceId Life_; ///< Names this life of the instance.
+  DutyDesk Duties_;
+  std::shared_ptr<PeerNetwork> Peers_;
+  asio::steady_timer DutyTimer_;
+  asio::steady_timer ReportTimer_;
   asio::signal_set Signals_;
   asio::steady_timer LogTimer_;
   asio::steady_timer StopTimer_;
--- /dev/null
+++ b/Services/laburnum-entry/DutyDesk.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <LibControl/LeaseKeeper.h>
+#include <LibControl/UsageReporter.h>
+#include <LibLog/EventLog.h>
+#include <LibSettings/EntrySettings.h>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace laburnum {
+
+/// What one entry instance at a time does for all: holds the lease and reports
+/// usage. Runs on the control thread.
+class DutyDesk {
+public:
+  struct Parts {
+    EntrySettings const &Settings_;
+    AsyncObjectStore &Store_;
+    FencedDuties &Duties_;
+    UsageCounter &Usage_;
+    EventLog &Log_;
+  };
+
+  DutyDesk(Parts Parts, InstanceId const &Life, std::uint64_t Seed);
+
+  /// To be called at least five times a second.
+  void tick(TimePoint Now, Duration TrueTime);
+  void setMembers(std::vector<Member> const &Members, TimePoint Now);
+
+private:
+  std::optional<Fence> fence(TimePoint Now) const;
+  void onLease(std::optional<HeldLease> const &Held);
+
+  Parts Parts_;
+  std::shared_ptr<LeaseKeeper> Lease_;
+  std::shared_ptr<UsageReporter> Reporter_;
+  std::uint64_t LastFence_ = 0; ///< Of the lease as last logged; 0: not held.
+};
+
+} // namespace laburnum
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -17,6 +17,7 @@
 constexpr std::int32_t BadRequest = 400;
 constexpr std::int32_t Unauthorized = 401;
 constexpr std::int32_t NotFound = 404;
+constexpr std::int32_t TooManyRequests = 429;
 constexpr std::int32_t ServiceUnavailable = 503;
 
 } // namespace
@@ -27,7 +28,7 @@
       Queue_(Roster_),
       Retries_({Parts.Settings_.RetryRatio_, Parts.Settings_.RetrySlack_,
                 Parts.Settings_.RetryWindow_}),
-      QueueTimer_(Parts.Context_) {}
+      Meter_(AccountMeter::Settings{}), QueueTimer_(Parts.Context_) {}
 
 TrafficPlane::~TrafficPlane() = default;
 
@@ -42,9 +43,32 @@
 
 void TrafficPlane::setTable(std::shared_ptr<RouteTable const> Table) {
   Table_ = std::move(Table);
+  Meter_.setTable(Table_, readClock());
 }
 
-void TrafficPlane::setShare(double Share) { Retries_.setShare(Share); }
+void TrafficPlane::setRegistered(std::size_t Instances) {
+  Retries_.setShare(1.0 / static_cast<double>(Instances));
+  Meter_.setRegistered(Instances);
+}
+
+ConsumptionReport TrafficPlane::reportConsumption() {
+  return Meter_.report(readClock());
+}
+
+void TrafficPlane::onConsumption(InstanceId const &From,
+                                 ConsumptionReport const &Report) {
+  Meter_.onReport(From, Report, readClock());
+}
+
+std::optional<Duration>
+TrafficPlane::overQuota(RoutedAccount const &Account,
+                        RequestFacts const &Facts) {
+  std::optional<std::uint64_t> Tokens;
+  if (Facts.Tokens_)
+    Tokens = Facts.Tokens_->Prompt_ + Facts.Tokens_->MaxOutput_;
+  return Meter_.admit(Account.Name_, quotaCost(Account.Quota_, Tokens),
+                      readClock());
+}
 
 void TrafficPlane::replaceServers(std::vector<ServerRecord> const &Records) {
   Roster_.replaceAll(Records, readClock());
@@ -136,6 +160,11 @@
       refuse(*Exchange, Unauthorized, "unknown key", Facts, std::nullopt);
       return nullptr;
     }
+    if (auto const ReturnAfter = overQuota(*Account, Facts)) {
+      refuse(*Exchange, TooManyRequests, "over the account's quota", Facts,
+             ReturnAfter);
+      return nullptr;
+    }
     Subject.Account_ = Account->Name_;
   }
   Subject.Service_ = serviceFor(*Route, Facts.AttemptId_);
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -5,6 +5,7 @@
 #include <LibHttp/OutboundPool.h>
 #include <LibLog/EventLog.h>
 #include <LibSettings/EntrySettings.h>
+#include <LibTraffic/AccountMeter.h>
 #include <LibTraffic/AdmissionQueue.h>
 #include <LibTraffic/RetryLedger.h>
 #include <LibTraffic/RouteTable.h>
@@ -42,8 +43,10 @@
   void replaceServers(std::vector<ServerRecord> const &Records);
   void updateServer(ServerRecord const &Record);
   void removeServer(ServerId const &Id);
-  /// The part of what all instances share that this one may use.
-  void setShare(double Share);
+  /// How many entry instances share what is limited.
+  void setRegistered(std::size_t Instances);
+  ConsumptionReport reportConsumption();
+  void onConsumption(InstanceId const &From, ConsumptionReport const &Report);
 
   /// A planned stop: takes no new connections and ends each one that is open
   /// after its answer.
@@ -61,6 +64,9 @@
   /// Nothing when the request was answered already.
   std::shared_ptr<RequestSession>
   admit(std::shared_ptr<Exchange> const &Exchange, ReceivedRequest &Request);
+  /// Nothing when the account's quota allows the request.
+  std::optional<Duration> overQuota(RoutedAccount const &Account,
+                                    RequestFacts const &Facts);
   void refuse(Exchange &Exchange, std::int32_t Status, std::string_view Reason,
               RequestFacts const &Facts, std::optional<Duration> RetryAfter);
   void enqueue(std::shared_ptr<RequestSession> const &Session,
@@ -77,6 +83,7 @@
   ServerRoster Roster_;
   AdmissionQueue Queue_;
   RetryLedger Retries_;
+  AccountMeter Meter_;
   asio::steady_timer QueueTimer_;
   bool IsQueueTimerArmed_ = false;
   std::uint64_t NextTicket_ = 1;
--- a/Services/laburnum-entry/main.cpp
+++ b/Services/laburnum-entry/main.cpp
@@ -1,6 +1,7 @@
 #include "ControlPlane.h"
 
 #include <ConfigurationRecord.h>
+#include <DutyClient.h>
 #include <HeaderDialect.h>
 #include <NodeFile.h>
 #include <ObjectClient.h>
@@ -67,13 +68,14 @@
   asio::io_context TrafficContext(1);
   platform::HeaderDialect const Dialect;
   platform::ObjectClient Store(ControlContext, Settings.Store_);
+  platform::DutyClient Duties(ControlContext, Settings.CloudApi_);
   PlatformRecords const Records;
   UsageCounter Usage(Settings.UsageWindow_);
   std::random_device Entropy;
   TrafficPlane Traffic({TrafficContext, Settings, Dialect, Usage, Log},
                        Entropy());
-  ControlPlane Control({ControlContext, TrafficContext, Settings, Store,
-                        Records, Traffic, Log},
+  ControlPlane Control({ControlContext, TrafficContext, Settings, Store, Duties,
+                        Records, Usage, Traffic, Log},
                        Entropy());
   auto Started = Traffic.listen();
   if (!isError(Started))
