LibControl: Order servers by demand, a base on demand and the rest reclaimable

CapacityPlanner follows the requests that all instances have at a service, grows at once, shrinks slowly, and replaces reclaimable servers that leave with on-demand ones.

--- /dev/null
+++ b/Libraries/LibControl/CapacityPlanner.cpp
@@ -0,0 +1,193 @@
+#include <LibControl/CapacityPlanner.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace laburnum {
+
+namespace {
+
+/// Weights of the newest reading of the demand, as it rises and as it falls.
+constexpr double RisingWeight = 0.35;
+constexpr double FallingWeight = 0.1;
+/// An ordered server is in the list by this long after its boot time.
+constexpr std::chrono::milliseconds ListingAllowance{1500};
+/// Reclaimable servers that are missing are asked for again after this.
+constexpr std::chrono::milliseconds ReorderPause{1000};
+
+/// Adds a reading and yields the highest one that still counts.
+std::uint32_t
+highest(std::deque<std::pair<TimePoint, std::uint32_t>> &Readings,
+        std::uint32_t Newest, Duration Retention, TimePoint Now) {
+  while (!Readings.empty() && (Readings.front().first + Retention < Now))
+    Readings.pop_front();
+  while (!Readings.empty() && Readings.back().second <= Newest)
+    Readings.pop_back();
+  Readings.emplace_back(Now, Newest);
+  return Readings.front().second;
+}
+
+std::uint32_t roundUp(double Value) {
+  return static_cast<std::uint32_t>(std::ceil(Value - 1e-9));
+}
+
+} // namespace
+
+void CapacityPlanner::reset() {
+  Sent_.clear();
+  Needs_.clear();
+  OnDemandNeeds_.clear();
+  DemandSince_.reset();
+}
+
+std::uint32_t CapacityPlanner::retainedNeed(CapacityInput const &Input,
+                                            TimePoint Now) {
+  auto const Weight =
+      Input.Demand_ > Smoothed_ ? RisingWeight : FallingWeight;
+  Smoothed_ += Weight * (Input.Demand_ - Smoothed_);
+  auto const Places = Settings_.Utilisation_ * std::max(1U, Input.Slots_);
+  return highest(Needs_, roundUp(Smoothed_ / Places), Settings_.NeedRetention_,
+                 Now);
+}
+
+CapacityPlanner::Counts
+CapacityPlanner::ready(CapacityInput const &Input) const {
+  Counts Ready;
+  for (auto const &Server : Input.Servers_)
+    if (Server.Service_ == Input.Service_ &&
+        Server.Phase_ == ServerPhase::Ready)
+      ++Ready[{Server.DataCentre_, Server.IsReclaimable_ ? Tenure::Reclaimable
+                                                         : Tenure::OnDemand}];
+  return Ready;
+}
+
+bool CapacityPlanner::isRefused(Slot const &Place, TimePoint Now) const {
+  auto const Found = RefusedUntil_.find(Place);
+  return Found != RefusedUntil_.end() && Found->second > Now;
+}
+
+std::vector<DataCentre>
+CapacityPlanner::cheapestFirst(ScalingBounds const &Bounds) const {
+  std::vector<DataCentre> Centres;
+  for (auto const &[Centre, Price] : Bounds.Prices_)
+    Centres.push_back(Centre);
+  std::stable_sort(Centres.begin(), Centres.end(),
+                   [&](DataCentre const &Left, DataCentre const &Right) {
+                     return Bounds.Prices_.at(Left) < Bounds.Prices_.at(Right);
+                   });
+  return Centres;
+}
+
+/// On-demand servers: the base, what reclaimable ones fall short of the need,
+/// and what a slow shrink leaves for now.
+std::uint32_t CapacityPlanner::onDemandTotal(CapacityInput const &Input,
+                                             Counts const &Ready,
+                                             std::uint32_t Need,
+                                             TimePoint Now) {
+  std::uint32_t OnDemandReady = 0;
+  std::uint32_t Reclaimable = 0;
+  for (auto const &[Place, Count] : Ready)
+    (Place.Tenure_ == Tenure::OnDemand ? OnDemandReady : Reclaimable) += Count;
+  for (auto const &[Place, Order] : Sent_) {
+    // On its way, unless it was there already.
+    auto const Found = Ready.find(Place);
+    auto const Present = Found == Ready.end() ? 0 : Found->second;
+    if (Place.Tenure_ == Tenure::Reclaimable && !isRefused(Place, Now) &&
+        Order.At_ + Input.Bounds_.BootTime_ + ListingAllowance > Now &&
+        Order.Count_ > Present)
+      Reclaimable += Order.Count_ - Present;
+  }
+  auto const Base = roundUp(Need * Settings_.OnDemandPart_);
+  auto const Shortage =
+      Need > Base + Reclaimable ? Need - Base - Reclaimable : 0;
+  auto const Wanted = highest(OnDemandNeeds_, Base + Shortage,
+                              Settings_.NeedRetention_, Now);
+  if (Wanted >= OnDemandReady)
+    return Wanted;
+  bool const IsWarm =
+      DemandSince_ && *DemandSince_ + Settings_.WarmUp_ <= Now;
+  if (!IsWarm || LastShrink_ + Settings_.ShrinkPause_ > Now)
+    return OnDemandReady;
+  auto const Step = std::max(1U, roundUp(OnDemandReady * Settings_.ShrinkStep_));
+  LastShrink_ = Now;
+  return std::max(Wanted, OnDemandReady - std::min(Step, OnDemandReady));
+}
+
+CapacityPlanner::Counts CapacityPlanner::desired(CapacityInput const &Input,
+                                                 Counts const &Ready,
+                                                 std::uint32_t Need,
+                                                 TimePoint Now) {
+  auto const &Bounds = Input.Bounds_;
+  auto const Centres = cheapestFirst(Bounds);
+  auto const Spread = static_cast<std::uint32_t>(Centres.size());
+  auto const OnDemand = onDemandTotal(Input, Ready, Need, Now);
+  auto const Reclaimable = roundUp(Need * Settings_.ReclaimablePart_);
+  Counts Wanted;
+  for (std::uint32_t Place = 0; Place < Spread; ++Place) {
+    auto const &Centre = Centres[Place];
+    // The cheapest data centres take what does not divide evenly.
+    auto const Extra = Place < OnDemand % Spread ? 1U : 0U;
+    auto const Base = std::min(OnDemand / Spread + Extra, Bounds.Maximum_);
+    auto const Room = Bounds.Maximum_ - Base;
+    auto const Part = std::min((Reclaimable + Spread - 1) / Spread, Room);
+    auto const Least = Bounds.Minimum_ > Base + Part
+                           ? Bounds.Minimum_ - Part
+                           : Base;
+    Wanted[{Centre, Tenure::OnDemand}] = Least;
+    Wanted[{Centre, Tenure::Reclaimable}] = Part;
+  }
+  return Wanted;
+}
+
+bool CapacityPlanner::isDue(Slot const &Place, std::uint32_t Wanted,
+                            std::uint32_t Ready, ScalingBounds const &Bounds,
+                            TimePoint Now) const {
+  if (isRefused(Place, Now))
+    return false;
+  auto const Found = Sent_.find(Place);
+  if (Found == Sent_.end())
+    return Wanted != Ready;
+  auto const &Last = Found->second;
+  if (Last.Count_ != Wanted)
+    return true;
+  // The platform starts and stops them in its own time; what is still missing
+  // then was taken away.
+  auto const Patience = Place.Tenure_ == Tenure::Reclaimable && Ready == 0
+                            ? Duration(ReorderPause) + Bounds.BootTime_
+                            : Bounds.BootTime_ + ListingAllowance;
+  return Ready < Wanted && Last.At_ + Patience <= Now;
+}
+
+std::vector<ServerOrder> CapacityPlanner::plan(CapacityInput const &Input,
+                                               TimePoint Now) {
+  if (!DemandSince_ && Input.Demand_ >= 1.0)
+    DemandSince_ = Now;
+  auto const Need = retainedNeed(Input, Now);
+  LastNeed_ = Need;
+  if (!DemandSince_)
+    return {};
+  auto const Ready = ready(Input);
+  std::vector<ServerOrder> Orders;
+  for (auto const &[Place, Wanted] : desired(Input, Ready, Need, Now)) {
+    auto const Found = Ready.find(Place);
+    auto const Present = Found == Ready.end() ? 0 : Found->second;
+    if (!isDue(Place, Wanted, Present, Input.Bounds_, Now))
+      continue;
+    Sent_[Place] = {Wanted, Now};
+    Orders.push_back(
+        {Input.Service_, Place.DataCentre_, Place.Tenure_, Wanted});
+  }
+  return Orders;
+}
+
+void CapacityPlanner::onRefused(ServerOrder const &Order, TimePoint Now) {
+  Slot const Place{Order.DataCentre_, Order.Tenure_};
+  RefusedUntil_[Place] = Now + Settings_.RefusalPause_;
+  Sent_.erase(Place);
+}
+
+void CapacityPlanner::onLost(ServerOrder const &Order) {
+  Sent_.erase({Order.DataCentre_, Order.Tenure_});
+}
+
+} // namespace laburnum
--- a/Libraries/LibPeer/ConsumptionReport.h
+++ b/Libraries/LibPeer/ConsumptionReport.h
@@ -19,9 +19,19 @@
   auto operator<=>(AccountConsumption const &) const = default;
 };
 
+/// What one entry instance has of a service's requests at this moment.
+struct ServiceDemand {
+  ServiceName Service_;
+  std::uint32_t Running_ = 0; ///< Sent to backend servers and not ended.
+  std::uint32_t Waiting_ = 0; ///< For a place at one.
+
+  auto operator<=>(ServiceDemand const &) const = default;
+};
+
 /// Sent to every other entry instance a few times a second.
 struct ConsumptionReport {
   std::vector<AccountConsumption> Accounts_;
+  std::vector<ServiceDemand> Services_;
 
   auto operator<=>(ConsumptionReport const &) const = default;
 };
--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -22,8 +22,11 @@
 auto fieldsOf(Of<AccountConsumption> auto &Value) {
   return std::tie(Value.Account_, Value.Admitted_, Value.Asked_);
 }
+auto fieldsOf(Of<ServiceDemand> auto &Value) {
+  return std::tie(Value.Service_, Value.Running_, Value.Waiting_);
+}
 auto fieldsOf(Of<ConsumptionReport> auto &Value) {
-  return std::tie(Value.Accounts_);
+  return std::tie(Value.Accounts_, Value.Services_);
 }
 auto fieldsOf(Of<Endpoint> auto &Value) {
   return std::tie(Value.Host_, Value.Port_);
--- a/Libraries/LibTraffic/AdmissionQueue.cpp
+++ b/Libraries/LibTraffic/AdmissionQueue.cpp
@@ -42,6 +42,13 @@
                 [&](auto const &One) { return One.first.Ticket_ == Ticket; });
 }
 
+std::map<ServiceName, std::uint32_t> AdmissionQueue::waitingByService() const {
+  std::map<ServiceName, std::uint32_t> Counts;
+  for (auto const &[Key, Request] : Waiting_)
+    ++Counts[Request.Query_.Service_];
+  return Counts;
+}
+
 std::vector<AdmissionOutcome> AdmissionQueue::advance(TimePoint Now) {
   std::vector<AdmissionOutcome> Outcomes;
   for (auto Next = Waiting_.begin(); Next != Waiting_.end();) {
--- a/Libraries/LibTraffic/AdmissionQueue.h
+++ b/Libraries/LibTraffic/AdmissionQueue.h
@@ -49,6 +49,7 @@
   /// A server may have room, or time has passed.
   std::vector<AdmissionOutcome> advance(TimePoint Now);
   std::size_t size() const { return Waiting_.size(); }
+  std::map<ServiceName, std::uint32_t> waitingByService() const;
 
 private:
   struct Place {
--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -180,6 +180,13 @@
   return Records;
 }
 
+std::map<ServiceName, std::uint32_t> ServerRoster::runningByService() const {
+  std::map<ServiceName, std::uint32_t> Running;
+  for (auto const &[Id, Server] : Servers_)
+    Running[Server.Record_.Service_] += Server.Running_;
+  return Running;
+}
+
 std::uint32_t ServerRoster::running(ServerId const &Id) const {
   auto const Found = Servers_.find(Id);
   return Found == Servers_.end() ? 0 : Found->second.Running_;
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -65,6 +65,8 @@
 
   std::vector<ServerRecord> records() const;
   std::uint32_t running(ServerId const &Id) const;
+  /// What was sent from here and has not ended, by service.
+  std::map<ServiceName, std::uint32_t> runningByService() const;
 
 private:
   struct Entry {
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -74,6 +74,7 @@
     Plane_.Parts_.Log_.write(LogLine("servers_listed")
                                  .add("revision", Listed.StoreVersion_)
                                  .add("servers", Records.size()));
+    Plane_.Duties_.replaceServers(Records);
     auto &Traffic = Plane_.Parts_.Traffic_;
     Plane_.onTraffic([&Traffic, Records] { Traffic.replaceServers(Records); });
     Plane_.onServersKnown();
@@ -103,8 +104,10 @@
     if (!Record) {
       Plane_.Parts_.Log_.write(Line.add("state", "gone"));
       ServerId const Id(Object.Key_.Name_);
+      Plane_.Duties_.removeServer(Id);
       return Plane_.onTraffic([&Traffic, Id] { Traffic.removeServer(Id); });
     }
+    Plane_.Duties_.updateServer(*Record);
     bool const IsReady = Record->Phase_ == ServerPhase::Ready;
     Plane_.Parts_.Log_.write(Line.add("state", IsReady ? "ready" : "draining")
                                  .add("service", Record->Service_.text()));
@@ -196,6 +199,7 @@
                         .add("routes", Table->routes().size())
                         .add("accounts", Table->accounts().size()));
   ConfigurationVersion_ = Table->version();
+  Duties_.setTable(Table);
   onTraffic([&Traffic = Parts_.Traffic_, Table] { Traffic.setTable(Table); });
 }
 
@@ -245,6 +249,7 @@
   auto const *const Report = std::get_if<ConsumptionReport>(&Message);
   if (!Report)
     return;
+  Duties_.onDemand(From, Report->Services_, readClock());
   onTraffic([&Traffic = Parts_.Traffic_, From, Report = *Report] {
     Traffic.onConsumption(From, Report);
   });
@@ -253,8 +258,10 @@
 void ControlPlane::reportConsumption() {
   onTraffic([this] {
     auto const Report = Parts_.Traffic_.reportConsumption();
-    asio::post(Parts_.Context_,
-               [this, Report] { Peers_->sendToAll(Report); });
+    asio::post(Parts_.Context_, [this, Report] {
+      Duties_.onDemand(Life_, Report.Services_, readClock());
+      Peers_->sendToAll(Report);
+    });
   });
   ReportTimer_.expires_after(ReportPeriod);
   ReportTimer_.async_wait([this](asio::error_code Failure) {
--- a/Services/laburnum-entry/DutyDesk.cpp
+++ b/Services/laburnum-entry/DutyDesk.cpp
@@ -10,6 +10,7 @@
 constexpr std::chrono::milliseconds LeaseMargin{700};
 constexpr std::chrono::milliseconds LeaseRenewal{1300};
 constexpr std::chrono::milliseconds LeasePoll{1000};
+constexpr std::chrono::milliseconds OrderTimeout{1000};
 
 lease::Settings leaseSettings(EntrySettings const &Settings,
                               InstanceId const &Life, std::uint64_t Seed) {
@@ -51,7 +52,82 @@
 
 void DutyDesk::tick(TimePoint Now, Duration TrueTime) {
   Lease_->tick(Now);
-  Reporter_->tick(fence(Now), TrueTime);
+  auto const Held = fence(Now);
+  Reporter_->tick(Held, TrueTime);
+  if (Held)
+    planCapacity(*Held, Now);
+}
+
+void DutyDesk::setTable(std::shared_ptr<RouteTable const> Table) {
+  Table_ = std::move(Table);
+}
+
+void DutyDesk::replaceServers(std::vector<ServerRecord> const &Records) {
+  Servers_.clear();
+  for (auto const &Record : Records)
+    Servers_[Record.Id_] = Record;
+}
+
+void DutyDesk::updateServer(ServerRecord const &Record) {
+  Servers_[Record.Id_] = Record;
+}
+
+void DutyDesk::removeServer(ServerId const &Id) { Servers_.erase(Id); }
+
+void DutyDesk::onDemand(InstanceId const &From,
+                        std::vector<ServiceDemand> const &Services,
+                        TimePoint Now) {
+  Demand_.onReport(From, Services, Now);
+}
+
+void DutyDesk::planCapacity(Fence const &Fence, TimePoint Now) {
+  if (!Table_)
+    return;
+  for (auto const &[Name, Service] : Table_->services()) {
+    if (!Service.Scaling_)
+      continue;
+    CapacityInput Input;
+    Input.Service_ = Name;
+    Input.Bounds_ = *Service.Scaling_;
+    for (auto const &[Id, Record] : Servers_)
+      if (Record.Service_ == Name)
+        Input.Servers_.push_back(Record);
+    if (!Input.Servers_.empty())
+      Input.Slots_ = Input.Servers_.front().Slots_;
+    Input.Demand_ = Demand_.demand(Name, Now);
+    auto &Planner =
+        Planners_.try_emplace(Name, CapacitySettings{}).first->second;
+    for (auto const &Order : Planner.plan(Input, Now)) {
+      Parts_.Log_.write(LogLine("servers_ordered")
+                            .add("service", Name.text())
+                            .add("data_centre", Order.DataCentre_.text())
+                            .add("tenure", Order.Tenure_ == Tenure::OnDemand
+                                               ? "on_demand"
+                                               : "reclaimable")
+                            .add("count", Order.Count_)
+                            .add("need", Planner.need())
+                            .add("demand", static_cast<std::int64_t>(
+                                               Input.Demand_))
+                            .add("fence", Fence.Number_));
+      order(Fence, Order);
+    }
+  }
+}
+
+void DutyDesk::order(Fence const &Fence, ServerOrder const &Order) {
+  Parts_.Duties_.orderServers(
+      Fence, Order, OrderTimeout, [this, Order](Result<Success> const &Sent) {
+        if (!isError(Sent))
+          return;
+        auto &Planner = Planners_.at(Order.Service_);
+        Parts_.Log_.write(LogLine("order_failed")
+                              .add("service", Order.Service_.text())
+                              .add("data_centre", Order.DataCentre_.text())
+                              .add("why", errorOf(Sent).Message_));
+        if (errorOf(Sent).Kind_ == ErrorKind::Conflict)
+          return Planner.onRefused(Order, readClock());
+        Planner.onLost(Order);
+      });
 }
 
 void DutyDesk::setMembers(std::vector<Member> const &Members, TimePoint Now) {
@@ -64,6 +140,9 @@
     return;
   Parts_.Log_.write(LogLine(Held ? "lease_gained" : "lease_lost")
                         .add("fence", Held ? Number : LastFence_));
+  if (!Held)
+    for (auto &[Name, Planner] : Planners_)
+      Planner.reset();
   LastFence_ = Number;
 }
 
--- a/Services/laburnum-entry/DutyDesk.h
+++ b/Services/laburnum-entry/DutyDesk.h
@@ -1,18 +1,22 @@
 #pragma once
 
+#include <LibControl/CapacityPlanner.h>
+#include <LibControl/DemandView.h>
 #include <LibControl/LeaseKeeper.h>
 #include <LibControl/UsageReporter.h>
 #include <LibLog/EventLog.h>
 #include <LibSettings/EntrySettings.h>
+#include <LibTraffic/RouteTable.h>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
 
 namespace laburnum {
 
-/// What one entry instance at a time does for all: holds the lease and reports
-/// usage. Runs on the control thread.
+/// What one entry instance at a time does for all: holds the lease, reports
+/// usage and orders servers. Runs on the control thread.
 class DutyDesk {
 public:
   struct Parts {
@@ -28,14 +32,26 @@
   /// To be called at least five times a second.
   void tick(TimePoint Now, Duration TrueTime);
   void setMembers(std::vector<Member> const &Members, TimePoint Now);
+  void setTable(std::shared_ptr<RouteTable const> Table);
+  void replaceServers(std::vector<ServerRecord> const &Records);
+  void updateServer(ServerRecord const &Record);
+  void removeServer(ServerId const &Id);
+  void onDemand(InstanceId const &From,
+                std::vector<ServiceDemand> const &Services, TimePoint Now);
 
 private:
   std::optional<Fence> fence(TimePoint Now) const;
   void onLease(std::optional<HeldLease> const &Held);
+  void planCapacity(Fence const &Fence, TimePoint Now);
+  void order(Fence const &Fence, ServerOrder const &Order);
 
   Parts Parts_;
   std::shared_ptr<LeaseKeeper> Lease_;
   std::shared_ptr<UsageReporter> Reporter_;
+  std::shared_ptr<RouteTable const> Table_;
+  std::map<ServerId, ServerRecord> Servers_;
+  DemandView Demand_;
+  std::map<ServiceName, CapacityPlanner> Planners_;
   std::uint64_t LastFence_ = 0; ///< Of the lease as last logged; 0: not held.
 };
 
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -52,7 +52,14 @@
 }
 
 ConsumptionReport TrafficPlane::reportConsumption() {
-  return Meter_.report(readClock());
+  auto Report = Meter_.report(readClock());
+  auto const Waiting = Queue_.waitingByService();
+  for (auto const &[Service, Running] : Roster_.runningByService()) {
+    auto const Found = Waiting.find(Service);
+    Report.Services_.push_back(
+        {Service, Running, Found == Waiting.end() ? 0 : Found->second});
+  }
+  return Report;
 }
 
 void TrafficPlane::onConsumption(InstanceId const &From,
