LibControl: Reckon the need for servers from the rate of requests

A request now counts with the time that it takes while servers are not overfull. Orders that only replace what was there no longer count as servers on their way.

--- a/Libraries/LibControl/CapacityPlanner.cpp
+++ b/Libraries/LibControl/CapacityPlanner.cpp
@@ -7,9 +7,16 @@
 
 namespace {
 
-/// Weights of the newest reading of the demand, as it rises and as it falls.
-constexpr double RisingWeight = 0.35;
-constexpr double FallingWeight = 0.1;
+/// Weight of the newest reading of the demand: a second's worth of readings.
+constexpr double DemandWeight = 0.2;
+/// Weights of the newest reading of how long a request takes, while servers
+/// are not overfull and while they are.
+constexpr double UsualWeight = 0.02;
+constexpr double OverfullWeight = 0.004;
+/// Servers are overfull above this multiple of the utilisation aimed at.
+constexpr double OverfullFrom = 1.3;
+/// A request takes at most this multiple of its usual time in the reckoning.
+constexpr double MostOfUsual = 1.3;
 /// An ordered server is in the list by this long after its boot time.
 constexpr std::chrono::milliseconds ListingAllowance{1500};
 /// Reclaimable servers that are missing are asked for again after this.
@@ -40,14 +47,29 @@
   DemandSince_.reset();
 }
 
+void CapacityPlanner::learnUsualTime(double Taken, double Fullness) {
+  if (!UsualTime_)
+    UsualTime_ = Taken;
+  auto const Weight = Fullness > OverfullFrom * Settings_.Utilisation_ &&
+                              Taken > *UsualTime_
+                          ? OverfullWeight
+                          : UsualWeight;
+  *UsualTime_ += Weight * (Taken - *UsualTime_);
+}
+
 std::uint32_t CapacityPlanner::retainedNeed(CapacityInput const &Input,
-                                            TimePoint Now) {
-  auto const Weight =
-      Input.Demand_ > Smoothed_ ? RisingWeight : FallingWeight;
-  Smoothed_ += Weight * (Input.Demand_ - Smoothed_);
-  auto const Places = Settings_.Utilisation_ * std::max(1U, Input.Slots_);
-  return highest(Needs_, roundUp(Smoothed_ / Places), Settings_.NeedRetention_,
-                 Now);
+                                            std::size_t Ready, TimePoint Now) {
+  Requests_ += DemandWeight * (Input.Demand_.Requests_ - Requests_);
+  PerSecond_ += DemandWeight * (Input.Demand_.PerSecond_ - PerSecond_);
+  auto const Slots = static_cast<double>(std::max(1U, Input.Slots_));
+  double Busy = Requests_;
+  if (PerSecond_ >= 1.0) {
+    auto const Servers = static_cast<double>(std::max<std::size_t>(1, Ready));
+    learnUsualTime(Requests_ / PerSecond_, Requests_ / (Slots * Servers));
+    Busy = std::min(Busy, PerSecond_ * *UsualTime_ * MostOfUsual);
+  }
+  return highest(Needs_, roundUp(Busy / (Settings_.Utilisation_ * Slots)),
+                 Settings_.NeedRetention_, Now);
 }
 
 CapacityPlanner::Counts
@@ -89,9 +111,11 @@
   for (auto const &[Place, Count] : Ready)
     (Place.Tenure_ == Tenure::OnDemand ? OnDemandReady : Reclaimable) += Count;
   for (auto const &[Place, Order] : Sent_) {
-    // On its way, unless it was there already.
+    // On its way are those beyond what was there when it was sent: what has
+    // left since then does not come back by itself.
     auto const Found = Ready.find(Place);
-    auto const Present = Found == Ready.end() ? 0 : Found->second;
+    auto const Present =
+        std::max(Order.Present_, Found == Ready.end() ? 0 : Found->second);
     if (Place.Tenure_ == Tenure::Reclaimable && !isRefused(Place, Now) &&
         Order.At_ + Input.Bounds_.BootTime_ + ListingAllowance > Now &&
         Order.Count_ > Present)
@@ -160,20 +184,23 @@
 
 std::vector<ServerOrder> CapacityPlanner::plan(CapacityInput const &Input,
                                                TimePoint Now) {
-  if (!DemandSince_ && Input.Demand_ >= 1.0)
+  if (!DemandSince_ && Input.Demand_.Requests_ >= 1.0)
     DemandSince_ = Now;
-  auto const Need = retainedNeed(Input, Now);
-  LastNeed_ = Need;
   if (!DemandSince_)
     return {};
   auto const Ready = ready(Input);
+  std::size_t Servers = 0;
+  for (auto const &[Place, Count] : Ready)
+    Servers += Count;
+  auto const Need = retainedNeed(Input, Servers, Now);
+  LastNeed_ = Need;
   std::vector<ServerOrder> Orders;
   for (auto const &[Place, Wanted] : desired(Input, Ready, Need, Now)) {
     auto const Found = Ready.find(Place);
     auto const Present = Found == Ready.end() ? 0 : Found->second;
     if (!isDue(Place, Wanted, Present, Input.Bounds_, Now))
       continue;
-    Sent_[Place] = {Wanted, Now};
+    Sent_[Place] = {Wanted, Present, Now};
     Orders.push_back(
         {Input.Service_, Place.DataCentre_, Place.Tenure_, Wanted});
   }
--- a/Libraries/LibControl/CapacityPlanner.h
+++ b/Libraries/LibControl/CapacityPlanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibControl/DemandView.h>
 #include <LibCore/Time.h>
 #include <LibPlatform/FencedDuties.h>
 #include <LibTraffic/Route.h>
@@ -23,7 +24,7 @@
   /// Of the servers needed, those that it can, in all data centres together.
   double ReclaimablePart_ = 1.0;
   /// A need counts this long: load that swings is not followed down.
-  Duration NeedRetention_ = std::chrono::seconds(10);
+  Duration NeedRetention_ = std::chrono::seconds(8);
   /// Between two orders that take servers away.
   Duration ShrinkPause_ = std::chrono::seconds(2);
   double ShrinkStep_ = 0.25; ///< The most that one such order takes away.
@@ -40,11 +41,13 @@
   ServiceName Service_;
   ScalingBounds Bounds_;
   std::uint32_t Slots_ = 1; ///< Of one server.
-  double Demand_ = 0.0;     ///< Requests running and waiting, everywhere.
+  FleetDemand Demand_;
   std::vector<ServerRecord> Servers_;
 };
 
-/// Decides which servers to order for one service: a base that stays when a
+/// Decides which servers to order for one service: the need follows the rate of
+/// requests and the time that one takes while the servers are not overfull, as
+/// an overload would otherwise feed itself. A base that stays when a
 /// data centre's reclaimable servers are taken away at once, the rest
 /// reclaimable, spread over the data centres; in place of reclaimable servers
 /// that leave or are not to be had, others at once. Grows at once and shrinks
@@ -74,11 +77,14 @@
   };
   struct Sent {
     std::uint32_t Count_ = 0;
+    std::uint32_t Present_ = 0; ///< When it was sent.
     TimePoint At_{};
   };
   using Counts = std::map<Slot, std::uint32_t>;
 
-  std::uint32_t retainedNeed(CapacityInput const &Input, TimePoint Now);
+  std::uint32_t retainedNeed(CapacityInput const &Input, std::size_t Ready,
+                             TimePoint Now);
+  void learnUsualTime(double Taken, double Fullness);
   Counts ready(CapacityInput const &Input) const;
   Counts desired(CapacityInput const &Input, Counts const &Ready,
                  std::uint32_t Need, TimePoint Now);
@@ -91,7 +97,10 @@
 
   CapacitySettings Settings_;
   std::optional<TimePoint> DemandSince_;
-  double Smoothed_ = 0.0;
+  double Requests_ = 0.0;  ///< Smoothed.
+  double PerSecond_ = 0.0; ///< Smoothed.
+  /// How long a request takes while servers are not overfull, in seconds.
+  std::optional<double> UsualTime_;
   std::deque<std::pair<TimePoint, std::uint32_t>> Needs_;
   std::deque<std::pair<TimePoint, std::uint32_t>> OnDemandNeeds_;
   std::map<Slot, Sent> Sent_;
--- a/Libraries/LibControl/DemandView.cpp
+++ b/Libraries/LibControl/DemandView.cpp
@@ -6,25 +6,40 @@
 
 /// Reports come four times a second.
 constexpr std::chrono::milliseconds Validity{1500};
+/// Weight of the newest report in an instance's rate.
+constexpr double RateWeight = 0.4;
 
 } // namespace
 
 void DemandView::onReport(InstanceId const &From,
                           std::vector<ServiceDemand> const &Services,
                           TimePoint Now) {
-  Instances_[From] = {Services, Now};
-  std::erase_if(Instances_, [&](auto const &One) {
-    return One.second.At_ + Validity < Now;
-  });
+  auto &Instance = Instances_[From];
+  for (auto const &One : Services) {
+    auto const [Found, IsNew] = Instance.try_emplace(One.Service_);
+    auto &Told = Found->second;
+    auto const Span = std::chrono::duration<double>(Now - Told.At_).count();
+    if (!IsNew && Span > 0.0 && One.Begun_ >= Told.Last_.Begun_) {
+      auto const Rate =
+          static_cast<double>(One.Begun_ - Told.Last_.Begun_) / Span;
+      Told.PerSecond_ += RateWeight * (Rate - Told.PerSecond_);
+    }
+    Told.Last_ = One;
+    Told.At_ = Now;
+  }
 }
 
-double DemandView::demand(ServiceName const &Service, TimePoint Now) const {
-  double Sum = 0.0;
-  for (auto const &[Id, Told] : Instances_)
-    if (Told.At_ + Validity >= Now)
-      for (auto const &One : Told.Services_)
-        if (One.Service_ == Service)
-          Sum += One.Running_ + One.Waiting_;
+FleetDemand DemandView::demand(ServiceName const &Service,
+                               TimePoint Now) const {
+  FleetDemand Sum;
+  for (auto const &[Id, Services] : Instances_) {
+    auto const Found = Services.find(Service);
+    if (Found == Services.end() || Found->second.At_ + Validity < Now)
+      continue;
+    Sum.Requests_ +=
+        Found->second.Last_.Running_ + Found->second.Last_.Waiting_;
+    Sum.PerSecond_ += Found->second.PerSecond_;
+  }
   return Sum;
 }
 
--- a/Libraries/LibControl/DemandView.h
+++ b/Libraries/LibControl/DemandView.h
@@ -8,21 +8,30 @@
 
 namespace laburnum {
 
+/// A service's requests over all entry instances.
+struct FleetDemand {
+  double Requests_ = 0.0;  ///< Running and waiting.
+  double PerSecond_ = 0.0; ///< That come.
+
+  auto operator<=>(FleetDemand const &) const = default;
+};
+
 /// The requests that all entry instances have at each service, from what they
 /// tell each other.
 class DemandView {
 public:
   void onReport(InstanceId const &From,
                 std::vector<ServiceDemand> const &Services, TimePoint Now);
-  /// Running and waiting requests, over the instances heard from lately.
-  double demand(ServiceName const &Service, TimePoint Now) const;
+  /// Over the instances heard from lately.
+  FleetDemand demand(ServiceName const &Service, TimePoint Now) const;
 
 private:
   struct Told {
-    std::vector<ServiceDemand> Services_;
+    ServiceDemand Last_;
+    double PerSecond_ = 0.0;
     TimePoint At_{};
   };
-  std::map<InstanceId, Told> Instances_;
+  std::map<InstanceId, std::map<ServiceName, Told>> Instances_;
 };
 
 } // namespace laburnum
--- a/Libraries/LibPeer/ConsumptionReport.h
+++ b/Libraries/LibPeer/ConsumptionReport.h
@@ -24,6 +24,7 @@
   ServiceName Service_;
   std::uint32_t Running_ = 0; ///< Sent to backend servers and not ended.
   std::uint32_t Waiting_ = 0; ///< For a place at one.
+  std::uint64_t Begun_ = 0;   ///< Requests that came since the start.
 
   auto operator<=>(ServiceDemand const &) const = default;
 };
--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -23,7 +23,7 @@
   return std::tie(Value.Account_, Value.Admitted_, Value.Asked_);
 }
 auto fieldsOf(Of<ServiceDemand> auto &Value) {
-  return std::tie(Value.Service_, Value.Running_, Value.Waiting_);
+  return std::tie(Value.Service_, Value.Running_, Value.Waiting_, Value.Begun_);
 }
 auto fieldsOf(Of<ConsumptionReport> auto &Value) {
   return std::tie(Value.Accounts_, Value.Services_);
--- a/Services/laburnum-entry/DutyDesk.cpp
+++ b/Services/laburnum-entry/DutyDesk.cpp
@@ -106,8 +106,10 @@
                                                : "reclaimable")
                             .add("count", Order.Count_)
                             .add("need", Planner.need())
-                            .add("demand", static_cast<std::int64_t>(
-                                               Input.Demand_))
+                            .add("requests", static_cast<std::int64_t>(
+                                                 Input.Demand_.Requests_))
+                            .add("per_second", static_cast<std::int64_t>(
+                                                   Input.Demand_.PerSecond_))
                             .add("fence", Fence.Number_));
       order(Fence, Order);
     }
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -57,7 +57,8 @@
   for (auto const &[Service, Running] : Roster_.runningByService()) {
     auto const Found = Waiting.find(Service);
     Report.Services_.push_back(
-        {Service, Running, Found == Waiting.end() ? 0 : Found->second});
+        {Service, Running, Found == Waiting.end() ? 0 : Found->second,
+         Begun_[Service]});
   }
   return Report;
 }
@@ -179,6 +180,7 @@
       std::min(Route->Timeout_, Facts.TimeAllowed_.value_or(Route->Timeout_));
   Subject.Expiry_ = Request.BegunAt_ + Allowed;
   Retries_.countRequest(Subject.Service_, readClock());
+  ++Begun_[Subject.Service_];
   return std::make_shared<RequestSession>(*this, Exchange, std::move(Request),
                                           std::move(Subject));
 }
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -87,6 +87,7 @@
   asio::steady_timer QueueTimer_;
   bool IsQueueTimerArmed_ = false;
   std::uint64_t NextTicket_ = 1;
+  std::map<ServiceName, std::uint64_t> Begun_; ///< Requests by service.
   std::map<std::uint64_t, std::shared_ptr<RequestSession>> Waiting_;
   std::map<ServerId, std::shared_ptr<OutboundPool>> Pools_;
 };
