LibControl: Tell usage to peers, take time from the median of clocks, spare store calls

Counts go with the reports to peers now; only an instance that does not reach all others writes them, and so does one that stops. Batches of changes cost one watch.

--- a/Libraries/LibControl/CapacityPlanner.h
+++ b/Libraries/LibControl/CapacityPlanner.h
@@ -18,11 +18,11 @@
 struct CapacitySettings {
   /// The part of a server's slots that requests take on average. A batch that
   /// is fuller answers each of its requests more slowly.
-  double Utilisation_ = 0.30;
+  double Utilisation_ = 0.32;
   /// Of the servers needed, those that the platform cannot take away at once.
-  double OnDemandPart_ = 0.5;
+  double OnDemandPart_ = 0.45;
   /// Of the servers needed, those that it can, in all data centres together.
-  double ReclaimablePart_ = 1.0;
+  double ReclaimablePart_ = 1.5;
   /// A need counts this long: load that swings is not followed down.
   Duration NeedRetention_ = std::chrono::seconds(8);
   /// Between two orders that take servers away.
--- a/Libraries/LibControl/CollectionFollower.cpp
+++ b/Libraries/LibControl/CollectionFollower.cpp
@@ -11,6 +11,8 @@
 /// answer is overdue, so that this bounds how late a change is seen after it;
 /// each watch that ends is a call that is paid for.
 constexpr std::chrono::milliseconds WatchWait{2000};
+/// After a change, so that others that come with it cost one call together.
+constexpr std::chrono::milliseconds BatchPause{200};
 /// Pauses between tries while the store does not answer: short, as an accepted
 /// configuration has to be in force within seconds of the store's return.
 constexpr std::chrono::milliseconds FirstPause{50};
@@ -67,9 +69,10 @@
   if (Batch.Continuity_ == WatchContinuity::Gap)
     return list();
   From_ = std::max(From_, Batch.StoreVersion_);
-  if (!Batch.Objects_.empty())
-    Reader_.onChanged(Batch);
-  watch();
+  if (Batch.Objects_.empty())
+    return watch();
+  Reader_.onChanged(Batch);
+  after(BatchPause, &CollectionFollower::watch);
 }
 
 void CollectionFollower::onFailure(Error const &Reason) {
--- a/Libraries/LibControl/PeerNetwork.cpp
+++ b/Libraries/LibControl/PeerNetwork.cpp
@@ -14,7 +14,7 @@
 constexpr std::chrono::milliseconds RetryPause{500};
 /// Instances that register later make themselves known to those that they
 /// find; the list repairs what that misses, and tells which ones are gone.
-constexpr std::chrono::seconds ListPeriod{10};
+constexpr std::chrono::seconds ListPeriod{20};
 /// Right after the start the others are starting too.
 constexpr std::chrono::seconds FirstListPause{1};
 constexpr std::chrono::milliseconds TickPeriod{200};
--- /dev/null
+++ b/Libraries/LibControl/TrueClock.cpp
@@ -0,0 +1,39 @@
+#include <LibControl/TrueClock.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace laburnum {
+
+namespace {
+
+/// A reading counts this long: elapsed time runs evenly, so that an instance
+/// which is not heard for a while still votes.
+constexpr std::chrono::seconds Validity{20};
+
+} // namespace
+
+void TrueClock::setOwn(Duration TimeOfDay, TimePoint Now) {
+  Own_ = TimeOfDay - Now.time_since_epoch();
+  update(Now);
+}
+
+void TrueClock::onPeer(InstanceId const &Peer, Duration TimeOfDay,
+                       TimePoint Now) {
+  Peers_[Peer] = {TimeOfDay - Now.time_since_epoch(), Now};
+  update(Now);
+}
+
+void TrueClock::update(TimePoint Now) {
+  std::erase_if(Peers_, [&](auto const &One) {
+    return One.second.At_ + Validity < Now;
+  });
+  std::vector<Duration> Offsets = {Own_};
+  for (auto const &[Peer, Reading] : Peers_)
+    Offsets.push_back(Reading.Offset_);
+  auto const Middle = Offsets.begin() + Offsets.size() / 2;
+  std::nth_element(Offsets.begin(), Middle, Offsets.end());
+  Offset_.store(Middle->count(), std::memory_order_relaxed);
+}
+
+} // namespace laburnum
--- a/Libraries/LibControl/UsageReporter.cpp
+++ b/Libraries/LibControl/UsageReporter.cpp
@@ -77,9 +77,24 @@
     collect(*Window, TrueTime);
 }
 
+void UsageReporter::onPeer(std::string const &Life,
+                           std::vector<WindowUsage> const &Usage,
+                           Duration TrueTime) {
+  auto &Heard = Peers_[Life];
+  Heard.At_ = TrueTime;
+  for (auto const &One : Usage) {
+    auto &Count = Heard.Record_.Windows_[One.Window_][One.Account_];
+    Count = std::max(Count, One.Count_);
+  }
+  auto &Windows = Heard.Record_.Windows_;
+  Windows.erase(Windows.begin(),
+                Windows.lower_bound(Counter_.windowOf(TrueTime) - KeptWindows));
+}
+
 void UsageReporter::publish(Duration TrueTime) {
   auto const Last = Counter_.windowOf(TrueTime - PublishDelay) - 1;
-  if (IsPublishing_ || Last <= Published_)
+  Counter_.forgetBefore(Last - KeptWindows);
+  if (IsPublishing_ || Last <= Published_ || Reach_ == PeerReach::Whole)
     return;
   IsPublishing_ = true;
   UsageRecord Record{Counter_.since(Last - KeptWindows + 1)};
@@ -87,7 +102,6 @@
                         Record.Windows_.end());
   // An empty window is written too: it says that nothing ran here.
   Record.Windows_[Last];
-  Counter_.forgetBefore(Last - KeptWindows);
   Store_.put({CountsCollection, Settings_.Life_}, encodeUsage(Record),
              StoreTimeout,
              [Self = shared_from_this(), Last](Result<Version> const &Written) {
@@ -97,6 +111,13 @@
              });
 }
 
+void UsageReporter::publishAll(std::function<void()> Done) {
+  UsageRecord const Record{Counter_.since(0)};
+  Store_.put({CountsCollection, Settings_.Life_}, encodeUsage(Record),
+             StoreTimeout,
+             [Done = std::move(Done)](Result<Version> const &) { Done(); });
+}
+
 /// The first window that is still to be reported and has ended long enough.
 std::optional<std::int64_t>
 UsageReporter::nextWindow(Duration TrueTime) const {
@@ -120,28 +141,63 @@
               });
 }
 
+std::map<std::string, UsageRecord>
+UsageReporter::merge(ObjectList const &Listed) const {
+  std::map<std::string, UsageRecord> Lives;
+  for (auto const &Object : Listed.Objects_)
+    if (auto const Record = decodeUsage(Object.Value_))
+      Lives[Object.Key_.Name_] = *Record;
+  auto const Add = [&](std::string const &Life, UsageRecord const &Record) {
+    for (auto const &[Window, Counts] : Record.Windows_)
+      for (auto const &[Account, Count] : Counts) {
+        auto &Held = Lives[Life].Windows_[Window][Account];
+        Held = std::max(Held, Count);
+      }
+  };
+  for (auto const &[Life, Heard] : Peers_)
+    Add(Life, Heard.Record_);
+  Add(Settings_.Life_, {Counter_.since(0)});
+  return Lives;
+}
+
+/// A life that was there in the window before, and of which nothing from after
+/// this window's end is known, may still have counts to tell.
+bool UsageReporter::isAwaited(std::string const &Life,
+                              UsageRecord const &Record,
+                              std::int64_t Window) const {
+  if (Life == Settings_.Life_ || !Record.Windows_.contains(Window - 1))
+    return false;
+  auto const Found = Peers_.find(Life);
+  if (Found != Peers_.end() && Found->second.At_ > Counter_.endOf(Window))
+    return false;
+  return Record.Windows_.rbegin()->first <= Window;
+}
+
 void UsageReporter::add(std::int64_t Window, ObjectList const &Listed,
                         Duration TrueTime) {
   UsageCounts Sum;
   std::string Missing;
-  for (auto const &Object : Listed.Objects_) {
-    auto const Record = decodeUsage(Object.Value_);
-    if (!Record || Record->Windows_.empty())
+  for (auto const &[Life, Record] : merge(Listed)) {
+    if (Record.Windows_.empty())
       continue;
-    auto const Newest = Record->Windows_.rbegin()->first;
-    // A life that wrote nothing for a while has ended.
-    if (Newest + 1 == Window)
-      Missing += Object.Key_.Name_ + ' ';
-    if (Newest + KeptWindows < Window)
-      Store_.remove(Object.Key_, StoreTimeout, [](Result<Success> const &) {
-        // Tried again with the next window.
-      });
-    auto const Found = Record->Windows_.find(Window);
-    if (Found == Record->Windows_.end())
+    if (isAwaited(Life, Record, Window))
+      Missing += Life + ' ';
+    auto const Found = Record.Windows_.find(Window);
+    if (Found == Record.Windows_.end())
       continue;
     for (auto const &[Account, Count] : Found->second)
       Sum[Account] += Count;
   }
+  // The records of lives that ended long ago.
+  for (auto const &Object : Listed.Objects_) {
+    auto const Record = decodeUsage(Object.Value_);
+    if (!Record || (!Record->Windows_.empty() &&
+                    Record->Windows_.rbegin()->first + KeptWindows >= Window))
+      continue;
+    Store_.remove(Object.Key_, StoreTimeout, [](Result<Success> const &) {
+      // Tried again with the next window.
+    });
+  }
   auto const GiveUpAt =
       Counter_.endOf(Window) +
       Duration(static_cast<Duration::rep>(
--- a/Libraries/LibControl/UsageReporter.h
+++ b/Libraries/LibControl/UsageReporter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibControl/UsageCounter.h>
+#include <LibPeer/ConsumptionReport.h>
 #include <LibPlatform/AsyncObjectStore.h>
 #include <LibPlatform/FencedDuties.h>
 
@@ -11,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace laburnum {
 
@@ -21,13 +23,16 @@
   auto operator<=>(UsageRecord const &) const = default;
 };
 
+/// Whether this instance is in contact with every other one.
+enum class PeerReach { Whole, Partial };
+
 std::string encodeUsage(UsageRecord const &Record);
 /// Nothing when the text is not such a record.
 std::optional<UsageRecord> decodeUsage(std::string const &Text);
 
 /// Sees to it that the usage of each window is reported once. Every instance
-/// writes its counts to the store after a window has ended; the holder of the
-/// lease adds them up, settles the sum in the store by a conditional write, and
+/// tells the others its counts, and one that cannot reach them all writes them
+/// to the store after a window has ended; the holder of the lease adds them up, settles the sum in the store by a conditional write, and
 /// reports what is settled there. Whoever reports the window again, also a
 /// holder that was paused, reports the same counts.
 class UsageReporter : public std::enable_shared_from_this<UsageReporter> {
@@ -48,11 +53,28 @@
   /// To be called a few times a second. Fence is set while this instance
   /// holds the lease.
   void tick(std::optional<Fence> const &Fence, Duration TrueTime);
+  /// What a peer's life has counted so far, heard at TrueTime.
+  void onPeer(std::string const &Life, std::vector<WindowUsage> const &Usage,
+              Duration TrueTime);
+  /// Whether every other instance hears this one.
+  void setReach(PeerReach Reach) { Reach_ = Reach; }
+  /// Writes what was counted so far to the store, for a process that ends.
+  void publishAll(std::function<void()> Done);
 
 private:
+  /// What peers have told of one life.
+  struct Heard {
+    UsageRecord Record_;
+    Duration At_{};
+  };
+
   void publish(Duration TrueTime);
   void collect(std::int64_t Window, Duration TrueTime);
   void add(std::int64_t Window, ObjectList const &Listed, Duration TrueTime);
+  /// The counts of each life, from the store and from peers.
+  std::map<std::string, UsageRecord> merge(ObjectList const &Listed) const;
+  bool isAwaited(std::string const &Life, UsageRecord const &Record,
+                 std::int64_t Window) const;
   void settle(std::int64_t Window, UsageCounts Counts);
   void report(std::int64_t Window, UsageCounts const &Counts);
   void finish(std::int64_t Window, std::string const &Step,
@@ -66,6 +88,8 @@
   Log Log_;
   StepDown StepDown_;
   std::optional<Fence> Fence_;
+  std::map<std::string, Heard> Peers_;
+  PeerReach Reach_ = PeerReach::Partial;
   std::int64_t Published_ = -1; ///< The last window written to the store.
   std::int64_t Reported_ = -1;  ///< The last window that was accepted.
   bool IsPublishing_ = false;
--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace laburnum {
 
@@ -18,4 +19,14 @@
       std::chrono::steady_clock::now());
 }
 
+/// Reads the clock that also counts while the machine is suspended. Its
+/// readings are compared with each other only, never with readClock()'s.
+inline TimePoint readElapsedTime() {
+  timespec Read{};
+  ::clock_gettime(CLOCK_BOOTTIME, &Read);
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(Read.tv_sec) +
+      std::chrono::nanoseconds(Read.tv_nsec)));
+}
+
 } // namespace laburnum
--- a/Libraries/LibPeer/ConsumptionReport.h
+++ b/Libraries/LibPeer/ConsumptionReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Identifier.h>
+#include <LibCore/Time.h>
 
 #include <compare>
 #include <cstdint>
@@ -29,10 +30,21 @@
   auto operator<=>(ServiceDemand const &) const = default;
 };
 
+/// Requests of an account that began to run at one entry instance in a window.
+struct WindowUsage {
+  std::int64_t Window_ = 0;
+  AccountName Account_;
+  std::uint64_t Count_ = 0;
+
+  auto operator<=>(WindowUsage const &) const = default;
+};
+
 /// Sent to every other entry instance a few times a second.
 struct ConsumptionReport {
   std::vector<AccountConsumption> Accounts_;
   std::vector<ServiceDemand> Services_;
+  std::vector<WindowUsage> Usage_; ///< Of this window and the one before.
+  Duration TimeOfDay_{};           ///< The sender's own, since 1970.
 
   auto operator<=>(ConsumptionReport const &) const = default;
 };
--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -25,8 +25,12 @@
 auto fieldsOf(Of<ServiceDemand> auto &Value) {
   return std::tie(Value.Service_, Value.Running_, Value.Waiting_, Value.Begun_);
 }
+auto fieldsOf(Of<WindowUsage> auto &Value) {
+  return std::tie(Value.Window_, Value.Account_, Value.Count_);
+}
 auto fieldsOf(Of<ConsumptionReport> auto &Value) {
-  return std::tie(Value.Accounts_, Value.Services_);
+  return std::tie(Value.Accounts_, Value.Services_, Value.Usage_,
+                  Value.TimeOfDay_);
 }
 auto fieldsOf(Of<Endpoint> auto &Value) {
   return std::tie(Value.Host_, Value.Port_);
--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -13,6 +13,8 @@
 /// Sends of one request, also of those that servers refused: a request that
 /// finds this many servers unwilling is better told to come back.
 constexpr std::uint32_t MaxSends = 4;
+/// A server that gets less time than this cannot answer.
+constexpr std::chrono::milliseconds LeastTimeForAttempt{5};
 /// Time that a further attempt needs to be worth its place.
 constexpr std::chrono::milliseconds LeastTimeForRetry{30};
 /// Told to a client whose request found only servers that refused it.
@@ -50,6 +52,9 @@
 void ExchangeFlow::on(ServerAssigned const &Event) {
   if (State_ != State::Waiting)
     return;
+  // A process that stood still may get here long after the time was over.
+  if (Subject_.Expiry_ - Now_ < LeastTimeForAttempt)
+    return on(NoServer{"no server in the time allowed", RetryAfterRefusals});
   State_ = State::Attempting;
   Tried_.insert(Event.Server_.Id_);
   ++Sent_;
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -17,7 +17,7 @@
 constexpr std::chrono::milliseconds BalancerNotice{2600};
 constexpr std::chrono::milliseconds StopLookPeriod{50};
 /// Kept free at the end of the stop's time for the process to end by itself.
-constexpr std::chrono::milliseconds StopReserve{300};
+constexpr std::chrono::milliseconds StopReserve{700};
 
 EntryInstance instanceOf(EntrySettings const &Settings,
                          InstanceId const &Life) {
@@ -28,6 +28,11 @@
   return Self;
 }
 
+Duration timeOfDay() {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
 } // namespace
 
 /// Takes the configuration from the store.
@@ -170,6 +175,7 @@
     MetricsListener_ = takeValue(std::move(Metrics));
   ConfigurationFollower_->start();
   ServerFollower_->start();
+  Parts_.Clock_.setOwn(timeOfDay(), readElapsedTime());
   Peers_->start();
   tickDuties();
   reportConsumption();
@@ -238,7 +244,9 @@
   Parts_.Log_.write(LogLine("fleet_changed")
                         .add("live", Live)
                         .add("registered", View.Registered_));
-  Duties_.setMembers(View.Members_, readClock());
+  Duties_.setMembers(View.Members_, readElapsedTime());
+  Duties_.setReach(Live >= View.Registered_ && Live > 1 ? PeerReach::Whole
+                                                        : PeerReach::Partial);
   onTraffic([&Traffic = Parts_.Traffic_, Registered = View.Registered_] {
     Traffic.setRegistered(Registered);
   });
@@ -249,7 +257,9 @@
   auto const *const Report = std::get_if<ConsumptionReport>(&Message);
   if (!Report)
     return;
-  Duties_.onDemand(From, Report->Services_, readClock());
+  auto const Now = readElapsedTime();
+  Parts_.Clock_.onPeer(From, Report->TimeOfDay_, Now);
+  Duties_.onReport(From, *Report, Now, Parts_.Clock_.read(Now));
   onTraffic([&Traffic = Parts_.Traffic_, From, Report = *Report] {
     Traffic.onConsumption(From, Report);
   });
@@ -258,10 +268,7 @@
 void ControlPlane::reportConsumption() {
   onTraffic([this] {
     auto const Report = Parts_.Traffic_.reportConsumption();
-    asio::post(Parts_.Context_, [this, Report] {
-      Duties_.onDemand(Life_, Report.Services_, readClock());
-      Peers_->sendToAll(Report);
-    });
+    asio::post(Parts_.Context_, [this, Report] { sendReport(Report); });
   });
   ReportTimer_.expires_after(ReportPeriod);
   ReportTimer_.async_wait([this](asio::error_code Failure) {
@@ -270,10 +277,22 @@
   });
 }
 
+void ControlPlane::sendReport(ConsumptionReport Report) {
+  auto const Now = readElapsedTime();
+  auto const TrueTime = Parts_.Clock_.read(Now);
+  for (auto const &[Window, Counts] :
+       Parts_.Usage_.since(Parts_.Usage_.windowOf(TrueTime) - 1))
+    for (auto const &[Account, Count] : Counts)
+      Report.Usage_.push_back({Window, Account, Count});
+  Report.TimeOfDay_ = timeOfDay();
+  Duties_.onReport(Life_, Report, Now, TrueTime);
+  Peers_->sendToAll(Report);
+}
+
 void ControlPlane::tickDuties() {
-  auto const TrueTime = std::chrono::duration_cast<Duration>(
-      std::chrono::system_clock::now().time_since_epoch());
-  Duties_.tick(readClock(), TrueTime);
+  auto const Now = readElapsedTime();
+  Parts_.Clock_.setOwn(timeOfDay(), Now);
+  Duties_.tick(Now, Parts_.Clock_.read(Now));
   DutyTimer_.expires_after(DutyPeriod);
   DutyTimer_.async_wait([this](asio::error_code Failure) {
     if (!Failure)
@@ -297,7 +316,7 @@
   if (IsStopping_)
     return;
   IsStopping_ = true;
-  StopBegunAt_ = readClock();
+  StopBegunAt_ = readElapsedTime();
   Parts_.Log_.write(LogLine("stop").add("time_ms", Parts_.Settings_.StopTime_));
   Peers_->leave();
   StopTimer_.expires_after(BalancerNotice);
@@ -313,9 +332,9 @@
   onTraffic([this] {
     auto const Busy = Parts_.Traffic_.busyConnections();
     asio::post(Parts_.Context_, [this, Busy] {
-      auto const Elapsed = readClock() - StopBegunAt_;
+      auto const Elapsed = readElapsedTime() - StopBegunAt_;
       if (Busy == 0 || Elapsed > Parts_.Settings_.StopTime_ - StopReserve)
-        return endProcess();
+        return Duties_.handOver([this] { endProcess(); });
       StopTimer_.expires_after(StopLookPeriod);
       StopTimer_.async_wait([this](asio::error_code Failure) {
         if (!Failure)
@@ -327,7 +346,7 @@
 
 void ControlPlane::endProcess() {
   Parts_.Log_.write(
-      LogLine("stopped").add("after_ms", readClock() - StopBegunAt_));
+      LogLine("stopped").add("after_ms", readElapsedTime() - StopBegunAt_));
   Parts_.Log_.flush();
   ConfigurationFollower_->stop();
   ServerFollower_->stop();
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -6,6 +6,7 @@
 
 #include <LibControl/CollectionFollower.h>
 #include <LibControl/PeerNetwork.h>
+#include <LibControl/TrueClock.h>
 
 #include <asio/signal_set.hpp>
 
@@ -37,6 +38,7 @@
   FencedDuties &Duties_;
   RecordCodec const &Codec_;
   UsageCounter &Usage_;
+  TrueClock &Clock_;
   TrafficPlane &Traffic_;
   EventLog &Log_;
 };
@@ -65,6 +67,7 @@
   void onFleet(FleetView const &View);
   void onPeerMessage(InstanceId const &From, PeerMessage const &Message);
   void reportConsumption();
+  void sendReport(ConsumptionReport Report);
   void tickDuties();
   void awaitSignals();
   void beginStop();
--- a/Services/laburnum-entry/DutyDesk.cpp
+++ b/Services/laburnum-entry/DutyDesk.cpp
@@ -9,7 +9,7 @@
 constexpr std::chrono::seconds LeaseBeyondTurns{1};
 constexpr std::chrono::milliseconds LeaseMargin{700};
 constexpr std::chrono::milliseconds LeaseRenewal{1300};
-constexpr std::chrono::milliseconds LeasePoll{1000};
+constexpr std::chrono::milliseconds LeasePoll{1500};
 constexpr std::chrono::milliseconds OrderTimeout{1000};
 
 lease::Settings leaseSettings(EntrySettings const &Settings,
@@ -29,7 +29,7 @@
 DutyDesk::DutyDesk(Parts Parts, InstanceId const &Life, std::uint64_t Seed)
     : Parts_(Parts),
       Lease_(std::make_shared<LeaseKeeper>(
-          Parts.Store_, leaseSettings(Parts.Settings_, Life, Seed), readClock,
+          Parts.Store_, leaseSettings(Parts.Settings_, Life, Seed), readElapsedTime,
           [this](std::optional<HeldLease> const &Held) { onLease(Held); })),
       Reporter_(std::make_shared<UsageReporter>(
           Parts.Store_, Parts.Duties_, Parts.Usage_,
@@ -41,7 +41,7 @@
                                   .add("step", Step)
                                   .add("detail", Detail));
           },
-          [this] { Lease_->stepDown(readClock()); })) {}
+          [this] { Lease_->stepDown(readElapsedTime()); })) {}
 
 std::optional<Fence> DutyDesk::fence(TimePoint Now) const {
   auto const Held = Lease_->held(Now);
@@ -74,10 +74,10 @@
 
 void DutyDesk::removeServer(ServerId const &Id) { Servers_.erase(Id); }
 
-void DutyDesk::onDemand(InstanceId const &From,
-                        std::vector<ServiceDemand> const &Services,
-                        TimePoint Now) {
-  Demand_.onReport(From, Services, Now);
+void DutyDesk::onReport(InstanceId const &From, ConsumptionReport const &Report,
+                        TimePoint Now, Duration TrueTime) {
+  Demand_.onReport(From, Report.Services_, Now);
+  Reporter_->onPeer(From.text(), Report.Usage_, TrueTime);
 }
 
 void DutyDesk::planCapacity(Fence const &Fence, TimePoint Now) {
@@ -127,7 +127,7 @@
                               .add("data_centre", Order.DataCentre_.text())
                               .add("why", errorOf(Sent).Message_));
         if (errorOf(Sent).Kind_ == ErrorKind::Conflict)
-          return Planner.onRefused(Order, readClock());
+          return Planner.onRefused(Order, readElapsedTime());
         Planner.onLost(Order);
       });
 }
--- a/Services/laburnum-entry/DutyDesk.h
+++ b/Services/laburnum-entry/DutyDesk.h
@@ -36,8 +36,13 @@
   void replaceServers(std::vector<ServerRecord> const &Records);
   void updateServer(ServerRecord const &Record);
   void removeServer(ServerId const &Id);
-  void onDemand(InstanceId const &From,
-                std::vector<ServiceDemand> const &Services, TimePoint Now);
+  void onReport(InstanceId const &From, ConsumptionReport const &Report,
+                TimePoint Now, Duration TrueTime);
+  void setReach(PeerReach Reach) { Reporter_->setReach(Reach); }
+  /// Leaves to the others what only this instance knows, then calls Done.
+  void handOver(std::function<void()> Done) {
+    Reporter_->publishAll(std::move(Done));
+  }
 
 private:
   std::optional<Fence> fence(TimePoint Now) const;
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -14,11 +14,6 @@
 /// the rest is for the server.
 constexpr std::int64_t QueuePart = 2;
 
-Duration trueTime() {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::system_clock::now().time_since_epoch());
-}
-
 } // namespace
 
 RequestSession::RequestSession(TrafficPlane &Plane,
@@ -31,17 +26,17 @@
 
 void RequestSession::start() {
   Exchange_->observe(shared_from_this());
-  Expiry_.expires_after(Subject_.Expiry_ - readClock());
+  Expiry_.expires_after(Subject_.Expiry_ - readElapsedTime());
   Expiry_.async_wait([Self = shared_from_this()](asio::error_code Failure) {
     if (!Failure)
       Self->handle(TimePassed{});
   });
-  carryOut(Flow_.start(readClock()));
+  carryOut(Flow_.start(readElapsedTime()));
 }
 
 void RequestSession::handle(Event const &Event) {
   if (!IsFinished_)
-    carryOut(Flow_.handle(Event, readClock()));
+    carryOut(Flow_.handle(Event, readElapsedTime()));
 }
 
 void RequestSession::carryOut(std::vector<Action> const &Actions) {
@@ -51,7 +46,7 @@
 }
 
 void RequestSession::on(AskForServer const &Action) {
-  auto const Now = readClock();
+  auto const Now = readElapsedTime();
   auto const &Route = *Subject_.Route_;
   auto const *const Account =
       Subject_.Table_->accountByKey(Subject_.Facts_.Key_);
@@ -70,7 +65,7 @@
   if (auto const *const Place = std::get_if<Admitted>(&Outcome)) {
     if (IsFinished_)
       return Plane_.Roster_.onEnded(Place->Server_.Id_, ServerVerdict::Worked,
-                                    readClock());
+                                    readElapsedTime());
     return handle(ServerAssigned{Place->Server_});
   }
   auto const &Away = std::get<TurnedAway>(Outcome);
@@ -86,7 +81,7 @@
   Answer_.reset();
   LastServer_ = Server_->Id_.text();
   if (FirstSentAt_ == TimePoint())
-    FirstSentAt_ = readClock();
+    FirstSentAt_ = readElapsedTime();
   OutboundRequest Outbound;
   Outbound.Head_ = Plane_.Parts_.Dialect_.encode(Request_.Head_, Action.Facts_);
   Outbound.Body_ = Request_.Body_;
@@ -104,9 +99,9 @@
   }
   Answer_ = Dialect.decode(Head);
   if (FirstAnswerAt_ == TimePoint())
-    FirstAnswerAt_ = readClock();
+    FirstAnswerAt_ = readElapsedTime();
   if (Answer_->Load_)
-    Plane_.Roster_.onLoad(Server_->Id_, *Answer_->Load_, readClock());
+    Plane_.Roster_.onLoad(Server_->Id_, *Answer_->Load_, readElapsedTime());
   if (Answer_->IsOtherServer_)
     Plane_.Roster_.onLeaving(Server_->Id_);
   handle(HeadArrived{*Answer_});
@@ -141,7 +136,7 @@
 void RequestSession::endAttempt(ServerVerdict Verdict) {
   if (!Server_)
     return;
-  Plane_.Roster_.onEnded(Server_->Id_, Verdict, readClock());
+  Plane_.Roster_.onEnded(Server_->Id_, Verdict, readElapsedTime());
   Server_.reset();
   Plane_.advanceQueue();
 }
@@ -154,7 +149,8 @@
 
 void RequestSession::on(CountRun const & /*Action*/) {
   if (!Subject_.Account_.isEmpty())
-    Plane_.Parts_.Usage_.count(Subject_.Account_, trueTime());
+    Plane_.Parts_.Usage_.count(Subject_.Account_,
+                               Plane_.Parts_.Clock_.read(readElapsedTime()));
 }
 
 void RequestSession::on(AnswerWhole const &Action) {
@@ -213,7 +209,7 @@
 
 void RequestSession::log(std::string_view Outcome, std::int32_t Status,
                          std::string_view Reason) {
-  auto const Now = readClock();
+  auto const Now = readElapsedTime();
   LogLine Line("request");
   Line.add("id", Subject_.Facts_.AttemptId_)
       .add("outcome", Outcome)
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -43,7 +43,7 @@
 
 void TrafficPlane::setTable(std::shared_ptr<RouteTable const> Table) {
   Table_ = std::move(Table);
-  Meter_.setTable(Table_, readClock());
+  Meter_.setTable(Table_, readElapsedTime());
 }
 
 void TrafficPlane::setRegistered(std::size_t Instances) {
@@ -52,7 +52,7 @@
 }
 
 ConsumptionReport TrafficPlane::reportConsumption() {
-  auto Report = Meter_.report(readClock());
+  auto Report = Meter_.report(readElapsedTime());
   auto const Waiting = Queue_.waitingByService();
   for (auto const &[Service, Running] : Roster_.runningByService()) {
     auto const Found = Waiting.find(Service);
@@ -65,7 +65,7 @@
 
 void TrafficPlane::onConsumption(InstanceId const &From,
                                  ConsumptionReport const &Report) {
-  Meter_.onReport(From, Report, readClock());
+  Meter_.onReport(From, Report, readElapsedTime());
 }
 
 std::optional<Duration>
@@ -75,11 +75,11 @@
   if (Facts.Tokens_)
     Tokens = Facts.Tokens_->Prompt_ + Facts.Tokens_->MaxOutput_;
   return Meter_.admit(Account.Name_, quotaCost(Account.Quota_, Tokens),
-                      readClock());
+                      readElapsedTime());
 }
 
 void TrafficPlane::replaceServers(std::vector<ServerRecord> const &Records) {
-  Roster_.replaceAll(Records, readClock());
+  Roster_.replaceAll(Records, readElapsedTime());
   std::erase_if(Pools_, [&](auto const &One) {
     return std::none_of(
         Records.begin(), Records.end(),
@@ -89,7 +89,7 @@
 }
 
 void TrafficPlane::updateServer(ServerRecord const &Record) {
-  Roster_.update(Record, readClock());
+  Roster_.update(Record, readElapsedTime());
   advanceQueue();
 }
 
@@ -179,7 +179,7 @@
   auto const Allowed =
       std::min(Route->Timeout_, Facts.TimeAllowed_.value_or(Route->Timeout_));
   Subject.Expiry_ = Request.BegunAt_ + Allowed;
-  Retries_.countRequest(Subject.Service_, readClock());
+  Retries_.countRequest(Subject.Service_, readElapsedTime());
   ++Begun_[Subject.Service_];
   return std::make_shared<RequestSession>(*this, Exchange, std::move(Request),
                                           std::move(Subject));
@@ -189,7 +189,7 @@
                            WaitingRequest Request) {
   auto const Ticket = Request.Ticket_;
   Waiting_[Ticket] = Session;
-  settle(Queue_.add(std::move(Request), readClock()));
+  settle(Queue_.add(std::move(Request), readElapsedTime()));
   armQueueTimer();
 }
 
@@ -213,7 +213,7 @@
 
 void TrafficPlane::advanceQueue() {
   if (Queue_.size() > 0)
-    settle(Queue_.advance(readClock()));
+    settle(Queue_.advance(readElapsedTime()));
 }
 
 void TrafficPlane::armQueueTimer() {
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibControl/TrueClock.h>
 #include <LibControl/UsageCounter.h>
 #include <LibHttp/HttpListener.h>
 #include <LibHttp/OutboundPool.h>
@@ -27,6 +28,7 @@
   EntrySettings const &Settings_;
   TrafficDialect const &Dialect_;
   UsageCounter &Usage_;
+  TrueClock const &Clock_;
   EventLog &Log_;
 };
 
--- a/Services/laburnum-entry/main.cpp
+++ b/Services/laburnum-entry/main.cpp
@@ -71,11 +71,12 @@
   platform::DutyClient Duties(ControlContext, Settings.CloudApi_);
   PlatformRecords const Records;
   UsageCounter Usage(Settings.UsageWindow_);
+  TrueClock Clock;
   std::random_device Entropy;
-  TrafficPlane Traffic({TrafficContext, Settings, Dialect, Usage, Log},
+  TrafficPlane Traffic({TrafficContext, Settings, Dialect, Usage, Clock, Log},
                        Entropy());
   ControlPlane Control({ControlContext, TrafficContext, Settings, Store, Duties,
-                        Records, Usage, Traffic, Log},
+                        Records, Usage, Clock, Traffic, Log},
                        Entropy());
   auto Started = Traffic.listen();
   if (!isError(Started))
