--- a/Libraries/LibBackend/BackendClient.h
+++ b/Libraries/LibBackend/BackendClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibModel/AttemptEvidence.h>
 #include <LibCore/Time.h>
+#include <LibModel/AttemptEvidence.h>
 #include <LibModel/BackendServer.h>
 
 #include <cstdint>
--- a/Libraries/LibControl/CapacityPlanner.cpp
+++ b/Libraries/LibControl/CapacityPlanner.cpp
@@ -23,9 +23,8 @@
 constexpr std::chrono::milliseconds ReorderPause{1000};
 
 /// Adds a reading and yields the highest one that still counts.
-std::uint32_t
-highest(std::deque<std::pair<TimePoint, std::uint32_t>> &Readings,
-        std::uint32_t Newest, Duration Retention, TimePoint Now) {
+std::uint32_t highest(std::deque<std::pair<TimePoint, std::uint32_t>> &Readings,
+                      std::uint32_t Newest, Duration Retention, TimePoint Now) {
   while (!Readings.empty() && (Readings.front().first + Retention < Now))
     Readings.pop_front();
   while (!Readings.empty() && Readings.back().second <= Newest)
@@ -50,10 +49,10 @@
 void CapacityPlanner::learnUsualTime(double Taken, double Fullness) {
   if (!UsualTime_)
     UsualTime_ = Taken;
-  auto const Weight = Fullness > OverfullFrom * Settings_.Utilisation_ &&
-                              Taken > *UsualTime_
-                          ? OverfullWeight
-                          : UsualWeight;
+  auto const Weight =
+      Fullness > OverfullFrom * Settings_.Utilisation_ && Taken > *UsualTime_
+          ? OverfullWeight
+          : UsualWeight;
   *UsualTime_ += Weight * (Taken - *UsualTime_);
 }
 
@@ -78,11 +77,15 @@
   for (auto const &Server : Input.Servers_)
     if (Server.Service_ == Input.Service_ &&
         Server.Phase_ == ServerPhase::Ready)
-      ++Ready[{Server.DataCentre_, Server.IsReclaimable_ ? Tenure::Reclaimable
-                                                         : Tenure::OnDemand}];
+      ++Ready[{Server.DataCentre_,
+               Server.IsReclaimable_ ? Tenure::Reclaimable : Tenure::OnDemand}];
   return Ready;
 }
 
+bool CapacityPlanner::isWarm(TimePoint Now) const {
+  return DemandSince_ && *DemandSince_ + Settings_.WarmUp_ <= Now;
+}
+
 bool CapacityPlanner::isRefused(Slot const &Place, TimePoint Now) const {
   auto const Found = RefusedUntil_.find(Place);
   return Found != RefusedUntil_.end() && Found->second > Now;
@@ -124,15 +127,15 @@
   auto const Base = roundUp(Need * Settings_.OnDemandPart_);
   auto const Shortage =
       Need > Base + Reclaimable ? Need - Base - Reclaimable : 0;
-  auto const Wanted = highest(OnDemandNeeds_, Base + Shortage,
-                              Settings_.NeedRetention_, Now);
+  auto const Wanted =
+      highest(OnDemandNeeds_, Base + Shortage, Settings_.NeedRetention_, Now);
   if (Wanted >= OnDemandReady)
     return Wanted;
-  bool const IsWarm =
-      DemandSince_ && *DemandSince_ + Settings_.WarmUp_ <= Now;
+  bool const IsWarm = DemandSince_ && *DemandSince_ + Settings_.WarmUp_ <= Now;
   if (!IsWarm || LastShrink_ + Settings_.ShrinkPause_ > Now)
     return OnDemandReady;
-  auto const Step = std::max(1U, roundUp(OnDemandReady * Settings_.ShrinkStep_));
+  auto const Step =
+      std::max(1U, roundUp(OnDemandReady * Settings_.ShrinkStep_));
   LastShrink_ = Now;
   return std::max(Wanted, OnDemandReady - std::min(Step, OnDemandReady));
 }
@@ -153,10 +156,12 @@
     auto const Extra = Place < OnDemand % Spread ? 1U : 0U;
     auto const Base = std::min(OnDemand / Spread + Extra, Bounds.Maximum_);
     auto const Room = Bounds.Maximum_ - Base;
-    auto const Part = std::min((Reclaimable + Spread - 1) / Spread, Room);
-    auto const Least = Bounds.Minimum_ > Base + Part
-                           ? Bounds.Minimum_ - Part
-                           : Base;
+    auto Part = std::min((Reclaimable + Spread - 1) / Spread, Room);
+    auto const Present = Ready.find({Centre, Tenure::Reclaimable});
+    if (!isWarm(Now) && Present != Ready.end())
+      Part = std::max(Part, Present->second);
+    auto const Least =
+        Bounds.Minimum_ > Base + Part ? Bounds.Minimum_ - Part : Base;
     Wanted[{Centre, Tenure::OnDemand}] = Least;
     Wanted[{Centre, Tenure::Reclaimable}] = Part;
   }
--- a/Libraries/LibControl/CapacityPlanner.h
+++ b/Libraries/LibControl/CapacityPlanner.h
@@ -29,7 +29,7 @@
   Duration ShrinkPause_ = std::chrono::seconds(2);
   double ShrinkStep_ = 0.25; ///< The most that one such order takes away.
   /// Demand is watched this long before anything is taken away.
-  Duration WarmUp_ = std::chrono::seconds(3);
+  Duration WarmUp_ = std::chrono::seconds(5);
   /// After the platform had none to give.
   Duration RefusalPause_ = std::chrono::milliseconds(2500);
 
@@ -91,6 +91,7 @@
   std::uint32_t onDemandTotal(CapacityInput const &Input, Counts const &Ready,
                               std::uint32_t Need, TimePoint Now);
   std::vector<DataCentre> cheapestFirst(ScalingBounds const &Bounds) const;
+  bool isWarm(TimePoint Now) const;
   bool isRefused(Slot const &Place, TimePoint Now) const;
   bool isDue(Slot const &Place, std::uint32_t Wanted, std::uint32_t Ready,
              ScalingBounds const &Bounds, TimePoint Now) const;
--- a/Libraries/LibControl/CollectionFollower.cpp
+++ b/Libraries/LibControl/CollectionFollower.cpp
@@ -78,9 +78,9 @@
 void CollectionFollower::onFailure(Error const &Reason) {
   if (Failures_++ == 0)
     Reader_.onLost(Reason);
-  Duration const Longest =
-      std::min<Duration>(LongestPause, FirstPause * (1U << std::min(
-                                           Failures_ - 1, MostDoublings)));
+  Duration const Longest = std::min<Duration>(
+      LongestPause,
+      FirstPause * (1U << std::min(Failures_ - 1, MostDoublings)));
   std::uniform_int_distribution<Duration::rep> Spread(Longest.count() / 2,
                                                       Longest.count());
   // A watch that is cut may have missed changes whose history is gone, and the
--- a/Libraries/LibControl/PeerNetwork.cpp
+++ b/Libraries/LibControl/PeerNetwork.cpp
@@ -85,14 +85,14 @@
     if (isError(Read))
       return Self->after(Self->StoreTimer_, RetryPause,
                          &PeerNetwork::obtainSecret);
-    auto const Held = nlohmann::json::parse(valueOf(Read).Value_, nullptr, false);
+    auto const Held =
+        nlohmann::json::parse(valueOf(Read).Value_, nullptr, false);
     if (valueOf(Read).Version_ != 0 && Held.is_string())
       return Self->openTransport(Held.get<std::string>());
     nlohmann::json const Made = Self->Identifiers_.next();
-    Self->Store_.putIf(secretKey(), valueOf(Read).Version_, Made.dump(),
-                       StoreTimeout, [Self](Result<Version> const &) {
-                         Self->obtainSecret();
-                       });
+    Self->Store_.putIf(
+        secretKey(), valueOf(Read).Version_, Made.dump(), StoreTimeout,
+        [Self](Result<Version> const &) { Self->obtainSecret(); });
   });
 }
 
@@ -145,8 +145,7 @@
   for (auto const &Object : Listed.Objects_)
     if (auto const Instance = decodeInstance(Object.Value_))
       Listing.EntryInstances_.push_back({*Instance, Liveness::Live});
-  View_.Registered_ =
-      std::max<std::size_t>(1, Listing.EntryInstances_.size());
+  View_.Registered_ = std::max<std::size_t>(1, Listing.EntryInstances_.size());
   handle(membership::InstancesListed{Listing});
   Callbacks_.Changed_(View_);
 }
@@ -175,8 +174,7 @@
   if (!Transport_)
     return;
   for (auto const &Other : View_.Members_)
-    if (Other.Liveness_ == Liveness::Live &&
-        Other.Instance_.Id_ != Self_.Id_)
+    if (Other.Liveness_ == Liveness::Live && Other.Instance_.Id_ != Self_.Id_)
       Transport_->send(Other.Instance_.Peers_, Message);
 }
 
--- a/Libraries/LibControl/TrueClock.cpp
+++ b/Libraries/LibControl/TrueClock.cpp
@@ -25,9 +25,8 @@
 }
 
 void TrueClock::update(TimePoint Now) {
-  std::erase_if(Peers_, [&](auto const &One) {
-    return One.second.At_ + Validity < Now;
-  });
+  std::erase_if(
+      Peers_, [&](auto const &One) { return One.second.At_ + Validity < Now; });
   std::vector<Duration> Offsets = {Own_};
   for (auto const &[Peer, Reading] : Peers_)
     Offsets.push_back(Reading.Offset_);
--- a/Libraries/LibControl/UsageReporter.cpp
+++ b/Libraries/LibControl/UsageReporter.cpp
@@ -119,8 +119,7 @@
 }
 
 /// The first window that is still to be reported and has ended long enough.
-std::optional<std::int64_t>
-UsageReporter::nextWindow(Duration TrueTime) const {
+std::optional<std::int64_t> UsageReporter::nextWindow(Duration TrueTime) const {
   auto const Newest = Counter_.windowOf(TrueTime - CollectDelay) - 1;
   for (auto Window = std::max(Reported_ + 1, Newest - KeptWindows + 1);
        Window <= Newest; ++Window)
@@ -209,45 +208,48 @@
 
 void UsageReporter::settle(std::int64_t Window, UsageCounts Counts) {
   auto const Self = shared_from_this();
-  Store_.get(settledKey(), StoreTimeout, [Self, Window, Counts = std::move(Counts)](
-                                             Result<StoredObject> const &Read) {
-    if (isError(Read))
-      return Self->finish(Window, "settle_failed", errorOf(Read).Message_);
-    auto Settled =
-        decodeUsage(valueOf(Read).Value_).value_or(UsageRecord{});
-    if (auto const Found = Settled.Windows_.find(Window);
-        Found != Settled.Windows_.end())
-      return Self->report(Window, Found->second);
-    Settled.Windows_[Window] = Counts;
-    Settled.Windows_.erase(Settled.Windows_.begin(),
-                           Settled.Windows_.lower_bound(Window - KeptWindows));
-    Self->Store_.putIf(settledKey(), valueOf(Read).Version_,
-                       encodeUsage(Settled), StoreTimeout,
-                       [Self, Window, Counts](Result<Version> const &Written) {
-                         // Whatever came of it is read back the next time.
-                         if (isError(Written))
-                           return Self->finish(Window, "settle_failed",
-                                               errorOf(Written).Message_);
-                         Self->report(Window, Counts);
-                       });
-  });
+  Store_.get(settledKey(), StoreTimeout,
+             [Self, Window,
+              Counts = std::move(Counts)](Result<StoredObject> const &Read) {
+               if (isError(Read))
+                 return Self->finish(Window, "settle_failed",
+                                     errorOf(Read).Message_);
+               auto Settled =
+                   decodeUsage(valueOf(Read).Value_).value_or(UsageRecord{});
+               if (auto const Found = Settled.Windows_.find(Window);
+                   Found != Settled.Windows_.end())
+                 return Self->report(Window, Found->second);
+               Settled.Windows_[Window] = Counts;
+               Settled.Windows_.erase(
+                   Settled.Windows_.begin(),
+                   Settled.Windows_.lower_bound(Window - KeptWindows));
+               Self->Store_.putIf(
+                   settledKey(), valueOf(Read).Version_, encodeUsage(Settled),
+                   StoreTimeout,
+                   [Self, Window, Counts](Result<Version> const &Written) {
+                     // Whatever came of it is read back the next time.
+                     if (isError(Written))
+                       return Self->finish(Window, "settle_failed",
+                                           errorOf(Written).Message_);
+                     Self->report(Window, Counts);
+                   });
+             });
 }
 
 void UsageReporter::report(std::int64_t Window, UsageCounts const &Counts) {
   if (!Fence_)
     return finish(Window, "lease_lost", {});
-  Duties_.reportUsage(*Fence_, Window, Counts, ReportTimeout,
-                      [Self = shared_from_this(),
-                       Window](Result<Success> const &Sent) {
-                        if (!isError(Sent)) {
-                          Self->Reported_ = Window;
-                          return Self->finish(Window, "reported", {});
-                        }
-                        if (errorOf(Sent).Kind_ == ErrorKind::Conflict)
-                          Self->StepDown_();
-                        Self->finish(Window, "report_failed",
-                                     errorOf(Sent).Message_);
-                      });
+  Duties_.reportUsage(
+      *Fence_, Window, Counts, ReportTimeout,
+      [Self = shared_from_this(), Window](Result<Success> const &Sent) {
+        if (!isError(Sent)) {
+          Self->Reported_ = Window;
+          return Self->finish(Window, "reported", {});
+        }
+        if (errorOf(Sent).Kind_ == ErrorKind::Conflict)
+          Self->StepDown_();
+        Self->finish(Window, "report_failed", errorOf(Sent).Message_);
+      });
 }
 
 void UsageReporter::finish(std::int64_t Window, std::string const &Step,
--- a/Libraries/LibControl/UsageReporter.h
+++ b/Libraries/LibControl/UsageReporter.h
@@ -32,9 +32,10 @@
 
 /// Sees to it that the usage of each window is reported once. Every instance
 /// tells the others its counts, and one that cannot reach them all writes them
-/// to the store after a window has ended; the holder of the lease adds them up, settles the sum in the store by a conditional write, and
-/// reports what is settled there. Whoever reports the window again, also a
-/// holder that was paused, reports the same counts.
+/// to the store after a window has ended; the holder of the lease adds them up,
+/// settles the sum in the store by a conditional write, and reports what is
+/// settled there. Whoever reports the window again, also a holder that was
+/// paused, reports the same counts.
 class UsageReporter : public std::enable_shared_from_this<UsageReporter> {
 public:
   struct Settings {
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -34,8 +34,8 @@
 
 /// A TCP connection whose reading side is always watched, so that a peer that
 /// leaves is noticed while nothing is expected from it. A peer that is silent
-/// below TCP is given up by the kernel's probes within SilenceLimit. Used on one
-/// thread.
+/// below TCP is given up by the kernel's probes within SilenceLimit. Used on
+/// one thread.
 class Connection : public std::enable_shared_from_this<Connection> {
 public:
   /// How long bytes may stay unacknowledged, and how long an idle peer may
--- a/Libraries/LibHttp/HeaderFields.cpp
+++ b/Libraries/LibHttp/HeaderFields.cpp
@@ -87,9 +87,15 @@
 
 void HeaderFields::removeHopByHop() {
   static constexpr std::array<std::string_view, 9> HopByHop = {
-      "Connection", "Keep-Alive",        "Proxy-Connection",
-      "TE",         "Trailer",           "Transfer-Encoding",
-      "Upgrade",    "Proxy-Authenticate", "Proxy-Authorization"};
+      "Connection",
+      "Keep-Alive",
+      "Proxy-Connection",
+      "TE",
+      "Trailer",
+      "Transfer-Encoding",
+      "Upgrade",
+      "Proxy-Authenticate",
+      "Proxy-Authorization"};
   std::vector<std::string> Named;
   for (auto const &Field : Fields_)
     if (equalsIgnoringCase(Field.Name_, "Connection"))
--- a/Libraries/LibHttp/HttpListener.h
+++ b/Libraries/LibHttp/HttpListener.h
@@ -41,9 +41,9 @@
 class HttpListener : public std::enable_shared_from_this<HttpListener> {
 public:
   /// Service outlives the listener. Unavailable when the port cannot be bound.
-  static Result<std::shared_ptr<HttpListener>>
-  create(asio::io_context &Context, Endpoint const &Address,
-         HttpService &Service);
+  static Result<std::shared_ptr<HttpListener>> create(asio::io_context &Context,
+                                                      Endpoint const &Address,
+                                                      HttpService &Service);
 
   Endpoint localEndpoint() const;
   /// Takes no further connections; those that wait to be accepted are reset.
--- a/Libraries/LibHttp/MessageHead.cpp
+++ b/Libraries/LibHttp/MessageHead.cpp
@@ -82,9 +82,8 @@
 
 std::string serializeChunk(std::string_view Bytes) {
   std::array<char, 16> Length{};
-  auto const Written =
-      std::to_chars(Length.data(), Length.data() + Length.size(), Bytes.size(),
-                    16);
+  auto const Written = std::to_chars(
+      Length.data(), Length.data() + Length.size(), Bytes.size(), 16);
   std::string Chunk(Length.data(), Written.ptr);
   return Chunk.append("\r\n").append(Bytes).append("\r\n");
 }
--- a/Libraries/LibHttp/MessageReader.cpp
+++ b/Libraries/LibHttp/MessageReader.cpp
@@ -49,10 +49,10 @@
     while (Fault_ == MessageFault::None && !this->is_done() &&
            Used < Pending_.size()) {
       ParserError Failure;
-      auto const Taken = this->put(
-          boost::asio::const_buffer(Pending_.data() + Used,
-                                    Pending_.size() - Used),
-          Failure);
+      auto const Taken =
+          this->put(boost::asio::const_buffer(Pending_.data() + Used,
+                                              Pending_.size() - Used),
+                    Failure);
       Used += Taken;
       if (Failure == http::error::need_more)
         break;
@@ -90,7 +90,8 @@
   }
   void on_body_init_impl(boost::optional<std::uint64_t> const & /*Length*/,
                          ParserError & /*Failure*/) override {}
-  std::size_t on_body_impl(ParserText Body, ParserError & /*Failure*/) override {
+  std::size_t on_body_impl(ParserText Body,
+                           ParserError & /*Failure*/) override {
     Body_.append(Body.data(), Body.size());
     return Body.size();
   }
--- a/Libraries/LibHttp/OutboundCall.cpp
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -45,8 +45,8 @@
   Connection_ = std::move(Kept);
   Connection_->observeBy(shared_from_this());
   Progress_ = AttemptProgress::RequestSent;
-  Connection_->write(serialize(Request_.Head_, Request_.Body_.size())
-                         .append(Request_.Body_));
+  Connection_->write(
+      serialize(Request_.Head_, Request_.Body_.size()).append(Request_.Body_));
 }
 
 void OutboundCall::onWritten() { HasWrittenAll_ = true; }
@@ -126,9 +126,9 @@
     if (Reader_.isDone())
       return deliver();
   }
-  fail(AttemptEnd::ConnectionFailed,
-       End == ConnectionEnd::Orderly ? "closed before the answer was whole"
-                                     : "connection reset");
+  fail(AttemptEnd::ConnectionFailed, End == ConnectionEnd::Orderly
+                                         ? "closed before the answer was whole"
+                                         : "connection reset");
 }
 
 void OutboundCall::fail(AttemptEnd End, std::string Detail) {
--- a/Libraries/LibLog/EventLog.cpp
+++ b/Libraries/LibLog/EventLog.cpp
@@ -23,13 +23,12 @@
 
 EventLog::EventLog(int Descriptor, std::string Instance)
     : Descriptor_(Descriptor), Instance_(std::move(Instance)) {
-  ::fcntl(Descriptor_, F_SETFL,
-          ::fcntl(Descriptor_, F_GETFL, 0) | O_NONBLOCK);
+  ::fcntl(Descriptor_, F_SETFL, ::fcntl(Descriptor_, F_GETFL, 0) | O_NONBLOCK);
 }
 
 void EventLog::append(std::string const &Text) {
-  Buffer_ += "time=" + timeText() + " instance=" + Instance_ + ' ' + Text +
-             '\n';
+  Buffer_ +=
+      "time=" + timeText() + " instance=" + Instance_ + ' ' + Text + '\n';
 }
 
 void EventLog::write(LogLine const &Line) {
@@ -48,8 +47,7 @@
 void EventLog::flush() {
   std::lock_guard const Lock(Mutex_);
   while (!Buffer_.empty()) {
-    auto const Written =
-        ::write(Descriptor_, Buffer_.data(), Buffer_.size());
+    auto const Written = ::write(Descriptor_, Buffer_.data(), Buffer_.size());
     if (Written <= 0)
       return;
     Buffer_.erase(0, static_cast<std::size_t>(Written));
--- a/Libraries/LibLog/LogLine.cpp
+++ b/Libraries/LibLog/LogLine.cpp
@@ -12,9 +12,9 @@
 bool isPlain(std::string_view Value) {
   return !Value.empty() &&
          std::all_of(Value.begin(), Value.end(), [](unsigned char One) {
-           return std::isalnum(One) || std::string_view("._:/-+,").find(
-                                           static_cast<char>(One)) !=
-                                           std::string_view::npos;
+           return std::isalnum(One) ||
+                  std::string_view("._:/-+,").find(static_cast<char>(One)) !=
+                      std::string_view::npos;
          });
 }
 
--- a/Libraries/LibServing/ServerChooser.h
+++ b/Libraries/LibServing/ServerChooser.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <LibModel/AttemptEvidence.h>
 #include <LibCore/Result.h>
 #include <LibCore/Time.h>
+#include <LibModel/AttemptEvidence.h>
 #include <LibModel/BackendServer.h>
 
 #include <cstdint>
--- a/Libraries/LibSettings/EntrySettings.h
+++ b/Libraries/LibSettings/EntrySettings.h
@@ -16,8 +16,8 @@
   std::string Name_; ///< Of the instance, unique among those alive.
   DataCentre DataCentre_;
   std::map<DataCentre, std::string> Regions_; ///< Of every data centre.
-  Endpoint Traffic_;   ///< Clients connect here.
-  Endpoint Readiness_; ///< The balancer asks here.
+  Endpoint Traffic_;                          ///< Clients connect here.
+  Endpoint Readiness_;                        ///< The balancer asks here.
   Endpoint Metrics_;
   Endpoint Store_;
   Endpoint CloudApi_;
--- a/Libraries/LibTraffic/AccountMeter.cpp
+++ b/Libraries/LibTraffic/AccountMeter.cpp
@@ -36,9 +36,9 @@
   if (!Table_)
     return nullptr;
   auto const &Accounts = Table_->accounts();
-  auto const Found =
-      std::find_if(Accounts.begin(), Accounts.end(),
-                   [&](RoutedAccount const &One) { return One.Name_ == Account; });
+  auto const Found = std::find_if(
+      Accounts.begin(), Accounts.end(),
+      [&](RoutedAccount const &One) { return One.Name_ == Account; });
   return Found == Accounts.end() || Found->Quota_.RatePerSecond_ <= 0.0
              ? nullptr
              : &Found->Quota_;
@@ -93,8 +93,7 @@
 }
 
 double AccountMeter::part(Usage const &Account) const {
-  auto const Equal =
-      1.0 / static_cast<double>(Reachable_);
+  auto const Equal = 1.0 / static_cast<double>(Reachable_);
   auto const Total = Account.OwnDemand_ + Account.OthersDemand_;
   auto const ByDemand = Total > 0.0 ? Account.OwnDemand_ / Total : Equal;
   return std::clamp(ByDemand, LeastPart * Equal, 1.0);
@@ -103,9 +102,8 @@
 void AccountMeter::setTable(std::shared_ptr<RouteTable const> Table,
                             TimePoint Now) {
   Table_ = std::move(Table);
-  std::erase_if(Usage_, [&](auto const &One) {
-    return quotaOf(One.first) == nullptr;
-  });
+  std::erase_if(Usage_,
+                [&](auto const &One) { return quotaOf(One.first) == nullptr; });
   for (auto &[Account, Usage] : Usage_) {
     // A lower limit binds at once, also what is left of the period.
     fill(*quotaOf(Account), Account, Now);
@@ -129,8 +127,8 @@
     return std::nullopt;
   }
   auto const Debt = std::max(0.0, -Usage.Level_) + Amount;
-  auto const Wait = Duration(static_cast<Duration::rep>(
-      Debt / std::max(rate(*Quota), 1e-9) * 1e6));
+  auto const Wait = Duration(
+      static_cast<Duration::rep>(Debt / std::max(rate(*Quota), 1e-9) * 1e6));
   return std::clamp<Duration>(Wait, SoonestReturn, LatestReturn);
 }
 
--- a/Libraries/LibTraffic/AccountMeter.h
+++ b/Libraries/LibTraffic/AccountMeter.h
@@ -27,8 +27,9 @@
     /// How often reports() is sent; also the time that a report is late.
     Duration ReportPeriod_ = std::chrono::milliseconds(250);
     /// What may be given out beyond a quota: a part of its rate, and an amount
-    /// at once. Below what is allowed, as what is admitted here reaches a server
-    /// at another moment, and other instances' requests are heard of late.
+    /// at once. Below what is allowed, as what is admitted here reaches a
+    /// server at another moment, and other instances' requests are heard of
+    /// late.
     double Overrun_ = 0.0;
     double Slack_ = 0.0;
   };
--- a/Libraries/LibTraffic/EventStreamCutter.h
+++ b/Libraries/LibTraffic/EventStreamCutter.h
@@ -34,7 +34,7 @@
 private:
   void endLine(std::vector<StreamEvent> &Events);
 
-  std::string Event_;        ///< Of the event that is not whole yet.
+  std::string Event_;         ///< Of the event that is not whole yet.
   std::size_t LineStart_ = 0; ///< Of the last line, in Event_.
   std::optional<std::uint64_t> Id_;
 };
--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -146,8 +146,8 @@
     countRun();
     if (!isPromise(Head.Status_))
       LastFailure_ = AnswerWhole{Head, std::move(Body_)};
-    return endAttempt(true, "the server failed with " +
-                                std::to_string(Head.Status_));
+    return endAttempt(true,
+                      "the server failed with " + std::to_string(Head.Status_));
   case AnswerClaim::Untrusted:
     return endAttempt(true, "the server's answer bears no signature");
   }
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -38,9 +38,9 @@
 struct ClientLeft {};
 struct TimePassed {};
 
-using Event = std::variant<ServerAssigned, NoServer, HeadArrived, BodyArrived,
-                           AnswerCompleted, AttemptFailed, ClientLeft,
-                           TimePassed>;
+using Event =
+    std::variant<ServerAssigned, NoServer, HeadArrived, BodyArrived,
+                 AnswerCompleted, AttemptFailed, ClientLeft, TimePassed>;
 
 /// Ask for a server other than these. Answered by ServerAssigned or NoServer.
 struct AskForServer {
@@ -100,10 +100,9 @@
   auto operator<=>(Refuse const &) const = default;
 };
 
-using Action =
-    std::variant<AskForServer, StopAsking, SendAttempt, CancelAttempt, CountRun,
-                 AnswerWhole, BeginStream, RelayEvents, FinishStream,
-                 AbortStream, Refuse>;
+using Action = std::variant<AskForServer, StopAsking, SendAttempt,
+                            CancelAttempt, CountRun, AnswerWhole, BeginStream,
+                            RelayEvents, FinishStream, AbortStream, Refuse>;
 
 /// Allows retries at a service.
 class RetryPermit {
--- a/Libraries/LibTraffic/RetryLedger.cpp
+++ b/Libraries/LibTraffic/RetryLedger.cpp
@@ -30,8 +30,9 @@
 bool RetryLedger::tryTake(ServiceName const &Service, TimePoint Now) {
   auto &Window = prune(Service, Now);
   auto const Allowed =
-      UsedPart * (Bounds_.Ratio_ * static_cast<double>(Window.Requests_.size()) +
-                  Bounds_.Slack_ * Share_);
+      UsedPart *
+      (Bounds_.Ratio_ * static_cast<double>(Window.Requests_.size()) +
+       Bounds_.Slack_ * Share_);
   if (static_cast<double>(Window.Retries_.size() + 1) > Allowed)
     return false;
   Window.Retries_.push_back(Now);
--- a/Libraries/LibTraffic/Route.h
+++ b/Libraries/LibTraffic/Route.h
@@ -41,7 +41,7 @@
   RouteAccess Access_ = RouteAccess::KeyRequired;
   Duration Timeout_ = std::chrono::seconds(10); ///< To the end of the answer.
   Duration LatencyTarget_ = std::chrono::seconds(1); ///< To the first event.
-  std::int32_t Rank_ = 0; ///< 0 is served first.
+  std::int32_t Rank_ = 0;                            ///< 0 is served first.
   std::uint32_t MaxAttempts_ = 1;
   std::vector<WeightedService> Services_;
 
--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -52,9 +52,9 @@
 
 void ServerRoster::update(ServerRecord const &Record, TimePoint /*Now*/) {
   auto &Server = Servers_[Record.Id_];
-  bool const IsReborn = Server.Record_.BornAtMilliseconds_ !=
-                            Record.BornAtMilliseconds_ ||
-                        Server.Record_.Endpoint_ != Record.Endpoint_;
+  bool const IsReborn =
+      Server.Record_.BornAtMilliseconds_ != Record.BornAtMilliseconds_ ||
+      Server.Record_.Endpoint_ != Record.Endpoint_;
   if (IsReborn)
     Server = Entry{};
   Server.Record_ = Record;
@@ -99,8 +99,8 @@
   double Total = 1.0;
   for (auto const *Server : Usable)
     Total += load(*Server, Now);
-  auto const Bound = std::ceil(AffinityLoadBound * Total /
-                               static_cast<double>(Usable.size()));
+  auto const Bound =
+      std::ceil(AffinityLoadBound * Total / static_cast<double>(Usable.size()));
   auto const Order = rendezvousOrder(
       Affinity, Usable, [](Entry const *Server) -> std::string const & {
         return Server->Record_.Id_.text();
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -147,8 +147,8 @@
                 onPeerMessage(From, Message);
               },
               [this](Error const &Failure) {
-                Parts_.Log_.write(LogLine("peers_unavailable")
-                                      .add("why", toString(Failure)));
+                Parts_.Log_.write(
+                    LogLine("peers_unavailable").add("why", toString(Failure)));
               }})),
       DutyTimer_(Parts.Context_), ReportTimer_(Parts.Context_),
       Signals_(Parts.Context_, SIGTERM, SIGINT, SIGHUP),
--- a/Services/laburnum-entry/DutyDesk.cpp
+++ b/Services/laburnum-entry/DutyDesk.cpp
@@ -31,7 +31,8 @@
 DutyDesk::DutyDesk(Parts Parts, InstanceId const &Life, std::uint64_t Seed)
     : Parts_(Parts),
       Lease_(std::make_shared<LeaseKeeper>(
-          Parts.Store_, leaseSettings(Parts.Settings_, Life, Seed), readElapsedTime,
+          Parts.Store_, leaseSettings(Parts.Settings_, Life, Seed),
+          readElapsedTime,
           [this](std::optional<HeldLease> const &Held) { onLease(Held); })),
       Reporter_(std::make_shared<UsageReporter>(
           Parts.Store_, Parts.Duties_, Parts.Usage_,
@@ -100,19 +101,19 @@
     auto &Planner =
         Planners_.try_emplace(Name, CapacitySettings{}).first->second;
     for (auto const &Order : Planner.plan(Input, Now)) {
-      Parts_.Log_.write(LogLine("servers_ordered")
-                            .add("service", Name.text())
-                            .add("data_centre", Order.DataCentre_.text())
-                            .add("tenure", Order.Tenure_ == Tenure::OnDemand
-                                               ? "on_demand"
-                                               : "reclaimable")
-                            .add("count", Order.Count_)
-                            .add("need", Planner.need())
-                            .add("requests", static_cast<std::int64_t>(
-                                                 Input.Demand_.Requests_))
-                            .add("per_second", static_cast<std::int64_t>(
-                                                   Input.Demand_.PerSecond_))
-                            .add("fence", Fence.Number_));
+      Parts_.Log_.write(
+          LogLine("servers_ordered")
+              .add("service", Name.text())
+              .add("data_centre", Order.DataCentre_.text())
+              .add("tenure", Order.Tenure_ == Tenure::OnDemand ? "on_demand"
+                                                               : "reclaimable")
+              .add("count", Order.Count_)
+              .add("need", Planner.need())
+              .add("requests",
+                   static_cast<std::int64_t>(Input.Demand_.Requests_))
+              .add("per_second",
+                   static_cast<std::int64_t>(Input.Demand_.PerSecond_))
+              .add("fence", Fence.Number_));
       order(Fence, Order);
     }
   }
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -85,7 +85,8 @@
   OutboundRequest Outbound;
   Outbound.Head_ = Plane_.Parts_.Dialect_.encode(Request_.Head_, Action.Facts_);
   Outbound.Body_ = Request_.Body_;
-  Call_ = Plane_.poolOf(*Server_).start(std::move(Outbound), shared_from_this());
+  Call_ =
+      Plane_.poolOf(*Server_).start(std::move(Outbound), shared_from_this());
 }
 
 HeadVerdict RequestSession::onHead(AnswerHead const &Head) {
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -68,9 +68,9 @@
   auto const Waiting = Queue_.waitingByService();
   for (auto const &[Service, Running] : Roster_.runningByService()) {
     auto const Found = Waiting.find(Service);
-    Report.Services_.push_back(
-        {Service, Running, Found == Waiting.end() ? 0 : Found->second,
-         Begun_[Service]});
+    Report.Services_.push_back({Service, Running,
+                                Found == Waiting.end() ? 0 : Found->second,
+                                Begun_[Service]});
   }
   return Report;
 }
@@ -80,9 +80,8 @@
   Meter_.onReport(From, Report, readElapsedTime());
 }
 
-std::optional<Duration>
-TrafficPlane::overQuota(RoutedAccount const &Account,
-                        RequestFacts const &Facts) {
+std::optional<Duration> TrafficPlane::overQuota(RoutedAccount const &Account,
+                                                RequestFacts const &Facts) {
   std::optional<std::uint64_t> Tokens;
   if (Facts.Tokens_)
     Tokens = Facts.Tokens_->Prompt_ + Facts.Tokens_->MaxOutput_;
@@ -167,8 +166,8 @@
     return nullptr;
   }
   auto const &Facts = valueOf(Decoded);
-  auto const *const Route = Table_->match(
-      Request.Head_.Fields_.valueOr("Host"), Request.Head_.Target_);
+  auto const *const Route = Table_->match(Request.Head_.Fields_.valueOr("Host"),
+                                          Request.Head_.Target_);
   if (!Route) {
     refuse(*Exchange, NotFound, "no route", Facts, std::nullopt);
     return nullptr;
--- a/Services/laburnum-entry/main.cpp
+++ b/Services/laburnum-entry/main.cpp
@@ -31,8 +31,8 @@
                            "An entry instance on the users' platform.");
   auto Add = Options.add_options();
   Add("settings",
-      std::string("settings file; default: the file that ") +
-          SettingsVariable + " names",
+      std::string("settings file; default: the file that ") + SettingsVariable +
+          " names",
       cxxopts::value<std::string>());
   Add("check-settings", "check the settings and exit: 0 when they are right, 3 "
                         "with every problem listed when they are not");
--- /dev/null
+++ b/Tests/LibControl/TestTrueClock.cpp
@@ -0,0 +1,48 @@
+#include <LibControl/DemandView.h>
+#include <LibControl/TrueClock.h>
+
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr Duration True = seconds(1'700'000'000);
+
+} // namespace
+
+TEST_CASE("A clock that jumps, here or at a few peers, moves nothing") {
+  TrueClock Clock;
+  TimePoint const Now{seconds(10)};
+  auto const Own = GENERATE(seconds(0), seconds(2), seconds(-2));
+  Clock.setOwn(True + Own, Now);
+  for (int Peer = 0; Peer < 7; ++Peer)
+    Clock.onPeer(InstanceId(std::to_string(Peer)),
+                 True + (Peer < 2 ? seconds(2) : seconds(0)), Now);
+  CHECK(Clock.read(Now) == True);
+  CHECK(Clock.read(Now + seconds(3)) == True + seconds(3));
+}
+
+TEST_CASE("An instance alone goes by its own clock") {
+  TrueClock Clock;
+  Clock.setOwn(True, TimePoint(seconds(10)));
+  CHECK(Clock.read(TimePoint(seconds(11))) == True + seconds(1));
+}
+
+TEST_CASE("Demand is summed over the instances heard from lately") {
+  DemandView View;
+  ServiceName const Service("s");
+  for (int Report = 0; Report <= 40; ++Report) {
+    TimePoint const Now{seconds(10) + std::chrono::milliseconds(250) * Report};
+    for (auto const *Peer : {"a", "b"})
+      View.onReport(InstanceId(Peer),
+                    {{Service, 3, 1, static_cast<std::uint64_t>(Report) * 5}},
+                    Now);
+  }
+  TimePoint const Last{seconds(20)};
+  CHECK(View.demand(Service, Last).Requests_ == 8.0);
+  CHECK(View.demand(Service, Last).PerSecond_ == Approx(40.0).epsilon(0.01));
+  CHECK(View.demand(Service, Last + seconds(2)) == FleetDemand{});
+}
--- /dev/null
+++ b/Tests/LibControl/TestUsageReporter.cpp
@@ -0,0 +1,140 @@
+#include <Fakes/FakeAsyncStore.h>
+
+#include <LibControl/UsageReporter.h>
+
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+using test::FakeAsyncStore;
+using test::StoreFault;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+AccountName const A("a");
+constexpr Duration Window = seconds(5);
+
+struct Reports : FencedDuties {
+  void reportUsage(Fence const &, std::int64_t Window,
+                   std::map<AccountName, std::uint64_t> const &Counts, Duration,
+                   Done Done) override {
+    Sent_.emplace_back(Window, Counts);
+    if (IsSilent_)
+      return Done(Error{ErrorKind::OutcomeUnknown, "no answer", "again"});
+    Done(Success{});
+  }
+  void orderServers(Fence const &, ServerOrder const &, Duration,
+                    Done Done) override {
+    Done(Success{});
+  }
+  std::vector<std::pair<std::int64_t, UsageCounts>> Sent_;
+  bool IsSilent_ = false;
+};
+
+struct Instance {
+  Instance(FakeAsyncStore &Store, Reports &Duties, std::string Life)
+      : Life_(Life),
+        Reporter_(std::make_shared<UsageReporter>(
+            Store, Duties, Counter_,
+            UsageReporter::Settings{std::move(Life), seconds(10)},
+            [](std::int64_t, std::string const &, std::string const &) {},
+            [] {})) {}
+
+  std::string Life_;
+  UsageCounter Counter_{Window};
+  std::shared_ptr<UsageReporter> Reporter_;
+};
+
+struct Fixture {
+  /// Time passes by steps of 200 ms; the holder is the instance named.
+  void pass(Duration Length, Instance const *Holder) {
+    for (auto const End = Now_ + Length; Now_ < End;
+         Now_ += milliseconds(200)) {
+      for (auto *One : {&First_, &Second_})
+        One->Reporter_->tick(One == Holder ? std::optional(Fence{One->Life_, 1})
+                                           : std::nullopt,
+                             Now_);
+      Store_.deliver();
+    }
+  }
+
+  FakeAsyncStore Store_;
+  Reports Duties_;
+  Instance First_{Store_, Duties_, "first.1"};
+  Instance Second_{Store_, Duties_, "second.1"};
+  Duration Now_ = Window * 1000;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "The counts of all instances are reported once") {
+  First_.Counter_.count(A, Now_ + seconds(1));
+  Second_.Counter_.count(A, Now_ + seconds(2));
+  Second_.Counter_.count(A, Now_ + seconds(4));
+  pass(Window + seconds(5), &First_);
+  std::size_t Times = 0;
+  for (auto const &[Reported, Counts] : Duties_.Sent_)
+    if (Reported == 1000) {
+      ++Times;
+      CHECK(Counts == UsageCounts{{A, 3}});
+    }
+  CHECK(Times == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "What peers have told counts when they are gone") {
+  First_.Counter_.count(A, Now_ + seconds(1));
+  First_.Reporter_->onPeer("killed.1", {{1000, A, 4}, {999, A, 1}},
+                           Now_ + seconds(3));
+  pass(Window + seconds(7), &First_);
+  bool IsReported = false;
+  for (auto const &[Reported, Counts] : Duties_.Sent_)
+    if (Reported == 1000) {
+      IsReported = true;
+      CHECK(Counts == UsageCounts{{A, 5}});
+    }
+  CHECK(IsReported);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "A second holder reports the same counts, whatever it "
+                 "has learnt meanwhile") {
+  First_.Counter_.count(A, Now_ + seconds(1));
+  pass(Window, nullptr);
+  Duties_.IsSilent_ = GENERATE(true, false);
+  pass(seconds(3), &First_);
+  auto const Before = Duties_.Sent_.size();
+  REQUIRE(Before > 0);
+  Duties_.IsSilent_ = false;
+  Second_.Counter_.count(A, Window * 1000 + seconds(4));
+  pass(seconds(3), &Second_);
+  REQUIRE(Duties_.Sent_.size() > Before);
+  for (auto const &[Reported, Counts] : Duties_.Sent_)
+    if (Reported == 1000)
+      CHECK(Counts == UsageCounts{{A, 1}});
+}
+
+TEST_CASE_METHOD(Fixture, "Lost answers of the store change nothing") {
+  First_.Counter_.count(A, Now_ + seconds(1));
+  pass(Window, nullptr);
+  Store_.Fault_ = StoreFault::LostAnswer;
+  pass(seconds(3), &First_);
+  Store_.Fault_ = StoreFault::None;
+  pass(seconds(3), &First_);
+  bool IsReported = false;
+  for (auto const &[Reported, Counts] : Duties_.Sent_)
+    if (Reported == 1000) {
+      IsReported = true;
+      CHECK(Counts == UsageCounts{{A, 1}});
+    }
+  CHECK(IsReported);
+}
+
+TEST_CASE("A record that another writer made is none") {
+  CHECK_FALSE(decodeUsage("7"));
+  CHECK_FALSE(decodeUsage("{\"x\":{}}"));
+  CHECK_FALSE(decodeUsage("{\"1\":{\"a\":\"many\"}}"));
+  UsageRecord const Record{{{1, {{A, 2}}}, {3, {}}}};
+  CHECK(decodeUsage(encodeUsage(Record)) == Record);
+}
--- /dev/null
+++ b/Tests/LibHttp/Loopback.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <LibHttp/Connection.h>
+
+#include <asio/io_context.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+
+#include <functional>
+#include <string>
+
+namespace laburnum::test {
+
+/// Runs the context until Done is true. Fails by returning false when nothing
+/// made it true in ten seconds.
+inline bool runUntil(asio::io_context &Context,
+                     std::function<bool()> const &Done) {
+  auto const End = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  while (!Done() && std::chrono::steady_clock::now() < End) {
+    Context.restart();
+    Context.run_one_for(std::chrono::milliseconds(200));
+  }
+  return Done();
+}
+
+/// A plain client socket on the same context: writes bytes and collects what
+/// comes back until the other side closes.
+class RawPeer {
+public:
+  RawPeer(asio::io_context &Context, Endpoint const &Server)
+      : Socket_(Context) {
+    Socket_.connect(std::get<asio::ip::tcp::endpoint>(resolve(Server)));
+    read();
+  }
+  explicit RawPeer(asio::ip::tcp::socket Socket) : Socket_(std::move(Socket)) {
+    read();
+  }
+  RawPeer(RawPeer const &) = delete;
+  RawPeer &operator=(RawPeer const &) = delete;
+
+  void write(std::string const &Bytes) {
+    asio::error_code Ignored;
+    asio::write(Socket_, asio::buffer(Bytes), Ignored);
+  }
+  void close() {
+    asio::error_code Ignored;
+    Socket_.close(Ignored);
+  }
+  void reset() {
+    Socket_.set_option(asio::socket_base::linger(true, 0));
+    close();
+  }
+
+  std::string Received_;
+  bool IsClosed_ = false; ///< By the other side, in whatever way.
+  bool WasReset_ = false;
+
+private:
+  void read() {
+    Socket_.async_read_some(
+        asio::buffer(Buffer_),
+        [this](asio::error_code Failure, std::size_t Count) {
+          Received_.append(Buffer_.data(), Count);
+          if (!Failure)
+            return read();
+          IsClosed_ = true;
+          WasReset_ = Failure == asio::error::connection_reset;
+        });
+  }
+
+  asio::ip::tcp::socket Socket_;
+  std::array<char, 4096> Buffer_{};
+};
+
+} // namespace laburnum::test
--- /dev/null
+++ b/Tests/LibHttp/TestHttpListener.cpp
@@ -0,0 +1,139 @@
+#include "Loopback.h"
+
+#include <LibHttp/HttpListener.h>
+
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+using test::RawPeer;
+using test::runUntil;
+
+namespace {
+
+constexpr char const *Get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+struct LeftFlag : ClientObserver {
+  void onClientLeft() override { HasLeft_ = true; }
+  bool HasLeft_ = false;
+};
+
+/// Keeps each request until the test answers it.
+struct HeldService : HttpService {
+  ClientBounds bounds() const override { return Bounds_; }
+  void onRequest(std::shared_ptr<Exchange> Exchange,
+                 ReceivedRequest Request) override {
+    Exchange->observe(Left_);
+    Exchanges_.push_back(std::move(Exchange));
+    Requests_.push_back(std::move(Request));
+  }
+  void onRejected(MessageFault Fault) override { Fault_ = Fault; }
+
+  ClientBounds Bounds_;
+  MessageFault Fault_ = MessageFault::None;
+  std::shared_ptr<LeftFlag> Left_ = std::make_shared<LeftFlag>();
+  std::vector<std::shared_ptr<Exchange>> Exchanges_;
+  std::vector<ReceivedRequest> Requests_;
+};
+
+struct Fixture {
+  bool wait(std::function<bool()> const &Done) {
+    return runUntil(Context_, Done);
+  }
+
+  asio::io_context Context_;
+  HeldService Service_;
+  std::shared_ptr<HttpListener> Listener_ = std::get<0>(
+      HttpListener::create(Context_, Endpoint{"127.0.0.1", 0}, Service_));
+  RawPeer Client_{Context_, Listener_->localEndpoint()};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "A connection carries one request after the other") {
+  for (std::size_t Turn = 1; Turn <= 2; ++Turn) {
+    Client_.write(Get);
+    REQUIRE(wait([&] { return Service_.Requests_.size() == Turn; }));
+    Service_.Exchanges_.back()->answer({200, {}}, "ok" + std::to_string(Turn));
+    REQUIRE(wait([&] {
+      return Client_.Received_.ends_with("ok" + std::to_string(Turn));
+    }));
+  }
+  CHECK_FALSE(Client_.IsClosed_);
+}
+
+TEST_CASE_METHOD(Fixture, "A request sent before its turn is not taken") {
+  Client_.write(std::string(Get) +
+                "POST /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(wait([&] { return !Service_.Requests_.empty(); }));
+  Service_.Exchanges_.front()->answer({200, {}}, "ok");
+  REQUIRE(wait([&] { return Client_.IsClosed_; }));
+  CHECK(Service_.Requests_.size() == 1);
+  CHECK(Client_.Received_.find("Connection: close") != std::string::npos);
+}
+
+TEST_CASE_METHOD(Fixture, "A client that leaves is noticed while it waits") {
+  Client_.write(Get);
+  REQUIRE(wait([&] { return !Service_.Requests_.empty(); }));
+  Client_.close();
+  CHECK(wait([&] { return Service_.Left_->HasLeft_; }));
+  // An answer that comes too late goes nowhere.
+  Service_.Exchanges_.front()->answer({200, {}}, "late");
+  CHECK(Listener_->openConnections() == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "A stream that is aborted does not look complete") {
+  Client_.write(Get);
+  REQUIRE(wait([&] { return !Service_.Requests_.empty(); }));
+  auto const &Exchange = Service_.Exchanges_.front();
+  Exchange->beginStream({200, {}});
+  Exchange->send("id: 1\n\n");
+  REQUIRE(wait(
+      [&] { return Client_.Received_.find("id: 1") != std::string::npos; }));
+  Exchange->abort();
+  REQUIRE(wait([&] { return Client_.IsClosed_; }));
+  CHECK(Client_.WasReset_);
+  CHECK_FALSE(Client_.Received_.ends_with(LastChunk));
+}
+
+TEST_CASE_METHOD(Fixture, "What is malformed or too large never arrives") {
+  Service_.Bounds_.Message_ = {256, 16};
+  RawPeer Strict(Context_, Listener_->localEndpoint());
+  auto const [Bytes, Status] = GENERATE(table<std::string, std::string>(
+      {{"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "400"},
+       {"GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(300, 'x') + "\r\n\r\n",
+        "431"},
+       {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 17\r\n\r\n", "413"}}));
+  Strict.write(Bytes);
+  REQUIRE(wait([&] { return Strict.IsClosed_; }));
+  CHECK(Strict.Received_.starts_with("HTTP/1.1 " + Status));
+  CHECK(Service_.Requests_.empty());
+  CHECK(Service_.Fault_ != MessageFault::None);
+}
+
+TEST_CASE_METHOD(Fixture, "A slow request is ended and has not run") {
+  Service_.Bounds_.RequestTimeout_ = std::chrono::milliseconds(50);
+  Client_.write("GET /slow HTTP/1.1\r\nHos");
+  REQUIRE(wait([&] { return Client_.IsClosed_; }));
+  CHECK(Client_.Received_.starts_with("HTTP/1.1 408"));
+  CHECK(Service_.Requests_.empty());
+}
+
+TEST_CASE_METHOD(Fixture, "A drain ends idle connections and busy ones after "
+                          "their answer") {
+  RawPeer Busy(Context_, Listener_->localEndpoint());
+  Busy.write(Get);
+  REQUIRE(wait([&] {
+    return !Service_.Requests_.empty() && Listener_->openConnections() == 2;
+  }));
+  Listener_->stopAccepting();
+  Listener_->drainConnections();
+  REQUIRE(wait([&] { return Client_.IsClosed_; }));
+  CHECK(Client_.Received_.empty());
+  CHECK(Listener_->busyConnections() == 1);
+  Service_.Exchanges_.front()->answer({200, {}}, "whole");
+  REQUIRE(wait([&] { return Busy.IsClosed_; }));
+  CHECK(Busy.Received_.ends_with("whole"));
+  CHECK(Busy.Received_.find("Connection: close") != std::string::npos);
+}
--- /dev/null
+++ b/Tests/LibHttp/TestOutboundPool.cpp
@@ -0,0 +1,178 @@
+#include "Loopback.h"
+
+#include <LibHttp/OutboundPool.h>
+
+#include <asio/ip/tcp.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace laburnum;
+using test::RawPeer;
+using test::runUntil;
+
+namespace {
+
+/// A server that answers with whatever bytes the test gives it.
+struct RawServer {
+  explicit RawServer(asio::io_context &Context)
+      : Acceptor_(Context, {asio::ip::make_address("127.0.0.1"), 0}) {
+    accept();
+  }
+  void accept() {
+    Acceptor_.async_accept(
+        [this](asio::error_code Failure, asio::ip::tcp::socket Socket) {
+          if (Failure)
+            return;
+          Peers_.push_back(std::make_unique<RawPeer>(std::move(Socket)));
+          accept();
+        });
+  }
+  Endpoint endpoint() const {
+    return {"127.0.0.1", Acceptor_.local_endpoint().port()};
+  }
+
+  asio::ip::tcp::acceptor Acceptor_;
+  std::vector<std::unique_ptr<RawPeer>> Peers_;
+};
+
+struct Recorder : AnswerObserver {
+  HeadVerdict onHead(AnswerHead const &Head) override {
+    return Head.Fields_.valueOr("Id", "mine") == "mine" ? HeadVerdict::Take
+                                                        : HeadVerdict::Skip;
+  }
+  void onBody(std::string_view Bytes) override { Body_ += Bytes; }
+  void onComplete() override { IsComplete_ = true; }
+  void onFailed(AttemptEvidence const &Evidence) override {
+    Evidence_ = Evidence;
+  }
+  bool isOver() const { return IsComplete_ || Evidence_; }
+
+  std::string Body_;
+  bool IsComplete_ = false;
+  std::optional<AttemptEvidence> Evidence_;
+};
+
+struct Fixture {
+  std::shared_ptr<Recorder> send() {
+    auto const Observer = std::make_shared<Recorder>();
+    OutboundRequest Request;
+    Request.Head_ = {"GET", "/", {}};
+    Call_ = Pool_->start(Request, Observer);
+    return Observer;
+  }
+  /// Sends a request and answers it on the newest connection.
+  std::shared_ptr<Recorder> exchange(std::string const &Answer) {
+    auto Observer = send();
+    await(1);
+    Server_.Peers_.back()->write(Answer);
+    runUntil(Context_, [&] { return Observer->isOver(); });
+    return Observer;
+  }
+  /// Until the newest connection has received so many requests in all.
+  void await(std::size_t Requests) {
+    runUntil(Context_, [&] {
+      if (Server_.Peers_.empty())
+        return false;
+      auto const &Bytes = Server_.Peers_.back()->Received_;
+      std::size_t Seen = 0;
+      for (auto At = Bytes.find("GET "); At != std::string::npos;
+           At = Bytes.find("GET ", At + 1))
+        ++Seen;
+      return Seen >= Requests;
+    });
+  }
+
+  asio::io_context Context_;
+  RawServer Server_{Context_};
+  std::shared_ptr<OutboundPool> Pool_ =
+      std::make_shared<OutboundPool>(Context_, Server_.endpoint());
+  std::shared_ptr<OutboundCall> Call_;
+};
+
+constexpr char const *Plain =
+    "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "A clean connection is used again") {
+  CHECK(exchange(Plain)->IsComplete_);
+  auto const Second = send();
+  await(2);
+  Server_.Peers_.back()->write(Plain);
+  CHECK(runUntil(Context_, [&] { return Second->IsComplete_; }));
+  CHECK(Pool_->counts() == PoolCounts{1, 1});
+}
+
+TEST_CASE_METHOD(Fixture, "A connection with anything owed is not used again") {
+  auto const *const Answer = GENERATE(
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\n"
+      "okHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore",
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok",
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: "
+      "timeout=0\r\n\r\nok");
+  auto const First = exchange(Answer);
+  CHECK(First->IsComplete_);
+  CHECK(First->Body_ == "ok");
+  send();
+  CHECK(runUntil(Context_, [&] { return Server_.Peers_.size() == 2; }));
+  CHECK(Pool_->counts().Reused_ == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "Bytes on an idle connection end it") {
+  CHECK(exchange(Plain)->IsComplete_);
+  Server_.Peers_.back()->write("HTTP/1.1 200 OK\r\n");
+  REQUIRE(runUntil(Context_, [&] { return Server_.Peers_.back()->IsClosed_; }));
+  send();
+  CHECK(runUntil(Context_, [&] { return Server_.Peers_.size() == 2; }));
+}
+
+TEST_CASE_METHOD(Fixture, "Another request's answer is passed over") {
+  auto const Answer =
+      exchange("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong"
+               "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nright");
+  CHECK(Answer->IsComplete_);
+  CHECK(Answer->Body_ == "right");
+}
+
+TEST_CASE_METHOD(Fixture, "An answer without length is whole only after an "
+                          "orderly close") {
+  auto const Answer = send();
+  await(1);
+  Server_.Peers_.back()->write("HTTP/1.1 200 OK\r\n\r\nabc");
+  REQUIRE(runUntil(Context_, [&] { return Answer->Body_ == "abc"; }));
+  SECTION("orderly") {
+    Server_.Peers_.back()->close();
+    CHECK(runUntil(Context_, [&] { return Answer->IsComplete_; }));
+  }
+  SECTION("reset") {
+    Server_.Peers_.back()->reset();
+    REQUIRE(runUntil(Context_, [&] { return Answer->Evidence_.has_value(); }));
+    CHECK(Answer->Evidence_->Progress_ == AttemptProgress::AnswerBegun);
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "A close before the answer leaves it open whether "
+                          "the request ran") {
+  auto const Answer = send();
+  await(1);
+  Server_.Peers_.back()->close();
+  REQUIRE(runUntil(Context_, [&] { return Answer->Evidence_.has_value(); }));
+  CHECK(Answer->Evidence_->Progress_ == AttemptProgress::RequestSent);
+}
+
+TEST_CASE_METHOD(Fixture, "A refused connection means that nothing was sent") {
+  Server_.Acceptor_.close();
+  auto const Answer = send();
+  REQUIRE(runUntil(Context_, [&] { return Answer->Evidence_.has_value(); }));
+  CHECK(Answer->Evidence_->Progress_ == AttemptProgress::NotConnected);
+}
+
+TEST_CASE_METHOD(Fixture, "A call that is given up ends its connection") {
+  auto const Answer = send();
+  await(1);
+  Call_->cancel();
+  CHECK(runUntil(Context_, [&] { return Server_.Peers_.back()->IsClosed_; }));
+  CHECK_FALSE(Answer->isOver());
+}
--- /dev/null
+++ b/Tests/LibTraffic/TestAccountMeter.cpp
@@ -0,0 +1,164 @@
+#include <LibTraffic/AccountMeter.h>
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <numeric>
+#include <random>
+
+using namespace laburnum;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double Rate = 100000.0;
+constexpr Duration Period = milliseconds(250);
+
+std::shared_ptr<RouteTable const> tableWith(double RatePerSecond) {
+  RoutedAccount Account;
+  Account.Name_ = AccountName("a");
+  Account.Keys_ = {"k"};
+  Account.Quota_ = {QuotaUnit::Tokens, RatePerSecond, RatePerSecond, 200.0};
+  return std::make_shared<RouteTable>(1, std::vector<Route>(),
+                                      std::vector<RoutedService>(),
+                                      std::vector{Account}, ClientBounds{});
+}
+
+/// Instances that serve one account, each by its own part of the requests.
+struct Fleet {
+  explicit Fleet(std::size_t Size) {
+    for (std::size_t Place = 0; Place < Size; ++Place) {
+      Meters_.emplace_back(AccountMeter::Settings{});
+      Meters_.back().setRegistered(Size);
+      Meters_.back().setTable(tableWith(Rate), Now_);
+    }
+    for (int Round = 0; Round < 4; ++Round)
+      exchangeReports();
+  }
+
+  /// Instances of different groups do not hear each other.
+  void exchangeReports() {
+    Now_ += Period;
+    for (std::size_t From = 0; From < Meters_.size(); ++From) {
+      auto const Report = Meters_[From].report(Now_);
+      for (std::size_t To = 0; To < Meters_.size(); ++To)
+        if (To != From && groupOf(To) == groupOf(From))
+          Meters_[To].onReport(InstanceId(std::to_string(From)), Report, Now_);
+    }
+  }
+  std::size_t groupOf(std::size_t Place) const {
+    return GroupSize_ == 0 ? 0 : Place / GroupSize_;
+  }
+
+  /// Each period, Asked tokens in requests of Size at instances drawn by their
+  /// weight. Yields what was admitted in each period.
+  std::vector<double> play(Duration Length, double AskedPerSecond, double Size,
+                           std::vector<double> const &Weights) {
+    std::discrete_distribution<std::size_t> Choose(Weights.begin(),
+                                                   Weights.end());
+    std::vector<double> Admitted;
+    auto const Requests = static_cast<int>(
+        AskedPerSecond * std::chrono::duration<double>(Period).count() / Size);
+    for (Duration At{}; At < Length; At += Period) {
+      double Sum = 0.0;
+      for (int One = 0; One < Requests; ++One)
+        if (!Meters_[Choose(Random_)].admit(AccountName("a"), Size, Now_))
+          Sum += Size;
+      Admitted.push_back(Sum);
+      exchangeReports();
+    }
+    return Admitted;
+  }
+
+  std::vector<AccountMeter> Meters_;
+  std::size_t GroupSize_ = 0; ///< 0: all hear each other.
+  TimePoint Now_{seconds(1000)};
+  std::mt19937_64 Random_{7};
+};
+
+/// The most that was admitted in any span of eight seconds.
+double mostIn8Seconds(std::vector<double> const &Periods) {
+  constexpr std::size_t Span = 32;
+  double Most = 0.0;
+  for (std::size_t First = 0; First < Periods.size(); ++First) {
+    auto const Last = std::min(First + Span, Periods.size());
+    Most = std::max(Most, std::accumulate(Periods.begin() + First,
+                                          Periods.begin() + Last, 0.0));
+  }
+  return Most;
+}
+
+/// What the quota allows in eight seconds, with a tenth of overrun.
+constexpr double Allowed = Rate * (8.0 + 1.0) * 1.1;
+
+std::vector<double> const Even(8, 1.0);
+std::vector<double> const Skewed = {20, 5, 2, 1, 1, 1, 1, 1};
+
+} // namespace
+
+TEST_CASE("An account that asks for far too much is held to its quota") {
+  Fleet All(8);
+  auto const Admitted = All.play(seconds(20), Rate * GENERATE(2.0, 8.0), 2400.0,
+                                 GENERATE(Even, Skewed));
+  CHECK(mostIn8Seconds(Admitted) <= Allowed);
+}
+
+TEST_CASE("An account within its quota is not refused, wherever it comes in") {
+  Fleet All(8);
+  auto const &Weights = GENERATE(Even, Skewed);
+  auto const Admitted = All.play(seconds(20), Rate * 0.6, 2400.0, Weights);
+  auto const Sum = std::accumulate(Admitted.begin(), Admitted.end(), 0.0);
+  CHECK(Sum >= 0.98 * 0.6 * Rate * 20.0);
+}
+
+TEST_CASE("Requests larger than an instance's part are not starved") {
+  Fleet All(8);
+  auto const Admitted = All.play(seconds(20), Rate * 0.6, 50000.0, Skewed);
+  CHECK(std::accumulate(Admitted.begin(), Admitted.end(), 0.0) >= 10 * 50000.0);
+}
+
+TEST_CASE("The quota holds also when the fleet is cut apart") {
+  Fleet All(8);
+  All.play(seconds(4), Rate * 3.0, 2400.0, Even);
+  All.GroupSize_ = GENERATE(4U, 2U, 1U);
+  // What the parts take before each has noticed is in the first second.
+  All.play(seconds(2), Rate * 3.0, 2400.0, Even);
+  CHECK(mostIn8Seconds(All.play(seconds(16), Rate * 3.0, 2400.0, Even)) <=
+        Allowed);
+}
+
+TEST_CASE("A lower limit binds at once") {
+  Fleet All(8);
+  All.play(seconds(8), Rate * 0.9, 2400.0, Even);
+  for (auto &Meter : All.Meters_)
+    Meter.setTable(tableWith(Rate / 10.0), All.Now_);
+  All.play(seconds(1), Rate * 0.9, 2400.0, Even);
+  CHECK(mostIn8Seconds(All.play(seconds(8), Rate * 0.9, 2400.0, Even)) <=
+        Allowed / 10.0);
+}
+
+TEST_CASE("An instance that knows of no other gives out little") {
+  AccountMeter Alone{AccountMeter::Settings{}};
+  TimePoint const Now{seconds(1000)};
+  Alone.setTable(tableWith(Rate), Now);
+  double Sum = 0.0;
+  for (int One = 0; One < 1000; ++One)
+    if (!Alone.admit(AccountName("a"), 2400.0, Now))
+      Sum += 2400.0;
+  CHECK(Sum <= Rate * 0.1 + 2400.0);
+}
+
+TEST_CASE("A refusal says when the account has room again") {
+  Fleet All(1);
+  std::optional<Duration> Wait;
+  for (int One = 0; One < 1000 && !Wait; ++One)
+    Wait = All.Meters_[0].admit(AccountName("a"), 2400.0, All.Now_);
+  REQUIRE(Wait);
+  CHECK(*Wait > Duration(0));
+  All.exchangeReports();
+  All.Now_ += *Wait;
+  All.exchangeReports();
+  CHECK_FALSE(All.Meters_[0].admit(AccountName("a"), 2400.0, All.Now_));
+}
--- /dev/null
+++ b/Tests/LibTraffic/TestServerRoster.cpp
@@ -0,0 +1,175 @@
+#include <LibTraffic/AdmissionQueue.h>
+#include <LibTraffic/RetryLedger.h>
+
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+ServiceName const Writer("writer");
+TimePoint const Start{seconds(1000)};
+
+ServerRecord server(std::string const &Name, std::string const &Centre = "a-1",
+                    std::uint32_t Slots = 2) {
+  ServerRecord Made;
+  Made.Id_ = ServerId(Name);
+  Made.BornAtMilliseconds_ = 1;
+  Made.Service_ = Writer;
+  Made.DataCentre_ = DataCentre(Centre);
+  Made.Endpoint_ = {"10.0.0.1", 80};
+  Made.Slots_ = Slots;
+  return Made;
+}
+
+Geography const Places{DataCentre("a-1"),
+                       {{DataCentre("a-1"), "a"},
+                        {DataCentre("a-2"), "a"},
+                        {DataCentre("b-1"), "b"}}};
+
+struct Fixture {
+  std::string choose(ServerQuery Query = {Writer, {}, {}}) {
+    auto const Chosen = Roster_.choose(Query, Now_);
+    return Chosen ? Chosen->Id_.text() : "";
+  }
+
+  ServerRoster Roster_{Places, 1};
+  TimePoint Now_ = Start;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "A server that leaves gets nothing new") {
+  Roster_.replaceAll({server("x")}, Now_);
+  REQUIRE(choose() == "x");
+  SECTION("by the list") {
+    auto Leaving = server("x");
+    Leaving.Phase_ = ServerPhase::Draining;
+    Roster_.update(Leaving, Now_);
+  }
+  SECTION("gone from the list") { Roster_.replaceAll({}, Now_); }
+  SECTION("by its own word") {
+    Roster_.onLeaving(ServerId("x"));
+    // An older entry does not bring it back.
+    Roster_.update(server("x"), Now_);
+  }
+  CHECK(choose().empty());
+}
+
+TEST_CASE_METHOD(Fixture, "A server born again is another one") {
+  Roster_.replaceAll({server("x")}, Now_);
+  Roster_.onLeaving(ServerId("x"));
+  auto Reborn = server("x");
+  Reborn.BornAtMilliseconds_ = 2;
+  Roster_.update(Reborn, Now_);
+  CHECK(choose() == "x");
+}
+
+TEST_CASE_METHOD(Fixture, "A server that fails is left out for longer each "
+                          "time and comes back") {
+  Roster_.replaceAll({server("x"), server("y")}, Now_);
+  Roster_.onSent(ServerId("x"));
+  Roster_.onEnded(ServerId("x"), ServerVerdict::Failed, Now_);
+  for (int Turn = 0; Turn < 20; ++Turn)
+    CHECK(choose() == "y");
+  Now_ += milliseconds(260);
+  CHECK(choose({Writer, {ServerId("y")}, {}}) == "x");
+  Roster_.onEnded(ServerId("x"), ServerVerdict::Failed, Now_);
+  Now_ += milliseconds(260);
+  CHECK(choose({Writer, {ServerId("y")}, {}}).empty());
+}
+
+TEST_CASE_METHOD(Fixture, "Work goes to the less loaded, then to the nearer") {
+  Roster_.replaceAll({server("near", "a-1", 10), server("far", "b-1", 10)},
+                     Now_);
+  CHECK(choose() == "near");
+  for (int Turn = 0; Turn < 5; ++Turn)
+    Roster_.onSent(ServerId("near"));
+  CHECK(choose() == "far");
+}
+
+TEST_CASE_METHOD(Fixture, "What a server says of its load counts for a while") {
+  Roster_.replaceAll({server("x", "a-1", 4), server("y", "b-1", 4)}, Now_);
+  Roster_.onLoad(ServerId("x"), {4, 0, 4}, Now_);
+  CHECK(choose() == "y");
+  Now_ += seconds(1);
+  CHECK(choose() == "x");
+}
+
+TEST_CASE_METHOD(Fixture, "The same prefix finds the same server until that is "
+                          "overloaded") {
+  std::vector<ServerRecord> Servers;
+  for (int Place = 0; Place < 6; ++Place)
+    Servers.push_back(server("s" + std::to_string(Place), "a-1", 24));
+  Roster_.replaceAll(Servers, Now_);
+  ServerQuery const Query{Writer, {}, "common,thing"};
+  auto const First = choose(Query);
+  ServerRoster Other(Places, 99);
+  Other.replaceAll(Servers, Now_);
+  CHECK(Other.choose(Query, Now_)->Id_.text() == First);
+  for (int Turn = 0; Turn < 4; ++Turn)
+    Roster_.onSent(ServerId(First));
+  CHECK(choose(Query) != First);
+}
+
+TEST_CASE_METHOD(Fixture, "Requests wait for a place, the most urgent first") {
+  AdmissionQueue Queue(Roster_);
+  Roster_.replaceAll({server("x", "a-1", 1)}, Now_);
+  auto const Wait = [&](std::uint64_t Ticket, std::int32_t Rank) {
+    return Queue.add({Ticket, {Writer, {}, {}}, Rank, Now_ + milliseconds(500)},
+                     Now_);
+  };
+  REQUIRE(Wait(1, 1).size() == 1);
+  CHECK(Wait(2, 1).empty());
+  CHECK(Wait(3, 0).empty());
+  CHECK(Wait(4, 1).empty());
+  CHECK(Queue.advance(Now_).empty());
+  Roster_.onEnded(ServerId("x"), ServerVerdict::Worked, Now_);
+  auto const Next = Queue.advance(Now_);
+  REQUIRE(Next.size() == 1);
+  CHECK(std::get<Admitted>(Next.front()).Ticket_ == 3);
+}
+
+TEST_CASE_METHOD(Fixture, "A request whose time to start has passed is turned "
+                          "away with when to come back") {
+  AdmissionQueue Queue(Roster_);
+  Roster_.replaceAll({server("x", "a-1", 1)}, Now_);
+  Roster_.onSent(ServerId("x"));
+  Queue.add({1, {Writer, {}, {}}, 0, Now_ + milliseconds(100)}, Now_);
+  Now_ += milliseconds(100);
+  auto const Outcome = Queue.advance(Now_);
+  REQUIRE(Outcome.size() == 1);
+  CHECK(std::get<TurnedAway>(Outcome.front()).RetryAfter_ > Duration(0));
+  CHECK(Queue.size() == 0);
+}
+
+TEST_CASE("Retries stay within the bound, over all instances") {
+  constexpr int Instances = 8;
+  RetryBounds const Bounds{0.2, 56.0, seconds(10)};
+  std::vector<RetryLedger> Ledgers;
+  for (int Place = 0; Place < Instances; ++Place) {
+    Ledgers.emplace_back(Bounds);
+    Ledgers.back().setShare(1.0 / Instances);
+  }
+  int Requests = 0;
+  int Taken = 0;
+  for (int Tick = 0; Tick < 100; ++Tick) {
+    auto const Now = Start + milliseconds(100) * Tick;
+    for (auto &Ledger : Ledgers) {
+      Ledger.countRequest(Writer, Now);
+      ++Requests;
+      // A service that fails everything.
+      if (Ledger.tryTake(Writer, Now))
+        ++Taken;
+    }
+  }
+  CHECK(Taken > 0);
+  CHECK(Taken <= 0.2 * Requests + 56.0);
+  // A lone request may be tried again too.
+  RetryLedger Quiet(Bounds);
+  Quiet.setShare(1.0 / Instances);
+  CHECK(Quiet.tryTake(Writer, Start));
+}
--- /dev/null
+++ b/Tests/Platform/TestHeaderDialect.cpp
@@ -0,0 +1,133 @@
+#include <HeaderDialect.h>
+
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+using platform::HeaderDialect;
+
+namespace {
+
+HeaderDialect const Dialect;
+
+RequestHead request() {
+  RequestHead Head{"POST", "/p/x?q", {}};
+  for (auto const &[Name, Value] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"Host", "h"},
+           {"X-Attempt-Id", "id1"},
+           {"X-Key", "secret"},
+           {"X-Deadline-Ms", "12000"},
+           {"X-Token-Counts", "1460,80"},
+           {"X-Prompt-Prefix", "5c:800,91:410,e4:250"},
+           {"Last-Event-Id", "12"},
+           {"X-Tenant", "forged"},
+           {"X-Hold", "h1"},
+           {"X-Pin-Ms", "4000"},
+           {"X-Kv-Backup", "10.0.0.1:80"},
+           {"Kv-From", "10.0.0.1:80/x"},
+           {"X-Expect-Instance", "forged"},
+           {"Connection", "keep-alive, X-Hop"},
+           {"X-Hop", "1"},
+           {"Content-Length", "5"},
+           {"X-Other", "stays"}})
+    Head.Fields_.add(Name, Value);
+  return Head;
+}
+
+AnswerHead answer(std::int32_t Status,
+                  std::vector<std::pair<std::string, std::string>> Fields) {
+  AnswerHead Head{Status, {}};
+  for (auto const &[Name, Value] : Fields)
+    Head.Fields_.add(Name, Value);
+  return Head;
+}
+
+} // namespace
+
+TEST_CASE("A client's request is decoded") {
+  auto const Decoded = Dialect.decode(request());
+  REQUIRE_FALSE(isError(Decoded));
+  auto const &Facts = valueOf(Decoded);
+  CHECK(Facts.AttemptId_ == "id1");
+  CHECK(Facts.Key_ == "secret");
+  CHECK(Facts.TimeAllowed_ == std::chrono::milliseconds(12000));
+  CHECK(Facts.Tokens_ == TokenCounts{1460, 80});
+  CHECK(Facts.SharedPrefix_ == "5c:800,91:410");
+  CHECK(Facts.LastEventId_ == 12);
+}
+
+TEST_CASE("A request without one attempt identifier is not understood") {
+  auto Head = request();
+  SECTION("none") { Head.Fields_.remove("X-Attempt-Id"); }
+  SECTION("two") { Head.Fields_.add("x-attempt-id", "id2"); }
+  CHECK(isError(Dialect.decode(Head)));
+}
+
+TEST_CASE("A server gets the client's fields and this system's own only") {
+  auto const Sent = Dialect.encode(
+      request(), {ServerId("i-1"), AccountName("acc"),
+                  std::chrono::microseconds(1500400), std::uint64_t{14}});
+  auto const &Fields = Sent.Fields_;
+  CHECK(Sent.Method_ == "POST");
+  CHECK(Sent.Target_ == "/p/x?q");
+  CHECK(Fields.valueOr("X-Attempt-Id") == "id1");
+  CHECK(Fields.valueOr("X-Token-Counts") == "1460,80");
+  CHECK(Fields.valueOr("X-Other") == "stays");
+  CHECK(Fields.valueOr("X-Deadline-Ms") == "1500");
+  CHECK(Fields.valueOr("X-Expect-Instance") == "i-1");
+  CHECK(Fields.valueOr("X-Tenant") == "acc");
+  CHECK(Fields.valueOr("Last-Event-Id") == "14");
+  for (auto const *Name : {"X-Key", "X-Hold", "X-Pin-Ms", "X-Kv-Backup",
+                           "Kv-From", "Connection", "X-Hop", "Content-Length"})
+    CHECK_FALSE(Fields.find(Name));
+  for (auto const *Name : {"X-Expect-Instance", "X-Tenant", "X-Deadline-Ms"})
+    CHECK(Fields.count(Name) == 1);
+}
+
+TEST_CASE(
+    "On an anonymous route no account is named, whatever the client says") {
+  auto const Sent = Dialect.encode(request(), {ServerId("i-1"), {}, {}, {}});
+  CHECK_FALSE(Sent.Fields_.find("X-Tenant"));
+}
+
+TEST_CASE("What an answer says of its request") {
+  auto const claim = [](AnswerHead const &Head) {
+    return Dialect.decode(Head).Claim_;
+  };
+  CHECK(claim(answer(200, {{"X-Server-Stamp", "s"}})) ==
+        AnswerClaim::Succeeded);
+  CHECK(claim(answer(200, {})) == AnswerClaim::Untrusted);
+  CHECK(claim(answer(
+            200, {{"X-Server-Stamp", "s"}, {"Content-Encoding", "gzip"}})) ==
+        AnswerClaim::Untrusted);
+  CHECK(claim(answer(503, {{"X-Not-Executed", "1"}})) == AnswerClaim::NotRun);
+  CHECK(claim(answer(421, {})) == AnswerClaim::NotRun);
+  CHECK(Dialect.decode(answer(421, {})).IsOtherServer_);
+  CHECK(claim(answer(503, {})) == AnswerClaim::Failed);
+  CHECK(claim(answer(500, {{"X-Server-Stamp", "s"}})) == AnswerClaim::Failed);
+  // A success cannot say that it has not run.
+  CHECK(claim(answer(200, {{"X-Not-Executed", "1"}})) ==
+        AnswerClaim::Untrusted);
+}
+
+TEST_CASE("An answer is matched by the identifier that it echoes") {
+  CHECK(Dialect.match(answer(200, {{"X-Attempt-Id", "id1"}}), "id1") ==
+        AnswerMatch::Ours);
+  CHECK(Dialect.match(answer(200, {{"X-Attempt-Id", "id0"}}), "id1") ==
+        AnswerMatch::AnotherRequest);
+  CHECK(Dialect.match(answer(503, {}), "id1") == AnswerMatch::Ours);
+}
+
+TEST_CASE("A server's load is read, and nonsense is none") {
+  CHECK(Dialect.decode(answer(200, {{"X-Instance-Load", "3,1,8"}})).Load_ ==
+        ServerLoad{3, 1, 8});
+  for (auto const *Text : {"3,1", "a,b,c", "3,1,8,9", "-1,0,8", ""})
+    CHECK_FALSE(Dialect.decode(answer(200, {{"X-Instance-Load", Text}})).Load_);
+}
+
+TEST_CASE("A refusal says when to come back") {
+  auto const Head = Dialect.refusal(503, std::chrono::milliseconds(450), "id1");
+  CHECK(Head.Fields_.valueOr("Retry-After") == "0.450");
+  CHECK_FALSE(
+      Dialect.refusal(502, std::nullopt, "id1").Fields_.find("Retry-After"));
+}
