--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -45,6 +45,7 @@
     apply(Changes.Objects_);
   }
   void onLost(Error const &Reason) override {
+    Plane_.Parts_.Metrics_.DependenciesLost_.add();
     Plane_.Parts_.Log_.write(LogLine("dependency_lost")
                                  .add("what", "store/configuration")
                                  .add("version", Plane_.ConfigurationVersion_)
@@ -89,6 +90,7 @@
       change(Object);
   }
   void onLost(Error const &Reason) override {
+    Plane_.Parts_.Metrics_.DependenciesLost_.add();
     Plane_.Parts_.Log_.write(LogLine("dependency_lost")
                                  .add("what", "store/servers")
                                  .add("why", Reason.Message_));
@@ -136,7 +138,7 @@
       MetricsService_([this] { return metrics(); }),
       Life_(Parts.Settings_.Name_ + "." + IdentifierSource(Seed + 2).next()),
       Duties_({Parts.Settings_, Parts.Store_, Parts.Duties_, Parts.Usage_,
-               Parts.Log_},
+               Parts.Log_, Parts.Metrics_},
               Life_, Seed + 3),
       Peers_(std::make_shared<PeerNetwork>(
           Parts.Context_, Parts.Store_, Parts.Settings_.Name_,
@@ -205,6 +207,7 @@
                         .add("routes", Table->routes().size())
                         .add("accounts", Table->accounts().size()));
   ConfigurationVersion_ = Table->version();
+  Parts_.Metrics_.ConfigurationsApplied_.add();
   Duties_.setTable(Table);
   onTraffic([&Traffic = Parts_.Traffic_, Table] { Traffic.setTable(Table); });
 }
@@ -221,7 +224,7 @@
 }
 
 StatusService::Page ControlPlane::metrics() const {
-  return {200, "laburnum_configuration_version " +
+  return {200, Parts_.Metrics_.text() + "laburnum_configuration_version " +
                    std::to_string(ConfigurationVersion_) +
                    "\nlaburnum_log_lines_dropped_total " +
                    std::to_string(Parts_.Log_.dropped()) + '\n'};
@@ -241,9 +244,11 @@
   for (auto const &Member : View.Members_)
     if (Member.Liveness_ == Liveness::Live)
       ++Live;
-  Parts_.Log_.write(LogLine("fleet_changed")
-                        .add("live", Live)
-                        .add("registered", View.Registered_));
+  if (std::pair(Live, View.Registered_) != LastFleet_)
+    Parts_.Log_.write(LogLine("fleet_changed")
+                          .add("live", Live)
+                          .add("registered", View.Registered_));
+  LastFleet_ = {Live, View.Registered_};
   Duties_.setMembers(View.Members_, readElapsedTime());
   Duties_.setReach(Live >= View.Registered_ && Live > 1 ? PeerReach::Whole
                                                         : PeerReach::Partial);
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace laburnum {
 
@@ -41,6 +42,7 @@
   TrueClock &Clock_;
   TrafficPlane &Traffic_;
   EventLog &Log_;
+  EntryMetrics &Metrics_;
 };
 
 /// Keeps what this instance knows up to date, tells the balancer whether it is
@@ -94,6 +96,7 @@
   asio::steady_timer LogTimer_;
   asio::steady_timer StopTimer_;
   std::uint64_t ConfigurationVersion_ = 0;
+  std::pair<std::size_t, std::size_t> LastFleet_; ///< Live, registered.
   bool KnowsServers_ = false;
   bool IsStopping_ = false;
   TimePoint StopBegunAt_{};
--- a/Services/laburnum-entry/DutyDesk.cpp
+++ b/Services/laburnum-entry/DutyDesk.cpp
@@ -120,10 +120,12 @@
 }
 
 void DutyDesk::order(Fence const &Fence, ServerOrder const &Order) {
+  Parts_.Metrics_.ServersOrdered_.add();
   Parts_.Duties_.orderServers(
       Fence, Order, OrderTimeout, [this, Order](Result<Success> const &Sent) {
         if (!isError(Sent))
           return;
+        Parts_.Metrics_.OrdersFailed_.add();
         auto &Planner = Planners_.at(Order.Service_);
         Parts_.Log_.write(LogLine("order_failed")
                               .add("service", Order.Service_.text())
--- a/Services/laburnum-entry/DutyDesk.h
+++ b/Services/laburnum-entry/DutyDesk.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "EntryMetrics.h"
+
 #include <LibControl/CapacityPlanner.h>
 #include <LibControl/DemandView.h>
 #include <LibControl/LeaseKeeper.h>
@@ -25,6 +27,7 @@
     FencedDuties &Duties_;
     UsageCounter &Usage_;
     EventLog &Log_;
+    EntryMetrics &Metrics_;
   };
 
   DutyDesk(Parts Parts, InstanceId const &Life, std::uint64_t Seed);
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -13,9 +13,26 @@
 /// A wait in the queue may take this part of the time to the latency target;
 /// the rest is for the server.
 constexpr std::int64_t QueuePart = 2;
+constexpr std::int32_t ServiceUnavailable = 503;
 
 } // namespace
 
+std::string_view RequestSession::nameOf(Outcome Outcome) {
+  switch (Outcome) {
+  case Outcome::Answered:
+    return "answered";
+  case Outcome::Refused:
+    return "refused";
+  case Outcome::Failed:
+    return "failed";
+  case Outcome::Aborted:
+    return "aborted";
+  case Outcome::ClientLeft:
+    return "client_left";
+  }
+  return "unknown";
+}
+
 RequestSession::RequestSession(TrafficPlane &Plane,
                                std::shared_ptr<Exchange> Exchange,
                                ReceivedRequest Request,
@@ -77,6 +94,7 @@
 }
 
 void RequestSession::on(SendAttempt const &Action) {
+  Plane_.Parts_.Metrics_.AttemptsSent_.add();
   Server_ = Action.Server_;
   Answer_.reset();
   LastServer_ = Server_->Id_.text();
@@ -93,6 +111,7 @@
   auto const &Dialect = Plane_.Parts_.Dialect_;
   if (Dialect.match(Head, Subject_.Facts_.AttemptId_) ==
       AnswerMatch::AnotherRequest) {
+    Plane_.Parts_.Metrics_.ForeignAnswers_.add();
     Plane_.Parts_.Log_.write(LogLine("foreign_answer")
                                  .add("id", Subject_.Facts_.AttemptId_)
                                  .add("server", LastServer_));
@@ -116,6 +135,8 @@
 void RequestSession::onComplete() {
   Call_.reset();
   auto const Claim = Answer_ ? Answer_->Claim_ : AnswerClaim::Untrusted;
+  if (Claim == AnswerClaim::NotRun)
+    Plane_.Parts_.Metrics_.AttemptsRefused_.add();
   endAttempt(Claim == AnswerClaim::Succeeded ? ServerVerdict::Worked
              : Claim == AnswerClaim::NotRun  ? ServerVerdict::Refused
              : Claim == AnswerClaim::Failed  ? ServerVerdict::Worked
@@ -125,6 +146,7 @@
 
 void RequestSession::onFailed(AttemptEvidence const &Evidence) {
   Call_.reset();
+  Plane_.Parts_.Metrics_.AttemptsFailed_.add();
   Plane_.Parts_.Log_.write(LogLine("attempt_failed")
                                .add("id", Subject_.Facts_.AttemptId_)
                                .add("server", LastServer_)
@@ -156,7 +178,7 @@
 
 void RequestSession::on(AnswerWhole const &Action) {
   Exchange_->answer(Action.Head_, Action.Body_);
-  finish("answered", Action.Head_.Status_, {});
+  finish(Outcome::Answered, Action.Head_.Status_, {});
 }
 
 void RequestSession::on(BeginStream const &Action) {
@@ -170,17 +192,18 @@
     return;
   Exchange_->abort();
   handle(ClientLeft{});
-  finish("aborted", RelayedStatus_, "the client does not read its stream");
+  finish(Outcome::Aborted, RelayedStatus_,
+         "the client does not read its stream");
 }
 
 void RequestSession::on(FinishStream const & /*Action*/) {
   Exchange_->finishStream();
-  finish("answered", RelayedStatus_, {});
+  finish(Outcome::Answered, RelayedStatus_, {});
 }
 
 void RequestSession::on(AbortStream const &Action) {
   Exchange_->abort();
-  finish("aborted", RelayedStatus_, Action.Reason_);
+  finish(Outcome::Aborted, RelayedStatus_, Action.Reason_);
 }
 
 void RequestSession::on(Refuse const &Action) {
@@ -188,32 +211,64 @@
                                                    Action.RetryAfter_,
                                                    Subject_.Facts_.AttemptId_),
                     {});
-  finish(Action.Status_ == 503 ? "refused" : "failed", Action.Status_,
-         Action.Reason_);
+  finish(Action.Status_ == ServiceUnavailable ? Outcome::Refused
+                                              : Outcome::Failed,
+         Action.Status_, Action.Reason_);
 }
 
 void RequestSession::onClientLeft() {
   if (IsFinished_)
     return;
   handle(ClientLeft{});
-  finish("client_left", 0, {});
+  finish(Outcome::ClientLeft, 0, {});
 }
 
-void RequestSession::finish(std::string_view Outcome, std::int32_t Status,
+void RequestSession::finish(Outcome Outcome, std::int32_t Status,
                             std::string_view Reason) {
   if (IsFinished_)
     return;
   IsFinished_ = true;
   Expiry_.cancel();
+  count(Outcome);
   log(Outcome, Status, Reason);
 }
 
-void RequestSession::log(std::string_view Outcome, std::int32_t Status,
+void RequestSession::count(Outcome Outcome) {
+  auto &Metrics = Plane_.Parts_.Metrics_;
+  auto const Now = readElapsedTime();
+  auto const Record = [](Distribution &Into, Duration Value) {
+    Into.record(std::chrono::duration<double, std::milli>(Value).count());
+  };
+  switch (Outcome) {
+  case Outcome::Answered:
+    Metrics.Answered_.add();
+    Record(Metrics.Total_, Now - Request_.BegunAt_);
+    break;
+  case Outcome::Refused:
+    Metrics.Refused_.add();
+    break;
+  case Outcome::Failed:
+    Metrics.Failed_.add();
+    break;
+  case Outcome::Aborted:
+    Metrics.Aborted_.add();
+    break;
+  case Outcome::ClientLeft:
+    Metrics.ClientLeft_.add();
+    break;
+  }
+  if (FirstSentAt_ != TimePoint())
+    Record(Metrics.Queued_, FirstSentAt_ - Request_.BegunAt_);
+  if (FirstAnswerAt_ != TimePoint())
+    Record(Metrics.FirstByte_, FirstAnswerAt_ - Request_.BegunAt_);
+}
+
+void RequestSession::log(Outcome Outcome, std::int32_t Status,
                          std::string_view Reason) {
   auto const Now = readElapsedTime();
   LogLine Line("request");
   Line.add("id", Subject_.Facts_.AttemptId_)
-      .add("outcome", Outcome)
+      .add("outcome", nameOf(Outcome))
       .add("status", Status)
       .add("account", Subject_.Account_.text())
       .add("route", Subject_.Route_->Name_)
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -27,6 +27,9 @@
   void onFailed(AttemptEvidence const &Evidence) override;
 
 private:
+  /// How the request ended for its client.
+  enum class Outcome { Answered, Refused, Failed, Aborted, ClientLeft };
+
   void handle(exchange::Event const &Event);
   void carryOut(std::vector<exchange::Action> const &Actions);
   void on(exchange::AskForServer const &Action);
@@ -42,10 +45,10 @@
   void on(exchange::Refuse const &Action);
 
   void endAttempt(ServerVerdict Verdict);
-  void finish(std::string_view Outcome, std::int32_t Status,
-              std::string_view Reason);
-  void log(std::string_view Outcome, std::int32_t Status,
-           std::string_view Reason);
+  void finish(Outcome Outcome, std::int32_t Status, std::string_view Reason);
+  void count(Outcome Outcome);
+  void log(Outcome Outcome, std::int32_t Status, std::string_view Reason);
+  static std::string_view nameOf(Outcome Outcome);
 
   TrafficPlane &Plane_;
   std::shared_ptr<Exchange> Exchange_;
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -128,6 +128,7 @@
 }
 
 void TrafficPlane::onRejected(MessageFault Fault) {
+  Parts_.Metrics_.Rejected_.add();
   Parts_.Log_.write(
       LogLine("request_rejected").add("fault", static_cast<int>(Fault)));
 }
@@ -135,6 +136,11 @@
 void TrafficPlane::refuse(Exchange &Exchange, std::int32_t Status,
                           std::string_view Reason, RequestFacts const &Facts,
                           std::optional<Duration> RetryAfter) {
+  auto &Metrics = Parts_.Metrics_;
+  (Status == ServiceUnavailable ? Metrics.Refused_
+   : Status == TooManyRequests  ? Metrics.OverQuota_
+                                : Metrics.Unroutable_)
+      .add();
   Exchange.answer(Parts_.Dialect_.refusal(Status, RetryAfter, Facts.AttemptId_),
                   {});
   Parts_.Log_.write(LogLine("request")
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "EntryMetrics.h"
+
 #include <LibControl/TrueClock.h>
 #include <LibControl/UsageCounter.h>
 #include <LibHttp/HttpListener.h>
@@ -30,6 +32,7 @@
   UsageCounter &Usage_;
   TrueClock const &Clock_;
   EventLog &Log_;
+  EntryMetrics &Metrics_;
 };
 
 /// Takes clients' requests to backend servers. Everything here runs on the
--- a/Services/laburnum-entry/main.cpp
+++ b/Services/laburnum-entry/main.cpp
@@ -72,11 +72,13 @@
   PlatformRecords const Records;
   UsageCounter Usage(Settings.UsageWindow_);
   TrueClock Clock;
+  EntryMetrics Metrics;
   std::random_device Entropy;
-  TrafficPlane Traffic({TrafficContext, Settings, Dialect, Usage, Clock, Log},
-                       Entropy());
+  TrafficPlane Traffic(
+      {TrafficContext, Settings, Dialect, Usage, Clock, Log, Metrics},
+      Entropy());
   ControlPlane Control({ControlContext, TrafficContext, Settings, Store, Duties,
-                        Records, Usage, Clock, Traffic, Log},
+                        Records, Usage, Clock, Traffic, Log, Metrics},
                        Entropy());
   auto Started = Traffic.listen();
   if (!isError(Started))
