LibControl: Never order servers without a list of them; shrink by servers that are ready

Guarded and tested. A shrink of on-demand servers counts reclaimable ones only once they are in the list.

--- a/Libraries/LibControl/CapacityPlanner.cpp
+++ b/Libraries/LibControl/CapacityPlanner.cpp
@@ -33,6 +33,21 @@
   return Readings.front().second;
 }
 
+template <typename Counts>
+std::uint32_t countOf(Counts const &Ready, Tenure Kind) {
+  std::uint32_t Sum = 0;
+  for (auto const &[Place, Count] : Ready)
+    if (Place.Tenure_ == Kind)
+      Sum += Count;
+  return Sum;
+}
+
+template <typename Counts, typename Slot>
+std::uint32_t countAt(Counts const &Ready, Slot const &Place) {
+  auto const Found = Ready.find(Place);
+  return Found == Ready.end() ? 0 : Found->second;
+}
+
 std::uint32_t roundUp(double Value) {
   return static_cast<std::uint32_t>(std::ceil(Value - 1e-9));
 }
@@ -103,41 +118,48 @@
   return Centres;
 }
 
-/// On-demand servers: the base, what reclaimable ones fall short of the need,
-/// and what a slow shrink leaves for now.
-std::uint32_t CapacityPlanner::onDemandTotal(CapacityInput const &Input,
-                                             Counts const &Ready,
-                                             std::uint32_t Need,
-                                             TimePoint Now) {
-  std::uint32_t OnDemandReady = 0;
-  std::uint32_t Reclaimable = 0;
-  for (auto const &[Place, Count] : Ready)
-    (Place.Tenure_ == Tenure::OnDemand ? OnDemandReady : Reclaimable) += Count;
+std::uint32_t CapacityPlanner::reclaimableOnTheWay(CapacityInput const &Input,
+                                                   Counts const &Ready,
+                                                   TimePoint Now) const {
+  std::uint32_t Coming = 0;
   for (auto const &[Place, Order] : Sent_) {
-    // On its way are those beyond what was there when it was sent: what has
-    // left since then does not come back by itself.
-    auto const Found = Ready.find(Place);
-    auto const Present =
-        std::max(Order.Present_, Found == Ready.end() ? 0 : Found->second);
+    // Those beyond what was there when the order was sent: what has left since
+    // then does not come back by itself.
+    auto const Present = std::max(Order.Present_, countAt(Ready, Place));
     if (Place.Tenure_ == Tenure::Reclaimable && !isRefused(Place, Now) &&
         Order.At_ + Input.Bounds_.BootTime_ + ListingAllowance > Now &&
         Order.Count_ > Present)
-      Reclaimable += Order.Count_ - Present;
+      Coming += Order.Count_ - Present;
   }
+  return Coming;
+}
+
+/// On-demand servers: the base, what reclaimable ones fall short of the need,
+/// and what a slow shrink leaves for now. A server that is on its way spares an
+/// order for another, but takes the place of none yet.
+std::uint32_t CapacityPlanner::onDemandTotal(CapacityInput const &Input,
+                                             Counts const &Ready,
+                                             std::uint32_t Need,
+                                             TimePoint Now) {
+  auto const OnDemand = countOf(Ready, Tenure::OnDemand);
+  auto const Reclaimable = countOf(Ready, Tenure::Reclaimable);
   auto const Base = roundUp(Need * Settings_.OnDemandPart_);
-  auto const Shortage =
-      Need > Base + Reclaimable ? Need - Base - Reclaimable : 0;
+  auto const Besides = [&](std::uint32_t Others) {
+    return Need > Base + Others ? Need - Base - Others : 0;
+  };
+  auto const Coming = reclaimableOnTheWay(Input, Ready, Now);
   auto const Wanted =
-      highest(OnDemandNeeds_, Base + Shortage, Settings_.NeedRetention_, Now);
-  if (Wanted >= OnDemandReady)
+      highest(OnDemandNeeds_, Base + Besides(Reclaimable + Coming),
+              Settings_.NeedRetention_, Now);
+  if (Wanted >= OnDemand)
     return Wanted;
-  bool const IsWarm = DemandSince_ && *DemandSince_ + Settings_.WarmUp_ <= Now;
-  if (!IsWarm || LastShrink_ + Settings_.ShrinkPause_ > Now)
-    return OnDemandReady;
-  auto const Step =
-      std::max(1U, roundUp(OnDemandReady * Settings_.ShrinkStep_));
+  auto const Enough = std::max(Wanted, Base + Besides(Reclaimable));
+  if (!isWarm(Now) || Enough >= OnDemand ||
+      LastShrink_ + Settings_.ShrinkPause_ > Now)
+    return OnDemand;
+  auto const Step = std::max(1U, roundUp(OnDemand * Settings_.ShrinkStep_));
   LastShrink_ = Now;
-  return std::max(Wanted, OnDemandReady - std::min(Step, OnDemandReady));
+  return std::max(Enough, OnDemand - std::min(Step, OnDemand));
 }
 
 CapacityPlanner::Counts CapacityPlanner::desired(CapacityInput const &Input,
@@ -157,9 +179,8 @@
     auto const Base = std::min(OnDemand / Spread + Extra, Bounds.Maximum_);
     auto const Room = Bounds.Maximum_ - Base;
     auto Part = std::min((Reclaimable + Spread - 1) / Spread, Room);
-    auto const Present = Ready.find({Centre, Tenure::Reclaimable});
-    if (!isWarm(Now) && Present != Ready.end())
-      Part = std::max(Part, Present->second);
+    if (!isWarm(Now))
+      Part = std::max(Part, countAt(Ready, Slot{Centre, Tenure::Reclaimable}));
     auto const Least =
         Bounds.Minimum_ > Base + Part ? Bounds.Minimum_ - Part : Base;
     Wanted[{Centre, Tenure::OnDemand}] = Least;
@@ -189,20 +210,21 @@
 
 std::vector<ServerOrder> CapacityPlanner::plan(CapacityInput const &Input,
                                                TimePoint Now) {
+  auto const Ready = ready(Input);
+  auto const Servers =
+      countOf(Ready, Tenure::OnDemand) + countOf(Ready, Tenure::Reclaimable);
+  // Without a list nothing is known, and no order may shrink what is there.
+  if (Servers == 0 && Sent_.empty())
+    return {};
   if (!DemandSince_ && Input.Demand_.Requests_ >= 1.0)
     DemandSince_ = Now;
   if (!DemandSince_)
     return {};
-  auto const Ready = ready(Input);
-  std::size_t Servers = 0;
-  for (auto const &[Place, Count] : Ready)
-    Servers += Count;
   auto const Need = retainedNeed(Input, Servers, Now);
   LastNeed_ = Need;
   std::vector<ServerOrder> Orders;
   for (auto const &[Place, Wanted] : desired(Input, Ready, Need, Now)) {
-    auto const Found = Ready.find(Place);
-    auto const Present = Found == Ready.end() ? 0 : Found->second;
+    auto const Present = countAt(Ready, Place);
     if (!isDue(Place, Wanted, Present, Input.Bounds_, Now))
       continue;
     Sent_[Place] = {Wanted, Present, Now};
--- a/Libraries/LibControl/CapacityPlanner.h
+++ b/Libraries/LibControl/CapacityPlanner.h
@@ -88,6 +88,8 @@
   Counts ready(CapacityInput const &Input) const;
   Counts desired(CapacityInput const &Input, Counts const &Ready,
                  std::uint32_t Need, TimePoint Now);
+  std::uint32_t reclaimableOnTheWay(CapacityInput const &Input,
+                                    Counts const &Ready, TimePoint Now) const;
   std::uint32_t onDemandTotal(CapacityInput const &Input, Counts const &Ready,
                               std::uint32_t Need, TimePoint Now);
   std::vector<DataCentre> cheapestFirst(ScalingBounds const &Bounds) const;
--- a/Tests/LibControl/TestCapacityPlanner.cpp
+++ b/Tests/LibControl/TestCapacityPlanner.cpp
@@ -116,10 +116,13 @@
 
 } // namespace
 
-TEST_CASE("Nothing is ordered before there is any demand") {
+TEST_CASE("Nothing is ordered before there is any demand, or without a list") {
   World One;
   One.pass(seconds(10), 0.0);
   CHECK(One.Orders_ == 0);
+  One.Servers_.clear();
+  One.pass(seconds(5), Calm);
+  CHECK(One.Orders_ == 0);
 }
 
 TEST_CASE("A fleet that is too large shrinks to what the demand needs, mostly "
--- a/Tests/Platform/TestHeaderDialect.cpp
+++ b/Tests/Platform/TestHeaderDialect.cpp
@@ -91,22 +91,22 @@
 }
 
 TEST_CASE("What an answer says of its request") {
-  auto const claim = [](AnswerHead const &Head) {
+  auto const Claim = [](AnswerHead const &Head) {
     return Dialect.decode(Head).Claim_;
   };
-  CHECK(claim(answer(200, {{"X-Server-Stamp", "s"}})) ==
+  CHECK(Claim(answer(200, {{"X-Server-Stamp", "s"}})) ==
         AnswerClaim::Succeeded);
-  CHECK(claim(answer(200, {})) == AnswerClaim::Untrusted);
-  CHECK(claim(answer(
+  CHECK(Claim(answer(200, {})) == AnswerClaim::Untrusted);
+  CHECK(Claim(answer(
             200, {{"X-Server-Stamp", "s"}, {"Content-Encoding", "gzip"}})) ==
         AnswerClaim::Untrusted);
-  CHECK(claim(answer(503, {{"X-Not-Executed", "1"}})) == AnswerClaim::NotRun);
-  CHECK(claim(answer(421, {})) == AnswerClaim::NotRun);
+  CHECK(Claim(answer(503, {{"X-Not-Executed", "1"}})) == AnswerClaim::NotRun);
+  CHECK(Claim(answer(421, {})) == AnswerClaim::NotRun);
   CHECK(Dialect.decode(answer(421, {})).IsOtherServer_);
-  CHECK(claim(answer(503, {})) == AnswerClaim::Failed);
-  CHECK(claim(answer(500, {{"X-Server-Stamp", "s"}})) == AnswerClaim::Failed);
+  CHECK(Claim(answer(503, {})) == AnswerClaim::Failed);
+  CHECK(Claim(answer(500, {{"X-Server-Stamp", "s"}})) == AnswerClaim::Failed);
   // A success cannot say that it has not run.
-  CHECK(claim(answer(200, {{"X-Not-Executed", "1"}})) ==
+  CHECK(Claim(answer(200, {{"X-Not-Executed", "1"}})) ==
         AnswerClaim::Untrusted);
 }
 
--- a/Tests/Platform/TestRecords.cpp
+++ b/Tests/Platform/TestRecords.cpp
@@ -94,13 +94,13 @@
   REQUIRE_FALSE(isError(Decoded));
   auto const &Table = *valueOf(Decoded);
   CHECK(Table.version() == 7);
-  auto const kind = [&](char const *Path) {
+  auto const Kind = [&](char const *Path) {
     return Table.match("h.example", Path)->Repeatability_;
   };
-  CHECK(kind("/a/") == Repeatability::Never);
-  CHECK(kind("/b/") == Repeatability::Resumable);
-  CHECK(kind("/c/") == Repeatability::Repeatable);
-  CHECK(kind("/d/") == Repeatability::Never);
+  CHECK(Kind("/a/") == Repeatability::Never);
+  CHECK(Kind("/b/") == Repeatability::Resumable);
+  CHECK(Kind("/c/") == Repeatability::Repeatable);
+  CHECK(Kind("/d/") == Repeatability::Never);
   CHECK(Table.match("h.example", "/b/")->Access_ == RouteAccess::Anonymous);
   CHECK(Table.match("h.example", "/b/")->Services_.size() == 2);
   CHECK(Table.match("h.example", "/a/")->Timeout_ ==
