--- a/Libraries/LibControl/CollectionFollower.cpp
+++ b/Libraries/LibControl/CollectionFollower.cpp
@@ -50,6 +50,7 @@
   onSuccess();
   From_ = valueOf(Listed).StoreVersion_;
   Reader_.onListed(valueOf(Listed));
+  Reader_.onCurrent(From_);
   watch();
 }
 
@@ -69,9 +70,11 @@
   if (Batch.Continuity_ == WatchContinuity::Gap)
     return list();
   From_ = std::max(From_, Batch.StoreVersion_);
+  if (!Batch.Objects_.empty())
+    Reader_.onChanged(Batch);
+  Reader_.onCurrent(From_);
   if (Batch.Objects_.empty())
     return watch();
-  Reader_.onChanged(Batch);
   after(BatchPause, &CollectionFollower::watch);
 }
 
--- a/Libraries/LibControl/CollectionFollower.h
+++ b/Libraries/LibControl/CollectionFollower.h
@@ -21,6 +21,8 @@
   virtual void onListed(ObjectList const &Listed) = 0;
   /// Changes since the last call; an object with Version_ 0 is gone.
   virtual void onChanged(WatchBatch const &Changes) = 0;
+  /// The store has confirmed that all up to this version is known.
+  virtual void onCurrent(Version /*StoreVersion*/) {}
   virtual void onLost(Error const &Reason) = 0;
   virtual void onRegained() = 0;
 };
--- a/Libraries/LibTraffic/AccountMeter.cpp
+++ b/Libraries/LibTraffic/AccountMeter.cpp
@@ -132,6 +132,15 @@
   return std::clamp<Duration>(Wait, SoonestReturn, LatestReturn);
 }
 
+AccountMeter::Standing
+AccountMeter::standing(AccountName const &Account) const {
+  auto const Found = Usage_.find(Account);
+  if (Found == Usage_.end())
+    return {0.0, 0.0, Reachable_, Registered_};
+  return {Found->second.Level_, Found->second.Allowance_, Reachable_,
+          Registered_};
+}
+
 ConsumptionReport AccountMeter::report(TimePoint Now) {
   countReachable(Now);
   ConsumptionReport Report;
--- a/Libraries/LibTraffic/AccountMeter.h
+++ b/Libraries/LibTraffic/AccountMeter.h
@@ -40,6 +40,17 @@
   /// How many instances there may be, this one included.
   void setRegistered(std::size_t Registered) { Registered_ = Registered; }
 
+  /// What a decision on an account rests on, for the log.
+  struct Standing {
+    double Level_ = 0.0;     ///< Of the bucket, in the quota's unit.
+    double Allowance_ = 0.0; ///< Of this instance until the next report.
+    std::size_t Reachable_ = 0;
+    std::size_t Registered_ = 0;
+
+    auto operator<=>(Standing const &) const = default;
+  };
+  Standing standing(AccountName const &Account) const;
+
   /// Nothing when the request is admitted; otherwise when it may come back.
   std::optional<Duration> admit(AccountName const &Account, double Amount,
                                 TimePoint Now);
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -89,6 +89,11 @@
     for (auto const &Object : Changes.Objects_)
       change(Object);
   }
+  void onCurrent(Version StoreVersion) override {
+    auto &Traffic = Plane_.Parts_.Traffic_;
+    Plane_.onTraffic(
+        [&Traffic, StoreVersion] { Traffic.onServersCurrent(StoreVersion); });
+  }
   void onLost(Error const &Reason) override {
     Plane_.Parts_.Metrics_.DependenciesLost_.add();
     Plane_.Parts_.Log_.write(LogLine("dependency_lost")
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -281,6 +281,8 @@
   if (FirstAnswerAt_ != TimePoint())
     Line.add("first_byte_ms", FirstAnswerAt_ - Request_.BegunAt_);
   Line.add("total_ms", Now - Request_.BegunAt_);
+  if (Outcome != Outcome::Answered)
+    Plane_.addServerFacts(Line);
   if (!Reason.empty())
     Line.add("why", Reason);
   Plane_.Parts_.Log_.write(Line);
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -137,10 +137,7 @@
                           std::string_view Reason, RequestFacts const &Facts,
                           std::optional<Duration> RetryAfter) {
   auto &Metrics = Parts_.Metrics_;
-  (Status == ServiceUnavailable ? Metrics.Refused_
-   : Status == TooManyRequests  ? Metrics.OverQuota_
-                                : Metrics.Unroutable_)
-      .add();
+  (Status == ServiceUnavailable ? Metrics.Refused_ : Metrics.Unroutable_).add();
   Exchange.answer(Parts_.Dialect_.refusal(Status, RetryAfter, Facts.AttemptId_),
                   {});
   Parts_.Log_.write(LogLine("request")
@@ -151,6 +148,40 @@
                         .add("why", Reason));
 }
 
+void TrafficPlane::refuseOverQuota(Exchange &Exchange,
+                                   AccountName const &Account,
+                                   RequestFacts const &Facts,
+                                   Duration RetryAfter) {
+  Parts_.Metrics_.OverQuota_.add();
+  Exchange.answer(
+      Parts_.Dialect_.refusal(TooManyRequests, RetryAfter, Facts.AttemptId_),
+      {});
+  auto const Standing = Meter_.standing(Account);
+  Parts_.Log_.write(
+      LogLine("request")
+          .add("id", Facts.AttemptId_)
+          .add("outcome", "refused")
+          .add("status", TooManyRequests)
+          .add("account", Account.text())
+          .add("config", Table_->version())
+          .add("level", static_cast<std::int64_t>(Standing.Level_))
+          .add("allowance", static_cast<std::int64_t>(Standing.Allowance_))
+          .add("reachable", Standing.Reachable_)
+          .add("registered", Standing.Registered_)
+          .add("retry_after_ms", RetryAfter)
+          .add("why", "over the account's quota"));
+}
+
+void TrafficPlane::onServersCurrent(Version StoreVersion) {
+  ServersVersion_ = StoreVersion;
+  ServersCurrentAt_ = readElapsedTime();
+}
+
+void TrafficPlane::addServerFacts(LogLine &Line) const {
+  Line.add("servers_version", ServersVersion_)
+      .add("servers_age_ms", readElapsedTime() - ServersCurrentAt_);
+}
+
 void TrafficPlane::onRequest(std::shared_ptr<Exchange> Exchange,
                              ReceivedRequest Request) {
   if (auto const Session = admit(Exchange, Request))
@@ -186,8 +217,7 @@
       return nullptr;
     }
     if (auto const ReturnAfter = overQuota(*Account, Facts)) {
-      refuse(*Exchange, TooManyRequests, "over the account's quota", Facts,
-             ReturnAfter);
+      refuseOverQuota(*Exchange, Account->Name_, Facts, *ReturnAfter);
       return nullptr;
     }
     Subject.Account_ = Account->Name_;
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -7,6 +7,7 @@
 #include <LibHttp/HttpListener.h>
 #include <LibHttp/OutboundPool.h>
 #include <LibLog/EventLog.h>
+#include <LibModel/ConfigurationObject.h>
 #include <LibSettings/EntrySettings.h>
 #include <LibTraffic/AccountMeter.h>
 #include <LibTraffic/AdmissionQueue.h>
@@ -48,6 +49,8 @@
   void replaceServers(std::vector<ServerRecord> const &Records);
   void updateServer(ServerRecord const &Record);
   void removeServer(ServerId const &Id);
+  /// The list of servers was confirmed by the store just now.
+  void onServersCurrent(Version StoreVersion);
   /// How many entry instances share what is limited.
   void setRegistered(std::size_t Instances);
   ConsumptionReport reportConsumption();
@@ -74,6 +77,8 @@
                                     RequestFacts const &Facts);
   void refuse(Exchange &Exchange, std::int32_t Status, std::string_view Reason,
               RequestFacts const &Facts, std::optional<Duration> RetryAfter);
+  void refuseOverQuota(Exchange &Exchange, AccountName const &Account,
+                       RequestFacts const &Facts, Duration RetryAfter);
   void enqueue(std::shared_ptr<RequestSession> const &Session,
                WaitingRequest Request);
   void dequeue(std::uint64_t Ticket);
@@ -84,7 +89,12 @@
 
   TrafficParts Parts_;
   std::shared_ptr<HttpListener> Listener_;
+  /// Adds what is known of the servers, and how old that is.
+  void addServerFacts(LogLine &Line) const;
+
   std::shared_ptr<RouteTable const> Table_;
+  Version ServersVersion_ = 0;
+  TimePoint ServersCurrentAt_{};
   ServerRoster Roster_;
   AdmissionQueue Queue_;
   RetryLedger Retries_;
