LibTraffic: Admit what comes together while an account's bucket is full enough

A part is now kept to only when the bucket holds less than what the others are likely to ask in two reports' time; TestAccountMeter has the case (failed first), and the tests of the bound still hold.

--- a/Libraries/LibTraffic/AccountMeter.cpp
+++ b/Libraries/LibTraffic/AccountMeter.cpp
@@ -19,6 +19,9 @@
 /// The part of a quota that an instance gives out that does not know yet how
 /// many others there are.
 constexpr double PartWhenAlone = 0.1;
+/// As long as the bucket holds more than what other instances ask in so many
+/// periods, nothing that is asked here can empty it unseen.
+constexpr double ReservedPeriods = 2.0;
 /// Bounds of when a refused request is told to come back.
 constexpr std::chrono::milliseconds SoonestReturn{100};
 constexpr std::chrono::seconds LatestReturn{5};
@@ -120,7 +123,10 @@
   auto &Usage = fill(*Quota, Account, Now);
   auto const Whole = static_cast<std::uint64_t>(Amount);
   Usage.Asked_ += Whole;
-  if (Usage.Level_ > 0.0 && Usage.Allowance_ > 0.0) {
+  // What the others are likely to admit before they are heard of again.
+  auto const Reserved = Usage.OthersDemand_ * ReservedPeriods;
+  if (Usage.Level_ > 0.0 &&
+      (Usage.Level_ > Reserved || Usage.Allowance_ > 0.0)) {
     Usage.Admitted_ += Whole;
     Usage.Level_ -= Amount;
     Usage.Allowance_ -= Amount;
--- a/Libraries/LibTraffic/AccountMeter.h
+++ b/Libraries/LibTraffic/AccountMeter.h
@@ -15,12 +15,14 @@
 /// Holds accounts to their quotas over all entry instances together.
 ///
 /// Every instance tells the others a few times a second what it has admitted.
-/// Each keeps the account's token bucket as the sum shows it, and between two
-/// reports admits no more than its part of what the bucket holds, by how much
-/// of the account's requests come to it. Instances that are not heard from are
-/// left an equal part of the quota each, so that the sum holds also when the
-/// fleet is cut apart. A request may be larger than what is left and then puts
-/// the bucket into debt, so that large requests are not starved.
+/// Each keeps the account's token bucket as the sum shows it, and admits what
+/// comes while the bucket holds more than the others are likely to ask before
+/// the next report. Below that, it admits no more than its part of what the
+/// bucket holds, by how much of the account's requests come to it. Instances
+/// that are not heard from are left an equal part of the quota each, so that
+/// the sum holds also when the fleet is cut apart. A request may be larger than
+/// what is left and then puts the bucket into debt, so that large requests are
+/// not starved.
 class AccountMeter {
 public:
   struct Settings {
--- a/Tests/LibTraffic/TestAccountMeter.cpp
+++ b/Tests/LibTraffic/TestAccountMeter.cpp
@@ -119,6 +119,15 @@
   CHECK(std::accumulate(Admitted.begin(), Admitted.end(), 0.0) >= 10 * 50000.0);
 }
 
+TEST_CASE("Requests that come together at one instance are admitted while the "
+          "account is far below its quota") {
+  Fleet All(8);
+  for (int Round = 0; Round < 40; ++Round)
+    All.exchangeReports();
+  for (int One = 0; One < 4; ++One)
+    CHECK_FALSE(All.Meters_[3].admit(AccountName("a"), 20000.0, All.Now_));
+}
+
 TEST_CASE("The quota holds also when the fleet is cut apart") {
   Fleet All(8);
   All.play(seconds(4), Rate * 3.0, 2400.0, Even);
