Tests: Play the store's protocol against the object client; an example of the new peer message

TestPlatform scripts the store's answers: pages, deletions, a dropped history, refused, limited and lost writes. TestPeerCodec failed for want of an example of ConsumptionReport, as it should.

--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -40,7 +40,11 @@
       Checkpoint,
       StreamQuery{Stream, 7, instance(), 3, StreamAsk::Adopt},
       StreamState{Stream, 3, StreamKnowledge::KeyReused, Epoch, instance(), 2},
-      StreamHandOver{Checkpoint, 3}};
+      StreamHandOver{Checkpoint, 3},
+      ConsumptionReport{{{AccountName("a"), 7, 9}},
+                        {{ServiceName("s"), 1, 2, 3}},
+                        {{340000000, AccountName("a"), 4}},
+                        Duration(5)}};
 }
 
 TEST_CASE("Every message survives encoding and decoding") {
--- /dev/null
+++ b/Tests/Platform/TestObjectClient.cpp
@@ -0,0 +1,160 @@
+#include <LibHttp/HttpListener.h>
+#include <ObjectClient.h>
+
+#include <nlohmann/json.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <optional>
+
+using namespace laburnum;
+using platform::ObjectClient;
+
+namespace {
+
+constexpr Duration Timeout = std::chrono::seconds(5);
+
+std::string object(std::string const &Name, Version Revision,
+                   std::string const &Specification) {
+  return R"({"metadata":{"name":")" + Name + R"(","revision":)" +
+         std::to_string(Revision) + R"(},"specification":)" + Specification +
+         "}";
+}
+
+/// Answers each call with the next scripted answer; status 0 breaks the
+/// connection off instead.
+struct ScriptedStore : HttpService {
+  ClientBounds bounds() const override { return {}; }
+  void onRequest(std::shared_ptr<Exchange> Exchange,
+                 ReceivedRequest Request) override {
+    Calls_.push_back(Request.Head_.Method_ + ' ' + Request.Head_.Target_);
+    Bodies_.push_back(Request.Body_);
+    auto const [Status, Body] = Script_.front();
+    Script_.pop_front();
+    if (Status == 0)
+      return Exchange->abort();
+    Exchange->answer({Status, {}}, Body);
+  }
+
+  std::deque<std::pair<std::int32_t, std::string>> Script_;
+  std::vector<std::string> Calls_;
+  std::vector<std::string> Bodies_;
+};
+
+struct Fixture {
+  template <typename Value, typename Call>
+  Result<Value> await(Call const &Start) {
+    std::optional<Result<Value>> Outcome;
+    Start([&](Result<Value> Got) { Outcome = std::move(Got); });
+    auto const End = std::chrono::steady_clock::now() + Timeout;
+    while (!Outcome && std::chrono::steady_clock::now() < End) {
+      Context_.restart();
+      Context_.run_one_for(std::chrono::milliseconds(200));
+    }
+    REQUIRE(Outcome);
+    return *Outcome;
+  }
+  Result<Version> put() {
+    return await<Version>(
+        [&](auto Done) { Client_.put(Key_, "7", Timeout, Done); });
+  }
+  Result<Version> putIf(Version Expected) {
+    return await<Version>(
+        [&](auto Done) { Client_.putIf(Key_, Expected, "7", Timeout, Done); });
+  }
+
+  asio::io_context Context_;
+  ScriptedStore Store_;
+  std::shared_ptr<HttpListener> Listener_ = std::get<0>(
+      HttpListener::create(Context_, Endpoint{"127.0.0.1", 0}, Store_));
+  ObjectClient Client_{Context_, Listener_->localEndpoint()};
+  ObjectKey const Key_{"things", "one"};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "A list is read page by page") {
+  Store_.Script_ = {{200, R"({"items":[)" + object("a", 3, "1") + "," +
+                              object("b", 4, "{}") +
+                              R"(],"has_more":true,"current_rev":9})"},
+                    {200, R"({"items":[)" + object("c", 5, "\"x\"") +
+                              R"(],"has_more":false,"current_rev":11})"}};
+  auto const Listed = await<ObjectList>(
+      [&](auto Done) { Client_.list("things", Timeout, Done); });
+  REQUIRE_FALSE(isError(Listed));
+  CHECK(valueOf(Listed).Objects_.size() == 3);
+  CHECK(valueOf(Listed).Objects_[2] ==
+        StoredObject{{"things", "c"}, 5, "\"x\""});
+  // Changes between the pages are seen by a watch from the first one's.
+  CHECK(valueOf(Listed).StoreVersion_ == 9);
+  CHECK(Store_.Calls_ ==
+        std::vector<std::string>{"GET /laburnumpond/objects/things",
+                                 "GET /laburnumpond/objects/things?after=b"});
+}
+
+TEST_CASE_METHOD(Fixture, "A watch yields changes, deletions and gaps") {
+  Store_.Script_ = {{200, R"({"events":[{"deleted":false,"object":)" +
+                              object("a", 6, "1") +
+                              R"(},{"deleted":true,"object":)" +
+                              object("b", 7, "2") + R"(}],"current_rev":8})"},
+                    {410, ""}};
+  auto const Watch = [&] {
+    return await<WatchBatch>([&](auto Done) {
+      Client_.watch("things", 5, std::chrono::milliseconds(1500), Done);
+    });
+  };
+  auto const First = Watch();
+  REQUIRE_FALSE(isError(First));
+  CHECK(valueOf(First).StoreVersion_ == 8);
+  CHECK(valueOf(First).Objects_.at(0).Version_ == 6);
+  CHECK(valueOf(First).Objects_.at(1).Version_ == 0);
+  CHECK(Store_.Calls_.front() ==
+        "GET /laburnumpond/objects/things?watch=5&wait_ms=1500");
+  CHECK(valueOf(Watch()).Continuity_ == WatchContinuity::Gap);
+}
+
+TEST_CASE_METHOD(Fixture, "A write names the version that it expects") {
+  Store_.Script_ = {{200, object("one", 12, "7")},
+                    {200, object("one", 13, "7")}};
+  CHECK(valueOf(putIf(0)) == 12);
+  CHECK(valueOf(putIf(12)) == 13);
+  CHECK(Store_.Calls_ ==
+        std::vector<std::string>{"POST /laburnumpond/objects/things",
+                                 "PUT /laburnumpond/objects/things/one"});
+  CHECK(nlohmann::json::parse(Store_.Bodies_[1])["metadata"]["revision"] == 12);
+}
+
+TEST_CASE_METHOD(Fixture, "An unconditional write creates what is not there") {
+  Store_.Script_ = {{404, ""}, {200, object("one", 3, "7")}};
+  CHECK(valueOf(put()) == 3);
+  CHECK(Store_.Calls_.at(1) == "POST /laburnumpond/objects/things");
+}
+
+TEST_CASE_METHOD(Fixture, "Only what is known of a write is said of it") {
+  auto const [Status, Kind] = GENERATE(
+      table<std::int32_t, ErrorKind>({{409, ErrorKind::Conflict},
+                                      {429, ErrorKind::ResourceExhausted},
+                                      {503, ErrorKind::Unavailable},
+                                      {500, ErrorKind::OutcomeUnknown},
+                                      {0, ErrorKind::OutcomeUnknown}}));
+  CAPTURE(Status);
+  Store_.Script_ = {{Status, ""}};
+  auto const Written = putIf(4);
+  REQUIRE(isError(Written));
+  CHECK(errorOf(Written).Kind_ == Kind);
+}
+
+TEST_CASE_METHOD(Fixture, "An answer that cannot be read is no list") {
+  Store_.Script_ = {{200, "\xff{"}};
+  CHECK(isError(await<ObjectList>(
+      [&](auto Done) { Client_.list("things", Timeout, Done); })));
+}
+
+TEST_CASE_METHOD(Fixture, "An object that is not there is told as such") {
+  Store_.Script_ = {{404, ""}};
+  auto const Read =
+      await<StoredObject>([&](auto Done) { Client_.get(Key_, Timeout, Done); });
+  REQUIRE_FALSE(isError(Read));
+  CHECK(valueOf(Read).Version_ == 0);
+}
