--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -39,18 +39,17 @@
 ServerRoster::ServerRoster(Geography Places, std::uint64_t Seed)
     : Places_(std::move(Places)), Generator_(Seed) {}
 
-void ServerRoster::replaceAll(std::vector<ServerRecord> const &Records,
-                              TimePoint Now) {
+void ServerRoster::replaceAll(std::vector<ServerRecord> const &Records) {
   std::set<ServerId> Present;
   for (auto const &Record : Records) {
     Present.insert(Record.Id_);
-    update(Record, Now);
+    update(Record);
   }
   std::erase_if(Servers_,
                 [&](auto const &One) { return !Present.contains(One.first); });
 }
 
-void ServerRoster::update(ServerRecord const &Record, TimePoint /*Now*/) {
+void ServerRoster::update(ServerRecord const &Record) {
   auto &Server = Servers_[Record.Id_];
   bool const IsReborn =
       Server.Record_.BornAtMilliseconds_ != Record.BornAtMilliseconds_ ||
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -47,8 +47,8 @@
   ServerRoster(Geography Places, std::uint64_t Seed);
 
   /// The whole list; servers that are not in it are gone.
-  void replaceAll(std::vector<ServerRecord> const &Records, TimePoint Now);
-  void update(ServerRecord const &Record, TimePoint Now);
+  void replaceAll(std::vector<ServerRecord> const &Records);
+  void update(ServerRecord const &Record);
   void remove(ServerId const &Id);
 
   /// Nothing when no server has room.
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -83,7 +83,7 @@
     Plane_.Duties_.replaceServers(Records);
     auto &Traffic = Plane_.Parts_.Traffic_;
     Plane_.onTraffic([&Traffic, Records] { Traffic.replaceServers(Records); });
-    Plane_.onServersKnown();
+    Plane_.KnowsServers_ = true;
   }
   void onChanged(WatchBatch const &Changes) override {
     for (auto const &Object : Changes.Objects_)
@@ -217,8 +217,6 @@
   onTraffic([&Traffic = Parts_.Traffic_, Table] { Traffic.setTable(Table); });
 }
 
-void ControlPlane::onServersKnown() { KnowsServers_ = true; }
-
 bool ControlPlane::isReady() const {
   return ConfigurationVersion_ != 0 && KnowsServers_ && !IsStopping_;
 }
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -61,7 +61,6 @@
   class ServerReader;
 
   void applyConfiguration(StoredObject const &Object);
-  void onServersKnown();
   bool isReady() const;
   StatusService::Page readiness() const;
   StatusService::Page metrics() const;
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -90,7 +90,7 @@
 }
 
 void TrafficPlane::replaceServers(std::vector<ServerRecord> const &Records) {
-  Roster_.replaceAll(Records, readElapsedTime());
+  Roster_.replaceAll(Records);
   std::erase_if(Pools_, [&](auto const &One) {
     return std::none_of(
         Records.begin(), Records.end(),
@@ -100,7 +100,7 @@
 }
 
 void TrafficPlane::updateServer(ServerRecord const &Record) {
-  Roster_.update(Record, readElapsedTime());
+  Roster_.update(Record);
   advanceQueue();
 }
 
--- a/Tests/LibTraffic/TestServerRoster.cpp
+++ b/Tests/LibTraffic/TestServerRoster.cpp
@@ -43,34 +43,34 @@
 } // namespace
 
 TEST_CASE_METHOD(Fixture, "A server that leaves gets nothing new") {
-  Roster_.replaceAll({server("x")}, Now_);
+  Roster_.replaceAll({server("x")});
   REQUIRE(choose() == "x");
   SECTION("by the list") {
     auto Leaving = server("x");
     Leaving.Phase_ = ServerPhase::Draining;
-    Roster_.update(Leaving, Now_);
+    Roster_.update(Leaving);
   }
-  SECTION("gone from the list") { Roster_.replaceAll({}, Now_); }
+  SECTION("gone from the list") { Roster_.replaceAll({}); }
   SECTION("by its own word") {
     Roster_.onLeaving(ServerId("x"));
     // An older entry does not bring it back.
-    Roster_.update(server("x"), Now_);
+    Roster_.update(server("x"));
   }
   CHECK(choose().empty());
 }
 
 TEST_CASE_METHOD(Fixture, "A server born again is another one") {
-  Roster_.replaceAll({server("x")}, Now_);
+  Roster_.replaceAll({server("x")});
   Roster_.onLeaving(ServerId("x"));
   auto Reborn = server("x");
   Reborn.BornAtMilliseconds_ = 2;
-  Roster_.update(Reborn, Now_);
+  Roster_.update(Reborn);
   CHECK(choose() == "x");
 }
 
 TEST_CASE_METHOD(Fixture, "A server that fails is left out for longer each "
                           "time and comes back") {
-  Roster_.replaceAll({server("x"), server("y")}, Now_);
+  Roster_.replaceAll({server("x"), server("y")});
   Roster_.onSent(ServerId("x"));
   Roster_.onEnded(ServerId("x"), ServerVerdict::Failed, Now_);
   for (int Turn = 0; Turn < 20; ++Turn)
@@ -83,8 +83,7 @@
 }
 
 TEST_CASE_METHOD(Fixture, "Work goes to the less loaded, then to the nearer") {
-  Roster_.replaceAll({server("near", "a-1", 10), server("far", "b-1", 10)},
-                     Now_);
+  Roster_.replaceAll({server("near", "a-1", 10), server("far", "b-1", 10)});
   CHECK(choose() == "near");
   for (int Turn = 0; Turn < 5; ++Turn)
     Roster_.onSent(ServerId("near"));
@@ -92,7 +91,7 @@
 }
 
 TEST_CASE_METHOD(Fixture, "What a server says of its load counts for a while") {
-  Roster_.replaceAll({server("x", "a-1", 4), server("y", "b-1", 4)}, Now_);
+  Roster_.replaceAll({server("x", "a-1", 4), server("y", "b-1", 4)});
   Roster_.onLoad(ServerId("x"), {4, 0, 4}, Now_);
   CHECK(choose() == "y");
   Now_ += seconds(1);
@@ -104,11 +103,11 @@
   std::vector<ServerRecord> Servers;
   for (int Place = 0; Place < 6; ++Place)
     Servers.push_back(server("s" + std::to_string(Place), "a-1", 24));
-  Roster_.replaceAll(Servers, Now_);
+  Roster_.replaceAll(Servers);
   ServerQuery const Query{Writer, {}, "common,thing"};
   auto const First = choose(Query);
   ServerRoster Other(Places, 99);
-  Other.replaceAll(Servers, Now_);
+  Other.replaceAll(Servers);
   CHECK(Other.choose(Query, Now_)->Id_.text() == First);
   for (int Turn = 0; Turn < 4; ++Turn)
     Roster_.onSent(ServerId(First));
@@ -117,7 +116,7 @@
 
 TEST_CASE_METHOD(Fixture, "Requests wait for a place, the most urgent first") {
   AdmissionQueue Queue(Roster_);
-  Roster_.replaceAll({server("x", "a-1", 1)}, Now_);
+  Roster_.replaceAll({server("x", "a-1", 1)});
   auto const Wait = [&](std::uint64_t Ticket, std::int32_t Rank) {
     return Queue.add({Ticket, {Writer, {}, {}}, Rank, Now_ + milliseconds(500)},
                      Now_);
@@ -136,7 +135,7 @@
 TEST_CASE_METHOD(Fixture, "A request whose time to start has passed is turned "
                           "away with when to come back") {
   AdmissionQueue Queue(Roster_);
-  Roster_.replaceAll({server("x", "a-1", 1)}, Now_);
+  Roster_.replaceAll({server("x", "a-1", 1)});
   Roster_.onSent(ServerId("x"));
   Queue.add({1, {Writer, {}, {}}, 0, Now_ + milliseconds(100)}, Now_);
   Now_ += milliseconds(100);
