LibTraffic: Let attempts that wait long for a first byte weigh against their server

Cause: a server that goes dark keeps its place in the list for up to three heartbeats and its connections for three seconds, and a request that it let wait to its end counted as a success of it. A silent attempt weighs like six others now (all servers alike when all are slow), and one that was ignored to its end counts as a failure; TestServerRoster has the case.

--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -17,6 +17,10 @@
 constexpr std::chrono::milliseconds FirstAvoidance{250};
 constexpr std::uint32_t MostDoublings = 4;
 constexpr std::chrono::milliseconds RefusalAvoidance{50};
+/// An attempt that waits long for its first byte weighs like this many: a
+/// server that has gone dark is avoided before its connections break. When all
+/// servers are slow, all are burdened alike.
+constexpr double SilenceBurden = 6.0;
 /// A server that others of the same prefix go to is passed over once its load
 /// is this much above the mean (consistent hashing with bounded loads).
 constexpr double AffinityLoadBound = 1.25;
@@ -71,6 +75,10 @@
   return Server.Running_ + (IsFresh ? Server.Others_ : 0.0);
 }
 
+double ServerRoster::burden(Entry const &Server, TimePoint Now) const {
+  return load(Server, Now) + SilenceBurden * Server.Silent_;
+}
+
 double ServerRoster::cost(Entry const &Server, TimePoint Now) const {
   double Distance = 0.0;
   auto const &Centre = Server.Record_.DataCentre_;
@@ -78,7 +86,7 @@
     Distance = regionOf(Places_, Centre) == regionOf(Places_, Places_.Own_)
                    ? OtherCentreCost
                    : OtherRegionCost;
-  return (load(Server, Now) + 1.0) / slotsOf(Server.Record_) + Distance;
+  return (burden(Server, Now) + 1.0) / slotsOf(Server.Record_) + Distance;
 }
 
 std::vector<ServerRoster::Entry const *>
@@ -97,7 +105,7 @@
                          std::string const &Affinity, TimePoint Now) const {
   double Total = 1.0;
   for (auto const *Server : Usable)
-    Total += load(*Server, Now);
+    Total += burden(*Server, Now);
   auto const Bound =
       std::ceil(AffinityLoadBound * Total / static_cast<double>(Usable.size()));
   auto const Order = rendezvousOrder(
@@ -105,7 +113,7 @@
         return Server->Record_.Id_.text();
       });
   for (auto const *Server : Order)
-    if (load(*Server, Now) + 1.0 <= Bound)
+    if (burden(*Server, Now) + 1.0 <= Bound)
       return Server;
   return Order.front();
 }
@@ -150,7 +158,7 @@
     Server.Failures_ = 0;
   } else if (Verdict == ServerVerdict::Refused) {
     Server.AvoidUntil_ = std::max(Server.AvoidUntil_, Now + RefusalAvoidance);
-  } else {
+  } else if (Verdict == ServerVerdict::Failed) {
     auto const Doublings = std::min(Server.Failures_++, MostDoublings);
     Server.AvoidUntil_ = Now + FirstAvoidance * (1U << Doublings);
   }
@@ -167,6 +175,17 @@
   Server.ToldAt_ = Now;
 }
 
+void ServerRoster::onSilent(ServerId const &Id) {
+  if (auto const Found = Servers_.find(Id); Found != Servers_.end())
+    ++Found->second.Silent_;
+}
+
+void ServerRoster::onSilenceEnded(ServerId const &Id) {
+  auto const Found = Servers_.find(Id);
+  if (Found != Servers_.end() && Found->second.Silent_ > 0)
+    --Found->second.Silent_;
+}
+
 void ServerRoster::onLeaving(ServerId const &Id) {
   if (auto const Found = Servers_.find(Id); Found != Servers_.end())
     Found->second.IsLeaving_ = true;
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -37,6 +37,7 @@
   Worked,
   Refused, ///< It was full.
   Failed,  ///< It could not be reached or its answer was no answer.
+  Unknown, ///< The attempt was given up before it showed anything.
 };
 
 /// The backend servers of all services: what the platform's list says, what
@@ -60,6 +61,9 @@
   void onSent(ServerId const &Id);
   void onEnded(ServerId const &Id, ServerVerdict Verdict, TimePoint Now);
   void onLoad(ServerId const &Id, ServerLoad const &Load, TimePoint Now);
+  /// An attempt has waited long for the server's first byte, or waits no more.
+  void onSilent(ServerId const &Id);
+  void onSilenceEnded(ServerId const &Id);
   /// The server itself said that it leaves, or another one has its address.
   void onLeaving(ServerId const &Id);
 
@@ -74,6 +78,7 @@
     std::uint32_t Running_ = 0; ///< Sent from here and not ended.
     double Others_ = 0.0;       ///< Of other instances, when last told.
     TimePoint ToldAt_ = TimePoint::min();
+    std::uint32_t Silent_ = 0;   ///< Attempts that wait long already.
     std::uint32_t Failures_ = 0; ///< In a row.
     TimePoint AvoidUntil_ = TimePoint::min();
     bool IsLeaving_ = false;
@@ -81,6 +86,8 @@
 
   bool takesRequests(Entry const &Server, TimePoint Now) const;
   double load(Entry const &Server, TimePoint Now) const;
+  /// The load with what makes a server worse than its load says.
+  double burden(Entry const &Server, TimePoint Now) const;
   double cost(Entry const &Server, TimePoint Now) const;
   std::vector<Entry const *> usable(ServerQuery const &Query,
                                     TimePoint Now) const;
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -14,6 +14,9 @@
 /// the rest is for the server.
 constexpr std::int64_t QueuePart = 2;
 constexpr std::int32_t ServiceUnavailable = 503;
+/// An attempt without a byte after this part of the latency target, in
+/// hundredths, speaks against its server.
+constexpr std::int64_t SilencePart = 60;
 
 } // namespace
 
@@ -39,7 +42,8 @@
                                exchange::Subject Subject)
     : Plane_(Plane), Exchange_(std::move(Exchange)),
       Request_(std::move(Request)), Subject_(std::move(Subject)),
-      Flow_(Subject_, Plane_.Retries_), Expiry_(Plane_.Parts_.Context_) {}
+      Flow_(Subject_, Plane_.Retries_), Expiry_(Plane_.Parts_.Context_),
+      SilenceTimer_(Plane_.Parts_.Context_) {}
 
 void RequestSession::start() {
   Exchange_->observe(shared_from_this());
@@ -103,6 +107,7 @@
   OutboundRequest Outbound;
   Outbound.Head_ = Plane_.Parts_.Dialect_.encode(Request_.Head_, Action.Facts_);
   Outbound.Body_ = Request_.Body_;
+  watchForSilence();
   Call_ =
       Plane_.poolOf(*Server_).start(std::move(Outbound), shared_from_this());
 }
@@ -117,6 +122,7 @@
                                  .add("server", LastServer_));
     return HeadVerdict::Skip;
   }
+  endSilence();
   Answer_ = Dialect.decode(Head);
   if (FirstAnswerAt_ == TimePoint())
     FirstAnswerAt_ = readElapsedTime();
@@ -156,9 +162,28 @@
   handle(AttemptFailed{Evidence});
 }
 
+void RequestSession::watchForSilence() {
+  SilenceTimer_.expires_after(Subject_.Route_->LatencyTarget_ * SilencePart /
+                              100);
+  SilenceTimer_.async_wait(
+      [Self = shared_from_this()](asio::error_code Failure) {
+        if (Failure || !Self->Server_ || Self->Answer_)
+          return;
+        Self->IsSilent_ = true;
+        Self->Plane_.Roster_.onSilent(Self->Server_->Id_);
+      });
+}
+
+void RequestSession::endSilence() {
+  SilenceTimer_.cancel();
+  if (std::exchange(IsSilent_, false))
+    Plane_.Roster_.onSilenceEnded(Server_->Id_);
+}
+
 void RequestSession::endAttempt(ServerVerdict Verdict) {
   if (!Server_)
     return;
+  endSilence();
   Plane_.Roster_.onEnded(Server_->Id_, Verdict, readElapsedTime());
   Server_.reset();
   Plane_.advanceQueue();
@@ -167,7 +192,11 @@
 void RequestSession::on(CancelAttempt const & /*Action*/) {
   if (auto const Call = std::exchange(Call_, nullptr))
     Call->cancel();
-  endAttempt(ServerVerdict::Worked);
+  // A server that let a request wait to its end without a byte has not worked.
+  bool const WasIgnored = IsSilent_ && readElapsedTime() >= Subject_.Expiry_;
+  endAttempt(Answer_      ? ServerVerdict::Worked
+             : WasIgnored ? ServerVerdict::Failed
+                          : ServerVerdict::Unknown);
 }
 
 void RequestSession::on(CountRun const & /*Action*/) {
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -45,6 +45,8 @@
   void on(exchange::Refuse const &Action);
 
   void endAttempt(ServerVerdict Verdict);
+  void watchForSilence();
+  void endSilence();
   void finish(Outcome Outcome, std::int32_t Status, std::string_view Reason);
   void count(Outcome Outcome);
   void log(Outcome Outcome, std::int32_t Status, std::string_view Reason);
@@ -56,6 +58,8 @@
   exchange::Subject Subject_;
   ExchangeFlow Flow_;
   asio::steady_timer Expiry_;
+  asio::steady_timer SilenceTimer_;
+  bool IsSilent_ = false; ///< The attempt counts as such at its server.
   std::uint64_t Ticket_ = 0;
   std::optional<ServerRecord> Server_; ///< Of the attempt under way.
   std::optional<ServerAnswer> Answer_;
--- a/Tests/LibTraffic/TestServerRoster.cpp
+++ b/Tests/LibTraffic/TestServerRoster.cpp
@@ -90,6 +90,19 @@
   CHECK(choose() == "far");
 }
 
+TEST_CASE_METHOD(Fixture, "A server that leaves requests without a byte gets "
+                          "fewer, and is not lost for it") {
+  Roster_.replaceAll({server("dark", "a-1", 24), server("far", "b-1", 24)});
+  Roster_.onSent(ServerId("dark"));
+  Roster_.onSilent(ServerId("dark"));
+  Roster_.onSilent(ServerId("dark"));
+  CHECK(choose() == "far");
+  CHECK(choose({Writer, {ServerId("far")}, {}}) == "dark");
+  Roster_.onSilenceEnded(ServerId("dark"));
+  Roster_.onSilenceEnded(ServerId("dark"));
+  CHECK(choose() == "dark");
+}
+
 TEST_CASE_METHOD(Fixture, "What a server says of its load counts for a while") {
   Roster_.replaceAll({server("x", "a-1", 4), server("y", "b-1", 4)});
   Roster_.onLoad(ServerId("x"), {4, 0, 4}, Now_);
