--- a/Libraries/LibControl/CapacityPlanner.h
+++ b/Libraries/LibControl/CapacityPlanner.h
@@ -45,13 +45,14 @@
   std::vector<ServerRecord> Servers_;
 };
 
-/// Decides which servers to order for one service: the need follows the rate of
-/// requests and the time that one takes while the servers are not overfull, as
-/// an overload would otherwise feed itself. A base that stays when a
-/// data centre's reclaimable servers are taken away at once, the rest
-/// reclaimable, spread over the data centres; in place of reclaimable servers
-/// that leave or are not to be had, others at once. Grows at once and shrinks
-/// slowly.
+/// Decides which servers to order for one service.
+///
+/// The need follows the rate of requests and the time that one takes while
+/// servers are not overfull, as an overload would otherwise feed itself. A part
+/// of it is kept on demand and stays when a data centre's reclaimable servers
+/// are taken away at once; the rest is reclaimable and spread over the data
+/// centres. Where reclaimable servers leave or are not to be had, others are
+/// ordered in their place. Orders grow at once and shrink slowly.
 class CapacityPlanner {
 public:
   explicit CapacityPlanner(CapacitySettings Settings) : Settings_(Settings) {}
--- a/Services/laburnum-entry/EntryMetrics.h
+++ b/Services/laburnum-entry/EntryMetrics.h
@@ -16,7 +16,7 @@
   std::string text();
 
 private:
-  MetricsRegistry Registry_;
+  MetricsRegistry Registry_; ///< Declared first, as the references point in.
 
 public:
   Counter &Answered_;   ///< With a server's answer, whatever its status.
