LibPlacement: Let all first candidates watch the lease, by reads that may lag

Change: the first eight candidates read alike. What only watches another holder makes do with a read that may lag, which costs a tenth: a version shown late is dated late, and a takeover that goes by an old one is refused by the store. Ruled out: faster reads of the latest state (ten times the price), a watch (one call for each renewal). With it: settings are read again at SIGHUP and every 2 s; bounds apply at once, the rest at the next start (SettingsWatch).

--- a/Libraries/LibControl/LeaseKeeper.cpp
+++ b/Libraries/LibControl/LeaseKeeper.cpp
@@ -41,8 +41,8 @@
     std::visit([this](auto const &Kind) { on(Kind); }, Action);
 }
 
-void LeaseKeeper::on(lease::ReadLease const & /*Action*/) {
-  Store_.get(lease::leaseKey(), StoreTimeout,
+void LeaseKeeper::on(lease::ReadLease const &Action) {
+  Store_.get(lease::leaseKey(), Action.Consistency_, StoreTimeout,
              [Self = shared_from_this()](Result<StoredObject> const &Read) {
                auto const Now = Self->Clock_();
                if (isError(Read))
--- a/Libraries/LibControl/PeerNetwork.cpp
+++ b/Libraries/LibControl/PeerNetwork.cpp
@@ -81,19 +81,21 @@
 /// The first instance that asks makes the secret; the others read it.
 void PeerNetwork::obtainSecret() {
   auto const Self = shared_from_this();
-  Store_.get(secretKey(), StoreTimeout, [Self](Result<StoredObject> Read) {
-    if (isError(Read))
-      return Self->after(Self->StoreTimer_, RetryPause,
-                         &PeerNetwork::obtainSecret);
-    auto const Held =
-        nlohmann::json::parse(valueOf(Read).Value_, nullptr, false);
-    if (valueOf(Read).Version_ != 0 && Held.is_string())
-      return Self->openTransport(Held.get<std::string>());
-    nlohmann::json const Made = Self->Identifiers_.next();
-    Self->Store_.putIf(
-        secretKey(), valueOf(Read).Version_, Made.dump(), StoreTimeout,
-        [Self](Result<Version> const &) { Self->obtainSecret(); });
-  });
+  Store_.get(secretKey(), ReadConsistency::Latest, StoreTimeout,
+             [Self](Result<StoredObject> Read) {
+               if (isError(Read))
+                 return Self->after(Self->StoreTimer_, RetryPause,
+                                    &PeerNetwork::obtainSecret);
+               auto const Held =
+                   nlohmann::json::parse(valueOf(Read).Value_, nullptr, false);
+               if (valueOf(Read).Version_ != 0 && Held.is_string())
+                 return Self->openTransport(Held.get<std::string>());
+               nlohmann::json const Made = Self->Identifiers_.next();
+               Self->Store_.putIf(
+                   secretKey(), valueOf(Read).Version_, Made.dump(),
+                   StoreTimeout,
+                   [Self](Result<Version> const &) { Self->obtainSecret(); });
+             });
 }
 
 void PeerNetwork::openTransport(std::string const &Secret) {
--- a/Libraries/LibControl/PeerNetwork.h
+++ b/Libraries/LibControl/PeerNetwork.h
@@ -10,7 +10,6 @@
 
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
--- a/Libraries/LibControl/UsageReporter.cpp
+++ b/Libraries/LibControl/UsageReporter.cpp
@@ -208,7 +208,7 @@
 
 void UsageReporter::settle(std::int64_t Window, UsageCounts Counts) {
   auto const Self = shared_from_this();
-  Store_.get(settledKey(), StoreTimeout,
+  Store_.get(settledKey(), ReadConsistency::Latest, StoreTimeout,
              [Self, Window,
               Counts = std::move(Counts)](Result<StoredObject> const &Read) {
                if (isError(Read))
--- a/Libraries/LibControl/UsageReporter.h
+++ b/Libraries/LibControl/UsageReporter.h
@@ -10,7 +10,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -66,7 +66,7 @@
 }
 
 void Connection::waitForBytes() {
-  if (IsWaiting_ || State_ == State::Closed || Reading_ == Reading::Paused)
+  if (IsWaiting_ || State_ == State::Closed)
     return;
   IsWaiting_ = true;
   Socket_.async_wait(asio::ip::tcp::socket::wait_read,
@@ -74,8 +74,7 @@
                        Self->IsWaiting_ = false;
                        if (Failure || Self->State_ == State::Closed)
                          return;
-                       if (Self->Reading_ == Reading::Running)
-                         Self->readAvailable();
+                       Self->readAvailable();
                      });
 }
 
@@ -127,13 +126,6 @@
       });
 }
 
-void Connection::pauseReading() { Reading_ = Reading::Paused; }
-
-void Connection::resumeReading() {
-  Reading_ = Reading::Running;
-  waitForBytes();
-}
-
 void Connection::close() {
   if (State_ != State::Open)
     return;
@@ -146,7 +138,7 @@
 void Connection::finishClosing() {
   asio::error_code Ignored;
   Socket_.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
-  resumeReading();
+  waitForBytes();
   CloseTimer_.expires_after(CloseLinger);
   CloseTimer_.async_wait([Self = shared_from_this()](asio::error_code Failure) {
     if (!Failure)
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -55,10 +55,6 @@
   void write(std::string Bytes);
   /// Bytes handed to write() that have not left yet.
   std::size_t unwrittenBytes() const { return Unwritten_; }
-  /// No bytes are read until resumeReading(); the peer's leaving goes
-  /// unnoticed meanwhile.
-  void pauseReading();
-  void resumeReading();
 
   /// Ends the connection in an orderly way: what was written still leaves,
   /// and the peer gets a second to close first.
@@ -70,7 +66,6 @@
 
 private:
   enum class State { Open, Closing, Closed };
-  enum class Reading { Running, Paused };
 
   explicit Connection(asio::ip::tcp::socket Socket);
   void waitForBytes();
@@ -86,7 +81,6 @@
   std::deque<std::string> Writes_;
   std::size_t Unwritten_ = 0;
   State State_ = State::Open;
-  Reading Reading_ = Reading::Running;
   bool IsWaiting_ = false;
   bool IsWriting_ = false;
 };
--- a/Libraries/LibHttp/MessageReader.cpp
+++ b/Libraries/LibHttp/MessageReader.cpp
@@ -44,7 +44,6 @@
 
   void feedBytes(std::string_view Bytes) {
     Pending_.append(Bytes);
-    HasBegun_ = HasBegun_ || !Bytes.empty();
     std::size_t Used = 0;
     while (Fault_ == MessageFault::None && !this->is_done() &&
            Used < Pending_.size()) {
@@ -79,7 +78,6 @@
   std::string Body_;
   std::string Pending_;
   MessageFault Fault_ = MessageFault::None;
-  bool HasBegun_ = false;
 
 protected:
   void on_field_impl(http::field /*Field*/, ParserText Name, ParserText Value,
@@ -182,7 +180,6 @@
 RequestReader &RequestReader::operator=(RequestReader &&) noexcept = default;
 
 void RequestReader::feed(std::string_view Bytes) { Parser_->feedBytes(Bytes); }
-bool RequestReader::hasBegun() const { return Parser_->HasBegun_; }
 bool RequestReader::isHeadDone() const { return Parser_->is_header_done(); }
 bool RequestReader::isDone() const { return Parser_->is_done(); }
 MessageFault RequestReader::fault() const { return Parser_->Fault_; }
@@ -214,7 +211,6 @@
   }
 }
 void AnswerReader::endOfInput() { Parser_->end(); }
-bool AnswerReader::hasBegun() const { return Parser_->HasBegun_; }
 bool AnswerReader::isHeadDone() const { return Parser_->is_header_done(); }
 bool AnswerReader::isDone() const { return Parser_->is_done(); }
 MessageFault AnswerReader::fault() const { return Parser_->Fault_; }
--- a/Libraries/LibHttp/MessageReader.h
+++ b/Libraries/LibHttp/MessageReader.h
@@ -44,7 +44,6 @@
   /// Takes bytes up to the end of the message; what follows stays in rest().
   void feed(std::string_view Bytes);
 
-  bool hasBegun() const;
   bool isHeadDone() const;
   bool isDone() const;
   MessageFault fault() const;
@@ -78,7 +77,6 @@
   /// length, and makes any other Truncated.
   void endOfInput();
 
-  bool hasBegun() const;
   bool isHeadDone() const;
   bool isDone() const;
   MessageFault fault() const;
--- a/Libraries/LibPlacement/LeaseHolder.cpp
+++ b/Libraries/LibPlacement/LeaseHolder.cpp
@@ -11,8 +11,10 @@
 
 namespace {
 
-/// Candidates beyond this place read as rarely as this one.
-constexpr std::size_t LastSlowerRank = 10;
+/// Candidates this far behind the first ones read as rarely as this one.
+constexpr std::size_t MostDoublings = 10;
+/// The place of an instance that has not heard of the live members yet.
+constexpr std::size_t LastRank = 1000;
 
 } // namespace
 
@@ -20,8 +22,7 @@
 
 LeaseHolder::LeaseHolder(lease::Settings Settings)
     : Settings_(std::move(Settings)), Nonces_(Settings_.Seed_),
-      Life_(Settings_.Self_.text() + "/" + Nonces_.next()),
-      Rank_(LastSlowerRank) {}
+      Life_(Settings_.Self_.text() + "/" + Nonces_.next()), Rank_(LastRank) {}
 
 std::vector<Action> LeaseHolder::handle(Event const &Event, TimePoint Now) {
   Now_ = Now;
@@ -46,8 +47,11 @@
       write(Seen_->Object_.Version_);
     return;
   }
+  // A version that is shown late is dated late, and a takeover that goes by an
+  // old one is refused: watching the holder needs no latest state.
+  bool const IsWatching = Seen_ && !Held_ && Unsettled_.empty();
   if (Now_ >= NextRead_)
-    read();
+    read(IsWatching ? ReadConsistency::MayLag : ReadConsistency::Latest);
 }
 
 void LeaseHolder::on(LeaseRead const &Event) {
@@ -80,7 +84,7 @@
 void LeaseHolder::on(WriteRefused const & /*Event*/) {
   IsAwaited_ = false;
   forgetLastWrite();
-  read();
+  read(ReadConsistency::Latest);
 }
 
 void LeaseHolder::on(WriteFailed const & /*Event*/) {
@@ -92,7 +96,7 @@
 
 void LeaseHolder::on(WriteUnknown const & /*Event*/) {
   IsAwaited_ = false;
-  read();
+  read(ReadConsistency::Latest);
 }
 
 void LeaseHolder::on(lease::MembersChanged const &Event) {
@@ -178,9 +182,9 @@
   return Now_ - Seen_->Since_ >= Settings_.Length_ + Settings_.Margin_;
 }
 
-void LeaseHolder::read() {
+void LeaseHolder::read(ReadConsistency Consistency) {
   IsAwaited_ = true;
-  Actions_.emplace_back(ReadLease{});
+  Actions_.emplace_back(ReadLease{Consistency});
 }
 
 void LeaseHolder::write(Version Expected) {
@@ -210,7 +214,10 @@
 }
 
 Duration LeaseHolder::pollPeriod() const {
-  return Settings_.PollPeriod_ * (1U << std::min(Rank_, LastSlowerRank));
+  auto const First = std::max(Settings_.FirstCandidates_, 1U);
+  auto const Doublings =
+      Rank_ < First ? 0 : std::min(Rank_ - First + 1, MostDoublings);
+  return Settings_.PollPeriod_ * (1U << Doublings);
 }
 
 } // namespace laburnum
--- a/Libraries/LibPlacement/LeaseHolder.h
+++ b/Libraries/LibPlacement/LeaseHolder.h
@@ -44,6 +44,8 @@
 
 /// Read the lease object. Answered by LeaseRead or ReadFailed.
 struct ReadLease {
+  ReadConsistency Consistency_ = ReadConsistency::Latest;
+
   auto operator<=>(ReadLease const &) const = default;
 };
 /// Write Value_ to the lease object by conditional update.
@@ -74,9 +76,10 @@
   /// What a challenger adds to the length for clocks that run unevenly.
   Duration Margin_ = std::chrono::seconds(1);
   Duration RenewPeriod_ = std::chrono::seconds(3);
-  /// How often the first candidate reads the lease; each further candidate
-  /// waits twice as long as the one before.
+  /// How often the first candidates read the lease; each further one waits
+  /// twice as long as the one before.
   Duration PollPeriod_ = std::chrono::seconds(2);
+  std::uint32_t FirstCandidates_ = 1;
   Duration RetryPause_ = std::chrono::milliseconds(500);
 };
 
@@ -137,7 +140,7 @@
   void proved(SentWrite const &Write, Version Made);
   void challenge();
   bool mayTakeOver() const;
-  void read();
+  void read(ReadConsistency Consistency);
   void write(Version Expected);
   void forgetLastWrite();
   void lose();
--- a/Libraries/LibPlatform/AsyncObjectStore.h
+++ b/Libraries/LibPlatform/AsyncObjectStore.h
@@ -21,8 +21,8 @@
   /// A deleted object comes with Version_ 0.
   virtual void watch(std::string const &Collection, Version From, Duration Wait,
                      Done<WatchBatch> Done) = 0;
-  virtual void get(ObjectKey const &Key, Duration Timeout,
-                   Done<StoredObject> Done) = 0;
+  virtual void get(ObjectKey const &Key, ReadConsistency Consistency,
+                   Duration Timeout, Done<StoredObject> Done) = 0;
   virtual void putIf(ObjectKey const &Key, Version Expected,
                      std::string const &Value, Duration Timeout,
                      Done<Version> Done) = 0;
--- a/Libraries/LibPlatform/ObjectStore.h
+++ b/Libraries/LibPlatform/ObjectStore.h
@@ -34,6 +34,12 @@
   auto operator<=>(ObjectList const &) const = default;
 };
 
+/// What a read of one object may show.
+enum class ReadConsistency {
+  Latest,
+  MayLag, ///< A state that was current some seconds ago; costs less.
+};
+
 enum class WatchContinuity {
   Complete, ///< No change was passed over.
   Gap,      ///< Changes may be missing: list the collection again.
--- a/Libraries/LibSettings/EntrySettings.h
+++ b/Libraries/LibSettings/EntrySettings.h
@@ -25,11 +25,9 @@
 
   Duration StopTime_{}; ///< From SIGTERM to SIGKILL.
   Duration LeaseLength_{};
-  Duration ConfigurationInForce_{}; ///< An accepted change, everywhere.
-  double RetryRatio_ = 0.0;         ///< Sends beyond the first, per request.
-  double RetrySlack_ = 0.0;         ///< Beside these, per window.
+  double RetryRatio_ = 0.0; ///< Sends beyond the first, per request.
+  double RetrySlack_ = 0.0; ///< Beside these, per window.
   Duration RetryWindow_{};
-  Duration QuotaWindow_{};
   double QuotaOverrun_ = 0.0; ///< Part of a quota that may be used beyond it.
   double QuotaSlack_ = 0.0;   ///< In the quota's unit, beside that.
   Duration UsageWindow_{};
--- a/Libraries/LibTraffic/AccountMeter.h
+++ b/Libraries/LibTraffic/AccountMeter.h
@@ -38,6 +38,7 @@
 
   explicit AccountMeter(Settings Settings) : Settings_(Settings) {}
 
+  void setSettings(Settings Settings) { Settings_ = Settings; }
   void setTable(std::shared_ptr<RouteTable const> Table, TimePoint Now);
   /// How many instances there may be, this one included.
   void setRegistered(std::size_t Registered) { Registered_ = Registered; }
--- a/Libraries/LibTraffic/RetryLedger.h
+++ b/Libraries/LibTraffic/RetryLedger.h
@@ -23,6 +23,7 @@
 public:
   explicit RetryLedger(RetryBounds Bounds) : Bounds_(Bounds) {}
 
+  void setBounds(RetryBounds Bounds) { Bounds_ = Bounds; }
   /// The part of the slack that this instance may use, 0 to 1.
   void setShare(double Share) { Share_ = Share; }
   void countRequest(ServiceName const &Service, TimePoint Now);
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -10,6 +10,9 @@
 
 constexpr std::chrono::milliseconds LogPeriod{100};
 constexpr std::chrono::milliseconds DutyPeriod{200};
+/// The settings file may change without a signal.
+constexpr std::chrono::seconds SettingsPeriod{2};
+constexpr std::string_view PeriodicTrigger = "file";
 /// How often instances tell each other what accounts have used.
 constexpr std::chrono::milliseconds ReportPeriod{250};
 /// From SIGTERM until the balancer has surely noticed: it asks once a second
@@ -159,7 +162,9 @@
               }})),
       DutyTimer_(Parts.Context_), ReportTimer_(Parts.Context_),
       Signals_(Parts.Context_, SIGTERM, SIGINT, SIGHUP),
-      LogTimer_(Parts.Context_), StopTimer_(Parts.Context_) {}
+      LogTimer_(Parts.Context_), StopTimer_(Parts.Context_),
+      SettingsTimer_(Parts.Context_),
+      Settings_(Parts.Settings_, Parts.ReadSettings_) {}
 
 ControlPlane::~ControlPlane() = default;
 
@@ -187,6 +192,7 @@
   tickDuties();
   reportConsumption();
   awaitSignals();
+  watchSettings();
   flushLog();
   return Success{};
 }
@@ -313,19 +319,53 @@
     if (Failure)
       return;
     if (Signal == SIGHUP)
-      Parts_.Log_.write(LogLine("reload").add("signal", Signal));
+      reloadSettings("signal");
     else
       beginStop();
     awaitSignals();
   });
 }
 
+void ControlPlane::reloadSettings(std::string_view Trigger) {
+  auto const Seen = Settings_.look();
+  LogLine Line("reload");
+  Line.add("trigger", Trigger);
+  if (auto const *const Changed = std::get_if<settings::Changed>(&Seen)) {
+    onTraffic([&Traffic = Parts_.Traffic_, InForce = Changed->Settings_] {
+      Traffic.setBounds(InForce);
+    });
+    bool const IsWhole = Changed->Reach_ == settings::Reach::All;
+    Line.add("outcome",
+             IsWhole ? "in force" : "in part, the rest at the next start");
+  } else if (auto const *const Failed =
+                 std::get_if<settings::Unreadable>(&Seen)) {
+    Line.add("outcome", "unreadable, the settings before stay in force")
+        .add("why", Failed->Reason_.Message_);
+  } else if (Trigger == PeriodicTrigger) {
+    return;
+  } else {
+    Line.add("outcome", "unchanged");
+  }
+  Parts_.Log_.write(Line);
+}
+
+void ControlPlane::watchSettings() {
+  SettingsTimer_.expires_after(SettingsPeriod);
+  SettingsTimer_.async_wait([this](asio::error_code Failure) {
+    if (Failure)
+      return;
+    reloadSettings(PeriodicTrigger);
+    watchSettings();
+  });
+}
+
 void ControlPlane::beginStop() {
   if (IsStopping_)
     return;
   IsStopping_ = true;
   StopBegunAt_ = readElapsedTime();
-  Parts_.Log_.write(LogLine("stop").add("time_ms", Parts_.Settings_.StopTime_));
+  Parts_.Log_.write(
+      LogLine("stop").add("time_ms", Settings_.inForce().StopTime_));
   Peers_->leave();
   StopTimer_.expires_after(BalancerNotice);
   StopTimer_.async_wait([this](asio::error_code Failure) {
@@ -341,7 +381,7 @@
     auto const Busy = Parts_.Traffic_.busyConnections();
     asio::post(Parts_.Context_, [this, Busy] {
       auto const Elapsed = readElapsedTime() - StopBegunAt_;
-      if (Busy == 0 || Elapsed > Parts_.Settings_.StopTime_ - StopReserve)
+      if (Busy == 0 || Elapsed > Settings_.inForce().StopTime_ - StopReserve)
         return Duties_.handOver([this] { endProcess(); });
       StopTimer_.expires_after(StopLookPeriod);
       StopTimer_.async_wait([this](asio::error_code Failure) {
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -6,12 +6,12 @@
 
 #include <LibControl/CollectionFollower.h>
 #include <LibControl/PeerNetwork.h>
+#include <LibControl/SettingsWatch.h>
 #include <LibControl/TrueClock.h>
 
 #include <asio/signal_set.hpp>
 
 #include <memory>
-#include <set>
 #include <string>
 #include <utility>
 
@@ -43,6 +43,7 @@
   TrafficPlane &Traffic_;
   EventLog &Log_;
   EntryMetrics &Metrics_;
+  SettingsWatch::Read ReadSettings_;
 };
 
 /// Keeps what this instance knows up to date, tells the balancer whether it is
@@ -71,6 +72,9 @@
   void sendReport(ConsumptionReport Report);
   void tickDuties();
   void awaitSignals();
+  /// Takes over settings that have changed. Trigger is for the log.
+  void reloadSettings(std::string_view Trigger);
+  void watchSettings();
   void beginStop();
   void continueStop();
   void endProcess();
@@ -94,6 +98,8 @@
   asio::signal_set Signals_;
   asio::steady_timer LogTimer_;
   asio::steady_timer StopTimer_;
+  asio::steady_timer SettingsTimer_;
+  SettingsWatch Settings_;
   std::uint64_t ConfigurationVersion_ = 0;
   std::pair<std::size_t, std::size_t> LastFleet_; ///< Live, registered.
   bool KnowsServers_ = false;
--- a/Services/laburnum-entry/DutyDesk.cpp
+++ b/Services/laburnum-entry/DutyDesk.cpp
@@ -10,6 +10,9 @@
 constexpr std::chrono::milliseconds LeaseMargin{700};
 constexpr std::chrono::milliseconds LeaseRenewal{1300};
 constexpr std::chrono::milliseconds LeasePoll{1500};
+/// So many watch the holder alike, so that the next one is in time whoever is
+/// lost together with it; their reads may lag and cost little.
+constexpr std::uint32_t LeaseCandidates = 8;
 constexpr std::chrono::milliseconds OrderTimeout{1000};
 
 lease::Settings leaseSettings(EntrySettings const &Settings,
@@ -23,6 +26,7 @@
   Lease.Margin_ = LeaseMargin;
   Lease.RenewPeriod_ = LeaseRenewal;
   Lease.PollPeriod_ = LeasePoll;
+  Lease.FirstCandidates_ = LeaseCandidates;
   return Lease;
 }
 
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -32,14 +32,16 @@
   return Meter;
 }
 
+RetryBounds retryBounds(EntrySettings const &Settings) {
+  return {Settings.RetryRatio_, Settings.RetrySlack_, Settings.RetryWindow_};
+}
+
 } // namespace
 
 TrafficPlane::TrafficPlane(TrafficParts Parts, std::uint64_t Seed)
     : Parts_(Parts),
       Roster_({Parts.Settings_.DataCentre_, Parts.Settings_.Regions_}, Seed),
-      Queue_(Roster_),
-      Retries_({Parts.Settings_.RetryRatio_, Parts.Settings_.RetrySlack_,
-                Parts.Settings_.RetryWindow_}),
+      Queue_(Roster_), Retries_(retryBounds(Parts.Settings_)),
       Meter_(meterSettings(Parts.Settings_)), QueueTimer_(Parts.Context_) {}
 
 TrafficPlane::~TrafficPlane() = default;
@@ -58,6 +60,11 @@
   Meter_.setTable(Table_, readElapsedTime());
 }
 
+void TrafficPlane::setBounds(EntrySettings const &Settings) {
+  Retries_.setBounds(retryBounds(Settings));
+  Meter_.setSettings(meterSettings(Settings));
+}
+
 void TrafficPlane::setRegistered(std::size_t Instances) {
   Retries_.setShare(1.0 / static_cast<double>(Instances));
   Meter_.setRegistered(Instances);
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -46,6 +46,8 @@
   Result<Success> listen();
 
   void setTable(std::shared_ptr<RouteTable const> Table);
+  /// What of the settings can change while the program runs.
+  void setBounds(EntrySettings const &Settings);
   void replaceServers(std::vector<ServerRecord> const &Records);
   void updateServer(ServerRecord const &Record);
   void removeServer(ServerId const &Id);
--- a/Services/laburnum-entry/main.cpp
+++ b/Services/laburnum-entry/main.cpp
@@ -60,7 +60,7 @@
   }
 };
 
-int serve(EntrySettings const &Settings) {
+int serve(EntrySettings const &Settings, std::string const &Path) {
   std::signal(SIGPIPE, SIG_IGN);
   EventLog Log(STDOUT_FILENO, Settings.Name_);
   Log.write(LogLine("start").add("data_centre", Settings.DataCentre_.text()));
@@ -78,7 +78,8 @@
       {TrafficContext, Settings, Dialect, Usage, Clock, Log, Metrics},
       Entropy());
   ControlPlane Control({ControlContext, TrafficContext, Settings, Store, Duties,
-                        Records, Usage, Clock, Traffic, Log, Metrics},
+                        Records, Usage, Clock, Traffic, Log, Metrics,
+                        [&Path] { return platform::loadNodeFile(Path); }},
                        Entropy());
   auto Started = Traffic.listen();
   if (!isError(Started))
@@ -117,7 +118,7 @@
   }
   if (Parsed.count("check-settings"))
     return 0;
-  return serve(valueOf(Settings));
+  return serve(valueOf(Settings), Path);
 }
 
 } // namespace
--- a/Tests/Fakes/FakeAsyncStore.cpp
+++ b/Tests/Fakes/FakeAsyncStore.cpp
@@ -28,8 +28,8 @@
   Watches_.push_back({Collection, From, std::move(Done)});
 }
 
-void FakeAsyncStore::get(ObjectKey const &Key, Duration /*Timeout*/,
-                         Done<StoredObject> Done) {
+void FakeAsyncStore::get(ObjectKey const &Key, ReadConsistency /*Consistency*/,
+                         Duration /*Timeout*/, Done<StoredObject> Done) {
   Answers_.push_back([this, Key, Done = std::move(Done)] {
     if (Fault_ == StoreFault::Down)
       return Done(Unreachable);
--- a/Tests/Fakes/FakeAsyncStore.h
+++ b/Tests/Fakes/FakeAsyncStore.h
@@ -26,7 +26,7 @@
             Done<ObjectList> Done) override;
   void watch(std::string const &Collection, Version From, Duration Wait,
              Done<WatchBatch> Done) override;
-  void get(ObjectKey const &Key, Duration Timeout,
+  void get(ObjectKey const &Key, ReadConsistency Consistency, Duration Timeout,
            Done<StoredObject> Done) override;
   void putIf(ObjectKey const &Key, Version Expected, std::string const &Value,
              Duration Timeout, Done<Version> Done) override;
--- /dev/null
+++ b/Tests/LibControl/TestSettingsWatch.cpp
@@ -0,0 +1,56 @@
+#include <LibControl/SettingsWatch.h>
+
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+using namespace laburnum::settings;
+
+namespace {
+
+struct Fixture {
+  Fixture() { Now_.RetryRatio_ = 0.2; }
+
+  EntrySettings Now_;
+  std::optional<Error> Problem_;
+  SettingsWatch Watch_{Now_, [this]() -> Result<EntrySettings> {
+                         if (Problem_)
+                           return *Problem_;
+                         return Now_;
+                       }};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "Bounds that change are in force at once") {
+  CHECK(std::holds_alternative<Unchanged>(Watch_.look()));
+  Now_.RetryRatio_ = 0.1;
+  Now_.QuotaSlack_ = 70;
+  auto const Seen = Watch_.look();
+  REQUIRE(std::holds_alternative<Changed>(Seen));
+  CHECK(std::get<Changed>(Seen).Settings_ == Now_);
+  CHECK(std::get<Changed>(Seen).Reach_ == Reach::All);
+  CHECK(std::holds_alternative<Unchanged>(Watch_.look()));
+}
+
+TEST_CASE_METHOD(Fixture, "An address that changes waits for the next start") {
+  Now_.Store_ = {"10.0.0.9", 80};
+  Now_.RetryRatio_ = 0.1;
+  auto const Seen = Watch_.look();
+  REQUIRE(std::holds_alternative<Changed>(Seen));
+  CHECK(std::get<Changed>(Seen).Reach_ == Reach::Part);
+  CHECK(Watch_.inForce().Store_ == Endpoint{});
+  CHECK(Watch_.inForce().RetryRatio_ == 0.1);
+  CHECK(std::holds_alternative<Unchanged>(Watch_.look()));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "Unreadable settings change nothing and are told once") {
+  Problem_ = Error{ErrorKind::NotFound, "cannot read it", "name another"};
+  CHECK(std::holds_alternative<Unreadable>(Watch_.look()));
+  CHECK(std::holds_alternative<Unchanged>(Watch_.look()));
+  CHECK(Watch_.inForce().RetryRatio_ == 0.2);
+  Problem_.reset();
+  CHECK(std::holds_alternative<Unchanged>(Watch_.look()));
+  Problem_ = Error{ErrorKind::NotFound, "cannot read it", "name another"};
+  CHECK(std::holds_alternative<Unreadable>(Watch_.look()));
+}
--- a/Tests/LibPlacement/LeaseFleet.h
+++ b/Tests/LibPlacement/LeaseFleet.h
@@ -21,12 +21,11 @@
 public:
   static constexpr Duration Step = std::chrono::milliseconds(200);
 
-  explicit LeaseFleet(std::size_t Count) {
+  explicit LeaseFleet(std::size_t Count, lease::Settings Mine = {}) {
     std::vector<Member> Members(Count);
     for (std::size_t Each = 0; Each < Count; ++Each)
       Members[Each].Instance_.Id_ = InstanceId("i" + std::to_string(Each));
     for (std::size_t Each = 0; Each < Count; ++Each) {
-      lease::Settings Mine;
       Mine.Self_ = Members[Each].Instance_.Id_;
       Mine.Seed_ = Each + 1;
       Holders_.emplace_back(Mine);
@@ -95,6 +94,7 @@
   std::deque<LeaseWriteFate> Writes_; ///< Of the next writes.
   bool IsDown_ = false;
   std::size_t Reads_ = 0;
+  std::size_t LatestReads_ = 0; ///< Of those.
   std::size_t MostHolders_ = 0; ///< At one moment.
   TimePoint Now_ = TimePoint(std::chrono::hours(1));
   StoredObject Object_ = {lease::leaseKey(), 0, ""};
@@ -103,6 +103,8 @@
   lease::Event answer(lease::Action const &Call) {
     if (std::holds_alternative<lease::ReadLease>(Call)) {
       ++Reads_;
+      auto const Wanted = std::get<lease::ReadLease>(Call).Consistency_;
+      LatestReads_ += Wanted == ReadConsistency::Latest ? 1 : 0;
       if (IsDown_)
         return lease::ReadFailed{};
       return lease::LeaseRead{Object_};
--- a/Tests/LibPlacement/TestLeaseHolder.cpp
+++ b/Tests/LibPlacement/TestLeaseHolder.cpp
@@ -214,3 +214,36 @@
   CHECK(PerSecond < 3);
   CHECK(Fleet.MostHolders_ == 1);
 }
+
+TEST_CASE("Whoever is lost together, a first candidate is next in time") {
+  constexpr std::size_t Count = 8;
+  lease::Settings Settings;
+  Settings.Length_ = seconds(4);
+  Settings.PollPeriod_ = std::chrono::milliseconds(1500);
+  Settings.FirstCandidates_ = Count;
+  LeaseFleet Fleet(Count, Settings);
+  Fleet.run(seconds(20));
+  auto const Survivor = (Fleet.holder() + GENERATE(1U, 2U, 5U, 7U)) % Count;
+  for (std::size_t Each = 0; Each < Count; ++Each)
+    Fleet.Paused_[Each] = Each != Survivor;
+  // The lease, its margin, and a reading before and after.
+  Fleet.run(seconds(4 + 1) + 2 * Settings.PollPeriod_);
+  CHECK(Fleet.holder() == Survivor);
+  CHECK(Fleet.MostHolders_ == 1);
+}
+
+TEST_CASE("Only watching another holder makes do with reads that lag") {
+  LeaseFleet Fleet(4);
+  Fleet.run(seconds(30));
+  Fleet.Reads_ = Fleet.LatestReads_ = 0;
+  SECTION("while one holds it") {
+    Fleet.run(seconds(60));
+    CHECK(Fleet.Reads_ > 10);
+    CHECK(Fleet.LatestReads_ == 0);
+  }
+  SECTION("after a write whose answer was lost") {
+    Fleet.Writes_ = {LeaseWriteFate::LostAnswer};
+    Fleet.run(seconds(10));
+    CHECK(Fleet.LatestReads_ > 0);
+  }
+}
--- a/Tests/Platform/TestObjectClient.cpp
+++ b/Tests/Platform/TestObjectClient.cpp
@@ -64,6 +64,11 @@
         [&](auto Done) { Client_.putIf(Key_, Expected, "7", Timeout, Done); });
   }
 
+  Result<StoredObject> get(ReadConsistency Consistency) {
+    return await<StoredObject>(
+        [&](auto Done) { Client_.get(Key_, Consistency, Timeout, Done); });
+  }
+
   asio::io_context Context_;
   ScriptedStore Store_;
   std::shared_ptr<HttpListener> Listener_ = std::get<0>(
@@ -153,8 +158,15 @@
 
 TEST_CASE_METHOD(Fixture, "An object that is not there is told as such") {
   Store_.Script_ = {{404, ""}};
-  auto const Read =
-      await<StoredObject>([&](auto Done) { Client_.get(Key_, Timeout, Done); });
+  auto const Read = get(ReadConsistency::Latest);
   REQUIRE_FALSE(isError(Read));
   CHECK(valueOf(Read).Version_ == 0);
+  CHECK(Store_.Calls_.at(0) == "GET /laburnumpond/objects/things/one");
+}
+
+TEST_CASE_METHOD(Fixture, "A read that may lag says so to the store") {
+  Store_.Script_ = {{404, ""}};
+  get(ReadConsistency::MayLag);
+  CHECK(Store_.Calls_.at(0) ==
+        "GET /laburnumpond/objects/things/one?allow_stale=1");
 }
