LibControl: Count servers that an order takes away as gone at once

Cause: the list of servers lags behind an order by a tick or two. Ruled out: the need, which stood at 9 all the while. Test: TestCapacityPlanner, A list that lags behind an order brings no server back; fails without the change.

--- a/Libraries/LibControl/CapacityPlanner.cpp
+++ b/Libraries/LibControl/CapacityPlanner.cpp
@@ -86,14 +86,21 @@
                  Settings_.NeedRetention_, Now);
 }
 
-CapacityPlanner::Counts
-CapacityPlanner::ready(CapacityInput const &Input) const {
+/// The list lags behind an order that takes servers away: those count as gone
+/// already, or the next order would bring them back.
+CapacityPlanner::Counts CapacityPlanner::ready(CapacityInput const &Input,
+                                               TimePoint Now) const {
   Counts Ready;
   for (auto const &Server : Input.Servers_)
     if (Server.Service_ == Input.Service_ &&
         Server.Phase_ == ServerPhase::Ready)
       ++Ready[{Server.DataCentre_,
                Server.IsReclaimable_ ? Tenure::Reclaimable : Tenure::OnDemand}];
+  for (auto &[Place, Count] : Ready) {
+    auto const Found = Sent_.find(Place);
+    if (Found != Sent_.end() && Found->second.At_ + ListingAllowance > Now)
+      Count = std::min(Count, Found->second.Count_);
+  }
   return Ready;
 }
 
@@ -210,7 +217,7 @@
 
 std::vector<ServerOrder> CapacityPlanner::plan(CapacityInput const &Input,
                                                TimePoint Now) {
-  auto const Ready = ready(Input);
+  auto const Ready = ready(Input, Now);
   auto const Servers =
       countOf(Ready, Tenure::OnDemand) + countOf(Ready, Tenure::Reclaimable);
   // Without a list nothing is known, and no order may shrink what is there.
--- a/Libraries/LibControl/CapacityPlanner.h
+++ b/Libraries/LibControl/CapacityPlanner.h
@@ -86,7 +86,7 @@
   std::uint32_t retainedNeed(CapacityInput const &Input, std::size_t Ready,
                              TimePoint Now);
   void learnUsualTime(double Taken, double Fullness);
-  Counts ready(CapacityInput const &Input) const;
+  Counts ready(CapacityInput const &Input, TimePoint Now) const;
   Counts desired(CapacityInput const &Input, Counts const &Ready,
                  std::uint32_t Need, TimePoint Now);
   std::uint32_t reclaimableOnTheWay(CapacityInput const &Input,
--- a/Tests/LibControl/TestCapacityPlanner.cpp
+++ b/Tests/LibControl/TestCapacityPlanner.cpp
@@ -58,10 +58,24 @@
         std::count_if(Servers_.begin(), Servers_.end(), Matches));
     if (Order.Tenure_ == Tenure::Reclaimable && Order.Count_ > Count && IsDry_)
       return Planner_.onRefused(Order, Now_);
-    for (; Count < Order.Count_; ++Count)
+    for (; Count < Order.Count_; ++Count) {
       add(Order.DataCentre_, Order.Tenure_, Now_ + Boot);
-    for (; Count > Order.Count_; --Count)
-      Servers_.erase(std::find_if(Servers_.begin(), Servers_.end(), Matches));
+      OnDemandStarts_ += Order.Tenure_ == Tenure::OnDemand ? 1 : 0;
+    }
+    for (; Count > Order.Count_; --Count) {
+      auto const Leaving =
+          std::find_if(Servers_.begin(), Servers_.end(), Matches);
+      StillListed_.emplace_back(*Leaving, Now_ + ListLag_);
+      Servers_.erase(Leaving);
+    }
+  }
+
+  ServerRecord recordOf(Server const &One) const {
+    ServerRecord Record;
+    Record.Service_ = Writer;
+    Record.DataCentre_ = One.Centre_;
+    Record.IsReclaimable_ = One.Tenure_ == Tenure::Reclaimable;
+    return Record;
   }
 
   void reclaim(DataCentre const &Centre) {
@@ -87,15 +101,12 @@
       auto const Fullness =
           Usual / (static_cast<double>(std::max<std::size_t>(1, ready())) * 10);
       Input.Demand_ = {Usual * std::max(1.0, Fullness * Fullness), PerSecond};
-      for (auto const &One : Servers_) {
-        if (One.ReadyAt_ > Now_)
-          continue;
-        ServerRecord Record;
-        Record.Service_ = Writer;
-        Record.DataCentre_ = One.Centre_;
-        Record.IsReclaimable_ = One.Tenure_ == Tenure::Reclaimable;
-        Input.Servers_.push_back(Record);
-      }
+      for (auto const &One : Servers_)
+        if (One.ReadyAt_ <= Now_)
+          Input.Servers_.push_back(recordOf(One));
+      for (auto const &[One, Until] : StillListed_)
+        if (Until > Now_)
+          Input.Servers_.push_back(recordOf(One));
       auto const Sent = Planner_.plan(Input, Now_);
       Orders_ += Sent.size();
       for (auto const &Order : Sent)
@@ -107,6 +118,10 @@
   TimePoint Now_{seconds(1000)};
   CapacityPlanner Planner_{CapacitySettings{}};
   std::vector<Server> Servers_;
+  /// Servers that are gone, and until when the list shows them.
+  std::vector<std::pair<Server, TimePoint>> StillListed_;
+  Duration ListLag_{};
+  std::size_t OnDemandStarts_ = 0;
   std::size_t Orders_ = 0;
   std::size_t Least_ = 1000;
   bool IsDry_ = false;
@@ -193,3 +208,11 @@
   One.pass(seconds(4), Calm / 4.0);
   CHECK(One.Least_ >= Before);
 }
+
+TEST_CASE("A list that lags behind an order brings no server back") {
+  World One;
+  One.ListLag_ =
+      GENERATE(milliseconds(100), milliseconds(300), milliseconds(900));
+  One.pass(seconds(30), Calm);
+  CHECK(One.OnDemandStarts_ == 0);
+}
--- a/Tests/LibControl/TestSettingsWatch.cpp
+++ b/Tests/LibControl/TestSettingsWatch.cpp
@@ -2,15 +2,21 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
+
 using namespace laburnum;
 using namespace laburnum::settings;
 
 namespace {
 
 struct Fixture {
-  Fixture() { Now_.RetryRatio_ = 0.2; }
+  static EntrySettings before() {
+    EntrySettings Settings;
+    Settings.RetryRatio_ = 0.2;
+    return Settings;
+  }
 
-  EntrySettings Now_;
+  EntrySettings Now_ = before();
   std::optional<Error> Problem_;
   SettingsWatch Watch_{Now_, [this]() -> Result<EntrySettings> {
                          if (Problem_)
