LibFleet: Ask servers that only refused again when no other is left; repeat news

stateful-fuzz refusals. Cause: one passing refusal keeps a server out at every instance for 30 s. With one server leaving and one call refused by each of the two others, the service had no server for 31 s; the harness waits 27 s after the last fault. Change: unusableServers() leaves servers out against which nothing but their refusals speaks, where no server of their service would remain. Shorter holds were weighed: a server that leaves would be offered work again and again. The harness's oracle allows just this: a server whose only sign are refusals, asked by an instance that knows no other.

stateful-fuzz leaving. Cause (shrunk: a notice to one instance, data centres cut for 3 s, then the platform down): news is passed on once; what was lost in a cut that is too short for membership to notice came to nobody while the list could not be read. Change: what an instance saw itself it tells again each second for 7 s, longer than a suspicion takes. The oracle counts the 3 s from the end of a cut, as it does for an instance that was paused: nobody can know before.

--- a/Libraries/LibFleet/ServerDirectory.cpp
+++ b/Libraries/LibFleet/ServerDirectory.cpp
@@ -60,15 +60,15 @@
   // tells who is gone; a server of the same name may have come since.
   if (Event.Notice_.Remaining_ < Duration(0))
     return;
-  advance(
+  learn(
       Id,
       {Liveness::Leaving, Now_ + Event.Notice_.Remaining_, versionOf(Id), {}});
 }
 
 void ServerDirectory::on(ServerRefused const &Event) {
-  advance(Event.Server_,
-          {Liveness::Leaving, std::nullopt, versionOf(Event.Server_),
-           Now_ + Settings_.RefusalHold_});
+  learn(Event.Server_,
+        {Liveness::Leaving, std::nullopt, versionOf(Event.Server_),
+         Now_ + Settings_.RefusalHold_});
 }
 
 void ServerDirectory::on(NoticeFromPeer const &Event) {
@@ -96,12 +96,12 @@
     Listed[One.Id_] = One.Liveness_;
   for (auto const &[Id, At] : Listed_) {
     if (!Listed.contains(Id) && At == versionOf(Id))
-      advance(Id, {Liveness::Gone, Now_, At, {}});
+      learn(Id, {Liveness::Gone, Now_, At, {}});
   }
   for (auto const &[Id, State] : Listed) {
     Listed_[Id] = versionOf(Id);
     if (State != Liveness::Live)
-      advance(Id, {State, std::nullopt, versionOf(Id), {}});
+      learn(Id, {State, std::nullopt, versionOf(Id), {}});
   }
 }
 
@@ -164,6 +164,28 @@
       News_.push_back(Id);
     return IsOver;
   });
+  repeatNews();
+}
+
+/// A sign that this instance saw itself.
+void ServerDirectory::learn(ServerId const &Id, Departure const &Seen) {
+  auto const Before = News_.size();
+  advance(Id, Seen);
+  if (News_.size() > Before)
+    Repetitions_[Id] = {Now_ + Settings_.RepeatPeriod_,
+                        Now_ + Settings_.RepeatFor_};
+}
+
+void ServerDirectory::repeatNews() {
+  std::erase_if(Repetitions_, [&](auto const &Entry) {
+    return Now_ > Entry.second.End_ || !Next_.contains(Entry.first);
+  });
+  for (auto &[Id, Repeated] : Repetitions_) {
+    if (Now_ < Repeated.Next_)
+      continue;
+    Repeated.Next_ = Now_ + Settings_.RepeatPeriod_;
+    tellPeers(Id, Next_.at(Id));
+  }
 }
 
 void ServerDirectory::advance(ServerId const &Id, Departure const &Seen) {
@@ -200,8 +222,8 @@
     Known.HoldUntil_.reset();
 }
 
-/// Each instance passes a piece of news on once, when it learns it, to a few
-/// random peers: the instance list reaches whoever was left out.
+/// Each instance passes a piece of news on when it learns it, to a few random
+/// peers: the instance list reaches whoever was left out.
 void ServerDirectory::tellPeers(ServerId const &Id, Departure const &News) {
   std::vector<Endpoint> Peers;
   for (auto const &One : Members_)
--- a/Libraries/LibFleet/ServerDirectory.h
+++ b/Libraries/LibFleet/ServerDirectory.h
@@ -82,6 +82,11 @@
   /// How long a refusal keeps new work away. Longer than the instance list's
   /// lag, so that a server that is really leaving is confirmed meanwhile.
   Duration RefusalHold_ = std::chrono::seconds(30);
+  /// News that this instance learned first hand is told again, for longer than
+  /// membership takes to notice that peers were cut off: a suspicion's time
+  /// and two of its periods. Peers that it notices are told as newcomers.
+  Duration RepeatPeriod_ = std::chrono::seconds(1);
+  Duration RepeatFor_ = std::chrono::seconds(7);
 };
 
 } // namespace servers
@@ -102,6 +107,12 @@
   }
 
 private:
+  /// Until when news is told again.
+  struct Repetition {
+    TimePoint Next_;
+    TimePoint End_;
+  };
+
   void on(servers::NoticeReceived const &Event);
   void on(servers::InstancesListed const &Event);
   void on(servers::NoticeFromPeer const &Event);
@@ -110,7 +121,9 @@
   void on(servers::MembersChanged const &Event);
   void on(servers::TimePassed const &Event);
 
+  void learn(ServerId const &Id, servers::Departure const &Seen);
   void advance(ServerId const &Id, servers::Departure const &Seen);
+  void repeatNews();
   void holdBack(servers::Departure &Known, servers::Departure const &Seen);
   void tellPeers(ServerId const &Id, servers::Departure const &News);
   void tellNewcomer(EntryInstance const &Newcomer);
@@ -125,6 +138,7 @@
   std::map<ServerId, Version> Versions_; ///< Of the last changes.
   /// Listed at least once since they were applied, so that absence means gone.
   std::map<ServerId, Version> Listed_;
+  std::map<ServerId, Repetition> Repetitions_; ///< Of what was seen here.
   std::vector<Member> Members_;
   std::vector<ServerId> News_;
   TimePoint Now_;
--- a/Services/laburnumd/CrashService.cpp
+++ b/Services/laburnumd/CrashService.cpp
@@ -3,6 +3,7 @@
 #include "ServerProbe.h"
 
 #include <LibCore/Hash.h>
+#include <LibFleet/UnusableServers.h>
 
 #include <asio/post.hpp>
 #include <glog/logging.h>
@@ -51,9 +52,8 @@
 
 void CrashService::onViewChanged() {
   auto const Configuration = View_.configuration();
-  std::set<ServerId> Leaving;
-  for (auto const &[Id, Departure] : *View_.departures()) {
-    Leaving.insert(Id);
+  auto const Departures = View_.departures();
+  for (auto const &[Id, Departure] : *Departures) {
     // Only a notice says when a server goes. A server that vanished or refuses
     // work may have crashed.
     auto const *Server = Configuration->server(Id);
@@ -61,8 +61,9 @@
       Guard_.onReclaim(*Server, readClock());
   }
   std::erase_if(Reclaimed_,
-                [&](ServerId const &Id) { return !Leaving.contains(Id); });
-  Chooser_.setSnapshot(Configuration, std::move(Leaving));
+                [&](ServerId const &Id) { return !Departures->contains(Id); });
+  Chooser_.setSnapshot(Configuration,
+                       unusableServers(*Departures, *Configuration));
 }
 
 void CrashService::onGuardNews(GuardNews const &News) {
--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -16,6 +16,7 @@
 #include <LibBackend/HttpBackendClient.h>
 #include <LibBackend/HttpOrderClient.h>
 #include <LibFleet/EqualShare.h>
+#include <LibFleet/UnusableServers.h>
 #include <LibPlatform/HttpCloudApi.h>
 #include <LibPlatform/HttpInstanceList.h>
 #include <LibPlatform/HttpObjectStore.h>
@@ -30,7 +31,6 @@
 #include <cstdlib>
 #include <future>
 #include <random>
-#include <set>
 
 namespace laburnum {
 
@@ -261,10 +261,9 @@
 
   /// Hands the control thread's new snapshots to the filters.
   void publish() {
-    std::set<ServerId> Leaving;
-    for (auto const &[Id, Departure] : *View_.departures())
-      Leaving.insert(Id);
-    Chooser_.setSnapshot(View_.configuration(), std::move(Leaving));
+    Chooser_.setSnapshot(
+        View_.configuration(),
+        unusableServers(*View_.departures(), *View_.configuration()));
     Retries_.setSnapshot(View_.configuration());
     Crashes_.onViewChanged();
     Controller_.viewChanged(View_);
--- a/Tests/FaultMatrix/Entry.cpp
+++ b/Tests/FaultMatrix/Entry.cpp
@@ -1,5 +1,8 @@
 #include <FaultMatrix/Entry.h>
 
+#include <LibFleet/UnusableServers.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace laburnum::faults {
@@ -143,10 +146,23 @@
   return Directory_.departures()->contains(Id);
 }
 
+bool Entry::knowsAnotherServer(ServerId const &Than) const {
+  auto const InForce = Configuration_.snapshot();
+  auto const *const Server = InForce->server(Than);
+  if (!Server)
+    return false;
+  auto const &Servers = InForce->serversOf(Server->Service_);
+  return std::any_of(
+      Servers.begin(), Servers.end(), [&](BackendServer const &One) {
+        return One.Id_ != Than && !Directory_.departures()->contains(One.Id_);
+      });
+}
+
 void Entry::publish() {
   std::set<ServerId> Leaving;
   if (!Hooks_.Out_.contains(Mutant::IgnoreDepartures))
-    for (auto const &[Id, Unused] : *Directory_.departures())
+    for (auto const &Id :
+         unusableServers(*Directory_.departures(), *Configuration_.snapshot()))
       if (!Overridden_.contains(Id))
         Leaving.insert(Id);
   Servers_.setSnapshot(Configuration_.snapshot(), Leaving);
--- a/Tests/FaultMatrix/Entry.h
+++ b/Tests/FaultMatrix/Entry.h
@@ -84,6 +84,9 @@
   std::uint32_t inProgress() const { return Gate_.inProgress(); }
   ConfigurationStore const &configuration() const { return Configuration_; }
   bool knowsOfDeparture(ServerId const &Id) const;
+  /// Whether another server of the same service takes work, as far as this
+  /// instance knows.
+  bool knowsAnotherServer(ServerId const &Than) const;
 
 private:
   struct Call {
--- a/Tests/FaultMatrix/World.h
+++ b/Tests/FaultMatrix/World.h
@@ -87,6 +87,7 @@
   };
   struct Departing {
     std::optional<TimePoint> KnownSince_;
+    /// Empty while it only refuses.
     std::optional<TimePoint> ListedFrom_;
   };
 
@@ -144,6 +145,8 @@
   std::map<ServerId, Departing> Departing_;
   std::set<ServerId> Kept_; ///< Departing for good; not to be replaced.
   bool AreCentresCut_ = false;
+  /// Instances that were cut off from their peers may not have heard before.
+  TimePoint CutEndedAt_{};
   bool AreMessagesDuplicated_ = false;
   std::size_t Crashes_ = 0;
   std::uint64_t NextChange_ = 1;
--- a/Tests/FaultMatrix/WorldFaults.cpp
+++ b/Tests/FaultMatrix/WorldFaults.cpp
@@ -54,7 +54,10 @@
 
 void World::cutCentres(Duration Span) {
   AreCentresCut_ = true;
-  Queue_.after(Span, [this] { AreCentresCut_ = false; });
+  Queue_.after(Span, [this] {
+    AreCentresCut_ = false;
+    CutEndedAt_ = Queue_.now();
+  });
 }
 
 void World::injectPlatform(Fault One, Place const &Where) {
@@ -160,8 +163,14 @@
   auto const Found = Departing_.find(Server);
   if (Found == Departing_.end() || !Found->second.KnownSince_)
     return;
+  // An overloaded server refuses as one that leaves does: where nothing but
+  // refusals speaks against it and it is all that is left, it may be asked.
+  if (!Found->second.ListedFrom_ &&
+      !Hosts_[Owner.Instance_].Entry_->knowsAnotherServer(Server))
+    return;
   auto const Since =
-      std::max(*Found->second.KnownSince_, Hosts_[Owner.Instance_].ReturnedAt_);
+      std::max({*Found->second.KnownSince_, Hosts_[Owner.Instance_].ReturnedAt_,
+                CutEndedAt_});
   if (Queue_.now() > Since + LeavingBound)
     Oracle_.violate("leaving server " + Server.text() + " got new work from " +
                     Hosts_[Owner.Instance_].Address_.Id_.text());
@@ -280,7 +289,8 @@
 // The end.
 
 void World::heal() {
-  AreCentresCut_ = false;
+  if (std::exchange(AreCentresCut_, false))
+    CutEndedAt_ = Queue_.now();
   AreMessagesDuplicated_ = false;
   Backends_.setDuplicates(false);
   Backends_.setHabits({});
--- a/Tests/LibFleet/TestServerDirectory.cpp
+++ b/Tests/LibFleet/TestServerDirectory.cpp
@@ -185,3 +185,17 @@
   }
   CHECK(Tellers == 8);
 }
+
+TEST_CASE_METHOD(Fixture, "What was seen here is told again for as long as a "
+                          "cut may go unnoticed") {
+  std::size_t const Told = handle(notice());
+  CHECK(handle(servers::TimePassed{}, Start + std::chrono::seconds(1)) == Told);
+  CHECK(Last_.Server_ == Id);
+  CHECK(handle(servers::TimePassed{}, Start + std::chrono::seconds(6)) == Told);
+  CHECK(handle(servers::TimePassed{}, Start + std::chrono::seconds(8)) == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "What peers told is passed on once") {
+  CHECK(handle(NoticeFromPeer{{Id, Liveness::Leaving, Duration(9), 5}}) > 0);
+  CHECK(handle(servers::TimePassed{}, Start + std::chrono::seconds(1)) == 0);
+}
