LibControl: Watch the demand at every instance; distrust the first usual time

After the kill the jam was taken for the usual time of a request, and 18 to 22 servers for the need. Change: every instance observes, only the holder orders. The usual time begins at no more than 35 in 100 of the shortest latency target. Test: TestCapacityPlanner, two cases; the second fails without the bound. server_changed now names the data centre and whether the server is reclaimable.

--- a/Libraries/LibControl/CapacityPlanner.cpp
+++ b/Libraries/LibControl/CapacityPlanner.cpp
@@ -13,6 +13,9 @@
 /// are not overfull and while they are.
 constexpr double UsualWeight = 0.02;
 constexpr double OverfullWeight = 0.004;
+/// Until it was watched, a request is taken to last at most this part of the
+/// latency target: servers with room answer well within it.
+constexpr double FirstPartOfTarget = 0.35;
 /// Servers are overfull above this multiple of the utilisation aimed at.
 constexpr double OverfullFrom = 1.3;
 /// A request takes at most this multiple of its usual time in the reckoning.
@@ -56,14 +59,17 @@
 
 void CapacityPlanner::reset() {
   Sent_.clear();
-  Needs_.clear();
+  RefusedUntil_.clear();
   OnDemandNeeds_.clear();
-  DemandSince_.reset();
 }
 
-void CapacityPlanner::learnUsualTime(double Taken, double Fullness) {
+void CapacityPlanner::learnUsualTime(double Taken, double Fullness,
+                                     Duration Target) {
+  // What is seen first may be the jam after a restart of all instances.
   if (!UsualTime_)
-    UsualTime_ = Taken;
+    UsualTime_ =
+        std::min(Taken, FirstPartOfTarget *
+                            std::chrono::duration<double>(Target).count());
   auto const Weight =
       Fullness > OverfullFrom * Settings_.Utilisation_ && Taken > *UsualTime_
           ? OverfullWeight
@@ -79,7 +85,8 @@
   double Busy = Requests_;
   if (PerSecond_ >= 1.0) {
     auto const Servers = static_cast<double>(std::max<std::size_t>(1, Ready));
-    learnUsualTime(Requests_ / PerSecond_, Requests_ / (Slots * Servers));
+    learnUsualTime(Requests_ / PerSecond_, Requests_ / (Slots * Servers),
+                   Input.LatencyTarget_);
     Busy = std::min(Busy, PerSecond_ * *UsualTime_ * MostOfUsual);
   }
   return highest(Needs_, roundUp(Busy / (Settings_.Utilisation_ * Slots)),
@@ -215,6 +222,18 @@
   return Ready < Wanted && Last.At_ + Patience <= Now;
 }
 
+void CapacityPlanner::observe(CapacityInput const &Input, TimePoint Now) {
+  if (!DemandSince_ && Input.Demand_.Requests_ >= 1.0)
+    DemandSince_ = Now;
+  if (!DemandSince_)
+    return;
+  auto const Ready = ready(Input, Now);
+  LastNeed_ = retainedNeed(Input,
+                           countOf(Ready, Tenure::OnDemand) +
+                               countOf(Ready, Tenure::Reclaimable),
+                           Now);
+}
+
 std::vector<ServerOrder> CapacityPlanner::plan(CapacityInput const &Input,
                                                TimePoint Now) {
   auto const Ready = ready(Input, Now);
@@ -223,14 +242,10 @@
   // Without a list nothing is known, and no order may shrink what is there.
   if (Servers == 0 && Sent_.empty())
     return {};
-  if (!DemandSince_ && Input.Demand_.Requests_ >= 1.0)
-    DemandSince_ = Now;
   if (!DemandSince_)
     return {};
-  auto const Need = retainedNeed(Input, Servers, Now);
-  LastNeed_ = Need;
   std::vector<ServerOrder> Orders;
-  for (auto const &[Place, Wanted] : desired(Input, Ready, Need, Now)) {
+  for (auto const &[Place, Wanted] : desired(Input, Ready, LastNeed_, Now)) {
     auto const Present = countAt(Ready, Place);
     if (!isDue(Place, Wanted, Present, Input.Bounds_, Now))
       continue;
--- a/Libraries/LibControl/CapacityPlanner.h
+++ b/Libraries/LibControl/CapacityPlanner.h
@@ -43,6 +43,8 @@
   std::uint32_t Slots_ = 1; ///< Of one server.
   FleetDemand Demand_;
   std::vector<ServerRecord> Servers_;
+  /// The shortest of the service's routes.
+  Duration LatencyTarget_ = std::chrono::seconds(1);
 };
 
 /// Decides which servers to order for one service.
@@ -57,8 +59,11 @@
 public:
   explicit CapacityPlanner(CapacitySettings Settings) : Settings_(Settings) {}
 
-  /// The orders to send now. To be called a few times a second while this
-  /// instance holds the duty.
+  /// Watches the demand. To be called a few times a second, also while another
+  /// instance holds the duty: whoever takes it over knows the need then.
+  void observe(CapacityInput const &Input, TimePoint Now);
+  /// The orders to send now. To be called after observe() while this instance
+  /// holds the duty.
   std::vector<ServerOrder> plan(CapacityInput const &Input, TimePoint Now);
   /// The platform has none of these to give now.
   void onRefused(ServerOrder const &Order, TimePoint Now);
@@ -85,7 +90,7 @@
 
   std::uint32_t retainedNeed(CapacityInput const &Input, std::size_t Ready,
                              TimePoint Now);
-  void learnUsualTime(double Taken, double Fullness);
+  void learnUsualTime(double Taken, double Fullness, Duration Target);
   Counts ready(CapacityInput const &Input, TimePoint Now) const;
   Counts desired(CapacityInput const &Input, Counts const &Ready,
                  std::uint32_t Need, TimePoint Now);
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -125,7 +125,9 @@
     Plane_.Duties_.updateServer(*Record);
     bool const IsReady = Record->Phase_ == ServerPhase::Ready;
     Plane_.Parts_.Log_.write(Line.add("state", IsReady ? "ready" : "draining")
-                                 .add("service", Record->Service_.text()));
+                                 .add("service", Record->Service_.text())
+                                 .add("data_centre", Record->DataCentre_.text())
+                                 .add("reclaimable", Record->IsReclaimable_));
     Plane_.onTraffic([&Traffic, Record] { Traffic.updateServer(*Record); });
   }
 
--- a/Services/laburnum-entry/DutyDesk.cpp
+++ b/Services/laburnum-entry/DutyDesk.cpp
@@ -1,5 +1,7 @@
 #include "DutyDesk.h"
 
+#include <algorithm>
+
 namespace laburnum {
 
 namespace {
@@ -30,6 +32,15 @@
   return Lease;
 }
 
+Duration shortestTarget(RouteTable const &Table, ServiceName const &Service) {
+  auto Shortest = CapacityInput().LatencyTarget_;
+  for (auto const &Route : Table.routes())
+    for (auto const &Choice : Route.Services_)
+      if (Choice.Service_ == Service)
+        Shortest = std::min(Shortest, Route.LatencyTarget_);
+  return Shortest;
+}
+
 } // namespace
 
 DutyDesk::DutyDesk(Parts Parts, InstanceId const &Life, std::uint64_t Seed)
@@ -61,8 +72,7 @@
   Lease_->tick(Now);
   auto const Held = fence(Now);
   Reporter_->tick(Held, TrueTime);
-  if (Held)
-    planCapacity(*Held, Now);
+  planCapacity(Held, Now);
 }
 
 void DutyDesk::setTable(std::shared_ptr<RouteTable const> Table) {
@@ -87,7 +97,7 @@
   Reporter_->onPeer(From.text(), Report.Usage_, TrueTime);
 }
 
-void DutyDesk::planCapacity(Fence const &Fence, TimePoint Now) {
+void DutyDesk::planCapacity(std::optional<Fence> const &Held, TimePoint Now) {
   if (!Table_)
     return;
   for (auto const &[Name, Service] : Table_->services()) {
@@ -99,11 +109,15 @@
     for (auto const &[Id, Record] : Servers_)
       if (Record.Service_ == Name)
         Input.Servers_.push_back(Record);
+    Input.LatencyTarget_ = shortestTarget(*Table_, Name);
     if (!Input.Servers_.empty())
       Input.Slots_ = Input.Servers_.front().Slots_;
     Input.Demand_ = Demand_.demand(Name, Now);
     auto &Planner =
         Planners_.try_emplace(Name, CapacitySettings{}).first->second;
+    Planner.observe(Input, Now);
+    if (!Held)
+      continue;
     for (auto const &Order : Planner.plan(Input, Now)) {
       Parts_.Log_.write(
           LogLine("servers_ordered")
@@ -117,8 +131,8 @@
                    static_cast<std::int64_t>(Input.Demand_.Requests_))
               .add("per_second",
                    static_cast<std::int64_t>(Input.Demand_.PerSecond_))
-              .add("fence", Fence.Number_));
-      order(Fence, Order);
+              .add("fence", Held->Number_));
+      order(*Held, Order);
     }
   }
 }
--- a/Services/laburnum-entry/DutyDesk.h
+++ b/Services/laburnum-entry/DutyDesk.h
@@ -50,7 +50,8 @@
 private:
   std::optional<Fence> fence(TimePoint Now) const;
   void onLease(std::optional<HeldLease> const &Held);
-  void planCapacity(Fence const &Fence, TimePoint Now);
+  /// Held: whether this instance may send orders.
+  void planCapacity(std::optional<Fence> const &Held, TimePoint Now);
   void order(Fence const &Fence, ServerOrder const &Order);
 
   Parts Parts_;
--- a/Tests/LibControl/TestCapacityPlanner.cpp
+++ b/Tests/LibControl/TestCapacityPlanner.cpp
@@ -107,6 +107,9 @@
       for (auto const &[One, Until] : StillListed_)
         if (Until > Now_)
           Input.Servers_.push_back(recordOf(One));
+      Planner_.observe(Input, Now_);
+      if (!HoldsDuty_)
+        continue;
       auto const Sent = Planner_.plan(Input, Now_);
       Orders_ += Sent.size();
       for (auto const &Order : Sent)
@@ -125,6 +128,7 @@
   std::size_t Orders_ = 0;
   std::size_t Least_ = 1000;
   bool IsDry_ = false;
+  bool HoldsDuty_ = true;
 };
 
 constexpr double Calm = 200.0; ///< 60 requests at once: nine servers' worth.
@@ -216,3 +220,25 @@
   One.pass(seconds(30), Calm);
   CHECK(One.OnDemandStarts_ == 0);
 }
+
+TEST_CASE("Whoever takes the duty over has watched the demand") {
+  World One;
+  One.HoldsDuty_ = false;
+  One.pass(seconds(10), Calm);
+  CHECK(One.Orders_ == 0);
+  One.Planner_.reset();
+  One.HoldsDuty_ = true;
+  One.pass(seconds(15), Calm);
+  CHECK(One.cost() < 0.6 * 18);
+  CHECK(One.Least_ >= 9);
+}
+
+TEST_CASE("A jam after a restart is not taken for the usual time") {
+  World One;
+  One.pass(seconds(20), Calm);
+  for (auto const &Centre : Centres)
+    One.reclaim(Centre);
+  One.Planner_ = CapacityPlanner(CapacitySettings{});
+  One.pass(seconds(8), Calm);
+  CHECK(One.ready() <= 14);
+}
