Tests: Play laburnum-entry as a process against a store and a server

The program had tests of its decisions, transport and adapter, and none as a process. A store by its published protocol (list, watch, conditional writes, 410, silence, 503, lost answers) and a backend server (full, hanging, breaking off, replaced at its address) live on a thread of the test; the instance has a loopback address of its own, so that its fixed ports are free. Found: a stop that comes while the instance registers left its entry in the store for good, as the write took effect after the removal (A planned stop, failed before). Cause: registerSelf() went on after leave(); it now removes what it wrote. Ruled out: the stand-in's DELETE.

--- a/Libraries/LibControl/PeerNetwork.cpp
+++ b/Libraries/LibControl/PeerNetwork.cpp
@@ -121,8 +121,13 @@
 }
 
 void PeerNetwork::registerSelf() {
+  if (IsLeaving_)
+    return;
   Store_.put({InstanceCollection, Name_}, encodeInstance(Self_), StoreTimeout,
              [Self = shared_from_this()](Result<Version> const &Written) {
+               // The stop may have come while the write was on its way.
+               if (Self->IsLeaving_)
+                 return Self->unregisterSelf();
                if (isError(Written))
                  return Self->after(Self->StoreTimer_, RetryPause,
                                     &PeerNetwork::registerSelf);
@@ -181,7 +186,12 @@
 }
 
 void PeerNetwork::leave() {
+  IsLeaving_ = true;
   handle(membership::OwnLeaving{});
+  unregisterSelf();
+}
+
+void PeerNetwork::unregisterSelf() {
   Store_.remove({InstanceCollection, Name_}, StoreTimeout,
                 [](Result<Success> const &) {
                   // An entry that stays is known by its silence.
--- a/Libraries/LibControl/PeerNetwork.h
+++ b/Libraries/LibControl/PeerNetwork.h
@@ -51,6 +51,7 @@
   void obtainSecret();
   void openTransport(std::string const &Secret);
   void registerSelf();
+  void unregisterSelf();
   void listInstances();
   void takeListing(ObjectList const &Listed);
   void tick();
@@ -72,6 +73,7 @@
   asio::steady_timer TickTimer_;
   asio::steady_timer StoreTimer_;
   bool HasListed_ = false;
+  bool IsLeaving_ = false;
 };
 
 } // namespace laburnum
--- /dev/null
+++ b/Tests/EntryProcess/StoreStandin.cpp
@@ -0,0 +1,178 @@
+#include "StoreStandin.h"
+
+#include <utility>
+
+namespace laburnum::entry_process {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view ObjectsPath = "/laburnumpond/objects/";
+
+std::map<std::string, std::string> parseQuery(std::string const &Text) {
+  std::map<std::string, std::string> Found;
+  for (std::size_t At = 0; At < Text.size();) {
+    auto const End = std::min(Text.find('&', At), Text.size());
+    auto const Pair = Text.substr(At, End - At);
+    auto const Equals = Pair.find('=');
+    Found[Pair.substr(0, Equals)] =
+        Equals == std::string::npos ? "" : Pair.substr(Equals + 1);
+    At = End + 1;
+  }
+  return Found;
+}
+
+} // namespace
+
+void StoreStandin::onRequest(std::shared_ptr<Exchange> Exchange,
+                             ReceivedRequest Request) {
+  if (Mood_ == StoreMood::Silent)
+    return Unanswered_.push_back(std::move(Exchange));
+  if (Mood_ == StoreMood::Busy)
+    return reply(*Exchange, 503, json::object());
+  auto const &Target = Request.Head_.Target_;
+  if (!Target.starts_with(ObjectsPath)) {
+    DutyCalls_.push_back(Target + ' ' + Request.Body_);
+    return reply(*Exchange, 200, json::object());
+  }
+  auto const Question = std::min(Target.find('?'), Target.size());
+  auto const Query = parseQuery(
+      Question == Target.size() ? std::string() : Target.substr(Question + 1));
+  auto const Path =
+      Target.substr(ObjectsPath.size(), Question - ObjectsPath.size());
+  auto const Slash = std::min(Path.find('/'), Path.size());
+  auto const Kind = Path.substr(0, Slash);
+  auto Name = Slash == Path.size() ? std::string() : Path.substr(Slash + 1);
+  if (Request.Head_.Method_ != "GET")
+    return write(*Exchange, Request.Head_.Method_, Kind, Name,
+                 json::parse(Request.Body_, nullptr, false));
+  if (Query.contains("watch"))
+    return watch(Exchange, Kind, std::stoull(Query.at("watch")),
+                 std::chrono::milliseconds(std::stoll(Query.at("wait_ms"))));
+  read(Exchange, Kind, Name);
+}
+
+void StoreStandin::reply(Exchange &To, std::int32_t Status, json const &Body) {
+  AnswerHead Head{Status, {}};
+  Head.Fields_.add("Content-Type", "application/json");
+  To.answer(Head, Body.dump());
+}
+
+json StoreStandin::show(std::string const &Name, Object const &Shown) const {
+  return {{"metadata", {{"name", Name}, {"revision", Shown.Revision_}}},
+          {"specification", Shown.Specification_}};
+}
+
+void StoreStandin::read(std::shared_ptr<Exchange> const &To,
+                        std::string const &Kind, std::string const &Name) {
+  if (!Name.empty()) {
+    auto const Found = Objects_[Kind].find(Name);
+    if (Found == Objects_[Kind].end() || Found->second.IsDeleted_)
+      return reply(*To, 404, json::object());
+    return reply(*To, 200, show(Name, Found->second));
+  }
+  auto Items = json::array();
+  for (auto const &[Each, Object] : Objects_[Kind])
+    if (!Object.IsDeleted_)
+      Items.push_back(show(Each, Object));
+  reply(*To, 200,
+        {{"items", Items}, {"has_more", false}, {"current_rev", Revision_}});
+}
+
+void StoreStandin::watch(std::shared_ptr<Exchange> const &To,
+                         std::string const &Kind, std::uint64_t From,
+                         Duration Wait) {
+  if (From < HistoryFrom_)
+    return reply(*To, 410, json::object());
+  Watch One{Kind, From, To, std::make_shared<asio::steady_timer>(Context_)};
+  for (auto const &[Name, Object] : Objects_[Kind])
+    if (Object.Revision_ > From)
+      return answerWatch(One);
+  One.Timer_->expires_after(Wait);
+  One.Timer_->async_wait([this, To](asio::error_code Failure) {
+    if (Failure)
+      return;
+    for (auto const &Waiting : Watches_)
+      if (Waiting.Exchange_ == To && Mood_ == StoreMood::Normal)
+        answerWatch(Waiting);
+    Watches_.remove_if(
+        [&](Watch const &Waiting) { return Waiting.Exchange_ == To; });
+  });
+  Watches_.push_back(std::move(One));
+}
+
+void StoreStandin::answerWatch(Watch const &Of) {
+  auto Events = json::array();
+  for (auto const &[Name, Object] : Objects_[Of.Kind_])
+    if (Object.Revision_ > Of.From_)
+      Events.push_back(
+          {{"object", show(Name, Object)}, {"deleted", Object.IsDeleted_}});
+  reply(*Of.Exchange_, 200, {{"events", Events}, {"current_rev", Revision_}});
+}
+
+void StoreStandin::write(Exchange &To, std::string const &Method,
+                         std::string const &Kind, std::string const &Name,
+                         json const &Body) {
+  if (Method == "DELETE") {
+    remove(Kind, Name);
+    return reply(To, 200, json::object());
+  }
+  auto const &Metadata = Body.at("metadata");
+  auto const Of = Name.empty() ? Metadata.at("name").get<std::string>() : Name;
+  auto const Found = Objects_[Kind].find(Of);
+  bool const Exists =
+      Found != Objects_[Kind].end() && !Found->second.IsDeleted_;
+  if (Method == "POST" ? Exists
+                       : Exists && Metadata.contains("revision") &&
+                             Metadata["revision"] != Found->second.Revision_)
+    return reply(To, 409, json::object());
+  if (Method == "PUT" && !Exists)
+    return reply(To, 404, json::object());
+  put(Kind, Of, Body.at("specification"));
+  if (Mood_ == StoreMood::LosesWrites)
+    return To.abort();
+  reply(To, 200, show(Of, Objects_[Kind][Of]));
+}
+
+void StoreStandin::put(std::string const &Kind, std::string const &Name,
+                       json Specification) {
+  Objects_[Kind][Name] = {++Revision_, std::move(Specification), false};
+  changed(Kind);
+}
+
+void StoreStandin::remove(std::string const &Kind, std::string const &Name) {
+  auto const Found = Objects_[Kind].find(Name);
+  if (Found == Objects_[Kind].end())
+    return;
+  Found->second.Revision_ = ++Revision_;
+  Found->second.IsDeleted_ = true;
+  changed(Kind);
+}
+
+void StoreStandin::dropHistory() { HistoryFrom_ = ++Revision_; }
+
+std::size_t StoreStandin::count(std::string const &Kind) const {
+  auto const Found = Objects_.find(Kind);
+  std::size_t Count = 0;
+  if (Found != Objects_.end())
+    for (auto const &[Name, Object] : Found->second)
+      Count += Object.IsDeleted_ ? 0 : 1;
+  return Count;
+}
+
+void StoreStandin::changed(std::string const &Kind) {
+  if (Mood_ == StoreMood::Silent)
+    return;
+  auto const Due = std::exchange(Watches_, {});
+  for (auto const &One : Due) {
+    if (One.Kind_ != Kind) {
+      Watches_.push_back(One);
+      continue;
+    }
+    One.Timer_->cancel();
+    answerWatch(One);
+  }
+}
+
+} // namespace laburnum::entry_process
--- /dev/null
+++ b/Tests/EntryProcess/TestEntryProcess.cpp
@@ -0,0 +1,113 @@
+#include "EntryFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <csignal>
+
+using namespace laburnum;
+using namespace laburnum::entry_process;
+using laburnum::processes::await;
+
+TEST_CASE_METHOD(EntryFixture, "A request goes to a server and back whole") {
+  auto const Answer = send("GET", "/read/x");
+  CHECK(Answer.Status_ == 200);
+  CHECK(Answer.Body_ == "the whole answer");
+  auto const Seen = on([this] { return Runner_.Requests_.at(0); });
+  CHECK(Seen.Head_.Target_ == "/read/x");
+  CHECK(Seen.Head_.Fields_.valueOr("X-Expect-Instance") == "i-1");
+  CHECK(Seen.Head_.Fields_.valueOr("X-Tenant") == "a");
+  CHECK(Seen.Head_.Fields_.valueOr("X-Key").empty());
+}
+
+TEST_CASE_METHOD(EntryFixture, "What is not allowed reaches no server") {
+  CHECK(send("GET", "/elsewhere/").Status_ == 404);
+  CHECK(send("GET", "/read/x", "unknown").Status_ == 401);
+  CHECK(requestsAtRunner() == 0);
+}
+
+TEST_CASE_METHOD(EntryFixture, "Only what has not run is called so") {
+  auto const [Mood, Status, Sends] = GENERATE(
+      table<RunnerMood, int, std::size_t>({{RunnerMood::Full, 503, 1},
+                                           {RunnerMood::Another, 503, 1},
+                                           {RunnerMood::BreaksOff, 502, 1},
+                                           {RunnerMood::Hanging, 504, 1}}));
+  CAPTURE(static_cast<int>(Mood));
+  on([this, Mood = Mood] { Runner_.Mood_ = Mood; });
+  auto const Answer = send("POST", "/order/x");
+  CHECK(Answer.Status_ == Status);
+  CHECK(Answer.RetryAfter_.empty() == (Status != 503));
+  CHECK(requestsAtRunner() == Sends);
+}
+
+TEST_CASE_METHOD(EntryFixture, "A server that says that it leaves gets no "
+                               "request, and callers learn when to come back") {
+  writeServer("i-1", "draining", 2);
+  REQUIRE(await([this] { return send("GET", "/read/x").Status_ == 503; }));
+  auto const Before = requestsAtRunner();
+  CHECK_FALSE(send("GET", "/read/x").RetryAfter_.empty());
+  CHECK(requestsAtRunner() == Before);
+}
+
+TEST_CASE_METHOD(EntryFixture, "Requests are served while the store is away, "
+                               "and what it says then is in force") {
+  on([this] { Store_.setMood(GENERATE(StoreMood::Silent, StoreMood::Busy)); });
+  Entry_->awaitLine("dependency_lost what=store/servers");
+  Entry_->awaitLine("dependency_lost what=store/configuration");
+  CHECK(send("GET", "/read/x").Status_ == 200);
+  CHECK(isReady());
+  writeConfiguration(2);
+  CHECK(send("GET", "/new/x").Status_ == 404);
+  on([this] {
+    Store_.dropHistory();
+    Store_.setMood(StoreMood::Normal);
+  });
+  Entry_->awaitLine("configuration_applied version=2");
+  CHECK(send("GET", "/new/x").Status_ == 200);
+}
+
+TEST_CASE_METHOD(EntryFixture, "Settings that change are taken over, with a "
+                               "signal or without") {
+  writeSettings("0.1");
+  SECTION("at a signal") {
+    Entry_->signal(SIGHUP);
+    Entry_->awaitLine("reload trigger=signal outcome=\"in force\"");
+  }
+  SECTION("silently") {
+    Entry_->awaitLine("reload trigger=file outcome=\"in force\"");
+  }
+  SECTION("to something that cannot be read") {
+    writeSettings("soon");
+    Entry_->awaitLine("retry_budget_ratio");
+  }
+  CHECK(send("GET", "/read/x").Status_ == 200);
+}
+
+TEST_CASE_METHOD(EntryFixture, "A planned stop takes the instance out of "
+                               "rotation, serves on, and ends by itself") {
+  Entry_->signal(SIGTERM);
+  REQUIRE(await([this] { return !isReady(); }));
+  CHECK(send("GET", "/read/x").Status_ == 200);
+  CHECK(Entry_->awaitEnd() == 0);
+  Entry_->awaitLine("event=stopped");
+  // Nothing of it stays in the store, so that nobody waits for it.
+  CHECK(on([this] { return Store_.count("entry-instances"); }) == 0);
+}
+
+TEST_CASE_METHOD(EntryFixture, "What ran is reported, also when the answer to "
+                               "the lease's write is lost") {
+  on([this] {
+    Store_.setMood(GENERATE(StoreMood::Normal, StoreMood::LosesWrites));
+  });
+  REQUIRE(send("GET", "/read/x").Status_ == 200);
+  on([this] { Store_.setMood(StoreMood::Normal); });
+  CHECK(await([this] {
+    return on([this] {
+      auto const &Calls = Store_.dutyCalls();
+      return std::any_of(Calls.begin(), Calls.end(), [](auto const &Call) {
+        return Call.starts_with("/usage ") &&
+               Call.find(R"("counts":{"a":1})") != std::string::npos;
+      });
+    });
+  }));
+}
