--- a/Libraries/LibControl/CollectionFollower.cpp
+++ b/Libraries/LibControl/CollectionFollower.cpp
@@ -12,7 +12,7 @@
 /// each watch that ends is a call that is paid for.
 constexpr std::chrono::milliseconds WatchWait{2000};
 /// After a change, so that others that come with it cost one call together.
-constexpr std::chrono::milliseconds BatchPause{200};
+constexpr std::chrono::milliseconds BatchPause{400};
 /// Pauses between tries while the store does not answer: short, as an accepted
 /// configuration has to be in force within seconds of the store's return.
 constexpr std::chrono::milliseconds FirstPause{50};
