LibTraffic: Keep a prefix at its server while that has room

Change: passed over from 1.5 times the mean, but not below 0.4 of its places. Test: TestServerRoster, two cases for the light and the heavy load.

--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -22,8 +22,11 @@
 /// servers are slow, all are burdened alike.
 constexpr double SilenceBurden = 6.0;
 /// A server that others of the same prefix go to is passed over once its load
-/// is this much above the mean (consistent hashing with bounded loads).
-constexpr double AffinityLoadBound = 1.25;
+/// is this much above the mean (consistent hashing with bounded loads), but not
+/// below this part of its places: with room there it answers well in time, and
+/// another server would have to read the prefix anew.
+constexpr double AffinityLoadBound = 1.5;
+constexpr double AffinityFreePart = 0.4;
 /// What distance costs in the comparison of loads, as a part of all slots:
 /// bytes between regions cost ten times those between data centres.
 constexpr double OtherCentreCost = 0.03;
@@ -113,7 +116,8 @@
         return Server->Record_.Id_.text();
       });
   for (auto const *Server : Order)
-    if (burden(*Server, Now) + 1.0 <= Bound)
+    if (burden(*Server, Now) + 1.0 <=
+        std::max(Bound, AffinityFreePart * slotsOf(Server->Record_)))
       return Server;
   return Order.front();
 }
--- a/Tests/LibTraffic/TestServerRoster.cpp
+++ b/Tests/LibTraffic/TestServerRoster.cpp
@@ -122,11 +122,30 @@
   ServerRoster Other(Places, 99);
   Other.replaceAll(Servers);
   CHECK(Other.choose(Query, Now_)->Id_.text() == First);
+  // With room for more it answers in time, and no other server has to read the
+  // prefix; near half full, the others' idle places are worth that.
+  for (int Turn = 0; Turn < 7; ++Turn)
+    Roster_.onSent(ServerId(First));
+  CHECK(choose(Query) == First);
   for (int Turn = 0; Turn < 4; ++Turn)
     Roster_.onSent(ServerId(First));
   CHECK(choose(Query) != First);
 }
 
+TEST_CASE_METHOD(Fixture, "A prefix stays where it is while all servers are "
+                          "alike full") {
+  std::vector<ServerRecord> Servers;
+  for (int Place = 0; Place < 6; ++Place)
+    Servers.push_back(server("s" + std::to_string(Place), "a-1", 24));
+  Roster_.replaceAll(Servers);
+  ServerQuery const Query{Writer, {}, "common,thing"};
+  auto const First = choose(Query);
+  for (auto const &Server : Servers)
+    for (int Turn = 0; Turn < 12; ++Turn)
+      Roster_.onSent(Server.Id_);
+  CHECK(choose(Query) == First);
+}
+
 TEST_CASE_METHOD(Fixture, "Requests wait for a place, the most urgent first") {
   AdmissionQueue Queue(Roster_);
   Roster_.replaceAll({server("x", "a-1", 1)});
