LibTraffic: Let small requests of an account at its quota go first

Change: while an account's small requests ask for less than 0.3 of its quota, room for a second of them is kept from large ones, and they are admitted also while large ones have put the bucket into debt. The sum over all instances is bounded as before: every request is paid for by the same bucket. Ruled out: more of the quota's slack (the rule QUOTA is the bound).

--- a/Libraries/LibTraffic/AccountMeter.cpp
+++ b/Libraries/LibTraffic/AccountMeter.cpp
@@ -1,6 +1,7 @@
 #include <LibTraffic/AccountMeter.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace laburnum {
 
@@ -22,6 +23,19 @@
 /// As long as the bucket holds more than what other instances ask in so many
 /// periods, nothing that is asked here can empty it unseen.
 constexpr double ReservedPeriods = 2.0;
+/// A request is small when it costs at most this part of what flows in in a
+/// second.
+constexpr double SmallPart = 0.02;
+/// What small requests ask in this time is kept for them, so that none is
+/// refused between two reports for the sake of large ones ...
+constexpr double KeptSeconds = 1.0;
+/// ... while they ask for at most this part of the quota: with more, they would
+/// leave large ones nothing.
+constexpr double MostKeptDemand = 0.3;
+/// Large requests that are admitted at once at several instances put the bucket
+/// into debt. Small ones go on meanwhile, as less is asked for them than flows
+/// in, down to a debt of this much inflow.
+constexpr double DebtSeconds = 1.0;
 /// Bounds of when a refused request is told to come back.
 constexpr std::chrono::milliseconds SoonestReturn{100};
 constexpr std::chrono::seconds LatestReturn{5};
@@ -102,6 +116,18 @@
   return std::clamp(ByDemand, LeastPart * Equal, 1.0);
 }
 
+/// The others are taken to get small requests in the same proportion.
+double AccountMeter::keptForSmall(AccountQuota const &Quota,
+                                  Usage const &Account) const {
+  if (Account.OwnDemand_ <= 0.0)
+    return 0.0;
+  auto const Period =
+      std::chrono::duration<double>(Settings_.ReportPeriod_).count();
+  auto const All = (Account.OwnDemand_ + Account.OthersDemand_) / Period;
+  auto const Small = All * Account.OwnSmallDemand_ / Account.OwnDemand_;
+  return Small > MostKeptDemand * rate(Quota) ? 0.0 : Small * KeptSeconds;
+}
+
 void AccountMeter::setTable(std::shared_ptr<RouteTable const> Table,
                             TimePoint Now) {
   Table_ = std::move(Table);
@@ -123,16 +149,23 @@
   auto &Usage = fill(*Quota, Account, Now);
   auto const Whole = static_cast<std::uint64_t>(Amount);
   Usage.Asked_ += Whole;
+  bool const IsSmall = Amount <= SmallPart * Quota->RatePerSecond_;
+  if (IsSmall)
+    Usage.AskedSmall_ += Whole;
+  auto const Kept = keptForSmall(*Quota, Usage);
+  bool const IsPreferred = IsSmall && Kept > 0.0;
+  auto const Free = IsSmall ? Usage.Level_ : Usage.Level_ - Kept;
   // What the others are likely to admit before they are heard of again.
   auto const Reserved = Usage.OthersDemand_ * ReservedPeriods;
-  if (Usage.Level_ > 0.0 &&
-      (Usage.Level_ > Reserved || Usage.Allowance_ > 0.0)) {
+  bool const HasRoom =
+      Free > 0.0 && (Free > Reserved || Usage.Allowance_ > 0.0);
+  if (HasRoom || (IsPreferred && Usage.Level_ > -DebtSeconds * rate(*Quota))) {
     Usage.Admitted_ += Whole;
     Usage.Level_ -= Amount;
     Usage.Allowance_ -= Amount;
     return std::nullopt;
   }
-  auto const Debt = std::max(0.0, -Usage.Level_) + Amount;
+  auto const Debt = std::max(0.0, -Free) + Amount;
   auto const Wait = Duration(
       static_cast<Duration::rep>(Debt / std::max(rate(*Quota), 1e-9) * 1e6));
   return std::clamp<Duration>(Wait, SoonestReturn, LatestReturn);
@@ -158,10 +191,15 @@
     auto const Asked = static_cast<double>(Usage.Asked_ - Usage.AskedBefore_);
     Usage.AskedBefore_ = Usage.Asked_;
     Usage.OwnDemand_ += DemandWeight * (Asked - Usage.OwnDemand_);
+    Usage.OwnSmallDemand_ +=
+        DemandWeight * (static_cast<double>(std::exchange(Usage.AskedSmall_,
+                                                          std::uint64_t{0})) -
+                        Usage.OwnSmallDemand_);
     Usage.OthersDemand_ +=
         DemandWeight * (Usage.OthersAsked_ - Usage.OthersDemand_);
     Usage.OthersAsked_ = 0.0;
-    Usage.Allowance_ = std::max(0.0, Usage.Level_) * part(Usage);
+    Usage.Allowance_ =
+        std::max(0.0, Usage.Level_ - keptForSmall(*Quota, Usage)) * part(Usage);
     Report.Accounts_.push_back({Account, Usage.Admitted_, Usage.Asked_});
   }
   return Report;
--- a/Libraries/LibTraffic/AccountMeter.h
+++ b/Libraries/LibTraffic/AccountMeter.h
@@ -22,7 +22,9 @@
 /// that are not heard from are left an equal part of the quota each, so that
 /// the sum holds also when the fleet is cut apart. A request may be larger than
 /// what is left and then puts the bucket into debt, so that large requests are
-/// not starved.
+/// not starved. An account at its quota whose many small requests ask for
+/// little of it gets these admitted first: one large request in their place
+/// would cost the account dozens of them.
 class AccountMeter {
 public:
   struct Settings {
@@ -69,8 +71,10 @@
     std::uint64_t Admitted_ = 0; ///< Here, since the start.
     std::uint64_t Asked_ = 0;
     std::uint64_t AskedBefore_ = 0; ///< As of the last report.
+    std::uint64_t AskedSmall_ = 0;  ///< Since the last report.
     double Allowance_ = 0.0;        ///< Left to admit in this period.
     double OwnDemand_ = 0.0;        ///< Per period, smoothed.
+    double OwnSmallDemand_ = 0.0;   ///< The part of it in small requests.
     double OthersDemand_ = 0.0;
     double OthersAsked_ = 0.0; ///< Heard of in this period.
   };
@@ -87,6 +91,8 @@
   double heardPart() const;
   double rate(AccountQuota const &Quota) const;
   double part(Usage const &Account) const;
+  /// What of the bucket large requests have to leave.
+  double keptForSmall(AccountQuota const &Quota, Usage const &Account) const;
 
   Settings Settings_;
   std::size_t Registered_ = 0; ///< 0 until it is known.
--- a/Tests/LibTraffic/TestAccountMeter.cpp
+++ b/Tests/LibTraffic/TestAccountMeter.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <numeric>
 #include <random>
@@ -171,3 +172,64 @@
   All.exchangeReports();
   CHECK_FALSE(All.Meters_[0].admit(AccountName("a"), 2400.0, All.Now_));
 }
+
+namespace {
+
+/// Small and large requests of one account, in random order at all instances.
+struct Mixed {
+  struct Served {
+    double Asked_ = 0.0;
+    double Admitted_ = 0.0;
+
+    double part() const { return Admitted_ / Asked_; }
+  };
+
+  void play(Duration Length, double SmallPerSecond, double LargePerSecond) {
+    constexpr double SmallSize = 200.0;
+    constexpr double LargeSize = 12000.0;
+    auto const Span = std::chrono::duration<double>(Period).count();
+    for (Duration At{}; At < Length; At += Period) {
+      std::vector<double> Requests(
+          static_cast<std::size_t>(SmallPerSecond * Span / SmallSize),
+          SmallSize);
+      Requests.insert(
+          Requests.end(),
+          static_cast<std::size_t>(LargePerSecond * Span / LargeSize),
+          LargeSize);
+      std::shuffle(Requests.begin(), Requests.end(), Fleet_.Random_);
+      Periods_.push_back(0.0);
+      for (auto const Size : Requests) {
+        auto &Of = Size == SmallSize ? Small_ : Large_;
+        Of.Asked_ += Size;
+        auto &Meter = Fleet_.Meters_[Fleet_.Random_() % Fleet_.Meters_.size()];
+        if (Meter.admit(AccountName("a"), Size, Fleet_.Now_))
+          continue;
+        Of.Admitted_ += Size;
+        Periods_.back() += Size;
+      }
+      Fleet_.exchangeReports();
+    }
+  }
+
+  Fleet Fleet_{8};
+  Served Small_;
+  Served Large_;
+  std::vector<double> Periods_;
+};
+
+} // namespace
+
+TEST_CASE("An account at its quota keeps its small requests") {
+  Mixed One;
+  One.play(seconds(30), 0.1 * Rate, 2.0 * Rate);
+  CHECK(One.Small_.part() > 0.97);
+  CHECK(One.Large_.Admitted_ > 0.8 * Rate * 30);
+  CHECK(mostIn8Seconds(One.Periods_) <= Allowed);
+}
+
+TEST_CASE("A flood of small requests does not starve the large ones") {
+  Mixed One;
+  One.play(seconds(30), 3.0 * Rate, 1.0 * Rate);
+  CHECK(One.Large_.part() > 0.5 * One.Small_.part());
+  CHECK(mostIn8Seconds(One.Periods_) <= Allowed);
+}
