LibFleet: Keep signs about two servers of one name apart

Cause (shrunk to a wave in each data centre, killed and paused instances, a cut): an instance that starts hears of a departure before it knows the server (version 0). When it applied the server's replacement it took the sign for one about that, and told its peers so without a version, which they took for any: all servers stood as gone for good at all instances, and a stream found none. Ruled out: the replacement's change (it was in the store, and in force). Change: a sign without a version counts for 30 s beyond the time told, unless another confirms it; a sign about an earlier version is not put together with what is known of a later one.

--- a/Libraries/LibFleet/ServerDirectory.cpp
+++ b/Libraries/LibFleet/ServerDirectory.cpp
@@ -60,9 +60,20 @@
   // tells who is gone; a server of the same name may have come since.
   if (Event.Notice_.Remaining_ < Duration(0))
     return;
-  learn(
-      Id,
-      {Liveness::Leaving, Now_ + Event.Notice_.Remaining_, versionOf(Id), {}});
+  auto const GoneAt = Now_ + Event.Notice_.Remaining_;
+  learn(Id, {Liveness::Leaving, GoneAt, versionOf(Id), doubt(Id, GoneAt)});
+}
+
+/// Until when a sign counts of which it is not known which server of that name
+/// it is about, because this instance knows none yet: the server may be
+/// replaced before its object is applied here. Whatever answers to the name
+/// long after the time told is another server.
+std::optional<TimePoint>
+ServerDirectory::doubt(ServerId const &Id,
+                       std::optional<TimePoint> GoneAt) const {
+  if (versionOf(Id) != 0)
+    return std::nullopt;
+  return GoneAt.value_or(Now_) + Settings_.RefusalHold_;
 }
 
 void ServerDirectory::on(ServerRefused const &Event) {
@@ -82,6 +93,8 @@
   std::optional<TimePoint> HoldUntil;
   if (Notice.Hold_ > Duration(0))
     HoldUntil = Now_ + std::min(Notice.Hold_, Settings_.RefusalHold_);
+  else if (Notice.ServerVersion_ == 0)
+    HoldUntil = GoneAt.value_or(Now_) + Settings_.RefusalHold_;
   advance(Notice.Server_,
           {Notice.Liveness_, GoneAt,
            std::max(Notice.ServerVersion_, versionOf(Notice.Server_)),
@@ -101,7 +114,7 @@
   for (auto const &[Id, State] : Listed) {
     Listed_[Id] = versionOf(Id);
     if (State != Liveness::Live)
-      learn(Id, {State, std::nullopt, versionOf(Id), {}});
+      learn(Id, {State, std::nullopt, versionOf(Id), doubt(Id, {})});
   }
 }
 
@@ -197,13 +210,22 @@
     return;
   }
   auto &Known = Found->second;
+  if (Seen.ServerVersion_ != 0 && Seen.ServerVersion_ != Known.ServerVersion_) {
+    // Signs about two servers of one name are not put together: what is
+    // certain of the earlier one says nothing of the later.
+    if (Seen.ServerVersion_ < Known.ServerVersion_)
+      return;
+    Known = Seen;
+    News_.push_back(Id);
+    tellPeers(Id, Known);
+    return;
+  }
   auto const GoneAt = earlier(Known.GoneAt_, Seen.GoneAt_);
   bool const IsConfirmed = Known.HoldUntil_ && !Seen.HoldUntil_;
   bool const IsAdvance = Seen.Liveness_ > Known.Liveness_ || IsConfirmed;
   bool const IsFirstTime = !Known.GoneAt_ && GoneAt;
   Known.Liveness_ = std::max(Known.Liveness_, Seen.Liveness_);
   Known.GoneAt_ = GoneAt;
-  Known.ServerVersion_ = std::max(Known.ServerVersion_, Seen.ServerVersion_);
   holdBack(Known, Seen);
   if (!IsAdvance && !IsFirstTime)
     return;
--- a/Libraries/LibFleet/ServerDirectory.h
+++ b/Libraries/LibFleet/ServerDirectory.h
@@ -24,8 +24,9 @@
   /// When it is expected to be gone; empty when that is not known.
   std::optional<TimePoint> GoneAt_;
   Version ServerVersion_ = 0; ///< ChangeVersion_ of its object then.
-  /// Set while only its own refusals say that it is leaving: a server that is
-  /// merely overloaded refuses too, so that it is tried again after this.
+  /// Set while it is not certain: only its own refusals say that it is leaving,
+  /// which a server that is merely overloaded says too, or the sign may be
+  /// about an earlier server of its name. It is tried again after this.
   std::optional<TimePoint> HoldUntil_ = std::nullopt;
 
   auto operator<=>(Departure const &) const = default;
@@ -121,6 +122,8 @@
   void on(servers::MembersChanged const &Event);
   void on(servers::TimePassed const &Event);
 
+  std::optional<TimePoint> doubt(ServerId const &Id,
+                                 std::optional<TimePoint> GoneAt) const;
   void learn(ServerId const &Id, servers::Departure const &Seen);
   void advance(ServerId const &Id, servers::Departure const &Seen);
   void repeatNews();
--- a/Tests/LibFleet/TestServerDirectory.cpp
+++ b/Tests/LibFleet/TestServerDirectory.cpp
@@ -199,3 +199,41 @@
   CHECK(handle(NoticeFromPeer{{Id, Liveness::Leaving, Duration(9), 5}}) > 0);
   CHECK(handle(servers::TimePassed{}, Start + std::chrono::seconds(1)) == 0);
 }
+
+TEST_CASE("A sign from before a server was known may be about the one that it "
+          "replaced") {
+  ServerDirectory Directory({members(1).front().Instance_, 1, 8});
+  auto const Sign = GENERATE(as<Event>(), NoticeReceived{{Id.text(), {}, {}}},
+                             NoticeFromPeer{{Id, Liveness::Gone, {}, 0}});
+  Directory.handle(Sign, Start);
+  Directory.handle(applied(7), Start + std::chrono::seconds(4));
+  CHECK(Directory.departures()->at(Id).HoldUntil_);
+  Directory.handle(servers::TimePassed{}, Start + std::chrono::seconds(31));
+  CHECK(Directory.departures()->empty());
+}
+
+TEST_CASE("A sign from before a server was known stays once it is confirmed") {
+  ServerDirectory Directory({members(1).front().Instance_, 1, 8});
+  Directory.handle(NoticeReceived{{Id.text(), {}, std::chrono::seconds(60)}},
+                   Start);
+  Directory.handle(applied(7), Start + std::chrono::seconds(4));
+  Directory.handle(servers::TimePassed{}, Start + std::chrono::seconds(61));
+  CHECK(Directory.departures()->contains(Id));
+  InstanceListing Listing;
+  Listing.Servers_.push_back({Id, Liveness::Leaving});
+  Directory.handle(servers::InstancesListed{Listing},
+                   Start + std::chrono::seconds(62));
+  Directory.handle(servers::TimePassed{}, Start + std::chrono::seconds(200));
+  CHECK(Directory.departures()->contains(Id));
+}
+
+TEST_CASE("Signs about two servers of one name are not put together") {
+  ServerDirectory Directory({members(1).front().Instance_, 1, 8});
+  Directory.handle(
+      NoticeFromPeer{{Id, Liveness::Leaving, {}, 7, std::chrono::seconds(20)}},
+      Start);
+  Directory.handle(NoticeFromPeer{{Id, Liveness::Gone, {}, 1}}, Start);
+  Directory.handle(applied(7), Start);
+  Directory.handle(servers::TimePassed{}, Start + std::chrono::seconds(21));
+  CHECK(Directory.departures()->empty());
+}
--- a/Tests/LibHttp/TestOutboundPool.cpp
+++ b/Tests/LibHttp/TestOutboundPool.cpp
@@ -121,7 +121,10 @@
 }
 
 TEST_CASE_METHOD(Fixture, "Bytes on an idle connection end it") {
-  CHECK(exchange(Plain)->IsComplete_);
+  // Kept for longer than the test waits, so that nothing else ends it.
+  CHECK(exchange("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=3600\r\n"
+                 "Content-Length: 2\r\n\r\nok")
+            ->IsComplete_);
   Server_.Peers_.back()->write("HTTP/1.1 200 OK\r\n");
   REQUIRE(runUntil(Context_, [&] { return Server_.Peers_.back()->IsClosed_; }));
   send();
