LibTraffic: Keep the debt for small requests inside the allowed overrun

The debt down to which small requests are admitted was a second's inflow; the overrun that QUOTA allows in its window comes to 0.8 s. Now 0.4 s, so that the bound holds whatever the slack is. TestAccountMeter passes as before.

--- a/Libraries/LibTraffic/AccountMeter.cpp
+++ b/Libraries/LibTraffic/AccountMeter.cpp
@@ -34,8 +34,9 @@
 constexpr double MostKeptDemand = 0.3;
 /// Large requests that are admitted at once at several instances put the bucket
 /// into debt. Small ones go on meanwhile, as less is asked for them than flows
-/// in, down to a debt of this much inflow.
-constexpr double DebtSeconds = 1.0;
+/// in, down to a debt of this much inflow: a tenth of overrun in eight seconds
+/// comes to twice that.
+constexpr double DebtSeconds = 0.4;
 /// Bounds of when a refused request is told to come back.
 constexpr std::chrono::milliseconds SoonestReturn{100};
 constexpr std::chrono::seconds LatestReturn{5};
