LibControl: Decode listed usage records once

They were decoded for the sum and again for the removal of old ones. No change in what is done; TestLibControl passes as before (78 assertions).

--- a/Libraries/LibControl/UsageReporter.cpp
+++ b/Libraries/LibControl/UsageReporter.cpp
@@ -60,6 +60,20 @@
   return Record;
 }
 
+namespace {
+
+/// By the name of the life that wrote each. Other writers' records are left
+/// out.
+std::map<std::string, UsageRecord> decodeAll(ObjectList const &Listed) {
+  std::map<std::string, UsageRecord> Decoded;
+  for (auto const &Object : Listed.Objects_)
+    if (auto const Record = decodeUsage(Object.Value_))
+      Decoded[Object.Key_.Name_] = *Record;
+  return Decoded;
+}
+
+} // namespace
+
 UsageReporter::UsageReporter(AsyncObjectStore &Store, FencedDuties &Duties,
                              UsageCounter &Counter, Settings Settings, Log Log,
                              StepDown StepDown)
@@ -136,16 +150,11 @@
                 if (isError(Listed))
                   return Self->finish(Window, "collect_failed",
                                       errorOf(Listed).Message_);
-                Self->add(Window, valueOf(Listed), TrueTime);
+                Self->add(Window, decodeAll(valueOf(Listed)), TrueTime);
               });
 }
 
-std::map<std::string, UsageRecord>
-UsageReporter::merge(ObjectList const &Listed) const {
-  std::map<std::string, UsageRecord> Lives;
-  for (auto const &Object : Listed.Objects_)
-    if (auto const Record = decodeUsage(Object.Value_))
-      Lives[Object.Key_.Name_] = *Record;
+UsageReporter::Lives UsageReporter::merge(Lives Lives) const {
   auto const Add = [&](std::string const &Life, UsageRecord const &Record) {
     for (auto const &[Window, Counts] : Record.Windows_)
       for (auto const &[Account, Count] : Counts) {
@@ -172,7 +181,7 @@
   return Record.Windows_.rbegin()->first <= Window;
 }
 
-void UsageReporter::add(std::int64_t Window, ObjectList const &Listed,
+void UsageReporter::add(std::int64_t Window, Lives const &Listed,
                         Duration TrueTime) {
   UsageCounts Sum;
   std::string Missing;
@@ -188,14 +197,14 @@
       Sum[Account] += Count;
   }
   // The records of lives that ended long ago.
-  for (auto const &Object : Listed.Objects_) {
-    auto const Record = decodeUsage(Object.Value_);
-    if (!Record || (!Record->Windows_.empty() &&
-                    Record->Windows_.rbegin()->first + KeptWindows >= Window))
+  for (auto const &[Life, Record] : Listed) {
+    if (!Record.Windows_.empty() &&
+        Record.Windows_.rbegin()->first + KeptWindows >= Window)
       continue;
-    Store_.remove(Object.Key_, StoreTimeout, [](Result<Success> const &) {
-      // Tried again with the next window.
-    });
+    Store_.remove({CountsCollection, Life}, StoreTimeout,
+                  [](Result<Success> const &) {
+                    // Tried again with the next window.
+                  });
   }
   auto const GiveUpAt =
       Counter_.endOf(Window) +
--- a/Libraries/LibControl/UsageReporter.h
+++ b/Libraries/LibControl/UsageReporter.h
@@ -62,6 +62,9 @@
   void publishAll(std::function<void()> Done);
 
 private:
+  /// Records by the name of the life that they are about.
+  using Lives = std::map<std::string, UsageRecord>;
+
   /// What peers have told of one life.
   struct Heard {
     UsageRecord Record_;
@@ -70,9 +73,9 @@
 
   void publish(Duration TrueTime);
   void collect(std::int64_t Window, Duration TrueTime);
-  void add(std::int64_t Window, ObjectList const &Listed, Duration TrueTime);
-  /// The counts of each life, from the store and from peers.
-  std::map<std::string, UsageRecord> merge(ObjectList const &Listed) const;
+  void add(std::int64_t Window, Lives const &Listed, Duration TrueTime);
+  /// Adds what peers and this instance itself know of each life.
+  Lives merge(Lives Lives) const;
   bool isAwaited(std::string const &Life, UsageRecord const &Record,
                  std::int64_t Window) const;
   void settle(std::int64_t Window, UsageCounts Counts);
