Tests: Wait for what processes write instead of polling with a pause

ProcessGroup.h's await() looked at its condition every 5 ms. It now looks once and again after each line that any child process writes. Every condition that is waited for has such a line, written once it holds: laburnumd's configuration_version and state=draining (now logged when callers are turned away already, not just before), the entry program's events, and new lines of the stand-in programs for a write that arrived or is over and for a run. The count of answers in the planned stop is waited for on a condition variable. Conditions, bounds and assertions are as before.

--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -237,12 +237,12 @@
   /// Lets the balancer turn away, then refuses new work and waits for what is
   /// in progress.
   void drain(Duration Within) {
-    LOG(INFO) << "instance=" << Settings_.Instance_.Id_.text()
-              << " state=draining in_progress=" << Gate_.inProgress();
     auto const Start = readClock();
     Plane_.announceLeaving();
     Streams_.leave(Within);
     Gate_.setUnready();
+    LOG(INFO) << "instance=" << Settings_.Instance_.Id_.text()
+              << " state=draining in_progress=" << Gate_.inProgress();
     std::this_thread::sleep_for(std::min(BalancerLag, Within));
     Gate_.close();
     auto const Left = [&] { return Within - (readClock() - Start); };
--- a/Tests/PlatformStandin/PlatformStandin.cpp
+++ b/Tests/PlatformStandin/PlatformStandin.cpp
@@ -10,8 +10,9 @@
 } // namespace
 
 PlatformStandin::PlatformStandin(StandinOptions const &Options)
-    : Cloud_(Options.ListLag_), Reads_(Options.ReadsPerSecond_),
-      Writes_(Options.WritesPerSecond_), Weights_(Options.WeightsPerSecond_) {}
+    : Cloud_(Options.ListLag_), OnWrite_(Options.OnWrite_),
+      Reads_(Options.ReadsPerSecond_), Writes_(Options.WritesPerSecond_),
+      Weights_(Options.WeightsPerSecond_) {}
 
 std::unique_ptr<PlatformStandin>
 PlatformStandin::start(StandinOptions const &Options) {
@@ -61,8 +62,9 @@
               platformCall(&Counts::Gets_, &Reads_, &Self::readObject));
   Server_.Get("/objects/([^/]+)",
               platformCall(&Counts::Lists_, &Reads_, &Self::listObjects));
-  Server_.Put("/objects/([^/]+)/(.+)",
-              platformCall(&Counts::Puts_, &Writes_, &Self::writeObject));
+  Server_.Put(
+      "/objects/([^/]+)/(.+)",
+      announced(platformCall(&Counts::Puts_, &Writes_, &Self::writeObject)));
   Server_.Get("/watch/([^/]+)",
               platformCall(&Counts::Watches_, &Reads_, &Self::watchObjects));
   Server_.Get("/instances", platformCall(&Counts::InstanceLists_, nullptr,
@@ -86,6 +88,8 @@
                                                        Handler Handle) {
   return [=, this](Request const &Asked, Response &Answer) {
     ++(Counters_.*Kind);
+    if (Kind == &StandinCounters::Puts_ && OnWrite_)
+      OnWrite_("write arrived");
     Faults_.hold();
     if (Faults_.meets(StandinFault::Outage))
       return refuse(Answer, ServiceUnavailable);
@@ -95,6 +99,15 @@
   };
 }
 
+httplib::Server::Handler
+PlatformStandin::announced(httplib::Server::Handler Write) {
+  return [=, this](Request const &Asked, Response &Answer) {
+    Write(Asked, Answer);
+    if (OnWrite_)
+      OnWrite_("write over");
+  };
+}
+
 httplib::Server::Handler PlatformStandin::direct(Handler Handle) {
   return [=, this](Request const &Asked, Response &Answer) {
     (this->*Handle)(Asked, Answer);
--- a/Tests/PlatformStandin/PlatformStandin.h
+++ b/Tests/PlatformStandin/PlatformStandin.h
@@ -24,6 +24,9 @@
   double WeightsPerSecond_ = 0;
   Duration ListLag_{};
   std::size_t Threads_ = 64; ///< One for each open connection.
+  /// Called on any thread when a write has arrived and when it is over, for
+  /// whoever waits for one.
+  std::function<void(std::string const &)> OnWrite_ = nullptr;
 };
 
 /// The platform of docs/PROTOCOLS.md over HTTP, in memory, with switchable
@@ -60,6 +63,7 @@
   /// the rate limit, then has Handle answer.
   httplib::Server::Handler platformCall(Counter Kind, CallRateLimit *Limit,
                                         Handler Handle);
+  httplib::Server::Handler announced(httplib::Server::Handler Write);
   httplib::Server::Handler direct(Handler Handle);
   bool isWithin(CallRateLimit *Limit);
   void refuse(Response &Answer, int Status);
@@ -82,6 +86,7 @@
   StandinCloud Cloud_;
   StandinFaults Faults_;
   StandinCounters Counters_;
+  std::function<void(std::string const &)> const OnWrite_;
   std::mutex LimitsMutex_; ///< Guards the three limits.
   CallRateLimit Reads_;
   CallRateLimit Writes_;
--- a/Tests/PlatformStandin/Program/Main.cpp
+++ b/Tests/PlatformStandin/Program/Main.cpp
@@ -38,6 +38,9 @@
   Options.ListLag_ =
       std::chrono::milliseconds(Parsed["list-lag-ms"].as<std::uint32_t>());
   Options.Threads_ = Parsed["threads"].as<std::size_t>();
+  Options.OnWrite_ = [](std::string const &What) {
+    std::cout << What + '\n' << std::flush;
+  };
   return Options;
 }
 
--- a/Tests/Processes/ProcessGroup.cpp
+++ b/Tests/Processes/ProcessGroup.cpp
@@ -35,8 +35,49 @@
   posix_spawn_file_actions_t Actions_{};
 };
 
+/// The lines and ends of all processes.
+class OutputSigns {
+public:
+  void add() {
+    std::lock_guard const Lock(Mutex_);
+    ++Count_;
+    Changed_.notify_all();
+  }
+  std::uint64_t count() {
+    std::lock_guard const Lock(Mutex_);
+    return Count_;
+  }
+  /// False when there was none by End.
+  bool waitBeyond(std::uint64_t Seen, TimePoint End) {
+    std::unique_lock Lock(Mutex_);
+    return Changed_.wait_until(Lock, End, [&] { return Count_ > Seen; });
+  }
+
+private:
+  std::mutex Mutex_;
+  std::condition_variable Changed_;
+  std::uint64_t Count_ = 0;
+};
+
+OutputSigns &outputSigns() {
+  static OutputSigns Signs;
+  return Signs;
+}
+
 } // namespace
 
+bool await(std::function<bool()> const &Condition) {
+  auto const End = readClock() + Ample;
+  for (auto &Signs = outputSigns();;) {
+    // Counted before the look, so that a line that comes meanwhile is seen.
+    auto const Seen = Signs.count();
+    if (Condition())
+      return true;
+    if (!Signs.waitBeyond(Seen, End))
+      return Condition();
+  }
+}
+
 Process::Process(std::string const &Program,
                  std::vector<std::string> Arguments) {
   std::array<int, 2> Pipe{};
@@ -84,10 +125,12 @@
       Rest.erase(0, End + 1);
     }
     Changed_.notify_all();
+    outputSigns().add();
   }
   std::lock_guard const Lock(Mutex_);
   HasEnded_ = true;
   Changed_.notify_all();
+  outputSigns().add();
 }
 
 std::string Process::awaitLine(std::string const &Text) {
--- a/Tests/Processes/ProcessGroup.h
+++ b/Tests/Processes/ProcessGroup.h
@@ -4,6 +4,7 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -51,17 +52,9 @@
 /// The number behind Label in a line such as "callers_port=4711 ...".
 std::uint16_t portIn(std::string const &Line, std::string const &Label);
 
-/// Polls Condition until it holds; false after Ample. Each poll is an exchange
-/// with another process, whose event it awaits.
-template <typename Call> bool await(Call Condition) {
-  constexpr Duration Pause = std::chrono::milliseconds(5);
-  auto const End = readClock() + Ample;
-  while (!Condition()) {
-    if (readClock() >= End)
-      return false;
-    std::this_thread::sleep_for(Pause);
-  }
-  return true;
-}
+/// Waits until Condition holds; false after Ample. It is looked at once and
+/// again after each line that any process writes: what a condition is about
+/// has to be told by a line that is written once it holds.
+bool await(std::function<bool()> const &Condition);
 
 } // namespace laburnum::processes
--- a/Tests/Processes/TestDaemons.cpp
+++ b/Tests/Processes/TestDaemons.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <condition_variable>
 #include <csignal>
 #include <future>
 #include <mutex>
@@ -102,8 +103,9 @@
 TEST_CASE("a planned stop under load fails no request") {
   Site Running(2);
   std::atomic<bool> IsReady = true;
-  std::atomic<std::uint32_t> Answered = 0;
+  std::uint32_t Answered = 0;
   std::mutex Mutex;
+  std::condition_variable AnsweredMore;
   std::vector<std::string> Failures;
   auto const Send = [&](std::uint32_t Thread) {
     for (std::uint32_t Number = 0; IsReady; ++Number) {
@@ -111,18 +113,22 @@
           "fee-" + std::to_string(Thread) + "-" + std::to_string(Number);
       auto const Got =
           Thread % 2 == 0 ? Running.status(0) : Running.fee(0, Key);
+      std::lock_guard const Lock(Mutex);
       if (Got.Status_ == 200) {
         ++Answered;
+        AnsweredMore.notify_one();
         continue;
       }
-      std::lock_guard const Lock(Mutex);
       Failures.push_back(std::to_string(Got.Status_) + " " + Got.Body_);
     }
   };
   std::vector<std::future<void>> Callers;
   for (std::uint32_t Thread = 0; Thread < 6; ++Thread)
     Callers.push_back(std::async(std::launch::async, Send, Thread));
-  CHECK(await([&] { return Answered >= 50; }));
+  {
+    std::unique_lock Lock(Mutex);
+    CHECK(AnsweredMore.wait_for(Lock, Ample, [&] { return Answered >= 50; }));
+  }
   auto const &Stopped = Running.instance(0);
   Stopped.Process_->signal(SIGTERM);
   // As the platform's balancer does: no new calls once it is not ready.
--- a/Tests/ServiceStandin/Program/Main.cpp
+++ b/Tests/ServiceStandin/Program/Main.cpp
@@ -20,6 +20,7 @@
 static int run(cxxopts::ParseResult const &Given) {
   blockEndSignals();
   ServiceServer Server(Given["threads"].as<std::uint32_t>());
+  Server.onRun([] { std::cout << "run\n" << std::flush; });
   auto const Port = Server.start(Given["port"].as<std::uint16_t>());
   if (Port == 0) {
     std::cerr << "service-standin: cannot listen; choose another --port\n";
--- a/Tests/ServiceStandin/ServiceServer.cpp
+++ b/Tests/ServiceStandin/ServiceServer.cpp
@@ -133,6 +133,8 @@
   if (Fault.Kind_ == ServiceFault::Refuse)
     return refuse(Response);
   auto const Body = run(Request);
+  if (OnRun_)
+    OnRun_();
   if (Fault.Kind_ == ServiceFault::ResetAfterRun)
     return AbortableServer::abortConnection();
   if (Fault.Kind_ == ServiceFault::PartialAnswer)
--- a/Tests/ServiceStandin/ServiceServer.h
+++ b/Tests/ServiceStandin/ServiceServer.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -50,6 +51,9 @@
   std::uint16_t start(std::uint16_t Port);
   void stop();
 
+  /// Called on any thread after each run, for whoever waits for one. To be set
+  /// before start().
+  void onRun(std::function<void()> Told) { OnRun_ = std::move(Told); }
   void setFault(FaultPlan Plan);
   ServiceCounts counts();
 
@@ -69,6 +73,7 @@
   std::atomic<std::uint32_t> Running_ = 0;
   FaultPlan Fault_;
   ServiceCounts Counts_;
+  std::function<void()> OnRun_;
   HttpHost Host_;
 };
 
