Tests: Count a certain sign from when it was given, where a refuser was all there was

KNOWN-RED's entry (stateful-fuzz leaving with refusals), traced: a fault of the harness's oracle, in its exception for a server that only refuses. p1 refuses, may be asked as the only one left, and then leaves by list or notice; the oracle counted the 3 s from the refusals and flagged the next request at once. They now count from the certain sign, and only at an instance that knows no other server; elsewhere they count from the refusals, as before.

--- a/Tests/FaultMatrix/WorldFaults.cpp
+++ b/Tests/FaultMatrix/WorldFaults.cpp
@@ -163,14 +163,16 @@
   auto const Found = Departing_.find(Server);
   if (Found == Departing_.end() || !Found->second.KnownSince_)
     return;
-  // An overloaded server refuses as one that leaves does: where nothing but
-  // refusals speaks against it and it is all that is left, it may be asked.
-  if (!Found->second.ListedFrom_ &&
-      !Hosts_[Owner.Instance_].Entry_->knowsAnotherServer(Server))
-    return;
-  auto const Since =
-      std::max({*Found->second.KnownSince_, Hosts_[Owner.Instance_].ReturnedAt_,
-                CutEndedAt_});
+  auto Since = std::max({*Found->second.KnownSince_,
+                         Hosts_[Owner.Instance_].ReturnedAt_, CutEndedAt_});
+  // An overloaded server refuses as one that leaves does: as long as nothing
+  // but refusals speaks against it, it may be asked where it is all that is
+  // left.
+  if (!Hosts_[Owner.Instance_].Entry_->knowsAnotherServer(Server)) {
+    if (!Found->second.ListedFrom_)
+      return;
+    Since = std::max(Since, *Found->second.ListedFrom_);
+  }
   if (Queue_.now() > Since + LeavingBound)
     Oracle_.violate("leaving server " + Server.text() + " got new work from " +
                     Hosts_[Owner.Instance_].Address_.Id_.text());
