LibControl: Let three instances read the store and tell the others

StoreRelay decides who reads: the first three in rendezvous order, of different data centres. They tell the others along trees of their own of each change, and twice a second that nothing has changed since which version. Whoever misses such word for 1.2 s reads for itself, the first in the order first. CollectionState never goes back.

A life that is heard ends the one before it at its endpoint: after restarts the trees led through members that had ended.

Ruled out on the way: beats that carry only the newest version (whoever was behind asked for whole lists, though nothing had changed); readers for want of news that all go on telling (messages grow with the square after an outage).

--- /dev/null
+++ b/Libraries/LibControl/CountedStore.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <LibPlatform/AsyncObjectStore.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace laburnum {
+
+/// Passes calls on to another store and counts them, as each is paid for. Used
+/// by one thread.
+class CountedStore : public AsyncObjectStore {
+public:
+  /// The store outlives this one.
+  explicit CountedStore(AsyncObjectStore &Store) : Store_(Store) {}
+
+  void list(std::string const &Collection, ReadConsistency Consistency,
+            Duration Timeout, Done<ObjectList> Done) override;
+  void watch(std::string const &Collection, Version From, Duration Wait,
+             Done<WatchBatch> Done) override;
+  void get(ObjectKey const &Key, ReadConsistency Consistency, Duration Timeout,
+           Done<StoredObject> Done) override;
+  void putIf(ObjectKey const &Key, Version Expected, std::string const &Value,
+             Duration Timeout, Done<Version> Done) override;
+  void put(ObjectKey const &Key, std::string const &Value, Duration Timeout,
+           Done<Version> Done) override;
+  void remove(ObjectKey const &Key, Duration Timeout,
+              Done<Success> Done) override;
+
+  /// Calls since the start by what they do and the collection, as in
+  /// "watch/servers". Reads that may lag are apart, as they cost less.
+  std::map<std::string, std::uint64_t> const &calls() const { return Calls_; }
+
+private:
+  void count(std::string const &Verb, std::string const &Collection);
+
+  AsyncObjectStore &Store_;
+  std::map<std::string, std::uint64_t> Calls_;
+};
+
+} // namespace laburnum
--- a/Libraries/LibControl/PeerNetwork.cpp
+++ b/Libraries/LibControl/PeerNetwork.cpp
@@ -15,8 +15,11 @@
 /// Instances that register later make themselves known to those that they
 /// find; the list repairs what that misses, and tells which ones are gone.
 constexpr std::chrono::seconds ListPeriod{20};
-/// Right after the start the others are starting too.
-constexpr std::chrono::seconds FirstListPause{1};
+/// Where there are many instances each lists less often: gossip tells the same.
+constexpr std::chrono::milliseconds PausePerInstance{500};
+/// Right after the start the others are starting too, and a list may lag; the
+/// pause doubles until it is the usual one.
+constexpr std::chrono::milliseconds FirstListPause{500};
 constexpr std::chrono::milliseconds TickPeriod{200};
 
 ObjectKey secretKey() { return {"entry-secrets", "peers"}; }
@@ -62,11 +65,11 @@
     : Context_(Context), Store_(Store), Name_(std::move(Name)),
       Self_(std::move(Self)), Membership_(membershipOf(Self_, Seed)),
       Identifiers_(Seed + 1), Callbacks_(std::move(Callbacks)),
-      TickTimer_(Context), StoreTimer_(Context) {}
+      TickTimer_(Context), StoreTimer_(Context), RegisterTimer_(Context) {}
 
 void PeerNetwork::start() {
   View_.Members_ = Membership_.members();
-  obtainSecret();
+  obtainSecret(ReadConsistency::MayLag);
 }
 
 void PeerNetwork::after(asio::steady_timer &Timer, Duration Pause,
@@ -78,26 +81,34 @@
   });
 }
 
-/// The first instance that asks makes the secret; the others read it.
-void PeerNetwork::obtainSecret() {
+/// The first instance that asks makes the secret; the others read it. It never
+/// changes, so that an old copy does.
+void PeerNetwork::obtainSecret(ReadConsistency Consistency) {
   auto const Self = shared_from_this();
-  Store_.get(secretKey(), ReadConsistency::Latest, StoreTimeout,
-             [Self](Result<StoredObject> Read) {
+  Store_.get(secretKey(), Consistency, StoreTimeout,
+             [Self, Consistency](Result<StoredObject> Read) {
                if (isError(Read))
                  return Self->after(Self->StoreTimer_, RetryPause,
-                                    &PeerNetwork::obtainSecret);
+                                    &PeerNetwork::obtainLatestSecret);
                auto const Held =
                    nlohmann::json::parse(valueOf(Read).Value_, nullptr, false);
                if (valueOf(Read).Version_ != 0 && Held.is_string())
                  return Self->openTransport(Held.get<std::string>());
+               if (Consistency == ReadConsistency::MayLag)
+                 return Self->obtainLatestSecret();
                nlohmann::json const Made = Self->Identifiers_.next();
-               Self->Store_.putIf(
-                   secretKey(), valueOf(Read).Version_, Made.dump(),
-                   StoreTimeout,
-                   [Self](Result<Version> const &) { Self->obtainSecret(); });
+               Self->Store_.putIf(secretKey(), valueOf(Read).Version_,
+                                  Made.dump(), StoreTimeout,
+                                  [Self](Result<Version> const &) {
+                                    Self->obtainLatestSecret();
+                                  });
              });
 }
 
+void PeerNetwork::obtainLatestSecret() {
+  obtainSecret(ReadConsistency::Latest);
+}
+
 void PeerNetwork::openTransport(std::string const &Secret) {
   PeerTransportSettings Settings;
   Settings.Secret_ = Secret;
@@ -116,42 +127,57 @@
   if (isError(Made))
     return Callbacks_.Failed_(errorOf(Made));
   Transport_ = takeValue(std::move(Made));
-  registerSelf();
+  listInstances();
   tick();
 }
 
 void PeerNetwork::registerSelf() {
   if (IsLeaving_)
     return;
-  Store_.put({InstanceCollection, Name_}, encodeInstance(Self_), StoreTimeout,
-             [Self = shared_from_this()](Result<Version> const &Written) {
-               // The stop may have come while the write was on its way.
-               if (Self->IsLeaving_)
-                 return Self->unregisterSelf();
-               if (isError(Written))
-                 return Self->after(Self->StoreTimer_, RetryPause,
-                                    &PeerNetwork::registerSelf);
-               Self->listInstances();
-             });
+  ObjectKey const Key{InstanceCollection, Name_};
+  auto const Done = [Self =
+                         shared_from_this()](Result<Version> const &Written) {
+    // The stop may have come while the write was on its way.
+    if (Self->IsLeaving_)
+      return Self->unregisterSelf();
+    if (!isError(Written))
+      return;
+    // An entry of an earlier life that the list did not show.
+    Self->WasRegistered_ |= errorOf(Written).Kind_ == ErrorKind::Conflict;
+    Self->after(Self->RegisterTimer_, RetryPause, &PeerNetwork::registerSelf);
+  };
+  if (WasRegistered_)
+    return Store_.put(Key, encodeInstance(Self_), StoreTimeout, Done);
+  Store_.putIf(Key, 0, encodeInstance(Self_), StoreTimeout, Done);
 }
 
 void PeerNetwork::listInstances() {
-  Store_.list(InstanceCollection, StoreTimeout,
+  Store_.list(InstanceCollection, ReadConsistency::MayLag, StoreTimeout,
               [Self = shared_from_this()](Result<ObjectList> const &Listed) {
                 if (!isError(Listed))
                   Self->takeListing(valueOf(Listed));
-                bool const IsFirst = !std::exchange(Self->HasListed_, true);
-                Self->after(Self->StoreTimer_,
-                            IsFirst ? Duration(FirstListPause) : ListPeriod,
+                if (Self->Listings_++ == 0)
+                  Self->registerSelf();
+                Self->after(Self->StoreTimer_, Self->listPause(),
                             &PeerNetwork::listInstances);
               });
 }
 
+Duration PeerNetwork::listPause() const {
+  Duration const Usual =
+      std::max<Duration>(ListPeriod, PausePerInstance * View_.Registered_);
+  constexpr std::uint32_t MostDoublings = 16;
+  return std::min<Duration>(
+      Usual, FirstListPause * (1U << std::min(Listings_ - 1, MostDoublings)));
+}
+
 void PeerNetwork::takeListing(ObjectList const &Listed) {
   InstanceListing Listing;
-  for (auto const &Object : Listed.Objects_)
+  for (auto const &Object : Listed.Objects_) {
+    WasRegistered_ |= Object.Key_.Name_ == Name_;
     if (auto const Instance = decodeInstance(Object.Value_))
       Listing.EntryInstances_.push_back({*Instance, Liveness::Live});
+  }
   View_.Registered_ = std::max<std::size_t>(1, Listing.EntryInstances_.size());
   handle(membership::InstancesListed{Listing});
   Callbacks_.Changed_(View_);
@@ -167,7 +193,7 @@
     std::visit([this](auto const &Kind) { on(Kind); }, Action);
 }
 
-void PeerNetwork::on(SendToPeer const &Action) {
+void PeerNetwork::send(SendToPeer const &Action) {
   if (Transport_)
     Transport_->send(Action.To_, Action.Message_);
 }
--- a/Libraries/LibControl/PeerNetwork.h
+++ b/Libraries/LibControl/PeerNetwork.h
@@ -44,19 +44,25 @@
   void start();
   /// Tells the others that this instance leaves.
   void leave();
+  void send(SendToPeer const &Action);
   void sendToAll(PeerMessage const &Message);
   FleetView const &view() const { return View_; }
 
 private:
-  void obtainSecret();
+  /// Reads the secret as cheaply as Consistency says; where there is none, the
+  /// latest state tells, and then it is made.
+  void obtainSecret(ReadConsistency Consistency);
+  void obtainLatestSecret();
   void openTransport(std::string const &Secret);
   void registerSelf();
+  void registerAnew();
   void unregisterSelf();
   void listInstances();
+  Duration listPause() const;
   void takeListing(ObjectList const &Listed);
   void tick();
   void handle(membership::Event const &Event);
-  void on(SendToPeer const &Action);
+  void on(SendToPeer const &Action) { send(Action); }
   void on(membership::MembersChanged const &Action);
   void after(asio::steady_timer &Timer, Duration Pause,
              void (PeerNetwork::*Next)());
@@ -72,7 +78,9 @@
   std::shared_ptr<AsioPeerTransport> Transport_;
   asio::steady_timer TickTimer_;
   asio::steady_timer StoreTimer_;
-  bool HasListed_ = false;
+  asio::steady_timer RegisterTimer_;
+  std::uint32_t Listings_ = 0; ///< Read so far.
+  bool WasRegistered_ = false; ///< By an earlier life, as listed.
   bool IsLeaving_ = false;
 };
 
--- /dev/null
+++ b/Libraries/LibControl/StoreFollower.cpp
@@ -0,0 +1,117 @@
+#include <LibControl/StoreFollower.h>
+
+#include <utility>
+
+namespace laburnum {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickPeriod{50};
+constexpr std::chrono::milliseconds ListTimeout{1500};
+
+relay::Settings
+relaySettings(EntryInstance Self, std::uint64_t Seed,
+              std::map<std::string, CollectionReader *> const &Readers) {
+  relay::Settings Settings{std::move(Self), {}, Seed};
+  for (auto const &[Collection, Reader] : Readers)
+    Settings.Collections_.push_back(Collection);
+  return Settings;
+}
+
+} // namespace
+
+StoreFollower::StoreFollower(asio::io_context &Context, AsyncObjectStore &Store,
+                             EntryInstance Self, std::uint64_t Seed,
+                             Callbacks Callbacks)
+    : Store_(Store), Callbacks_(std::move(Callbacks)),
+      Relay_(relaySettings(std::move(Self), Seed, Callbacks_.Readers_)),
+      Timer_(Context) {}
+
+void StoreFollower::start() { tick(); }
+
+void StoreFollower::stop() {
+  IsStopped_ = true;
+  Timer_.cancel();
+}
+
+void StoreFollower::tick() {
+  perform(Relay_.tick(readElapsedTime()));
+  Timer_.expires_after(TickPeriod);
+  Timer_.async_wait([Self = shared_from_this()](asio::error_code Failure) {
+    if (!Failure && !Self->IsStopped_)
+      Self->tick();
+  });
+}
+
+void StoreFollower::setMembers(std::vector<Member> const &Members) {
+  perform(Relay_.setMembers(Members, readElapsedTime()));
+}
+
+void StoreFollower::onNews(StoreNews const &News) {
+  perform(Relay_.onNews(News, readElapsedTime()));
+}
+
+void StoreFollower::onRequest(StoreNewsRequest const &Request) {
+  perform(Relay_.onRequest(Request, readElapsedTime()));
+}
+
+void StoreFollower::onRead(std::string const &Collection,
+                           relay::ReadOutcome const &Outcome) {
+  if (!IsStopped_)
+    perform(Relay_.onRead(Collection, Outcome, readElapsedTime()));
+}
+
+void StoreFollower::perform(std::vector<relay::Action> const &Actions) {
+  for (auto const &Action : Actions)
+    std::visit([this](auto const &Kind) { on(Kind); }, Action);
+}
+
+void StoreFollower::on(SendToPeer const &Action) { Callbacks_.Send_(Action); }
+
+void StoreFollower::on(relay::ListCollection const &Action) {
+  Store_.list(
+      Action.Collection_, ReadConsistency::Latest, ListTimeout,
+      [Self = shared_from_this(),
+       Collection = Action.Collection_](Result<ObjectList> Listed) {
+        if (isError(Listed))
+          return Self->onRead(Collection, relay::ReadFailed{errorOf(Listed)});
+        Self->onRead(Collection, relay::Listed{takeValue(std::move(Listed))});
+      });
+}
+
+void StoreFollower::on(relay::WatchCollection const &Action) {
+  Store_.watch(
+      Action.Collection_, Action.From_, Action.Wait_,
+      [Self = shared_from_this(),
+       Collection = Action.Collection_](Result<WatchBatch> Watched) {
+        if (isError(Watched))
+          return Self->onRead(Collection, relay::ReadFailed{errorOf(Watched)});
+        Self->onRead(Collection, relay::Watched{takeValue(std::move(Watched))});
+      });
+}
+
+void StoreFollower::on(relay::CollectionReplaced const &Action) {
+  Callbacks_.Readers_.at(Action.Collection_)->onListed(Action.All_);
+}
+
+void StoreFollower::on(relay::CollectionChanged const &Action) {
+  Callbacks_.Readers_.at(Action.Collection_)->onChanged(Action.Changes_);
+}
+
+void StoreFollower::on(relay::CollectionConfirmed const &Action) {
+  Callbacks_.Readers_.at(Action.Collection_)->onCurrent(Action.Version_);
+}
+
+void StoreFollower::on(relay::StoreLost const &Action) {
+  Callbacks_.Readers_.at(Action.Collection_)->onLost(Action.Reason_);
+}
+
+void StoreFollower::on(relay::StoreRegained const &Action) {
+  Callbacks_.Readers_.at(Action.Collection_)->onRegained();
+}
+
+void StoreFollower::on(relay::ReadingChanged const &Action) {
+  Callbacks_.ReadingChanged_(Action);
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibControl/StoreFollower.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <LibControl/CollectionReader.h>
+#include <LibControl/StoreRelay.h>
+#include <LibPlatform/AsyncObjectStore.h>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace laburnum {
+
+/// Keeps collections of the store in view, by reading them or by what other
+/// instances tell; StoreRelay decides which.
+class StoreFollower : public std::enable_shared_from_this<StoreFollower> {
+public:
+  struct Callbacks {
+    /// By collection.
+    std::map<std::string, CollectionReader *> Readers_;
+    std::function<void(SendToPeer const &)> Send_;
+    std::function<void(relay::ReadingChanged const &)> ReadingChanged_;
+  };
+
+  /// The store, the context and the readers outlive the follower.
+  StoreFollower(asio::io_context &Context, AsyncObjectStore &Store,
+                EntryInstance Self, std::uint64_t Seed, Callbacks Callbacks);
+  void start();
+  void stop();
+  void setMembers(std::vector<Member> const &Members);
+  void onNews(StoreNews const &News);
+  void onRequest(StoreNewsRequest const &Request);
+
+private:
+  void tick();
+  void perform(std::vector<relay::Action> const &Actions);
+  void on(SendToPeer const &Action);
+  void on(relay::ListCollection const &Action);
+  void on(relay::WatchCollection const &Action);
+  void on(relay::CollectionReplaced const &Action);
+  void on(relay::CollectionChanged const &Action);
+  void on(relay::CollectionConfirmed const &Action);
+  void on(relay::StoreLost const &Action);
+  void on(relay::StoreRegained const &Action);
+  void on(relay::ReadingChanged const &Action);
+  void onRead(std::string const &Collection, relay::ReadOutcome const &Outcome);
+
+  AsyncObjectStore &Store_;
+  Callbacks Callbacks_;
+  StoreRelay Relay_;
+  asio::steady_timer Timer_;
+  bool IsStopped_ = false;
+};
+
+} // namespace laburnum
--- a/Libraries/LibControl/UsageReporter.cpp
+++ b/Libraries/LibControl/UsageReporter.cpp
@@ -144,7 +144,7 @@
 
 void UsageReporter::collect(std::int64_t Window, Duration TrueTime) {
   IsReporting_ = true;
-  Store_.list(CountsCollection, StoreTimeout,
+  Store_.list(CountsCollection, ReadConsistency::Latest, StoreTimeout,
               [Self = shared_from_this(), Window,
                TrueTime](Result<ObjectList> const &Listed) {
                 if (isError(Listed))
--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -23,6 +23,9 @@
 /// go further and first.
 constexpr std::uint32_t ConfigurationSpreads = 4;
 constexpr std::uint32_t SpreadsPerDoubling = 3;
+/// Gossip of another life at a member's endpoint is believed when the member
+/// itself was not heard for so long: two periods of probing.
+constexpr std::chrono::seconds LifeUnheard{2};
 
 Liveness livenessOf(MemberState State) {
   switch (State) {
@@ -81,10 +84,13 @@
 /// The list is read by every instance, so that what it says is not passed on.
 void Membership::on(InstancesListed const &Event) {
   for (auto const &Listed : Event.Listing_.EntryInstances_) {
-    if (Listed.Instance_.Id_ == Self_.Instance_.Id_)
+    // The list may lag: what stands at an endpoint may have ended since.
+    if (Listed.Instance_.Peers_ == Self_.Instance_.Peers_)
       continue;
     auto const Found = Others_.find(Listed.Instance_.Id_);
     if (Found == Others_.end() && Listed.Liveness_ != Liveness::Gone) {
+      if (isEndpointTaken(Listed.Instance_))
+        continue;
       MemberUpdate Update;
       Update.Instance_ = Listed.Instance_;
       Others_[Listed.Instance_.Id_] = {Update, Now_, 0, Now_};
@@ -105,8 +111,10 @@
   for (auto const &Update : Message.Updates_)
     learn(Update);
   auto const Sender = Others_.find(Event.From_);
-  if (Sender != Others_.end())
+  if (Sender != Others_.end()) {
     Sender->second.HeardAt_ = Now_;
+    endOthersAt(Sender->second.Update_.Instance_, Duration(0));
+  }
   answer(Message.Updates_.front().Instance_.Peers_, Event.From_, Message);
 }
 
@@ -138,10 +146,12 @@
   auto const Found = Others_.find(Id);
   if (Found == Others_.end()) {
     // Old gossip must not bring back whom nobody can reach any more.
-    if (Update.State_ == MemberState::Gone)
+    if (Update.State_ == MemberState::Gone ||
+        Update.Instance_.Peers_ == Self_.Instance_.Peers_)
       return;
     Others_[Id] = {Update, Now_, spreads(), Now_};
     Changed_ = true;
+    endOthersAt(Update.Instance_, LifeUnheard);
     return;
   }
   auto &Held = Found->second;
@@ -171,6 +181,24 @@
     Self_.Incarnation_ = Update.Incarnation_ + 1;
 }
 
+bool Membership::isEndpointTaken(EntryInstance const &Life) const {
+  return std::any_of(Others_.begin(), Others_.end(), [&](auto const &One) {
+    auto const &Update = One.second.Update_;
+    return Update.Instance_.Peers_ == Life.Peers_ &&
+           Update.State_ != MemberState::Gone;
+  });
+}
+
+void Membership::endOthersAt(EntryInstance const &Life, Duration Unheard) {
+  if (Life.Peers_ == Endpoint())
+    return;
+  for (auto &[Id, Other] : Others_)
+    if (Id != Life.Id_ && Other.Update_.Instance_.Peers_ == Life.Peers_ &&
+        Other.Update_.State_ != MemberState::Gone &&
+        Other.HeardAt_ + Unheard <= Now_)
+      setState(Id, MemberState::Gone);
+}
+
 void Membership::setState(InstanceId const &Id, MemberState State) {
   auto &Held = Others_[Id];
   Changed_ |= livenessOf(Held.Update_.State_) != livenessOf(State);
--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -32,6 +32,20 @@
   return std::tie(Value.Accounts_, Value.Services_, Value.Usage_,
                   Value.TimeOfDay_);
 }
+auto fieldsOf(Of<NewsObject> auto &Value) {
+  return std::tie(Value.Name_, Value.Version_, Value.Value_);
+}
+auto fieldsOf(Of<CollectionNews> auto &Value) {
+  return std::tie(Value.Collection_, Value.From_, Value.To_, Value.Age_,
+                  Value.Objects_);
+}
+auto fieldsOf(Of<StoreNews> auto &Value) {
+  return std::tie(Value.Origin_, Value.Number_, Value.Spread_, Value.ReplyTo_,
+                  Value.Collections_);
+}
+auto fieldsOf(Of<StoreNewsRequest> auto &Value) {
+  return std::tie(Value.ReplyTo_, Value.Collections_);
+}
 auto fieldsOf(Of<Endpoint> auto &Value) {
   return std::tie(Value.Host_, Value.Port_);
 }
@@ -121,6 +135,7 @@
 
 /// The last enumerator of each enumeration, so that a number beyond it is
 /// refused.
+constexpr NewsSpread lastOf(NewsSpread /*Any*/) { return NewsSpread::None; }
 constexpr MemberState lastOf(MemberState /*Any*/) { return MemberState::Gone; }
 constexpr HeartbeatKind lastOf(HeartbeatKind /*Any*/) {
   return HeartbeatKind::Gossip;
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -8,6 +8,7 @@
 #include <LibPeer/DemandReport.h>
 #include <LibPeer/ServerReserved.h>
 #include <LibPeer/ShareGrant.h>
+#include <LibPeer/StoreNews.h>
 #include <LibPeer/StreamMessages.h>
 
 #include <compare>
@@ -113,6 +114,7 @@
     std::variant<Hello, Heartbeat, ConfigurationDigest, ConfigurationObjects,
                  ConfigurationRequest, ServerLeavingNotice, CrashReports,
                  ServerReserved, DemandReport, ShareGrant, StreamCheckpoint,
-                 StreamQuery, StreamState, StreamHandOver, ConsumptionReport>;
+                 StreamQuery, StreamState, StreamHandOver, ConsumptionReport,
+                 StoreNews, StoreNewsRequest>;
 
 } // namespace laburnum
--- a/Libraries/LibPlatform/AsyncObjectStore.h
+++ b/Libraries/LibPlatform/AsyncObjectStore.h
@@ -16,8 +16,8 @@
 
   virtual ~AsyncObjectStore() = default;
 
-  virtual void list(std::string const &Collection, Duration Timeout,
-                    Done<ObjectList> Done) = 0;
+  virtual void list(std::string const &Collection, ReadConsistency Consistency,
+                    Duration Timeout, Done<ObjectList> Done) = 0;
   /// A deleted object comes with Version_ 0.
   virtual void watch(std::string const &Collection, Version From, Duration Wait,
                      Done<WatchBatch> Done) = 0;
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds LogPeriod{100};
+/// How often the calls to the store so far are logged.
+constexpr std::chrono::seconds CallsPeriod{30};
 constexpr std::chrono::milliseconds DutyPeriod{200};
 /// The settings file may change without a signal.
 constexpr std::chrono::seconds SettingsPeriod{2};
@@ -135,23 +137,17 @@
 };
 
 ControlPlane::ControlPlane(ControlParts Parts, std::uint64_t Seed)
-    : Parts_(Parts),
+    : Parts_(Parts), Store_(Parts.Store_),
       ConfigurationReader_(std::make_unique<ConfigurationReader>(*this)),
       ServerReader_(std::make_unique<ServerReader>(*this)),
-      ConfigurationFollower_(std::make_shared<CollectionFollower>(
-          Parts.Context_, Parts.Store_, Parts.Codec_.configurationCollection(),
-          *ConfigurationReader_, Seed)),
-      ServerFollower_(std::make_shared<CollectionFollower>(
-          Parts.Context_, Parts.Store_, Parts.Codec_.serverCollection(),
-          *ServerReader_, Seed + 1)),
       ReadinessService_([this] { return readiness(); }),
       MetricsService_([this] { return metrics(); }),
       Life_(Parts.Settings_.Name_ + "." + IdentifierSource(Seed + 2).next()),
-      Duties_({Parts.Settings_, Parts.Store_, Parts.Duties_, Parts.Usage_,
-               Parts.Log_, Parts.Metrics_},
+      Duties_({Parts.Settings_, Store_, Parts.Duties_, Parts.Usage_, Parts.Log_,
+               Parts.Metrics_},
               Life_, Seed + 3),
       Peers_(std::make_shared<PeerNetwork>(
-          Parts.Context_, Parts.Store_, Parts.Settings_.Name_,
+          Parts.Context_, Store_, Parts.Settings_.Name_,
           instanceOf(Parts.Settings_, Life_), Seed + 4,
           PeerNetwork::Callbacks{
               [this](FleetView const &View) { onFleet(View); },
@@ -162,14 +158,38 @@
                 Parts_.Log_.write(
                     LogLine("peers_unavailable").add("why", toString(Failure)));
               }})),
+      Follower_(std::make_shared<StoreFollower>(
+          Parts.Context_, Store_, instanceOf(Parts.Settings_, Life_), Seed,
+          followerCallbacks())),
       DutyTimer_(Parts.Context_), ReportTimer_(Parts.Context_),
       Signals_(Parts.Context_, SIGTERM, SIGINT, SIGHUP),
-      LogTimer_(Parts.Context_), StopTimer_(Parts.Context_),
-      SettingsTimer_(Parts.Context_),
+      LogTimer_(Parts.Context_), CallsTimer_(Parts.Context_),
+      StopTimer_(Parts.Context_), SettingsTimer_(Parts.Context_),
       Settings_(Parts.Settings_, Parts.ReadSettings_) {}
 
 ControlPlane::~ControlPlane() = default;
 
+StoreFollower::Callbacks ControlPlane::followerCallbacks() {
+  return {
+      {{Parts_.Codec_.configurationCollection(), ConfigurationReader_.get()},
+       {Parts_.Codec_.serverCollection(), ServerReader_.get()}},
+      [this](SendToPeer const &Action) { Peers_->send(Action); },
+      [this](relay::ReadingChanged const &Change) {
+        onReadingChanged(Change);
+      }};
+}
+
+void ControlPlane::onReadingChanged(relay::ReadingChanged const &Change) {
+  auto const Outcome = Change.Reading_ == relay::Reading::ByRank ? "by rank"
+                       : Change.Reading_ == relay::Reading::ForWant
+                           ? "for want of news"
+                           : "left to others";
+  Parts_.Log_.write(LogLine("store_reading")
+                        .add("outcome", Outcome)
+                        .add("news_age_ms", Change.NewsAge_)
+                        .add("live", Change.Live_));
+}
+
 template <typename Function> void ControlPlane::onTraffic(Function Task) {
   asio::post(Parts_.TrafficContext_, std::move(Task));
 }
@@ -187,8 +207,7 @@
         LogLine("metrics_unavailable").add("why", errorOf(Metrics).Message_));
   else
     MetricsListener_ = takeValue(std::move(Metrics));
-  ConfigurationFollower_->start();
-  ServerFollower_->start();
+  Follower_->start();
   Parts_.Clock_.setOwn(timeOfDay(), readElapsedTime());
   Peers_->start();
   tickDuties();
@@ -196,6 +215,7 @@
   awaitSignals();
   watchSettings();
   flushLog();
+  logCalls();
   return Success{};
 }
 
@@ -235,10 +255,27 @@
 }
 
 StatusService::Page ControlPlane::metrics() const {
-  return {200, Parts_.Metrics_.text() + "laburnum_configuration_version " +
-                   std::to_string(ConfigurationVersion_) +
-                   "\nlaburnum_log_lines_dropped_total " +
-                   std::to_string(Parts_.Log_.dropped()) + '\n'};
+  auto Text = Parts_.Metrics_.text() + "laburnum_configuration_version " +
+              std::to_string(ConfigurationVersion_) +
+              "\nlaburnum_log_lines_dropped_total " +
+              std::to_string(Parts_.Log_.dropped()) + '\n';
+  for (auto const &[Call, Count] : Store_.calls())
+    Text += "laburnum_store_calls_total{call=\"" + Call + "\"} " +
+            std::to_string(Count) + '\n';
+  return {200, std::move(Text)};
+}
+
+void ControlPlane::logCalls() {
+  CallsTimer_.expires_after(CallsPeriod);
+  CallsTimer_.async_wait([this](asio::error_code Failure) {
+    if (Failure)
+      return;
+    LogLine Line("store_calls");
+    for (auto const &[Call, Count] : Store_.calls())
+      Line.add(Call, Count);
+    Parts_.Log_.write(Line);
+    logCalls();
+  });
 }
 
 void ControlPlane::flushLog() {
@@ -261,6 +298,7 @@
                           .add("registered", View.Registered_));
   LastFleet_ = {Live, View.Registered_};
   Duties_.setMembers(View.Members_, readElapsedTime());
+  Follower_->setMembers(View.Members_);
   Duties_.setReach(Live >= View.Registered_ && Live > 1 ? PeerReach::Whole
                                                         : PeerReach::Partial);
   onTraffic([&Traffic = Parts_.Traffic_, Registered = View.Registered_] {
@@ -270,13 +308,20 @@
 
 void ControlPlane::onPeerMessage(InstanceId const &From,
                                  PeerMessage const &Message) {
-  auto const *const Report = std::get_if<ConsumptionReport>(&Message);
-  if (!Report)
-    return;
+  if (auto const *const Report = std::get_if<ConsumptionReport>(&Message))
+    onReport(From, *Report);
+  else if (auto const *const News = std::get_if<StoreNews>(&Message))
+    Follower_->onNews(*News);
+  else if (auto const *const Request = std::get_if<StoreNewsRequest>(&Message))
+    Follower_->onRequest(*Request);
+}
+
+void ControlPlane::onReport(InstanceId const &From,
+                            ConsumptionReport const &Report) {
   auto const Now = readElapsedTime();
-  Parts_.Clock_.onPeer(From, Report->TimeOfDay_, Now);
-  Duties_.onReport(From, *Report, Now, Parts_.Clock_.read(Now));
-  onTraffic([&Traffic = Parts_.Traffic_, From, Report = *Report] {
+  Parts_.Clock_.onPeer(From, Report.TimeOfDay_, Now);
+  Duties_.onReport(From, Report, Now, Parts_.Clock_.read(Now));
+  onTraffic([&Traffic = Parts_.Traffic_, From, Report] {
     Traffic.onConsumption(From, Report);
   });
 }
@@ -398,8 +443,7 @@
   Parts_.Log_.write(
       LogLine("stopped").add("after_ms", readElapsedTime() - StopBegunAt_));
   Parts_.Log_.flush();
-  ConfigurationFollower_->stop();
-  ServerFollower_->stop();
+  Follower_->stop();
   Parts_.TrafficContext_.stop();
   Parts_.Context_.stop();
 }
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -4,9 +4,10 @@
 #include "StatusService.h"
 #include "TrafficPlane.h"
 
-#include <LibControl/CollectionFollower.h>
+#include <LibControl/CountedStore.h>
 #include <LibControl/PeerNetwork.h>
 #include <LibControl/SettingsWatch.h>
+#include <LibControl/StoreFollower.h>
 #include <LibControl/TrueClock.h>
 
 #include <asio/signal_set.hpp>
@@ -61,13 +62,18 @@
   class ConfigurationReader;
   class ServerReader;
 
+  StoreFollower::Callbacks followerCallbacks();
+
   void applyConfiguration(StoredObject const &Object);
   bool isReady() const;
   StatusService::Page readiness() const;
   StatusService::Page metrics() const;
   void flushLog();
+  void logCalls();
   void onFleet(FleetView const &View);
   void onPeerMessage(InstanceId const &From, PeerMessage const &Message);
+  void onReport(InstanceId const &From, ConsumptionReport const &Report);
+  void onReadingChanged(relay::ReadingChanged const &Change);
   void reportConsumption();
   void sendReport(ConsumptionReport Report);
   void tickDuties();
@@ -82,10 +88,9 @@
   template <typename Function> void onTraffic(Function Task);
 
   ControlParts Parts_;
+  CountedStore Store_;
   std::unique_ptr<ConfigurationReader> ConfigurationReader_;
   std::unique_ptr<ServerReader> ServerReader_;
-  std::shared_ptr<CollectionFollower> ConfigurationFollower_;
-  std::shared_ptr<CollectionFollower> ServerFollower_;
   StatusService ReadinessService_;
   StatusService MetricsService_;
   std::shared_ptr<HttpListener> ReadinessListener_;
@@ -93,10 +98,12 @@
   InstanceId Life_; ///< Names this life of the instance.
   DutyDesk Duties_;
   std::shared_ptr<PeerNetwork> Peers_;
+  std::shared_ptr<StoreFollower> Follower_;
   asio::steady_timer DutyTimer_;
   asio::steady_timer ReportTimer_;
   asio::signal_set Signals_;
   asio::steady_timer LogTimer_;
+  asio::steady_timer CallsTimer_;
   asio::steady_timer StopTimer_;
   asio::steady_timer SettingsTimer_;
   SettingsWatch Settings_;
--- a/Tests/Fakes/FakeAsyncStore.cpp
+++ b/Tests/Fakes/FakeAsyncStore.cpp
@@ -13,7 +13,8 @@
 
 } // namespace
 
-void FakeAsyncStore::list(std::string const &Collection, Duration /*Timeout*/,
+void FakeAsyncStore::list(std::string const &Collection,
+                          ReadConsistency /*Consistency*/, Duration /*Timeout*/,
                           Done<ObjectList> Done) {
   ++Lists_;
   Answers_.push_back([this, Collection, Done = std::move(Done)] {
--- a/Tests/Fakes/FakeAsyncStore.h
+++ b/Tests/Fakes/FakeAsyncStore.h
@@ -22,8 +22,8 @@
 /// until something changes or the test ends it.
 class FakeAsyncStore : public AsyncObjectStore {
 public:
-  void list(std::string const &Collection, Duration Timeout,
-            Done<ObjectList> Done) override;
+  void list(std::string const &Collection, ReadConsistency Consistency,
+            Duration Timeout, Done<ObjectList> Done) override;
   void watch(std::string const &Collection, Version From, Duration Wait,
              Done<WatchBatch> Done) override;
   void get(ObjectKey const &Key, ReadConsistency Consistency, Duration Timeout,
--- /dev/null
+++ b/Tests/LibControl/TestCollectionState.cpp
@@ -0,0 +1,87 @@
+#include <LibControl/CollectionState.h>
+
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+
+namespace {
+
+CollectionNews news(Version From, Version To, std::vector<NewsObject> Objects) {
+  return {"servers", From, To, Duration(0), std::move(Objects)};
+}
+
+struct Fixture {
+  Fixture() { State_.apply(news(0, 10, {{"a", 5, "1"}, {"b", 8, "1"}})); }
+
+  std::map<std::string, Version> held() const {
+    std::map<std::string, Version> Versions;
+    for (auto const &Object : State_.whole(Duration(0)).Objects_)
+      Versions[Object.Name_] = Object.Version_;
+    return Versions;
+  }
+
+  CollectionState State_{"servers"};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "Changes lead on from what is held") {
+  auto const Outcome =
+      State_.apply(news(10, 14, {{"a", 0, ""}, {"c", 13, ""}}));
+  REQUIRE(std::holds_alternative<collection::Applied>(Outcome));
+  CHECK(held() == std::map<std::string, Version>{{"b", 8}, {"c", 13}});
+  CHECK(State_.version() == 14);
+  CHECK(State_.unchangedSince() == 14);
+}
+
+TEST_CASE_METHOD(Fixture, "Changes that do not follow are a gap") {
+  CHECK(State_.apply(news(11, 14, {{"c", 13, ""}})) ==
+        collection::Outcome(collection::Gap{}));
+  CHECK(State_.version() == 10);
+}
+
+TEST_CASE_METHOD(Fixture, "Late news bring no older state back") {
+  State_.apply(news(10, 20, {{"a", 0, ""}, {"b", 18, "2"}}));
+  auto const Late = GENERATE(news(9, 12, {{"a", 11, "back"}}),
+                             news(0, 15, {{"a", 11, "back"}, {"b", 8, "1"}}));
+  CHECK(State_.apply(Late) == collection::Outcome(collection::Unchanged{}));
+  CHECK(held() == std::map<std::string, Version>{{"b", 18}});
+}
+
+TEST_CASE_METHOD(Fixture, "Changes that overlap with known ones end the same") {
+  // "a" was removed and came again; all of that is known up to 20.
+  State_.apply(news(10, 20, {{"a", 0, ""}, {"a", 19, "3"}}));
+  State_.apply(news(8, 25,
+                    {{"b", 8, "1"},
+                     {"a", 0, ""},
+                     {"a", 19, "3"},
+                     {"b", 0, ""},
+                     {"c", 24, "1"}}));
+  CHECK(held() == std::map<std::string, Version>{{"a", 19}, {"c", 24}});
+}
+
+TEST_CASE_METHOD(Fixture, "Word that nothing changed moves the version only") {
+  State_.apply(news(10, 30, {}));
+  CHECK(State_.version() == 30);
+  CHECK(State_.unchangedSince() == 10);
+}
+
+TEST_CASE_METHOD(Fixture, "Who knows the last change follows without a list") {
+  CollectionState Reader("servers");
+  Reader.apply(news(0, 10, {{"a", 5, "1"}, {"b", 8, "1"}}));
+  Reader.apply(news(10, 40, {}));
+  State_.apply(Reader.unchanged(Duration(0)));
+  CHECK(State_.version() == 40);
+}
+
+TEST_CASE_METHOD(Fixture, "The difference to a list leads to what it shows") {
+  ObjectList const List{
+      21, {{{"servers", "b"}, 17, "2"}, {{"servers", "c"}, 12, "1"}}};
+  auto const Difference = State_.difference(List);
+  CHECK(Difference.From_ == 10);
+  State_.apply(Difference);
+  CHECK(held() == std::map<std::string, Version>{{"b", 17}, {"c", 12}});
+
+  CollectionState Empty("servers");
+  CHECK(Empty.difference(List).From_ == 0);
+}
--- a/Tests/LibControl/TestCollectionFollower.cpp
+++ b/Tests/LibControl/TestStoreFollower.cpp
@@ -1,6 +1,6 @@
 #include <Fakes/FakeAsyncStore.h>
 
-#include <LibControl/CollectionFollower.h>
+#include <LibControl/StoreFollower.h>
 
 #include <catch2/catch.hpp>
 
@@ -32,6 +32,7 @@
   int Regained_ = 0;
 };
 
+/// A follower without peers, which has to read the store itself.
 struct Fixture {
   Fixture() {
     write("1");
@@ -48,16 +49,18 @@
   void settle() {
     do {
       Context_.restart();
-      Context_.run_for(std::chrono::milliseconds(450));
+      Context_.run_for(std::chrono::milliseconds(900));
     } while (Store_.deliver() > 0);
   }
 
   asio::io_context Context_;
   FakeAsyncStore Store_;
   Recorder Reader_;
-  std::shared_ptr<CollectionFollower> Follower_ =
-      std::make_shared<CollectionFollower>(Context_, Store_, "config", Reader_,
-                                           1);
+  std::shared_ptr<StoreFollower> Follower_ = std::make_shared<StoreFollower>(
+      Context_, Store_, EntryInstance{}, 1,
+      StoreFollower::Callbacks{{{"config", &Reader_}},
+                               [](SendToPeer const &) {},
+                               [](relay::ReadingChanged const &) {}});
 };
 
 } // namespace
@@ -68,7 +71,7 @@
   write("3");
   settle();
   CHECK(Reader_.Values_["main"] == "3");
-  CHECK(Reader_.Lists_ == 1);
+  CHECK(Store_.Lists_ == 1);
 }
 
 TEST_CASE_METHOD(Fixture,
@@ -80,7 +83,7 @@
                Result<WatchBatch>(Broken)));
   settle();
   CHECK(Reader_.Values_["main"] == "2");
-  CHECK(Reader_.Lists_ == 2);
+  CHECK(Store_.Lists_ == 2);
 }
 
 TEST_CASE_METHOD(Fixture, "An outage keeps what is known and is told once") {
--- /dev/null
+++ b/Tests/LibControl/TestStoreRelay.cpp
@@ -0,0 +1,201 @@
+#include "RelayFleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace laburnum;
+using test::RelayFleet;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// An accepted configuration has to be in force this long after, on the
+/// strictest deployment.
+constexpr Duration ConfigurationBound = milliseconds(2500);
+/// The same on deployments of 60 instances and more.
+constexpr Duration LargeConfigurationBound = milliseconds(4000);
+/// Most messages of an instance in a second, at any size.
+constexpr std::size_t MostMessages = 15;
+
+/// A fleet that has been up for a while.
+struct Fleet : RelayFleet {
+  explicit Fleet(std::size_t Count, std::size_t Centres = 6)
+      : RelayFleet(Count, Centres) {
+    write("config", "main", "1");
+    write("servers", "s1", "1");
+    pass(seconds(10));
+    REQUIRE(readers().size() == 3);
+  }
+};
+
+} // namespace
+
+TEST_CASE("A few instances read the store for a fleet of any size") {
+  auto const Count = GENERATE(as<std::size_t>(), 1, 2, 3, 8, 23, 77, 295);
+  RelayFleet Fleet(Count, 6);
+  Fleet.write("config", "main", "1");
+  auto const Servers = Fleet.write("servers", "s1", "1");
+  Fleet.pass(seconds(10));
+  CHECK(Fleet.readers().size() == std::min<std::size_t>(Count, 3));
+  CHECK(Fleet.behind("servers", "s1", Servers) == 0);
+  std::set<DataCentre> Centres;
+  for (auto const Reader : Fleet.readers())
+    Centres.insert(Fleet.Instances_[Reader].Self_.DataCentre_);
+  CHECK(Centres.size() == std::min<std::size_t>(Count, 3));
+
+  auto const Calls = Fleet.calls();
+  for (auto &One : Fleet.Instances_)
+    One.Sent_ = 0;
+  Fleet.pass(seconds(30));
+  // A call a second by each reader, whatever the fleet's size.
+  CHECK(Fleet.calls() - Calls <= 3 * 30);
+  for (auto const &One : Fleet.Instances_)
+    CHECK(One.Sent_ <= MostMessages * 30);
+}
+
+TEST_CASE("Instances that all start at once ask the store a few times") {
+  auto const Count = GENERATE(as<std::size_t>(), 8, 295);
+  RelayFleet Fleet(Count, 6);
+  Fleet.write("config", "main", "1");
+  auto const Servers = Fleet.write("servers", "s1", "1");
+  Fleet.pass(seconds(3));
+  CHECK(Fleet.behind("config", "main", 1) == 0);
+  CHECK(Fleet.behind("servers", "s1", Servers) == 0);
+  // If each read for itself, there would be two lists and at least two watches
+  // of each.
+  CHECK(Fleet.calls() <= (Count > 60 ? Count : 4 * Count + 3 * 3));
+}
+
+TEST_CASE("A change is in force in time when all readers die with it") {
+  auto const Count = GENERATE(as<std::size_t>(), 8, 23, 77, 295);
+  Fleet Fleet(Count);
+  for (auto const Reader : Fleet.readers())
+    Fleet.Instances_[Reader].IsRunning_ = false;
+  auto const Calls = Fleet.calls();
+  auto const Written = Fleet.write("config", "main", "2");
+  Fleet.pass(ConfigurationBound);
+  CHECK(Fleet.behind("config", "main", Written) == 0);
+  // Others step in one by one, not all at once.
+  CHECK(Fleet.calls() - Calls <= std::max<std::size_t>(64, Count / 2));
+  Fleet.tellMembers();
+  Fleet.pass(seconds(10));
+  CHECK(Fleet.readers().size() == 3);
+}
+
+TEST_CASE("Most of a fleet killed leaves none without news") {
+  Fleet Fleet(GENERATE(as<std::size_t>(), 23, 295));
+  std::mt19937_64 Generator(GENERATE(1, 2, 3, 4));
+  for (auto &One : Fleet.Instances_)
+    One.IsRunning_ = Generator() % 10 >= 6;
+  auto const Written = Fleet.write("servers", "s2", "1");
+  Fleet.pass(LargeConfigurationBound);
+  CHECK(Fleet.behind("servers", "s2", Written) == 0);
+}
+
+TEST_CASE("Readers that lose the store are made good for") {
+  Fleet Fleet(GENERATE(as<std::size_t>(), 8, 77));
+  auto const Lost = GENERATE(as<std::size_t>(), 1, 2, 3);
+  auto const Readers = Fleet.readers();
+  for (std::size_t Each = 0; Each < Lost; ++Each)
+    Fleet.Instances_[Readers[Each]].HearsStore_ = false;
+  auto const Written = Fleet.write("config", "main", "2");
+  Fleet.pass(Lost < 3 ? ConfigurationBound : LargeConfigurationBound);
+  CHECK(Fleet.behind("config", "main", Written) == 0);
+}
+
+TEST_CASE("An instance that its peers do not reach reads the store itself") {
+  Fleet Fleet(23);
+  std::size_t Alone = 0;
+  while (Fleet.Instances_[Alone].Relay_.reading() != relay::Reading::None)
+    ++Alone;
+  Fleet.Instances_[Alone].HearsPeers_ = false;
+  auto const Written = Fleet.write("config", "main", "2");
+  Fleet.pass(ConfigurationBound);
+  CHECK(Fleet.behind("config", "main", Written) == 0);
+  CHECK(Fleet.Instances_[Alone].Relay_.reading() == relay::Reading::ForWant);
+  Fleet.Instances_[Alone].HearsPeers_ = true;
+  Fleet.pass(seconds(10));
+  CHECK(Fleet.Instances_[Alone].Relay_.reading() == relay::Reading::None);
+}
+
+TEST_CASE("A data centre that is cut off chooses readers of its own") {
+  Fleet Fleet(77);
+  for (auto &One : Fleet.Instances_)
+    if (One.Self_.DataCentre_ != DataCentre("dc2"))
+      One.IsRunning_ = false;
+  auto const Written = Fleet.write("servers", "s2", "1");
+  Fleet.pass(ConfigurationBound);
+  CHECK(Fleet.behind("servers", "s2", Written) == 0);
+}
+
+TEST_CASE("While the store is down a large fleet asks seldom") {
+  Fleet Fleet(295);
+  Fleet.IsStoreDown_ = true;
+  Fleet.pass(seconds(5));
+  auto const Calls = Fleet.calls();
+  Fleet.pass(seconds(10));
+  // Half a call a second by each instance; a store takes thousands.
+  CHECK(Fleet.calls() - Calls <= 295 * 10 / 2);
+  Fleet.IsStoreDown_ = false;
+  // Machines count as in touch three seconds after; a change may come then.
+  Fleet.pass(seconds(3));
+  auto const Written = Fleet.write("config", "main", "2");
+  Fleet.pass(ConfigurationBound);
+  CHECK(Fleet.behind("config", "main", Written) == 0);
+  Fleet.pass(seconds(10));
+  CHECK(Fleet.readers().size() == 3);
+}
+
+TEST_CASE("What changes elsewhere in the store makes nobody ask for lists") {
+  Fleet Fleet(GENERATE(as<std::size_t>(), 8, 77));
+  auto const Requests = Fleet.Requests_;
+  for (int Turn = 0; Turn < 20; ++Turn) {
+    Fleet.write("lease", "main", std::to_string(Turn));
+    if (Turn % 5 == 0)
+      Fleet.write("servers", "s2", std::to_string(Turn));
+    Fleet.pass(milliseconds(700));
+  }
+  CHECK(Fleet.Requests_ == Requests);
+}
+
+TEST_CASE("A new instance is told everything without asking the store") {
+  Fleet Fleet(77);
+  auto const New = Fleet.add("dc1");
+  Fleet.tellMembers();
+  Fleet.pass(seconds(1));
+  CHECK(Fleet.behind("config", "main", 1) == 0);
+  CHECK(Fleet.Instances_[New].Calls_ == 0);
+}
+
+TEST_CASE("Nothing goes back whatever is lost or late") {
+  std::mt19937_64 Generator(GENERATE(range(1, 9)));
+  Fleet Fleet(23);
+  Version Last = 0;
+  for (int Turn = 0; Turn < 100; ++Turn) {
+    auto &One = Fleet.Instances_[Generator() % Fleet.Instances_.size()];
+    switch (Generator() % 5) {
+    case 0:
+      One.HearsPeers_ = !One.HearsPeers_;
+      break;
+    case 1:
+      One.HearsStore_ = !One.HearsStore_;
+      break;
+    case 2:
+      Fleet.IsStoreDown_ = !Fleet.IsStoreDown_;
+      break;
+    default:
+      Last = Fleet.write("servers", "s" + std::to_string(Generator() % 4), "x");
+    }
+    Fleet.pass(milliseconds(100) * (Generator() % 10));
+  }
+  Fleet.IsStoreDown_ = false;
+  for (auto &One : Fleet.Instances_)
+    One.HearsPeers_ = One.HearsStore_ = true;
+  Last = Fleet.write("servers", "last", "1");
+  Fleet.pass(seconds(8));
+  CHECK(Fleet.behind("servers", "last", Last) == 0);
+  CHECK_FALSE(Fleet.WentBack_);
+}
--- a/Tests/LibFleet/TestMembership.cpp
+++ b/Tests/LibFleet/TestMembership.cpp
@@ -284,3 +284,71 @@
   for (std::size_t Each = 4; Each < Count; ++Each)
     CHECK(Fleet.seen(0, Each) == Liveness::Live);
 }
+
+namespace {
+
+/// A later life of the instance, at the same endpoint.
+EntryInstance laterLife(std::size_t Number) {
+  auto Made = instance(Number);
+  Made.Id_ = InstanceId(Made.Id_.text() + ".later");
+  return Made;
+}
+
+Heartbeat gossipOf(EntryInstance const &About) {
+  Heartbeat Message{HeartbeatKind::Gossip, 0, {}, {}};
+  MemberUpdate Update;
+  Update.Instance_ = About;
+  Message.Updates_.push_back(Update);
+  return Message;
+}
+
+std::optional<Liveness> livenessOf(Membership const &Mine,
+                                   EntryInstance const &Wanted) {
+  for (auto const &One : Mine.members())
+    if (One.Instance_ == Wanted)
+      return One.Liveness_;
+  return std::nullopt;
+}
+
+struct Restart {
+  Restart() : Mine_(settings()) {
+    Mine_.handle(InstancesListed{{{{instance(1), Liveness::Live}}, {}}}, Now_);
+  }
+  static Settings settings() {
+    Settings Mine;
+    Mine.Self_ = instance(0);
+    return Mine;
+  }
+
+  Membership Mine_;
+  TimePoint Now_{std::chrono::hours(1)};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Restart, "A life that is heard ends the one before it") {
+  Mine_.handle(HeartbeatFromPeer{laterLife(1).Id_, gossipOf(laterLife(1))},
+               Now_);
+  CHECK(livenessOf(Mine_, laterLife(1)) == Liveness::Live);
+  CHECK(livenessOf(Mine_, instance(1)) == Liveness::Gone);
+  // A list that lags brings the earlier one back no more than gossip does.
+  Mine_.handle(InstancesListed{{{{instance(1), Liveness::Live}}, {}}}, Now_);
+  CHECK(livenessOf(Mine_, instance(1)) == Liveness::Gone);
+}
+
+TEST_CASE_METHOD(Restart, "Gossip of another life ends none just heard") {
+  Mine_.handle(HeartbeatFromPeer{instance(1).Id_, gossipOf(instance(1))}, Now_);
+  auto Message = gossipOf(instance(2));
+  Message.Updates_.push_back(gossipOf(laterLife(1)).Updates_.front());
+  Mine_.handle(HeartbeatFromPeer{instance(2).Id_, Message},
+               Now_ + std::chrono::milliseconds(500));
+  CHECK(livenessOf(Mine_, instance(1)) == Liveness::Live);
+}
+
+TEST_CASE_METHOD(Restart, "An instance's own earlier life is no member") {
+  Mine_.handle(InstancesListed{{{{laterLife(0), Liveness::Live}}, {}}}, Now_);
+  auto Message = gossipOf(instance(1));
+  Message.Updates_.push_back(gossipOf(laterLife(0)).Updates_.front());
+  Mine_.handle(HeartbeatFromPeer{instance(1).Id_, Message}, Now_);
+  CHECK(livenessOf(Mine_, laterLife(0)) == std::nullopt);
+}
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -44,7 +44,14 @@
       ConsumptionReport{{{AccountName("a"), 7, 9}},
                         {{ServiceName("s"), 1, 2, 3}},
                         {{340000000, AccountName("a"), 4}},
-                        Duration(5)}};
+                        Duration(5)},
+      StoreNews{
+          InstanceId("i1"),
+          7,
+          NewsSpread::None,
+          {"127.0.0.1", 6},
+          {{"servers", 3, 9, Duration(4), {{"s", 8, "{}"}, {"t", 0, ""}}}}},
+      StoreNewsRequest{{"127.0.0.1", 6}, {"servers"}}};
 }
 
 TEST_CASE("Every message survives encoding and decoding") {
--- a/Tests/Platform/TestObjectClient.cpp
+++ b/Tests/Platform/TestObjectClient.cpp
@@ -85,8 +85,9 @@
                               R"(],"has_more":true,"current_rev":9})"},
                     {200, R"({"items":[)" + object("c", 5, "\"x\"") +
                               R"(],"has_more":false,"current_rev":11})"}};
-  auto const Listed = await<ObjectList>(
-      [&](auto Done) { Client_.list("things", Timeout, Done); });
+  auto const Listed = await<ObjectList>([&](auto Done) {
+    Client_.list("things", ReadConsistency::Latest, Timeout, Done);
+  });
   REQUIRE_FALSE(isError(Listed));
   CHECK(valueOf(Listed).Objects_.size() == 3);
   CHECK(valueOf(Listed).Objects_[2] ==
@@ -152,8 +153,9 @@
 
 TEST_CASE_METHOD(Fixture, "An answer that cannot be read is no list") {
   Store_.Script_ = {{200, "\xff{"}};
-  CHECK(isError(await<ObjectList>(
-      [&](auto Done) { Client_.list("things", Timeout, Done); })));
+  CHECK(isError(await<ObjectList>([&](auto Done) {
+    Client_.list("things", ReadConsistency::Latest, Timeout, Done);
+  })));
 }
 
 TEST_CASE_METHOD(Fixture, "An object that is not there is told as such") {
