LibControl: Leave changes to the first of two readers

The second one now pauses for two seconds after a change while the first is heard, and watches at once when it is not.

--- a/Libraries/LibControl/StoreRelay.cpp
+++ b/Libraries/LibControl/StoreRelay.cpp
@@ -13,9 +13,9 @@
 
 namespace {
 
-/// Instances that read the store for all. Three, in different data centres, so
-/// that the loss of any one, or of one with its data centre, is not noticed.
-constexpr std::size_t Readers = 3;
+/// Instances that read the store for all. Two, in different data centres, so
+/// that the loss of one, or of one with its data centre, is not noticed.
+constexpr std::size_t Readers = 2;
 /// How long one watch waits. A store that falls silent is noticed when the
 /// answer is overdue; each watch that ends is a call that is paid for.
 constexpr std::chrono::milliseconds WatchWait{2500};
@@ -24,6 +24,12 @@
 constexpr std::chrono::milliseconds WatchOverdue{200};
 /// After a change, so that others that come with it cost one call together.
 constexpr std::chrono::milliseconds BatchPause{400};
+/// The same for the second reader, as long as the first one is heard: each
+/// change is told by the first, and costs the second no call of its own.
+constexpr std::chrono::milliseconds SecondPause{2000};
+/// The first one's word comes with each beat; without it for longer the second
+/// reader watches at once.
+constexpr std::chrono::milliseconds SecondPatience{700};
 /// How often readers say that nothing has changed.
 constexpr std::chrono::milliseconds BeatPeriod{500};
 /// Without word for longer an instance reads for itself: two beats of all
@@ -230,6 +236,9 @@
   for (auto &One : Followed_) {
     if (One.IsAwaited_ || Now_ < One.NotBefore_)
       continue;
+    if (Now_ < One.LeftUntil_ &&
+        One.claimedAt().value_or(TimePoint::min()) + SecondPatience >= Now_)
+      continue;
     One.IsAwaited_ = true;
     auto const &Collection = One.State_.collection();
     if (One.NeedsList_) {
@@ -296,6 +305,8 @@
   if (Batch.Objects_.empty())
     return;
   One.NotBefore_ = Now_ + BatchPause;
+  bool const IsFirst = Reading_ == Reading::ByRank && Place_ == 0;
+  One.LeftUntil_ = IsFirst ? Now_ : Now_ + SecondPause;
   tell({std::move(News)});
 }
 
--- a/Libraries/LibControl/StoreRelay.h
+++ b/Libraries/LibControl/StoreRelay.h
@@ -144,7 +144,10 @@
     std::optional<TimePoint> WatchSince_; ///< Of the watch that is open.
     Version WatchFrom_ = 0;
     TimePoint NotBefore_ = TimePoint::min(); ///< Of the next read.
-    std::uint32_t Failures_ = 0;             ///< In a row.
+    /// The next watch is left to the first reader until then, while it is
+    /// heard.
+    TimePoint LeftUntil_ = TimePoint::min();
+    std::uint32_t Failures_ = 0; ///< In a row.
     TimePoint AskedAt_ = TimePoint::min();
 
     std::optional<TimePoint> claimedAt() const;
