LibControl: Gather consumption at two collectors in fleets of more than eight

All report to two collectors by rank and to the holder of the lease, twice a second, and get the sum back along trees; five hundred reports a second at a collector are the limit. AccountMeter takes its own part out of the sum. What others take from a bucket before they are heard of again counts only beyond what flows in meanwhile: with the longer period a bucket within its quota looked empty.

--- a/Libraries/LibControl/DemandView.cpp
+++ b/Libraries/LibControl/DemandView.cpp
@@ -1,16 +1,23 @@
 #include <LibControl/DemandView.h>
 
+#include <algorithm>
+
 namespace laburnum {
 
 namespace {
 
-/// Reports come four times a second.
-constexpr std::chrono::milliseconds Validity{1500};
+/// A report counts until so many others are missing, and not shorter than this.
+constexpr int MissedReports = 3;
+constexpr std::chrono::milliseconds LeastValidity{1500};
 /// Weight of the newest report in an instance's rate.
 constexpr double RateWeight = 0.4;
 
 } // namespace
 
+void DemandView::setPeriod(Duration Period) {
+  Validity_ = std::max<Duration>(LeastValidity, Period * MissedReports);
+}
+
 void DemandView::onReport(InstanceId const &From,
                           std::vector<ServiceDemand> const &Services,
                           TimePoint Now) {
@@ -34,7 +41,7 @@
   FleetDemand Sum;
   for (auto const &[Id, Services] : Instances_) {
     auto const Found = Services.find(Service);
-    if (Found == Services.end() || Found->second.At_ + Validity < Now)
+    if (Found == Services.end() || Found->second.At_ + Validity_ < Now)
       continue;
     Sum.Requests_ +=
         Found->second.Last_.Running_ + Found->second.Last_.Waiting_;
--- a/Libraries/LibControl/DemandView.h
+++ b/Libraries/LibControl/DemandView.h
@@ -22,10 +22,13 @@
 public:
   void onReport(InstanceId const &From,
                 std::vector<ServiceDemand> const &Services, TimePoint Now);
+  /// Instances report this often.
+  void setPeriod(Duration Period);
   /// Over the instances heard from lately.
   FleetDemand demand(ServiceName const &Service, TimePoint Now) const;
 
 private:
+  Duration Validity_ = std::chrono::milliseconds(1500);
   struct Told {
     ServiceDemand Last_;
     double PerSecond_ = 0.0;
--- a/Libraries/LibControl/StoreRelay.cpp
+++ b/Libraries/LibControl/StoreRelay.cpp
@@ -68,7 +68,6 @@
 constexpr std::chrono::milliseconds AskPause{150};
 /// Up to this many instances are told directly.
 constexpr std::size_t MostDirect = 8;
-constexpr std::size_t TreeDegree = 2;
 /// Origins that were silent for so long are forgotten.
 constexpr std::chrono::seconds OriginRetention{60};
 
@@ -78,7 +77,8 @@
 
 StoreRelay::StoreRelay(relay::Settings Settings)
     : Settings_(std::move(Settings)),
-      Generator_(Settings_.Seed_), Live_{Settings_.Self_} {
+      Generator_(Settings_.Seed_), Live_{Settings_.Self_},
+      Tree_(Settings_.Self_) {
   for (auto const &Collection : Settings_.Collections_)
     Followed_.emplace_back(Collection);
   StartPart_ = std::uniform_real_distribution<double>()(Generator_);
@@ -141,7 +141,7 @@
   for (auto const &One : Order)
     if (Chosen_.size() < Readers)
       Chosen_.insert(One.Id_);
-  Children_.clear();
+  Tree_.setMembers(Live_, Chosen_);
   if (StartedAt_)
     chooseReading();
   read();
@@ -446,12 +446,12 @@
     return;
   }
   Told.Spread_ = NewsSpread::Tree;
-  for (auto const &Child : childrenOf(Settings_.Self_.Id_))
+  for (auto const &Child : Tree_.childrenOf(Settings_.Self_.Id_))
     send(Child, Told);
 }
 
 void StoreRelay::passOn(StoreNews const &News) {
-  for (auto const &Child : childrenOf(News.Origin_)) {
+  for (auto const &Child : Tree_.childrenOf(News.Origin_)) {
     auto Copy = News;
     Copy.ReplyTo_ = Settings_.Self_.Peers_;
     Actions_.emplace_back(SendToPeer{Child, std::move(Copy)});
@@ -464,45 +464,6 @@
   Actions_.emplace_back(SendToPeer{To, std::move(News)});
 }
 
-std::vector<Endpoint> const &StoreRelay::childrenOf(InstanceId const &Origin) {
-  auto const Found = Children_.find(Origin);
-  if (Found != Children_.end())
-    return Found->second;
-  return Children_.emplace(Origin, findChildren(Origin)).first->second;
-}
-
-/// Whom this instance tells of the origin's news. Each data centre's instances
-/// in an order of the origin's own, read as a heap, are the tree; the origin
-/// tells the first of every data centre. Readers, who have much to tell, are
-/// its leaves.
-std::vector<Endpoint> StoreRelay::findChildren(InstanceId const &Origin) const {
-  std::map<DataCentre, std::vector<EntryInstance>> Centres;
-  for (auto const &One : Live_)
-    if (One.Id_ != Origin)
-      Centres[One.DataCentre_].push_back(One);
-  auto const TreeOf = [&](std::vector<EntryInstance> Members) {
-    auto Tree = rendezvousOrder(Origin.text(), std::move(Members), nameOf);
-    std::stable_partition(
-        Tree.begin(), Tree.end(),
-        [&](EntryInstance const &One) { return !Chosen_.contains(One.Id_); });
-    return Tree;
-  };
-  std::vector<Endpoint> Children;
-  if (Origin == Settings_.Self_.Id_) {
-    for (auto &[Centre, Members] : Centres)
-      Children.push_back(TreeOf(std::move(Members)).front().Peers_);
-    return Children;
-  }
-  auto const Own = TreeOf(std::move(Centres[Settings_.Self_.DataCentre_]));
-  auto const Self = std::find(Own.begin(), Own.end(), Settings_.Self_);
-  auto const First =
-      static_cast<std::size_t>(Self - Own.begin()) * TreeDegree + 1;
-  for (auto Next = First; Next < std::min(First + TreeDegree, Own.size());
-       ++Next)
-    Children.push_back(Own[Next].Peers_);
-  return Children;
-}
-
 void StoreRelay::ask(Followed &One, Endpoint const &Whom) {
   if (One.AskedAt_ != TimePoint::min() && Now_ < One.AskedAt_ + AskPause)
     return;
--- a/Libraries/LibControl/StoreRelay.h
+++ b/Libraries/LibControl/StoreRelay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibControl/CollectionState.h>
+#include <LibControl/NewsTree.h>
 #include <LibCore/Result.h>
 #include <LibFleet/Member.h>
 #include <LibFleet/SendToPeer.h>
@@ -176,8 +177,6 @@
   void tell(std::vector<CollectionNews> News);
   void passOn(StoreNews const &News);
   void send(Endpoint const &To, StoreNews News);
-  std::vector<Endpoint> const &childrenOf(InstanceId const &Origin);
-  std::vector<Endpoint> findChildren(InstanceId const &Origin) const;
   void ask(Followed &One, Endpoint const &Whom);
   void askSomebody();
   std::vector<relay::Action> take();
@@ -206,8 +205,7 @@
     TimePoint HeardAt_;
   };
   std::map<InstanceId, Origin> Origins_;
-  /// By origin, for the members as they are.
-  std::map<InstanceId, std::vector<Endpoint>> Children_;
+  NewsTree Tree_;
   TimePoint Now_;
   std::vector<relay::Action> Actions_;
 };
--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -46,6 +46,10 @@
 auto fieldsOf(Of<StoreNewsRequest> auto &Value) {
   return std::tie(Value.ReplyTo_, Value.Collections_);
 }
+auto fieldsOf(Of<ConsumptionSum> auto &Value) {
+  return std::tie(Value.Origin_, Value.Number_, Value.Duty_, Value.Lives_,
+                  Value.Accounts_, Value.TimeOfDay_);
+}
 auto fieldsOf(Of<Endpoint> auto &Value) {
   return std::tie(Value.Host_, Value.Port_);
 }
@@ -135,6 +139,9 @@
 
 /// The last enumerator of each enumeration, so that a number beyond it is
 /// refused.
+constexpr CollectorDuty lastOf(CollectorDuty /*Any*/) {
+  return CollectorDuty::HoldsLease;
+}
 constexpr NewsSpread lastOf(NewsSpread /*Any*/) { return NewsSpread::None; }
 constexpr MemberState lastOf(MemberState /*Any*/) { return MemberState::Gone; }
 constexpr HeartbeatKind lastOf(HeartbeatKind /*Any*/) {
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -4,6 +4,7 @@
 #include <LibModel/ConfigurationObject.h>
 #include <LibModel/EntryInstance.h>
 #include <LibPeer/ConsumptionReport.h>
+#include <LibPeer/ConsumptionSum.h>
 #include <LibPeer/CrashReports.h>
 #include <LibPeer/DemandReport.h>
 #include <LibPeer/ServerReserved.h>
@@ -115,6 +116,6 @@
                  ConfigurationRequest, ServerLeavingNotice, CrashReports,
                  ServerReserved, DemandReport, ShareGrant, StreamCheckpoint,
                  StreamQuery, StreamState, StreamHandOver, ConsumptionReport,
-                 StoreNews, StoreNewsRequest>;
+                 StoreNews, StoreNewsRequest, ConsumptionSum>;
 
 } // namespace laburnum
--- a/Libraries/LibTraffic/AccountMeter.cpp
+++ b/Libraries/LibTraffic/AccountMeter.cpp
@@ -15,6 +15,9 @@
 /// After this many reports that did not come, a peer is taken for cut off, and
 /// its equal part of the quota is left to it.
 constexpr std::int64_t MissedReports = 4;
+/// The same of a collector's sums: without them nothing of any other instance
+/// is known, and there is a second collector.
+constexpr std::int64_t MissedSums = 2;
 /// How long a silent peer's totals are kept, to go on from.
 constexpr std::chrono::seconds PeerRetention{60};
 /// The part of a quota that an instance gives out that does not know yet how
@@ -73,11 +76,18 @@
   return Quota.RatePerSecond_ * (1.0 + Settings_.Overrun_) * heardPart();
 }
 
+bool AccountMeter::isFresh(Collector const &One, TimePoint Now) const {
+  return One.HeardAt_ + Settings_.ReportPeriod_ * MissedSums >= Now;
+}
+
 void AccountMeter::countReachable(TimePoint Now) {
   std::size_t Heard = 1;
   for (auto const &[Id, Peer] : Peers_)
     if (Peer.HeardAt_ + Settings_.ReportPeriod_ * MissedReports >= Now)
       ++Heard;
+  for (auto const &[Id, Collector] : Collectors_)
+    if (isFresh(Collector, Now))
+      Heard = std::max(Heard, Collector.Lives_);
   if (Heard == Reachable_)
     return;
   // What has flowed in so far did so at the old rate.
@@ -88,6 +98,73 @@
   std::erase_if(Peers_, [&](auto const &One) {
     return One.second.HeardAt_ + PeerRetention < Now;
   });
+  std::erase_if(Collectors_, [&](auto const &One) {
+    return One.second.HeardAt_ + PeerRetention < Now;
+  });
+}
+
+void AccountMeter::setPeriod(Duration Period) {
+  if (Period == Settings_.ReportPeriod_)
+    return;
+  auto const Ratio = std::chrono::duration<double>(Period) /
+                     std::chrono::duration<double>(Settings_.ReportPeriod_);
+  for (auto &[Account, Usage] : Usage_) {
+    Usage.OwnDemand_ *= Ratio;
+    Usage.OwnSmallDemand_ *= Ratio;
+    Usage.OthersDemand_ *= Ratio;
+  }
+  Settings_.ReportPeriod_ = Period;
+}
+
+void AccountMeter::onSum(ConsumptionSum const &Sum, TimePoint Now) {
+  auto const [Found, IsNew] = Collectors_.try_emplace(Sum.Origin_);
+  auto &Collector = Found->second;
+  auto const Last = Collector;
+  Collector.HeardAt_ = Now;
+  Collector.Lives_ = std::max<std::size_t>(1, Sum.Lives_);
+  for (auto const &One : Sum.Accounts_) {
+    Collector.Sums_[One.Account_] = One;
+    // The sum holds what was reported last, give or take one report; whatever
+    // is off by that is made good by the next sum.
+    auto const Own = Usage_.find(One.Account_);
+    Collector.Own_[One.Account_] =
+        Own == Usage_.end()
+            ? AccountConsumption{One.Account_, 0, 0}
+            : AccountConsumption{One.Account_, Own->second.AdmittedBefore_,
+                                 Own->second.AskedBefore_};
+  }
+  countReachable(Now);
+  auto const Followed = Collectors_.find(Followed_);
+  if (Followed == Collectors_.end() || !isFresh(Followed->second, Now))
+    Followed_ = Sum.Origin_;
+  if (Followed_ != Sum.Origin_ || IsNew)
+    return;
+  for (auto const &One : Sum.Accounts_)
+    take(One, Last, Now);
+}
+
+void AccountMeter::take(AccountConsumption const &Sum, Collector const &Last,
+                        TimePoint Now) {
+  auto const *const Quota = quotaOf(Sum.Account_);
+  if (!Quota)
+    return;
+  auto &Usage = fill(*Quota, Sum.Account_, Now);
+  auto const Others = [&](std::map<AccountName, AccountConsumption> const &Sums,
+                          std::map<AccountName, AccountConsumption> const &Own,
+                          std::uint64_t AccountConsumption::*Field) {
+    auto const Held = Sums.find(Sum.Account_);
+    auto const Mine = Own.find(Sum.Account_);
+    return (Held == Sums.end() ? 0.0
+                               : static_cast<double>(Held->second.*Field)) -
+           (Mine == Own.end() ? 0.0 : static_cast<double>(Mine->second.*Field));
+  };
+  auto const &Next = Collectors_[Followed_];
+  auto const Gained = [&](std::uint64_t AccountConsumption::*Field) {
+    return Others(Next.Sums_, Next.Own_, Field) -
+           Others(Last.Sums_, Last.Own_, Field);
+  };
+  Usage.Level_ -= Gained(&AccountConsumption::Admitted_);
+  Usage.OthersAsked_ += std::max(0.0, Gained(&AccountConsumption::Asked_));
 }
 
 AccountMeter::Usage &AccountMeter::fill(AccountQuota const &Quota,
@@ -156,8 +233,13 @@
   auto const Kept = keptForSmall(*Quota, Usage);
   bool const IsPreferred = IsSmall && Kept > 0.0;
   auto const Free = IsSmall ? Usage.Level_ : Usage.Level_ - Kept;
-  // What the others are likely to admit before they are heard of again.
-  auto const Reserved = Usage.OthersDemand_ * ReservedPeriods;
+  // What the others are likely to take from the bucket before they are heard of
+  // again, beyond what flows in meanwhile.
+  auto const Period =
+      std::chrono::duration<double>(Settings_.ReportPeriod_).count();
+  auto const Reserved =
+      std::max(0.0, Usage.OthersDemand_ - rate(*Quota) * Period) *
+      ReservedPeriods;
   bool const HasRoom =
       Free > 0.0 && (Free > Reserved || Usage.Allowance_ > 0.0);
   if (HasRoom || (IsPreferred && Usage.Level_ > -DebtSeconds * rate(*Quota))) {
@@ -191,6 +273,7 @@
     fill(*Quota, Account, Now);
     auto const Asked = static_cast<double>(Usage.Asked_ - Usage.AskedBefore_);
     Usage.AskedBefore_ = Usage.Asked_;
+    Usage.AdmittedBefore_ = Usage.Admitted_;
     Usage.OwnDemand_ += DemandWeight * (Asked - Usage.OwnDemand_);
     Usage.OwnSmallDemand_ +=
         DemandWeight * (static_cast<double>(std::exchange(Usage.AskedSmall_,
--- a/Libraries/LibTraffic/AccountMeter.h
+++ b/Libraries/LibTraffic/AccountMeter.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibPeer/ConsumptionReport.h>
+#include <LibPeer/ConsumptionSum.h>
 #include <LibTraffic/RouteTable.h>
 
 #include <cstdint>
@@ -40,7 +41,11 @@
 
   explicit AccountMeter(Settings Settings) : Settings_(Settings) {}
 
-  void setSettings(Settings Settings) { Settings_ = Settings; }
+  /// The period stays as it is.
+  void setOverrun(Settings const &Settings) {
+    Settings_.Overrun_ = Settings.Overrun_;
+    Settings_.Slack_ = Settings.Slack_;
+  }
   void setTable(std::shared_ptr<RouteTable const> Table, TimePoint Now);
   /// How many instances there may be, this one included.
   void setRegistered(std::size_t Registered) { Registered_ = Registered; }
@@ -63,6 +68,11 @@
   ConsumptionReport report(TimePoint Now);
   void onReport(InstanceId const &From, ConsumptionReport const &Report,
                 TimePoint Now);
+  /// What a collector has heard from all, this instance included. Of several
+  /// collectors one at a time is gone by.
+  void onSum(ConsumptionSum const &Sum, TimePoint Now);
+  /// From now on reports are told this often.
+  void setPeriod(Duration Period);
 
 private:
   struct Usage {
@@ -71,10 +81,11 @@
     std::uint64_t Admitted_ = 0; ///< Here, since the start.
     std::uint64_t Asked_ = 0;
     std::uint64_t AskedBefore_ = 0; ///< As of the last report.
-    std::uint64_t AskedSmall_ = 0;  ///< Since the last report.
-    double Allowance_ = 0.0;        ///< Left to admit in this period.
-    double OwnDemand_ = 0.0;        ///< Per period, smoothed.
-    double OwnSmallDemand_ = 0.0;   ///< The part of it in small requests.
+    std::uint64_t AdmittedBefore_ = 0;
+    std::uint64_t AskedSmall_ = 0; ///< Since the last report.
+    double Allowance_ = 0.0;       ///< Left to admit in this period.
+    double OwnDemand_ = 0.0;       ///< Per period, smoothed.
+    double OwnSmallDemand_ = 0.0;  ///< The part of it in small requests.
     double OthersDemand_ = 0.0;
     double OthersAsked_ = 0.0; ///< Heard of in this period.
   };
@@ -83,7 +94,18 @@
     TimePoint HeardAt_{};
   };
 
+  /// A collector's sums less this instance's part, as of its last one.
+  struct Collector {
+    std::map<AccountName, AccountConsumption> Sums_;
+    std::map<AccountName, AccountConsumption> Own_;
+    std::size_t Lives_ = 1;
+    TimePoint HeardAt_{};
+  };
+
   void countReachable(TimePoint Now);
+  bool isFresh(Collector const &One, TimePoint Now) const;
+  void take(AccountConsumption const &Sum, Collector const &Last,
+            TimePoint Now);
   Usage &fill(AccountQuota const &Quota, AccountName const &Account,
               TimePoint Now);
   AccountQuota const *quotaOf(AccountName const &Account) const;
@@ -100,6 +122,8 @@
   std::shared_ptr<RouteTable const> Table_;
   std::map<AccountName, Usage> Usage_;
   std::map<InstanceId, Peer> Peers_;
+  std::map<InstanceId, Collector> Collectors_;
+  InstanceId Followed_; ///< The collector that is gone by; empty: none.
 };
 
 /// What a request counts for in its account's quota.
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -15,8 +15,6 @@
 /// The settings file may change without a signal.
 constexpr std::chrono::seconds SettingsPeriod{2};
 constexpr std::string_view PeriodicTrigger = "file";
-/// How often instances tell each other what accounts have used.
-constexpr std::chrono::milliseconds ReportPeriod{250};
 /// From SIGTERM until the balancer has surely noticed: it asks once a second
 /// and goes by two answers, and new connections that cross this are served.
 constexpr std::chrono::milliseconds BalancerNotice{2600};
@@ -146,6 +144,7 @@
       Duties_({Parts.Settings_, Store_, Parts.Duties_, Parts.Usage_, Parts.Log_,
                Parts.Metrics_},
               Life_, Seed + 3),
+      Collector_(instanceOf(Parts.Settings_, Life_)),
       Peers_(std::make_shared<PeerNetwork>(
           Parts.Context_, Store_, Parts.Settings_.Name_,
           instanceOf(Parts.Settings_, Life_), Seed + 4,
@@ -299,8 +298,10 @@
   LastFleet_ = {Live, View.Registered_};
   Duties_.setMembers(View.Members_, readElapsedTime());
   Follower_->setMembers(View.Members_);
-  Duties_.setReach(Live >= View.Registered_ && Live > 1 ? PeerReach::Whole
-                                                        : PeerReach::Partial);
+  Collector_.setMembers(View.Members_, readElapsedTime());
+  if (Collector_.isDirect())
+    Duties_.setReach(Live >= View.Registered_ && Live > 1 ? PeerReach::Whole
+                                                          : PeerReach::Partial);
   onTraffic([&Traffic = Parts_.Traffic_, Registered = View.Registered_] {
     Traffic.setRegistered(Registered);
   });
@@ -310,6 +311,8 @@
                                  PeerMessage const &Message) {
   if (auto const *const Report = std::get_if<ConsumptionReport>(&Message))
     onReport(From, *Report);
+  else if (auto const *const Sum = std::get_if<ConsumptionSum>(&Message))
+    onSum(*Sum);
   else if (auto const *const News = std::get_if<StoreNews>(&Message))
     Follower_->onNews(*News);
   else if (auto const *const Request = std::get_if<StoreNewsRequest>(&Message))
@@ -321,17 +324,42 @@
   auto const Now = readElapsedTime();
   Parts_.Clock_.onPeer(From, Report.TimeOfDay_, Now);
   Duties_.onReport(From, Report, Now, Parts_.Clock_.read(Now));
-  onTraffic([&Traffic = Parts_.Traffic_, From, Report] {
-    Traffic.onConsumption(From, Report);
-  });
+  Collector_.onReport(From, Report, Now);
+  // What a collector hears comes back in its sum.
+  if (Collector_.isDirect())
+    onTraffic([&Traffic = Parts_.Traffic_, From, Report] {
+      Traffic.onConsumption(From, Report);
+    });
+}
+
+void ControlPlane::onSum(ConsumptionSum const &Sum) {
+  auto const Now = readElapsedTime();
+  Parts_.Clock_.onPeer(Sum.Origin_, Sum.TimeOfDay_, Now);
+  for (auto const &Child : Collector_.onSum(Sum, Now))
+    Peers_->send({Child, Sum});
+  if (!Collector_.isDirect())
+    onTraffic(
+        [&Traffic = Parts_.Traffic_, Sum] { Traffic.onConsumptionSum(Sum); });
+}
+
+void ControlPlane::sendSum() {
+  auto const Now = readElapsedTime();
+  auto const Sum = Collector_.sum(Parts_.Clock_.read(Now), Now);
+  for (auto const &Child : Collector_.children())
+    Peers_->send({Child, Sum});
+  onTraffic(
+      [&Traffic = Parts_.Traffic_, Sum] { Traffic.onConsumptionSum(Sum); });
 }
 
 void ControlPlane::reportConsumption() {
-  onTraffic([this] {
+  auto const Period = Collector_.period();
+  Duties_.setReportPeriod(Period);
+  onTraffic([this, Period] {
+    Parts_.Traffic_.setReportPeriod(Period);
     auto const Report = Parts_.Traffic_.reportConsumption();
     asio::post(Parts_.Context_, [this, Report] { sendReport(Report); });
   });
-  ReportTimer_.expires_after(ReportPeriod);
+  ReportTimer_.expires_after(Period);
   ReportTimer_.async_wait([this](asio::error_code Failure) {
     if (!Failure)
       reportConsumption();
@@ -347,13 +375,26 @@
       Report.Usage_.push_back({Window, Account, Count});
   Report.TimeOfDay_ = timeOfDay();
   Duties_.onReport(Life_, Report, Now, TrueTime);
-  Peers_->sendToAll(Report);
+  Collector_.onReport(Life_, Report, Now);
+  if (Collector_.isDirect())
+    return Peers_->sendToAll(Report);
+  Duties_.setReach(Collector_.isHolderHeard(Now) ? PeerReach::Whole
+                                                 : PeerReach::Partial);
+  for (auto const &Target : Collector_.targets(Now))
+    Peers_->send({Target, Report});
+  if (Collector_.isCollector())
+    sendSum();
 }
 
 void ControlPlane::tickDuties() {
   auto const Now = readElapsedTime();
   Parts_.Clock_.setOwn(timeOfDay(), Now);
-  Duties_.tick(Now, Parts_.Clock_.read(Now));
+  Duties_.tick(Now, Parts_.Clock_.read(Now),
+               Collector_.isComplete(Now) ? DemandScope::Everybody
+                                          : DemandScope::Some);
+  Collector_.setDuty(Duties_.holdsLease(Now) ? CollectorDuty::HoldsLease
+                                             : CollectorDuty::None,
+                     Now);
   DutyTimer_.expires_after(DutyPeriod);
   DutyTimer_.async_wait([this](asio::error_code Failure) {
     if (!Failure)
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -4,6 +4,7 @@
 #include "StatusService.h"
 #include "TrafficPlane.h"
 
+#include <LibControl/ConsumptionCollector.h>
 #include <LibControl/CountedStore.h>
 #include <LibControl/PeerNetwork.h>
 #include <LibControl/SettingsWatch.h>
@@ -73,6 +74,8 @@
   void onFleet(FleetView const &View);
   void onPeerMessage(InstanceId const &From, PeerMessage const &Message);
   void onReport(InstanceId const &From, ConsumptionReport const &Report);
+  void onSum(ConsumptionSum const &Sum);
+  void sendSum();
   void onReadingChanged(relay::ReadingChanged const &Change);
   void reportConsumption();
   void sendReport(ConsumptionReport Report);
@@ -97,6 +100,7 @@
   std::shared_ptr<HttpListener> MetricsListener_;
   InstanceId Life_; ///< Names this life of the instance.
   DutyDesk Duties_;
+  ConsumptionCollector Collector_;
   std::shared_ptr<PeerNetwork> Peers_;
   std::shared_ptr<StoreFollower> Follower_;
   asio::steady_timer DutyTimer_;
--- a/Services/laburnum-entry/DutyDesk.cpp
+++ b/Services/laburnum-entry/DutyDesk.cpp
@@ -68,11 +68,12 @@
   return Fence{Parts_.Settings_.Name_, Held->Fencing_};
 }
 
-void DutyDesk::tick(TimePoint Now, Duration TrueTime) {
+void DutyDesk::tick(TimePoint Now, Duration TrueTime, DemandScope Scope) {
   Lease_->tick(Now);
   auto const Held = fence(Now);
   Reporter_->tick(Held, TrueTime);
-  planCapacity(Held, Now);
+  if (Scope == DemandScope::Everybody)
+    planCapacity(Held, Now);
 }
 
 void DutyDesk::setTable(std::shared_ptr<RouteTable const> Table) {
--- a/Services/laburnum-entry/DutyDesk.h
+++ b/Services/laburnum-entry/DutyDesk.h
@@ -17,6 +17,9 @@
 
 namespace laburnum {
 
+/// Whose demand this instance knows.
+enum class DemandScope { Everybody, Some };
+
 /// What one entry instance at a time does for all: holds the lease, reports
 /// usage and orders servers. Runs on the control thread.
 class DutyDesk {
@@ -33,7 +36,7 @@
   DutyDesk(Parts Parts, InstanceId const &Life, std::uint64_t Seed);
 
   /// To be called at least five times a second.
-  void tick(TimePoint Now, Duration TrueTime);
+  void tick(TimePoint Now, Duration TrueTime, DemandScope Scope);
   void setMembers(std::vector<Member> const &Members, TimePoint Now);
   void setTable(std::shared_ptr<RouteTable const> Table);
   void replaceServers(std::vector<ServerRecord> const &Records);
@@ -42,6 +45,8 @@
   void onReport(InstanceId const &From, ConsumptionReport const &Report,
                 TimePoint Now, Duration TrueTime);
   void setReach(PeerReach Reach) { Reporter_->setReach(Reach); }
+  void setReportPeriod(Duration Period) { Demand_.setPeriod(Period); }
+  bool holdsLease(TimePoint Now) const { return Lease_->held(Now).has_value(); }
   /// Leaves to the others what only this instance knows, then calls Done.
   void handOver(std::function<void()> Done) {
     Reporter_->publishAll(std::move(Done));
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -62,7 +62,7 @@
 
 void TrafficPlane::setBounds(EntrySettings const &Settings) {
   Retries_.setBounds(retryBounds(Settings));
-  Meter_.setSettings(meterSettings(Settings));
+  Meter_.setOverrun(meterSettings(Settings));
 }
 
 void TrafficPlane::setRegistered(std::size_t Instances) {
@@ -87,6 +87,10 @@
   Meter_.onReport(From, Report, readElapsedTime());
 }
 
+void TrafficPlane::onConsumptionSum(ConsumptionSum const &Sum) {
+  Meter_.onSum(Sum, readElapsedTime());
+}
+
 std::optional<Duration> TrafficPlane::overQuota(RoutedAccount const &Account,
                                                 RequestFacts const &Facts) {
   std::optional<std::uint64_t> Tokens;
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -57,6 +57,8 @@
   void setRegistered(std::size_t Instances);
   ConsumptionReport reportConsumption();
   void onConsumption(InstanceId const &From, ConsumptionReport const &Report);
+  void onConsumptionSum(ConsumptionSum const &Sum);
+  void setReportPeriod(Duration Period) { Meter_.setPeriod(Period); }
 
   /// A planned stop: takes no new connections and ends each one that is open
   /// after its answer.
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -51,7 +51,13 @@
           NewsSpread::None,
           {"127.0.0.1", 6},
           {{"servers", 3, 9, Duration(4), {{"s", 8, "{}"}, {"t", 0, ""}}}}},
-      StoreNewsRequest{{"127.0.0.1", 6}, {"servers"}}};
+      StoreNewsRequest{{"127.0.0.1", 6}, {"servers"}},
+      ConsumptionSum{InstanceId("i1"),
+                     7,
+                     CollectorDuty::HoldsLease,
+                     23,
+                     {{AccountName("a"), 7, 9}},
+                     Duration(5)}};
 }
 
 TEST_CASE("Every message survives encoding and decoding") {
