LibControl: Ask the store less for usage and the lease

An instance that has run nothing writes nothing; the first read of the lease may lag, as a takeover is conditional; the settled windows are read back only after a refused write; what ended lives left is listed by a cheap read while all peers are heard.

--- a/Libraries/LibControl/UsageReporter.cpp
+++ b/Libraries/LibControl/UsageReporter.cpp
@@ -110,8 +110,10 @@
   Counter_.forgetBefore(Last - KeptWindows);
   if (IsPublishing_ || Last <= Published_ || Reach_ == PeerReach::Whole)
     return;
-  IsPublishing_ = true;
   UsageRecord Record{Counter_.since(Last - KeptWindows + 1)};
+  if (Record.Windows_.empty())
+    return; // Nobody awaits word of an instance that has run nothing.
+  IsPublishing_ = true;
   Record.Windows_.erase(Record.Windows_.upper_bound(Last),
                         Record.Windows_.end());
   // An empty window is written too: it says that nothing ran here.
@@ -144,7 +146,10 @@
 
 void UsageReporter::collect(std::int64_t Window, Duration TrueTime) {
   IsReporting_ = true;
-  Store_.list(CountsCollection, ReadConsistency::Latest, StoreTimeout,
+  // While peers tell everything, only what ended lives left is listed.
+  auto const Consistency = Reach_ == PeerReach::Whole ? ReadConsistency::MayLag
+                                                      : ReadConsistency::Latest;
+  Store_.list(CountsCollection, Consistency, StoreTimeout,
               [Self = shared_from_this(), Window,
                TrueTime](Result<ObjectList> const &Listed) {
                 if (isError(Listed))
@@ -216,35 +221,42 @@
 }
 
 void UsageReporter::settle(std::int64_t Window, UsageCounts Counts) {
-  auto const Self = shared_from_this();
+  // What this instance wrote last still stands, or its next write is refused.
+  if (Settled_)
+    return settleIn(*Settled_, Window, std::move(Counts));
   Store_.get(settledKey(), ReadConsistency::Latest, StoreTimeout,
-             [Self, Window,
+             [Self = shared_from_this(), Window,
               Counts = std::move(Counts)](Result<StoredObject> const &Read) {
                if (isError(Read))
                  return Self->finish(Window, "settle_failed",
                                      errorOf(Read).Message_);
-               auto Settled =
+               auto const Record =
                    decodeUsage(valueOf(Read).Value_).value_or(UsageRecord{});
-               if (auto const Found = Settled.Windows_.find(Window);
-                   Found != Settled.Windows_.end())
-                 return Self->report(Window, Found->second);
-               Settled.Windows_[Window] = Counts;
-               Settled.Windows_.erase(
-                   Settled.Windows_.begin(),
-                   Settled.Windows_.lower_bound(Window - KeptWindows));
-               Self->Store_.putIf(
-                   settledKey(), valueOf(Read).Version_, encodeUsage(Settled),
-                   StoreTimeout,
-                   [Self, Window, Counts](Result<Version> const &Written) {
-                     // Whatever came of it is read back the next time.
-                     if (isError(Written))
-                       return Self->finish(Window, "settle_failed",
-                                           errorOf(Written).Message_);
-                     Self->report(Window, Counts);
-                   });
+               Self->settleIn({Record, valueOf(Read).Version_}, Window, Counts);
              });
 }
 
+void UsageReporter::settleIn(Settled Known, std::int64_t Window,
+                             UsageCounts Counts) {
+  auto &Windows = Known.Record_.Windows_;
+  if (auto const Found = Windows.find(Window); Found != Windows.end())
+    return report(Window, Found->second);
+  Windows[Window] = Counts;
+  Windows.erase(Windows.begin(), Windows.lower_bound(Window - KeptWindows));
+  Settled_.reset();
+  Store_.putIf(settledKey(), Known.Version_, encodeUsage(Known.Record_),
+               StoreTimeout,
+               [Self = shared_from_this(), Known, Window,
+                Counts](Result<Version> const &Written) {
+                 // Whatever came of it is read back the next time.
+                 if (isError(Written))
+                   return Self->finish(Window, "settle_failed",
+                                       errorOf(Written).Message_);
+                 Self->Settled_ = Settled{Known.Record_, valueOf(Written)};
+                 Self->report(Window, Counts);
+               });
+}
+
 void UsageReporter::report(std::int64_t Window, UsageCounts const &Counts) {
   if (!Fence_)
     return finish(Window, "lease_lost", {});
--- a/Libraries/LibControl/UsageReporter.h
+++ b/Libraries/LibControl/UsageReporter.h
@@ -65,6 +65,12 @@
   /// Records by the name of the life that they are about.
   using Lives = std::map<std::string, UsageRecord>;
 
+  /// The settled counts as of one version of their object.
+  struct Settled {
+    UsageRecord Record_;
+    Version Version_ = 0;
+  };
+
   /// What peers have told of one life.
   struct Heard {
     UsageRecord Record_;
@@ -79,6 +85,7 @@
   bool isAwaited(std::string const &Life, UsageRecord const &Record,
                  std::int64_t Window) const;
   void settle(std::int64_t Window, UsageCounts Counts);
+  void settleIn(Settled Known, std::int64_t Window, UsageCounts Counts);
   void report(std::int64_t Window, UsageCounts const &Counts);
   void finish(std::int64_t Window, std::string const &Step,
               std::string const &Detail);
@@ -92,6 +99,7 @@
   StepDown StepDown_;
   std::optional<Fence> Fence_;
   std::map<std::string, Heard> Peers_;
+  std::optional<Settled> Settled_; ///< As this instance wrote it last.
   PeerReach Reach_ = PeerReach::Partial;
   std::int64_t Published_ = -1; ///< The last window written to the store.
   std::int64_t Reported_ = -1;  ///< The last window that was accepted.
--- a/Libraries/LibPlacement/LeaseHolder.cpp
+++ b/Libraries/LibPlacement/LeaseHolder.cpp
@@ -49,7 +49,7 @@
   }
   // A version that is shown late is dated late, and a takeover that goes by an
   // old one is refused: watching the holder needs no latest state.
-  bool const IsWatching = Seen_ && !Held_ && Unsettled_.empty();
+  bool const IsWatching = !Held_ && Unsettled_.empty();
   if (Now_ >= NextRead_)
     read(IsWatching ? ReadConsistency::MayLag : ReadConsistency::Latest);
 }
--- a/Tests/LibControl/TestUsageReporter.cpp
+++ b/Tests/LibControl/TestUsageReporter.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace laburnum;
 using test::FakeAsyncStore;
 using test::StoreFault;
@@ -115,6 +117,24 @@
       CHECK(Counts == UsageCounts{{A, 1}});
 }
 
+TEST_CASE_METHOD(Fixture, "Holders that take turns settle each window once") {
+  for (int Turn = 0; Turn < 4; ++Turn) {
+    First_.Counter_.count(A, Now_ + seconds(1));
+    pass(Window, Turn % 2 == 0 ? &First_ : &Second_);
+  }
+  pass(seconds(5), &First_);
+  std::map<std::int64_t, std::set<UsageCounts>> Told;
+  for (auto const &[Reported, Counts] : Duties_.Sent_)
+    Told[Reported].insert(Counts);
+  for (std::int64_t Reported = 1000; Reported < 1004; ++Reported)
+    CHECK(Told[Reported] == std::set{UsageCounts{{A, 1}}});
+}
+
+TEST_CASE_METHOD(Fixture, "An instance that has run nothing writes nothing") {
+  pass(Window * 2, nullptr);
+  CHECK(Store_.Objects_.version() == 0);
+}
+
 TEST_CASE_METHOD(Fixture, "Lost answers of the store change nothing") {
   First_.Counter_.count(A, Now_ + seconds(1));
   pass(Window, nullptr);
