LibHttp: Cut off bytes without end wherever they come

Cause: the users tell of servers in trouble whose bytes end only when the caller closes. Heads and bodies were bounded; a chunk's extensions and the trailers were kept without bound, and interim answers and answers to other requests were passed over for as long as they came, until the request's time was over. Found by a test that sends ten kinds of such bytes; four of them were taken to 32 MB.

The same bound now holds for what clients send, whose chunk extensions had none either. A route's timeout bounds the time as before.

--- a/Libraries/LibHttp/MessageReader.cpp
+++ b/Libraries/LibHttp/MessageReader.cpp
@@ -36,7 +36,7 @@
 template <bool IsRequest>
 class CommonParser : public http::basic_parser<IsRequest> {
 public:
-  explicit CommonParser(MessageBounds Bounds) {
+  explicit CommonParser(MessageBounds Bounds) : HeadBytes_(Bounds.HeadBytes_) {
     this->eager(true);
     this->header_limit(Bounds.HeadBytes_);
     this->body_limit(Bounds.BodyBytes_);
@@ -61,6 +61,11 @@
         break;
     }
     Pending_.erase(0, Used);
+    // The parser's own bound is on the head. A chunk's extensions and the
+    // trailers after the last chunk are kept here until they are whole.
+    if (Fault_ == MessageFault::None && !this->is_done() &&
+        Pending_.size() > HeadBytes_)
+      Fault_ = MessageFault::HeadTooLarge;
   }
 
   void end() {
@@ -77,6 +82,7 @@
   HeaderFields Fields_;
   std::string Body_;
   std::string Pending_;
+  std::uint32_t HeadBytes_;
   MessageFault Fault_ = MessageFault::None;
 
 protected:
@@ -173,6 +179,13 @@
 
 } // namespace detail
 
+namespace {
+
+/// Interim answers to one request. Nothing announces more than one or two.
+constexpr std::uint32_t MostInterim = 8;
+
+} // namespace
+
 RequestReader::RequestReader(MessageBounds Bounds)
     : Parser_(std::make_unique<detail::RequestParser>(Bounds)) {}
 RequestReader::~RequestReader() = default;
@@ -203,6 +216,10 @@
   Parser_->feedBytes(Bytes);
   // An interim answer (100 Continue) announces the final one.
   while (Parser_->isInterim() && Parser_->Fault_ == MessageFault::None) {
+    if (++Interim_ > MostInterim) {
+      Parser_->Fault_ = MessageFault::Malformed;
+      return;
+    }
     auto const Rest = std::move(Parser_->Pending_);
     auto const Bounds = Parser_->Bounds_;
     auto const Method = Parser_->Method_;
--- a/Libraries/LibHttp/MessageReader.h
+++ b/Libraries/LibHttp/MessageReader.h
@@ -13,7 +13,7 @@
 enum class MessageFault {
   None,
   Malformed,    ///< Not HTTP/1.1, or framed ambiguously.
-  HeadTooLarge, ///< The head is over its bound.
+  HeadTooLarge, ///< The head, a chunk's extensions or the trailers are.
   BodyTooLarge, ///< The body is over its bound.
   Truncated,    ///< The input ended inside the message.
 };
@@ -90,6 +90,7 @@
 
 private:
   std::unique_ptr<detail::AnswerParser> Parser_;
+  std::uint32_t Interim_ = 0; ///< Interim answers so far.
 };
 
 } // namespace laburnum
--- a/Libraries/LibHttp/OutboundCall.cpp
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -6,6 +6,14 @@
 
 namespace laburnum {
 
+namespace {
+
+/// Answers to other requests that are passed over on one connection: a late one
+/// for each request before this one that was given up there.
+constexpr std::uint32_t MostSkipped = 4;
+
+} // namespace
+
 OutboundCall::OutboundCall(std::shared_ptr<OutboundPool> Pool,
                            OutboundRequest Request,
                            std::shared_ptr<AnswerObserver> Observer)
@@ -93,6 +101,8 @@
       return;
     if (!IsSkipping_)
       return complete();
+    if (++Skipped_ > MostSkipped)
+      return fail(AttemptEnd::ConnectionFailed, "too many foreign answers");
     auto const Rest = Reader_.takeRest();
     Reader_ = AnswerReader(Request_.AnswerBounds_, Request_.Head_.Method_);
     HasTakenHead_ = false;
--- a/Libraries/LibHttp/OutboundCall.h
+++ b/Libraries/LibHttp/OutboundCall.h
@@ -77,6 +77,7 @@
   AttemptProgress Progress_ = AttemptProgress::NotConnected;
   bool HasWrittenAll_ = false;
   bool HasTakenHead_ = false;
+  std::uint32_t Skipped_ = 0; ///< Foreign answers so far.
   bool IsSkipping_ = false;
 };
 
--- a/Tests/LibHttp/TestOutboundPool.cpp
+++ b/Tests/LibHttp/TestOutboundPool.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <optional>
+#include <string>
 
 using namespace laburnum;
 using test::RawPeer;
@@ -179,3 +180,41 @@
   CHECK(runUntil(Context_, [&] { return Server_.Peers_.back()->IsClosed_; }));
   CHECK_FALSE(Answer->isOver());
 }
+
+/// A server in trouble may send bytes that are no answer until its connection
+/// is closed.
+TEST_CASE_METHOD(Fixture, "Bytes without end are cut off") {
+  std::string const Ok = "HTTP/1.1 200 OK\r\n";
+  auto const [Start, Piece] = GENERATE_COPY(table<std::string, std::string>({
+      {"", "xxxxxxxxxxxxxxxx"},
+      {Ok, "Field: value\r\n"},
+      {Ok + "Field: ", "xxxxxxxxxxxxxxxx"},
+      {Ok + "\r\n", "xxxxxxxxxxxxxxxx"},
+      {Ok + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"},
+      {Ok + "Transfer-Encoding: chunked\r\n\r\n4;", "xxxxxxxxxxxxxxxx"},
+      {Ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "Field: value\r\n"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"", Ok + "Id: other\r\nContent-Length: 2\r\n\r\nxx"},
+      {Ok + "Id: other\r\n\r\n", "xxxxxxxxxxxxxxxx"},
+  }));
+  CAPTURE(Start, Piece);
+  std::string Block;
+  while (Block.size() < (1U << 16))
+    Block += Piece;
+  auto const Answer = send();
+  await(1);
+  auto &Peer = *Server_.Peers_.back();
+  Peer.write(Start);
+  // Far beyond the bound on a body and what the system's buffers hold.
+  constexpr std::size_t MostBytes = std::size_t{32} << 20;
+  std::size_t Sent = 0;
+  for (; Sent < MostBytes && !Answer->isOver(); Sent += Block.size()) {
+    Peer.write(Block);
+    Context_.restart();
+    Context_.poll();
+  }
+  CHECK(Sent < MostBytes);
+  REQUIRE(Answer->Evidence_);
+  CHECK(Answer->Body_.size() <= MessageBounds().BodyBytes_);
+  CHECK(runUntil(Context_, [&] { return Peer.IsClosed_; }));
+}
