LibControl: Report to collectors only that are known as members

An origin whose sum was heard before its membership stood among the targets with an empty endpoint. A late sum no longer says that the holder of the lease is heard.

--- a/Libraries/LibControl/ConsumptionCollector.cpp
+++ b/Libraries/LibControl/ConsumptionCollector.cpp
@@ -81,6 +81,7 @@
     if (isFresh(One.HeardAt_, Now))
       Targets.insert(One.Peers_);
   Targets.erase(Self_.Peers_);
+  Targets.erase(Endpoint()); // An origin that is not known as a member yet.
   return {Targets.begin(), Targets.end()};
 }
 
@@ -112,11 +113,11 @@
                                                   TimePoint Now) {
   if (Sum.Origin_ == Self_.Id_)
     return {};
-  if (Sum.Duty_ == CollectorDuty::HoldsLease)
-    HolderHeardAt_ = Now;
   auto &Known = Origins_[Sum.Origin_];
   if (Sum.Number_ <= Known.Number_)
-    return {};
+    return {}; // Late, or heard already.
+  if (Sum.Duty_ == CollectorDuty::HoldsLease)
+    HolderHeardAt_ = Now;
   Known.Number_ = Sum.Number_;
   Known.HeardAt_ = Now;
   for (auto const &One : Live_)
--- a/Libraries/LibControl/StoreRelay.cpp
+++ b/Libraries/LibControl/StoreRelay.cpp
@@ -130,9 +130,9 @@
   auto const Order = rendezvousOrder("store-readers", Live_, nameOf);
   Place_ = static_cast<std::size_t>(
       std::find(Order.begin(), Order.end(), Settings_.Self_) - Order.begin());
-  // The first of each data centre come before the second of any.
   if (!OthersKnownAt_ && Live_.size() > 1)
     OthersKnownAt_ = Now;
+  // The first of each data centre come before the second of any.
   Chosen_.clear();
   std::set<DataCentre> Centres;
   for (auto const &One : Order)
