LibControl: Find the live instances in one place; work trees out when they are asked for

StoreRelay and ConsumptionCollector each filtered the members and left out doubled endpoints; liveInstances() does it for both, and NewsTree no longer does it again. Every instance worked out its own tree's first places at each change of the members, though only origins tell anything: they are worked out when they are asked for.

rendezvousOrder hashed both names at each comparison, and placeName made two strings for it: each member is weighed once now. The order is the same, so that the choice of a server by its prefix, on each request, is served too.

A declaration without a body (PeerNetwork::registerAnew) goes, and a comment stands above the function that it is about.

--- a/Libraries/LibControl/ConsumptionCollector.cpp
+++ b/Libraries/LibControl/ConsumptionCollector.cpp
@@ -43,11 +43,7 @@
 
 void ConsumptionCollector::setMembers(std::vector<Member> const &Members,
                                       TimePoint Now) {
-  Live_ = {Self_};
-  for (auto const &One : Members)
-    if (One.Liveness_ == Liveness::Live && One.Instance_.Id_ != Self_.Id_)
-      Live_.push_back(One.Instance_);
-  Live_ = byEndpoint(std::move(Live_));
+  Live_ = liveInstances(Self_, Members);
   First_ = rendezvousOrder("collectors", Live_, placeName);
   First_.resize(std::min(First_.size(), Collectors));
   std::set<Endpoint> Origins;
--- a/Libraries/LibControl/NewsTree.cpp
+++ b/Libraries/LibControl/NewsTree.cpp
@@ -13,12 +13,15 @@
 
 } // namespace
 
-std::vector<EntryInstance> byEndpoint(std::vector<EntryInstance> Instances) {
-  std::set<Endpoint> Seen;
-  std::erase_if(Instances, [&](EntryInstance const &One) {
-    return !Seen.insert(One.Peers_).second;
-  });
-  return Instances;
+std::vector<EntryInstance> liveInstances(EntryInstance const &Self,
+                                         std::vector<Member> const &Members) {
+  std::vector<EntryInstance> Live = {Self};
+  std::set<Endpoint> Seen = {Self.Peers_};
+  for (auto const &One : Members)
+    if (One.Liveness_ == Liveness::Live &&
+        Seen.insert(One.Instance_.Peers_).second)
+      Live.push_back(One.Instance_);
+  return Live;
 }
 
 std::string placeName(EntryInstance const &Instance) {
@@ -27,13 +30,17 @@
 
 void NewsTree::setMembers(std::vector<EntryInstance> Live,
                           std::set<Endpoint> Origins) {
-  Live_ = byEndpoint(std::move(Live));
+  Live_ = std::move(Live);
   Origins_ = std::move(Origins);
   Children_.clear();
-  Starts_ = findStarts();
+  Starts_.reset();
 }
 
-std::vector<Endpoint> const &NewsTree::starts() { return Starts_; }
+std::vector<Endpoint> const &NewsTree::starts() {
+  if (!Starts_)
+    Starts_ = findStarts();
+  return *Starts_;
+}
 
 std::vector<Endpoint> const &NewsTree::childrenOf(InstanceId const &Origin) {
   auto const Found = Children_.find(Origin);
--- a/Libraries/LibControl/NewsTree.h
+++ b/Libraries/LibControl/NewsTree.h
@@ -1,18 +1,21 @@
 #pragma once
 
+#include <LibFleet/Member.h>
 #include <LibModel/EntryInstance.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace laburnum {
 
-/// The live instances, each endpoint once. After restarts an ended life may
-/// still be known beside, or instead of, the one that has its endpoint now;
+/// Self and the live members, each endpoint once. After restarts an ended life
+/// may still be known beside, or instead of, the one that has its endpoint now;
 /// what is sent there reaches the one that runs.
-std::vector<EntryInstance> byEndpoint(std::vector<EntryInstance> Instances);
+std::vector<EntryInstance> liveInstances(EntryInstance const &Self,
+                                         std::vector<Member> const &Members);
 
 /// The endpoint as text, for an order that outlasts an instance's lives.
 std::string placeName(EntryInstance const &Instance);
@@ -26,7 +29,7 @@
 public:
   explicit NewsTree(EntryInstance Self) : Self_(std::move(Self)) {}
 
-  /// Live are all instances, this one included; Origins are endpoints.
+  /// Live are as liveInstances() has them; Origins are endpoints.
   void setMembers(std::vector<EntryInstance> Live, std::set<Endpoint> Origins);
   /// Whom this instance tells of its own news.
   std::vector<Endpoint> const &starts();
@@ -44,7 +47,7 @@
   std::set<Endpoint> Origins_;
   /// By origin, for the members as they are.
   std::map<InstanceId, std::vector<Endpoint>> Children_;
-  std::vector<Endpoint> Starts_;
+  std::optional<std::vector<Endpoint>> Starts_; ///< The same, of its own news.
 };
 
 } // namespace laburnum
--- a/Libraries/LibControl/PeerNetwork.h
+++ b/Libraries/LibControl/PeerNetwork.h
@@ -55,7 +55,6 @@
   void obtainLatestSecret();
   void openTransport(std::string const &Secret);
   void registerSelf();
-  void registerAnew();
   void unregisterSelf();
   void listInstances();
   Duration listPause() const;
--- a/Libraries/LibControl/StoreRelay.cpp
+++ b/Libraries/LibControl/StoreRelay.cpp
@@ -120,12 +120,7 @@
 std::vector<Action> StoreRelay::setMembers(std::vector<Member> const &Members,
                                            TimePoint Now) {
   Now_ = Now;
-  Live_ = {Settings_.Self_};
-  for (auto const &One : Members)
-    if (One.Liveness_ == Liveness::Live &&
-        One.Instance_.Id_ != Settings_.Self_.Id_)
-      Live_.push_back(One.Instance_);
-  Live_ = byEndpoint(std::move(Live_));
+  Live_ = liveInstances(Settings_.Self_, Members);
   auto const Order = rendezvousOrder("store-readers", Live_, placeName);
   Place_ = static_cast<std::size_t>(
       std::find(Order.begin(), Order.end(), Settings_.Self_) - Order.begin());
--- a/Libraries/LibCore/Hash.h
+++ b/Libraries/LibCore/Hash.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace laburnum {
@@ -18,17 +19,21 @@
                                     std::vector<Member> Members,
                                     TextOf const &Text) {
   auto const KeyHash = stableHash(Key);
-  auto const Weight = [&](Member const &One) {
-    return stableHash(Text(One), KeyHash);
-  };
-  std::sort(Members.begin(), Members.end(),
-            [&](Member const &Left, Member const &Right) {
-              auto const LeftWeight = Weight(Left);
-              auto const RightWeight = Weight(Right);
-              if (LeftWeight != RightWeight)
-                return LeftWeight > RightWeight;
-              return Text(Left) < Text(Right);
+  std::vector<std::pair<std::uint64_t, Member>> Weighed;
+  Weighed.reserve(Members.size());
+  for (auto &One : Members) {
+    auto const Weight = stableHash(Text(One), KeyHash);
+    Weighed.emplace_back(Weight, std::move(One));
+  }
+  std::sort(Weighed.begin(), Weighed.end(),
+            [&](auto const &Left, auto const &Right) {
+              if (Left.first != Right.first)
+                return Left.first > Right.first;
+              return Text(Left.second) < Text(Right.second);
             });
+  Members.clear();
+  for (auto &[Weight, One] : Weighed)
+    Members.push_back(std::move(One));
   return Members;
 }
 
--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -105,9 +105,9 @@
   void learnOfSelf(MemberUpdate const &Update);
   void learnConfiguration(Known &Held, MemberUpdate const &Update);
   void setState(InstanceId const &Id, MemberState State);
+  bool isEndpointTaken(EntryInstance const &Life) const;
   /// An endpoint belongs to one life of an instance: the others that were known
   /// there have ended. Only those not heard since a moment are taken for that.
-  bool isEndpointTaken(EntryInstance const &Life) const;
   void endOthersAt(EntryInstance const &Life, Duration Unheard);
   void answer(Endpoint const &To, InstanceId const &Asker,
               Heartbeat const &Message);
