LibTraffic: Keep what a life has told in one class for both who hear it

AccountMeter and ConsumptionCollector kept the same ledger: by how much a life's counts have grown, with nothing for a life that was not heard before and all for an account that is new to a known one. LifeConsumption is that ledger. The two had come apart: the meter took over the lower counts of a late report, so that the next one counted the difference twice; it goes by the collector's rule now (TestLifeConsumption, "A report that comes late"). Connections keep the order, so that a late report takes two connections of one peer.

The meter kept each collector's sums and its own part beside them, copied both at every sum and subtracted four maps; it keeps the difference, which is all that it used. The period in seconds and the inflow between two reports were worked out three times.

ConsumptionCollector forgot old lives and origins only while it made sums, so that an instance which never collects kept every collector that it had ever heard; it also does so when members change.

The table of one account and the sum over a span, written twice in tests, stand in Tests/LibTraffic/QuotaFixture.h; assertions are as they were.

Otherwise no behaviour changes.

--- a/Libraries/LibControl/ConsumptionCollector.cpp
+++ b/Libraries/LibControl/ConsumptionCollector.cpp
@@ -50,9 +50,18 @@
   for (auto const &One : First_)
     Origins.insert(One.Peers_);
   Tree_.setMembers(Live_, std::move(Origins));
+  forget(Now);
   chooseCollectors(Now);
 }
 
+void ConsumptionCollector::forget(TimePoint Now) {
+  auto const IsOld = [&](auto const &One) {
+    return One.second.HeardAt_ + LifeRetention < Now;
+  };
+  std::erase_if(Lives_, IsOld);
+  std::erase_if(Origins_, IsOld);
+}
+
 void ConsumptionCollector::setDuty(CollectorDuty Duty, TimePoint Now) {
   Duty_ = Duty;
   chooseCollectors(Now);
@@ -83,24 +92,13 @@
 void ConsumptionCollector::onReport(InstanceId const &From,
                                     ConsumptionReport const &Report,
                                     TimePoint Now) {
-  auto const [Found, IsNewLife] = Lives_.try_emplace(From);
-  Found->second.HeardAt_ = Now;
-  for (auto const &One : Report.Accounts_) {
-    auto const [Held, IsNew] =
-        Found->second.Totals_.try_emplace(One.Account_, One);
-    // When a life that was not heard before has admitted what it tells is not
-    // known; of an account that is new to a known life, it was just now.
-    AccountConsumption const Last =
-        !IsNew      ? Held->second
-        : IsNewLife ? One
-                    : AccountConsumption{One.Account_, 0, 0};
-    auto &Sum = Sums_[One.Account_];
-    Sum.Account_ = One.Account_;
-    if (One.Admitted_ < Last.Admitted_ || One.Asked_ < Last.Asked_)
-      continue; // Late: a newer report was heard.
-    Sum.Admitted_ += One.Admitted_ - Last.Admitted_;
-    Sum.Asked_ += One.Asked_ - Last.Asked_;
-    Held->second = One;
+  auto &Life = Lives_[From];
+  Life.HeardAt_ = Now;
+  for (auto const &Grown : Life.Told_.take(Report.Accounts_)) {
+    auto &Sum = Sums_[Grown.Account_];
+    Sum.Account_ = Grown.Account_;
+    Sum.Admitted_ += Grown.Admitted_;
+    Sum.Asked_ += Grown.Asked_;
   }
 }
 
@@ -120,12 +118,7 @@
 }
 
 ConsumptionSum ConsumptionCollector::sum(Duration TimeOfDay, TimePoint Now) {
-  std::erase_if(Lives_, [&](auto const &One) {
-    return One.second.HeardAt_ + LifeRetention < Now;
-  });
-  std::erase_if(Origins_, [&](auto const &One) {
-    return One.second.HeardAt_ + LifeRetention < Now;
-  });
+  forget(Now);
   ConsumptionSum Sum{Self_.Id_, ++Number_, Duty_, 0, {}, TimeOfDay};
   Sum.Lives_ = static_cast<std::uint32_t>(
       std::count_if(Lives_.begin(), Lives_.end(), [&](auto const &One) {
--- a/Libraries/LibControl/ConsumptionCollector.h
+++ b/Libraries/LibControl/ConsumptionCollector.h
@@ -5,6 +5,7 @@
 #include <LibFleet/Member.h>
 #include <LibPeer/ConsumptionReport.h>
 #include <LibPeer/ConsumptionSum.h>
+#include <LibTraffic/LifeConsumption.h>
 
 #include <cstdint>
 #include <map>
@@ -52,7 +53,7 @@
   static constexpr std::size_t MostDirect = 12;
 
   struct Life {
-    std::map<AccountName, AccountConsumption> Totals_;
+    LifeConsumption Told_;
     TimePoint HeardAt_;
   };
   struct Origin {
@@ -62,6 +63,7 @@
   };
 
   void chooseCollectors(TimePoint Now);
+  void forget(TimePoint Now);
   bool isFresh(TimePoint HeardAt, TimePoint Now) const;
 
   EntryInstance Self_;
--- a/Libraries/LibTraffic/AccountMeter.cpp
+++ b/Libraries/LibTraffic/AccountMeter.cpp
@@ -76,6 +76,14 @@
   return Quota.RatePerSecond_ * (1.0 + Settings_.Overrun_) * heardPart();
 }
 
+double AccountMeter::periodSeconds() const {
+  return std::chrono::duration<double>(Settings_.ReportPeriod_).count();
+}
+
+double AccountMeter::inflow(AccountQuota const &Quota) const {
+  return rate(Quota) * periodSeconds();
+}
+
 bool AccountMeter::isFresh(Collector const &One, TimePoint Now) const {
   return One.HeardAt_ + Settings_.ReportPeriod_ * MissedSums >= Now;
 }
@@ -119,54 +127,50 @@
 void AccountMeter::onSum(ConsumptionSum const &Sum, TimePoint Now) {
   auto const [Found, IsNew] = Collectors_.try_emplace(Sum.Origin_);
   auto &Collector = Found->second;
-  auto const Last = Collector;
   Collector.HeardAt_ = Now;
   Collector.Lives_ = std::max<std::size_t>(1, Sum.Lives_);
-  for (auto const &One : Sum.Accounts_) {
-    Collector.Sums_[One.Account_] = One;
-    // The sum holds what was reported last, give or take one report; whatever
-    // is off by that is made good by the next sum.
-    auto const Own = Usage_.find(One.Account_);
-    Collector.Own_[One.Account_] =
-        Own == Usage_.end()
-            ? AccountConsumption{One.Account_, 0, 0}
-            : AccountConsumption{One.Account_, Own->second.AdmittedBefore_,
-                                 Own->second.AskedBefore_};
-  }
   countReachable(Now);
   auto const Followed = Collectors_.find(Followed_);
   if (Followed == Collectors_.end() || !isFresh(Followed->second, Now))
     Followed_ = Sum.Origin_;
-  if (Followed_ != Sum.Origin_ || IsNew)
-    return;
-  IsSumDue_ = false;
-  for (auto const &One : Sum.Accounts_)
-    take(One, Last, Now);
+  bool const Counts = Followed_ == Sum.Origin_ && !IsNew;
+  if (Counts)
+    IsSumDue_ = false;
+  for (auto const &One : Sum.Accounts_) {
+    auto const Others = lessOwn(One);
+    auto const Last = std::exchange(Collector.Others_[One.Account_], Others);
+    if (!Counts)
+      continue;
+    // What was taken for granted meanwhile is part of it.
+    auto const Held = Usage_.find(One.Account_);
+    auto const Assumed =
+        Held == Usage_.end() ? 0.0 : std::exchange(Held->second.Assumed_, 0.0);
+    takeOthers(One.Account_, Others.Admitted_ - Last.Admitted_ - Assumed,
+               std::max(0.0, Others.Asked_ - Last.Asked_), Now);
+  }
+}
+
+/// The sum holds what was reported last, give or take one report; whatever is
+/// off by that is made good by the next sum.
+AccountMeter::OthersTotal
+AccountMeter::lessOwn(AccountConsumption const &Sum) const {
+  OthersTotal Others{static_cast<double>(Sum.Admitted_),
+                     static_cast<double>(Sum.Asked_)};
+  if (auto const Own = Usage_.find(Sum.Account_); Own != Usage_.end()) {
+    Others.Admitted_ -= static_cast<double>(Own->second.AdmittedBefore_);
+    Others.Asked_ -= static_cast<double>(Own->second.AskedBefore_);
+  }
+  return Others;
 }
 
-void AccountMeter::take(AccountConsumption const &Sum, Collector const &Last,
-                        TimePoint Now) {
-  auto const *const Quota = quotaOf(Sum.Account_);
+void AccountMeter::takeOthers(AccountName const &Account, double Admitted,
+                              double Asked, TimePoint Now) {
+  auto const *const Quota = quotaOf(Account);
   if (!Quota)
     return;
-  auto &Usage = fill(*Quota, Sum.Account_, Now);
-  auto const Others = [&](std::map<AccountName, AccountConsumption> const &Sums,
-                          std::map<AccountName, AccountConsumption> const &Own,
-                          std::uint64_t AccountConsumption::*Field) {
-    auto const Held = Sums.find(Sum.Account_);
-    auto const Mine = Own.find(Sum.Account_);
-    return (Held == Sums.end() ? 0.0
-                               : static_cast<double>(Held->second.*Field)) -
-           (Mine == Own.end() ? 0.0 : static_cast<double>(Mine->second.*Field));
-  };
-  auto const &Next = Collectors_[Followed_];
-  auto const Gained = [&](std::uint64_t AccountConsumption::*Field) {
-    return Others(Next.Sums_, Next.Own_, Field) -
-           Others(Last.Sums_, Last.Own_, Field);
-  };
-  Usage.Level_ += std::exchange(Usage.Assumed_, 0.0);
-  Usage.Level_ -= Gained(&AccountConsumption::Admitted_);
-  Usage.OthersAsked_ += std::max(0.0, Gained(&AccountConsumption::Asked_));
+  auto &Usage = fill(*Quota, Account, Now);
+  Usage.Level_ -= Admitted;
+  Usage.OthersAsked_ += Asked;
 }
 
 AccountMeter::Usage &AccountMeter::fill(AccountQuota const &Quota,
@@ -201,9 +205,8 @@
                                   Usage const &Account) const {
   if (Account.OwnDemand_ <= 0.0)
     return 0.0;
-  auto const Period =
-      std::chrono::duration<double>(Settings_.ReportPeriod_).count();
-  auto const All = (Account.OwnDemand_ + Account.OthersDemand_) / Period;
+  auto const All =
+      (Account.OwnDemand_ + Account.OthersDemand_) / periodSeconds();
   auto const Small = All * Account.OwnSmallDemand_ / Account.OwnDemand_;
   return Small > MostKeptDemand * rate(Quota) ? 0.0 : Small * KeptSeconds;
 }
@@ -237,11 +240,8 @@
   auto const Free = IsSmall ? Usage.Level_ : Usage.Level_ - Kept;
   // What the others are likely to take from the bucket before they are heard of
   // again, beyond what flows in meanwhile.
-  auto const Period =
-      std::chrono::duration<double>(Settings_.ReportPeriod_).count();
   auto const Reserved =
-      std::max(0.0, Usage.OthersDemand_ - rate(*Quota) * Period) *
-      ReservedPeriods;
+      std::max(0.0, Usage.OthersDemand_ - inflow(*Quota)) * ReservedPeriods;
   bool const HasRoom =
       Free > 0.0 && (Free > Reserved || Usage.Allowance_ > 0.0);
   if (HasRoom || (IsPreferred && Usage.Level_ > -DebtSeconds * rate(*Quota))) {
@@ -268,9 +268,7 @@
 /// Without word from the collector the bucket must not seem to fill while
 /// others take from it.
 void AccountMeter::assumeOthers(AccountQuota const &Quota, Usage &Account) {
-  auto const Period =
-      std::chrono::duration<double>(Settings_.ReportPeriod_).count();
-  auto const Taken = std::min(Account.OthersDemand_, rate(Quota) * Period);
+  auto const Taken = std::min(Account.OthersDemand_, inflow(Quota));
   Account.Assumed_ += Taken;
   Account.Level_ -= Taken;
 }
@@ -307,26 +305,12 @@
 
 void AccountMeter::onReport(InstanceId const &From,
                             ConsumptionReport const &Report, TimePoint Now) {
-  bool const IsKnown = Peers_.contains(From);
   auto &Peer = Peers_[From];
   Peer.HeardAt_ = Now;
   countReachable(Now);
-  auto &Totals = Peer.Totals_;
-  for (auto const &One : Report.Accounts_) {
-    auto const *const Quota = quotaOf(One.Account_);
-    auto const [Before, IsNew] = Totals.try_emplace(One.Account_, One);
-    // Of a peer that was not heard before, only what comes from now on counts:
-    // when it was admitted is not known.
-    AccountConsumption const Last =
-        IsNew ? (IsKnown ? AccountConsumption{One.Account_, 0, 0} : One)
-              : Before->second;
-    Before->second = One;
-    if (!Quota || One.Admitted_ < Last.Admitted_ || One.Asked_ < Last.Asked_)
-      continue;
-    auto &Usage = fill(*Quota, One.Account_, Now);
-    Usage.Level_ -= static_cast<double>(One.Admitted_ - Last.Admitted_);
-    Usage.OthersAsked_ += static_cast<double>(One.Asked_ - Last.Asked_);
-  }
+  for (auto const &Grown : Peer.Told_.take(Report.Accounts_))
+    takeOthers(Grown.Account_, static_cast<double>(Grown.Admitted_),
+               static_cast<double>(Grown.Asked_), Now);
 }
 
 } // namespace laburnum
--- a/Libraries/LibTraffic/AccountMeter.h
+++ b/Libraries/LibTraffic/AccountMeter.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibPeer/ConsumptionReport.h>
 #include <LibPeer/ConsumptionSum.h>
+#include <LibTraffic/LifeConsumption.h>
 #include <LibTraffic/RouteTable.h>
 
 #include <cstdint>
@@ -93,28 +94,36 @@
     double OthersAsked_ = 0.0; ///< Heard of in this period.
   };
   struct Peer {
-    std::map<AccountName, AccountConsumption> Totals_;
+    LifeConsumption Told_;
     TimePoint HeardAt_{};
   };
 
-  /// A collector's sums less this instance's part, as of its last one.
+  /// A collector's sum for an account less this instance's part.
+  struct OthersTotal {
+    double Admitted_ = 0.0;
+    double Asked_ = 0.0;
+  };
   struct Collector {
-    std::map<AccountName, AccountConsumption> Sums_;
-    std::map<AccountName, AccountConsumption> Own_;
+    std::map<AccountName, OthersTotal> Others_; ///< As of its last sum.
     std::size_t Lives_ = 1;
     TimePoint HeardAt_{};
   };
 
   void countReachable(TimePoint Now);
   bool isFresh(Collector const &One, TimePoint Now) const;
-  void take(AccountConsumption const &Sum, Collector const &Last,
-            TimePoint Now);
+  OthersTotal lessOwn(AccountConsumption const &Sum) const;
+  /// Counts what others were heard to have admitted and been asked for.
+  void takeOthers(AccountName const &Account, double Admitted, double Asked,
+                  TimePoint Now);
   Usage &fill(AccountQuota const &Quota, AccountName const &Account,
               TimePoint Now);
   AccountQuota const *quotaOf(AccountName const &Account) const;
   /// The part of the quota that the instances which are heard from share.
   double heardPart() const;
   double rate(AccountQuota const &Quota) const;
+  double periodSeconds() const;
+  /// What flows into the bucket between two reports.
+  double inflow(AccountQuota const &Quota) const;
   void assumeOthers(AccountQuota const &Quota, Usage &Account);
   double part(Usage const &Account) const;
   /// What of the bucket large requests have to leave.
--- /dev/null
+++ b/Libraries/LibTraffic/LifeConsumption.cpp
@@ -0,0 +1,23 @@
+#include <LibTraffic/LifeConsumption.h>
+
+#include <utility>
+
+namespace laburnum {
+
+std::vector<AccountConsumption>
+LifeConsumption::take(std::vector<AccountConsumption> const &Told) {
+  bool const IsKnown = std::exchange(WasHeard_, true);
+  std::vector<AccountConsumption> Growth;
+  for (auto const &One : Told) {
+    auto const First = IsKnown ? AccountConsumption{One.Account_, 0, 0} : One;
+    auto &Held = Totals_.try_emplace(One.Account_, First).first->second;
+    bool const IsLate =
+        One.Admitted_ < Held.Admitted_ || One.Asked_ < Held.Asked_;
+    auto const Last = IsLate ? Held : std::exchange(Held, One);
+    Growth.push_back({One.Account_, Held.Admitted_ - Last.Admitted_,
+                      Held.Asked_ - Last.Asked_});
+  }
+  return Growth;
+}
+
+} // namespace laburnum
--- a/Tests/LibControl/TestConsumptionCollector.cpp
+++ b/Tests/LibControl/TestConsumptionCollector.cpp
@@ -1,3 +1,5 @@
+#include <LibTraffic/QuotaFixture.h>
+
 #include <LibControl/ConsumptionCollector.h>
 #include <LibPeer/PeerMessage.h>
 #include <LibTraffic/AccountMeter.h>
@@ -29,16 +31,6 @@
 /// Reports that a collector hears in a second, at any size.
 constexpr std::size_t MostCollected = 520;
 
-std::shared_ptr<RouteTable const> table() {
-  RoutedAccount Held;
-  Held.Name_ = Account;
-  Held.Keys_ = {"k"};
-  Held.Quota_ = {QuotaUnit::Tokens, Rate, Rate, 200.0};
-  return std::make_shared<RouteTable>(1, std::vector<Route>(),
-                                      std::vector<RoutedService>(),
-                                      std::vector{Held}, ClientBounds{});
-}
-
 /// Instances that serve one account; steps of 50 ms, which a message takes.
 struct Fleet {
   static constexpr Duration Step = milliseconds(50);
@@ -71,7 +63,7 @@
     Self.DataCentre_ = DataCentre("dc" + std::to_string(Number % 6));
     Self.Peers_ = {"h", static_cast<std::uint16_t>(Number)};
     auto &Made = Instances_.emplace_back(Self);
-    Made.Meter_.setTable(table(), Now_);
+    Made.Meter_.setTable(test::tableWith(Rate), Now_);
     Made.NextReport_ = Now_ + Step * (Number % 20);
   }
 
@@ -173,11 +165,7 @@
   /// The most that was admitted in any span of eight seconds, in what may be.
   double mostPart() const {
     auto const Span = static_cast<std::size_t>(seconds(8) / Step);
-    double Most = 0.0;
-    for (std::size_t First = 0; First + Span <= Admitted_.size(); ++First)
-      Most = std::max(Most,
-                      std::accumulate(Admitted_.begin() + First,
-                                      Admitted_.begin() + First + Span, 0.0));
+    auto const Most = test::mostInSpan(Admitted_, Span);
     return Most / ((Rate * 8 + Rate) * (1 + AllowedOverrun) + AllowedSlack);
   }
   /// A second, over the last so many.
--- a/Tests/LibTraffic/TestAccountMeter.cpp
+++ b/Tests/LibTraffic/TestAccountMeter.cpp
@@ -1,13 +1,16 @@
+#include "QuotaFixture.h"
+
 #include <LibTraffic/AccountMeter.h>
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <memory>
 #include <numeric>
 #include <random>
 
 using namespace laburnum;
+using test::mostInSpan;
+using test::tableWith;
 
 namespace {
 
@@ -17,16 +20,6 @@
 constexpr double Rate = 100000.0;
 constexpr Duration Period = milliseconds(250);
 
-std::shared_ptr<RouteTable const> tableWith(double RatePerSecond) {
-  RoutedAccount Account;
-  Account.Name_ = AccountName("a");
-  Account.Keys_ = {"k"};
-  Account.Quota_ = {QuotaUnit::Tokens, RatePerSecond, RatePerSecond, 200.0};
-  return std::make_shared<RouteTable>(1, std::vector<Route>(),
-                                      std::vector<RoutedService>(),
-                                      std::vector{Account}, ClientBounds{});
-}
-
 /// Instances that serve one account, each by its own part of the requests.
 struct Fleet {
   explicit Fleet(std::size_t Size) {
@@ -81,14 +74,7 @@
 
 /// The most that was admitted in any span of eight seconds.
 double mostIn8Seconds(std::vector<double> const &Periods) {
-  constexpr std::size_t Span = 32;
-  double Most = 0.0;
-  for (std::size_t First = 0; First < Periods.size(); ++First) {
-    auto const Last = std::min(First + Span, Periods.size());
-    Most = std::max(Most, std::accumulate(Periods.begin() + First,
-                                          Periods.begin() + Last, 0.0));
-  }
-  return Most;
+  return mostInSpan(Periods, static_cast<std::size_t>(seconds(8) / Period));
 }
 
 /// What the quota allows in eight seconds, with a tenth of overrun.
