LibControl: Turn answers and stored objects into news in one place each

A list's and a watch's answer were unpacked by the same lines, stored objects were spelled out as news twice, and the pause between requests for a collection needed a case of its own for the first. MessageReader kept the bounds of an answer beside the same bound for all messages.

--- a/Libraries/LibControl/CollectionState.cpp
+++ b/Libraries/LibControl/CollectionState.cpp
@@ -2,6 +2,10 @@
 
 namespace laburnum {
 
+NewsObject newsOf(StoredObject const &Object) {
+  return {Object.Key_.Name_, Object.Version_, Object.Value_};
+}
+
 StoredObject CollectionState::stored(NewsObject const &Object) const {
   return {{Collection_, Object.Name_}, Object.Version_, Object.Value_};
 }
@@ -57,8 +61,7 @@
   for (auto const &Object : List.Objects_) {
     auto const Held = Missing.extract(Object.Key_.Name_);
     if (Held.empty() || Held.mapped().Version_ != Object.Version_)
-      News.Objects_.push_back(
-          {Object.Key_.Name_, Object.Version_, Object.Value_});
+      News.Objects_.push_back(newsOf(Object));
   }
   for (auto const &[Name, Object] : Missing)
     News.Objects_.push_back({Name, 0, {}});
--- a/Libraries/LibControl/CollectionState.h
+++ b/Libraries/LibControl/CollectionState.h
@@ -37,6 +37,9 @@
 
 } // namespace collection
 
+/// An object as it is told; its collection is told with all of them.
+NewsObject newsOf(StoredObject const &Object);
+
 /// One collection of the store as of one version of the store. It only moves to
 /// later versions, whatever comes late and from whomever.
 class CollectionState {
--- a/Libraries/LibControl/StoreFollower.cpp
+++ b/Libraries/LibControl/StoreFollower.cpp
@@ -18,6 +18,14 @@
   return Settings;
 }
 
+/// The answer as Read holds it, or why there is none.
+template <typename Read, typename Value>
+relay::ReadOutcome outcomeOf(Result<Value> Answer) {
+  if (isError(Answer))
+    return relay::ReadFailed{errorOf(Answer)};
+  return Read{takeValue(std::move(Answer))};
+}
+
 } // namespace
 
 StoreFollower::StoreFollower(asio::io_context &Context, AsyncObjectStore &Store,
@@ -69,25 +77,21 @@
 void StoreFollower::on(SendToPeer const &Action) { Callbacks_.Send_(Action); }
 
 void StoreFollower::on(relay::ListCollection const &Action) {
-  Store_.list(
-      Action.Collection_, ReadConsistency::Latest, ListTimeout,
-      [Self = shared_from_this(),
-       Collection = Action.Collection_](Result<ObjectList> Listed) {
-        if (isError(Listed))
-          return Self->onRead(Collection, relay::ReadFailed{errorOf(Listed)});
-        Self->onRead(Collection, relay::Listed{takeValue(std::move(Listed))});
-      });
+  Store_.list(Action.Collection_, ReadConsistency::Latest, ListTimeout,
+              [Self = shared_from_this(),
+               Collection = Action.Collection_](Result<ObjectList> Answer) {
+                Self->onRead(Collection,
+                             outcomeOf<relay::Listed>(std::move(Answer)));
+              });
 }
 
 void StoreFollower::on(relay::WatchCollection const &Action) {
-  Store_.watch(
-      Action.Collection_, Action.From_, Action.Wait_,
-      [Self = shared_from_this(),
-       Collection = Action.Collection_](Result<WatchBatch> Watched) {
-        if (isError(Watched))
-          return Self->onRead(Collection, relay::ReadFailed{errorOf(Watched)});
-        Self->onRead(Collection, relay::Watched{takeValue(std::move(Watched))});
-      });
+  Store_.watch(Action.Collection_, Action.From_, Action.Wait_,
+               [Self = shared_from_this(),
+                Collection = Action.Collection_](Result<WatchBatch> Answer) {
+                 Self->onRead(Collection,
+                              outcomeOf<relay::Watched>(std::move(Answer)));
+               });
 }
 
 void StoreFollower::on(relay::CollectionReplaced const &Action) {
--- a/Libraries/LibControl/StoreRelay.cpp
+++ b/Libraries/LibControl/StoreRelay.cpp
@@ -290,8 +290,7 @@
   CollectionNews News{
       One.State_.collection(), From, Batch.StoreVersion_, {}, {}};
   for (auto const &Object : Batch.Objects_)
-    News.Objects_.push_back(
-        {Object.Key_.Name_, Object.Version_, Object.Value_});
+    News.Objects_.push_back(newsOf(Object));
   apply(One, News);
   if (Batch.StoreVersion_ >= One.State_.unchangedSince())
     One.OwnAt_ = Now_;
@@ -459,9 +458,9 @@
 }
 
 void StoreRelay::ask(Followed &One, Endpoint const &Whom) {
-  if (One.AskedAt_ != TimePoint::min() && Now_ < One.AskedAt_ + AskPause)
+  if (Now_ < One.NextAsk_)
     return;
-  One.AskedAt_ = Now_;
+  One.NextAsk_ = Now_ + AskPause;
   Actions_.emplace_back(
       SendToPeer{Whom, StoreNewsRequest{Settings_.Self_.Peers_,
                                         {One.State_.collection()}}});
--- a/Libraries/LibControl/StoreRelay.h
+++ b/Libraries/LibControl/StoreRelay.h
@@ -148,8 +148,8 @@
     /// The next watch is left to the first reader until then, while it is
     /// heard.
     TimePoint LeftUntil_ = TimePoint::min();
-    std::uint32_t Failures_ = 0; ///< In a row.
-    TimePoint AskedAt_ = TimePoint::min();
+    std::uint32_t Failures_ = 0;           ///< In a row.
+    TimePoint NextAsk_ = TimePoint::min(); ///< For the whole collection.
 
     std::optional<TimePoint> claimedAt() const;
   };
--- a/Libraries/LibHttp/MessageReader.cpp
+++ b/Libraries/LibHttp/MessageReader.cpp
@@ -36,7 +36,7 @@
 template <bool IsRequest>
 class CommonParser : public http::basic_parser<IsRequest> {
 public:
-  explicit CommonParser(MessageBounds Bounds) : HeadBytes_(Bounds.HeadBytes_) {
+  explicit CommonParser(MessageBounds Bounds) : Bounds_(Bounds) {
     this->eager(true);
     this->header_limit(Bounds.HeadBytes_);
     this->body_limit(Bounds.BodyBytes_);
@@ -64,7 +64,7 @@
     // The parser's own bound is on the head. A chunk's extensions and the
     // trailers after the last chunk are kept here until they are whole.
     if (Fault_ == MessageFault::None && !this->is_done() &&
-        Pending_.size() > HeadBytes_)
+        Pending_.size() > Bounds_.HeadBytes_)
       Fault_ = MessageFault::HeadTooLarge;
   }
 
@@ -82,7 +82,7 @@
   HeaderFields Fields_;
   std::string Body_;
   std::string Pending_;
-  std::uint32_t HeadBytes_;
+  MessageBounds Bounds_;
   MessageFault Fault_ = MessageFault::None;
 
 protected:
@@ -148,7 +148,7 @@
 class AnswerParser : public CommonParser<false> {
 public:
   AnswerParser(MessageBounds Bounds, std::string_view Method)
-      : CommonParser(Bounds), Bounds_(Bounds), Method_(Method) {
+      : CommonParser(Bounds), Method_(Method) {
     this->skip(Method_ == "HEAD");
   }
 
@@ -158,7 +158,6 @@
   }
 
   AnswerHead Head_;
-  MessageBounds Bounds_;
   std::string Method_;
 
 private:
