LibControl: Let the tree know which news it has passed on

StoreRelay and ConsumptionCollector each kept the highest number heard of every origin, beside the same retention of 60 s, to pass news on once. NewsTree, which knows whom they go to, does both in receive().

No behaviour changes.

--- a/Libraries/LibControl/ConsumptionCollector.cpp
+++ b/Libraries/LibControl/ConsumptionCollector.cpp
@@ -104,17 +104,17 @@
 
 std::vector<Endpoint> ConsumptionCollector::onSum(ConsumptionSum const &Sum,
                                                   TimePoint Now) {
-  auto &Known = Origins_[Sum.Origin_];
-  if (Sum.Number_ <= Known.Number_)
-    return {}; // Late, or heard already.
+  auto Children = Tree_.receive(Sum.Origin_, Sum.Number_, Now);
+  if (!Children)
+    return {};
   if (Sum.Duty_ == CollectorDuty::HoldsLease)
     HolderHeardAt_ = Now;
-  Known.Number_ = Sum.Number_;
+  auto &Known = Origins_[Sum.Origin_];
   Known.HeardAt_ = Now;
   for (auto const &One : Live_)
     if (One.Id_ == Sum.Origin_)
       Known.Peers_ = One.Peers_;
-  return Tree_.childrenOf(Sum.Origin_);
+  return std::move(*Children);
 }
 
 ConsumptionSum ConsumptionCollector::sum(Duration TimeOfDay, TimePoint Now) {
--- a/Libraries/LibControl/ConsumptionCollector.h
+++ b/Libraries/LibControl/ConsumptionCollector.h
@@ -57,7 +57,6 @@
     TimePoint HeardAt_;
   };
   struct Origin {
-    std::uint64_t Number_ = 0;
     Endpoint Peers_;
     TimePoint HeardAt_;
   };
--- a/Libraries/LibControl/NewsTree.cpp
+++ b/Libraries/LibControl/NewsTree.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t Degree = 2;
+/// Origins that were silent for so long are forgotten.
+constexpr std::chrono::seconds OriginRetention{60};
 
 } // namespace
 
@@ -42,6 +44,20 @@
   return *Starts_;
 }
 
+std::optional<std::vector<Endpoint>> NewsTree::receive(InstanceId const &Origin,
+                                                       std::uint64_t Number,
+                                                       TimePoint Now) {
+  std::erase_if(Heard_, [&](auto const &One) {
+    return One.second.At_ + OriginRetention < Now;
+  });
+  auto &Last = Heard_[Origin];
+  Last.At_ = Now;
+  if (Number <= Last.Number_)
+    return std::nullopt;
+  Last.Number_ = Number;
+  return childrenOf(Origin);
+}
+
 std::vector<Endpoint> const &NewsTree::childrenOf(InstanceId const &Origin) {
   auto const Found = Children_.find(Origin);
   if (Found != Children_.end())
--- a/Libraries/LibControl/NewsTree.h
+++ b/Libraries/LibControl/NewsTree.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <LibCore/Time.h>
 #include <LibFleet/Member.h>
 #include <LibModel/EntryInstance.h>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -33,10 +35,18 @@
   void setMembers(std::vector<EntryInstance> Live, std::set<Endpoint> Origins);
   /// Whom this instance tells of its own news.
   std::vector<Endpoint> const &starts();
-  /// Whom this instance passes the origin's news on to. It may be the origin.
-  std::vector<Endpoint> const &childrenOf(InstanceId const &Origin);
+  /// Whom this instance passes the origin's news of that number on to; it may
+  /// be the origin itself. Nothing when they are late or were heard already.
+  std::optional<std::vector<Endpoint>>
+  receive(InstanceId const &Origin, std::uint64_t Number, TimePoint Now);
 
 private:
+  struct Heard {
+    std::uint64_t Number_ = 0; ///< The highest so far.
+    TimePoint At_;
+  };
+
+  std::vector<Endpoint> const &childrenOf(InstanceId const &Origin);
   std::vector<EntryInstance> treeOf(InstanceId const &Origin,
                                     DataCentre const &Centre) const;
   std::vector<Endpoint> findChildren(InstanceId const &Origin) const;
@@ -45,6 +55,7 @@
   EntryInstance Self_;
   std::vector<EntryInstance> Live_;
   std::set<Endpoint> Origins_;
+  std::map<InstanceId, Heard> Heard_; ///< By origin.
   /// By origin, for the members as they are.
   std::map<InstanceId, std::vector<Endpoint>> Children_;
   std::optional<std::vector<Endpoint>> Starts_; ///< The same, of its own news.
--- a/Libraries/LibControl/StoreRelay.cpp
+++ b/Libraries/LibControl/StoreRelay.cpp
@@ -68,8 +68,8 @@
 constexpr std::chrono::milliseconds AskPause{150};
 /// Up to this many instances are told directly.
 constexpr std::size_t MostDirect = 8;
-/// Origins that were silent for so long are forgotten.
-constexpr std::chrono::seconds OriginRetention{60};
+/// What an origin said so long ago is forgotten.
+constexpr std::chrono::seconds ClaimRetention{60};
 
 } // namespace
 
@@ -105,12 +105,9 @@
   read();
   beat();
   askSomebody();
-  std::erase_if(Origins_, [&](auto const &One) {
-    return One.second.HeardAt_ + OriginRetention < Now;
-  });
   for (auto &One : Followed_)
     std::erase_if(One.Claims_, [&](auto const &Claim) {
-      return Claim.second + OriginRetention < Now;
+      return Claim.second + ClaimRetention < Now;
     });
   return take();
 }
@@ -384,13 +381,8 @@
     One->Claims_[News.Origin_] = Now - Each.Age_;
     confirm(*One);
   }
-  if (News.Spread_ == NewsSpread::Tree) {
-    auto &Origin = Origins_[News.Origin_];
-    Origin.HeardAt_ = Now;
-    if (News.Number_ >
-        std::exchange(Origin.Number_, std::max(News.Number_, Origin.Number_)))
-      passOn(News);
-  }
+  if (News.Spread_ == NewsSpread::Tree)
+    passOn(News);
   return take();
 }
 
@@ -444,7 +436,10 @@
 }
 
 void StoreRelay::passOn(StoreNews const &News) {
-  for (auto const &Child : Tree_.childrenOf(News.Origin_)) {
+  auto const Children = Tree_.receive(News.Origin_, News.Number_, Now_);
+  if (!Children)
+    return;
+  for (auto const &Child : *Children) {
     auto Copy = News;
     Copy.ReplyTo_ = Settings_.Self_.Peers_;
     Actions_.emplace_back(SendToPeer{Child, std::move(Copy)});
--- a/Libraries/LibControl/StoreRelay.h
+++ b/Libraries/LibControl/StoreRelay.h
@@ -200,11 +200,6 @@
   bool OwesDoubt_ = false;
   TimePoint NextAsk_ = TimePoint::min();
   std::uint64_t Number_ = 0;
-  struct Origin {
-    std::uint64_t Number_ = 0;
-    TimePoint HeardAt_;
-  };
-  std::map<InstanceId, Origin> Origins_;
   NewsTree Tree_;
   TimePoint Now_;
   std::vector<relay::Action> Actions_;
