--- a/Tests/LibTraffic/TestServerRoster.cpp
+++ b/Tests/LibTraffic/TestServerRoster.cpp
@@ -30,6 +30,13 @@
                         {DataCentre("a-2"), "a"},
                         {DataCentre("b-1"), "b"}}};
 
+std::vector<ServerRecord> sixServers() {
+  std::vector<ServerRecord> Servers;
+  for (int Place = 0; Place < 6; ++Place)
+    Servers.push_back(server("s" + std::to_string(Place), "a-1", 24));
+  return Servers;
+}
+
 struct Fixture {
   std::string choose(ServerQuery Query = {Writer, {}, {}}) {
     auto const Chosen = Roster_.choose(Query, Now_);
@@ -113,9 +120,7 @@
 
 TEST_CASE_METHOD(Fixture, "The same prefix finds the same server until that is "
                           "overloaded") {
-  std::vector<ServerRecord> Servers;
-  for (int Place = 0; Place < 6; ++Place)
-    Servers.push_back(server("s" + std::to_string(Place), "a-1", 24));
+  auto const Servers = sixServers();
   Roster_.replaceAll(Servers);
   ServerQuery const Query{Writer, {}, "common,thing"};
   auto const First = choose(Query);
@@ -134,9 +139,7 @@
 
 TEST_CASE_METHOD(Fixture, "A prefix stays where it is while all servers are "
                           "alike full") {
-  std::vector<ServerRecord> Servers;
-  for (int Place = 0; Place < 6; ++Place)
-    Servers.push_back(server("s" + std::to_string(Place), "a-1", 24));
+  auto const Servers = sixServers();
   Roster_.replaceAll(Servers);
   ServerQuery const Query{Writer, {}, "common,thing"};
   auto const First = choose(Query);
