LibTraffic: Name the content of requests in the log

Callers' report of a request that went on crashing servers can't be told from retries of many requests: no line names the content, so that attempts with different identifiers at different instances can't be joined. request and attempt_failed now bear a fingerprint of method, host, path, account and body; attempt_failed also its number and the server's life.

--- a/Libraries/LibLog/LogLine.cpp
+++ b/Libraries/LibLog/LogLine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <cinttypes>
 #include <cstdio>
 
 namespace laburnum {
@@ -47,4 +48,10 @@
   return add(Name, std::string_view(Text.data()));
 }
 
+LogLine &LogLine::addHash(std::string_view Name, std::uint64_t Value) {
+  std::array<char, 17> Text{};
+  std::snprintf(Text.data(), Text.size(), "%016" PRIx64, Value);
+  return add(Name, std::string_view(Text.data()));
+}
+
 } // namespace laburnum
--- a/Libraries/LibLog/LogLine.h
+++ b/Libraries/LibLog/LogLine.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 
 #include <concepts>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,8 @@
   }
   /// In milliseconds, under a name that ends in _ms.
   LogLine &add(std::string_view Name, Duration Value);
+  /// As 16 hexadecimal digits.
+  LogLine &addHash(std::string_view Name, std::uint64_t Value);
 
   std::string const &text() const { return Text_; }
 
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -118,7 +118,8 @@
   ServiceName Service_;
   AccountName Account_;
   RequestFacts Facts_;
-  TimePoint Expiry_; ///< When the final answer is due.
+  std::uint64_t Fingerprint_ = 0; ///< See contentFingerprint().
+  TimePoint Expiry_;              ///< When the final answer is due.
 };
 
 } // namespace exchange
--- a/Services/laburnum-entry/EntryMetrics.cpp
+++ b/Services/laburnum-entry/EntryMetrics.cpp
@@ -30,6 +30,7 @@
       Unroutable_(Registry_.counter("requests.unroutable", "requests")),
       AttemptsSent_(Registry_.counter("attempts.sent", "attempts")),
       AttemptsFailed_(Registry_.counter("attempts.failed", "attempts")),
+      AttemptsBrokenOff_(Registry_.counter("attempts.broken_off", "attempts")),
       AttemptsRefused_(Registry_.counter("attempts.refused", "attempts")),
       ForeignAnswers_(Registry_.counter("attempts.foreign_answers", "answers")),
       ConfigurationsApplied_(
--- a/Services/laburnum-entry/EntryMetrics.h
+++ b/Services/laburnum-entry/EntryMetrics.h
@@ -29,8 +29,9 @@
   Counter &Unroutable_; ///< 400, 401, 404.
   Counter &AttemptsSent_;
   Counter &AttemptsFailed_;
-  Counter &AttemptsRefused_; ///< By the server, before any work.
-  Counter &ForeignAnswers_;  ///< Passed over on a kept connection.
+  Counter &AttemptsBrokenOff_; ///< Of those failed: may have run.
+  Counter &AttemptsRefused_;   ///< By the server, before any work.
+  Counter &ForeignAnswers_;    ///< Passed over on a kept connection.
   Counter &ConfigurationsApplied_;
   Counter &ServersOrdered_;
   Counter &OrdersFailed_;
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -153,9 +153,14 @@
 void RequestSession::onFailed(AttemptEvidence const &Evidence) {
   Call_.reset();
   Plane_.Parts_.Metrics_.AttemptsFailed_.add();
+  if (runStateOf(Evidence) != RunState::NotRun)
+    Plane_.Parts_.Metrics_.AttemptsBrokenOff_.add();
   Plane_.Parts_.Log_.write(LogLine("attempt_failed")
                                .add("id", Subject_.Facts_.AttemptId_)
+                               .addHash("content", Subject_.Fingerprint_)
+                               .add("attempt", Flow_.attempts())
                                .add("server", LastServer_)
+                               .add("born", Server_->BornAtMilliseconds_)
                                .add("run_state", toString(runStateOf(Evidence)))
                                .add("why", Evidence.Detail_));
   endAttempt(ServerVerdict::Failed);
@@ -304,7 +309,8 @@
       .add("service", Subject_.Service_.text())
       .add("config", Subject_.Table_->version())
       .add("server", LastServer_)
-      .add("attempts", Flow_.attempts());
+      .add("attempts", Flow_.attempts())
+      .addHash("content", Subject_.Fingerprint_);
   if (FirstSentAt_ != TimePoint())
     Line.add("queued_ms", FirstSentAt_ - Request_.BegunAt_);
   if (FirstAnswerAt_ != TimePoint())
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -2,6 +2,8 @@
 
 #include "RequestSession.h"
 
+#include <LibTraffic/ContentFingerprint.h>
+
 #include <algorithm>
 
 namespace laburnum {
@@ -220,7 +222,7 @@
     refuse(*Exchange, NotFound, "no route", Facts, std::nullopt);
     return nullptr;
   }
-  exchange::Subject Subject{Table_, Route, {}, {}, Facts, {}};
+  exchange::Subject Subject{Table_, Route, {}, {}, Facts, {}, {}};
   if (Table_->hasAccounts() && Route->Access_ == RouteAccess::KeyRequired) {
     auto const *const Account = Table_->accountByKey(Facts.Key_);
     if (!Account) {
@@ -233,6 +235,7 @@
     }
     Subject.Account_ = Account->Name_;
   }
+  Subject.Fingerprint_ = contentFingerprint(Subject.Account_, Request);
   Subject.Service_ = serviceFor(*Route, Facts.AttemptId_);
   auto const Allowed =
       std::min(Route->Timeout_, Facts.TimeAllowed_.value_or(Route->Timeout_));
