Tests: Start laburnum-entry from a class of its own, without the test's sockets

EntryFixture held one process with its settings; tests of several instances need the same parts. A process that a test started inherited the listening sockets of the stand-ins, so that a port that the test closed went on taking connections.

--- a/Tests/EntryProcess/EntryFixture.h
+++ b/Tests/EntryProcess/EntryFixture.h
@@ -1,26 +1,21 @@
 #pragma once
 
+#include "EntryProcess.h"
 #include "RunnerStandin.h"
+#include "StandinThread.h"
 #include "StoreStandin.h"
 
-#include <Processes/ProcessGroup.h>
-
-#include <asio/executor_work_guard.hpp>
-#include <asio/post.hpp>
-
-#include <filesystem>
-#include <future>
 #include <memory>
 #include <string>
-#include <thread>
 
 namespace laburnum::entry_process {
 
-struct Got {
-  int Status_ = 0; ///< 0: the connection ended without an answer.
-  std::string Body_;
-  std::string RetryAfter_;
-};
+/// The routes /read/ (may be repeated) and /order/ (may not) and, from the
+/// second version on, /new/, all to the service "desk".
+nlohmann::json configurationOf(std::uint64_t Version);
+/// A backend server of "desk" as the platform lists it.
+nlohmann::json serverEntry(Endpoint const &Address, std::string const &State,
+                           std::int64_t Born, std::uint64_t Sequence);
 
 /// laburnum-entry as a process, before a store and a backend server that live
 /// on a thread of the test.
@@ -31,41 +26,27 @@
   EntryFixture(EntryFixture const &) = delete;
   EntryFixture &operator=(EntryFixture const &) = delete;
 
-  /// Runs Task on the stand-ins' thread and waits for it.
   template <typename Function> auto on(Function Task) {
-    std::packaged_task<decltype(Task())()> Packed(std::move(Task));
-    auto Done = Packed.get_future();
-    asio::post(Context_, [&Packed] { Packed(); });
-    return Done.get();
+    return Thread_.on(std::move(Task));
   }
 
-  void writeSettings(std::string const &RetryRatio);
-  /// One configuration with the routes /read/ and /order/ and, from its second
-  /// version on, /new/.
   void writeConfiguration(std::uint64_t Version);
   void writeServer(std::string const &Name, std::string const &State,
                    std::uint64_t Sequence = 1);
   Got send(std::string const &Method, std::string const &Path,
-           std::string const &Key = "k1") const;
-  bool isReady() const;
+           std::string const &Key = "k1") const {
+    return Instance_->send(Method, Path, Key);
+  }
   std::size_t requestsAtRunner();
 
-  asio::io_context Context_{1};
-  asio::executor_work_guard<asio::io_context::executor_type> Work_{
-      Context_.get_executor()};
-  StoreStandin Store_{Context_};
+  StandinThread Thread_;
+  StoreStandin Store_{Thread_.context()};
   RunnerStandin Runner_;
-  std::string const Address_; ///< Of the instance, on loopback.
-  std::unique_ptr<processes::Process> Entry_;
+  std::unique_ptr<EntryProcess> Instance_;
 
 private:
-  Got ask(std::uint16_t Port, std::string const &Method,
-          std::string const &Path, std::string const &Key) const;
-
-  std::filesystem::path Folder_;
   std::shared_ptr<HttpListener> StoreListener_;
   std::shared_ptr<HttpListener> RunnerListener_;
-  std::thread Thread_;
 };
 
 } // namespace laburnum::entry_process
--- /dev/null
+++ b/Tests/EntryProcess/EntryProcess.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <Processes/ProcessGroup.h>
+
+#include <cstdint>
+#include <filesystem>
+#include <memory>
+#include <string>
+
+namespace laburnum::entry_process {
+
+struct Got {
+  int Status_ = 0; ///< 0: the connection ended without an answer.
+  std::string Body_;
+  std::string RetryAfter_;
+};
+
+/// A loopback address that no other part of this or another test program that
+/// runs has, so that fixed ports are free on it.
+std::string loopbackAddress(unsigned Number);
+
+/// One laburnum-entry on a loopback address of its own, with its settings.
+class EntryProcess {
+public:
+  /// Number tells the instances of one test program apart.
+  EntryProcess(unsigned Number, std::uint16_t StorePort);
+  ~EntryProcess();
+  EntryProcess(EntryProcess const &) = delete;
+  EntryProcess &operator=(EntryProcess const &) = delete;
+
+  void writeSettings(std::string const &RetryRatio);
+  /// Ends the process that runs, if any, without notice and starts another.
+  void start();
+  Got send(std::string const &Method, std::string const &Path,
+           std::string const &Key = "k1") const;
+  bool isReady() const;
+  processes::Process &process() { return *Process_; }
+
+private:
+  Got ask(std::uint16_t Port, std::string const &Method,
+          std::string const &Path, std::string const &Key) const;
+
+  std::string const Name_;
+  std::string const Address_;
+  std::uint16_t const StorePort_;
+  std::filesystem::path Folder_;
+  std::unique_ptr<processes::Process> Process_;
+};
+
+} // namespace laburnum::entry_process
--- a/Tests/EntryProcess/TestEntryProcess.cpp
+++ b/Tests/EntryProcess/TestEntryProcess.cpp
@@ -52,44 +52,45 @@
 TEST_CASE_METHOD(EntryFixture, "Requests are served while the store is away, "
                                "and what it says then is in force") {
   on([this] { Store_.setMood(GENERATE(StoreMood::Silent, StoreMood::Busy)); });
-  Entry_->awaitLine("dependency_lost what=store/servers");
-  Entry_->awaitLine("dependency_lost what=store/configuration");
+  Instance_->process().awaitLine("dependency_lost what=store/servers");
+  Instance_->process().awaitLine("dependency_lost what=store/configuration");
   CHECK(send("GET", "/read/x").Status_ == 200);
-  CHECK(isReady());
+  CHECK(Instance_->isReady());
   writeConfiguration(2);
   CHECK(send("GET", "/new/x").Status_ == 404);
   on([this] {
     Store_.dropHistory();
     Store_.setMood(StoreMood::Normal);
   });
-  Entry_->awaitLine("configuration_applied version=2");
+  Instance_->process().awaitLine("configuration_applied version=2");
   CHECK(send("GET", "/new/x").Status_ == 200);
 }
 
 TEST_CASE_METHOD(EntryFixture, "Settings that change are taken over, with a "
                                "signal or without") {
-  writeSettings("0.1");
+  Instance_->writeSettings("0.1");
   SECTION("at a signal") {
-    Entry_->signal(SIGHUP);
-    Entry_->awaitLine("reload trigger=signal outcome=\"in force\"");
+    Instance_->process().signal(SIGHUP);
+    Instance_->process().awaitLine(
+        "reload trigger=signal outcome=\"in force\"");
   }
   SECTION("silently") {
-    Entry_->awaitLine("reload trigger=file outcome=\"in force\"");
+    Instance_->process().awaitLine("reload trigger=file outcome=\"in force\"");
   }
   SECTION("to something that cannot be read") {
-    writeSettings("soon");
-    Entry_->awaitLine("retry_budget_ratio");
+    Instance_->writeSettings("soon");
+    Instance_->process().awaitLine("retry_budget_ratio");
   }
   CHECK(send("GET", "/read/x").Status_ == 200);
 }
 
 TEST_CASE_METHOD(EntryFixture, "A planned stop takes the instance out of "
                                "rotation, serves on, and ends by itself") {
-  Entry_->signal(SIGTERM);
-  REQUIRE(await([this] { return !isReady(); }));
+  Instance_->process().signal(SIGTERM);
+  REQUIRE(await([this] { return !Instance_->isReady(); }));
   CHECK(send("GET", "/read/x").Status_ == 200);
-  CHECK(Entry_->awaitEnd() == 0);
-  Entry_->awaitLine("event=stopped");
+  CHECK(Instance_->process().awaitEnd() == 0);
+  Instance_->process().awaitLine("event=stopped");
   // Nothing of it stays in the store, so that nobody waits for it.
   CHECK(on([this] { return Store_.count("entry-instances"); }) == 0);
 }
--- a/Tests/Processes/ProcessGroup.cpp
+++ b/Tests/Processes/ProcessGroup.cpp
@@ -15,7 +15,8 @@
 
 namespace {
 
-/// Output and errors go into the pipe; input comes from nowhere.
+/// Output and errors go into the pipe; input comes from nowhere. The test's own
+/// sockets are not handed on: a port that it closes would stay open.
 class SpawnActions {
 public:
   explicit SpawnActions(int Output) {
@@ -24,6 +25,7 @@
                                      O_RDONLY, 0);
     posix_spawn_file_actions_adddup2(&Actions_, Output, STDOUT_FILENO);
     posix_spawn_file_actions_adddup2(&Actions_, Output, STDERR_FILENO);
+    posix_spawn_file_actions_addclosefrom_np(&Actions_, STDERR_FILENO + 1);
   }
   ~SpawnActions() { posix_spawn_file_actions_destroy(&Actions_); }
   SpawnActions(SpawnActions const &) = delete;
