Tests: Show that a request goes on crashing servers

Three laburnum-entry processes and twelve servers that end at a certain content and are back after 3 s.

--- /dev/null
+++ b/Tests/EntryProcess/EntryFleet.cpp
@@ -0,0 +1,55 @@
+#include "EntryFleet.h"
+
+#include "EntryFixture.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace laburnum::entry_process {
+
+EntryFleet::EntryFleet(unsigned Instances, unsigned Servers,
+                       Duration Downtime) {
+  Thread_.on([&] {
+    StoreListener_ = std::get<0>(
+        HttpListener::create(Thread_.context(), {"127.0.0.1", 0}, Store_));
+    Store_.put("config", "main", configurationOf(1));
+    for (unsigned Number = 0; Number < Servers; ++Number)
+      Servers_.emplace_back(Thread_.context(), Store_, Number, Downtime)
+          .begin();
+  });
+  for (unsigned Number = 0; Number < Instances; ++Number) {
+    Instances_.push_back(std::make_unique<EntryProcess>(
+        Number, StoreListener_->localEndpoint().Port_));
+    Instances_.back()->start();
+  }
+  for (auto const &One : Instances_)
+    One->process().awaitLine("fleet_changed live=" + std::to_string(Instances));
+}
+
+EntryFleet::~EntryFleet() {
+  Instances_.clear();
+  Thread_.on([this] {
+    StoreListener_->stopAccepting();
+    for (auto &Server : Servers_)
+      Server.stop();
+  });
+  Thread_.stop();
+}
+
+std::size_t EntryFleet::deadlyArrivals() {
+  return Thread_.on([this] {
+    std::size_t Sum = 0;
+    for (auto const &Server : Servers_)
+      Sum += Server.deadly();
+    return Sum;
+  });
+}
+
+bool EntryFleet::areServersUp() {
+  return Thread_.on([this] {
+    return std::none_of(Servers_.begin(), Servers_.end(),
+                        [](auto const &Server) { return Server.isDown(); });
+  });
+}
+
+} // namespace laburnum::entry_process
--- /dev/null
+++ b/Tests/EntryProcess/EntryFleet.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "EntryProcess.h"
+#include "MortalRunner.h"
+#include "StandinThread.h"
+#include "StoreStandin.h"
+
+#include <deque>
+#include <memory>
+#include <vector>
+
+namespace laburnum::entry_process {
+
+/// Several laburnum-entry processes before one store and several servers that
+/// can end.
+class EntryFleet {
+public:
+  EntryFleet(unsigned Instances, unsigned Servers, Duration Downtime);
+  ~EntryFleet();
+  EntryFleet(EntryFleet const &) = delete;
+  EntryFleet &operator=(EntryFleet const &) = delete;
+
+  EntryProcess &instance(std::size_t Number) { return *Instances_[Number]; }
+  std::size_t instances() const { return Instances_.size(); }
+  std::size_t deadlyArrivals();
+  bool areServersUp();
+
+private:
+  StandinThread Thread_;
+  StoreStandin Store_{Thread_.context()};
+  std::deque<MortalRunner> Servers_;
+  std::shared_ptr<HttpListener> StoreListener_;
+  std::vector<std::unique_ptr<EntryProcess>> Instances_;
+};
+
+} // namespace laburnum::entry_process
--- /dev/null
+++ b/Tests/EntryProcess/MortalRunner.cpp
@@ -0,0 +1,74 @@
+#include "MortalRunner.h"
+
+#include "EntryFixture.h"
+
+#include <stdexcept>
+
+namespace laburnum::entry_process {
+
+namespace {
+
+constexpr std::uint16_t Port = 9000;
+/// Entry instances have the addresses before.
+constexpr unsigned FirstAddress = 100;
+
+} // namespace
+
+MortalRunner::MortalRunner(asio::io_context &Context, StoreStandin &Store,
+                           unsigned Number, Duration Downtime)
+    : Context_(Context), Store_(Store), Name_("i" + std::to_string(Number)),
+      Downtime_(Downtime), Address_{loopbackAddress(FirstAddress + Number),
+                                    Port},
+      Rebirth_(Context) {}
+
+void MortalRunner::begin() {
+  ++Lives_;
+  auto Made = HttpListener::create(Context_, Address_, *this);
+  if (isError(Made))
+    throw std::runtime_error(toString(errorOf(Made)));
+  Listener_ = takeValue(std::move(Made));
+  auto const Born = static_cast<std::int64_t>(1700000000000 + Lives_);
+  Store_.put("servers", id(), serverEntry(Address_, "ready", Born, 1));
+}
+
+void MortalRunner::stop() {
+  Rebirth_.cancel();
+  if (Listener_)
+    Listener_->stopAccepting();
+}
+
+void MortalRunner::end() {
+  Listener_->stopAccepting();
+  Listener_.reset();
+  Rebirth_.expires_after(Downtime_);
+  Rebirth_.async_wait([this](asio::error_code Failure) {
+    if (Failure)
+      return;
+    Store_.remove("servers", id());
+    begin();
+  });
+}
+
+void MortalRunner::onRequest(std::shared_ptr<Exchange> Exchange,
+                             ReceivedRequest Request) {
+  // Connections to the life before end when they are used.
+  if (isDown())
+    return Exchange->abort();
+  auto const &Fields = Request.Head_.Fields_;
+  AnswerHead Head{200, {}};
+  Head.Fields_.add("X-Attempt-Id", std::string(Fields.valueOr("X-Attempt-Id")));
+  if (Fields.valueOr("X-Expect-Instance") != id()) {
+    Head.Status_ = 421;
+    Head.Fields_.add("X-Not-Executed", "1");
+    return Exchange->answer(Head, "");
+  }
+  if (Request.Head_.Target_.find("deadly") != std::string::npos) {
+    ++Deadly_;
+    Exchange->abort();
+    return end();
+  }
+  Head.Fields_.add("X-Server-Stamp", "stamp");
+  Exchange->answer(Head, "the whole answer");
+}
+
+} // namespace laburnum::entry_process
--- /dev/null
+++ b/Tests/EntryProcess/MortalRunner.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "StoreStandin.h"
+
+#include <LibHttp/HttpListener.h>
+
+#include <asio/steady_timer.hpp>
+
+#include <memory>
+#include <string>
+
+namespace laburnum::entry_process {
+
+/// A backend server whose process ends when it begins a request for a path
+/// with "deadly" in it. It starts again after a while: same address, another
+/// identifier. Used on the thread of its io_context.
+class MortalRunner : public HttpService {
+public:
+  MortalRunner(asio::io_context &Context, StoreStandin &Store, unsigned Number,
+               Duration Downtime);
+
+  /// Listens and registers in the store.
+  void begin();
+  void stop();
+
+  ClientBounds bounds() const override { return {}; }
+  void onRequest(std::shared_ptr<Exchange> Exchange,
+                 ReceivedRequest Request) override;
+
+  bool isDown() const { return !Listener_; }
+  std::size_t lives() const { return Lives_; }
+  /// Deadly requests that reached a life of this server.
+  std::size_t deadly() const { return Deadly_; }
+
+private:
+  std::string id() const { return Name_ + '-' + std::to_string(Lives_); }
+  void end();
+
+  asio::io_context &Context_;
+  StoreStandin &Store_;
+  std::string const Name_;
+  Duration const Downtime_;
+  Endpoint const Address_;
+  asio::steady_timer Rebirth_;
+  std::shared_ptr<HttpListener> Listener_;
+  std::size_t Lives_ = 0;
+  std::size_t Deadly_ = 0;
+};
+
+} // namespace laburnum::entry_process
