LibGuard: Give the crash guard a library of its own

It was a part of LibServing, which laburnum-entry does not use. Moved as it is, with the judge of broken connections; only the paths of includes change.

--- a/Libraries/LibServing/CrashGuard.cpp
+++ b/Libraries/LibGuard/CrashGuard.cpp
@@ -1,4 +1,4 @@
-#include <LibServing/CrashGuard.h>
+#include <LibGuard/CrashGuard.h>
 
 #include <algorithm>
 
--- a/Libraries/LibServing/CrashGuard.h
+++ b/Libraries/LibGuard/CrashGuard.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibGuard/CrashJudge.h>
 #include <LibModel/AttemptEvidence.h>
 #include <LibModel/BackendServer.h>
 #include <LibPeer/CrashReports.h>
-#include <LibServing/CrashJudge.h>
 
 #include <cstdint>
 #include <map>
--- a/Libraries/LibServing/CrashJudge.cpp
+++ b/Libraries/LibGuard/CrashJudge.cpp
@@ -1,4 +1,4 @@
-#include <LibServing/CrashJudge.h>
+#include <LibGuard/CrashJudge.h>
 
 #include <algorithm>
 #include <cstddef>
--- a/Services/laburnumd/ServerProbe.h
+++ b/Services/laburnumd/ServerProbe.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibModel/BackendServer.h>
-#include <LibServing/CrashJudge.h>
+#include <LibGuard/CrashJudge.h>
 
 #include <vector>
 
