laburnum-entry: Refuse content under which three servers crashed

Callers saw a request that had ended three servers go on to others, one or two at each return, while sound requests beside it got 502 and 503.

Cause: what a request did to servers was known for one client attempt at one instance only. laburnumd's crash guard was not connected to laburnum-entry.

The guard gets a policy for servers that are shared: the third life of a server that ends under a content refuses it. A probe after 0.1 s tells a crashed server from a broken link, a whole answer clears the content, and CrashNews tells the other instances by way of three keepers of each content.

--- /dev/null
+++ b/Libraries/LibControl/CrashNews.cpp
@@ -0,0 +1,152 @@
+#include <LibControl/CrashNews.h>
+
+#include <LibCore/Hash.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace laburnum {
+
+namespace {
+
+/// Keepers of a content: two may be lost together and one still knows.
+constexpr std::size_t KeepersOfContent = 3;
+
+/// For how long news are told again each second.
+constexpr Duration RepeatTime = std::chrono::seconds(2);
+
+std::set<std::uint64_t> contentsOf(std::vector<CrashReport> const &Reports) {
+  std::set<std::uint64_t> Contents;
+  for (auto const &One : Reports)
+    Contents.insert(One.Fingerprint_);
+  return Contents;
+}
+
+} // namespace
+
+std::vector<SendToPeer>
+CrashNews::setMembers(std::vector<Member> const &Members, TimePoint Now) {
+  auto const Before = std::exchange(Live_, {});
+  for (auto const &One : Members)
+    if (One.Liveness_ == Liveness::Live)
+      Live_.push_back(One.Instance_);
+  if (Live_ == Before)
+    return {};
+  // Content that had other keepers before goes to the present ones.
+  for (auto const Fingerprint : contentsOf(Guard_.reports(Now))) {
+    tellKeepers(Fingerprint, Now);
+    announce(Fingerprint, Now);
+  }
+  auto const Refused = announced(Now);
+  for (auto const &One : Live_)
+    if (std::find(Before.begin(), Before.end(), One) == Before.end())
+      tell(One, Refused);
+  return takeMessages();
+}
+
+std::vector<SendToPeer>
+CrashNews::onOwn(std::vector<CrashReport> const &Reports, TimePoint Now) {
+  for (auto const Fingerprint : contentsOf(Reports)) {
+    Fresh_[Fingerprint] = Now + RepeatTime;
+    tellKeepers(Fingerprint, Now);
+    announce(Fingerprint, Now);
+  }
+  return takeMessages();
+}
+
+std::vector<SendToPeer> CrashNews::onPeer(CrashReports const &Heard,
+                                          TimePoint Now) {
+  Guard_.merge(Heard.Reports_, Now);
+  for (auto const Fingerprint : contentsOf(Heard.Reports_))
+    announce(Fingerprint, Now);
+  return takeMessages();
+}
+
+std::vector<SendToPeer> CrashNews::onTimePassed(TimePoint Now) {
+  Guard_.expire(Now);
+  std::erase_if(Announced_, [&](auto const &One) {
+    return Guard_.reportsOf(One.first, Now).empty();
+  });
+  std::erase_if(Fresh_, [&](auto const &One) { return One.second < Now; });
+  for (auto const &[Fingerprint, Until] : Fresh_) {
+    tellKeepers(Fingerprint, Now);
+    if (Announced_.contains(Fingerprint))
+      tellEverybody(Fingerprint, Now);
+  }
+  if (!Live_.empty())
+    tell(Live_[NextTurn_++ % Live_.size()], announced(Now));
+  return takeMessages();
+}
+
+CrashNews::Keepers CrashNews::keepersOf(std::uint64_t Fingerprint) const {
+  auto Order =
+      rendezvousOrder(std::to_string(Fingerprint), Live_,
+                      [](EntryInstance const &One) -> std::string const & {
+                        return One.Id_.text();
+                      });
+  if (Order.size() > KeepersOfContent)
+    Order.resize(KeepersOfContent);
+  return Order;
+}
+
+bool CrashNews::isKeeper(Keepers const &Among) const {
+  return std::any_of(Among.begin(), Among.end(),
+                     [&](auto const &One) { return One.Id_ == Self_.Id_; });
+}
+
+void CrashNews::tellKeepers(std::uint64_t Fingerprint, TimePoint Now) {
+  auto const Reports = Guard_.reportsOf(Fingerprint, Now);
+  for (auto const &Keeper : keepersOf(Fingerprint))
+    tell(Keeper, Reports);
+}
+
+void CrashNews::announce(std::uint64_t Fingerprint, TimePoint Now) {
+  auto const Present = Guard_.verdict(Fingerprint, Now) == CrashVerdict::Refuse
+                           ? Announcement::Refused
+                           : Announcement::Cleared;
+  auto const Found = Announced_.find(Fingerprint);
+  auto const Last =
+      Found == Announced_.end() ? Announcement::Cleared : Found->second;
+  if (Present == Last || !isKeeper(keepersOf(Fingerprint)))
+    return;
+  Announced_[Fingerprint] = Present;
+  Fresh_[Fingerprint] = Now + RepeatTime;
+  tellEverybody(Fingerprint, Now);
+}
+
+void CrashNews::tellEverybody(std::uint64_t Fingerprint, TimePoint Now) {
+  auto const Reports = Guard_.reportsOf(Fingerprint, Now);
+  for (auto const &One : Live_)
+    tell(One, Reports);
+}
+
+void CrashNews::tell(EntryInstance const &To,
+                     std::vector<CrashReport> const &Reports) {
+  if (Reports.empty() || To.Id_ == Self_.Id_)
+    return;
+  auto &Waiting = Out_[To.Peers_];
+  Waiting.insert(Waiting.end(), Reports.begin(), Reports.end());
+}
+
+std::vector<SendToPeer> CrashNews::takeMessages() {
+  std::vector<SendToPeer> Messages;
+  for (auto &[To, Reports] : Out_)
+    Messages.push_back({To, CrashReports{std::move(Reports)}});
+  Out_.clear();
+  return Messages;
+}
+
+std::vector<CrashReport> CrashNews::announced(TimePoint Now) const {
+  std::vector<CrashReport> Reports;
+  for (auto const &[Fingerprint, Last] : Announced_) {
+    if (Last != Announcement::Refused)
+      continue;
+    auto const More = Guard_.reportsOf(Fingerprint, Now);
+    Reports.insert(Reports.end(), More.begin(), More.end());
+  }
+  return Reports;
+}
+
+} // namespace laburnum
--- a/Libraries/LibGuard/CrashGuard.cpp
+++ b/Libraries/LibGuard/CrashGuard.cpp
@@ -14,6 +14,8 @@
 constexpr Duration ReclaimWave = std::chrono::seconds(60);
 /// Servers that went within this time went together.
 constexpr Duration ServersGoTogether = std::chrono::seconds(5);
+/// Contents kept in mind, so that reports cannot fill the memory; about 1 MB.
+constexpr std::size_t MostContents = 4096;
 
 bool mayBeCrash(AttemptEvidence const &Evidence) {
   return Evidence.End_ == AttemptEnd::ConnectionFailed &&
@@ -36,6 +38,8 @@
   auto const &Known = Found->second;
   if (isRefused(Known, Now))
     return CrashVerdict::Refuse;
+  if (Policy_.MostSharedCrashes_)
+    return CrashVerdict::Run;
   if (std::none_of(Known.begin(), Known.end(), [&](auto const &Entry) {
         return counts(Entry.second, Now);
       }))
@@ -45,6 +49,15 @@
   return CrashVerdict::RunAlone;
 }
 
+std::optional<TimePoint> CrashGuard::refusedUntil(std::uint64_t Fingerprint,
+                                                  TimePoint Now) const {
+  std::lock_guard const Lock(Mutex_);
+  auto const Found = Suspicions_.find(Fingerprint);
+  if (Found == Suspicions_.end())
+    return std::nullopt;
+  return sharedRefusalEnd(Found->second, Now);
+}
+
 std::set<ServerId> CrashGuard::brokenOffOn(std::uint64_t Fingerprint,
                                            TimePoint Now) const {
   std::lock_guard const Lock(Mutex_);
@@ -153,7 +166,7 @@
   std::lock_guard const Lock(Mutex_);
   for (auto const &Report : Reports) {
     auto const At = Now - std::max(Report.Age_, Duration::zero());
-    auto &One = Suspicions_[Report.Fingerprint_]
+    auto &One = incidentsOf(Report.Fingerprint_)
                     .try_emplace(Report.Incident_,
                                  Incident{Report.Server_, Report.Evidence_, At,
                                           Company::Shared})
@@ -194,8 +207,57 @@
   });
 }
 
-/// A content broke off, and later or elsewhere a server crashed under it alone.
 bool CrashGuard::isRefused(Incidents const &Known, TimePoint Now) const {
+  return Policy_.MostSharedCrashes_ ? sharedRefusalEnd(Known, Now).has_value()
+                                    : hasCrashedAlone(Known, Now);
+}
+
+/// When fewer crashed servers count than the policy asks for; nothing when they
+/// are too few now. Copies that broke off on one server are one crash.
+std::optional<TimePoint> CrashGuard::sharedRefusalEnd(Incidents const &Known,
+                                                      TimePoint Now) const {
+  if (!Policy_.MostSharedCrashes_)
+    return std::nullopt;
+  std::map<ServerId, TimePoint> Crashes;
+  for (auto const &[Name, One] : Known)
+    if (counts(One, Now)) {
+      auto &At = Crashes.try_emplace(One.Server_, One.At_).first->second;
+      At = std::max(At, One.At_);
+    }
+  if (Crashes.size() < *Policy_.MostSharedCrashes_)
+    return std::nullopt;
+  std::vector<TimePoint> Times;
+  for (auto const &[Server, At] : Crashes)
+    Times.push_back(At);
+  auto const Deciding =
+      Times.end() - static_cast<std::ptrdiff_t>(*Policy_.MostSharedCrashes_);
+  std::nth_element(Times.begin(), Deciding, Times.end());
+  return *Deciding + Expiry;
+}
+
+/// The content's incidents. When there are too many contents, the one that
+/// broke off longest ago is forgotten.
+CrashGuard::Incidents &CrashGuard::incidentsOf(std::uint64_t Fingerprint) {
+  auto const Found = Suspicions_.find(Fingerprint);
+  if (Found != Suspicions_.end())
+    return Found->second;
+  auto const LastBreak = [](auto const &Entry) {
+    auto Last = TimePoint::min();
+    for (auto const &[Name, One] : Entry.second)
+      Last = std::max(Last, One.At_);
+    return Last;
+  };
+  if (Suspicions_.size() >= MostContents)
+    Suspicions_.erase(
+        std::min_element(Suspicions_.begin(), Suspicions_.end(),
+                         [&](auto const &Left, auto const &Right) {
+                           return LastBreak(Left) < LastBreak(Right);
+                         }));
+  return Suspicions_[Fingerprint];
+}
+
+/// A content broke off, and later or elsewhere a server crashed under it alone.
+bool CrashGuard::hasCrashedAlone(Incidents const &Known, TimePoint Now) const {
   for (auto const &[Name, Alone] : Known) {
     if (Alone.Evidence_ != CrashEvidence::CrashedAlone || !counts(Alone, Now))
       continue;
@@ -236,16 +298,17 @@
 CrashReport CrashGuard::addIncident(std::uint64_t Fingerprint, Incident Seen,
                                     TimePoint Now) {
   auto const Name = Generator_();
-  Suspicions_[Fingerprint][Name] = Seen;
+  incidentsOf(Fingerprint)[Name] = Seen;
   return {Name, Fingerprint, Seen.Server_, Seen.Evidence_, Now - Seen.At_};
 }
 
 /// After a whole answer. A copy that ran elsewhere does not clear a content
-/// that is refused already.
+/// under which a server crashed alone.
 std::vector<CrashReport> CrashGuard::clear(std::uint64_t Fingerprint,
                                            TimePoint Now) {
   auto const Found = Suspicions_.find(Fingerprint);
-  if (Found == Suspicions_.end() || isRefused(Found->second, Now))
+  if (Found == Suspicions_.end() ||
+      (!Policy_.MostSharedCrashes_ && isRefused(Found->second, Now)))
     return {};
   std::vector<CrashReport> Reports;
   for (auto &[Name, One] : Found->second) {
--- a/Libraries/LibGuard/CrashGuard.h
+++ b/Libraries/LibGuard/CrashGuard.h
@@ -21,7 +21,18 @@
   Run,
   RunAlone, ///< Suspect: only on a server with no other work.
   Wait,     ///< Suspect, and a copy of it runs or has just broken off.
-  Refuse,   ///< A second server crashed under it while nothing else ran there.
+  Refuse,   ///< What the policy asks for has happened.
+};
+
+/// Where suspects run, and when a content is refused.
+struct CrashPolicy {
+  /// Not set: suspects run apart, and a content is refused when a second server
+  /// crashed under it while nothing else ran there. Set: suspects run beside
+  /// other requests, and a content is refused once this many servers crashed
+  /// under it.
+  std::optional<std::size_t> MostSharedCrashes_;
+
+  auto operator<=>(CrashPolicy const &) const = default;
 };
 
 /// Whether anything else may run on the server of an attempt.
@@ -33,18 +44,23 @@
 /// An attempt whose connection broke on a server that is not known to be
 /// leaving makes its content a suspect at once. The break is then judged (see
 /// judgeBreak()): a broken link or a reclaim clears the content, a crash leaves
-/// it suspect. A suspect runs apart; if that server crashes too, the content is
-/// refused, and if the answer comes back whole, it is cleared. Content that
-/// only shared crashed servers is never refused.
+/// it suspect. A whole answer to the content clears it. What else becomes of
+/// suspects is up to the policy. Where they run apart, content that only shared
+/// crashed servers is never refused, and content that is refused stays so.
 ///
 /// Reports merge by value: any order, loss of all but one, and repetition of
 /// reports give the same state. Safe to call from several threads.
 class CrashGuard {
 public:
   /// Seed must differ between processes: incidents are named from it.
-  explicit CrashGuard(std::uint64_t Seed) : Generator_(Seed) {}
+  explicit CrashGuard(std::uint64_t Seed, CrashPolicy Policy = {})
+      : Policy_(Policy), Generator_(Seed) {}
 
   CrashVerdict verdict(std::uint64_t Fingerprint, TimePoint Now) const;
+  /// Until when content that shared crashed servers is refused; nothing when
+  /// it is not.
+  std::optional<TimePoint> refusedUntil(std::uint64_t Fingerprint,
+                                        TimePoint Now) const;
   /// Servers on which the content broke off.
   std::set<ServerId> brokenOffOn(std::uint64_t Fingerprint,
                                  TimePoint Now) const;
@@ -102,6 +118,10 @@
   bool counts(Incident const &One, TimePoint Now) const;
   bool isRunning(std::uint64_t Fingerprint) const;
   bool isRefused(Incidents const &Known, TimePoint Now) const;
+  bool hasCrashedAlone(Incidents const &Known, TimePoint Now) const;
+  std::optional<TimePoint> sharedRefusalEnd(Incidents const &Known,
+                                            TimePoint Now) const;
+  Incidents &incidentsOf(std::uint64_t Fingerprint);
   bool awaitsJudgement(Incidents const &Known, TimePoint Now) const;
   std::optional<Company> endAttempt(std::uint64_t Fingerprint,
                                     ServerId const &Server);
@@ -114,6 +134,7 @@
   bool isInReclaim(BackendServer const &Server, TimePoint Now) const;
 
   mutable std::mutex Mutex_;
+  CrashPolicy const Policy_;
   std::mt19937_64 Generator_;
   std::map<std::uint64_t, Incidents> Suspicions_; ///< By content.
   std::map<ServerId, std::map<std::uint64_t, Attempts>> Running_;
--- a/Libraries/LibTraffic/ServerRecord.h
+++ b/Libraries/LibTraffic/ServerRecord.h
@@ -6,7 +6,7 @@
 
 #include <compare>
 #include <cstdint>
-#include <optional>
+#include <string>
 
 namespace laburnum {
 
@@ -27,6 +27,12 @@
   auto operator<=>(ServerRecord const &) const = default;
 };
 
+/// Names one life of a server.
+inline ServerId lifeOf(ServerRecord const &Server) {
+  return ServerId(Server.Id_.text() + '@' +
+                  std::to_string(Server.BornAtMilliseconds_));
+}
+
 /// What a server says of its own work, with an answer.
 struct ServerLoad {
   std::uint32_t Running_ = 0;
--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -195,6 +195,12 @@
     Found->second.IsLeaving_ = true;
 }
 
+bool ServerRoster::isLeaving(ServerId const &Id) const {
+  auto const Found = Servers_.find(Id);
+  return Found == Servers_.end() || Found->second.IsLeaving_ ||
+         Found->second.Record_.Phase_ == ServerPhase::Draining;
+}
+
 std::vector<ServerRecord> ServerRoster::records() const {
   std::vector<ServerRecord> Records;
   for (auto const &[Id, Server] : Servers_)
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -67,6 +67,10 @@
   /// The server itself said that it leaves, or another one has its address.
   void onLeaving(ServerId const &Id);
 
+  /// Whether the server is not expected to stay: it drains, has said that it
+  /// leaves, or is not listed.
+  bool isLeaving(ServerId const &Id) const;
+
   std::vector<ServerRecord> records() const;
   std::uint32_t running(ServerId const &Id) const;
   /// What was sent from here and has not ended, by service.
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -12,6 +12,7 @@
 /// How often the calls to the store so far are logged.
 constexpr std::chrono::seconds CallsPeriod{30};
 constexpr std::chrono::milliseconds DutyPeriod{200};
+constexpr std::chrono::seconds CrashPeriod{1};
 /// The settings file may change without a signal.
 constexpr std::chrono::seconds SettingsPeriod{2};
 constexpr std::string_view PeriodicTrigger = "file";
@@ -145,6 +146,7 @@
                Parts.Metrics_},
               Life_, Seed + 3),
       Collector_(instanceOf(Parts.Settings_, Life_)),
+      Crashes_(instanceOf(Parts.Settings_, Life_), Parts.Guard_),
       Peers_(std::make_shared<PeerNetwork>(
           Parts.Context_, Store_, Parts.Settings_.Name_,
           instanceOf(Parts.Settings_, Life_), Seed + 4,
@@ -161,6 +163,7 @@
           Parts.Context_, Store_, instanceOf(Parts.Settings_, Life_), Seed,
           followerCallbacks())),
       DutyTimer_(Parts.Context_), ReportTimer_(Parts.Context_),
+      CrashTimer_(Parts.Context_),
       Signals_(Parts.Context_, SIGTERM, SIGINT, SIGHUP),
       LogTimer_(Parts.Context_), CallsTimer_(Parts.Context_),
       StopTimer_(Parts.Context_), SettingsTimer_(Parts.Context_),
@@ -209,8 +212,14 @@
   Follower_->start();
   Parts_.Clock_.setOwn(timeOfDay(), readElapsedTime());
   Peers_->start();
+  Parts_.Traffic_.setCrashListener([this](auto const &Reports) {
+    asio::post(Parts_.Context_, [this, Reports] {
+      sendCrashNews(Crashes_.onOwn(Reports, readElapsedTime()));
+    });
+  });
   tickDuties();
   reportConsumption();
+  repeatCrashNews();
   awaitSignals();
   watchSettings();
   flushLog();
@@ -298,6 +307,7 @@
   LastFleet_ = {Live, View.Registered_};
   Duties_.setMembers(View.Members_, readElapsedTime());
   Follower_->setMembers(View.Members_);
+  sendCrashNews(Crashes_.setMembers(View.Members_, readElapsedTime()));
   Collector_.setMembers(View.Members_, readElapsedTime());
   if (Collector_.isDirect())
     Duties_.setReach(Live >= View.Registered_ && Live > 1 ? PeerReach::Whole
@@ -313,12 +323,32 @@
     onReport(From, *Report);
   else if (auto const *const Sum = std::get_if<ConsumptionSum>(&Message))
     onSum(*Sum);
+  else if (auto const *const Heard = std::get_if<CrashReports>(&Message))
+    onCrashReports(*Heard);
   else if (auto const *const News = std::get_if<StoreNews>(&Message))
     Follower_->onNews(*News);
   else if (auto const *const Request = std::get_if<StoreNewsRequest>(&Message))
     Follower_->onRequest(*Request);
 }
 
+void ControlPlane::onCrashReports(CrashReports const &Heard) {
+  sendCrashNews(Crashes_.onPeer(Heard, readElapsedTime()));
+}
+
+void ControlPlane::sendCrashNews(std::vector<SendToPeer> const &News) {
+  for (auto const &One : News)
+    Peers_->send(One);
+}
+
+void ControlPlane::repeatCrashNews() {
+  sendCrashNews(Crashes_.onTimePassed(readElapsedTime()));
+  CrashTimer_.expires_after(CrashPeriod);
+  CrashTimer_.async_wait([this](asio::error_code Failure) {
+    if (!Failure)
+      repeatCrashNews();
+  });
+}
+
 void ControlPlane::onReport(InstanceId const &From,
                             ConsumptionReport const &Report) {
   auto const Now = readElapsedTime();
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -6,6 +6,7 @@
 
 #include <LibControl/ConsumptionCollector.h>
 #include <LibControl/CountedStore.h>
+#include <LibControl/CrashNews.h>
 #include <LibControl/PeerNetwork.h>
 #include <LibControl/SettingsWatch.h>
 #include <LibControl/StoreFollower.h>
@@ -45,6 +46,7 @@
   TrafficPlane &Traffic_;
   EventLog &Log_;
   EntryMetrics &Metrics_;
+  CrashGuard &Guard_;
   SettingsWatch::Read ReadSettings_;
 };
 
@@ -73,6 +75,9 @@
   void logCalls();
   void onFleet(FleetView const &View);
   void onPeerMessage(InstanceId const &From, PeerMessage const &Message);
+  void onCrashReports(CrashReports const &Heard);
+  void sendCrashNews(std::vector<SendToPeer> const &News);
+  void repeatCrashNews();
   void onReport(InstanceId const &From, ConsumptionReport const &Report);
   void onSum(ConsumptionSum const &Sum);
   void sendSum();
@@ -101,10 +106,12 @@
   InstanceId Life_; ///< Names this life of the instance.
   DutyDesk Duties_;
   ConsumptionCollector Collector_;
+  CrashNews Crashes_;
   std::shared_ptr<PeerNetwork> Peers_;
   std::shared_ptr<StoreFollower> Follower_;
   asio::steady_timer DutyTimer_;
   asio::steady_timer ReportTimer_;
+  asio::steady_timer CrashTimer_;
   asio::signal_set Signals_;
   asio::steady_timer LogTimer_;
   asio::steady_timer CallsTimer_;
--- a/Services/laburnum-entry/EntryMetrics.cpp
+++ b/Services/laburnum-entry/EntryMetrics.cpp
@@ -32,6 +32,10 @@
       AttemptsFailed_(Registry_.counter("attempts.failed", "attempts")),
       AttemptsBrokenOff_(Registry_.counter("attempts.broken_off", "attempts")),
       AttemptsRefused_(Registry_.counter("attempts.refused", "attempts")),
+      ContentRefused_(
+          Registry_.counter("requests.content_refused", "requests")),
+      ServersCrashed_(Registry_.counter("servers.crashed", "servers")),
+      LinksBroken_(Registry_.counter("servers.links_broken", "breaks")),
       ForeignAnswers_(Registry_.counter("attempts.foreign_answers", "answers")),
       ConfigurationsApplied_(
           Registry_.counter("configuration.applied", "versions")),
--- a/Services/laburnum-entry/EntryMetrics.h
+++ b/Services/laburnum-entry/EntryMetrics.h
@@ -31,6 +31,9 @@
   Counter &AttemptsFailed_;
   Counter &AttemptsBrokenOff_; ///< Of those failed: may have run.
   Counter &AttemptsRefused_;   ///< By the server, before any work.
+  Counter &ContentRefused_;    ///< 503: servers crashed under the content.
+  Counter &ServersCrashed_;    ///< Gone when probed after a broken connection.
+  Counter &LinksBroken_;       ///< Still there when probed.
   Counter &ForeignAnswers_;    ///< Passed over on a kept connection.
   Counter &ConfigurationsApplied_;
   Counter &ServersOrdered_;
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -18,6 +18,14 @@
 /// hundredths, speaks against its server.
 constexpr std::int64_t SilencePart = 60;
 
+/// What a whole answer shows of its attempt.
+AttemptEvidence evidenceOf(AnswerClaim Claim) {
+  auto const End = Claim == AnswerClaim::NotRun      ? AttemptEnd::Refused
+                   : Claim == AnswerClaim::Untrusted ? AttemptEnd::Cancelled
+                                                     : AttemptEnd::Answered;
+  return {AttemptProgress::AnswerWhole, End, 0, {}};
+}
+
 } // namespace
 
 std::string_view RequestSession::nameOf(Outcome Outcome) {
@@ -42,7 +50,8 @@
                                exchange::Subject Subject)
     : Plane_(Plane), Exchange_(std::move(Exchange)),
       Request_(std::move(Request)), Subject_(std::move(Subject)),
-      Flow_(Subject_, Plane_.Retries_), Expiry_(Plane_.Parts_.Context_),
+      Permit_(Plane_.Retries_, Plane_.Parts_.Guard_, Subject_.Fingerprint_),
+      Flow_(Subject_, Permit_), Expiry_(Plane_.Parts_.Context_),
       SilenceTimer_(Plane_.Parts_.Context_) {}
 
 void RequestSession::start() {
@@ -84,9 +93,13 @@
 
 void RequestSession::onAdmission(AdmissionOutcome const &Outcome) {
   if (auto const *const Place = std::get_if<Admitted>(&Outcome)) {
-    if (IsFinished_)
-      return Plane_.Roster_.onEnded(Place->Server_.Id_, ServerVerdict::Worked,
-                                    readElapsedTime());
+    auto const ReturnAfter = Plane_.returnAfterCrashes(Subject_.Fingerprint_);
+    if (IsFinished_ || ReturnAfter)
+      Plane_.Roster_.onEnded(Place->Server_.Id_, ServerVerdict::Unknown,
+                             readElapsedTime());
+    if (ReturnAfter)
+      return handle(
+          NoServer{std::string(TrafficPlane::CrashesServers), ReturnAfter});
     return handle(ServerAssigned{Place->Server_});
   }
   auto const &Away = std::get<TurnedAway>(Outcome);
@@ -108,6 +121,8 @@
   Outbound.Head_ = Plane_.Parts_.Dialect_.encode(Request_.Head_, Action.Facts_);
   Outbound.Body_ = Request_.Body_;
   watchForSilence();
+  Plane_.Parts_.Guard_.onStarted(Subject_.Fingerprint_, lifeOf(*Server_),
+                                 Company::Shared);
   Call_ =
       Plane_.poolOf(*Server_).start(std::move(Outbound), shared_from_this());
 }
@@ -146,7 +161,8 @@
   endAttempt(Claim == AnswerClaim::Succeeded ? ServerVerdict::Worked
              : Claim == AnswerClaim::NotRun  ? ServerVerdict::Refused
              : Claim == AnswerClaim::Failed  ? ServerVerdict::Worked
-                                             : ServerVerdict::Failed);
+                                             : ServerVerdict::Failed,
+             evidenceOf(Claim));
   handle(AnswerCompleted{});
 }
 
@@ -163,7 +179,7 @@
                                .add("born", Server_->BornAtMilliseconds_)
                                .add("run_state", toString(runStateOf(Evidence)))
                                .add("why", Evidence.Detail_));
-  endAttempt(ServerVerdict::Failed);
+  endAttempt(ServerVerdict::Failed, Evidence);
   handle(AttemptFailed{Evidence});
 }
 
@@ -185,11 +201,13 @@
     Plane_.Roster_.onSilenceEnded(Server_->Id_);
 }
 
-void RequestSession::endAttempt(ServerVerdict Verdict) {
+void RequestSession::endAttempt(ServerVerdict Verdict,
+                                AttemptEvidence const &Evidence) {
   if (!Server_)
     return;
   endSilence();
   Plane_.Roster_.onEnded(Server_->Id_, Verdict, readElapsedTime());
+  Plane_.onAttemptEnded(Subject_.Fingerprint_, *Server_, Evidence);
   Server_.reset();
   Plane_.advanceQueue();
 }
@@ -201,7 +219,8 @@
   bool const WasIgnored = IsSilent_ && readElapsedTime() >= Subject_.Expiry_;
   endAttempt(Answer_      ? ServerVerdict::Worked
              : WasIgnored ? ServerVerdict::Failed
-                          : ServerVerdict::Unknown);
+                          : ServerVerdict::Unknown,
+             {AttemptProgress::RequestSent, AttemptEnd::Cancelled, 0, {}});
 }
 
 void RequestSession::on(CountRun const & /*Action*/) {
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -2,6 +2,7 @@
 
 #include "TrafficPlane.h"
 
+#include <LibTraffic/ContentPermit.h>
 #include <LibTraffic/ExchangeFlow.h>
 
 #include <memory>
@@ -44,7 +45,7 @@
   void on(exchange::AbortStream const &Action);
   void on(exchange::Refuse const &Action);
 
-  void endAttempt(ServerVerdict Verdict);
+  void endAttempt(ServerVerdict Verdict, AttemptEvidence const &Evidence);
   void watchForSilence();
   void endSilence();
   void finish(Outcome Outcome, std::int32_t Status, std::string_view Reason);
@@ -56,6 +57,7 @@
   std::shared_ptr<Exchange> Exchange_;
   ReceivedRequest Request_;
   exchange::Subject Subject_;
+  ContentPermit Permit_;
   ExchangeFlow Flow_;
   asio::steady_timer Expiry_;
   asio::steady_timer SilenceTimer_;
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -16,6 +16,11 @@
 /// When a request that came before any configuration may come back.
 constexpr std::chrono::milliseconds ReturnAfterUnready{500};
 
+/// From a broken connection until its server is probed: a process that is
+/// ending may accept connections for a moment.
+constexpr std::chrono::milliseconds ProbeDelay{100};
+constexpr std::chrono::milliseconds ProbeTimeout{1000};
+
 constexpr std::int32_t BadRequest = 400;
 constexpr std::int32_t Unauthorized = 401;
 constexpr std::int32_t NotFound = 404;
@@ -185,6 +190,86 @@
           .add("why", "over the account's quota"));
 }
 
+void TrafficPlane::refuseContent(Exchange &Exchange,
+                                 exchange::Subject const &Subject,
+                                 Duration RetryAfter) {
+  Parts_.Metrics_.ContentRefused_.add();
+  Exchange.answer(Parts_.Dialect_.refusal(ServiceUnavailable, RetryAfter,
+                                          Subject.Facts_.AttemptId_),
+                  {});
+  Parts_.Log_.write(LogLine("request")
+                        .add("id", Subject.Facts_.AttemptId_)
+                        .add("outcome", "refused")
+                        .add("status", ServiceUnavailable)
+                        .add("account", Subject.Account_.text())
+                        .add("route", Subject.Route_->Name_)
+                        .add("config", Table_->version())
+                        .addHash("content", Subject.Fingerprint_)
+                        .add("retry_after_ms", RetryAfter)
+                        .add("why", CrashesServers));
+}
+
+std::optional<Duration>
+TrafficPlane::returnAfterCrashes(std::uint64_t Fingerprint) const {
+  auto const Now = readElapsedTime();
+  auto const Until = Parts_.Guard_.refusedUntil(Fingerprint, Now);
+  if (!Until)
+    return std::nullopt;
+  return *Until - Now;
+}
+
+void TrafficPlane::onAttemptEnded(std::uint64_t Fingerprint,
+                                  ServerRecord const &Server,
+                                  AttemptEvidence const &Evidence) {
+  auto Seen = Evidence;
+  // A server that was expected to go has not crashed.
+  if (Seen.End_ == AttemptEnd::ConnectionFailed &&
+      Roster_.isLeaving(Server.Id_))
+    Seen.End_ = AttemptEnd::Cancelled;
+  auto const Reports = Parts_.Guard_.onEnded(Fingerprint, lifeOf(Server), Seen,
+                                             readElapsedTime());
+  report(Reports);
+  if (std::any_of(Reports.begin(), Reports.end(), [](auto const &One) {
+        return One.Evidence_ == CrashEvidence::BrokenOff;
+      }))
+    judge(Server);
+}
+
+void TrafficPlane::judge(ServerRecord const &Server) {
+  if (!Judging_.insert(lifeOf(Server)).second)
+    return;
+  ConnectProbe::start(
+      Parts_.Context_, Server.Endpoint_, ProbeDelay, ProbeTimeout,
+      [this, Server](ProbeAnswer Answer) { onJudged(Server, Answer); });
+}
+
+void TrafficPlane::onJudged(ServerRecord const &Server, ProbeAnswer Answer) {
+  auto const Life = lifeOf(Server);
+  Judging_.erase(Life);
+  auto const Cause = judgeBreak({{Answer}, {}});
+  BackendServer Judged;
+  Judged.Id_ = Life;
+  Judged.DataCentre_ = Server.DataCentre_;
+  auto const Reports =
+      Parts_.Guard_.onJudged(Judged, Cause, readElapsedTime());
+  bool const IsThere = Cause == BreakCause::Link;
+  (IsThere ? Parts_.Metrics_.LinksBroken_ : Parts_.Metrics_.ServersCrashed_)
+      .add();
+  Parts_.Log_.write(LogLine("server_judged")
+                        .add("server", Server.Id_.text())
+                        .add("born", Server.BornAtMilliseconds_)
+                        .add("outcome", IsThere                      ? "there"
+                                        : Cause == BreakCause::Crash ? "crashed"
+                                                                     : "silent")
+                        .add("breaks", Reports.size()));
+  report(Reports);
+}
+
+void TrafficPlane::report(std::vector<CrashReport> const &Reports) {
+  if (!Reports.empty() && CrashListener_)
+    CrashListener_(Reports);
+}
+
 void TrafficPlane::onServersCurrent(Version StoreVersion) {
   ServersVersion_ = StoreVersion;
   ServersCurrentAt_ = readElapsedTime();
@@ -223,19 +308,25 @@
     return nullptr;
   }
   exchange::Subject Subject{Table_, Route, {}, {}, Facts, {}, {}};
+  RoutedAccount const *Account = nullptr;
   if (Table_->hasAccounts() && Route->Access_ == RouteAccess::KeyRequired) {
-    auto const *const Account = Table_->accountByKey(Facts.Key_);
+    Account = Table_->accountByKey(Facts.Key_);
     if (!Account) {
       refuse(*Exchange, Unauthorized, "unknown key", Facts, std::nullopt);
       return nullptr;
     }
-    if (auto const ReturnAfter = overQuota(*Account, Facts)) {
-      refuseOverQuota(*Exchange, Account->Name_, Facts, *ReturnAfter);
-      return nullptr;
-    }
     Subject.Account_ = Account->Name_;
   }
   Subject.Fingerprint_ = contentFingerprint(Subject.Account_, Request);
+  if (auto const ReturnAfter = returnAfterCrashes(Subject.Fingerprint_)) {
+    refuseContent(*Exchange, Subject, *ReturnAfter);
+    return nullptr;
+  }
+  if (auto const ReturnAfter =
+          Account ? overQuota(*Account, Facts) : std::nullopt) {
+    refuseOverQuota(*Exchange, Account->Name_, Facts, *ReturnAfter);
+    return nullptr;
+  }
   Subject.Service_ = serviceFor(*Route, Facts.AttemptId_);
   auto const Allowed =
       std::min(Route->Timeout_, Facts.TimeAllowed_.value_or(Route->Timeout_));
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -4,6 +4,8 @@
 
 #include <LibControl/TrueClock.h>
 #include <LibControl/UsageCounter.h>
+#include <LibGuard/ConnectProbe.h>
+#include <LibGuard/CrashGuard.h>
 #include <LibHttp/HttpListener.h>
 #include <LibHttp/OutboundPool.h>
 #include <LibLog/EventLog.h>
@@ -18,8 +20,11 @@
 #include <asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
+#include <vector>
 
 namespace laburnum {
 
@@ -34,6 +39,7 @@
   TrueClock const &Clock_;
   EventLog &Log_;
   EntryMetrics &Metrics_;
+  CrashGuard &Guard_;
 };
 
 /// Takes clients' requests to backend servers. Everything here runs on the
@@ -45,6 +51,13 @@
 
   Result<Success> listen();
 
+  using CrashListener = std::function<void(std::vector<CrashReport> const &)>;
+  /// Who tells peers what the guard reports. Set before traffic comes; called
+  /// on the traffic thread.
+  void setCrashListener(CrashListener Listener) {
+    CrashListener_ = std::move(Listener);
+  }
+
   void setTable(std::shared_ptr<RouteTable const> Table);
   /// What of the settings can change while the program runs.
   void setBounds(EntrySettings const &Settings);
@@ -73,6 +86,10 @@
 private:
   friend class RequestSession;
 
+  /// Why content is refused, for the log.
+  static constexpr std::string_view CrashesServers =
+      "servers crashed under requests of this content";
+
   /// Nothing when the request was answered already.
   std::shared_ptr<RequestSession>
   admit(std::shared_ptr<Exchange> const &Exchange, ReceivedRequest &Request);
@@ -83,6 +100,17 @@
               RequestFacts const &Facts, std::optional<Duration> RetryAfter);
   void refuseOverQuota(Exchange &Exchange, AccountName const &Account,
                        RequestFacts const &Facts, Duration RetryAfter);
+  /// An attempt ended; Server is where. Finds out whether the server crashed.
+  void onAttemptEnded(std::uint64_t Fingerprint, ServerRecord const &Server,
+                      AttemptEvidence const &Evidence);
+  void judge(ServerRecord const &Server);
+  void onJudged(ServerRecord const &Server, ProbeAnswer Answer);
+  void report(std::vector<CrashReport> const &Reports);
+  /// When a content that crashes servers may come back; nothing when it may
+  /// run.
+  std::optional<Duration> returnAfterCrashes(std::uint64_t Fingerprint) const;
+  void refuseContent(Exchange &Exchange, exchange::Subject const &Subject,
+                     Duration RetryAfter);
   void enqueue(std::shared_ptr<RequestSession> const &Session,
                WaitingRequest Request);
   void dequeue(std::uint64_t Ticket);
@@ -109,6 +137,8 @@
   std::map<ServiceName, std::uint64_t> Begun_; ///< Requests by service.
   std::map<std::uint64_t, std::shared_ptr<RequestSession>> Waiting_;
   std::map<ServerId, std::shared_ptr<OutboundPool>> Pools_;
+  CrashListener CrashListener_;
+  std::set<ServerId> Judging_; ///< Lives that are being probed.
 };
 
 } // namespace laburnum
--- a/Services/laburnum-entry/main.cpp
+++ b/Services/laburnum-entry/main.cpp
@@ -23,6 +23,9 @@
 constexpr int ExitSettings = 3;
 constexpr int ExitStart = 4;
 
+/// Servers that may crash under one content; the platform allows three.
+constexpr std::size_t MostCrashesOfContent = 3;
+
 /// Names the settings file where no option does.
 constexpr char const *SettingsVariable = "LABURNUMPOND_NODE_FILE";
 
@@ -74,11 +77,12 @@
   TrueClock Clock;
   EntryMetrics Metrics;
   std::random_device Entropy;
+  CrashGuard Guard(Entropy(), {MostCrashesOfContent});
   TrafficPlane Traffic(
-      {TrafficContext, Settings, Dialect, Usage, Clock, Log, Metrics},
+      {TrafficContext, Settings, Dialect, Usage, Clock, Log, Metrics, Guard},
       Entropy());
   ControlPlane Control({ControlContext, TrafficContext, Settings, Store, Duties,
-                        Records, Usage, Clock, Traffic, Log, Metrics,
+                        Records, Usage, Clock, Traffic, Log, Metrics, Guard,
                         [&Path] { return platform::loadNodeFile(Path); }},
                        Entropy());
   auto Started = Traffic.listen();
--- /dev/null
+++ b/Tests/LibGuard/TestConnectProbe.cpp
@@ -0,0 +1,47 @@
+#include <LibGuard/ConnectProbe.h>
+
+#include <catch2/catch.hpp>
+
+#include <asio/ip/tcp.hpp>
+
+#include <optional>
+
+using namespace laburnum;
+
+TEST_CASE("A probe tells a port that listens from one that does not") {
+  asio::io_context Context(1);
+  asio::ip::tcp::acceptor Acceptor(Context,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  Endpoint const Address{"127.0.0.1", Acceptor.local_endpoint().port()};
+  bool const Listens = GENERATE(true, false);
+  if (!Listens)
+    Acceptor.close();
+  std::optional<ProbeAnswer> Answer;
+  ConnectProbe::start(Context, Address, Duration::zero(),
+                      std::chrono::seconds(10),
+                      [&](ProbeAnswer Seen) { Answer = Seen; });
+  Context.run();
+  CHECK(Answer == (Listens ? ProbeAnswer::Accepted : ProbeAnswer::Refused));
+}
+
+TEST_CASE("A probe ends by itself when nothing answers") {
+  asio::io_context Context(1);
+  // A full backlog leaves further connections without an answer.
+  asio::ip::tcp::acceptor Acceptor(Context);
+  Acceptor.open(asio::ip::tcp::v4());
+  Acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+  Acceptor.listen(0);
+  auto const Local = Acceptor.local_endpoint();
+  asio::ip::tcp::socket First(Context);
+  First.connect(Local);
+  asio::ip::tcp::socket Second(Context, asio::ip::tcp::v4());
+  Second.non_blocking(true);
+  asio::error_code Ignored;
+  Second.connect(Local, Ignored);
+  std::optional<ProbeAnswer> Answer;
+  ConnectProbe::start(Context, {"127.0.0.1", Local.port()}, Duration::zero(),
+                      std::chrono::milliseconds(100),
+                      [&](ProbeAnswer Seen) { Answer = Seen; });
+  Context.run();
+  CHECK(Answer == ProbeAnswer::Silent);
+}
