--- a/Libraries/LibServing/GuardedChooser.h
+++ b/Libraries/LibServing/GuardedChooser.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibModel/Configuration.h>
 #include <LibGuard/CrashGuard.h>
+#include <LibModel/Configuration.h>
 #include <LibServing/ServerChooser.h>
 #include <LibServing/ServerReservations.h>
 
--- a/Services/laburnumd/ServerProbe.h
+++ b/Services/laburnumd/ServerProbe.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <LibCore/Time.h>
-#include <LibModel/BackendServer.h>
 #include <LibGuard/CrashJudge.h>
+#include <LibModel/BackendServer.h>
 
 #include <vector>
 
