--- a/Libraries/LibControl/CrashNews.cpp
+++ b/Libraries/LibControl/CrashNews.cpp
@@ -80,6 +80,15 @@
   return takeMessages();
 }
 
+void CrashNews::restore(std::vector<CrashReport> const &Reports,
+                        TimePoint Now) {
+  Guard_.merge(Reports, Now);
+  // Everybody reads the store at its start: nobody needs to be told.
+  for (auto const Fingerprint : contentsOf(Reports))
+    if (Guard_.verdict(Fingerprint, Now) == CrashVerdict::Refuse)
+      Announced_[Fingerprint] = Announcement::Refused;
+}
+
 CrashNews::Keepers CrashNews::keepersOf(std::uint64_t Fingerprint) const {
   auto Order =
       rendezvousOrder(std::to_string(Fingerprint), Live_,
@@ -109,9 +118,14 @@
   auto const Found = Announced_.find(Fingerprint);
   auto const Last =
       Found == Announced_.end() ? Announcement::Cleared : Found->second;
-  if (Present == Last || !isKeeper(keepersOf(Fingerprint)))
+  auto const Keepers = keepersOf(Fingerprint);
+  if (Present == Last || !isKeeper(Keepers))
     return;
   Announced_[Fingerprint] = Present;
+  if (Keepers.front().Id_ == Self_.Id_) {
+    auto const Reports = Guard_.reportsOf(Fingerprint, Now);
+    Unsaved_.insert(Unsaved_.end(), Reports.begin(), Reports.end());
+  }
   Fresh_[Fingerprint] = Now + RepeatTime;
   tellEverybody(Fingerprint, Now);
 }
--- a/Libraries/LibControl/CrashNews.h
+++ b/Libraries/LibControl/CrashNews.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace laburnum {
@@ -28,6 +29,10 @@
                                 TimePoint Now);
   /// What a peer tells.
   std::vector<SendToPeer> onPeer(CrashReports const &Heard, TimePoint Now);
+  /// What the store kept of contents that are refused.
+  void restore(std::vector<CrashReport> const &Reports, TimePoint Now);
+  /// What is to be kept in the store; each report once, by one instance.
+  std::vector<CrashReport> takeUnsaved() { return std::exchange(Unsaved_, {}); }
   /// Repeats what is new, as messages can be lost, and tells one member, each
   /// in its turn, which contents are refused. To be called every second.
   std::vector<SendToPeer> onTimePassed(TimePoint Now);
@@ -56,6 +61,7 @@
   std::map<std::uint64_t, TimePoint> Fresh_;
   std::size_t NextTurn_ = 0;
   std::map<Endpoint, std::vector<CrashReport>> Out_;
+  std::vector<CrashReport> Unsaved_;
 };
 
 } // namespace laburnum
--- /dev/null
+++ b/Libraries/LibControl/CrashRecords.cpp
@@ -0,0 +1,173 @@
+#include <LibControl/CrashRecords.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace laburnum {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds StoreTimeout{1500};
+/// A read at the start may lag by some seconds; the second one does not miss
+/// what was written before the start.
+constexpr std::uint32_t LoadsAtStart = 2;
+constexpr std::chrono::seconds BetweenLoads{5};
+/// After failed calls; doubles with each.
+constexpr std::chrono::seconds FirstPause{1};
+constexpr std::uint32_t MostDoublings = 4;
+/// How long a crash counts with any guard.
+constexpr std::chrono::minutes Lifetime{10};
+/// Far more than three crashes of each content that is refused in ten minutes.
+constexpr std::size_t MostRecords = 300;
+
+constexpr std::array<std::pair<CrashEvidence, char const *>, 5> EvidenceNames{
+    {{CrashEvidence::BrokenOff, "broken_off"},
+     {CrashEvidence::ServerLost, "server_lost"},
+     {CrashEvidence::Crashed, "crashed"},
+     {CrashEvidence::CrashedAlone, "crashed_alone"},
+     {CrashEvidence::Cleared, "cleared"}}};
+
+std::string nameOf(CrashEvidence Evidence) {
+  for (auto const &[Known, Name] : EvidenceNames)
+    if (Known == Evidence)
+      return Name;
+  return {};
+}
+
+std::optional<CrashEvidence> evidenceOf(std::string const &Name) {
+  for (auto const &[Evidence, Known] : EvidenceNames)
+    if (Name == Known)
+      return Evidence;
+  return std::nullopt;
+}
+
+ObjectKey recordsKey() { return {"entry-crashes", "contents"}; }
+
+std::int64_t milliseconds(Duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+
+} // namespace
+
+void CrashRecords::save(std::vector<CrashReport> const &Reports,
+                        Duration TimeOfDay) {
+  for (auto const &One : Reports)
+    Unsaved_[One.Incident_] = {One, TimeOfDay - One.Age_};
+}
+
+void CrashRecords::tick(Duration TimeOfDay, TimePoint Now) {
+  Now_ = Now;
+  if (IsBusy_ || Now < NotBefore_)
+    return;
+  if (!Unsaved_.empty())
+    load(ReadConsistency::Latest, TimeOfDay);
+  else if (Loads_ < LoadsAtStart && Now >= NextLoadAt_)
+    load(ReadConsistency::MayLag, TimeOfDay);
+}
+
+void CrashRecords::load(ReadConsistency Consistency, Duration TimeOfDay) {
+  IsBusy_ = true;
+  Store_.get(recordsKey(), Consistency, StoreTimeout,
+             [Self = shared_from_this(), Consistency,
+              TimeOfDay](Result<StoredObject> const &Read) {
+               Self->IsBusy_ = false;
+               if (isError(Read))
+                 return Self->failed(Self->Now_);
+               Self->Failures_ = 0;
+               ++Self->Loads_;
+               Self->NextLoadAt_ = Self->Now_ + BetweenLoads;
+               auto const &Object = valueOf(Read);
+               auto Held =
+                   Object.Version_ == 0 ? Records() : decode(Object.Value_);
+               prune(Held, TimeOfDay);
+               std::vector<CrashReport> Reports;
+               for (auto const &[Name, One] : Held) {
+                 Reports.push_back(One.Report_);
+                 Reports.back().Age_ =
+                     std::max(TimeOfDay - One.At_, Duration(0));
+               }
+               if (!Reports.empty())
+                 Self->Restored_(Reports);
+               if (Consistency == ReadConsistency::Latest)
+                 Self->write(Object.Version_, std::move(Held), TimeOfDay);
+             });
+}
+
+void CrashRecords::write(Version Expected, Records Held, Duration TimeOfDay) {
+  auto const Sent = Unsaved_;
+  for (auto const &[Name, One] : Sent)
+    Held[Name] = One;
+  prune(Held, TimeOfDay);
+  IsBusy_ = true;
+  Store_.putIf(recordsKey(), Expected, encode(Held), StoreTimeout,
+               [Self = shared_from_this(), Sent](Result<Version> const &Done) {
+                 Self->IsBusy_ = false;
+                 // After a conflict or a lost answer the object is read again.
+                 if (isError(Done))
+                   return Self->failed(Self->Now_);
+                 for (auto const &[Name, One] : Sent) {
+                   auto const Found = Self->Unsaved_.find(Name);
+                   if (Found != Self->Unsaved_.end() &&
+                       Found->second.Report_ == One.Report_)
+                     Self->Unsaved_.erase(Found);
+                 }
+               });
+}
+
+void CrashRecords::failed(TimePoint Now) {
+  NotBefore_ = Now + FirstPause * (1U << std::min(Failures_, MostDoublings));
+  ++Failures_;
+}
+
+void CrashRecords::prune(Records &Held, Duration TimeOfDay) {
+  std::erase_if(Held, [&](auto const &Entry) {
+    return TimeOfDay - Entry.second.At_ >= Lifetime;
+  });
+  while (Held.size() > MostRecords)
+    Held.erase(std::min_element(Held.begin(), Held.end(),
+                                [](auto const &Left, auto const &Right) {
+                                  return Left.second.At_ < Right.second.At_;
+                                }));
+}
+
+std::string CrashRecords::encode(Records const &Held) {
+  auto Crashes = json::array();
+  for (auto const &[Name, One] : Held)
+    Crashes.push_back({{"incident", Name},
+                       {"content", One.Report_.Fingerprint_},
+                       {"server", One.Report_.Server_.text()},
+                       {"evidence", nameOf(One.Report_.Evidence_)},
+                       {"at_ms", milliseconds(One.At_)}});
+  return json{{"crashes", Crashes}}.dump();
+}
+
+CrashRecords::Records CrashRecords::decode(std::string const &Text) {
+  Records Held;
+  auto const Value = json::parse(Text, nullptr, false);
+  try {
+    for (auto const &Entry : Value.at("crashes")) {
+      Record One;
+      One.Report_.Incident_ = Entry.at("incident").get<std::uint64_t>();
+      One.Report_.Fingerprint_ = Entry.at("content").get<std::uint64_t>();
+      One.Report_.Server_ = ServerId(Entry.at("server").get<std::string>());
+      One.At_ =
+          std::chrono::milliseconds(Entry.at("at_ms").get<std::int64_t>());
+      if (auto const Evidence =
+              evidenceOf(Entry.at("evidence").get<std::string>())) {
+        One.Report_.Evidence_ = *Evidence;
+        Held[One.Report_.Incident_] = One;
+      }
+    }
+  } catch (json::exception const &) {
+    // Not written by this system: it says nothing, and is written over.
+    return {};
+  }
+  return Held;
+}
+
+} // namespace laburnum
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -147,6 +147,13 @@
               Life_, Seed + 3),
       Collector_(instanceOf(Parts.Settings_, Life_)),
       Crashes_(instanceOf(Parts.Settings_, Life_), Parts.Guard_),
+      CrashRecords_(std::make_shared<CrashRecords>(
+          Store_,
+          [this](std::vector<CrashReport> const &Reports) {
+            Parts_.Log_.write(
+                LogLine("crashes_restored").add("reports", Reports.size()));
+            Crashes_.restore(Reports, readElapsedTime());
+          })),
       Peers_(std::make_shared<PeerNetwork>(
           Parts.Context_, Store_, Parts.Settings_.Name_,
           instanceOf(Parts.Settings_, Life_), Seed + 4,
@@ -341,7 +348,11 @@
 }
 
 void ControlPlane::repeatCrashNews() {
-  sendCrashNews(Crashes_.onTimePassed(readElapsedTime()));
+  auto const Now = readElapsedTime();
+  auto const TimeOfDay = Parts_.Clock_.read(Now);
+  sendCrashNews(Crashes_.onTimePassed(Now));
+  CrashRecords_->save(Crashes_.takeUnsaved(), TimeOfDay);
+  CrashRecords_->tick(TimeOfDay, Now);
   CrashTimer_.expires_after(CrashPeriod);
   CrashTimer_.async_wait([this](asio::error_code Failure) {
     if (!Failure)
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -7,6 +7,7 @@
 #include <LibControl/ConsumptionCollector.h>
 #include <LibControl/CountedStore.h>
 #include <LibControl/CrashNews.h>
+#include <LibControl/CrashRecords.h>
 #include <LibControl/PeerNetwork.h>
 #include <LibControl/SettingsWatch.h>
 #include <LibControl/StoreFollower.h>
@@ -107,6 +108,7 @@
   DutyDesk Duties_;
   ConsumptionCollector Collector_;
   CrashNews Crashes_;
+  std::shared_ptr<CrashRecords> CrashRecords_;
   std::shared_ptr<PeerNetwork> Peers_;
   std::shared_ptr<StoreFollower> Follower_;
   asio::steady_timer DutyTimer_;
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -250,8 +250,7 @@
   BackendServer Judged;
   Judged.Id_ = Life;
   Judged.DataCentre_ = Server.DataCentre_;
-  auto const Reports =
-      Parts_.Guard_.onJudged(Judged, Cause, readElapsedTime());
+  auto const Reports = Parts_.Guard_.onJudged(Judged, Cause, readElapsedTime());
   bool const IsThere = Cause == BreakCause::Link;
   (IsThere ? Parts_.Metrics_.LinksBroken_ : Parts_.Metrics_.ServersCrashed_)
       .add();
--- a/Tests/EntryProcess/EntryFleet.cpp
+++ b/Tests/EntryProcess/EntryFleet.cpp
@@ -17,13 +17,24 @@
       Servers_.emplace_back(Thread_.context(), Store_, Number, Downtime)
           .begin();
   });
-  for (unsigned Number = 0; Number < Instances; ++Number) {
+  for (unsigned Number = 0; Number < Instances; ++Number)
     Instances_.push_back(std::make_unique<EntryProcess>(
         Number, StoreListener_->localEndpoint().Port_));
-    Instances_.back()->start();
-  }
+  start();
+}
+
+void EntryFleet::start() {
+  for (auto const &One : Instances_)
+    One->start();
+  for (auto const &One : Instances_)
+    One->process().awaitLine("fleet_changed live=" +
+                             std::to_string(Instances_.size()));
+}
+
+void EntryFleet::restart() {
   for (auto const &One : Instances_)
-    One->process().awaitLine("fleet_changed live=" + std::to_string(Instances));
+    One->kill();
+  start();
 }
 
 EntryFleet::~EntryFleet() {
--- a/Tests/EntryProcess/EntryFleet.h
+++ b/Tests/EntryProcess/EntryFleet.h
@@ -22,10 +22,14 @@
 
   EntryProcess &instance(std::size_t Number) { return *Instances_[Number]; }
   std::size_t instances() const { return Instances_.size(); }
+  /// Kills all instances and starts them again.
+  void restart();
   std::size_t deadlyArrivals();
   bool areServersUp();
 
 private:
+  void start();
+
   StandinThread Thread_;
   StoreStandin Store_{Thread_.context()};
   std::deque<MortalRunner> Servers_;
--- a/Tests/EntryProcess/EntryProcess.h
+++ b/Tests/EntryProcess/EntryProcess.h
@@ -31,6 +31,7 @@
   void writeSettings(std::string const &RetryRatio);
   /// Ends the process that runs, if any, without notice and starts another.
   void start();
+  void kill() { Process_.reset(); }
   Got send(std::string const &Method, std::string const &Path,
            std::string const &Key = "k1") const;
   bool isReady() const;
--- a/Tests/EntryProcess/TestCrashingRequests.cpp
+++ b/Tests/EntryProcess/TestCrashingRequests.cpp
@@ -15,23 +15,51 @@
 constexpr std::size_t CrashedServers = 3;
 constexpr std::size_t LaterRequests = 12;
 
+/// Sends to the instances in turn.
+struct Caller {
+  Got send(std::string const &Method, std::string const &Path) {
+    return Fleet_.instance(Next_++ % Fleet_.instances()).send(Method, Path);
+  }
+  /// Until as many servers have crashed as may, and all are back.
+  void crashServers(std::string const &Method, std::string const &Path) {
+    while (Fleet_.deadlyArrivals() < CrashedServers)
+      CHECK(send(Method, Path).Status_ != 200);
+    REQUIRE(await([&] { return Fleet_.areServersUp(); }));
+  }
+
+  EntryFleet &Fleet_;
+  std::size_t Next_ = 0;
+};
+
 } // namespace
 
 TEST_CASE("A request that crashed three servers goes on to no others") {
   EntryFleet Fleet(3, 12, Downtime);
-  std::size_t Next = 0;
-  auto const Send = [&](std::string const &Method, std::string const &Path) {
-    return Fleet.instance(Next++ % Fleet.instances()).send(Method, Path);
-  };
+  Caller Caller{Fleet};
   auto const [Method, Path] = GENERATE(table<std::string, std::string>(
       {{"GET", "/read/deadly"}, {"POST", "/order/deadly"}}));
-  while (Fleet.deadlyArrivals() < CrashedServers)
-    CHECK(Send(Method, Path).Status_ != 200);
-  REQUIRE(await([&] { return Fleet.areServersUp(); }));
+  Caller.crashServers(Method, Path);
   auto const Before = Fleet.deadlyArrivals();
   for (std::size_t Sent = 0; Sent < LaterRequests; ++Sent) {
-    CHECK(Send(Method, Path).Status_ >= 500);
-    CHECK(Send("GET", "/read/sound").Status_ == 200);
+    CHECK(Caller.send(Method, Path).Status_ >= 500);
+    CHECK(Caller.send("GET", "/read/sound").Status_ == 200);
+  }
+  CHECK(Fleet.deadlyArrivals() - Before <= MostRetries);
+}
+
+TEST_CASE("A request that crashed three servers is refused also after all "
+          "instances were killed") {
+  EntryFleet Fleet(3, 12, Downtime);
+  Caller Caller{Fleet};
+  std::string const Path = "/order/deadly";
+  Caller.crashServers("POST", Path);
+  auto const Before = Fleet.deadlyArrivals();
+  for (auto Restarts = 0; Restarts < 2; ++Restarts) {
+    Fleet.restart();
+    for (std::size_t Each = 0; Each < Fleet.instances(); ++Each)
+      Fleet.instance(Each).process().awaitLine("crashes_restored");
+    for (std::size_t Sent = 0; Sent < LaterRequests; ++Sent)
+      CHECK(Caller.send("POST", Path).Status_ >= 500);
   }
   CHECK(Fleet.deadlyArrivals() - Before <= MostRetries);
 }
--- /dev/null
+++ b/Tests/LibControl/TestCrashRecords.cpp
@@ -0,0 +1,109 @@
+#include <Fakes/FakeAsyncStore.h>
+
+#include <LibControl/CrashRecords.h>
+
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+using test::FakeAsyncStore;
+using test::StoreFault;
+
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr Duration Epoch = std::chrono::hours(490000);
+
+CrashReport report(std::uint64_t Incident, Duration Age = Duration(0)) {
+  return {Incident, 7, ServerId("s" + std::to_string(Incident)),
+          CrashEvidence::Crashed, Age};
+}
+
+/// One life of an instance.
+struct Life {
+  explicit Life(FakeAsyncStore &Store)
+      : Records_(std::make_shared<CrashRecords>(
+            Store, [this](std::vector<CrashReport> const &Reports) {
+              Restored_ = Reports;
+            })) {}
+
+  std::vector<CrashReport> Restored_;
+  std::shared_ptr<CrashRecords> Records_;
+};
+
+struct Fixture {
+  void pass(Life &Of, Duration Time) {
+    for (auto const End = Now_ + Time; Now_ < End; Now_ += seconds(1)) {
+      Of.Records_->tick(Epoch + (Now_ - TimePoint()), Now_);
+      Store_.deliver();
+    }
+  }
+  void save(Life &Of, std::vector<CrashReport> const &Reports) {
+    Of.Records_->save(Reports, Epoch + (Now_ - TimePoint()));
+  }
+
+  FakeAsyncStore Store_;
+  TimePoint Now_{};
+  Life First_{Store_};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "Crashes that were saved are known to later lives, "
+                          "with their age") {
+  pass(First_, seconds(1));
+  save(First_, {report(1), report(2, seconds(10)), report(3)});
+  pass(First_, seconds(2));
+  Now_ += seconds(18);
+  Life Second(Store_);
+  pass(Second, seconds(1));
+  REQUIRE(Second.Restored_.size() == 3);
+  CHECK(Second.Restored_[0] == report(1, seconds(20)));
+  CHECK(Second.Restored_[1] == report(2, seconds(30)));
+}
+
+TEST_CASE_METHOD(Fixture, "Crashes are saved beside those of others") {
+  Life Second(Store_);
+  save(First_, {report(1)});
+  save(Second, {report(2)});
+  // Both have read before either has written.
+  First_.Records_->tick(Epoch, Now_);
+  Second.Records_->tick(Epoch, Now_);
+  Store_.deliver();
+  pass(First_, seconds(10));
+  pass(Second, seconds(10));
+  Life Third(Store_);
+  pass(Third, seconds(1));
+  CHECK(Third.Restored_.size() == 2);
+}
+
+TEST_CASE_METHOD(Fixture, "An outage and lost answers delay what is saved and "
+                          "read") {
+  Store_.Fault_ = GENERATE(StoreFault::Down, StoreFault::LostAnswer);
+  save(First_, {report(1)});
+  pass(First_, seconds(10));
+  Store_.Fault_ = StoreFault::None;
+  pass(First_, seconds(30));
+  Life Second(Store_);
+  Store_.Fault_ = StoreFault::Down;
+  pass(Second, seconds(5));
+  CHECK(Second.Restored_.empty());
+  Store_.Fault_ = StoreFault::None;
+  pass(Second, seconds(20));
+  CHECK(Second.Restored_.size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "Old crashes and another writer's object count for "
+                          "nothing") {
+  ObjectKey const Key{"entry-crashes", "contents"};
+  Store_.put(Key, GENERATE("{\"crashes\":7}", "no json", "[]"), seconds(1),
+             [](Result<Version> const &) {});
+  Store_.deliver();
+  save(First_, {report(1), report(2, minutes(10))});
+  pass(First_, seconds(10));
+  Life Second(Store_);
+  pass(Second, seconds(1));
+  REQUIRE(Second.Restored_.size() == 1);
+  CHECK(Second.Restored_[0].Incident_ == 1);
+}
