--- a/Tests/EntryProcess/EntryFleet.cpp
+++ b/Tests/EntryProcess/EntryFleet.cpp
@@ -1,6 +1,6 @@
 #include "EntryFleet.h"
 
-#include "EntryFixture.h"
+#include "StandinRecords.h"
 
 #include <algorithm>
 #include <variant>
@@ -8,14 +8,13 @@
 namespace laburnum::entry_process {
 
 EntryFleet::EntryFleet(unsigned Instances, unsigned Servers,
-                       Duration Downtime) {
+                       MortalTimes Times) {
   Thread_.on([&] {
     StoreListener_ = std::get<0>(
         HttpListener::create(Thread_.context(), {"127.0.0.1", 0}, Store_));
     Store_.put("config", "main", configurationOf(1));
     for (unsigned Number = 0; Number < Servers; ++Number)
-      Servers_.emplace_back(Thread_.context(), Store_, Number, Downtime)
-          .begin();
+      Servers_.emplace_back(Thread_.context(), Store_, Number, Times).begin();
   });
   for (unsigned Number = 0; Number < Instances; ++Number)
     Instances_.push_back(std::make_unique<EntryProcess>(
@@ -56,6 +55,13 @@
   });
 }
 
+void EntryFleet::endServer(std::size_t Number) {
+  Thread_.on([&] {
+    if (!Servers_[Number].isDown())
+      Servers_[Number].end();
+  });
+}
+
 bool EntryFleet::areServersUp() {
   return Thread_.on([this] {
     return std::none_of(Servers_.begin(), Servers_.end(),
--- a/Tests/EntryProcess/EntryFleet.h
+++ b/Tests/EntryProcess/EntryFleet.h
@@ -15,7 +15,7 @@
 /// can end.
 class EntryFleet {
 public:
-  EntryFleet(unsigned Instances, unsigned Servers, Duration Downtime);
+  EntryFleet(unsigned Instances, unsigned Servers, MortalTimes Times);
   ~EntryFleet();
   EntryFleet(EntryFleet const &) = delete;
   EntryFleet &operator=(EntryFleet const &) = delete;
@@ -26,6 +26,8 @@
   void restart();
   std::size_t deadlyArrivals();
   bool areServersUp();
+  /// Ends a server, without a request that does it.
+  void endServer(std::size_t Number);
 
 private:
   void start();
--- a/Tests/EntryProcess/MortalRunner.cpp
+++ b/Tests/EntryProcess/MortalRunner.cpp
@@ -1,8 +1,10 @@
 #include "MortalRunner.h"
 
-#include "EntryFixture.h"
+#include "EntryProcess.h"
+#include "StandinRecords.h"
 
 #include <stdexcept>
+#include <utility>
 
 namespace laburnum::entry_process {
 
@@ -15,10 +17,9 @@
 } // namespace
 
 MortalRunner::MortalRunner(asio::io_context &Context, StoreStandin &Store,
-                           unsigned Number, Duration Downtime)
+                           unsigned Number, MortalTimes Times)
     : Context_(Context), Store_(Store), Name_("i" + std::to_string(Number)),
-      Downtime_(Downtime), Address_{loopbackAddress(FirstAddress + Number),
-                                    Port},
+      Times_(Times), Address_{loopbackAddress(FirstAddress + Number), Port},
       Rebirth_(Context) {}
 
 void MortalRunner::begin() {
@@ -40,7 +41,9 @@
 void MortalRunner::end() {
   Listener_->stopAccepting();
   Listener_.reset();
-  Rebirth_.expires_after(Downtime_);
+  for (auto const &One : std::exchange(Running_, {}))
+    One->abort();
+  Rebirth_.expires_after(Times_.Downtime_);
   Rebirth_.async_wait([this](asio::error_code Failure) {
     if (Failure)
       return;
@@ -68,7 +71,18 @@
     return end();
   }
   Head.Fields_.add("X-Server-Stamp", "stamp");
-  Exchange->answer(Head, "the whole answer");
+  work(Exchange, Head);
+}
+
+void MortalRunner::work(std::shared_ptr<Exchange> const &Exchange,
+                        AnswerHead const &Head) {
+  Running_.insert(Exchange);
+  auto const Timer = std::make_shared<asio::steady_timer>(Context_);
+  Timer->expires_after(Times_.Work_);
+  Timer->async_wait([this, Timer, Exchange, Head](asio::error_code Failure) {
+    if (!Failure && Running_.erase(Exchange) > 0)
+      Exchange->answer(Head, "the whole answer");
+  });
 }
 
 } // namespace laburnum::entry_process
--- /dev/null
+++ b/Tests/EntryProcess/StandinRecords.cpp
@@ -0,0 +1,40 @@
+#include "StandinRecords.h"
+
+namespace laburnum::entry_process {
+
+namespace {
+
+using nlohmann::json;
+
+json route(std::string const &Path, std::string const &Kind) {
+  return {{"name", Path},        {"host", "desk.example"},
+          {"path_prefix", Path}, {"route_kind", Kind},
+          {"timeout_ms", 2000},  {"target_latency_ms", 400},
+          {"service", "desk"},   {"max_attempts", 2}};
+}
+
+} // namespace
+
+json configurationOf(std::uint64_t Version) {
+  auto Routes = json::array(
+      {route("/read/", "idempotent"), route("/order/", "non_idempotent")});
+  if (Version > 1)
+    Routes.push_back(route("/new/", "idempotent"));
+  return {{"version", Version},
+          {"routes", Routes},
+          {"services", json::array({{{"name", "desk"}}})},
+          {"tenants", json::array({{{"name", "a"}, {"api_keys", {"k1"}}}})}};
+}
+
+json serverEntry(Endpoint const &Address, std::string const &State,
+                 std::int64_t Born, std::uint64_t Sequence) {
+  return {{"service", "desk"},
+          {"address", Address.Host_ + ':' + std::to_string(Address.Port_)},
+          {"zone", "a-1"},
+          {"slots", 8},
+          {"state", State},
+          {"born", Born},
+          {"sequence", Sequence}};
+}
+
+} // namespace laburnum::entry_process
--- a/Tests/EntryProcess/TestCrashingRequests.cpp
+++ b/Tests/EntryProcess/TestCrashingRequests.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 TEST_CASE("A request that crashed three servers goes on to no others") {
-  EntryFleet Fleet(3, 12, Downtime);
+  EntryFleet Fleet(3, 12, {Downtime, {}});
   Caller Caller{Fleet};
   auto const [Method, Path] = GENERATE(table<std::string, std::string>(
       {{"GET", "/read/deadly"}, {"POST", "/order/deadly"}}));
@@ -49,7 +49,7 @@
 
 TEST_CASE("A request that crashed three servers is refused also after all "
           "instances were killed") {
-  EntryFleet Fleet(3, 12, Downtime);
+  EntryFleet Fleet(3, 12, {Downtime, {}});
   Caller Caller{Fleet};
   std::string const Path = "/order/deadly";
   Caller.crashServers("POST", Path);
