LibTraffic: Heed servers that say that they leave or want a pause

A server that leaves says so in its answers: its life gets nothing more from whoever has heard it, nor from instances of the same data centre, which are told, also when its entry is listed again or comes back after it had lapsed. A server that answers 503 with Retry-After is left alone for so long; a time that can't be read means one second, more than an hour means an hour, and both are logged. When all servers of a service want a pause, callers learn at once when to come back, spread over half the time beyond.

Connection: close was taken for leaving by the adapter, though servers send it at other times too, and nothing used it. What a life said was lost with its entry in the list; the notes are now kept by life.

--- a/Libraries/LibTraffic/AdmissionQueue.cpp
+++ b/Libraries/LibTraffic/AdmissionQueue.cpp
@@ -19,8 +19,13 @@
     Roster_.onSent(Server->Id_);
     return Admitted{Request.Ticket_, *Server};
   }
+  auto const &Service = Request.Query_.Service_;
+  if (auto const ReturnAfter =
+          Roster_.returnAfterPause(Service, Request.GiveUpAt_, Now))
+    return TurnedAway{Request.Ticket_, "every server asks for a pause",
+                      *ReturnAfter};
   if (Now >= Request.GiveUpAt_)
-    return Roster_.isServed(Request.Query_.Service_, Now)
+    return Roster_.isServed(Service, Now)
                ? TurnedAway{Request.Ticket_, "every server is full",
                             ReturnAfterFull}
                : TurnedAway{Request.Ticket_, "no server takes requests",
--- a/Libraries/LibTraffic/AdmissionQueue.h
+++ b/Libraries/LibTraffic/AdmissionQueue.h
@@ -39,7 +39,8 @@
 
 /// Requests that found every server of their service full wait here, the most
 /// urgent first and then the oldest. A request whose time to start has passed
-/// is turned away at once, and so is one for whose service no server is known.
+/// is turned away at once, and so is one for whose service every server has
+/// asked for a pause beyond that time.
 class AdmissionQueue {
 public:
   explicit AdmissionQueue(ServerRoster &Roster) : Roster_(Roster) {}
--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace laburnum {
 
@@ -32,6 +33,12 @@
 constexpr double OtherCentreCost = 0.03;
 constexpr double OtherRegionCost = 0.3;
 
+/// For how long the word of a life is kept: it is gone by then.
+constexpr std::chrono::minutes NoteLifetime{10};
+/// Callers that are told to come back after a pause come within this part of it
+/// beyond its end.
+constexpr double ReturnSpread = 0.5;
+
 std::string regionOf(Geography const &Places, DataCentre const &Centre) {
   auto const Found = Places.Regions_.find(Centre);
   return Found == Places.Regions_.end() ? std::string() : Found->second;
@@ -61,15 +68,24 @@
   bool const IsReborn =
       Server.Record_.BornAtMilliseconds_ != Record.BornAtMilliseconds_ ||
       Server.Record_.Endpoint_ != Record.Endpoint_;
-  if (IsReborn)
+  if (IsReborn) {
     Server = Entry{};
+    Server.Life_ = lifeOf(Record);
+    if (auto const Known = Notes_.find(Server.Life_); Known != Notes_.end())
+      Server.Note_ = Known->second;
+  }
   Server.Record_ = Record;
 }
 
 void ServerRoster::remove(ServerId const &Id) { Servers_.erase(Id); }
 
+bool ServerRoster::isStaying(Entry const &Server) const {
+  return Server.Record_.Phase_ == ServerPhase::Ready &&
+         !Server.Note_.IsLeaving_;
+}
+
 bool ServerRoster::takesRequests(Entry const &Server, TimePoint Now) const {
-  return Server.Record_.Phase_ == ServerPhase::Ready && !Server.IsLeaving_ &&
+  return isStaying(Server) && Server.Note_.PausedUntil_ <= Now &&
          Server.AvoidUntil_ <= Now;
 }
 
@@ -190,15 +206,49 @@
     --Found->second.Silent_;
 }
 
-void ServerRoster::onLeaving(ServerId const &Id) {
-  if (auto const Found = Servers_.find(Id); Found != Servers_.end())
-    Found->second.IsLeaving_ = true;
+template <typename Function>
+void ServerRoster::note(ServerId const &Life, TimePoint Now, Function Change) {
+  std::erase_if(Notes_,
+                [&](auto const &One) { return One.second.KeptUntil_ <= Now; });
+  auto &Note = Notes_[Life];
+  Change(Note);
+  Note.KeptUntil_ = std::max(Now + NoteLifetime, Note.PausedUntil_);
+  for (auto &[Id, Server] : Servers_)
+    if (Server.Life_ == Life)
+      Server.Note_ = Note;
+}
+
+bool ServerRoster::onLeaving(ServerId const &Life, TimePoint Now) {
+  bool IsNew = false;
+  note(Life, Now,
+       [&](LifeNote &Note) { IsNew = !std::exchange(Note.IsLeaving_, true); });
+  return IsNew;
+}
+
+void ServerRoster::onPause(ServerId const &Life, Duration For, TimePoint Now) {
+  note(Life, Now, [&](LifeNote &Note) {
+    Note.PausedUntil_ = std::max(Note.PausedUntil_, Now + For);
+  });
+}
+
+std::optional<Duration>
+ServerRoster::returnAfterPause(ServiceName const &Service, TimePoint GiveUpAt,
+                               TimePoint Now) {
+  std::optional<TimePoint> First;
+  for (auto const &[Id, Server] : Servers_)
+    if (Server.Record_.Service_ == Service && isStaying(Server))
+      First =
+          std::min(First.value_or(TimePoint::max()), Server.Note_.PausedUntil_);
+  if (!First || *First <= GiveUpAt)
+    return std::nullopt;
+  std::uniform_real_distribution<double> Spread(1.0, 1.0 + ReturnSpread);
+  return std::chrono::duration_cast<Duration>((*First - Now) *
+                                              Spread(Generator_));
 }
 
 bool ServerRoster::isLeaving(ServerId const &Id) const {
   auto const Found = Servers_.find(Id);
-  return Found == Servers_.end() || Found->second.IsLeaving_ ||
-         Found->second.Record_.Phase_ == ServerPhase::Draining;
+  return Found == Servers_.end() || !isStaying(Found->second);
 }
 
 std::vector<ServerRecord> ServerRoster::records() const {
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -41,8 +41,9 @@
 };
 
 /// The backend servers of all services: what the platform's list says, what
-/// was seen of them here, and which is best for a request. A server takes no
-/// new request from the first sign that it leaves.
+/// was seen of them here, and which is best for a request. A life of a server
+/// takes no new request from the first sign that it leaves, whatever the list
+/// says of it later, nor while it has asked for a pause.
 class ServerRoster {
 public:
   ServerRoster(Geography Places, std::uint64_t Seed);
@@ -64,8 +65,16 @@
   /// An attempt has waited long for the server's first byte, or waits no more.
   void onSilent(ServerId const &Id);
   void onSilenceEnded(ServerId const &Id);
-  /// The server itself said that it leaves, or another one has its address.
-  void onLeaving(ServerId const &Id);
+  /// The server itself or a peer said that this life of it leaves, or another
+  /// one has its address. Yields whether that is new.
+  bool onLeaving(ServerId const &Life, TimePoint Now);
+  /// The server wants nothing from here for a while.
+  void onPause(ServerId const &Life, Duration For, TimePoint Now);
+  /// When a request may come back to a service of which every server wants a
+  /// pause beyond GiveUpAt; spread, so that not all come together. Nothing when
+  /// it may wait.
+  std::optional<Duration> returnAfterPause(ServiceName const &Service,
+                                           TimePoint GiveUpAt, TimePoint Now);
 
   /// Whether the server is not expected to stay: it drains, has said that it
   /// leaves, or is not listed.
@@ -77,17 +86,29 @@
   std::map<ServiceName, std::uint32_t> runningByService() const;
 
 private:
+  /// What a life said of itself.
+  struct LifeNote {
+    bool IsLeaving_ = false;
+    TimePoint PausedUntil_ = TimePoint::min();
+    TimePoint KeptUntil_{};
+  };
+
   struct Entry {
     ServerRecord Record_;
+    ServerId Life_;
+    LifeNote Note_;
     std::uint32_t Running_ = 0; ///< Sent from here and not ended.
     double Others_ = 0.0;       ///< Of other instances, when last told.
     TimePoint ToldAt_ = TimePoint::min();
     std::uint32_t Silent_ = 0;   ///< Attempts that wait long already.
     std::uint32_t Failures_ = 0; ///< In a row.
     TimePoint AvoidUntil_ = TimePoint::min();
-    bool IsLeaving_ = false;
   };
 
+  bool isStaying(Entry const &Server) const;
+  /// Changes the note of a life, whether the life is listed or not.
+  template <typename Function>
+  void note(ServerId const &Life, TimePoint Now, Function Change);
   bool takesRequests(Entry const &Server, TimePoint Now) const;
   double load(Entry const &Server, TimePoint Now) const;
   /// The load with what makes a server worse than its load says.
@@ -101,6 +122,8 @@
   Geography Places_;
   std::mt19937_64 Generator_;
   std::map<ServerId, Entry> Servers_;
+  /// By life. An entry of the list may lapse and come back.
+  std::map<ServerId, LifeNote> Notes_;
 };
 
 } // namespace laburnum
--- a/Libraries/LibTraffic/TrafficRequest.h
+++ b/Libraries/LibTraffic/TrafficRequest.h
@@ -53,13 +53,29 @@
   Untrusted,
 };
 
+/// How far the time of a pause is what the server wrote.
+enum class PauseOrigin {
+  AsAsked,
+  Bounded, ///< It asked for more than is granted.
+  Default, ///< What it wrote is no time.
+};
+
+/// A server's word that it wants no requests from this instance for a while.
+struct PauseRequest {
+  Duration For_{};
+  PauseOrigin Origin_ = PauseOrigin::AsAsked;
+
+  auto operator<=>(PauseRequest const &) const = default;
+};
+
 /// A server's answer head, decoded.
 struct ServerAnswer {
   AnswerClaim Claim_ = AnswerClaim::Untrusted;
   AnswerHead Head_; ///< As it goes to the client.
   std::optional<ServerLoad> Load_;
   bool IsOtherServer_ = false; ///< Another server has the address now.
-  bool IsLeaving_ = false;     ///< It closes its connections.
+  bool IsLeaving_ = false;     ///< It says that it leaves.
+  std::optional<PauseRequest> Pause_;
 
   auto operator<=>(ServerAnswer const &) const = default;
 };
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -224,6 +224,9 @@
       sendCrashNews(Crashes_.onOwn(Reports, readElapsedTime()));
     });
   });
+  Parts_.Traffic_.setLeavingListener([this](ServerId const &Life) {
+    asio::post(Parts_.Context_, [this, Life] { tellLeaving(Life); });
+  });
   tickDuties();
   reportConsumption();
   repeatCrashNews();
@@ -332,6 +335,11 @@
     onSum(*Sum);
   else if (auto const *const Heard = std::get_if<CrashReports>(&Message))
     onCrashReports(*Heard);
+  else if (auto const *const Notice =
+               std::get_if<ServerLeavingNotice>(&Message))
+    onTraffic([&Traffic = Parts_.Traffic_, Life = Notice->Server_] {
+      Traffic.onPeerSawLeaving(Life);
+    });
   else if (auto const *const News = std::get_if<StoreNews>(&Message))
     Follower_->onNews(*News);
   else if (auto const *const Request = std::get_if<StoreNewsRequest>(&Message))
@@ -342,6 +350,15 @@
   sendCrashNews(Crashes_.onPeer(Heard, readElapsedTime()));
 }
 
+void ControlPlane::tellLeaving(ServerId const &Life) {
+  ServerLeavingNotice Notice;
+  Notice.Server_ = Life;
+  for (auto const &Other : Peers_->view().Members_)
+    if (Other.Liveness_ == Liveness::Live && Other.Instance_.Id_ != Life_ &&
+        Other.Instance_.DataCentre_ == Parts_.Settings_.DataCentre_)
+      Peers_->send({Other.Instance_.Peers_, Notice});
+}
+
 void ControlPlane::sendCrashNews(std::vector<SendToPeer> const &News) {
   for (auto const &One : News)
     Peers_->send(One);
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -77,6 +77,8 @@
   void onFleet(FleetView const &View);
   void onPeerMessage(InstanceId const &From, PeerMessage const &Message);
   void onCrashReports(CrashReports const &Heard);
+  /// Tells the instances of the own data centre.
+  void tellLeaving(ServerId const &Life);
   void sendCrashNews(std::vector<SendToPeer> const &News);
   void repeatCrashNews();
   void onReport(InstanceId const &From, ConsumptionReport const &Report);
--- a/Services/laburnum-entry/EntryMetrics.cpp
+++ b/Services/laburnum-entry/EntryMetrics.cpp
@@ -35,6 +35,7 @@
       ContentRefused_(
           Registry_.counter("requests.content_refused", "requests")),
       ServersCrashed_(Registry_.counter("servers.crashed", "servers")),
+      ServersPaused_(Registry_.counter("servers.paused", "times")),
       LinksBroken_(Registry_.counter("servers.links_broken", "breaks")),
       ForeignAnswers_(Registry_.counter("attempts.foreign_answers", "answers")),
       ConfigurationsApplied_(
--- a/Services/laburnum-entry/EntryMetrics.h
+++ b/Services/laburnum-entry/EntryMetrics.h
@@ -33,6 +33,7 @@
   Counter &AttemptsRefused_;   ///< By the server, before any work.
   Counter &ContentRefused_;    ///< 503: servers crashed under the content.
   Counter &ServersCrashed_;    ///< Gone when probed after a broken connection.
+  Counter &ServersPaused_;     ///< Answers of theirs that asked for it.
   Counter &LinksBroken_;       ///< Still there when probed.
   Counter &ForeignAnswers_;    ///< Passed over on a kept connection.
   Counter &ConfigurationsApplied_;
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -143,8 +143,11 @@
     FirstAnswerAt_ = readElapsedTime();
   if (Answer_->Load_)
     Plane_.Roster_.onLoad(Server_->Id_, *Answer_->Load_, readElapsedTime());
-  if (Answer_->IsOtherServer_)
-    Plane_.Roster_.onLeaving(Server_->Id_);
+  if (Answer_->IsOtherServer_ || Answer_->IsLeaving_)
+    Plane_.onServerLeaving(*Server_, Answer_->IsLeaving_ ? "its own word"
+                                                         : "another's address");
+  if (Answer_->Pause_)
+    Plane_.onServerPause(*Server_, *Answer_->Pause_);
   handle(HeadArrived{*Answer_});
   return HeadVerdict::Take;
 }
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -235,6 +235,40 @@
     judge(Server);
 }
 
+void TrafficPlane::onServerLeaving(ServerRecord const &Server,
+                                   std::string_view Source) {
+  auto const Life = lifeOf(Server);
+  if (!Roster_.onLeaving(Life, readElapsedTime()))
+    return;
+  Parts_.Log_.write(
+      LogLine("server_leaving").add("life", Life.text()).add("source", Source));
+  if (auto const Pool = Pools_.find(Server.Id_); Pool != Pools_.end())
+    Pool->second->closeIdle();
+  if (LeavingListener_)
+    LeavingListener_(Life);
+}
+
+void TrafficPlane::onPeerSawLeaving(ServerId const &Life) {
+  if (Roster_.onLeaving(Life, readElapsedTime()))
+    Parts_.Log_.write(LogLine("server_leaving")
+                          .add("life", Life.text())
+                          .add("source", "a peer"));
+}
+
+void TrafficPlane::onServerPause(ServerRecord const &Server,
+                                 PauseRequest const &Pause) {
+  Roster_.onPause(lifeOf(Server), Pause.For_, readElapsedTime());
+  Parts_.Metrics_.ServersPaused_.add();
+  Parts_.Log_.write(
+      LogLine("server_paused")
+          .add("server", Server.Id_.text())
+          .add("born", Server.BornAtMilliseconds_)
+          .add("for_ms", Pause.For_)
+          .add("origin", Pause.Origin_ == PauseOrigin::AsAsked   ? "as asked"
+                         : Pause.Origin_ == PauseOrigin::Bounded ? "bounded"
+                                                                 : "default"));
+}
+
 void TrafficPlane::judge(ServerRecord const &Server) {
   if (!Judging_.insert(lifeOf(Server)).second)
     return;
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -51,6 +51,15 @@
 
   Result<Success> listen();
 
+  /// Is told, on the traffic thread, of a life of a server that takes no more
+  /// requests.
+  using LeavingListener = std::function<void(ServerId const &Life)>;
+  void setLeavingListener(LeavingListener Listener) {
+    LeavingListener_ = std::move(Listener);
+  }
+  /// What a peer has seen.
+  void onPeerSawLeaving(ServerId const &Life);
+
   using CrashListener = std::function<void(std::vector<CrashReport> const &)>;
   /// Who tells peers what the guard reports. Set before traffic comes; called
   /// on the traffic thread.
@@ -103,6 +112,8 @@
   /// An attempt ended; Server is where. Finds out whether the server crashed.
   void onAttemptEnded(std::uint64_t Fingerprint, ServerRecord const &Server,
                       AttemptEvidence const &Evidence);
+  void onServerLeaving(ServerRecord const &Server, std::string_view Source);
+  void onServerPause(ServerRecord const &Server, PauseRequest const &Pause);
   void judge(ServerRecord const &Server);
   void onJudged(ServerRecord const &Server, ProbeAnswer Answer);
   void report(std::vector<CrashReport> const &Reports);
@@ -138,6 +149,7 @@
   std::map<std::uint64_t, std::shared_ptr<RequestSession>> Waiting_;
   std::map<ServerId, std::shared_ptr<OutboundPool>> Pools_;
   CrashListener CrashListener_;
+  LeavingListener LeavingListener_;
   std::set<ServerId> Judging_; ///< Lives that are being probed.
 };
 
--- a/Tests/EntryProcess/RunnerStandin.h
+++ b/Tests/EntryProcess/RunnerStandin.h
@@ -10,6 +10,8 @@
 
 enum class RunnerMood {
   Normal,
+  Leaving,   ///< Says in its answers that it leaves.
+  Pausing,   ///< Turns requests away and asks for a pause.
   Full,      ///< Says of each request that it has not run.
   Hanging,   ///< Reads requests and answers none.
   BreaksOff, ///< Resets the connection once the request is read.
@@ -28,13 +30,19 @@
     Head.Fields_.add("X-Attempt-Id", std::string(Request.Head_.Fields_.valueOr(
                                          "X-Attempt-Id")));
     switch (Mood_) {
+    case RunnerMood::Leaving:
+      Head.Fields_.add("Server-Leaving", "1");
+      [[fallthrough]];
     case RunnerMood::Normal:
       Head.Fields_.add("X-Server-Stamp", "stamp");
       Head.Fields_.add("X-Instance-Load", "1,0,8");
       return Exchange->answer(Head, "the whole answer");
+    case RunnerMood::Pausing:
+      Head.Fields_.add("Retry-After", "30");
+      [[fallthrough]];
     case RunnerMood::Full:
     case RunnerMood::Another:
-      Head.Status_ = Mood_ == RunnerMood::Full ? 503 : 421;
+      Head.Status_ = Mood_ == RunnerMood::Another ? 421 : 503;
       Head.Fields_.add("X-Not-Executed", "1");
       return Exchange->answer(Head, "");
     case RunnerMood::Hanging:
--- a/Tests/EntryProcess/TestEntryProcess.cpp
+++ b/Tests/EntryProcess/TestEntryProcess.cpp
@@ -49,6 +49,29 @@
   CHECK(requestsAtRunner() == Before);
 }
 
+TEST_CASE_METHOD(EntryFixture, "A server that says in an answer that it leaves "
+                               "gets no request more, whatever is listed") {
+  on([this] { Runner_.Mood_ = RunnerMood::Leaving; });
+  REQUIRE(send("GET", "/read/x").Status_ == 200);
+  writeServer("i-1", "ready", 2);
+  Instance_->process().awaitLine("server_changed server=i-1");
+  CHECK(send("GET", "/read/x").Status_ == 503);
+  CHECK(send("POST", "/order/x").Status_ == 503);
+  CHECK(requestsAtRunner() == 1);
+}
+
+TEST_CASE_METHOD(EntryFixture, "A server that asks for a pause is left alone, "
+                               "and callers learn at once when to come back") {
+  on([this] { Runner_.Mood_ = RunnerMood::Pausing; });
+  REQUIRE(send("POST", "/order/x").Status_ == 503);
+  for (int Sent = 0; Sent < 5; ++Sent) {
+    auto const Answer = send("GET", "/read/x");
+    CHECK(Answer.Status_ == 503);
+    CHECK(std::stod(Answer.RetryAfter_) > 20.0);
+  }
+  CHECK(requestsAtRunner() == 1);
+}
+
 TEST_CASE_METHOD(EntryFixture, "Requests are served while the store is away, "
                                "and what it says then is in force") {
   on([this] { Store_.setMood(GENERATE(StoreMood::Silent, StoreMood::Busy)); });
--- a/Tests/LibTraffic/TestServerRoster.cpp
+++ b/Tests/LibTraffic/TestServerRoster.cpp
@@ -59,7 +59,7 @@
   }
   SECTION("gone from the list") { Roster_.replaceAll({}); }
   SECTION("by its own word") {
-    Roster_.onLeaving(ServerId("x"));
+    Roster_.onLeaving(lifeOf(server("x")), Now_);
     // An older entry does not bring it back.
     Roster_.update(server("x"));
   }
@@ -68,7 +68,7 @@
 
 TEST_CASE_METHOD(Fixture, "A server born again is another one") {
   Roster_.replaceAll({server("x")});
-  Roster_.onLeaving(ServerId("x"));
+  Roster_.onLeaving(lifeOf(server("x")), Now_);
   auto Reborn = server("x");
   Reborn.BornAtMilliseconds_ = 2;
   Roster_.update(Reborn);
--- a/Tests/Platform/TestHeaderDialect.cpp
+++ b/Tests/Platform/TestHeaderDialect.cpp
@@ -131,3 +131,39 @@
   CHECK_FALSE(
       Dialect.refusal(502, std::nullopt, "id1").Fields_.find("Retry-After"));
 }
+
+TEST_CASE("A server says in any answer that it leaves") {
+  for (auto const Status : {200, 500, 503})
+    CHECK(Dialect.decode(answer(Status, {{"Server-Leaving", "1"}})).IsLeaving_);
+  CHECK_FALSE(
+      Dialect.decode(answer(200, {{"Connection", "close"}})).IsLeaving_);
+  CHECK_FALSE(
+      Dialect.decode(answer(200, {{"Server-Leaving", "0"}})).IsLeaving_);
+  // Another server that has the address speaks for itself.
+  CHECK_FALSE(
+      Dialect.decode(answer(421, {{"Server-Leaving", "1"}})).IsLeaving_);
+}
+
+TEST_CASE("A server that turns a request away may ask for a pause") {
+  using std::chrono::hours;
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  auto const [Text, Pause] = GENERATE(table<std::string, PauseRequest>(
+      {{"3", {seconds(3), PauseOrigin::AsAsked}},
+       {"0.25", {milliseconds(250), PauseOrigin::AsAsked}},
+       {"0", {seconds(0), PauseOrigin::AsAsked}},
+       {"-2", {seconds(1), PauseOrigin::Default}},
+       {"soon", {seconds(1), PauseOrigin::Default}},
+       {"", {seconds(1), PauseOrigin::Default}},
+       {"nan", {seconds(1), PauseOrigin::Default}},
+       {"inf", {hours(1), PauseOrigin::Bounded}},
+       {"1e300", {hours(1), PauseOrigin::Bounded}}}));
+  CAPTURE(Text);
+  CHECK(Dialect.decode(answer(503, {{"Retry-After", Text}})).Pause_ == Pause);
+}
+
+TEST_CASE("Only a server that turns a request away asks for a pause") {
+  CHECK_FALSE(Dialect.decode(answer(503, {})).Pause_);
+  CHECK_FALSE(Dialect.decode(answer(200, {{"Retry-After", "3"}})).Pause_);
+  CHECK_FALSE(Dialect.decode(answer(429, {{"Retry-After", "3"}})).Pause_);
+}
