LibGuard: Do not suspect content that servers answer

A deadly content is never answered, so one that was answered whole here within 10 s is no suspect. Ruled out: clearing alone, as nothing runs any more that could clear a content refused everywhere.

--- a/Libraries/LibGuard/CrashGuard.cpp
+++ b/Libraries/LibGuard/CrashGuard.cpp
@@ -14,6 +14,11 @@
 constexpr Duration ReclaimWave = std::chrono::seconds(60);
 /// Servers that went within this time went together.
 constexpr Duration ServersGoTogether = std::chrono::seconds(5);
+/// For how long a whole answer speaks for its content. Content that comes less
+/// often is not on three servers that crash together.
+constexpr Duration AnswerCounts = std::chrono::seconds(10);
+/// Answers kept in mind; about 400 KB.
+constexpr std::size_t MostAnswers = 4096;
 /// Contents kept in mind, so that reports cannot fill the memory; about 1 MB.
 constexpr std::size_t MostContents = 4096;
 
@@ -102,10 +107,13 @@
                                              TimePoint Now) {
   std::lock_guard const Lock(Mutex_);
   auto const Ran = endAttempt(Fingerprint, Server);
-  if (isWhole(Evidence))
+  if (isWhole(Evidence)) {
+    if (Policy_.MostSharedCrashes_)
+      rememberAnswer(Fingerprint, Now);
     return clear(Fingerprint, Now);
+  }
   auto const Reclaim = Reclaimed_.find(Server);
-  if (!mayBeCrash(Evidence) || !Ran ||
+  if (!mayBeCrash(Evidence) || !Ran || wasAnswered(Fingerprint, Now) ||
       (Reclaim != Reclaimed_.end() && Now - Reclaim->second < Expiry))
     return {};
   Incident const Seen{Server, CrashEvidence::BrokenOff, Now, *Ran};
@@ -256,6 +264,24 @@
   return Suspicions_[Fingerprint];
 }
 
+void CrashGuard::rememberAnswer(std::uint64_t Fingerprint, TimePoint Now) {
+  Answered_[Fingerprint] = Now;
+  AnswersInOrder_.emplace_back(Now, Fingerprint);
+  while (AnswersInOrder_.size() > MostAnswers ||
+         Now - AnswersInOrder_.front().first >= AnswerCounts) {
+    auto const [At, Oldest] = AnswersInOrder_.front();
+    AnswersInOrder_.pop_front();
+    auto const Found = Answered_.find(Oldest);
+    if (Found != Answered_.end() && Found->second == At)
+      Answered_.erase(Found);
+  }
+}
+
+bool CrashGuard::wasAnswered(std::uint64_t Fingerprint, TimePoint Now) const {
+  auto const Found = Answered_.find(Fingerprint);
+  return Found != Answered_.end() && Now - Found->second < AnswerCounts;
+}
+
 /// A content broke off, and later or elsewhere a server crashed under it alone.
 bool CrashGuard::hasCrashedAlone(Incidents const &Known, TimePoint Now) const {
   for (auto const &[Name, Alone] : Known) {
--- a/Libraries/LibGuard/CrashGuard.h
+++ b/Libraries/LibGuard/CrashGuard.h
@@ -7,11 +7,13 @@
 #include <LibPeer/CrashReports.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <random>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace laburnum {
@@ -47,6 +49,8 @@
 /// it suspect. A whole answer to the content clears it. What else becomes of
 /// suspects is up to the policy. Where they run apart, content that only shared
 /// crashed servers is never refused, and content that is refused stays so.
+/// Where they don't, content that was answered whole a moment ago, as popular
+/// content always was, is no suspect.
 ///
 /// Reports merge by value: any order, loss of all but one, and repetition of
 /// reports give the same state. Safe to call from several threads.
@@ -122,6 +126,8 @@
   std::optional<TimePoint> sharedRefusalEnd(Incidents const &Known,
                                             TimePoint Now) const;
   Incidents &incidentsOf(std::uint64_t Fingerprint);
+  void rememberAnswer(std::uint64_t Fingerprint, TimePoint Now);
+  bool wasAnswered(std::uint64_t Fingerprint, TimePoint Now) const;
   bool awaitsJudgement(Incidents const &Known, TimePoint Now) const;
   std::optional<Company> endAttempt(std::uint64_t Fingerprint,
                                     ServerId const &Server);
@@ -138,6 +144,8 @@
   std::mt19937_64 Generator_;
   std::map<std::uint64_t, Incidents> Suspicions_; ///< By content.
   std::map<ServerId, std::map<std::uint64_t, Attempts>> Running_;
+  std::map<std::uint64_t, TimePoint> Answered_; ///< Last whole answers.
+  std::deque<std::pair<TimePoint, std::uint64_t>> AnswersInOrder_;
   std::map<ServerId, TimePoint> Reclaimed_;
   std::map<DataCentre, TimePoint> LastReclaim_;
 };
--- a/Tests/LibGuard/TestSharedCrashes.cpp
+++ b/Tests/LibGuard/TestSharedCrashes.cpp
@@ -112,3 +112,16 @@
   CHECK(Guard_.reports(at(seconds(20))).size() < Many / 2);
   CHECK(Guard_.reportsOf(100 + Many - 1, at(seconds(20))).size() == 1);
 }
+
+TEST_CASE_METHOD(SharedGuard, "Content that servers have just answered is not "
+                              "refused when many of them crash at once") {
+  run("well", Whole, seconds(0));
+  for (auto const *Server : {"a", "b", "c", "d"})
+    run(Server, Broken, seconds(5));
+  CHECK_FALSE(isRefused(seconds(5)));
+  CHECK(Guard_.reports(at(seconds(5))).empty());
+  // Its servers may answer it no more since.
+  for (auto const *Server : {"e", "f", "g"})
+    run(Server, Broken, seconds(11));
+  CHECK(isRefused(seconds(11)));
+}
