LibTraffic: Learn of an ended life of a server once

Callers got 503 while most servers were well: each instance found each ended server for itself by a refused connection, and paid a retry of the budget for it (attempts=1 why="Connection refused").

A send whose connection could not be made reached no server, so it takes nothing from the budget that spares servers. A refused connection, a probe after a broken one, or another server at the address leaves the life out for 5 s and doubling while others of its service are there, here and at the instances that are told. It is a hint: where all seem to be gone they are tried, and an answer or a new birth ends it.

Both tests fail on the code before.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -166,19 +166,34 @@
 void ExchangeFlow::on(AttemptFailed const &Event) {
   if (State_ != State::Attempting)
     return;
-  endAttempt(runStateOf(Event.Evidence_) != RunState::NotRun,
-             Event.Evidence_.Detail_);
+  auto const &Evidence = Event.Evidence_;
+  if (Evidence.Progress_ == AttemptProgress::NotConnected)
+    return endUnreached(Evidence.Detail_);
+  endAttempt(runStateOf(Evidence) != RunState::NotRun, Evidence.Detail_);
+}
+
+void ExchangeFlow::endUnreached(std::string const &Reason) {
+  // Retries are limited to spare servers; this one spared its server itself.
+  goOnOrFail(hasTimeAndTries(), Reason);
 }
 
 void ExchangeFlow::endAttempt(bool MayHaveRun, std::string const &Reason) {
   if (MayHaveRun)
     ++Runs_;
-  if (!mayTryAgain(MayHaveRun))
+  goOnOrFail(mayTryAgain(MayHaveRun), Reason);
+}
+
+void ExchangeFlow::goOnOrFail(bool MayTryAgain, std::string const &Reason) {
+  if (!MayTryAgain)
     return fail(Reason);
   State_ = State::Waiting;
   Actions_.push_back(AskForServer{Tried_});
 }
 
+bool ExchangeFlow::hasTimeAndTries() const {
+  return Sent_ < MaxSends && Subject_.Expiry_ - Now_ >= LeastTimeForRetry;
+}
+
 bool ExchangeFlow::mayTryAgain(bool MayHaveRun) {
   if (MayHaveRun && Subject_.Route_->Repeatability_ == Repeatability::Never)
     return false;
@@ -187,9 +202,8 @@
       LastEventId_.has_value();
   if (HasBegunStream_ && !CanGoOn)
     return false;
-  if (Runs_ >= std::max(Subject_.Route_->MaxAttempts_, 1U) || Sent_ >= MaxSends)
-    return false;
-  if (Subject_.Expiry_ - Now_ < LeastTimeForRetry)
+  if (Runs_ >= std::max(Subject_.Route_->MaxAttempts_, 1U) ||
+      !hasTimeAndTries())
     return false;
   return Permit_.tryTake(Subject_.Service_, Now_);
 }
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -153,6 +153,10 @@
   /// The attempt has ended without an answer that can be given. MayHaveRun
   /// tells whether the server may have begun it.
   void endAttempt(bool MayHaveRun, std::string const &Reason);
+  /// The attempt's connection could not be made.
+  void endUnreached(std::string const &Reason);
+  void goOnOrFail(bool MayTryAgain, std::string const &Reason);
+  bool hasTimeAndTries() const;
   bool mayTryAgain(bool MayHaveRun);
   void fail(std::string const &Reason);
   void refuse(std::int32_t Status, std::string const &Reason,
--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <utility>
 
 namespace laburnum {
@@ -35,6 +36,10 @@
 
 /// For how long the word of a life is kept: it is gone by then.
 constexpr std::chrono::minutes NoteLifetime{10};
+/// How long a life that nobody reached is left out: the list drops a server
+/// that crashed after about four seconds. Doubles with each further sign.
+constexpr std::chrono::seconds FirstAbsence{5};
+constexpr std::uint32_t MostAbsenceDoublings = 4;
 /// Callers that are told to come back after a pause come within this part of it
 /// beyond its end.
 constexpr double ReturnSpread = 0.5;
@@ -110,13 +115,21 @@
 
 std::vector<ServerRoster::Entry const *>
 ServerRoster::usable(ServerQuery const &Query, TimePoint Now) const {
-  std::vector<Entry const *> Usable;
+  std::vector<Entry const *> Takers;
   for (auto const &[Id, Server] : Servers_)
     if (Server.Record_.Service_ == Query.Service_ &&
-        !Query.Excluded_.contains(Id) && takesRequests(Server, Now) &&
-        load(Server, Now) < slotsOf(Server.Record_))
-      Usable.push_back(&Server);
-  return Usable;
+        !Query.Excluded_.contains(Id) && takesRequests(Server, Now))
+      Takers.push_back(&Server);
+  auto const IsThere = [&](Entry const *Server) {
+    return Server->Note_.GoneUntil_ <= Now;
+  };
+  // Where all seem to be gone, the signs may be wrong.
+  if (std::any_of(Takers.begin(), Takers.end(), IsThere))
+    std::erase_if(Takers, std::not_fn(IsThere));
+  std::erase_if(Takers, [&](Entry const *Server) {
+    return load(*Server, Now) >= slotsOf(Server->Record_);
+  });
+  return Takers;
 }
 
 ServerRoster::Entry const *
@@ -176,6 +189,11 @@
     --Server.Running_;
   if (Verdict == ServerVerdict::Worked) {
     Server.Failures_ = 0;
+    if (Server.Note_.GoneSigns_ > 0)
+      note(ServerId(Server.Life_), Now, [](LifeNote &Note) {
+        Note.GoneUntil_ = TimePoint::min();
+        Note.GoneSigns_ = 0;
+      });
   } else if (Verdict == ServerVerdict::Refused) {
     Server.AvoidUntil_ = std::max(Server.AvoidUntil_, Now + RefusalAvoidance);
   } else if (Verdict == ServerVerdict::Failed) {
@@ -225,6 +243,18 @@
   return IsNew;
 }
 
+bool ServerRoster::onGone(ServerId const &Life, TimePoint Now) {
+  bool IsNew = false;
+  note(Life, Now, [&](LifeNote &Note) {
+    IsNew = Note.GoneUntil_ <= Now;
+    if (IsNew)
+      Note.GoneUntil_ =
+          Now + FirstAbsence *
+                    (1U << std::min(Note.GoneSigns_++, MostAbsenceDoublings));
+  });
+  return IsNew;
+}
+
 void ServerRoster::onPause(ServerId const &Life, Duration For, TimePoint Now) {
   note(Life, Now, [&](LifeNote &Note) {
     Note.PausedUntil_ = std::max(Note.PausedUntil_, Now + For);
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -68,6 +68,10 @@
   /// The server itself or a peer said that this life of it leaves, or another
   /// one has its address. Yields whether that is new.
   bool onLeaving(ServerId const &Life, TimePoint Now);
+  /// Nothing listens where this life was, or a peer found so. A hint: while
+  /// other servers of the service are there the life is left out, for longer
+  /// with each sign. Yields whether it was not left out already.
+  bool onGone(ServerId const &Life, TimePoint Now);
   /// The server wants nothing from here for a while.
   void onPause(ServerId const &Life, Duration For, TimePoint Now);
   /// When a request may come back to a service of which every server wants a
@@ -90,6 +94,8 @@
   struct LifeNote {
     bool IsLeaving_ = false;
     TimePoint PausedUntil_ = TimePoint::min();
+    TimePoint GoneUntil_ = TimePoint::min();
+    std::uint32_t GoneSigns_ = 0;
     TimePoint KeptUntil_{};
   };
 
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -224,8 +224,8 @@
       sendCrashNews(Crashes_.onOwn(Reports, readElapsedTime()));
     });
   });
-  Parts_.Traffic_.setLeavingListener([this](ServerId const &Life) {
-    asio::post(Parts_.Context_, [this, Life] { tellLeaving(Life); });
+  Parts_.Traffic_.setLeavingListener([this](ServerLeavingNotice const &News) {
+    asio::post(Parts_.Context_, [this, News] { tellOfServer(News); });
   });
   tickDuties();
   reportConsumption();
@@ -337,8 +337,8 @@
     onCrashReports(*Heard);
   else if (auto const *const Notice =
                std::get_if<ServerLeavingNotice>(&Message))
-    onTraffic([&Traffic = Parts_.Traffic_, Life = Notice->Server_] {
-      Traffic.onPeerSawLeaving(Life);
+    onTraffic([&Traffic = Parts_.Traffic_, Heard = *Notice] {
+      Traffic.onPeerNotice(Heard);
     });
   else if (auto const *const News = std::get_if<StoreNews>(&Message))
     Follower_->onNews(*News);
@@ -350,12 +350,12 @@
   sendCrashNews(Crashes_.onPeer(Heard, readElapsedTime()));
 }
 
-void ControlPlane::tellLeaving(ServerId const &Life) {
-  ServerLeavingNotice Notice;
-  Notice.Server_ = Life;
+void ControlPlane::tellOfServer(ServerLeavingNotice const &Notice) {
+  bool const IsForAll = Notice.Liveness_ == Liveness::Gone;
   for (auto const &Other : Peers_->view().Members_)
     if (Other.Liveness_ == Liveness::Live && Other.Instance_.Id_ != Life_ &&
-        Other.Instance_.DataCentre_ == Parts_.Settings_.DataCentre_)
+        (IsForAll ||
+         Other.Instance_.DataCentre_ == Parts_.Settings_.DataCentre_))
       Peers_->send({Other.Instance_.Peers_, Notice});
 }
 
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -77,8 +77,9 @@
   void onFleet(FleetView const &View);
   void onPeerMessage(InstanceId const &From, PeerMessage const &Message);
   void onCrashReports(CrashReports const &Heard);
-  /// Tells the instances of the own data centre.
-  void tellLeaving(ServerId const &Life);
+  /// Tells the instances of the own data centre that a server leaves, and all
+  /// that one is gone.
+  void tellOfServer(ServerLeavingNotice const &Notice);
   void sendCrashNews(std::vector<SendToPeer> const &News);
   void repeatCrashNews();
   void onReport(InstanceId const &From, ConsumptionReport const &Report);
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -143,9 +143,10 @@
     FirstAnswerAt_ = readElapsedTime();
   if (Answer_->Load_)
     Plane_.Roster_.onLoad(Server_->Id_, *Answer_->Load_, readElapsedTime());
-  if (Answer_->IsOtherServer_ || Answer_->IsLeaving_)
-    Plane_.onServerLeaving(*Server_, Answer_->IsLeaving_ ? "its own word"
-                                                         : "another's address");
+  if (Answer_->IsOtherServer_)
+    Plane_.onServerReplaced(*Server_);
+  if (Answer_->IsLeaving_)
+    Plane_.onServerLeaving(*Server_);
   if (Answer_->Pause_)
     Plane_.onServerPause(*Server_, *Answer_->Pause_);
   handle(HeadArrived{*Answer_});
@@ -182,6 +183,9 @@
                                .add("born", Server_->BornAtMilliseconds_)
                                .add("run_state", toString(runStateOf(Evidence)))
                                .add("why", Evidence.Detail_));
+  if (Evidence.Progress_ == AttemptProgress::NotConnected &&
+      Evidence.End_ == AttemptEnd::ConnectionFailed)
+    Plane_.onServerGone(*Server_, "a request");
   endAttempt(ServerVerdict::Failed, Evidence);
   handle(AttemptFailed{Evidence});
 }
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -235,23 +235,47 @@
     judge(Server);
 }
 
-void TrafficPlane::onServerLeaving(ServerRecord const &Server,
-                                   std::string_view Source) {
+void TrafficPlane::onServerLeaving(ServerRecord const &Server) {
   auto const Life = lifeOf(Server);
   if (!Roster_.onLeaving(Life, readElapsedTime()))
     return;
-  Parts_.Log_.write(
-      LogLine("server_leaving").add("life", Life.text()).add("source", Source));
   if (auto const Pool = Pools_.find(Server.Id_); Pool != Pools_.end())
     Pool->second->closeIdle();
+  tellOfServer(Life, Liveness::Leaving, "its own word");
+}
+
+void TrafficPlane::onServerReplaced(ServerRecord const &Server) {
+  if (Roster_.onLeaving(lifeOf(Server), readElapsedTime()))
+    tellOfServer(lifeOf(Server), Liveness::Gone, "another's address");
+}
+
+void TrafficPlane::onServerGone(ServerRecord const &Server,
+                                std::string_view Source) {
+  if (Roster_.onGone(lifeOf(Server), readElapsedTime()))
+    tellOfServer(lifeOf(Server), Liveness::Gone, Source);
+}
+
+void TrafficPlane::tellOfServer(ServerId const &Life, Liveness State,
+                                std::string_view Source) {
+  bool const IsGone = State == Liveness::Gone;
+  Parts_.Log_.write(LogLine(IsGone ? "server_gone" : "server_leaving")
+                        .add("life", Life.text())
+                        .add("source", Source));
+  ServerLeavingNotice Notice;
+  Notice.Server_ = Life;
+  Notice.Liveness_ = State;
   if (LeavingListener_)
-    LeavingListener_(Life);
+    LeavingListener_(Notice);
 }
 
-void TrafficPlane::onPeerSawLeaving(ServerId const &Life) {
-  if (Roster_.onLeaving(Life, readElapsedTime()))
-    Parts_.Log_.write(LogLine("server_leaving")
-                          .add("life", Life.text())
+void TrafficPlane::onPeerNotice(ServerLeavingNotice const &Notice) {
+  auto const Now = readElapsedTime();
+  bool const IsGone = Notice.Liveness_ == Liveness::Gone;
+  bool const IsNew = IsGone ? Roster_.onGone(Notice.Server_, Now)
+                            : Roster_.onLeaving(Notice.Server_, Now);
+  if (IsNew)
+    Parts_.Log_.write(LogLine(IsGone ? "server_gone" : "server_leaving")
+                          .add("life", Notice.Server_.text())
                           .add("source", "a peer"));
 }
 
@@ -288,6 +312,8 @@
   bool const IsThere = Cause == BreakCause::Link;
   (IsThere ? Parts_.Metrics_.LinksBroken_ : Parts_.Metrics_.ServersCrashed_)
       .add();
+  if (Cause == BreakCause::Crash)
+    onServerGone(Server, "a probe");
   Parts_.Log_.write(LogLine("server_judged")
                         .add("server", Server.Id_.text())
                         .add("born", Server.BornAtMilliseconds_)
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -10,6 +10,7 @@
 #include <LibHttp/OutboundPool.h>
 #include <LibLog/EventLog.h>
 #include <LibModel/ConfigurationObject.h>
+#include <LibPeer/PeerMessage.h>
 #include <LibSettings/EntrySettings.h>
 #include <LibTraffic/AccountMeter.h>
 #include <LibTraffic/AdmissionQueue.h>
@@ -51,14 +52,14 @@
 
   Result<Success> listen();
 
-  /// Is told, on the traffic thread, of a life of a server that takes no more
-  /// requests.
-  using LeavingListener = std::function<void(ServerId const &Life)>;
+  /// Is told, on the traffic thread, of a life of a server that leaves or is
+  /// gone.
+  using LeavingListener = std::function<void(ServerLeavingNotice const &)>;
   void setLeavingListener(LeavingListener Listener) {
     LeavingListener_ = std::move(Listener);
   }
   /// What a peer has seen.
-  void onPeerSawLeaving(ServerId const &Life);
+  void onPeerNotice(ServerLeavingNotice const &Notice);
 
   using CrashListener = std::function<void(std::vector<CrashReport> const &)>;
   /// Who tells peers what the guard reports. Set before traffic comes; called
@@ -112,7 +113,13 @@
   /// An attempt ended; Server is where. Finds out whether the server crashed.
   void onAttemptEnded(std::uint64_t Fingerprint, ServerRecord const &Server,
                       AttemptEvidence const &Evidence);
-  void onServerLeaving(ServerRecord const &Server, std::string_view Source);
+  void onServerLeaving(ServerRecord const &Server);
+  /// Another server has the address.
+  void onServerReplaced(ServerRecord const &Server);
+  /// Nothing listens at the address.
+  void onServerGone(ServerRecord const &Server, std::string_view Source);
+  void tellOfServer(ServerId const &Life, Liveness State,
+                    std::string_view Source);
   void onServerPause(ServerRecord const &Server, PauseRequest const &Pause);
   void judge(ServerRecord const &Server);
   void onJudged(ServerRecord const &Server, ProbeAnswer Answer);
--- a/Tests/LibTraffic/TestExchangeFlow.cpp
+++ b/Tests/LibTraffic/TestExchangeFlow.cpp
@@ -273,3 +273,18 @@
     CHECK(One.find<Refuse>()->Status_ == 503);
   }
 }
+
+TEST_CASE("A send that reached nobody costs no retry") {
+  Harness Run(routeOf(Repeatability::Never, AnswerForm::Whole));
+  Run.Permit_.IsOpen_ = false;
+  Run.attempt("a");
+  Run.handle(failure(AttemptProgress::NotConnected));
+  CHECK(Run.Last_ == std::vector<Action>{AskForServer{{ServerId("a")}}});
+  CHECK(Run.Permit_.Asked_ == 0);
+  // One that may have reached its server does.
+  Run.attempt("b");
+  Run.handle(HeadArrived{answer(AnswerClaim::NotRun, 503)});
+  Run.handle(AnswerCompleted{});
+  CHECK(Run.Permit_.Asked_ == 1);
+  CHECK(Run.Flow_->isOver());
+}
--- a/Tests/LibTraffic/TestServerRoster.cpp
+++ b/Tests/LibTraffic/TestServerRoster.cpp
@@ -207,3 +207,39 @@
   Quiet.setShare(1.0 / Instances);
   CHECK(Quiet.tryTake(Writer, Start));
 }
+
+TEST_CASE_METHOD(Fixture, "A server that nobody reaches is left out while "
+                          "others are there, full or not") {
+  Roster_.replaceAll({server("x"), server("y")});
+  CHECK(Roster_.onGone(lifeOf(server("x")), Now_));
+  CHECK_FALSE(Roster_.onGone(lifeOf(server("x")), Now_));
+  for (int Sent = 0; Sent < 2; ++Sent) {
+    REQUIRE(choose() == "y");
+    Roster_.onSent(ServerId("y"));
+  }
+  CHECK(choose().empty());
+  SECTION("and is tried when it is the last one") {
+    Roster_.remove(ServerId("y"));
+    CHECK(choose() == "x");
+  }
+  SECTION("and after a while") {
+    Now_ += seconds(5);
+    CHECK(choose() == "x");
+    // Each further sign doubles the time.
+    Roster_.onGone(lifeOf(server("x")), Now_);
+    Now_ += seconds(9);
+    CHECK(choose().empty());
+    Now_ += seconds(1);
+    CHECK(choose() == "x");
+  }
+  SECTION("and not once it has answered") {
+    Roster_.onEnded(ServerId("x"), ServerVerdict::Worked, Now_);
+    CHECK(choose() == "x");
+  }
+  SECTION("and its next life is not meant") {
+    auto Reborn = server("x");
+    Reborn.BornAtMilliseconds_ = 2;
+    Roster_.update(Reborn);
+    CHECK(choose() == "x");
+  }
+}
