Tests: Harm real processes from outside

A seeded soak: laburnum-entry processes before the store and servers of TestEntryProcess, callers that keep their connections, and a schedule of kills, planned stops, freezes, ended servers, a store that is silent, busy, loses writes or forgets, and configurations; judged by what callers got and servers began. The same seed gives the same schedule. The oracle has tests of its own.

Left out yet: a loopback proxy, servers that dribble or send without end, quotas and usage, and runs with a mechanism taken out.

--- a/Tests/EntryProcess/EntryFleet.cpp
+++ b/Tests/EntryProcess/EntryFleet.cpp
@@ -55,6 +55,13 @@
   });
 }
 
+void EntryFleet::setRunListener(MortalRunner::RunListener const &Listener) {
+  Thread_.on([&] {
+    for (auto &Server : Servers_)
+      Server.setRunListener(Listener);
+  });
+}
+
 void EntryFleet::endServer(std::size_t Number) {
   Thread_.on([&] {
     if (!Servers_[Number].isDown())
--- a/Tests/EntryProcess/EntryFleet.h
+++ b/Tests/EntryProcess/EntryFleet.h
@@ -26,6 +26,10 @@
   void restart();
   std::size_t deadlyArrivals();
   bool areServersUp();
+  void setRunListener(MortalRunner::RunListener const &Listener);
+  template <typename Function> auto onStore(Function Task) {
+    return Thread_.on([&] { return Task(Store_); });
+  }
   /// Ends a server, without a request that does it.
   void endServer(std::size_t Number);
 
--- a/Tests/EntryProcess/EntryProcess.cpp
+++ b/Tests/EntryProcess/EntryProcess.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::uint16_t TrafficPort = 8360;
 constexpr std::uint16_t ReadinessPort = 8365;
 
 std::string nextAttemptId() {
@@ -47,12 +46,16 @@
 }
 
 void EntryProcess::start() {
+  launch();
+  if (!processes::await([this] { return isReady(); }))
+    throw std::runtime_error("the instance does not become ready");
+}
+
+void EntryProcess::launch() {
   Process_.reset();
   Process_ = std::make_unique<processes::Process>(
       "laburnum-entry",
       std::vector<std::string>{"--settings", (Folder_ / "node.conf").string()});
-  if (!processes::await([this] { return isReady(); }))
-    throw std::runtime_error("the instance does not become ready");
 }
 
 void EntryProcess::writeSettings(std::string const &RetryRatio) {
--- a/Tests/EntryProcess/EntryProcess.h
+++ b/Tests/EntryProcess/EntryProcess.h
@@ -31,7 +31,11 @@
   void writeSettings(std::string const &RetryRatio);
   /// Ends the process that runs, if any, without notice and starts another.
   void start();
+  /// The same without waiting until it is ready.
+  void launch();
   void kill() { Process_.reset(); }
+  std::string const &address() const { return Address_; }
+  static constexpr std::uint16_t TrafficPort = 8360;
   Got send(std::string const &Method, std::string const &Path,
            std::string const &Key = "k1") const;
   bool isReady() const;
--- a/Tests/EntryProcess/MortalRunner.cpp
+++ b/Tests/EntryProcess/MortalRunner.cpp
@@ -16,6 +16,10 @@
 
 } // namespace
 
+std::string MortalRunner::answerTo(std::string_view AttemptId) {
+  return "the whole answer to " + std::string(AttemptId);
+}
+
 MortalRunner::MortalRunner(asio::io_context &Context, StoreStandin &Store,
                            unsigned Number, MortalTimes Times)
     : Context_(Context), Store_(Store), Name_("i" + std::to_string(Number)),
@@ -65,6 +69,8 @@
     Head.Fields_.add("X-Not-Executed", "1");
     return Exchange->answer(Head, "");
   }
+  if (Began_)
+    Began_(std::string(Fields.valueOr("X-Attempt-Id")));
   if (Request.Head_.Target_.find("deadly") != std::string::npos) {
     ++Deadly_;
     Exchange->abort();
@@ -81,7 +87,7 @@
   Timer->expires_after(Times_.Work_);
   Timer->async_wait([this, Timer, Exchange, Head](asio::error_code Failure) {
     if (!Failure && Running_.erase(Exchange) > 0)
-      Exchange->answer(Head, "the whole answer");
+      Exchange->answer(Head, answerTo(Head.Fields_.valueOr("X-Attempt-Id")));
   });
 }
 
--- a/Tests/EntryProcess/MortalRunner.h
+++ b/Tests/EntryProcess/MortalRunner.h
@@ -6,9 +6,11 @@
 
 #include <asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace laburnum::entry_process {
 
@@ -25,6 +27,10 @@
   MortalRunner(asio::io_context &Context, StoreStandin &Store, unsigned Number,
                MortalTimes Times);
 
+  /// Told the attempt identifier of each request that begins to run.
+  using RunListener = std::function<void(std::string const &)>;
+  void setRunListener(RunListener Listener) { Began_ = std::move(Listener); }
+
   /// Listens and registers in the store.
   void begin();
   void stop();
@@ -35,6 +41,8 @@
   void onRequest(std::shared_ptr<Exchange> Exchange,
                  ReceivedRequest Request) override;
 
+  /// What it answers to a sound request.
+  static std::string answerTo(std::string_view AttemptId);
   bool isDown() const { return !Listener_; }
   std::size_t lives() const { return Lives_; }
   /// Deadly requests that reached a life of this server.
@@ -54,6 +62,7 @@
   std::size_t Lives_ = 0;
   std::size_t Deadly_ = 0;
   std::set<std::shared_ptr<Exchange>> Running_;
+  RunListener Began_;
 };
 
 } // namespace laburnum::entry_process
--- a/Tests/Processes/ProcessGroup.h
+++ b/Tests/Processes/ProcessGroup.h
@@ -32,6 +32,7 @@
   /// when the output ends, or Ample passes, without one.
   std::string awaitLine(std::string const &Text);
   void signal(int Number) const;
+  pid_t id() const { return Pid_; }
   /// Waits for the end; the exit status, or minus the signal's number.
   int awaitEnd();
 
--- /dev/null
+++ b/Tests/Soak/Oracle.cpp
@@ -0,0 +1,97 @@
+#include "Oracle.h"
+
+#include <EntryProcess/MortalRunner.h>
+
+#include <algorithm>
+
+namespace laburnum::soak {
+
+namespace {
+
+/// Statuses that promise that the request has not run.
+bool isNotRunPromise(int Status) {
+  return Status == 503 || Status == 429 || Status == 408 || Status == 421;
+}
+
+} // namespace
+
+void Oracle::onRun(std::string const &AttemptId) {
+  std::lock_guard const Lock(Mutex_);
+  ++Runs_[AttemptId];
+}
+
+void Oracle::onOutcome(CallerOutcome const &Outcome) {
+  std::lock_guard const Lock(Mutex_);
+  Outcomes_.push_back(Outcome);
+}
+
+void Oracle::onOutage(Outage const &One) {
+  std::lock_guard const Lock(Mutex_);
+  Outages_.push_back(One);
+}
+
+void Oracle::onFinding(std::string const &What) {
+  std::lock_guard const Lock(Mutex_);
+  Findings_.push_back(What);
+}
+
+std::vector<std::string> Oracle::findings(TimePoint CalmFrom) const {
+  std::lock_guard const Lock(Mutex_);
+  auto Findings = Findings_;
+  for (auto const &One : Outcomes_)
+    judge(One, CalmFrom, Findings);
+  return Findings;
+}
+
+std::size_t Oracle::answered() const {
+  std::lock_guard const Lock(Mutex_);
+  return static_cast<std::size_t>(
+      std::count_if(Outcomes_.begin(), Outcomes_.end(),
+                    [](auto const &One) { return One.Status_ == 200; }));
+}
+
+std::size_t Oracle::requests() const {
+  std::lock_guard const Lock(Mutex_);
+  return Outcomes_.size();
+}
+
+void Oracle::judge(CallerOutcome const &One, TimePoint CalmFrom,
+                   std::vector<std::string> &Findings) const {
+  auto const Runs = runsOf(One.AttemptId_);
+  auto const Say = [&](std::string const &What) {
+    Findings.push_back(One.AttemptId_ + " at instance " +
+                       std::to_string(One.Instance_) + ", status " +
+                       std::to_string(One.Status_) + ", begun " +
+                       std::to_string(Runs) + " times: " + What);
+  };
+  if (One.Status_ == 200 &&
+      One.Body_ != entry_process::MortalRunner::answerTo(One.AttemptId_))
+    Say("not its own whole answer");
+  if (One.Kind_ == RequestKind::Once && Runs > 1)
+    Say("ran more than once");
+  if (One.Kind_ == RequestKind::Once && isNotRunPromise(One.Status_) &&
+      Runs > 0)
+    Say("said not to have run, and ran");
+  if (One.Status_ >= 400 && One.Status_ < 500 && !isNotRunPromise(One.Status_))
+    Say("denied though proper");
+  if (isExcused(One))
+    return;
+  if (One.Status_ == 0 && Runs > 0)
+    Say("taken, begun and cut off without an answer");
+  if (One.Sent_ >= CalmFrom && One.Status_ != 200)
+    Say("not served long after the last fault");
+}
+
+std::size_t Oracle::runsOf(std::string const &AttemptId) const {
+  auto const Found = Runs_.find(AttemptId);
+  return Found == Runs_.end() ? 0 : Found->second;
+}
+
+bool Oracle::isExcused(CallerOutcome const &One) const {
+  return std::any_of(Outages_.begin(), Outages_.end(), [&](auto const &Each) {
+    return Each.Instance_ == One.Instance_ && Each.From_ <= One.Ended_ &&
+           Each.To_ >= One.Sent_;
+  });
+}
+
+} // namespace laburnum::soak
--- /dev/null
+++ b/Tests/Soak/Program/Main.cpp
@@ -0,0 +1,57 @@
+#include <Soak/Run.h>
+
+#include <cxxopts.hpp>
+
+#include <iostream>
+
+using namespace laburnum;
+
+namespace {
+
+int play(soak::RunSettings const &Settings) {
+  soak::Run Run(Settings);
+  auto const Findings = Run.play();
+  std::cout << "seed " << Settings.Seed_ << ": " << Run.schedule().size()
+            << " faults, " << Run.oracle().answered() << " of "
+            << Run.oracle().requests() << " requests answered, "
+            << Findings.size() << " findings\n";
+  if (Findings.empty())
+    return 0;
+  for (auto const &One : Run.schedule())
+    std::cout << "fault: " << describe(One) << '\n';
+  for (auto const &One : Findings)
+    std::cout << "finding: " << One << '\n';
+  return 1;
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  cxxopts::Options Options("soak", "Harms real laburnum-entry processes from "
+                                   "outside and judges what callers got and "
+                                   "servers ran");
+  auto Add = Options.add_options();
+  Add("seed", "of the schedule of faults",
+      cxxopts::value<std::uint64_t>()->default_value("1"));
+  Add("seconds", "of traffic; the last 12 without faults",
+      cxxopts::value<unsigned>()->default_value("60"));
+  Add("instances", "laburnum-entry processes",
+      cxxopts::value<unsigned>()->default_value("8"));
+  Add("servers", "backend servers",
+      cxxopts::value<unsigned>()->default_value("8"));
+  Add("help", "print this");
+  try {
+    auto const Parsed = Options.parse(Count, Arguments);
+    if (Parsed.count("help")) {
+      std::cout << Options.help();
+      return 0;
+    }
+    return play({Parsed["seed"].as<std::uint64_t>(),
+                 std::chrono::seconds(Parsed["seconds"].as<unsigned>()),
+                 Parsed["instances"].as<unsigned>(),
+                 Parsed["servers"].as<unsigned>()});
+  } catch (std::exception const &Failure) {
+    std::cerr << "soak: " << Failure.what() << '\n';
+    return 2;
+  }
+}
--- /dev/null
+++ b/Tests/Soak/Run.cpp
@@ -0,0 +1,203 @@
+#include "Run.h"
+
+#include <EntryProcess/StandinRecords.h>
+
+#include <httplib.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+namespace laburnum::soak {
+
+using namespace entry_process;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds Downtime{1500};
+constexpr milliseconds Work{20};
+constexpr milliseconds BetweenCalls{10};
+constexpr unsigned CallersOfInstance = 3;
+/// A planned stop ends the process within this; bounds.grace_s of the settings.
+constexpr seconds Grace{8};
+/// After a start or a freeze an instance has to find its way.
+constexpr seconds Settling{4};
+/// Without an answer for longer a caller gives up.
+constexpr seconds Patience{6};
+/// Of the users' machines.
+constexpr std::size_t MostMemoryKilobytes = 260 * 1024;
+constexpr std::size_t MostDescriptors = 4100;
+
+/// A number of /proc/PID/status; 0 when the process is gone.
+std::size_t statusOf(pid_t Process, std::string const &Label) {
+  std::ifstream File("/proc/" + std::to_string(Process) + "/status");
+  for (std::string Line; std::getline(File, Line);)
+    if (Line.starts_with(Label + ':'))
+      return std::stoul(Line.substr(Label.size() + 1));
+  return 0;
+}
+
+std::size_t descriptorsOf(pid_t Process) {
+  std::error_code Failure;
+  std::filesystem::directory_iterator const Open(
+      "/proc/" + std::to_string(Process) + "/fd", Failure);
+  return Failure
+             ? 0
+             : static_cast<std::size_t>(std::distance(begin(Open), end(Open)));
+}
+
+} // namespace
+
+Run::Run(RunSettings Settings)
+    : Settings_(Settings),
+      Schedule_(makeSchedule(Settings.Seed_, Settings.Length_,
+                             Settings.Instances_, Settings.Servers_)),
+      Fleet_(Settings.Instances_, Settings.Servers_, {Downtime, Work}),
+      Busy_(Settings.Instances_) {
+  Fleet_.setRunListener(
+      [this](std::string const &AttemptId) { Oracle_.onRun(AttemptId); });
+}
+
+template <typename Function> void Run::aside(Function Task) {
+  Threads_.emplace_back(std::move(Task));
+}
+
+std::vector<std::string> Run::play() {
+  auto const Begin = readClock();
+  std::vector<std::thread> Callers;
+  for (std::size_t Each = 0; Each < Settings_.Instances_; ++Each)
+    for (unsigned Caller = 0; Caller < CallersOfInstance; ++Caller)
+      Callers.emplace_back([this, Each] { call(Each); });
+  for (auto const &One : Schedule_) {
+    std::this_thread::sleep_until(Begin + One.At_);
+    strike(One);
+  }
+  for (auto &One : Threads_)
+    One.join();
+  std::this_thread::sleep_until(Begin + Settings_.Length_);
+  checkProcesses();
+  IsOver_ = true;
+  for (auto &One : Callers)
+    One.join();
+  return Oracle_.findings(Begin + Settings_.Length_ - Settling);
+}
+
+void Run::call(std::size_t Instance) {
+  httplib::Client Client(Fleet_.instance(Instance).address(),
+                         EntryProcess::TrafficPort);
+  Client.set_keep_alive(true);
+  Client.set_read_timeout(Patience);
+  while (!IsOver_) {
+    auto const Number = NextAttempt_++;
+    CallerOutcome Outcome;
+    Outcome.AttemptId_ = "soak-" + std::to_string(Number);
+    Outcome.Kind_ =
+        Number % 2 == 0 ? RequestKind::Repeatable : RequestKind::Once;
+    Outcome.Instance_ = Instance;
+    Outcome.Sent_ = readClock();
+    httplib::Request Request;
+    Request.method = Outcome.Kind_ == RequestKind::Once ? "POST" : "GET";
+    Request.path = (Outcome.Kind_ == RequestKind::Once ? "/order/" : "/read/") +
+                   std::to_string(Number);
+    Request.headers = {{"Host", "desk.example"},
+                       {"X-Attempt-Id", Outcome.AttemptId_},
+                       {"X-Deadline-Ms", "2000"},
+                       {"X-Key", "k1"}};
+    if (auto const Answer = Client.send(Request)) {
+      Outcome.Status_ = Answer->status;
+      Outcome.Body_ = Answer->body;
+    }
+    Outcome.Ended_ = readClock();
+    Oracle_.onOutcome(Outcome);
+    std::this_thread::sleep_for(BetweenCalls);
+  }
+}
+
+void Run::strike(Fault const &One) {
+  switch (One.Kind_) {
+  case FaultKind::KillInstance:
+    return aside([this, One] { killInstance(One); });
+  case FaultKind::StopInstance:
+    return aside([this, One] { stopInstance(One); });
+  case FaultKind::FreezeInstance:
+    return aside([this, One] { freezeInstance(One); });
+  case FaultKind::EndServer:
+    return Fleet_.endServer(One.Target_);
+  case FaultKind::StoreSilent:
+    return harmStore(StoreMood::Silent, One.Length_);
+  case FaultKind::StoreBusy:
+    return harmStore(StoreMood::Busy, One.Length_);
+  case FaultKind::StoreLosesWrites:
+    return harmStore(StoreMood::LosesWrites, One.Length_);
+  case FaultKind::StoreForgets:
+    return Fleet_.onStore([](StoreStandin &Store) { Store.dropHistory(); });
+  case FaultKind::ChangeConfiguration:
+    return Fleet_.onStore([this](StoreStandin &Store) {
+      Store.put("config", "main", configurationOf(++ConfigurationVersion_));
+    });
+  }
+}
+
+void Run::killInstance(Fault const &One) {
+  std::lock_guard const Lock(Busy_[One.Target_]);
+  auto const From = readClock();
+  Fleet_.instance(One.Target_).kill();
+  std::this_thread::sleep_for(One.Length_);
+  Fleet_.instance(One.Target_).launch();
+  Oracle_.onOutage({One.Target_, From, readClock() + Settling});
+}
+
+void Run::stopInstance(Fault const &One) {
+  std::lock_guard const Lock(Busy_[One.Target_]);
+  auto const From = readClock();
+  Fleet_.instance(One.Target_).process().signal(SIGTERM);
+  auto const Status = Fleet_.instance(One.Target_).process().awaitEnd();
+  auto const Ended = readClock();
+  if (Status != 0)
+    Oracle_.onFinding("instance " + std::to_string(One.Target_) +
+                      " ended its planned stop with " + std::to_string(Status));
+  if (Ended - From > Grace)
+    Oracle_.onFinding("instance " + std::to_string(One.Target_) +
+                      " outlived the time of its planned stop");
+  // Until it has ended the stop excuses nothing.
+  Fleet_.instance(One.Target_).launch();
+  Oracle_.onOutage({One.Target_, Ended, readClock() + Settling});
+}
+
+void Run::freezeInstance(Fault const &One) {
+  std::lock_guard const Lock(Busy_[One.Target_]);
+  auto const From = readClock();
+  Fleet_.instance(One.Target_).process().signal(SIGSTOP);
+  std::this_thread::sleep_for(One.Length_);
+  Fleet_.instance(One.Target_).process().signal(SIGCONT);
+  Oracle_.onOutage({One.Target_, From, readClock() + Settling});
+}
+
+void Run::harmStore(StoreMood Mood, Duration Length) {
+  Fleet_.onStore([Mood](StoreStandin &Store) { Store.setMood(Mood); });
+  aside([this, Length] {
+    std::this_thread::sleep_for(Length);
+    Fleet_.onStore(
+        [](StoreStandin &Store) { Store.setMood(StoreMood::Normal); });
+  });
+}
+
+void Run::checkProcesses() {
+  for (std::size_t Each = 0; Each < Settings_.Instances_; ++Each) {
+    auto const Process = Fleet_.instance(Each).process().id();
+    auto const Name = "instance " + std::to_string(Each);
+    auto const Memory = statusOf(Process, "VmRSS");
+    if (Memory == 0)
+      Oracle_.onFinding(Name + " has ended by itself");
+    if (Memory > MostMemoryKilobytes)
+      Oracle_.onFinding(Name + " holds " + std::to_string(Memory) + " kB");
+    if (auto const Open = descriptorsOf(Process); Open > MostDescriptors)
+      Oracle_.onFinding(Name + " has " + std::to_string(Open) +
+                        " descriptors open");
+  }
+}
+
+} // namespace laburnum::soak
--- /dev/null
+++ b/Tests/Soak/TestOracle.cpp
@@ -0,0 +1,80 @@
+#include "Oracle.h"
+#include "Schedule.h"
+
+#include <EntryProcess/MortalRunner.h>
+
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+using namespace laburnum::soak;
+
+namespace {
+
+using std::chrono::seconds;
+
+std::string const AttemptId = "a";
+
+TimePoint at(int Seconds) { return TimePoint() + seconds(Seconds); }
+
+CallerOutcome outcome(RequestKind Kind, int Status) {
+  CallerOutcome Made;
+  Made.AttemptId_ = AttemptId;
+  Made.Kind_ = Kind;
+  Made.Status_ = Status;
+  Made.Body_ = entry_process::MortalRunner::answerTo(AttemptId);
+  Made.Sent_ = at(10);
+  Made.Ended_ = at(11);
+  return Made;
+}
+
+std::size_t findings(CallerOutcome const &Outcome, int Runs,
+                     std::vector<Outage> const &Outages = {},
+                     TimePoint CalmFrom = at(100)) {
+  Oracle Judge;
+  Judge.onOutcome(Outcome);
+  for (int Run = 0; Run < Runs; ++Run)
+    Judge.onRun(AttemptId);
+  for (auto const &One : Outages)
+    Judge.onOutage(One);
+  return Judge.findings(CalmFrom).size();
+}
+
+} // namespace
+
+TEST_CASE("The oracle finds what breaks a promise, and only that") {
+  auto const Once = RequestKind::Once;
+  auto const Repeatable = RequestKind::Repeatable;
+  CHECK(findings(outcome(Once, 200), 1) == 0);
+  CHECK(findings(outcome(Once, 200), 2) == 1);
+  CHECK(findings(outcome(Repeatable, 200), 2) == 0);
+  CHECK(findings(outcome(Once, 503), 0) == 0);
+  CHECK(findings(outcome(Once, 503), 1) == 1);
+  CHECK(findings(outcome(Once, 502), 1) == 0);
+  CHECK(findings(outcome(Once, 404), 0) == 1);
+  auto Foreign = outcome(Once, 200);
+  Foreign.Body_ = entry_process::MortalRunner::answerTo("b");
+  CHECK(findings(Foreign, 1) == 1);
+}
+
+TEST_CASE("A request that was cut off is excused by an outage of its instance "
+          "only") {
+  auto const Cut = outcome(RequestKind::Once, 0);
+  CHECK(findings(Cut, 0) == 0);
+  CHECK(findings(Cut, 1) == 1);
+  CHECK(findings(Cut, 1, {{0, at(9), at(10)}}) == 0);
+  CHECK(findings(Cut, 1, {{1, at(9), at(20)}}) == 1);
+  CHECK(findings(Cut, 1, {{0, at(1), at(9)}}) == 1);
+}
+
+TEST_CASE("Requests are served long after the last fault") {
+  CHECK(findings(outcome(RequestKind::Once, 503), 0, {}, at(10)) == 1);
+  CHECK(findings(outcome(RequestKind::Once, 200), 1, {}, at(10)) == 0);
+}
+
+TEST_CASE("A seed leads to the same faults each time") {
+  auto const Length = seconds(60);
+  CHECK(makeSchedule(7, Length, 8, 8) == makeSchedule(7, Length, 8, 8));
+  CHECK(makeSchedule(7, Length, 8, 8) != makeSchedule(8, Length, 8, 8));
+  for (auto const &One : makeSchedule(7, Length, 8, 8))
+    CHECK(One.At_ + One.Length_ <= Length - CalmTime);
+}
