laburnum-entry: Give crash news and the store's readers files of their own

CrashDesk joins guard, peers and store as DutyDesk does for duties; the readers of the two collections move as they are.

--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -1,5 +1,8 @@
 #include "ControlPlane.h"
 
+#include "ConfigurationReader.h"
+#include "ServerReader.h"
+
 #include <asio/post.hpp>
 
 #include <csignal>
@@ -12,7 +15,6 @@
 /// How often the calls to the store so far are logged.
 constexpr std::chrono::seconds CallsPeriod{30};
 constexpr std::chrono::milliseconds DutyPeriod{200};
-constexpr std::chrono::seconds CrashPeriod{1};
 /// The settings file may change without a signal.
 constexpr std::chrono::seconds SettingsPeriod{2};
 constexpr std::string_view PeriodicTrigger = "file";
@@ -39,102 +41,6 @@
 
 } // namespace
 
-/// Takes the configuration from the store.
-class ControlPlane::ConfigurationReader : public CollectionReader {
-public:
-  explicit ConfigurationReader(ControlPlane &Plane) : Plane_(Plane) {}
-
-  void onListed(ObjectList const &Listed) override { apply(Listed.Objects_); }
-  void onChanged(WatchBatch const &Changes) override {
-    apply(Changes.Objects_);
-  }
-  void onLost(Error const &Reason) override {
-    Plane_.Parts_.Metrics_.DependenciesLost_.add();
-    Plane_.Parts_.Log_.write(LogLine("dependency_lost")
-                                 .add("what", "store/configuration")
-                                 .add("version", Plane_.ConfigurationVersion_)
-                                 .add("why", Reason.Message_));
-  }
-  void onRegained() override {
-    Plane_.Parts_.Log_.write(LogLine("dependency_regained")
-                                 .add("what", "store/configuration")
-                                 .add("version", Plane_.ConfigurationVersion_));
-  }
-
-private:
-  void apply(std::vector<StoredObject> const &Objects) {
-    for (auto const &Object : Objects)
-      if (Object.Version_ != 0)
-        Plane_.applyConfiguration(Object);
-  }
-
-  ControlPlane &Plane_;
-};
-
-/// Takes the list of backend servers from the store.
-class ControlPlane::ServerReader : public CollectionReader {
-public:
-  explicit ServerReader(ControlPlane &Plane) : Plane_(Plane) {}
-
-  void onListed(ObjectList const &Listed) override {
-    std::vector<ServerRecord> Records;
-    for (auto const &Object : Listed.Objects_)
-      if (auto const Record = Plane_.Parts_.Codec_.decodeServer(Object))
-        Records.push_back(*Record);
-    Plane_.Parts_.Log_.write(LogLine("servers_listed")
-                                 .add("revision", Listed.StoreVersion_)
-                                 .add("servers", Records.size()));
-    Plane_.Duties_.replaceServers(Records);
-    auto &Traffic = Plane_.Parts_.Traffic_;
-    Plane_.onTraffic([&Traffic, Records] { Traffic.replaceServers(Records); });
-    Plane_.KnowsServers_ = true;
-  }
-  void onChanged(WatchBatch const &Changes) override {
-    for (auto const &Object : Changes.Objects_)
-      change(Object);
-  }
-  void onCurrent(Version StoreVersion) override {
-    auto &Traffic = Plane_.Parts_.Traffic_;
-    Plane_.onTraffic(
-        [&Traffic, StoreVersion] { Traffic.onServersCurrent(StoreVersion); });
-  }
-  void onLost(Error const &Reason) override {
-    Plane_.Parts_.Metrics_.DependenciesLost_.add();
-    Plane_.Parts_.Log_.write(LogLine("dependency_lost")
-                                 .add("what", "store/servers")
-                                 .add("why", Reason.Message_));
-  }
-  void onRegained() override {
-    Plane_.Parts_.Log_.write(
-        LogLine("dependency_regained").add("what", "store/servers"));
-  }
-
-private:
-  void change(StoredObject const &Object) {
-    auto &Traffic = Plane_.Parts_.Traffic_;
-    auto const Record = Object.Version_ == 0
-                            ? std::nullopt
-                            : Plane_.Parts_.Codec_.decodeServer(Object);
-    LogLine Line("server_changed");
-    Line.add("server", Object.Key_.Name_).add("revision", Object.Version_);
-    if (!Record) {
-      Plane_.Parts_.Log_.write(Line.add("state", "gone"));
-      ServerId const Id(Object.Key_.Name_);
-      Plane_.Duties_.removeServer(Id);
-      return Plane_.onTraffic([&Traffic, Id] { Traffic.removeServer(Id); });
-    }
-    Plane_.Duties_.updateServer(*Record);
-    bool const IsReady = Record->Phase_ == ServerPhase::Ready;
-    Plane_.Parts_.Log_.write(Line.add("state", IsReady ? "ready" : "draining")
-                                 .add("service", Record->Service_.text())
-                                 .add("data_centre", Record->DataCentre_.text())
-                                 .add("reclaimable", Record->IsReclaimable_));
-    Plane_.onTraffic([&Traffic, Record] { Traffic.updateServer(*Record); });
-  }
-
-  ControlPlane &Plane_;
-};
-
 ControlPlane::ControlPlane(ControlParts Parts, std::uint64_t Seed)
     : Parts_(Parts), Store_(Parts.Store_),
       ConfigurationReader_(std::make_unique<ConfigurationReader>(*this)),
@@ -146,14 +52,8 @@
                Parts.Metrics_},
               Life_, Seed + 3),
       Collector_(instanceOf(Parts.Settings_, Life_)),
-      Crashes_(instanceOf(Parts.Settings_, Life_), Parts.Guard_),
-      CrashRecords_(std::make_shared<CrashRecords>(
-          Store_,
-          [this](std::vector<CrashReport> const &Reports) {
-            Parts_.Log_.write(
-                LogLine("crashes_restored").add("reports", Reports.size()));
-            Crashes_.restore(Reports, readElapsedTime());
-          })),
+      Crashes_({Parts.Context_, Store_, Parts.Guard_, Parts.Clock_, Parts.Log_},
+               instanceOf(Parts.Settings_, Life_)),
       Peers_(std::make_shared<PeerNetwork>(
           Parts.Context_, Store_, Parts.Settings_.Name_,
           instanceOf(Parts.Settings_, Life_), Seed + 4,
@@ -170,7 +70,6 @@
           Parts.Context_, Store_, instanceOf(Parts.Settings_, Life_), Seed,
           followerCallbacks())),
       DutyTimer_(Parts.Context_), ReportTimer_(Parts.Context_),
-      CrashTimer_(Parts.Context_),
       Signals_(Parts.Context_, SIGTERM, SIGINT, SIGHUP),
       LogTimer_(Parts.Context_), CallsTimer_(Parts.Context_),
       StopTimer_(Parts.Context_), SettingsTimer_(Parts.Context_),
@@ -220,16 +119,14 @@
   Parts_.Clock_.setOwn(timeOfDay(), readElapsedTime());
   Peers_->start();
   Parts_.Traffic_.setCrashListener([this](auto const &Reports) {
-    asio::post(Parts_.Context_, [this, Reports] {
-      sendCrashNews(Crashes_.onOwn(Reports, readElapsedTime()));
-    });
+    asio::post(Parts_.Context_, [this, Reports] { Crashes_.onOwn(Reports); });
   });
   Parts_.Traffic_.setLeavingListener([this](ServerLeavingNotice const &News) {
     asio::post(Parts_.Context_, [this, News] { tellOfServer(News); });
   });
   tickDuties();
   reportConsumption();
-  repeatCrashNews();
+  Crashes_.start(Peers_);
   awaitSignals();
   watchSettings();
   flushLog();
@@ -317,7 +214,7 @@
   LastFleet_ = {Live, View.Registered_};
   Duties_.setMembers(View.Members_, readElapsedTime());
   Follower_->setMembers(View.Members_);
-  sendCrashNews(Crashes_.setMembers(View.Members_, readElapsedTime()));
+  Crashes_.setMembers(View.Members_);
   Collector_.setMembers(View.Members_, readElapsedTime());
   if (Collector_.isDirect())
     Duties_.setReach(Live >= View.Registered_ && Live > 1 ? PeerReach::Whole
@@ -334,7 +231,7 @@
   else if (auto const *const Sum = std::get_if<ConsumptionSum>(&Message))
     onSum(*Sum);
   else if (auto const *const Heard = std::get_if<CrashReports>(&Message))
-    onCrashReports(*Heard);
+    Crashes_.onPeer(*Heard);
   else if (auto const *const Notice =
                std::get_if<ServerLeavingNotice>(&Message))
     onTraffic([&Traffic = Parts_.Traffic_, Heard = *Notice] {
@@ -346,10 +243,6 @@
     Follower_->onRequest(*Request);
 }
 
-void ControlPlane::onCrashReports(CrashReports const &Heard) {
-  sendCrashNews(Crashes_.onPeer(Heard, readElapsedTime()));
-}
-
 void ControlPlane::tellOfServer(ServerLeavingNotice const &Notice) {
   bool const IsForAll = Notice.Liveness_ == Liveness::Gone;
   for (auto const &Other : Peers_->view().Members_)
@@ -359,24 +252,6 @@
       Peers_->send({Other.Instance_.Peers_, Notice});
 }
 
-void ControlPlane::sendCrashNews(std::vector<SendToPeer> const &News) {
-  for (auto const &One : News)
-    Peers_->send(One);
-}
-
-void ControlPlane::repeatCrashNews() {
-  auto const Now = readElapsedTime();
-  auto const TimeOfDay = Parts_.Clock_.read(Now);
-  sendCrashNews(Crashes_.onTimePassed(Now));
-  CrashRecords_->save(Crashes_.takeUnsaved(), TimeOfDay);
-  CrashRecords_->tick(TimeOfDay, Now);
-  CrashTimer_.expires_after(CrashPeriod);
-  CrashTimer_.async_wait([this](asio::error_code Failure) {
-    if (!Failure)
-      repeatCrashNews();
-  });
-}
-
 void ControlPlane::onReport(InstanceId const &From,
                             ConsumptionReport const &Report) {
   auto const Now = readElapsedTime();
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -1,13 +1,12 @@
 #pragma once
 
+#include "CrashDesk.h"
 #include "DutyDesk.h"
 #include "StatusService.h"
 #include "TrafficPlane.h"
 
 #include <LibControl/ConsumptionCollector.h>
 #include <LibControl/CountedStore.h>
-#include <LibControl/CrashNews.h>
-#include <LibControl/CrashRecords.h>
 #include <LibControl/PeerNetwork.h>
 #include <LibControl/SettingsWatch.h>
 #include <LibControl/StoreFollower.h>
@@ -76,12 +75,9 @@
   void logCalls();
   void onFleet(FleetView const &View);
   void onPeerMessage(InstanceId const &From, PeerMessage const &Message);
-  void onCrashReports(CrashReports const &Heard);
   /// Tells the instances of the own data centre that a server leaves, and all
   /// that one is gone.
   void tellOfServer(ServerLeavingNotice const &Notice);
-  void sendCrashNews(std::vector<SendToPeer> const &News);
-  void repeatCrashNews();
   void onReport(InstanceId const &From, ConsumptionReport const &Report);
   void onSum(ConsumptionSum const &Sum);
   void sendSum();
@@ -110,13 +106,11 @@
   InstanceId Life_; ///< Names this life of the instance.
   DutyDesk Duties_;
   ConsumptionCollector Collector_;
-  CrashNews Crashes_;
-  std::shared_ptr<CrashRecords> CrashRecords_;
+  CrashDesk Crashes_;
   std::shared_ptr<PeerNetwork> Peers_;
   std::shared_ptr<StoreFollower> Follower_;
   asio::steady_timer DutyTimer_;
   asio::steady_timer ReportTimer_;
-  asio::steady_timer CrashTimer_;
   asio::signal_set Signals_;
   asio::steady_timer LogTimer_;
   asio::steady_timer CallsTimer_;
