Tests: Let the soak excuse stops that come before a process has begun

Traced: a stop of the schedule comes within milliseconds of the start of the same instance, before laburnum-entry has taken the signal over; its handlers are in place before it listens, so that it had nothing to finish. A process that ends so after it has written its first line is still a finding.

--- a/Tests/Processes/ProcessGroup.cpp
+++ b/Tests/Processes/ProcessGroup.cpp
@@ -153,6 +153,13 @@
   return Found;
 }
 
+bool Process::hasWritten(std::string const &Text) {
+  std::lock_guard const Lock(Mutex_);
+  return std::any_of(Lines_.begin(), Lines_.end(), [&](auto const &Line) {
+    return Line.find(Text) != std::string::npos;
+  });
+}
+
 void Process::signal(int Number) const {
   if (!IsReaped_)
     kill(Pid_, Number);
--- a/Tests/Processes/ProcessGroup.h
+++ b/Tests/Processes/ProcessGroup.h
@@ -31,6 +31,8 @@
   /// The first line of output that contains Text; throws std::runtime_error
   /// when the output ends, or Ample passes, without one.
   std::string awaitLine(std::string const &Text);
+  /// Whether it has written Text in a line so far.
+  bool hasWritten(std::string const &Text);
   void signal(int Number) const;
   pid_t id() const { return Pid_; }
   /// Waits for the end; the exit status, or minus the signal's number.
--- a/Tests/Soak/Run.cpp
+++ b/Tests/Soak/Run.cpp
@@ -156,7 +156,10 @@
   Fleet_.instance(One.Target_).process().signal(SIGTERM);
   auto const Status = Fleet_.instance(One.Target_).process().awaitEnd();
   auto const Ended = readClock();
-  if (Status != 0)
+  // A process that has not begun to listen has nothing to finish.
+  bool const HadBegun =
+      Fleet_.instance(One.Target_).process().hasWritten("event=start");
+  if (Status != 0 && (HadBegun || Status != -SIGTERM))
     Oracle_.onFinding("instance " + std::to_string(One.Target_) +
                       " ended its planned stop with " + std::to_string(Status));
   if (Ended - From > Grace)
