--- a/Tests/LibGuard/TestConnectProbe.cpp
+++ b/Tests/LibGuard/TestConnectProbe.cpp
@@ -4,6 +4,7 @@
 
 #include <asio/ip/tcp.hpp>
 
+#include <list>
 #include <optional>
 
 using namespace laburnum;
@@ -32,16 +33,16 @@
   Acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
   Acceptor.listen(0);
   auto const Local = Acceptor.local_endpoint();
-  asio::ip::tcp::socket First(Context);
-  First.connect(Local);
-  asio::ip::tcp::socket Second(Context, asio::ip::tcp::v4());
-  Second.non_blocking(true);
-  asio::error_code Ignored;
-  Second.connect(Local, Ignored);
+  std::list<asio::ip::tcp::socket> Others;
+  for (int Each = 0; Each < 8; ++Each)
+    Others.emplace_back(Context).async_connect(Local, [](asio::error_code) {});
   std::optional<ProbeAnswer> Answer;
-  ConnectProbe::start(Context, {"127.0.0.1", Local.port()}, Duration::zero(),
-                      std::chrono::milliseconds(100),
-                      [&](ProbeAnswer Seen) { Answer = Seen; });
+  ConnectProbe::start(Context, {"127.0.0.1", Local.port()},
+                      std::chrono::milliseconds(50),
+                      std::chrono::milliseconds(100), [&](ProbeAnswer Seen) {
+                        Answer = Seen;
+                        Context.stop();
+                      });
   Context.run();
   CHECK(Answer == ProbeAnswer::Silent);
 }
