platform, laburnum-entry: Log the rate limits that servers state

The adapter decodes Server-Limit. event=server_limited gives each value of each incarnation once; counters give the answers that state a limit, those with an unreadable one, and the attempts at servers that have stated one. No decision uses the value yet.

--- a/Libraries/LibTraffic/TrafficRequest.h
+++ b/Libraries/LibTraffic/TrafficRequest.h
@@ -71,6 +71,16 @@
   auto operator<=>(BackoffRequest const &) const = default;
 };
 
+/// The request rate that a server accepts from all entry instances together, as
+/// stated in an answer.
+struct RateLimitStatement {
+  /// Nothing if the value could not be parsed.
+  std::optional<double> RequestsPerSecond_;
+  std::string Text_; ///< As received, truncated, for logging.
+
+  auto operator<=>(RateLimitStatement const &) const = default;
+};
+
 /// A decoded answer head.
 struct ServerAnswer {
   AnswerClaim Claim_ = AnswerClaim::Untrusted;
@@ -79,6 +89,7 @@
   bool IsOtherServer_ = false; ///< Another server now has the address.
   bool IsLeaving_ = false;     ///< The server announced that it is leaving.
   std::optional<BackoffRequest> Backoff_;
+  std::optional<RateLimitStatement> RateLimit_;
 
   auto operator<=>(ServerAnswer const &) const = default;
 };
--- a/Services/laburnum-entry/EntryMetrics.cpp
+++ b/Services/laburnum-entry/EntryMetrics.cpp
@@ -36,6 +36,12 @@
           Registry_.counter("requests.content_refused", "requests")),
       ServersCrashed_(Registry_.counter("servers.crashed", "servers")),
       BackoffsRequested_(Registry_.counter("servers.paused", "times")),
+      RateLimitsAnnounced_(
+          Registry_.counter("servers.limits_announced", "answers")),
+      RateLimitsUnreadable_(
+          Registry_.counter("servers.limits_unreadable", "answers")),
+      AttemptsRateLimited_(
+          Registry_.counter("attempts.rate_limited", "attempts")),
       LinksBroken_(Registry_.counter("servers.links_broken", "breaks")),
       MismatchedAnswers_(
           Registry_.counter("attempts.foreign_answers", "answers")),
--- a/Services/laburnum-entry/EntryMetrics.h
+++ b/Services/laburnum-entry/EntryMetrics.h
@@ -34,8 +34,11 @@
   Counter &AttemptsRefused_;   ///< Refused by the server before running.
   Counter &ContentRefused_; ///< 503: servers crashed while running the content.
   Counter &ServersCrashed_; ///< Unreachable when probed after a disconnect.
-  Counter &BackoffsRequested_; ///< Answers that requested a backoff.
-  Counter &LinksBroken_;       ///< Reachable when probed after a disconnect.
+  Counter &BackoffsRequested_;    ///< Answers that requested a backoff.
+  Counter &RateLimitsAnnounced_;  ///< Answers that stated a rate limit.
+  Counter &RateLimitsUnreadable_; ///< Of these, with an invalid value.
+  Counter &AttemptsRateLimited_;  ///< Sent to servers with a rate limit.
+  Counter &LinksBroken_;          ///< Reachable when probed after a disconnect.
   Counter &MismatchedAnswers_; ///< Of another request; skipped on a kept-alive
                                ///< connection.
   Counter &ConfigurationsApplied_;
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -116,6 +116,8 @@
 void RequestSession::on(SendAttempt const &Action) {
   Plane_.Dependencies_.Metrics_.AttemptsSent_.add();
   Server_ = Action.Server_;
+  if (Plane_.StatedRateLimits_.contains(incarnationOf(*Server_)))
+    Plane_.Dependencies_.Metrics_.AttemptsRateLimited_.add();
   Answer_.reset();
   LastServer_ = Server_->Id_.text();
   if (FirstSentAt_ == TimePoint())
@@ -154,6 +156,8 @@
     Plane_.onServerLeaving(*Server_);
   if (Answer_->Backoff_)
     Plane_.onServerBackoff(*Server_, *Answer_->Backoff_);
+  if (Answer_->RateLimit_)
+    Plane_.onRateLimit(*Server_, *Answer_->RateLimit_);
   handle(HeadArrived{*Answer_});
   return HeadDecision::Take;
 }
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -304,6 +304,25 @@
                                                              : "default"));
 }
 
+void TrafficPlane::onRateLimit(ServerRecord const &Server,
+                               RateLimitStatement const &Statement) {
+  auto &Metrics = Dependencies_.Metrics_;
+  Metrics.RateLimitsAnnounced_.add();
+  if (!Statement.RequestsPerSecond_)
+    Metrics.RateLimitsUnreadable_.add();
+  auto &Last = StatedRateLimits_[incarnationOf(Server)];
+  if (Last == Statement.Text_)
+    return;
+  Last = Statement.Text_;
+  Dependencies_.Log_.write(
+      LogLine("server_limited")
+          .add("server", Server.Id_.text())
+          .add("born", Server.IncarnationStartMilliseconds_)
+          .add("outcome",
+               Statement.RequestsPerSecond_ ? "stated" : "unreadable")
+          .add("value", Statement.Text_));
+}
+
 void TrafficPlane::startDisconnectProbe(ServerRecord const &Server) {
   if (!ProbedServers_.insert(incarnationOf(Server)).second)
     return;
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -126,6 +126,8 @@
                            std::string_view Source);
   void onServerBackoff(ServerRecord const &Server,
                        BackoffRequest const &Backoff);
+  void onRateLimit(ServerRecord const &Server,
+                   RateLimitStatement const &Statement);
   void startDisconnectProbe(ServerRecord const &Server);
   void onDisconnectClassified(ServerRecord const &Server, ProbeAnswer Answer);
   void report(std::vector<CrashReport> const &Reports);
@@ -163,6 +165,8 @@
   std::map<ServerId, std::shared_ptr<OutboundPool>> Pools_;
   CrashListener CrashListener_;
   LeavingListener LeavingListener_;
+  /// The last stated rate limit of each incarnation, for logging.
+  std::map<ServerId, std::string> StatedRateLimits_;
   std::set<ServerId> ProbedServers_; ///< Incarnations with a probe in flight.
 };
 
--- a/Tests/Platform/TestHeaderCodec.cpp
+++ b/Tests/Platform/TestHeaderCodec.cpp
@@ -164,3 +164,28 @@
   CHECK_FALSE(Codec.decode(answer(200, {{"Retry-After", "3"}})).Backoff_);
   CHECK_FALSE(Codec.decode(answer(429, {{"Retry-After", "3"}})).Backoff_);
 }
+
+TEST_CASE("Any answer of the server itself can state its rate limit") {
+  for (auto const Status : {200, 500, 503})
+    CHECK(Codec.decode(answer(Status, {{"Server-Limit", "2.25"}})).RateLimit_ ==
+          RateLimitStatement{2.25, "2.25"});
+  CHECK_FALSE(Codec.decode(answer(200, {})).RateLimit_);
+  CHECK_FALSE(Codec.decode(answer(421, {{"Server-Limit", "2"}})).RateLimit_);
+}
+
+TEST_CASE("A rate limit that is no single finite number of at least zero is "
+          "unreadable") {
+  CHECK(Codec.decode(answer(200, {{"Server-Limit", "0"}})).RateLimit_ ==
+        RateLimitStatement{0.0, "0"});
+  for (std::string const Text : {"", "-1", "few", "nan", "inf", "1e999", "2,3",
+                                 "2.3/s", "0x10", "2 3"}) {
+    CAPTURE(Text);
+    CHECK(Codec.decode(answer(200, {{"Server-Limit", Text}})).RateLimit_ ==
+          RateLimitStatement{std::nullopt, Text});
+  }
+  auto const Twice =
+      answer(200, {{"Server-Limit", "2"}, {"server-limit", "9"}});
+  CHECK_FALSE(Codec.decode(Twice).RateLimit_->RequestsPerSecond_);
+  auto const Long = answer(200, {{"Server-Limit", std::string(9000, 'x')}});
+  CHECK(Codec.decode(Long).RateLimit_->Text_.size() == 40);
+}
