--- a/Tests/EntryProcess/CrashableServer.cpp
+++ b/Tests/EntryProcess/CrashableServer.cpp
@@ -70,6 +70,9 @@
     Head.Fields_.add("X-Not-Executed", "1");
     return Exchange->answer(Head, "");
   }
+  Arrivals_.push_back(readClock());
+  if (RateLimit_)
+    Head.Fields_.add("Server-Limit", *RateLimit_);
   if (RunListener_)
     RunListener_(std::string(Fields.valueOr("X-Attempt-Id")));
   if (Request.Head_.Target_.find("deadly") != std::string::npos) {
--- a/Tests/EntryProcess/CrashableServer.h
+++ b/Tests/EntryProcess/CrashableServer.h
@@ -8,9 +8,12 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace laburnum::entry_process {
 
@@ -33,6 +36,13 @@
     RunListener_ = std::move(Listener);
   }
 
+  /// Sets the rate limit stated in each answer; nothing: none is stated.
+  void setRateLimit(std::optional<std::string> Text) {
+    RateLimit_ = std::move(Text);
+  }
+  /// When requests arrived, in order.
+  std::vector<TimePoint> const &arrivals() const { return Arrivals_; }
+
   /// Starts an incarnation: listens and registers in the store.
   void startIncarnation();
   void stop();
@@ -65,6 +75,8 @@
   std::size_t CrashingRequests_ = 0;
   std::set<std::shared_ptr<Exchange>> Running_;
   RunListener RunListener_;
+  std::optional<std::string> RateLimit_;
+  std::vector<TimePoint> Arrivals_;
 };
 
 } // namespace laburnum::entry_process
--- a/Tests/EntryProcess/EntryFleet.cpp
+++ b/Tests/EntryProcess/EntryFleet.cpp
@@ -63,6 +63,15 @@
   });
 }
 
+void EntryFleet::setRateLimit(std::size_t Server,
+                              std::optional<std::string> Text) {
+  Thread_.on([&] { Servers_[Server].setRateLimit(std::move(Text)); });
+}
+
+std::vector<TimePoint> EntryFleet::arrivals(std::size_t Server) {
+  return Thread_.on([&] { return Servers_[Server].arrivals(); });
+}
+
 void EntryFleet::crashServer(std::size_t Number) {
   Thread_.on([&] {
     if (!Servers_[Number].isDown())
--- a/Tests/EntryProcess/EntryFleet.h
+++ b/Tests/EntryProcess/EntryFleet.h
@@ -31,6 +31,8 @@
   template <typename Function> auto onStore(Function Task) {
     return Thread_.on([&] { return Task(Store_); });
   }
+  void setRateLimit(std::size_t Server, std::optional<std::string> Text);
+  std::vector<TimePoint> arrivals(std::size_t Server);
   /// Crashes a server without a crashing request.
   void crashServer(std::size_t Number);
 
