TestMain: Escape commas in the names of known red cases

A test case in KNOWN-RED.txt whose name holds a comma made Catch2 read its name as two specifications: the program printed "No tests ran" and passed.

--- a/Tests/TestMain/TestMain.cpp
+++ b/Tests/TestMain/TestMain.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <iostream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace {
@@ -21,6 +22,17 @@
   return Cases;
 }
 
+/// Catch2 takes a comma as the end of a test specification.
+std::string escapeCommas(std::string_view Name) {
+  std::string Escaped;
+  for (auto const Character : Name) {
+    if (Character == ',')
+      Escaped += '\\';
+    Escaped += Character;
+  }
+  return Escaped;
+}
+
 } // namespace
 
 /// Without arguments, skips the test cases that are known to fail and prints
@@ -34,7 +46,7 @@
   std::string Filter;
   for (auto const &Case : knownRed(Program)) {
     std::cout << "known red, not run: " << Program << " \"" << Case << "\"\n";
-    Filter += "~\"" + Case + '"';
+    Filter += "~\"" + escapeCommas(Case) + '"';
   }
   if (!Filter.empty())
     Config.testsOrTags.push_back(Filter);
