laburnum-entry: Keep to the rate limits that servers state

What callers and servers saw: a server that had stated a limit of 2.3 requests a second got 35 in 4 s. Callers noticed nothing; the server in need got no relief.

Cause: nothing read Server-Limit. The limit is one of a server's incarnation over all entry instances, while everything that an instance kept about a server beyond the store's list (backoff, ejection, leaving) was its own. Ruled out: each instance keeping the limit for itself, and retries or prefixes going round it: arrivals are the same before and after the statement, and no instance held a value.

ServerRoster sends only with a token, and AdmissionQueue refuses at once, with Retry-After, what no server of a fully limited service can take in time.

Why it works: all instances compute the same owners, so that no message is needed for a request, and the buckets of all owners together hold no more than the limit's burst.

--- a/Libraries/LibLog/LogLine.cpp
+++ b/Libraries/LibLog/LogLine.cpp
@@ -42,6 +42,12 @@
   return *this;
 }
 
+LogLine &LogLine::add(std::string_view Name, double Value) {
+  std::array<char, 32> Text{};
+  std::snprintf(Text.data(), Text.size(), "%.6g", Value);
+  return add(Name, std::string_view(Text.data()));
+}
+
 LogLine &LogLine::add(std::string_view Name, Duration Value) {
   std::array<char, 32> Text{};
   std::snprintf(Text.data(), Text.size(), "%.1f",
--- a/Libraries/LibLog/LogLine.h
+++ b/Libraries/LibLog/LogLine.h
@@ -20,6 +20,7 @@
     return add(Name, std::string_view(std::to_string(Value)));
   }
   /// Adds a duration in milliseconds. The name should end in _ms.
+  LogLine &add(std::string_view Name, double Value);
   LogLine &add(std::string_view Name, Duration Value);
   /// Adds the value as 16 hexadecimal digits.
   LogLine &addHash(std::string_view Name, std::uint64_t Value);
--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -50,6 +50,13 @@
   return std::tie(Value.Origin_, Value.Number_, Value.Role_,
                   Value.Incarnations_, Value.Accounts_, Value.TimeOfDay_);
 }
+auto fieldsOf(Of<ServerRateLimit> auto &Value) {
+  return std::tie(Value.Incarnation_, Value.State_,
+                  Value.MicroRequestsPerSecond_, Value.Age_);
+}
+auto fieldsOf(Of<ServerRateLimits> auto &Value) {
+  return std::tie(Value.Limits_);
+}
 auto fieldsOf(Of<Endpoint> auto &Value) {
   return std::tie(Value.Host_, Value.Port_);
 }
@@ -141,6 +148,9 @@
 constexpr CollectorRole lastOf(CollectorRole /*Any*/) {
   return CollectorRole::HoldsLease;
 }
+constexpr RateLimitState lastOf(RateLimitState /*Any*/) {
+  return RateLimitState::Lifted;
+}
 constexpr Propagation lastOf(Propagation /*Any*/) { return Propagation::None; }
 constexpr MemberState lastOf(MemberState /*Any*/) { return MemberState::Gone; }
 constexpr HeartbeatKind lastOf(HeartbeatKind /*Any*/) {
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -7,6 +7,7 @@
 #include <LibPeer/ConsumptionSum.h>
 #include <LibPeer/CrashReports.h>
 #include <LibPeer/DemandReport.h>
+#include <LibPeer/ServerRateLimits.h>
 #include <LibPeer/ServerReserved.h>
 #include <LibPeer/ShareGrant.h>
 #include <LibPeer/StoreUpdate.h>
@@ -117,6 +118,7 @@
                  ConfigurationRequest, ServerLeavingNotice, CrashReports,
                  ServerReserved, DemandReport, ShareGrant, StreamCheckpoint,
                  StreamQuery, StreamState, StreamHandOver, ConsumptionReport,
-                 StoreUpdate, SnapshotRequest, ConsumptionSum>;
+                 StoreUpdate, SnapshotRequest, ConsumptionSum,
+                 ServerRateLimits>;
 
 } // namespace laburnum
--- a/Libraries/LibTraffic/AdmissionQueue.cpp
+++ b/Libraries/LibTraffic/AdmissionQueue.cpp
@@ -1,5 +1,7 @@
 #include <LibTraffic/AdmissionQueue.h>
 
+#include <algorithm>
+
 namespace laburnum {
 
 namespace {
@@ -13,17 +15,30 @@
 
 } // namespace
 
+std::size_t AdmissionQueue::countAhead(WaitingRequest const &Request) const {
+  auto const End =
+      Waiting_.lower_bound(QueueKey{Request.Rank_, Request.Ticket_});
+  return static_cast<std::size_t>(
+      std::count_if(Waiting_.begin(), End, [&](auto const &Pair) {
+        return Pair.second.Query_.Service_ == Request.Query_.Service_;
+      }));
+}
+
 std::optional<AdmissionOutcome>
-AdmissionQueue::tryAdmit(WaitingRequest const &Request, TimePoint Now) {
+AdmissionQueue::tryAdmit(WaitingRequest const &Request, std::size_t Ahead,
+                         TimePoint Now) {
   if (auto const Server = Roster_.choose(Request.Query_, Now)) {
-    Roster_.onSent(Server->Id_);
+    Roster_.onSent(Server->Id_, Now);
     return Admitted{Request.Ticket_, *Server};
   }
   auto const &Service = Request.Query_.Service_;
-  if (auto const RetryAfter =
-          Roster_.retryAfterBackoff(Service, Request.GiveUpAt_, Now))
-    return Rejected{Request.Ticket_, "every server asks for a pause",
-                    *RetryAfter};
+  if (auto const Exhausted =
+          Roster_.exhaustion(Service, Ahead, Request.GiveUpAt_, Now))
+    return Rejected{Request.Ticket_,
+                    Exhausted->Cause_ == ExhaustionCause::Backoff
+                        ? "every server asks for a pause"
+                        : "every server is at its rate limit",
+                    Exhausted->RetryAfter_};
   if (Now >= Request.GiveUpAt_)
     return Roster_.isServed(Service, Now)
                ? Rejected{Request.Ticket_, "every server is full",
@@ -35,7 +50,7 @@
 
 std::vector<AdmissionOutcome> AdmissionQueue::add(WaitingRequest Request,
                                                   TimePoint Now) {
-  if (auto Outcome = tryAdmit(Request, Now))
+  if (auto Outcome = tryAdmit(Request, countAhead(Request), Now))
     return {std::move(*Outcome)};
   QueueKey const Key{Request.Rank_, Request.Ticket_};
   Waiting_.emplace(Key, std::move(Request));
@@ -56,9 +71,12 @@
 
 std::vector<AdmissionOutcome> AdmissionQueue::advance(TimePoint Now) {
   std::vector<AdmissionOutcome> Outcomes;
+  std::map<ServiceName, std::size_t> StillQueued;
   for (auto Next = Waiting_.begin(); Next != Waiting_.end();) {
-    auto Outcome = tryAdmit(Next->second, Now);
+    auto &Ahead = StillQueued[Next->second.Query_.Service_];
+    auto Outcome = tryAdmit(Next->second, Ahead, Now);
     if (!Outcome) {
+      ++Ahead;
       ++Next;
       continue;
     }
--- a/Libraries/LibTraffic/AdmissionQueue.h
+++ b/Libraries/LibTraffic/AdmissionQueue.h
@@ -39,8 +39,9 @@
 
 /// Queues requests while every server of their service is full, ordered by
 /// priority and then by age. A request is rejected at once if its latest useful
-/// start has passed, or if every server of its service has requested a backoff
-/// that ends after it.
+/// start has passed, or if by then the servers of its service, which all have
+/// requested a backoff or have a rate limit, take no more requests than are
+/// queued before it.
 class AdmissionQueue {
 public:
   explicit AdmissionQueue(ServerRoster &Roster) : Roster_(Roster) {}
@@ -59,8 +60,10 @@
     auto operator<=>(QueueKey const &) const = default;
   };
 
+  /// Ahead: requests of the same service that are queued before this one.
   std::optional<AdmissionOutcome> tryAdmit(WaitingRequest const &Request,
-                                           TimePoint Now);
+                                           std::size_t Ahead, TimePoint Now);
+  std::size_t countAhead(WaitingRequest const &Request) const;
 
   ServerRoster &Roster_;
   std::map<QueueKey, WaitingRequest> Waiting_;
--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -43,6 +43,9 @@
 /// Maximum jitter added to the time to wait after a backoff, as a fraction of
 /// that time.
 constexpr double RetryAfterJitter = 0.5;
+/// Bounds of the time to wait for a rate limited server, before jitter.
+constexpr std::chrono::milliseconds MinRetryAfterRateLimit{200};
+constexpr std::chrono::seconds MaxRetryAfterRateLimit{5};
 
 std::string regionOf(Geography const &Geography, DataCentre const &Centre) {
   auto const Found = Geography.Regions_.find(Centre);
@@ -56,7 +59,8 @@
 } // namespace
 
 ServerRoster::ServerRoster(Geography Geography, std::uint64_t Seed)
-    : Geography_(std::move(Geography)), Generator_(Seed) {}
+    : Geography_(std::move(Geography)), Generator_(Seed),
+      RateLimiter_(Generator_()) {}
 
 void ServerRoster::replaceAll(std::vector<ServerRecord> const &Records) {
   std::set<ServerId> Present;
@@ -93,7 +97,8 @@
 
 bool ServerRoster::takesRequests(Entry const &Server, TimePoint Now) const {
   return isStaying(Server) && Server.Status_.BackoffUntil_ <= Now &&
-         Server.EjectedUntil_ <= Now;
+         Server.EjectedUntil_ <= Now &&
+         RateLimiter_.maySend(Server.Incarnation_, Now);
 }
 
 double ServerRoster::load(Entry const &Server, TimePoint Now) const {
@@ -105,15 +110,22 @@
   return load(Server, Now) + SlowAttemptWeight * Server.SlowAttempts_;
 }
 
+double ServerRoster::distanceCost(DataCentre const &Centre) const {
+  if (Centre == Geography_.Local_)
+    return 0.0;
+  return regionOf(Geography_, Centre) == regionOf(Geography_, Geography_.Local_)
+             ? OtherDataCentreCost
+             : OtherRegionCost;
+}
+
 double ServerRoster::cost(Entry const &Server, TimePoint Now) const {
-  double Distance = 0.0;
-  auto const &Centre = Server.Record_.DataCentre_;
-  if (Centre != Geography_.Local_)
-    Distance =
-        regionOf(Geography_, Centre) == regionOf(Geography_, Geography_.Local_)
-            ? OtherDataCentreCost
-            : OtherRegionCost;
-  return (adjustedLoad(Server, Now) + 1.0) / slotsOf(Server.Record_) + Distance;
+  auto const Slots = slotsOf(Server.Record_);
+  auto const Load = adjustedLoad(Server, Now);
+  // Tokens for a rate limited server are lost if they are not used, and the
+  // capacity of the other servers is not: it is preferred, wherever it is.
+  if (RateLimiter_.isLimited(Server.Incarnation_))
+    return Load / Slots;
+  return (Load + 1.0) / Slots + distanceCost(Server.Record_.DataCentre_);
 }
 
 std::vector<ServerRoster::Entry const *>
@@ -177,9 +189,12 @@
   });
 }
 
-void ServerRoster::onSent(ServerId const &Id) {
-  if (auto const Found = Servers_.find(Id); Found != Servers_.end())
-    ++Found->second.Running_;
+void ServerRoster::onSent(ServerId const &Id, TimePoint Now) {
+  auto const Found = Servers_.find(Id);
+  if (Found == Servers_.end())
+    return;
+  ++Found->second.Running_;
+  RateLimiter_.onSent(Found->second.Incarnation_, Now);
 }
 
 void ServerRoster::onEnded(ServerId const &Id, AttemptHealth Health,
@@ -271,19 +286,65 @@
   });
 }
 
-std::optional<Duration>
-ServerRoster::retryAfterBackoff(ServiceName const &Service, TimePoint GiveUpAt,
-                                TimePoint Now) {
-  std::optional<TimePoint> First;
-  for (auto const &[Id, Server] : Servers_)
-    if (Server.Record_.Service_ == Service && isStaying(Server))
-      First = std::min(First.value_or(TimePoint::max()),
-                       Server.Status_.BackoffUntil_);
-  if (!First || *First <= GiveUpAt)
+double ServerRoster::usableTokens(Entry const &Server, TimePoint Until) const {
+  return Server.Status_.BackoffUntil_ > Until
+             ? 0.0
+             : std::floor(RateLimiter_.tokensAt(Server.Incarnation_, Until));
+}
+
+std::optional<ServiceExhaustion>
+ServerRoster::exhaustion(ServiceName const &Service, std::size_t Ahead,
+                         TimePoint GiveUpAt, TimePoint Now) {
+  bool IsServed = false;
+  bool IsAnyLimited = false;
+  auto RetryAt = TimePoint::max();
+  double Tokens = 0.0;
+  double Rate = 0.0;
+  for (auto const &[Id, Server] : Servers_) {
+    if (Server.Record_.Service_ != Service || !isStaying(Server))
+      continue;
+    IsServed = true;
+    if (RateLimiter_.isLimited(Server.Incarnation_)) {
+      IsAnyLimited = true;
+      Tokens += usableTokens(Server, GiveUpAt);
+      Rate += RateLimiter_.localRate(Server.Incarnation_);
+    } else if (Server.Status_.BackoffUntil_ <= GiveUpAt) {
+      return std::nullopt;
+    } else {
+      RetryAt = std::min(RetryAt, Server.Status_.BackoffUntil_);
+    }
+  }
+  if (!IsServed || Tokens > static_cast<double>(Ahead))
     return std::nullopt;
+  if (IsAnyLimited) {
+    // Without a part of any limit, other instances may serve the retry.
+    std::chrono::duration<double> const Wait(
+        Rate > 0.0 ? (static_cast<double>(Ahead) + 1.0) / Rate : 0.0);
+    RetryAt = std::min(
+        RetryAt,
+        Now + std::chrono::duration_cast<Duration>(
+                  std::clamp<std::chrono::duration<double>>(
+                      Wait, MinRetryAfterRateLimit, MaxRetryAfterRateLimit)));
+  }
   std::uniform_real_distribution<double> Spread(1.0, 1.0 + RetryAfterJitter);
-  return std::chrono::duration_cast<Duration>((*First - Now) *
-                                              Spread(Generator_));
+  return ServiceExhaustion{IsAnyLimited ? ExhaustionCause::RateLimit
+                                        : ExhaustionCause::Backoff,
+                           std::chrono::duration_cast<Duration>(
+                               (RetryAt - Now) * Spread(Generator_))};
+}
+
+RateLimitSummary ServerRoster::rateLimitState(ServiceName const &Service,
+                                              TimePoint Now) const {
+  RateLimitSummary Summary;
+  for (auto const &[Id, Server] : Servers_) {
+    if (Server.Record_.Service_ != Service || !isStaying(Server) ||
+        !RateLimiter_.isLimited(Server.Incarnation_))
+      continue;
+    ++Summary.Limited_;
+    Summary.LocalRate_ += RateLimiter_.localRate(Server.Incarnation_);
+    Summary.Tokens_ += usableTokens(Server, Now);
+  }
+  return Summary;
 }
 
 bool ServerRoster::isLeaving(ServerId const &Id) const {
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibModel/AttemptEvidence.h>
+#include <LibTraffic/ServerRateLimiter.h>
 #include <LibTraffic/ServerRecord.h>
 
 #include <cstdint>
@@ -40,11 +41,34 @@
   Unknown, ///< The attempt was cancelled before it gave any evidence.
 };
 
+/// Why no server of a service can take another request in time.
+enum class ExhaustionCause {
+  Backoff,   ///< Every server requested a backoff.
+  RateLimit, ///< Every server has reached its rate limit or requested a
+             ///< backoff.
+};
+
+struct ServiceExhaustion {
+  ExhaustionCause Cause_ = ExhaustionCause::Backoff;
+  Duration RetryAfter_{};
+
+  auto operator<=>(ServiceExhaustion const &) const = default;
+};
+
+/// The rate limits of a service's servers, for logging.
+struct RateLimitSummary {
+  std::uint32_t Limited_ = 0; ///< Servers with a limit.
+  double LocalRate_ = 0.0;    ///< This instance's part, requests a second.
+  double Tokens_ = 0.0;       ///< Requests that this instance may send now.
+
+  auto operator<=>(RateLimitSummary const &) const = default;
+};
+
 /// Tracks the backend servers of all services, from the platform's list and
 /// from local observations, and chooses the best one for a request. An
 /// incarnation of a server gets no new requests after the first sign that it is
 /// leaving, whatever the list says later, nor during a backoff that it
-/// requested.
+/// requested, nor beyond this instance's part of its rate limit.
 class ServerRoster {
 public:
   ServerRoster(Geography Geography, std::uint64_t Seed);
@@ -60,7 +84,7 @@
   bool isServed(ServiceName const &Service, TimePoint Now) const;
 
   /// Counts an attempt that is being sent to the server.
-  void onSent(ServerId const &Id);
+  void onSent(ServerId const &Id, TimePoint Now);
   void onEnded(ServerId const &Id, AttemptHealth Health, TimePoint Now);
   void onLoad(ServerId const &Id, ServerLoad const &Load, TimePoint Now);
   /// An attempt has waited long for the server's first byte, until
@@ -77,11 +101,17 @@
   /// The server requested that this instance send it nothing for a while.
   void onBackoffRequested(ServerId const &Incarnation, Duration For,
                           TimePoint Now);
-  /// Returns the time after which to retry if every server of the service has
-  /// requested a backoff that ends after GiveUpAt, with jitter to spread the
-  /// retries. Returns nothing if the request may wait.
-  std::optional<Duration> retryAfterBackoff(ServiceName const &Service,
-                                            TimePoint GiveUpAt, TimePoint Now);
+  /// Returns why a request that waits until GiveUpAt, behind Ahead others of
+  /// its service, is not going to be served, and after which time to retry,
+  /// with jitter to spread the retries. Returns nothing if the request may
+  /// wait.
+  std::optional<ServiceExhaustion> exhaustion(ServiceName const &Service,
+                                              std::size_t Ahead,
+                                              TimePoint GiveUpAt,
+                                              TimePoint Now);
+  ServerRateLimiter &rateLimiter() { return RateLimiter_; }
+  RateLimitSummary rateLimitState(ServiceName const &Service,
+                                  TimePoint Now) const;
 
   /// Returns whether the server is draining, has reported that it is leaving,
   /// or is not listed.
@@ -115,6 +145,8 @@
   };
 
   bool isStaying(Entry const &Server) const;
+  /// Returns the tokens of a rate limited server that can be used until then.
+  double usableTokens(Entry const &Server, TimePoint Until) const;
   /// Changes the status of an incarnation, whether or not it is listed.
   template <typename Function>
   void updateStatus(ServerId const &Incarnation, TimePoint Now,
@@ -123,6 +155,7 @@
   double load(Entry const &Server, TimePoint Now) const;
   /// The load, increased for slow and failing servers.
   double adjustedLoad(Entry const &Server, TimePoint Now) const;
+  double distanceCost(DataCentre const &Centre) const;
   double cost(Entry const &Server, TimePoint Now) const;
   std::vector<Entry const *> usable(ServerQuery const &Query,
                                     TimePoint Now) const;
@@ -131,6 +164,7 @@
 
   Geography Geography_;
   std::mt19937_64 Generator_;
+  ServerRateLimiter RateLimiter_;
   std::map<ServerId, Entry> Servers_;
   /// By incarnation, because a server may vanish from the list and return.
   std::map<ServerId, IncarnationStatus> Statuses_;
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -58,6 +58,10 @@
       CrashGuardTasks_({Dependencies.Context_, Store_, Dependencies.Guard_,
                         Dependencies.Clock_, Dependencies.Log_},
                        localInstance(Dependencies.Settings_, Incarnation_)),
+      RateLimitTasks_({Dependencies.Context_, Dependencies.TrafficContext_,
+                       Dependencies.Traffic_},
+                      localInstance(Dependencies.Settings_, Incarnation_),
+                      Seed + 5),
       Peers_(std::make_shared<PeerNetwork>(
           Dependencies.Context_, Store_, Dependencies.Settings_.Name_,
           localInstance(Dependencies.Settings_, Incarnation_), Seed + 4,
@@ -138,6 +142,7 @@
   tickLeaseHolderTasks();
   reportConsumption();
   CrashGuardTasks_.start(Peers_);
+  RateLimitTasks_.start(Peers_);
   awaitSignals();
   watchSettings();
   flushLog();
@@ -228,6 +233,8 @@
   LeaseHolderTasks_.setMembers(View.Members_, readBootClock());
   Follower_->setMembers(View.Members_);
   CrashGuardTasks_.setMembers(View.Members_);
+  RateLimitTasks_.setFleet(View,
+                           IsStopping_ ? Liveness::Leaving : Liveness::Live);
   Collector_.setMembers(View.Members_, readBootClock());
   if (Collector_.isDirect())
     LeaseHolderTasks_.setConnectivity(Live >= View.Registered_ && Live > 1
@@ -251,6 +258,8 @@
     onTraffic([&Traffic = Dependencies_.Traffic_, Received = *Notice] {
       Traffic.onPeerNotice(Received);
     });
+  else if (auto const *const Limits = std::get_if<ServerRateLimits>(&Message))
+    RateLimitTasks_.onPeer(*Limits);
   else if (auto const *const Update = std::get_if<StoreUpdate>(&Message))
     Follower_->onStoreUpdate(*Update);
   else if (auto const *const Request = std::get_if<SnapshotRequest>(&Message))
@@ -411,6 +420,7 @@
   Dependencies_.Log_.write(
       LogLine("stop").add("time_ms", Settings_.inForce().StopGracePeriod_));
   Peers_->leave();
+  RateLimitTasks_.setFleet(Peers_->view(), Liveness::Leaving);
   StopTimer_.expires_after(BalancerDelay);
   StopTimer_.async_wait([this](asio::error_code Failure) {
     if (Failure)
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -2,6 +2,7 @@
 
 #include "CrashGuardTasks.h"
 #include "LeaseHolderTasks.h"
+#include "RateLimitTasks.h"
 #include "StatusService.h"
 #include "TrafficPlane.h"
 
@@ -109,6 +110,7 @@
   LeaseHolderTasks LeaseHolderTasks_;
   ConsumptionCollector Collector_;
   CrashGuardTasks CrashGuardTasks_;
+  RateLimitTasks RateLimitTasks_;
   std::shared_ptr<PeerNetwork> Peers_;
   std::shared_ptr<StoreFollower> Follower_;
   asio::steady_timer LeaseHolderTimer_;
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -116,12 +116,13 @@
 void RequestSession::on(SendAttempt const &Action) {
   Plane_.Dependencies_.Metrics_.AttemptsSent_.add();
   Server_ = Action.Server_;
-  if (Plane_.StatedRateLimits_.contains(incarnationOf(*Server_)))
+  AttemptSentAt_ = readBootClock();
+  if (Plane_.Roster_.rateLimiter().isLimited(incarnationOf(*Server_)))
     Plane_.Dependencies_.Metrics_.AttemptsRateLimited_.add();
   Answer_.reset();
   LastServer_ = Server_->Id_.text();
   if (FirstSentAt_ == TimePoint())
-    FirstSentAt_ = readBootClock();
+    FirstSentAt_ = AttemptSentAt_;
   OutboundRequest Outbound;
   Outbound.Head_ = Plane_.Dependencies_.TrafficCodec_.encode(Request_.Head_,
                                                              Action.Metadata_);
@@ -156,8 +157,8 @@
     Plane_.onServerLeaving(*Server_);
   if (Answer_->Backoff_)
     Plane_.onServerBackoff(*Server_, *Answer_->Backoff_);
-  if (Answer_->RateLimit_)
-    Plane_.onRateLimit(*Server_, *Answer_->RateLimit_);
+  Plane_.RateLimits_.onAnswer(*Server_, *Answer_, AttemptSentAt_,
+                              readBootClock());
   handle(HeadArrived{*Answer_});
   return HeadDecision::Take;
 }
@@ -282,6 +283,7 @@
                         Action.Status_, Action.RetryAfter_,
                         FlowContext_.Metadata_.AttemptId_),
                     {});
+  RefusalRetryAfter_ = Action.RetryAfter_;
   finish(Action.Status_ == ServiceUnavailable ? Outcome::Refused
                                               : Outcome::Failed,
          Action.Status_, Action.Reason_);
@@ -355,6 +357,10 @@
   Line.add("total_ms", Now - Request_.BegunAt_);
   if (Outcome != Outcome::Answered)
     Plane_.addServerListState(Line);
+  if (Outcome == Outcome::Refused)
+    Plane_.addRateLimitState(Line, FlowContext_.Service_);
+  if (RefusalRetryAfter_)
+    Line.add("retry_after_ms", *RefusalRetryAfter_);
   if (!Reason.empty())
     Line.add("why", Reason);
   Plane_.Dependencies_.Log_.write(Line);
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -67,9 +67,11 @@
   std::optional<ServerAnswer> Answer_;
   std::shared_ptr<OutboundCall> Call_;
   std::string LastServer_;
+  TimePoint AttemptSentAt_{};
   TimePoint FirstSentAt_{};
   TimePoint FirstAnswerAt_{};
   std::int32_t RelayedStatus_ = 0;
+  std::optional<Duration> RefusalRetryAfter_;
   bool IsFinished_ = false;
 };
 
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -50,6 +50,8 @@
     : Dependencies_(Dependencies), Roster_({Dependencies.Settings_.DataCentre_,
                                             Dependencies.Settings_.Regions_},
                                            Seed),
+      RateLimits_(Roster_.rateLimiter(), Dependencies.Log_,
+                  Dependencies.Metrics_),
       Queue_(Roster_), Retries_(retryBudgetSettings(Dependencies.Settings_)),
       QuotaLimiter_(quotaLimiterSettings(Dependencies.Settings_)),
       QueueTimer_(Dependencies.Context_) {}
@@ -304,23 +306,17 @@
                                                              : "default"));
 }
 
-void TrafficPlane::onRateLimit(ServerRecord const &Server,
-                               RateLimitStatement const &Statement) {
-  auto &Metrics = Dependencies_.Metrics_;
-  Metrics.RateLimitsAnnounced_.add();
-  if (!Statement.RequestsPerSecond_)
-    Metrics.RateLimitsUnreadable_.add();
-  auto &Last = StatedRateLimits_[incarnationOf(Server)];
-  if (Last == Statement.Text_)
-    return;
-  Last = Statement.Text_;
-  Dependencies_.Log_.write(
-      LogLine("server_limited")
-          .add("server", Server.Id_.text())
-          .add("born", Server.IncarnationStartMilliseconds_)
-          .add("outcome",
-               Statement.RequestsPerSecond_ ? "stated" : "unreadable")
-          .add("value", Statement.Text_));
+void TrafficPlane::onPeerRateLimits(ServerRateLimits const &Received) {
+  RateLimits_.onPeer(Received, readBootClock());
+  advanceQueue();
+}
+
+void TrafficPlane::setRateLimitFleet(RateLimitFleet const &Fleet) {
+  Roster_.rateLimiter().setFleet(Fleet, readBootClock());
+}
+
+std::vector<ServerRateLimit> TrafficPlane::rateLimits() {
+  return Roster_.rateLimiter().limits(readBootClock());
 }
 
 void TrafficPlane::startDisconnectProbe(ServerRecord const &Server) {
@@ -374,6 +370,15 @@
       .add("servers_age_ms", readBootClock() - ServersCurrentAt_);
 }
 
+void TrafficPlane::addRateLimitState(LogLine &Line,
+                                     ServiceName const &Service) const {
+  auto const State = Roster_.rateLimitState(Service, readBootClock());
+  if (State.Limited_ > 0)
+    Line.add("limited_servers", State.Limited_)
+        .add("local_per_second", State.LocalRate_)
+        .add("local_tokens", State.Tokens_);
+}
+
 void TrafficPlane::onRequest(std::shared_ptr<Exchange> Exchange,
                              ReceivedRequest Request) {
   if (auto const Session = admit(Exchange, Request))
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "EntryMetrics.h"
+#include "RateLimitObserver.h"
 
 #include <LibControl/MedianClock.h>
 #include <LibControl/UsageCounter.h>
@@ -69,6 +70,14 @@
     CrashListener_ = std::move(Listener);
   }
 
+  /// Sets the listener that sends changed rate limits of servers to the peers.
+  void setRateLimitListener(RateLimitObserver::Listener Listener) {
+    RateLimits_.setListener(std::move(Listener));
+  }
+  void onPeerRateLimits(ServerRateLimits const &Received);
+  void setRateLimitFleet(RateLimitFleet const &Fleet);
+  std::vector<ServerRateLimit> rateLimits();
+
   void setTable(std::shared_ptr<RouteTable const> Table);
   /// Applies the settings that can change at run time.
   void applySettings(EntrySettings const &Settings);
@@ -126,8 +135,6 @@
                            std::string_view Source);
   void onServerBackoff(ServerRecord const &Server,
                        BackoffRequest const &Backoff);
-  void onRateLimit(ServerRecord const &Server,
-                   RateLimitStatement const &Statement);
   void startDisconnectProbe(ServerRecord const &Server);
   void onDisconnectClassified(ServerRecord const &Server, ProbeAnswer Answer);
   void report(std::vector<CrashReport> const &Reports);
@@ -149,11 +156,14 @@
   std::shared_ptr<HttpListener> Listener_;
   /// Adds the version and the age of the server list.
   void addServerListState(LogLine &Line) const;
+  /// Adds what is known of the rate limits of the service's servers, if any.
+  void addRateLimitState(LogLine &Line, ServiceName const &Service) const;
 
   std::shared_ptr<RouteTable const> Table_;
   Version ServersVersion_ = 0;
   TimePoint ServersCurrentAt_{};
   ServerRoster Roster_;
+  RateLimitObserver RateLimits_; ///< Refers to Roster_.
   AdmissionQueue Queue_;
   WindowedRetryBudget Retries_;
   AccountQuotaLimiter QuotaLimiter_;
@@ -165,8 +175,6 @@
   std::map<ServerId, std::shared_ptr<OutboundPool>> Pools_;
   CrashListener CrashListener_;
   LeavingListener LeavingListener_;
-  /// The last stated rate limit of each incarnation, for logging.
-  std::map<ServerId, std::string> StatedRateLimits_;
   std::set<ServerId> ProbedServers_; ///< Incarnations with a probe in flight.
 };
 
--- a/Tests/EntryProcess/TestRateLimitedServers.cpp
+++ b/Tests/EntryProcess/TestRateLimitedServers.cpp
@@ -63,3 +63,57 @@
   CHECK(static_cast<double>(mostInWindow(
             Fleet.arrivals(1), Stated + SettlingTime)) <= allowedInWindow(0.7));
 }
+
+TEST_CASE("When every server is at its rate limit, callers are refused at once "
+          "and told when to come back") {
+  EntryFleet Fleet(8, 2, {});
+  Fleet.setRateLimit(0, "3");
+  Fleet.setRateLimit(1, "3");
+  sendFor(Fleet, SettlingTime);
+  auto const Statuses = sendFor(Fleet, 2 * Window);
+  auto const Served = std::count(Statuses.begin(), Statuses.end(), 200);
+  auto const Refused = std::count(Statuses.begin(), Statuses.end(), 503);
+  CHECK(static_cast<std::size_t>(Served + Refused) == Statuses.size());
+  CHECK(Served >= 34); // Of 2 x 3 x 8 s.
+  // Had each waited for half its latency target, there would be 40.
+  CHECK(Refused >= 400);
+  auto const Answer = Fleet.instance(0).send("GET", "/read/x");
+  CHECK((Answer.Status_ == 200 || !Answer.RetryAfter_.empty()));
+}
+
+TEST_CASE("An instance that starts learns the rate limits of servers from its "
+          "peers") {
+  EntryFleet Fleet(3, 2, {});
+  Fleet.setRateLimit(0, "1");
+  sendFor(Fleet, seconds(1));
+  Fleet.instance(2).start();
+  Fleet.instance(2).process().awaitLine("server_limited");
+  Fleet.instance(2).process().awaitLine("source=\"a peer\"");
+}
+
+TEST_CASE("An unreadable rate limit neither limits a server nor lifts its "
+          "limit") {
+  EntryFleet Fleet(2, 2, {});
+  Fleet.setRateLimit(0, "soon");
+  sendFor(Fleet, seconds(1));
+  CHECK(Fleet.arrivals(0).size() > 50);
+  Fleet.setRateLimit(0, "1.5");
+  sendFor(Fleet, seconds(1));
+  Fleet.setRateLimit(0, "-3");
+  auto const Changed = readClock();
+  sendFor(Fleet, SettlingTime + Window);
+  CHECK(static_cast<double>(mostInWindow(Fleet.arrivals(0), Changed)) <=
+        allowedInWindow(1.5));
+  CHECK(Fleet.instance(0).process().hasWritten("outcome=unreadable"));
+}
+
+TEST_CASE("A server whose rate limit is lifted gets its share again") {
+  EntryFleet Fleet(3, 2, {});
+  Fleet.setRateLimit(0, "2");
+  sendFor(Fleet, SettlingTime);
+  Fleet.setRateLimit(0, std::nullopt);
+  sendFor(Fleet, seconds(4));
+  auto const Before = Fleet.arrivals(0).size();
+  sendFor(Fleet, seconds(1));
+  CHECK(Fleet.arrivals(0).size() - Before > 50);
+}
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -57,7 +57,9 @@
                      CollectorRole::HoldsLease,
                      23,
                      {{AccountName("a"), 7, 9}},
-                     Duration(5)}};
+                     Duration(5)},
+      ServerRateLimits{
+          {{ServerId("s@1"), RateLimitState::Lifted, 2250000, Duration(6)}}}};
 }
 
 TEST_CASE("Every message is unchanged by encoding and decoding") {
--- a/Tests/LibTraffic/TestServerAnnouncements.cpp
+++ b/Tests/LibTraffic/TestServerAnnouncements.cpp
@@ -53,7 +53,7 @@
         for (int Request = 0; Request < 3; ++Request)
           if (auto const Chosen =
                   Rosters_[Each]->choose({Writer, {}, {}}, Now_)) {
-            Rosters_[Each]->onSent(Chosen->Id_);
+            Rosters_[Each]->onSent(Chosen->Id_, Now_);
             Arrivals_.push_back({Now_, Each, Chosen->Id_});
           }
       for (auto const &One : Arrivals_) {
--- a/Tests/LibTraffic/TestServerRoster.cpp
+++ b/Tests/LibTraffic/TestServerRoster.cpp
@@ -78,7 +78,7 @@
 TEST_CASE_METHOD(
     Fixture, "A failing server is ejected for longer each time and returns") {
   Roster_.replaceAll({server("x"), server("y")});
-  Roster_.onSent(ServerId("x"));
+  Roster_.onSent(ServerId("x"), Now_);
   Roster_.onEnded(ServerId("x"), AttemptHealth::Failed, Now_);
   for (int Turn = 0; Turn < 20; ++Turn)
     CHECK(choose() == "y");
@@ -94,14 +94,14 @@
   Roster_.replaceAll({server("near", "a-1", 10), server("far", "b-1", 10)});
   CHECK(choose() == "near");
   for (int Turn = 0; Turn < 5; ++Turn)
-    Roster_.onSent(ServerId("near"));
+    Roster_.onSent(ServerId("near"), Now_);
   CHECK(choose() == "far");
 }
 
 TEST_CASE_METHOD(Fixture, "A server that sends no first byte gets fewer "
                           "requests but remains usable") {
   Roster_.replaceAll({server("dark", "a-1", 24), server("far", "b-1", 24)});
-  Roster_.onSent(ServerId("dark"));
+  Roster_.onSent(ServerId("dark"), Now_);
   Roster_.onSlowFirstByte(ServerId("dark"));
   Roster_.onSlowFirstByte(ServerId("dark"));
   CHECK(choose() == "far");
@@ -131,10 +131,10 @@
   // With enough free slots it answers in time, and no other server has to
   // process the prefix; near half full, the others' idle slots outweigh that.
   for (int Turn = 0; Turn < 7; ++Turn)
-    Roster_.onSent(ServerId(First));
+    Roster_.onSent(ServerId(First), Now_);
   CHECK(choose(Query) == First);
   for (int Turn = 0; Turn < 4; ++Turn)
-    Roster_.onSent(ServerId(First));
+    Roster_.onSent(ServerId(First), Now_);
   CHECK(choose(Query) != First);
 }
 
@@ -147,7 +147,7 @@
   auto const First = choose(Query);
   for (auto const &Server : Servers)
     for (int Turn = 0; Turn < 12; ++Turn)
-      Roster_.onSent(Server.Id_);
+      Roster_.onSent(Server.Id_, Now_);
   CHECK(choose(Query) == First);
 }
 
@@ -174,7 +174,7 @@
     "A request whose latest start has passed is rejected with a Retry-After") {
   AdmissionQueue Queue(Roster_);
   Roster_.replaceAll({server("x", "a-1", 1)});
-  Roster_.onSent(ServerId("x"));
+  Roster_.onSent(ServerId("x"), Now_);
   Queue.add({1, {Writer, {}, {}}, 0, Now_ + milliseconds(100)}, Now_);
   Now_ += milliseconds(100);
   auto const Outcome = Queue.advance(Now_);
@@ -218,7 +218,7 @@
   CHECK_FALSE(Roster_.onUnreachable(incarnationOf(server("x")), Now_));
   for (int Sent = 0; Sent < 2; ++Sent) {
     REQUIRE(choose() == "y");
-    Roster_.onSent(ServerId("y"));
+    Roster_.onSent(ServerId("y"), Now_);
   }
   CHECK(choose().empty());
   SECTION("but is used if it is the last one") {
