laburnum-entry: Divide a server's rate limit by the instances' demand

Callers of an instance with much traffic were refused while tokens of the others went unused: with all nine servers at 8 a second and 30 of 58 requests a second at one of eight instances, equal parts refuse a third of all requests.

The owners' parts of a rate now follow the demand that the consumption reports already carry. The new test "Rate limits are used where the requests are" plays that load: at most 2 in 100 are refused. In a fleet of more than twelve only collectors know every instance's demand, and all instances have to compute the same parts: these stay equal there.

--- a/Libraries/LibControl/DemandView.cpp
+++ b/Libraries/LibControl/DemandView.cpp
@@ -40,6 +40,16 @@
   }
 }
 
+double DemandView::perSecondAt(InstanceId const &Instance,
+                               TimePoint Now) const {
+  double Sum = 0.0;
+  if (auto const Found = Instances_.find(Instance); Found != Instances_.end())
+    for (auto const &[Service, Demand] : Found->second)
+      if (Demand.ReportedAt_ + Validity_ >= Now)
+        Sum += Demand.PerSecond_;
+  return Sum;
+}
+
 FleetDemand DemandView::demand(ServiceName const &Service,
                                TimePoint Now) const {
   FleetDemand Sum;
--- a/Libraries/LibControl/DemandView.h
+++ b/Libraries/LibControl/DemandView.h
@@ -24,6 +24,8 @@
                 std::vector<ServiceDemand> const &Services, TimePoint Now);
   /// Sets the time between two reports of an instance.
   void setPeriod(Duration Period);
+  /// Requests a second that reach the instance, for all services.
+  double perSecondAt(InstanceId const &Instance, TimePoint Now) const;
   /// The sum over the instances whose last report is still valid.
   FleetDemand demand(ServiceName const &Service, TimePoint Now) const;
 
--- a/Libraries/LibControl/RateLimitDissemination.cpp
+++ b/Libraries/LibControl/RateLimitDissemination.cpp
@@ -56,16 +56,12 @@
   return Chosen;
 }
 
-std::vector<std::string> RateLimitDissemination::sharers(Liveness Self) const {
-  std::vector<std::string> Names;
-  for (auto const &Instance : Live_)
-    if (Self == Liveness::Live || Instance.Peers_ != Self_.Peers_)
-      Names.push_back(endpointKey(Instance));
-  return Names.empty() ? std::vector{nameOfSelf()} : Names;
-}
-
-std::string RateLimitDissemination::nameOfSelf() const {
-  return endpointKey(Self_);
+std::vector<EntryInstance>
+RateLimitDissemination::sharers(Liveness Self) const {
+  auto Sharers = Live_;
+  if (Self != Liveness::Live && Sharers.size() > 1)
+    std::erase(Sharers, Self_);
+  return Sharers;
 }
 
 } // namespace laburnum
--- a/Libraries/LibControl/RateLimitDissemination.h
+++ b/Libraries/LibControl/RateLimitDissemination.h
@@ -23,10 +23,9 @@
   std::vector<Endpoint> others() const;
   /// Returns one other live instance at random, if there is any.
   std::vector<Endpoint> randomOther();
-  /// Returns the names of the live instances, which share the limits. An
-  /// instance that is leaving leaves its part to the others.
-  std::vector<std::string> sharers(Liveness Self) const;
-  std::string nameOfSelf() const;
+  /// Returns the live instances, which share the limits. An instance that is
+  /// leaving leaves its part to the others.
+  std::vector<EntryInstance> sharers(Liveness Self) const;
 
 private:
   EntryInstance const Self_;
--- a/Libraries/LibTraffic/ServerRateLimiter.cpp
+++ b/Libraries/LibTraffic/ServerRateLimiter.cpp
@@ -18,6 +18,9 @@
 /// A server whose limit is lower still gets requests at this rate, because only
 /// its answers can tell that the limit was lifted.
 constexpr double MinRequestsPerSecond = 0.1;
+/// An owner's share of a rate counts at least this fraction of the instances'
+/// mean demand, so that its first requests find tokens.
+constexpr double MinDemandFraction = 0.1;
 /// Share of a limit that an instance uses before it knows the number of
 /// instances.
 constexpr double ShareBeforeMembership = 0.1;
@@ -65,16 +68,31 @@
   auto const Burst = std::max(
       1.0, burstOf(std::max(One.RequestsPerSecond_, MinRequestsPerSecond)) *
                reachableShare());
-  auto const Order = rendezvousOrder(
-      Incarnation.text(), Fleet_.Live_,
-      [](std::string const &Name) -> std::string const & { return Name; });
-  auto const Owners = std::clamp(
-      std::floor(Burst), 1.0, std::max(1.0, static_cast<double>(Order.size())));
-  auto const Rank = static_cast<double>(
-      std::find(Order.begin(), Order.end(), Fleet_.Self_) - Order.begin());
-  bool const IsOwner = Rank < Owners;
-  One.LocalRate_ = IsOwner ? Rate / Owners : 0.0;
-  One.Depth_ = IsOwner ? Burst / Owners : 0.0;
+  auto Owners =
+      rendezvousOrder(Incarnation.text(), Fleet_.Live_,
+                      [](RateLimitSharer const &Sharer) -> std::string const & {
+                        return Sharer.Name_;
+                      });
+  Owners.resize(static_cast<std::size_t>(
+      std::min(std::floor(Burst), static_cast<double>(Owners.size()))));
+  One.LocalRate_ = 0.0;
+  One.Depth_ = 0.0;
+  double Weights = 0.0;
+  for (auto const &Owner : Owners)
+    Weights += weightOf(Owner);
+  for (auto const &Owner : Owners)
+    if (Owner.Name_ == Fleet_.Self_) {
+      One.LocalRate_ = Rate * weightOf(Owner) / Weights;
+      One.Depth_ = Burst / static_cast<double>(Owners.size());
+    }
+}
+
+double ServerRateLimiter::weightOf(RateLimitSharer const &Sharer) const {
+  double Total = 0.0;
+  for (auto const &Other : Fleet_.Live_)
+    Total += Other.Demand_;
+  auto const Mean = Total / static_cast<double>(Fleet_.Live_.size());
+  return Mean > 0.0 ? Sharer.Demand_ + MinDemandFraction * Mean : 1.0;
 }
 
 void ServerRateLimiter::setFleet(RateLimitFleet Fleet, TimePoint Now) {
--- a/Libraries/LibTraffic/ServerRateLimiter.h
+++ b/Libraries/LibTraffic/ServerRateLimiter.h
@@ -13,10 +13,19 @@
 
 namespace laburnum {
 
-/// The entry instances that share the rate limits of backend servers.
+/// An entry instance that shares the rate limits of backend servers.
+struct RateLimitSharer {
+  std::string Name_;
+  /// Requests a second that reach the instance; 0 if unknown.
+  double Demand_ = 0.0;
+
+  auto operator<=>(RateLimitSharer const &) const = default;
+};
+
 struct RateLimitFleet {
   std::string Self_;
-  std::vector<std::string> Live_; ///< Reachable instances, this one included.
+  /// Reachable instances, this one included.
+  std::vector<RateLimitSharer> Live_;
   /// Instances in the store's list, reachable or not; 0 until it is known.
   std::size_t Registered_ = 0;
 
@@ -34,12 +43,13 @@
 /// instances together.
 ///
 /// Only some instances, the owners of a server's limit, send requests to the
-/// server, each with a token bucket that gets an equal share of the rate. All
-/// instances compute the same owners by rendezvous hashing, without exchanging
-/// messages for each request. A limit has no more owners than its burst has
-/// tokens: more buckets of at least one token could together release more
-/// requests at once than the server accepts. While registered instances are
-/// unreachable, their part of the rate is left to them.
+/// server, each with a token bucket that gets a share of the rate, according to
+/// the demand at the owner. All instances compute the same owners by rendezvous
+/// hashing, without exchanging messages for each request. A limit has no more
+/// owners than its burst has tokens: more buckets of at least one token could
+/// together release more requests at once than the server accepts. While
+/// registered instances are unreachable, their part of the rate is left to
+/// them.
 class ServerRateLimiter {
 public:
   explicit ServerRateLimiter(std::uint64_t Seed) : Generator_(Seed) {}
@@ -92,6 +102,7 @@
   /// Computes whether this instance is an owner, and its share.
   void assignShare(ServerId const &Incarnation, Limit &One) const;
   double reachableShare() const;
+  double weightOf(RateLimitSharer const &Sharer) const;
   void forget(TimePoint Now);
 
   RateLimitFleet Fleet_;
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -59,7 +59,14 @@
                         Dependencies.Clock_, Dependencies.Log_},
                        localInstance(Dependencies.Settings_, Incarnation_)),
       RateLimitTasks_({Dependencies.Context_, Dependencies.TrafficContext_,
-                       Dependencies.Traffic_},
+                       Dependencies.Traffic_,
+                       [this](InstanceId const &Instance, TimePoint Now) {
+                         // A collector knows the demand at all instances, the
+                         // others do not, and all need the same shares.
+                         return Collector_.isDirect()
+                                    ? LeaseHolderTasks_.demandAt(Instance, Now)
+                                    : 0.0;
+                       }},
                       localInstance(Dependencies.Settings_, Incarnation_),
                       Seed + 5),
       Peers_(std::make_shared<PeerNetwork>(
--- a/Services/laburnum-entry/LeaseHolderTasks.h
+++ b/Services/laburnum-entry/LeaseHolderTasks.h
@@ -49,6 +49,9 @@
   void setConnectivity(PeerConnectivity Connectivity) {
     Reporter_->setConnectivity(Connectivity);
   }
+  double demandAt(InstanceId const &Instance, TimePoint Now) const {
+    return Demand_.perSecondAt(Instance, Now);
+  }
   void setReportPeriod(Duration Period) { Demand_.setPeriod(Period); }
   bool holdsLease(TimePoint Now) const { return Lease_->held(Now).has_value(); }
   /// Publishes the usage counts that only this instance has, then calls Done.
--- a/Services/laburnum-entry/RateLimitTasks.cpp
+++ b/Services/laburnum-entry/RateLimitTasks.cpp
@@ -1,5 +1,7 @@
 #include "RateLimitTasks.h"
 
+#include <LibControl/BroadcastTree.h>
+
 namespace laburnum {
 
 namespace {
@@ -10,8 +12,8 @@
 
 RateLimitTasks::RateLimitTasks(RateLimitDependencies Dependencies,
                                EntryInstance const &Self, std::uint64_t Seed)
-    : Dependencies_(Dependencies), Dissemination_(Self, Seed),
-      Timer_(Dependencies.Context_) {}
+    : Dependencies_(std::move(Dependencies)), Dissemination_(Self, Seed),
+      Self_(Self), Timer_(Dependencies_.Context_) {}
 
 void RateLimitTasks::start(std::shared_ptr<PeerNetwork> Peers) {
   Peers_ = std::move(Peers);
@@ -24,14 +26,23 @@
 }
 
 void RateLimitTasks::setFleet(FleetView const &View, Liveness Self) {
+  Liveness_ = Self;
+  Registered_ = View.Registered_;
   auto const Introduced = Dissemination_.setMembers(View.Members_);
-  RateLimitFleet Fleet{Dissemination_.nameOfSelf(),
-                       Dissemination_.sharers(Self), View.Registered_};
+  updateFleet();
+  sendAll(Introduced);
+}
+
+void RateLimitTasks::updateFleet() {
+  auto const Now = readBootClock();
+  RateLimitFleet Fleet{endpointKey(Self_), {}, Registered_};
+  for (auto const &Sharer : Dissemination_.sharers(Liveness_))
+    Fleet.Live_.push_back(
+        {endpointKey(Sharer), Dependencies_.DemandAt_(Sharer.Id_, Now)});
   asio::post(Dependencies_.TrafficContext_,
              [&Traffic = Dependencies_.Traffic_, Fleet = std::move(Fleet)] {
                Traffic.setRateLimitFleet(Fleet);
              });
-  sendAll(Introduced);
 }
 
 void RateLimitTasks::onPeer(ServerRateLimits const &Received) {
@@ -59,6 +70,7 @@
 }
 
 void RateLimitTasks::tick() {
+  updateFleet();
   sendAll(Dissemination_.randomOther());
   Timer_.expires_after(Period);
   Timer_.async_wait([this](asio::error_code Failure) {
--- a/Services/laburnum-entry/RateLimitTasks.h
+++ b/Services/laburnum-entry/RateLimitTasks.h
@@ -8,6 +8,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -18,6 +19,8 @@
   asio::io_context &Context_;
   asio::io_context &TrafficContext_;
   TrafficPlane &Traffic_;
+  /// Returns the requests a second that reach an instance; 0 if unknown.
+  std::function<double(InstanceId const &, TimePoint)> DemandAt_;
 };
 
 /// Tells the traffic thread which instances share the servers' rate limits, and
@@ -36,10 +39,14 @@
   void send(std::vector<Endpoint> const &To, ServerRateLimits const &Limits);
   /// Sends all limits that this instance knows.
   void sendAll(std::vector<Endpoint> const &To);
+  void updateFleet();
   void tick();
 
   RateLimitDependencies Dependencies_;
   RateLimitDissemination Dissemination_;
+  EntryInstance const Self_;
+  Liveness Liveness_ = Liveness::Live;
+  std::size_t Registered_ = 0;
   std::shared_ptr<PeerNetwork> Peers_;
   asio::steady_timer Timer_;
 };
--- a/Tests/LibControl/TestRateLimitDissemination.cpp
+++ b/Tests/LibControl/TestRateLimitDissemination.cpp
@@ -74,14 +74,14 @@
 
 TEST_CASE("An instance that leaves shares no rate limits unless it is alone") {
   auto const All = members(3);
-  RateLimitDissemination One(All[0].Instance_, 1);
+  auto const &Self = All[0].Instance_;
+  RateLimitDissemination One(Self, 1);
   One.setMembers(All);
   CHECK(One.sharers(Liveness::Live).size() == 3);
   auto const Others = One.sharers(Liveness::Leaving);
   CHECK(Others.size() == 2);
-  CHECK(std::find(Others.begin(), Others.end(), One.nameOfSelf()) ==
-        Others.end());
-  RateLimitDissemination Alone(All[0].Instance_, 1);
+  CHECK(std::find(Others.begin(), Others.end(), Self) == Others.end());
+  RateLimitDissemination Alone(Self, 1);
   Alone.setMembers({All[0]});
-  CHECK(Alone.sharers(Liveness::Leaving) == std::vector{Alone.nameOfSelf()});
+  CHECK(Alone.sharers(Liveness::Leaving) == std::vector{Self});
 }
--- a/Tests/LibTraffic/RateLimitedFleet.cpp
+++ b/Tests/LibTraffic/RateLimitedFleet.cpp
@@ -76,7 +76,10 @@
     RateLimitFleet Fleet{nameOf(Each), {}, Registered};
     for (std::size_t Other = 0; Other < Instances_.size(); ++Other)
       if (!Instances_[Other].IsRemoved_ && areConnected(Each, Other))
-        Fleet.Live_.push_back(nameOf(Other));
+        Fleet.Live_.push_back(
+            {nameOf(Other), Settings_.Demand_ == DemandReports::Exchanged
+                                ? Instances_[Other].Demand_
+                                : 0.0});
     Instances_[Each].Roster_->rateLimiter().setFleet(Fleet, Now_);
   }
 }
@@ -89,6 +92,7 @@
 void RateLimitedFleet::setDemand(std::size_t Instance,
                                  double RequestsPerSecond) {
   Instances_[Instance].Demand_ = RequestsPerSecond;
+  updateFleet();
 }
 
 void RateLimitedFleet::restart(std::size_t Instance) {
--- a/Tests/LibTraffic/RateLimitedFleet.h
+++ b/Tests/LibTraffic/RateLimitedFleet.h
@@ -13,6 +13,9 @@
 
 namespace laburnum::rate_limits {
 
+/// Whether the instances know each other's demand.
+enum class DemandReports { None, Exchanged };
+
 /// Simulates entry instances that share backend servers with rate limits, the
 /// requests that reach them, and their messages. Single-threaded, without a
 /// network.
@@ -24,6 +27,7 @@
     double RequestsPerSecond_ = 10.0; ///< That reach each instance.
     Duration MaxQueueTime_ = std::chrono::milliseconds(300);
     std::uint64_t Seed_ = 1;
+    DemandReports Demand_ = DemandReports::None;
   };
   struct Arrival {
     TimePoint At_;
--- a/Tests/LibTraffic/TestServerRateLimiter.cpp
+++ b/Tests/LibTraffic/TestServerRateLimiter.cpp
@@ -84,6 +84,25 @@
   }
 }
 
+TEST_CASE("Rate limits are used where the requests are") {
+  constexpr std::size_t Servers = 9;
+  RateLimitedFleet Fleet({8, Servers, 4.0, milliseconds(300), 1,
+                          rate_limits::DemandReports::Exchanged});
+  Fleet.setDemand(3, 30.0);
+  for (std::size_t Server = 0; Server < Servers; ++Server)
+    Fleet.state(Server, 8.0);
+  Fleet.pass(SettlingTime);
+  auto const Settled = Fleet.Now_;
+  Fleet.Refusals_.clear();
+  Fleet.Served_ = 0;
+  Fleet.pass(seconds(20));
+  for (std::size_t Server = 0; Server < Servers; ++Server)
+    checkWithin(Fleet, Server, 8.0, Settled);
+  // 58 requests a second of 72 that the servers accept.
+  CHECK(static_cast<double>(Fleet.Refusals_.size()) <=
+        0.02 * static_cast<double>(Fleet.Served_));
+}
+
 TEST_CASE("A server that changes its rate limit gets what it accepts now") {
   auto const Instances = GENERATE(std::size_t(1), 8, 77);
   CAPTURE(Instances);
@@ -187,7 +206,7 @@
   ServerRateLimiter Limiter(1);
   TimePoint const Now{seconds(1000)};
   ServerId const Server("s@1");
-  Limiter.setFleet({"a", {"a"}, 1}, Now);
+  Limiter.setFleet({"a", {{"a"}}, 1}, Now);
   CHECK(Limiter.onStated(Server, 2.2, Now) == RateLimitChange::Changed);
   CHECK(Limiter.onNotStated(Server, Now - milliseconds(300),
                             Now + milliseconds(100)) == RateLimitChange::None);
@@ -224,7 +243,7 @@
   ServerRateLimiter Limiter(1);
   TimePoint const Now{seconds(1000)};
   ServerId const Server("s@1");
-  Limiter.setFleet({"a", {"a", "b"}, 2}, Now);
+  Limiter.setFleet({"a", {{"a"}, {"b"}}, 2}, Now);
   for (auto const Limit : {1e300, 1e9, 5e-324, 0.0}) {
     Limiter.onStated(Server, Limit, Now);
     CHECK(Limiter.tokensAt(Server, Now + seconds(60)) >= 0.0);
