LibTraffic: Keep to the connections that a server accepts from all instances

A server resets connections beyond it, and a request sent on one may have run: a caller whose request must not be repeated gets 502 from a server that had room elsewhere.

Each instance now opens at most 0.9 of the limit divided by the registered instances, at least one.

--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <limits>
 #include <utility>
 
 namespace laburnum {
@@ -43,6 +44,11 @@
 /// Maximum jitter added to the time to wait after a backoff, as a fraction of
 /// that time.
 constexpr double RetryAfterJitter = 0.5;
+/// Fraction of a server's connections that is used. The rest is left for probes
+/// and for instances that have just started.
+constexpr double UsedConnectionFraction = 0.9;
+/// Assumed number of instances before it is known.
+constexpr double InstancesBeforeMembership = 10.0;
 /// Bounds of the time to wait for a rate limited server, before jitter.
 constexpr std::chrono::milliseconds MinRetryAfterRateLimit{200};
 constexpr std::chrono::seconds MaxRetryAfterRateLimit{5};
@@ -88,6 +94,11 @@
   Server.Record_ = Record;
 }
 
+void ServerRoster::setConnectionLimits(
+    std::map<ServiceName, std::uint32_t> Limits) {
+  ConnectionLimits_ = std::move(Limits);
+}
+
 void ServerRoster::remove(ServerId const &Id) { Servers_.erase(Id); }
 
 bool ServerRoster::isStaying(Entry const &Server) const {
@@ -101,6 +112,21 @@
          RateLimiter_.maySend(Server.Incarnation_, Now);
 }
 
+double ServerRoster::connectionShare(Entry const &Server) const {
+  auto const Found = ConnectionLimits_.find(Server.Record_.Service_);
+  if (Found == ConnectionLimits_.end() || Found->second == 0)
+    return std::numeric_limits<double>::infinity();
+  auto const Sharers = Registered_ == 0 ? InstancesBeforeMembership
+                                        : static_cast<double>(Registered_);
+  return std::max(1.0,
+                  std::floor(UsedConnectionFraction * Found->second / Sharers));
+}
+
+bool ServerRoster::hasFreeSlot(Entry const &Server, TimePoint Now) const {
+  return load(Server, Now) < slotsOf(Server.Record_) &&
+         Server.Running_ < connectionShare(Server);
+}
+
 double ServerRoster::load(Entry const &Server, TimePoint Now) const {
   bool const IsFresh = Server.LoadReportedAt_ + LoadValidity > Now;
   return Server.Running_ + (IsFresh ? Server.RemoteRunning_ : 0.0);
@@ -142,7 +168,7 @@
   if (std::any_of(Candidates.begin(), Candidates.end(), IsReachable))
     std::erase_if(Candidates, std::not_fn(IsReachable));
   std::erase_if(Candidates, [&](Entry const *Server) {
-    return load(*Server, Now) >= slotsOf(Server->Record_);
+    return !hasFreeSlot(*Server, Now);
   });
   return Candidates;
 }
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -78,6 +78,11 @@
   void update(ServerRecord const &Record);
   void remove(ServerId const &Id);
 
+  /// Sets how many connections a server of each service accepts from all
+  /// instances together, and how many registered instances share them.
+  void setConnectionLimits(std::map<ServiceName, std::uint32_t> Limits);
+  void setRegistered(std::size_t Instances) { Registered_ = Instances; }
+
   /// Returns nothing when no server has free capacity.
   std::optional<ServerRecord> choose(ServerQuery const &Query, TimePoint Now);
   /// Returns whether any server of the service accepts requests, even if full.
@@ -152,6 +157,9 @@
   void updateStatus(ServerId const &Incarnation, TimePoint Now,
                     Function Change);
   bool takesRequests(Entry const &Server, TimePoint Now) const;
+  bool hasFreeSlot(Entry const &Server, TimePoint Now) const;
+  /// Returns how many connections this instance may open to the server.
+  double connectionShare(Entry const &Server) const;
   double load(Entry const &Server, TimePoint Now) const;
   /// The load, increased for slow and failing servers.
   double adjustedLoad(Entry const &Server, TimePoint Now) const;
@@ -164,6 +172,8 @@
 
   Geography Geography_;
   std::mt19937_64 Generator_;
+  std::map<ServiceName, std::uint32_t> ConnectionLimits_;
+  std::size_t Registered_ = 0; ///< 0 until it is known.
   ServerRateLimiter RateLimiter_;
   std::map<ServerId, Entry> Servers_;
   /// By incarnation, because a server may vanish from the list and return.
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -70,6 +70,10 @@
 void TrafficPlane::setTable(std::shared_ptr<RouteTable const> Table) {
   Table_ = std::move(Table);
   QuotaLimiter_.setTable(Table_, readBootClock());
+  std::map<ServiceName, std::uint32_t> Limits;
+  for (auto const &[Name, Service] : Table_->services())
+    Limits[Name] = Service.ConnectionLimit_;
+  Roster_.setConnectionLimits(std::move(Limits));
 }
 
 void TrafficPlane::applySettings(EntrySettings const &Settings) {
@@ -80,6 +84,7 @@
 void TrafficPlane::setRegistered(std::size_t Instances) {
   Retries_.setShare(1.0 / static_cast<double>(Instances));
   QuotaLimiter_.setRegistered(Instances);
+  Roster_.setRegistered(Instances);
 }
 
 ConsumptionReport TrafficPlane::reportConsumption() {
--- a/Tests/LibTraffic/TestServerAnnouncements.cpp
+++ b/Tests/LibTraffic/TestServerAnnouncements.cpp
@@ -179,3 +179,34 @@
     CHECK(std::holds_alternative<Admitted>(Outcomes.front()));
   }
 }
+
+TEST_CASE("A burst at all instances opens no more connections to a server than "
+          "it accepts from all") {
+  auto const [Instances, Limit] = GENERATE(
+      table<std::size_t, std::uint32_t>({{1, 10}, {8, 110}, {77, 520}}));
+  CAPTURE(Instances, Limit);
+  TimePoint const Now{seconds(1000)};
+  std::uint32_t Running = 0;
+  for (std::size_t Each = 0; Each < Instances; ++Each) {
+    ServerRoster Roster({DataCentre("a"), {}}, Each);
+    Roster.setConnectionLimits({{Writer, Limit}});
+    Roster.setRegistered(Instances);
+    Roster.update(server(0));
+    while (auto const Chosen = Roster.choose({Writer, {}, {}}, Now)) {
+      Roster.onSent(Chosen->Id_, Now);
+      ++Running;
+    }
+  }
+  CHECK(Running <= Limit);
+  CHECK(Running >= std::min(Limit, static_cast<std::uint32_t>(
+                                       Instances * server(0).Slots_)) /
+                       2);
+}
+
+TEST_CASE("Each instance may open a connection, however few a server accepts") {
+  ServerRoster Roster({DataCentre("a"), {}}, 1);
+  Roster.setConnectionLimits({{Writer, 20}});
+  Roster.setRegistered(300);
+  Roster.update(server(0));
+  CHECK(Roster.choose({Writer, {}, {}}, TimePoint(seconds(1000))));
+}
