Tests/Soak: Let servers state rate limits while faults are injected

Servers state limits from 0 to 6 a second, or an unreadable one, for eight seconds and more, beside kills, stops, freezes, crashes and store faults; limits overlap and replace each other. The oracle counts the runs of each limited server as the users do, without instances that had an outage since.

--- a/Tests/EntryProcess/CrashableServer.cpp
+++ b/Tests/EntryProcess/CrashableServer.cpp
@@ -23,7 +23,8 @@
 CrashableServer::CrashableServer(asio::io_context &Context, StoreStandin &Store,
                                  unsigned Number,
                                  CrashableServerTimings Timings)
-    : Context_(Context), Store_(Store), Name_("i" + std::to_string(Number)),
+    : Context_(Context), Store_(Store), Number_(Number),
+      Name_("i" + std::to_string(Number)),
       Timings_(Timings), Address_{loopbackAddress(FirstAddress + Number), Port},
       RestartTimer_(Context) {}
 
@@ -44,6 +45,7 @@
 }
 
 void CrashableServer::crash() {
+  RateLimit_.reset();
   Listener_->stopAccepting();
   Listener_.reset();
   for (auto const &Exchange : std::exchange(Running_, {}))
@@ -74,7 +76,7 @@
   if (RateLimit_)
     Head.Fields_.add("Server-Limit", *RateLimit_);
   if (RunListener_)
-    RunListener_(std::string(Fields.valueOr("X-Attempt-Id")));
+    RunListener_(std::string(Fields.valueOr("X-Attempt-Id")), Number_);
   if (Request.Head_.Target_.find("deadly") != std::string::npos) {
     ++CrashingRequests_;
     Exchange->abort();
--- a/Tests/EntryProcess/CrashableServer.h
+++ b/Tests/EntryProcess/CrashableServer.h
@@ -30,13 +30,15 @@
   CrashableServer(asio::io_context &Context, StoreStandin &Store,
                   unsigned Number, CrashableServerTimings Timings);
 
-  /// Called with the attempt identifier of each request that starts to run.
-  using RunListener = std::function<void(std::string const &)>;
+  /// Called with the attempt identifier of each request that starts to run and
+  /// the number of the server.
+  using RunListener = std::function<void(std::string const &, unsigned)>;
   void setRunListener(RunListener Listener) {
     RunListener_ = std::move(Listener);
   }
 
-  /// Sets the rate limit stated in each answer; nothing: none is stated.
+  /// Sets the rate limit stated in each answer; nothing: none is stated. A
+  /// crash ends it.
   void setRateLimit(std::optional<std::string> Text) {
     RateLimit_ = std::move(Text);
   }
@@ -66,6 +68,7 @@
 
   asio::io_context &Context_;
   StoreStandin &Store_;
+  unsigned const Number_;
   std::string const Name_;
   CrashableServerTimings const Timings_;
   Endpoint const Address_;
--- a/Tests/Soak/Oracle.cpp
+++ b/Tests/Soak/Oracle.cpp
@@ -8,6 +8,14 @@
 
 namespace {
 
+using std::chrono::seconds;
+
+/// By then all instances keep to a server's limit.
+constexpr seconds SettlingTime{3};
+constexpr seconds Window{4};
+constexpr double WindowTolerance = 1.5;
+constexpr double WindowSlack = 5.0;
+
 /// Whether the status guarantees that the request has not run.
 bool isNotRunPromise(int Status) {
   return Status == 503 || Status == 429 || Status == 408 || Status == 421;
@@ -15,9 +23,22 @@
 
 } // namespace
 
-void Oracle::onRun(std::string const &AttemptId) {
+void Oracle::onRun(std::string const &AttemptId, unsigned Server,
+                   TimePoint At) {
   std::lock_guard const Lock(Mutex_);
   ++Runs_[AttemptId];
+  ServerRuns_.push_back({AttemptId, Server, At});
+}
+
+void Oracle::onRateLimit(unsigned Server,
+                         std::optional<double> RequestsPerSecond,
+                         TimePoint At) {
+  std::lock_guard const Lock(Mutex_);
+  for (auto &One : RateLimits_)
+    if (One.Server_ == Server)
+      One.To_ = std::min(One.To_, At);
+  if (RequestsPerSecond)
+    RateLimits_.push_back({Server, *RequestsPerSecond, At, TimePoint::max()});
 }
 
 void Oracle::onOutcome(CallerOutcome const &Outcome) {
@@ -40,9 +61,45 @@
   auto Findings = Findings_;
   for (auto const &One : Outcomes_)
     check(One, FaultFreeFrom, Findings);
+  for (auto const &One : RateLimits_)
+    checkRateLimit(One, Findings);
   return Findings;
 }
 
+void Oracle::checkRateLimit(RateLimitPeriod const &One,
+                            std::vector<std::string> &Findings) const {
+  std::map<std::string, std::size_t> InstanceOf;
+  for (auto const &Outcome : Outcomes_)
+    InstanceOf[Outcome.AttemptId_] = Outcome.Instance_;
+  std::vector<TimePoint> Times;
+  for (auto const &Run : ServerRuns_) {
+    if (Run.Server_ != One.Server_ || Run.At_ < One.From_ + SettlingTime ||
+        Run.At_ >= One.To_)
+      continue;
+    auto const Instance = InstanceOf.find(Run.AttemptId_);
+    bool const IsExcused =
+        Instance == InstanceOf.end() ||
+        std::any_of(Outages_.begin(), Outages_.end(), [&](Outage const &Any) {
+          return Any.Instance_ == Instance->second && Any.From_ <= Run.At_ &&
+                 Any.To_ >= One.From_;
+        });
+    if (!IsExcused)
+      Times.push_back(Run.At_);
+  }
+  auto const Allowed = WindowTolerance * One.RequestsPerSecond_ *
+                           std::chrono::duration<double>(Window).count() +
+                       WindowSlack;
+  for (auto First = Times.begin(); First != Times.end(); ++First) {
+    auto const Count =
+        std::lower_bound(First, Times.end(), *First + Window) - First;
+    if (static_cast<double>(Count) > Allowed)
+      return Findings.push_back(
+          "server " + std::to_string(One.Server_) + " with a limit of " +
+          std::to_string(One.RequestsPerSecond_) + " a second got " +
+          std::to_string(Count) + " requests in 4 s");
+  }
+}
+
 std::size_t Oracle::answered() const {
   std::lock_guard const Lock(Mutex_);
   return static_cast<std::size_t>(
--- a/Tests/Soak/Run.cpp
+++ b/Tests/Soak/Run.cpp
@@ -4,6 +4,7 @@
 
 #include <httplib.h>
 
+#include <charconv>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -56,9 +57,10 @@
       Schedule_(makeSchedule(Settings.Seed_, Settings.Length_,
                              Settings.Instances_, Settings.Servers_)),
       Fleet_(Settings.Instances_, Settings.Servers_, {Downtime, Work}),
-      FaultMutexes_(Settings.Instances_) {
-  Fleet_.setRunListener(
-      [this](std::string const &AttemptId) { Oracle_.onRun(AttemptId); });
+      FaultMutexes_(Settings.Instances_), LimitNumbers_(Settings.Servers_) {
+  Fleet_.setRunListener([this](std::string const &AttemptId, unsigned Server) {
+    Oracle_.onRun(AttemptId, Server, readClock());
+  });
 }
 
 template <typename Function> void Run::runOnThread(Function Task) {
@@ -125,7 +127,9 @@
   case FaultKind::FreezeInstance:
     return runOnThread([this, One] { freezeInstance(One); });
   case FaultKind::EndServer:
-    return Fleet_.crashServer(One.Target_);
+    return endServer(One.Target_);
+  case FaultKind::LimitServer:
+    return runOnThread([this, One] { limitServer(One); });
   case FaultKind::StoreSilent:
     return degradeStore(StoreMode::Silent, One.Length_);
   case FaultKind::StoreBusy:
@@ -180,6 +184,29 @@
   Oracle_.onOutage({One.Target_, From, readClock() + RecoveryTime});
 }
 
+void Run::limitServer(Fault const &One) {
+  auto const Server = static_cast<unsigned>(One.Target_);
+  auto const Number = ++LimitNumbers_[Server];
+  auto const Text = rateLimitOf(One);
+  double Rate = 0.0;
+  auto const Parsed =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Rate);
+  // An unreadable limit leaves the one before in force.
+  if (Parsed.ec == std::errc())
+    Oracle_.onRateLimit(Server, Rate, readClock());
+  Fleet_.setRateLimit(Server, Text);
+  std::this_thread::sleep_for(One.Length_);
+  if (LimitNumbers_[Server] != Number)
+    return;
+  Oracle_.onRateLimit(Server, std::nullopt, readClock());
+  Fleet_.setRateLimit(Server, std::nullopt);
+}
+
+void Run::endServer(std::size_t Number) {
+  Oracle_.onRateLimit(static_cast<unsigned>(Number), std::nullopt, readClock());
+  Fleet_.crashServer(Number);
+}
+
 void Run::degradeStore(StoreMode Mood, Duration Length) {
   Fleet_.onStore([Mood](StoreStandin &Store) { Store.setMode(Mood); });
   runOnThread([this, Length] {
--- a/Tests/Soak/Run.h
+++ b/Tests/Soak/Run.h
@@ -35,6 +35,8 @@
   void killInstance(Fault const &One);
   void stopInstance(Fault const &One);
   void freezeInstance(Fault const &One);
+  void limitServer(Fault const &One);
+  void endServer(std::size_t Number);
   void degradeStore(entry_process::StoreMode Mood, Duration Length);
   void checkProcesses();
   /// Runs Task on a new thread that is joined at the end.
@@ -49,6 +51,9 @@
   std::atomic<std::uint64_t> ConfigurationVersion_ = 1;
   std::vector<std::mutex> FaultMutexes_; ///< One fault per instance at a time.
   std::vector<std::thread> Threads_;
+  /// Number of the latest limit of each server, so that the end of an earlier
+  /// one does not lift it.
+  std::vector<std::atomic<std::uint64_t>> LimitNumbers_;
 };
 
 } // namespace laburnum::soak
--- a/Tests/Soak/Schedule.h
+++ b/Tests/Soak/Schedule.h
@@ -19,6 +19,7 @@
   StoreLosesWrites,
   StoreLosesHistory, ///< The store drops its change history.
   ChangeConfiguration,
+  LimitServer, ///< The server states a rate limit in its answers.
 };
 
 struct Fault {
@@ -30,6 +31,10 @@
   auto operator<=>(Fault const &) const = default;
 };
 
+/// The rate limits that servers state, chosen by a fault's target and length.
+/// The last one is unreadable.
+std::string rateLimitOf(Fault const &One);
+
 /// Faults at random times, which may overlap, all over by FaultFreeTime before
 /// the end. The same arguments give the same schedule.
 std::vector<Fault> makeSchedule(std::uint64_t Seed, Duration Length,
--- a/Tests/Soak/TestOracle.cpp
+++ b/Tests/Soak/TestOracle.cpp
@@ -33,7 +33,7 @@
   Oracle UnderTest;
   UnderTest.onOutcome(Outcome);
   for (int Run = 0; Run < Runs; ++Run)
-    UnderTest.onRun(AttemptId);
+    UnderTest.onRun(AttemptId, 0, at(10));
   for (auto const &One : Outages)
     UnderTest.onOutage(One);
   return UnderTest.findings(FaultFreeFrom).size();
@@ -71,6 +71,33 @@
   CHECK(findings(outcome(RequestKind::Once, 200), 1, {}, at(10)) == 0);
 }
 
+TEST_CASE(
+    "More requests in 4 s than a server's rate limit allows are reported, "
+    "but not those of excused instances") {
+  // A limit of 2 allows 17.
+  auto const [Runs, Limited, Excused, Findings] =
+      GENERATE(table<int, bool, bool, std::size_t>({{17, true, false, 0},
+                                                    {18, true, false, 1},
+                                                    {18, true, true, 0},
+                                                    {18, false, false, 0}}));
+  Oracle UnderTest;
+  UnderTest.onRateLimit(3, 2.0, at(5));
+  if (!Limited)
+    UnderTest.onRateLimit(3, std::nullopt, at(9));
+  if (Excused)
+    UnderTest.onOutage({0, at(6), at(7)});
+  for (int Run = 0; Run < Runs; ++Run) {
+    auto Served = outcome(RequestKind::Repeatable, 200);
+    Served.AttemptId_ = std::to_string(Run);
+    Served.Body_ =
+        entry_process::CrashableServer::expectedAnswer(Served.AttemptId_);
+    UnderTest.onOutcome(Served);
+    UnderTest.onRun(Served.AttemptId_, 3, at(10));
+    UnderTest.onRun(Served.AttemptId_, 4, at(10));
+  }
+  CHECK(UnderTest.findings(at(100)).size() == Findings);
+}
+
 TEST_CASE("A seed leads to the same faults each time") {
   auto const Length = seconds(60);
   CHECK(makeSchedule(7, Length, 8, 8) == makeSchedule(7, Length, 8, 8));
