LibTraffic: Drop rate limits that no answer states any more

A limit was dropped only when another answer stated one. At an instance that owns no part of it, and whose owners are gone, it stayed in force for good. The limits are now looked through whenever the fleet's state is updated, every two seconds. The new test "A rate limit that no answer states any more is dropped in the end" covers it; the ten minutes are those of the other states of an incarnation.

--- a/Libraries/LibTraffic/ServerRateLimiter.cpp
+++ b/Libraries/LibTraffic/ServerRateLimiter.cpp
@@ -63,11 +63,9 @@
 
 void ServerRateLimiter::assignShare(ServerId const &Incarnation,
                                     Limit &One) const {
-  auto const Rate =
-      std::max(One.RequestsPerSecond_, MinRequestsPerSecond) * reachableShare();
-  auto const Burst = std::max(
-      1.0, burstOf(std::max(One.RequestsPerSecond_, MinRequestsPerSecond)) *
-               reachableShare());
+  auto const FleetRate = std::max(One.RequestsPerSecond_, MinRequestsPerSecond);
+  auto const Rate = FleetRate * reachableShare();
+  auto const Burst = std::max(1.0, burstOf(FleetRate) * reachableShare());
   auto Owners =
       rendezvousOrder(Incarnation.text(), Fleet_.Live_,
                       [](RateLimitSharer const &Sharer) -> std::string const & {
@@ -77,33 +75,39 @@
       std::min(std::floor(Burst), static_cast<double>(Owners.size()))));
   One.LocalRate_ = 0.0;
   One.Depth_ = 0.0;
+  auto const MinDemand = MinDemandFraction * meanDemand();
+  auto const WeightOf = [&](RateLimitSharer const &Owner) {
+    return MinDemand > 0.0 ? Owner.Demand_ + MinDemand : 1.0;
+  };
   double Weights = 0.0;
   for (auto const &Owner : Owners)
-    Weights += weightOf(Owner);
+    Weights += WeightOf(Owner);
   for (auto const &Owner : Owners)
     if (Owner.Name_ == Fleet_.Self_) {
-      One.LocalRate_ = Rate * weightOf(Owner) / Weights;
+      One.LocalRate_ = Rate * WeightOf(Owner) / Weights;
       One.Depth_ = Burst / static_cast<double>(Owners.size());
     }
 }
 
-double ServerRateLimiter::weightOf(RateLimitSharer const &Sharer) const {
+double ServerRateLimiter::meanDemand() const {
   double Total = 0.0;
-  for (auto const &Other : Fleet_.Live_)
-    Total += Other.Demand_;
-  auto const Mean = Total / static_cast<double>(Fleet_.Live_.size());
-  return Mean > 0.0 ? Sharer.Demand_ + MinDemandFraction * Mean : 1.0;
+  for (auto const &Sharer : Fleet_.Live_)
+    Total += Sharer.Demand_;
+  return Fleet_.Live_.empty()
+             ? 0.0
+             : Total / static_cast<double>(Fleet_.Live_.size());
 }
 
 void ServerRateLimiter::setFleet(RateLimitFleet Fleet, TimePoint Now) {
   Fleet_ = std::move(Fleet);
+  forget(Now);
   for (auto &[Incarnation, One] : Limits_) {
     fill(One, Now);
     assignShare(Incarnation, One);
   }
 }
 
-void ServerRateLimiter::fill(Limit &One, TimePoint Now) const {
+void ServerRateLimiter::fill(Limit &One, TimePoint Now) {
   One.Tokens_ = tokensOf(One.Tokens_, One.LocalRate_, One.Depth_,
                          seconds(Now - One.FilledAt_));
   One.FilledAt_ = std::max(One.FilledAt_, Now);
--- a/Libraries/LibTraffic/ServerRateLimiter.h
+++ b/Libraries/LibTraffic/ServerRateLimiter.h
@@ -98,11 +98,12 @@
   RateLimitChange observe(ServerId const &Incarnation, RateLimitState State,
                           double RequestsPerSecond, TimePoint ObservedAt,
                           TimePoint Now);
-  void fill(Limit &One, TimePoint Now) const;
+  /// Adds the tokens that have accrued until Now.
+  static void fill(Limit &One, TimePoint Now);
   /// Computes whether this instance is an owner, and its share.
   void assignShare(ServerId const &Incarnation, Limit &One) const;
   double reachableShare() const;
-  double weightOf(RateLimitSharer const &Sharer) const;
+  double meanDemand() const;
   void forget(TimePoint Now);
 
   RateLimitFleet Fleet_;
--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -359,8 +359,8 @@
                                (RetryAt - Now) * Spread(Generator_))};
 }
 
-RateLimitSummary ServerRoster::rateLimitState(ServiceName const &Service,
-                                              TimePoint Now) const {
+RateLimitSummary ServerRoster::rateLimitSummary(ServiceName const &Service,
+                                                TimePoint Now) const {
   RateLimitSummary Summary;
   for (auto const &[Id, Server] : Servers_) {
     if (Server.Record_.Service_ != Service || !isStaying(Server) ||
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -115,8 +115,8 @@
                                               TimePoint GiveUpAt,
                                               TimePoint Now);
   ServerRateLimiter &rateLimiter() { return RateLimiter_; }
-  RateLimitSummary rateLimitState(ServiceName const &Service,
-                                  TimePoint Now) const;
+  RateLimitSummary rateLimitSummary(ServiceName const &Service,
+                                    TimePoint Now) const;
 
   /// Returns whether the server is draining, has reported that it is leaving,
   /// or is not listed.
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -377,11 +377,11 @@
 
 void TrafficPlane::addRateLimitState(LogLine &Line,
                                      ServiceName const &Service) const {
-  auto const State = Roster_.rateLimitState(Service, readBootClock());
-  if (State.Limited_ > 0)
-    Line.add("limited_servers", State.Limited_)
-        .add("local_per_second", State.LocalRate_)
-        .add("local_tokens", State.Tokens_);
+  auto const Summary = Roster_.rateLimitSummary(Service, readBootClock());
+  if (Summary.Limited_ > 0)
+    Line.add("limited_servers", Summary.Limited_)
+        .add("local_per_second", Summary.LocalRate_)
+        .add("local_tokens", Summary.Tokens_);
 }
 
 void TrafficPlane::onRequest(std::shared_ptr<Exchange> Exchange,
--- a/Tests/LibTraffic/TestServerRateLimiter.cpp
+++ b/Tests/LibTraffic/TestServerRateLimiter.cpp
@@ -249,5 +249,17 @@
     CHECK(Limiter.tokensAt(Server, Now + seconds(60)) >= 0.0);
     CHECK(Limiter.limits(Now).size() == 1);
   }
+}
+
+TEST_CASE("A rate limit that no answer states any more is dropped in the end") {
+  ServerRateLimiter Limiter(1);
+  TimePoint const Now{seconds(1000)};
+  ServerId const Server("s@1");
+  RateLimitFleet const Fleet{"a", {{"b"}, {"c"}}, 3};
+  Limiter.setFleet(Fleet, Now);
+  Limiter.onStated(Server, 0.0, Now);
+  CHECK_FALSE(Limiter.maySend(Server, Now + std::chrono::minutes(9)));
+  Limiter.setFleet(Fleet, Now + std::chrono::minutes(10));
+  CHECK(Limiter.maySend(Server, Now + std::chrono::minutes(10)));
   CHECK(Limiter.limits(Now + std::chrono::minutes(10)).empty());
 }
