Tests/Soak: End a server's rate limit by a timer of the stand-in

A thread that sleeps for each limit is not needed: a later limit replaces the timer, and a crash cancels it.

--- a/Tests/EntryProcess/CrashableServer.cpp
+++ b/Tests/EntryProcess/CrashableServer.cpp
@@ -26,7 +26,25 @@
     : Context_(Context), Store_(Store), Number_(Number),
       Name_("i" + std::to_string(Number)),
       Timings_(Timings), Address_{loopbackAddress(FirstAddress + Number), Port},
-      RestartTimer_(Context) {}
+      RestartTimer_(Context), LimitTimer_(Context) {}
+
+void CrashableServer::setRateLimit(std::optional<std::string> Text) {
+  LimitTimer_.cancel();
+  RateLimit_ = std::move(Text);
+}
+
+void CrashableServer::setRateLimitFor(std::string Text, Duration Time,
+                                      std::function<void()> OnLifted) {
+  RateLimit_ = std::move(Text);
+  LimitTimer_.expires_after(Time);
+  LimitTimer_.async_wait(
+      [this, OnLifted = std::move(OnLifted)](asio::error_code Failure) {
+        if (Failure)
+          return;
+        RateLimit_.reset();
+        OnLifted();
+      });
+}
 
 void CrashableServer::startIncarnation() {
   ++Incarnations_;
@@ -40,12 +58,13 @@
 
 void CrashableServer::stop() {
   RestartTimer_.cancel();
+  LimitTimer_.cancel();
   if (Listener_)
     Listener_->stopAccepting();
 }
 
 void CrashableServer::crash() {
-  RateLimit_.reset();
+  setRateLimit(std::nullopt);
   Listener_->stopAccepting();
   Listener_.reset();
   for (auto const &Exchange : std::exchange(Running_, {}))
--- a/Tests/EntryProcess/CrashableServer.h
+++ b/Tests/EntryProcess/CrashableServer.h
@@ -39,9 +39,11 @@
 
   /// Sets the rate limit stated in each answer; nothing: none is stated. A
   /// crash ends it.
-  void setRateLimit(std::optional<std::string> Text) {
-    RateLimit_ = std::move(Text);
-  }
+  void setRateLimit(std::optional<std::string> Text);
+  /// States the limit for that time, unless it is replaced or the server
+  /// crashes before. OnLifted is called at the end of that time.
+  void setRateLimitFor(std::string Text, Duration Time,
+                       std::function<void()> OnLifted);
   /// When requests arrived, in order.
   std::vector<TimePoint> const &arrivals() const { return Arrivals_; }
 
@@ -73,6 +75,7 @@
   CrashableServerTimings const Timings_;
   Endpoint const Address_;
   asio::steady_timer RestartTimer_;
+  asio::steady_timer LimitTimer_;
   std::shared_ptr<HttpListener> Listener_;
   std::size_t Incarnations_ = 0;
   std::size_t CrashingRequests_ = 0;
--- a/Tests/EntryProcess/EntryFleet.cpp
+++ b/Tests/EntryProcess/EntryFleet.cpp
@@ -68,6 +68,15 @@
   Thread_.on([&] { Servers_[Server].setRateLimit(std::move(Text)); });
 }
 
+void EntryFleet::setRateLimitFor(std::size_t Server, std::string Text,
+                                 Duration Time,
+                                 std::function<void()> OnLifted) {
+  Thread_.on([&] {
+    Servers_[Server].setRateLimitFor(std::move(Text), Time,
+                                     std::move(OnLifted));
+  });
+}
+
 std::vector<TimePoint> EntryFleet::arrivals(std::size_t Server) {
   return Thread_.on([&] { return Servers_[Server].arrivals(); });
 }
--- a/Tests/EntryProcess/EntryFleet.h
+++ b/Tests/EntryProcess/EntryFleet.h
@@ -32,6 +32,9 @@
     return Thread_.on([&] { return Task(Store_); });
   }
   void setRateLimit(std::size_t Server, std::optional<std::string> Text);
+  /// See CrashableServer::setRateLimitFor().
+  void setRateLimitFor(std::size_t Server, std::string Text, Duration Time,
+                       std::function<void()> OnLifted);
   std::vector<TimePoint> arrivals(std::size_t Server);
   /// Crashes a server without a crashing request.
   void crashServer(std::size_t Number);
--- a/Tests/Soak/Run.cpp
+++ b/Tests/Soak/Run.cpp
@@ -57,7 +57,7 @@
       Schedule_(makeSchedule(Settings.Seed_, Settings.Length_,
                              Settings.Instances_, Settings.Servers_)),
       Fleet_(Settings.Instances_, Settings.Servers_, {Downtime, Work}),
-      FaultMutexes_(Settings.Instances_), LimitNumbers_(Settings.Servers_) {
+      FaultMutexes_(Settings.Instances_) {
   Fleet_.setRunListener([this](std::string const &AttemptId, unsigned Server) {
     Oracle_.onRun(AttemptId, Server, readClock());
   });
@@ -129,7 +129,7 @@
   case FaultKind::EndServer:
     return endServer(One.Target_);
   case FaultKind::LimitServer:
-    return runOnThread([this, One] { limitServer(One); });
+    return limitServer(One);
   case FaultKind::StoreSilent:
     return degradeStore(StoreMode::Silent, One.Length_);
   case FaultKind::StoreBusy:
@@ -186,7 +186,6 @@
 
 void Run::limitServer(Fault const &One) {
   auto const Server = static_cast<unsigned>(One.Target_);
-  auto const Number = ++LimitNumbers_[Server];
   auto const Text = rateLimitOf(One);
   double Rate = 0.0;
   auto const Parsed =
@@ -194,12 +193,9 @@
   // An unreadable limit leaves the one before in force.
   if (Parsed.ec == std::errc())
     Oracle_.onRateLimit(Server, Rate, readClock());
-  Fleet_.setRateLimit(Server, Text);
-  std::this_thread::sleep_for(One.Length_);
-  if (LimitNumbers_[Server] != Number)
-    return;
-  Oracle_.onRateLimit(Server, std::nullopt, readClock());
-  Fleet_.setRateLimit(Server, std::nullopt);
+  Fleet_.setRateLimitFor(Server, Text, One.Length_, [this, Server] {
+    Oracle_.onRateLimit(Server, std::nullopt, readClock());
+  });
 }
 
 void Run::endServer(std::size_t Number) {
--- a/Tests/Soak/Run.h
+++ b/Tests/Soak/Run.h
@@ -51,9 +51,6 @@
   std::atomic<std::uint64_t> ConfigurationVersion_ = 1;
   std::vector<std::mutex> FaultMutexes_; ///< One fault per instance at a time.
   std::vector<std::thread> Threads_;
-  /// Number of the latest limit of each server, so that the end of an earlier
-  /// one does not lift it.
-  std::vector<std::atomic<std::uint64_t>> LimitNumbers_;
 };
 
 } // namespace laburnum::soak
