--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -112,8 +112,8 @@
          RateLimiter_.maySend(Server.Incarnation_, Now);
 }
 
-double ServerRoster::connectionShare(Entry const &Server) const {
-  auto const Found = ConnectionLimits_.find(Server.Record_.Service_);
+double ServerRoster::connectionShare(ServiceName const &Service) const {
+  auto const Found = ConnectionLimits_.find(Service);
   if (Found == ConnectionLimits_.end() || Found->second == 0)
     return std::numeric_limits<double>::infinity();
   auto const Sharers = Registered_ == 0 ? InstancesBeforeMembership
@@ -122,11 +122,6 @@
                   std::floor(UsedConnectionFraction * Found->second / Sharers));
 }
 
-bool ServerRoster::hasFreeSlot(Entry const &Server, TimePoint Now) const {
-  return load(Server, Now) < slotsOf(Server.Record_) &&
-         Server.Running_ < connectionShare(Server);
-}
-
 double ServerRoster::load(Entry const &Server, TimePoint Now) const {
   bool const IsFresh = Server.LoadReportedAt_ + LoadValidity > Now;
   return Server.Running_ + (IsFresh ? Server.RemoteRunning_ : 0.0);
@@ -167,8 +162,10 @@
   // If all seem unreachable, the reports may be wrong.
   if (std::any_of(Candidates.begin(), Candidates.end(), IsReachable))
     std::erase_if(Candidates, std::not_fn(IsReachable));
+  auto const Connections = connectionShare(Query.Service_);
   std::erase_if(Candidates, [&](Entry const *Server) {
-    return !hasFreeSlot(*Server, Now);
+    return load(*Server, Now) >= slotsOf(Server->Record_) ||
+           Server->Running_ >= Connections;
   });
   return Candidates;
 }
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -157,9 +157,8 @@
   void updateStatus(ServerId const &Incarnation, TimePoint Now,
                     Function Change);
   bool takesRequests(Entry const &Server, TimePoint Now) const;
-  bool hasFreeSlot(Entry const &Server, TimePoint Now) const;
-  /// Returns how many connections this instance may open to the server.
-  double connectionShare(Entry const &Server) const;
+  /// Returns how many connections this instance may open to a server.
+  double connectionShare(ServiceName const &Service) const;
   double load(Entry const &Server, TimePoint Now) const;
   /// The load, increased for slow and failing servers.
   double adjustedLoad(Entry const &Server, TimePoint Now) const;
