Tests: Count a server's requests against its rate limit in one place

The process tests, the soak's oracle and the simulated fleet each had the users' window of their own.

--- a/Tests/EntryProcess/TestRateLimitedServers.cpp
+++ b/Tests/EntryProcess/TestRateLimitedServers.cpp
@@ -1,5 +1,7 @@
 #include "EntryFleet.h"
 
+#include <RateLimits/RateLimitWindow.h>
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -9,30 +11,19 @@
 
 namespace {
 
+using rate_limits::allowedInWindow;
+using rate_limits::mostInWindow;
+using rate_limits::SettlingTime;
+using rate_limits::Window;
 using std::chrono::seconds;
 
-/// By then every instance keeps to a limit that a server has stated.
-constexpr seconds SettlingTime{3};
-constexpr seconds Window{4};
-constexpr double WindowTolerance = 1.5;
-constexpr double WindowSlack = 5.0;
-
-double allowedInWindow(double RequestsPerSecond) {
-  return WindowTolerance * RequestsPerSecond *
-             static_cast<double>(Window.count()) +
-         WindowSlack;
-}
-
-/// Returns the most arrivals within any Window from From on.
-std::size_t mostInWindow(std::vector<TimePoint> const &Arrivals,
-                         TimePoint From) {
-  std::size_t Most = 0;
-  for (auto First = std::lower_bound(Arrivals.begin(), Arrivals.end(), From);
-       First != Arrivals.end(); ++First) {
-    auto const End = std::lower_bound(First, Arrivals.end(), *First + Window);
-    Most = std::max(Most, static_cast<std::size_t>(End - First));
-  }
-  return Most;
+/// Checks the requests that arrived at the server from From on.
+void checkWithin(EntryFleet &Fleet, std::size_t Server,
+                 double RequestsPerSecond, TimePoint From) {
+  auto Arrivals = Fleet.arrivals(Server);
+  std::erase_if(Arrivals, [&](TimePoint At) { return At < From; });
+  CHECK(static_cast<double>(mostInWindow(Arrivals)) <=
+        allowedInWindow(RequestsPerSecond));
 }
 
 /// Sends to the instances in turn for Time and returns the answers' statuses.
@@ -58,10 +49,8 @@
   auto const Statuses = sendFor(Fleet, SettlingTime + 2 * Window);
   CHECK(std::all_of(Statuses.begin(), Statuses.end(),
                     [](int Status) { return Status == 200; }));
-  CHECK(static_cast<double>(mostInWindow(
-            Fleet.arrivals(0), Stated + SettlingTime)) <= allowedInWindow(2.2));
-  CHECK(static_cast<double>(mostInWindow(
-            Fleet.arrivals(1), Stated + SettlingTime)) <= allowedInWindow(0.7));
+  checkWithin(Fleet, 0, 2.2, Stated + SettlingTime);
+  checkWithin(Fleet, 1, 0.7, Stated + SettlingTime);
 }
 
 TEST_CASE("When every server is at its rate limit, callers are refused at once "
@@ -102,8 +91,7 @@
   Fleet.setRateLimit(0, "-3");
   auto const Changed = readClock();
   sendFor(Fleet, SettlingTime + Window);
-  CHECK(static_cast<double>(mostInWindow(Fleet.arrivals(0), Changed)) <=
-        allowedInWindow(1.5));
+  checkWithin(Fleet, 0, 1.5, Changed);
   CHECK(Fleet.instance(0).process().hasWritten("outcome=unreadable"));
 }
 
--- a/Tests/LibTraffic/RateLimitedFleet.cpp
+++ b/Tests/LibTraffic/RateLimitedFleet.cpp
@@ -1,5 +1,7 @@
 #include "RateLimitedFleet.h"
 
+#include <RateLimits/RateLimitWindow.h>
+
 #include <algorithm>
 
 namespace laburnum::rate_limits {
@@ -14,9 +16,6 @@
 constexpr Duration WorkTime = milliseconds(60);
 constexpr Duration MessageDelay = milliseconds(20);
 constexpr Duration RepeatPeriod = seconds(2);
-constexpr Duration Window = seconds(4);
-constexpr double WindowTolerance = 1.5;
-constexpr double WindowSlack = 5.0;
 
 /// Instances and servers alternate between two regions.
 DataCentre centreOf(std::size_t Number) {
@@ -212,13 +211,7 @@
   for (auto const &One : Servers_[Server].Arrivals_)
     if (One.At_ >= From && !Excused.contains(One.Instance_))
       Times.push_back(One.At_);
-  std::size_t Most = 0;
-  for (auto First = Times.begin(); First != Times.end(); ++First)
-    Most = std::max(
-        Most,
-        static_cast<std::size_t>(
-            std::lower_bound(First, Times.end(), *First + Window) - First));
-  return Most;
+  return rate_limits::mostInWindow(Times);
 }
 
 std::size_t RateLimitedFleet::arrivals(std::size_t Server,
@@ -229,10 +222,4 @@
                     [&](Arrival const &One) { return One.At_ >= From; }));
 }
 
-double RateLimitedFleet::allowedInWindow(double RequestsPerSecond) {
-  return WindowTolerance * RequestsPerSecond *
-             std::chrono::duration<double>(Window).count() +
-         WindowSlack;
-}
-
 } // namespace laburnum::rate_limits
--- a/Tests/LibTraffic/RateLimitedFleet.h
+++ b/Tests/LibTraffic/RateLimitedFleet.h
@@ -57,7 +57,6 @@
   std::size_t mostInWindow(std::size_t Server, TimePoint From,
                            std::set<std::size_t> const &Excused = {}) const;
   std::size_t arrivals(std::size_t Server, TimePoint From) const;
-  static double allowedInWindow(double RequestsPerSecond);
 
   TimePoint Now_{std::chrono::seconds(1000)};
   std::size_t Served_ = 0;
--- a/Tests/LibTraffic/TestServerRateLimiter.cpp
+++ b/Tests/LibTraffic/TestServerRateLimiter.cpp
@@ -1,25 +1,26 @@
 #include "RateLimitedFleet.h"
 
+#include <RateLimits/RateLimitWindow.h>
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 
 using namespace laburnum;
+using laburnum::rate_limits::allowedInWindow;
 using laburnum::rate_limits::RateLimitedFleet;
+using laburnum::rate_limits::SettlingTime;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
 
-/// By then all instances keep to a limit that a server has stated.
-constexpr seconds SettlingTime{3};
-
 void checkWithin(RateLimitedFleet const &Fleet, std::size_t Server,
                  double RequestsPerSecond, TimePoint From,
                  std::set<std::size_t> const &Excused = {}) {
   CAPTURE(Server, RequestsPerSecond);
   CHECK(static_cast<double>(Fleet.mostInWindow(Server, From, Excused)) <=
-        RateLimitedFleet::allowedInWindow(RequestsPerSecond));
+        allowedInWindow(RequestsPerSecond));
 }
 
 /// Server 2 is in the same region as server 0 and has no limit.
--- a/Tests/Soak/Oracle.cpp
+++ b/Tests/Soak/Oracle.cpp
@@ -1,20 +1,17 @@
 #include "Oracle.h"
 
 #include <EntryProcess/CrashableServer.h>
+#include <RateLimits/RateLimitWindow.h>
 
 #include <algorithm>
 
 namespace laburnum::soak {
 
-namespace {
-
-using std::chrono::seconds;
+using rate_limits::allowedInWindow;
+using rate_limits::mostInWindow;
+using rate_limits::SettlingTime;
 
-/// By then all instances keep to a server's limit.
-constexpr seconds SettlingTime{3};
-constexpr seconds Window{4};
-constexpr double WindowTolerance = 1.5;
-constexpr double WindowSlack = 5.0;
+namespace {
 
 /// Whether the status guarantees that the request has not run.
 bool isNotRunPromise(int Status) {
@@ -86,18 +83,12 @@
     if (!IsExcused)
       Times.push_back(Run.At_);
   }
-  auto const Allowed = WindowTolerance * One.RequestsPerSecond_ *
-                           std::chrono::duration<double>(Window).count() +
-                       WindowSlack;
-  for (auto First = Times.begin(); First != Times.end(); ++First) {
-    auto const Count =
-        std::lower_bound(First, Times.end(), *First + Window) - First;
-    if (static_cast<double>(Count) > Allowed)
-      return Findings.push_back(
-          "server " + std::to_string(One.Server_) + " with a limit of " +
-          std::to_string(One.RequestsPerSecond_) + " a second got " +
-          std::to_string(Count) + " requests in 4 s");
-  }
+  auto const Most = mostInWindow(Times);
+  if (static_cast<double>(Most) > allowedInWindow(One.RequestsPerSecond_))
+    Findings.push_back(
+        "server " + std::to_string(One.Server_) + " with a limit of " +
+        std::to_string(One.RequestsPerSecond_) + " a second got " +
+        std::to_string(Most) + " requests in 4 s");
 }
 
 std::size_t Oracle::answered() const {
