laburnum-entry: Log the parts of a request's prompt, and what is suspected

`request` and `attempt_failed` now carry a hash of each shared part, and `crash_suspect` says when an instance begins or ceases to suspect a fingerprint, and through whom. No decision changes.

The parts are decoded in platform/ and hashed beside the content; their number per request is bounded, as a request head may hold thousands.

--- a/Libraries/LibLog/LogLine.cpp
+++ b/Libraries/LibLog/LogLine.cpp
@@ -19,6 +19,12 @@
          });
 }
 
+std::string hexadecimal(std::uint64_t Value) {
+  std::array<char, 17> Text{};
+  std::snprintf(Text.data(), Text.size(), "%016" PRIx64, Value);
+  return Text.data();
+}
+
 } // namespace
 
 LogLine::LogLine(std::string_view Event) { add("event", Event); }
@@ -56,9 +62,18 @@
 }
 
 LogLine &LogLine::addHash(std::string_view Name, std::uint64_t Value) {
-  std::array<char, 17> Text{};
-  std::snprintf(Text.data(), Text.size(), "%016" PRIx64, Value);
-  return add(Name, std::string_view(Text.data()));
+  return add(Name, std::string_view(hexadecimal(Value)));
+}
+
+LogLine &LogLine::addHashes(std::string_view Name,
+                            std::vector<std::uint64_t> const &Values) {
+  std::string Text;
+  for (auto const Value : Values) {
+    if (!Text.empty())
+      Text += ',';
+    Text += hexadecimal(Value);
+  }
+  return add(Name, std::string_view(Text));
 }
 
 } // namespace laburnum
--- a/Libraries/LibLog/LogLine.h
+++ b/Libraries/LibLog/LogLine.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace laburnum {
 
@@ -24,6 +25,9 @@
   LogLine &add(std::string_view Name, Duration Value);
   /// Adds the value as 16 hexadecimal digits.
   LogLine &addHash(std::string_view Name, std::uint64_t Value);
+  /// Adds the values as hexadecimal digits, separated by commas.
+  LogLine &addHashes(std::string_view Name,
+                     std::vector<std::uint64_t> const &Values);
 
   std::string const &text() const { return Text_; }
 
--- a/Libraries/LibTraffic/ContentFingerprint.h
+++ b/Libraries/LibTraffic/ContentFingerprint.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <LibCore/Identifier.h>
+#include <LibGuard/RequestFingerprints.h>
 #include <LibHttp/Exchange.h>
+#include <LibTraffic/TrafficRequest.h>
 
 #include <cstdint>
 
@@ -12,4 +14,10 @@
 std::uint64_t contentFingerprint(AccountName const &Account,
                                  ReceivedRequest const &Request);
 
+/// Returns the fingerprints of the content and of the first parts of its prompt
+/// that other requests may share, each part once.
+RequestFingerprints requestFingerprints(AccountName const &Account,
+                                        ReceivedRequest const &Request,
+                                        RequestMetadata const &Metadata);
+
 } // namespace laburnum
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGuard/RequestFingerprints.h>
 #include <LibModel/AttemptEvidence.h>
 #include <LibTraffic/EventStreamSplitter.h>
 #include <LibTraffic/TrafficRequest.h>
@@ -120,8 +121,8 @@
   ServiceName Service_;
   AccountName Account_;
   RequestMetadata Metadata_;
-  std::uint64_t Fingerprint_ = 0; ///< See contentFingerprint().
-  TimePoint Expiry_;              ///< Deadline of the complete answer.
+  RequestFingerprints Fingerprints_;
+  TimePoint Expiry_; ///< Deadline of the complete answer.
 };
 
 } // namespace exchange
--- a/Libraries/LibTraffic/TrafficRequest.h
+++ b/Libraries/LibTraffic/TrafficRequest.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace laburnum {
 
@@ -29,6 +30,9 @@
   std::optional<TokenCounts> Tokens_;
   /// Prefix of the prompt that this request shares with others.
   std::string SharedPrefix_;
+  /// Identifiers of the prompt's parts, in order, but for the last one, which
+  /// no other request shares.
+  std::vector<std::string> SharedParts_;
   /// Last event that the client has received.
   std::optional<std::uint64_t> LastEventId_;
 
--- a/Services/laburnum-entry/CrashGuardTasks.cpp
+++ b/Services/laburnum-entry/CrashGuardTasks.cpp
@@ -17,6 +17,7 @@
             Dependencies_.Log_.write(
                 LogLine("crashes_restored").add("reports", Reports.size()));
             Dissemination_.restore(Reports, readBootClock());
+            logChanges(Reports, "store");
           })),
       Timer_(Dependencies.Context_) {}
 
@@ -31,10 +32,36 @@
 
 void CrashGuardTasks::onLocalReports(std::vector<CrashReport> const &Reports) {
   send(Dissemination_.onLocalReports(Reports, readBootClock()));
+  logChanges(Reports, "local");
 }
 
 void CrashGuardTasks::onPeer(CrashReports const &Received) {
   send(Dissemination_.onPeer(Received, readBootClock()));
+  logChanges(Received.Reports_, "peer");
+}
+
+void CrashGuardTasks::logChanges(std::vector<CrashReport> const &Reports,
+                                 std::string_view Source) {
+  auto const Now = readBootClock();
+  for (auto const &Report : Reports) {
+    auto const Fingerprint = Report.Fingerprint_;
+    bool const IsSuspect =
+        Dependencies_.Guard_.verdict(Fingerprint, Now) == CrashVerdict::Refuse;
+    if (IsSuspect == LoggedSuspects_.contains(Fingerprint))
+      continue;
+    if (IsSuspect)
+      LoggedSuspects_.insert(Fingerprint);
+    else
+      LoggedSuspects_.erase(Fingerprint);
+    Dependencies_.Log_.write(
+        LogLine("crash_suspect")
+            .addHash("fingerprint", Fingerprint)
+            .add("outcome", IsSuspect ? "suspected" : "cleared")
+            .add("crashed_servers",
+                 Dependencies_.Guard_.serversBrokenOffOn(Fingerprint, Now)
+                     .size())
+            .add("source", Source));
+  }
 }
 
 void CrashGuardTasks::send(std::vector<SendToPeer> const &Messages) {
@@ -50,6 +77,10 @@
   send(Dissemination_.onTimePassed(Now));
   Records_->save(Dissemination_.takeUnsaved(), TimeOfDay);
   Records_->tick(TimeOfDay, Now);
+  std::erase_if(LoggedSuspects_, [&](std::uint64_t Fingerprint) {
+    return Dependencies_.Guard_.verdict(Fingerprint, Now) !=
+           CrashVerdict::Refuse;
+  });
   Timer_.expires_after(Period);
   Timer_.async_wait([this](asio::error_code Failure) {
     if (!Failure)
--- a/Services/laburnum-entry/CrashGuardTasks.h
+++ b/Services/laburnum-entry/CrashGuardTasks.h
@@ -9,7 +9,10 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <memory>
+#include <set>
+#include <string_view>
 #include <vector>
 
 namespace laburnum {
@@ -40,12 +43,17 @@
 private:
   void send(std::vector<SendToPeer> const &Messages);
   void tick();
+  /// Logs the fingerprints in Reports that this instance has begun or ceased to
+  /// suspect.
+  void logChanges(std::vector<CrashReport> const &Reports,
+                  std::string_view Source);
 
   CrashGuardDependencies Dependencies_;
   CrashReportDissemination Dissemination_;
   std::shared_ptr<CrashRecords> Records_;
   std::shared_ptr<PeerNetwork> Peers_;
   asio::steady_timer Timer_;
+  std::set<std::uint64_t> LoggedSuspects_;
 };
 
 } // namespace laburnum
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -51,7 +51,7 @@
     : Plane_(Plane), Exchange_(std::move(Exchange)),
       Request_(std::move(Request)), FlowContext_(std::move(FlowContext)),
       RetryGate_(Plane_.Retries_, Plane_.Dependencies_.Guard_,
-                 FlowContext_.Fingerprint_),
+                 FlowContext_.Fingerprints_.Content_),
       Flow_(FlowContext_, RetryGate_),
       DeadlineTimer_(Plane_.Dependencies_.Context_),
       StallTimer_(Plane_.Dependencies_.Context_) {}
@@ -96,7 +96,8 @@
 
 void RequestSession::onAdmission(AdmissionOutcome const &Outcome) {
   if (auto const *const Admission = std::get_if<Admitted>(&Outcome)) {
-    auto const RetryAfter = Plane_.contentBlockedFor(FlowContext_.Fingerprint_);
+    auto const RetryAfter =
+        Plane_.contentBlockedFor(FlowContext_.Fingerprints_.Content_);
     if (IsFinished_ || RetryAfter)
       Plane_.Roster_.onEnded(Admission->Server_.Id_, AttemptHealth::Unknown,
                              readBootClock());
@@ -128,8 +129,9 @@
                                                              Action.Metadata_);
   Outbound.Body_ = Request_.Body_;
   armStallTimer();
-  Plane_.Dependencies_.Guard_.onStarted(
-      FlowContext_.Fingerprint_, incarnationOf(*Server_), Isolation::Shared);
+  Plane_.Dependencies_.Guard_.onStarted(FlowContext_.Fingerprints_.Content_,
+                                        incarnationOf(*Server_),
+                                        Isolation::Shared);
   Call_ =
       Plane_.poolOf(*Server_).start(std::move(Outbound), shared_from_this());
 }
@@ -188,7 +190,8 @@
   Plane_.Dependencies_.Log_.write(
       LogLine("attempt_failed")
           .add("id", FlowContext_.Metadata_.AttemptId_)
-          .addHash("content", FlowContext_.Fingerprint_)
+          .addHash("content", FlowContext_.Fingerprints_.Content_)
+          .addHashes("parts", FlowContext_.Fingerprints_.Parts_)
           .add("attempt", Flow_.attempts())
           .add("server", LastServer_)
           .add("born", Server_->IncarnationStartMilliseconds_)
@@ -224,7 +227,8 @@
     return;
   clearStall();
   Plane_.Roster_.onEnded(Server_->Id_, Health, readBootClock());
-  Plane_.onAttemptEnded(FlowContext_.Fingerprint_, *Server_, Evidence);
+  Plane_.onAttemptEnded(FlowContext_.Fingerprints_.Content_, *Server_,
+                        Evidence);
   Server_.reset();
   Plane_.advanceQueue();
 }
@@ -349,7 +353,9 @@
       .add("config", FlowContext_.Table_->version())
       .add("server", LastServer_)
       .add("attempts", Flow_.attempts())
-      .addHash("content", FlowContext_.Fingerprint_);
+      .addHash("content", FlowContext_.Fingerprints_.Content_);
+  if (!FlowContext_.Fingerprints_.Parts_.empty())
+    Line.addHashes("parts", FlowContext_.Fingerprints_.Parts_);
   if (FirstSentAt_ != TimePoint())
     Line.add("queued_ms", FirstSentAt_ - Request_.BegunAt_);
   if (FirstAnswerAt_ != TimePoint())
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -211,16 +211,18 @@
       Dependencies_.TrafficCodec_.refusal(ServiceUnavailable, RetryAfter,
                                           FlowContext.Metadata_.AttemptId_),
       {});
-  Dependencies_.Log_.write(LogLine("request")
-                               .add("id", FlowContext.Metadata_.AttemptId_)
-                               .add("outcome", "refused")
-                               .add("status", ServiceUnavailable)
-                               .add("account", FlowContext.Account_.text())
-                               .add("route", FlowContext.Route_->Name_)
-                               .add("config", Table_->version())
-                               .addHash("content", FlowContext.Fingerprint_)
-                               .add("retry_after_ms", RetryAfter)
-                               .add("why", ContentCrashesServers));
+  Dependencies_.Log_.write(
+      LogLine("request")
+          .add("id", FlowContext.Metadata_.AttemptId_)
+          .add("outcome", "refused")
+          .add("status", ServiceUnavailable)
+          .add("account", FlowContext.Account_.text())
+          .add("route", FlowContext.Route_->Name_)
+          .add("config", Table_->version())
+          .addHash("content", FlowContext.Fingerprints_.Content_)
+          .addHashes("parts", FlowContext.Fingerprints_.Parts_)
+          .add("retry_after_ms", RetryAfter)
+          .add("why", ContentCrashesServers));
 }
 
 std::optional<Duration>
@@ -421,8 +423,10 @@
     }
     FlowContext.Account_ = Account->Name_;
   }
-  FlowContext.Fingerprint_ = contentFingerprint(FlowContext.Account_, Request);
-  if (auto const RetryAfter = contentBlockedFor(FlowContext.Fingerprint_)) {
+  FlowContext.Fingerprints_ =
+      requestFingerprints(FlowContext.Account_, Request, Metadata);
+  if (auto const RetryAfter =
+          contentBlockedFor(FlowContext.Fingerprints_.Content_)) {
     refuseContent(*Exchange, FlowContext, *RetryAfter);
     return nullptr;
   }
--- a/Tests/LibTraffic/TestContentFingerprint.cpp
+++ b/Tests/LibTraffic/TestContentFingerprint.cpp
@@ -42,3 +42,20 @@
       contentFingerprint(Account, request("POST", "/order/", "1two"))};
   CHECK(Seen.size() == 6);
 }
+
+TEST_CASE(
+    "Each part of a prompt has one fingerprint, apart from the content's") {
+  AccountName const Account("a");
+  RequestMetadata Metadata;
+  Metadata.SharedParts_ = {"5c", "91", "5c"};
+  auto const Ours =
+      requestFingerprints(Account, request("POST", "/p", "one"), Metadata);
+  CHECK(Ours.Content_ ==
+        contentFingerprint(Account, request("POST", "/p", "one")));
+  REQUIRE(Ours.Parts_.size() == 2);
+  CHECK(Ours.Parts_[0] != Ours.Parts_[1]);
+  Metadata.SharedParts_ = {"91"};
+  auto const Theirs = requestFingerprints(
+      AccountName("b"), request("PUT", "/q", "two"), Metadata);
+  CHECK(Theirs.Parts_ == std::vector<std::uint64_t>{Ours.Parts_[1]});
+}
--- a/Tests/Platform/TestHeaderCodec.cpp
+++ b/Tests/Platform/TestHeaderCodec.cpp
@@ -53,6 +53,7 @@
   CHECK(Metadata.TimeAllowed_ == std::chrono::milliseconds(12000));
   CHECK(Metadata.Tokens_ == TokenCounts{1460, 80});
   CHECK(Metadata.SharedPrefix_ == "5c:800,91:410");
+  CHECK(Metadata.SharedParts_ == std::vector<std::string>{"5c", "91"});
   CHECK(Metadata.LastEventId_ == 12);
 }
 
