Tests: Show that a part of a prompt goes on crashing servers

Requests with own path and own last part, the crashing part alone, first, in the middle and last of the shared ones.

--- a/Tests/EntryProcess/CrashableServer.cpp
+++ b/Tests/EntryProcess/CrashableServer.cpp
@@ -96,7 +96,7 @@
     Head.Fields_.add("Server-Limit", *RateLimit_);
   if (RunListener_)
     RunListener_(std::string(Fields.valueOr("X-Attempt-Id")), Number_);
-  if (Request.Head_.Target_.find("deadly") != std::string::npos) {
+  if (isCrashing(Request.Head_)) {
     ++CrashingRequests_;
     Exchange->abort();
     return crash();
@@ -105,6 +105,12 @@
   work(Exchange, Head);
 }
 
+bool CrashableServer::isCrashing(RequestHead const &Head) {
+  return Head.Target_.find("deadly") != std::string::npos ||
+         Head.Fields_.valueOr("X-Prompt-Prefix").find("dead:") !=
+             std::string_view::npos;
+}
+
 void CrashableServer::work(std::shared_ptr<Exchange> const &Exchange,
                            AnswerHead const &Head) {
   Running_.insert(Exchange);
--- a/Tests/EntryProcess/CrashableServer.h
+++ b/Tests/EntryProcess/CrashableServer.h
@@ -23,8 +23,9 @@
 };
 
 /// Stand-in for a backend server that crashes when it starts to run a request
-/// whose path contains "deadly". It restarts after Downtime_ at the same
-/// address with a new identifier. Used on the thread of its io_context.
+/// whose path contains "deadly", or whose prompt has a part "dead". It restarts
+/// after Downtime_ at the same address with a new identifier. Used on the
+/// thread of its io_context.
 class CrashableServer : public HttpService {
 public:
   CrashableServer(asio::io_context &Context, StoreStandin &Store,
@@ -65,6 +66,7 @@
   std::size_t crashingRequests() const { return CrashingRequests_; }
 
 private:
+  static bool isCrashing(RequestHead const &Head);
   std::string id() const { return Name_ + '-' + std::to_string(Incarnations_); }
   void work(std::shared_ptr<Exchange> const &Exchange, AnswerHead const &Head);
 
--- a/Tests/EntryProcess/EntryProcess.cpp
+++ b/Tests/EntryProcess/EntryProcess.cpp
@@ -76,8 +76,8 @@
 }
 
 Response EntryProcess::sendTo(std::uint16_t Port, std::string const &Method,
-                              std::string const &Path,
-                              std::string const &Key) const {
+                              std::string const &Path, std::string const &Key,
+                              Fields const &Additional) const {
   httplib::Client Client(Address_, Port);
   Client.set_read_timeout(processes::TestTimeout);
   httplib::Request Request;
@@ -87,6 +87,8 @@
                      {"X-Attempt-Id", nextAttemptId()},
                      {"X-Deadline-Ms", "2000"},
                      {"X-Key", Key}};
+  for (auto const &[Name, Value] : Additional)
+    Request.headers.emplace(Name, Value);
   auto const Answer = Client.send(Request);
   if (!Answer)
     return {};
@@ -95,8 +97,9 @@
 }
 
 Response EntryProcess::send(std::string const &Method, std::string const &Path,
-                            std::string const &Key) const {
-  return sendTo(TrafficPort, Method, Path, Key);
+                            std::string const &Key,
+                            Fields const &Additional) const {
+  return sendTo(TrafficPort, Method, Path, Key, Additional);
 }
 
 bool EntryProcess::isReady() const {
--- a/Tests/EntryProcess/EntryProcess.h
+++ b/Tests/EntryProcess/EntryProcess.h
@@ -6,6 +6,8 @@
 #include <filesystem>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace laburnum::entry_process {
 
@@ -15,6 +17,8 @@
   std::string RetryAfter_;
 };
 
+using Fields = std::vector<std::pair<std::string, std::string>>;
+
 /// Returns a loopback address that is unique to this test process and Number,
 /// so that fixed ports are free on it.
 std::string loopbackAddress(unsigned Number);
@@ -39,13 +43,15 @@
   std::string const &address() const { return Address_; }
   static constexpr std::uint16_t TrafficPort = 8360;
   Response send(std::string const &Method, std::string const &Path,
-                std::string const &Key = "k1") const;
+                std::string const &Key = "k1",
+                Fields const &Additional = {}) const;
   bool isReady() const;
   processes::Process &process() { return *Process_; }
 
 private:
   Response sendTo(std::uint16_t Port, std::string const &Method,
-                  std::string const &Path, std::string const &Key) const;
+                  std::string const &Path, std::string const &Key,
+                  Fields const &Additional = {}) const;
 
   std::string const Name_;
   std::string const Address_;
--- a/Tests/EntryProcess/TestCrashingRequests.cpp
+++ b/Tests/EntryProcess/TestCrashingRequests.cpp
@@ -20,6 +20,13 @@
   Response send(std::string const &Method, std::string const &Path) {
     return Fleet_.instance(Next_++ % Fleet_.instances()).send(Method, Path);
   }
+  /// Sends a request of its own path and last part after the shared parts.
+  Response sendPrompt(std::string const &SharedParts) {
+    auto const Own = std::to_string(Next_);
+    return Fleet_.instance(Next_++ % Fleet_.instances())
+        .send("GET", "/read/" + Own, "k1",
+              {{"X-Prompt-Prefix", SharedParts + ",0" + Own + ":80"}});
+  }
   /// Sends the request until CrashedServers servers have crashed, then waits
   /// until all servers have restarted.
   void crashServers(std::string const &Method, std::string const &Path) {
@@ -64,3 +71,23 @@
   }
   CHECK(Fleet.crashingRequestsReceived() - Before <= MaxLateRequests);
 }
+
+TEST_CASE(
+    "A prompt part that crashed five servers reaches no others, and sound "
+    "requests with the other parts are served") {
+  EntryFleet Fleet(3, 12, {Downtime, {}});
+  Caller Caller{Fleet};
+  std::string const Parts =
+      GENERATE("dead:90", "dead:90,a1:500,b2:300", "a1:500,dead:90,b2:300",
+               "a1:500,b2:300,dead:90");
+  constexpr std::size_t FirstRequests = 8;
+  for (std::size_t Sent = 0; Sent < FirstRequests; ++Sent)
+    CHECK(Caller.sendPrompt(Parts).Status_ != 200);
+  REQUIRE(await([&] { return Fleet.areServersUp(); }));
+  auto const Before = Fleet.crashingRequestsReceived();
+  for (std::size_t Sent = 0; Sent < LaterRequests; ++Sent) {
+    CHECK(Caller.sendPrompt(Parts).Status_ == 503);
+    CHECK(Caller.sendPrompt("a1:500,b2:300").Status_ == 200);
+  }
+  CHECK(Fleet.crashingRequestsReceived() - Before <= MaxLateRequests);
+}
