LibGuard: Refuse the part of a prompt that crashes servers

Cause: CrashGuard knew whole contents only. No two of these requests are alike, so that none reached three crashes.

Parts are now counted like contents, by the same guard, reports and store object. Instances clear suspects that they have just answered; coordinators tell further crashes of a suspect, and save what stays suspected.

--- a/Libraries/LibControl/CrashReportDissemination.cpp
+++ b/Libraries/LibControl/CrashReportDissemination.cpp
@@ -59,10 +59,10 @@
 
 std::vector<SendToPeer>
 CrashReportDissemination::onPeer(CrashReports const &Received, TimePoint Now) {
-  Guard_.merge(Received.Reports_, Now);
+  auto const Cleared = Guard_.merge(Received.Reports_, Now);
   for (auto const Fingerprint : contentsOf(Received.Reports_))
     announce(Fingerprint, Now);
-  return takeMessages();
+  return onLocalReports(Cleared, Now);
 }
 
 std::vector<SendToPeer> CrashReportDissemination::onTimePassed(TimePoint Now) {
@@ -72,6 +72,9 @@
   });
   std::erase_if(RepeatUntil_,
                 [&](auto const &Entry) { return Entry.second < Now; });
+  std::erase_if(Saved_, [&](std::uint64_t Fingerprint) {
+    return Guard_.reportsOf(Fingerprint, Now).empty();
+  });
   for (auto const &[Fingerprint, Until] : RepeatUntil_) {
     notifyCoordinators(Fingerprint, Now);
     if (Announced_.contains(Fingerprint))
@@ -87,8 +90,37 @@
   Guard_.merge(Reports, Now);
   // All instances read the store at their start: no notification is needed.
   for (auto const Fingerprint : contentsOf(Reports))
-    if (Guard_.verdict(Fingerprint, Now) == CrashVerdict::Refuse)
-      Announced_[Fingerprint] = Announcement::Refused;
+    if (auto const Crashes = suspectedCrashes(Fingerprint, Now); Crashes > 0) {
+      Announced_[Fingerprint] = Crashes;
+      Saved_.insert(Fingerprint);
+    }
+}
+
+std::vector<CrashReport> CrashReportDissemination::takeUnsaved(TimePoint Now) {
+  std::vector<CrashReport> Reports;
+  for (auto const Fingerprint : std::exchange(Unsaved_, {})) {
+    bool const IsSuspect = suspectedCrashes(Fingerprint, Now) > 0;
+    bool const WasSaved = Saved_.contains(Fingerprint);
+    if (IsSuspect)
+      Saved_.insert(Fingerprint);
+    else
+      Saved_.erase(Fingerprint);
+    auto const Coordinators = coordinatorsOf(Fingerprint);
+    if ((!IsSuspect && !WasSaved) || Coordinators.empty() ||
+        Coordinators.front().Id_ != Self_.Id_)
+      continue;
+    auto const Added = Guard_.reportsOf(Fingerprint, Now);
+    Reports.insert(Reports.end(), Added.begin(), Added.end());
+  }
+  return Reports;
+}
+
+std::size_t
+CrashReportDissemination::suspectedCrashes(std::uint64_t Fingerprint,
+                                           TimePoint Now) const {
+  return Guard_.verdict(Fingerprint, Now) == CrashVerdict::Refuse
+             ? Guard_.serversBrokenOffOn(Fingerprint, Now).size()
+             : 0;
 }
 
 CrashReportDissemination::Coordinators
@@ -117,20 +149,13 @@
 
 void CrashReportDissemination::announce(std::uint64_t Fingerprint,
                                         TimePoint Now) {
-  auto const Current = Guard_.verdict(Fingerprint, Now) == CrashVerdict::Refuse
-                           ? Announcement::Refused
-                           : Announcement::Cleared;
+  auto const Crashes = suspectedCrashes(Fingerprint, Now);
   auto const Found = Announced_.find(Fingerprint);
-  auto const Last =
-      Found == Announced_.end() ? Announcement::Cleared : Found->second;
-  auto const Coordinators = coordinatorsOf(Fingerprint);
-  if (Current == Last || !isCoordinator(Coordinators))
+  auto const Last = Found == Announced_.end() ? 0 : Found->second;
+  if (Crashes == Last || !isCoordinator(coordinatorsOf(Fingerprint)))
     return;
-  Announced_[Fingerprint] = Current;
-  if (Coordinators.front().Id_ == Self_.Id_) {
-    auto const Reports = Guard_.reportsOf(Fingerprint, Now);
-    Unsaved_.insert(Unsaved_.end(), Reports.begin(), Reports.end());
-  }
+  Announced_[Fingerprint] = Crashes;
+  Unsaved_.insert(Fingerprint);
   RepeatUntil_[Fingerprint] = Now + RepeatDuration;
   notifyAll(Fingerprint, Now);
 }
@@ -162,7 +187,7 @@
 CrashReportDissemination::announced(TimePoint Now) const {
   std::vector<CrashReport> Reports;
   for (auto const &[Fingerprint, Last] : Announced_) {
-    if (Last != Announcement::Refused)
+    if (Last == 0)
       continue;
     auto const Added = Guard_.reportsOf(Fingerprint, Now);
     Reports.insert(Reports.end(), Added.begin(), Added.end());
--- a/Libraries/LibControl/CrashReportDissemination.h
+++ b/Libraries/LibControl/CrashReportDissemination.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -13,9 +14,11 @@
 
 /// Disseminates reports of contents that crash servers among the instances.
 /// The coordinators of a content, a few instances by rendezvous order, receive
-/// every report of it; once they refuse the content, or clear it again, they
-/// notify all instances. Thus the number of messages does not grow with the
-/// fleet until a content is refused.
+/// every report of it; once they suspect the content, learn of further crashes
+/// under it, or clear it again, they notify all instances. Thus the number of
+/// messages does not grow with the fleet until a content is suspected. Any
+/// instance that has just answered it whole then clears it. As in CrashGuard,
+/// the parts of prompts are contents too.
 class CrashReportDissemination {
 public:
   /// Guard has to outlive this object.
@@ -33,7 +36,7 @@
   void restore(std::vector<CrashReport> const &Reports, TimePoint Now);
   /// Returns the reports to be written to the store; each report is returned
   /// once, by the first coordinator only.
-  std::vector<CrashReport> takeUnsaved() { return std::exchange(Unsaved_, {}); }
+  std::vector<CrashReport> takeUnsaved(TimePoint Now);
   /// Repeats recent reports, as messages can be lost, and sends the refused
   /// contents to one member, in round-robin order. To be called every second.
   std::vector<SendToPeer> onTimePassed(TimePoint Now);
@@ -44,7 +47,10 @@
   Coordinators coordinatorsOf(std::uint64_t Fingerprint) const;
   bool isCoordinator(Coordinators const &Among) const;
   void notifyCoordinators(std::uint64_t Fingerprint, TimePoint Now);
-  /// Notifies all instances if the verdict on a content has changed.
+  /// Returns how many servers crashed under a suspected content; 0 if it is not
+  /// suspected.
+  std::size_t suspectedCrashes(std::uint64_t Fingerprint, TimePoint Now) const;
+  /// Notifies all instances if what is known of a suspect has changed.
   void announce(std::uint64_t Fingerprint, TimePoint Now);
   void notifyAll(std::uint64_t Fingerprint, TimePoint Now);
   void enqueue(EntryInstance const &To,
@@ -56,14 +62,14 @@
   EntryInstance const Self_;
   CrashGuard &Guard_;
   std::vector<EntryInstance> Live_; ///< This instance included.
-  enum class Announcement { Refused, Cleared };
-
-  std::map<std::uint64_t, Announcement> Announced_; ///< The last one.
+  /// The crashes in the last announcement; 0 after the content was cleared.
+  std::map<std::uint64_t, std::size_t> Announced_;
   /// Contents that this instance reported on, and until when to repeat them.
   std::map<std::uint64_t, TimePoint> RepeatUntil_;
   std::size_t NextMember_ = 0;
   std::map<Endpoint, std::vector<CrashReport>> Outbox_;
-  std::vector<CrashReport> Unsaved_;
+  std::set<std::uint64_t> Unsaved_;
+  std::set<std::uint64_t> Saved_; ///< Suspects that the store holds.
 };
 
 } // namespace laburnum
--- a/Libraries/LibGuard/CrashGuard.cpp
+++ b/Libraries/LibGuard/CrashGuard.cpp
@@ -18,6 +18,8 @@
 /// How long a complete answer keeps its content from becoming suspect. Less
 /// frequent content is unlikely to run on three servers that crash together.
 constexpr Duration AnswerValidity = std::chrono::seconds(10);
+/// Answers to the same content within this time are remembered once.
+constexpr Duration AnswerResolution = std::chrono::seconds(1);
 /// Maximum number of remembered answers; about 400 KB.
 constexpr std::size_t MaxAnswers = 4096;
 /// Maximum number of suspect contents, which bounds the memory that reports can
@@ -59,23 +61,28 @@
 std::optional<TimePoint> CrashGuard::refusedUntil(std::uint64_t Fingerprint,
                                                   TimePoint Now) const {
   std::lock_guard const Lock(Mutex_);
-  auto const Found = IncidentsByContent_.find(Fingerprint);
-  if (Found == IncidentsByContent_.end())
-    return std::nullopt;
-  return sharedRefusalEnd(Found->second, Now);
+  return sharedRefusalEnd(Fingerprint, Now);
+}
+
+std::optional<CrashRefusal>
+CrashGuard::refusal(RequestFingerprints const &Request, TimePoint Now) const {
+  std::lock_guard const Lock(Mutex_);
+  if (auto const Until = sharedRefusalEnd(Request.Content_, Now))
+    return CrashRefusal{Request.Content_, *Until};
+  for (auto const Part : Request.Parts_)
+    if (auto const Until = sharedRefusalEnd(Part, Now);
+        Until && !isExcused(Part, Request, Now))
+      return CrashRefusal{Part, *Until};
+  return std::nullopt;
 }
 
 std::set<ServerId> CrashGuard::serversBrokenOffOn(std::uint64_t Fingerprint,
                                                   TimePoint Now) const {
   std::lock_guard const Lock(Mutex_);
-  std::set<ServerId> Servers;
   auto const Found = IncidentsByContent_.find(Fingerprint);
-  if (Found == IncidentsByContent_.end())
-    return Servers;
-  for (auto const &[Name, Record] : Found->second)
-    if (counts(Record, Now))
-      Servers.insert(Record.Server_);
-  return Servers;
+  return Found == IncidentsByContent_.end()
+             ? std::set<ServerId>()
+             : crashedServers(Found->second, Now);
 }
 
 bool CrashGuard::mayConfirmReclaim(ServerId const &Server,
@@ -122,6 +129,25 @@
   return {addIncident(Fingerprint, Seen, Now)};
 }
 
+void CrashGuard::onStarted(RequestFingerprints const &Request,
+                           ServerId const &Server) {
+  onStarted(Request.Content_, Server, Isolation::Shared);
+  for (auto const Part : Request.Parts_)
+    onStarted(Part, Server, Isolation::Shared);
+}
+
+std::vector<CrashReport> CrashGuard::onEnded(RequestFingerprints const &Request,
+                                             ServerId const &Server,
+                                             AttemptEvidence const &Evidence,
+                                             TimePoint Now) {
+  auto Reports = onEnded(Request.Content_, Server, Evidence, Now);
+  for (auto const Part : Request.Parts_) {
+    auto const OfPart = onEnded(Part, Server, Evidence, Now);
+    Reports.insert(Reports.end(), OfPart.begin(), OfPart.end());
+  }
+  return Reports;
+}
+
 std::vector<CrashReport>
 CrashGuard::onDisconnectClassified(BackendServer const &Server,
                                    DisconnectCause Cause, TimePoint Now) {
@@ -173,8 +199,10 @@
   return Reports;
 }
 
-void CrashGuard::merge(std::vector<CrashReport> const &Reports, TimePoint Now) {
+std::vector<CrashReport>
+CrashGuard::merge(std::vector<CrashReport> const &Reports, TimePoint Now) {
   std::lock_guard const Lock(Mutex_);
+  std::vector<CrashReport> Cleared;
   for (auto const &Report : Reports) {
     auto const At = Now - std::max(Report.Age_, Duration::zero());
     auto &Record = incidentsOf(Report.Fingerprint_)
@@ -184,7 +212,13 @@
                        .first->second;
     Record.Evidence_ = std::max(Record.Evidence_, Report.Evidence_);
     Record.At_ = std::min(Record.At_, At);
+    if (counts(Record, Now) && wasAnswered(Report.Fingerprint_, Now)) {
+      Record.Evidence_ = CrashEvidence::Cleared;
+      Cleared.push_back({Report.Incident_, Report.Fingerprint_, Record.Server_,
+                         Record.Evidence_, Now - Record.At_});
+    }
   }
+  return Cleared;
 }
 
 void CrashGuard::expire(TimePoint Now) {
@@ -247,6 +281,45 @@
   return *Deciding + IncidentLifetime;
 }
 
+std::optional<TimePoint> CrashGuard::sharedRefusalEnd(std::uint64_t Fingerprint,
+                                                      TimePoint Now) const {
+  auto const Found = IncidentsByContent_.find(Fingerprint);
+  return Found == IncidentsByContent_.end()
+             ? std::nullopt
+             : sharedRefusalEnd(Found->second, Now);
+}
+
+/// Returns the servers whose disconnects count.
+std::set<ServerId> CrashGuard::crashedServers(Incidents const &Known,
+                                              TimePoint Now) const {
+  std::set<ServerId> Servers;
+  for (auto const &[Name, Record] : Known)
+    if (counts(Record, Now))
+      Servers.insert(Record.Server_);
+  return Servers;
+}
+
+/// Returns whether suspects that the request does not hold account for all
+/// crashes under this part of it.
+bool CrashGuard::isExcused(std::uint64_t Part,
+                           RequestFingerprints const &Request,
+                           TimePoint Now) const {
+  auto Unexplained = crashedServers(IncidentsByContent_.at(Part), Now);
+  if (Unexplained.size() >= Policy_.MaxAmbiguousCrashes_)
+    return false;
+  for (auto const &[Fingerprint, Known] : IncidentsByContent_) {
+    bool const IsOfRequest =
+        Fingerprint == Request.Content_ ||
+        std::find(Request.Parts_.begin(), Request.Parts_.end(), Fingerprint) !=
+            Request.Parts_.end();
+    if (IsOfRequest || !sharedRefusalEnd(Known, Now))
+      continue;
+    for (auto const &Server : crashedServers(Known, Now))
+      Unexplained.erase(Server);
+  }
+  return Unexplained.empty();
+}
+
 /// Returns the content's incidents. When there are too many contents, drops the
 /// one whose last disconnect is oldest.
 CrashGuard::Incidents &CrashGuard::incidentsOf(std::uint64_t Fingerprint) {
@@ -269,7 +342,11 @@
 }
 
 void CrashGuard::rememberAnswer(std::uint64_t Fingerprint, TimePoint Now) {
-  Answered_[Fingerprint] = Now;
+  auto &Last =
+      Answered_.try_emplace(Fingerprint, TimePoint::min()).first->second;
+  if (Last != TimePoint::min() && Now - Last < AnswerResolution)
+    return;
+  Last = Now;
   AnswersInOrder_.emplace_back(Now, Fingerprint);
   while (AnswersInOrder_.size() > MaxAnswers ||
          Now - AnswersInOrder_.front().first >= AnswerValidity) {
--- a/Libraries/LibGuard/CrashGuard.h
+++ b/Libraries/LibGuard/CrashGuard.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibGuard/DisconnectClassifier.h>
+#include <LibGuard/RequestFingerprints.h>
 #include <LibModel/AttemptEvidence.h>
 #include <LibModel/BackendServer.h>
 #include <LibPeer/CrashReports.h>
@@ -33,15 +34,29 @@
   /// with other requests, and content is refused once this many servers crashed
   /// while running it.
   std::optional<std::size_t> MaxSharedCrashes_;
+  /// A part of a prompt is refused once this many servers crashed under it,
+  /// even if other suspects were running at each of these crashes.
+  std::size_t MaxAmbiguousCrashes_ = 5;
 
   auto operator<=>(CrashPolicy const &) const = default;
 };
 
+/// The decision not to run a request.
+struct CrashRefusal {
+  std::uint64_t Fingerprint_ = 0; ///< The content or part held responsible.
+  TimePoint Until_{};
+
+  auto operator<=>(CrashRefusal const &) const = default;
+};
+
 /// Whether other requests may run on the server of an attempt.
 enum class Isolation { Shared, Isolated };
 
 /// Prevents requests that crash servers from crashing more of them. Requests
-/// are identified by their content, because callers resend them with new keys.
+/// are identified by their content, because callers resend them with new keys,
+/// and, where servers are shared, by each part of their prompts too, because
+/// one part can crash servers in requests of different content. "Content" below
+/// means either.
 ///
 /// Content becomes suspect as soon as an attempt loses its connection to a
 /// server that is not known to be leaving. The disconnect is then classified
@@ -52,6 +67,11 @@
 /// stays refused. Otherwise, content that had a complete answer moments ago, as
 /// popular content always has, does not become suspect.
 ///
+/// A server that crashes takes many requests with it, and each names several
+/// parts. So suspects are weighed against each other: a part that does not
+/// account for a crash which others can't account for is not refused by itself,
+/// but only in requests that hold all the suspects there are for its crashes.
+///
 /// Merging reports is commutative and idempotent, and one report of an incident
 /// suffices. Thread-safe.
 class CrashGuard {
@@ -66,6 +86,10 @@
   /// nothing if it is not refused.
   std::optional<TimePoint> refusedUntil(std::uint64_t Fingerprint,
                                         TimePoint Now) const;
+  /// Returns why and until when a request is refused, or nothing if it may run.
+  /// Only for a policy with shared servers.
+  std::optional<CrashRefusal> refusal(RequestFingerprints const &Request,
+                                      TimePoint Now) const;
   /// Returns the servers that disconnected while running the content.
   std::set<ServerId> serversBrokenOffOn(std::uint64_t Fingerprint,
                                         TimePoint Now) const;
@@ -83,6 +107,12 @@
                                    ServerId const &Server,
                                    AttemptEvidence const &Evidence,
                                    TimePoint Now);
+  /// The same for the content and for each part of a request.
+  void onStarted(RequestFingerprints const &Request, ServerId const &Server);
+  std::vector<CrashReport> onEnded(RequestFingerprints const &Request,
+                                   ServerId const &Server,
+                                   AttemptEvidence const &Evidence,
+                                   TimePoint Now);
 
   /// Applies a cause to the server's unclassified disconnects. Returns reports
   /// to send to peers at once.
@@ -101,7 +131,10 @@
   std::vector<CrashReport> reports(TimePoint Now) const;
   std::vector<CrashReport> reportsOf(std::uint64_t Fingerprint,
                                      TimePoint Now) const;
-  void merge(std::vector<CrashReport> const &Reports, TimePoint Now);
+  /// Returns reports to send to peers at once: incidents that a recent complete
+  /// answer here has cleared.
+  std::vector<CrashReport> merge(std::vector<CrashReport> const &Reports,
+                                 TimePoint Now);
 
   /// Removes expired incidents. To be called every few seconds.
   void expire(TimePoint Now);
@@ -128,6 +161,12 @@
   bool hasCrashedIsolated(Incidents const &Known, TimePoint Now) const;
   std::optional<TimePoint> sharedRefusalEnd(Incidents const &Known,
                                             TimePoint Now) const;
+  std::optional<TimePoint> sharedRefusalEnd(std::uint64_t Fingerprint,
+                                            TimePoint Now) const;
+  std::set<ServerId> crashedServers(Incidents const &Known,
+                                    TimePoint Now) const;
+  bool isExcused(std::uint64_t Part, RequestFingerprints const &Request,
+                 TimePoint Now) const;
   Incidents &incidentsOf(std::uint64_t Fingerprint);
   void rememberAnswer(std::uint64_t Fingerprint, TimePoint Now);
   bool wasAnswered(std::uint64_t Fingerprint, TimePoint Now) const;
--- a/Libraries/LibLog/LogLine.cpp
+++ b/Libraries/LibLog/LogLine.cpp
@@ -73,7 +73,7 @@
       Text += ',';
     Text += hexadecimal(Value);
   }
-  return add(Name, std::string_view(Text));
+  return Values.empty() ? *this : add(Name, std::string_view(Text));
 }
 
 } // namespace laburnum
--- a/Libraries/LibLog/LogLine.h
+++ b/Libraries/LibLog/LogLine.h
@@ -25,7 +25,8 @@
   LogLine &add(std::string_view Name, Duration Value);
   /// Adds the value as 16 hexadecimal digits.
   LogLine &addHash(std::string_view Name, std::uint64_t Value);
-  /// Adds the values as hexadecimal digits, separated by commas.
+  /// Adds the values as hexadecimal digits, separated by commas; nothing if
+  /// there are none.
   LogLine &addHashes(std::string_view Name,
                      std::vector<std::uint64_t> const &Values);
 
--- a/Libraries/LibTraffic/ContentRetryGate.h
+++ b/Libraries/LibTraffic/ContentRetryGate.h
@@ -3,25 +3,27 @@
 #include <LibGuard/CrashGuard.h>
 #include <LibTraffic/ExchangeFlow.h>
 
+#include <utility>
+
 namespace laburnum {
 
 /// Allows a retry if the retry budget does and the crash guard does not refuse
-/// the request's content.
+/// the request.
 class ContentRetryGate : public exchange::RetryGate {
 public:
   ContentRetryGate(exchange::RetryGate &Budget, CrashGuard const &Guard,
-                   std::uint64_t Fingerprint)
-      : Budget_(Budget), Guard_(Guard), Fingerprint_(Fingerprint) {}
+                   RequestFingerprints Fingerprints)
+      : Budget_(Budget), Guard_(Guard), Fingerprints_(std::move(Fingerprints)) {
+  }
 
   bool tryTake(ServiceName const &Service, TimePoint Now) override {
-    return Guard_.verdict(Fingerprint_, Now) != CrashVerdict::Refuse &&
-           Budget_.tryTake(Service, Now);
+    return !Guard_.refusal(Fingerprints_, Now) && Budget_.tryTake(Service, Now);
   }
 
 private:
   exchange::RetryGate &Budget_;
   CrashGuard const &Guard_;
-  std::uint64_t const Fingerprint_;
+  RequestFingerprints const Fingerprints_;
 };
 
 } // namespace laburnum
--- a/Services/laburnum-entry/CrashGuardTasks.cpp
+++ b/Services/laburnum-entry/CrashGuardTasks.cpp
@@ -75,7 +75,7 @@
   auto const Now = readBootClock();
   auto const TimeOfDay = Dependencies_.Clock_.read(Now);
   send(Dissemination_.onTimePassed(Now));
-  Records_->save(Dissemination_.takeUnsaved(), TimeOfDay);
+  Records_->save(Dissemination_.takeUnsaved(Now), TimeOfDay);
   Records_->tick(TimeOfDay, Now);
   std::erase_if(LoggedSuspects_, [&](std::uint64_t Fingerprint) {
     return Dependencies_.Guard_.verdict(Fingerprint, Now) !=
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -51,7 +51,7 @@
     : Plane_(Plane), Exchange_(std::move(Exchange)),
       Request_(std::move(Request)), FlowContext_(std::move(FlowContext)),
       RetryGate_(Plane_.Retries_, Plane_.Dependencies_.Guard_,
-                 FlowContext_.Fingerprints_.Content_),
+                 FlowContext_.Fingerprints_),
       Flow_(FlowContext_, RetryGate_),
       DeadlineTimer_(Plane_.Dependencies_.Context_),
       StallTimer_(Plane_.Dependencies_.Context_) {}
@@ -96,14 +96,16 @@
 
 void RequestSession::onAdmission(AdmissionOutcome const &Outcome) {
   if (auto const *const Admission = std::get_if<Admitted>(&Outcome)) {
-    auto const RetryAfter =
-        Plane_.contentBlockedFor(FlowContext_.Fingerprints_.Content_);
-    if (IsFinished_ || RetryAfter)
+    auto const Now = readBootClock();
+    auto const Refusal =
+        Plane_.Dependencies_.Guard_.refusal(FlowContext_.Fingerprints_, Now);
+    if (IsFinished_ || Refusal)
       Plane_.Roster_.onEnded(Admission->Server_.Id_, AttemptHealth::Unknown,
-                             readBootClock());
-    if (RetryAfter)
-      return handle(NoServer{std::string(TrafficPlane::ContentCrashesServers),
-                             RetryAfter});
+                             Now);
+    if (Refusal)
+      return handle(NoServer{std::string(TrafficPlane::reasonOf(
+                                 *Refusal, FlowContext_.Fingerprints_)),
+                             Refusal->Until_ - Now});
     return handle(ServerAssigned{Admission->Server_});
   }
   auto const &Rejection = std::get<Rejected>(Outcome);
@@ -129,9 +131,8 @@
                                                              Action.Metadata_);
   Outbound.Body_ = Request_.Body_;
   armStallTimer();
-  Plane_.Dependencies_.Guard_.onStarted(FlowContext_.Fingerprints_.Content_,
-                                        incarnationOf(*Server_),
-                                        Isolation::Shared);
+  Plane_.Dependencies_.Guard_.onStarted(FlowContext_.Fingerprints_,
+                                        incarnationOf(*Server_));
   Call_ =
       Plane_.poolOf(*Server_).start(std::move(Outbound), shared_from_this());
 }
@@ -227,8 +228,7 @@
     return;
   clearStall();
   Plane_.Roster_.onEnded(Server_->Id_, Health, readBootClock());
-  Plane_.onAttemptEnded(FlowContext_.Fingerprints_.Content_, *Server_,
-                        Evidence);
+  Plane_.onAttemptEnded(FlowContext_.Fingerprints_, *Server_, Evidence);
   Server_.reset();
   Plane_.advanceQueue();
 }
@@ -353,9 +353,8 @@
       .add("config", FlowContext_.Table_->version())
       .add("server", LastServer_)
       .add("attempts", Flow_.attempts())
-      .addHash("content", FlowContext_.Fingerprints_.Content_);
-  if (!FlowContext_.Fingerprints_.Parts_.empty())
-    Line.addHashes("parts", FlowContext_.Fingerprints_.Parts_);
+      .addHash("content", FlowContext_.Fingerprints_.Content_)
+      .addHashes("parts", FlowContext_.Fingerprints_.Parts_);
   if (FirstSentAt_ != TimePoint())
     Line.add("queued_ms", FirstSentAt_ - Request_.BegunAt_);
   if (FirstAnswerAt_ != TimePoint())
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -203,9 +203,17 @@
           .add("why", "over the account's quota"));
 }
 
-void TrafficPlane::refuseContent(Exchange &Exchange,
-                                 exchange::FlowContext const &FlowContext,
-                                 Duration RetryAfter) {
+std::string_view
+TrafficPlane::reasonOf(CrashRefusal const &Refusal,
+                       RequestFingerprints const &Fingerprints) {
+  return Refusal.Fingerprint_ == Fingerprints.Content_ ? ContentCrashesServers
+                                                       : PartCrashesServers;
+}
+
+void TrafficPlane::refuseCrashing(Exchange &Exchange,
+                                  exchange::FlowContext const &FlowContext,
+                                  CrashRefusal const &Refusal) {
+  auto const RetryAfter = Refusal.Until_ - readBootClock();
   Dependencies_.Metrics_.ContentRefused_.add();
   Exchange.answer(
       Dependencies_.TrafficCodec_.refusal(ServiceUnavailable, RetryAfter,
@@ -221,20 +229,12 @@
           .add("config", Table_->version())
           .addHash("content", FlowContext.Fingerprints_.Content_)
           .addHashes("parts", FlowContext.Fingerprints_.Parts_)
+          .addHash("suspect", Refusal.Fingerprint_)
           .add("retry_after_ms", RetryAfter)
-          .add("why", ContentCrashesServers));
+          .add("why", reasonOf(Refusal, FlowContext.Fingerprints_)));
 }
 
-std::optional<Duration>
-TrafficPlane::contentBlockedFor(std::uint64_t Fingerprint) const {
-  auto const Now = readBootClock();
-  auto const Until = Dependencies_.Guard_.refusedUntil(Fingerprint, Now);
-  if (!Until)
-    return std::nullopt;
-  return *Until - Now;
-}
-
-void TrafficPlane::onAttemptEnded(std::uint64_t Fingerprint,
+void TrafficPlane::onAttemptEnded(RequestFingerprints const &Fingerprints,
                                   ServerRecord const &Server,
                                   AttemptEvidence const &Evidence) {
   auto Observed = Evidence;
@@ -243,7 +243,7 @@
       Roster_.isLeaving(Server.Id_))
     Observed.End_ = AttemptEnd::Cancelled;
   auto const Reports = Dependencies_.Guard_.onEnded(
-      Fingerprint, incarnationOf(Server), Observed, readBootClock());
+      Fingerprints, incarnationOf(Server), Observed, readBootClock());
   report(Reports);
   if (std::any_of(Reports.begin(), Reports.end(), [](auto const &Report) {
         return Report.Evidence_ == CrashEvidence::BrokenOff;
@@ -425,9 +425,9 @@
   }
   FlowContext.Fingerprints_ =
       requestFingerprints(FlowContext.Account_, Request, Metadata);
-  if (auto const RetryAfter =
-          contentBlockedFor(FlowContext.Fingerprints_.Content_)) {
-    refuseContent(*Exchange, FlowContext, *RetryAfter);
+  if (auto const Refusal = Dependencies_.Guard_.refusal(
+          FlowContext.Fingerprints_, readBootClock())) {
+    refuseCrashing(*Exchange, FlowContext, *Refusal);
     return nullptr;
   }
   if (auto const RetryAfter =
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -106,9 +106,11 @@
 private:
   friend class RequestSession;
 
-  /// Reason logged when a content is refused.
+  /// Reasons logged when the crash guard refuses a request.
   static constexpr std::string_view ContentCrashesServers =
       "servers crashed under requests of this content";
+  static constexpr std::string_view PartCrashesServers =
+      "servers crashed under requests with a part of this prompt";
 
   /// Returns nullptr when the request was rejected, which has been answered.
   std::shared_ptr<RequestSession>
@@ -124,7 +126,8 @@
                        RequestMetadata const &Metadata, Duration RetryAfter);
   /// Called when an attempt at Server ended. Reports it to the crash guard and
   /// probes the server if its connection broke off.
-  void onAttemptEnded(std::uint64_t Fingerprint, ServerRecord const &Server,
+  void onAttemptEnded(RequestFingerprints const &Fingerprints,
+                      ServerRecord const &Server,
                       AttemptEvidence const &Evidence);
   void onServerLeaving(ServerRecord const &Server);
   /// Another server now listens at the address.
@@ -138,12 +141,11 @@
   void startDisconnectProbe(ServerRecord const &Server);
   void onDisconnectClassified(ServerRecord const &Server, ProbeAnswer Answer);
   void report(std::vector<CrashReport> const &Reports);
-  /// Returns how long a content that crashes servers stays refused, or nothing
-  /// when it may run.
-  std::optional<Duration> contentBlockedFor(std::uint64_t Fingerprint) const;
-  void refuseContent(Exchange &Exchange,
-                     exchange::FlowContext const &FlowContext,
-                     Duration RetryAfter);
+  static std::string_view reasonOf(CrashRefusal const &Refusal,
+                                   RequestFingerprints const &Fingerprints);
+  void refuseCrashing(Exchange &Exchange,
+                      exchange::FlowContext const &FlowContext,
+                      CrashRefusal const &Refusal);
   void enqueue(std::shared_ptr<RequestSession> const &Session,
                WaitingRequest Request);
   void dequeue(std::uint64_t Ticket);
--- a/Tests/LibGuard/TestSharedCrashes.cpp
+++ b/Tests/LibGuard/TestSharedCrashes.cpp
@@ -39,9 +39,28 @@
     return Guard_.verdict(Fingerprint, at(SinceStart)) == CrashVerdict::Refuse;
   }
 
+  void run(std::string const &Server, RequestFingerprints const &Request,
+           AttemptEvidence const &Evidence, Duration SinceStart) {
+    Guard_.onStarted(Request, ServerId(Server));
+    Guard_.onEnded(Request, ServerId(Server), Evidence, at(SinceStart));
+  }
+  bool isRefused(RequestFingerprints const &Request, Duration SinceStart) {
+    return Guard_.refusal(Request, at(SinceStart)).has_value();
+  }
+
   CrashGuard Guard_{1, {3}};
 };
 
+/// Returns a request of its own content with those parts.
+RequestFingerprints prompt(std::vector<std::uint64_t> Parts) {
+  static std::uint64_t Last = 1000;
+  return {++Last, std::move(Parts)};
+}
+
+constexpr std::uint64_t Deadly = 1;
+constexpr std::uint64_t First = 2;
+constexpr std::uint64_t Second = 3;
+
 } // namespace
 
 TEST_CASE_METHOD(SharedGuard, "Content is refused once three servers crashed "
@@ -128,3 +147,82 @@
     run(Server, Broken, seconds(11));
   CHECK(isRefused(seconds(11)));
 }
+
+TEST_CASE_METHOD(SharedGuard, "A part that crashed servers is refused whatever "
+                              "else the request holds") {
+  run("a", prompt({Deadly, First}), Broken, seconds(0));
+  run("b", prompt({Second, Deadly}), Broken, seconds(0));
+  CHECK_FALSE(isRefused(prompt({Deadly}), seconds(0)));
+  run("c", prompt({Deadly}), Broken, seconds(0));
+  auto const Refusal = Guard_.refusal(prompt({Second, Deadly}), at(seconds(1)));
+  REQUIRE(Refusal);
+  CHECK(*Refusal == CrashRefusal{Deadly, at(minutes(10))});
+  CHECK_FALSE(isRefused(prompt({First}), seconds(1)));
+  CHECK_FALSE(isRefused(prompt({Second}), seconds(1)));
+}
+
+TEST_CASE_METHOD(
+    SharedGuard,
+    "Parts that were always crashed together are refused together, "
+    "and one of them alone only from the fifth crash on") {
+  for (auto const *Server : {"a", "b", "c"})
+    run(Server, prompt({First, Deadly}), Broken, seconds(0));
+  CHECK(isRefused(prompt({First, Deadly}), seconds(1)));
+  CHECK_FALSE(isRefused(prompt({First}), seconds(1)));
+  CHECK_FALSE(isRefused(prompt({Second, Deadly}), seconds(1)));
+  SECTION("the sound one is answered") {
+    run("well", prompt({First}), CompleteAnswer, seconds(1));
+    CHECK(isRefused(prompt({Second, Deadly}), seconds(1)));
+    CHECK_FALSE(isRefused(prompt({First}), seconds(1)));
+  }
+  SECTION("the other one crashes again") {
+    run("d", prompt({Second, Deadly}), Broken, seconds(1));
+    CHECK(isRefused(prompt({Second, Deadly}), seconds(1)));
+    CHECK_FALSE(isRefused(prompt({First}), seconds(1)));
+  }
+  SECTION("both crash on") {
+    run("d", prompt({First, Deadly}), Broken, seconds(1));
+    CHECK_FALSE(isRefused(prompt({First}), seconds(1)));
+    run("e", prompt({First, Deadly}), Broken, seconds(1));
+    CHECK(isRefused(prompt({First}), seconds(1)));
+    CHECK(isRefused(prompt({Second, Deadly}), seconds(1)));
+  }
+}
+
+TEST_CASE_METHOD(SharedGuard,
+                 "A sound part on servers that other parts crashed "
+                 "is not refused") {
+  constexpr std::uint64_t OtherDeadly = 4;
+  for (auto const *Server : {"a", "b", "c"}) {
+    run(Server, prompt({Deadly}), Broken, seconds(0));
+    run(Server, prompt({Second}), Broken, seconds(0));
+  }
+  run("d", prompt({Deadly}), Broken, seconds(0));
+  CHECK(isRefused(prompt({Deadly}), seconds(1)));
+  CHECK_FALSE(isRefused(prompt({Second}), seconds(1)));
+  for (auto const *Server : {"e", "f", "g"})
+    run(Server, prompt({OtherDeadly}), Broken, seconds(1));
+  run("e", prompt({Second}), Broken, seconds(1));
+  CHECK_FALSE(isRefused(prompt({Second}), seconds(1)));
+  CHECK(isRefused(prompt({OtherDeadly, Second}), seconds(1)));
+}
+
+TEST_CASE_METHOD(SharedGuard,
+                 "Reports of a part that was just answered here are cleared") {
+  CrashGuard Other(2, {3});
+  std::vector<CrashReport> Reports;
+  for (auto const *Server : {"a", "b", "c"}) {
+    auto const Request = prompt({First});
+    Other.onStarted(Request, ServerId(Server));
+    for (auto const &Report :
+         Other.onEnded(Request, ServerId(Server), Broken, at(seconds(5))))
+      Reports.push_back(Report);
+  }
+  REQUIRE(Other.refusal(prompt({First}), at(seconds(5))));
+  run("well", prompt({First}), CompleteAnswer, seconds(0));
+  auto const Cleared = Guard_.merge(Reports, at(seconds(5)));
+  CHECK(Cleared.size() == 3);
+  CHECK_FALSE(isRefused(prompt({First}), seconds(5)));
+  Other.merge(Cleared, at(seconds(5)));
+  CHECK_FALSE(Other.refusal(prompt({First}), at(seconds(5))));
+}
