laburnum-entry: Count a stream that ends inside an event as broken off

What callers would see: a part of a prompt that crashes servers is never refused where the servers' streams have neither length nor chunks and end with their connections.

Cause: the end of such an answer was told to the crash guard as a whole answer, before the flow found that it ends inside an event. Each crash then cleared the suspect.

The session now asks the flow first.

--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -140,6 +140,10 @@
                                        TimePoint Now);
   bool isOver() const { return State_ == State::Over; }
   std::uint32_t attempts() const { return Sent_; }
+  /// Whether the current attempt's stream has begun an event and not ended it.
+  bool isInsideEvent() const {
+    return State_ == State::Attempting && Splitter_.isInsideEvent();
+  }
 
 private:
   enum class State { Waiting, Attempting, Over };
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -171,6 +171,10 @@
 }
 
 void RequestSession::onComplete() {
+  if (Flow_.isInsideEvent())
+    return onFailed({AttemptProgress::AnswerBegun, AttemptEnd::ConnectionFailed,
+                     Answer_->Head_.Status_,
+                     "the stream ended inside an event"});
   Call_.reset();
   auto const Claim = Answer_ ? Answer_->Claim_ : AnswerClaim::Untrusted;
   if (Claim == AnswerClaim::NotRun)
--- a/Tests/EntryProcess/EntryFixture.h
+++ b/Tests/EntryProcess/EntryFixture.h
@@ -27,8 +27,9 @@
   void writeServer(std::string const &Name, std::string const &State,
                    std::uint64_t Sequence = 1);
   Response send(std::string const &Method, std::string const &Path,
-                std::string const &Key = "k1") const {
-    return Instance_->send(Method, Path, Key);
+                std::string const &Key = "k1",
+                Fields const &Additional = {}) const {
+    return Instance_->send(Method, Path, Key, Additional);
   }
   std::size_t requestsAtServer();
 
--- /dev/null
+++ b/Tests/EntryProcess/ScriptedServer.cpp
@@ -0,0 +1,69 @@
+#include "ScriptedServer.h"
+
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+
+#include <utility>
+
+namespace laburnum::entry_process {
+
+namespace {
+
+std::string fieldOf(std::string const &Head, std::string const &Name) {
+  auto const At = Head.find(Name + ": ");
+  if (At == std::string::npos)
+    return {};
+  auto const Begin = At + Name.size() + 2;
+  return Head.substr(Begin, Head.find('\r', Begin) - Begin);
+}
+
+} // namespace
+
+ScriptedServer::ScriptedServer(asio::io_context &Context, Script Script)
+    : Acceptor_(Context, {asio::ip::address_v4::loopback(), 0}),
+      Shared_(std::make_shared<Shared>(Shared{std::move(Script), 0})) {
+  accept();
+}
+
+Endpoint ScriptedServer::endpoint() const {
+  return {"127.0.0.1", Acceptor_.local_endpoint().port()};
+}
+
+void ScriptedServer::accept() {
+  Acceptor_.async_accept(
+      [this](asio::error_code Failure, asio::ip::tcp::socket Socket) {
+        if (Failure)
+          return;
+        std::make_shared<Peer>(std::move(Socket), Shared_)->read();
+        accept();
+      });
+}
+
+void ScriptedServer::Peer::read() {
+  asio::async_read_until(
+      Socket_, asio::dynamic_buffer(Received_), "\r\n\r\n",
+      [Self = shared_from_this()](asio::error_code Failure, std::size_t Size) {
+        if (Failure)
+          return;
+        // The tests send no bodies.
+        auto const Head = Self->Received_.substr(0, Size);
+        Self->Received_.erase(0, Size);
+        Self->Shared_->Script_(*Self, fieldOf(Head, "X-Attempt-Id"),
+                               ++Self->Shared_->Requests_);
+        if (Self->Socket_.is_open())
+          Self->read();
+      });
+}
+
+void ScriptedServer::Peer::write(std::string const &Bytes) {
+  asio::error_code Ignored;
+  asio::write(Socket_, asio::buffer(Bytes), Ignored);
+}
+
+void ScriptedServer::Peer::close() {
+  asio::error_code Ignored;
+  Socket_.shutdown(asio::ip::tcp::socket::shutdown_both, Ignored);
+  Socket_.close(Ignored);
+}
+
+} // namespace laburnum::entry_process
--- /dev/null
+++ b/Tests/EntryProcess/ScriptedServer.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <LibModel/Endpoint.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace laburnum::entry_process {
+
+/// Stand-in for a backend server whose answers are scripted to the byte. Used
+/// on the thread of its io_context.
+class ScriptedServer {
+public:
+  class Peer;
+  /// Called with the identifier of each request and its number at this server,
+  /// beginning with 1.
+  using Script = std::function<void(Peer &, std::string const &AttemptId,
+                                    std::size_t Number)>;
+
+  ScriptedServer(asio::io_context &Context, Script Script);
+
+  Endpoint endpoint() const;
+  std::size_t requests() const { return Shared_->Requests_; }
+  /// Accepts no more connections, as after a crash.
+  void stopListening() { Acceptor_.close(); }
+
+private:
+  /// Outlives the server while connections are open.
+  struct Shared {
+    Script Script_;
+    std::size_t Requests_ = 0;
+  };
+
+  void accept();
+
+  asio::ip::tcp::acceptor Acceptor_;
+  std::shared_ptr<Shared> Shared_;
+};
+
+/// A connection to a scripted server.
+class ScriptedServer::Peer : public std::enable_shared_from_this<Peer> {
+public:
+  Peer(asio::ip::tcp::socket Socket, std::shared_ptr<Shared> Shared)
+      : Socket_(std::move(Socket)), Shared_(std::move(Shared)) {}
+
+  void read();
+  void write(std::string const &Bytes);
+  /// Ends the connection in order, without a reset.
+  void close();
+
+private:
+  asio::ip::tcp::socket Socket_;
+  std::shared_ptr<Shared> Shared_;
+  std::string Received_;
+};
+
+} // namespace laburnum::entry_process
--- a/Tests/EntryProcess/StandinRecords.cpp
+++ b/Tests/EntryProcess/StandinRecords.cpp
@@ -16,8 +16,11 @@
 } // namespace
 
 json configurationJson(std::uint64_t Version) {
-  auto Routes = json::array(
-      {route("/read/", "idempotent"), route("/order/", "non_idempotent")});
+  auto Stream = route("/stream/", "streaming");
+  Stream["stream_resume"] = true;
+  auto Routes =
+      json::array({route("/read/", "idempotent"),
+                   route("/order/", "non_idempotent"), std::move(Stream)});
   if (Version > 1)
     Routes.push_back(route("/new/", "idempotent"));
   return {{"version", Version},
