--- a/Libraries/LibControl/CountedStore.h
+++ b/Libraries/LibControl/CountedStore.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace laburnum {
 
@@ -15,6 +16,9 @@
   /// The store outlives this one.
   explicit CountedStore(AsyncObjectStore &Store) : Store_(Store) {}
 
+  void setRestoreListener(RestoreListener Listener) override {
+    Store_.setRestoreListener(std::move(Listener));
+  }
   void list(std::string const &Collection, ReadConsistency Consistency,
             Duration Timeout, Done<ObjectList> Done) override;
   void watch(std::string const &Collection, Version From, Duration Wait,
--- a/Libraries/LibPlatform/AsyncObjectStore.h
+++ b/Libraries/LibPlatform/AsyncObjectStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibPlatform/ObjectStore.h>
+#include <LibPlatform/StoreEra.h>
 
 #include <functional>
 #include <string>
@@ -16,6 +17,11 @@
 
   virtual ~AsyncObjectStore() = default;
 
+  /// The store has been restored from an older copy since an earlier answer.
+  /// Called before the answer that shows it is passed on.
+  using RestoreListener = std::function<void(StoreEra)>;
+  virtual void setRestoreListener(RestoreListener Listener) = 0;
+
   virtual void list(std::string const &Collection, ReadConsistency Consistency,
                     Duration Timeout, Done<ObjectList> Done) = 0;
   /// A deleted object is reported with Version_ 0.
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -134,6 +134,7 @@
         LogLine("metrics_unavailable").add("why", errorOf(Metrics).Message_));
   else
     MetricsListener_ = takeValue(std::move(Metrics));
+  Store_.setRestoreListener([this](StoreEra Era) { onStoreRestored(Era); });
   Follower_->start();
   Dependencies_.Clock_.setLocal(timeOfDay(), readBootClock());
   Peers_->start();
@@ -157,6 +158,13 @@
   return Success{};
 }
 
+void ControlPlane::onStoreRestored(StoreEra Era) {
+  Dependencies_.Metrics_.StoreRestorations_.add();
+  Dependencies_.Log_.write(LogLine("store_restored")
+                               .add("era", Era)
+                               .add("config", ConfigurationVersion_));
+}
+
 void ControlPlane::applyConfiguration(StoredObject const &Object) {
   auto const Decoded = Dependencies_.Codec_.decodeConfiguration(Object);
   if (isError(Decoded)) {
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -70,6 +70,8 @@
 
   StoreFollower::Callbacks followerCallbacks();
 
+  /// The store came back from an older copy.
+  void onStoreRestored(StoreEra Era);
   void applyConfiguration(StoredObject const &Object);
   bool isReady() const;
   StatusService::Page readiness() const;
--- a/Services/laburnum-entry/EntryMetrics.cpp
+++ b/Services/laburnum-entry/EntryMetrics.cpp
@@ -50,6 +50,7 @@
       ServersOrdered_(Registry_.counter("orders.sent", "orders")),
       OrdersFailed_(Registry_.counter("orders.failed", "orders")),
       DependenciesLost_(Registry_.counter("dependencies.lost", "times")),
+      StoreRestorations_(Registry_.counter("store.restorations", "times")),
       Queued_(Registry_.distribution("requests.queued_ms", "ms")),
       FirstByte_(Registry_.distribution("requests.first_byte_ms", "ms")),
       Total_(Registry_.distribution("requests.total_ms", "ms")) {}
--- a/Services/laburnum-entry/EntryMetrics.h
+++ b/Services/laburnum-entry/EntryMetrics.h
@@ -45,6 +45,7 @@
   Counter &ServersOrdered_;
   Counter &OrdersFailed_;
   Counter &DependenciesLost_;
+  Counter &StoreRestorations_;
   Distribution &Queued_; ///< From arrival to the first attempt.
   Distribution &FirstByte_;
   Distribution &Total_;
--- a/Tests/Fakes/FakeAsyncStore.h
+++ b/Tests/Fakes/FakeAsyncStore.h
@@ -22,6 +22,9 @@
 /// waits until an object changes or the test ends it.
 class FakeAsyncStore : public AsyncObjectStore {
 public:
+  void setRestoreListener(RestoreListener Listener) override {
+    RestoreListener_ = std::move(Listener);
+  }
   void list(std::string const &Collection, ReadConsistency Consistency,
             Duration Timeout, Done<ObjectList> Done) override;
   void watch(std::string const &Collection, Version From, Duration Wait,
@@ -55,6 +58,7 @@
   Result<Version> write(ObjectKey const &Key, Version Expected,
                         std::string const &Value);
 
+  RestoreListener RestoreListener_;
   std::deque<std::function<void()>> Answers_;
   std::deque<Watch> Watches_;
 };
