--- a/Tests/EntryProcess/StandinRecords.cpp
+++ b/Tests/EntryProcess/StandinRecords.cpp
@@ -23,6 +23,9 @@
                    route("/order/", "non_idempotent"), std::move(Stream)});
   if (Version > 1)
     Routes.push_back(route("/new/", "idempotent"));
+  // A route of its own for each version shows which one is in force.
+  for (std::uint64_t Each = 2; Each <= Version; ++Each)
+    Routes.push_back(route("/v" + std::to_string(Each) + '/', "idempotent"));
   return {{"version", Version},
           {"routes", Routes},
           {"services", json::array({{{"name", "desk"}}})},
--- a/Tests/EntryProcess/StoreStandin.cpp
+++ b/Tests/EntryProcess/StoreStandin.cpp
@@ -31,6 +31,7 @@
     return Unanswered_.push_back(std::move(Exchange));
   if (Mode_ == StoreMode::Busy)
     return reply(*Exchange, 503, json::object());
+  ++Calls_;
   auto const &Target = Request.Head_.Target_;
   if (!Target.starts_with(ObjectsPath)) {
     PlatformApiCalls_.push_back(Target + ' ' + Request.Body_);
@@ -54,8 +55,10 @@
   read(Exchange, Kind, Name);
 }
 
-void StoreStandin::reply(Exchange &To, std::int32_t Status, json const &Body) {
+void StoreStandin::reply(Exchange &To, std::int32_t Status,
+                         json const &Body) const {
   AnswerHead Head{Status, {}};
+  Head.Fields_.add("Store-Era", std::to_string(Era_));
   Head.Fields_.add("Content-Type", "application/json");
   To.answer(Head, Body.dump());
 }
@@ -84,7 +87,7 @@
 void StoreStandin::watch(std::shared_ptr<Exchange> const &To,
                          std::string const &Kind, std::uint64_t From,
                          Duration Wait) {
-  if (From < HistoryFrom_)
+  if (From < HistoryFrom_ || From > Revision_)
     return reply(*To, 410, json::object());
   Watch Pending{Kind, From, To, std::make_shared<asio::steady_timer>(Context_)};
   for (auto const &[Name, Object] : Objects_[Kind])
@@ -153,6 +156,16 @@
   changed(Kind);
 }
 
+void StoreStandin::restore(Backup const &Older) {
+  Objects_ = Older.Objects_;
+  HistoryFrom_ = Revision_ = Older.Revision_;
+  ++Era_;
+  for (auto const &Pending : std::exchange(Watches_, {})) {
+    Pending.Timer_->cancel();
+    Pending.Exchange_->abort();
+  }
+}
+
 void StoreStandin::dropHistory() { HistoryFrom_ = ++Revision_; }
 
 std::size_t StoreStandin::count(std::string const &Kind) const {
--- a/Tests/EntryProcess/StoreStandin.h
+++ b/Tests/EntryProcess/StoreStandin.h
@@ -26,6 +26,12 @@
 /// thread of its io_context.
 class StoreStandin : public HttpService {
 public:
+  struct Object {
+    std::uint64_t Revision_ = 0;
+    nlohmann::json Specification_;
+    bool IsDeleted_ = false;
+  };
+
   explicit StoreStandin(asio::io_context &Context) : Context_(Context) {}
 
   ClientBounds bounds() const override { return {}; }
@@ -35,6 +41,17 @@
   void put(std::string const &Kind, std::string const &Name,
            nlohmann::json Specification);
   void remove(std::string const &Kind, std::string const &Name);
+  /// The state at some moment, to be restored later.
+  struct Backup {
+    std::map<std::string, std::map<std::string, Object>> Objects_;
+    std::uint64_t Revision_ = 0;
+  };
+  Backup backup() const { return {Objects_, Revision_}; }
+  /// Returns to an older state: revisions are given out again, and the era in
+  /// all answers rises.
+  void restore(Backup const &Older);
+  std::uint64_t revision() const { return Revision_; }
+  std::size_t calls() const { return Calls_; }
   /// Drops the history so far: watches from older revisions get 410.
   void dropHistory();
   void setMode(StoreMode Mode) { Mode_ = Mode; }
@@ -46,11 +63,6 @@
   }
 
 private:
-  struct Object {
-    std::uint64_t Revision_ = 0;
-    nlohmann::json Specification_;
-    bool IsDeleted_ = false;
-  };
   struct Watch {
     std::string Kind_;
     std::uint64_t From_ = 0;
@@ -58,7 +70,8 @@
     std::shared_ptr<asio::steady_timer> Timer_;
   };
 
-  void reply(Exchange &To, std::int32_t Status, nlohmann::json const &Body);
+  void reply(Exchange &To, std::int32_t Status,
+             nlohmann::json const &Body) const;
   nlohmann::json show(std::string const &Name, Object const &Shown) const;
   void read(std::shared_ptr<Exchange> const &To, std::string const &Kind,
             std::string const &Name);
@@ -73,6 +86,8 @@
   std::map<std::string, std::map<std::string, Object>> Objects_;
   std::uint64_t Revision_ = 1;
   std::uint64_t HistoryFrom_ = 0;
+  std::uint64_t Era_ = 1;
+  std::size_t Calls_ = 0;
   std::list<Watch> Watches_;
   std::list<std::shared_ptr<Exchange>> Unanswered_;
   std::vector<std::string> PlatformApiCalls_;
