platform, LibControl, LibPlacement: Survive a store restored from an older copy

What callers saw: after the store came back from an older copy, changes that the operator had confirmed were not in force (requests handled by the configuration before, 404 on new routes), and servers that said they leave went on getting requests. The lease was lost for good, and instances listed the store up to 302 times in a minute.

Cause: revisions were taken for a clock. All that orders by version (copies of collections, updates between instances, lease, fencing numbers) ignored what the restored store said until its revision had passed the one before. Evidence: lists and watches succeeded all the while and nothing was applied; ruled out that the readers stopped reading, or that watches waited for ever.

The era in the store's answers now stands above the revision in each version, so that a restored store's versions are the highest.

--- a/Libraries/LibControl/CollectionState.cpp
+++ b/Libraries/LibControl/CollectionState.cpp
@@ -56,6 +56,14 @@
 }
 
 CollectionUpdate CollectionState::difference(ObjectList const &List) const {
+  // Others may have changes of the earlier era that are not known here, and
+  // that a delta would leave in place.
+  if (eraOf(List.StoreVersion_) != eraOf(Version_)) {
+    CollectionUpdate Whole{Collection_, 0, List.StoreVersion_, {}, {}};
+    for (auto const &Object : List.Objects_)
+      Whole.Objects_.push_back(updatedObject(Object));
+    return Whole;
+  }
   CollectionUpdate Update{
       Collection_, UnchangedSince_, List.StoreVersion_, {}, {}};
   auto Missing = Objects_;
--- a/Libraries/LibControl/CollectionState.h
+++ b/Libraries/LibControl/CollectionState.h
@@ -57,7 +57,7 @@
 
   collection::Outcome apply(CollectionUpdate const &Update);
   /// Returns the delta from this state to a later listing of the whole
-  /// collection, or a snapshot when nothing is known yet.
+  /// collection, or a snapshot when nothing of the store's era is known yet.
   CollectionUpdate difference(ObjectList const &List) const;
   /// Returns an update without objects, which confirms the state to receivers
   /// that have the last change. Age is the time since it was confirmed.
--- a/Libraries/LibControl/CrashReportDissemination.cpp
+++ b/Libraries/LibControl/CrashReportDissemination.cpp
@@ -100,6 +100,12 @@
     }
 }
 
+void CrashReportDissemination::onStoreRestored(TimePoint Now) {
+  for (auto const &[Fingerprint, Crashes] : Announced_)
+    if (Crashes > 0)
+      Unsaved_.try_emplace(Fingerprint, Now);
+}
+
 std::vector<CrashReport> CrashReportDissemination::takeUnsaved(TimePoint Now) {
   std::vector<CrashReport> Reports;
   for (auto const &[Fingerprint, Since] : std::exchange(Unsaved_, {})) {
--- a/Libraries/LibControl/CrashReportDissemination.h
+++ b/Libraries/LibControl/CrashReportDissemination.h
@@ -34,6 +34,8 @@
   std::vector<SendToPeer> onPeer(CrashReports const &Received, TimePoint Now);
   /// Reports of refused contents, read from the store.
   void restore(std::vector<CrashReport> const &Reports, TimePoint Now);
+  /// The store may have lost what was written to it: saves all suspects again.
+  void onStoreRestored(TimePoint Now);
   /// Returns the reports to be written to the store; each report is returned
   /// once, by the first coordinator only.
   std::vector<CrashReport> takeUnsaved(TimePoint Now);
--- a/Libraries/LibControl/PeerNetwork.cpp
+++ b/Libraries/LibControl/PeerNetwork.cpp
@@ -110,7 +110,21 @@
   obtainSecret(ReadConsistency::Latest);
 }
 
+void PeerNetwork::onStoreRestored(SecretKeeper Keeper) {
+  if (!Transport_ || IsLeaving_)
+    return;
+  WasRegistered_ = true;
+  registerSelf();
+  if (Keeper == SecretKeeper::Yes)
+    Store_.putIf(secretKey(), 0, nlohmann::json(Secret_).dump(), StoreTimeout,
+                 [](Result<Version> const &) {
+                   // A conflict means that it was not lost. Instances that
+                   // start need it, and try until they find one.
+                 });
+}
+
 void PeerNetwork::openTransport(std::string const &Secret) {
+  Secret_ = Secret;
   PeerTransportSettings Settings;
   Settings.Secret_ = Secret;
   Settings.Self_ = Self_;
--- a/Libraries/LibControl/PeerNetwork.h
+++ b/Libraries/LibControl/PeerNetwork.h
@@ -43,6 +43,10 @@
               Callbacks Callbacks);
 
   void start();
+  /// Writes again what the store may have lost when it was restored from an
+  /// older copy: this instance's entry and, by a keeper, the fleet's secret.
+  enum class SecretKeeper { No, Yes };
+  void onStoreRestored(SecretKeeper Keeper);
   /// Notifies the other instances that this one leaves.
   void leave();
   void send(SendToPeer const &Action);
@@ -71,6 +75,7 @@
   AsyncObjectStore &Store_;
   std::string Name_;
   EntryInstance Self_;
+  std::string Secret_;
   Membership Membership_;
   IdentifierSource Identifiers_;
   Callbacks Callbacks_;
--- a/Libraries/LibControl/StoreFollower.h
+++ b/Libraries/LibControl/StoreFollower.h
@@ -31,6 +31,7 @@
                 EntryInstance Self, std::uint64_t Seed, Callbacks Callbacks);
   void start();
   void stop();
+  relay::ReaderRole readerRole() const { return Relay_.readerRole(); }
   void setMembers(std::vector<Member> const &Members);
   void onStoreUpdate(StoreUpdate const &Update);
   void onRequest(SnapshotRequest const &Request);
--- a/Libraries/LibControl/UsageReporter.cpp
+++ b/Libraries/LibControl/UsageReporter.cpp
@@ -92,6 +92,12 @@
     collect(*Window, MedianTime);
 }
 
+void UsageReporter::onStoreRestored() {
+  Settled_.reset();
+  if (!Fence_)
+    FirstDue_ = Counter_.windowOf(LastTick_);
+}
+
 void UsageReporter::onPeer(std::string const &Incarnation,
                            std::vector<WindowUsage> const &Usage,
                            Duration MedianTime) {
@@ -141,7 +147,8 @@
 std::optional<std::int64_t>
 UsageReporter::nextWindow(Duration MedianTime) const {
   auto const Newest = Counter_.windowOf(MedianTime - CollectDelay) - 1;
-  for (auto Window = std::max(Reported_ + 1, Newest - RetainedWindows + 1);
+  for (auto Window =
+           std::max({Reported_ + 1, Newest - RetainedWindows + 1, FirstDue_});
        Window <= Newest; ++Window)
     if (Counter_.endOf(Window) + Settings_.Due_ > MedianTime)
       return Window;
@@ -250,6 +257,8 @@
 void UsageReporter::settleIn(Settled Known, std::int64_t Window,
                              UsageCounts Counts) {
   auto &Windows = Known.Record_.Windows_;
+  // A store restored from an older copy has lost the latest ones.
+  Windows.insert(OwnSettled_.Windows_.begin(), OwnSettled_.Windows_.end());
   if (auto const Found = Windows.find(Window); Found != Windows.end())
     return report(Window, Found->second);
   Windows[Window] = Counts;
@@ -264,6 +273,7 @@
                    return Self->finish(Window, "settle_failed",
                                        errorOf(Written).Message_);
                  Self->Settled_ = Settled{Known.Record_, valueOf(Written)};
+                 Self->OwnSettled_ = Known.Record_;
                  Self->report(Window, Counts);
                });
 }
--- a/Libraries/LibControl/UsageReporter.h
+++ b/Libraries/LibControl/UsageReporter.h
@@ -60,6 +60,9 @@
   void setConnectivity(PeerConnectivity Connectivity) {
     Connectivity_ = Connectivity;
   }
+  /// The store was restored from an older copy: windows may have been reported
+  /// of which it knows nothing. Only the lease holder knows which.
+  void onStoreRestored();
   /// Writes all counts so far to the store before the process exits.
   void publishAll(std::function<void()> Done);
 
@@ -103,6 +106,8 @@
   std::optional<Fence> Fence_;
   std::map<std::string, ReportedUsage> Peers_;
   std::optional<Settled> Settled_; ///< As last written by this instance.
+  UsageRecord OwnSettled_;         ///< What this instance has settled.
+  std::int64_t FirstDue_ = 0;      ///< Earlier windows may have been reported.
   PeerConnectivity Connectivity_ = PeerConnectivity::Partial;
   std::int64_t Published_ = -1; ///< The last window written to the store.
   std::int64_t Reported_ = -1;  ///< The last window whose report was accepted.
--- a/Libraries/LibPlacement/LeaseHolder.cpp
+++ b/Libraries/LibPlacement/LeaseHolder.cpp
@@ -59,13 +59,30 @@
 void LeaseHolder::on(LeaseRead const &Event) {
   IsAwaited_ = false;
   NextRead_ = Now_ + pollPeriod();
-  if (Observed_ && Event.Object_.Version_ < Observed_->Object_.Version_)
+  if (Observed_ && Event.Object_.Era_ > Observed_->Object_.Era_)
+    return onRestored(Event.Object_);
+  if (Observed_ && (Event.Object_.Era_ < Observed_->Object_.Era_ ||
+                    Event.Object_.Version_ < Observed_->Object_.Version_))
     return readSoon(); // A stale read.
   observe(Event.Object_);
   if (!Held_)
     challenge();
 }
 
+/// The store came back from an older copy, in which this instance's lease or
+/// another holder's may be missing. Only who certainly holds the lease may
+/// write at once; the others wait until any lease of the earlier era has ended.
+void LeaseHolder::onRestored(StoredObject const &Object) {
+  bool const IsHolder = held(Now_).has_value();
+  RestoredAt_ = Now_;
+  UnresolvedWrites_.clear();
+  Observed_ = Observation{Object, Now_};
+  if (Held_)
+    lose();
+  if (IsHolder && IsCandidate_)
+    write(Object.Version_);
+}
+
 void LeaseHolder::on(ReadFailed const & /*Event*/) {
   IsAwaited_ = false;
   readSoon();
@@ -76,9 +93,10 @@
   if (UnresolvedWrites_.empty())
     return readSoon(); // The lease was released during the write.
   auto const Sent = UnresolvedWrites_.back();
-  Observed_ = Observation{
-      {leaseKey(), Event.Version_, encodeLease({Incarnation_, Sent.Nonce_})},
-      Now_};
+  Observed_ = Observation{{leaseKey(), Event.Version_,
+                           encodeLease({Incarnation_, Sent.Nonce_}),
+                           eraOf(Event.Version_)},
+                          Now_};
   confirmWrite(Sent, Event.Version_);
 }
 
@@ -176,6 +194,9 @@
 /// A lease that was last written by this incarnation or a previous one of this
 /// instance has no other holder.
 bool LeaseHolder::mayTakeOver() const {
+  if (RestoredAt_ &&
+      Now_ - *RestoredAt_ < Settings_.Length_ + Settings_.Margin_)
+    return false;
   if (Observed_->Object_.Version_ == 0)
     return true;
   auto const Record = decodeLease(Observed_->Object_.Value_);
--- a/Libraries/LibPlacement/LeaseHolder.h
+++ b/Libraries/LibPlacement/LeaseHolder.h
@@ -140,6 +140,7 @@
   void on(lease::FencedOut const &Event);
   void on(lease::TimePassed const &Event);
 
+  void onRestored(StoredObject const &Object);
   void observe(StoredObject const &Object);
   /// Handles a write that is known to have taken effect and created version
   /// Made.
@@ -160,6 +161,8 @@
   InstanceId Incarnation_;
   std::optional<HeldLease> Held_;
   std::optional<Observation> Observed_;
+  /// When this instance noticed the last restoration of the store.
+  std::optional<TimePoint> RestoredAt_;
   /// Writes with unknown outcome. All of them expect UnresolvedExpected_.
   std::vector<UnresolvedWrite> UnresolvedWrites_;
   Version UnresolvedExpected_ = 0;
--- a/Libraries/LibPlatform/ObjectStore.h
+++ b/Libraries/LibPlatform/ObjectStore.h
@@ -3,6 +3,7 @@
 #include <LibCore/Result.h>
 #include <LibCore/Time.h>
 #include <LibModel/ConfigurationObject.h>
+#include <LibPlatform/StoreEra.h>
 
 #include <string>
 #include <vector>
@@ -22,6 +23,8 @@
   ObjectKey Key_;
   Version Version_ = 0; ///< 0 when there is no such object.
   std::string Value_;
+  /// Era of the store that answered, also when there is no such object.
+  StoreEra Era_ = 0;
 
   auto operator<=>(StoredObject const &) const = default;
 };
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -163,6 +163,11 @@
   Dependencies_.Log_.write(LogLine("store_restored")
                                .add("era", Era)
                                .add("config", ConfigurationVersion_));
+  LeaseHolderTasks_.onStoreRestored();
+  CrashGuardTasks_.onStoreRestored();
+  Peers_->onStoreRestored(Follower_->readerRole() == relay::ReaderRole::Ranked
+                              ? PeerNetwork::SecretKeeper::Yes
+                              : PeerNetwork::SecretKeeper::No);
 }
 
 void ControlPlane::applyConfiguration(StoredObject const &Object) {
--- a/Services/laburnum-entry/CrashGuardTasks.h
+++ b/Services/laburnum-entry/CrashGuardTasks.h
@@ -39,6 +39,7 @@
   /// Disseminates what the local guard reported.
   void onLocalReports(std::vector<CrashReport> const &Reports);
   void onPeer(CrashReports const &Received);
+  void onStoreRestored() { Dissemination_.onStoreRestored(readBootClock()); }
 
 private:
   void send(std::vector<SendToPeer> const &Messages);
--- a/Services/laburnum-entry/LeaseHolderTasks.h
+++ b/Services/laburnum-entry/LeaseHolderTasks.h
@@ -40,6 +40,7 @@
   /// Must be called at least five times a second.
   void tick(TimePoint Now, Duration MedianTime, PeerCoverage Coverage);
   void setMembers(std::vector<Member> const &Members, TimePoint Now);
+  void onStoreRestored() { Reporter_->onStoreRestored(); }
   void setTable(std::shared_ptr<RouteTable const> Table);
   void replaceServers(std::vector<ServerRecord> const &Records);
   void updateServer(ServerRecord const &Record);
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -120,6 +120,8 @@
 
 void TrafficPlane::replaceServers(std::vector<ServerRecord> const &Records) {
   Roster_.replaceAll(Records);
+  for (auto const &Record : Records)
+    noteLeaving(Record);
   std::erase_if(Pools_, [&](auto const &Entry) {
     return std::none_of(
         Records.begin(), Records.end(),
@@ -128,8 +130,14 @@
   advanceQueue();
 }
 
+void TrafficPlane::noteLeaving(ServerRecord const &Record) {
+  if (Record.Phase_ != ServerPhase::Ready)
+    Roster_.onLeaving(incarnationOf(Record), readBootClock());
+}
+
 void TrafficPlane::updateServer(ServerRecord const &Record) {
   Roster_.update(Record);
+  noteLeaving(Record);
   advanceQueue();
 }
 
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -129,6 +129,9 @@
   void onAttemptEnded(RequestFingerprints const &Fingerprints,
                       ServerRecord const &Server,
                       AttemptEvidence const &Evidence);
+  /// An incarnation that was listed as leaving stays so, whatever an older copy
+  /// of the list says later.
+  void noteLeaving(ServerRecord const &Record);
   void onServerLeaving(ServerRecord const &Server);
   /// Another server now listens at the address.
   void onServerReplaced(ServerRecord const &Server);
--- a/Tests/EntryProcess/StoreStandin.h
+++ b/Tests/EntryProcess/StoreStandin.h
@@ -55,6 +55,10 @@
   /// Drops the history so far: watches from older revisions get 410.
   void dropHistory();
   void setMode(StoreMode Mode) { Mode_ = Mode; }
+  nlohmann::json object(std::string const &Kind,
+                        std::string const &Name) const {
+    return Objects_.at(Kind).at(Name).Specification_;
+  }
   std::size_t count(std::string const &Kind) const;
   /// Returns paths and bodies of the calls to the platform API, which shares
   /// the store's address here.
--- a/Tests/LibControl/TestCollectionState.cpp
+++ b/Tests/LibControl/TestCollectionState.cpp
@@ -1,4 +1,5 @@
 #include <LibControl/CollectionState.h>
+#include <LibPlatform/StoreEra.h>
 
 #include <catch2/catch.hpp>
 
@@ -91,3 +92,27 @@
   CollectionState Empty("servers");
   CHECK(Empty.difference(List).From_ == 0);
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "The list of a restored store replaces the state, also "
+                 "of instances that know later changes of before") {
+  CollectionState Ahead("servers");
+  Ahead.apply(State_.snapshot(Duration(0)));
+  Ahead.apply({"servers",
+               State_.version(),
+               State_.version() + 5,
+               {},
+               {{"lost", State_.version() + 5, "1"}}});
+  ObjectList const List{versionOf(1, 7),
+                        {{{"servers", "b"}, versionOf(1, 6), "2"}}};
+  auto const Difference = State_.difference(List);
+  for (auto *Each : {&State_, &Ahead}) {
+    auto const Outcome = Each->apply(Difference);
+    REQUIRE(std::holds_alternative<collection::Replaced>(Outcome));
+    CHECK(std::get<collection::Replaced>(Outcome).All_.Objects_.size() == 1);
+    CHECK(Each->version() == versionOf(1, 7));
+  }
+  // A late update of the earlier era changes nothing.
+  CHECK(std::holds_alternative<collection::Unchanged>(
+      State_.apply({"servers", 0, 1000, {}, {{"old", 900, "1"}}})));
+}
--- a/Tests/LibControl/TestUsageReporter.cpp
+++ b/Tests/LibControl/TestUsageReporter.cpp
@@ -161,3 +161,33 @@
   UsageRecord const Record{{{1, {{A, 2}}}, {3, {}}}};
   CHECK(decodeUsage(encodeUsage(Record)) == Record);
 }
+
+TEST_CASE_METHOD(Fixture, "A window is never reported with other counts though "
+                          "the store forgets that it was settled") {
+  First_.Counter_.count(A, Now_ + seconds(1));
+  auto const Older = Store_.Objects_.version();
+  Duties_.IsSilent_ = GENERATE(true, false);
+  pass(Window + seconds(3), &First_);
+  REQUIRE_FALSE(Duties_.Sent_.empty());
+  Store_.Objects_.restoreTo(Older);
+  bool const ChangesHolder = GENERATE(true, false);
+  auto &Next = ChangesHolder ? Second_ : First_;
+  if (ChangesHolder)
+    pass(milliseconds(200), nullptr);
+  First_.Reporter_->onStoreRestored();
+  Second_.Reporter_->onStoreRestored();
+  // What comes later would change the sum.
+  First_.Reporter_->onPeer("late.1", {{1000, A, 4}}, Now_);
+  Second_.Reporter_->onPeer("late.1", {{1000, A, 4}}, Now_);
+  Duties_.IsSilent_ = false;
+  pass(seconds(12), &Next);
+  std::set<UsageCounts> Reported;
+  for (auto const &[Each, Counts] : Duties_.Sent_)
+    if (Each == 1000)
+      Reported.insert(Counts);
+  // A new holder can't know whether the window was reported, and leaves it out.
+  CHECK(Reported.size() <= 1);
+  if (!ChangesHolder)
+    CHECK(Reported.size() == 1);
+  CHECK(Duties_.Sent_.back().first > 1000);
+}
--- a/Tests/LibPlacement/LeaseFleet.h
+++ b/Tests/LibPlacement/LeaseFleet.h
@@ -2,8 +2,10 @@
 
 #include <LibPlacement/LeaseHolder.h>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace laburnum::test {
@@ -85,6 +87,18 @@
       step();
   }
 
+  /// The store comes back from an older copy of the lease object; nothing if
+  /// it had none.
+  void restore(std::optional<StoredObject> const &Older) {
+    ++Era_;
+    StoreVersion_ = versionOf(Era_, 1);
+    Object_ = Older.value_or(StoredObject{lease::leaseKey(), 0, ""});
+    if (Older)
+      Object_.Version_ = versionOf(Era_, revisionOf(Older->Version_));
+    Object_.Era_ = Era_;
+    StoreVersion_ = std::max(StoreVersion_, Object_.Version_);
+  }
+
   void arrive() {
     for (auto const &Late : std::exchange(Late_, {}))
       store(Late);
@@ -135,13 +149,14 @@
     if (Write.Expected_ != Object_.Version_)
       return false;
     StoreVersion_ += 3; // Other objects are written, too.
-    Object_ = {lease::leaseKey(), StoreVersion_, Write.Value_};
+    Object_ = {lease::leaseKey(), StoreVersion_, Write.Value_, Era_};
     return true;
   }
 
   std::vector<std::pair<std::size_t, lease::Action>> Calls_;
   std::vector<lease::WriteLease> Late_;
   Version StoreVersion_ = 0;
+  StoreEra Era_ = 0;
 };
 
 } // namespace laburnum::test
--- a/Tests/LibPlacement/TestLeaseHolder.cpp
+++ b/Tests/LibPlacement/TestLeaseHolder.cpp
@@ -1,5 +1,7 @@
 #include "LeaseFleet.h"
 
+#include <LibPlacement/LeaseRecord.h>
+
 #include <catch2/catch.hpp>
 
 #include <iostream>
@@ -248,3 +250,49 @@
     CHECK(Fleet.LatestReads_ > 0);
   }
 }
+
+TEST_CASE(
+    "After the store was restored the holder goes on with a higher fencing "
+    "number, and there are never two") {
+  LeaseFleet Fleet(4);
+  Fleet.run(seconds(2));
+  auto const Earlier = Fleet.Object_;
+  auto const First = Fleet.holder();
+  REQUIRE(Fleet.held(First));
+  std::optional<StoredObject> Older;
+  SECTION("an older record of the holder") { Older = Earlier; }
+  SECTION("no record") {}
+  SECTION("a record of another instance") {
+    Older = Earlier;
+    Older->Value_ = encodeLease({InstanceId("i9/x"), Nonce("n")});
+  }
+  Fleet.run(seconds(20));
+  auto const Fencing = Fleet.held(First)->Fencing_;
+  Fleet.restore(Older);
+  Fleet.run(seconds(5));
+  CHECK(Fleet.holder() == First);
+  REQUIRE(Fleet.held(First));
+  CHECK(Fleet.held(First)->Fencing_ > Fencing);
+  Fleet.run(seconds(20));
+  CHECK(Fleet.MaxHolders_ == 1);
+}
+
+TEST_CASE(
+    "A holder that is paused while the store is restored is replaced only "
+    "when its lease has ended") {
+  LeaseFleet Fleet(4);
+  Fleet.run(seconds(2));
+  auto const Older = Fleet.Object_;
+  auto const First = Fleet.holder();
+  Fleet.run(seconds(20));
+  auto const Fencing = Fleet.held(First)->Fencing_;
+  Fleet.Paused_[First] = true;
+  Fleet.restore(Older);
+  Fleet.run(seconds(40));
+  CHECK(Fleet.holder() != First);
+  REQUIRE(Fleet.holders() == 1);
+  CHECK(Fleet.held(Fleet.holder())->Fencing_ > Fencing);
+  Fleet.Paused_[First] = false;
+  Fleet.run(seconds(20));
+  CHECK(Fleet.MaxHolders_ == 1);
+}
--- a/Tests/Platform/TestObjectClient.cpp
+++ b/Tests/Platform/TestObjectClient.cpp
@@ -34,12 +34,16 @@
     Script_.pop_front();
     if (Status == 0)
       return Exchange->abort();
-    Exchange->answer({Status, {}}, Body);
+    AnswerHead Head{Status, {}};
+    if (Era_ > 0)
+      Head.Fields_.add("Store-Era", std::to_string(Era_));
+    Exchange->answer(Head, Body);
   }
 
   std::deque<std::pair<std::int32_t, std::string>> Script_;
   std::vector<std::string> Calls_;
   std::vector<std::string> Bodies_;
+  StoreEra Era_ = 0; ///< Not stated if 0.
 };
 
 struct Fixture {
@@ -173,3 +177,74 @@
   CHECK(Store_.Calls_.at(0) ==
         "GET /laburnumpond/objects/things/one?allow_stale=1");
 }
+
+TEST_CASE_METHOD(Fixture, "Versions of a restored store are above all earlier "
+                          "ones, and the restoration is reported once") {
+  std::vector<StoreEra> Reported;
+  Client_.setRestoreListener([&](StoreEra Era) { Reported.push_back(Era); });
+  Store_.Era_ = 3;
+  Store_.Script_ = {{200, object("one", 500, "7")},
+                    {200, object("one", 20, "7")},
+                    {404, "{}"}};
+  auto const Before = valueOf(get(ReadConsistency::Latest)).Version_;
+  Store_.Era_ = 4;
+  auto const After = valueOf(get(ReadConsistency::Latest));
+  CHECK(After.Version_ > Before);
+  CHECK(After.Era_ == 4);
+  CHECK(revisionOf(After.Version_) == 20);
+  auto const Absent = valueOf(get(ReadConsistency::Latest));
+  CHECK(Absent.Version_ == 0);
+  CHECK(Absent.Era_ == 4);
+  CHECK(Reported == std::vector<StoreEra>{4});
+}
+
+TEST_CASE_METHOD(Fixture, "A watch from before a restoration is a gap even if "
+                          "the store has given out its revision again") {
+  Store_.Era_ = 4;
+  Store_.Script_ = {{200, R"({"events":[],"current_rev":90})"}};
+  auto const Batch = await<WatchBatch>([&](auto Done) {
+    Client_.watch("things", versionOf(3, 50), std::chrono::seconds(1), Done);
+  });
+  CHECK(valueOf(Batch).Continuity_ == WatchContinuity::Gap);
+  CHECK(Store_.Calls_.front() ==
+        "GET /laburnumpond/objects/things?watch=50&wait_ms=1000");
+}
+
+TEST_CASE_METHOD(Fixture, "A conditional write from before a restoration does "
+                          "not meet a revision that was given out again") {
+  Store_.Era_ = 3;
+  Store_.Script_ = {{200, object("one", 50, "7")}};
+  auto const Expected = valueOf(get(ReadConsistency::Latest)).Version_;
+  SECTION("the restoration is known") {
+    Store_.Era_ = 4;
+    Store_.Script_ = {{200, object("one", 20, "7")},
+                      {200, object("one", 50, "8")}};
+    get(ReadConsistency::Latest);
+  }
+  SECTION("the store was away meanwhile") {
+    Store_.Script_ = {{0, ""}, {200, object("one", 50, "8")}};
+    CHECK(isError(get(ReadConsistency::Latest)));
+    Store_.Era_ = 4;
+  }
+  auto const Written = putIf(Expected);
+  REQUIRE(isError(Written));
+  CHECK(errorOf(Written).Kind_ == ErrorKind::Conflict);
+  CHECK(Store_.Calls_.back().starts_with("GET"));
+}
+
+TEST_CASE_METHOD(Fixture, "A conditional write after an outage without a "
+                          "restoration takes one more read") {
+  Store_.Era_ = 3;
+  Store_.Script_ = {{200, object("one", 50, "7")},
+                    {0, ""},
+                    {200, object("one", 50, "7")},
+                    {200, object("one", 51, "7")},
+                    {200, object("one", 52, "7")}};
+  auto const Expected = valueOf(get(ReadConsistency::Latest)).Version_;
+  CHECK(isError(get(ReadConsistency::Latest)));
+  auto const Written = putIf(Expected);
+  REQUIRE_FALSE(isError(Written));
+  CHECK(valueOf(Written) == versionOf(3, 51));
+  CHECK_FALSE(isError(putIf(valueOf(Written))));
+  CHECK(Store_.Calls_.size() == 5);
+}
