laburnum-entry: Don't take a repeated refusal for the answer to the next request

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for a request that a server was running. It could happen here: a refusal without X-Attempt-Id was taken for the answer to the present request.

An answer that names no request and comes on a connection with earlier ones is not trusted any more (502, or a retry where the route allows it), and a connection that carried such an answer is not used again, so that an exact copy meets no request.

--- a/Libraries/LibHttp/OutboundCall.cpp
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -80,7 +80,9 @@
 void OutboundCall::takeHead() {
   HasTakenHead_ = true;
   Progress_ = std::max(Progress_, AttemptProgress::AnswerBegun);
-  IsSkipping_ = Observer_->onHead(Reader_.head()) == HeadDecision::Skip;
+  auto const Decision = Observer_->onHead(Reader_.head());
+  IsSkipping_ = Decision == HeadDecision::Skip;
+  IsLast_ |= Decision == HeadDecision::TakeLast;
 }
 
 void OutboundCall::deliver() {
@@ -118,7 +120,7 @@
   Progress_ = AttemptProgress::AnswerWhole;
   // If the answer came before the whole request was written, or bytes follow
   // the answer, the connection cannot be reused.
-  bool const IsClean = Reader_.keepsAlive() && HasWrittenAll_ &&
+  bool const IsClean = !IsLast_ && Reader_.keepsAlive() && HasWrittenAll_ &&
                        Connection_->isOpen() && Reader_.takeRest().empty() &&
                        Reader_.framing() == AnswerFraming::Delimited;
   if (IsClean)
--- a/Libraries/LibHttp/OutboundCall.h
+++ b/Libraries/LibHttp/OutboundCall.h
@@ -13,6 +13,8 @@
 /// What to do with an answer whose head was received.
 enum class HeadDecision {
   Take,
+  /// Take the answer, and send no other request on its connection.
+  TakeLast,
   /// The answer belongs to an earlier request: wait for the next one.
   Skip,
 };
@@ -51,6 +53,8 @@
   void cancel();
   /// How far the call has got; see AttemptProgress.
   AttemptProgress progress() const { return Progress_; }
+  /// Whether earlier requests were sent on the connection.
+  bool isReused() const { return IsReused_; }
 
   void onBytes(std::string_view Bytes) override;
   void onWritten() override;
@@ -75,6 +79,8 @@
   std::shared_ptr<Connection> Connection_;
   AnswerReader Reader_;
   AttemptProgress Progress_ = AttemptProgress::NotConnected;
+  bool IsReused_ = false;
+  bool IsLast_ = false; ///< The connection is closed after the answer.
   bool HasWrittenAll_ = false;
   bool HasTakenHead_ = false;
   std::uint32_t Skipped_ = 0; ///< Skipped answers to earlier requests.
--- a/Libraries/LibHttp/OutboundPool.cpp
+++ b/Libraries/LibHttp/OutboundPool.cpp
@@ -71,6 +71,7 @@
       shared_from_this(), std::move(Request), std::move(Observer));
   if (auto Pooled = takeIdle()) {
     ++Counts_.Reused_;
+    Call->IsReused_ = true;
     Call->useConnection(std::move(Pooled));
   } else {
     ++Counts_.Opened_;
--- a/Libraries/LibTraffic/TrafficRequest.h
+++ b/Libraries/LibTraffic/TrafficRequest.h
@@ -99,7 +99,11 @@
 };
 
 /// Whether an answer belongs to the attempt that was sent.
-enum class AnswerMatch { Ours, AnotherRequest };
+enum class AnswerMatch {
+  Ours,
+  Unidentified, ///< The answer names no request.
+  AnotherRequest,
+};
 
 /// Encodes and decodes the headers of requests and answers between clients,
 /// this system and backend servers.
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -139,14 +139,23 @@
 
 HeadDecision RequestSession::onHead(AnswerHead const &Head) {
   auto const &Codec = Plane_.Dependencies_.TrafficCodec_;
-  if (Codec.match(Head, FlowContext_.Metadata_.AttemptId_) ==
-      AnswerMatch::AnotherRequest) {
+  auto const Match = Codec.match(Head, FlowContext_.Metadata_.AttemptId_);
+  // On a connection with earlier requests it may be a late answer to any.
+  bool const IsAmbiguous =
+      Match == AnswerMatch::Unidentified && Call_ && Call_->isReused();
+  if (Match == AnswerMatch::AnotherRequest || IsAmbiguous) {
     Plane_.Dependencies_.Metrics_.MismatchedAnswers_.add();
     Plane_.Dependencies_.Log_.write(
         LogLine("foreign_answer")
             .add("id", FlowContext_.Metadata_.AttemptId_)
-            .add("server", LastServer_));
-    return HeadDecision::Skip;
+            .add("server", LastServer_)
+            .add("outcome", IsAmbiguous ? "unidentified" : "skipped"));
+    if (!IsAmbiguous)
+      return HeadDecision::Skip;
+    clearStall();
+    Answer_ = ServerAnswer();
+    handle(HeadArrived{*Answer_});
+    return HeadDecision::TakeLast;
   }
   clearStall();
   Answer_ = Codec.decode(Head);
@@ -163,7 +172,8 @@
   Plane_.RateLimits_.onAnswer(*Server_, *Answer_, AttemptSentAt_,
                               readBootClock());
   handle(HeadArrived{*Answer_});
-  return HeadDecision::Take;
+  return Match == AnswerMatch::Unidentified ? HeadDecision::TakeLast
+                                            : HeadDecision::Take;
 }
 
 void RequestSession::onBody(std::string_view Bytes) {
--- a/Tests/EntryProcess/TestFaultyServers.cpp
+++ b/Tests/EntryProcess/TestFaultyServers.cpp
@@ -69,3 +69,63 @@
     Requests += requestsAt(*Server);
   CHECK(Requests <= MaxCrashes);
 }
+
+namespace {
+
+std::string refusal(std::string const &AttemptId) {
+  return "HTTP/1.1 503 Service Unavailable\r\n" +
+         (AttemptId.empty() ? std::string()
+                            : "X-Attempt-Id: " + AttemptId + "\r\n") +
+         "X-Not-Executed: 1\r\nContent-Length: 0\r\n"
+         "Keep-Alive: timeout=5\r\n\r\n";
+}
+
+std::string answer(std::string const &AttemptId) {
+  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + AttemptId +
+         "\r\nX-Server-Stamp: stamp\r\nContent-Length: 5\r\n"
+         "Keep-Alive: timeout=5\r\n\r\nwhole";
+}
+
+enum class Repeated { AtOnce, InOneWrite, BeforeTheNextAnswer };
+
+} // namespace
+
+TEST_CASE_METHOD(ScriptedFixture,
+                 "A refusal that a server repeats is not taken for the answer "
+                 "to the next request on the connection") {
+  auto const When = GENERATE(Repeated::AtOnce, Repeated::InOneWrite,
+                             Repeated::BeforeTheNextAnswer);
+  bool const IsIdentified = GENERATE(true, false);
+  bool const IsCopyIdentified = GENERATE(true, false);
+  CAPTURE(static_cast<int>(When), IsIdentified, IsCopyIdentified);
+  std::string First;
+  std::shared_ptr<ScriptedServer::Peer> FirstPeer;
+  auto &Server =
+      add("i-10", [&](ScriptedServer::Peer &Peer, std::string const &AttemptId,
+                      std::size_t Number) {
+        auto const Copy = refusal(IsCopyIdentified ? First : "");
+        if (Number > 1) {
+          if (When == Repeated::BeforeTheNextAnswer && &Peer == FirstPeer.get())
+            Peer.write(Copy);
+          return Peer.write(answer(AttemptId));
+        }
+        First = AttemptId;
+        FirstPeer = Peer.shared_from_this();
+        auto const Original = refusal(IsIdentified ? AttemptId : "");
+        if (When == Repeated::InOneWrite)
+          return Peer.write(Original + refusal(IsCopyIdentified ? First : ""));
+        Peer.write(Original);
+        if (When == Repeated::AtOnce)
+          Peer.write(refusal(IsCopyIdentified ? First : ""));
+      });
+  Instance_->process().awaitLine("server_changed server=i-10");
+  REQUIRE(await([this, &Server] {
+    return send("POST", "/order/1").Status_ == 503 && requestsAt(Server) == 1;
+  }));
+  auto const Second = send("POST", "/order/2");
+  // It has run: "not run" would be untrue.
+  CHECK(requestsAt(Server) == 2);
+  CHECK((Second.Status_ == 200 || Second.Status_ == 502));
+  if (IsCopyIdentified || When != Repeated::BeforeTheNextAnswer)
+    CHECK(Second.Body_ == "whole");
+}
