LibTraffic: Continue a stream only with another stream

Reported by other operators: a stream broke off, the next server answered with an error, and clients found its text in their stream, or the stream ended as if it were complete. It could happen here where the next server's error came as a signed 2xx: of six errors played, a 200 of type application/json was relayed as an event when it ended with an empty line, and made the stream look complete when it was empty. Errors with a status of their own, refusals, answers without length and bytes that are no HTTP were not relayed before either.

A 2xx of another media type than the stream that has begun is not trusted any more.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -31,6 +31,12 @@
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
 }
 
+/// Returns the content type without its parameters.
+std::string mediaType(AnswerHead const &Head) {
+  auto const Type = Head.Fields_.valueOr("Content-Type");
+  return std::string(Type.substr(0, Type.find_first_of("; ")));
+}
+
 } // namespace
 
 ExchangeFlow::ExchangeFlow(FlowContext FlowContext, RetryGate &Gate)
@@ -77,8 +83,16 @@
 }
 
 void ExchangeFlow::on(HeadArrived const &Event) {
-  if (State_ == State::Attempting)
-    Answer_ = Event.Answer_;
+  if (State_ != State::Attempting)
+    return;
+  Answer_ = Event.Answer_;
+  // Only another stream can continue one; anything else is an error's text.
+  auto const Type = mediaType(Answer_->Head_);
+  if (!HasBegunStream_)
+    StreamType_ = Type;
+  else if (!equalsIgnoringCase(Type, StreamType_) &&
+           Answer_->Claim_ == AnswerClaim::Succeeded)
+    Answer_->Claim_ = AnswerClaim::Untrusted;
 }
 
 void ExchangeFlow::on(BodyArrived const &Event) {
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -189,6 +189,7 @@
   EventStreamSplitter Splitter_;
   /// State of the answer sent to the client.
   bool HasBegunStream_ = false;
+  std::string StreamType_; ///< Media type of the stream that has begun.
   bool HasCountedRun_ = false;
   std::optional<std::uint64_t> LastEventId_;
   /// The last failure answered by a server, sent to the client when no attempt
--- a/Tests/EntryProcess/TestFaultyServers.cpp
+++ b/Tests/EntryProcess/TestFaultyServers.cpp
@@ -2,6 +2,9 @@
 #include "ScriptedServer.h"
 #include "StandinRecords.h"
 
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+
 #include <catch2/catch.hpp>
 
 #include <memory>
@@ -129,3 +132,62 @@
   if (IsCopyIdentified || When != Repeated::BeforeTheNextAnswer)
     CHECK(Second.Body_ == "whole");
 }
+
+namespace {
+
+/// Sends a request on a raw connection and returns all bytes of the answer
+/// until the connection ends.
+std::string receiveAll(std::string const &Address, std::string const &Path) {
+  asio::io_context Context;
+  asio::ip::tcp::socket Socket(Context);
+  Socket.connect({asio::ip::make_address(Address), EntryProcess::TrafficPort});
+  asio::write(Socket,
+              asio::buffer("GET " + Path +
+                           " HTTP/1.1\r\nHost: desk.example\r\n"
+                           "X-Attempt-Id: raw-1\r\nX-Deadline-Ms: 1500\r\n"
+                           "X-Key: k1\r\nConnection: close\r\n\r\n"));
+  std::string Received;
+  asio::error_code End;
+  asio::read(Socket, asio::dynamic_buffer(Received), End);
+  return Received;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(ScriptedFixture, "A stream that broke off is not continued "
+                                  "with an error of the next server") {
+  std::string const Error = GENERATE(
+      std::string("HTTP/1.1 500 Error\r\nX-Attempt-Id: raw-1\r\n"
+                  "X-Server-Stamp: stamp\r\nContent-Length: 13\r\n\r\n"
+                  "error text\n\n\n"),
+      std::string("HTTP/1.1 200 OK\r\nX-Attempt-Id: raw-1\r\n"
+                  "X-Server-Stamp: stamp\r\nContent-Type: application/json\r\n"
+                  "Content-Length: 13\r\n\r\nerror text\n\n\n"),
+      std::string("HTTP/1.1 200 OK\r\nX-Attempt-Id: raw-1\r\n"
+                  "X-Server-Stamp: stamp\r\nContent-Type: application/json\r\n"
+                  "Content-Length: 0\r\n\r\n"),
+      std::string("HTTP/1.1 503 Busy\r\nX-Attempt-Id: raw-1\r\n"
+                  "X-Not-Executed: 1\r\nContent-Length: 10\r\n\r\nerror text"),
+      std::string("HTTP/1.1 500 Error\r\nX-Attempt-Id: raw-1\r\n\r\n"
+                  "error text"),
+      std::string("error text\n\n"));
+  CAPTURE(Error);
+  std::size_t Streams = 0;
+  auto const Script = [&](ScriptedServer::Peer &Peer,
+                          std::string const &AttemptId, std::size_t) {
+    if (Streams++ == 0)
+      Peer.write(streamHead(AttemptId) + "id: 1\ndata: one\n\nid: 2\ndata: tw");
+    else
+      Peer.write(Error);
+    Peer.close();
+  };
+  add("i-10", Script);
+  add("i-11", Script);
+  Instance_->process().awaitLine("server_changed server=i-11");
+  auto const Received = receiveAll(Instance_->address(), "/stream/x");
+  CHECK(Streams == 2);
+  CHECK(Received.find("data: one") != std::string::npos);
+  CHECK(Received.find("error text") == std::string::npos);
+  CHECK(Received.find("HTTP/1.1", 1) == std::string::npos);
+  CHECK_FALSE(Received.ends_with("0\r\n\r\n"));
+}
