Tests: Show that an answer that ends inside its head is no answer

Reported by other operators: a server stopped in the middle of its answer's head, and clients got a 200 with an empty or short body. It can't happen here: seven places of the break, in a POST and in a stream, all answer 502 with an empty body.

--- a/Tests/EntryProcess/TestFaultyServers.cpp
+++ b/Tests/EntryProcess/TestFaultyServers.cpp
@@ -191,3 +191,26 @@
   CHECK(Received.find("HTTP/1.1", 1) == std::string::npos);
   CHECK_FALSE(Received.ends_with("0\r\n\r\n"));
 }
+
+TEST_CASE_METHOD(ScriptedFixture,
+                 "An answer that ends inside its head is no answer") {
+  std::string const Head = GENERATE(
+      "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n",
+      "HTTP/1.1 200 OK\r\nX-Server-Stamp: stamp",
+      "HTTP/1.1 200 OK\r\nX-Server-Stamp: stamp\r\n",
+      "HTTP/1.1 200 OK\r\nX-Server-Stamp: stamp\r\nContent-Length: 5\r\n\r",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n",
+      "HTTP/1.1 200 OK\r\nX-Server-Stamp: stamp\r\nContent-Length: "
+      "5\r\n\r\nwh");
+  CAPTURE(Head);
+  add("i-10",
+      [&](ScriptedServer::Peer &Peer, std::string const &, std::size_t) {
+        Peer.write(Head);
+        Peer.close();
+      });
+  Instance_->process().awaitLine("server_changed server=i-10");
+  auto const Path = GENERATE("/order/x", "/stream/x");
+  auto const Received = send("POST", Path);
+  CHECK(Received.Status_ == 502);
+  CHECK(Received.Body_.empty());
+}
