LibControl: Report no window of usage twice after the store was restored

Traced: the holder of the lease settles and reports a window, the restored store forgets that, and the holder is killed before it writes again. Its next incarnation takes the lease at once, finds the window unsettled, and reports what it has counted and received.

The settled record now names the era in which it was written. Who finds a record of an earlier era leaves out the windows that may have been reported, and a holder that lives through the restoration writes the record again at once.

--- a/Libraries/LibControl/UsageReporter.cpp
+++ b/Libraries/LibControl/UsageReporter.cpp
@@ -25,6 +25,20 @@
 /// Number of windows kept in an instance's record and in the settled counts.
 constexpr std::int64_t RetainedWindows = 6;
 
+/// The settled record holds, beside the windows, the era of the store in which
+/// it was written. It looks like a window, so that earlier releases can read
+/// it.
+constexpr std::int64_t EraWindow = -1;
+constexpr char const *EraName = "era";
+
+StoreEra writtenEra(UsageRecord const &Record) {
+  auto const Found = Record.Windows_.find(EraWindow);
+  if (Found == Record.Windows_.end())
+    return 0;
+  auto const Era = Found->second.find(AccountName(EraName));
+  return Era == Found->second.end() ? 0 : Era->second;
+}
+
 ObjectKey settledKey() { return {"entry-usage-settled", "windows"}; }
 
 Json encodeWindows(std::map<std::int64_t, UsageCounts> const &Windows) {
@@ -88,14 +102,15 @@
   publish(MedianTime);
   if (!Fence_ || IsReporting_ || MedianTime < NotBefore_)
     return;
+  if (std::exchange(MustSettleAgain_, false))
+    return settleAgain();
   if (auto const Window = nextWindow(MedianTime))
     collect(*Window, MedianTime);
 }
 
 void UsageReporter::onStoreRestored() {
   Settled_.reset();
-  if (!Fence_)
-    FirstDue_ = Counter_.windowOf(LastTick_);
+  MustSettleAgain_ = Fence_.has_value();
 }
 
 void UsageReporter::onPeer(std::string const &Incarnation,
@@ -242,40 +257,88 @@
   // conditional write fails.
   if (Settled_)
     return settleIn(*Settled_, Window, std::move(Counts));
-  Store_.get(settledKey(), ReadConsistency::Latest, StoreTimeout,
-             [Self = shared_from_this(), Window,
-              Counts = std::move(Counts)](Result<StoredObject> const &Read) {
-               if (isError(Read))
-                 return Self->finish(Window, "settle_failed",
-                                     errorOf(Read).Message_);
-               auto const Record =
-                   decodeUsage(valueOf(Read).Value_).value_or(UsageRecord{});
-               Self->settleIn({Record, valueOf(Read).Version_}, Window, Counts);
-             });
+  Store_.get(
+      settledKey(), ReadConsistency::Latest, StoreTimeout,
+      [Self = shared_from_this(), Window,
+       Counts = std::move(Counts)](Result<StoredObject> const &Read) {
+        if (isError(Read))
+          return Self->finish(Window, "settle_failed", errorOf(Read).Message_);
+        auto const Known = settledFrom(valueOf(Read));
+        if (!Self->isComplete(Known)) {
+          // Nobody else can report later windows.
+          Self->FirstDue_ = Self->Counter_.windowOf(Self->LastTick_);
+          Self->CompleteIn_ = Known.Era_;
+          return Self->finish(Window, "left_out", "the store was restored");
+        }
+        Self->settleIn(Known, Window, Counts);
+      });
+}
+
+UsageReporter::Settled UsageReporter::settledFrom(StoredObject const &Object) {
+  return {decodeUsage(Object.Value_).value_or(UsageRecord{}), Object.Version_,
+          Object.Era_};
+}
+
+/// Returns whether no window can be missing that was reported before the store
+/// was restored: the record is of this era, or this instance held the lease
+/// through the restoration.
+bool UsageReporter::isComplete(Settled const &Known) const {
+  bool const IsFirstEra = Known.Version_ == 0 && Known.Era_ <= 1;
+  return IsFirstEra || writtenEra(Known.Record_) == Known.Era_ ||
+         CompleteIn_ == Known.Era_;
+}
+
+/// Writes again what the store may have lost, so that the next holder knows it.
+void UsageReporter::settleAgain() {
+  IsReporting_ = true;
+  Store_.get(
+      settledKey(), ReadConsistency::Latest, StoreTimeout,
+      [Self = shared_from_this()](Result<StoredObject> const &Read) {
+        auto const Last = Self->Reported_;
+        if (isError(Read)) {
+          Self->MustSettleAgain_ = true;
+          return Self->finish(Last, "settle_failed", errorOf(Read).Message_);
+        }
+        auto Known = settledFrom(valueOf(Read));
+        Self->CompleteIn_ = Known.Era_;
+        Self->write(std::move(Known),
+                    [Self, Last] { Self->finish(Last, "settled_again", {}); });
+      });
+}
+
+void UsageReporter::write(Settled Known, std::function<void()> Done) {
+  auto &Windows = Known.Record_.Windows_;
+  Windows.insert(OwnSettled_.Windows_.begin(), OwnSettled_.Windows_.end());
+  Windows[EraWindow] = {{AccountName(EraName), Known.Era_}};
+  Settled_.reset();
+  Store_.putIf(
+      settledKey(), Known.Version_, encodeUsage(Known.Record_), StoreTimeout,
+      [Self = shared_from_this(), Known,
+       Done = std::move(Done)](Result<Version> const &Written) {
+        // The next attempt reads the outcome of the write.
+        if (isError(Written))
+          return Self->finish(Self->Reported_, "settle_failed",
+                              errorOf(Written).Message_);
+        Self->Settled_ = Settled{Known.Record_, valueOf(Written), Known.Era_};
+        Self->OwnSettled_ = Known.Record_;
+        Done();
+      });
 }
 
 void UsageReporter::settleIn(Settled Known, std::int64_t Window,
                              UsageCounts Counts) {
   auto &Windows = Known.Record_.Windows_;
-  // A store restored from an older copy has lost the latest ones.
   Windows.insert(OwnSettled_.Windows_.begin(), OwnSettled_.Windows_.end());
   if (auto const Found = Windows.find(Window); Found != Windows.end())
     return report(Window, Found->second);
   Windows[Window] = Counts;
-  Windows.erase(Windows.begin(), Windows.lower_bound(Window - RetainedWindows));
-  Settled_.reset();
-  Store_.putIf(settledKey(), Known.Version_, encodeUsage(Known.Record_),
-               StoreTimeout,
-               [Self = shared_from_this(), Known, Window,
-                Counts](Result<Version> const &Written) {
-                 // The next attempt reads the outcome of the write.
-                 if (isError(Written))
-                   return Self->finish(Window, "settle_failed",
-                                       errorOf(Written).Message_);
-                 Self->Settled_ = Settled{Known.Record_, valueOf(Written)};
-                 Self->OwnSettled_ = Known.Record_;
-                 Self->report(Window, Counts);
-               });
+  std::erase_if(Windows, [&](auto const &Entry) {
+    return Entry.first < Window - RetainedWindows;
+  });
+  write(std::move(Known),
+        [Self = shared_from_this(), Window, Counts = std::move(Counts)] {
+          Self->report(Window, Counts);
+        });
 }
 
 void UsageReporter::report(std::int64_t Window, UsageCounts const &Counts) {
--- a/Libraries/LibControl/UsageReporter.h
+++ b/Libraries/LibControl/UsageReporter.h
@@ -61,7 +61,8 @@
     Connectivity_ = Connectivity;
   }
   /// The store was restored from an older copy: windows may have been reported
-  /// of which it knows nothing. Only the lease holder knows which.
+  /// of which it knows nothing. The lease holder, who knows, settles them
+  /// again.
   void onStoreRestored();
   /// Writes all counts so far to the store before the process exits.
   void publishAll(std::function<void()> Done);
@@ -74,6 +75,7 @@
   struct Settled {
     UsageRecord Record_;
     Version Version_ = 0;
+    StoreEra Era_ = 0;
   };
 
   /// Counts received from one incarnation of a peer.
@@ -92,6 +94,11 @@
                        UsageRecord const &Record, std::int64_t Window) const;
   void settle(std::int64_t Window, UsageCounts Counts);
   void settleIn(Settled Known, std::int64_t Window, UsageCounts Counts);
+  static Settled settledFrom(StoredObject const &Object);
+  bool isComplete(Settled const &Known) const;
+  void settleAgain();
+  /// Writes the record with all that this instance has settled.
+  void write(Settled Known, std::function<void()> Done);
   void report(std::int64_t Window, UsageCounts const &Counts);
   void finish(std::int64_t Window, std::string const &Step,
               std::string const &Detail);
@@ -111,6 +118,9 @@
   PeerConnectivity Connectivity_ = PeerConnectivity::Partial;
   std::int64_t Published_ = -1; ///< The last window written to the store.
   std::int64_t Reported_ = -1;  ///< The last window whose report was accepted.
+  /// The era of the store in which no reported window can be missing.
+  std::optional<StoreEra> CompleteIn_;
+  bool MustSettleAgain_ = false;
   bool IsPublishing_ = false;
   bool IsReporting_ = false;
   Duration NotBefore_{}; ///< After a failed step.
--- a/Tests/Fakes/FakeAsyncStore.cpp
+++ b/Tests/Fakes/FakeAsyncStore.cpp
@@ -34,7 +34,9 @@
   Answers_.push_back([this, Key, Done = std::move(Done)] {
     if (Fault_ == StoreFault::Down)
       return Done(Unreachable);
-    Done(Objects_.find(Key));
+    auto Found = Objects_.find(Key);
+    Found.Era_ = Era_;
+    Done(std::move(Found));
   });
 }
 
--- a/Tests/Fakes/FakeAsyncStore.h
+++ b/Tests/Fakes/FakeAsyncStore.h
@@ -46,6 +46,7 @@
 
   StoreFault Fault_ = StoreFault::None;
   VersionedStore Objects_;
+  StoreEra Era_ = 0;      ///< In the answers to get().
   std::size_t Lists_ = 0; ///< Calls of list() so far.
 
 private:
--- a/Tests/LibControl/TestUsageReporter.cpp
+++ b/Tests/LibControl/TestUsageReporter.cpp
@@ -164,30 +164,34 @@
 
 TEST_CASE_METHOD(Fixture, "A window is never reported with other counts though "
                           "the store forgets that it was settled") {
+  Store_.Era_ = 1;
   First_.Counter_.count(A, Now_ + seconds(1));
   auto const Older = Store_.Objects_.version();
   Duties_.IsSilent_ = GENERATE(true, false);
   pass(Window + seconds(3), &First_);
   REQUIRE_FALSE(Duties_.Sent_.empty());
   Store_.Objects_.restoreTo(Older);
-  bool const ChangesHolder = GENERATE(true, false);
-  auto &Next = ChangesHolder ? Second_ : First_;
-  if (ChangesHolder)
-    pass(milliseconds(200), nullptr);
-  First_.Reporter_->onStoreRestored();
-  Second_.Reporter_->onStoreRestored();
+  Store_.Era_ = 2;
+  enum class Next { SameHolder, Other, OtherAfterTheHolderNoticed };
+  auto const Case =
+      GENERATE(Next::SameHolder, Next::Other, Next::OtherAfterTheHolderNoticed);
+  if (Case != Next::Other) {
+    First_.Reporter_->onStoreRestored();
+    pass(milliseconds(600), &First_);
+  }
+  auto const &Holder = Case == Next::SameHolder ? First_ : Second_;
   // What comes later would change the sum.
   First_.Reporter_->onPeer("late.1", {{1000, A, 4}}, Now_);
   Second_.Reporter_->onPeer("late.1", {{1000, A, 4}}, Now_);
   Duties_.IsSilent_ = false;
-  pass(seconds(12), &Next);
+  pass(seconds(12), &Holder);
   std::set<UsageCounts> Reported;
   for (auto const &[Each, Counts] : Duties_.Sent_)
     if (Each == 1000)
       Reported.insert(Counts);
-  // A new holder can't know whether the window was reported, and leaves it out.
+  // Who can't know whether a window was reported leaves it out.
   CHECK(Reported.size() <= 1);
-  if (!ChangesHolder)
+  if (Case == Next::SameHolder)
     CHECK(Reported.size() == 1);
   CHECK(Duties_.Sent_.back().first > 1000);
 }
