--- a/Libraries/LibGuard/CrashGuard.cpp
+++ b/Libraries/LibGuard/CrashGuard.cpp
@@ -299,8 +299,8 @@
   return Servers;
 }
 
-/// Returns whether suspects that the request does not hold account for all
-/// crashes under this part of it.
+/// Returns whether suspects that the request does not hold were running at each
+/// crash under this part of it.
 bool CrashGuard::isExcused(std::uint64_t Part,
                            RequestFingerprints const &Request,
                            TimePoint Now) const {
--- a/Libraries/LibGuard/CrashGuard.h
+++ b/Libraries/LibGuard/CrashGuard.h
@@ -67,10 +67,10 @@
 /// stays refused. Otherwise, content that had a complete answer moments ago, as
 /// popular content always has, does not become suspect.
 ///
-/// A server that crashes takes many requests with it, and each names several
-/// parts. So suspects are weighed against each other: a part that does not
-/// account for a crash which others can't account for is not refused by itself,
-/// but only in requests that hold all the suspects there are for its crashes.
+/// A crash takes many requests with it, and each of them names several parts,
+/// so suspects are weighed against each other. A suspected part is excused in a
+/// request if other suspects, which the request does not hold, were running at
+/// each of its crashes: the request may run, and shows which of them it was.
 ///
 /// Merging reports is commutative and idempotent, and one report of an incident
 /// suffices. Thread-safe.
