Tests: Tell sound parts that were answered before from unknown ones

Nobody had answered their parts before the crashes, reports came late, and five servers had crashed under the sound parts as under the crashing one before the third crash was known.

--- a/Tests/EntryProcess/TestCrashingRequests.cpp
+++ b/Tests/EntryProcess/TestCrashingRequests.cpp
@@ -72,15 +72,21 @@
   CHECK(Fleet.crashingRequestsReceived() - Before <= MaxLateRequests);
 }
 
-TEST_CASE(
-    "A prompt part that crashed five servers reaches no others, and sound "
-    "requests with the other parts are served") {
+namespace {
+
+/// Whether servers have answered requests with the sound parts before.
+enum class SoundParts { Answered, Unknown };
+
+void crashServersByPart(SoundParts Known) {
   EntryFleet Fleet(3, 12, {Downtime, {}});
   Caller Caller{Fleet};
   std::string const Parts =
       GENERATE("dead:90", "dead:90,a1:500,b2:300", "a1:500,dead:90,b2:300",
                "a1:500,b2:300,dead:90");
   constexpr std::size_t FirstRequests = 8;
+  if (Known == SoundParts::Answered)
+    for (std::size_t Each = 0; Each < Fleet.instances(); ++Each)
+      REQUIRE(Caller.sendPrompt("a1:500,b2:300").Status_ == 200);
   for (std::size_t Sent = 0; Sent < FirstRequests; ++Sent)
     CHECK(Caller.sendPrompt(Parts).Status_ != 200);
   REQUIRE(await([&] { return Fleet.areServersUp(); }));
@@ -91,3 +97,16 @@
   }
   CHECK(Fleet.crashingRequestsReceived() - Before <= MaxLateRequests);
 }
+
+} // namespace
+
+TEST_CASE(
+    "A prompt part that crashed five servers reaches no others, and sound "
+    "requests with the other parts are served") {
+  crashServersByPart(SoundParts::Answered);
+}
+
+TEST_CASE("Sound requests are served though nobody answered their parts before "
+          "five servers crashed under one of them") {
+  crashServersByPart(SoundParts::Unknown);
+}
