LibGuard: Try a sound part again after five crashes

Callers got 503 for ten minutes for sound requests of a kind whose shared parts nobody had answered before servers crashed: the fifth crash under a part refused it in any case, and the first part of a prompt is at every crash that another part causes.

The unconditional refusal keeps the users' bound where several suspects only together explain the crashes: in dense traffic they excuse the crashing part too. Where a single other suspect was at every crash, as the crashing part was at those of the first part, a request without that suspect decides it. It now runs as a trial: one at once at each instance, then about four a second in the whole fleet. An answer clears the part everywhere; a crash of the part that really crashes servers has no such suspect any more.

The new test at 1, 8, 24 and 77 instances fails on the code before.

--- a/Libraries/LibControl/CrashReportDissemination.cpp
+++ b/Libraries/LibControl/CrashReportDissemination.cpp
@@ -39,6 +39,7 @@
       Live_.push_back(Entry.Instance_);
   if (Live_ == Before)
     return {};
+  Guard_.setInstances(Live_.size());
   // The coordinators of a content may have changed with the members.
   for (auto const Fingerprint : contentsOf(Guard_.reports(Now))) {
     notifyCoordinators(Fingerprint, Now);
--- a/Libraries/LibGuard/CrashGuard.cpp
+++ b/Libraries/LibGuard/CrashGuard.cpp
@@ -25,6 +25,8 @@
 /// Maximum number of suspect contents, which bounds the memory that reports can
 /// use; about 1 MB.
 constexpr std::size_t MaxContents = 4096;
+/// Mean time between two trials of the whole fleet.
+constexpr Duration TrialPeriod = std::chrono::milliseconds(250);
 
 bool mayBeCrash(AttemptEvidence const &Evidence) {
   return Evidence.End_ == AttemptEnd::ConnectionFailed &&
@@ -69,11 +71,18 @@
   std::lock_guard const Lock(Mutex_);
   if (auto const Until = sharedRefusalEnd(Request.Content_, Now))
     return CrashRefusal{Request.Content_, *Until};
-  for (auto const Part : Request.Parts_)
-    if (auto const Until = sharedRefusalEnd(Part, Now);
-        Until && !isExcused(Part, Request, Now))
+  std::optional<CrashRefusal> AwaitsTrial;
+  for (auto const Part : Request.Parts_) {
+    auto const Until = sharedRefusalEnd(Part, Now);
+    if (!Until)
+      continue;
+    auto const Admission = admissionOf(Part, Request, Now);
+    if (Admission == PartAdmission::Refuse)
       return CrashRefusal{Part, *Until};
-  return std::nullopt;
+    if (Admission == PartAdmission::Trial && Now < NextTrialAt_)
+      AwaitsTrial = CrashRefusal{Part, std::min(*Until, NextTrialAt_)};
+  }
+  return AwaitsTrial;
 }
 
 std::set<ServerId> CrashGuard::serversBrokenOffOn(std::uint64_t Fingerprint,
@@ -130,7 +139,8 @@
 }
 
 void CrashGuard::onStarted(RequestFingerprints const &Request,
-                           ServerId const &Server) {
+                           ServerId const &Server, TimePoint Now) {
+  noteTrial(Request, Now);
   onStarted(Request.Content_, Server, Isolation::Shared);
   for (auto const Part : Request.Parts_)
     onStarted(Part, Server, Isolation::Shared);
@@ -221,6 +231,11 @@
   return Cleared;
 }
 
+void CrashGuard::setInstances(std::size_t Count) {
+  std::lock_guard const Lock(Mutex_);
+  Instances_ = std::max<std::size_t>(Count, 1);
+}
+
 void CrashGuard::expire(TimePoint Now) {
   std::lock_guard const Lock(Mutex_);
   for (auto &[Fingerprint, Known] : IncidentsByContent_)
@@ -262,7 +277,7 @@
 /// if they are already fewer. Several disconnects on one server are one crash.
 std::optional<TimePoint> CrashGuard::sharedRefusalEnd(Incidents const &Known,
                                                       TimePoint Now) const {
-  if (!Policy_.MaxSharedCrashes_)
+  if (!Policy_.MaxSharedCrashes_ || Known.size() < *Policy_.MaxSharedCrashes_)
     return std::nullopt;
   std::map<ServerId, TimePoint> Crashes;
   for (auto const &[Name, Record] : Known)
@@ -299,14 +314,15 @@
   return Servers;
 }
 
-/// Returns whether suspects that the request does not hold were running at each
-/// crash under this part of it.
-bool CrashGuard::isExcused(std::uint64_t Part,
-                           RequestFingerprints const &Request,
-                           TimePoint Now) const {
-  auto Unexplained = crashedServers(IncidentsByContent_.at(Part), Now);
-  if (Unexplained.size() >= Policy_.MaxAmbiguousCrashes_)
-    return false;
+/// Returns how a request may run that holds this suspected part. Other
+/// suspects, which the request does not hold, explain the crashes that they
+/// were running at.
+CrashGuard::PartAdmission
+CrashGuard::admissionOf(std::uint64_t Part, RequestFingerprints const &Request,
+                        TimePoint Now) const {
+  auto const Crashes = crashedServers(IncidentsByContent_.at(Part), Now);
+  auto Unexplained = Crashes;
+  bool IsExplainedByOne = false;
   for (auto const &[Fingerprint, Known] : IncidentsByContent_) {
     bool const IsOfRequest =
         Fingerprint == Request.Content_ ||
@@ -314,10 +330,32 @@
             Request.Parts_.end();
     if (IsOfRequest || !sharedRefusalEnd(Known, Now))
       continue;
-    for (auto const &Server : crashedServers(Known, Now))
+    auto const Explained = crashedServers(Known, Now);
+    IsExplainedByOne |= std::includes(Explained.begin(), Explained.end(),
+                                      Crashes.begin(), Crashes.end());
+    for (auto const &Server : Explained)
       Unexplained.erase(Server);
   }
-  return Unexplained.empty();
+  if (Crashes.size() >= Policy_.MaxAmbiguousCrashes_)
+    return IsExplainedByOne ? PartAdmission::Trial : PartAdmission::Refuse;
+  return Unexplained.empty() ? PartAdmission::Run : PartAdmission::Refuse;
+}
+
+/// Delays the next trial if a request that is not refused runs as one.
+void CrashGuard::noteTrial(RequestFingerprints const &Request, TimePoint Now) {
+  std::lock_guard const Lock(Mutex_);
+  if (std::none_of(Request.Parts_.begin(), Request.Parts_.end(),
+                   [&](std::uint64_t Part) {
+                     return sharedRefusalEnd(Part, Now) &&
+                            admissionOf(Part, Request, Now) ==
+                                PartAdmission::Trial;
+                   }))
+    return;
+  // Spread, so that instances that start together do not go on together.
+  auto const Pause = TrialPeriod * Instances_;
+  std::uniform_int_distribution<Duration::rep> Spread(Pause.count() / 2,
+                                                      Pause.count() * 3 / 2);
+  NextTrialAt_ = Now + Duration(Spread(Generator_));
 }
 
 /// Returns the content's incidents. When there are too many contents, drops the
--- a/Libraries/LibGuard/CrashGuard.h
+++ b/Libraries/LibGuard/CrashGuard.h
@@ -34,8 +34,8 @@
   /// with other requests, and content is refused once this many servers crashed
   /// while running it.
   std::optional<std::size_t> MaxSharedCrashes_;
-  /// A part of a prompt is refused once this many servers crashed under it,
-  /// even if other suspects were running at each of these crashes.
+  /// Once this many servers crashed under a part of a prompt, requests with it
+  /// run only as trials, if at all.
   std::size_t MaxAmbiguousCrashes_ = 5;
 
   auto operator<=>(CrashPolicy const &) const = default;
@@ -71,6 +71,10 @@
 /// so suspects are weighed against each other. A suspected part is excused in a
 /// request if other suspects, which the request does not hold, were running at
 /// each of its crashes: the request may run, and shows which of them it was.
+/// After many crashes a single other suspect must have been running at all of
+/// them, and such requests run rarely, as trials. The pause between an
+/// instance's trials grows with the number of instances, so that the fleet's
+/// rate of trials does not.
 ///
 /// Merging reports is commutative and idempotent, and one report of an incident
 /// suffices. Thread-safe.
@@ -87,7 +91,8 @@
   std::optional<TimePoint> refusedUntil(std::uint64_t Fingerprint,
                                         TimePoint Now) const;
   /// Returns why and until when a request is refused, or nothing if it may run.
-  /// Only for a policy with shared servers.
+  /// A request that waits for a trial is refused until the next one. Only for a
+  /// policy with shared servers.
   std::optional<CrashRefusal> refusal(RequestFingerprints const &Request,
                                       TimePoint Now) const;
   /// Returns the servers that disconnected while running the content.
@@ -108,7 +113,8 @@
                                    AttemptEvidence const &Evidence,
                                    TimePoint Now);
   /// The same for the content and for each part of a request.
-  void onStarted(RequestFingerprints const &Request, ServerId const &Server);
+  void onStarted(RequestFingerprints const &Request, ServerId const &Server,
+                 TimePoint Now);
   std::vector<CrashReport> onEnded(RequestFingerprints const &Request,
                                    ServerId const &Server,
                                    AttemptEvidence const &Evidence,
@@ -136,6 +142,9 @@
   std::vector<CrashReport> merge(std::vector<CrashReport> const &Reports,
                                  TimePoint Now);
 
+  /// Sets how many instances share the rate of trials; at least 1.
+  void setInstances(std::size_t Count);
+
   /// Removes expired incidents. To be called every few seconds.
   void expire(TimePoint Now);
 
@@ -148,6 +157,8 @@
     Isolation Isolation_ = Isolation::Shared;
   };
   using Incidents = std::map<std::uint64_t, Incident>;
+  /// How a request with a suspected part may run.
+  enum class PartAdmission { Run, Trial, Refuse };
   struct Attempts {
     std::uint32_t Shared_ = 0;
     std::uint32_t Isolated_ = 0;
@@ -165,8 +176,10 @@
                                             TimePoint Now) const;
   std::set<ServerId> crashedServers(Incidents const &Known,
                                     TimePoint Now) const;
-  bool isExcused(std::uint64_t Part, RequestFingerprints const &Request,
-                 TimePoint Now) const;
+  PartAdmission admissionOf(std::uint64_t Part,
+                            RequestFingerprints const &Request,
+                            TimePoint Now) const;
+  void noteTrial(RequestFingerprints const &Request, TimePoint Now);
   Incidents &incidentsOf(std::uint64_t Fingerprint);
   void rememberAnswer(std::uint64_t Fingerprint, TimePoint Now);
   bool wasAnswered(std::uint64_t Fingerprint, TimePoint Now) const;
@@ -190,6 +203,8 @@
   std::map<ServerId, std::map<std::uint64_t, Attempts>> Running_;
   std::map<std::uint64_t, TimePoint> Answered_; ///< Last complete answers.
   std::deque<std::pair<TimePoint, std::uint64_t>> AnswersInOrder_;
+  std::size_t Instances_ = 1;
+  TimePoint NextTrialAt_ = TimePoint::min();
   std::map<ServerId, TimePoint> Reclaimed_;
   std::map<DataCentre, TimePoint> LastReclaim_;
 };
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -131,8 +131,8 @@
                                                              Action.Metadata_);
   Outbound.Body_ = Request_.Body_;
   armStallTimer();
-  Plane_.Dependencies_.Guard_.onStarted(FlowContext_.Fingerprints_,
-                                        incarnationOf(*Server_));
+  Plane_.Dependencies_.Guard_.onStarted(
+      FlowContext_.Fingerprints_, incarnationOf(*Server_), AttemptSentAt_);
   Call_ =
       Plane_.poolOf(*Server_).start(std::move(Outbound), shared_from_this());
 }
--- a/Tests/LibControl/TestCrashReportDissemination.cpp
+++ b/Tests/LibControl/TestCrashReportDissemination.cpp
@@ -4,6 +4,7 @@
 
 #include <random>
 #include <string>
+#include <vector>
 
 using namespace laburnum;
 
@@ -132,3 +133,43 @@
   for (std::size_t Index = 0; Index < 8; ++Index)
     CHECK_FALSE(Fleet.isRefusedAt(Index));
 }
+
+TEST_CASE("Sound requests are served though five servers crashed under their "
+          "part before anybody answered it or knew of three crashes") {
+  auto const Instances = GENERATE(std::size_t(1), 8, 24, 77);
+  Fleet Fleet(Instances);
+  constexpr std::uint64_t Deadly = 1;
+  constexpr std::uint64_t Sound = 2;
+  constexpr std::size_t Crashes = 5;
+  RequestFingerprints const Crashing{100, {Sound, Deadly}};
+  RequestFingerprints const Healthy{200, {Sound}};
+  std::vector<SendToPeer> Delayed;
+  for (std::size_t Number = 0; Number < Crashes; ++Number) {
+    auto &Instance = *Fleet.Instances_[Number % Instances];
+    ServerId const Server("s" + std::to_string(Number));
+    Instance.Guard_.onStarted(Crashing, Server, Fleet.Now_);
+    auto const Messages = Instance.Dissemination_.onLocalReports(
+        Instance.Guard_.onEnded(Crashing, Server, Broken, Fleet.Now_),
+        Fleet.Now_);
+    Delayed.insert(Delayed.end(), Messages.begin(), Messages.end());
+  }
+  Fleet.post(Delayed);
+  Fleet.pass(milliseconds(100));
+
+  auto &Trying = *Fleet.Instances_.back();
+  REQUIRE(Trying.Guard_.refusal(Crashing, Fleet.Now_));
+  REQUIRE_FALSE(Trying.Guard_.refusal(Healthy, Fleet.Now_));
+  Trying.Guard_.onStarted(Healthy, ServerId("well"), Fleet.Now_);
+  CHECK(Trying.Guard_.refusal(Healthy, Fleet.Now_));
+  AttemptEvidence const CompleteAnswer{AttemptProgress::AnswerWhole,
+                                       AttemptEnd::Answered, 200, ""};
+  Fleet.post(Trying.Dissemination_.onLocalReports(
+      Trying.Guard_.onEnded(Healthy, ServerId("well"), CompleteAnswer,
+                            Fleet.Now_),
+      Fleet.Now_));
+  Fleet.pass(milliseconds(100));
+  for (auto const &Instance : Fleet.Instances_) {
+    CHECK_FALSE(Instance->Guard_.refusal(Healthy, Fleet.Now_));
+    CHECK(Instance->Guard_.refusal(Crashing, Fleet.Now_));
+  }
+}
--- a/Tests/LibControl/TestCrashingPromptParts.cpp
+++ b/Tests/LibControl/TestCrashingPromptParts.cpp
@@ -185,7 +185,7 @@
           {now(), isInTouch(Next.Instance_)});
     else if (Next.Number_ == 1)
       SoundRequests_[Next.Sound_].HasBegun_ = true;
-    Guard.onStarted(Next.Request_, serverId(Next.Server_));
+    Guard.onStarted(Next.Request_, serverId(Next.Server_), Fleet_.Now_);
     Attempts_.push_back(std::move(Next));
   }
 
--- a/Tests/LibGuard/TestSharedCrashes.cpp
+++ b/Tests/LibGuard/TestSharedCrashes.cpp
@@ -41,7 +41,7 @@
 
   void run(std::string const &Server, RequestFingerprints const &Request,
            AttemptEvidence const &Evidence, Duration SinceStart) {
-    Guard_.onStarted(Request, ServerId(Server));
+    Guard_.onStarted(Request, ServerId(Server), at(SinceStart));
     Guard_.onEnded(Request, ServerId(Server), Evidence, at(SinceStart));
   }
   bool isRefused(RequestFingerprints const &Request, Duration SinceStart) {
@@ -164,7 +164,7 @@
 TEST_CASE_METHOD(
     SharedGuard,
     "Parts that were always crashed together are refused together, "
-    "and one of them alone only from the fifth crash on") {
+    "and one of them alone runs only as a trial from the fifth crash on") {
   for (auto const *Server : {"a", "b", "c"})
     run(Server, prompt({First, Deadly}), Broken, seconds(0));
   CHECK(isRefused(prompt({First, Deadly}), seconds(1)));
@@ -184,11 +184,46 @@
     run("d", prompt({First, Deadly}), Broken, seconds(1));
     CHECK_FALSE(isRefused(prompt({First}), seconds(1)));
     run("e", prompt({First, Deadly}), Broken, seconds(1));
+    CHECK(isRefused(prompt({First, Deadly}), seconds(1)));
+    CHECK_FALSE(isRefused(prompt({First}), seconds(1)));
+    Guard_.onStarted(prompt({First}), ServerId("f"), at(seconds(1)));
     CHECK(isRefused(prompt({First}), seconds(1)));
     CHECK(isRefused(prompt({Second, Deadly}), seconds(1)));
+    // The next trial is soon.
+    CHECK_FALSE(isRefused(prompt({First}), seconds(2)));
+    run("g", prompt({Second, Deadly}), Broken, seconds(2));
+    CHECK(isRefused(prompt({Second, Deadly}), seconds(60)));
+    run("f", prompt({First}), CompleteAnswer, seconds(60));
+    CHECK_FALSE(isRefused(prompt({First}), seconds(60)));
   }
 }
 
+TEST_CASE_METHOD(SharedGuard, "A part that crashed five servers is refused if "
+                              "only several suspects together excuse it") {
+  constexpr std::uint64_t OtherDeadly = 4;
+  for (auto const *Server : {"a", "b", "c"})
+    run(Server, prompt({First, Deadly}), Broken, seconds(0));
+  for (auto const *Server : {"d", "e", "f"})
+    run(Server, prompt({First, OtherDeadly}), Broken, seconds(0));
+  CHECK(isRefused(prompt({First}), seconds(1)));
+}
+
+TEST_CASE_METHOD(SharedGuard, "A request that waits for a trial is told when "
+                              "the next one is, which is later in a fleet") {
+  for (auto const *Server : {"a", "b", "c", "d", "e"})
+    run(Server, prompt({First, Deadly}), Broken, seconds(0));
+  auto const Instances = GENERATE(1U, 8U, 24U, 77U);
+  Guard_.setInstances(Instances);
+  Guard_.onStarted(prompt({First}), ServerId("f"), at(seconds(1)));
+  auto const Refusal = Guard_.refusal(prompt({First}), at(seconds(1)));
+  REQUIRE(Refusal);
+  auto const Pause = Refusal->Until_ - at(seconds(1));
+  constexpr Duration FleetPeriod = std::chrono::milliseconds(250);
+  CHECK(Pause >= FleetPeriod * Instances / 2);
+  CHECK(Pause <= FleetPeriod * Instances * 3 / 2);
+  CHECK_FALSE(Guard_.refusal(prompt({First}), Refusal->Until_));
+}
+
 TEST_CASE_METHOD(SharedGuard,
                  "A sound part on servers that other parts crashed "
                  "is not refused") {
@@ -213,7 +248,7 @@
   std::vector<CrashReport> Reports;
   for (auto const *Server : {"a", "b", "c"}) {
     auto const Request = prompt({First});
-    Other.onStarted(Request, ServerId(Server));
+    Other.onStarted(Request, ServerId(Server), at(seconds(5)));
     for (auto const &Report :
          Other.onEnded(Request, ServerId(Server), Broken, at(seconds(5))))
       Reports.push_back(Report);
