LibGuard: Move the memory of recent answers out of CrashGuard

A pure move: which contents were answered in the last seconds is kept by RecentAnswers. TestLibGuard and TestLibServing pass as before.

--- a/Libraries/LibGuard/CrashGuard.cpp
+++ b/Libraries/LibGuard/CrashGuard.cpp
@@ -15,13 +15,6 @@
 constexpr Duration ReclaimWindow = std::chrono::seconds(60);
 /// Servers lost within this time count as lost together.
 constexpr Duration SimultaneousLossWindow = std::chrono::seconds(5);
-/// How long a complete answer keeps its content from becoming suspect. Less
-/// frequent content is unlikely to run on three servers that crash together.
-constexpr Duration AnswerValidity = std::chrono::seconds(10);
-/// Answers to the same content within this time are remembered once.
-constexpr Duration AnswerResolution = std::chrono::seconds(1);
-/// Maximum number of remembered answers; about 400 KB.
-constexpr std::size_t MaxAnswers = 4096;
 /// Maximum number of suspect contents, which bounds the memory that reports can
 /// use; about 1 MB.
 constexpr std::size_t MaxContents = 4096;
@@ -127,11 +120,11 @@
   auto const Ran = endAttempt(Fingerprint, Server);
   if (isCompleteAnswer(Evidence)) {
     if (Policy_.MaxSharedCrashes_)
-      rememberAnswer(Fingerprint, Now);
+      Answers_.add(Fingerprint, Now);
     return clear(Fingerprint, Now);
   }
   auto const Reclaim = Reclaimed_.find(Server);
-  if (!mayBeCrash(Evidence) || !Ran || wasAnswered(Fingerprint, Now) ||
+  if (!mayBeCrash(Evidence) || !Ran || Answers_.contains(Fingerprint, Now) ||
       (Reclaim != Reclaimed_.end() && Now - Reclaim->second < IncidentLifetime))
     return {};
   Incident const Seen{Server, CrashEvidence::BrokenOff, Now, *Ran};
@@ -222,7 +215,7 @@
                        .first->second;
     Record.Evidence_ = std::max(Record.Evidence_, Report.Evidence_);
     Record.At_ = std::min(Record.At_, At);
-    if (counts(Record, Now) && wasAnswered(Report.Fingerprint_, Now)) {
+    if (counts(Record, Now) && Answers_.contains(Report.Fingerprint_, Now)) {
       Record.Evidence_ = CrashEvidence::Cleared;
       Cleared.push_back({Report.Incident_, Report.Fingerprint_, Record.Server_,
                          Record.Evidence_, Now - Record.At_});
@@ -379,28 +372,6 @@
   return IncidentsByContent_[Fingerprint];
 }
 
-void CrashGuard::rememberAnswer(std::uint64_t Fingerprint, TimePoint Now) {
-  auto &Last =
-      Answered_.try_emplace(Fingerprint, TimePoint::min()).first->second;
-  if (Last != TimePoint::min() && Now - Last < AnswerResolution)
-    return;
-  Last = Now;
-  AnswersInOrder_.emplace_back(Now, Fingerprint);
-  while (AnswersInOrder_.size() > MaxAnswers ||
-         Now - AnswersInOrder_.front().first >= AnswerValidity) {
-    auto const [At, Oldest] = AnswersInOrder_.front();
-    AnswersInOrder_.pop_front();
-    auto const Found = Answered_.find(Oldest);
-    if (Found != Answered_.end() && Found->second == At)
-      Answered_.erase(Found);
-  }
-}
-
-bool CrashGuard::wasAnswered(std::uint64_t Fingerprint, TimePoint Now) const {
-  auto const Found = Answered_.find(Fingerprint);
-  return Found != Answered_.end() && Now - Found->second < AnswerValidity;
-}
-
 /// Returns whether the content was disconnected, and later or elsewhere a
 /// server crashed while running it isolated.
 bool CrashGuard::hasCrashedIsolated(Incidents const &Known,
--- a/Libraries/LibGuard/CrashGuard.h
+++ b/Libraries/LibGuard/CrashGuard.h
@@ -2,13 +2,13 @@
 
 #include <LibCore/Time.h>
 #include <LibGuard/DisconnectClassifier.h>
+#include <LibGuard/RecentAnswers.h>
 #include <LibGuard/RequestFingerprints.h>
 #include <LibModel/AttemptEvidence.h>
 #include <LibModel/BackendServer.h>
 #include <LibPeer/CrashReports.h>
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -181,8 +181,6 @@
                             TimePoint Now) const;
   void noteTrial(RequestFingerprints const &Request, TimePoint Now);
   Incidents &incidentsOf(std::uint64_t Fingerprint);
-  void rememberAnswer(std::uint64_t Fingerprint, TimePoint Now);
-  bool wasAnswered(std::uint64_t Fingerprint, TimePoint Now) const;
   bool awaitsClassification(Incidents const &Known, TimePoint Now) const;
   std::optional<Isolation> endAttempt(std::uint64_t Fingerprint,
                                       ServerId const &Server);
@@ -201,8 +199,7 @@
   std::mt19937_64 Generator_;
   std::map<std::uint64_t, Incidents> IncidentsByContent_;
   std::map<ServerId, std::map<std::uint64_t, Attempts>> Running_;
-  std::map<std::uint64_t, TimePoint> Answered_; ///< Last complete answers.
-  std::deque<std::pair<TimePoint, std::uint64_t>> AnswersInOrder_;
+  RecentAnswers Answers_;
   std::size_t Instances_ = 1;
   TimePoint NextTrialAt_ = TimePoint::min();
   std::map<ServerId, TimePoint> Reclaimed_;
