laburnum-entry: Move refusals out of TrafficPlane

RequestRefuser answers what is not admitted, counts it and logs why; the answers and the fields of the log lines are as before. The crash guard's refusal and its Retry-After are now computed from one reading of the clock.

--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -103,7 +103,7 @@
       Plane_.Roster_.onEnded(Admission->Server_.Id_, AttemptHealth::Unknown,
                              Now);
     if (Refusal)
-      return handle(NoServer{std::string(TrafficPlane::reasonOf(
+      return handle(NoServer{std::string(RequestRefuser::reasonOf(
                                  *Refusal, FlowContext_.Fingerprints_)),
                              Refusal->Until_ - Now});
     return handle(ServerAssigned{Admission->Server_});
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -24,7 +24,6 @@
 constexpr std::int32_t BadRequest = 400;
 constexpr std::int32_t Unauthorized = 401;
 constexpr std::int32_t NotFound = 404;
-constexpr std::int32_t TooManyRequests = 429;
 constexpr std::int32_t ServiceUnavailable = 503;
 
 /// Fractions of the allowed rate and burst tolerances that are used. The rest
@@ -54,6 +53,8 @@
                   Dependencies.Metrics_),
       Queue_(Roster_), Retries_(retryBudgetSettings(Dependencies.Settings_)),
       QuotaLimiter_(quotaLimiterSettings(Dependencies.Settings_)),
+      Refuser_(Dependencies.TrafficCodec_, Dependencies.Log_,
+               Dependencies.Metrics_),
       QueueTimer_(Dependencies.Context_) {}
 
 TrafficPlane::~TrafficPlane() = default;
@@ -170,78 +171,6 @@
       LogLine("request_rejected").add("fault", static_cast<int>(Fault)));
 }
 
-void TrafficPlane::refuse(Exchange &Exchange, std::int32_t Status,
-                          std::string_view Reason,
-                          RequestMetadata const &Metadata,
-                          std::optional<Duration> RetryAfter) {
-  auto &Metrics = Dependencies_.Metrics_;
-  (Status == ServiceUnavailable ? Metrics.Refused_ : Metrics.Unroutable_).add();
-  Exchange.answer(Dependencies_.TrafficCodec_.refusal(Status, RetryAfter,
-                                                      Metadata.AttemptId_),
-                  {});
-  Dependencies_.Log_.write(LogLine("request")
-                               .add("id", Metadata.AttemptId_)
-                               .add("outcome", "refused")
-                               .add("status", Status)
-                               .add("config", Table_ ? Table_->version() : 0)
-                               .add("why", Reason));
-}
-
-void TrafficPlane::refuseOverQuota(Exchange &Exchange,
-                                   AccountName const &Account,
-                                   RequestMetadata const &Metadata,
-                                   Duration RetryAfter) {
-  Dependencies_.Metrics_.OverQuota_.add();
-  Exchange.answer(Dependencies_.TrafficCodec_.refusal(
-                      TooManyRequests, RetryAfter, Metadata.AttemptId_),
-                  {});
-  auto const QuotaState = QuotaLimiter_.quotaState(Account);
-  Dependencies_.Log_.write(
-      LogLine("request")
-          .add("id", Metadata.AttemptId_)
-          .add("outcome", "refused")
-          .add("status", TooManyRequests)
-          .add("account", Account.text())
-          .add("config", Table_->version())
-          .add("level", static_cast<std::int64_t>(QuotaState.Level_))
-          .add("allowance", static_cast<std::int64_t>(QuotaState.Allowance_))
-          .add("reachable", QuotaState.Reachable_)
-          .add("registered", QuotaState.Registered_)
-          .add("retry_after_ms", RetryAfter)
-          .add("why", "over the account's quota"));
-}
-
-std::string_view
-TrafficPlane::reasonOf(CrashRefusal const &Refusal,
-                       RequestFingerprints const &Fingerprints) {
-  return Refusal.Fingerprint_ == Fingerprints.Content_ ? ContentCrashesServers
-                                                       : PartCrashesServers;
-}
-
-void TrafficPlane::refuseCrashing(Exchange &Exchange,
-                                  exchange::FlowContext const &FlowContext,
-                                  CrashRefusal const &Refusal) {
-  auto const RetryAfter = Refusal.Until_ - readBootClock();
-  Dependencies_.Metrics_.ContentRefused_.add();
-  Exchange.answer(
-      Dependencies_.TrafficCodec_.refusal(ServiceUnavailable, RetryAfter,
-                                          FlowContext.Metadata_.AttemptId_),
-      {});
-  Dependencies_.Log_.write(
-      LogLine("request")
-          .add("id", FlowContext.Metadata_.AttemptId_)
-          .add("outcome", "refused")
-          .add("status", ServiceUnavailable)
-          .add("account", FlowContext.Account_.text())
-          .add("route", FlowContext.Route_->Name_)
-          .add("config", Table_->version())
-          .addHash("content", FlowContext.Fingerprints_.Content_)
-          .addHashes("parts", FlowContext.Fingerprints_.Parts_)
-          .addHash("suspect", Refusal.Fingerprint_)
-          .add("retry_after_ms", RetryAfter)
-          .add("why", reasonOf(Refusal, FlowContext.Fingerprints_)));
-}
-
 void TrafficPlane::onAttemptEnded(RequestFingerprints const &Fingerprints,
                                   ServerRecord const &Server,
                                   AttemptEvidence const &Evidence) {
@@ -405,20 +334,22 @@
                     ReceivedRequest &Request) {
   auto const Decoded = Dependencies_.TrafficCodec_.decode(Request.Head_);
   if (!Table_) {
-    refuse(*Exchange, ServiceUnavailable, "no configuration yet",
-           isError(Decoded) ? RequestMetadata{} : valueOf(Decoded),
-           RetryAfterNotReady);
+    Refuser_.refuse(*Exchange, ServiceUnavailable, "no configuration yet",
+                    isError(Decoded) ? RequestMetadata{} : valueOf(Decoded), 0,
+                    RetryAfterNotReady);
     return nullptr;
   }
   if (isError(Decoded)) {
-    refuse(*Exchange, BadRequest, errorOf(Decoded).Message_, {}, std::nullopt);
+    Refuser_.refuse(*Exchange, BadRequest, errorOf(Decoded).Message_, {},
+                    Table_->version(), std::nullopt);
     return nullptr;
   }
   auto const &Metadata = valueOf(Decoded);
   auto const *const Route = Table_->match(Request.Head_.Fields_.valueOr("Host"),
                                           Request.Head_.Target_);
   if (!Route) {
-    refuse(*Exchange, NotFound, "no route", Metadata, std::nullopt);
+    Refuser_.refuse(*Exchange, NotFound, "no route", Metadata,
+                    Table_->version(), std::nullopt);
     return nullptr;
   }
   exchange::FlowContext FlowContext{Table_, Route, {}, {}, Metadata, {}, {}};
@@ -426,21 +357,24 @@
   if (Table_->hasAccounts() && Route->Access_ == RouteAccess::KeyRequired) {
     Account = Table_->accountByKey(Metadata.Key_);
     if (!Account) {
-      refuse(*Exchange, Unauthorized, "unknown key", Metadata, std::nullopt);
+      Refuser_.refuse(*Exchange, Unauthorized, "unknown key", Metadata,
+                      Table_->version(), std::nullopt);
       return nullptr;
     }
     FlowContext.Account_ = Account->Name_;
   }
   FlowContext.Fingerprints_ =
       requestFingerprints(FlowContext.Account_, Request, Metadata);
-  if (auto const Refusal = Dependencies_.Guard_.refusal(
-          FlowContext.Fingerprints_, readBootClock())) {
-    refuseCrashing(*Exchange, FlowContext, *Refusal);
+  auto const Now = readBootClock();
+  if (auto const Refusal =
+          Dependencies_.Guard_.refusal(FlowContext.Fingerprints_, Now)) {
+    Refuser_.refuseCrashing(*Exchange, FlowContext, *Refusal, Now);
     return nullptr;
   }
   if (auto const RetryAfter =
           Account ? quotaRetryAfter(*Account, Metadata) : std::nullopt) {
-    refuseOverQuota(*Exchange, Account->Name_, Metadata, *RetryAfter);
+    Refuser_.refuseOverQuota(*Exchange, FlowContext, QuotaLimiter_,
+                             *RetryAfter);
     return nullptr;
   }
   FlowContext.Service_ = serviceFor(*Route, Metadata.AttemptId_);
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -2,6 +2,7 @@
 
 #include "EntryMetrics.h"
 #include "RateLimitObserver.h"
+#include "RequestRefuser.h"
 
 #include <LibControl/MedianClock.h>
 #include <LibControl/UsageCounter.h>
@@ -106,12 +107,6 @@
 private:
   friend class RequestSession;
 
-  /// Reasons logged when the crash guard refuses a request.
-  static constexpr std::string_view ContentCrashesServers =
-      "servers crashed under requests of this content";
-  static constexpr std::string_view PartCrashesServers =
-      "servers crashed under requests with a part of this prompt";
-
   /// Returns nullptr when the request was rejected, which has been answered.
   std::shared_ptr<RequestSession>
   admit(std::shared_ptr<Exchange> const &Exchange, ReceivedRequest &Request);
@@ -119,11 +114,6 @@
   /// quota admits the request.
   std::optional<Duration> quotaRetryAfter(RoutedAccount const &Account,
                                           RequestMetadata const &Metadata);
-  void refuse(Exchange &Exchange, std::int32_t Status, std::string_view Reason,
-              RequestMetadata const &Metadata,
-              std::optional<Duration> RetryAfter);
-  void refuseOverQuota(Exchange &Exchange, AccountName const &Account,
-                       RequestMetadata const &Metadata, Duration RetryAfter);
   /// Called when an attempt at Server ended. Reports it to the crash guard and
   /// probes the server if its connection broke off.
   void onAttemptEnded(RequestFingerprints const &Fingerprints,
@@ -144,11 +134,6 @@
   void startDisconnectProbe(ServerRecord const &Server);
   void onDisconnectClassified(ServerRecord const &Server, ProbeAnswer Answer);
   void report(std::vector<CrashReport> const &Reports);
-  static std::string_view reasonOf(CrashRefusal const &Refusal,
-                                   RequestFingerprints const &Fingerprints);
-  void refuseCrashing(Exchange &Exchange,
-                      exchange::FlowContext const &FlowContext,
-                      CrashRefusal const &Refusal);
   void enqueue(std::shared_ptr<RequestSession> const &Session,
                WaitingRequest Request);
   void dequeue(std::uint64_t Ticket);
@@ -172,6 +157,7 @@
   AdmissionQueue Queue_;
   WindowedRetryBudget Retries_;
   AccountQuotaLimiter QuotaLimiter_;
+  RequestRefuser Refuser_;
   asio::steady_timer QueueTimer_;
   bool IsQueueTimerArmed_ = false;
   std::uint64_t NextTicket_ = 1;
