--- a/Libraries/LibGuard/RecentAnswers.cpp
+++ b/Libraries/LibGuard/RecentAnswers.cpp
@@ -4,8 +4,9 @@
 
 namespace {
 
-/// How long an answer is remembered. Contents with fewer answers are unlikely
-/// to run on three servers that crash together.
+/// How long an answer is remembered and keeps its content from becoming
+/// suspect. Content that is answered less often is unlikely to run on three
+/// servers that crash together.
 constexpr Duration AnswerValidity = std::chrono::seconds(10);
 /// Answers to the same content within this time are remembered once.
 constexpr Duration AnswerResolution = std::chrono::seconds(1);
