platform, laburnum-entry: Log the software version of servers and what takes a stream up

An entry of the server list whose version is missing or of another type names no server, like other unreadable entries. No decision uses either yet.

--- a/Libraries/LibTraffic/ServerRecord.h
+++ b/Libraries/LibTraffic/ServerRecord.h
@@ -19,6 +19,9 @@
   std::int64_t IncarnationStartMilliseconds_ =
       0; ///< Unix time of its start; 0: unknown.
   ServiceName Service_;
+  /// Names the server's software, without an order. Streams of two versions
+  /// don't fit together.
+  std::string SoftwareVersion_;
   DataCentre DataCentre_;
   Endpoint Endpoint_;
   std::uint32_t Slots_ = 1; ///< Maximum concurrent requests.
--- a/Libraries/LibTraffic/TrafficRequest.h
+++ b/Libraries/LibTraffic/TrafficRequest.h
@@ -35,6 +35,11 @@
   std::vector<std::string> SharedParts_;
   /// Last event that the client has received.
   std::optional<std::uint64_t> LastEventId_;
+  /// Whether the client takes up a stream of which it has received a part.
+  bool TakesUpStream_ = false;
+  /// The client's identifier of the attempt that brought the first event of the
+  /// stream that it takes up. Empty if it does not name one.
+  std::string FirstAttemptId_;
 
   auto operator<=>(RequestMetadata const &) const = default;
 };
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -124,6 +124,7 @@
     Plane_.Dependencies_.Metrics_.AttemptsRateLimited_.add();
   Answer_.reset();
   LastServer_ = Server_->Id_.text();
+  LastSoftwareVersion_ = Server_->SoftwareVersion_;
   if (FirstSentAt_ == TimePoint())
     FirstSentAt_ = AttemptSentAt_;
   OutboundRequest Outbound;
@@ -366,9 +367,12 @@
       .add("service", FlowContext_.Service_.text())
       .add("config", FlowContext_.Table_->version())
       .add("server", LastServer_)
+      .add("software", LastSoftwareVersion_)
       .add("attempts", Flow_.attempts())
       .addHash("content", FlowContext_.Fingerprints_.Content_)
       .addHashes("parts", FlowContext_.Fingerprints_.Parts_);
+  if (FlowContext_.Metadata_.TakesUpStream_)
+    Line.add("first_attempt", FlowContext_.Metadata_.FirstAttemptId_);
   if (FirstSentAt_ != TimePoint())
     Line.add("queued_ms", FirstSentAt_ - Request_.BegunAt_);
   if (FirstAnswerAt_ != TimePoint())
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -67,6 +67,7 @@
   std::optional<ServerAnswer> Answer_;
   std::shared_ptr<OutboundCall> Call_;
   std::string LastServer_;
+  std::string LastSoftwareVersion_;
   TimePoint AttemptSentAt_{};
   TimePoint FirstSentAt_{};
   TimePoint FirstAnswerAt_{};
--- a/Services/laburnum-entry/ServerReader.h
+++ b/Services/laburnum-entry/ServerReader.h
@@ -61,6 +61,7 @@
     Plane_.Dependencies_.Log_.write(
         Line.add("state", IsReady ? "ready" : "draining")
             .add("service", Record->Service_.text())
+            .add("software", Record->SoftwareVersion_)
             .add("data_centre", Record->DataCentre_.text())
             .add("reclaimable", Record->IsReclaimable_));
     Plane_.onTraffic([&Traffic, Record] { Traffic.updateServer(*Record); });
--- a/Tests/EntryProcess/ScriptedServer.cpp
+++ b/Tests/EntryProcess/ScriptedServer.cpp
@@ -46,15 +46,19 @@
         if (Failure)
           return;
         // The tests send no bodies.
-        auto const Head = Self->Received_.substr(0, Size);
+        Self->Head_ = Self->Received_.substr(0, Size);
         Self->Received_.erase(0, Size);
-        Self->Shared_->Script_(*Self, fieldOf(Head, "X-Attempt-Id"),
+        Self->Shared_->Script_(*Self, Self->field("X-Attempt-Id"),
                                ++Self->Shared_->Requests_);
         if (Self->Socket_.is_open())
           Self->read();
       });
 }
 
+std::string ScriptedServer::Peer::field(std::string const &Name) const {
+  return fieldOf(Head_, Name);
+}
+
 void ScriptedServer::Peer::write(std::string const &Bytes) {
   asio::error_code Ignored;
   asio::write(Socket_, asio::buffer(Bytes), Ignored);
--- a/Tests/EntryProcess/ScriptedServer.h
+++ b/Tests/EntryProcess/ScriptedServer.h
@@ -49,6 +49,8 @@
       : Socket_(std::move(Socket)), Shared_(std::move(Shared)) {}
 
   void read();
+  /// Returns a header field of the request that was read last, or nothing.
+  std::string field(std::string const &Name) const;
   void write(std::string const &Bytes);
   /// Ends the connection in order, without a reset.
   void close();
@@ -57,6 +59,7 @@
   asio::ip::tcp::socket Socket_;
   std::shared_ptr<Shared> Shared_;
   std::string Received_;
+  std::string Head_; ///< Of the request that was read last.
 };
 
 } // namespace laburnum::entry_process
--- a/Tests/EntryProcess/StandinRecords.h
+++ b/Tests/EntryProcess/StandinRecords.h
@@ -14,6 +14,7 @@
 nlohmann::json configurationJson(std::uint64_t Version);
 /// Returns the platform's record of a backend server of the service "desk".
 nlohmann::json serverJson(Endpoint const &Address, std::string const &State,
-                          std::int64_t Born, std::uint64_t Sequence);
+                          std::int64_t Born, std::uint64_t Sequence,
+                          std::string const &SoftwareVersion = "v1");
 
 } // namespace laburnum::entry_process
--- /dev/null
+++ b/Tests/EntryProcess/TestSoftwareVersions.cpp
@@ -0,0 +1,187 @@
+#include "VersionedFleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace laburnum;
+using namespace laburnum::entry_process;
+
+namespace {
+
+using Stop = VersionedFleet::Stop;
+
+constexpr std::size_t Streams = 12;
+
+/// Longest time that a client may wait for the refusal of a stream that cannot
+/// go on.
+constexpr Duration RefusalTime = std::chrono::seconds(1);
+
+/// Begins streams at an instance and reads the first events of each.
+std::deque<StreamClient> beginStreams(VersionedFleet &Fleet,
+                                      std::size_t Instance) {
+  std::deque<StreamClient> Begun;
+  for (std::size_t Index = 0; Index < Streams; ++Index) {
+    Begun.emplace_back(Fleet.instance(Instance),
+                       "first-" + std::to_string(Index));
+    Begun.back().readEvents(VersionedFleet::EventsBeforeStop);
+  }
+  return Begun;
+}
+
+/// Takes a stream up again after its last event, at another instance.
+StreamClient takeUp(VersionedFleet &Fleet, std::size_t Instance,
+                    StreamClient const &Begun) {
+  StreamClient Client(Fleet.instance(Instance), Begun.attemptId() + "-again",
+                      Begun.attemptId(),
+                      std::to_string(VersionedFleet::EventsBeforeStop));
+  Client.readToEnd();
+  return Client;
+}
+
+std::set<std::string> versionsOf(ReceivedEvents Events,
+                                 ReceivedEvents const &Later = {}) {
+  Events.insert(Later.begin(), Later.end());
+  std::set<std::string> Versions;
+  for (auto const &[Id, Version] : Events)
+    Versions.insert(Version);
+  return Versions;
+}
+
+/// Counts the streams that went on to their end when they were taken up again,
+/// and checks that none holds events of two software versions.
+std::size_t countTakenUp(VersionedFleet &Fleet, std::size_t Instance,
+                         std::deque<StreamClient> const &Begun) {
+  std::size_t WentOn = 0;
+  for (auto const &First : Begun) {
+    auto const AskedAt = readClock();
+    auto const Again = takeUp(Fleet, Instance, First);
+    CHECK(versionsOf(First.events(), Again.events()).size() == 1);
+    if (Again.isComplete())
+      ++WentOn;
+    else
+      CHECK(readClock() - AskedAt < RefusalTime);
+  }
+  return WentOn;
+}
+
+} // namespace
+
+TEST_CASE("A stream is not continued by a server of another software version") {
+  VersionedFleet Fleet(1, Stop::BreaksOff);
+  auto const OfEach = GENERATE(1U, 2U);
+  for (unsigned Number = 0; Number < OfEach; ++Number)
+    for (std::string const Version : {"v2", "v10", "blue"})
+      Fleet.addServer(Version + "-" + std::to_string(Number), Version);
+  Fleet.startInstances();
+  std::set<std::string> Begun;
+  for (std::size_t Index = 0; Index < Streams; ++Index) {
+    StreamClient Client(Fleet.instance(0), "stream-" + std::to_string(Index));
+    Client.readToEnd();
+    auto const Versions = versionsOf(Client.events());
+    CHECK(Versions.size() == 1);
+    CHECK(Client.isComplete() == (OfEach > 1));
+    Begun.insert(Versions.begin(), Versions.end());
+  }
+  CHECK(Begun.size() == 3);
+}
+
+TEST_CASE("A stream that is taken up again goes on only at the software "
+          "version that began it") {
+  VersionedFleet Fleet(3, Stop::Waits);
+  for (std::string const Version : {"v1", "v2"})
+    for (std::string const Number : {"-1", "-2"})
+      Fleet.addServer(Version + Number, Version);
+  Fleet.startInstances();
+  auto Begun = beginStreams(Fleet, 0);
+  SECTION("the client's connection is reset") {
+    for (auto &Client : Begun)
+      Client.reset();
+    CHECK(countTakenUp(Fleet, 1, Begun) == Streams);
+  }
+  SECTION("at the instance that began it") {
+    for (auto &Client : Begun)
+      Client.reset();
+    CHECK(countTakenUp(Fleet, 0, Begun) == Streams);
+  }
+  SECTION("the instance was killed") {
+    Fleet.instance(0).kill();
+    CHECK(countTakenUp(Fleet, 1, Begun) >= Streams / 2);
+  }
+  SECTION("all instances were killed and restarted") {
+    Fleet.killAll();
+    Fleet.startInstances();
+    CHECK(countTakenUp(Fleet, 2, Begun) >= Streams / 2);
+  }
+  SECTION("the version that began it is gone") {
+    Fleet.removeServer("v1-1");
+    Fleet.removeServer("v1-2");
+    Fleet.awaitList();
+    CHECK(countTakenUp(Fleet, 1, Begun) < Streams);
+  }
+  SECTION("its server is born again with another version") {
+    Fleet.removeServer("v1-2");
+    Fleet.addServer("v1-1", "v2");
+    Fleet.awaitList();
+    CHECK(countTakenUp(Fleet, 0, Begun) < Streams);
+    CHECK(countTakenUp(Fleet, 1, Begun) < Streams);
+  }
+}
+
+TEST_CASE("A stream is not continued by the servers that replaced all others "
+          "while no instance was running") {
+  VersionedFleet Fleet(3, Stop::Waits);
+  Fleet.addServer("v1-1", "v1");
+  Fleet.addServer("v1-2", "v1");
+  Fleet.startInstances();
+  auto const Begun = beginStreams(Fleet, 0);
+  SECTION("one version after the other") {}
+  SECTION("both versions at first") {
+    Fleet.addServer("v2-0", "v2");
+    Fleet.awaitList();
+  }
+  SECTION("the old version drains") {
+    Fleet.drainServer("v1-1");
+    Fleet.drainServer("v1-2");
+    Fleet.awaitList();
+  }
+  Fleet.killAll();
+  Fleet.addServer("v2-1", "v2");
+  Fleet.addServer("v2-2", "v2");
+  Fleet.removeServer("v1-1");
+  Fleet.removeServer("v1-2");
+  Fleet.startInstances();
+  CHECK(countTakenUp(Fleet, 1, Begun) == 0);
+  // What is known to have begun at the new version goes on.
+  auto const Later = beginStreams(Fleet, 2);
+  CHECK(countTakenUp(Fleet, 1, Later) >= Streams / 2);
+}
+
+TEST_CASE("A stream whose first attempt is not named goes on only where one "
+          "software version serves") {
+  VersionedFleet Fleet(1, Stop::Waits);
+  Fleet.addServer("v1-1", "v1");
+  bool const IsMixed = GENERATE(false, true);
+  if (IsMixed)
+    Fleet.addServer("v2-1", "v2");
+  Fleet.startInstances();
+  StreamClient Client(Fleet.instance(0), "again", {}, "2");
+  Client.readToEnd();
+  CHECK(Client.isComplete() == !IsMixed);
+  CHECK(Client.status() == (IsMixed ? 503 : 200));
+}
+
+TEST_CASE("Streams are taken up again while the store is away, where one "
+          "software version serves") {
+  VersionedFleet Fleet(3, Stop::Waits);
+  Fleet.addServer("v1-1", "v1");
+  Fleet.addServer("v1-2", "v1");
+  Fleet.startInstances();
+  auto const Begun = beginStreams(Fleet, 0);
+  Fleet.onStore([](StoreStandin &Store) {
+    Store.setMode(StoreMode::Busy);
+    return true;
+  });
+  Fleet.instance(0).kill();
+  CHECK(countTakenUp(Fleet, 1, Begun) == Streams);
+}
--- /dev/null
+++ b/Tests/EntryProcess/VersionedFleet.cpp
@@ -0,0 +1,186 @@
+#include "VersionedFleet.h"
+
+#include "StandinRecords.h"
+
+#include <LibPlatform/StoreEra.h>
+
+#include <asio/write.hpp>
+
+#include <array>
+#include <cstdlib>
+#include <utility>
+#include <variant>
+
+namespace laburnum::entry_process {
+
+namespace {
+
+std::string field(std::string const &Name, std::string const &Value) {
+  return Value.empty() ? std::string() : Name + ": " + Value + "\r\n";
+}
+
+std::string event(std::uint64_t Id, std::string const &Version) {
+  return "id: " + std::to_string(Id) + "\ndata: " + Version + "\n\n";
+}
+
+} // namespace
+
+StreamClient::StreamClient(EntryProcess const &Instance, std::string AttemptId,
+                           std::string const &Resumes,
+                           std::string const &LastEventId)
+    : AttemptId_(std::move(AttemptId)) {
+  Socket_.connect({asio::ip::make_address(Instance.address()),
+                   EntryProcess::TrafficPort});
+  asio::write(Socket_,
+              asio::buffer("GET /stream/x HTTP/1.1\r\nHost: desk.example\r\n"
+                           "X-Deadline-Ms: 8000\r\nX-Key: k1\r\n"
+                           "Connection: close\r\n" +
+                           field("X-Attempt-Id", AttemptId_) +
+                           field("Resumes", Resumes) +
+                           field("Last-Event-Id", LastEventId) + "\r\n"));
+}
+
+bool StreamClient::readMore() {
+  std::array<char, 4096> Buffer{};
+  asio::error_code End;
+  auto const Size = Socket_.read_some(asio::buffer(Buffer), End);
+  Received_.append(Buffer.data(), Size);
+  return !End;
+}
+
+void StreamClient::readEvents(std::size_t Count) {
+  while (events().size() < Count && readMore()) {
+  }
+}
+
+void StreamClient::readToEnd() {
+  while (!isComplete() && readMore()) {
+  }
+}
+
+void StreamClient::reset() {
+  Socket_.set_option(asio::socket_base::linger(true, 0));
+  Socket_.close();
+}
+
+int StreamClient::status() const {
+  constexpr std::size_t StatusOffset = sizeof("HTTP/1.1 ") - 1;
+  return Received_.size() < StatusOffset
+             ? 0
+             : std::atoi(Received_.c_str() + StatusOffset);
+}
+
+ReceivedEvents StreamClient::events() const {
+  ReceivedEvents Events;
+  std::size_t At = 0;
+  while ((At = Received_.find("id: ", At)) != std::string::npos) {
+    auto const Data = Received_.find("data: ", At);
+    auto const End = Received_.find("\n\n", At);
+    if (Data == std::string::npos || End == std::string::npos)
+      break;
+    Events[std::strtoull(Received_.c_str() + At + 4, nullptr, 10)] =
+        Received_.substr(Data + 6, End - Data - 6);
+    At = End;
+  }
+  return Events;
+}
+
+bool StreamClient::isComplete() const {
+  return status() == 200 && Received_.ends_with("\r\n0\r\n\r\n");
+}
+
+VersionedFleet::VersionedFleet(unsigned Instances, Stop Stop) : Stop_(Stop) {
+  Thread_.on([&] {
+    StoreListener_ = std::get<0>(
+        HttpListener::create(Thread_.context(), {"127.0.0.1", 0}, Store_));
+    auto Configuration = configurationJson(1);
+    // Long enough for an instance to be replaced meanwhile.
+    for (auto &Route : Configuration["routes"])
+      Route["timeout_ms"] = 8000;
+    Store_.put("config", "main", std::move(Configuration));
+  });
+  for (unsigned Number = 0; Number < Instances; ++Number)
+    Instances_.push_back(std::make_unique<EntryProcess>(
+        Number, StoreListener_->localEndpoint().Port_));
+}
+
+VersionedFleet::~VersionedFleet() {
+  Instances_.clear();
+  Thread_.on([this] {
+    StoreListener_->stopAccepting();
+    Open_.clear();
+    Servers_.clear();
+  });
+  Thread_.stop();
+}
+
+void VersionedFleet::startInstances() {
+  for (auto const &Instance : Instances_)
+    Instance->start();
+  for (auto const &Instance : Instances_)
+    Instance->process().awaitLine("fleet_changed live=" +
+                                  std::to_string(Instances_.size()));
+}
+
+void VersionedFleet::killAll() {
+  for (auto const &Instance : Instances_)
+    Instance->kill();
+}
+
+void VersionedFleet::list(std::string const &Id, std::string const &State) {
+  auto const &Server = Listed_.at(Id);
+  Store_.put("servers", Id,
+             serverJson(Server.Endpoint_, State, Server.Born_, ++Sequence_,
+                        Server.Version_));
+  LastChange_ = "server_changed server=" + Id + " revision=" +
+                std::to_string(versionOf(1, Store_.revision()));
+}
+
+void VersionedFleet::addServer(std::string const &Id,
+                               std::string const &Version) {
+  Thread_.on([&] {
+    auto const Script = [this, Version](ScriptedServer::Peer &Peer,
+                                        std::string const &AttemptId,
+                                        std::size_t /*Number*/) {
+      Peer.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + AttemptId +
+                 "\r\nX-Server-Stamp: stamp\r\n"
+                 "Content-Type: text/event-stream\r\n\r\n");
+      auto const Last = Peer.field("Last-Event-Id");
+      bool const IsNew = Last.empty();
+      auto const From = IsNew ? 0 : std::strtoull(Last.c_str(), nullptr, 10);
+      auto const End = IsNew ? EventsBeforeStop : StreamLength;
+      for (auto Id = From + 1; Id <= End; ++Id)
+        Peer.write(event(Id, Version));
+      if (IsNew && Stop_ == Stop::Waits) {
+        Open_.insert(Peer.shared_from_this());
+        return;
+      }
+      if (IsNew)
+        Peer.write("id: " + std::to_string(End + 1) + "\ndata: v");
+      Peer.close();
+    };
+    Servers_[Id] = std::make_unique<ScriptedServer>(Thread_.context(), Script);
+    Listed_[Id] = {Version, ++LastBorn_, Servers_[Id]->endpoint()};
+    list(Id, "ready");
+  });
+}
+
+void VersionedFleet::drainServer(std::string const &Id) {
+  Thread_.on([&] { list(Id, "draining"); });
+}
+
+void VersionedFleet::removeServer(std::string const &Id) {
+  Thread_.on([&] {
+    Servers_.erase(Id);
+    Listed_.erase(Id);
+    Store_.remove("servers", Id);
+    LastChange_ = "server_changed server=" + Id + " revision=0";
+  });
+}
+
+void VersionedFleet::awaitList() {
+  for (auto const &Instance : Instances_)
+    Instance->process().awaitLine(LastChange_);
+}
+
+} // namespace laburnum::entry_process
--- /dev/null
+++ b/Tests/EntryProcess/VersionedFleet.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "EntryProcess.h"
+#include "ScriptedServer.h"
+#include "StandinThread.h"
+#include "StoreStandin.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace laburnum::entry_process {
+
+/// What a client received of a stream, by event identifier.
+using ReceivedEvents = std::map<std::uint64_t, std::string>;
+
+/// A client's stream on a raw connection to an instance.
+class StreamClient {
+public:
+  /// Requests the stream; the field values are sent unless they are empty.
+  StreamClient(EntryProcess const &Instance, std::string AttemptId,
+               std::string const &Resumes = {},
+               std::string const &LastEventId = {});
+
+  /// Reads until the stream has this many events, or its end.
+  void readEvents(std::size_t Count);
+  void readToEnd();
+  /// Resets the connection.
+  void reset();
+
+  std::string const &attemptId() const { return AttemptId_; }
+  int status() const;
+  ReceivedEvents events() const;
+  /// Whether the answer ended as complete.
+  bool isComplete() const;
+
+private:
+  bool readMore();
+
+  std::string AttemptId_;
+  asio::io_context Context_;
+  asio::ip::tcp::socket Socket_{Context_};
+  std::string Received_;
+};
+
+/// Several laburnum-entry processes before servers of several software versions
+/// of one service. Each event of a server's stream holds the server's version.
+class VersionedFleet {
+public:
+  /// Number of events of a complete stream.
+  static constexpr std::uint64_t StreamLength = 6;
+  /// Events that a server writes before it stops, for a new stream.
+  static constexpr std::uint64_t EventsBeforeStop = 2;
+
+  /// How servers go on after the first events of a new stream.
+  enum class Stop {
+    Waits,     ///< The connection stays open.
+    BreaksOff, ///< The connection ends inside an event.
+  };
+
+  VersionedFleet(unsigned Instances, Stop Stop);
+  ~VersionedFleet();
+  VersionedFleet(VersionedFleet const &) = delete;
+  VersionedFleet &operator=(VersionedFleet const &) = delete;
+
+  void startInstances();
+  EntryProcess &instance(std::size_t Number) { return *Instances_[Number]; }
+  std::size_t instances() const { return Instances_.size(); }
+  void killAll();
+  /// Starts a server, or another under the identifier of one that is gone, and
+  /// lists it.
+  void addServer(std::string const &Id, std::string const &Version);
+  void drainServer(std::string const &Id);
+  /// Ends the server and removes it from the list.
+  void removeServer(std::string const &Id);
+  /// Waits until all instances have applied the last change of the list.
+  void awaitList();
+  template <typename Function> auto onStore(Function Task) {
+    return Thread_.on([&] { return Task(Store_); });
+  }
+
+private:
+  struct Listed {
+    std::string Version_;
+    std::int64_t Born_ = 0;
+    Endpoint Endpoint_;
+  };
+
+  void list(std::string const &Id, std::string const &State);
+
+  Stop const Stop_;
+  StandinThread Thread_;
+  StoreStandin Store_{Thread_.context()};
+  std::map<std::string, Listed> Listed_;
+  std::map<std::string, std::unique_ptr<ScriptedServer>> Servers_;
+  std::set<std::shared_ptr<ScriptedServer::Peer>> Open_;
+  std::int64_t LastBorn_ = 1700000000000;
+  std::uint64_t Sequence_ = 0;
+  std::string LastChange_; ///< Of the list, as the instances log it.
+  std::shared_ptr<HttpListener> StoreListener_;
+  std::vector<std::unique_ptr<EntryProcess>> Instances_;
+};
+
+} // namespace laburnum::entry_process
--- a/Tests/Platform/TestHeaderCodec.cpp
+++ b/Tests/Platform/TestHeaderCodec.cpp
@@ -57,6 +57,19 @@
   CHECK(Metadata.LastEventId_ == 12);
 }
 
+TEST_CASE("A request that takes a stream up again names the attempt that began "
+          "it") {
+  auto Head = request();
+  Head.Fields_.remove("Last-Event-Id");
+  CHECK_FALSE(valueOf(Codec.decode(Head)).TakesUpStream_);
+  Head.Fields_.add("Resumes", "id0");
+  auto const Named = valueOf(Codec.decode(Head));
+  CHECK(Named.TakesUpStream_);
+  CHECK(Named.FirstAttemptId_ == "id0");
+  Head.Fields_.add("Resumes", "id9");
+  CHECK(valueOf(Codec.decode(Head)).FirstAttemptId_.empty());
+}
+
 TEST_CASE("A request without exactly one attempt identifier is rejected") {
   auto Head = request();
   SECTION("none") { Head.Fields_.remove("X-Attempt-Id"); }
--- a/Tests/Platform/TestRecords.cpp
+++ b/Tests/Platform/TestRecords.cpp
@@ -10,7 +10,7 @@
 
 constexpr char const *ServerText =
     R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":24,
-        "state":"ready","born":1700000000000,"spot":true,"sequence":4})";
+        "version":"v1.3","state":"ready","born":1700000000000,"spot":true,"sequence":4})";
 
 std::string withReplacement(std::string Text, std::string const &What,
                             std::string const &Replacement) {
@@ -52,6 +52,7 @@
   CHECK(Decoded->Slots_ == 24);
   CHECK(Decoded->Phase_ == ServerPhase::Ready);
   CHECK(Decoded->IsReclaimable_);
+  CHECK(Decoded->SoftwareVersion_ == "v1.3");
 }
 
 TEST_CASE("A malformed server record is ignored") {
@@ -60,6 +61,8 @@
                                        {"\"10.0.0.9:8080\"", "\"nowhere\""},
                                        {"\"10.0.0.9:8080\"", "17"},
                                        {"\"service\":\"s\",", ""},
+                                       {"\"version\":\"v1.3\",", ""},
+                                       {"\"v1.3\"", "13"},
                                        {"24", "\"many\""},
                                        {"24", "-3"},
                                        {"{", "["}}));
