--- a/Tests/EntryProcess/VersionedFleet.cpp
+++ b/Tests/EntryProcess/VersionedFleet.cpp
@@ -29,8 +29,8 @@
                            std::string const &Resumes,
                            std::string const &LastEventId)
     : AttemptId_(std::move(AttemptId)) {
-  Socket_.connect({asio::ip::make_address(Instance.address()),
-                   EntryProcess::TrafficPort});
+  Socket_.connect(
+      {asio::ip::make_address(Instance.address()), EntryProcess::TrafficPort});
   asio::write(Socket_,
               asio::buffer("GET /stream/x HTTP/1.1\r\nHost: desk.example\r\n"
                            "X-Deadline-Ms: 8000\r\nX-Key: k1\r\n"
@@ -132,8 +132,8 @@
   Store_.put("servers", Id,
              serverJson(Server.Endpoint_, State, Server.Born_, ++Sequence_,
                         Server.Version_));
-  LastChange_ = "server_changed server=" + Id + " revision=" +
-                std::to_string(versionOf(1, Store_.revision()));
+  LastChange_ = "server_changed server=" + Id +
+                " revision=" + std::to_string(versionOf(1, Store_.revision()));
 }
 
 void VersionedFleet::addServer(std::string const &Id,
--- a/Tests/EntryProcess/VersionedFleet.h
+++ b/Tests/EntryProcess/VersionedFleet.h
@@ -45,8 +45,9 @@
   bool readMore();
 
   std::string AttemptId_;
-  asio::io_context Context_;
-  asio::ip::tcp::socket Socket_{Context_};
+  std::unique_ptr<asio::io_context> Context_ =
+      std::make_unique<asio::io_context>();
+  asio::ip::tcp::socket Socket_{*Context_};
   std::string Received_;
 };
 
