--- /dev/null
+++ b/Libraries/LibControl/StreamOriginRecords.cpp
@@ -0,0 +1,360 @@
+#include <LibControl/StreamOriginRecords.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace laburnum {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds StoreTimeout{1500};
+/// A client waits for the answer to a read that finds its stream's origin.
+constexpr std::chrono::milliseconds SearchTimeout{400};
+constexpr std::chrono::seconds PauseAfterFailure{1};
+/// How often one instance records its streams, and all of them together.
+constexpr std::chrono::milliseconds MinRecordPeriod{250};
+constexpr std::chrono::milliseconds RecordPeriodPerInstance{25};
+/// Time for a record to be written after its period.
+constexpr std::chrono::milliseconds RecordDelay{100};
+/// Records of instances that were removed are deleted after this time.
+constexpr std::chrono::minutes RecordLifetime{10};
+
+constexpr char const *StreamCollection = "entry-streams";
+
+ObjectKey historyKey() { return {"entry-software-versions", "history"}; }
+
+std::int64_t milliseconds(Duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+
+std::string encode(VersionHistory const &History) {
+  auto Services = json::object();
+  for (auto const &[Service, Versions] : History)
+    for (auto const &[Version, LeftAt] : Versions)
+      Services[Service.text()][Version] =
+          LeftAt ? json(milliseconds(*LeftAt)) : json();
+  return json{{"services", Services}}.dump();
+}
+
+/// Returns nothing for an object that this system did not write.
+VersionHistory decodeHistory(std::string const &Text) {
+  VersionHistory History;
+  try {
+    auto const Value = json::parse(Text);
+    for (auto const &[Service, Versions] : Value.at("services").items())
+      for (auto const &[Version, LeftAt] : Versions.items()) {
+        auto &Entry = History[ServiceName(Service)][Version];
+        if (!LeftAt.is_null())
+          Entry = std::chrono::milliseconds(LeftAt.get<std::int64_t>());
+      }
+  } catch (json::exception const &) {
+    return {};
+  }
+  return History;
+}
+
+using Origins = std::map<std::string, StreamOrigin>;
+
+std::string encode(Origins const &Streams, Duration TimeOfDay) {
+  auto Services = json::object();
+  for (auto const &[FirstAttemptId, Origin] : Streams)
+    Services[Origin.Service_.text()][Origin.SoftwareVersion_].push_back(
+        FirstAttemptId);
+  return json{{"written_ms", milliseconds(TimeOfDay)}, {"streams", Services}}
+      .dump();
+}
+
+/// Returns the time of writing. An object that this system did not write holds
+/// no streams.
+Duration decodeStreams(std::string const &Text, Origins &Into) {
+  try {
+    auto const Value = json::parse(Text);
+    for (auto const &[Service, Versions] : Value.at("streams").items())
+      for (auto const &[Version, Streams] : Versions.items())
+        for (auto const &Stream : Streams)
+          Into[Stream.get<std::string>()] = {ServiceName(Service), Version};
+    return std::chrono::milliseconds(
+        Value.at("written_ms").get<std::int64_t>());
+  } catch (json::exception const &) {
+    return Duration(0);
+  }
+}
+
+/// Returns whether all versions that are listed in One are listed in Other.
+bool coversListed(VersionHistory const &One, VersionHistory const &Other) {
+  for (auto const &[Service, Versions] : One)
+    for (auto const &[Version, LeftAt] : Versions) {
+      if (LeftAt)
+        continue;
+      auto const Found = Other.find(Service);
+      if (Found == Other.end())
+        return false;
+      auto const Listed = Found->second.find(Version);
+      if (Listed == Found->second.end() || Listed->second)
+        return false;
+    }
+  return true;
+}
+
+} // namespace
+
+void StreamOriginRecords::setTime(Duration TimeOfDay, TimePoint Now) {
+  TimeOfDay_ = TimeOfDay;
+  Now_ = Now;
+}
+
+void StreamOriginRecords::setListed(std::vector<ServerRecord> const &Servers,
+                                    Duration TimeOfDay, TimePoint Now) {
+  setTime(TimeOfDay, Now);
+  IsListed_ = true;
+  Versions_.setListed(Servers, TimeOfDay);
+  updateHistory();
+}
+
+void StreamOriginRecords::setHistoryRole(HistoryRole Role, Duration TimeOfDay,
+                                         TimePoint Now) {
+  setTime(TimeOfDay, Now);
+  // Another may have kept it meanwhile.
+  if (std::exchange(HistoryRole_, Role) != Role)
+    Recorded_.reset();
+  updateHistory();
+}
+
+void StreamOriginRecords::setPeers(PeerReach Reach, std::size_t Live) {
+  Reach_ = Reach;
+  Live_ = Live;
+}
+
+void StreamOriginRecords::onStoreRestored(Duration TimeOfDay, TimePoint Now) {
+  setTime(TimeOfDay, Now);
+  Recorded_.reset();
+  Written_.clear();
+  updateHistory();
+}
+
+void StreamOriginRecords::readHistory(
+    Duration Timeout, std::function<void(bool IsRead)> const &Then) {
+  Store_.get(
+      historyKey(), ReadConsistency::Latest, Timeout,
+      [Self = shared_from_this(), Then](Result<StoredObject> const &Read) {
+        if (isError(Read))
+          return Then(false);
+        auto const &Object = valueOf(Read);
+        Self->RecordedVersion_ = Object.Version_;
+        Self->Recorded_ = Object.Version_ == 0 ? VersionHistory()
+                                               : decodeHistory(Object.Value_);
+        Self->WasHistoryRead_ = true;
+        Self->Versions_.merge(*Self->Recorded_, Self->TimeOfDay_);
+        Then(true);
+      });
+}
+
+bool StreamOriginRecords::isHistoryOutdated() const {
+  return !coversListed(Versions_.history(), *Recorded_) ||
+         !coversListed(*Recorded_, Versions_.history());
+}
+
+void StreamOriginRecords::updateHistory() {
+  if (!IsListed_ || IsHistoryCallOpen_ || Now_ < NextHistoryCallAt_)
+    return;
+  bool const Keeps = HistoryRole_ == HistoryRole::Keeps;
+  if (!WasHistoryRead_ || (Keeps && !Recorded_)) {
+    IsHistoryCallOpen_ = true;
+    return readHistory(StoreTimeout, [Self = shared_from_this()](bool IsRead) {
+      Self->IsHistoryCallOpen_ = false;
+      if (!IsRead)
+        Self->NextHistoryCallAt_ = Self->Now_ + PauseAfterFailure;
+      else
+        Self->updateHistory();
+    });
+  }
+  if (Keeps && isHistoryOutdated())
+    writeHistory();
+}
+
+void StreamOriginRecords::writeHistory() {
+  IsHistoryCallOpen_ = true;
+  auto const Sent = Versions_.history();
+  Store_.putIf(historyKey(), RecordedVersion_, encode(Sent), StoreTimeout,
+               [Self = shared_from_this(), Sent](Result<Version> const &Done) {
+                 Self->IsHistoryCallOpen_ = false;
+                 if (isError(Done)) {
+                   // Another instance may have written it, or the answer was
+                   // lost: read it again.
+                   Self->Recorded_.reset();
+                   if (errorOf(Done).Kind_ != ErrorKind::Conflict)
+                     Self->NextHistoryCallAt_ = Self->Now_ + PauseAfterFailure;
+                 } else {
+                   Self->Recorded_ = Sent;
+                   Self->RecordedVersion_ = valueOf(Done);
+                 }
+                 Self->updateHistory();
+               });
+}
+
+void StreamOriginRecords::find(ServiceName const &Service,
+                               std::string const &FirstAttemptId,
+                               Duration TimeOfDay, TimePoint Now, Done Done) {
+  setTime(TimeOfDay, Now);
+  Queries_.push_back({Service, FirstAttemptId, std::move(Done)});
+  if (!IsSearching_)
+    search();
+}
+
+/// One read answers all queries that came before it.
+void StreamOriginRecords::search() {
+  IsSearching_ = true;
+  readHistory(SearchTimeout, [Self = shared_from_this(),
+                              Queries = std::exchange(Queries_, {})](
+                                 bool IsRead) mutable {
+    if (IsRead) {
+      Self->updateHistory();
+      return Self->searchRecords(Self->answerByVersions(std::move(Queries)));
+    }
+    // No one who can read the store is out of reach.
+    if (Self->WasHistoryRead_ && Self->Reach_ == PeerReach::Most)
+      Queries = Self->answerByVersions(std::move(Queries));
+    for (auto const &Query : Queries)
+      Query.Done_({std::nullopt, OriginSource::StoreSilent});
+    Self->endSearch();
+  });
+}
+
+std::vector<StreamOriginRecords::Query>
+StreamOriginRecords::answerByVersions(std::vector<Query> Queries) {
+  std::vector<Query> Others;
+  for (auto &Query : Queries)
+    if (auto const Version = Versions_.onlyVersion(Query.Service_, TimeOfDay_))
+      Query.Done_(
+          {StreamOrigin{Query.Service_, *Version}, OriginSource::OnlyVersion});
+    else
+      Others.push_back(std::move(Query));
+  return Others;
+}
+
+void StreamOriginRecords::searchRecords(std::vector<Query> Queries) {
+  if (Queries.empty())
+    return endSearch();
+  Store_.list(
+      StreamCollection, ReadConsistency::Latest, SearchTimeout,
+      [Self = shared_from_this(),
+       Queries = std::move(Queries)](Result<ObjectList> const &Read) mutable {
+        if (isError(Read)) {
+          for (auto const &Query : Queries)
+            Query.Done_({std::nullopt, OriginSource::StoreSilent});
+          return Self->endSearch();
+        }
+        Origins Streams;
+        for (auto const &Object : valueOf(Read).Objects_)
+          if (auto const WrittenAt = decodeStreams(Object.Value_, Streams);
+              Self->TimeOfDay_ - WrittenAt > RecordLifetime)
+            Self->Store_.remove(Object.Key_, StoreTimeout, [](auto const &) {});
+        for (auto &Query : Queries) {
+          auto const Found = Streams.find(Query.FirstAttemptId_);
+          if (Found != Streams.end()) {
+            Query.Done_({Found->second, OriginSource::Record});
+          } else if (!Query.FirstAttemptId_.empty() && !Query.IsRepeated_) {
+            // The instance that began it may be about to record it.
+            Query.IsRepeated_ = true;
+            Query.NotBefore_ = Self->Now_ + Self->recordPeriod() + RecordDelay;
+            Self->DelayedQueries_.push_back(std::move(Query));
+          } else {
+            Query.Done_({std::nullopt, OriginSource::NotRecorded});
+          }
+        }
+        Self->endSearch();
+      });
+}
+
+void StreamOriginRecords::endSearch() {
+  IsSearching_ = false;
+  if (!Queries_.empty())
+    search();
+}
+
+Duration StreamOriginRecords::recordPeriod() const {
+  return std::max<Duration>(MinRecordPeriod,
+                            RecordPeriodPerInstance *
+                                static_cast<std::int64_t>(Live_));
+}
+
+void StreamOriginRecords::setUnfinished(std::vector<BegunStream> Streams,
+                                        Duration TimeOfDay, TimePoint Now) {
+  setTime(TimeOfDay, Now);
+  Unfinished_.clear();
+  for (auto &Stream : Streams)
+    Unfinished_.emplace(std::move(Stream.FirstAttemptId_),
+                        std::move(Stream.Origin_));
+  if (isMixed(TimeOfDay))
+    writeStreams();
+}
+
+/// A stream that has ended needs no write of its own.
+bool StreamOriginRecords::isRecordOutdated() const {
+  return !std::includes(Written_.begin(), Written_.end(), Unfinished_.begin(),
+                        Unfinished_.end());
+}
+
+bool StreamOriginRecords::isBusy(Duration TimeOfDay) const {
+  bool const OwesHistory =
+      IsListed_ && (!WasHistoryRead_ || (HistoryRole_ == HistoryRole::Keeps &&
+                                         (!Recorded_ || isHistoryOutdated())));
+  return OwesHistory || isMixed(TimeOfDay) || IsSearching_ ||
+         !Queries_.empty() || !DelayedQueries_.empty();
+}
+
+void StreamOriginRecords::tick(Duration TimeOfDay, TimePoint Now) {
+  setTime(TimeOfDay, Now);
+  updateHistory();
+  auto const Due = std::partition(
+      DelayedQueries_.begin(), DelayedQueries_.end(),
+      [&](Query const &Query) { return Query.NotBefore_ > Now; });
+  std::move(Due, DelayedQueries_.end(), std::back_inserter(Queries_));
+  DelayedQueries_.erase(Due, DelayedQueries_.end());
+  if (!Queries_.empty() && !IsSearching_)
+    search();
+  if (isMixed(TimeOfDay))
+    writeStreams();
+}
+
+void StreamOriginRecords::writeStreams() {
+  if (IsStreamCallOpen_ || Now_ < NextStreamCallAt_ || !isRecordOutdated())
+    return;
+  IsStreamCallOpen_ = true;
+  NextStreamCallAt_ = Now_ + recordPeriod();
+  if (Inherited_)
+    return putStreams();
+  Store_.get({StreamCollection, Name_}, ReadConsistency::Latest, StoreTimeout,
+             [Self = shared_from_this()](Result<StoredObject> const &Read) {
+               if (isError(Read)) {
+                 Self->IsStreamCallOpen_ = false;
+                 return;
+               }
+               Self->Inherited_.emplace();
+               Self->InheritedUntil_ =
+                   Self->Now_ + StreamOrigins::RetentionTime;
+               decodeStreams(valueOf(Read).Value_, *Self->Inherited_);
+               Self->putStreams();
+             });
+}
+
+void StreamOriginRecords::putStreams() {
+  if (Now_ >= InheritedUntil_)
+    Inherited_->clear();
+  auto const Sent = Unfinished_;
+  auto All = Sent;
+  All.insert(Inherited_->begin(), Inherited_->end());
+  Store_.put({StreamCollection, Name_}, encode(All, TimeOfDay_), StoreTimeout,
+             [Self = shared_from_this(), Sent](Result<Version> const &Done) {
+               Self->IsStreamCallOpen_ = false;
+               if (!isError(Done))
+                 Self->Written_ = Sent;
+             });
+}
+
+} // namespace laburnum
--- /dev/null
+++ b/Libraries/LibControl/StreamOriginRecords.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibPlatform/AsyncObjectStore.h>
+#include <LibTraffic/SoftwareVersions.h>
+#include <LibTraffic/StreamOrigins.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace laburnum {
+
+/// What determined the origin of a stream that a client takes up, or why it is
+/// not known.
+enum class OriginSource {
+  OnlyVersion, ///< No other software version has served recently.
+  Record,      ///< An instance has recorded it.
+  NotRecorded, ///< No instance has.
+  StoreSilent, ///< The store cannot be read, and several versions may serve.
+};
+
+struct OriginAnswer {
+  std::optional<StreamOrigin> Origin_;
+  OriginSource Source_ = OriginSource::NotRecorded;
+
+  auto operator<=>(OriginAnswer const &) const = default;
+};
+
+/// Keeps in the store what instances have to know of streams that others began:
+/// which software versions serve or have served recently, in one object that
+/// the readers of the server list keep, and, only while there are several, the
+/// origins of each instance's unfinished streams. So nothing is written while
+/// one version serves, and a stream that is taken up costs one read. Runs on
+/// one thread.
+class StreamOriginRecords
+    : public std::enable_shared_from_this<StreamOriginRecords> {
+public:
+  using Done = std::function<void(OriginAnswer const &)>;
+  enum class HistoryRole { Reads, Keeps };
+  /// Whether this instance reaches most others, and so would hear of other
+  /// software versions from those that can read the store.
+  enum class PeerReach { Few, Most };
+
+  /// The store has to outlive the records. Name is the instance's name, which
+  /// its later incarnations keep.
+  StreamOriginRecords(AsyncObjectStore &Store, std::string Name)
+      : Store_(Store), Name_(std::move(Name)) {}
+
+  void setListed(std::vector<ServerRecord> const &Servers, Duration TimeOfDay,
+                 TimePoint Now);
+  void setHistoryRole(HistoryRole Role, Duration TimeOfDay, TimePoint Now);
+  /// Live is the number of instances, which share the writes.
+  void setPeers(PeerReach Reach, std::size_t Live);
+  /// The store came back from an older copy.
+  void onStoreRestored(Duration TimeOfDay, TimePoint Now);
+
+  /// Returns whether origins have to be recorded.
+  bool isMixed(Duration TimeOfDay) const {
+    return Versions_.isMixed(TimeOfDay);
+  }
+  /// Sets the unfinished streams of this instance, after another one has begun.
+  void setUnfinished(std::vector<BegunStream> Streams, Duration TimeOfDay,
+                     TimePoint Now);
+  /// Finds the origin of a stream that this instance does not know. Without an
+  /// identifier it is known only where one software version serves.
+  void find(ServiceName const &Service, std::string const &FirstAttemptId,
+            Duration TimeOfDay, TimePoint Now, Done Done);
+  /// Starts the calls that are due. To be called ten times a second while
+  /// isBusy().
+  void tick(Duration TimeOfDay, TimePoint Now);
+  bool isBusy(Duration TimeOfDay) const;
+
+private:
+  using Origins = std::map<std::string, StreamOrigin>;
+
+  struct Query {
+    ServiceName Service_;
+    std::string FirstAttemptId_;
+    Done Done_;
+    TimePoint NotBefore_ = TimePoint::min();
+    bool IsRepeated_ = false;
+  };
+
+  void setTime(Duration TimeOfDay, TimePoint Now);
+  void readHistory(Duration Timeout,
+                   std::function<void(bool IsRead)> const &Then);
+  bool isHistoryOutdated() const;
+  void updateHistory();
+  void writeHistory();
+  void search();
+  void searchHistory(std::vector<Query> Queries);
+  void searchRecords(std::vector<Query> Queries);
+  void endSearch();
+  /// Answers the queries that the versions alone decide and returns the others.
+  std::vector<Query> answerByVersions(std::vector<Query> Queries);
+  Duration recordPeriod() const;
+  bool isRecordOutdated() const;
+  void writeStreams();
+  void putStreams();
+
+  AsyncObjectStore &Store_;
+  std::string const Name_;
+  Duration TimeOfDay_{};
+  TimePoint Now_{};
+  SoftwareVersions Versions_;
+  bool IsListed_ = false;
+  HistoryRole HistoryRole_ = HistoryRole::Reads;
+  PeerReach Reach_ = PeerReach::Few;
+  std::size_t Live_ = 1;
+  /// The history in the store and its version, once it was read.
+  std::optional<VersionHistory> Recorded_;
+  Version RecordedVersion_ = 0;
+  bool WasHistoryRead_ = false; ///< At least once.
+  bool IsHistoryCallOpen_ = false;
+  TimePoint NextHistoryCallAt_ = TimePoint::min();
+  std::vector<Query> Queries_;
+  std::vector<Query> DelayedQueries_;
+  bool IsSearching_ = false;
+  Origins Unfinished_;
+  /// Recorded by an earlier incarnation of this instance.
+  std::optional<Origins> Inherited_;
+  TimePoint InheritedUntil_{};
+  Origins Written_;
+  bool IsStreamCallOpen_ = false;
+  TimePoint NextStreamCallAt_ = TimePoint::min();
+};
+
+} // namespace laburnum
--- a/Libraries/LibTraffic/AdmissionQueue.cpp
+++ b/Libraries/LibTraffic/AdmissionQueue.cpp
@@ -32,6 +32,10 @@
     return Admitted{Request.Ticket_, *Server};
   }
   auto const &Service = Request.Query_.Service_;
+  if (Request.Query_.SoftwareVersion_ && !Roster_.hasMatch(Request.Query_))
+    return Rejected{Request.Ticket_,
+                    "no server of the stream's software version",
+                    RetryAfterNoServer};
   if (auto const Exhausted =
           Roster_.exhaustion(Service, Ahead, Request.GiveUpAt_, Now))
     return Rejected{Request.Ticket_,
--- a/Libraries/LibTraffic/AdmissionQueue.h
+++ b/Libraries/LibTraffic/AdmissionQueue.h
@@ -39,9 +39,9 @@
 
 /// Queues requests while every server of their service is full, ordered by
 /// priority and then by age. A request is rejected at once if its latest useful
-/// start has passed, or if by then the servers of its service, which all have
-/// requested a backoff or have a rate limit, take no more requests than are
-/// queued before it.
+/// start has passed, if it continues a stream and no server can, or if by then
+/// the servers of its service, which all have requested a backoff or have a
+/// rate limit, take no more requests than are queued before it.
 class AdmissionQueue {
 public:
   explicit AdmissionQueue(ServerRoster &Roster) : Roster_(Roster) {}
--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -19,6 +19,9 @@
 constexpr std::chrono::milliseconds MinTimeForRetry{30};
 /// Retry-After for a client whose request was refused by all servers tried.
 constexpr std::chrono::milliseconds RetryAfterRefusals{200};
+/// Retry-After for a client whose stream has an origin that is not known here:
+/// another instance may know it.
+constexpr std::chrono::milliseconds RetryAfterUnknownOrigin{500};
 
 constexpr std::int32_t BadGateway = 502;
 constexpr std::int32_t ServiceUnavailable = 503;
@@ -45,7 +48,12 @@
 
 std::vector<Action> ExchangeFlow::start(TimePoint Now) {
   Now_ = Now;
-  Actions_.push_back(RequestServer{});
+  if (isStream() && Context_.Metadata_.TakesUpStream_) {
+    State_ = State::FindingOrigin;
+    Actions_.push_back(FindOrigin{});
+  } else {
+    Actions_.push_back(RequestServer{});
+  }
   return std::exchange(Actions_, {});
 }
 
@@ -56,6 +64,16 @@
   return std::exchange(Actions_, {});
 }
 
+void ExchangeFlow::on(OriginFound const &Event) {
+  if (State_ != State::FindingOrigin)
+    return;
+  if (!Event.Origin_)
+    return refuse(ServiceUnavailable, Event.Reason_, RetryAfterUnknownOrigin);
+  State_ = State::Waiting;
+  Origin_ = Event.Origin_;
+  Actions_.push_back(RequestServer{{}, Origin_});
+}
+
 void ExchangeFlow::on(ServerAssigned const &Event) {
   if (State_ != State::Waiting)
     return;
@@ -65,6 +83,7 @@
   State_ = State::Attempting;
   Tried_.insert(Event.Server_.Id_);
   ++Sent_;
+  AttemptOrigin_ = {Event.Server_.Service_, Event.Server_.SoftwareVersion_};
   Answer_.reset();
   Body_.clear();
   Splitter_ = EventStreamSplitter();
@@ -130,11 +149,25 @@
   countRun();
   if (!HasBegunStream_) {
     HasBegunStream_ = true;
+    rememberOrigin();
     Actions_.push_back(BeginStream{Answer_->Head_});
   }
   Actions_.push_back(RelayEvents{std::move(Bytes)});
 }
 
+void ExchangeFlow::rememberOrigin() {
+  Origin_ = AttemptOrigin_;
+  if (Context_.Route_->Repeatability_ == Repeatability::Resumable &&
+      !firstAttemptId().empty())
+    Actions_.push_back(RememberOrigin{{firstAttemptId(), *Origin_}});
+}
+
+std::string const &ExchangeFlow::firstAttemptId() const {
+  auto const &Metadata = Context_.Metadata_;
+  return Metadata.TakesUpStream_ ? Metadata.FirstAttemptId_
+                                 : Metadata.AttemptId_;
+}
+
 void ExchangeFlow::countRun() {
   if (HasCountedRun_)
     return;
@@ -202,7 +235,7 @@
   if (!MayRetry)
     return fail(Reason);
   State_ = State::Waiting;
-  Actions_.push_back(RequestServer{Tried_});
+  Actions_.push_back(RequestServer{Tried_, Origin_});
 }
 
 bool ExchangeFlow::hasTimeAndAttempts() const {
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -3,6 +3,7 @@
 #include <LibGuard/RequestFingerprints.h>
 #include <LibModel/AttemptEvidence.h>
 #include <LibTraffic/EventStreamSplitter.h>
+#include <LibTraffic/StreamOrigins.h>
 #include <LibTraffic/TrafficRequest.h>
 
 #include <cstdint>
@@ -38,15 +39,27 @@
 };
 struct ClientLeft {};
 struct TimePassed {};
+/// The origin of the stream that the client takes up, or why it is not known.
+struct OriginFound {
+  std::optional<StreamOrigin> Origin_;
+  std::string Reason_;
+};
 
-using Event =
-    std::variant<ServerAssigned, NoServer, HeadArrived, BodyArrived,
-                 AnswerCompleted, AttemptFailed, ClientLeft, TimePassed>;
+using Event = std::variant<ServerAssigned, NoServer, HeadArrived, BodyArrived,
+                           AnswerCompleted, AttemptFailed, ClientLeft,
+                           TimePassed, OriginFound>;
 
+/// Requests the origin of the stream that the client takes up. The result is
+/// OriginFound.
+struct FindOrigin {
+  auto operator<=>(FindOrigin const &) const = default;
+};
 /// Requests a server that is not in Excluded_. The result is ServerAssigned or
 /// NoServer.
 struct RequestServer {
   std::set<ServerId> Excluded_;
+  /// Set if the server has to continue a stream.
+  std::optional<StreamOrigin> Origin_ = std::nullopt;
 
   auto operator<=>(RequestServer const &) const = default;
 };
@@ -64,6 +77,12 @@
 struct CancelAttempt {
   auto operator<=>(CancelAttempt const &) const = default;
 };
+/// The first event of the stream in this answer is about to be relayed.
+struct RememberOrigin {
+  BegunStream Stream_;
+
+  auto operator<=>(RememberOrigin const &) const = default;
+};
 /// Counts the request for the account's usage, as a server has executed it.
 struct CountRun {
   auto operator<=>(CountRun const &) const = default;
@@ -103,9 +122,9 @@
 };
 
 using Action =
-    std::variant<RequestServer, CancelServerRequest, SendAttempt, CancelAttempt,
-                 CountRun, SendCompleteAnswer, BeginStream, RelayEvents,
-                 FinishStream, AbortStream, Refuse>;
+    std::variant<FindOrigin, RequestServer, CancelServerRequest, SendAttempt,
+                 CancelAttempt, RememberOrigin, CountRun, SendCompleteAnswer,
+                 BeginStream, RelayEvents, FinishStream, AbortStream, Refuse>;
 
 /// Decides whether a retry to a service is allowed.
 class RetryGate {
@@ -130,7 +149,9 @@
 /// State machine of one client request: chooses servers, retries failed
 /// attempts and answers the client. A request that may have run is retried only
 /// if its route permits repetition. Status 503 is sent only if no server has
-/// begun the request.
+/// begun the request. A stream is continued only by servers of the service and
+/// the software version that began it, within an answer or where the client
+/// takes it up.
 class ExchangeFlow {
 public:
   ExchangeFlow(exchange::FlowContext FlowContext, exchange::RetryGate &Gate);
@@ -146,7 +167,7 @@
   }
 
 private:
-  enum class State { Waiting, Attempting, Over };
+  enum class State { FindingOrigin, Waiting, Attempting, Over };
 
   void on(exchange::ServerAssigned const &Event);
   void on(exchange::NoServer const &Event);
@@ -156,6 +177,7 @@
   void on(exchange::AttemptFailed const &Event);
   void on(exchange::ClientLeft const &Event);
   void on(exchange::TimePassed const &Event);
+  void on(exchange::OriginFound const &Event);
 
   /// Ends an attempt without a usable answer. MayHaveRun tells whether the
   /// server may have begun the request.
@@ -171,6 +193,9 @@
   void relay(std::vector<StreamEvent> Events);
   void completeStream();
   void countRun();
+  void rememberOrigin();
+  /// The attempt that began the stream. Empty if the client does not name it.
+  std::string const &firstAttemptId() const;
   bool isStream() const {
     return Context_.Route_->Form_ == AnswerForm::EventStream;
   }
@@ -184,11 +209,13 @@
   std::uint32_t Sent_ = 0;
   std::uint32_t Runs_ = 0; ///< Attempts that may have run.
   /// State of the current attempt.
+  StreamOrigin AttemptOrigin_; ///< What its server would begin.
   std::optional<ServerAnswer> Answer_;
   std::string Body_;
   EventStreamSplitter Splitter_;
   /// State of the answer sent to the client.
   bool HasBegunStream_ = false;
+  std::optional<StreamOrigin> Origin_; ///< Set once the stream has one.
   std::string StreamType_; ///< Media type of the stream that has begun.
   bool HasCountedRun_ = false;
   std::optional<std::uint64_t> LastEventId_;
--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -81,9 +81,11 @@
 
 void ServerRoster::update(ServerRecord const &Record) {
   auto &Server = Servers_[Record.Id_];
-  bool const IsNewIncarnation = Server.Record_.IncarnationStartMilliseconds_ !=
-                                    Record.IncarnationStartMilliseconds_ ||
-                                Server.Record_.Endpoint_ != Record.Endpoint_;
+  bool const IsNewIncarnation =
+      Server.Record_.IncarnationStartMilliseconds_ !=
+          Record.IncarnationStartMilliseconds_ ||
+      Server.Record_.SoftwareVersion_ != Record.SoftwareVersion_ ||
+      Server.Record_.Endpoint_ != Record.Endpoint_;
   if (IsNewIncarnation) {
     Server = Entry{};
     Server.Incarnation_ = incarnationOf(Record);
@@ -153,8 +155,7 @@
 ServerRoster::usable(ServerQuery const &Query, TimePoint Now) const {
   std::vector<Entry const *> Candidates;
   for (auto const &[Id, Server] : Servers_)
-    if (Server.Record_.Service_ == Query.Service_ &&
-        !Query.Excluded_.contains(Id) && takesRequests(Server, Now))
+    if (matches(Server.Record_, Query) && takesRequests(Server, Now))
       Candidates.push_back(&Server);
   auto const IsReachable = [&](Entry const *Server) {
     return Server->Status_.UnreachableUntil_ <= Now;
@@ -212,6 +213,20 @@
   });
 }
 
+bool ServerRoster::matches(ServerRecord const &Server,
+                           ServerQuery const &Query) {
+  return Server.Service_ == Query.Service_ &&
+         !Query.Excluded_.contains(Server.Id_) &&
+         (!Query.SoftwareVersion_ ||
+          *Query.SoftwareVersion_ == Server.SoftwareVersion_);
+}
+
+bool ServerRoster::hasMatch(ServerQuery const &Query) const {
+  return std::any_of(Servers_.begin(), Servers_.end(), [&](auto const &Pair) {
+    return matches(Pair.second.Record_, Query) && isStaying(Pair.second);
+  });
+}
+
 void ServerRoster::onSent(ServerId const &Id, TimePoint Now) {
   auto const Found = Servers_.find(Id);
   if (Found == Servers_.end())
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -29,6 +29,8 @@
   /// Requests with the same affinity key prefer the same server. Empty: no
   /// preference.
   std::string Affinity_;
+  /// Only servers of this software version are chosen. Nothing: any.
+  std::optional<std::string> SoftwareVersion_ = std::nullopt;
 
   auto operator<=>(ServerQuery const &) const = default;
 };
@@ -87,6 +89,9 @@
   std::optional<ServerRecord> choose(ServerQuery const &Query, TimePoint Now);
   /// Returns whether any server of the service accepts requests, even if full.
   bool isServed(ServiceName const &Service, TimePoint Now) const;
+  /// Returns whether a server matches the query that is not leaving, even if it
+  /// takes no requests now.
+  bool hasMatch(ServerQuery const &Query) const;
 
   /// Counts an attempt that is being sent to the server.
   void onSent(ServerId const &Id, TimePoint Now);
@@ -150,6 +155,7 @@
   };
 
   bool isStaying(Entry const &Server) const;
+  static bool matches(ServerRecord const &Server, ServerQuery const &Query);
   /// Returns the tokens of a rate limited server that can be used until then.
   double usableTokens(Entry const &Server, TimePoint Until) const;
   /// Changes the status of an incarnation, whether or not it is listed.
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -69,6 +69,9 @@
                        }},
                       localInstance(Dependencies.Settings_, Incarnation_),
                       Seed + 5),
+      StreamOriginTasks_({Dependencies.Context_, Dependencies.TrafficContext_,
+                          Store_, Dependencies.Traffic_, Dependencies.Clock_},
+                         Dependencies.Settings_.Name_),
       Peers_(std::make_shared<PeerNetwork>(
           Dependencies.Context_, Store_, Dependencies.Settings_.Name_,
           localInstance(Dependencies.Settings_, Incarnation_), Seed + 4,
@@ -113,6 +116,7 @@
                                .add("outcome", Outcome)
                                .add("news_age_ms", Change.UpdateAge_)
                                .add("live", Change.Live_));
+  StreamOriginTasks_.setReaderRole(Change.ReaderRole_);
 }
 
 template <typename Function> void ControlPlane::onTraffic(Function Task) {
@@ -151,6 +155,7 @@
   reportConsumption();
   CrashGuardTasks_.start(Peers_);
   RateLimitTasks_.start(Peers_);
+  StreamOriginTasks_.start();
   awaitSignals();
   watchSettings();
   flushLog();
@@ -165,6 +170,7 @@
                                .add("config", ConfigurationVersion_));
   LeaseHolderTasks_.onStoreRestored();
   CrashGuardTasks_.onStoreRestored();
+  StreamOriginTasks_.onStoreRestored();
   Peers_->onStoreRestored(Follower_->readerRole() == relay::ReaderRole::Ranked
                               ? PeerNetwork::SecretKeeper::Yes
                               : PeerNetwork::SecretKeeper::No);
@@ -253,6 +259,7 @@
   LeaseHolderTasks_.setMembers(View.Members_, readBootClock());
   Follower_->setMembers(View.Members_);
   CrashGuardTasks_.setMembers(View.Members_);
+  StreamOriginTasks_.setPeers(Live, View.Registered_);
   RateLimitTasks_.setFleet(View,
                            IsStopping_ ? Liveness::Leaving : Liveness::Live);
   Collector_.setMembers(View.Members_, readBootClock());
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -4,6 +4,7 @@
 #include "LeaseHolderTasks.h"
 #include "RateLimitTasks.h"
 #include "StatusService.h"
+#include "StreamOriginTasks.h"
 #include "TrafficPlane.h"
 
 #include <LibControl/ConsumptionCollector.h>
@@ -113,6 +114,7 @@
   ConsumptionCollector Collector_;
   CrashGuardTasks CrashGuardTasks_;
   RateLimitTasks RateLimitTasks_;
+  StreamOriginTasks StreamOriginTasks_;
   std::shared_ptr<PeerNetwork> Peers_;
   std::shared_ptr<StoreFollower> Follower_;
   asio::steady_timer LeaseHolderTimer_;
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -78,6 +78,18 @@
     std::visit([this](auto const &Kind) { on(Kind); }, Action);
 }
 
+void RequestSession::on(FindOrigin const & /*Action*/) {
+  Plane_.findOrigin(FlowContext_,
+                    [Self = shared_from_this()](OriginFound const &Found) {
+                      Self->handle(Found);
+                    });
+}
+
+void RequestSession::on(RememberOrigin const &Action) {
+  BegunStream_ = Action.Stream_.FirstAttemptId_;
+  Plane_.onStreamBegun(Action.Stream_);
+}
+
 void RequestSession::on(RequestServer const &Action) {
   auto const Now = readBootClock();
   auto const &Route = *FlowContext_.Route_;
@@ -87,6 +99,10 @@
   Waiting.Ticket_ = Ticket_ = Plane_.NextTicket_++;
   Waiting.Query_ = {FlowContext_.Service_, Action.Excluded_,
                     FlowContext_.Metadata_.SharedPrefix_};
+  if (Action.Origin_) {
+    Waiting.Query_.Service_ = Action.Origin_->Service_;
+    Waiting.Query_.SoftwareVersion_ = Action.Origin_->SoftwareVersion_;
+  }
   Waiting.Rank_ = Account ? Account->Rank_.value_or(Route.Rank_) : Route.Rank_;
   Waiting.GiveUpAt_ =
       Now + std::min<Duration>(Route.LatencyTarget_ / QueueTimeDivisor,
@@ -289,6 +305,7 @@
 
 void RequestSession::on(FinishStream const & /*Action*/) {
   Exchange_->finishStream();
+  Plane_.Origins_.onFinished(BegunStream_);
   finish(Outcome::Answered, RelayedStatus_, {});
 }
 
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -33,10 +33,12 @@
 
   void handle(exchange::Event const &Event);
   void carryOut(std::vector<exchange::Action> const &Actions);
+  void on(exchange::FindOrigin const &Action);
   void on(exchange::RequestServer const &Action);
   void on(exchange::CancelServerRequest const &Action);
   void on(exchange::SendAttempt const &Action);
   void on(exchange::CancelAttempt const &Action);
+  void on(exchange::RememberOrigin const &Action);
   void on(exchange::CountRun const &Action);
   void on(exchange::SendCompleteAnswer const &Action);
   void on(exchange::BeginStream const &Action);
@@ -73,6 +75,7 @@
   TimePoint FirstAnswerAt_{};
   std::int32_t RelayedStatus_ = 0;
   std::optional<Duration> RefusalRetryAfter_;
+  std::string BegunStream_; ///< First attempt of the stream that was relayed.
   bool IsFinished_ = false;
 };
 
--- a/Services/laburnum-entry/ServerReader.h
+++ b/Services/laburnum-entry/ServerReader.h
@@ -18,6 +18,7 @@
                                         .add("revision", Listed.StoreVersion_)
                                         .add("servers", Records.size()));
     Plane_.LeaseHolderTasks_.replaceServers(Records);
+    Plane_.StreamOriginTasks_.replaceServers(Records);
     auto &Traffic = Plane_.Dependencies_.Traffic_;
     Plane_.onTraffic([&Traffic, Records] { Traffic.replaceServers(Records); });
     Plane_.HasServerList_ = true;
@@ -54,9 +55,11 @@
       Plane_.Dependencies_.Log_.write(Line.add("state", "gone"));
       ServerId const Id(Object.Key_.Name_);
       Plane_.LeaseHolderTasks_.removeServer(Id);
+      Plane_.StreamOriginTasks_.removeServer(Id);
       return Plane_.onTraffic([&Traffic, Id] { Traffic.removeServer(Id); });
     }
     Plane_.LeaseHolderTasks_.updateServer(*Record);
+    Plane_.StreamOriginTasks_.updateServer(*Record);
     bool const IsReady = Record->Phase_ == ServerPhase::Ready;
     Plane_.Dependencies_.Log_.write(
         Line.add("state", IsReady ? "ready" : "draining")
--- /dev/null
+++ b/Services/laburnum-entry/StreamOriginTasks.cpp
@@ -0,0 +1,120 @@
+#include "StreamOriginTasks.h"
+
+#include <asio/post.hpp>
+
+#include <utility>
+
+namespace laburnum {
+
+namespace {
+
+constexpr std::chrono::milliseconds Period{100};
+
+} // namespace
+
+StreamOriginTasks::StreamOriginTasks(StreamOriginDependencies Dependencies,
+                                     std::string const &Name)
+    : Dependencies_(Dependencies),
+      Records_(
+          std::make_shared<StreamOriginRecords>(Dependencies.Store_, Name)),
+      Timer_(Dependencies.Context_) {}
+
+void StreamOriginTasks::start() {
+  Dependencies_.Traffic_.setOriginFinder(
+      [this](ServiceName const &Service, std::string const &FirstAttemptId,
+             StreamOriginRecords::Done Done) {
+        asio::post(Dependencies_.Context_, [this, Service, FirstAttemptId,
+                                            Done = std::move(Done)] {
+          auto const Now = readBootClock();
+          Records_->find(Service, FirstAttemptId, timeOfDay(Now), Now, Done);
+          arm();
+        });
+      });
+}
+
+void StreamOriginTasks::replaceServers(
+    std::vector<ServerRecord> const &Servers) {
+  Servers_.clear();
+  for (auto const &Server : Servers)
+    Servers_[Server.Id_] = Server;
+  serversChanged();
+}
+
+void StreamOriginTasks::updateServer(ServerRecord const &Server) {
+  Servers_[Server.Id_] = Server;
+  serversChanged();
+}
+
+void StreamOriginTasks::removeServer(ServerId const &Id) {
+  Servers_.erase(Id);
+  serversChanged();
+}
+
+void StreamOriginTasks::serversChanged() {
+  std::vector<ServerRecord> Listed;
+  for (auto const &[Id, Server] : Servers_)
+    Listed.push_back(Server);
+  auto const Now = readBootClock();
+  Records_->setListed(Listed, timeOfDay(Now), Now);
+  arm();
+}
+
+void StreamOriginTasks::setReaderRole(relay::ReaderRole Role) {
+  auto const Now = readBootClock();
+  Records_->setHistoryRole(Role == relay::ReaderRole::None
+                               ? StreamOriginRecords::HistoryRole::Reads
+                               : StreamOriginRecords::HistoryRole::Keeps,
+                           timeOfDay(Now), Now);
+  arm();
+}
+
+void StreamOriginTasks::setPeers(std::size_t Live, std::size_t Registered) {
+  Records_->setPeers(2 * Live > Registered
+                         ? StreamOriginRecords::PeerReach::Most
+                         : StreamOriginRecords::PeerReach::Few,
+                     Live);
+}
+
+void StreamOriginTasks::onStoreRestored() {
+  auto const Now = readBootClock();
+  Records_->onStoreRestored(timeOfDay(Now), Now);
+}
+
+void StreamOriginTasks::setRecording(bool IsMixed) {
+  if (std::exchange(IsRecording_, IsMixed) == IsMixed)
+    return;
+  TrafficPlane::StreamListener Listener;
+  if (IsMixed)
+    Listener = [this](std::vector<BegunStream> const &Streams) {
+      asio::post(Dependencies_.Context_, [this, Streams] {
+        auto const Now = readBootClock();
+        Records_->setUnfinished(Streams, timeOfDay(Now), Now);
+      });
+    };
+  asio::post(Dependencies_.TrafficContext_,
+             [&Traffic = Dependencies_.Traffic_, Listener] {
+               Traffic.setStreamListener(Listener);
+             });
+}
+
+void StreamOriginTasks::arm() {
+  auto const TimeOfDay = timeOfDay(readBootClock());
+  setRecording(Records_->isMixed(TimeOfDay));
+  if (IsArmed_ || !Records_->isBusy(TimeOfDay))
+    return;
+  IsArmed_ = true;
+  Timer_.expires_after(Period);
+  Timer_.async_wait([this](asio::error_code Failure) {
+    IsArmed_ = false;
+    if (!Failure)
+      tick();
+  });
+}
+
+void StreamOriginTasks::tick() {
+  auto const Now = readBootClock();
+  Records_->tick(timeOfDay(Now), Now);
+  arm();
+}
+
+} // namespace laburnum
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -39,6 +39,20 @@
   return Limiter;
 }
 
+std::string_view sourceName(OriginSource Source) {
+  switch (Source) {
+  case OriginSource::OnlyVersion:
+    return "only version";
+  case OriginSource::Record:
+    return "record";
+  case OriginSource::NotRecorded:
+    return "not recorded";
+  case OriginSource::StoreSilent:
+    return "store silent";
+  }
+  return "unknown";
+}
+
 RetryBudgetSettings retryBudgetSettings(EntrySettings const &Settings) {
   return {Settings.RetryRatio_, Settings.RetrySlack_, Settings.RetryWindow_};
 }
@@ -377,7 +391,10 @@
                              *RetryAfter);
     return nullptr;
   }
-  FlowContext.Service_ = serviceFor(*Route, Metadata.AttemptId_);
+  // A stream that is taken up leads to the service that began it.
+  FlowContext.Service_ = serviceFor(*Route, Metadata.FirstAttemptId_.empty()
+                                                ? Metadata.AttemptId_
+                                                : Metadata.FirstAttemptId_);
   auto const Allowed = std::min(
       Route->Timeout_, Metadata.TimeAllowed_.value_or(Route->Timeout_));
   FlowContext.Expiry_ = Request.BegunAt_ + Allowed;
@@ -387,6 +404,59 @@
                                           std::move(FlowContext));
 }
 
+void TrafficPlane::findOrigin(
+    exchange::FlowContext const &FlowContext,
+    std::function<void(exchange::OriginFound const &)> Done) {
+  auto const &First = FlowContext.Metadata_.FirstAttemptId_;
+  if (auto const Known = Origins_.find(First, readBootClock()))
+    return onOriginAnswer(FlowContext, {Known, OriginSource::Record}, "local",
+                          Done);
+  OriginFinder_(
+      FlowContext.Service_, First,
+      [this, FlowContext, Done = std::move(Done)](OriginAnswer const &Answer) {
+        asio::post(Dependencies_.Context_, [this, FlowContext, Done, Answer] {
+          onOriginAnswer(FlowContext, Answer, sourceName(Answer.Source_), Done);
+        });
+      });
+}
+
+void TrafficPlane::onStreamBegun(BegunStream const &Stream) {
+  auto const Now = readBootClock();
+  Origins_.onBegun(Stream, Now);
+  if (StreamListener_)
+    StreamListener_(Origins_.unfinished(Now));
+}
+
+void TrafficPlane::setStreamListener(StreamListener Listener) {
+  StreamListener_ = std::move(Listener);
+  if (StreamListener_)
+    StreamListener_(Origins_.unfinished(readBootClock()));
+}
+
+void TrafficPlane::onOriginAnswer(
+    exchange::FlowContext const &FlowContext, OriginAnswer const &Answer,
+    std::string_view Source,
+    std::function<void(exchange::OriginFound const &)> const &Done) {
+  auto Found = Answer.Origin_;
+  std::string Reason = "the stream's software version is not known";
+  auto const &Services = FlowContext.Route_->Services_;
+  if (Found && std::none_of(Services.begin(), Services.end(),
+                            [&](WeightedService const &Service) {
+                              return Service.Service_ == Found->Service_;
+                            })) {
+    Found.reset();
+    Reason = "the route no longer leads to the stream's service";
+  }
+  Dependencies_.Log_.write(
+      LogLine("stream_taken_up")
+          .add("id", FlowContext.Metadata_.AttemptId_)
+          .add("first_attempt", FlowContext.Metadata_.FirstAttemptId_)
+          .add("outcome", Found ? "goes on" : "refused")
+          .add("software", Found ? Found->SoftwareVersion_ : std::string())
+          .add("source", Source));
+  Done({Found, Reason});
+}
+
 void TrafficPlane::enqueue(std::shared_ptr<RequestSession> const &Session,
                            WaitingRequest Request) {
   auto const Ticket = Request.Ticket_;
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -5,6 +5,7 @@
 #include "RequestRefuser.h"
 
 #include <LibControl/MedianClock.h>
+#include <LibControl/StreamOriginRecords.h>
 #include <LibControl/UsageCounter.h>
 #include <LibGuard/ConnectProbe.h>
 #include <LibGuard/CrashGuard.h>
@@ -16,6 +17,7 @@
 #include <LibSettings/EntrySettings.h>
 #include <LibTraffic/AccountQuotaLimiter.h>
 #include <LibTraffic/AdmissionQueue.h>
+#include <LibTraffic/ExchangeFlow.h>
 #include <LibTraffic/RouteTable.h>
 #include <LibTraffic/WindowedRetryBudget.h>
 
@@ -71,6 +73,19 @@
     CrashListener_ = std::move(Listener);
   }
 
+  /// Finds the origin of a stream that another instance began. Called on the
+  /// traffic thread; the answer may come on any thread.
+  using OriginFinder =
+      std::function<void(ServiceName const &, std::string const &FirstAttemptId,
+                         StreamOriginRecords::Done)>;
+  void setOriginFinder(OriginFinder Finder) {
+    OriginFinder_ = std::move(Finder);
+  }
+  /// Sets the listener that records the unfinished streams after another one
+  /// has begun, called on the traffic thread, or nothing.
+  using StreamListener = std::function<void(std::vector<BegunStream> const &)>;
+  void setStreamListener(StreamListener Listener);
+
   /// Sets the listener that sends changed rate limits of servers to the peers.
   void setRateLimitListener(RateLimitObserver::Listener Listener) {
     RateLimits_.setListener(std::move(Listener));
@@ -134,6 +149,14 @@
   void startDisconnectProbe(ServerRecord const &Server);
   void onDisconnectClassified(ServerRecord const &Server, ProbeAnswer Answer);
   void report(std::vector<CrashReport> const &Reports);
+  /// Finds the origin of the stream that the client takes up.
+  void findOrigin(exchange::FlowContext const &FlowContext,
+                  std::function<void(exchange::OriginFound const &)> Done);
+  void onStreamBegun(BegunStream const &Stream);
+  void onOriginAnswer(
+      exchange::FlowContext const &FlowContext, OriginAnswer const &Answer,
+      std::string_view Source,
+      std::function<void(exchange::OriginFound const &)> const &Done);
   void enqueue(std::shared_ptr<RequestSession> const &Session,
                WaitingRequest Request);
   void dequeue(std::uint64_t Ticket);
@@ -166,6 +189,9 @@
   std::map<ServerId, std::shared_ptr<OutboundPool>> Pools_;
   CrashListener CrashListener_;
   LeavingListener LeavingListener_;
+  OriginFinder OriginFinder_;
+  StreamListener StreamListener_;
+  StreamOrigins Origins_;
   std::set<ServerId> ProbedServers_; ///< Incarnations with a probe in flight.
 };
 
--- a/Tests/EntryProcess/TestSoftwareVersions.cpp
+++ b/Tests/EntryProcess/TestSoftwareVersions.cpp
@@ -19,16 +19,28 @@
 
 /// Begins streams at an instance and reads the first events of each.
 std::deque<StreamClient> beginStreams(VersionedFleet &Fleet,
-                                      std::size_t Instance) {
+                                      std::size_t Instance,
+                                      std::string const &Prefix = "first-") {
   std::deque<StreamClient> Begun;
   for (std::size_t Index = 0; Index < Streams; ++Index) {
     Begun.emplace_back(Fleet.instance(Instance),
-                       "first-" + std::to_string(Index));
+                       Prefix + std::to_string(Index));
     Begun.back().readEvents(VersionedFleet::EventsBeforeStop);
   }
   return Begun;
 }
 
+/// Waits until the store holds what is known of the streams.
+void awaitRecord(VersionedFleet &Fleet, std::deque<StreamClient> const &Begun) {
+  auto const IsRecorded = [&](StoreStandin &Store) {
+    return Store.count("entry-streams") > 0 &&
+           Store.object("entry-streams", "edge-a-1")
+                   .dump()
+                   .find(Begun.back().attemptId()) != std::string::npos;
+  };
+  REQUIRE(processes::await([&] { return Fleet.onStore(IsRecorded); }));
+}
+
 /// Takes a stream up again after its last event, at another instance.
 StreamClient takeUp(VersionedFleet &Fleet, std::size_t Instance,
                     StreamClient const &Begun) {
@@ -75,15 +87,17 @@
       Fleet.addServer(Version + "-" + std::to_string(Number), Version);
   Fleet.startInstances();
   std::set<std::string> Begun;
+  std::size_t CompleteStreams = 0;
   for (std::size_t Index = 0; Index < Streams; ++Index) {
     StreamClient Client(Fleet.instance(0), "stream-" + std::to_string(Index));
     Client.readToEnd();
     auto const Versions = versionsOf(Client.events());
     CHECK(Versions.size() == 1);
-    CHECK(Client.isComplete() == (OfEach > 1));
+    CompleteStreams += Client.isComplete() ? 1 : 0;
     Begun.insert(Versions.begin(), Versions.end());
   }
   CHECK(Begun.size() == 3);
+  CHECK((CompleteStreams == Streams) == (OfEach > 1));
 }
 
 TEST_CASE("A stream that is taken up again goes on only at the software "
@@ -105,10 +119,12 @@
     CHECK(countTakenUp(Fleet, 0, Begun) == Streams);
   }
   SECTION("the instance was killed") {
+    awaitRecord(Fleet, Begun);
     Fleet.instance(0).kill();
     CHECK(countTakenUp(Fleet, 1, Begun) >= Streams / 2);
   }
   SECTION("all instances were killed and restarted") {
+    awaitRecord(Fleet, Begun);
     Fleet.killAll();
     Fleet.startInstances();
     CHECK(countTakenUp(Fleet, 2, Begun) >= Streams / 2);
@@ -153,7 +169,7 @@
   Fleet.startInstances();
   CHECK(countTakenUp(Fleet, 1, Begun) == 0);
   // What is known to have begun at the new version goes on.
-  auto const Later = beginStreams(Fleet, 2);
+  auto const Later = beginStreams(Fleet, 2, "later-");
   CHECK(countTakenUp(Fleet, 1, Later) >= Streams / 2);
 }
 
--- a/Tests/EntryProcess/VersionedFleet.cpp
+++ b/Tests/EntryProcess/VersionedFleet.cpp
@@ -32,7 +32,9 @@
   Socket_.connect(
       {asio::ip::make_address(Instance.address()), EntryProcess::TrafficPort});
   asio::write(Socket_,
-              asio::buffer("GET /stream/x HTTP/1.1\r\nHost: desk.example\r\n"
+              asio::buffer("GET /stream/" +
+                           (Resumes.empty() ? AttemptId_ : Resumes) +
+                           " HTTP/1.1\r\nHost: desk.example\r\n"
                            "X-Deadline-Ms: 8000\r\nX-Key: k1\r\n"
                            "Connection: close\r\n" +
                            field("X-Attempt-Id", AttemptId_) +
@@ -95,8 +97,10 @@
         HttpListener::create(Thread_.context(), {"127.0.0.1", 0}, Store_));
     auto Configuration = configurationJson(1);
     // Long enough for an instance to be replaced meanwhile.
-    for (auto &Route : Configuration["routes"])
+    for (auto &Route : Configuration["routes"]) {
       Route["timeout_ms"] = 8000;
+      Route["target_latency_ms"] = 2000;
+    }
     Store_.put("config", "main", std::move(Configuration));
   });
   for (unsigned Number = 0; Number < Instances; ++Number)
@@ -141,21 +145,23 @@
   Thread_.on([&] {
     auto const Script = [this, Version](ScriptedServer::Peer &Peer,
                                         std::string const &AttemptId,
-                                        std::size_t /*Number*/) {
+                                        std::size_t Number) {
       Peer.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + AttemptId +
                  "\r\nX-Server-Stamp: stamp\r\n"
                  "Content-Type: text/event-stream\r\n\r\n");
       auto const Last = Peer.field("Last-Event-Id");
       bool const IsNew = Last.empty();
       auto const From = IsNew ? 0 : std::strtoull(Last.c_str(), nullptr, 10);
-      auto const End = IsNew ? EventsBeforeStop : StreamLength;
+      // A server that failed all new streams would be avoided.
+      bool const IsStopped = IsNew && (Stop_ == Stop::Waits || Number % 2 == 1);
+      auto const End = IsStopped ? EventsBeforeStop : StreamLength;
       for (auto Id = From + 1; Id <= End; ++Id)
         Peer.write(event(Id, Version));
-      if (IsNew && Stop_ == Stop::Waits) {
+      if (IsStopped && Stop_ == Stop::Waits) {
         Open_.insert(Peer.shared_from_this());
         return;
       }
-      if (IsNew)
+      if (IsStopped)
         Peer.write("id: " + std::to_string(End + 1) + "\ndata: v");
       Peer.close();
     };
--- a/Tests/EntryProcess/VersionedFleet.h
+++ b/Tests/EntryProcess/VersionedFleet.h
@@ -63,7 +63,7 @@
   /// How servers go on after the first events of a new stream.
   enum class Stop {
     Waits,     ///< The connection stays open.
-    BreaksOff, ///< The connection ends inside an event.
+    BreaksOff, ///< For every other stream, it ends inside an event.
   };
 
   VersionedFleet(unsigned Instances, Stop Stop);
--- /dev/null
+++ b/Tests/LibControl/TestStreamOriginRecords.cpp
@@ -0,0 +1,262 @@
+#include <Fakes/FakeAsyncStore.h>
+
+#include <LibControl/StreamOriginRecords.h>
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <random>
+
+using namespace laburnum;
+using test::FakeAsyncStore;
+using test::StoreFault;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using HistoryRole = StreamOriginRecords::HistoryRole;
+using PeerReach = StreamOriginRecords::PeerReach;
+
+constexpr Duration Epoch = std::chrono::hours(490000);
+constexpr milliseconds Tick{250};
+ServiceName const Writer("writer");
+
+ServerRecord server(std::string const &Version) {
+  ServerRecord Made;
+  Made.Id_ = ServerId(Version);
+  Made.Service_ = Writer;
+  Made.SoftwareVersion_ = Version;
+  return Made;
+}
+
+struct Fixture {
+  using Records = std::shared_ptr<StreamOriginRecords>;
+
+  Duration timeOfDay() const { return Epoch + Now_.time_since_epoch(); }
+
+  /// Starts an instance, or a later incarnation of it.
+  Records start(std::string const &Name,
+                HistoryRole Role = HistoryRole::Keeps) {
+    auto Made = std::make_shared<StreamOriginRecords>(Store_, Name);
+    Made->setPeers(PeerReach::Most, 1);
+    Made->setListed(Listed_, timeOfDay(), Now_);
+    Made->setHistoryRole(Role, timeOfDay(), Now_);
+    Store_.deliver();
+    return Made;
+  }
+  void list(std::vector<std::string> const &Versions,
+            std::vector<Records> const &Instances) {
+    Listed_.clear();
+    for (auto const &Version : Versions)
+      Listed_.push_back(server(Version));
+    for (auto const &Instance : Instances)
+      Instance->setListed(Listed_, timeOfDay(), Now_);
+    Store_.deliver();
+  }
+  void pass(std::vector<Records> const &Instances, Duration Time) {
+    for (auto const End = Now_ + Time; Now_ < End;) {
+      Now_ += Tick;
+      for (auto const &Instance : Instances)
+        Instance->tick(timeOfDay(), Now_);
+      Store_.deliver();
+    }
+  }
+  void setUnfinished(Records const &Instance,
+                     std::vector<BegunStream> const &Streams) const {
+    Instance->setUnfinished(Streams, timeOfDay(), Now_);
+  }
+  OriginAnswer find(Records const &Instance, std::string const &Stream) {
+    std::optional<OriginAnswer> Answer;
+    Instance->find(Writer, Stream, timeOfDay(), Now_,
+                   [&](OriginAnswer const &Found) { Answer = Found; });
+    Store_.deliver();
+    for (int Ticks = 0; !Answer && Ticks < 40; ++Ticks)
+      pass({Instance}, Tick);
+    REQUIRE(Answer);
+    return *Answer;
+  }
+
+  FakeAsyncStore Store_;
+  TimePoint Now_{seconds(100)};
+  std::vector<ServerRecord> Listed_{server("v1")};
+};
+
+StreamOrigin origin(std::string const &Version) { return {Writer, Version}; }
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "With one version a stream goes on at it, and "
+                          "nothing is written for streams") {
+  auto const First = start("a");
+  auto const Second = start("b", HistoryRole::Reads);
+  setUnfinished(First, {{"s1", origin("v1")}});
+  pass({First, Second}, seconds(5));
+  CHECK(find(Second, "s1").Origin_ == origin("v1"));
+  CHECK(find(Second, "").Origin_ == origin("v1"));
+  CHECK(Store_.Objects_.list("entry-streams").Objects_.empty());
+}
+
+TEST_CASE_METHOD(Fixture, "With two versions the origin is known by the "
+                          "record, also after all were killed") {
+  auto First = start("a");
+  auto Second = start("b");
+  list({"v1", "v2"}, {First, Second});
+  setUnfinished(First, {{"s1", origin("v1")}, {"s2", origin("v2")}});
+  pass({First, Second}, seconds(1));
+  SECTION("another instance") {}
+  SECTION("all were killed and restarted") {
+    First = start("a");
+    Second = start("b");
+    setUnfinished(First, {{"s3", origin("v2")}});
+    pass({First, Second}, seconds(1));
+    CHECK(find(Second, "s3").Origin_ == origin("v2"));
+  }
+  SECTION("the old version left while no instance was running") {
+    Listed_ = {server("v2")};
+    Second = start("b");
+  }
+  CHECK(find(Second, "s1").Origin_ == origin("v1"));
+  CHECK(find(Second, "s2").Origin_ == origin("v2"));
+  CHECK(find(Second, "unknown") ==
+        OriginAnswer{std::nullopt, OriginSource::NotRecorded});
+  CHECK_FALSE(find(Second, "").Origin_);
+}
+
+TEST_CASE_METHOD(Fixture, "A version that was replaced while no instance was "
+                          "running still counts") {
+  auto const Role = GENERATE(HistoryRole::Keeps, HistoryRole::Reads);
+  start("a");
+  Listed_ = {server("v2")};
+  auto const Later = start("b", Role);
+  CHECK_FALSE(find(Later, "s1").Origin_);
+  auto const Keeper = start("c");
+  pass({Later, Keeper}, seconds(31));
+  CHECK(find(Later, "s1").Origin_ == origin("v2"));
+  // The end of the old version is recorded, so it does not begin anew.
+  CHECK(find(start("d", Role), "s1").Origin_ == origin("v2"));
+}
+
+TEST_CASE_METHOD(Fixture, "A stream that its instance is about to record is "
+                          "found by a second read") {
+  auto const First = start("a");
+  auto const Second = start("b");
+  list({"v1", "v2"}, {First, Second});
+  std::optional<OriginAnswer> Answer;
+  Second->find(Writer, "s1", timeOfDay(), Now_,
+               [&](OriginAnswer const &Found) { Answer = Found; });
+  Store_.deliver();
+  CHECK_FALSE(Answer);
+  setUnfinished(First, {{"s1", origin("v1")}});
+  pass({First, Second}, seconds(1));
+  REQUIRE(Answer);
+  CHECK(Answer->Origin_ == origin("v1"));
+}
+
+TEST_CASE_METHOD(Fixture, "While the store is away, streams go on where one "
+                          "version serves and most peers are in reach") {
+  auto const First = start("a");
+  bool const IsMixed = GENERATE(false, true);
+  if (IsMixed)
+    list({"v1", "v2"}, {First});
+  auto const Reach = GENERATE(PeerReach::Few, PeerReach::Most);
+  First->setPeers(Reach, 1);
+  Store_.Fault_ = StoreFault::Down;
+  auto const Answer = find(First, "s1");
+  bool const GoesOn = !IsMixed && Reach == PeerReach::Most;
+  CHECK(Answer.Origin_.has_value() == GoesOn);
+  CHECK(Answer.Source_ ==
+        (GoesOn ? OriginSource::OnlyVersion : OriginSource::StoreSilent));
+}
+
+TEST_CASE_METHOD(Fixture, "The history is written again after the store was "
+                          "restored from an older copy") {
+  auto const Older = Store_.Objects_;
+  auto const First = start("a");
+  Store_.Objects_ = Older;
+  First->onStoreRestored(timeOfDay(), Now_);
+  Store_.deliver();
+  Listed_ = {server("v2")};
+  CHECK_FALSE(find(start("b"), "s1").Origin_);
+}
+
+TEST_CASE_METHOD(Fixture, "Objects of another writer hold no origins") {
+  auto const *const Text = GENERATE(
+      "[]", "{\"services\":3}", "{\"services\":{\"writer\":{\"v1\":\"x\"}}}",
+      "{\"streams\":{\"writer\":{\"v1\":[7]}},\"written_ms\":1}", "\xff");
+  Store_.Objects_.putIf({"entry-software-versions", "history"}, 0, Text);
+  Store_.Objects_.putIf({"entry-streams", "z"}, 0, Text);
+  auto const First = start("a");
+  CHECK(find(First, "s1").Origin_ == origin("v1"));
+  list({"v1", "v2"}, {First});
+  CHECK_FALSE(find(First, "s1").Origin_);
+}
+
+TEST_CASE_METHOD(Fixture, "Streams are not joined whatever instances and "
+                          "versions come and go") {
+  auto const Count = GENERATE(1U, 8U, 24U, 77U);
+  auto const Seed = GENERATE(range(1U, 9U));
+  CAPTURE(Count, Seed);
+  std::mt19937 Generator(Seed);
+  auto const Pick = [&](std::size_t Options) {
+    return std::uniform_int_distribution<std::size_t>(0,
+                                                      Options - 1)(Generator);
+  };
+  std::vector<std::string> const Names{"v1", "v2", "v10"};
+  std::vector<Records> Fleet;
+  auto const Start = [&](std::size_t Index) {
+    auto Made = start("i" + std::to_string(Index),
+                      Index < 3 ? HistoryRole::Keeps : HistoryRole::Reads);
+    Made->setPeers(PeerReach::Most, Count);
+    return Made;
+  };
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Fleet.push_back(Start(Index));
+  struct Begun {
+    std::string Version_;
+    TimePoint At_;
+  };
+  std::map<std::string, Begun> Streams;
+  std::vector<std::vector<BegunStream>> Unfinished(Count);
+  std::size_t GoneOn = 0;
+  for (unsigned Step = 0; Step < 60; ++Step) {
+    if (Pick(4) == 0) {
+      std::vector<std::string> Serving;
+      for (auto const &Name : Names)
+        if (Pick(2) == 0)
+          Serving.push_back(Name);
+      if (Serving.empty())
+        Serving.push_back(Names[Pick(Names.size())]);
+      if (Pick(3) > 0) {
+        list(Serving, Fleet);
+      } else {
+        // All are killed, and the versions change before they are back.
+        list(Serving, {});
+        for (std::size_t Index = 0; Index < Count; ++Index) {
+          Fleet[Index] = Start(Index);
+          Unfinished[Index].clear();
+        }
+      }
+    }
+    auto const Beginner = Pick(Count);
+    auto const Name = "s" + std::to_string(Step);
+    auto const &Version = Listed_[Pick(Listed_.size())].SoftwareVersion_;
+    Streams[Name] = {Version, Now_};
+    Unfinished[Beginner].push_back({Name, origin(Version)});
+    setUnfinished(Fleet[Beginner], Unfinished[Beginner]);
+    if (Pick(5) == 0) {
+      Fleet[Beginner] = Start(Beginner);
+      Unfinished[Beginner].clear();
+    }
+    pass(Fleet, milliseconds(250 * (1 + Pick(8))));
+    for (auto const &[Stream, First] : Streams) {
+      if (Now_ - First.At_ >= seconds(20) || Pick(4) > 0)
+        continue;
+      auto const Found = find(Fleet[Pick(Count)], Stream);
+      if (Found.Origin_)
+        CHECK(Found.Origin_->SoftwareVersion_ == First.Version_);
+      GoneOn += Found.Origin_ ? 1 : 0;
+    }
+  }
+  CHECK(GoneOn > 0);
+}
--- a/Tests/LibTraffic/TestExchangeFlow.cpp
+++ b/Tests/LibTraffic/TestExchangeFlow.cpp
@@ -47,8 +47,10 @@
 
 /// Drives one flow and stores its last actions.
 struct Harness {
-  explicit Harness(Route Given) : Route_(std::move(Given)) {
+  explicit Harness(Route Given, RequestMetadata Metadata = {})
+      : Route_(std::move(Given)) {
     FlowContext FlowContext;
+    FlowContext.Metadata_ = std::move(Metadata);
     FlowContext.Route_ = &Route_;
     FlowContext.Expiry_ = Now_ + seconds(2);
     Flow_.emplace(FlowContext, RetryGate_);
@@ -293,3 +295,68 @@
   CHECK(Run.RetryGate_.Calls_ == 1);
   CHECK(Run.Flow_->isOver());
 }
+
+namespace {
+
+ServerRecord versionedServer(std::string const &Name,
+                             std::string const &Version) {
+  auto Made = server(Name);
+  Made.Service_ = ServiceName("writer");
+  Made.SoftwareVersion_ = Version;
+  return Made;
+}
+
+} // namespace
+
+TEST_CASE("A stream that has begun asks for servers of its software version") {
+  RequestMetadata Metadata;
+  Metadata.AttemptId_ = "first";
+  Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream),
+              Metadata);
+  CHECK_FALSE(Run.find<RequestServer>()->Origin_);
+  Run.handle(ServerAssigned{versionedServer("a", "v1")});
+  SECTION("not before its first event") {
+    Run.handle(failure(AttemptProgress::RequestSent));
+    CHECK_FALSE(Run.find<RequestServer>()->Origin_);
+  }
+  SECTION("after its first event") {
+    Run.handle(HeadArrived{answer(AnswerClaim::Succeeded, 200)});
+    Run.handle(BodyArrived{"id: 1\ndata: x\n\n"});
+    CHECK(Run.find<RememberOrigin>());
+    Run.handle(failure(AttemptProgress::AnswerBegun));
+    CHECK(Run.find<RequestServer>()->Origin_ ==
+          StreamOrigin{ServiceName("writer"), "v1"});
+  }
+}
+
+TEST_CASE("A stream that is taken up waits for its origin, and is refused at "
+          "once if it is not known") {
+  auto Stream = routeOf(Repeatability::Resumable, AnswerForm::EventStream);
+  RequestMetadata Metadata;
+  Metadata.AttemptId_ = "second";
+  Metadata.TakesUpStream_ = true;
+  Metadata.FirstAttemptId_ = "first";
+  Metadata.LastEventId_ = 1;
+  Harness Run(Stream, Metadata);
+  CHECK(Run.find<FindOrigin>());
+  CHECK_FALSE(Run.find<RequestServer>());
+  SECTION("known") {
+    StreamOrigin const Origin{ServiceName("writer"), "v1"};
+    Run.handle(OriginFound{Origin, {}});
+    CHECK(Run.find<RequestServer>()->Origin_ == Origin);
+    Run.handle(ServerAssigned{versionedServer("a", "v1")});
+    Run.handle(HeadArrived{answer(AnswerClaim::Succeeded, 200)});
+    Run.handle(BodyArrived{"id: 2\ndata: x\n\n"});
+    CHECK(Run.find<RememberOrigin>()->Stream_ == BegunStream{"first", Origin});
+  }
+  SECTION("not known") {
+    Run.handle(OriginFound{std::nullopt, "not known"});
+    CHECK(Run.find<Refuse>()->Status_ == 503);
+    CHECK(Run.Flow_->isOver());
+  }
+  SECTION("the client leaves before the answer") {
+    Run.handle(ClientLeft{});
+    Run.handle(OriginFound{StreamOrigin{}, {}});
+    CHECK(Run.Last_.empty());
+  }
+}
