LibTraffic, laburnum-entry: Pass requests on while an instance reaches no server

Cause: an instance had only its own way to the servers, and took the loss of that way for the loss of the servers. The class: one vantage point judges a remote party. Ruled out: late recovery (the share was low during the cut, not after it), and readiness (kept connections stay, and a zone whose instances are all unready is used all the same).

LinkMonitor decides for each service: failures at several servers without a contact between, or silence of all for 0.7 s while a request waits, start a probe of three servers; the link is cut if none accepts a connection, and up again as soon as one does. A silent or crashed server is no cut. While it is cut, and after two attempts without a connection, a request goes to the nearest other instance, on a port of its own next to that for messages, and on a new connection each, so that it is known whether it was sent. That instance chooses the server, counts the run and remembers the stream's origin; it never passes on again, and refuses at once if it is cut off too. What may have reached a server or an instance is repeated only if its route allows it. Notices of servers that are gone wait for the next contact with a server; a cut drops them, and what breaks off during one is put down to the link.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -83,6 +83,7 @@
   State_ = State::Attempting;
   Tried_.insert(Event.Server_.Id_);
   ++Sent_;
+  Access_ = Event.Access_;
   AttemptOrigin_ = {Event.Server_.Service_, Event.Server_.SoftwareVersion_};
   Answer_.reset();
   Body_.clear();
@@ -90,7 +91,8 @@
   Actions_.push_back(SendAttempt{
       Event.Server_,
       {Event.Server_.Id_, Context_.Account_,
-       std::max(Context_.Expiry_ - Now_, Duration(0)), LastEventId_}});
+       std::max(Context_.Expiry_ - Now_, Duration(0)), LastEventId_},
+      Access_});
 }
 
 void ExchangeFlow::on(NoServer const &Event) {
@@ -149,7 +151,9 @@
   countRun();
   if (!HasBegunStream_) {
     HasBegunStream_ = true;
-    rememberOrigin();
+    // The instance that chose the server remembers it.
+    if (!isThroughPeer())
+      rememberOrigin();
     Actions_.push_back(BeginStream{Answer_->Head_});
   }
   Actions_.push_back(RelayEvents{std::move(Bytes)});
@@ -169,7 +173,8 @@
 }
 
 void ExchangeFlow::countRun() {
-  if (HasCountedRun_)
+  // The instance that chose the server counts the run.
+  if (HasCountedRun_ || isThroughPeer())
     return;
   HasCountedRun_ = true;
   Actions_.push_back(CountRun{});
@@ -228,7 +233,10 @@
 void ExchangeFlow::endAttempt(bool MayHaveRun, std::string const &Reason) {
   if (MayHaveRun)
     ++Runs_;
-  retryOrFail(mayRetry(MayHaveRun), Reason);
+  // An instance that refused has put no load on a server.
+  bool const IsFreeRetry = isThroughPeer() && !MayHaveRun && !HasBegunStream_;
+  retryOrFail(IsFreeRetry ? hasTimeAndAttempts() : mayRetry(MayHaveRun),
+              Reason);
 }
 
 void ExchangeFlow::retryOrFail(bool MayRetry, std::string const &Reason) {
@@ -250,6 +258,9 @@
       LastEventId_.has_value();
   if (HasBegunStream_ && !CanResume)
     return false;
+  // Which software version began the stream is not known here.
+  if (HasBegunStream_ && !Origin_)
+    return false;
   if (Runs_ >= std::max(Context_.Route_->MaxAttempts_, 1U) ||
       !hasTimeAndAttempts())
     return false;
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -21,6 +21,7 @@
 /// A server with free capacity was assigned to the request.
 struct ServerAssigned {
   ServerRecord Server_;
+  ServerAccess Access_ = ServerAccess::Direct;
 };
 /// No server can accept the request in time.
 struct NoServer {
@@ -70,6 +71,7 @@
 struct SendAttempt {
   ServerRecord Server_;
   AttemptMetadata Metadata_;
+  ServerAccess Access_ = ServerAccess::Direct;
 
   auto operator<=>(SendAttempt const &) const = default;
 };
@@ -133,6 +135,12 @@
   virtual bool tryTake(ServiceName const &Service, TimePoint Now) = 0;
 };
 
+/// Who sent a request.
+enum class RequestSource {
+  Client,
+  Peer, ///< Another entry instance, which reaches no server.
+};
+
 /// The client's request and its route, account and deadline.
 struct FlowContext {
   std::shared_ptr<RouteTable const> Table_;
@@ -142,6 +150,7 @@
   RequestMetadata Metadata_;
   RequestFingerprints Fingerprints_;
   TimePoint Expiry_; ///< Deadline of the complete answer.
+  RequestSource Source_ = RequestSource::Client;
 };
 
 } // namespace exchange
@@ -194,6 +203,7 @@
   void completeStream();
   void countRun();
   void rememberOrigin();
+  bool isThroughPeer() const { return Access_ == ServerAccess::ThroughPeer; }
   /// The attempt that began the stream. Empty if the client does not name it.
   std::string const &firstAttemptId() const;
   bool isStream() const {
@@ -210,6 +220,7 @@
   std::uint32_t Runs_ = 0; ///< Attempts that may have run.
   /// State of the current attempt.
   StreamOrigin AttemptOrigin_; ///< What its server would begin.
+  ServerAccess Access_ = ServerAccess::Direct;
   std::optional<ServerAnswer> Answer_;
   std::string Body_;
   EventStreamSplitter Splitter_;
--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -397,6 +397,15 @@
   return Records;
 }
 
+std::vector<ServerRecord> ServerRoster::staying(ServiceName const &Service) {
+  std::vector<ServerRecord> Staying;
+  for (auto const &[Id, Server] : Servers_)
+    if (Server.Record_.Service_ == Service && isStaying(Server))
+      Staying.push_back(Server.Record_);
+  std::shuffle(Staying.begin(), Staying.end(), Generator_);
+  return Staying;
+}
+
 std::map<ServiceName, std::uint32_t> ServerRoster::runningByService() const {
   std::map<ServiceName, std::uint32_t> Running;
   for (auto const &[Id, Server] : Servers_)
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -128,6 +128,8 @@
   bool isLeaving(ServerId const &Id) const;
 
   std::vector<ServerRecord> records() const;
+  /// Returns the servers of the service that are not leaving, shuffled.
+  std::vector<ServerRecord> staying(ServiceName const &Service);
   std::uint32_t running(ServerId const &Id) const;
   /// Returns the attempts of this instance that are in progress, by service.
   std::map<ServiceName, std::uint32_t> runningByService() const;
--- a/Libraries/LibTraffic/TrafficRequest.h
+++ b/Libraries/LibTraffic/TrafficRequest.h
@@ -110,6 +110,12 @@
   AnotherRequest,
 };
 
+/// How an attempt reaches a server.
+enum class ServerAccess {
+  Direct,
+  ThroughPeer, ///< Another entry instance chooses the server.
+};
+
 /// Encodes and decodes the headers of requests and answers between clients,
 /// this system and backend servers.
 class TrafficCodec {
@@ -123,6 +129,12 @@
   virtual AnswerMatch match(AnswerHead const &Head,
                             std::string const &AttemptId) const = 0;
   virtual ServerAnswer decode(AnswerHead const &Head) const = 0;
+  /// Encodes a request that another entry instance is to take as the client
+  /// sent it.
+  virtual RequestHead encodeForPeer(RequestHead const &Received,
+                                    Duration TimeLeft) const = 0;
+  /// Decodes an answer that came through another entry instance.
+  virtual ServerAnswer decodeFromPeer(AnswerHead const &Head) const = 0;
   /// Builds the head of an answer that this system generates.
   virtual AnswerHead refusal(std::int32_t Status,
                              std::optional<Duration> RetryAfter,
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -260,6 +260,7 @@
   Follower_->setMembers(View.Members_);
   CrashGuardTasks_.setMembers(View.Members_);
   StreamOriginTasks_.setPeers(Live, View.Registered_);
+  setPeerRoutes(View);
   RateLimitTasks_.setFleet(View,
                            IsStopping_ ? Liveness::Leaving : Liveness::Live);
   Collector_.setMembers(View.Members_, readBootClock());
@@ -272,6 +273,19 @@
   });
 }
 
+void ControlPlane::setPeerRoutes(FleetView const &View) {
+  std::vector<PeerRoute> Peers;
+  for (auto const &Member : View.Members_) {
+    auto const &Instance = Member.Instance_;
+    if (Member.Liveness_ == Liveness::Live && Instance.Id_ != Incarnation_)
+      Peers.push_back({Instance.Id_, Instance.DataCentre_,
+                       TrafficPlane::peerServiceEndpoint(Instance.Peers_)});
+  }
+  onTraffic([&Traffic = Dependencies_.Traffic_, Peers = std::move(Peers)] {
+    Traffic.setPeerRoutes(Peers);
+  });
+}
+
 void ControlPlane::onPeerMessage(InstanceId const &From,
                                  PeerMessage const &Message) {
   if (auto const *const Report = std::get_if<ConsumptionReport>(&Message))
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -80,6 +80,7 @@
   void flushLog();
   void logCalls();
   void onFleet(FleetView const &View);
+  void setPeerRoutes(FleetView const &View);
   void onPeerMessage(InstanceId const &From, PeerMessage const &Message);
   /// Notifies the instances of the local data centre that a server is leaving,
   /// or all instances that one is gone.
--- a/Services/laburnum-entry/EntryMetrics.cpp
+++ b/Services/laburnum-entry/EntryMetrics.cpp
@@ -40,6 +40,7 @@
           Registry_.counter("servers.limits_announced", "answers")),
       RateLimitsUnreadable_(
           Registry_.counter("servers.limits_unreadable", "answers")),
+      PassedToPeers_(Registry_.counter("attempts.passed_to_peers", "attempts")),
       AttemptsRateLimited_(
           Registry_.counter("attempts.rate_limited", "attempts")),
       LinksBroken_(Registry_.counter("servers.links_broken", "breaks")),
--- a/Services/laburnum-entry/EntryMetrics.h
+++ b/Services/laburnum-entry/EntryMetrics.h
@@ -37,6 +37,7 @@
   Counter &BackoffsRequested_;    ///< Answers that requested a backoff.
   Counter &RateLimitsAnnounced_;  ///< Answers that stated a rate limit.
   Counter &RateLimitsUnreadable_; ///< Of these, with an invalid value.
+  Counter &PassedToPeers_;        ///< To instances that reach the servers.
   Counter &AttemptsRateLimited_;  ///< Sent to servers with a rate limit.
   Counter &LinksBroken_;          ///< Reachable when probed after a disconnect.
   Counter &MismatchedAnswers_; ///< Of another request; skipped on a kept-alive
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -14,10 +14,18 @@
 /// gives the maximum wait in the queue. The rest is left for the server.
 constexpr std::int64_t QueueTimeDivisor = 2;
 constexpr std::int32_t ServiceUnavailable = 503;
+/// Retry-After where neither this instance nor another reaches a server.
+constexpr std::chrono::milliseconds RetryAfterCutOff{500};
 /// An attempt without a first byte after this percentage of the latency target
 /// counts as slow at its server.
 constexpr std::int64_t StallPercent = 60;
 
+/// Another instance that is up answers within a few milliseconds.
+constexpr std::chrono::milliseconds PeerConnectTimeout{300};
+/// Attempts without a connection after which another instance is tried: more
+/// servers may have crashed, or this instance may be cut off.
+constexpr std::uint32_t UnconnectedBeforePeer = 2;
+
 /// Returns the evidence that a complete answer gives about its attempt.
 AttemptEvidence evidenceOf(AnswerClaim Claim) {
   auto const End = Claim == AnswerClaim::NotRun      ? AttemptEnd::Refused
@@ -56,6 +64,8 @@
       DeadlineTimer_(Plane_.Dependencies_.Context_),
       StallTimer_(Plane_.Dependencies_.Context_) {}
 
+RequestSession::~RequestSession() { Plane_.AttemptingSessions_.erase(this); }
+
 void RequestSession::start() {
   Exchange_->observe(shared_from_this());
   DeadlineTimer_.expires_after(FlowContext_.Expiry_ - readBootClock());
@@ -91,6 +101,16 @@
 }
 
 void RequestSession::on(RequestServer const &Action) {
+  QueuedService_ =
+      Action.Origin_ ? Action.Origin_->Service_ : FlowContext_.Service_;
+  Excluded_ = Action.Excluded_;
+  bool const IsCutOff = Plane_.isCutOff(QueuedService_);
+  if (IsCutOff && FlowContext_.Source_ == RequestSource::Peer)
+    return handle(
+        NoServer{"this instance reaches no server", RetryAfterCutOff});
+  if ((IsCutOff || Unconnected_ >= UnconnectedBeforePeer) &&
+      passToPeer(Excluded_))
+    return;
   auto const Now = readBootClock();
   auto const &Route = *FlowContext_.Route_;
   auto const *const Account =
@@ -124,6 +144,8 @@
                              Refusal->Until_ - Now});
     return handle(ServerAssigned{Admission->Server_});
   }
+  if (Plane_.isCutOff(QueuedService_) && passToPeer(Excluded_))
+    return;
   auto const &Rejection = std::get<Rejected>(Outcome);
   handle(NoServer{Rejection.Reason_, Rejection.RetryAfter_});
 }
@@ -135,6 +157,7 @@
 void RequestSession::on(SendAttempt const &Action) {
   Plane_.Dependencies_.Metrics_.AttemptsSent_.add();
   Server_ = Action.Server_;
+  Access_ = Action.Access_;
   AttemptSentAt_ = readBootClock();
   if (Plane_.Roster_.rateLimiter().isLimited(incarnationOf(*Server_)))
     Plane_.Dependencies_.Metrics_.AttemptsRateLimited_.add();
@@ -143,11 +166,25 @@
   LastSoftwareVersion_ = Server_->SoftwareVersion_;
   if (FirstSentAt_ == TimePoint())
     FirstSentAt_ = AttemptSentAt_;
+  auto const &Codec = Plane_.Dependencies_.TrafficCodec_;
   OutboundRequest Outbound;
-  Outbound.Head_ = Plane_.Dependencies_.TrafficCodec_.encode(Request_.Head_,
-                                                             Action.Metadata_);
   Outbound.Body_ = Request_.Body_;
+  if (!isDirect()) {
+    Outbound.Head_ =
+        Codec.encodeForPeer(Request_.Head_, Action.Metadata_.TimeLeft_);
+    Outbound.ConnectTimeout_ = PeerConnectTimeout;
+    // A new connection for each: one that was kept may have been closed, and
+    // then it would not be known whether the request has run.
+    Call_ = std::make_shared<OutboundPool>(Plane_.Dependencies_.Context_,
+                                           Server_->Endpoint_)
+                ->start(std::move(Outbound), shared_from_this());
+    return;
+  }
+  Outbound.Head_ = Codec.encode(Request_.Head_, Action.Metadata_);
   armStallTimer();
+  IsAwaited_ = true;
+  Plane_.AttemptingSessions_.insert(this);
+  Plane_.onAttemptSent(*Server_);
   Plane_.Dependencies_.Guard_.onStarted(
       FlowContext_.Fingerprints_, incarnationOf(*Server_), AttemptSentAt_);
   Call_ =
@@ -175,6 +212,17 @@
     return HeadDecision::TakeLast;
   }
   clearStall();
+  if (!isDirect()) {
+    Answer_ = Codec.decodeFromPeer(Head);
+    if (FirstAnswerAt_ == TimePoint())
+      FirstAnswerAt_ = readBootClock();
+    if (Answer_->Claim_ == AnswerClaim::NotRun)
+      Plane_.PeerRoutes_.onRefused(QueuedService_, Server_->Id_,
+                                   readBootClock());
+    handle(HeadArrived{*Answer_});
+    return HeadDecision::TakeLast;
+  }
+  Plane_.onServerContact(Server_->Service_);
   Answer_ = Codec.decode(Head);
   if (FirstAnswerAt_ == TimePoint())
     FirstAnswerAt_ = readBootClock();
@@ -229,9 +277,15 @@
           .add("born", Server_->IncarnationStartMilliseconds_)
           .add("run_state", toString(runStateOf(Evidence)))
           .add("why", Evidence.Detail_));
-  if (Evidence.Progress_ == AttemptProgress::NotConnected &&
-      Evidence.End_ == AttemptEnd::ConnectionFailed)
+  if (Evidence.Progress_ == AttemptProgress::NotConnected)
+    ++Unconnected_;
+  if (!isDirect())
+    Plane_.PeerRoutes_.onRefused(QueuedService_, Server_->Id_, readBootClock());
+  else if (Evidence.Progress_ == AttemptProgress::NotConnected &&
+           Evidence.End_ == AttemptEnd::ConnectionFailed)
     Plane_.onServerGone(*Server_, "a request");
+  if (isDirect() && !Answer_)
+    Plane_.onServerFailure(*Server_);
   endAttempt(AttemptHealth::Failed, Evidence);
   handle(AttemptFailed{Evidence});
 }
@@ -247,8 +301,40 @@
   });
 }
 
+bool RequestSession::passToPeer(std::set<ServerId> const &Excluded) {
+  if (FlowContext_.Source_ == RequestSource::Peer)
+    return false;
+  auto const Peer =
+      Plane_.PeerRoutes_.choose(QueuedService_, Excluded, readBootClock());
+  if (!Peer)
+    return false;
+  Plane_.Dependencies_.Metrics_.PassedToPeers_.add();
+  handle(ServerAssigned{*Peer, ServerAccess::ThroughPeer});
+  return true;
+}
+
+void RequestSession::onLinkCut(ServiceName const &Service) {
+  auto const Self = shared_from_this();
+  bool const MayRepeat =
+      FlowContext_.Route_->Repeatability_ != Repeatability::Never;
+  if (!Server_ || Server_->Service_ != Service || !isDirect() || Answer_ ||
+      !Call_)
+    return;
+  // Without a connection nothing was sent, so another way may be tried.
+  auto const Progress = Call_->progress();
+  if (Progress != AttemptProgress::NotConnected && !MayRepeat)
+    return;
+  std::exchange(Call_, nullptr)->cancel();
+  AttemptEvidence const Evidence{Progress, AttemptEnd::TimedOut, 0,
+                                 "this instance lost its link to the servers"};
+  endAttempt(AttemptHealth::Unknown, {Progress, AttemptEnd::Cancelled, 0, {}});
+  handle(AttemptFailed{Evidence});
+}
+
 void RequestSession::clearStall() {
   StallTimer_.cancel();
+  if (std::exchange(IsAwaited_, false))
+    Plane_.onAttemptWaitEnded(*Server_);
   if (std::exchange(IsStalled_, false))
     Plane_.Roster_.onFirstByteWaitEnded(Server_->Id_);
 }
@@ -258,8 +344,11 @@
   if (!Server_)
     return;
   clearStall();
-  Plane_.Roster_.onEnded(Server_->Id_, Health, readBootClock());
-  Plane_.onAttemptEnded(FlowContext_.Fingerprints_, *Server_, Evidence);
+  Plane_.AttemptingSessions_.erase(this);
+  if (isDirect()) {
+    Plane_.Roster_.onEnded(Server_->Id_, Health, readBootClock());
+    Plane_.onAttemptEnded(FlowContext_.Fingerprints_, *Server_, Evidence);
+  }
   Server_.reset();
   Plane_.advanceQueue();
 }
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -20,6 +20,9 @@
 
   void start();
   void onAdmission(AdmissionOutcome const &Outcome);
+  /// This instance has lost its links to the service's servers.
+  void onLinkCut(ServiceName const &Service);
+  ~RequestSession() override;
 
   void onClientLeft() override;
   HeadDecision onHead(AnswerHead const &Head) override;
@@ -47,6 +50,9 @@
   void on(exchange::AbortStream const &Action);
   void on(exchange::Refuse const &Action);
 
+  bool isDirect() const { return Access_ == ServerAccess::Direct; }
+  /// Passes the request to another instance. Returns whether there is one.
+  bool passToPeer(std::set<ServerId> const &Excluded);
   void endAttempt(AttemptHealth Health, AttemptEvidence const &Evidence);
   void armStallTimer();
   void clearStall();
@@ -66,6 +72,11 @@
   bool IsStalled_ = false; ///< The roster counts the attempt as slow.
   std::uint64_t Ticket_ = 0;
   std::optional<ServerRecord> Server_; ///< Server of the current attempt.
+  ServerAccess Access_ = ServerAccess::Direct;
+  bool IsAwaited_ = false;        ///< The link monitor counts the attempt.
+  std::uint32_t Unconnected_ = 0; ///< Attempts without a connection.
+  ServiceName QueuedService_;
+  std::set<ServerId> Excluded_;
   std::optional<ServerAnswer> Answer_;
   std::shared_ptr<OutboundCall> Call_;
   std::string LastServer_;
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -21,6 +21,10 @@
 constexpr std::chrono::milliseconds ProbeDelay{100};
 constexpr std::chrono::milliseconds ProbeTimeout{1000};
 
+/// How often a link is checked while requests wait for servers or it is cut.
+constexpr std::chrono::milliseconds LinkCheckPeriod{250};
+constexpr std::chrono::milliseconds LinkProbeTimeout{400};
+
 constexpr std::int32_t BadRequest = 400;
 constexpr std::int32_t Unauthorized = 401;
 constexpr std::int32_t NotFound = 404;
@@ -59,6 +63,23 @@
 
 } // namespace
 
+/// Takes the requests of instances that reach no server.
+class TrafficPlane::PeerService : public HttpService {
+public:
+  explicit PeerService(TrafficPlane &Plane) : Plane_(Plane) {}
+
+  ClientBounds bounds() const override { return Plane_.bounds(); }
+  void onRequest(std::shared_ptr<Exchange> Exchange,
+                 ReceivedRequest Request) override {
+    if (auto const Session =
+            Plane_.admit(Exchange, Request, exchange::RequestSource::Peer))
+      Session->start();
+  }
+
+private:
+  TrafficPlane &Plane_;
+};
+
 TrafficPlane::TrafficPlane(TrafficDependencies Dependencies, std::uint64_t Seed)
     : Dependencies_(Dependencies), Roster_({Dependencies.Settings_.DataCentre_,
                                             Dependencies.Settings_.Regions_},
@@ -69,7 +90,11 @@
       QuotaLimiter_(quotaLimiterSettings(Dependencies.Settings_)),
       Refuser_(Dependencies.TrafficCodec_, Dependencies.Log_,
                Dependencies.Metrics_),
-      QueueTimer_(Dependencies.Context_) {}
+      PeerService_(std::make_unique<PeerService>(*this)),
+      PeerRoutes_(
+          {Dependencies.Settings_.DataCentre_, Dependencies.Settings_.Regions_},
+          Seed + 1),
+      LinkTimer_(Dependencies.Context_), QueueTimer_(Dependencies.Context_) {}
 
 TrafficPlane::~TrafficPlane() = default;
 
@@ -79,6 +104,12 @@
   if (isError(Made))
     return errorOf(Made);
   Listener_ = takeValue(std::move(Made));
+  Made = HttpListener::create(
+      Dependencies_.Context_,
+      peerServiceEndpoint(Dependencies_.Settings_.Peers_), *PeerService_);
+  if (isError(Made))
+    return errorOf(Made);
+  PeerListener_ = takeValue(std::move(Made));
   return Success{};
 }
 
@@ -169,10 +200,14 @@
     return;
   Listener_->stopAccepting();
   Listener_->drainConnections();
+  PeerListener_->stopAccepting();
+  PeerListener_->drainConnections();
 }
 
 std::size_t TrafficPlane::busyConnections() const {
-  return Listener_ ? Listener_->busyConnections() : 0;
+  return Listener_
+             ? Listener_->busyConnections() + PeerListener_->busyConnections()
+             : 0;
 }
 
 ClientBounds TrafficPlane::bounds() const {
@@ -220,7 +255,103 @@
 void TrafficPlane::onServerGone(ServerRecord const &Server,
                                 std::string_view Source) {
   if (Roster_.onUnreachable(incarnationOf(Server), readBootClock()))
-    notifyPeersOfServer(incarnationOf(Server), Liveness::Gone, Source);
+    GoneNotices_.emplace_back(incarnationOf(Server), Source);
+}
+
+void TrafficPlane::flushGoneNotices() {
+  for (auto const &[Incarnation, Source] : std::exchange(GoneNotices_, {}))
+    notifyPeersOfServer(Incarnation, Liveness::Gone, Source);
+}
+
+bool TrafficPlane::isCutOff(ServiceName const &Service) const {
+  auto const Found = Links_.find(Service);
+  return Found != Links_.end() && Found->second.state() == LinkState::Cut;
+}
+
+void TrafficPlane::onServerContact(ServiceName const &Service) {
+  auto &Link = Links_[Service];
+  bool const WasCut = Link.state() == LinkState::Cut;
+  Link.onContact(readBootClock());
+  flushGoneNotices();
+  if (!WasCut)
+    return;
+  Dependencies_.Log_.write(LogLine("servers_link")
+                               .add("service", Service.text())
+                               .add("outcome", "up"));
+  advanceQueue();
+}
+
+void TrafficPlane::onServerFailure(ServerRecord const &Server) {
+  Links_[Server.Service_].onFailure(Server.Id_);
+  checkLink(Server.Service_);
+}
+
+void TrafficPlane::onAttemptSent(ServerRecord const &Server) {
+  Links_[Server.Service_].onSent(Server.Id_, readBootClock());
+  armLinkTimer();
+}
+
+void TrafficPlane::onAttemptWaitEnded(ServerRecord const &Server) {
+  Links_[Server.Service_].onWaitEnded(Server.Id_);
+}
+
+void TrafficPlane::checkLink(ServiceName const &Service) {
+  auto Servers = Roster_.staying(Service);
+  auto &Link = Links_[Service];
+  if (!Link.isProbeDue(Servers.size(), readBootClock()))
+    return;
+  Servers.resize(std::min(Servers.size(), LinkMonitor::ProbedServers));
+  Link.onProbeStarted(Servers.size());
+  for (auto const &Server : Servers)
+    ConnectProbe::start(Dependencies_.Context_, Server.Endpoint_, Duration(0),
+                        LinkProbeTimeout, [this, Service](ProbeAnswer Answer) {
+                          onLinkProbed(Service,
+                                       Answer == ProbeAnswer::Accepted);
+                        });
+}
+
+void TrafficPlane::onLinkProbed(ServiceName const &Service, bool IsReachable) {
+  if (IsReachable)
+    onServerContact(Service);
+  auto &Link = Links_[Service];
+  bool const WasUp = Link.state() == LinkState::Up;
+  Link.onProbed(IsReachable, readBootClock());
+  if (WasUp && Link.state() == LinkState::Cut)
+    onLinkCut(Service);
+}
+
+void TrafficPlane::onLinkCut(ServiceName const &Service) {
+  Dependencies_.Log_.write(LogLine("servers_link")
+                               .add("service", Service.text())
+                               .add("outcome", "cut"));
+  GoneNotices_.clear();
+  // What is sent on an open connection may be lost without a word.
+  for (auto const &Record : Roster_.records())
+    if (Record.Service_ == Service)
+      if (auto const Pool = Pools_.find(Record.Id_); Pool != Pools_.end())
+        Pool->second->closeIdle();
+  for (auto *const Session : std::set(AttemptingSessions_))
+    if (AttemptingSessions_.contains(Session))
+      Session->onLinkCut(Service);
+  armLinkTimer();
+}
+
+void TrafficPlane::armLinkTimer() {
+  auto const IsNeeded = [](auto const &Link) {
+    return Link.second.isWaiting() || Link.second.state() == LinkState::Cut;
+  };
+  if (IsLinkTimerArmed_ || std::none_of(Links_.begin(), Links_.end(), IsNeeded))
+    return;
+  IsLinkTimerArmed_ = true;
+  LinkTimer_.expires_after(LinkCheckPeriod);
+  LinkTimer_.async_wait([this](asio::error_code Failure) {
+    IsLinkTimerArmed_ = false;
+    if (Failure)
+      return;
+    for (auto const &[Service, Link] : Links_)
+      checkLink(Service);
+    armLinkTimer();
+  });
 }
 
 void TrafficPlane::notifyPeersOfServer(ServerId const &Incarnation,
@@ -290,7 +421,10 @@
                                           ProbeAnswer Answer) {
   auto const Incarnation = incarnationOf(Server);
   ProbedServers_.erase(Incarnation);
-  auto const Cause = classifyDisconnect({{Answer}, {}});
+  // An instance that reaches no server learns nothing of one.
+  auto const Cause = isCutOff(Server.Service_)
+                         ? DisconnectCause::Link
+                         : classifyDisconnect({{Answer}, {}});
   BackendServer ProbedServer;
   ProbedServer.Id_ = Incarnation;
   ProbedServer.DataCentre_ = Server.DataCentre_;
@@ -339,13 +473,14 @@
 
 void TrafficPlane::onRequest(std::shared_ptr<Exchange> Exchange,
                              ReceivedRequest Request) {
-  if (auto const Session = admit(Exchange, Request))
+  if (auto const Session =
+          admit(Exchange, Request, exchange::RequestSource::Client))
     Session->start();
 }
 
 std::shared_ptr<RequestSession>
 TrafficPlane::admit(std::shared_ptr<Exchange> const &Exchange,
-                    ReceivedRequest &Request) {
+                    ReceivedRequest &Request, exchange::RequestSource Source) {
   auto const Decoded = Dependencies_.TrafficCodec_.decode(Request.Head_);
   if (!Table_) {
     Refuser_.refuse(*Exchange, ServiceUnavailable, "no configuration yet",
@@ -385,8 +520,11 @@
     Refuser_.refuseCrashing(*Exchange, FlowContext, *Refusal, Now);
     return nullptr;
   }
+  FlowContext.Source_ = Source;
+  // The instance that a peer's request came to has charged the account.
+  bool const IsCharged = Account && Source == exchange::RequestSource::Client;
   if (auto const RetryAfter =
-          Account ? quotaRetryAfter(*Account, Metadata) : std::nullopt) {
+          IsCharged ? quotaRetryAfter(*Account, Metadata) : std::nullopt) {
     Refuser_.refuseOverQuota(*Exchange, FlowContext, QuotaLimiter_,
                              *RetryAfter);
     return nullptr;
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -18,6 +18,8 @@
 #include <LibTraffic/AccountQuotaLimiter.h>
 #include <LibTraffic/AdmissionQueue.h>
 #include <LibTraffic/ExchangeFlow.h>
+#include <LibTraffic/LinkMonitor.h>
+#include <LibTraffic/PeerRoutes.h>
 #include <LibTraffic/RouteTable.h>
 #include <LibTraffic/WindowedRetryBudget.h>
 
@@ -73,6 +75,17 @@
     CrashListener_ = std::move(Listener);
   }
 
+  /// Where an instance takes requests from others: the port above the one for
+  /// messages.
+  static Endpoint peerServiceEndpoint(Endpoint Peers) {
+    ++Peers.Port_;
+    return Peers;
+  }
+  /// Sets the instances that take requests for servers that are out of reach.
+  void setPeerRoutes(std::vector<PeerRoute> Peers) {
+    PeerRoutes_.setPeers(std::move(Peers));
+  }
+
   /// Finds the origin of a stream that another instance began. Called on the
   /// traffic thread; the answer may come on any thread.
   using OriginFinder =
@@ -121,10 +134,27 @@
 
 private:
   friend class RequestSession;
+  class PeerService;
 
   /// Returns nullptr when the request was rejected, which has been answered.
   std::shared_ptr<RequestSession>
-  admit(std::shared_ptr<Exchange> const &Exchange, ReceivedRequest &Request);
+  admit(std::shared_ptr<Exchange> const &Exchange, ReceivedRequest &Request,
+        exchange::RequestSource Source);
+  bool isCutOff(ServiceName const &Service) const;
+  /// A server has answered an attempt of this instance.
+  void onServerContact(ServiceName const &Service);
+  /// A connection to a server failed before it answered.
+  void onServerFailure(ServerRecord const &Server);
+  void onAttemptSent(ServerRecord const &Server);
+  void onAttemptWaitEnded(ServerRecord const &Server);
+  /// Probes the service's servers if its link is suspected or cut.
+  void checkLink(ServiceName const &Service);
+  void onLinkProbed(ServiceName const &Service, bool IsReachable);
+  void onLinkCut(ServiceName const &Service);
+  void armLinkTimer();
+  /// Tells the peers of the servers that were found gone, once another server
+  /// has answered: without one, this instance may itself be cut off.
+  void flushGoneNotices();
   /// Returns how long to wait before retrying, or nothing when the account's
   /// quota admits the request.
   std::optional<Duration> quotaRetryAfter(RoutedAccount const &Account,
@@ -181,6 +211,15 @@
   WindowedRetryBudget Retries_;
   AccountQuotaLimiter QuotaLimiter_;
   RequestRefuser Refuser_;
+  std::unique_ptr<PeerService> PeerService_;
+  std::shared_ptr<HttpListener> PeerListener_;
+  std::map<ServiceName, LinkMonitor> Links_;
+  PeerRoutes PeerRoutes_;
+  /// Servers found gone since the last contact with a server.
+  std::vector<std::pair<ServerId, std::string>> GoneNotices_;
+  std::set<RequestSession *> AttemptingSessions_;
+  asio::steady_timer LinkTimer_;
+  bool IsLinkTimerArmed_ = false;
   asio::steady_timer QueueTimer_;
   bool IsQueueTimerArmed_ = false;
   std::uint64_t NextTicket_ = 1;
--- a/Tests/EntryProcess/CuttableFleet.cpp
+++ b/Tests/EntryProcess/CuttableFleet.cpp
@@ -57,14 +57,13 @@
   });
   setenv("LABURNUM_CUT_PORTS", Ports.c_str(), 1);
   setenv("LABURNUM_BLACK_HOLE", std::to_string(BlackHole).c_str(), 1);
-  setenv("LD_PRELOAD", LINK_CUTTER, 1);
   for (unsigned Number = 0; Number < Instances; ++Number) {
     cut(Number, Cut::None);
     setenv("LABURNUM_CUT_FILE", cutFile(Number).c_str(), 1);
-    Instances_.push_back(std::make_unique<EntryProcess>(Number, StorePort));
+    Instances_.push_back(
+        std::make_unique<EntryProcess>(Number, StorePort, "cuttable-entry"));
     Instances_.back()->start();
   }
-  unsetenv("LD_PRELOAD");
   for (auto const &Instance : Instances_)
     Instance->process().awaitLine("fleet_changed live=" +
                                   std::to_string(Instances));
--- a/Tests/EntryProcess/EntryProcess.cpp
+++ b/Tests/EntryProcess/EntryProcess.cpp
@@ -28,8 +28,10 @@
          std::to_string(Test % 250 + 1);
 }
 
-EntryProcess::EntryProcess(unsigned Number, std::uint16_t StorePort)
-    : Name_("edge-a-" + std::to_string(Number + 1)),
+EntryProcess::EntryProcess(unsigned Number, std::uint16_t StorePort,
+                           std::string Program)
+    : Program_(std::move(Program)),
+      Name_("edge-a-" + std::to_string(Number + 1)),
       Address_(loopbackAddress(Number)), StorePort_(StorePort) {
   auto Template =
       (std::filesystem::temp_directory_path() / "laburnum-entry-XXXXXX")
@@ -54,7 +56,7 @@
 void EntryProcess::launch() {
   Process_.reset();
   Process_ = std::make_unique<processes::Process>(
-      "laburnum-entry",
+      Program_,
       std::vector<std::string>{"--settings", (Folder_ / "node.conf").string()});
 }
 
--- a/Tests/EntryProcess/EntryProcess.h
+++ b/Tests/EntryProcess/EntryProcess.h
@@ -28,7 +28,8 @@
 class EntryProcess {
 public:
   /// Number distinguishes the instances of one test program.
-  EntryProcess(unsigned Number, std::uint16_t StorePort);
+  EntryProcess(unsigned Number, std::uint16_t StorePort,
+               std::string Program = "laburnum-entry");
   ~EntryProcess();
   EntryProcess(EntryProcess const &) = delete;
   EntryProcess &operator=(EntryProcess const &) = delete;
@@ -53,6 +54,7 @@
                   std::string const &Path, std::string const &Key,
                   Fields const &Additional = {}) const;
 
+  std::string const Program_;
   std::string const Name_;
   std::string const Address_;
   std::uint16_t const StorePort_;
--- a/Tests/EntryProcess/LinkCutter.cpp
+++ b/Tests/EntryProcess/LinkCutter.cpp
@@ -1,18 +1,19 @@
-// Preloaded into an instance's process by tests: cuts its connections to the
-// servers, whose ports LABURNUM_CUT_PORTS names, as the first character of the
-// file that LABURNUM_CUT_FILE names says. See Cut in CuttableFleet.h.
+// Linked into cuttable-entry, a build of laburnum-entry for tests: cuts its
+// connections to the servers, whose ports LABURNUM_CUT_PORTS names, as the
+// first character of the file that LABURNUM_CUT_FILE names says. See Cut in
+// CuttableFleet.h.
 
 #include <algorithm>
 #include <array>
 #include <atomic>
 #include <cerrno>
 #include <cstdlib>
-#include <dlfcn.h>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <sstream>
 #include <string>
 #include <sys/socket.h>
+#include <sys/syscall.h>
 #include <sys/uio.h>
 #include <unistd.h>
 #include <vector>
@@ -46,10 +47,6 @@
   return std::find(Ports.begin(), Ports.end(), Port) != Ports.end();
 }
 
-template <typename Function> Function next(char const *Name) {
-  return reinterpret_cast<Function>(dlsym(RTLD_NEXT, Name));
-}
-
 bool isCut(int Descriptor, char Mode) {
   return Descriptor >= 0 &&
          static_cast<std::size_t>(Descriptor) < MaxDescriptors &&
@@ -60,7 +57,6 @@
 
 extern "C" int connect(int Descriptor, sockaddr const *Address,
                        socklen_t Length) {
-  static auto const Next = next<decltype(&connect)>("connect");
   bool IsServer = false;
   sockaddr_in Target{};
   if (Address->sa_family == AF_INET) {
@@ -77,14 +73,19 @@
     // Its queue of connections is full, so it answers no more.
     Target.sin_port = htons(
         static_cast<in_port_t>(std::atoi(std::getenv("LABURNUM_BLACK_HOLE"))));
-    return Next(Descriptor, reinterpret_cast<sockaddr *>(&Target),
-                sizeof(Target));
+    return static_cast<int>(
+        syscall(SYS_connect, Descriptor, &Target, sizeof(Target)));
   }
-  return Next(Descriptor, Address, Length);
+  return static_cast<int>(syscall(SYS_connect, Descriptor, Address, Length));
+}
+
+extern "C" int close(int Descriptor) {
+  if (Descriptor >= 0 && static_cast<std::size_t>(Descriptor) < MaxDescriptors)
+    IsToServer[static_cast<std::size_t>(Descriptor)] = false;
+  return static_cast<int>(syscall(SYS_close, Descriptor));
 }
 
 extern "C" ssize_t sendmsg(int Descriptor, msghdr const *Message, int Flags) {
-  static auto const Next = next<decltype(&sendmsg)>("sendmsg");
   if (isCut(Descriptor, 'r')) {
     errno = ECONNRESET;
     return -1;
@@ -95,17 +96,16 @@
       Size += static_cast<ssize_t>(Message->msg_iov[Index].iov_len);
     return Size;
   }
-  return Next(Descriptor, Message, Flags);
+  return syscall(SYS_sendmsg, Descriptor, Message, Flags);
 }
 
 extern "C" ssize_t send(int Descriptor, void const *Bytes, std::size_t Size,
                         int Flags) {
-  static auto const Next = next<decltype(&send)>("send");
   if (isCut(Descriptor, 'r')) {
     errno = ECONNRESET;
     return -1;
   }
   if (isCut(Descriptor, 'h'))
     return static_cast<ssize_t>(Size);
-  return Next(Descriptor, Bytes, Size, Flags);
+  return syscall(SYS_sendto, Descriptor, Bytes, Size, Flags, nullptr, 0);
 }
