--- a/Tests/EntryProcess/StoreStandin.cpp
+++ b/Tests/EntryProcess/StoreStandin.cpp
@@ -60,7 +60,11 @@
   AnswerHead Head{Status, {}};
   Head.Fields_.add("Store-Era", std::to_string(Era_));
   Head.Fields_.add("Content-Type", "application/json");
-  To.answer(Head, Body.dump());
+  auto Text = Body.dump();
+  if (auto const At = Text.find(Replaced_.first);
+      !Replaced_.first.empty() && At != std::string::npos)
+    Text.replace(At, Replaced_.first.size(), Replaced_.second);
+  To.answer(Head, Text);
 }
 
 json StoreStandin::show(std::string const &Name, Object const &Shown) const {
--- a/Tests/EntryProcess/StoreStandin.h
+++ b/Tests/EntryProcess/StoreStandin.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace laburnum::entry_process {
@@ -55,6 +56,11 @@
   /// Drops the history so far: watches from older revisions get 410.
   void dropHistory();
   void setMode(StoreMode Mode) { Mode_ = Mode; }
+  /// Replaces the string What by the bytes With in all answers, as another
+  /// writer might have written them.
+  void replaceInAnswers(std::string const &What, std::string With) {
+    Replaced_ = {'"' + What + '"', std::move(With)};
+  }
   nlohmann::json object(std::string const &Kind,
                         std::string const &Name) const {
     return Objects_.at(Kind).at(Name).Specification_;
@@ -96,6 +102,7 @@
   std::list<std::shared_ptr<Exchange>> Unanswered_;
   std::vector<std::string> PlatformApiCalls_;
   StoreMode Mode_ = StoreMode::Normal;
+  std::pair<std::string, std::string> Replaced_;
 };
 
 } // namespace laburnum::entry_process
