--- a/Tests/Platform/TestRecords.cpp
+++ b/Tests/Platform/TestRecords.cpp
@@ -65,6 +65,10 @@
                                        {"\"v1.3\"", "13"},
                                        {"24", "\"many\""},
                                        {"24", "-3"},
+                                       {"24", "4294967296"},
+                                       {"24", "1e999"},
+                                       {"8080", "99999"},
+                                       {"8080", "0"},
                                        {"{", "["}}));
   CAPTURE(What, Replacement);
   CHECK_FALSE(
