LibTraffic, platform: Keep brittle servers from refusing requests

A server that states Server-Brittle = N falls over when it has to turn more than N requests away in a second, and then the others get its load (LIMIT).

While a server states it, an instance has no more attempts in progress there than its share of the slots (twice that while a fresh report shows room), and after a refusal leaves it alone for so long that all instances together stay below half of N refusals a second.

--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -53,6 +53,15 @@
 constexpr std::chrono::milliseconds MinRetryAfterRateLimit{200};
 constexpr std::chrono::seconds MaxRetryAfterRateLimit{5};
 
+/// Fraction of the refusals that a brittle server stands which the instances
+/// together may cause.
+constexpr double UsedRefusalFraction = 0.5;
+/// While fresh reports show a brittle server filled to less than this fraction,
+/// an instance may use more than its share, up to this multiple: instances get
+/// unequal numbers of requests.
+constexpr double RoomFraction = 0.7;
+constexpr double MaxShareMultiple = 2.0;
+
 std::string regionOf(Geography const &Geography, DataCentre const &Centre) {
   auto const Found = Geography.Regions_.find(Centre);
   return Found == Geography.Regions_.end() ? std::string() : Found->second;
@@ -118,10 +127,33 @@
   auto const Found = ConnectionLimits_.find(Service);
   if (Found == ConnectionLimits_.end() || Found->second == 0)
     return std::numeric_limits<double>::infinity();
-  auto const Sharers = Registered_ == 0 ? InstancesBeforeMembership
-                                        : static_cast<double>(Registered_);
-  return std::max(1.0,
-                  std::floor(UsedConnectionFraction * Found->second / Sharers));
+  return std::max(
+      1.0, std::floor(UsedConnectionFraction * Found->second / sharers()));
+}
+
+double ServerRoster::sharers() const {
+  return Registered_ == 0 ? InstancesBeforeMembership
+                          : static_cast<double>(Registered_);
+}
+
+double ServerRoster::slotShare(Entry const &Server, TimePoint Now) const {
+  if (!Server.MaxRefusalsPerSecond_)
+    return std::numeric_limits<double>::infinity();
+  auto const Slots = slotsOf(Server.Record_);
+  bool const HasRoom = Server.LoadReportedAt_ + LoadValidity > Now &&
+                       load(Server, Now) < RoomFraction * Slots;
+  return std::max(
+      1.0, std::floor((HasRoom ? MaxShareMultiple : 1.0) * Slots / sharers()));
+}
+
+Duration ServerRoster::refusalEjection(Entry const &Server) const {
+  if (!Server.MaxRefusalsPerSecond_)
+    return RefusalEjection;
+  std::chrono::duration<double> const BetweenRefusals(
+      sharers() /
+      (UsedRefusalFraction * std::max(*Server.MaxRefusalsPerSecond_, 1.0)));
+  return std::max<Duration>(
+      RefusalEjection, std::chrono::duration_cast<Duration>(BetweenRefusals));
 }
 
 double ServerRoster::load(Entry const &Server, TimePoint Now) const {
@@ -166,7 +198,8 @@
   auto const Connections = connectionShare(Query.Service_);
   std::erase_if(Candidates, [&](Entry const *Server) {
     return load(*Server, Now) >= slotsOf(Server->Record_) ||
-           Server->Running_ >= Connections;
+           Server->Running_ >= Connections ||
+           Server->Running_ >= slotShare(*Server, Now);
   });
   return Candidates;
 }
@@ -253,7 +286,7 @@
                    });
   } else if (Health == AttemptHealth::Refused) {
     Server.EjectedUntil_ =
-        std::max(Server.EjectedUntil_, Now + RefusalEjection);
+        std::max(Server.EjectedUntil_, Now + refusalEjection(Server));
   } else if (Health == AttemptHealth::Failed) {
     auto const Doublings = std::min(Server.Failures_++, MaxEjectionDoublings);
     Server.EjectedUntil_ = Now + InitialEjection * (1U << Doublings);
@@ -271,6 +304,12 @@
   Server.LoadReportedAt_ = Now;
 }
 
+void ServerRoster::onMaxRefusals(ServerId const &Id,
+                                 std::optional<double> PerSecond) {
+  if (auto const Found = Servers_.find(Id); Found != Servers_.end())
+    Found->second.MaxRefusalsPerSecond_ = PerSecond;
+}
+
 void ServerRoster::onSlowFirstByte(ServerId const &Id) {
   if (auto const Found = Servers_.find(Id); Found != Servers_.end())
     ++Found->second.SlowAttempts_;
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -97,6 +97,9 @@
   void onSent(ServerId const &Id, TimePoint Now);
   void onEnded(ServerId const &Id, AttemptHealth Health, TimePoint Now);
   void onLoad(ServerId const &Id, ServerLoad const &Load, TimePoint Now);
+  /// The server has stated how many refusals a second it stands, from all
+  /// instances together, or no longer states it.
+  void onMaxRefusals(ServerId const &Id, std::optional<double> PerSecond);
   /// An attempt has waited long for the server's first byte, until
   /// onFirstByteWaitEnded().
   void onSlowFirstByte(ServerId const &Id);
@@ -153,6 +156,7 @@
     TimePoint LoadReportedAt_ = TimePoint::min();
     std::uint32_t SlowAttempts_ = 0; ///< Attempts that wait long already.
     std::uint32_t Failures_ = 0;     ///< In a row.
+    std::optional<double> MaxRefusalsPerSecond_;
     TimePoint EjectedUntil_ = TimePoint::min();
   };
 
@@ -167,6 +171,12 @@
   bool takesRequests(Entry const &Server, TimePoint Now) const;
   /// Returns how many connections this instance may open to a server.
   double connectionShare(ServiceName const &Service) const;
+  /// Returns how many attempts this instance may have in progress at a server
+  /// that must not have to refuse any.
+  double slotShare(Entry const &Server, TimePoint Now) const;
+  /// Returns how long a server that refused an attempt is not used.
+  Duration refusalEjection(Entry const &Server) const;
+  double sharers() const;
   double load(Entry const &Server, TimePoint Now) const;
   /// The load, increased for slow and failing servers.
   double adjustedLoad(Entry const &Server, TimePoint Now) const;
--- a/Libraries/LibTraffic/TrafficRequest.h
+++ b/Libraries/LibTraffic/TrafficRequest.h
@@ -99,6 +99,9 @@
   bool IsLeaving_ = false;     ///< The server announced that it is leaving.
   std::optional<BackoffRequest> Backoff_;
   std::optional<RateLimitStatement> RateLimit_;
+  /// The server crashes if it has to refuse more requests than this in a second
+  /// for want of room, from all entry instances together.
+  std::optional<double> MaxRefusalsPerSecond_;
 
   auto operator<=>(ServerAnswer const &) const = default;
 };
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -228,6 +228,7 @@
     FirstAnswerAt_ = readBootClock();
   if (Answer_->Load_)
     Plane_.Roster_.onLoad(Server_->Id_, *Answer_->Load_, readBootClock());
+  Plane_.onMaxRefusals(*Server_, Answer_->MaxRefusalsPerSecond_);
   if (Answer_->IsOtherServer_)
     Plane_.onServerReplaced(*Server_);
   if (Answer_->IsLeaving_)
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -395,6 +395,21 @@
                                                              : "default"));
 }
 
+void TrafficPlane::onMaxRefusals(ServerRecord const &Server,
+                                 std::optional<double> PerSecond) {
+  Roster_.onMaxRefusals(Server.Id_, PerSecond);
+  auto const Incarnation = incarnationOf(Server);
+  bool const HasChanged = PerSecond ? BrittleServers_.insert(Incarnation).second
+                                    : BrittleServers_.erase(Incarnation) > 0;
+  if (HasChanged)
+    Dependencies_.Log_.write(
+        LogLine("server_brittle")
+            .add("server", Server.Id_.text())
+            .add("born", Server.IncarnationStartMilliseconds_)
+            .add("outcome", PerSecond ? "stated" : "ended")
+            .add("refusals_per_second", PerSecond.value_or(0.0)));
+}
+
 void TrafficPlane::onPeerRateLimits(ServerRateLimits const &Received) {
   RateLimits_.onPeer(Received, readBootClock());
   advanceQueue();
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -176,6 +176,8 @@
                            std::string_view Source);
   void onServerBackoff(ServerRecord const &Server,
                        BackoffRequest const &Backoff);
+  void onMaxRefusals(ServerRecord const &Server,
+                     std::optional<double> PerSecond);
   void startDisconnectProbe(ServerRecord const &Server);
   void onDisconnectClassified(ServerRecord const &Server, ProbeAnswer Answer);
   void report(std::vector<CrashReport> const &Reports);
@@ -231,7 +233,8 @@
   OriginFinder OriginFinder_;
   StreamListener StreamListener_;
   StreamOrigins Origins_;
-  std::set<ServerId> ProbedServers_; ///< Incarnations with a probe in flight.
+  std::set<ServerId> BrittleServers_; ///< Incarnations, for logging.
+  std::set<ServerId> ProbedServers_;  ///< Incarnations with a probe in flight.
 };
 
 } // namespace laburnum
--- a/Tests/Platform/TestHeaderCodec.cpp
+++ b/Tests/Platform/TestHeaderCodec.cpp
@@ -187,6 +187,17 @@
   CHECK_FALSE(Codec.decode(answer(421, {{"Server-Limit", "2"}})).RateLimit_);
 }
 
+TEST_CASE("A brittle server states how many refusals it stands") {
+  AnswerHead Head{200, {}};
+  CHECK_FALSE(Codec.decode(Head).MaxRefusalsPerSecond_);
+  auto const [Text, Expected] = GENERATE(table<std::string, double>(
+      {{"6", 6.0}, {"0", 0.0}, {"-1", 0.0}, {"many", 0.0}, {"", 0.0}}));
+  Head.Fields_.add("Server-Brittle", Text);
+  CHECK(Codec.decode(Head).MaxRefusalsPerSecond_ == Expected);
+  Head.Status_ = 421;
+  CHECK_FALSE(Codec.decode(Head).MaxRefusalsPerSecond_);
+}
+
 TEST_CASE("A rate limit that is no single finite number of at least zero is "
           "unreadable") {
   CHECK(Codec.decode(answer(200, {{"Server-Limit", "0"}})).RateLimit_ ==
