laburnum-entry: Move links and stream origins out of TrafficPlane

ServerLinks follows whether the servers of a service are reached, and StreamOriginDirectory finds the origins of streams that are taken up.

--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -89,22 +89,22 @@
 }
 
 void RequestSession::on(FindOrigin const & /*Action*/) {
-  Plane_.findOrigin(FlowContext_,
-                    [Self = shared_from_this()](OriginFound const &Found) {
-                      Self->handle(Found);
-                    });
+  Plane_.Origins_.find(FlowContext_,
+                       [Self = shared_from_this()](OriginFound const &Found) {
+                         Self->handle(Found);
+                       });
 }
 
 void RequestSession::on(RememberOrigin const &Action) {
   BegunStream_ = Action.Stream_.FirstAttemptId_;
-  Plane_.onStreamBegun(Action.Stream_);
+  Plane_.Origins_.onBegun(Action.Stream_);
 }
 
 void RequestSession::on(RequestServer const &Action) {
   QueuedService_ =
       Action.Origin_ ? Action.Origin_->Service_ : FlowContext_.Service_;
   Excluded_ = Action.Excluded_;
-  bool const IsCutOff = Plane_.isCutOff(QueuedService_);
+  bool const IsCutOff = Plane_.Links_.isCut(QueuedService_);
   if (IsCutOff && FlowContext_.Source_ == RequestSource::Peer)
     return handle(
         NoServer{"this instance reaches no server", RetryAfterCutOff});
@@ -144,7 +144,7 @@
                              Refusal->Until_ - Now});
     return handle(ServerAssigned{Admission->Server_});
   }
-  if (Plane_.isCutOff(QueuedService_) && passToPeer(Excluded_))
+  if (Plane_.Links_.isCut(QueuedService_) && passToPeer(Excluded_))
     return;
   auto const &Rejection = std::get<Rejected>(Outcome);
   handle(NoServer{Rejection.Reason_, Rejection.RetryAfter_});
@@ -184,7 +184,7 @@
   armStallTimer();
   IsAwaited_ = true;
   Plane_.AttemptingSessions_.insert(this);
-  Plane_.onAttemptSent(*Server_);
+  Plane_.Links_.onSent(*Server_);
   Plane_.Dependencies_.Guard_.onStarted(
       FlowContext_.Fingerprints_, incarnationOf(*Server_), AttemptSentAt_);
   Call_ =
@@ -286,7 +286,7 @@
            Evidence.End_ == AttemptEnd::ConnectionFailed)
     Plane_.onServerGone(*Server_, "a request");
   if (isDirect() && !Answer_)
-    Plane_.onServerFailure(*Server_);
+    Plane_.Links_.onFailure(*Server_);
   endAttempt(AttemptHealth::Failed, Evidence);
   handle(AttemptFailed{Evidence});
 }
@@ -335,7 +335,7 @@
 void RequestSession::clearStall() {
   StallTimer_.cancel();
   if (std::exchange(IsAwaited_, false))
-    Plane_.onAttemptWaitEnded(*Server_);
+    Plane_.Links_.onWaitEnded(*Server_);
   if (std::exchange(IsStalled_, false))
     Plane_.Roster_.onFirstByteWaitEnded(Server_->Id_);
 }
--- /dev/null
+++ b/Services/laburnum-entry/StreamOriginDirectory.cpp
@@ -0,0 +1,79 @@
+#include "StreamOriginDirectory.h"
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace laburnum {
+
+namespace {
+
+std::string_view sourceName(OriginSource Source) {
+  switch (Source) {
+  case OriginSource::OnlyVersion:
+    return "only version";
+  case OriginSource::Record:
+    return "record";
+  case OriginSource::NotRecorded:
+    return "not recorded";
+  case OriginSource::StoreSilent:
+    return "store silent";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+void StreamOriginDirectory::find(exchange::FlowContext const &FlowContext,
+                                 Done Done) {
+  auto const &First = FlowContext.Metadata_.FirstAttemptId_;
+  if (auto const Known = Origins_.find(First, readBootClock()))
+    return onAnswer(FlowContext, {Known, OriginSource::Record}, "local", Done);
+  Finder_(
+      FlowContext.Service_, First,
+      [this, FlowContext, Done = std::move(Done)](OriginAnswer const &Answer) {
+        asio::post(Context_, [this, FlowContext, Done, Answer] {
+          onAnswer(FlowContext, Answer, sourceName(Answer.Source_), Done);
+        });
+      });
+}
+
+void StreamOriginDirectory::onBegun(BegunStream const &Stream) {
+  auto const Now = readBootClock();
+  Origins_.onBegun(Stream, Now);
+  if (Listener_)
+    Listener_(Origins_.unfinished(Now));
+}
+
+void StreamOriginDirectory::setListener(Listener Listener) {
+  Listener_ = std::move(Listener);
+  if (Listener_)
+    Listener_(Origins_.unfinished(readBootClock()));
+}
+
+void StreamOriginDirectory::onAnswer(exchange::FlowContext const &FlowContext,
+                                     OriginAnswer const &Answer,
+                                     std::string_view Source,
+                                     Done const &Done) {
+  auto Found = Answer.Origin_;
+  std::string Reason = "the stream's software version is not known";
+  auto const &Services = FlowContext.Route_->Services_;
+  if (Found && std::none_of(Services.begin(), Services.end(),
+                            [&](WeightedService const &Service) {
+                              return Service.Service_ == Found->Service_;
+                            })) {
+    Found.reset();
+    Reason = "the route no longer leads to the stream's service";
+  }
+  Log_.write(
+      LogLine("stream_taken_up")
+          .add("id", FlowContext.Metadata_.AttemptId_)
+          .add("first_attempt", FlowContext.Metadata_.FirstAttemptId_)
+          .add("outcome", Found ? "goes on" : "refused")
+          .add("software", Found ? Found->SoftwareVersion_ : std::string())
+          .add("source", Source));
+  Done({Found, Reason});
+}
+
+} // namespace laburnum
--- a/Services/laburnum-entry/StreamOriginTasks.cpp
+++ b/Services/laburnum-entry/StreamOriginTasks.cpp
@@ -20,7 +20,7 @@
       Timer_(Dependencies.Context_) {}
 
 void StreamOriginTasks::start() {
-  Dependencies_.Traffic_.setOriginFinder(
+  Dependencies_.Traffic_.streamOrigins().setFinder(
       [this](ServiceName const &Service, std::string const &FirstAttemptId,
              StreamOriginRecords::Done Done) {
         asio::post(Dependencies_.Context_, [this, Service, FirstAttemptId,
@@ -83,7 +83,7 @@
 void StreamOriginTasks::setRecording(bool IsMixed) {
   if (std::exchange(IsRecording_, IsMixed) == IsMixed)
     return;
-  TrafficPlane::StreamListener Listener;
+  StreamOriginDirectory::Listener Listener;
   if (IsMixed)
     Listener = [this](std::vector<BegunStream> const &Streams) {
       asio::post(Dependencies_.Context_, [this, Streams] {
@@ -93,7 +93,7 @@
     };
   asio::post(Dependencies_.TrafficContext_,
              [&Traffic = Dependencies_.Traffic_, Listener] {
-               Traffic.setStreamListener(Listener);
+               Traffic.streamOrigins().setListener(Listener);
              });
 }
 
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -21,10 +21,6 @@
 constexpr std::chrono::milliseconds ProbeDelay{100};
 constexpr std::chrono::milliseconds ProbeTimeout{1000};
 
-/// How often a link is checked while requests wait for servers or it is cut.
-constexpr std::chrono::milliseconds LinkCheckPeriod{250};
-constexpr std::chrono::milliseconds LinkProbeTimeout{400};
-
 constexpr std::int32_t BadRequest = 400;
 constexpr std::int32_t Unauthorized = 401;
 constexpr std::int32_t NotFound = 404;
@@ -43,20 +39,6 @@
   return Limiter;
 }
 
-std::string_view sourceName(OriginSource Source) {
-  switch (Source) {
-  case OriginSource::OnlyVersion:
-    return "only version";
-  case OriginSource::Record:
-    return "record";
-  case OriginSource::NotRecorded:
-    return "not recorded";
-  case OriginSource::StoreSilent:
-    return "store silent";
-  }
-  return "unknown";
-}
-
 RetryBudgetSettings retryBudgetSettings(EntrySettings const &Settings) {
   return {Settings.RetryRatio_, Settings.RetrySlack_, Settings.RetryWindow_};
 }
@@ -94,7 +76,14 @@
       PeerRoutes_(
           {Dependencies.Settings_.DataCentre_, Dependencies.Settings_.Regions_},
           Seed + 1),
-      LinkTimer_(Dependencies.Context_), QueueTimer_(Dependencies.Context_) {}
+      Links_(Dependencies.Context_, Roster_, Dependencies.Log_,
+             {[this](ServiceName const &Service) { onLinkCut(Service); },
+              [this] {
+                flushGoneNotices();
+                advanceQueue();
+              }}),
+      Origins_(Dependencies.Context_, Dependencies.Log_),
+      QueueTimer_(Dependencies.Context_) {}
 
 TrafficPlane::~TrafficPlane() = default;
 
@@ -263,67 +252,12 @@
     notifyPeersOfServer(Incarnation, Liveness::Gone, Source);
 }
 
-bool TrafficPlane::isCutOff(ServiceName const &Service) const {
-  auto const Found = Links_.find(Service);
-  return Found != Links_.end() && Found->second.state() == LinkState::Cut;
-}
-
 void TrafficPlane::onServerContact(ServiceName const &Service) {
-  auto &Link = Links_[Service];
-  bool const WasCut = Link.state() == LinkState::Cut;
-  Link.onContact(readBootClock());
   flushGoneNotices();
-  if (!WasCut)
-    return;
-  Dependencies_.Log_.write(LogLine("servers_link")
-                               .add("service", Service.text())
-                               .add("outcome", "up"));
-  advanceQueue();
-}
-
-void TrafficPlane::onServerFailure(ServerRecord const &Server) {
-  Links_[Server.Service_].onFailure(Server.Id_);
-  checkLink(Server.Service_);
-}
-
-void TrafficPlane::onAttemptSent(ServerRecord const &Server) {
-  Links_[Server.Service_].onSent(Server.Id_, readBootClock());
-  armLinkTimer();
-}
-
-void TrafficPlane::onAttemptWaitEnded(ServerRecord const &Server) {
-  Links_[Server.Service_].onWaitEnded(Server.Id_);
-}
-
-void TrafficPlane::checkLink(ServiceName const &Service) {
-  auto Servers = Roster_.staying(Service);
-  auto &Link = Links_[Service];
-  if (!Link.isProbeDue(Servers.size(), readBootClock()))
-    return;
-  Servers.resize(std::min(Servers.size(), LinkMonitor::ProbedServers));
-  Link.onProbeStarted(Servers.size());
-  for (auto const &Server : Servers)
-    ConnectProbe::start(Dependencies_.Context_, Server.Endpoint_, Duration(0),
-                        LinkProbeTimeout, [this, Service](ProbeAnswer Answer) {
-                          onLinkProbed(Service,
-                                       Answer == ProbeAnswer::Accepted);
-                        });
-}
-
-void TrafficPlane::onLinkProbed(ServiceName const &Service, bool IsReachable) {
-  if (IsReachable)
-    onServerContact(Service);
-  auto &Link = Links_[Service];
-  bool const WasUp = Link.state() == LinkState::Up;
-  Link.onProbed(IsReachable, readBootClock());
-  if (WasUp && Link.state() == LinkState::Cut)
-    onLinkCut(Service);
+  Links_.onContact(Service);
 }
 
 void TrafficPlane::onLinkCut(ServiceName const &Service) {
-  Dependencies_.Log_.write(LogLine("servers_link")
-                               .add("service", Service.text())
-                               .add("outcome", "cut"));
   GoneNotices_.clear();
   // What is sent on an open connection may be lost without a word.
   for (auto const &Record : Roster_.records())
@@ -333,25 +267,6 @@
   for (auto *const Session : std::set(AttemptingSessions_))
     if (AttemptingSessions_.contains(Session))
       Session->onLinkCut(Service);
-  armLinkTimer();
-}
-
-void TrafficPlane::armLinkTimer() {
-  auto const IsNeeded = [](auto const &Link) {
-    return Link.second.isWaiting() || Link.second.state() == LinkState::Cut;
-  };
-  if (IsLinkTimerArmed_ || std::none_of(Links_.begin(), Links_.end(), IsNeeded))
-    return;
-  IsLinkTimerArmed_ = true;
-  LinkTimer_.expires_after(LinkCheckPeriod);
-  LinkTimer_.async_wait([this](asio::error_code Failure) {
-    IsLinkTimerArmed_ = false;
-    if (Failure)
-      return;
-    for (auto const &[Service, Link] : Links_)
-      checkLink(Service);
-    armLinkTimer();
-  });
 }
 
 void TrafficPlane::notifyPeersOfServer(ServerId const &Incarnation,
@@ -437,7 +352,7 @@
   auto const Incarnation = incarnationOf(Server);
   ProbedServers_.erase(Incarnation);
   // An instance that reaches no server learns nothing of one.
-  auto const Cause = isCutOff(Server.Service_)
+  auto const Cause = Links_.isCut(Server.Service_)
                          ? DisconnectCause::Link
                          : classifyDisconnect({{Answer}, {}});
   BackendServer ProbedServer;
@@ -557,59 +472,6 @@
                                           std::move(FlowContext));
 }
 
-void TrafficPlane::findOrigin(
-    exchange::FlowContext const &FlowContext,
-    std::function<void(exchange::OriginFound const &)> Done) {
-  auto const &First = FlowContext.Metadata_.FirstAttemptId_;
-  if (auto const Known = Origins_.find(First, readBootClock()))
-    return onOriginAnswer(FlowContext, {Known, OriginSource::Record}, "local",
-                          Done);
-  OriginFinder_(
-      FlowContext.Service_, First,
-      [this, FlowContext, Done = std::move(Done)](OriginAnswer const &Answer) {
-        asio::post(Dependencies_.Context_, [this, FlowContext, Done, Answer] {
-          onOriginAnswer(FlowContext, Answer, sourceName(Answer.Source_), Done);
-        });
-      });
-}
-
-void TrafficPlane::onStreamBegun(BegunStream const &Stream) {
-  auto const Now = readBootClock();
-  Origins_.onBegun(Stream, Now);
-  if (StreamListener_)
-    StreamListener_(Origins_.unfinished(Now));
-}
-
-void TrafficPlane::setStreamListener(StreamListener Listener) {
-  StreamListener_ = std::move(Listener);
-  if (StreamListener_)
-    StreamListener_(Origins_.unfinished(readBootClock()));
-}
-
-void TrafficPlane::onOriginAnswer(
-    exchange::FlowContext const &FlowContext, OriginAnswer const &Answer,
-    std::string_view Source,
-    std::function<void(exchange::OriginFound const &)> const &Done) {
-  auto Found = Answer.Origin_;
-  std::string Reason = "the stream's software version is not known";
-  auto const &Services = FlowContext.Route_->Services_;
-  if (Found && std::none_of(Services.begin(), Services.end(),
-                            [&](WeightedService const &Service) {
-                              return Service.Service_ == Found->Service_;
-                            })) {
-    Found.reset();
-    Reason = "the route no longer leads to the stream's service";
-  }
-  Dependencies_.Log_.write(
-      LogLine("stream_taken_up")
-          .add("id", FlowContext.Metadata_.AttemptId_)
-          .add("first_attempt", FlowContext.Metadata_.FirstAttemptId_)
-          .add("outcome", Found ? "goes on" : "refused")
-          .add("software", Found ? Found->SoftwareVersion_ : std::string())
-          .add("source", Source));
-  Done({Found, Reason});
-}
-
 void TrafficPlane::enqueue(std::shared_ptr<RequestSession> const &Session,
                            WaitingRequest Request) {
   auto const Ticket = Request.Ticket_;
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -3,9 +3,10 @@
 #include "EntryMetrics.h"
 #include "RateLimitObserver.h"
 #include "RequestRefuser.h"
+#include "ServerLinks.h"
+#include "StreamOriginDirectory.h"
 
 #include <LibControl/MedianClock.h>
-#include <LibControl/StreamOriginRecords.h>
 #include <LibControl/UsageCounter.h>
 #include <LibGuard/ConnectProbe.h>
 #include <LibGuard/CrashGuard.h>
@@ -18,7 +19,6 @@
 #include <LibTraffic/AccountQuotaLimiter.h>
 #include <LibTraffic/AdmissionQueue.h>
 #include <LibTraffic/ExchangeFlow.h>
-#include <LibTraffic/LinkMonitor.h>
 #include <LibTraffic/PeerRoutes.h>
 #include <LibTraffic/RouteTable.h>
 #include <LibTraffic/WindowedRetryBudget.h>
@@ -86,18 +86,7 @@
     PeerRoutes_.setPeers(std::move(Peers));
   }
 
-  /// Finds the origin of a stream that another instance began. Called on the
-  /// traffic thread; the answer may come on any thread.
-  using OriginFinder =
-      std::function<void(ServiceName const &, std::string const &FirstAttemptId,
-                         StreamOriginRecords::Done)>;
-  void setOriginFinder(OriginFinder Finder) {
-    OriginFinder_ = std::move(Finder);
-  }
-  /// Sets the listener that records the unfinished streams after another one
-  /// has begun, called on the traffic thread, or nothing.
-  using StreamListener = std::function<void(std::vector<BegunStream> const &)>;
-  void setStreamListener(StreamListener Listener);
+  StreamOriginDirectory &streamOrigins() { return Origins_; }
 
   /// Sets the listener that sends changed rate limits of servers to the peers.
   void setRateLimitListener(RateLimitObserver::Listener Listener) {
@@ -140,18 +129,10 @@
   std::shared_ptr<RequestSession>
   admit(std::shared_ptr<Exchange> const &Exchange, ReceivedRequest &Request,
         exchange::RequestSource Source);
-  bool isCutOff(ServiceName const &Service) const;
   /// A server has answered an attempt of this instance.
   void onServerContact(ServiceName const &Service);
-  /// A connection to a server failed before it answered.
-  void onServerFailure(ServerRecord const &Server);
-  void onAttemptSent(ServerRecord const &Server);
-  void onAttemptWaitEnded(ServerRecord const &Server);
-  /// Probes the service's servers if its link is suspected or cut.
-  void checkLink(ServiceName const &Service);
-  void onLinkProbed(ServiceName const &Service, bool IsReachable);
+  /// This instance reaches no server of the service any more.
   void onLinkCut(ServiceName const &Service);
-  void armLinkTimer();
   /// Tells the peers of the servers that were found gone, once another server
   /// has answered: without one, this instance may itself be cut off.
   void flushGoneNotices();
@@ -181,14 +162,6 @@
   void startDisconnectProbe(ServerRecord const &Server);
   void onDisconnectClassified(ServerRecord const &Server, ProbeAnswer Answer);
   void report(std::vector<CrashReport> const &Reports);
-  /// Finds the origin of the stream that the client takes up.
-  void findOrigin(exchange::FlowContext const &FlowContext,
-                  std::function<void(exchange::OriginFound const &)> Done);
-  void onStreamBegun(BegunStream const &Stream);
-  void onOriginAnswer(
-      exchange::FlowContext const &FlowContext, OriginAnswer const &Answer,
-      std::string_view Source,
-      std::function<void(exchange::OriginFound const &)> const &Done);
   void enqueue(std::shared_ptr<RequestSession> const &Session,
                WaitingRequest Request);
   void dequeue(std::uint64_t Ticket);
@@ -215,13 +188,12 @@
   RequestRefuser Refuser_;
   std::unique_ptr<PeerService> PeerService_;
   std::shared_ptr<HttpListener> PeerListener_;
-  std::map<ServiceName, LinkMonitor> Links_;
   PeerRoutes PeerRoutes_;
+  ServerLinks Links_; ///< Refers to Roster_.
   /// Servers found gone since the last contact with a server.
   std::vector<std::pair<ServerId, std::string>> GoneNotices_;
   std::set<RequestSession *> AttemptingSessions_;
-  asio::steady_timer LinkTimer_;
-  bool IsLinkTimerArmed_ = false;
+  StreamOriginDirectory Origins_;
   asio::steady_timer QueueTimer_;
   bool IsQueueTimerArmed_ = false;
   std::uint64_t NextTicket_ = 1;
@@ -230,9 +202,6 @@
   std::map<ServerId, std::shared_ptr<OutboundPool>> Pools_;
   CrashListener CrashListener_;
   LeavingListener LeavingListener_;
-  OriginFinder OriginFinder_;
-  StreamListener StreamListener_;
-  StreamOrigins Origins_;
   std::set<ServerId> BrittleServers_; ///< Incarnations, for logging.
   std::set<ServerId> ProbedServers_;  ///< Incarnations with a probe in flight.
 };
