LibControl: Record the origins of streams every 100 ms while versions are mixed

The period goes from 250 ms (8 instances) to 100 ms, so that hardly any stream is not recorded; the quota's refusals stay.

--- a/Libraries/LibControl/StreamOriginRecords.cpp
+++ b/Libraries/LibControl/StreamOriginRecords.cpp
@@ -17,8 +17,8 @@
 constexpr std::chrono::milliseconds SearchTimeout{400};
 constexpr std::chrono::seconds PauseAfterFailure{1};
 /// How often one instance records its streams, and all of them together.
-constexpr std::chrono::milliseconds MinRecordPeriod{250};
-constexpr std::chrono::milliseconds RecordPeriodPerInstance{25};
+constexpr std::chrono::milliseconds MinRecordPeriod{100};
+constexpr std::chrono::milliseconds RecordPeriodPerInstance{12};
 /// Time for a record to be written after its period.
 constexpr std::chrono::milliseconds RecordDelay{100};
 /// Records of instances that were removed are deleted after this time.
--- a/Libraries/LibControl/StreamOriginRecords.h
+++ b/Libraries/LibControl/StreamOriginRecords.h
@@ -70,7 +70,7 @@
   /// identifier it is known only where one software version serves.
   void find(ServiceName const &Service, std::string const &FirstAttemptId,
             Duration TimeOfDay, TimePoint Now, Done Done);
-  /// Starts the calls that are due. To be called ten times a second while
+  /// Starts the calls that are due. To be called twenty times a second while
   /// isBusy().
   void tick(Duration TimeOfDay, TimePoint Now);
   bool isBusy(Duration TimeOfDay) const;
--- a/Services/laburnum-entry/StreamOriginTasks.cpp
+++ b/Services/laburnum-entry/StreamOriginTasks.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds Period{100};
+constexpr std::chrono::milliseconds Period{50};
 
 } // namespace
 
