review: End all processes also when a case is stopped by a signal

Cause: a play that ran into its time limit left its processes behind.

Done: signals end the play in the same way as its own end.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -249,6 +249,12 @@
     """Runs play(fleet), which returns what broke the rule, and writes
     record.txt. Exits with 1 if the rule was broken, 0 if it held, and 2 if the
     case could not run."""
+
+    def on_signal(number, _):
+        raise Cannot(f"signal {number}")
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, on_signal)
     folder = tempfile.mkdtemp(prefix="laburnum-review-")
     fleet = Fleet(folder, case_folder)
     code, result = 2, "could not run"
