review: Exit with 2 whenever a case could not run

Cause: an error of the script itself ended a case with the status that says that the rule was broken.

Done: any error ends a case with 2.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -234,6 +234,8 @@
         await asyncio.sleep(2.5)
 
     def lines(self):
+        if not os.path.exists(self.log):
+            return []
         with open(self.log) as file:
             return [json.loads(line) for line in file]
 
@@ -262,8 +264,9 @@
         broken = asyncio.run(play(fleet))
         code = 1 if broken else 0
         result = "BROKEN: " + broken if broken else "the rule held"
-    except Cannot as reason:
-        result = f"could not run: {reason}"
+    except Exception as reason:
+        # Whatever went wrong in the script says nothing of the rule.
+        result = f"could not run: {type(reason).__name__}: {reason}"
     finally:
         fleet.stop()
         with open(os.path.join(case_folder, "record.txt"), "w") as record:
