--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -1,5 +1,6 @@
 """Starts laburnum-entry processes and the stand-ins around them, on loopback."""
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -32,6 +33,15 @@
 pass_ms=200 retry_after_s=4.9 seed_lag_s=3 address_reuse_s=2""".split()
 
 
+LIBC = ctypes.CDLL(None)
+
+
+def end_with_parent(number):
+    """Has the kernel send this process a signal when its parent ends."""
+    set_parent_death_signal = 1
+    LIBC.prctl(set_parent_death_signal, number)
+
+
 class Cannot(Exception):
     """The case could not run."""
 
@@ -106,6 +116,7 @@
             stdout=output,
             stderr=subprocess.STDOUT,
             stdin=subprocess.DEVNULL,
+            preexec_fn=lambda: end_with_parent(signal.SIGKILL),
         )
         self.processes.append(process)
         return process
@@ -255,8 +266,10 @@
     def on_signal(number, _):
         raise Cannot(f"signal {number}")
 
-    for number in (signal.SIGTERM, signal.SIGINT):
+    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    for number in signals:
         signal.signal(number, on_signal)
+    end_with_parent(signal.SIGTERM)
     folder = tempfile.mkdtemp(prefix="laburnum-review-")
     fleet = Fleet(folder, case_folder)
     code, result = 2, "could not run"
@@ -268,6 +281,8 @@
         # Whatever went wrong in the script says nothing of the rule.
         result = f"could not run: {type(reason).__name__}: {reason}"
     finally:
+        for number in signals:
+            signal.signal(number, signal.SIG_IGN)
         fleet.stop()
         with open(os.path.join(case_folder, "record.txt"), "w") as record:
             for line in sorted(fleet.lines(), key=lambda line: line["t"]):
