LibTraffic, platform, laburnum-entry: Pass a begun stream on with its progress

A stream that had begun was passed on to another instance after its servers crashed; events of a second run were joined to those of the first in one answer that ended as complete, possibly of another software version.

Cause: encodeForPeer sent the client's own head with the time left. The last event, the attempt that began the stream and its origin stayed behind, so the other instance began a new run anywhere.

Ruled out: that the other instance drops Last-Event-Id (it keeps what a client sends), and that events are lost in relaying (identifiers have no gap).

Why it works: the state goes along. Last event and first attempt go in the fields that clients use, which the release before understands; the origin goes in a field that clients cannot set and servers never get. The answer states the origin as well, so the way back works. An instance of an older release does not say what the client has, so the streams that it passes on are refused.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -48,7 +48,10 @@
 
 std::vector<Action> ExchangeFlow::start(TimePoint Now) {
   Now_ = Now;
-  if (isStream() && Context_.Metadata_.TakesUpStream_) {
+  if (mayHideProgress()) {
+    refuse(ServiceUnavailable, "passed on by an instance of an older release",
+           RetryAfterUnknownOrigin);
+  } else if (isStream() && Context_.Metadata_.TakesUpStream_) {
     State_ = State::FindingOrigin;
     Actions_.push_back(FindOrigin{});
   } else {
@@ -88,11 +91,12 @@
   Answer_.reset();
   Body_.clear();
   Splitter_ = EventStreamSplitter();
-  Actions_.push_back(SendAttempt{
-      Event.Server_,
-      {Event.Server_.Id_, Context_.Account_,
-       std::max(Context_.Expiry_ - Now_, Duration(0)), LastEventId_},
-      Access_});
+  Actions_.push_back(
+      SendAttempt{Event.Server_,
+                  {Event.Server_.Id_, Context_.Account_,
+                   std::max(Context_.Expiry_ - Now_, Duration(0)), LastEventId_,
+                   Origin_ ? firstAttemptId() : std::string(), Origin_},
+                  Access_});
 }
 
 void ExchangeFlow::on(NoServer const &Event) {
@@ -151,21 +155,27 @@
   countRun();
   if (!HasBegunStream_) {
     HasBegunStream_ = true;
-    // The instance that chose the server remembers it.
-    if (!isThroughPeer())
-      rememberOrigin();
+    if (auto const Begun =
+            isThroughPeer() ? Answer_->Origin_ : std::optional(AttemptOrigin_))
+      rememberOrigin(*Begun);
     Actions_.push_back(BeginStream{Answer_->Head_});
   }
   Actions_.push_back(RelayEvents{std::move(Bytes)});
 }
 
-void ExchangeFlow::rememberOrigin() {
-  Origin_ = AttemptOrigin_;
+void ExchangeFlow::rememberOrigin(StreamOrigin const &Origin) {
+  Origin_ = Origin;
   if (Context_.Route_->Repeatability_ == Repeatability::Resumable &&
       !firstAttemptId().empty())
     Actions_.push_back(RememberOrigin{{firstAttemptId(), *Origin_}});
 }
 
+bool ExchangeFlow::mayHideProgress() const {
+  return Context_.Source_ == RequestSource::Peer && isStream() &&
+         Context_.Route_->Repeatability_ == Repeatability::Resumable &&
+         Context_.Metadata_.Peer_.Support_ == PeerFieldSupport::None;
+}
+
 std::string const &ExchangeFlow::firstAttemptId() const {
   auto const &Metadata = Context_.Metadata_;
   return Metadata.TakesUpStream_ ? Metadata.FirstAttemptId_
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -170,6 +170,8 @@
                                        TimePoint Now);
   bool isOver() const { return State_ == State::Over; }
   std::uint32_t attempts() const { return Sent_; }
+  /// What began the client's stream, once that is known.
+  std::optional<StreamOrigin> const &origin() const { return Origin_; }
   /// Whether the current attempt's stream has begun an event and not ended it.
   bool isInsideEvent() const {
     return State_ == State::Attempting && Splitter_.isInsideEvent();
@@ -202,7 +204,10 @@
   void relay(std::vector<StreamEvent> Events);
   void completeStream();
   void countRun();
-  void rememberOrigin();
+  void rememberOrigin(StreamOrigin const &Origin);
+  /// Whether another instance passes the stream on that does not state which
+  /// part of it the client has.
+  bool mayHideProgress() const;
   bool isThroughPeer() const { return Access_ == ServerAccess::ThroughPeer; }
   /// The attempt that began the stream. Empty if the client does not name it.
   std::string const &firstAttemptId() const;
--- a/Libraries/LibTraffic/TrafficRequest.h
+++ b/Libraries/LibTraffic/TrafficRequest.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibHttp/Exchange.h>
+#include <LibTraffic/PeerFields.h>
 #include <LibTraffic/RouteTable.h>
 #include <LibTraffic/ServerRecord.h>
 
@@ -40,16 +41,24 @@
   /// The client's identifier of the attempt that brought the first event of the
   /// stream that it takes up. Empty if it does not name one.
   std::string FirstAttemptId_;
+  /// Stated by the entry instance that passes the request on, if one does.
+  PeerState Peer_;
 
   auto operator<=>(RequestMetadata const &) const = default;
 };
 
-/// Metadata that an attempt adds to the request sent to a server.
+/// Metadata that an attempt adds to the request sent to a server, or to another
+/// entry instance.
 struct AttemptMetadata {
   ServerId Server_;
   AccountName Account_; ///< Empty on an anonymous route.
   Duration TimeLeft_{};
   std::optional<std::uint64_t> LastEventId_;
+  /// The attempt that began the stream of which the client has a part. Empty
+  /// if it has none.
+  std::string FirstAttemptId_;
+  /// What began that stream.
+  std::optional<StreamOrigin> Origin_;
 
   auto operator<=>(AttemptMetadata const &) const = default;
 };
@@ -102,6 +111,8 @@
   /// The server crashes if it has to refuse more requests than this in a second
   /// for want of room, from all entry instances together.
   std::optional<double> MaxRefusalsPerSecond_;
+  /// What began the stream, if another entry instance states it.
+  std::optional<StreamOrigin> Origin_;
 
   auto operator<=>(ServerAnswer const &) const = default;
 };
@@ -132,10 +143,13 @@
   virtual AnswerMatch match(AnswerHead const &Head,
                             std::string const &AttemptId) const = 0;
   virtual ServerAnswer decode(AnswerHead const &Head) const = 0;
-  /// Encodes a request that another entry instance is to take as the client
-  /// sent it.
+  /// Encodes a request that another entry instance is to take: the client's, as
+  /// far as this instance has come with it.
   virtual RequestHead encodeForPeer(RequestHead const &Received,
-                                    Duration TimeLeft) const = 0;
+                                    AttemptMetadata const &Attempt) const = 0;
+  /// Like decode(), for a request that another entry instance passes on.
+  virtual Result<RequestMetadata>
+  decodeFromPeer(RequestHead const &Head) const = 0;
   /// Decodes an answer that came through another entry instance.
   virtual ServerAnswer decodeFromPeer(AnswerHead const &Head) const = 0;
   /// Builds the head of an answer that this system generates.
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -170,8 +170,7 @@
   OutboundRequest Outbound;
   Outbound.Body_ = Request_.Body_;
   if (!isDirect()) {
-    Outbound.Head_ =
-        Codec.encodeForPeer(Request_.Head_, Action.Metadata_.TimeLeft_);
+    Outbound.Head_ = Codec.encodeForPeer(Request_.Head_, Action.Metadata_);
     Outbound.ConnectTimeout_ = PeerConnectTimeout;
     // A new connection for each: one that was kept may have been closed, and
     // then it would not be known whether the request has run.
@@ -380,7 +379,10 @@
 
 void RequestSession::on(BeginStream const &Action) {
   RelayedStatus_ = Action.Head_.Status_;
-  Exchange_->beginStream(Action.Head_);
+  auto Head = Action.Head_;
+  if (FlowContext_.Metadata_.Peer_.Support_ == PeerFieldSupport::Full)
+    setPeerFields(Head.Fields_, Flow_.origin());
+  Exchange_->beginStream(Head);
 }
 
 void RequestSession::on(RelayEvents const &Action) {
--- a/Services/laburnum-entry/StreamOriginDirectory.cpp
+++ b/Services/laburnum-entry/StreamOriginDirectory.cpp
@@ -28,6 +28,9 @@
 void StreamOriginDirectory::find(exchange::FlowContext const &FlowContext,
                                  Done Done) {
   auto const &First = FlowContext.Metadata_.FirstAttemptId_;
+  // The instance that passes the request on knows what began its stream.
+  if (auto const &Stated = FlowContext.Metadata_.Peer_.Origin_)
+    return onAnswer(FlowContext, {Stated, OriginSource::Record}, "peer", Done);
   if (auto const Known = Origins_.find(First, readBootClock()))
     return onAnswer(FlowContext, {Known, OriginSource::Record}, "local", Done);
   Finder_(
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -411,7 +411,10 @@
 std::shared_ptr<RequestSession>
 TrafficPlane::admit(std::shared_ptr<Exchange> const &Exchange,
                     ReceivedRequest &Request, exchange::RequestSource Source) {
-  auto const Decoded = Dependencies_.TrafficCodec_.decode(Request.Head_);
+  auto const &Codec = Dependencies_.TrafficCodec_;
+  auto const Decoded = Source == exchange::RequestSource::Peer
+                           ? Codec.decodeFromPeer(Request.Head_)
+                           : Codec.decode(Request.Head_);
   if (!Table_) {
     Refuser_.refuse(*Exchange, ServiceUnavailable, "no configuration yet",
                     isError(Decoded) ? RequestMetadata{} : valueOf(Decoded), 0,
--- a/Tests/EntryProcess/VersionedFleet.cpp
+++ b/Tests/EntryProcess/VersionedFleet.cpp
@@ -15,6 +15,10 @@
 
 namespace {
 
+/// Follows the events before a stop.
+std::string const UnfinishedEvent =
+    "id: " + std::to_string(VersionedFleet::EventsBeforeStop + 1) + "\ndata: v";
+
 std::string field(std::string const &Name, std::string const &Value) {
   return Value.empty() ? std::string() : Name + ": " + Value + "\r\n";
 }
@@ -105,7 +109,7 @@
   });
   for (unsigned Number = 0; Number < Instances; ++Number)
     Instances_.push_back(std::make_unique<EntryProcess>(
-        Number, StoreListener_->localEndpoint().Port_));
+        Number, StoreListener_->localEndpoint().Port_, "cuttable-entry"));
 }
 
 VersionedFleet::~VersionedFleet() {
@@ -119,13 +123,31 @@
 }
 
 void VersionedFleet::startInstances() {
-  for (auto const &Instance : Instances_)
-    Instance->start();
+  std::vector<std::uint16_t> Ports;
+  for (auto const &[Id, Server] : Listed_)
+    Ports.push_back(Server.Endpoint_.Port_);
+  for (std::size_t Number = 0; Number < Instances_.size(); ++Number) {
+    Cuts_.prepareStart(Number, Ports);
+    Instances_[Number]->start();
+  }
   for (auto const &Instance : Instances_)
     Instance->process().awaitLine("fleet_changed live=" +
                                   std::to_string(Instances_.size()));
 }
 
+void VersionedFleet::breakStreams() {
+  Thread_.on([this] {
+    for (auto const &Peer : std::exchange(Open_, {})) {
+      Peer->write(UnfinishedEvent);
+      Peer->close();
+    }
+  });
+}
+
+std::map<std::string, unsigned> VersionedFleet::runsFromStart() {
+  return Thread_.on([this] { return RunsFromStart_; });
+}
+
 void VersionedFleet::killAll() {
   for (auto const &Instance : Instances_)
     Instance->kill();
@@ -151,6 +173,7 @@
                  "Content-Type: text/event-stream\r\n\r\n");
       auto const Last = Peer.field("Last-Event-Id");
       bool const IsNew = Last.empty();
+      RunsFromStart_[AttemptId] += IsNew ? 1 : 0;
       auto const From = IsNew ? 0 : std::strtoull(Last.c_str(), nullptr, 10);
       // A server that failed all new streams would be avoided.
       bool const IsStopped = IsNew && (Stop_ == Stop::Waits || Number % 2 == 1);
@@ -162,7 +185,7 @@
         return;
       }
       if (IsStopped)
-        Peer.write("id: " + std::to_string(End + 1) + "\ndata: v");
+        Peer.write(UnfinishedEvent);
       Peer.close();
     };
     Servers_[Id] = std::make_unique<ScriptedServer>(Thread_.context(), Script);
--- a/Tests/EntryProcess/VersionedFleet.h
+++ b/Tests/EntryProcess/VersionedFleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "EntryProcess.h"
+#include "LinkCuts.h"
 #include "ScriptedServer.h"
 #include "StandinThread.h"
 #include "StoreStandin.h"
@@ -71,7 +72,15 @@
   VersionedFleet(VersionedFleet const &) = delete;
   VersionedFleet &operator=(VersionedFleet const &) = delete;
 
+  /// Instances that are started later are cut off from the servers that are
+  /// listed by then.
   void startInstances();
+  /// Cuts an instance off from all servers, or heals its links.
+  void cut(std::size_t Instance, Cut Cut) const { Cuts_.cut(Instance, Cut); }
+  /// Ends the streams that wait inside their next event.
+  void breakStreams();
+  /// Returns how often servers began each attempt's stream at its first event.
+  std::map<std::string, unsigned> runsFromStart();
   EntryProcess &instance(std::size_t Number) { return *Instances_[Number]; }
   std::size_t instances() const { return Instances_.size(); }
   void killAll();
@@ -102,10 +111,12 @@
   std::map<std::string, Listed> Listed_;
   std::map<std::string, std::unique_ptr<ScriptedServer>> Servers_;
   std::set<std::shared_ptr<ScriptedServer::Peer>> Open_;
+  std::map<std::string, unsigned> RunsFromStart_;
   std::int64_t LastBorn_ = 1700000000000;
   std::uint64_t Sequence_ = 0;
   std::string LastChange_; ///< Of the list, as the instances log it.
   std::shared_ptr<HttpListener> StoreListener_;
+  LinkCuts Cuts_{Thread_};
   std::vector<std::unique_ptr<EntryProcess>> Instances_;
 };
 
--- a/Tests/LibTraffic/TestExchangeFlow.cpp
+++ b/Tests/LibTraffic/TestExchangeFlow.cpp
@@ -47,12 +47,14 @@
 
 /// Drives one flow and stores its last actions.
 struct Harness {
-  explicit Harness(Route Given, RequestMetadata Metadata = {})
+  explicit Harness(Route Given, RequestMetadata Metadata = {},
+                   RequestSource Source = RequestSource::Client)
       : Route_(std::move(Given)) {
     FlowContext FlowContext;
     FlowContext.Metadata_ = std::move(Metadata);
     FlowContext.Route_ = &Route_;
     FlowContext.Expiry_ = Now_ + seconds(2);
+    FlowContext.Source_ = Source;
     Flow_.emplace(FlowContext, RetryGate_);
     Last_ = Flow_->start(Now_);
   }
@@ -360,3 +362,69 @@
     CHECK(Run.Last_.empty());
   }
 }
+
+TEST_CASE(
+    "A begun stream takes what the client has, and its origin, to another "
+    "instance and back") {
+  RequestMetadata Metadata;
+  Metadata.AttemptId_ = "a1";
+  Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream),
+              Metadata);
+  auto First = server("a");
+  First.Service_ = ServiceName("desk");
+  First.SoftwareVersion_ = "v2";
+  StreamOrigin const Origin{ServiceName("desk"), "v2"};
+  Run.handle(ServerAssigned{First});
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{"id: 1\n\nid: 2\n\n"});
+  Run.handle(failure(AttemptProgress::AnswerBegun));
+  Run.handle(ServerAssigned{server("peer"), ServerAccess::ThroughPeer});
+  REQUIRE(Run.find<SendAttempt>());
+  auto const Sent = Run.find<SendAttempt>()->Metadata_;
+  CHECK(Sent.LastEventId_ == 2);
+  CHECK(Sent.FirstAttemptId_ == "a1");
+  CHECK(Sent.Origin_ == Origin);
+  Run.handle(failure(AttemptProgress::NotConnected));
+  REQUIRE(Run.find<RequestServer>());
+  CHECK(Run.find<RequestServer>()->Origin_ == Origin);
+}
+
+TEST_CASE("A stream that began through another instance goes on if that one "
+          "states its origin") {
+  RequestMetadata Metadata;
+  Metadata.AttemptId_ = "a1";
+  Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream),
+              Metadata);
+  auto Answered = Signed;
+  bool const IsStated = GENERATE(false, true);
+  if (IsStated)
+    Answered.Origin_ = StreamOrigin{ServiceName("desk"), "v2"};
+  Run.handle(ServerAssigned{server("peer"), ServerAccess::ThroughPeer});
+  Run.handle(HeadArrived{Answered});
+  Run.handle(BodyArrived{"id: 1\n\n"});
+  Run.handle(failure(AttemptProgress::AnswerBegun));
+  REQUIRE((Run.find<RequestServer>() != nullptr) == IsStated);
+  if (IsStated)
+    CHECK(Run.find<RequestServer>()->Origin_ == Answered.Origin_);
+  else
+    CHECK(Run.find<AbortStream>());
+}
+
+TEST_CASE(
+    "A stream passed on by an instance of an older release is refused, as "
+    "it does not state what the client has") {
+  RequestMetadata Metadata;
+  Metadata.AttemptId_ = "a1";
+  auto const Repeat =
+      GENERATE(Repeatability::Resumable, Repeatability::Repeatable);
+  bool const IsStated = GENERATE(false, true);
+  if (IsStated)
+    Metadata.Peer_.Support_ = PeerFieldSupport::Full;
+  Harness const Run(routeOf(Repeat, Repeat == Repeatability::Resumable
+                                        ? AnswerForm::EventStream
+                                        : AnswerForm::Complete),
+                    Metadata, RequestSource::Peer);
+  bool const IsRefused = !IsStated && Repeat == Repeatability::Resumable;
+  CHECK((Run.find<RequestServer>() == nullptr) == IsRefused);
+  CHECK((Run.find<Refuse>() != nullptr) == IsRefused);
+}
--- a/Tests/Platform/TestHeaderCodec.cpp
+++ b/Tests/Platform/TestHeaderCodec.cpp
@@ -78,9 +78,12 @@
 }
 
 TEST_CASE("A server gets the client's fields and this system's own only") {
-  auto const Sent = Codec.encode(
-      request(), {ServerId("i-1"), AccountName("acc"),
-                  std::chrono::microseconds(1500400), std::uint64_t{14}});
+  auto const Sent = Codec.encode(request(), {ServerId("i-1"),
+                                             AccountName("acc"),
+                                             std::chrono::microseconds(1500400),
+                                             std::uint64_t{14},
+                                             {},
+                                             {}});
   auto const &Fields = Sent.Fields_;
   CHECK(Sent.Method_ == "POST");
   CHECK(Sent.Target_ == "/p/x?q");
@@ -100,7 +103,8 @@
 
 TEST_CASE(
     "On an anonymous route no account is named, whatever the client says") {
-  auto const Sent = Codec.encode(request(), {ServerId("i-1"), {}, {}, {}});
+  auto const Sent =
+      Codec.encode(request(), {ServerId("i-1"), {}, {}, {}, {}, {}});
   CHECK_FALSE(Sent.Fields_.find("X-Tenant"));
 }
 
@@ -214,3 +218,50 @@
   auto const Long = answer(200, {{"Server-Limit", std::string(9000, 'x')}});
   CHECK(Codec.decode(Long).RateLimit_->Text_.size() == 40);
 }
+
+TEST_CASE("A begun stream is passed on with its last event, its first attempt "
+          "and its origin") {
+  AttemptMetadata Attempt;
+  Attempt.TimeLeft_ = std::chrono::milliseconds(700);
+  Attempt.LastEventId_ = 17;
+  Attempt.FirstAttemptId_ = "id1";
+  Attempt.Origin_ = StreamOrigin{ServiceName("writer"), "v 2"};
+  auto Received = request();
+  Received.Fields_.add("Laburnum-Stream-Origin", "forged/v9");
+  auto const Head = Codec.encodeForPeer(Received, Attempt);
+  CHECK(Head.Fields_.valueOr("X-Key") == "secret");
+  CHECK(Head.Fields_.valueOr("X-Deadline-Ms") == "700");
+  SECTION("to an instance of this release") {
+    auto const Metadata = valueOf(Codec.decodeFromPeer(Head));
+    CHECK(Metadata.LastEventId_ == 17);
+    CHECK(Metadata.TakesUpStream_);
+    CHECK(Metadata.FirstAttemptId_ == "id1");
+    CHECK(Metadata.Peer_ == PeerState{PeerFieldSupport::Full, Attempt.Origin_});
+  }
+  SECTION("to one that takes it for a client's") {
+    auto const Metadata = valueOf(Codec.decode(Head));
+    CHECK(Metadata.LastEventId_ == 17);
+    CHECK(Metadata.FirstAttemptId_ == "id1");
+    CHECK(Metadata.Peer_ == PeerState{});
+  }
+  SECTION("and no further") {
+    auto const ToServer = Codec.encode(Head, Attempt);
+    CHECK_FALSE(ToServer.Fields_.find("Laburnum-Stream-Origin"));
+  }
+}
+
+TEST_CASE("A client cannot state a stream's origin") {
+  auto Head = request();
+  Head.Fields_.add("Laburnum-Stream-Origin", "forged/v9");
+  CHECK(valueOf(Codec.decode(Head)).Peer_ == PeerState{});
+  auto const PassedOn = Codec.encodeForPeer(Head, {});
+  CHECK_FALSE(valueOf(Codec.decodeFromPeer(PassedOn)).Peer_.Origin_);
+}
+
+TEST_CASE("An origin in a peer's answer is read and not relayed") {
+  auto Head = answer(200, {{"X-Server-Stamp", "s"}});
+  setPeerFields(Head.Fields_, StreamOrigin{ServiceName("writer"), "v2"});
+  auto const Answer = Codec.decodeFromPeer(Head);
+  CHECK(Answer.Origin_ == StreamOrigin{ServiceName("writer"), "v2"});
+  CHECK(Answer.Head_.Fields_.all().size() == 1);
+}
