laburnum-entry: Tell waiting callers at once when no instance reaches a server

What callers saw: a request that waited for a server when its instance lost its links, or whose instance and all others were cut off, was held until half of its latency target had passed, and a begun stream stood still for as long.

Cause: onLinkCut reached only requests at a server, not those in the queue; and where every other instance had refused, the request went back to the queue of an instance that knew that it was cut off.

Why it works: a cut wakes the waiting requests, which are passed on or refused; and where there are other instances and none takes the request, it is refused with Retry-After. An instance without any other goes on waiting, as a crash of all servers looks like a cut.

--- a/Libraries/LibTraffic/PeerRoutes.h
+++ b/Libraries/LibTraffic/PeerRoutes.h
@@ -27,6 +27,7 @@
       : Geography_(std::move(Geography)), Generator_(Seed) {}
 
   void setPeers(std::vector<PeerRoute> Peers) { Peers_ = std::move(Peers); }
+  bool hasPeers() const { return !Peers_.empty(); }
   /// Returns the instance in the form of a server, or nothing.
   std::optional<ServerRecord> choose(ServiceName const &Service,
                                      std::set<ServerId> const &Excluded,
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -106,11 +106,13 @@
   Excluded_ = Action.Excluded_;
   bool const IsCutOff = Plane_.Links_.isCut(QueuedService_);
   if (IsCutOff && FlowContext_.Source_ == RequestSource::Peer)
-    return handle(
-        NoServer{"this instance reaches no server", RetryAfterCutOff});
+    return refuseCutOff();
   if ((IsCutOff || Unconnected_ >= UnconnectedBeforePeer) &&
       passToPeer(Excluded_))
     return;
+  // All other instances have refused or are out of reach.
+  if (IsCutOff && Plane_.PeerRoutes_.hasPeers())
+    return refuseCutOff();
   auto const Now = readBootClock();
   auto const &Route = *FlowContext_.Route_;
   auto const *const Account =
@@ -331,6 +333,21 @@
   handle(AttemptFailed{Evidence});
 }
 
+void RequestSession::onLinkCutInQueue(ServiceName const &Service) {
+  if (QueuedService_ != Service)
+    return;
+  auto const Ticket = Ticket_;
+  if (FlowContext_.Source_ == RequestSource::Peer)
+    refuseCutOff();
+  else if (!passToPeer(Excluded_))
+    return;
+  Plane_.dequeue(Ticket);
+}
+
+void RequestSession::refuseCutOff() {
+  handle(NoServer{"this instance reaches no server", RetryAfterCutOff});
+}
+
 void RequestSession::clearStall() {
   StallTimer_.cancel();
   if (std::exchange(IsAwaited_, false))
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -22,6 +22,8 @@
   void onAdmission(AdmissionOutcome const &Outcome);
   /// This instance has lost its links to the service's servers.
   void onLinkCut(ServiceName const &Service);
+  /// The same while the request waits for a server.
+  void onLinkCutInQueue(ServiceName const &Service);
   ~RequestSession() override;
 
   void onClientLeft() override;
@@ -53,6 +55,8 @@
   bool isDirect() const { return Access_ == ServerAccess::Direct; }
   /// Passes the request to another instance. Returns whether there is one.
   bool passToPeer(std::set<ServerId> const &Excluded);
+  /// Ends a request that no instance can serve, as far as this one knows.
+  void refuseCutOff();
   void endAttempt(AttemptHealth Health, AttemptEvidence const &Evidence);
   void armStallTimer();
   void clearStall();
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -267,6 +267,9 @@
   for (auto *const Session : std::set(AttemptingSessions_))
     if (AttemptingSessions_.contains(Session))
       Session->onLinkCut(Service);
+  for (auto const &[Ticket, Session] : std::map(Waiting_))
+    if (Waiting_.contains(Ticket))
+      Session->onLinkCutInQueue(Service);
 }
 
 void TrafficPlane::notifyPeersOfServer(ServerId const &Incarnation,
--- a/Tests/EntryProcess/TestPassedOnStreams.cpp
+++ b/Tests/EntryProcess/TestPassedOnStreams.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t Streams = 8;
 /// The longest time until a client is told that its stream cannot go on.
-constexpr std::chrono::seconds AbortTime{2};
+constexpr std::chrono::milliseconds AbortTime{1000};
 
 /// How the streams of a cut-off instance ended for their clients.
 struct Ended {
@@ -115,10 +115,13 @@
   addServers(Fleet, "v1");
   Fleet.startInstances();
   auto Begun = beginStreams(Fleet, 0);
-  addServers(Fleet, "v2");
-  for (std::string const Id : {"v1-1", "v1-2", "v1-3"})
-    Fleet.removeServer(Id);
-  Fleet.awaitList();
+  SECTION("servers of another version have replaced all") {
+    addServers(Fleet, "v2");
+    for (std::string const Id : {"v1-1", "v1-2", "v1-3"})
+      Fleet.removeServer(Id);
+    Fleet.awaitList();
+  }
+  SECTION("all instances are cut off") { Fleet.cut(1, Cut::Resets); }
   Fleet.cut(0, Cut::Resets);
   Fleet.breakStreams();
   CHECK(readToEnds(Fleet, Begun).Aborted_ == Streams);
