LibControl, laburnum-entry: Don't rely on outdated knowledge of software versions

An instance that was cut off or stood still while servers of a new software version joined takes up a stream that began there, and continues it at the old version.

Cause: with a silent store an instance answered from the versions that it knew as long as most others counted as live, which they do for seconds after a cut or a pause. With a store that answers it believed the recorded history although its own list was old and those who keep the history may not have recorded the new version yet.

Suspected, not played: a cut between peers.

Why it works: ContactMonitor tells on the present time whether the list was confirmed and peers were heard, and does not count what may have been sent before a pause. Without peers a silent store means refusal at once; with an old list the store's list is read before a single version is believed. RecordCodec moves to a header of its own, for StreamOriginTasks.

--- a/Libraries/LibControl/StreamOriginRecords.cpp
+++ b/Libraries/LibControl/StreamOriginRecords.cpp
@@ -209,20 +209,38 @@
 /// One read answers all queries that came before it.
 void StreamOriginRecords::search() {
   IsSearching_ = true;
-  readHistory(SearchTimeout, [Self = shared_from_this(),
-                              Queries = std::exchange(Queries_, {})](
-                                 bool IsRead) mutable {
-    if (IsRead) {
-      Self->updateHistory();
-      return Self->searchRecords(Self->answerByVersions(std::move(Queries)));
-    }
-    // No one who can read the store is out of reach.
-    if (Self->WasHistoryRead_ && Self->Reach_ == PeerReach::Most)
-      Queries = Self->answerByVersions(std::move(Queries));
-    for (auto const &Query : Queries)
-      Query.Done_({std::nullopt, OriginSource::StoreSilent});
-    Self->endSearch();
-  });
+  readHistory(SearchTimeout,
+              [Self = shared_from_this(),
+               Queries = std::exchange(Queries_, {})](bool IsRead) mutable {
+                if (IsRead) {
+                  Self->updateHistory();
+                  return Self->decide(std::move(Queries));
+                }
+                // No one who can read the store is out of reach.
+                if (Self->WasHistoryRead_ && Self->Reach_ == PeerReach::Most)
+                  Queries = Self->answerByVersions(std::move(Queries));
+                Self->refuse(Queries);
+              });
+}
+
+void StreamOriginRecords::decide(std::vector<Query> Queries) {
+  if (ListAge_ == ListAge::Current)
+    return searchRecords(answerByVersions(std::move(Queries)));
+  // The history lacks versions that those who keep it have just seen.
+  ReadServerList_(SearchTimeout,
+                  [Self = shared_from_this(), Queries = std::move(Queries)](
+                      std::optional<std::vector<ServerRecord>> const &Servers) {
+                    if (!Servers)
+                      return Self->refuse(Queries);
+                    Self->Versions_.setListed(*Servers, Self->TimeOfDay_);
+                    Self->searchRecords(Self->answerByVersions(Queries));
+                  });
+}
+
+void StreamOriginRecords::refuse(std::vector<Query> const &Queries) {
+  for (auto const &Query : Queries)
+    Query.Done_({std::nullopt, OriginSource::StoreSilent});
+  endSearch();
 }
 
 std::vector<StreamOriginRecords::Query>
@@ -244,11 +262,8 @@
       StreamCollection, ReadConsistency::Latest, SearchTimeout,
       [Self = shared_from_this(),
        Queries = std::move(Queries)](Result<ObjectList> const &Read) mutable {
-        if (isError(Read)) {
-          for (auto const &Query : Queries)
-            Query.Done_({std::nullopt, OriginSource::StoreSilent});
-          return Self->endSearch();
-        }
+        if (isError(Read))
+          return Self->refuse(Queries);
         Origins Streams;
         for (auto const &Object : valueOf(Read).Objects_)
           if (auto const WrittenAt = decodeStreams(Object.Value_, Streams);
--- a/Libraries/LibControl/StreamOriginRecords.h
+++ b/Libraries/LibControl/StreamOriginRecords.h
@@ -45,17 +45,27 @@
   /// Whether this instance reaches most others, and so would hear of other
   /// software versions from those that can read the store.
   enum class PeerReach { Few, Most };
+  /// Whether the server list of this instance was confirmed recently.
+  enum class ListAge { Current, Outdated };
+  /// Reads the store's latest server list; nothing if that fails.
+  using ServerListDone =
+      std::function<void(std::optional<std::vector<ServerRecord>> const &)>;
+  using ServerListReader =
+      std::function<void(Duration Timeout, ServerListDone)>;
 
   /// The store has to outlive the records. Name is the instance's name, which
   /// its later incarnations keep.
-  StreamOriginRecords(AsyncObjectStore &Store, std::string Name)
-      : Store_(Store), Name_(std::move(Name)) {}
+  StreamOriginRecords(AsyncObjectStore &Store, std::string Name,
+                      ServerListReader ReadServerList)
+      : Store_(Store), Name_(std::move(Name)),
+        ReadServerList_(std::move(ReadServerList)) {}
 
   void setListed(std::vector<ServerRecord> const &Servers, Duration TimeOfDay,
                  TimePoint Now);
   void setHistoryRole(HistoryRole Role, Duration TimeOfDay, TimePoint Now);
   /// Live is the number of instances, which share the writes.
   void setPeers(PeerReach Reach, std::size_t Live);
+  void setListAge(ListAge Age) { ListAge_ = Age; }
   /// The store came back from an older copy.
   void onStoreRestored(Duration TimeOfDay, TimePoint Now);
 
@@ -93,7 +103,9 @@
   void updateHistory();
   void writeHistory();
   void search();
-  void searchHistory(std::vector<Query> Queries);
+  /// Continues a search after the history was read.
+  void decide(std::vector<Query> Queries);
+  void refuse(std::vector<Query> const &Queries);
   void searchRecords(std::vector<Query> Queries);
   void endSearch();
   /// Answers the queries that the versions alone decide and returns the others.
@@ -105,12 +117,14 @@
 
   AsyncObjectStore &Store_;
   std::string const Name_;
+  ServerListReader const ReadServerList_;
   Duration TimeOfDay_{};
   TimePoint Now_{};
   SoftwareVersions Versions_;
   bool IsListed_ = false;
   HistoryRole HistoryRole_ = HistoryRole::Reads;
   PeerReach Reach_ = PeerReach::Few;
+  ListAge ListAge_ = ListAge::Current;
   std::size_t Live_ = 1;
   /// The history in the store and its version, once it was read.
   std::optional<VersionHistory> Recorded_;
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -70,7 +70,8 @@
                       localInstance(Dependencies.Settings_, Incarnation_),
                       Seed + 5),
       StreamOriginTasks_({Dependencies.Context_, Dependencies.TrafficContext_,
-                          Store_, Dependencies.Traffic_, Dependencies.Clock_},
+                          Store_, Dependencies.Traffic_, Dependencies.Clock_,
+                          Dependencies.Codec_},
                          Dependencies.Settings_.Name_),
       Peers_(std::make_shared<PeerNetwork>(
           Dependencies.Context_, Store_, Dependencies.Settings_.Name_,
@@ -288,6 +289,7 @@
 
 void ControlPlane::onPeerMessage(InstanceId const &From,
                                  PeerMessage const &Message) {
+  StreamOriginTasks_.contact().onPeerMessage(readBootClock());
   if (auto const *const Report = std::get_if<ConsumptionReport>(&Message))
     onReport(From, *Report);
   else if (auto const *const Sum = std::get_if<ConsumptionSum>(&Message))
@@ -389,6 +391,7 @@
 
 void ControlPlane::tickLeaseHolderTasks() {
   auto const Now = readBootClock();
+  StreamOriginTasks_.contact().onTime(Now);
   Dependencies_.Clock_.setLocal(timeOfDay(), Now);
   LeaseHolderTasks_.tick(Now, Dependencies_.Clock_.read(Now),
                          Collector_.isComplete(Now)
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -3,6 +3,7 @@
 #include "CrashGuardTasks.h"
 #include "LeaseHolderTasks.h"
 #include "RateLimitTasks.h"
+#include "RecordCodec.h"
 #include "StatusService.h"
 #include "StreamOriginTasks.h"
 #include "TrafficPlane.h"
@@ -22,20 +23,6 @@
 
 namespace laburnum {
 
-/// Decodes the platform's configuration and server records.
-class RecordCodec {
-public:
-  virtual ~RecordCodec() = default;
-  virtual std::string configurationCollection() const = 0;
-  virtual std::string serverCollection() const = 0;
-  /// Returns nullptr when the object is not this system's configuration.
-  virtual Result<std::shared_ptr<RouteTable const>>
-  decodeConfiguration(StoredObject const &Object) const = 0;
-  /// Returns nothing when the object does not describe a usable server.
-  virtual std::optional<ServerRecord>
-  decodeServer(StoredObject const &Object) const = 0;
-};
-
 /// References to shared objects, all of which outlive the control thread.
 struct ControlDependencies {
   asio::io_context &Context_;
--- a/Services/laburnum-entry/StreamOriginTasks.cpp
+++ b/Services/laburnum-entry/StreamOriginTasks.cpp
@@ -10,28 +10,65 @@
 
 constexpr std::chrono::milliseconds Period{50};
 
+void readServerList(StreamOriginDependencies const &Dependencies,
+                    Duration Timeout,
+                    StreamOriginRecords::ServerListDone const &Done) {
+  Dependencies.Store_.list(
+      Dependencies.Codec_.serverCollection(), ReadConsistency::Latest, Timeout,
+      [&Codec = Dependencies.Codec_, Done](Result<ObjectList> const &Read) {
+        if (isError(Read))
+          return Done(std::nullopt);
+        std::vector<ServerRecord> Servers;
+        for (auto const &Object : valueOf(Read).Objects_)
+          if (auto const Server = Codec.decodeServer(Object))
+            Servers.push_back(*Server);
+        Done(Servers);
+      });
+}
+
 } // namespace
 
 StreamOriginTasks::StreamOriginTasks(StreamOriginDependencies Dependencies,
                                      std::string const &Name)
     : Dependencies_(Dependencies),
-      Records_(
-          std::make_shared<StreamOriginRecords>(Dependencies.Store_, Name)),
+      Records_(std::make_shared<StreamOriginRecords>(
+          Dependencies.Store_, Name,
+          [Dependencies](Duration Timeout,
+                         StreamOriginRecords::ServerListDone const &Done) {
+            readServerList(Dependencies, Timeout, Done);
+          })),
       Timer_(Dependencies.Context_) {}
 
 void StreamOriginTasks::start() {
   Dependencies_.Traffic_.streamOrigins().setFinder(
       [this](ServiceName const &Service, std::string const &FirstAttemptId,
              StreamOriginRecords::Done Done) {
-        asio::post(Dependencies_.Context_, [this, Service, FirstAttemptId,
-                                            Done = std::move(Done)] {
-          auto const Now = readBootClock();
-          Records_->find(Service, FirstAttemptId, timeOfDay(Now), Now, Done);
-          arm();
-        });
+        asio::post(Dependencies_.Context_,
+                   [this, Service, FirstAttemptId, Done = std::move(Done)] {
+                     find(Service, FirstAttemptId, Done);
+                   });
       });
 }
 
+void StreamOriginTasks::find(ServiceName const &Service,
+                             std::string const &FirstAttemptId,
+                             StreamOriginRecords::Done const &Done) {
+  auto const Now = readBootClock();
+  Records_->setPeers(peerReach(Now), Live_);
+  Records_->setListAge(Contact_.isListCurrent(Now)
+                           ? StreamOriginRecords::ListAge::Current
+                           : StreamOriginRecords::ListAge::Outdated);
+  Records_->find(Service, FirstAttemptId, timeOfDay(Now), Now, Done);
+  arm();
+}
+
+StreamOriginRecords::PeerReach StreamOriginTasks::peerReach(TimePoint Now) {
+  bool const IsAlone = Live_ <= 1;
+  return 2 * Live_ > Registered_ && (IsAlone || Contact_.hearsPeers(Now))
+             ? StreamOriginRecords::PeerReach::Most
+             : StreamOriginRecords::PeerReach::Few;
+}
+
 void StreamOriginTasks::replaceServers(
     std::vector<ServerRecord> const &Servers) {
   Servers_.clear();
@@ -69,10 +106,9 @@
 }
 
 void StreamOriginTasks::setPeers(std::size_t Live, std::size_t Registered) {
-  Records_->setPeers(2 * Live > Registered
-                         ? StreamOriginRecords::PeerReach::Most
-                         : StreamOriginRecords::PeerReach::Few,
-                     Live);
+  Live_ = Live;
+  Registered_ = Registered;
+  Records_->setPeers(peerReach(readBootClock()), Live);
 }
 
 void StreamOriginTasks::onStoreRestored() {
--- a/Services/laburnum-entry/StreamOriginTasks.h
+++ b/Services/laburnum-entry/StreamOriginTasks.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "RecordCodec.h"
 #include "TrafficPlane.h"
 
+#include <LibControl/ContactMonitor.h>
 #include <LibControl/StoreRelay.h>
 #include <LibControl/StreamOriginRecords.h>
 
@@ -22,6 +24,7 @@
   AsyncObjectStore &Store_;
   TrafficPlane &Traffic_;
   MedianClock const &Clock_;
+  RecordCodec const &Codec_;
 };
 
 /// Records the origins of this instance's streams in the store while several
@@ -40,10 +43,15 @@
   void removeServer(ServerId const &Id);
   void setReaderRole(relay::ReaderRole Role);
   void setPeers(std::size_t Live, std::size_t Registered);
+  ContactMonitor &contact() { return Contact_; }
   void onStoreRestored();
 
 private:
   void serversChanged();
+  void find(ServiceName const &Service, std::string const &FirstAttemptId,
+            StreamOriginRecords::Done const &Done);
+  /// Whether this instance hears from most others, as of now.
+  StreamOriginRecords::PeerReach peerReach(TimePoint Now);
   Duration timeOfDay(TimePoint Now) const {
     return Dependencies_.Clock_.read(Now);
   }
@@ -56,6 +64,9 @@
   StreamOriginDependencies Dependencies_;
   std::shared_ptr<StreamOriginRecords> Records_;
   std::map<ServerId, ServerRecord> Servers_;
+  ContactMonitor Contact_;
+  std::size_t Live_ = 1;
+  std::size_t Registered_ = 0;
   asio::steady_timer Timer_;
   bool IsArmed_ = false;
   bool IsRecording_ = false;
--- a/Tests/EntryProcess/TestSoftwareVersions.cpp
+++ b/Tests/EntryProcess/TestSoftwareVersions.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <csignal>
 #include <deque>
 
 using namespace laburnum;
@@ -201,3 +203,34 @@
   Fleet.instance(0).kill();
   CHECK(countTakenUp(Fleet, 1, Begun) == Streams);
 }
+
+// Guards against a stream that goes on at the version that an instance knew
+// before its process stood still.
+TEST_CASE("An instance that stood still while a new software version joined "
+          "continues no stream of that version at the old one") {
+  VersionedFleet Fleet(3, Stop::Waits);
+  Fleet.addServer("v1-1", "v1");
+  Fleet.addServer("v1-2", "v1");
+  Fleet.startInstances();
+  auto &Still = Fleet.instance(1);
+  bool const IsStoreAway = GENERATE(true, false);
+  Still.process().signal(SIGSTOP);
+  Fleet.addServer("v2-1", "v2");
+  Fleet.addServer("v2-2", "v2");
+  auto const IsOld = [](StreamClient const &Client) {
+    return versionsOf(Client.events()).contains("v1");
+  };
+  std::deque<StreamClient> Begun;
+  for (int Round = 0; std::all_of(Begun.begin(), Begun.end(), IsOld); ++Round) {
+    Begun = beginStreams(Fleet, 0, "first-" + std::to_string(Round) + "-");
+    REQUIRE(Round < 20);
+  }
+  awaitRecord(Fleet, Begun);
+  if (IsStoreAway)
+    Fleet.onStore([](StoreStandin &Store) {
+      Store.setMode(StoreMode::Busy);
+      return true;
+    });
+  Still.process().signal(SIGCONT);
+  countTakenUp(Fleet, 1, Begun);
+}
--- a/Tests/LibControl/TestStreamOriginRecords.cpp
+++ b/Tests/LibControl/TestStreamOriginRecords.cpp
@@ -38,7 +38,14 @@
   /// Starts an instance, or a later incarnation of it.
   Records start(std::string const &Name,
                 HistoryRole Role = HistoryRole::Keeps) {
-    auto Made = std::make_shared<StreamOriginRecords>(Store_, Name);
+    auto Made = std::make_shared<StreamOriginRecords>(
+        Store_, Name,
+        [this](Duration, StreamOriginRecords::ServerListDone const &Done) {
+          if (IsListReadable_)
+            Done(Listed_);
+          else
+            Done(std::nullopt);
+        });
     Made->setPeers(PeerReach::Most, 1);
     Made->setListed(Listed_, timeOfDay(), Now_);
     Made->setHistoryRole(Role, timeOfDay(), Now_);
@@ -80,6 +87,7 @@
   FakeAsyncStore Store_;
   TimePoint Now_{seconds(100)};
   std::vector<ServerRecord> Listed_{server("v1")};
+  bool IsListReadable_ = true; ///< By reads of single instances.
 };
 
 StreamOrigin origin(std::string const &Version) { return {Writer, Version}; }
@@ -260,3 +268,20 @@
   }
   CHECK(GoneOn > 0);
 }
+
+// Guards against a stream of a new version that goes on at the old one: the
+// instance had not heard of the new one while it was out of step.
+TEST_CASE_METHOD(Fixture, "An instance whose server list is outdated reads it "
+                          "before it relies on a single version") {
+  auto const Stale = start("a", HistoryRole::Reads);
+  pass({Stale}, seconds(1));
+  CHECK(find(Stale, "s1").Origin_ == origin("v1"));
+  // No keeper has recorded the new version yet.
+  Listed_.push_back(server("v2"));
+  Stale->setListAge(StreamOriginRecords::ListAge::Outdated);
+  IsListReadable_ = GENERATE(true, false);
+  auto const Answer = find(Stale, "s1");
+  CHECK_FALSE(Answer.Origin_);
+  CHECK(Answer.Source_ == (IsListReadable_ ? OriginSource::NotRecorded
+                                           : OriginSource::StoreSilent));
+}
