LibTraffic, LibHttp, laburnum-entry: Bound what all answers keep in memory together

A faulty server sends bytes without end; the instance keeps them until its memory is gone, and the requests of all its clients end with it.

Cause: heads, chunk lines, trailers, events and bodies were bounded each, their sum was unbounded; bodies that are never sent on (refusals, answers without a signature) were kept like others, and so was what clients do not read.

Evidence: TestEntryProcess "Answers without an end fill no memory ..." plays eight kinds of endless bytes to 40 callers, 96 MB allowed. Ruled out: heads, interim answers, chunk extensions and trailers, which hold.

Why it works: unusable bodies are dropped as they arrive. Unfinished answers hold 32 MB together; beyond that one above 64 KB fails like one that broke off. Clients may leave 32 MB unread together; beyond that those are reset that have not read for the longest time (TestLibHttp "Beyond the limit ...").

Not bounded together: request bodies, the pages of the store's lists.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/Connection.h>
 
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 
 #include <array>
@@ -110,6 +111,7 @@
 
 void Connection::writeNext() {
   IsWriting_ = true;
+  WriteBegunAt_ = readBootClock();
   asio::async_write(
       Socket_, asio::buffer(Writes_.front()),
       [Self = shared_from_this()](asio::error_code Failure, std::size_t Count) {
@@ -157,6 +159,15 @@
   release();
 }
 
+void Connection::abortForMemory() {
+  auto Observer = Observer_;
+  abort();
+  if (Observer)
+    asio::post(CloseTimer_.get_executor(), [Observer = std::move(Observer)] {
+      Observer->onEnd(ConnectionEnd::Broken);
+    });
+}
+
 void Connection::end(ConnectionEnd End) {
   auto const Observer = std::move(Observer_);
   release();
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -54,7 +54,11 @@
 
   void write(std::string Bytes);
   /// Bytes passed to write() that the kernel has not taken yet.
-  std::size_t unwrittenBytes() const { return Unwritten_; }
+  std::size_t unwrittenBytes() const {
+    return State_ == State::Closed ? 0 : Unwritten_;
+  }
+  /// When the oldest of these bytes were passed to write().
+  TimePoint writeBegunAt() const { return WriteBegunAt_; }
 
   /// Shuts the connection down gracefully: pending writes are still sent, and
   /// the peer gets a second to close its side.
@@ -62,6 +66,9 @@
   /// Resets the connection at once, so that a truncated answer cannot be taken
   /// for a complete one.
   void abort();
+  /// Like abort(), but the observer is told later, as if the peer had reset the
+  /// connection.
+  void abortForMemory();
   bool isOpen() const { return State_ == State::Open; }
 
 private:
@@ -80,6 +87,7 @@
   std::shared_ptr<ConnectionObserver> Observer_;
   std::deque<std::string> Writes_;
   std::size_t Unwritten_ = 0;
+  TimePoint WriteBegunAt_{};
   State State_ = State::Open;
   bool IsWaiting_ = false;
   bool IsWriting_ = false;
--- a/Libraries/LibHttp/HttpListener.cpp
+++ b/Libraries/LibHttp/HttpListener.cpp
@@ -83,6 +83,47 @@
     Accepted->drain();
 }
 
+void HttpListener::addClosing(std::shared_ptr<Connection> const &Closed) {
+  std::erase_if(Closing_, [](auto const &Entry) {
+    auto const Open = Entry.lock();
+    return !Open || Open->unwrittenBytes() == 0;
+  });
+  if (Closed->unwrittenBytes() > 0)
+    Closing_.push_back(Closed);
+}
+
+std::vector<std::shared_ptr<Connection>> HttpListener::unwritten() const {
+  std::vector<std::shared_ptr<Connection>> Found;
+  for (auto const &Accepted : Connections_)
+    if (Accepted->unwrittenBytes() > 0)
+      Found.push_back(Accepted->connection());
+  for (auto const &Entry : Closing_)
+    if (auto const Open = Entry.lock(); Open && Open->unwrittenBytes() > 0)
+      Found.push_back(Open);
+  return Found;
+}
+
+std::size_t HttpListener::limitUnwritten(std::size_t MaxBytes) {
+  auto Open = unwritten();
+  std::size_t Total = 0;
+  for (auto const &One : Open)
+    Total += One->unwrittenBytes();
+  if (Total <= MaxBytes)
+    return 0;
+  std::sort(Open.begin(), Open.end(), [](auto const &Left, auto const &Right) {
+    return Left->writeBegunAt() < Right->writeBegunAt();
+  });
+  std::size_t Aborted = 0;
+  for (auto const &One : Open) {
+    if (Total <= MaxBytes)
+      break;
+    Total -= One->unwrittenBytes();
+    One->abortForMemory();
+    ++Aborted;
+  }
+  return Aborted;
+}
+
 std::size_t HttpListener::busyConnections() const {
   return static_cast<std::size_t>(
       std::count_if(Connections_.begin(), Connections_.end(),
--- a/Libraries/LibHttp/HttpListener.h
+++ b/Libraries/LibHttp/HttpListener.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <vector>
 
 namespace laburnum {
 
@@ -56,6 +57,9 @@
   std::size_t openConnections() const { return Connections_.size(); }
   /// The number of connections on which a request is being read or answered.
   std::size_t busyConnections() const;
+  /// Aborts the connections whose clients have not read for the longest time
+  /// until at most MaxBytes are unwritten. Returns their number.
+  std::size_t limitUnwritten(std::size_t MaxBytes);
 
 private:
   friend class HttpServerConnection;
@@ -63,11 +67,16 @@
   HttpListener(asio::io_context &Context, HttpService &Service);
   void accept();
   void retryLater();
+  void addClosing(std::shared_ptr<Connection> const &Closed);
+  /// Returns the connections with unwritten bytes.
+  std::vector<std::shared_ptr<Connection>> unwritten() const;
 
   asio::ip::tcp::acceptor Acceptor_;
   asio::steady_timer RetryTimer_;
   HttpService &Service_;
   std::set<std::shared_ptr<HttpServerConnection>> Connections_;
+  /// Closed by this side, with bytes still to be written.
+  std::vector<std::weak_ptr<Connection>> Closing_;
   bool IsDraining_ = false;
 };
 
--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -202,6 +202,7 @@
   Timer_.cancel();
   Observer_.reset();
   Connection_->close();
+  Listener_->addClosing(Connection_);
   Listener_->Connections_.erase(shared_from_this());
 }
 
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -35,6 +35,7 @@
   void finishStream(std::uint64_t Number);
   void abort(std::uint64_t Number);
   std::size_t unwrittenBytes() const { return Connection_->unwrittenBytes(); }
+  std::shared_ptr<Connection> const &connection() const { return Connection_; }
 
 private:
   enum class State { Idle, Reading, Answering, Streaming, Ended };
--- a/Libraries/LibTraffic/EventStreamSplitter.h
+++ b/Libraries/LibTraffic/EventStreamSplitter.h
@@ -29,6 +29,7 @@
   std::vector<StreamEvent> feed(std::string_view Bytes);
   /// Returns whether an incomplete event is buffered.
   bool isInsideEvent() const { return !Event_.empty(); }
+  std::size_t bufferedBytes() const { return Event_.size(); }
   bool isOverlong() const { return Event_.size() > MaxEventBytes; }
 
 private:
--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -123,6 +123,10 @@
 void ExchangeFlow::on(BodyArrived const &Event) {
   if (State_ != State::Attempting || !Answer_)
     return;
+  // These bodies are never sent to the client.
+  if (Answer_->Claim_ == AnswerClaim::Untrusted ||
+      Answer_->Claim_ == AnswerClaim::NotRun)
+    return;
   if (Answer_->Claim_ != AnswerClaim::Succeeded || !isStream()) {
     Body_ += Event.Bytes_;
     return;
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -172,6 +172,12 @@
   std::uint32_t attempts() const { return Sent_; }
   /// What began the client's stream, once that is known.
   std::optional<StreamOrigin> const &origin() const { return Origin_; }
+  /// Bytes of the current attempt's answer that are kept until it is complete.
+  std::size_t bufferedBytes() const {
+    return State_ == State::Attempting
+               ? Body_.size() + Splitter_.bufferedBytes()
+               : 0;
+  }
   /// Whether the current attempt's stream has begun an event and not ended it.
   bool isInsideEvent() const {
     return State_ == State::Attempting && Splitter_.isInsideEvent();
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -10,6 +10,13 @@
 
 /// Streams with more unwritten bytes are aborted: the client is not reading.
 constexpr std::size_t MaxUnwrittenBytes = std::size_t{1} << 20;
+/// Unwritten bytes of all clients. Beyond it those are aborted that have not
+/// read for the longest time.
+constexpr std::size_t MaxUnwrittenInTotal = std::size_t{32} << 20;
+/// Bytes of unfinished answers that are kept at a time. Beyond it large answers
+/// are given up.
+constexpr std::size_t MaxBufferedBytes = std::size_t{32} << 20;
+constexpr std::size_t MinLargeAnswer = std::size_t{64} << 10;
 /// Divisor of the latency target and of the time left to the deadline, which
 /// gives the maximum wait in the queue. The rest is left for the server.
 constexpr std::int64_t QueueTimeDivisor = 2;
@@ -64,7 +71,10 @@
       DeadlineTimer_(Plane_.Dependencies_.Context_),
       StallTimer_(Plane_.Dependencies_.Context_) {}
 
-RequestSession::~RequestSession() { Plane_.AttemptingSessions_.erase(this); }
+RequestSession::~RequestSession() {
+  Plane_.AttemptingSessions_.erase(this);
+  Plane_.BufferedBytes_ -= BufferedBytes_;
+}
 
 void RequestSession::start() {
   Exchange_->observe(shared_from_this());
@@ -78,8 +88,10 @@
 }
 
 void RequestSession::handle(Event const &Event) {
-  if (!IsFinished_)
-    carryOut(Flow_.handle(Event, readBootClock()));
+  if (IsFinished_)
+    return;
+  carryOut(Flow_.handle(Event, readBootClock()));
+  countBuffered();
 }
 
 void RequestSession::carryOut(std::vector<Action> const &Actions) {
@@ -245,6 +257,19 @@
 
 void RequestSession::onBody(std::string_view Bytes) {
   handle(BodyArrived{std::string(Bytes)});
+  if (Call_ && BufferedBytes_ > MinLargeAnswer &&
+      Plane_.BufferedBytes_ > MaxBufferedBytes) {
+    std::exchange(Call_, nullptr)->cancel();
+    onFailed({AttemptProgress::AnswerBegun, AttemptEnd::ConnectionFailed,
+              Answer_ ? Answer_->Head_.Status_ : 0,
+              "the answers take too much memory"});
+  }
+}
+
+void RequestSession::countBuffered() {
+  Plane_.BufferedBytes_ -= BufferedBytes_;
+  BufferedBytes_ = Flow_.bufferedBytes();
+  Plane_.BufferedBytes_ += BufferedBytes_;
 }
 
 void RequestSession::onComplete() {
@@ -392,6 +417,7 @@
 void RequestSession::on(SendCompleteAnswer const &Action) {
   Exchange_->answer(Action.Head_, Action.Body_);
   finish(Outcome::Answered, Action.Head_.Status_, {});
+  limitUnwritten();
 }
 
 void RequestSession::on(BeginStream const &Action) {
@@ -405,13 +431,18 @@
 void RequestSession::on(RelayEvents const &Action) {
   Exchange_->send(Action.Bytes_);
   if (Exchange_->unwrittenBytes() <= MaxUnwrittenBytes)
-    return;
+    return limitUnwritten();
   Exchange_->abort();
   handle(ClientLeft{});
   finish(Outcome::Aborted, RelayedStatus_,
          "the client does not read its stream");
 }
 
+void RequestSession::limitUnwritten() {
+  if (Exchange_->unwrittenBytes() > MinLargeAnswer)
+    Plane_.limitUnwritten(MaxUnwrittenInTotal);
+}
+
 void RequestSession::on(FinishStream const & /*Action*/) {
   Exchange_->finishStream();
   Plane_.Origins_.onFinished(BegunStream_);
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -58,6 +58,10 @@
   /// Ends a request that no instance can serve, as far as this one knows.
   void refuseCutOff();
   void endAttempt(AttemptHealth Health, AttemptEvidence const &Evidence);
+  /// Updates what this answer adds to TrafficPlane::BufferedBytes_.
+  void countBuffered();
+  /// Bounds what slow clients keep in memory.
+  void limitUnwritten();
   void armStallTimer();
   void clearStall();
   void finish(Outcome Outcome, std::int32_t Status, std::string_view Reason);
@@ -91,6 +95,7 @@
   std::int32_t RelayedStatus_ = 0;
   std::optional<Duration> RefusalRetryAfter_;
   std::string BegunStream_; ///< First attempt of the stream that was relayed.
+  std::size_t BufferedBytes_ = 0;
   bool IsFinished_ = false;
 };
 
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -524,6 +524,14 @@
   });
 }
 
+void TrafficPlane::limitUnwritten(std::size_t MaxBytes) {
+  for (auto const &Listener : {Listener_, PeerListener_})
+    if (auto const Aborted = Listener->limitUnwritten(MaxBytes); Aborted > 0)
+      Dependencies_.Log_.write(LogLine("slow_clients_aborted")
+                                   .add("connections", Aborted)
+                                   .add("max_bytes", MaxBytes));
+}
+
 OutboundPool &TrafficPlane::poolOf(ServerRecord const &Server) {
   auto &Pool = Pools_[Server.Id_];
   if (!Pool || Pool->address() != Server.Endpoint_)
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -168,6 +168,8 @@
   void deliverOutcomes(std::vector<AdmissionOutcome> const &Outcomes);
   void advanceQueue();
   void armQueueTimer();
+  /// Aborts connections until their unwritten bytes are within the limit.
+  void limitUnwritten(std::size_t MaxBytes);
   OutboundPool &poolOf(ServerRecord const &Server);
 
   TrafficDependencies Dependencies_;
@@ -193,6 +195,7 @@
   /// Servers found gone since the last contact with a server.
   std::vector<std::pair<ServerId, std::string>> GoneNotices_;
   std::set<RequestSession *> AttemptingSessions_;
+  std::size_t BufferedBytes_ = 0; ///< Of all unfinished answers.
   StreamOriginDirectory Origins_;
   asio::steady_timer QueueTimer_;
   bool IsQueueTimerArmed_ = false;
--- a/Tests/EntryProcess/ScriptedServer.cpp
+++ b/Tests/EntryProcess/ScriptedServer.cpp
@@ -64,6 +64,16 @@
   asio::write(Socket_, asio::buffer(Bytes), Ignored);
 }
 
+void ScriptedServer::Peer::writeLater(std::string const &Bytes,
+                                      std::function<void()> Done) {
+  asio::async_write(Socket_, asio::buffer(Bytes),
+                    [Self = shared_from_this(), Done = std::move(Done)](
+                        asio::error_code Failure, std::size_t) {
+                      if (!Failure)
+                        Done();
+                    });
+}
+
 void ScriptedServer::Peer::close() {
   asio::error_code Ignored;
   Socket_.shutdown(asio::ip::tcp::socket::shutdown_both, Ignored);
--- a/Tests/EntryProcess/ScriptedServer.h
+++ b/Tests/EntryProcess/ScriptedServer.h
@@ -52,6 +52,8 @@
   /// Returns a header field of the request that was read last, or nothing.
   std::string field(std::string const &Name) const;
   void write(std::string const &Bytes);
+  /// Writes without blocking the thread; Done is called unless it fails.
+  void writeLater(std::string const &Bytes, std::function<void()> Done);
   /// Ends the connection in order, without a reset.
   void close();
 
--- a/Tests/EntryProcess/TestFaultyServers.cpp
+++ b/Tests/EntryProcess/TestFaultyServers.cpp
@@ -7,7 +7,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdlib>
+#include <fstream>
 #include <memory>
+#include <thread>
 #include <vector>
 
 using namespace laburnum;
@@ -214,3 +217,73 @@
   CHECK(Received.Status_ == 502);
   CHECK(Received.Body_.empty());
 }
+
+namespace {
+
+/// The most memory that the process has used so far, in bytes.
+std::size_t peakMemory(EntryProcess &Instance) {
+  std::ifstream Status("/proc/" + std::to_string(Instance.process().id()) +
+                       "/status");
+  for (std::string Line; std::getline(Status, Line);)
+    if (Line.starts_with("VmHWM:"))
+      return std::strtoull(Line.c_str() + 6, nullptr, 10) * 1024;
+  return 0;
+}
+
+/// Writes bytes until the other side closes, at most as many as no instance
+/// could keep.
+class EndlessWriter : public std::enable_shared_from_this<EndlessWriter> {
+public:
+  EndlessWriter(std::shared_ptr<ScriptedServer::Peer> Peer, std::string Bytes)
+      : Peer_(std::move(Peer)), Bytes_(std::move(Bytes)) {}
+  void writeNext() {
+    constexpr std::size_t MostWrites = 1024;
+    if (++Writes_ <= MostWrites)
+      Peer_->writeLater(Bytes_,
+                        [Self = shared_from_this()] { Self->writeNext(); });
+  }
+
+private:
+  std::shared_ptr<ScriptedServer::Peer> Peer_;
+  std::string Bytes_;
+  std::size_t Writes_ = 0;
+};
+
+} // namespace
+
+// Guards against an instance that runs out of memory, and ends with the
+// requests of all clients, as a server's answers have no end.
+TEST_CASE_METHOD(ScriptedFixture,
+                 "Answers without an end fill no memory and leave other "
+                 "requests alone") {
+  constexpr std::size_t Callers = 40;
+  constexpr std::size_t MaxGrowth = std::size_t{96} << 20;
+  std::string const Start = GENERATE(
+      std::string(), std::string("HTTP/1.1 200 OK\r\nX-Long: "),
+      std::string("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 C\r\n\r\n"),
+      std::string("HTTP/1.1 200 OK\r\n\r\n"),
+      std::string("HTTP/1.1 500 Broken\r\n\r\n"),
+      std::string("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n\r\n"),
+      std::string("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n1;"),
+      std::string("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: "));
+  CAPTURE(Start);
+  auto const Before = peakMemory(*Instance_);
+  for (int Number = 0; Number < 5; ++Number)
+    add("i-endless-" + std::to_string(Number),
+        [Start](ScriptedServer::Peer &Peer, std::string const &, std::size_t) {
+          Peer.write(Start);
+          std::make_shared<EndlessWriter>(
+              Peer.shared_from_this(), std::string(std::size_t{64} << 10, 'x'))
+              ->writeNext();
+        });
+  REQUIRE(await([&] { return send("GET", "/read/a").Status_ >= 500; }));
+  std::vector<std::thread> Clients;
+  for (std::size_t Index = 0; Index < Callers; ++Index)
+    Clients.emplace_back([this] { send("GET", "/read/b"); });
+  for (auto &Client : Clients)
+    Client.join();
+  CHECK(Instance_->isReady());
+  CHECK(peakMemory(*Instance_) - Before < MaxGrowth);
+}
--- a/Tests/LibHttp/TestHttpListener.cpp
+++ b/Tests/LibHttp/TestHttpListener.cpp
@@ -139,3 +139,38 @@
   CHECK(Busy.Received_.ends_with("whole"));
   CHECK(Busy.Received_.find("Connection: close") != std::string::npos);
 }
+
+namespace {
+
+/// A client that sends a request and reads nothing of the answer.
+struct SilentReader {
+  SilentReader(asio::io_context &Context, Endpoint const &Server)
+      : Socket_(Context) {
+    Socket_.connect(std::get<asio::ip::tcp::endpoint>(resolve(Server)));
+    asio::write(Socket_, asio::buffer(std::string(Get)));
+  }
+
+  asio::ip::tcp::socket Socket_;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "Beyond the limit of unwritten bytes those are "
+                          "aborted that have not read for the longest time") {
+  constexpr std::size_t AnswerBytes = std::size_t{16} << 20;
+  std::vector<std::unique_ptr<SilentReader>> Clients;
+  for (std::size_t Number = 1; Number <= 3; ++Number) {
+    Clients.push_back(
+        std::make_unique<SilentReader>(Context_, Listener_->localEndpoint()));
+    REQUIRE(wait([&] { return Service_.Requests_.size() == Number; }));
+    Service_.Exchanges_.back()->answer({200, {}},
+                                       std::string(AnswerBytes, 'x'));
+  }
+  CHECK(Listener_->limitUnwritten(4 * AnswerBytes) == 0);
+  CHECK(Listener_->openConnections() == 4);
+  CHECK(Listener_->limitUnwritten(AnswerBytes + AnswerBytes / 2) == 2);
+  REQUIRE(wait([&] { return Listener_->openConnections() == 2; }));
+  CHECK(Service_.Exchanges_[0]->unwrittenBytes() == 0);
+  CHECK(Service_.Exchanges_[1]->unwrittenBytes() == 0);
+  CHECK(Service_.Exchanges_[2]->unwrittenBytes() > 0);
+}
