Tests: Play restarts against the quota of an account

Tried here: 8 and 24 instances at three times the quota, restarted one after the other each second or all at once every 4 s, each hearing of the others before it gets requests. The test stays as a check.

--- a/Tests/LibTraffic/TestAccountQuotaLimiter.cpp
+++ b/Tests/LibTraffic/TestAccountQuotaLimiter.cpp
@@ -23,15 +23,23 @@
 /// Instances that serve one account, each with a share of its requests.
 struct Fleet {
   explicit Fleet(std::size_t Size) {
-    for (std::size_t Index = 0; Index < Size; ++Index) {
-      Limiters_.emplace_back(AccountQuotaLimiter::Settings{});
-      Limiters_.back().setRegistered(Size);
-      Limiters_.back().setTable(tableWith(Rate), Now_);
-    }
+    Limiters_.resize(Size,
+                     AccountQuotaLimiter(AccountQuotaLimiter::Settings{}));
+    Restarts_.resize(Size);
+    for (std::size_t Index = 0; Index < Size; ++Index)
+      restart(Index);
     for (int Round = 0; Round < 4; ++Round)
       exchangeReports();
   }
 
+  /// Starts a new incarnation, which knows nothing of the one before.
+  void restart(std::size_t Index) {
+    Limiters_[Index] = AccountQuotaLimiter(AccountQuotaLimiter::Settings{});
+    Limiters_[Index].setRegistered(Limiters_.size());
+    Limiters_[Index].setTable(tableWith(Rate), Now_);
+    ++Restarts_[Index];
+  }
+
   /// Instances of different groups get no reports of each other.
   void exchangeReports() {
     Now_ += Period;
@@ -39,8 +47,9 @@
       auto const Report = Limiters_[From].report(Now_);
       for (std::size_t To = 0; To < Limiters_.size(); ++To)
         if (To != From && groupOf(To) == groupOf(From))
-          Limiters_[To].onReport(InstanceId(std::to_string(From)), Report,
-                                 Now_);
+          Limiters_[To].onReport(InstanceId(std::to_string(From) + '.' +
+                                            std::to_string(Restarts_[From])),
+                                 Report, Now_);
     }
   }
   std::size_t groupOf(std::size_t Index) const {
@@ -68,6 +77,7 @@
   }
 
   std::vector<AccountQuotaLimiter> Limiters_;
+  std::vector<unsigned> Restarts_;
   std::size_t GroupSize_ = 0; ///< 0: no partition.
   TimePoint Now_{seconds(1000)};
   std::mt19937_64 Random_{7};
@@ -127,6 +137,32 @@
         Allowed);
 }
 
+// Guards against a burst of its own for each new incarnation.
+TEST_CASE("The quota holds while instances are restarted") {
+  std::size_t const Size = GENERATE(8U, 24U);
+  bool const IsAllAtOnce = GENERATE(false, true);
+  Fleet All(Size);
+  std::vector<double> const Weights(Size, 1.0);
+  auto Admitted = All.play(seconds(8), Rate * 3.0, 2400.0, Weights);
+  for (std::size_t Round = 0; Round < 24; ++Round) {
+    // A new incarnation hears of the others before it gets requests.
+    auto Starting = Weights;
+    if (!IsAllAtOnce) {
+      All.restart(Round % Size);
+      Starting[Round % Size] = 0.0;
+    } else if (Round % 4 == 0) {
+      for (std::size_t Index = 0; Index < Size; ++Index)
+        All.restart(Index);
+      Starting.assign(Size, 0.0);
+      Starting.back() = 1.0;
+    }
+    auto const Demand = Starting == Weights || !IsAllAtOnce ? Rate * 3.0 : 0.0;
+    auto const More = All.play(seconds(1), Demand, 2400.0, Starting);
+    Admitted.insert(Admitted.end(), More.begin(), More.end());
+  }
+  CHECK(maxIn8Seconds(Admitted) <= Allowed);
+}
+
 TEST_CASE("A lower limit takes effect at once") {
   Fleet All(8);
   All.play(seconds(8), Rate * 0.9, 2400.0, Even);
