LibHttp: Count a connection as busy until its answer is written

A process that got SIGTERM ended 2.6 s later while a client still read its answer, with 5.4 s of the grace period left.

Cause: a connection counted as idle once its answer was queued, and one that is closed after its answer was not counted at all.

Evidence: TestLibHttp "A connection is busy until its answer is written" fails before the change in 4 of 10 assertions (0 busy connections with 16 MB to be written). Ruled out: the grace period, and the close, which waits for writes.

Why it works: what the kernel has not taken counts as busy, also on connections that this side has closed, so the stop waits for it.

--- a/Libraries/LibHttp/HttpListener.cpp
+++ b/Libraries/LibHttp/HttpListener.cpp
@@ -125,9 +125,15 @@
 }
 
 std::size_t HttpListener::busyConnections() const {
-  return static_cast<std::size_t>(
+  auto const Busy =
       std::count_if(Connections_.begin(), Connections_.end(),
-                    [](auto const &Accepted) { return Accepted->isBusy(); }));
+                    [](auto const &Accepted) { return Accepted->isBusy(); });
+  auto const Closing =
+      std::count_if(Closing_.begin(), Closing_.end(), [](auto const &Entry) {
+        auto const Open = Entry.lock();
+        return Open && Open->unwrittenBytes() > 0;
+      });
+  return static_cast<std::size_t>(Busy + Closing);
 }
 
 } // namespace laburnum
--- a/Libraries/LibHttp/HttpListener.h
+++ b/Libraries/LibHttp/HttpListener.h
@@ -55,7 +55,8 @@
   /// answer.
   void drainConnections();
   std::size_t openConnections() const { return Connections_.size(); }
-  /// The number of connections on which a request is being read or answered.
+  /// The number of connections on which a request is being read or answered,
+  /// including those that are closed once their answer is written.
   std::size_t busyConnections() const;
   /// Aborts the connections whose clients have not read for the longest time
   /// until at most MaxBytes are unwritten. Returns their number.
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -20,7 +20,9 @@
   void start();
   /// Closes the connection after the current answer, or at once when idle.
   void drain();
-  bool isBusy() const { return State_ != State::Idle; }
+  /// Whether a request is being read or answered. An answer lasts until the
+  /// kernel has taken all of it.
+  bool isBusy() const { return State_ != State::Idle || unwrittenBytes() > 0; }
 
   void onBytes(std::string_view Bytes) override;
   void onEnd(ConnectionEnd End) override;
--- a/Tests/LibHttp/TestHttpListener.cpp
+++ b/Tests/LibHttp/TestHttpListener.cpp
@@ -174,3 +174,31 @@
   CHECK(Service_.Exchanges_[1]->unwrittenBytes() == 0);
   CHECK(Service_.Exchanges_[2]->unwrittenBytes() > 0);
 }
+
+// Guards against a process that ends while a client still reads its answer.
+TEST_CASE_METHOD(Fixture, "A connection is busy until its answer is written") {
+  constexpr std::size_t AnswerBytes = std::size_t{16} << 20;
+  SilentReader Slow(Context_, Listener_->localEndpoint());
+  REQUIRE(wait([&] { return !Service_.Requests_.empty(); }));
+  bool const IsDrainedFirst = GENERATE(false, true);
+  if (IsDrainedFirst)
+    Listener_->drainConnections();
+  Service_.Exchanges_.front()->answer({200, {}}, std::string(AnswerBytes, 'x'));
+  CHECK(Listener_->busyConnections() == 1);
+  if (!IsDrainedFirst)
+    Listener_->drainConnections();
+  CHECK(Listener_->busyConnections() == 1);
+  std::size_t Received = 0;
+  std::array<char, 65536> Buffer{};
+  std::function<void()> const Read = [&] {
+    Slow.Socket_.async_read_some(
+        asio::buffer(Buffer), [&](asio::error_code Failure, std::size_t Count) {
+          Received += Count;
+          if (!Failure)
+            Read();
+        });
+  };
+  Read();
+  CHECK(wait([&] { return Received > AnswerBytes; }));
+  CHECK(wait([&] { return Listener_->busyConnections() == 0; }));
+}
