LibTraffic: Run a request once at the instance that it is passed on to

Requests passed on by instances that are cut off ran on three servers, two allowed.

Cause: the instance that took a request had the route's max_attempts for itself, and all that it did counted as one attempt at the other, which tried again.

Evidence: TestLibTraffic "A request that was passed on runs once at the instance that takes it" fails before the change (2 of 3 assertions).

Why it works: the instance that takes a request makes one run of it; the one that passed it on counts it and retries. Refusals are no runs and are retried as before. Beside an instance of the release before, which sends no peer fields, the old count stays.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -260,6 +260,13 @@
   Actions_.push_back(RequestServer{Tried_, Origin_});
 }
 
+std::uint32_t ExchangeFlow::maxRuns() const {
+  // The instance that passed the request on counts this as one run.
+  if (Context_.Metadata_.Peer_.Support_ == PeerFieldSupport::Full)
+    return 1;
+  return std::max(Context_.Route_->MaxAttempts_, 1U);
+}
+
 bool ExchangeFlow::hasTimeAndAttempts() const {
   return Sent_ < MaxSends && Context_.Expiry_ - Now_ >= MinTimeForRetry;
 }
@@ -275,8 +282,7 @@
   // Which software version began the stream is not known here.
   if (HasBegunStream_ && !Origin_)
     return false;
-  if (Runs_ >= std::max(Context_.Route_->MaxAttempts_, 1U) ||
-      !hasTimeAndAttempts())
+  if (Runs_ >= maxRuns() || !hasTimeAndAttempts())
     return false;
   return RetryGate_.tryTake(Context_.Service_, Now_);
 }
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -202,6 +202,8 @@
   /// Ends an attempt whose connection could not be established.
   void endUnconnectedAttempt(std::string const &Reason);
   void retryOrFail(bool MayRetry, std::string const &Reason);
+  /// How many servers may run the request on behalf of this flow.
+  std::uint32_t maxRuns() const;
   bool hasTimeAndAttempts() const;
   bool mayRetry(bool MayHaveRun);
   void fail(std::string const &Reason);
--- a/Tests/LibTraffic/TestExchangeFlow.cpp
+++ b/Tests/LibTraffic/TestExchangeFlow.cpp
@@ -428,3 +428,25 @@
   CHECK((Run.find<RequestServer>() == nullptr) == IsRefused);
   CHECK((Run.find<Refuse>() != nullptr) == IsRefused);
 }
+
+// Guards against a request that two instances each send to as many servers as
+// its route allows.
+TEST_CASE("A request that was passed on runs once at the instance that takes "
+          "it") {
+  RequestMetadata Metadata;
+  Metadata.AttemptId_ = "a1";
+  Metadata.Peer_.Support_ = PeerFieldSupport::Full;
+  Harness Run(routeOf(Repeatability::Repeatable, AnswerForm::Complete),
+              Metadata, RequestSource::Peer);
+  Run.attempt("a");
+  SECTION("it may have run") {
+    Run.handle(failure(AttemptProgress::RequestSent));
+    CHECK_FALSE(Run.find<RequestServer>());
+    REQUIRE(Run.find<Refuse>());
+    CHECK(Run.find<Refuse>()->Status_ == 502);
+  }
+  SECTION("it has not run") {
+    Run.complete(answer(AnswerClaim::NotRun, 503));
+    CHECK(Run.find<RequestServer>());
+  }
+}
