laburnum-entry: Log the incarnation of servers and the service of streams taken up

The lines could not tell the hypotheses of the incident apart: a server's incarnation was not named where its version was, and the line of a stream that is taken up named neither the route's configuration nor the service that it goes on at. Now the lines request and server_changed hold born, and stream_taken_up holds route, config and service.

--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -161,6 +161,7 @@
     Plane_.Dependencies_.Metrics_.AttemptsRateLimited_.add();
   Answer_.reset();
   LastServer_ = Server_->Id_.text();
+  LastIncarnationStart_ = Server_->IncarnationStartMilliseconds_;
   LastSoftwareVersion_ = Server_->SoftwareVersion_;
   if (FirstSentAt_ == TimePoint())
     FirstSentAt_ = AttemptSentAt_;
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -88,6 +88,7 @@
   std::optional<ServerAnswer> Answer_;
   std::shared_ptr<OutboundCall> Call_;
   std::string LastServer_;
+  std::int64_t LastIncarnationStart_ = 0; ///< Unix milliseconds.
   std::string LastSoftwareVersion_;
   TimePoint AttemptSentAt_{};
   TimePoint FirstSentAt_{};
--- a/Services/laburnum-entry/RequestSessionOutcome.cpp
+++ b/Services/laburnum-entry/RequestSessionOutcome.cpp
@@ -72,6 +72,7 @@
       .add("service", FlowContext_.Service_.text())
       .add("config", FlowContext_.Table_->version())
       .add("server", LastServer_)
+      .add("born", LastIncarnationStart_)
       .add("software", LastSoftwareVersion_)
       .add("attempts", Flow_.attempts())
       .addHash("content", FlowContext_.Fingerprints_.Content_)
--- a/Services/laburnum-entry/ServerReader.h
+++ b/Services/laburnum-entry/ServerReader.h
@@ -65,6 +65,7 @@
     Plane_.Dependencies_.Log_.write(
         Line.add("state", IsReady ? "ready" : "draining")
             .add("service", Record->Service_.text())
+            .add("born", Record->IncarnationStartMilliseconds_)
             .add("software", Record->SoftwareVersion_)
             .add("data_centre", Record->DataCentre_.text())
             .add("reclaimable", Record->IsReclaimable_));
--- a/Services/laburnum-entry/StreamOriginDirectory.cpp
+++ b/Services/laburnum-entry/StreamOriginDirectory.cpp
@@ -74,6 +74,9 @@
           .add("id", FlowContext.Metadata_.AttemptId_)
           .add("first_attempt", FlowContext.Metadata_.FirstAttemptId_)
           .add("outcome", Found ? "goes on" : "refused")
+          .add("route", FlowContext.Route_->Name_)
+          .add("config", FlowContext.Table_->version())
+          .add("service", Found ? Found->Service_.text() : std::string())
           .add("software", Found ? Found->SoftwareVersion_ : std::string())
           .add("source", Source));
   Done({Found, Reason});
