--- a/Tests/EntryProcess/ScriptedServer.cpp
+++ b/Tests/EntryProcess/ScriptedServer.cpp
@@ -19,24 +19,33 @@
 
 } // namespace
 
-ScriptedServer::ScriptedServer(asio::io_context &Context, Script Script)
-    : Acceptor_(Context, {asio::ip::address_v4::loopback(), 0}),
-      Shared_(std::make_shared<Shared>(Shared{std::move(Script), 0})) {
+ScriptedServer::ScriptedServer(asio::io_context &Context, Script Script,
+                               std::uint16_t Port)
+    : Acceptor_(Context, {asio::ip::address_v4::loopback(), Port}),
+      Shared_(std::make_shared<Shared>(Shared{std::move(Script), {}, 0, {}})) {
   accept();
 }
 
+void ScriptedServer::resetConnections() {
+  for (auto const &Weak : std::exchange(Shared_->Peers_, {}))
+    if (auto const Open = Weak.lock())
+      Open->reset();
+}
+
 Endpoint ScriptedServer::endpoint() const {
   return {"127.0.0.1", Acceptor_.local_endpoint().port()};
 }
 
 void ScriptedServer::accept() {
-  Acceptor_.async_accept(
-      [this](asio::error_code Failure, asio::ip::tcp::socket Socket) {
-        if (Failure)
-          return;
-        std::make_shared<Peer>(std::move(Socket), Shared_)->read();
-        accept();
-      });
+  Acceptor_.async_accept([this](asio::error_code Failure,
+                                asio::ip::tcp::socket Socket) {
+    if (Failure)
+      return;
+    auto const Accepted = std::make_shared<Peer>(std::move(Socket), Shared_);
+    Shared_->Peers_.push_back(Accepted);
+    Accepted->read();
+    accept();
+  });
 }
 
 void ScriptedServer::Peer::read() {
@@ -48,6 +57,8 @@
         // The tests send no bodies.
         Self->Head_ = Self->Received_.substr(0, Size);
         Self->Received_.erase(0, Size);
+        if (Self->answerReport())
+          return Self->read();
         Self->Shared_->Script_(*Self, Self->field("X-Attempt-Id"),
                                ++Self->Shared_->Requests_);
         if (Self->Socket_.is_open())
@@ -55,6 +66,17 @@
       });
 }
 
+bool ScriptedServer::Peer::answerReport() {
+  if (!Head_.starts_with("GET /laburnumpond/report "))
+    return false;
+  auto const &Report = Shared_->Report_;
+  write(std::string("HTTP/1.1 ") + (Report.empty() ? "404" : "200") +
+        " -\r\nContent-Type: application/json\r\nContent-Length: " +
+        std::to_string(Report.size()) + "\r\nKeep-Alive: timeout=5\r\n\r\n" +
+        Report);
+  return true;
+}
+
 std::string ScriptedServer::Peer::field(std::string const &Name) const {
   return fieldOf(Head_, Name);
 }
@@ -80,4 +102,10 @@
   Socket_.close(Ignored);
 }
 
+void ScriptedServer::Peer::reset() {
+  asio::error_code Ignored;
+  Socket_.set_option(asio::socket_base::linger(true, 0), Ignored);
+  Socket_.close(Ignored);
+}
+
 } // namespace laburnum::entry_process
--- a/Tests/EntryProcess/ScriptedServer.h
+++ b/Tests/EntryProcess/ScriptedServer.h
@@ -6,6 +6,7 @@
 #include <asio/ip/tcp.hpp>
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 #include <utility>
@@ -22,18 +23,27 @@
   using Script = std::function<void(Peer &, std::string const &AttemptId,
                                     std::size_t Number)>;
 
-  ScriptedServer(asio::io_context &Context, Script Script);
+  /// Listens on the port, or on any free one if that is 0.
+  ScriptedServer(asio::io_context &Context, Script Script,
+                 std::uint16_t Port = 0);
 
-  Endpoint endpoint() const;
+  /// Sets what the server tells of itself when it is asked (JSON). Without it,
+  /// and if it is empty, the server doesn't know the question.
+  void setReport(std::string Report) { Shared_->Report_ = std::move(Report); }
   std::size_t requests() const { return Shared_->Requests_; }
   /// Accepts no more connections, as after a crash.
   void stopListening() { Acceptor_.close(); }
+  /// Resets all connections, as the end of the server's process does.
+  void resetConnections();
+  Endpoint endpoint() const;
 
 private:
   /// Outlives the server while connections are open.
   struct Shared {
     Script Script_;
+    std::string Report_;
     std::size_t Requests_ = 0;
+    std::list<std::weak_ptr<Peer>> Peers_;
   };
 
   void accept();
@@ -56,8 +66,12 @@
   void writeLater(std::string const &Bytes, std::function<void()> Done);
   /// Ends the connection in order, without a reset.
   void close();
+  void reset();
 
 private:
+  /// Answers a question for the server's report. Returns whether it was one.
+  bool answerReport();
+
   asio::ip::tcp::socket Socket_;
   std::shared_ptr<Shared> Shared_;
   std::string Received_;
--- a/Tests/EntryProcess/StandinRecords.cpp
+++ b/Tests/EntryProcess/StandinRecords.cpp
@@ -34,8 +34,9 @@
 
 json serverJson(Endpoint const &Address, std::string const &State,
                 std::int64_t Born, std::uint64_t Sequence,
-                std::string const &SoftwareVersion) {
-  return {{"service", "desk"},
+                std::string const &SoftwareVersion,
+                std::string const &Service) {
+  return {{"service", Service},
           {"address", Address.Host_ + ':' + std::to_string(Address.Port_)},
           {"zone", "a-1"},
           {"version", SoftwareVersion},
--- a/Tests/EntryProcess/TestSoftwareVersions.cpp
+++ b/Tests/EntryProcess/TestSoftwareVersions.cpp
@@ -1,4 +1,4 @@
-#include "VersionedFleet.h"
+#include "StreamChecks.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,78 +9,8 @@
 using namespace laburnum;
 using namespace laburnum::entry_process;
 
-namespace {
-
 using Stop = VersionedFleet::Stop;
 
-constexpr std::size_t Streams = 12;
-
-/// Longest time that a client may wait for the refusal of a stream that cannot
-/// go on.
-constexpr Duration RefusalTime = std::chrono::seconds(1);
-
-/// Begins streams at an instance and reads the first events of each.
-std::deque<StreamClient> beginStreams(VersionedFleet &Fleet,
-                                      std::size_t Instance,
-                                      std::string const &Prefix = "first-") {
-  std::deque<StreamClient> Begun;
-  for (std::size_t Index = 0; Index < Streams; ++Index) {
-    Begun.emplace_back(Fleet.instance(Instance),
-                       Prefix + std::to_string(Index));
-    Begun.back().readEvents(VersionedFleet::EventsBeforeStop);
-  }
-  return Begun;
-}
-
-/// Waits until the store holds what is known of the streams.
-void awaitRecord(VersionedFleet &Fleet, std::deque<StreamClient> const &Begun) {
-  auto const IsRecorded = [&](StoreStandin &Store) {
-    return Store.count("entry-streams") > 0 &&
-           Store.object("entry-streams", "edge-a-1")
-                   .dump()
-                   .find(Begun.back().attemptId()) != std::string::npos;
-  };
-  REQUIRE(processes::await([&] { return Fleet.onStore(IsRecorded); }));
-}
-
-/// Takes a stream up again after its last event, at another instance.
-StreamClient takeUp(VersionedFleet &Fleet, std::size_t Instance,
-                    StreamClient const &Begun) {
-  StreamClient Client(Fleet.instance(Instance), Begun.attemptId() + "-again",
-                      Begun.attemptId(),
-                      std::to_string(VersionedFleet::EventsBeforeStop));
-  Client.readToEnd();
-  return Client;
-}
-
-std::set<std::string> versionsOf(ReceivedEvents Events,
-                                 ReceivedEvents const &Later = {}) {
-  Events.insert(Later.begin(), Later.end());
-  std::set<std::string> Versions;
-  for (auto const &[Id, Version] : Events)
-    Versions.insert(Version);
-  return Versions;
-}
-
-/// Counts the streams that went on to their end when they were taken up again,
-/// and checks that none holds events of two software versions.
-std::size_t countTakenUp(VersionedFleet &Fleet, std::size_t Instance,
-                         std::deque<StreamClient> const &Begun) {
-  std::size_t WentOn = 0;
-  for (auto const &First : Begun) {
-    auto const AskedAt = readClock();
-    auto const Again = takeUp(Fleet, Instance, First);
-    CHECK(versionsOf(First.events(), Again.events()).size() == 1);
-    if (Again.isComplete())
-      ++WentOn;
-    else
-      CHECK(readClock() - AskedAt < RefusalTime);
-  }
-  return WentOn;
-}
-
-} // namespace
-
 TEST_CASE("A stream is not continued by a server of another software version") {
   VersionedFleet Fleet(1, Stop::BreaksOff);
   auto const OfEach = GENERATE(1U, 2U);
--- a/Tests/EntryProcess/VersionedFleet.cpp
+++ b/Tests/EntryProcess/VersionedFleet.cpp
@@ -99,17 +99,35 @@
   Thread_.on([&] {
     StoreListener_ = std::get<0>(
         HttpListener::create(Thread_.context(), {"127.0.0.1", 0}, Store_));
+  });
+  configureStreams({"desk"});
+  for (unsigned Number = 0; Number < Instances; ++Number)
+    Instances_.push_back(std::make_unique<EntryProcess>(
+        Number, StoreListener_->localEndpoint().Port_, "cuttable-entry"));
+}
+
+void VersionedFleet::configureStreams(
+    std::vector<std::string> const &Services) {
+  Thread_.on([&] {
     auto Configuration = configurationJson(1);
+    Configuration["version"] = ConfigurationVersion_++;
     // Long enough for an instance to be replaced meanwhile.
     for (auto &Route : Configuration["routes"]) {
       Route["timeout_ms"] = 8000;
       Route["target_latency_ms"] = 2000;
+      if (Route["path_prefix"] != "/stream/")
+        continue;
+      Route.erase("service");
+      for (auto const &Service : Services)
+        Route["traffic_split"].push_back({{"service", Service}, {"weight", 1}});
     }
+    for (auto const &Service : Services)
+      if (Service != "desk")
+        Configuration["services"].push_back({{"name", Service}});
+    LastChange_ =
+        "configuration_applied version=" + Configuration["version"].dump();
     Store_.put("config", "main", std::move(Configuration));
   });
-  for (unsigned Number = 0; Number < Instances; ++Number)
-    Instances_.push_back(std::make_unique<EntryProcess>(
-        Number, StoreListener_->localEndpoint().Port_, "cuttable-entry"));
 }
 
 VersionedFleet::~VersionedFleet() {
@@ -157,43 +175,69 @@
   auto const &Server = Listed_.at(Id);
   Store_.put("servers", Id,
              serverJson(Server.Endpoint_, State, Server.Born_, ++Sequence_,
-                        Server.Version_));
+                        Server.Version_, Server.Service_));
   LastChange_ = "server_changed server=" + Id +
                 " revision=" + std::to_string(versionOf(1, Store_.revision()));
 }
 
+void VersionedFleet::startServer(std::string const &Id,
+                                 std::string const &Version,
+                                 std::string const &Service,
+                                 std::uint16_t Port) {
+  auto const Script = [this, Version](ScriptedServer::Peer &Peer,
+                                      std::string const &AttemptId,
+                                      std::size_t Number) {
+    Peer.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + AttemptId +
+               "\r\nX-Server-Stamp: stamp\r\n"
+               "Content-Type: text/event-stream\r\n\r\n");
+    auto const Last = Peer.field("Last-Event-Id");
+    bool const IsNew = Last.empty();
+    RunsFromStart_[AttemptId] += IsNew ? 1 : 0;
+    auto const From = IsNew ? 0 : std::strtoull(Last.c_str(), nullptr, 10);
+    // A server that failed all new streams would be avoided.
+    bool const IsStopped = IsNew && (Stop_ == Stop::Waits || Number % 2 == 1);
+    auto const End = IsStopped ? EventsBeforeStop : StreamLength;
+    for (auto Id = From + 1; Id <= End; ++Id)
+      Peer.write(event(Id, Version));
+    if (IsStopped && Stop_ == Stop::Waits) {
+      Open_.insert(Peer.shared_from_this());
+      return;
+    }
+    if (IsStopped)
+      Peer.write(UnfinishedEvent);
+    Peer.close();
+  };
+  Servers_[Id] =
+      std::make_unique<ScriptedServer>(Thread_.context(), Script, Port);
+  Listed_[Id] = {Version, ++LastBorn_, Servers_[Id]->endpoint(), Service};
+  if (Reports_ == ServerReports::Given)
+    Servers_[Id]->setReport("{\"born\":" + std::to_string(LastBorn_) + '}');
+}
+
 void VersionedFleet::addServer(std::string const &Id,
-                               std::string const &Version) {
+                               std::string const &Version,
+                               std::string const &Service) {
   Thread_.on([&] {
-    auto const Script = [this, Version](ScriptedServer::Peer &Peer,
-                                        std::string const &AttemptId,
-                                        std::size_t Number) {
-      Peer.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + AttemptId +
-                 "\r\nX-Server-Stamp: stamp\r\n"
-                 "Content-Type: text/event-stream\r\n\r\n");
-      auto const Last = Peer.field("Last-Event-Id");
-      bool const IsNew = Last.empty();
-      RunsFromStart_[AttemptId] += IsNew ? 1 : 0;
-      auto const From = IsNew ? 0 : std::strtoull(Last.c_str(), nullptr, 10);
-      // A server that failed all new streams would be avoided.
-      bool const IsStopped = IsNew && (Stop_ == Stop::Waits || Number % 2 == 1);
-      auto const End = IsStopped ? EventsBeforeStop : StreamLength;
-      for (auto Id = From + 1; Id <= End; ++Id)
-        Peer.write(event(Id, Version));
-      if (IsStopped && Stop_ == Stop::Waits) {
-        Open_.insert(Peer.shared_from_this());
-        return;
-      }
-      if (IsStopped)
-        Peer.write(UnfinishedEvent);
-      Peer.close();
-    };
-    Servers_[Id] = std::make_unique<ScriptedServer>(Thread_.context(), Script);
-    Listed_[Id] = {Version, ++LastBorn_, Servers_[Id]->endpoint()};
+    startServer(Id, Version, Service, 0);
     list(Id, "ready");
   });
 }
 
+void VersionedFleet::restartServer(std::string const &Id,
+                                   std::string const &Version) {
+  Thread_.on([&] {
+    auto const Old = Listed_.at(Id);
+    Servers_.at(Id)->stopListening();
+    Servers_.at(Id)->resetConnections();
+    Servers_.erase(Id);
+    startServer(Id, Version, Old.Service_, Old.Endpoint_.Port_);
+  });
+}
+
+void VersionedFleet::listRestarted(std::string const &Id) {
+  Thread_.on([&] { list(Id, "ready"); });
+}
+
 void VersionedFleet::drainServer(std::string const &Id) {
   Thread_.on([&] { list(Id, "draining"); });
 }
--- a/Tests/EntryProcess/VersionedFleet.h
+++ b/Tests/EntryProcess/VersionedFleet.h
@@ -67,6 +67,8 @@
     BreaksOff, ///< For every other stream, it ends inside an event.
   };
 
+  enum class ServerReports { None, Given };
+
   VersionedFleet(unsigned Instances, Stop Stop);
   ~VersionedFleet();
   VersionedFleet(VersionedFleet const &) = delete;
@@ -86,7 +88,18 @@
   void killAll();
   /// Starts a server, or another under the identifier of one that is gone, and
   /// lists it.
-  void addServer(std::string const &Id, std::string const &Version);
+  void addServer(std::string const &Id, std::string const &Version,
+                 std::string const &Service = "desk");
+  /// Ends the server's process and starts another one of this version under its
+  /// identifier and at its address. The list doesn't say so until
+  /// listRestarted().
+  void restartServer(std::string const &Id, std::string const &Version);
+  void listRestarted(std::string const &Id);
+  /// Sets whether servers that are started later say which incarnation they
+  /// are.
+  void setReports(ServerReports Reports) { Reports_ = Reports; }
+  /// Writes a configuration that leads the streams' route to these services.
+  void configureStreams(std::vector<std::string> const &Services);
   void drainServer(std::string const &Id);
   /// Ends the server and removes it from the list.
   void removeServer(std::string const &Id);
@@ -101,11 +114,15 @@
     std::string Version_;
     std::int64_t Born_ = 0;
     Endpoint Endpoint_;
+    std::string Service_;
   };
 
+  void startServer(std::string const &Id, std::string const &Version,
+                   std::string const &Service, std::uint16_t Port);
   void list(std::string const &Id, std::string const &State);
 
   Stop const Stop_;
+  ServerReports Reports_ = ServerReports::Given;
   StandinThread Thread_;
   StoreStandin Store_{Thread_.context()};
   std::map<std::string, Listed> Listed_;
@@ -114,6 +131,7 @@
   std::map<std::string, unsigned> RunsFromStart_;
   std::int64_t LastBorn_ = 1700000000000;
   std::uint64_t Sequence_ = 0;
+  std::uint64_t ConfigurationVersion_ = 1;
   std::string LastChange_; ///< Of the list, as the instances log it.
   std::shared_ptr<HttpListener> StoreListener_;
   LinkCuts Cuts_{Thread_};
