LibHttp, LibTraffic, laburnum-entry: Send streams only to the listed incarnation of a server

Clients got events of two software versions in one stream, within an answer and over their tries, when a server came back under its identifier and address at another version before the list said so.

Cause: the version of a stream was taken from the server's entry in the list, which names an incarnation, while the request went to whatever process listened at its address. Nothing tied a connection to an incarnation.

A server's report of itself states when it started, as its entry does. Where a request may begin or continue a stream that can be taken up, its connection is identified first: by one question on each connection, which the pool remembers. Another process gets no byte of the request, so the attempt has not run and goes to another server. A later incarnation ends the listed one here and at the other instances, until the list names it. Each incarnation has a pool of its own. Servers that don't identify themselves are trusted as before.

--- a/Libraries/LibHttp/OutboundCall.cpp
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -11,6 +11,7 @@
 /// Maximum number of answers to earlier requests that one call skips: a late
 /// answer may arrive for each request that was abandoned on the connection.
 constexpr std::uint32_t MaxSkipped = 4;
+constexpr std::chrono::milliseconds IdentificationTimeout{400};
 
 } // namespace
 
@@ -22,9 +23,18 @@
       ConnectTimer_(Pool_->Context_),
       Reader_(Request_.AnswerBounds_, Request_.Head_.Method_) {}
 
-void OutboundCall::connect(Endpoint const &Address) {
+void OutboundCall::armTimer(Duration Timeout, char const *Detail) {
+  ConnectTimer_.expires_after(Timeout);
+  ConnectTimer_.async_wait(
+      [Self = shared_from_this(), Detail](asio::error_code Failure) {
+        if (!Failure && Self->Progress_ < AttemptProgress::RequestSent)
+          Self->fail(AttemptEnd::TimedOut, Detail);
+      });
+}
+
+void OutboundCall::connect() {
   auto const Self = shared_from_this();
-  auto const Resolved = resolve(Address);
+  auto const Resolved = resolve(Pool_->Address_);
   if (isError(Resolved)) {
     // The observer must not be called from within start().
     asio::post(Pool_->Context_, [Self, Reason = errorOf(Resolved).Message_] {
@@ -32,16 +42,12 @@
     });
     return;
   }
-  ConnectTimer_.expires_after(Request_.ConnectTimeout_);
-  ConnectTimer_.async_wait([Self](asio::error_code Failure) {
-    if (!Failure && Self->Progress_ == AttemptProgress::NotConnected)
-      Self->fail(AttemptEnd::TimedOut, "no connection in time");
-  });
+  Progress_ = AttemptProgress::NotConnected;
+  armTimer(Request_.ConnectTimeout_, "no connection in time");
   Connecting_.async_connect(
       valueOf(Resolved), [Self](asio::error_code Failure) {
         if (Self->isOver())
           return;
-        Self->ConnectTimer_.cancel();
         if (Failure)
           return Self->fail(AttemptEnd::ConnectionFailed, Failure.message());
         Self->useConnection(Connection::create(std::move(Self->Connecting_)));
@@ -49,10 +55,66 @@
       });
 }
 
-void OutboundCall::useConnection(std::shared_ptr<Connection> Kept) {
-  Connection_ = std::move(Kept);
+void OutboundCall::useConnection(std::shared_ptr<Connection> Open) {
+  Connection_ = std::move(Open);
   Connection_->setObserver(shared_from_this());
+  needsIdentification() ? identify() : sendRequest();
+}
+
+bool OutboundCall::needsIdentification() const {
+  return Request_.Process_ && !Process_ && Pool_->Identifier_;
+}
+
+void OutboundCall::identify() {
+  Progress_ = AttemptProgress::Connected;
+  IsIdentifying_ = true;
+  Identification_.clear();
+  auto const Head = Pool_->Identifier_->request();
+  Reader_ = AnswerReader(Request_.AnswerBounds_, Head.Method_);
+  armTimer(IdentificationTimeout,
+           "the server does not identify itself in time");
+  Connection_->write(serialize(Head, 0));
+}
+
+void OutboundCall::onIdentification() {
+  Identification_ += Reader_.takeBody();
+  bool const IsEndless = Reader_.isHeadDone() &&
+                         Reader_.framing() == AnswerFraming::EndsWithConnection;
+  if (Reader_.fault() != MessageFault::None || IsEndless)
+    return onUnidentifiable(false);
+  if (!Reader_.isDone())
+    return;
+  bool const IsClean = Reader_.keepsAlive() && Reader_.takeRest().empty();
+  Process_ = Pool_->Identifier_->identify(Reader_.head(), Identification_);
+  if (!Process_)
+    return onUnidentifiable(IsClean);
+  if (Process_ != Request_.Process_) {
+    Observer_->onOtherProcess(*Process_);
+    return fail(AttemptEnd::Refused,
+                "another process has the server's address");
+  }
+  if (!IsClean)
+    return fail(AttemptEnd::ConnectionFailed,
+                "closed after the identification");
+  sendRequest();
+}
+
+void OutboundCall::onUnidentifiable(bool IsConnectionClean) {
+  Pool_->Identifier_ = nullptr;
+  if (IsConnectionClean)
+    return sendRequest();
+  IsIdentifying_ = false;
+  IsReused_ = false;
+  std::exchange(Connection_, nullptr)->abort();
+  connect();
+}
+
+void OutboundCall::sendRequest() {
+  ConnectTimer_.cancel();
+  IsIdentifying_ = false;
+  Reader_ = AnswerReader(Request_.AnswerBounds_, Request_.Head_.Method_);
   Progress_ = AttemptProgress::RequestSent;
+  HasWrittenAll_ = false;
   Connection_->write(
       serialize(Request_.Head_, Request_.Body_.size()).append(Request_.Body_));
 }
@@ -74,7 +136,7 @@
   if (isOver())
     return;
   Reader_.feed(Bytes);
-  deliver();
+  IsIdentifying_ ? onIdentification() : deliver();
 }
 
 void OutboundCall::takeHead() {
@@ -124,7 +186,7 @@
                        Connection_->isOpen() && Reader_.takeRest().empty() &&
                        Reader_.framing() == AnswerFraming::Delimited;
   if (IsClean)
-    Pool_->keep(Connection_, Reader_.head());
+    Pool_->keep(Connection_, Reader_.head(), std::move(Process_));
   else
     Connection_->close();
   Observer->onComplete();
--- a/Libraries/LibHttp/OutboundCall.h
+++ b/Libraries/LibHttp/OutboundCall.h
@@ -5,6 +5,7 @@
 #include <LibModel/AttemptEvidence.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,6 +28,9 @@
   virtual HeadDecision onHead(AnswerHead const &Head) = 0;
   virtual void onBody(std::string_view Bytes) = 0;
   virtual void onComplete() = 0;
+  /// The process at the server's address is not the one that the request is
+  /// for. onFailed() follows.
+  virtual void onOtherProcess(std::string const & /*Process*/) {}
   virtual void onFailed(AttemptEvidence const &Evidence) = 0;
 };
 
@@ -36,6 +40,10 @@
   std::string Body_;
   Duration ConnectTimeout_ = std::chrono::seconds(1);
   MessageBounds AnswerBounds_;
+  /// The only process that the request may be sent to, by the identifier that
+  /// the pool's ProcessIdentifier returns. A server that does not identify
+  /// itself gets the request all the same.
+  std::optional<std::string> Process_ = std::nullopt;
 
   auto operator<=>(OutboundRequest const &) const = default;
 };
@@ -63,8 +71,15 @@
 private:
   friend class OutboundPool;
 
-  void connect(Endpoint const &Address);
-  void useConnection(std::shared_ptr<Connection> Kept);
+  void connect();
+  void useConnection(std::shared_ptr<Connection> Open);
+  void sendRequest();
+  bool needsIdentification() const;
+  void identify();
+  void onIdentification();
+  /// The server does not identify itself.
+  void onUnidentifiable(bool IsConnectionClean);
+  void armTimer(Duration Timeout, char const *Detail);
   void takeHead();
   void deliver();
   void complete();
@@ -75,8 +90,11 @@
   OutboundRequest Request_;
   std::shared_ptr<AnswerObserver> Observer_;
   asio::ip::tcp::socket Connecting_;
-  asio::steady_timer ConnectTimer_;
+  asio::steady_timer ConnectTimer_; ///< Until the request is sent.
   std::shared_ptr<Connection> Connection_;
+  std::optional<std::string> Process_; ///< At the connection's other end.
+  bool IsIdentifying_ = false;
+  std::string Identification_; ///< Body of the answer that identifies it.
   AnswerReader Reader_;
   AttemptProgress Progress_ = AttemptProgress::NotConnected;
   bool IsReused_ = false;
--- a/Libraries/LibHttp/OutboundPool.cpp
+++ b/Libraries/LibHttp/OutboundPool.cpp
@@ -35,8 +35,10 @@
     : public ConnectionObserver,
       public std::enable_shared_from_this<IdleConnection> {
 public:
-  IdleConnection(std::shared_ptr<Connection> Pooled, asio::io_context &Context)
-      : Connection_(std::move(Pooled)), Timer_(Context) {}
+  IdleConnection(std::shared_ptr<Connection> Pooled,
+                 std::optional<std::string> Process, asio::io_context &Context)
+      : Connection_(std::move(Pooled)), Process_(std::move(Process)),
+        Timer_(Context) {}
 
   void expireAfter(Duration Limit) {
     Timer_.expires_after(Limit);
@@ -51,6 +53,8 @@
     return std::move(Connection_);
   }
   bool isUsable() const { return Connection_ && Connection_->isOpen(); }
+  /// The process at the other end, if it is known.
+  std::optional<std::string> const &process() const { return Process_; }
   void drop() {
     Timer_.cancel();
     if (auto const Pooled = std::move(Connection_))
@@ -61,44 +65,52 @@
 
 private:
   std::shared_ptr<Connection> Connection_;
+  std::optional<std::string> const Process_;
   asio::steady_timer Timer_;
 };
 
 std::shared_ptr<OutboundCall>
 OutboundPool::start(OutboundRequest Request,
                     std::shared_ptr<AnswerObserver> Observer) {
+  auto const Pooled = takeIdle(Request.Process_);
   auto const Call = std::make_shared<OutboundCall>(
       shared_from_this(), std::move(Request), std::move(Observer));
-  if (auto Pooled = takeIdle()) {
+  if (Pooled) {
     ++Counts_.Reused_;
     Call->IsReused_ = true;
-    Call->useConnection(std::move(Pooled));
+    Call->Process_ = Pooled->process();
+    Call->useConnection(Pooled->take());
   } else {
     ++Counts_.Opened_;
-    Call->connect(Address_);
+    Call->connect();
   }
   return Call;
 }
 
 void OutboundPool::keep(std::shared_ptr<Connection> Idle,
-                        AnswerHead const &Last) {
+                        AnswerHead const &Last,
+                        std::optional<std::string> Process) {
   auto const Limit = reuseLimit(Last.Fields_);
   if (Limit <= Duration(0))
     return Idle->close();
-  auto const Pooled = std::make_shared<IdleConnection>(Idle, Context_);
+  auto const Pooled =
+      std::make_shared<IdleConnection>(Idle, std::move(Process), Context_);
   Idle->setObserver(Pooled);
   Pooled->expireAfter(Limit);
   std::erase_if(Idle_, [](auto const &Entry) { return !Entry->isUsable(); });
   Idle_.push_back(Pooled);
 }
 
-std::shared_ptr<Connection> OutboundPool::takeIdle() {
+std::shared_ptr<OutboundPool::IdleConnection>
+OutboundPool::takeIdle(std::optional<std::string> const &Process) {
   // The most recently used connection is the least likely to be closed.
   while (!Idle_.empty()) {
     auto const Last = Idle_.back();
     Idle_.pop_back();
-    if (Last->isUsable())
-      return Last->take();
+    if (Process && Last->process() && Process != Last->process())
+      Last->drop();
+    else if (Last->isUsable())
+      return Last;
   }
   return nullptr;
 }
--- a/Libraries/LibHttp/OutboundPool.h
+++ b/Libraries/LibHttp/OutboundPool.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include <LibHttp/OutboundCall.h>
+#include <LibHttp/ProcessIdentifier.h>
 
 #include <asio/io_context.hpp>
 
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace laburnum {
 
@@ -23,8 +26,11 @@
 /// timeout allows. Used only on the thread of the io_context.
 class OutboundPool : public std::enable_shared_from_this<OutboundPool> {
 public:
-  OutboundPool(asio::io_context &Context, Endpoint Address)
-      : Context_(Context), Address_(std::move(Address)) {}
+  /// The identifier, if there is one, has to outlive the pool.
+  OutboundPool(asio::io_context &Context, Endpoint Address,
+               ProcessIdentifier const *Identifier = nullptr)
+      : Context_(Context), Address_(std::move(Address)),
+        Identifier_(Identifier) {}
 
   std::shared_ptr<OutboundCall> start(OutboundRequest Request,
                                       std::shared_ptr<AnswerObserver> Observer);
@@ -40,11 +46,17 @@
   class IdleConnection;
 
   /// Returns a connection to the pool after a complete answer.
-  void keep(std::shared_ptr<Connection> Idle, AnswerHead const &Last);
-  std::shared_ptr<Connection> takeIdle();
+  void keep(std::shared_ptr<Connection> Idle, AnswerHead const &Last,
+            std::optional<std::string> Process);
+  /// Returns a connection that is not known to lead to another process than
+  /// that one, if one is given.
+  std::shared_ptr<IdleConnection>
+  takeIdle(std::optional<std::string> const &Process);
 
   asio::io_context &Context_;
   Endpoint Address_;
+  /// Null if the server does not identify itself.
+  ProcessIdentifier const *Identifier_;
   std::deque<std::shared_ptr<IdleConnection>> Idle_;
   PoolCounts Counts_;
 };
--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -234,13 +234,13 @@
   if (State_ != State::Attempting)
     return;
   auto const &Evidence = Event.Evidence_;
-  if (Evidence.Progress_ == AttemptProgress::NotConnected)
+  if (Evidence.Progress_ <= AttemptProgress::Connected)
     return endUnconnectedAttempt(Evidence.Detail_);
   endAttempt(runStateOf(Evidence) != RunState::NotRun, Evidence.Detail_);
 }
 
 void ExchangeFlow::endUnconnectedAttempt(std::string const &Reason) {
-  // Takes no retry from the budget, as the attempt put no load on a server.
+  // Takes no retry from the budget, as the server got no request.
   retryOrFail(hasTimeAndAttempts(), Reason);
 }
 
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -199,7 +199,7 @@
   /// Ends an attempt without a usable answer. MayHaveRun tells whether the
   /// server may have begun the request.
   void endAttempt(bool MayHaveRun, std::string const &Reason);
-  /// Ends an attempt whose connection could not be established.
+  /// Ends an attempt before the request was sent.
   void endUnconnectedAttempt(std::string const &Reason);
   void retryOrFail(bool MayRetry, std::string const &Reason);
   /// How many servers may run the request on behalf of this flow.
--- a/Libraries/LibTraffic/ServerRecord.h
+++ b/Libraries/LibTraffic/ServerRecord.h
@@ -6,6 +6,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace laburnum {
@@ -37,6 +38,14 @@
                   std::to_string(Server.IncarnationStartMilliseconds_));
 }
 
+/// Returns how the server's process identifies itself when it is asked, or
+/// nothing if the list does not tell.
+inline std::optional<std::string> processName(ServerRecord const &Server) {
+  if (Server.IncarnationStartMilliseconds_ == 0)
+    return std::nullopt;
+  return std::to_string(Server.IncarnationStartMilliseconds_);
+}
+
 /// The load that a server reports with an answer.
 struct ServerLoad {
   std::uint32_t Running_ = 0;
--- a/Libraries/LibTraffic/TrafficRequest.h
+++ b/Libraries/LibTraffic/TrafficRequest.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibHttp/Exchange.h>
+#include <LibHttp/ProcessIdentifier.h>
 #include <LibTraffic/PeerFields.h>
 #include <LibTraffic/RouteTable.h>
 #include <LibTraffic/ServerRecord.h>
@@ -156,6 +157,8 @@
   virtual AnswerHead refusal(std::int32_t Status,
                              std::optional<Duration> RetryAfter,
                              std::string const &AttemptId) const = 0;
+  /// Identifies servers by what processName() returns for their incarnation.
+  virtual ProcessIdentifier const &serverIdentifier() const = 0;
 };
 
 } // namespace laburnum
--- a/Services/laburnum-entry/EntryMetrics.cpp
+++ b/Services/laburnum-entry/EntryMetrics.cpp
@@ -35,6 +35,8 @@
       ContentRefused_(
           Registry_.counter("requests.content_refused", "requests")),
       ServersCrashed_(Registry_.counter("servers.crashed", "servers")),
+      OtherIncarnations_(
+          Registry_.counter("servers.other_incarnations", "attempts")),
       BackoffsRequested_(Registry_.counter("servers.paused", "times")),
       RateLimitsAnnounced_(
           Registry_.counter("servers.limits_announced", "answers")),
--- a/Services/laburnum-entry/EntryMetrics.h
+++ b/Services/laburnum-entry/EntryMetrics.h
@@ -34,8 +34,9 @@
   Counter &AttemptsRefused_;   ///< Refused by the server before running.
   Counter &ContentRefused_; ///< 503: servers crashed while running the content.
   Counter &ServersCrashed_; ///< Unreachable when probed after a disconnect.
-  Counter &BackoffsRequested_;    ///< Answers that requested a backoff.
-  Counter &RateLimitsAnnounced_;  ///< Answers that stated a rate limit.
+  Counter &OtherIncarnations_;   ///< Servers restarted before the list said so.
+  Counter &BackoffsRequested_;   ///< Answers that requested a backoff.
+  Counter &RateLimitsAnnounced_; ///< Answers that stated a rate limit.
   Counter &RateLimitsUnreadable_; ///< Of these, with an invalid value.
   Counter &PassedToPeers_;        ///< To instances that reach the servers.
   Counter &AttemptsRateLimited_;  ///< Sent to servers with a rate limit.
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -179,6 +179,10 @@
     return;
   }
   Outbound.Head_ = Codec.encode(Request_.Head_, Action.Metadata_);
+  // Which software version begins or continues a stream has to be certain.
+  if (FlowContext_.Route_->Form_ == AnswerForm::EventStream &&
+      FlowContext_.Route_->Repeatability_ == Repeatability::Resumable)
+    Outbound.Process_ = processName(*Server_);
   armStallTimer();
   IsAwaited_ = true;
   Plane_.AttemptingSessions_.insert(this);
@@ -228,7 +232,7 @@
     Plane_.Roster_.onLoad(Server_->Id_, *Answer_->Load_, readBootClock());
   Plane_.onMaxRefusals(*Server_, Answer_->MaxRefusalsPerSecond_);
   if (Answer_->IsOtherServer_)
-    Plane_.onServerReplaced(*Server_);
+    Plane_.onServerReplaced(*Server_, "address taken by another server");
   if (Answer_->IsLeaving_)
     Plane_.onServerLeaving(*Server_);
   if (Answer_->Backoff_)
@@ -274,6 +278,10 @@
   handle(AnswerCompleted{});
 }
 
+void RequestSession::onOtherProcess(std::string const &Process) {
+  Plane_.onOtherIncarnation(*Server_, Process);
+}
+
 void RequestSession::onFailed(AttemptEvidence const &Evidence) {
   Call_.reset();
   Plane_.Dependencies_.Metrics_.AttemptsFailed_.add();
@@ -296,7 +304,7 @@
   else if (Evidence.Progress_ == AttemptProgress::NotConnected &&
            Evidence.End_ == AttemptEnd::ConnectionFailed)
     Plane_.onServerGone(*Server_, "a request");
-  if (isDirect() && !Answer_)
+  if (isDirect() && !Answer_ && Evidence.End_ != AttemptEnd::Refused)
     Plane_.Links_.onFailure(*Server_);
   endAttempt(AttemptHealth::Failed, Evidence);
   handle(AttemptFailed{Evidence});
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -30,6 +30,7 @@
   HeadDecision onHead(AnswerHead const &Head) override;
   void onBody(std::string_view Bytes) override;
   void onComplete() override;
+  void onOtherProcess(std::string const &Process) override;
   void onFailed(AttemptEvidence const &Evidence) override;
 
 private:
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -174,7 +174,7 @@
 void TrafficPlane::removeServer(ServerId const &Id) {
   Roster_.remove(Id);
   if (auto const Found = Pools_.find(Id); Found != Pools_.end()) {
-    Found->second->closeIdle();
+    Found->second.Pool_->closeIdle();
     Pools_.erase(Found);
   }
 }
@@ -365,11 +365,18 @@
 }
 
 OutboundPool &TrafficPlane::poolOf(ServerRecord const &Server) {
-  auto &Pool = Pools_[Server.Id_];
-  if (!Pool || Pool->address() != Server.Endpoint_)
-    Pool = std::make_shared<OutboundPool>(Dependencies_.Context_,
-                                          Server.Endpoint_);
-  return *Pool;
+  auto &Current = Pools_[Server.Id_];
+  auto Incarnation = incarnationOf(Server);
+  if (!Current.Pool_ || Current.Incarnation_ != Incarnation ||
+      Current.Pool_->address() != Server.Endpoint_) {
+    if (Current.Pool_)
+      Current.Pool_->closeIdle();
+    Current = {std::move(Incarnation),
+               std::make_shared<OutboundPool>(
+                   Dependencies_.Context_, Server.Endpoint_,
+                   &Dependencies_.TrafficCodec_.serverIdentifier())};
+  }
+  return *Current.Pool_;
 }
 
 } // namespace laburnum
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -140,6 +140,12 @@
   /// quota admits the request.
   std::optional<Duration> quotaRetryAfter(RoutedAccount const &Account,
                                           RequestMetadata const &Metadata);
+  /// The connections to one incarnation of a server.
+  struct ServerPool {
+    ServerId Incarnation_;
+    std::shared_ptr<OutboundPool> Pool_;
+  };
+
   /// Called when an attempt at Server ended. Reports it to the crash guard and
   /// probes the server if its connection broke off.
   void onAttemptEnded(RequestFingerprints const &Fingerprints,
@@ -150,7 +156,7 @@
   void noteLeaving(ServerRecord const &Record);
   void onServerLeaving(ServerRecord const &Server);
   /// Another server now listens at the address.
-  void onServerReplaced(ServerRecord const &Server);
+  void onServerReplaced(ServerRecord const &Server, std::string_view Source);
   /// Nothing listens at the address.
   void onServerGone(ServerRecord const &Server, std::string_view Source);
   void notifyPeersOfServer(ServerId const &Incarnation, Liveness State,
@@ -171,6 +177,9 @@
   /// Aborts connections until their unwritten bytes are within the limit.
   void limitUnwritten(std::size_t MaxBytes);
   OutboundPool &poolOf(ServerRecord const &Server);
+  /// Another incarnation than the listed one answers at a server's address.
+  void onOtherIncarnation(ServerRecord const &Server,
+                          std::string const &Process);
 
   TrafficDependencies Dependencies_;
   std::shared_ptr<HttpListener> Listener_;
@@ -202,7 +211,7 @@
   std::uint64_t NextTicket_ = 1;
   std::map<ServiceName, std::uint64_t> RequestsByService_;
   std::map<std::uint64_t, std::shared_ptr<RequestSession>> Waiting_;
-  std::map<ServerId, std::shared_ptr<OutboundPool>> Pools_;
+  std::map<ServerId, ServerPool> Pools_;
   CrashListener CrashListener_;
   LeavingListener LeavingListener_;
   std::set<ServerId> BrittleServers_; ///< Incarnations, for logging.
--- a/Services/laburnum-entry/TrafficPlaneServers.cpp
+++ b/Services/laburnum-entry/TrafficPlaneServers.cpp
@@ -4,6 +4,7 @@
 #include "TrafficPlane.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace laburnum {
 
@@ -38,14 +39,31 @@
   if (!Roster_.onLeaving(Incarnation, readBootClock()))
     return;
   if (auto const Pool = Pools_.find(Server.Id_); Pool != Pools_.end())
-    Pool->second->closeIdle();
+    Pool->second.Pool_->closeIdle();
   notifyPeersOfServer(Incarnation, Liveness::Leaving, "the server's answer");
 }
 
-void TrafficPlane::onServerReplaced(ServerRecord const &Server) {
+void TrafficPlane::onServerReplaced(ServerRecord const &Server,
+                                    std::string_view Source) {
   if (Roster_.onLeaving(incarnationOf(Server), readBootClock()))
-    notifyPeersOfServer(incarnationOf(Server), Liveness::Gone,
-                        "address taken by another server");
+    notifyPeersOfServer(incarnationOf(Server), Liveness::Gone, Source);
+}
+
+void TrafficPlane::onOtherIncarnation(ServerRecord const &Server,
+                                      std::string const &Process) {
+  auto const Listed = Server.IncarnationStartMilliseconds_;
+  auto const Answering = std::strtoll(Process.c_str(), nullptr, 10);
+  bool const IsNewer = Answering > Listed;
+  Dependencies_.Metrics_.OtherIncarnations_.add();
+  Dependencies_.Log_.write(
+      LogLine("other_incarnation")
+          .add("server", Server.Id_.text())
+          .add("born", Listed)
+          .add("answering_born", Answering)
+          .add("outcome", IsNewer ? "listed one is gone" : "not used"));
+  // An older process may go on while the listed one starts.
+  if (IsNewer)
+    onServerReplaced(Server, "a later incarnation");
 }
 
 void TrafficPlane::onServerGone(ServerRecord const &Server,
@@ -70,7 +88,7 @@
   for (auto const &Record : Roster_.records())
     if (Record.Service_ == Service)
       if (auto const Pool = Pools_.find(Record.Id_); Pool != Pools_.end())
-        Pool->second->closeIdle();
+        Pool->second.Pool_->closeIdle();
   for (auto *const Session : std::set(AttemptingSessions_))
     if (AttemptingSessions_.contains(Session))
       Session->onLinkCut(Service);
