LibTraffic, LibControl, laburnum-entry: Remember which routes were led to other services

Clients that took up a stream after a configuration had led its route to another service got the rest from a run there.

Cause: where one software version serves, a stream that this instance does not know was taken to have begun at it, at the service to which the route leads now. A configuration outlives no stream: it may have led elsewhere when the stream began, also for split routes whose weights change.

Regions of requests whose services have changed are known for 30 seconds, and in the store with the version of the configuration, so that instances that start later, or are behind, know too. There only a record of the stream decides, and streams are recorded meanwhile. The object is a new one; instances of older releases don't read it, and keep the software versions as before.

--- a/Libraries/LibControl/StreamOriginRecords.cpp
+++ b/Libraries/LibControl/StreamOriginRecords.cpp
@@ -26,7 +26,10 @@
 
 constexpr char const *StreamCollection = "entry-streams";
 
-ObjectKey historyKey() { return {"entry-software-versions", "history"}; }
+constexpr char const *HistoryCollection = "entry-software-versions";
+
+ObjectKey versionsKey() { return {HistoryCollection, "history"}; }
+ObjectKey movesKey() { return {HistoryCollection, "moved-routes"}; }
 
 std::int64_t milliseconds(Duration Time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
@@ -58,6 +61,34 @@
   return History;
 }
 
+std::string encode(MovedRoutes const &Moved) {
+  auto Regions = json::array();
+  for (auto const &[Region, At] : Moved.Regions_)
+    Regions.push_back({{"host", Region.Host_},
+                       {"path_prefix", Region.PathPrefix_},
+                       {"moved_ms", milliseconds(At)}});
+  return json{{"configuration", Moved.ConfigurationVersion_},
+              {"regions", Regions}}
+      .dump();
+}
+
+/// Returns nothing for an object that this system did not write.
+MovedRoutes decodeMoves(std::string const &Text) {
+  MovedRoutes Moved;
+  try {
+    auto const Value = json::parse(Text);
+    Moved.ConfigurationVersion_ =
+        Value.at("configuration").get<std::uint64_t>();
+    for (auto const &Region : Value.at("regions"))
+      Moved.Regions_[{Region.at("host").get<std::string>(),
+                      Region.at("path_prefix").get<std::string>()}] =
+          std::chrono::milliseconds(Region.at("moved_ms").get<std::int64_t>());
+  } catch (json::exception const &) {
+    return {};
+  }
+  return Moved;
+}
+
 using Origins = std::map<std::string, StreamOrigin>;
 
 std::string encode(Origins const &Streams, Duration TimeOfDay) {
@@ -116,6 +147,13 @@
   updateHistory();
 }
 
+void StreamOriginRecords::setTable(std::shared_ptr<RouteTable const> Table,
+                                   Duration TimeOfDay, TimePoint Now) {
+  setTime(TimeOfDay, Now);
+  Moves_.setTable(std::move(Table), TimeOfDay);
+  updateHistory();
+}
+
 void StreamOriginRecords::setHistoryRole(HistoryRole Role, Duration TimeOfDay,
                                          TimePoint Now) {
   setTime(TimeOfDay, Now);
@@ -139,24 +177,36 @@
 
 void StreamOriginRecords::readHistory(
     Duration Timeout, std::function<void(bool IsRead)> const &Then) {
-  Store_.get(
-      historyKey(), ReadConsistency::Latest, Timeout,
-      [Self = shared_from_this(), Then](Result<StoredObject> const &Read) {
+  Store_.list(
+      HistoryCollection, ReadConsistency::Latest, Timeout,
+      [Self = shared_from_this(), Then](Result<ObjectList> const &Read) {
         if (isError(Read))
           return Then(false);
-        auto const &Object = valueOf(Read);
-        Self->RecordedVersion_ = Object.Version_;
-        Self->Recorded_ = Object.Version_ == 0 ? VersionHistory()
-                                               : decodeHistory(Object.Value_);
+        RecordedHistory Found;
+        for (auto const &Object : valueOf(Read).Objects_)
+          if (Object.Key_ == versionsKey()) {
+            Found.VersionsVersion_ = Object.Version_;
+            Found.Versions_ = decodeHistory(Object.Value_);
+          } else if (Object.Key_ == movesKey()) {
+            Found.MovesVersion_ = Object.Version_;
+            Found.Moves_ = decodeMoves(Object.Value_);
+          }
+        Self->Versions_.merge(Found.Versions_, Self->TimeOfDay_);
+        Self->Moves_.merge(Found.Moves_, Self->TimeOfDay_);
+        Self->Recorded_ = std::move(Found);
         Self->WasHistoryRead_ = true;
-        Self->Versions_.merge(*Self->Recorded_, Self->TimeOfDay_);
         Then(true);
       });
 }
 
-bool StreamOriginRecords::isHistoryOutdated() const {
-  return !coversListed(Versions_.history(), *Recorded_) ||
-         !coversListed(*Recorded_, Versions_.history());
+bool StreamOriginRecords::areVersionsOutdated() const {
+  return !coversListed(Versions_.history(), Recorded_->Versions_) ||
+         !coversListed(Recorded_->Versions_, Versions_.history());
+}
+
+bool StreamOriginRecords::areMovesOutdated() const {
+  return Recorded_->Moves_.ConfigurationVersion_ <
+         Moves_.moved().ConfigurationVersion_;
 }
 
 void StreamOriginRecords::updateHistory() {
@@ -173,35 +223,57 @@
         Self->updateHistory();
     });
   }
-  if (Keeps && isHistoryOutdated())
-    writeHistory();
+  if (!Keeps)
+    return;
+  if (areMovesOutdated())
+    writeMoves();
+  else if (areVersionsOutdated())
+    writeVersions();
 }
 
-void StreamOriginRecords::writeHistory() {
+void StreamOriginRecords::writeVersions() {
   IsHistoryCallOpen_ = true;
   auto const Sent = Versions_.history();
-  Store_.putIf(historyKey(), RecordedVersion_, encode(Sent), StoreTimeout,
+  Store_.putIf(versionsKey(), Recorded_->VersionsVersion_, encode(Sent),
+               StoreTimeout,
                [Self = shared_from_this(), Sent](Result<Version> const &Done) {
-                 Self->IsHistoryCallOpen_ = false;
-                 if (isError(Done)) {
-                   // Another instance may have written it, or the answer was
-                   // lost: read it again.
-                   Self->Recorded_.reset();
-                   if (errorOf(Done).Kind_ != ErrorKind::Conflict)
-                     Self->NextHistoryCallAt_ = Self->Now_ + PauseAfterFailure;
-                 } else {
-                   Self->Recorded_ = Sent;
-                   Self->RecordedVersion_ = valueOf(Done);
+                 if (!isError(Done) && Self->Recorded_) {
+                   Self->Recorded_->Versions_ = Sent;
+                   Self->Recorded_->VersionsVersion_ = valueOf(Done);
                  }
-                 Self->updateHistory();
+                 Self->onHistoryWritten(Done);
                });
 }
 
-void StreamOriginRecords::find(ServiceName const &Service,
-                               std::string const &FirstAttemptId,
-                               Duration TimeOfDay, TimePoint Now, Done Done) {
+void StreamOriginRecords::writeMoves() {
+  IsHistoryCallOpen_ = true;
+  auto const Sent = Moves_.moved();
+  Store_.putIf(movesKey(), Recorded_->MovesVersion_, encode(Sent), StoreTimeout,
+               [Self = shared_from_this(), Sent](Result<Version> const &Done) {
+                 if (!isError(Done) && Self->Recorded_) {
+                   Self->Recorded_->Moves_ = Sent;
+                   Self->Recorded_->MovesVersion_ = valueOf(Done);
+                 }
+                 Self->onHistoryWritten(Done);
+               });
+}
+
+void StreamOriginRecords::onHistoryWritten(Result<Version> const &Written) {
+  IsHistoryCallOpen_ = false;
+  if (isError(Written)) {
+    // Another instance may have written it, or the answer was lost: read it
+    // again.
+    Recorded_.reset();
+    if (errorOf(Written).Kind_ != ErrorKind::Conflict)
+      NextHistoryCallAt_ = Now_ + PauseAfterFailure;
+  }
+  updateHistory();
+}
+
+void StreamOriginRecords::find(StreamTakeUp Wanted, Duration TimeOfDay,
+                               TimePoint Now, Done Done) {
   setTime(TimeOfDay, Now);
-  Queries_.push_back({Service, FirstAttemptId, std::move(Done)});
+  Queries_.push_back({std::move(Wanted), std::move(Done)});
   if (!IsSearching_)
     search();
 }
@@ -246,12 +318,15 @@
 std::vector<StreamOriginRecords::Query>
 StreamOriginRecords::answerByVersions(std::vector<Query> Queries) {
   std::vector<Query> Others;
-  for (auto &Query : Queries)
-    if (auto const Version = Versions_.onlyVersion(Query.Service_, TimeOfDay_))
+  for (auto &Query : Queries) {
+    auto const &Wanted = Query.Wanted_;
+    auto const Version = Versions_.onlyVersion(Wanted.Service_, TimeOfDay_);
+    if (Version && !Moves_.hasMoved(Wanted.Host_, Wanted.Target_, TimeOfDay_))
       Query.Done_(
-          {StreamOrigin{Query.Service_, *Version}, OriginSource::OnlyVersion});
+          {StreamOrigin{Wanted.Service_, *Version}, OriginSource::OnlyVersion});
     else
       Others.push_back(std::move(Query));
+  }
   return Others;
 }
 
@@ -270,10 +345,11 @@
               Self->TimeOfDay_ - WrittenAt > RecordLifetime)
             Self->Store_.remove(Object.Key_, StoreTimeout, [](auto const &) {});
         for (auto &Query : Queries) {
-          auto const Found = Streams.find(Query.FirstAttemptId_);
+          auto const Found = Streams.find(Query.Wanted_.FirstAttemptId_);
           if (Found != Streams.end()) {
             Query.Done_({Found->second, OriginSource::Record});
-          } else if (!Query.FirstAttemptId_.empty() && !Query.IsRepeated_) {
+          } else if (!Query.Wanted_.FirstAttemptId_.empty() &&
+                     !Query.IsRepeated_) {
             // The instance that began it may be about to record it.
             Query.IsRepeated_ = true;
             Query.NotBefore_ = Self->Now_ + Self->recordPeriod() + RecordDelay;
--- a/Libraries/LibControl/StreamOriginRecords.h
+++ b/Libraries/LibControl/StreamOriginRecords.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibPlatform/AsyncObjectStore.h>
+#include <LibTraffic/RouteMoves.h>
 #include <LibTraffic/SoftwareVersions.h>
 #include <LibTraffic/StreamOrigins.h>
 
@@ -31,12 +32,23 @@
   auto operator<=>(OriginAnswer const &) const = default;
 };
 
+/// A stream that a client takes up.
+struct StreamTakeUp {
+  ServiceName Service_; ///< To which the client's request leads now.
+  std::string Host_;    ///< Of the request.
+  std::string Target_;  ///< Of the request.
+  std::string FirstAttemptId_;
+
+  auto operator<=>(StreamTakeUp const &) const = default;
+};
+
 /// Keeps in the store what instances have to know of streams that others began:
-/// which software versions serve or have served recently, in one object that
-/// the readers of the server list keep, and, only while there are several, the
-/// origins of each instance's unfinished streams. So nothing is written while
-/// one version serves, and a stream that is taken up costs one read. Runs on
-/// one thread.
+/// which software versions serve or have served recently, and which routes were
+/// led to other services, in two objects that the readers of the server list
+/// keep, and, only while a stream's origin does not follow from these, the
+/// origins of each instance's unfinished streams. So nothing is written for
+/// streams while one version serves, and a stream that is taken up costs one
+/// read. Runs on one thread.
 class StreamOriginRecords
     : public std::enable_shared_from_this<StreamOriginRecords> {
 public:
@@ -62,6 +74,9 @@
 
   void setListed(std::vector<ServerRecord> const &Servers, Duration TimeOfDay,
                  TimePoint Now);
+  /// Sets the routes that are in force.
+  void setTable(std::shared_ptr<RouteTable const> Table, Duration TimeOfDay,
+                TimePoint Now);
   void setHistoryRole(HistoryRole Role, Duration TimeOfDay, TimePoint Now);
   /// Live is the number of instances, which share the writes.
   void setPeers(PeerReach Reach, std::size_t Live);
@@ -71,15 +86,14 @@
 
   /// Returns whether origins have to be recorded.
   bool isMixed(Duration TimeOfDay) const {
-    return Versions_.isMixed(TimeOfDay);
+    return Versions_.isMixed(TimeOfDay) || Moves_.hasAnyMoved(TimeOfDay);
   }
   /// Sets the unfinished streams of this instance, after another one has begun.
   void setUnfinished(std::vector<BegunStream> Streams, Duration TimeOfDay,
                      TimePoint Now);
   /// Finds the origin of a stream that this instance does not know. Without an
   /// identifier it is known only where one software version serves.
-  void find(ServiceName const &Service, std::string const &FirstAttemptId,
-            Duration TimeOfDay, TimePoint Now, Done Done);
+  void find(StreamTakeUp Wanted, Duration TimeOfDay, TimePoint Now, Done Done);
   /// Starts the calls that are due. To be called twenty times a second while
   /// isBusy().
   void tick(Duration TimeOfDay, TimePoint Now);
@@ -89,8 +103,7 @@
   using Origins = std::map<std::string, StreamOrigin>;
 
   struct Query {
-    ServiceName Service_;
-    std::string FirstAttemptId_;
+    StreamTakeUp Wanted_;
     Done Done_;
     TimePoint NotBefore_ = TimePoint::min();
     bool IsRepeated_ = false;
@@ -99,9 +112,15 @@
   void setTime(Duration TimeOfDay, TimePoint Now);
   void readHistory(Duration Timeout,
                    std::function<void(bool IsRead)> const &Then);
-  bool isHistoryOutdated() const;
+  bool areVersionsOutdated() const;
+  bool areMovesOutdated() const;
+  bool isHistoryOutdated() const {
+    return areVersionsOutdated() || areMovesOutdated();
+  }
   void updateHistory();
-  void writeHistory();
+  void writeVersions();
+  void writeMoves();
+  void onHistoryWritten(Result<Version> const &Written);
   void search();
   /// Continues a search after the history was read.
   void decide(std::vector<Query> Queries);
@@ -121,14 +140,20 @@
   Duration TimeOfDay_{};
   TimePoint Now_{};
   SoftwareVersions Versions_;
+  RouteMoves Moves_;
   bool IsListed_ = false;
   HistoryRole HistoryRole_ = HistoryRole::Reads;
   PeerReach Reach_ = PeerReach::Few;
   ListAge ListAge_ = ListAge::Current;
   std::size_t Live_ = 1;
-  /// The history in the store and its version, once it was read.
-  std::optional<VersionHistory> Recorded_;
-  Version RecordedVersion_ = 0;
+  /// What the store holds, once it was read.
+  struct RecordedHistory {
+    VersionHistory Versions_;
+    Version VersionsVersion_ = 0; ///< Of the object.
+    MovedRoutes Moves_;
+    Version MovesVersion_ = 0; ///< Of the object.
+  };
+  std::optional<RecordedHistory> Recorded_;
   bool WasHistoryRead_ = false; ///< At least once.
   bool IsHistoryCallOpen_ = false;
   TimePoint NextHistoryCallAt_ = TimePoint::min();
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -141,6 +141,14 @@
   Peer, ///< Another entry instance, which reaches no server.
 };
 
+/// What a request is for, as its client has sent it.
+struct RequestTarget {
+  std::string Host_;
+  std::string Path_; ///< With the query.
+
+  auto operator<=>(RequestTarget const &) const = default;
+};
+
 /// The client's request and its route, account and deadline.
 struct FlowContext {
   std::shared_ptr<RouteTable const> Table_;
@@ -151,6 +159,7 @@
   RequestFingerprints Fingerprints_;
   TimePoint Expiry_; ///< Deadline of the complete answer.
   RequestSource Source_ = RequestSource::Client;
+  RequestTarget Target_ = {};
 };
 
 } // namespace exchange
--- /dev/null
+++ b/Libraries/LibTraffic/RouteMoves.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <LibTraffic/RouteTable.h>
+
+#include <LibCore/Time.h>
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace laburnum {
+
+/// The requests of a host whose paths begin with a prefix.
+struct RouteRegion {
+  std::string Host_; ///< In lower case, without a port.
+  std::string PathPrefix_;
+
+  auto operator<=>(RouteRegion const &) const = default;
+};
+
+/// The regions whose requests were led to other services, with the time of day
+/// when that was last noticed, up to a version of the configuration.
+struct MovedRoutes {
+  std::uint64_t ConfigurationVersion_ = 0;
+  std::map<RouteRegion, Duration> Regions_;
+
+  auto operator<=>(MovedRoutes const &) const = default;
+};
+
+/// Which requests a configuration has led to other services recently. A stream
+/// that a client takes up there may have begun at a service that its route no
+/// longer leads to, or leads to in other proportions. Times are times of day,
+/// since what is known of moved routes outlives the processes.
+class RouteMoves {
+public:
+  /// After this time no client waits for a stream that began before the move.
+  static constexpr std::chrono::seconds RetentionTime{30};
+
+  /// Sets the routes that are in force here.
+  void setTable(std::shared_ptr<RouteTable const> Table, Duration TimeOfDay);
+  /// Adds what another instance or an earlier incarnation has recorded.
+  void merge(MovedRoutes const &Recorded, Duration TimeOfDay);
+
+  MovedRoutes const &moved() const { return Moved_; }
+  /// Returns whether the request may have led to another service recently.
+  bool hasMoved(std::string_view Host, std::string_view Target,
+                Duration TimeOfDay) const;
+  bool hasAnyMoved(Duration TimeOfDay) const;
+
+private:
+  /// Moves between the recorded version and the first one that this instance
+  /// has seen are not known.
+  void noteUnseen(std::uint64_t RecordedVersion, Duration TimeOfDay);
+  /// Whether a version is recorded that is not in force here yet.
+  bool isTableOutdated() const;
+  void compare(RouteTable const &Older, RouteTable const &Newer,
+               Duration TimeOfDay);
+  void forgetOld(Duration TimeOfDay);
+
+  std::shared_ptr<RouteTable const> Table_;
+  std::uint64_t FirstVersion_ = 0;  ///< Of the first table.
+  std::uint64_t NewestVersion_ = 0; ///< Of any that is recorded.
+  MovedRoutes Moved_;
+  /// When it was noticed that earlier moves are not known.
+  std::optional<Duration> UnknownAt_;
+};
+
+} // namespace laburnum
--- a/Libraries/LibTraffic/RouteTable.cpp
+++ b/Libraries/LibTraffic/RouteTable.cpp
@@ -27,6 +27,10 @@
 
 } // namespace
 
+std::string normalizedHost(std::string_view Host) {
+  return lowered(withoutPort(Host));
+}
+
 RouteTable::RouteTable(std::uint64_t Version, std::vector<Route> Routes,
                        std::vector<RoutedService> Services,
                        std::vector<RoutedAccount> Accounts, ClientBounds Bounds)
@@ -49,7 +53,7 @@
 
 Route const *RouteTable::match(std::string_view Host,
                                std::string_view Target) const {
-  auto const Found = ByHost_.find(lowered(withoutPort(Host)));
+  auto const Found = ByHost_.find(normalizedHost(Host));
   if (Found == ByHost_.end())
     return nullptr;
   auto const Path = pathOf(Target);
--- a/Libraries/LibTraffic/RouteTable.h
+++ b/Libraries/LibTraffic/RouteTable.h
@@ -51,6 +51,9 @@
   std::unordered_map<std::string, RoutedAccount const *> ByKey_;
 };
 
+/// Returns the host in lower case, without a port.
+std::string normalizedHost(std::string_view Host);
+
 /// Chooses the service for a request on the route: the same for equal seeds,
 /// and in proportion to the weights over many seeds. Returns an empty name if
 /// the route has no services.
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -200,6 +200,7 @@
   ConfigurationVersion_ = Table->version();
   Dependencies_.Metrics_.ConfigurationsApplied_.add();
   LeaseHolderTasks_.setTable(Table);
+  StreamOriginTasks_.setTable(Table);
   onTraffic(
       [&Traffic = Dependencies_.Traffic_, Table] { Traffic.setTable(Table); });
 }
--- a/Services/laburnum-entry/StreamOriginDirectory.cpp
+++ b/Services/laburnum-entry/StreamOriginDirectory.cpp
@@ -34,7 +34,8 @@
   if (auto const Known = Origins_.find(First, readBootClock()))
     return onAnswer(FlowContext, {Known, OriginSource::Record}, "local", Done);
   Finder_(
-      FlowContext.Service_, First,
+      {FlowContext.Service_, FlowContext.Target_.Host_,
+       FlowContext.Target_.Path_, First},
       [this, FlowContext, Done = std::move(Done)](OriginAnswer const &Answer) {
         asio::post(Context_, [this, FlowContext, Done, Answer] {
           onAnswer(FlowContext, Answer, sourceName(Answer.Source_), Done);
--- a/Services/laburnum-entry/StreamOriginDirectory.h
+++ b/Services/laburnum-entry/StreamOriginDirectory.h
@@ -25,8 +25,7 @@
   /// traffic thread; the answer may come on any thread. To be set before
   /// traffic arrives.
   using Finder =
-      std::function<void(ServiceName const &, std::string const &FirstAttemptId,
-                         StreamOriginRecords::Done)>;
+      std::function<void(StreamTakeUp const &, StreamOriginRecords::Done)>;
   void setFinder(Finder Finder) { Finder_ = std::move(Finder); }
   /// Sets the listener that records the unfinished streams after another one
   /// has begun, or nothing.
--- a/Services/laburnum-entry/StreamOriginTasks.cpp
+++ b/Services/laburnum-entry/StreamOriginTasks.cpp
@@ -41,24 +41,21 @@
 
 void StreamOriginTasks::start() {
   Dependencies_.Traffic_.streamOrigins().setFinder(
-      [this](ServiceName const &Service, std::string const &FirstAttemptId,
-             StreamOriginRecords::Done Done) {
-        asio::post(Dependencies_.Context_,
-                   [this, Service, FirstAttemptId, Done = std::move(Done)] {
-                     find(Service, FirstAttemptId, Done);
-                   });
+      [this](StreamTakeUp const &Wanted, StreamOriginRecords::Done Done) {
+        asio::post(
+            Dependencies_.Context_,
+            [this, Wanted, Done = std::move(Done)] { find(Wanted, Done); });
       });
 }
 
-void StreamOriginTasks::find(ServiceName const &Service,
-                             std::string const &FirstAttemptId,
+void StreamOriginTasks::find(StreamTakeUp const &Wanted,
                              StreamOriginRecords::Done const &Done) {
   auto const Now = readBootClock();
   Records_->setPeers(peerReach(Now), Live_);
   Records_->setListAge(Contact_.isListCurrent(Now)
                            ? StreamOriginRecords::ListAge::Current
                            : StreamOriginRecords::ListAge::Outdated);
-  Records_->find(Service, FirstAttemptId, timeOfDay(Now), Now, Done);
+  Records_->find(Wanted, timeOfDay(Now), Now, Done);
   arm();
 }
 
@@ -87,6 +84,12 @@
   serversChanged();
 }
 
+void StreamOriginTasks::setTable(std::shared_ptr<RouteTable const> Table) {
+  auto const Now = readBootClock();
+  Records_->setTable(std::move(Table), timeOfDay(Now), Now);
+  arm();
+}
+
 void StreamOriginTasks::serversChanged() {
   std::vector<ServerRecord> Listed;
   for (auto const &[Id, Server] : Servers_)
--- a/Services/laburnum-entry/StreamOriginTasks.h
+++ b/Services/laburnum-entry/StreamOriginTasks.h
@@ -41,6 +41,7 @@
   void replaceServers(std::vector<ServerRecord> const &Servers);
   void updateServer(ServerRecord const &Server);
   void removeServer(ServerId const &Id);
+  void setTable(std::shared_ptr<RouteTable const> Table);
   void setReaderRole(relay::ReaderRole Role);
   void setPeers(std::size_t Live, std::size_t Registered);
   ContactMonitor &contact() { return Contact_; }
@@ -48,8 +49,7 @@
 
 private:
   void serversChanged();
-  void find(ServiceName const &Service, std::string const &FirstAttemptId,
-            StreamOriginRecords::Done const &Done);
+  void find(StreamTakeUp const &Wanted, StreamOriginRecords::Done const &Done);
   /// Whether this instance hears from most others, as of now.
   StreamOriginRecords::PeerReach peerReach(TimePoint Now);
   Duration timeOfDay(TimePoint Now) const {
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -289,6 +289,8 @@
     return nullptr;
   }
   FlowContext.Source_ = Source;
+  FlowContext.Target_ = {std::string(Request.Head_.Fields_.valueOr("Host")),
+                         Request.Head_.Target_};
   // The instance that a peer's request came to has charged the account.
   bool const IsCharged = Account && Source == exchange::RequestSource::Client;
   if (auto const RetryAfter =
--- a/Tests/LibControl/TestStreamOriginRecords.cpp
+++ b/Tests/LibControl/TestStreamOriginRecords.cpp
@@ -75,7 +75,7 @@
   }
   OriginAnswer find(Records const &Instance, std::string const &Stream) {
     std::optional<OriginAnswer> Answer;
-    Instance->find(Writer, Stream, timeOfDay(), Now_,
+    Instance->find({Writer, "host", "/stream/", Stream}, timeOfDay(), Now_,
                    [&](OriginAnswer const &Found) { Answer = Found; });
     Store_.deliver();
     for (int Ticks = 0; !Answer && Ticks < 40; ++Ticks)
