Tests: Check that requests for a process go only to that process

The fixture of TestOutboundPool moves to headers, unchanged but for the names; the recorder also notes onOtherProcess().

--- a/Tests/LibHttp/TestOutboundPool.cpp
+++ b/Tests/LibHttp/TestOutboundPool.cpp
@@ -1,103 +1,15 @@
-#include "Loopback.h"
-
-#include <LibHttp/OutboundPool.h>
-
-#include <asio/ip/tcp.hpp>
+#include "OutboundFixture.h"
 
 #include <catch2/catch.hpp>
 
-#include <optional>
 #include <string>
 
 using namespace laburnum;
-using test::RawPeer;
+using test::OutboundFixture;
+using test::Plain;
 using test::runUntil;
 
-namespace {
-
-/// A server that answers with the bytes that the test writes.
-struct RawServer {
-  explicit RawServer(asio::io_context &Context)
-      : Acceptor_(Context, {asio::ip::make_address("127.0.0.1"), 0}) {
-    accept();
-  }
-  void accept() {
-    Acceptor_.async_accept(
-        [this](asio::error_code Failure, asio::ip::tcp::socket Socket) {
-          if (Failure)
-            return;
-          Peers_.push_back(std::make_unique<RawPeer>(std::move(Socket)));
-          accept();
-        });
-  }
-  Endpoint endpoint() const {
-    return {"127.0.0.1", Acceptor_.local_endpoint().port()};
-  }
-
-  asio::ip::tcp::acceptor Acceptor_;
-  std::vector<std::unique_ptr<RawPeer>> Peers_;
-};
-
-struct Recorder : AnswerObserver {
-  HeadDecision onHead(AnswerHead const &Head) override {
-    return Head.Fields_.valueOr("Id", "mine") == "mine" ? HeadDecision::Take
-                                                        : HeadDecision::Skip;
-  }
-  void onBody(std::string_view Bytes) override { Body_ += Bytes; }
-  void onComplete() override { IsComplete_ = true; }
-  void onFailed(AttemptEvidence const &Evidence) override {
-    Evidence_ = Evidence;
-  }
-  bool isOver() const { return IsComplete_ || Evidence_; }
-
-  std::string Body_;
-  bool IsComplete_ = false;
-  std::optional<AttemptEvidence> Evidence_;
-};
-
-struct Fixture {
-  std::shared_ptr<Recorder> send() {
-    auto const Observer = std::make_shared<Recorder>();
-    OutboundRequest Request;
-    Request.Head_ = {"GET", "/", {}};
-    Call_ = Pool_->start(Request, Observer);
-    return Observer;
-  }
-  /// Sends a request and answers it on the newest connection.
-  std::shared_ptr<Recorder> exchange(std::string const &Answer) {
-    auto Observer = send();
-    await(1);
-    Server_.Peers_.back()->write(Answer);
-    runUntil(Context_, [&] { return Observer->isOver(); });
-    return Observer;
-  }
-  /// Waits until the newest connection has received this number of requests.
-  void await(std::size_t Requests) {
-    runUntil(Context_, [&] {
-      if (Server_.Peers_.empty())
-        return false;
-      auto const &Bytes = Server_.Peers_.back()->Received_;
-      std::size_t Count = 0;
-      for (auto At = Bytes.find("GET "); At != std::string::npos;
-           At = Bytes.find("GET ", At + 1))
-        ++Count;
-      return Count >= Requests;
-    });
-  }
-
-  asio::io_context Context_;
-  RawServer Server_{Context_};
-  std::shared_ptr<OutboundPool> Pool_ =
-      std::make_shared<OutboundPool>(Context_, Server_.endpoint());
-  std::shared_ptr<OutboundCall> Call_;
-};
-
-constexpr char const *Plain =
-    "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok";
-
-} // namespace
-
-TEST_CASE_METHOD(Fixture, "A clean connection is reused") {
+TEST_CASE_METHOD(OutboundFixture, "A clean connection is reused") {
   CHECK(exchange(Plain)->IsComplete_);
   auto const Second = send();
   await(2);
@@ -106,7 +18,8 @@
   CHECK(Pool_->counts() == PoolCounts{1, 1});
 }
 
-TEST_CASE_METHOD(Fixture, "A connection that is not clean is not reused") {
+TEST_CASE_METHOD(OutboundFixture,
+                 "A connection that is not clean is not reused") {
   auto const *const Answer = GENERATE(
       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\n"
       "okHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore",
@@ -121,7 +34,7 @@
   CHECK(Pool_->counts().Reused_ == 0);
 }
 
-TEST_CASE_METHOD(Fixture, "Bytes on an idle connection end it") {
+TEST_CASE_METHOD(OutboundFixture, "Bytes on an idle connection end it") {
   // The timeout is longer than the test, so that it cannot close the
   // connection.
   CHECK(exchange("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=3600\r\n"
@@ -133,7 +46,7 @@
   CHECK(runUntil(Context_, [&] { return Server_.Peers_.size() == 2; }));
 }
 
-TEST_CASE_METHOD(Fixture, "An answer to another request is skipped") {
+TEST_CASE_METHOD(OutboundFixture, "An answer to another request is skipped") {
   auto const Answer =
       exchange("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong"
                "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nright");
@@ -141,8 +54,9 @@
   CHECK(Answer->Body_ == "right");
 }
 
-TEST_CASE_METHOD(Fixture, "An answer without length is whole only after an "
-                          "orderly close") {
+TEST_CASE_METHOD(OutboundFixture,
+                 "An answer without length is whole only after an "
+                 "orderly close") {
   auto const Answer = send();
   await(1);
   Server_.Peers_.back()->write("HTTP/1.1 200 OK\r\n\r\nabc");
@@ -158,8 +72,9 @@
   }
 }
 
-TEST_CASE_METHOD(Fixture, "A close before the answer leaves it open whether "
-                          "the request ran") {
+TEST_CASE_METHOD(OutboundFixture,
+                 "A close before the answer leaves it open whether "
+                 "the request ran") {
   auto const Answer = send();
   await(1);
   Server_.Peers_.back()->close();
@@ -167,14 +82,15 @@
   CHECK(Answer->Evidence_->Progress_ == AttemptProgress::RequestSent);
 }
 
-TEST_CASE_METHOD(Fixture, "A refused connection means that nothing was sent") {
+TEST_CASE_METHOD(OutboundFixture,
+                 "A refused connection means that nothing was sent") {
   Server_.Acceptor_.close();
   auto const Answer = send();
   REQUIRE(runUntil(Context_, [&] { return Answer->Evidence_.has_value(); }));
   CHECK(Answer->Evidence_->Progress_ == AttemptProgress::NotConnected);
 }
 
-TEST_CASE_METHOD(Fixture, "Cancelling a call closes its connection") {
+TEST_CASE_METHOD(OutboundFixture, "Cancelling a call closes its connection") {
   auto const Answer = send();
   await(1);
   Call_->cancel();
@@ -184,7 +100,7 @@
 
 /// A faulty server may send invalid bytes without end: the client must close
 /// the connection and must not buffer them without limit.
-TEST_CASE_METHOD(Fixture, "Endless answers are cut off") {
+TEST_CASE_METHOD(OutboundFixture, "Endless answers are cut off") {
   std::string const Ok = "HTTP/1.1 200 OK\r\n";
   auto const [Start, Piece] = GENERATE_COPY(table<std::string, std::string>({
       {"", "xxxxxxxxxxxxxxxx"},
--- /dev/null
+++ b/Tests/LibHttp/TestProcessIdentification.cpp
@@ -0,0 +1,388 @@
+#include "OutboundFixture.h"
+
+#include <LibModel/RunState.h>
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <string>
+
+using namespace laburnum;
+using test::AnswerRecorder;
+using test::OutboundFixture;
+using test::Plain;
+using test::RawPeer;
+using test::runUntil;
+
+namespace {
+
+constexpr char const *Question = "GET /who ";
+constexpr char const *Run = "GET /run ";
+
+/// Processes answer "process" and their name.
+class NamedProcess : public ProcessIdentifier {
+public:
+  RequestHead request() const override { return {"GET", "/who", {}}; }
+  std::optional<std::string> identify(AnswerHead const &Head,
+                                      std::string const &Body) const override {
+    std::string const Prefix = "process ";
+    if (Head.Status_ != 200 || !Body.starts_with(Prefix))
+      return std::nullopt;
+    return Body.substr(Prefix.size());
+  }
+};
+
+std::string answer(std::string const &Status, std::string const &Body) {
+  return "HTTP/1.1 " + Status + "\r\nKeep-Alive: timeout=3600\r\n" +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+std::string identification(std::string const &Process) {
+  return answer("200 OK", "process " + Process);
+}
+
+std::size_t countIn(std::string const &Text, std::string const &Part) {
+  std::size_t Count = 0;
+  for (auto At = Text.find(Part); At != std::string::npos;
+       At = Text.find(Part, At + 1))
+    ++Count;
+  return Count;
+}
+
+struct Fixture : OutboundFixture {
+  Fixture() {
+    Pool_ = std::make_shared<OutboundPool>(Context_, Server_.endpoint(),
+                                           &Identifier_);
+  }
+  std::shared_ptr<AnswerRecorder>
+  sendFor(std::optional<std::string> const &Process) {
+    auto Observer = std::make_shared<AnswerRecorder>();
+    startFor(Process, Observer);
+    return Observer;
+  }
+  void startFor(std::optional<std::string> const &Process,
+                std::shared_ptr<AnswerObserver> const &Observer) {
+    OutboundRequest Request;
+    Request.Head_ = {"GET", "/run", {}};
+    Request.Process_ = Process;
+    Call_ = Pool_->start(Request, Observer);
+  }
+  RawPeer &peer() { return *Server_.Peers_.back(); }
+  /// Waits until the newest connection, the one of this number, has received
+  /// these bytes so many times.
+  bool awaitBytes(std::string const &Bytes, std::size_t Connections = 1,
+                  std::size_t Times = 1) {
+    return runUntil(Context_, [&] {
+      return Server_.Peers_.size() == Connections &&
+             countIn(peer().Received_, Bytes) == Times;
+    });
+  }
+  /// Runs what is ready.
+  void settle() {
+    Context_.restart();
+    Context_.poll();
+  }
+  bool awaitFailure(AnswerRecorder const &Observer) {
+    return runUntil(Context_, [&] { return Observer.Evidence_.has_value(); });
+  }
+  bool awaitAnswer(AnswerRecorder const &Observer) {
+    return runUntil(Context_, [&] { return Observer.IsComplete_; });
+  }
+  /// Lets the newest connection identify itself and answer one request.
+  void serveFor(std::string const &Process) {
+    auto const Observer = sendFor(Process);
+    REQUIRE(awaitBytes(Question));
+    peer().write(identification(Process));
+    REQUIRE(awaitBytes(Run));
+    peer().write(answer("200 OK", "ok"));
+    REQUIRE(awaitAnswer(*Observer));
+  }
+  /// Checks that the call has failed, that the request has certainly not run,
+  /// and that its bytes never came.
+  void checkNotRun(AnswerRecorder const &Observer) {
+    REQUIRE(awaitFailure(Observer));
+    CHECK(Observer.Evidence_->Progress_ == AttemptProgress::Connected);
+    CHECK(runStateOf(*Observer.Evidence_) == RunState::NotRun);
+    CHECK_FALSE(Observer.IsComplete_);
+    settle();
+    for (auto const &Peer : Server_.Peers_)
+      CHECK(countIn(Peer->Received_, Run) == 0);
+  }
+
+  NamedProcess Identifier_;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "A request for a process is sent after the server "
+                          "has identified itself as that process") {
+  auto const Observer = sendFor("p1");
+  REQUIRE(awaitBytes(Question));
+  settle();
+  CHECK(countIn(peer().Received_, Run) == 0);
+  CHECK(Call_->progress() == AttemptProgress::Connected);
+  auto const Asked = peer().Received_.size();
+  peer().write(identification("p1"));
+  REQUIRE(awaitBytes(Run));
+  CHECK(peer().Received_.find(Run) == Asked);
+  CHECK(Call_->progress() == AttemptProgress::RequestSent);
+  peer().write(answer("200 OK", "ok"));
+  REQUIRE(awaitAnswer(*Observer));
+  CHECK(Observer->Body_ == "ok");
+  CHECK_FALSE(Observer->OtherProcess_);
+}
+
+TEST_CASE_METHOD(Fixture, "A request without a process is sent without a "
+                          "question") {
+  auto const Observer = sendFor(std::nullopt);
+  REQUIRE(awaitBytes(Run));
+  peer().write(Plain);
+  REQUIRE(awaitAnswer(*Observer));
+  CHECK(countIn(peer().Received_, Question) == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "A connection that was identified is reused without "
+                          "a question") {
+  serveFor("p1");
+  auto const Process =
+      GENERATE(std::optional<std::string>("p1"), std::optional<std::string>());
+  auto const Second = sendFor(Process);
+  REQUIRE(awaitBytes(Run, 1, 2));
+  peer().write(answer("200 OK", "ok"));
+  REQUIRE(awaitAnswer(*Second));
+  // What is known of the connection outlives a request without a process.
+  auto const Third = sendFor("p1");
+  REQUIRE(awaitBytes(Run, 1, 3));
+  peer().write(answer("200 OK", "ok"));
+  REQUIRE(awaitAnswer(*Third));
+  CHECK(countIn(peer().Received_, Question) == 1);
+  CHECK(Pool_->counts() == PoolCounts{1, 2});
+}
+
+TEST_CASE_METHOD(Fixture, "Another process does not get the request") {
+  auto const Observer = sendFor("p1");
+  REQUIRE(awaitBytes(Question));
+  peer().write(identification("p2"));
+  checkNotRun(*Observer);
+  CHECK(Observer->OtherProcess_ == "p2");
+  CHECK_FALSE(Observer->HasFailedBefore_);
+  CHECK(Observer->Evidence_->End_ == AttemptEnd::Refused);
+  CHECK(runUntil(Context_, [&] { return peer().IsClosed_; }));
+}
+
+TEST_CASE_METHOD(Fixture, "No event follows when the call is cancelled by the "
+                          "news of another process") {
+  struct Canceller : AnswerRecorder {
+    void onOtherProcess(std::string const &Process) override {
+      AnswerRecorder::onOtherProcess(Process);
+      Fixture_->Call_->cancel();
+    }
+    Fixture *Fixture_ = nullptr;
+  };
+  auto const Observer = std::make_shared<Canceller>();
+  Observer->Fixture_ = this;
+  startFor("p1", Observer);
+  REQUIRE(awaitBytes(Question));
+  peer().write(identification("p2"));
+  REQUIRE(runUntil(Context_, [&] { return peer().IsClosed_; }));
+  settle();
+  CHECK(Observer->OtherProcess_ == "p2");
+  CHECK_FALSE(Observer->isOver());
+  CHECK(countIn(peer().Received_, Run) == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "An idle connection to another process is not "
+                          "reused") {
+  serveFor("p1");
+  auto const Observer = sendFor("p2");
+  REQUIRE(awaitBytes(Question, 2));
+  CHECK(runUntil(Context_, [&] { return Server_.Peers_.front()->IsClosed_; }));
+  peer().write(identification("p2"));
+  REQUIRE(awaitBytes(Run, 2));
+  peer().write(answer("200 OK", "ok"));
+  CHECK(awaitAnswer(*Observer));
+  CHECK(countIn(Server_.Peers_.front()->Received_, Run) == 1);
+  CHECK(Pool_->counts() == PoolCounts{2, 0});
+}
+
+TEST_CASE_METHOD(Fixture, "A connection that served a request without a "
+                          "process is identified before it serves one with") {
+  auto const First = sendFor(std::nullopt);
+  REQUIRE(awaitBytes(Run));
+  peer().write(answer("200 OK", "ok"));
+  REQUIRE(awaitAnswer(*First));
+  auto const Second = sendFor("p1");
+  REQUIRE(awaitBytes(Question));
+  settle();
+  CHECK(countIn(peer().Received_, Run) == 1);
+  CHECK(Call_->isReused());
+  SECTION("that process") {
+    peer().write(identification("p1"));
+    REQUIRE(awaitBytes(Run, 1, 2));
+    peer().write(answer("200 OK", "ok"));
+    CHECK(awaitAnswer(*Second));
+    CHECK(Pool_->counts() == PoolCounts{1, 1});
+  }
+  SECTION("another process") {
+    peer().write(identification("p2"));
+    REQUIRE(awaitFailure(*Second));
+    CHECK(runStateOf(*Second->Evidence_) == RunState::NotRun);
+    REQUIRE(runUntil(Context_, [&] { return peer().IsClosed_; }));
+    CHECK(countIn(peer().Received_, Run) == 1);
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "A server that does not identify itself gets the "
+                          "request on the same connection, and is not asked "
+                          "again") {
+  auto const Unknown =
+      GENERATE(answer("404 Not Found", "process p1"),
+               answer("200 OK", "{\"other\":1}"), answer("200 OK", ""));
+  CAPTURE(Unknown);
+  auto const First = sendFor("p1");
+  REQUIRE(awaitBytes(Question));
+  peer().write(Unknown);
+  REQUIRE(awaitBytes(Run));
+  peer().write(answer("200 OK", "ok"));
+  REQUIRE(awaitAnswer(*First));
+  CHECK(First->Body_ == "ok");
+  CHECK_FALSE(First->OtherProcess_);
+  auto const Second = sendFor("p2");
+  REQUIRE(awaitBytes(Run, 1, 2));
+  peer().write(answer("200 OK", "ok"));
+  REQUIRE(awaitAnswer(*Second));
+  CHECK(countIn(peer().Received_, Question) == 1);
+  Pool_->closeIdle();
+  sendFor("p1");
+  REQUIRE(awaitBytes(Run, 2));
+  CHECK(countIn(peer().Received_, Question) == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "After an answer that cannot be read to its end the "
+                          "request goes over a new connection without the "
+                          "question") {
+  auto const Unknown = GENERATE(
+      std::string("HTTP/1.1 200 OK\r\n\r\nprocess p1"),
+      std::string("HTTP/1.1 200 OK\r\n\r\n"), std::string("SSH-2.0\r\n\r\n"),
+      std::string("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n"),
+      std::string("HTTP/1.1 404 Not Found\r\nConnection: close\r\n"
+                  "Content-Length: 0\r\n\r\n"),
+      answer("404 Not Found", "x") + "more",
+      "HTTP/1.1 200 OK\r\nField: " + std::string(20000, 'x'));
+  CAPTURE(Unknown);
+  auto const Observer = sendFor("p1");
+  REQUIRE(awaitBytes(Question));
+  peer().write(Unknown);
+  REQUIRE(awaitBytes(Run, 2));
+  CHECK(countIn(peer().Received_, Question) == 0);
+  CHECK(runUntil(Context_, [&] { return Server_.Peers_.front()->IsClosed_; }));
+  CHECK(countIn(Server_.Peers_.front()->Received_, Run) == 0);
+  CHECK_FALSE(Call_->isReused());
+  peer().write(answer("200 OK", "ok"));
+  REQUIRE(awaitAnswer(*Observer));
+  CHECK(Observer->Body_ == "ok");
+  auto const Second = sendFor("p1");
+  REQUIRE(awaitBytes(Run, 2, 2));
+  peer().write(answer("200 OK", "ok"));
+  CHECK(awaitAnswer(*Second));
+  CHECK(countIn(peer().Received_, Question) == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "The connection that replaces one with an unreadable "
+                          "identification is counted") {
+  sendFor("p1");
+  REQUIRE(awaitBytes(Question));
+  peer().write("SSH-2.0\r\n\r\n");
+  REQUIRE(awaitBytes(Run, 2));
+  CHECK(Pool_->counts() == PoolCounts{2, 0});
+}
+
+TEST_CASE_METHOD(Fixture, "A question that is not answered in time means that "
+                          "the request did not run") {
+  auto const *const Part =
+      GENERATE("", "HTTP/1.1 200 OK\r\n",
+               "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nprocess p");
+  CAPTURE(Part);
+  auto const BegunAt = std::chrono::steady_clock::now();
+  auto const Observer = sendFor("p1");
+  REQUIRE(awaitBytes(Question));
+  peer().write(Part);
+  checkNotRun(*Observer);
+  CHECK(std::chrono::steady_clock::now() - BegunAt >=
+        std::chrono::milliseconds(400));
+  CHECK(Observer->Evidence_->End_ == AttemptEnd::TimedOut);
+  CHECK(runUntil(Context_, [&] { return peer().IsClosed_; }));
+}
+
+TEST_CASE_METHOD(Fixture, "A connection that ends during the question means "
+                          "that the request did not run") {
+  auto const *const Part =
+      GENERATE("", "HTTP/1.1 200 OK\r\n",
+               "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nprocess p");
+  bool const IsReset = GENERATE(false, true);
+  CAPTURE(Part, IsReset);
+  auto const Observer = sendFor("p1");
+  REQUIRE(awaitBytes(Question));
+  peer().write(Part);
+  IsReset ? peer().reset() : peer().close();
+  checkNotRun(*Observer);
+  CHECK(Observer->Evidence_->End_ == AttemptEnd::ConnectionFailed);
+  CHECK(Server_.Peers_.size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "A connection with bytes behind the identification "
+                          "does not get the request") {
+  auto const Observer = sendFor("p1");
+  REQUIRE(awaitBytes(Question));
+  peer().write(identification("p1") + answer("200 OK", "forged"));
+  checkNotRun(*Observer);
+  CHECK(Observer->Evidence_->End_ == AttemptEnd::ConnectionFailed);
+  CHECK(Observer->Body_.empty());
+}
+
+TEST_CASE_METHOD(Fixture, "A connection that the server closes after the "
+                          "identification does not get the request") {
+  auto const Observer = sendFor("p1");
+  REQUIRE(awaitBytes(Question));
+  peer().write("HTTP/1.1 200 OK\r\nConnection: close\r\n"
+               "Content-Length: 10\r\n\r\nprocess p1");
+  checkNotRun(*Observer);
+  CHECK(Observer->Evidence_->End_ == AttemptEnd::ConnectionFailed);
+}
+
+TEST_CASE_METHOD(Fixture, "An identification may come byte by byte") {
+  auto const Identification =
+      GENERATE(identification("p1"),
+               std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                           "\r\n8\r\nprocess \r\n2\r\np1\r\n0\r\n\r\n"));
+  auto const Observer = sendFor("p1");
+  REQUIRE(awaitBytes(Question));
+  for (auto const Byte : Identification) {
+    CHECK(countIn(peer().Received_, Run) == 0);
+    peer().write(std::string(1, Byte));
+    settle();
+  }
+  REQUIRE(awaitBytes(Run));
+  for (auto const Byte : answer("200 OK", "process p2")) {
+    peer().write(std::string(1, Byte));
+    settle();
+  }
+  REQUIRE(awaitAnswer(*Observer));
+  CHECK(Observer->Body_ == "process p2");
+  CHECK_FALSE(Observer->OtherProcess_);
+}
+
+TEST_CASE_METHOD(Fixture, "Cancelling a call during the question closes its "
+                          "connection") {
+  auto const Observer = sendFor("p1");
+  REQUIRE(awaitBytes(Question));
+  Call_->cancel();
+  peer().write(identification("p1"));
+  REQUIRE(runUntil(Context_, [&] { return peer().IsClosed_; }));
+  settle();
+  CHECK_FALSE(Observer->isOver());
+  CHECK_FALSE(Observer->OtherProcess_);
+  CHECK(countIn(peer().Received_, Run) == 0);
+  CHECK(Server_.Peers_.size() == 1);
+}
