--- a/Tests/LibControl/TestStreamOriginRecords.cpp
+++ b/Tests/LibControl/TestStreamOriginRecords.cpp
@@ -30,6 +30,21 @@
   return Made;
 }
 
+/// A configuration that leads the host's streams to a service.
+std::shared_ptr<RouteTable const> table(std::uint64_t Version,
+                                        ServiceName const &Service) {
+  Route Made;
+  Made.Host_ = "host";
+  Made.PathPrefix_ = "/stream/";
+  Made.Services_ = {{Service, 1}};
+  return std::make_shared<RouteTable>(
+      Version, std::vector<Route>{Made}, std::vector<RoutedService>(),
+      std::vector<RoutedAccount>(), ClientBounds());
+}
+
+ObjectKey const VersionsKey{"entry-software-versions", "history"};
+ObjectKey const MovesKey{"entry-software-versions", "moved-routes"};
+
 struct Fixture {
   using Records = std::shared_ptr<StreamOriginRecords>;
 
@@ -47,6 +62,8 @@
             Done(std::nullopt);
         });
     Made->setPeers(PeerReach::Most, 1);
+    if (Table_)
+      Made->setTable(Table_, timeOfDay(), Now_);
     Made->setListed(Listed_, timeOfDay(), Now_);
     Made->setHistoryRole(Role, timeOfDay(), Now_);
     Store_.deliver();
@@ -61,6 +78,17 @@
       Instance->setListed(Listed_, timeOfDay(), Now_);
     Store_.deliver();
   }
+  /// Puts a configuration in force.
+  void lead(std::uint64_t Version, ServiceName const &Service,
+            std::vector<Records> const &Instances) {
+    Table_ = table(Version, Service);
+    for (auto const &Instance : Instances)
+      Instance->setTable(Table_, timeOfDay(), Now_);
+    Store_.deliver();
+  }
+  std::string stored(ObjectKey const &Key) const {
+    return Store_.Objects_.find(Key).Value_;
+  }
   void pass(std::vector<Records> const &Instances, Duration Time) {
     for (auto const End = Now_ + Time; Now_ < End;) {
       Now_ += Tick;
@@ -87,11 +115,16 @@
   FakeAsyncStore Store_;
   TimePoint Now_{seconds(100)};
   std::vector<ServerRecord> Listed_{server("v1")};
+  std::shared_ptr<RouteTable const> Table_;
   bool IsListReadable_ = true; ///< By reads of single instances.
 };
 
 StreamOrigin origin(std::string const &Version) { return {Writer, Version}; }
 
+ServiceName const Drafter("drafter");
+OriginAnswer const NotRecorded{std::nullopt, OriginSource::NotRecorded};
+OriginAnswer const OnlyVersion{origin("v1"), OriginSource::OnlyVersion};
+
 } // namespace
 
 TEST_CASE_METHOD(Fixture, "With one version a stream goes on at it, and "
@@ -151,7 +184,7 @@
   auto const Second = start("b");
   list({"v1", "v2"}, {First, Second});
   std::optional<OriginAnswer> Answer;
-  Second->find(Writer, "s1", timeOfDay(), Now_,
+  Second->find({Writer, "host", "/stream/", "s1"}, timeOfDay(), Now_,
                [&](OriginAnswer const &Found) { Answer = Found; });
   Store_.deliver();
   CHECK_FALSE(Answer);
@@ -285,3 +318,155 @@
   CHECK(Answer.Source_ == (IsListReadable_ ? OriginSource::NotRecorded
                                            : OriginSource::StoreSilent));
 }
+
+TEST_CASE_METHOD(Fixture, "With an unmoved route the only version decides, and "
+                          "nothing is written for streams") {
+  Table_ = table(1, Writer);
+  auto const First = start("a");
+  lead(2, Writer, {First});
+  setUnfinished(First, {{"s1", origin("v1")}});
+  pass({First}, seconds(5));
+  CHECK_FALSE(First->isMixed(timeOfDay()));
+  CHECK(find(First, "s1") == OnlyVersion);
+  CHECK(Store_.Objects_.list("entry-streams").Objects_.empty());
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "While a route's move is recent the only version does "
+                 "not decide") {
+  Table_ = table(1, Drafter);
+  auto const First = start("a");
+  auto const Second = start("b", HistoryRole::Reads);
+  StreamOrigin const Earlier{Drafter, "v7"};
+  lead(2, Writer, {First, Second});
+  CHECK(First->isMixed(timeOfDay()));
+  CHECK(First->isBusy(timeOfDay()));
+  setUnfinished(First, {{"s1", Earlier}, {"s2", origin("v1")}});
+  pass({First, Second}, seconds(1));
+  CHECK(find(Second, "s1") == OriginAnswer{Earlier, OriginSource::Record});
+  CHECK(find(Second, "s2") == OriginAnswer{origin("v1"), OriginSource::Record});
+  CHECK(find(Second, "unknown") == NotRecorded);
+  CHECK(find(Second, "") == NotRecorded);
+  SECTION("other routes are not concerned") {
+    std::optional<OriginAnswer> Answer;
+    Second->find({Writer, "other", "/stream/", ""}, timeOfDay(), Now_,
+                 [&](OriginAnswer const &Found) { Answer = Found; });
+    Store_.deliver();
+    CHECK(Answer == OnlyVersion);
+  }
+  SECTION("an instance that was started after the move reads it") {
+    auto const Role = GENERATE(HistoryRole::Keeps, HistoryRole::Reads);
+    auto const Later = start("c", Role);
+    CHECK(Later->isMixed(timeOfDay()));
+    CHECK(find(Later, "s1") == OriginAnswer{Earlier, OriginSource::Record});
+    CHECK(find(Later, "unknown") == NotRecorded);
+    pass({First, Later}, seconds(31));
+    CHECK_FALSE(Later->isMixed(timeOfDay()));
+    CHECK(find(Later, "unknown") == OnlyVersion);
+  }
+  SECTION("later it decides again") {
+    pass({First, Second}, seconds(31));
+    CHECK_FALSE(First->isMixed(timeOfDay()));
+    CHECK(find(Second, "unknown") == OnlyVersion);
+  }
+  SECTION("nor while the store is away") {
+    Store_.Fault_ = StoreFault::Down;
+    CHECK(find(Second, "s2") ==
+          OriginAnswer{std::nullopt, OriginSource::StoreSilent});
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "An instance whose configuration is older than the "
+                          "recorded one does not decide by the only version") {
+  Table_ = table(1, Writer);
+  auto const Role = GENERATE(HistoryRole::Keeps, HistoryRole::Reads);
+  auto const Late = start("a", Role);
+  auto const Keeper = start("b");
+  lead(2, Writer, {Keeper});
+  CHECK(find(Late, "s1") == NotRecorded);
+  pass({Late, Keeper}, seconds(31));
+  CHECK(find(Late, "s1") == NotRecorded);
+  CHECK(find(Keeper, "s1") == OnlyVersion);
+  lead(2, Writer, {Late});
+  CHECK(find(Late, "s1") == OnlyVersion);
+}
+
+TEST_CASE_METHOD(Fixture, "A configuration that was changed while no instance "
+                          "ran may have moved every route") {
+  Table_ = table(1, Drafter);
+  start("a");
+  Table_ = table(3, Writer);
+  auto const Role = GENERATE(HistoryRole::Keeps, HistoryRole::Reads);
+  auto const First = start("b", Role);
+  CHECK(find(First, "s1") == NotRecorded);
+  pass({First}, seconds(1));
+  // The first one that came back may have recorded the new configuration.
+  auto const Second = start("c", Role);
+  CHECK(find(Second, "s1") == NotRecorded);
+  auto const Keeper = start("d");
+  pass({First, Second, Keeper}, seconds(1));
+  auto const Third = start("e", Role);
+  CHECK(find(Third, "s1") == NotRecorded);
+  pass({First, Second, Third, Keeper}, seconds(31));
+  CHECK(find(First, "s1") == OnlyVersion);
+  CHECK(find(Second, "s1") == OnlyVersion);
+  CHECK(find(Third, "s1") == OnlyVersion);
+  CHECK(find(start("f", Role), "s1") == OnlyVersion);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "The versions are read from and written to the object "
+                 "of older releases in its form") {
+  std::string const Older = R"({"services":{"writer":{"v0":null,"v1":null}}})";
+  Store_.Objects_.putIf(VersionsKey, 0, Older);
+  Table_ = table(1, Writer);
+  auto const LeftAt =
+      std::chrono::duration_cast<milliseconds>(timeOfDay()).count();
+  auto const First = start("a");
+  CHECK(find(First, "s1") == NotRecorded);
+  // The old version, which an older release has recorded, is no longer listed.
+  pass({First}, seconds(1));
+  CHECK(stored(VersionsKey) == R"({"services":{"writer":{"v0":)" +
+                                   std::to_string(LeftAt) + R"(,"v1":null}}})");
+  // A move does not touch it.
+  auto const Written = stored(VersionsKey);
+  lead(2, Drafter, {First});
+  pass({First}, seconds(1));
+  CHECK(stored(VersionsKey) == Written);
+  auto const Moved = stored(MovesKey);
+  CHECK(Moved.find("\"configuration\":2") != std::string::npos);
+  // An older release writes on, and knows nothing of the other object.
+  auto const Version = Store_.Objects_.find(VersionsKey).Version_;
+  Store_.Objects_.putIf(VersionsKey, Version,
+                        R"({"services":{"writer":{"v1":null,"v2":null}}})");
+  pass({First}, seconds(31));
+  CHECK_FALSE(find(First, "s1").Origin_);
+  CHECK(stored(MovesKey) == Moved);
+}
+
+TEST_CASE_METHOD(Fixture, "An object of another writer holds no moved routes "
+                          "and is replaced") {
+  auto const *const Text = GENERATE(
+      "", "[]", "3", "null", "\xff", "{}", R"({"configuration":"x"})",
+      R"({"configuration":-1,"regions":[]})",
+      R"({"configuration":1e300,"regions":[]})",
+      R"({"configuration":true,"regions":[]})",
+      R"({"configuration":9,"regions":[{"host":"host"}]})",
+      R"({"configuration":9,"regions":[7]})",
+      R"({"configuration":9,"regions":[{"host":1,"path_prefix":"/",)"
+      R"("moved_ms":1}]})",
+      R"({"configuration":9,"regions":[{"host":"host","path_prefix":"/",)"
+      R"("moved_ms":"x"}]})");
+  CAPTURE(Text);
+  Store_.Objects_.putIf(MovesKey, 0, Text);
+  Table_ = table(2, Writer);
+  auto const First = start("a");
+  pass({First}, seconds(1));
+  CHECK_FALSE(First->isMixed(timeOfDay()));
+  CHECK(find(First, "s1") == OnlyVersion);
+  lead(3, Drafter, {First});
+  lead(4, Writer, {First});
+  pass({First}, seconds(1));
+  CHECK(find(First, "s1") == NotRecorded);
+  CHECK(find(start("b"), "s1") == NotRecorded);
+}
