--- a/Libraries/LibHttp/OutboundCall.cpp
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -33,6 +33,7 @@
 }
 
 void OutboundCall::connect() {
+  ++Pool_->Counts_.Opened_;
   auto const Self = shared_from_this();
   auto const Resolved = resolve(Pool_->Address_);
   if (isError(Resolved)) {
--- a/Libraries/LibHttp/OutboundPool.cpp
+++ b/Libraries/LibHttp/OutboundPool.cpp
@@ -81,7 +81,6 @@
     Call->Process_ = Pooled->process();
     Call->useConnection(Pooled->take());
   } else {
-    ++Counts_.Opened_;
     Call->connect();
   }
   return Call;
