--- a/Tests/LibTraffic/TestRouteMoves.cpp
+++ b/Tests/LibTraffic/TestRouteMoves.cpp
@@ -168,6 +168,17 @@
   CHECK_FALSE(hasMoved("/x/s"));
 }
 
+TEST_CASE_METHOD(Fixture, "A longer prefix that keeps its services does not "
+                          "move with one that is added above it") {
+  set({route("/", A)});
+  if (GENERATE(false, true))
+    set({route("/", A), route("/x/", B), route("/x/y/", A)});
+  else
+    set({route("/", A), route("/x/y/", A), route("/x/", B)});
+  CHECK(hasMoved("/x/s"));
+  CHECK_FALSE(hasMoved("/x/y/s"));
+}
+
 TEST_CASE_METHOD(Fixture,
                  "A route that is removed and added again with another "
                  "service has moved") {
