--- a/Libraries/LibTraffic/RouteMoves.cpp
+++ b/Libraries/LibTraffic/RouteMoves.cpp
@@ -11,18 +11,12 @@
   return TimeOfDay - At < RouteMoves::RetentionTime;
 }
 
-/// Returns whether requests that both tables accept lead to other services.
-bool leadsElsewhere(Route const *One, Route const *Other) {
-  return One && Other && One->Services_ != Other->Services_;
-}
-
 } // namespace
 
 void RouteMoves::setTable(std::shared_ptr<RouteTable const> Table,
                           Duration TimeOfDay) {
   if (Table_) {
-    compare(*Table_, *Table, TimeOfDay);
-    compare(*Table, *Table_, TimeOfDay);
+    compare(*Table, TimeOfDay);
   } else {
     FirstVersion_ = Table->version();
     noteUnseen(NewestVersion_, TimeOfDay);
@@ -33,12 +27,26 @@
   forgetOld(TimeOfDay);
 }
 
-void RouteMoves::compare(RouteTable const &Older, RouteTable const &Newer,
-                         Duration TimeOfDay) {
+void RouteMoves::compare(RouteTable const &Newer, Duration TimeOfDay) {
+  // A longer prefix takes over the earlier moves of the shorter one, which no
+  // longer accepts its requests.
   for (auto const &Route : Newer.routes())
-    if (leadsElsewhere(Older.match(Route.Host_, Route.PathPrefix_), &Route))
+    if (auto const At = movedAt(Route.Host_, Route.PathPrefix_))
+      Moved_.Regions_[{normalizedHost(Route.Host_), Route.PathPrefix_}] = *At;
+  for (auto const &Route : Newer.routes()) {
+    auto const *const Before = Table_->match(Route.Host_, Route.PathPrefix_);
+    if (Before && Before->Services_ != Route.Services_)
+      Moved_.Regions_[{normalizedHost(Route.Host_), Route.PathPrefix_}] =
+          TimeOfDay;
+  }
+  // A route that accepts the requests of a removed one later may lead
+  // elsewhere.
+  for (auto const &Route : Table_->routes()) {
+    auto const *const After = Newer.match(Route.Host_, Route.PathPrefix_);
+    if (!After || After->Services_ != Route.Services_)
       Moved_.Regions_[{normalizedHost(Route.Host_), Route.PathPrefix_}] =
           TimeOfDay;
+  }
 }
 
 void RouteMoves::merge(MovedRoutes const &Recorded, Duration TimeOfDay) {
@@ -77,17 +85,22 @@
                           Duration TimeOfDay) const {
   if (isTableOutdated() || (UnknownAt_ && isRecent(*UnknownAt_, TimeOfDay)))
     return true;
+  auto const At = movedAt(Host, Target);
+  return At && isRecent(*At, TimeOfDay);
+}
+
+std::optional<Duration> RouteMoves::movedAt(std::string_view Host,
+                                            std::string_view Target) const {
   auto const Normalized = normalizedHost(Host);
   auto const *const InForce = Table_ ? Table_->match(Host, Target) : nullptr;
   auto const InForceLength = InForce ? InForce->PathPrefix_.size() : 0;
-  return std::any_of(
-      Moved_.Regions_.begin(), Moved_.Regions_.end(), [&](auto const &Moved) {
-        auto const &[Region, At] = Moved;
-        // A longer prefix that is in force has not moved with the shorter one.
-        return isRecent(At, TimeOfDay) && Region.Host_ == Normalized &&
-               Target.starts_with(Region.PathPrefix_) &&
-               Region.PathPrefix_.size() >= InForceLength;
-      });
+  std::optional<Duration> Last;
+  for (auto const &[Region, At] : Moved_.Regions_)
+    // A longer prefix that is in force has not moved with the shorter one.
+    if (Region.Host_ == Normalized && Target.starts_with(Region.PathPrefix_) &&
+        Region.PathPrefix_.size() >= InForceLength)
+      Last = std::max(Last, std::optional(At));
+  return Last;
 }
 
 void RouteMoves::forgetOld(Duration TimeOfDay) {
--- a/Libraries/LibTraffic/RouteMoves.h
+++ b/Libraries/LibTraffic/RouteMoves.h
@@ -57,8 +57,12 @@
   void noteUnseen(std::uint64_t RecordedVersion, Duration TimeOfDay);
   /// Whether a version is recorded that is not in force here yet.
   bool isTableOutdated() const;
-  void compare(RouteTable const &Older, RouteTable const &Newer,
-               Duration TimeOfDay);
+  /// Notes what moves when the newer table takes effect.
+  void compare(RouteTable const &Newer, Duration TimeOfDay);
+  /// Returns when requests like this one were last led to another service, if
+  /// that is known.
+  std::optional<Duration> movedAt(std::string_view Host,
+                                  std::string_view Target) const;
   void forgetOld(Duration TimeOfDay);
 
   std::shared_ptr<RouteTable const> Table_;
