--- a/Tests/LibTraffic/TestRouteMoves.cpp
+++ b/Tests/LibTraffic/TestRouteMoves.cpp
@@ -266,6 +266,45 @@
   CHECK_FALSE(hasMoved("/s"));
 }
 
+TEST_CASE_METHOD(Fixture, "That moves are not known is recorded, and holds for "
+                          "those who read it") {
+  Version_ = 4;
+  Moves_.merge({3, {}}, Now_);
+  set({route("/", A)});
+  auto const NoticedAt = Now_;
+  CHECK(Moves_.moved() == MovedRoutes{5, {}, NoticedAt});
+  Now_ += seconds(10);
+  RouteMoves Reader;
+  Reader.setTable(table(5, {route("/", A)}), Now_);
+  Reader.merge(Moves_.moved(), Now_);
+  CHECK(Reader.hasMoved("h", "/s", Now_));
+  CHECK(Reader.hasAnyMoved(Now_));
+  Now_ = NoticedAt + RouteMoves::RetentionTime;
+  CHECK_FALSE(Reader.hasMoved("h", "/s", Now_));
+  Reader.merge({5, {}}, Now_);
+  CHECK(Reader.moved() == MovedRoutes{5, {}});
+}
+
+TEST_CASE_METHOD(Fixture, "Moves that are not known here count from now, "
+                          "whatever others did not know before") {
+  Version_ = 4;
+  Moves_.merge({3, {}, Now_ - seconds(29)}, Now_);
+  set({route("/", A)});
+  Now_ += seconds(29);
+  CHECK(hasMoved("/s"));
+  Now_ += seconds(1);
+  CHECK_FALSE(hasMoved("/s"));
+}
+
+TEST_CASE_METHOD(Fixture, "That moves are not known since a time ahead of the "
+                          "clock counts from now") {
+  set({route("/", A)});
+  Moves_.merge({1, {}, Now_ + std::chrono::hours(9)}, Now_);
+  CHECK(hasMoved("/s"));
+  Now_ += RouteMoves::RetentionTime;
+  CHECK_FALSE(hasMoved("/s"));
+}
+
 TEST_CASE_METHOD(Fixture, "An older version that this instance has seen tells "
                           "nothing new") {
   set({route("/", A)});
