LibTraffic, LibControl: Record when moves of routes are not known

The first instance that came back after the operator had changed the configuration recorded the new version without moves, and those that were started next decided by the only version at once: TestStreamOriginRecords.cpp:405: FAILED: CHECK( find(Second, "s1") == NotRecorded ) The object "moved-routes" gets an optional field "unknown_ms".

--- a/Libraries/LibControl/StreamOriginRecords.cpp
+++ b/Libraries/LibControl/StreamOriginRecords.cpp
@@ -67,9 +67,11 @@
     Regions.push_back({{"host", Region.Host_},
                        {"path_prefix", Region.PathPrefix_},
                        {"moved_ms", milliseconds(At)}});
-  return json{{"configuration", Moved.ConfigurationVersion_},
-              {"regions", Regions}}
-      .dump();
+  json Value{{"configuration", Moved.ConfigurationVersion_},
+             {"regions", Regions}};
+  if (Moved.UnknownAt_)
+    Value["unknown_ms"] = milliseconds(*Moved.UnknownAt_);
+  return Value.dump();
 }
 
 /// Returns nothing for an object that this system did not write.
@@ -83,6 +85,8 @@
       Moved.Regions_[{Region.at("host").get<std::string>(),
                       Region.at("path_prefix").get<std::string>()}] =
           std::chrono::milliseconds(Region.at("moved_ms").get<std::int64_t>());
+    if (auto const At = Value.find("unknown_ms"); At != Value.end())
+      Moved.UnknownAt_ = std::chrono::milliseconds(At->get<std::int64_t>());
   } catch (json::exception const &) {
     return {};
   }
--- a/Libraries/LibTraffic/RouteMoves.cpp
+++ b/Libraries/LibTraffic/RouteMoves.cpp
@@ -55,6 +55,10 @@
     return;
   NewestVersion_ = std::max(NewestVersion_, Recorded.ConfigurationVersion_);
   noteUnseen(Recorded.ConfigurationVersion_, TimeOfDay);
+  if (Recorded.UnknownAt_)
+    Moved_.UnknownAt_ =
+        std::min(std::max(Moved_.UnknownAt_, Recorded.UnknownAt_),
+                 std::optional(TimeOfDay));
   for (auto const &[Region, At] : Recorded.Regions_) {
     // What lies ahead comes from a clock that was wrong.
     auto &Known = Moved_.Regions_.try_emplace(Region, At).first->second;
@@ -64,17 +68,24 @@
 }
 
 void RouteMoves::noteUnseen(std::uint64_t RecordedVersion, Duration TimeOfDay) {
-  if (RecordedVersion != 0 && RecordedVersion < FirstVersion_ && !UnknownAt_)
-    UnknownAt_ = TimeOfDay;
+  if (RecordedVersion == 0 || RecordedVersion >= FirstVersion_ ||
+      HasNotedUnseen_)
+    return;
+  HasNotedUnseen_ = true;
+  Moved_.UnknownAt_ = TimeOfDay;
 }
 
 bool RouteMoves::isTableOutdated() const {
   return Table_ && Table_->version() < NewestVersion_;
 }
 
-bool RouteMoves::hasAnyMoved(Duration TimeOfDay) const {
+bool RouteMoves::isUnknown(Duration TimeOfDay) const {
   return isTableOutdated() ||
-         (UnknownAt_ && isRecent(*UnknownAt_, TimeOfDay)) ||
+         (Moved_.UnknownAt_ && isRecent(*Moved_.UnknownAt_, TimeOfDay));
+}
+
+bool RouteMoves::hasAnyMoved(Duration TimeOfDay) const {
+  return isUnknown(TimeOfDay) ||
          std::any_of(Moved_.Regions_.begin(), Moved_.Regions_.end(),
                      [&](auto const &Region) {
                        return isRecent(Region.second, TimeOfDay);
@@ -83,7 +94,7 @@
 
 bool RouteMoves::hasMoved(std::string_view Host, std::string_view Target,
                           Duration TimeOfDay) const {
-  if (isTableOutdated() || (UnknownAt_ && isRecent(*UnknownAt_, TimeOfDay)))
+  if (isUnknown(TimeOfDay))
     return true;
   auto const At = movedAt(Host, Target);
   return At && isRecent(*At, TimeOfDay);
@@ -107,6 +118,8 @@
   std::erase_if(Moved_.Regions_, [&](auto const &Region) {
     return !isRecent(Region.second, TimeOfDay);
   });
+  if (Moved_.UnknownAt_ && !isRecent(*Moved_.UnknownAt_, TimeOfDay))
+    Moved_.UnknownAt_.reset();
 }
 
 } // namespace laburnum
--- a/Libraries/LibTraffic/RouteMoves.h
+++ b/Libraries/LibTraffic/RouteMoves.h
@@ -27,6 +27,8 @@
 struct MovedRoutes {
   std::uint64_t ConfigurationVersion_ = 0;
   std::map<RouteRegion, Duration> Regions_;
+  /// When it was last noticed that moves before are not known.
+  std::optional<Duration> UnknownAt_ = std::nullopt;
 
   auto operator<=>(MovedRoutes const &) const = default;
 };
@@ -52,6 +54,8 @@
   bool hasAnyMoved(Duration TimeOfDay) const;
 
 private:
+  /// Whether moves that are not known may be recent.
+  bool isUnknown(Duration TimeOfDay) const;
   /// Moves between the recorded version and the first one that this instance
   /// has seen are not known.
   void noteUnseen(std::uint64_t RecordedVersion, Duration TimeOfDay);
@@ -69,8 +73,7 @@
   std::uint64_t FirstVersion_ = 0;  ///< Of the first table.
   std::uint64_t NewestVersion_ = 0; ///< Of any that is recorded.
   MovedRoutes Moved_;
-  /// When it was noticed that earlier moves are not known.
-  std::optional<Duration> UnknownAt_;
+  bool HasNotedUnseen_ = false; ///< In UnknownAt_.
 };
 
 } // namespace laburnum
