LibControl: Take no configuration version that is no count

A negative number was read as a version that no configuration reaches, so the only version never decided again: TestStreamOriginRecords.cpp:466: FAILED: CHECK( find(First, "s1") == OnlyVersion ) with Text := "{"configuration":-1,"regions":[]}"

--- a/Libraries/LibControl/StreamOriginRecords.cpp
+++ b/Libraries/LibControl/StreamOriginRecords.cpp
@@ -79,8 +79,10 @@
   MovedRoutes Moved;
   try {
     auto const Value = json::parse(Text);
-    Moved.ConfigurationVersion_ =
-        Value.at("configuration").get<std::uint64_t>();
+    auto const &Configuration = Value.at("configuration");
+    if (!Configuration.is_number_unsigned())
+      return {};
+    Moved.ConfigurationVersion_ = Configuration.get<std::uint64_t>();
     for (auto const &Region : Value.at("regions"))
       Moved.Regions_[{Region.at("host").get<std::string>(),
                       Region.at("path_prefix").get<std::string>()}] =
