--- a/Tests/LibHttp/TestProcessIdentification.cpp
+++ b/Tests/LibHttp/TestProcessIdentification.cpp
@@ -289,6 +289,50 @@
   CHECK(countIn(peer().Received_, Question) == 0);
 }
 
+TEST_CASE_METHOD(Fixture, "An answer without identification on one connection "
+                          "does not affect a question on another") {
+  auto const Unknown =
+      GENERATE(answer("404 Not Found", ""), std::string("SSH-2.0\r\n\r\n"));
+  auto const First = sendFor("p1");
+  REQUIRE(awaitBytes(Question));
+  auto const Second = sendFor("p1");
+  REQUIRE(awaitBytes(Question, 2));
+  auto &Other = peer();
+  Server_.Peers_.front()->write(Unknown);
+  REQUIRE(runUntil(Context_, [&] {
+    return countIn(Server_.Peers_.front()->Received_, Run) +
+               countIn(peer().Received_, Run) ==
+           1;
+  }));
+  CHECK(countIn(Other.Received_, Run) == 0);
+  SECTION("that process") {
+    Other.write(identification("p1"));
+    CHECK(
+        runUntil(Context_, [&] { return countIn(Other.Received_, Run) == 1; }));
+    Other.write(answer("200 OK", "ok"));
+    CHECK(awaitAnswer(*Second));
+  }
+  SECTION("another process") {
+    Other.write(identification("p2"));
+    REQUIRE(awaitFailure(*Second));
+    CHECK(Second->OtherProcess_ == "p2");
+    CHECK(runStateOf(*Second->Evidence_) == RunState::NotRun);
+    settle();
+    CHECK(countIn(Other.Received_, Run) == 0);
+  }
+  SECTION("none") {
+    Other.write(answer("404 Not Found", ""));
+    CHECK(
+        runUntil(Context_, [&] { return countIn(Other.Received_, Run) == 1; }));
+  }
+  SECTION("no HTTP") {
+    auto const Connections = Server_.Peers_.size();
+    Other.write("SSH-2.0\r\n\r\n");
+    REQUIRE(awaitBytes(Run, Connections + 1));
+    CHECK(countIn(Other.Received_, Run) == 0);
+  }
+}
+
 TEST_CASE_METHOD(Fixture, "The connection that replaces one with an unreadable "
                           "identification is counted") {
   sendFor("p1");
