LibHttp: Read an identification also after another call found none

Two calls to a server without a report asked at once; the first 404 removed the identifier that the second answer was read with: TestProcessIdentification.cpp:308: FAILED: due to a fatal error condition: SIGSEGV - Segmentation violation signal

--- a/Libraries/LibHttp/OutboundCall.cpp
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -70,7 +70,8 @@
   Progress_ = AttemptProgress::Connected;
   IsIdentifying_ = true;
   Identification_.clear();
-  auto const Head = Pool_->Identifier_->request();
+  Identifier_ = Pool_->Identifier_;
+  auto const Head = Identifier_->request();
   Reader_ = AnswerReader(Request_.AnswerBounds_, Head.Method_);
   armTimer(IdentificationTimeout,
            "the server does not identify itself in time");
@@ -86,7 +87,7 @@
   if (!Reader_.isDone())
     return;
   bool const IsClean = Reader_.keepsAlive() && Reader_.takeRest().empty();
-  Process_ = Pool_->Identifier_->identify(Reader_.head(), Identification_);
+  Process_ = Identifier_->identify(Reader_.head(), Identification_);
   if (!Process_)
     return onUnidentifiable(IsClean);
   if (Process_ != Request_.Process_) {
--- a/Libraries/LibHttp/OutboundCall.h
+++ b/Libraries/LibHttp/OutboundCall.h
@@ -49,6 +49,7 @@
 };
 
 class OutboundPool;
+class ProcessIdentifier;
 
 /// One request in progress, with exclusive use of a connection while it lasts.
 class OutboundCall : public ConnectionObserver,
@@ -94,6 +95,9 @@
   std::shared_ptr<Connection> Connection_;
   std::optional<std::string> Process_; ///< At the connection's other end.
   bool IsIdentifying_ = false;
+  /// Reads the answer, also when another call has found meanwhile that the
+  /// server does not identify itself.
+  ProcessIdentifier const *Identifier_ = nullptr;
   std::string Identification_; ///< Body of the answer that identifies it.
   AnswerReader Reader_;
   AttemptProgress Progress_ = AttemptProgress::NotConnected;
