LibTraffic, laburnum-entry: Tell the roster of attempts by record

What an attempt shows of its server names the record that the attempt was sent to, instead of the identifier, which the next incarnation of the server has too. The roster still finds the server by the identifier alone: nothing changes for callers.

--- a/Libraries/LibTraffic/AdmissionQueue.cpp
+++ b/Libraries/LibTraffic/AdmissionQueue.cpp
@@ -28,7 +28,7 @@
 AdmissionQueue::tryAdmit(WaitingRequest const &Request, std::size_t Ahead,
                          TimePoint Now) {
   if (auto const Server = Roster_.choose(Request.Query_, Now)) {
-    Roster_.onSent(Server->Id_, Now);
+    Roster_.onSent(*Server, Now);
     return Admitted{Request.Ticket_, *Server};
   }
   auto const &Service = Request.Query_.Service_;
--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -260,20 +260,25 @@
   });
 }
 
-void ServerRoster::onSent(ServerId const &Id, TimePoint Now) {
-  auto const Found = Servers_.find(Id);
-  if (Found == Servers_.end())
+ServerRoster::Entry *ServerRoster::find(ServerRecord const &Server) {
+  auto const Found = Servers_.find(Server.Id_);
+  return Found == Servers_.end() ? nullptr : &Found->second;
+}
+
+void ServerRoster::onSent(ServerRecord const &To, TimePoint Now) {
+  auto *const Found = find(To);
+  if (!Found)
     return;
-  ++Found->second.Running_;
-  RateLimiter_.onSent(Found->second.Incarnation_, Now);
+  ++Found->Running_;
+  RateLimiter_.onSent(Found->Incarnation_, Now);
 }
 
-void ServerRoster::onEnded(ServerId const &Id, AttemptHealth Health,
+void ServerRoster::onEnded(ServerRecord const &At, AttemptHealth Health,
                            TimePoint Now) {
-  auto const Found = Servers_.find(Id);
-  if (Found == Servers_.end())
+  auto *const Found = find(At);
+  if (!Found)
     return;
-  auto &Server = Found->second;
+  auto &Server = *Found;
   if (Server.Running_ > 0)
     --Server.Running_;
   if (Health == AttemptHealth::Worked) {
@@ -293,32 +298,32 @@
   }
 }
 
-void ServerRoster::onLoad(ServerId const &Id, ServerLoad const &Load,
+void ServerRoster::onLoad(ServerRecord const &Of, ServerLoad const &Load,
                           TimePoint Now) {
-  auto const Found = Servers_.find(Id);
-  if (Found == Servers_.end())
+  auto *const Found = find(Of);
+  if (!Found)
     return;
-  auto &Server = Found->second;
+  auto &Server = *Found;
   auto const Total = static_cast<double>(Load.Running_ + Load.Waiting_);
   Server.RemoteRunning_ = std::max(0.0, Total - Server.Running_);
   Server.LoadReportedAt_ = Now;
 }
 
-void ServerRoster::onMaxRefusals(ServerId const &Id,
+void ServerRoster::onMaxRefusals(ServerRecord const &Of,
                                  std::optional<double> PerSecond) {
-  if (auto const Found = Servers_.find(Id); Found != Servers_.end())
-    Found->second.MaxRefusalsPerSecond_ = PerSecond;
+  if (auto *const Found = find(Of))
+    Found->MaxRefusalsPerSecond_ = PerSecond;
 }
 
-void ServerRoster::onSlowFirstByte(ServerId const &Id) {
-  if (auto const Found = Servers_.find(Id); Found != Servers_.end())
-    ++Found->second.SlowAttempts_;
+void ServerRoster::onSlowFirstByte(ServerRecord const &Of) {
+  if (auto *const Found = find(Of))
+    ++Found->SlowAttempts_;
 }
 
-void ServerRoster::onFirstByteWaitEnded(ServerId const &Id) {
-  auto const Found = Servers_.find(Id);
-  if (Found != Servers_.end() && Found->second.SlowAttempts_ > 0)
-    --Found->second.SlowAttempts_;
+void ServerRoster::onFirstByteWaitEnded(ServerRecord const &Of) {
+  auto *const Found = find(Of);
+  if (Found && Found->SlowAttempts_ > 0)
+    --Found->SlowAttempts_;
 }
 
 template <typename Function>
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -94,16 +94,16 @@
   bool hasMatch(ServerQuery const &Query) const;
 
   /// Counts an attempt that is being sent to the server.
-  void onSent(ServerId const &Id, TimePoint Now);
-  void onEnded(ServerId const &Id, AttemptHealth Health, TimePoint Now);
-  void onLoad(ServerId const &Id, ServerLoad const &Load, TimePoint Now);
+  void onSent(ServerRecord const &To, TimePoint Now);
+  void onEnded(ServerRecord const &At, AttemptHealth Health, TimePoint Now);
+  void onLoad(ServerRecord const &Of, ServerLoad const &Load, TimePoint Now);
   /// The server has stated how many refusals a second it stands, from all
   /// instances together, or no longer states it.
-  void onMaxRefusals(ServerId const &Id, std::optional<double> PerSecond);
+  void onMaxRefusals(ServerRecord const &Of, std::optional<double> PerSecond);
   /// An attempt has waited long for the server's first byte, until
   /// onFirstByteWaitEnded().
-  void onSlowFirstByte(ServerId const &Id);
-  void onFirstByteWaitEnded(ServerId const &Id);
+  void onSlowFirstByte(ServerRecord const &Of);
+  void onFirstByteWaitEnded(ServerRecord const &Of);
   /// The server or a peer reported that this incarnation is leaving, or another
   /// server has its address. Returns whether that was unknown before.
   bool onLeaving(ServerId const &Incarnation, TimePoint Now);
@@ -160,6 +160,8 @@
     TimePoint EjectedUntil_ = TimePoint::min();
   };
 
+  /// Returns the entry of the server, or nullptr.
+  Entry *find(ServerRecord const &Server);
   bool isStaying(Entry const &Server) const;
   static bool matches(ServerRecord const &Server, ServerQuery const &Query);
   /// Returns the tokens of a rate limited server that can be used until then.
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -134,8 +134,7 @@
     auto const Refusal =
         Plane_.Dependencies_.Guard_.refusal(FlowContext_.Fingerprints_, Now);
     if (IsFinished_ || Refusal)
-      Plane_.Roster_.onEnded(Admission->Server_.Id_, AttemptHealth::Unknown,
-                             Now);
+      Plane_.Roster_.onEnded(Admission->Server_, AttemptHealth::Unknown, Now);
     if (Refusal)
       return handle(NoServer{std::string(RequestRefuser::reasonOf(
                                  *Refusal, FlowContext_.Fingerprints_)),
@@ -229,7 +228,7 @@
   if (FirstAnswerAt_ == TimePoint())
     FirstAnswerAt_ = readBootClock();
   if (Answer_->Load_)
-    Plane_.Roster_.onLoad(Server_->Id_, *Answer_->Load_, readBootClock());
+    Plane_.Roster_.onLoad(*Server_, *Answer_->Load_, readBootClock());
   Plane_.onMaxRefusals(*Server_, Answer_->MaxRefusalsPerSecond_);
   if (Answer_->IsOtherServer_)
     Plane_.onServerReplaced(*Server_, "address taken by another server");
@@ -317,7 +316,7 @@
     if (Failure || !Self->Server_ || Self->Answer_)
       return;
     Self->IsStalled_ = true;
-    Self->Plane_.Roster_.onSlowFirstByte(Self->Server_->Id_);
+    Self->Plane_.Roster_.onSlowFirstByte(*Self->Server_);
   });
 }
 
@@ -371,7 +370,7 @@
   if (std::exchange(IsAwaited_, false))
     Plane_.Links_.onWaitEnded(*Server_);
   if (std::exchange(IsStalled_, false))
-    Plane_.Roster_.onFirstByteWaitEnded(Server_->Id_);
+    Plane_.Roster_.onFirstByteWaitEnded(*Server_);
 }
 
 void RequestSession::endAttempt(AttemptHealth Health,
@@ -381,7 +380,7 @@
   clearStall();
   Plane_.AttemptingSessions_.erase(this);
   if (isDirect()) {
-    Plane_.Roster_.onEnded(Server_->Id_, Health, readBootClock());
+    Plane_.Roster_.onEnded(*Server_, Health, readBootClock());
     Plane_.onAttemptEnded(FlowContext_.Fingerprints_, *Server_, Evidence);
   }
   Server_.reset();
--- a/Services/laburnum-entry/TrafficPlaneServers.cpp
+++ b/Services/laburnum-entry/TrafficPlaneServers.cpp
@@ -140,7 +140,7 @@
 
 void TrafficPlane::onMaxRefusals(ServerRecord const &Server,
                                  std::optional<double> PerSecond) {
-  Roster_.onMaxRefusals(Server.Id_, PerSecond);
+  Roster_.onMaxRefusals(Server, PerSecond);
   auto const Incarnation = incarnationOf(Server);
   bool const HasChanged = PerSecond ? BrittleServers_.insert(Incarnation).second
                                     : BrittleServers_.erase(Incarnation) > 0;
--- a/Tests/LibTraffic/RateLimitedFleet.cpp
+++ b/Tests/LibTraffic/RateLimitedFleet.cpp
@@ -176,7 +176,7 @@
     return;
   auto const &Record = Servers_[Received.Server_].Record_;
   auto const Incarnation = incarnationOf(Record);
-  Roster.onEnded(Record.Id_, AttemptHealth::Worked, Now_);
+  Roster.onEnded(Record, AttemptHealth::Worked, Now_);
   auto &Limiter = Roster.rateLimiter();
   auto const Change =
       Received.Limit_
--- a/Tests/LibTraffic/TestBrittleServers.cpp
+++ b/Tests/LibTraffic/TestBrittleServers.cpp
@@ -39,8 +39,13 @@
   auto operator<=>(Attempt const &) const = default;
 };
 
-ServerId idOf(std::size_t Number) {
-  return ServerId("s" + std::to_string(Number));
+ServerRecord recordOf(std::size_t Number) {
+  ServerRecord Record;
+  Record.Id_ = ServerId("s" + std::to_string(Number));
+  Record.Service_ = Writer;
+  Record.DataCentre_ = DataCentre("a");
+  Record.Slots_ = Slots;
+  return Record;
 }
 
 /// Instances with unequal traffic before brittle servers. A request that finds
@@ -52,13 +57,9 @@
           Geography{DataCentre("a"), {{DataCentre("a"), "r"}}}, Seed + Index));
       Rosters_.back()->setRegistered(Instances);
       for (std::size_t Number = 0; Number < Servers; ++Number) {
-        ServerRecord Record;
-        Record.Id_ = idOf(Number);
-        Record.Service_ = Writer;
-        Record.DataCentre_ = DataCentre("a");
-        Record.Slots_ = Slots;
+        auto const Record = recordOf(Number);
         Rosters_.back()->update(Record);
-        Rosters_.back()->onMaxRefusals(Record.Id_, MaxRefusals);
+        Rosters_.back()->onMaxRefusals(Record, MaxRefusals);
       }
     }
   }
@@ -66,13 +67,13 @@
   void end(Attempt const &Ended) {
     auto &At = Servers_[Ended.Server_];
     auto &Roster = *Rosters_[Ended.Instance_];
-    auto const Id = idOf(Ended.Server_);
+    auto const Record = recordOf(Ended.Server_);
     if (At.DownUntil_ > Now_)
-      return Roster.onEnded(Id, AttemptHealth::Failed, Now_);
+      return Roster.onEnded(Record, AttemptHealth::Failed, Now_);
     --At.Running_;
     ++Served_;
-    Roster.onLoad(Id, {At.Running_, 0, Slots}, Now_);
-    Roster.onEnded(Id, AttemptHealth::Worked, Now_);
+    Roster.onLoad(Record, {At.Running_, 0, Slots}, Now_);
+    Roster.onEnded(Record, AttemptHealth::Worked, Now_);
   }
 
   void refuse(std::size_t Instance, std::size_t Number) {
@@ -84,8 +85,8 @@
       ++At.Falls_;
       At = {0, 0, {}, Now_ + Downtime, At.Falls_};
     }
-    Rosters_[Instance]->onLoad(idOf(Number), {At.Running_, 0, Slots}, Now_);
-    Rosters_[Instance]->onEnded(idOf(Number), AttemptHealth::Refused, Now_);
+    Rosters_[Instance]->onLoad(recordOf(Number), {At.Running_, 0, Slots}, Now_);
+    Rosters_[Instance]->onEnded(recordOf(Number), AttemptHealth::Refused, Now_);
   }
 
   void send(std::size_t Instance) {
@@ -94,12 +95,12 @@
     auto const Chosen = Roster.choose({Writer, {}, {}}, Now_);
     if (!Chosen)
       return;
-    Roster.onSent(Chosen->Id_, Now_);
+    Roster.onSent(*Chosen, Now_);
     auto const Number =
         static_cast<std::size_t>(std::stoul(Chosen->Id_.text().substr(1)));
     auto &At = Servers_[Number];
     if (At.DownUntil_ > Now_)
-      return Roster.onEnded(Chosen->Id_, AttemptHealth::Failed, Now_);
+      return Roster.onEnded(*Chosen, AttemptHealth::Failed, Now_);
     if (At.Running_ >= Slots + Room)
       return refuse(Instance, Number);
     ++At.Running_;
--- a/Tests/LibTraffic/TestServerAnnouncements.cpp
+++ b/Tests/LibTraffic/TestServerAnnouncements.cpp
@@ -32,7 +32,7 @@
   struct Arrival {
     TimePoint At_;
     std::size_t Instance_;
-    ServerId Server_;
+    ServerRecord Server_;
   };
 
   Fleet(std::size_t Instances, std::size_t Servers) {
@@ -53,13 +53,13 @@
         for (int Request = 0; Request < 3; ++Request)
           if (auto const Chosen =
                   Rosters_[Each]->choose({Writer, {}, {}}, Now_)) {
-            Rosters_[Each]->onSent(Chosen->Id_, Now_);
-            Arrivals_.push_back({Now_, Each, Chosen->Id_});
+            Rosters_[Each]->onSent(*Chosen, Now_);
+            Arrivals_.push_back({Now_, Each, *Chosen});
           }
       for (auto const &One : Arrivals_) {
         if (One.At_ != Now_)
           continue;
-        if (One.Server_ == Asked)
+        if (One.Server_.Id_ == Asked)
           Say(*Rosters_[One.Instance_]);
         Rosters_[One.Instance_]->onEnded(One.Server_, AttemptHealth::Worked,
                                          Now_);
@@ -71,7 +71,7 @@
                        TimePoint From, TimePoint To) const {
     return static_cast<std::size_t>(std::count_if(
         Arrivals_.begin(), Arrivals_.end(), [&](Arrival const &One) {
-          return One.Instance_ == Instance && One.Server_ == Server &&
+          return One.Instance_ == Instance && One.Server_.Id_ == Server &&
                  One.At_ > From && One.At_ < To;
         }));
   }
@@ -193,7 +193,7 @@
     Roster.setRegistered(Instances);
     Roster.update(server(0));
     while (auto const Chosen = Roster.choose({Writer, {}, {}}, Now)) {
-      Roster.onSent(Chosen->Id_, Now);
+      Roster.onSent(*Chosen, Now);
       ++Running;
     }
   }
--- a/Tests/LibTraffic/TestServerRoster.cpp
+++ b/Tests/LibTraffic/TestServerRoster.cpp
@@ -78,13 +78,13 @@
 TEST_CASE_METHOD(
     Fixture, "A failing server is ejected for longer each time and returns") {
   Roster_.replaceAll({server("x"), server("y")});
-  Roster_.onSent(ServerId("x"), Now_);
-  Roster_.onEnded(ServerId("x"), AttemptHealth::Failed, Now_);
+  Roster_.onSent(server("x"), Now_);
+  Roster_.onEnded(server("x"), AttemptHealth::Failed, Now_);
   for (int Turn = 0; Turn < 20; ++Turn)
     CHECK(choose() == "y");
   Now_ += milliseconds(260);
   CHECK(choose({Writer, {ServerId("y")}, {}}) == "x");
-  Roster_.onEnded(ServerId("x"), AttemptHealth::Failed, Now_);
+  Roster_.onEnded(server("x"), AttemptHealth::Failed, Now_);
   Now_ += milliseconds(260);
   CHECK(choose({Writer, {ServerId("y")}, {}}).empty());
 }
@@ -94,26 +94,26 @@
   Roster_.replaceAll({server("near", "a-1", 10), server("far", "b-1", 10)});
   CHECK(choose() == "near");
   for (int Turn = 0; Turn < 5; ++Turn)
-    Roster_.onSent(ServerId("near"), Now_);
+    Roster_.onSent(server("near"), Now_);
   CHECK(choose() == "far");
 }
 
 TEST_CASE_METHOD(Fixture, "A server that sends no first byte gets fewer "
                           "requests but remains usable") {
   Roster_.replaceAll({server("dark", "a-1", 24), server("far", "b-1", 24)});
-  Roster_.onSent(ServerId("dark"), Now_);
-  Roster_.onSlowFirstByte(ServerId("dark"));
-  Roster_.onSlowFirstByte(ServerId("dark"));
+  Roster_.onSent(server("dark"), Now_);
+  Roster_.onSlowFirstByte(server("dark"));
+  Roster_.onSlowFirstByte(server("dark"));
   CHECK(choose() == "far");
   CHECK(choose({Writer, {ServerId("far")}, {}}) == "dark");
-  Roster_.onFirstByteWaitEnded(ServerId("dark"));
-  Roster_.onFirstByteWaitEnded(ServerId("dark"));
+  Roster_.onFirstByteWaitEnded(server("dark"));
+  Roster_.onFirstByteWaitEnded(server("dark"));
   CHECK(choose() == "dark");
 }
 
 TEST_CASE_METHOD(Fixture, "A reported load is valid for a limited time") {
   Roster_.replaceAll({server("x", "a-1", 4), server("y", "b-1", 4)});
-  Roster_.onLoad(ServerId("x"), {4, 0, 4}, Now_);
+  Roster_.onLoad(server("x"), {4, 0, 4}, Now_);
   CHECK(choose() == "y");
   Now_ += seconds(1);
   CHECK(choose() == "x");
@@ -131,10 +131,10 @@
   // With enough free slots it answers in time, and no other server has to
   // process the prefix; near half full, the others' idle slots outweigh that.
   for (int Turn = 0; Turn < 7; ++Turn)
-    Roster_.onSent(ServerId(First), Now_);
+    Roster_.onSent(server(First), Now_);
   CHECK(choose(Query) == First);
   for (int Turn = 0; Turn < 4; ++Turn)
-    Roster_.onSent(ServerId(First), Now_);
+    Roster_.onSent(server(First), Now_);
   CHECK(choose(Query) != First);
 }
 
@@ -147,7 +147,7 @@
   auto const First = choose(Query);
   for (auto const &Server : Servers)
     for (int Turn = 0; Turn < 12; ++Turn)
-      Roster_.onSent(Server.Id_, Now_);
+      Roster_.onSent(Server, Now_);
   CHECK(choose(Query) == First);
 }
 
@@ -163,7 +163,7 @@
   CHECK(Wait(3, 0).empty());
   CHECK(Wait(4, 1).empty());
   CHECK(Queue.advance(Now_).empty());
-  Roster_.onEnded(ServerId("x"), AttemptHealth::Worked, Now_);
+  Roster_.onEnded(server("x"), AttemptHealth::Worked, Now_);
   auto const Next = Queue.advance(Now_);
   REQUIRE(Next.size() == 1);
   CHECK(std::get<Admitted>(Next.front()).Ticket_ == 3);
@@ -174,7 +174,7 @@
     "A request whose latest start has passed is rejected with a Retry-After") {
   AdmissionQueue Queue(Roster_);
   Roster_.replaceAll({server("x", "a-1", 1)});
-  Roster_.onSent(ServerId("x"), Now_);
+  Roster_.onSent(server("x"), Now_);
   Queue.add({1, {Writer, {}, {}}, 0, Now_ + milliseconds(100)}, Now_);
   Now_ += milliseconds(100);
   auto const Outcome = Queue.advance(Now_);
@@ -218,7 +218,7 @@
   CHECK_FALSE(Roster_.onUnreachable(incarnationOf(server("x")), Now_));
   for (int Sent = 0; Sent < 2; ++Sent) {
     REQUIRE(choose() == "y");
-    Roster_.onSent(ServerId("y"), Now_);
+    Roster_.onSent(server("y"), Now_);
   }
   CHECK(choose().empty());
   SECTION("but is used if it is the last one") {
@@ -236,7 +236,7 @@
     CHECK(choose() == "x");
   }
   SECTION("until it has answered") {
-    Roster_.onEnded(ServerId("x"), AttemptHealth::Worked, Now_);
+    Roster_.onEnded(server("x"), AttemptHealth::Worked, Now_);
     CHECK(choose() == "x");
   }
   SECTION("but its next incarnation is not") {
