LibTraffic: Apply what attempts show only to the incarnation they ran at

What callers could see after a server had started again under its identifier: attempts that were sent to the old incarnation end only when their connections break or time out, often after the new one was listed. Each such failure ejected the new incarnation, for up to four seconds after several in a row, so requests went to far or full servers, or were refused with 503 where there was no other. In the other direction, each end freed a slot that the new incarnation had not lent, so that it got more requests than it has slots and refused them, and an old success lifted the exclusion of a new incarnation that was found unreachable. Load, refusal bound and slow first bytes were applied to the wrong incarnation likewise.

Cause: update() resets the entry for a new incarnation, but onEnded(), onLoad(), onMaxRefusals(), onSlowFirstByte() and onFirstByteWaitEnded() found the entry by the identifier, which both incarnations have.

The test failed before in each of its eight sections; the first and the third:

TestServerRoster.cpp:94: FAILED: CHECK( choose() == "x" ) with expansion: "far" == "x" TestServerRoster.cpp:104: FAILED: CHECK( Roster_.running(Next.Id_) == 2 ) with expansion: 1 == 2 test cases: 1 | 1 failed assertions: 17 | 9 passed | 8 failed

The reports carry the record that the attempt was sent to, and the roster ignores those whose incarnation is not the listed one, by the same comparison with which update() resets the entry. So what is counted in an entry is what was counted since its reset.

--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -71,6 +71,14 @@
   return std::max(1.0, static_cast<double>(Record.Slots_));
 }
 
+/// Returns whether two records of a server are of the same incarnation.
+bool isSameIncarnation(ServerRecord const &One, ServerRecord const &Other) {
+  return One.IncarnationStartMilliseconds_ ==
+             Other.IncarnationStartMilliseconds_ &&
+         One.SoftwareVersion_ == Other.SoftwareVersion_ &&
+         One.Endpoint_ == Other.Endpoint_;
+}
+
 } // namespace
 
 ServerRoster::ServerRoster(Geography Geography, std::uint64_t Seed)
@@ -90,12 +98,7 @@
 
 void ServerRoster::update(ServerRecord const &Record) {
   auto &Server = Servers_[Record.Id_];
-  bool const IsNewIncarnation =
-      Server.Record_.IncarnationStartMilliseconds_ !=
-          Record.IncarnationStartMilliseconds_ ||
-      Server.Record_.SoftwareVersion_ != Record.SoftwareVersion_ ||
-      Server.Record_.Endpoint_ != Record.Endpoint_;
-  if (IsNewIncarnation) {
+  if (!isSameIncarnation(Server.Record_, Record)) {
     Server = Entry{};
     Server.Incarnation_ = incarnationOf(Record);
     if (auto const Known = Statuses_.find(Server.Incarnation_);
@@ -262,7 +265,10 @@
 
 ServerRoster::Entry *ServerRoster::find(ServerRecord const &Server) {
   auto const Found = Servers_.find(Server.Id_);
-  return Found == Servers_.end() ? nullptr : &Found->second;
+  return Found == Servers_.end() ||
+                 !isSameIncarnation(Found->second.Record_, Server)
+             ? nullptr
+             : &Found->second;
 }
 
 void ServerRoster::onSent(ServerRecord const &To, TimePoint Now) {
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -93,7 +93,8 @@
   /// takes no requests now.
   bool hasMatch(ServerQuery const &Query) const;
 
-  /// Counts an attempt that is being sent to the server.
+  /// Counts an attempt that is being sent to the server. What attempts show of
+  /// an incarnation is ignored once it is not listed any more.
   void onSent(ServerRecord const &To, TimePoint Now);
   void onEnded(ServerRecord const &At, AttemptHealth Health, TimePoint Now);
   void onLoad(ServerRecord const &Of, ServerLoad const &Load, TimePoint Now);
@@ -160,7 +161,8 @@
     TimePoint EjectedUntil_ = TimePoint::min();
   };
 
-  /// Returns the entry of the server, or nullptr.
+  /// Returns the entry of the server, or nullptr if this incarnation of it is
+  /// not listed.
   Entry *find(ServerRecord const &Server);
   bool isStaying(Entry const &Server) const;
   static bool matches(ServerRecord const &Server, ServerQuery const &Query);
--- a/Tests/LibTraffic/TestServerRoster.cpp
+++ b/Tests/LibTraffic/TestServerRoster.cpp
@@ -25,6 +25,12 @@
   return Made;
 }
 
+/// The server's next incarnation.
+ServerRecord restarted(ServerRecord Server) {
+  ++Server.IncarnationStartMilliseconds_;
+  return Server;
+}
+
 Geography const TestGeography{DataCentre("a-1"),
                               {{DataCentre("a-1"), "a"},
                                {DataCentre("a-2"), "a"},
@@ -75,6 +81,55 @@
   CHECK(choose() == "x");
 }
 
+TEST_CASE_METHOD(Fixture, "What attempts at an incarnation that has ended show "
+                          "is not applied to the next") {
+  auto const Ended = server("x");
+  auto const Next = restarted(Ended);
+  Roster_.replaceAll({Ended, server("far", "b-1")});
+  Roster_.onSent(Ended, Now_);
+  Roster_.update(Next);
+  REQUIRE(choose() == "x");
+  SECTION("a failure") {
+    Roster_.onEnded(Ended, AttemptHealth::Failed, Now_);
+    CHECK(choose() == "x");
+  }
+  SECTION("a refusal") {
+    Roster_.onEnded(Ended, AttemptHealth::Refused, Now_);
+    CHECK(choose() == "x");
+  }
+  SECTION("an end, which frees no slot") {
+    Roster_.onSent(Next, Now_);
+    Roster_.onSent(Next, Now_);
+    Roster_.onEnded(Ended, AttemptHealth::Unknown, Now_);
+    CHECK(Roster_.running(Next.Id_) == 2);
+    CHECK(choose() == "far");
+  }
+  SECTION("an answer, which does not make it reachable") {
+    Roster_.onUnreachable(incarnationOf(Next), Now_);
+    Roster_.onEnded(Ended, AttemptHealth::Worked, Now_);
+    CHECK(choose() == "far");
+  }
+  SECTION("a load") {
+    Roster_.onLoad(Ended, {2, 0, 2}, Now_);
+    CHECK(choose() == "x");
+  }
+  SECTION("a bound of refusals") {
+    Roster_.setRegistered(8);
+    Roster_.onMaxRefusals(Ended, 1.0);
+    Roster_.onSent(Next, Now_);
+    CHECK(choose({Writer, {ServerId("far")}, {}}) == "x");
+  }
+  SECTION("a slow first byte") {
+    Roster_.onSlowFirstByte(Ended);
+    CHECK(choose() == "x");
+  }
+  SECTION("the end of a wait") {
+    Roster_.onSlowFirstByte(Next);
+    Roster_.onFirstByteWaitEnded(Ended);
+    CHECK(choose() == "far");
+  }
+}
+
 TEST_CASE_METHOD(
     Fixture, "A failing server is ejected for longer each time and returns") {
   Roster_.replaceAll({server("x"), server("y")});
