LibTraffic, laburnum-entry: Judge by the incarnation whether it is leaving

What callers could see: a server announces that it is leaving, ends and starts again under its identifier. Attempts at the old incarnation whose connections break after the new one was listed counted as crashes, because the new one stays. Their contents and prompt parts became suspects at all instances, and after enough servers callers got refusals for contents that crash nothing.

Cause: isLeaving() took the identifier and told of the incarnation that is listed now, not of the one that the attempt ran at.

isLeaving() takes the record, and an incarnation that is not the listed one is leaving, as a server that is not listed was before: the platform lists the next one where the old one ends. The price: a crash whose break is noticed only after the next incarnation was listed is not counted, as was so already for a server that was dropped from the list. The operating system closes the connections of a crashed process at once, before another can be started and listed.

--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -435,9 +435,11 @@
   return Summary;
 }
 
-bool ServerRoster::isLeaving(ServerId const &Id) const {
-  auto const Found = Servers_.find(Id);
-  return Found == Servers_.end() || !isStaying(Found->second);
+bool ServerRoster::isLeaving(ServerRecord const &Server) const {
+  auto const Found = Servers_.find(Server.Id_);
+  return Found == Servers_.end() ||
+         !isSameIncarnation(Found->second.Record_, Server) ||
+         !isStaying(Found->second);
 }
 
 std::vector<ServerRecord> ServerRoster::records() const {
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -127,9 +127,9 @@
   RateLimitSummary rateLimitSummary(ServiceName const &Service,
                                     TimePoint Now) const;
 
-  /// Returns whether the server is draining, has reported that it is leaving,
-  /// or is not listed.
-  bool isLeaving(ServerId const &Id) const;
+  /// Returns whether the incarnation is draining, has reported that it is
+  /// leaving, or is not listed.
+  bool isLeaving(ServerRecord const &Server) const;
 
   std::vector<ServerRecord> records() const;
   /// Returns the servers of the service that are not leaving, shuffled.
--- a/Services/laburnum-entry/TrafficPlaneServers.cpp
+++ b/Services/laburnum-entry/TrafficPlaneServers.cpp
@@ -23,7 +23,7 @@
   auto Observed = Evidence;
   // A leaving server is expected to close its connections: that is no crash.
   if (Observed.End_ == AttemptEnd::ConnectionFailed &&
-      Roster_.isLeaving(Server.Id_))
+      Roster_.isLeaving(Server))
     Observed.End_ = AttemptEnd::Cancelled;
   auto const Reports = Dependencies_.Guard_.onEnded(
       Fingerprints, incarnationOf(Server), Observed, readBootClock());
--- a/Tests/LibTraffic/TestServerRoster.cpp
+++ b/Tests/LibTraffic/TestServerRoster.cpp
@@ -81,6 +81,26 @@
   CHECK(choose() == "x");
 }
 
+TEST_CASE_METHOD(Fixture, "An incarnation that left is leaving, whatever is "
+                          "listed under its identifier later") {
+  auto const Left = server("x");
+  auto const Next = restarted(Left);
+  Roster_.replaceAll({Left});
+  REQUIRE_FALSE(Roster_.isLeaving(Left));
+  SECTION("after it was reported to leave") {
+    Roster_.onLeaving(incarnationOf(Left), Now_);
+    REQUIRE(Roster_.isLeaving(Left));
+  }
+  SECTION("after it vanished from the list") {
+    Roster_.remove(Left.Id_);
+    REQUIRE(Roster_.isLeaving(Left));
+  }
+  SECTION("after nothing") {}
+  Roster_.update(Next);
+  CHECK(Roster_.isLeaving(Left));
+  CHECK_FALSE(Roster_.isLeaving(Next));
+}
+
 TEST_CASE_METHOD(Fixture, "What attempts at an incarnation that has ended show "
                           "is not applied to the next") {
   auto const Ended = server("x");
