LibTraffic: Exclude incarnations from a retry, not identifiers

What callers could see: an attempt fails because its server ends, or because another process answers at its address, and the server is listed again under its identifier while the request waits for its retry. The request was not given to the new incarnation, though it was free, and ended with 503, "every server is full", if the service had no other server. A stream that only this server's software version could continue was refused at once, even where the new incarnation was listed before the retry, as no server matched it, and so broke off. (Where it is listed only after the retry, it still is refused.)

Cause: ExchangeFlow remembered the servers that were tried by the identifier, and the roster excluded whatever incarnation has it now.

The test failed before:

TestExchangeFlow.cpp:300: FAILED: CHECK( Roster.hasMatch(Query) ) with expansion: false TestExchangeFlow.cpp:301: FAILED: CHECK( Roster.choose(Query, Run.Now_) == Server ) test cases: 1 | 1 failed assertions: 4 | 2 passed | 2 failed

What is excluded are incarnations now, for servers and for instances in the form of servers, so an incarnation that was not tried is never excluded. An entry has its incarnation from its insertion on, also if the first record equals an empty one in start, version and address.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -84,7 +84,7 @@
   if (Context_.Expiry_ - Now_ < MinTimeForAttempt)
     return on(NoServer{"no server in the time allowed", RetryAfterRefusals});
   State_ = State::Attempting;
-  Tried_.insert(Event.Server_.Id_);
+  Tried_.insert(incarnationOf(Event.Server_));
   ++Sent_;
   Access_ = Event.Access_;
   AttemptOrigin_ = {Event.Server_.Service_, Event.Server_.SoftwareVersion_};
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -58,7 +58,7 @@
 /// Requests a server that is not in Excluded_. The result is ServerAssigned or
 /// NoServer.
 struct RequestServer {
-  std::set<ServerId> Excluded_;
+  std::set<ServerId> Excluded_; ///< Incarnations.
   /// Set if the server has to continue a stream.
   std::optional<StreamOrigin> Origin_ = std::nullopt;
 
@@ -237,7 +237,7 @@
   State State_ = State::Waiting;
   TimePoint Now_{};
   std::vector<exchange::Action> Actions_;
-  std::set<ServerId> Tried_;
+  std::set<ServerId> Tried_; ///< Incarnations.
   std::uint32_t Sent_ = 0;
   std::uint32_t Runs_ = 0; ///< Attempts that may have run.
   /// State of the current attempt.
--- a/Libraries/LibTraffic/PeerRoutes.cpp
+++ b/Libraries/LibTraffic/PeerRoutes.cpp
@@ -9,6 +9,15 @@
 /// How long an instance is avoided that refused a request.
 constexpr std::chrono::seconds AvoidanceTime{1};
 
+ServerRecord inFormOfServer(PeerRoute const &Peer, ServiceName const &Service) {
+  ServerRecord Server;
+  Server.Id_ = ServerId(Peer.Id_.text());
+  Server.Service_ = Service;
+  Server.DataCentre_ = Peer.DataCentre_;
+  Server.Endpoint_ = Peer.Endpoint_;
+  return Server;
+}
+
 } // namespace
 
 int PeerRoutes::distance(DataCentre const &Centre) const {
@@ -30,20 +39,14 @@
   std::shuffle(Peers_.begin(), Peers_.end(), Generator_);
   PeerRoute const *Best = nullptr;
   for (auto const &Peer : Peers_) {
-    ServerId const Id(Peer.Id_.text());
-    if (Excluded.contains(Id) || AvoidedUntil_.contains({Service, Id}))
+    auto const Server = inFormOfServer(Peer, Service);
+    if (Excluded.contains(incarnationOf(Server)) ||
+        AvoidedUntil_.contains({Service, Server.Id_}))
       continue;
     if (!Best || distance(Peer.DataCentre_) < distance(Best->DataCentre_))
       Best = &Peer;
   }
-  if (!Best)
-    return std::nullopt;
-  ServerRecord Chosen;
-  Chosen.Id_ = ServerId(Best->Id_.text());
-  Chosen.Service_ = Service;
-  Chosen.DataCentre_ = Best->DataCentre_;
-  Chosen.Endpoint_ = Best->Endpoint_;
-  return Chosen;
+  return Best ? std::optional(inFormOfServer(*Best, Service)) : std::nullopt;
 }
 
 void PeerRoutes::onRefused(ServiceName const &Service, ServerId const &Peer,
--- a/Libraries/LibTraffic/PeerRoutes.h
+++ b/Libraries/LibTraffic/PeerRoutes.h
@@ -28,7 +28,8 @@
 
   void setPeers(std::vector<PeerRoute> Peers) { Peers_ = std::move(Peers); }
   bool hasPeers() const { return !Peers_.empty(); }
-  /// Returns the instance in the form of a server, or nothing.
+  /// Returns the instance in the form of a server, or nothing. Excluded:
+  /// incarnations of servers, instances in this form included.
   std::optional<ServerRecord> choose(ServiceName const &Service,
                                      std::set<ServerId> const &Excluded,
                                      TimePoint Now);
--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -97,8 +97,9 @@
 }
 
 void ServerRoster::update(ServerRecord const &Record) {
-  auto &Server = Servers_[Record.Id_];
-  if (!isSameIncarnation(Server.Record_, Record)) {
+  auto const [Found, IsNew] = Servers_.try_emplace(Record.Id_);
+  auto &Server = Found->second;
+  if (IsNew || !isSameIncarnation(Server.Record_, Record)) {
     Server = Entry{};
     Server.Incarnation_ = incarnationOf(Record);
     if (auto const Known = Statuses_.find(Server.Incarnation_);
@@ -190,7 +191,7 @@
 ServerRoster::usable(ServerQuery const &Query, TimePoint Now) const {
   std::vector<Entry const *> Candidates;
   for (auto const &[Id, Server] : Servers_)
-    if (matches(Server.Record_, Query) && takesRequests(Server, Now))
+    if (matches(Server, Query) && takesRequests(Server, Now))
       Candidates.push_back(&Server);
   auto const IsReachable = [&](Entry const *Server) {
     return Server->Status_.UnreachableUntil_ <= Now;
@@ -249,17 +250,16 @@
   });
 }
 
-bool ServerRoster::matches(ServerRecord const &Server,
-                           ServerQuery const &Query) {
-  return Server.Service_ == Query.Service_ &&
-         !Query.Excluded_.contains(Server.Id_) &&
+bool ServerRoster::matches(Entry const &Server, ServerQuery const &Query) {
+  return Server.Record_.Service_ == Query.Service_ &&
+         !Query.Excluded_.contains(Server.Incarnation_) &&
          (!Query.SoftwareVersion_ ||
-          *Query.SoftwareVersion_ == Server.SoftwareVersion_);
+          *Query.SoftwareVersion_ == Server.Record_.SoftwareVersion_);
 }
 
 bool ServerRoster::hasMatch(ServerQuery const &Query) const {
   return std::any_of(Servers_.begin(), Servers_.end(), [&](auto const &Pair) {
-    return matches(Pair.second.Record_, Query) && isStaying(Pair.second);
+    return matches(Pair.second, Query) && isStaying(Pair.second);
   });
 }
 
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -25,7 +25,7 @@
 /// Criteria for choosing a server.
 struct ServerQuery {
   ServiceName Service_;
-  std::set<ServerId> Excluded_;
+  std::set<ServerId> Excluded_; ///< Incarnations.
   /// Requests with the same affinity key prefer the same server. Empty: no
   /// preference.
   std::string Affinity_;
@@ -165,7 +165,7 @@
   /// not listed.
   Entry *find(ServerRecord const &Server);
   bool isStaying(Entry const &Server) const;
-  static bool matches(ServerRecord const &Server, ServerQuery const &Query);
+  static bool matches(Entry const &Server, ServerQuery const &Query);
   /// Returns the tokens of a rate limited server that can be used until then.
   double usableTokens(Entry const &Server, TimePoint Until) const;
   /// Changes the status of an incarnation, whether or not it is listed.
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -85,7 +85,7 @@
   bool IsAwaited_ = false;        ///< The link monitor counts the attempt.
   std::uint32_t Unconnected_ = 0; ///< Attempts without a connection.
   ServiceName QueuedService_;
-  std::set<ServerId> Excluded_;
+  std::set<ServerId> Excluded_; ///< Incarnations.
   std::optional<ServerAnswer> Answer_;
   std::shared_ptr<OutboundCall> Call_;
   std::string LastServer_;
