LibHttp: Ask a server again that has not identified itself for a passing reason

A server that answered the question for its process with 503 once, or a late answer to an earlier request on a reused connection, ended the questions for good: streams then went to whatever process listened. Found by reading, when the unit tests of the identification were written.

Now an unusable answer on a reused connection leads to a new connection and the same question, and a temporary failure (429, 5xx) means that the request was not sent. Both tests failed before: TestProcessIdentification.cpp:443 and :458.

--- a/Libraries/LibHttp/OutboundCall.cpp
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -13,6 +13,10 @@
 constexpr std::uint32_t MaxSkipped = 4;
 constexpr std::chrono::milliseconds IdentificationTimeout{400};
 
+bool isTemporaryFailure(std::int32_t Status) {
+  return Status == 429 || Status / 100 == 5;
+}
+
 } // namespace
 
 OutboundCall::OutboundCall(std::shared_ptr<OutboundPool> Pool,
@@ -88,6 +92,9 @@
     return;
   bool const IsClean = Reader_.keepsAlive() && Reader_.takeRest().empty();
   Process_ = Identifier_->identify(Reader_.head(), Identification_);
+  if (!Process_ && isTemporaryFailure(Reader_.head().Status_) && !IsReused_)
+    return fail(AttemptEnd::ConnectionFailed,
+                "the server does not identify itself now");
   if (!Process_)
     return onUnidentifiable(IsClean);
   if (Process_ != Request_.Process_) {
@@ -102,11 +109,13 @@
 }
 
 void OutboundCall::onUnidentifiable(bool IsConnectionClean) {
-  Pool_->Identifier_ = nullptr;
-  if (IsConnectionClean)
+  // On a reused connection it may be a late answer to an earlier request.
+  bool const WasReused = std::exchange(IsReused_, false);
+  if (!WasReused)
+    Pool_->Identifier_ = nullptr;
+  if (!WasReused && IsConnectionClean)
     return sendRequest();
   IsIdentifying_ = false;
-  IsReused_ = false;
   std::exchange(Connection_, nullptr)->abort();
   connect();
 }
--- a/Tests/LibHttp/TestProcessIdentification.cpp
+++ b/Tests/LibHttp/TestProcessIdentification.cpp
@@ -430,3 +430,35 @@
   CHECK(countIn(peer().Received_, Run) == 0);
   CHECK(Server_.Peers_.size() == 1);
 }
+
+TEST_CASE_METHOD(Fixture, "A late answer on a reused connection is not taken "
+                          "for an answer to the question") {
+  auto const First = sendFor(std::nullopt);
+  REQUIRE(awaitBytes(Run));
+  peer().write(Plain);
+  REQUIRE(runUntil(Context_, [&] { return First->isOver(); }));
+  auto const Second = sendFor("p1");
+  REQUIRE(awaitBytes(Question));
+  peer().write(Plain);
+  REQUIRE(awaitBytes(Question, 2));
+  CHECK(countIn(Server_.Peers_.front()->Received_, Run) == 1);
+  peer().write(identification("p1"));
+  REQUIRE(awaitBytes(Run, 2));
+  peer().write(Plain);
+  CHECK(runUntil(Context_, [&] { return Second->IsComplete_; }));
+}
+
+TEST_CASE_METHOD(Fixture, "A server that cannot identify itself now does not "
+                          "get the request, and is asked again") {
+  auto const *const Status =
+      GENERATE("429 Too Many Requests", "500 Error", "503 Service Unavailable");
+  auto const First = sendFor("p1");
+  REQUIRE(awaitBytes(Question));
+  peer().write(answer(Status, ""));
+  REQUIRE(runUntil(Context_, [&] { return First->isOver(); }));
+  REQUIRE(First->Evidence_);
+  CHECK(runStateOf(*First->Evidence_) == RunState::NotRun);
+  CHECK(countIn(peer().Received_, Run) == 0);
+  auto const Second = sendFor("p1");
+  CHECK(awaitBytes(Question, 2));
+}
