Tests: Let VersionedFleet start any build and pace its streams

In the mode Paced a server writes a stream event by event, and each event tells its version, after which event the server began, and its run, so that joined runs show, not only versions. Servers can crash and stay listed. A connection that was accepted just before a server was stopped is no longer answered by it.

--- a/Tests/EntryProcess/EntryProcess.h
+++ b/Tests/EntryProcess/EntryProcess.h
@@ -27,7 +27,8 @@
 /// file.
 class EntryProcess {
 public:
-  /// Number distinguishes the instances of one test program.
+  /// Number distinguishes the instances of one test program. Program is a path
+  /// or the name of a program of this build.
   EntryProcess(unsigned Number, std::uint16_t StorePort,
                std::string Program = "laburnum-entry");
   ~EntryProcess();
--- a/Tests/EntryProcess/ScriptedServer.cpp
+++ b/Tests/EntryProcess/ScriptedServer.cpp
@@ -39,7 +39,8 @@
 void ScriptedServer::accept() {
   Acceptor_.async_accept([this](asio::error_code Failure,
                                 asio::ip::tcp::socket Socket) {
-    if (Failure)
+    // The server may have stopped after the connection was accepted.
+    if (Failure || !Acceptor_.is_open())
       return;
     auto const Accepted = std::make_shared<Peer>(std::move(Socket), Shared_);
     Shared_->Peers_.push_back(Accepted);
--- a/Tests/EntryProcess/VersionedFleet.cpp
+++ b/Tests/EntryProcess/VersionedFleet.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <cstdlib>
+#include <poll.h>
 #include <utility>
 #include <variant>
 
@@ -64,6 +65,11 @@
   }
 }
 
+bool StreamClient::readWithin(std::chrono::milliseconds Time) {
+  pollfd Readable{Socket_.native_handle(), POLLIN, 0};
+  return poll(&Readable, 1, static_cast<int>(Time.count())) <= 0 || readMore();
+}
+
 void StreamClient::reset() {
   Socket_.set_option(asio::socket_base::linger(true, 0));
   Socket_.close();
@@ -95,7 +101,9 @@
   return status() == 200 && Received_.ends_with("\r\n0\r\n\r\n");
 }
 
-VersionedFleet::VersionedFleet(unsigned Instances, Stop Stop) : Stop_(Stop) {
+VersionedFleet::VersionedFleet(unsigned Instances, Stop Stop,
+                               std::string const &Program)
+    : Stop_(Stop) {
   Thread_.on([&] {
     StoreListener_ = std::get<0>(
         HttpListener::create(Thread_.context(), {"127.0.0.1", 0}, Store_));
@@ -103,7 +111,7 @@
   configureStreams({"desk"});
   for (unsigned Number = 0; Number < Instances; ++Number)
     Instances_.push_back(std::make_unique<EntryProcess>(
-        Number, StoreListener_->localEndpoint().Port_, "cuttable-entry"));
+        Number, StoreListener_->localEndpoint().Port_, Program));
 }
 
 void VersionedFleet::configureStreams(
@@ -135,6 +143,7 @@
   Thread_.on([this] {
     StoreListener_->stopAccepting();
     Open_.clear();
+    Paced_.clear();
     Servers_.clear();
   });
   Thread_.stop();
@@ -180,13 +189,65 @@
                 " revision=" + std::to_string(versionOf(1, Store_.revision()));
 }
 
-void VersionedFleet::startServer(std::string const &Id,
-                                 std::string const &Version,
-                                 std::string const &Service,
-                                 std::uint16_t Port) {
-  auto const Script = [this, Version](ScriptedServer::Peer &Peer,
-                                      std::string const &AttemptId,
-                                      std::size_t Number) {
+void VersionedFleet::breakPaced(Break How,
+                                std::function<bool()> const &Choose) {
+  Thread_.on([&] {
+    for (auto const &Stream : std::set(Paced_)) {
+      if (!Choose())
+        continue;
+      Paced_.erase(Stream);
+      Stream->Timer_.cancel();
+      if (How == Break::Reset) {
+        Stream->Peer_->reset();
+        continue;
+      }
+      Stream->Peer_->write("id: " + std::to_string(Stream->Next_) +
+                           "\ndata: v");
+      Stream->Peer_->close();
+    }
+  });
+}
+
+void VersionedFleet::writeNext(std::shared_ptr<Paced> const &Stream) {
+  if (Stream->Next_ > StreamLength) {
+    Paced_.erase(Stream);
+    Stream->Peer_->close();
+    return;
+  }
+  Stream->Peer_->write(event(Stream->Next_++, Stream->Piece_));
+  Stream->Timer_.expires_after(EventGap);
+  Stream->Timer_.async_wait([this, Stream](asio::error_code) {
+    if (Paced_.contains(Stream))
+      writeNext(Stream);
+  });
+}
+
+ScriptedServer::Script
+VersionedFleet::pacedScriptOf(std::string const &Id,
+                              std::string const &Version) {
+  return [this, Id, Version](ScriptedServer::Peer &Peer,
+                             std::string const &AttemptId, std::size_t) {
+    auto const Expected = Peer.field("X-Expect-Instance");
+    if (!Expected.empty() && Expected != Id)
+      return Peer.write("HTTP/1.1 421 -\r\nX-Instance-Id: " + Id +
+                        "\r\nContent-Length: 0\r\n\r\n");
+    Peer.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + AttemptId +
+               "\r\nX-Server-Stamp: stamp\r\n"
+               "Content-Type: text/event-stream\r\n\r\n");
+    auto const Last =
+        std::strtoull(Peer.field("Last-Event-Id").c_str(), nullptr, 10);
+    auto const Stream = std::make_shared<Paced>(Paced{
+        Peer.shared_from_this(),
+        Version + ' ' + std::to_string(Last) + ' ' + std::to_string(++LastRun_),
+        Last + 1, asio::steady_timer(Thread_.context())});
+    Paced_.insert(Stream);
+    writeNext(Stream);
+  };
+}
+
+ScriptedServer::Script VersionedFleet::scriptOf(std::string const &Version) {
+  return [this, Version](ScriptedServer::Peer &Peer,
+                         std::string const &AttemptId, std::size_t Number) {
     Peer.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + AttemptId +
                "\r\nX-Server-Stamp: stamp\r\n"
                "Content-Type: text/event-stream\r\n\r\n");
@@ -207,8 +268,16 @@
       Peer.write(UnfinishedEvent);
     Peer.close();
   };
-  Servers_[Id] =
-      std::make_unique<ScriptedServer>(Thread_.context(), Script, Port);
+}
+
+void VersionedFleet::startServer(std::string const &Id,
+                                 std::string const &Version,
+                                 std::string const &Service,
+                                 std::uint16_t Port) {
+  Servers_[Id] = std::make_unique<ScriptedServer>(
+      Thread_.context(),
+      Stop_ == Stop::Paced ? pacedScriptOf(Id, Version) : scriptOf(Version),
+      Port);
   Listed_[Id] = {Version, ++LastBorn_, Servers_[Id]->endpoint(), Service};
   if (Reports_ == ServerReports::Given)
     Servers_[Id]->setReport("{\"born\":" + std::to_string(LastBorn_) + '}');
@@ -227,13 +296,25 @@
                                    std::string const &Version) {
   Thread_.on([&] {
     auto const Old = Listed_.at(Id);
-    Servers_.at(Id)->stopListening();
-    Servers_.at(Id)->resetConnections();
-    Servers_.erase(Id);
+    endServer(Id);
     startServer(Id, Version, Old.Service_, Old.Endpoint_.Port_);
   });
 }
 
+void VersionedFleet::endServer(std::string const &Id) {
+  auto const At = Servers_.find(Id);
+  if (At == Servers_.end())
+    return;
+  At->second->stopListening();
+  At->second->resetConnections();
+  Ended_.push_back(std::move(At->second));
+  Servers_.erase(At);
+}
+
+void VersionedFleet::crashServer(std::string const &Id) {
+  Thread_.on([&] { endServer(Id); });
+}
+
 void VersionedFleet::listRestarted(std::string const &Id) {
   Thread_.on([&] { list(Id, "ready"); });
 }
@@ -244,6 +325,9 @@
 
 void VersionedFleet::removeServer(std::string const &Id) {
   Thread_.on([&] {
+    // In Paced mode the process ends, its connections too.
+    if (Stop_ == Stop::Paced)
+      endServer(Id);
     Servers_.erase(Id);
     Listed_.erase(Id);
     Store_.remove("servers", Id);
--- a/Tests/EntryProcess/VersionedFleet.h
+++ b/Tests/EntryProcess/VersionedFleet.h
@@ -8,8 +8,11 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
+#include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -33,6 +36,11 @@
   /// Reads until the stream has this many events, or its end.
   void readEvents(std::size_t Count);
   void readToEnd();
+  /// Reads what arrives within this time. Returns false once the connection has
+  /// ended.
+  bool readWithin(std::chrono::milliseconds Time);
+  /// All bytes so far.
+  std::string const &received() const { return Received_; }
   /// Resets the connection.
   void reset();
 
@@ -65,11 +73,22 @@
   enum class Stop {
     Waits,     ///< The connection stays open.
     BreaksOff, ///< For every other stream, it ends inside an event.
+    /// No stop: events follow each other after EventGap, and each tells its
+    /// piece of the stream: "VERSION START RUN", START being the event after
+    /// which the server began, RUN a number of its own for each piece.
+    Paced,
   };
 
+  static constexpr std::chrono::milliseconds EventGap{50};
+  /// How paced streams are broken.
+  enum class Break { InsideEvent, Reset };
+
   enum class ServerReports { None, Given };
 
-  VersionedFleet(unsigned Instances, Stop Stop);
+  /// Program is that of the instances: a path or a name of this build. Only
+  /// cuttable-entry can be cut off.
+  VersionedFleet(unsigned Instances, Stop Stop,
+                 std::string const &Program = "cuttable-entry");
   ~VersionedFleet();
   VersionedFleet(VersionedFleet const &) = delete;
   VersionedFleet &operator=(VersionedFleet const &) = delete;
@@ -81,6 +100,8 @@
   void cut(std::size_t Instance, Cut Cut) const { Cuts_.cut(Instance, Cut); }
   /// Ends the streams that wait inside their next event.
   void breakStreams();
+  /// Breaks off those of the paced streams for which Choose returns true.
+  void breakPaced(Break How, std::function<bool()> const &Choose);
   /// Returns how often servers began each attempt's stream at its first event.
   std::map<std::string, unsigned> runsFromStart();
   EntryProcess &instance(std::size_t Number) { return *Instances_[Number]; }
@@ -95,6 +116,8 @@
   /// listRestarted().
   void restartServer(std::string const &Id, std::string const &Version);
   void listRestarted(std::string const &Id);
+  /// Ends the server's process; it stays listed.
+  void crashServer(std::string const &Id);
   /// Sets whether servers that are started later say which incarnation they
   /// are.
   void setReports(ServerReports Reports) { Reports_ = Reports; }
@@ -117,6 +140,21 @@
     std::string Service_;
   };
 
+  /// A stream that a server writes event by event.
+  struct Paced {
+    std::shared_ptr<ScriptedServer::Peer> Peer_;
+    std::string Piece_;
+    std::uint64_t Next_;
+    asio::steady_timer Timer_;
+  };
+
+  ScriptedServer::Script scriptOf(std::string const &Version);
+  ScriptedServer::Script pacedScriptOf(std::string const &Id,
+                                       std::string const &Version);
+  void writeNext(std::shared_ptr<Paced> const &Stream);
+  /// Ends the server's process. Connections that are being accepted may still
+  /// refer to it.
+  void endServer(std::string const &Id);
   void startServer(std::string const &Id, std::string const &Version,
                    std::string const &Service, std::uint16_t Port);
   void list(std::string const &Id, std::string const &State);
@@ -127,7 +165,10 @@
   StoreStandin Store_{Thread_.context()};
   std::map<std::string, Listed> Listed_;
   std::map<std::string, std::unique_ptr<ScriptedServer>> Servers_;
+  std::vector<std::unique_ptr<ScriptedServer>> Ended_;
   std::set<std::shared_ptr<ScriptedServer::Peer>> Open_;
+  std::set<std::shared_ptr<Paced>> Paced_;
+  std::uint64_t LastRun_ = 0;
   std::map<std::string, unsigned> RunsFromStart_;
   std::int64_t LastBorn_ = 1700000000000;
   std::uint64_t Sequence_ = 0;
--- a/Tests/Processes/ProcessGroup.cpp
+++ b/Tests/Processes/ProcessGroup.cpp
@@ -85,7 +85,9 @@
   std::array<int, 2> Pipe{};
   if (pipe2(Pipe.data(), O_CLOEXEC) != 0)
     throw std::runtime_error("no pipe");
-  auto Path = std::string(PROGRAM_FOLDER) + "/" + Program;
+  auto Path = Program.starts_with('/')
+                  ? Program
+                  : std::string(PROGRAM_FOLDER) + "/" + Program;
   std::vector<char *> Words = {Path.data()};
   for (auto &Element : Arguments)
     Words.push_back(Element.data());
@@ -160,6 +162,11 @@
   });
 }
 
+std::vector<std::string> Process::lines() {
+  std::lock_guard const Lock(Mutex_);
+  return Lines_;
+}
+
 void Process::signal(int Number) const {
   if (!IsReaped_)
     kill(Pid_, Number);
@@ -175,6 +182,13 @@
   return Status_;
 }
 
+bool Process::hasEnded() {
+  siginfo_t Info{};
+  return IsReaped_ || (waitid(P_PID, static_cast<id_t>(Pid_), &Info,
+                              WEXITED | WNOHANG | WNOWAIT) == 0 &&
+                       Info.si_pid == Pid_);
+}
+
 std::uint16_t portIn(std::string const &Line, std::string const &Label) {
   auto const At = Line.find(Label);
   if (At == std::string::npos)
--- a/Tests/Processes/ProcessGroup.h
+++ b/Tests/Processes/ProcessGroup.h
@@ -22,7 +22,8 @@
 /// it and waits for its exit.
 class Process {
 public:
-  /// Throws std::runtime_error if the program cannot be started.
+  /// Program is a path, or the name of a program of this build. Throws
+  /// std::runtime_error if it cannot be started.
   Process(std::string const &Program, std::vector<std::string> Arguments);
   ~Process();
   Process(Process const &) = delete;
@@ -33,11 +34,15 @@
   std::string awaitLine(std::string const &Text);
   /// Whether the output contains a line with Text so far.
   bool hasWritten(std::string const &Text);
+  /// All lines of output so far.
+  std::vector<std::string> lines();
   void signal(int Number) const;
   pid_t id() const { return Pid_; }
   /// Waits for the process and returns its exit status, or the negated number
   /// of the signal that ended it.
   int awaitEnd();
+  /// Whether the process has ended; awaitEnd() then returns at once.
+  bool hasEnded();
 
 private:
   void readOutput();
