Tests: Play streams amid random troubles and check their order

It checks identifiers, versions, services, runs and ends over all tries of a stream, and that no instance ended by itself.

--- /dev/null
+++ b/Tests/StreamSoak/StreamHistory.cpp
@@ -0,0 +1,74 @@
+#include "StreamHistory.h"
+
+#include <EntryProcess/VersionedFleet.h>
+
+#include <iomanip>
+#include <sstream>
+
+namespace laburnum::stream_soak {
+
+namespace {
+
+std::string timeOf(WallTime Time) {
+  auto const Milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          Time.time_since_epoch())
+          .count();
+  return std::to_string(Milliseconds);
+}
+
+} // namespace
+
+void StreamHistory::add(StreamTry Try) {
+  bool IsFirst = true;
+  for (auto const &Event : Try.Answer_.Events_) {
+    if (FirstAttempt_.empty())
+      FirstAttempt_ = Try.AttemptId_;
+    check(Event, IsFirst);
+    IsFirst = false;
+  }
+  if (Try.Answer_.IsComplete_ &&
+      Last_ < entry_process::VersionedFleet::StreamLength)
+    Violations_.insert("early end");
+  Tries_.push_back(std::move(Try));
+}
+
+void StreamHistory::check(StreamEvent const &Event, bool IsFirstOfTry) {
+  std::string const Where = IsFirstOfTry ? " over tries" : " in an answer";
+  std::istringstream Words(Event.Data_);
+  std::string Version;
+  std::uint64_t Start = 0;
+  std::string Run;
+  Words >> Version >> Start >> Run;
+  if (Event.Id_ <= Last_)
+    Violations_.insert("repeat" + Where);
+  if (Event.Id_ > Last_ + 1)
+    Violations_.insert("gap" + Where);
+  if (!Version_.empty() && Version != Version_)
+    Violations_.insert((Version.front() == Version_.front() ? "two versions"
+                                                            : "two services") +
+                       Where);
+  // A server's piece has to begin after the last event that the client has.
+  if (Run != Run_ && Start + 1 != Event.Id_)
+    Violations_.insert("joined runs" + Where);
+  Last_ = Event.Id_;
+  Version_ = Version;
+  Run_ = Run;
+}
+
+std::string StreamHistory::describe() const {
+  std::ostringstream Text;
+  for (auto const &Try : Tries_) {
+    Text << "  try at instance " << Try.Instance_ + 1 << " from "
+         << timeOf(Try.BegunAt_) << " to " << timeOf(Try.EndedAt_)
+         << " attempt=" << Try.AttemptId_ << " resumes=" << Try.Resumes_
+         << " after=" << Try.LastEventId_ << " status=" << Try.Answer_.Status_
+         << (Try.Answer_.IsComplete_ ? " complete" : "") << " events:";
+    for (auto const &Event : Try.Answer_.Events_)
+      Text << ' ' << Event.Id_ << '[' << Event.Data_ << ']';
+    Text << '\n';
+  }
+  return Text.str();
+}
+
+} // namespace laburnum::stream_soak
