Tests: Play kept connections, odd servers and outages of all instances

stream-soak plays three more kinds: servers that keep connections (chunked answers), servers that repeat events or send extra answers before or after a stream, and outages of all instances in which the other chosen kinds go on. Each was added for what the first kinds leave out: every stream had a connection of its own, and no instance was away while a route moved.

--- a/Tests/EntryProcess/VersionedFleet.cpp
+++ b/Tests/EntryProcess/VersionedFleet.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstdlib>
 #include <poll.h>
+#include <sstream>
 #include <utility>
 #include <variant>
 
@@ -28,6 +29,28 @@
   return "id: " + std::to_string(Id) + "\ndata: " + Version + "\n\n";
 }
 
+std::string const LastChunk = "0\r\n\r\n";
+
+std::string chunk(std::string const &Bytes) {
+  std::ostringstream Text;
+  Text << std::hex << Bytes.size() << "\r\n" << Bytes << "\r\n";
+  return Text.str();
+}
+
+std::string streamHead(std::string const &AttemptId, bool IsChunked) {
+  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + AttemptId +
+         "\r\nX-Server-Stamp: stamp\r\n"
+         "Content-Type: text/event-stream\r\n" +
+         (IsChunked ? "Keep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n"
+                    : "") +
+         "\r\n";
+}
+
+/// A whole answer that no request asked for.
+std::string extraAnswer(std::string const &AttemptId) {
+  return streamHead(AttemptId, true) + chunk(event(1, "extra 0 0")) + LastChunk;
+}
+
 } // namespace
 
 StreamClient::StreamClient(EntryProcess const &Instance, std::string AttemptId,
@@ -201,20 +224,44 @@
         Stream->Peer_->reset();
         continue;
       }
-      Stream->Peer_->write("id: " + std::to_string(Stream->Next_) +
-                           "\ndata: v");
+      writeEvent(*Stream, "id: " + std::to_string(Stream->Next_) + "\ndata: v");
       Stream->Peer_->close();
     }
   });
 }
 
+void VersionedFleet::setFraming(Framing Framing) {
+  Thread_.on([&] { Framing_ = Framing; });
+}
+
+void VersionedFleet::setOddities(std::function<Oddity()> Choose) {
+  Thread_.on([&] { ChooseOddity_ = std::move(Choose); });
+}
+
+void VersionedFleet::writeEvent(Paced const &Stream, std::string const &Bytes) {
+  Stream.Peer_->write(Stream.Framing_ == Framing::Chunked ? chunk(Bytes)
+                                                          : Bytes);
+}
+
+void VersionedFleet::endPaced(std::shared_ptr<Paced> const &Stream) {
+  Paced_.erase(Stream);
+  if (Stream->Framing_ == Framing::Closes)
+    return Stream->Peer_->close();
+  Stream->Peer_->write(LastChunk +
+                       (Stream->Oddity_ == Oddity::AnswersAfter
+                            ? extraAnswer(Stream->Peer_->field("X-Attempt-Id"))
+                            : std::string()));
+}
+
 void VersionedFleet::writeNext(std::shared_ptr<Paced> const &Stream) {
-  if (Stream->Next_ > StreamLength) {
-    Paced_.erase(Stream);
-    Stream->Peer_->close();
-    return;
-  }
-  Stream->Peer_->write(event(Stream->Next_++, Stream->Piece_));
+  if (Stream->Next_ > StreamLength)
+    return endPaced(Stream);
+  // The second half of a stream begins with an event that comes twice.
+  bool const IsRepeated = Stream->Oddity_ == Oddity::RepeatsEvent &&
+                          Stream->Next_ == StreamLength / 2;
+  for (int Time = 0; Time < (IsRepeated ? 2 : 1); ++Time)
+    writeEvent(*Stream, event(Stream->Next_, Stream->Piece_));
+  ++Stream->Next_;
   Stream->Timer_.expires_after(EventGap);
   Stream->Timer_.async_wait([this, Stream](asio::error_code) {
     if (Paced_.contains(Stream))
@@ -231,15 +278,16 @@
     if (!Expected.empty() && Expected != Id)
       return Peer.write("HTTP/1.1 421 -\r\nX-Instance-Id: " + Id +
                         "\r\nContent-Length: 0\r\n\r\n");
-    Peer.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + AttemptId +
-               "\r\nX-Server-Stamp: stamp\r\n"
-               "Content-Type: text/event-stream\r\n\r\n");
+    auto const Odd = ChooseOddity_();
+    if (Odd == Oddity::AnswersBefore)
+      Peer.write(extraAnswer("another-attempt"));
+    Peer.write(streamHead(AttemptId, Framing_ == Framing::Chunked));
     auto const Last =
         std::strtoull(Peer.field("Last-Event-Id").c_str(), nullptr, 10);
     auto const Stream = std::make_shared<Paced>(Paced{
         Peer.shared_from_this(),
         Version + ' ' + std::to_string(Last) + ' ' + std::to_string(++LastRun_),
-        Last + 1, asio::steady_timer(Thread_.context())});
+        Last + 1, Framing_, Odd, asio::steady_timer(Thread_.context())});
     Paced_.insert(Stream);
     writeNext(Stream);
   };
--- a/Tests/EntryProcess/VersionedFleet.h
+++ b/Tests/EntryProcess/VersionedFleet.h
@@ -83,6 +83,19 @@
   /// How paced streams are broken.
   enum class Break { InsideEvent, Reset };
 
+  /// How the answers of paced streams end.
+  enum class Framing {
+    Closes,
+    Chunked, ///< The connection is kept.
+  };
+  /// What a server of paced streams does wrong in some answers.
+  enum class Oddity {
+    None,
+    RepeatsEvent,
+    AnswersBefore, ///< An answer to another attempt comes before the stream.
+    AnswersAfter,  ///< Another answer follows the complete one.
+  };
+
   enum class ServerReports { None, Given };
 
   /// Program is that of the instances: a path or a name of this build. Only
@@ -102,6 +115,9 @@
   void breakStreams();
   /// Breaks off those of the paced streams for which Choose returns true.
   void breakPaced(Break How, std::function<bool()> const &Choose);
+  void setFraming(Framing Framing);
+  /// Choose is called on the stand-ins' thread for each answer.
+  void setOddities(std::function<Oddity()> Choose);
   /// Returns how often servers began each attempt's stream at its first event.
   std::map<std::string, unsigned> runsFromStart();
   EntryProcess &instance(std::size_t Number) { return *Instances_[Number]; }
@@ -145,12 +161,16 @@
     std::shared_ptr<ScriptedServer::Peer> Peer_;
     std::string Piece_;
     std::uint64_t Next_;
+    Framing Framing_;
+    Oddity Oddity_;
     asio::steady_timer Timer_;
   };
 
   ScriptedServer::Script scriptOf(std::string const &Version);
   ScriptedServer::Script pacedScriptOf(std::string const &Id,
                                        std::string const &Version);
+  static void writeEvent(Paced const &Stream, std::string const &Bytes);
+  void endPaced(std::shared_ptr<Paced> const &Stream);
   void writeNext(std::shared_ptr<Paced> const &Stream);
   /// Ends the server's process. Connections that are being accepted may still
   /// refer to it.
@@ -169,6 +189,8 @@
   std::set<std::shared_ptr<ScriptedServer::Peer>> Open_;
   std::set<std::shared_ptr<Paced>> Paced_;
   std::uint64_t LastRun_ = 0;
+  Framing Framing_ = Framing::Closes;
+  std::function<Oddity()> ChooseOddity_ = [] { return Oddity::None; };
   std::map<std::string, unsigned> RunsFromStart_;
   std::int64_t LastBorn_ = 1700000000000;
   std::uint64_t Sequence_ = 0;
--- a/Tests/StreamSoak/Program/Main.cpp
+++ b/Tests/StreamSoak/Program/Main.cpp
@@ -18,11 +18,12 @@
   std::istringstream Names(Only);
   for (std::string Name; std::getline(Names, Name, ',');)
     Kinds.insert(troubleKinds().at(Name));
-  // All at once; servers either report themselves or not, and clients read
-  // fast.
+  // All at once; but servers report themselves and send nothing odd, and
+  // clients read fast.
   if (Kinds.empty())
     for (auto const &[Name, Kind] : troubleKinds())
-      if (Kind != TroubleKind::Silent && Kind != TroubleKind::Slow)
+      if (Kind != TroubleKind::Silent && Kind != TroubleKind::Slow &&
+          Kind != TroubleKind::Odd)
         Kinds.insert(Kind);
   return Kinds;
 }
--- a/Tests/StreamSoak/Troubles.cpp
+++ b/Tests/StreamSoak/Troubles.cpp
@@ -17,7 +17,8 @@
       {"pauses", TroubleKind::Pauses}, {"restarts", TroubleKind::Restarts},
       {"silent", TroubleKind::Silent}, {"crashes", TroubleKind::Crashes},
       {"routes", TroubleKind::Routes}, {"rollouts", TroubleKind::Rollouts},
-      {"slow", TroubleKind::Slow},
+      {"slow", TroubleKind::Slow},     {"kept", TroubleKind::Kept},
+      {"odd", TroubleKind::Odd},       {"outages", TroubleKind::Outages},
   };
   return Kinds;
 }
@@ -47,6 +48,15 @@
 void Troubles::addServers(std::uint64_t Seed) {
   if (plays(TroubleKind::Silent))
     Fleet_.setReports(VersionedFleet::ServerReports::None);
+  if (plays(TroubleKind::Kept) || plays(TroubleKind::Odd))
+    Fleet_.setFraming(VersionedFleet::Framing::Chunked);
+  if (plays(TroubleKind::Odd))
+    Fleet_.setOddities([Numbers = std::mt19937_64(Seed)]() mutable {
+      using Oddity = VersionedFleet::Oddity;
+      constexpr std::uint64_t Answers = 8; // Of which three are odd.
+      auto const Drawn = Numbers() % Answers;
+      return Drawn < 4 ? static_cast<Oddity>(Drawn) : Oddity::None;
+    });
   std::string const Second = Seed % 2 == 0 ? "v2" : "v1";
   Servers_ = {{"desk-1", "v1"},   {"desk-2", "v1"},    {"desk-3", Second},
               {"desk-4", Second}, {"archive-1", "w1"}, {"archive-2", "w1"}};
@@ -82,10 +92,13 @@
       if (plays(Kind))
         return repeat(Least, Most, [this, Task] { (this->*Task)(); });
   };
-  Add({TroubleKind::Breaks, TroubleKind::Slow}, milliseconds(50),
-      milliseconds(300), &Troubles::breakStreams);
+  Add({TroubleKind::Breaks, TroubleKind::Slow, TroubleKind::Kept,
+       TroubleKind::Odd},
+      milliseconds(50), milliseconds(300), &Troubles::breakStreams);
   Add({TroubleKind::Kills}, milliseconds(300), milliseconds(1200),
       &Troubles::endInstance);
+  Add({TroubleKind::Outages}, milliseconds(1500), milliseconds(4000),
+      &Troubles::endAllInstances);
   Add({TroubleKind::Pauses}, milliseconds(300), milliseconds(1500),
       &Troubles::pauseInstance);
   Add({TroubleKind::Restarts, TroubleKind::Silent}, milliseconds(100),
@@ -125,6 +138,31 @@
   });
 }
 
+void Troubles::endAllInstances() {
+  if (!BusyInstances_.empty())
+    return;
+  say("kill all");
+  for (std::size_t Number = 0; Number < Fleet_.instances(); ++Number) {
+    BusyInstances_.insert(Number);
+    Fleet_.instance(Number).process().signal(SIGKILL);
+  }
+  // What the instances can't see happen.
+  if (plays(TroubleKind::Routes))
+    moveRoute();
+  if (plays(TroubleKind::Rollouts))
+    rollOut();
+  if (plays(TroubleKind::Restarts) || plays(TroubleKind::Silent))
+    restartServer();
+  later(between(100, 1000), [this] {
+    say("start all");
+    for (std::size_t Number = 0; Number < Fleet_.instances(); ++Number) {
+      saveLog(Number);
+      Fleet_.instance(Number).launch();
+    }
+    later(milliseconds(1000), [this] { BusyInstances_.clear(); });
+  });
+}
+
 void Troubles::pauseInstance() {
   auto const Number = below(Fleet_.instances());
   if (!BusyInstances_.insert(Number).second)
--- a/Tests/StreamSoak/Troubles.h
+++ b/Tests/StreamSoak/Troubles.h
@@ -24,6 +24,9 @@
   Routes,   ///< The streams' route moves to another service, or is split.
   Rollouts, ///< Servers of a new version join, and old ones drain.
   Slow,     ///< Streams break, and clients read slowly.
+  Outages,  ///< All instances are killed; other kinds go on meanwhile.
+  Kept,     ///< Streams break; servers keep connections, as some do elsewhere.
+  Odd,      ///< The same, and servers repeat events and send extra answers.
 };
 
 /// All kinds by name.
@@ -57,6 +60,7 @@
 
   void breakStreams();
   void endInstance();
+  void endAllInstances();
   void pauseInstance();
   void restartServer();
   void crashServer();
