--- a/Tests/EntryProcess/ScriptedServer.h
+++ b/Tests/EntryProcess/ScriptedServer.h
@@ -56,7 +56,12 @@
 class ScriptedServer::Peer : public std::enable_shared_from_this<Peer> {
 public:
   Peer(asio::ip::tcp::socket Socket, std::shared_ptr<Shared> Shared)
-      : Socket_(std::move(Socket)), Shared_(std::move(Shared)) {}
+      : Socket_(std::move(Socket)), Shared_(std::move(Shared)) {
+    // On a kept connection an event would wait for the acknowledgement of the
+    // head before it, up to 40 ms.
+    asio::error_code Ignored;
+    Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  }
 
   void read();
   /// Returns a header field of the request that was read last, or nothing.
