--- a/Tests/EntryProcess/ScriptedServer.cpp
+++ b/Tests/EntryProcess/ScriptedServer.cpp
@@ -22,10 +22,16 @@
 ScriptedServer::ScriptedServer(asio::io_context &Context, Script Script,
                                std::uint16_t Port)
     : Acceptor_(Context, {asio::ip::address_v4::loopback(), Port}),
-      Shared_(std::make_shared<Shared>(Shared{std::move(Script), {}, 0, {}})) {
+      Shared_(std::make_shared<Shared>(
+          Shared{std::move(Script), {}, 0, true, {}})) {
   accept();
 }
 
+void ScriptedServer::stopListening() {
+  Shared_->IsListening_ = false;
+  Acceptor_.close();
+}
+
 void ScriptedServer::resetConnections() {
   for (auto const &Weak : std::exchange(Shared_->Peers_, {}))
     if (auto const Open = Weak.lock())
@@ -37,10 +43,12 @@
 }
 
 void ScriptedServer::accept() {
-  Acceptor_.async_accept([this](asio::error_code Failure,
-                                asio::ip::tcp::socket Socket) {
-    // The server may have stopped after the connection was accepted.
-    if (Failure || !Acceptor_.is_open())
+  Acceptor_.async_accept([this,
+                          Shared = Shared_](asio::error_code Failure,
+                                            asio::ip::tcp::socket Socket) {
+    // The server may have stopped after the connection was accepted, and may be
+    // gone by now.
+    if (Failure || !Shared->IsListening_)
       return;
     auto const Accepted = std::make_shared<Peer>(std::move(Socket), Shared_);
     Shared_->Peers_.push_back(Accepted);
--- a/Tests/EntryProcess/ScriptedServer.h
+++ b/Tests/EntryProcess/ScriptedServer.h
@@ -26,13 +26,16 @@
   /// Listens on the port, or on any free one if that is 0.
   ScriptedServer(asio::io_context &Context, Script Script,
                  std::uint16_t Port = 0);
+  ~ScriptedServer() { stopListening(); }
+  ScriptedServer(ScriptedServer const &) = delete;
+  ScriptedServer &operator=(ScriptedServer const &) = delete;
 
   /// Sets what the server tells of itself when it is asked (JSON). Without it,
   /// and if it is empty, the server doesn't know the question.
   void setReport(std::string Report) { Shared_->Report_ = std::move(Report); }
   std::size_t requests() const { return Shared_->Requests_; }
   /// Accepts no more connections, as after a crash.
-  void stopListening() { Acceptor_.close(); }
+  void stopListening();
   /// Resets all connections, as the end of the server's process does.
   void resetConnections();
   Endpoint endpoint() const;
@@ -43,6 +46,7 @@
     Script Script_;
     std::string Report_;
     std::size_t Requests_ = 0;
+    bool IsListening_ = true;
     std::list<std::weak_ptr<Peer>> Peers_;
   };
 
