LibHttp: Ask once more where a server's identification is unusable

One answer that is no HTTP, or an identification on a connection that closes after it, ended the questions to a server for good, or the attempt. After the first, a stream could be sent to another incarnation that came to the address later; after the second, a stream was refused that its server could have continued (found by a reviewer of the fix, with drivers of his own).

Now the server is asked once more on another connection. Only a second unusable answer, or a readable one that identifies no process, counts as a server that does not identify itself. A temporary failure of the server is a refusal, which tells nothing of this instance's link to it.

--- a/Libraries/LibHttp/OutboundCall.h
+++ b/Libraries/LibHttp/OutboundCall.h
@@ -78,8 +78,12 @@
   bool needsIdentification() const;
   void identify();
   void onIdentification();
-  /// The server does not identify itself.
+  /// The answer to the question identifies no process.
   void onUnidentifiable(bool IsConnectionClean);
+  /// Whether the question may be asked once more, on another connection.
+  bool mayAskAgain() const;
+  /// Continues on another connection.
+  void reconnect();
   void armTimer(Duration Timeout, char const *Detail);
   void takeHead();
   void deliver();
@@ -95,6 +99,7 @@
   std::shared_ptr<Connection> Connection_;
   std::optional<std::string> Process_; ///< At the connection's other end.
   bool IsIdentifying_ = false;
+  std::uint32_t Questions_ = 0; ///< On new connections.
   /// Reads the answer, also when another call has found meanwhile that the
   /// server does not identify itself.
   ProcessIdentifier const *Identifier_ = nullptr;
