Tests: Show that a move which the keepers did not see lets streams go on elsewhere

Found by a reviewer of the fix: an instance that has not applied a move yet, or that went on to a later version, decides by the only version of the service that its own configuration leads to, as only keepers of the history record moves.

--- a/Tests/LibControl/TestStreamOriginRecords.cpp
+++ b/Tests/LibControl/TestStreamOriginRecords.cpp
@@ -470,3 +470,18 @@
   CHECK(find(First, "s1") == NotRecorded);
   CHECK(find(start("b"), "s1") == NotRecorded);
 }
+
+TEST_CASE_METHOD(Fixture, "A move that only an instance which keeps no history "
+                          "has seen makes streams uncertain elsewhere") {
+  Table_ = table(1, Writer);
+  auto const Keeper = start("k");
+  auto const Reader = start("r", HistoryRole::Reads);
+  Reader->setTable(table(2, ServiceName("drafter")), timeOfDay(), Now_);
+  setUnfinished(Reader, {{"s1", {ServiceName("drafter"), "d1"}}});
+  SECTION("as the keeper has not applied it yet") {}
+  SECTION("as the keeper went on to a later version") {
+    Keeper->setTable(table(3, Writer), timeOfDay(), Now_);
+    Store_.deliver();
+  }
+  CHECK(find(Keeper, "s1").Origin_ != origin("v1"));
+}
