--- a/Tests/EntryProcess/ScriptedServer.cpp
+++ b/Tests/EntryProcess/ScriptedServer.cpp
@@ -38,6 +38,12 @@
       Open->reset();
 }
 
+void ScriptedServer::closeConnections() {
+  for (auto const &Weak : std::exchange(Shared_->Peers_, {}))
+    if (auto const Open = Weak.lock())
+      Open->close();
+}
+
 Endpoint ScriptedServer::endpoint() const {
   return {"127.0.0.1", Acceptor_.local_endpoint().port()};
 }
--- a/Tests/EntryProcess/ScriptedServer.h
+++ b/Tests/EntryProcess/ScriptedServer.h
@@ -36,8 +36,11 @@
   std::size_t requests() const { return Shared_->Requests_; }
   /// Accepts no more connections, as after a crash.
   void stopListening();
-  /// Resets all connections, as the end of the server's process does.
+  /// Resets all connections, as the loss of the server's machine may do.
   void resetConnections();
+  /// Closes all connections in order, as the kernel does for a process that is
+  /// killed.
+  void closeConnections();
   Endpoint endpoint() const;
 
 private:
--- a/Tests/EntryProcess/VersionedFleet.cpp
+++ b/Tests/EntryProcess/VersionedFleet.cpp
@@ -354,7 +354,10 @@
   if (At == Servers_.end())
     return;
   At->second->stopListening();
-  At->second->resetConnections();
+  if (ProcessEnd_ == ProcessEnd::Closes)
+    At->second->closeConnections();
+  else
+    At->second->resetConnections();
   Ended_.push_back(std::move(At->second));
   Servers_.erase(At);
 }
--- a/Tests/EntryProcess/VersionedFleet.h
+++ b/Tests/EntryProcess/VersionedFleet.h
@@ -98,6 +98,9 @@
 
   enum class ServerReports { None, Given };
 
+  /// How the connections of a server end whose process ends.
+  enum class ProcessEnd { Resets, Closes };
+
   /// Program is that of the instances: a path or a name of this build. Only
   /// cuttable-entry can be cut off.
   VersionedFleet(unsigned Instances, Stop Stop,
@@ -137,6 +140,7 @@
   /// Sets whether servers that are started later say which incarnation they
   /// are.
   void setReports(ServerReports Reports) { Reports_ = Reports; }
+  void setProcessEnd(ProcessEnd End) { ProcessEnd_ = End; }
   /// Writes a configuration that leads the streams' route to these services.
   void configureStreams(std::vector<std::string> const &Services);
   void drainServer(std::string const &Id);
@@ -181,6 +185,7 @@
 
   Stop const Stop_;
   ServerReports Reports_ = ServerReports::Given;
+  ProcessEnd ProcessEnd_ = ProcessEnd::Resets;
   StandinThread Thread_;
   StoreStandin Store_{Thread_.context()};
   std::map<std::string, Listed> Listed_;
--- a/Tests/StreamSoak/Troubles.cpp
+++ b/Tests/StreamSoak/Troubles.cpp
@@ -19,6 +19,7 @@
       {"routes", TroubleKind::Routes}, {"rollouts", TroubleKind::Rollouts},
       {"slow", TroubleKind::Slow},     {"kept", TroubleKind::Kept},
       {"odd", TroubleKind::Odd},       {"outages", TroubleKind::Outages},
+      {"closed", TroubleKind::Closed},
   };
   return Kinds;
 }
@@ -48,6 +49,8 @@
 void Troubles::addServers(std::uint64_t Seed) {
   if (plays(TroubleKind::Silent))
     Fleet_.setReports(VersionedFleet::ServerReports::None);
+  if (plays(TroubleKind::Closed))
+    Fleet_.setProcessEnd(VersionedFleet::ProcessEnd::Closes);
   if (plays(TroubleKind::Kept) || plays(TroubleKind::Odd))
     Fleet_.setFraming(VersionedFleet::Framing::Chunked);
   if (plays(TroubleKind::Odd))
@@ -103,8 +106,8 @@
       &Troubles::pauseInstance);
   Add({TroubleKind::Restarts, TroubleKind::Silent}, milliseconds(100),
       milliseconds(700), &Troubles::restartServer);
-  Add({TroubleKind::Crashes}, milliseconds(100), milliseconds(800),
-      &Troubles::crashServer);
+  Add({TroubleKind::Crashes, TroubleKind::Closed}, milliseconds(100),
+      milliseconds(800), &Troubles::crashServer);
   Add({TroubleKind::Routes}, milliseconds(300), milliseconds(1500),
       &Troubles::moveRoute);
   Add({TroubleKind::Rollouts}, milliseconds(400), milliseconds(1200),
--- a/Tests/StreamSoak/Troubles.h
+++ b/Tests/StreamSoak/Troubles.h
@@ -21,6 +21,7 @@
   Restarts, ///< Servers come back at any version; the list says so later.
   Silent,   ///< The same with servers that don't report themselves.
   Crashes,  ///< Servers crash and come back later at the same version.
+  Closed,   ///< The same, and their connections are closed, not reset.
   Routes,   ///< The streams' route moves to another service, or is split.
   Rollouts, ///< Servers of a new version join, and old ones drain.
   Slow,     ///< Streams break, and clients read slowly.
