LibHttp, laburnum-entry: Log how an answer ends and whether its process was known

Neither logs nor metrics told an answer that ended with its connection from one with a length, nor a server that has identified itself from one that is what the list says. The request line says both now. No decision changes.

--- a/Libraries/LibHttp/OutboundCall.h
+++ b/Libraries/LibHttp/OutboundCall.h
@@ -64,6 +64,10 @@
   AttemptProgress progress() const { return Progress_; }
   /// Whether earlier requests were sent on the connection.
   bool isReused() const { return IsReused_; }
+  /// How the end of the answer is marked, once its head was received.
+  AnswerFraming framing() const { return Reader_.framing(); }
+  /// Whether the process at the connection's other end has identified itself.
+  bool isIdentified() const { return Process_.has_value(); }
 
   void onBytes(std::string_view Bytes) override;
   void onWritten() override;
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -162,6 +162,7 @@
   LastServer_ = Server_->Id_.text();
   LastIncarnationStart_ = Server_->IncarnationStartMilliseconds_;
   LastSoftwareVersion_ = Server_->SoftwareVersion_;
+  LastFraming_.reset();
   if (FirstSentAt_ == TimePoint())
     FirstSentAt_ = AttemptSentAt_;
   auto const &Codec = Plane_.Dependencies_.TrafficCodec_;
@@ -223,6 +224,10 @@
     handle(HeadArrived{*Answer_});
     return HeadDecision::TakeLast;
   }
+  if (Call_) {
+    LastFraming_ = Call_->framing();
+    IsLastIdentified_ = Call_->isIdentified();
+  }
   Plane_.onServerContact(Server_->Service_);
   Answer_ = Codec.decode(Head);
   if (FirstAnswerAt_ == TimePoint())
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -91,6 +91,8 @@
   std::string LastServer_;
   std::int64_t LastIncarnationStart_ = 0; ///< Unix milliseconds.
   std::string LastSoftwareVersion_;
+  std::optional<AnswerFraming> LastFraming_; ///< Of the last server's answer.
+  bool IsLastIdentified_ = false; ///< The last server's process was known.
   TimePoint AttemptSentAt_{};
   TimePoint FirstSentAt_{};
   TimePoint FirstAnswerAt_{};
--- a/Services/laburnum-entry/RequestSessionOutcome.cpp
+++ b/Services/laburnum-entry/RequestSessionOutcome.cpp
@@ -79,6 +79,11 @@
       .addHashes("parts", FlowContext_.Fingerprints_.Parts_);
   if (FlowContext_.Metadata_.TakesUpStream_)
     Line.add("first_attempt", FlowContext_.Metadata_.FirstAttemptId_);
+  if (LastFraming_)
+    Line.add("framing", *LastFraming_ == AnswerFraming::EndsWithConnection
+                            ? "connection"
+                            : "delimited")
+        .add("process", IsLastIdentified_ ? "identified" : "as listed");
   if (FirstSentAt_ != TimePoint())
     Line.add("queued_ms", FirstSentAt_ - Request_.BegunAt_);
   if (FirstAnswerAt_ != TimePoint())
