LibHttp, laburnum-entry: Take no killed process for the end of its answer

Callers got streams, answers of plain services and failures that ended as complete before their last byte, when a server's process was killed while it sent an answer without a length.

Cause: such an answer ends with its connection, and the kernel closes the connections of a killed process in order, exactly as a process does after its whole answer. Only a reset was taken for a broken end.

An answer that ends with its connection is complete now only if its process has outlived it. A process that has identified itself is asked again, on an idle connection or a new one. For others, which may have been replaced at their address, a connection is open before the answer ends (an idle one of the pool is taken if there is one): a killed process closes that one too. Without proof the attempt has failed: a stream goes on elsewhere or is cut, what may be repeated is sent to another server, all else ends with 502. Refusals need no proof, as their bodies are not used. An answer that another instance passes on always has a marked end; one without is not trusted.

Streams, streams that are passed on, and answers that may and that may not be repeated failed alike. A sound end costs a round trip more; events are not held back.

TestProcessIdentification's fixture moves to a header, as it is used twice.

--- a/Libraries/LibHttp/OutboundCall.cpp
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -69,7 +69,9 @@
 }
 
 bool OutboundCall::needsIdentification() const {
-  return Request_.Process_ && !Process_ && Pool_->Identifier_;
+  return Request_.Process_ &&
+         Request_.ProcessCheck_ == ProcessCheck::BeforeRequest && !Process_ &&
+         Pool_->Identifier_ && !Pool_->IsUnidentifiable_;
 }
 
 void OutboundCall::identify() {
@@ -78,8 +80,7 @@
   if (!IsReused_)
     ++Questions_;
   Identification_.clear();
-  Identifier_ = Pool_->Identifier_;
-  auto const Head = Identifier_->request();
+  auto const Head = Pool_->Identifier_->request();
   Reader_ = AnswerReader(Request_.AnswerBounds_, Head.Method_);
   armTimer(IdentificationTimeout,
            "the server does not identify itself in time");
@@ -95,7 +96,7 @@
   if (!Reader_.isDone())
     return;
   bool const IsClean = Reader_.keepsAlive() && Reader_.takeRest().empty();
-  Process_ = Identifier_->identify(Reader_.head(), Identification_);
+  Process_ = Pool_->Identifier_->identify(Reader_.head(), Identification_);
   if (!Process_ && isTemporaryFailure(Reader_.head().Status_) && !IsReused_)
     return fail(AttemptEnd::Refused, "the server does not identify itself now");
   if (!Process_)
@@ -122,7 +123,7 @@
   // connection a late answer to an earlier request.
   bool const IsUsable = IsConnectionClean && !IsReused_;
   if (IsUsable || !mayAskAgain())
-    Pool_->Identifier_ = nullptr;
+    Pool_->IsUnidentifiable_ = true;
   IsUsable ? sendRequest() : reconnect();
 }
 
@@ -155,6 +156,12 @@
   Connecting_.close(Ignored);
   if (Connection_)
     Connection_->abort();
+  dropWitness();
+}
+
+void OutboundCall::dropWitness() {
+  if (auto const Dropped = std::exchange(Witness_, nullptr))
+    Dropped->cancel();
 }
 
 void OutboundCall::onBytes(std::string_view Bytes) {
@@ -170,6 +177,18 @@
   auto const Decision = Observer_->onHead(Reader_.head());
   IsSkipping_ = Decision == HeadDecision::Skip;
   IsLast_ |= Decision == HeadDecision::TakeLast;
+  IsHeadOnly_ = Decision == HeadDecision::TakeHead;
+  // A later connection tells nothing of a process that does not identify
+  // itself.
+  if (!isOver() && needsWitness() && !Process_) {
+    Witness_ = ProcessWitness::create(Pool_, ProcessWitness::Start::IdleOrNow);
+    IsWitnessEarlier_ = true;
+  }
+}
+
+bool OutboundCall::needsWitness() const {
+  return Pool_->Identifier_ && !IsSkipping_ && !IsHeadOnly_ &&
+         Reader_.framing() == AnswerFraming::EndsWithConnection;
 }
 
 void OutboundCall::deliver() {
@@ -221,6 +240,8 @@
   if (isOver())
     return;
   if (End == ConnectionEnd::Orderly && HasTakenHead_ && !IsSkipping_) {
+    if (needsWitness())
+      return verifyEnd(ProcessWitness::Start::IdleOrNow);
     Reader_.endOfInput();
     if (Reader_.isDone())
       return deliver();
@@ -230,10 +251,46 @@
                                          : "connection reset");
 }
 
+void OutboundCall::verifyEnd(ProcessWitness::Start Start) {
+  if (!Witness_) {
+    Witness_ = ProcessWitness::create(Pool_, Start);
+    IsWitnessEarlier_ = Witness_->isReused();
+  }
+  Witness_->ask(IdentificationTimeout,
+                [Self = shared_from_this()](WitnessAnswer const &Answer) {
+                  if (!Self->isOver())
+                    Self->onWitness(Answer);
+                });
+}
+
+void OutboundCall::onWitness(WitnessAnswer const &Answer) {
+  bool const IsEarlier = IsWitnessEarlier_;
+  bool const IsProven = isProof(Answer);
+  Witness_.reset();
+  if (IsProven) {
+    Reader_.endOfInput();
+    return deliver();
+  }
+  // The server may have closed an idle connection.
+  if (IsEarlier && Request_.Process_)
+    return verifyEnd(ProcessWitness::Start::Now);
+  fail(AttemptEnd::ConnectionFailed,
+       "the server's process may have ended before its answer");
+}
+
+bool OutboundCall::isProof(WitnessAnswer const &Answer) const {
+  if (Process_)
+    return Answer.Process_ == Process_;
+  if (IsWitnessEarlier_ && Answer.HasAnswered_)
+    return true;
+  return Request_.Process_ && Answer.Process_ == Request_.Process_;
+}
+
 void OutboundCall::fail(AttemptEnd End, std::string Detail) {
   auto const Observer = std::exchange(Observer_, nullptr);
   if (!Observer)
     return;
+  dropWitness();
   ConnectTimer_.cancel();
   asio::error_code Ignored;
   Connecting_.close(Ignored);
--- a/Libraries/LibHttp/OutboundCall.h
+++ b/Libraries/LibHttp/OutboundCall.h
@@ -2,6 +2,7 @@
 
 #include <LibHttp/Connection.h>
 #include <LibHttp/MessageReader.h>
+#include <LibHttp/ProcessWitness.h>
 #include <LibModel/AttemptEvidence.h>
 
 #include <memory>
@@ -16,6 +17,8 @@
   Take,
   /// Take the answer, and send no other request on its connection.
   TakeLast,
+  /// Take the answer, whose body is not used.
+  TakeHead,
   /// The answer belongs to an earlier request: wait for the next one.
   Skip,
 };
@@ -34,16 +37,25 @@
   virtual void onFailed(AttemptEvidence const &Evidence) = 0;
 };
 
+/// When the server has to identify itself as the process that a request is for.
+enum class ProcessCheck {
+  /// Another process does not get the request. A server that does not identify
+  /// itself gets it all the same.
+  BeforeRequest,
+  /// Only if the answer ends with its connection.
+  AtEndOfConnection,
+};
+
 /// A request to send to a server.
 struct OutboundRequest {
   RequestHead Head_; ///< Without fields that frame the body.
   std::string Body_;
   Duration ConnectTimeout_ = std::chrono::seconds(1);
   MessageBounds AnswerBounds_;
-  /// The only process that the request may be sent to, by the identifier that
-  /// the pool's ProcessIdentifier returns. A server that does not identify
-  /// itself gets the request all the same.
+  /// The process that the request is for, by the identifier that the pool's
+  /// ProcessIdentifier returns.
   std::optional<std::string> Process_ = std::nullopt;
+  ProcessCheck ProcessCheck_ = ProcessCheck::BeforeRequest;
 
   auto operator<=>(OutboundRequest const &) const = default;
 };
@@ -91,6 +103,14 @@
   void armTimer(Duration Timeout, char const *Detail);
   void takeHead();
   void deliver();
+  /// Whether the answer ends with its connection, and is used only if its
+  /// server's process has outlived it.
+  bool needsWitness() const;
+  /// Finds out whether the process has outlived its answer.
+  void verifyEnd(ProcessWitness::Start Start);
+  void onWitness(WitnessAnswer const &Answer);
+  bool isProof(WitnessAnswer const &Answer) const;
+  void dropWitness();
   void complete();
   void fail(AttemptEnd End, std::string Detail);
   bool isOver() const { return !Observer_; }
@@ -104,10 +124,7 @@
   std::optional<std::string> Process_; ///< At the connection's other end.
   bool IsIdentifying_ = false;
   std::uint32_t Questions_ = 0; ///< On new connections.
-  /// Reads the answer, also when another call has found meanwhile that the
-  /// server does not identify itself.
-  ProcessIdentifier const *Identifier_ = nullptr;
-  std::string Identification_; ///< Body of the answer that identifies it.
+  std::string Identification_;  ///< Body of the answer that identifies it.
   AnswerReader Reader_;
   AttemptProgress Progress_ = AttemptProgress::NotConnected;
   bool IsReused_ = false;
@@ -116,6 +133,10 @@
   bool HasTakenHead_ = false;
   std::uint32_t Skipped_ = 0; ///< Skipped answers to earlier requests.
   bool IsSkipping_ = false;
+  bool IsHeadOnly_ = false; ///< The body of the answer is not used.
+  std::shared_ptr<ProcessWitness> Witness_;
+  /// The witness's connection has begun before the answer ended.
+  bool IsWitnessEarlier_ = false;
 };
 
 } // namespace laburnum
--- a/Libraries/LibHttp/OutboundPool.cpp
+++ b/Libraries/LibHttp/OutboundPool.cpp
@@ -72,7 +72,9 @@
 std::shared_ptr<OutboundCall>
 OutboundPool::start(OutboundRequest Request,
                     std::shared_ptr<AnswerObserver> Observer) {
-  auto const Pooled = takeIdle(Request.Process_);
+  auto const Pooled = takeIdle(
+      Request.ProcessCheck_ == ProcessCheck::BeforeRequest ? Request.Process_
+                                                           : std::nullopt);
   auto const Call = std::make_shared<OutboundCall>(
       shared_from_this(), std::move(Request), std::move(Observer));
   if (Pooled) {
@@ -114,6 +116,11 @@
   return nullptr;
 }
 
+std::shared_ptr<Connection> OutboundPool::takeIdleConnection() {
+  auto const Idle = takeIdle(std::nullopt);
+  return Idle ? Idle->take() : nullptr;
+}
+
 void OutboundPool::closeIdle() {
   for (auto const &Entry : Idle_)
     Entry->drop();
--- a/Libraries/LibHttp/OutboundPool.h
+++ b/Libraries/LibHttp/OutboundPool.h
@@ -26,7 +26,9 @@
 /// timeout allows. Used only on the thread of the io_context.
 class OutboundPool : public std::enable_shared_from_this<OutboundPool> {
 public:
-  /// The identifier, if there is one, has to outlive the pool.
+  /// The identifier, if there is one, has to outlive the pool. With it, an
+  /// answer that ends with its connection is complete only if the server's
+  /// process then still runs.
   OutboundPool(asio::io_context &Context, Endpoint Address,
                ProcessIdentifier const *Identifier = nullptr)
       : Context_(Context), Address_(std::move(Address)),
@@ -42,6 +44,7 @@
 
 private:
   friend class OutboundCall;
+  friend class ProcessWitness;
 
   class IdleConnection;
 
@@ -52,11 +55,13 @@
   /// that one, if one is given.
   std::shared_ptr<IdleConnection>
   takeIdle(std::optional<std::string> const &Process);
+  /// Returns the connection that was used last, or null.
+  std::shared_ptr<Connection> takeIdleConnection();
 
   asio::io_context &Context_;
   Endpoint Address_;
-  /// Null if the server does not identify itself.
-  ProcessIdentifier const *Identifier_;
+  ProcessIdentifier const *const Identifier_;
+  bool IsUnidentifiable_ = false; ///< The server does not identify itself.
   std::deque<std::shared_ptr<IdleConnection>> Idle_;
   PoolCounts Counts_;
 };
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -180,9 +180,12 @@
   }
   Outbound.Head_ = Codec.encode(Request_.Head_, Action.Metadata_);
   // Which software version begins or continues a stream has to be certain.
-  if (FlowContext_.Route_->Form_ == AnswerForm::EventStream &&
-      FlowContext_.Route_->Repeatability_ == Repeatability::Resumable)
-    Outbound.Process_ = processName(*Server_);
+  bool const IsResumable =
+      FlowContext_.Route_->Form_ == AnswerForm::EventStream &&
+      FlowContext_.Route_->Repeatability_ == Repeatability::Resumable;
+  Outbound.Process_ = processName(*Server_);
+  Outbound.ProcessCheck_ = IsResumable ? ProcessCheck::BeforeRequest
+                                       : ProcessCheck::AtEndOfConnection;
   armStallTimer();
   IsAwaited_ = true;
   Plane_.AttemptingSessions_.insert(this);
@@ -216,6 +219,10 @@
   clearStall();
   if (!isDirect()) {
     Answer_ = Codec.decodeFromPeer(Head);
+    // Instances mark the ends of their answers.
+    if (Call_ && Call_->framing() == AnswerFraming::EndsWithConnection &&
+        Answer_->Claim_ != AnswerClaim::NotRun)
+      Answer_->Claim_ = AnswerClaim::Untrusted;
     if (FirstAnswerAt_ == TimePoint())
       FirstAnswerAt_ = readBootClock();
     if (Answer_->Claim_ == AnswerClaim::NotRun)
@@ -244,8 +251,11 @@
   Plane_.RateLimits_.onAnswer(*Server_, *Answer_, AttemptSentAt_,
                               readBootClock());
   handle(HeadArrived{*Answer_});
-  return Match == AnswerMatch::Unidentified ? HeadDecision::TakeLast
-                                            : HeadDecision::Take;
+  if (Match == AnswerMatch::Unidentified)
+    return HeadDecision::TakeLast;
+  bool const IsBodyUsed = Answer_->Claim_ == AnswerClaim::Succeeded ||
+                          Answer_->Claim_ == AnswerClaim::Failed;
+  return IsBodyUsed ? HeadDecision::Take : HeadDecision::TakeHead;
 }
 
 void RequestSession::onBody(std::string_view Bytes) {
--- a/Tests/EntryProcess/VersionedFleet.cpp
+++ b/Tests/EntryProcess/VersionedFleet.cpp
@@ -281,13 +281,16 @@
     auto const Odd = ChooseOddity_();
     if (Odd == Oddity::AnswersBefore)
       Peer.write(extraAnswer("another-attempt"));
-    Peer.write(streamHead(AttemptId, Framing_ == Framing::Chunked));
+    auto const Framed = Framing_ != Framing::ByTurns ? Framing_
+                        : LastRun_ % 2 == 0          ? Framing::Chunked
+                                                     : Framing::Closes;
+    Peer.write(streamHead(AttemptId, Framed == Framing::Chunked));
     auto const Last =
         std::strtoull(Peer.field("Last-Event-Id").c_str(), nullptr, 10);
     auto const Stream = std::make_shared<Paced>(Paced{
         Peer.shared_from_this(),
         Version + ' ' + std::to_string(Last) + ' ' + std::to_string(++LastRun_),
-        Last + 1, Framing_, Odd, asio::steady_timer(Thread_.context())});
+        Last + 1, Framed, Odd, asio::steady_timer(Thread_.context())});
     Paced_.insert(Stream);
     writeNext(Stream);
   };
--- a/Tests/EntryProcess/VersionedFleet.h
+++ b/Tests/EntryProcess/VersionedFleet.h
@@ -87,6 +87,7 @@
   enum class Framing {
     Closes,
     Chunked, ///< The connection is kept.
+    ByTurns, ///< Every other answer is chunked.
   };
   /// What a server of paced streams does wrong in some answers.
   enum class Oddity {
--- a/Tests/LibHttp/AnswerRecorder.h
+++ b/Tests/LibHttp/AnswerRecorder.h
@@ -10,8 +10,10 @@
 /// Records the events of a call.
 struct AnswerRecorder : AnswerObserver {
   HeadDecision onHead(AnswerHead const &Head) override {
-    return Head.Fields_.valueOr("Id", "mine") == "mine" ? HeadDecision::Take
-                                                        : HeadDecision::Skip;
+    auto const Id = Head.Fields_.valueOr("Id", "mine");
+    return Id == "mine"        ? HeadDecision::Take
+           : Id == "head only" ? HeadDecision::TakeHead
+                               : HeadDecision::Skip;
   }
   void onBody(std::string_view Bytes) override { Body_ += Bytes; }
   void onComplete() override { IsComplete_ = true; }
--- /dev/null
+++ b/Tests/LibHttp/TestEndOfConnection.cpp
@@ -0,0 +1,176 @@
+#include "IdentificationFixture.h"
+
+using namespace laburnum;
+using namespace laburnum::test;
+
+namespace {
+
+std::string const Unframed = "HTTP/1.1 200 OK\r\n\r\nwhole";
+
+/// A server whose answers end with their connections.
+struct Fixture : IdentificationFixture {
+  /// Begins an answer on the first connection, after its process has said that
+  /// it is p1 if it is to identify itself.
+  std::shared_ptr<AnswerRecorder> beginAnswer(ProcessCheck Check) {
+    Check_ = Check;
+    auto Observer = sendFor("p1");
+    if (Check == ProcessCheck::BeforeRequest) {
+      REQUIRE(awaitBytes(Question));
+      peer().write(identification("p1"));
+    }
+    REQUIRE(awaitBytes(Run));
+    peer().write(Unframed);
+    REQUIRE(runUntil(Context_, [&] { return Observer->Body_ == "whole"; }));
+    return Observer;
+  }
+  bool awaitConnections(std::size_t Count) {
+    return runUntil(Context_, [&] { return Server_.Peers_.size() == Count; });
+  }
+  void checkBroken(AnswerRecorder const &Observer) {
+    REQUIRE(awaitFailure(Observer));
+    CHECK(Observer.Evidence_->Progress_ == AttemptProgress::AnswerBegun);
+    CHECK(runStateOf(*Observer.Evidence_) == RunState::MayHaveRun);
+    CHECK_FALSE(Observer.IsComplete_);
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "An answer that ends with its connection is whole "
+                          "only if its process goes on running") {
+  auto const Answer = beginAnswer(ProcessCheck::BeforeRequest);
+  settle();
+  CHECK(Server_.Peers_.size() == 1);
+  SECTION("it goes on") {
+    peer().close();
+    REQUIRE(awaitBytes(Question, 2));
+    CHECK_FALSE(Answer->isOver());
+    peer().write(identification("p1"));
+    CHECK(awaitAnswer(*Answer));
+    // The connection serves other requests.
+    sendFor("p1");
+    CHECK(awaitBytes(Run, 2));
+  }
+  SECTION("another process has its address") {
+    peer().close();
+    REQUIRE(awaitBytes(Question, 2));
+    peer().write(identification("p2"));
+    checkBroken(*Answer);
+  }
+  SECTION("a process that does not identify itself has its address") {
+    peer().close();
+    REQUIRE(awaitBytes(Question, 2));
+    peer().write(answer("404 Not Found", ""));
+    checkBroken(*Answer);
+  }
+  SECTION("nothing listens at its address") {
+    peer().close();
+    Server_.Acceptor_.close();
+    checkBroken(*Answer);
+  }
+  SECTION("it ends when it is asked") {
+    peer().close();
+    REQUIRE(awaitBytes(Question, 2));
+    peer().close();
+    checkBroken(*Answer);
+  }
+  SECTION("it does not answer") {
+    peer().close();
+    REQUIRE(awaitBytes(Question, 2));
+    checkBroken(*Answer);
+  }
+  SECTION("its connection is reset") {
+    peer().reset();
+    checkBroken(*Answer);
+    CHECK(Server_.Peers_.size() == 1);
+  }
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "A process that does not identify itself answers on "
+                 "a connection that was open before the answer's end") {
+  auto const Answer = beginAnswer(ProcessCheck::AtEndOfConnection);
+  REQUIRE(awaitConnections(2));
+  settle();
+  CHECK(peer().Received_.empty());
+  SECTION("it goes on") {
+    Server_.Peers_.front()->close();
+    REQUIRE(awaitBytes(Question, 2));
+    peer().write(answer("404 Not Found", ""));
+    CHECK(awaitAnswer(*Answer));
+  }
+  SECTION("it was killed") {
+    Server_.Peers_.front()->close();
+    peer().close();
+    // Whoever answers on a later connection may be another process.
+    REQUIRE(awaitBytes(Question, 3));
+    peer().write(answer("404 Not Found", ""));
+    checkBroken(*Answer);
+  }
+  SECTION(
+      "only that connection was closed, and the process is the listed one") {
+    peer().close();
+    settle();
+    Server_.Peers_.front()->close();
+    REQUIRE(awaitBytes(Question, 3));
+    peer().write(identification("p1"));
+    CHECK(awaitAnswer(*Answer));
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "An idle connection shows that a process goes on "
+                          "running") {
+  serveFor("p1");
+  // Two requests at a time: one keeps its connection, the other's answer ends
+  // with its own.
+  auto const Answer = sendFor("p1");
+  auto const Other = sendFor("p1");
+  REQUIRE(awaitBytes(Question, 2));
+  peer().write(identification("p1"));
+  REQUIRE(awaitBytes(Run, 2));
+  peer().write(answer("200 OK", "ok"));
+  REQUIRE(awaitAnswer(*Other));
+  Server_.Peers_.front()->write(Unframed);
+  REQUIRE(runUntil(Context_, [&] { return Answer->Body_ == "whole"; }));
+  Server_.Peers_.front()->close();
+  SECTION("it answers") {
+    REQUIRE(awaitBytes(Question, 2, 2));
+    peer().write(identification("p1"));
+    CHECK(awaitAnswer(*Answer));
+    CHECK(Server_.Peers_.size() == 2);
+  }
+  SECTION("the connection is closed, and another one answers") {
+    REQUIRE(awaitBytes(Question, 2, 2));
+    peer().close();
+    REQUIRE(awaitBytes(Question, 3));
+    peer().write(identification("p1"));
+    CHECK(awaitAnswer(*Answer));
+  }
+  SECTION("the process was killed") {
+    REQUIRE(awaitBytes(Question, 2, 2));
+    Server_.Acceptor_.close();
+    peer().close();
+    checkBroken(*Answer);
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "An answer whose body is not used needs no proof of "
+                          "its end") {
+  Check_ = ProcessCheck::AtEndOfConnection;
+  auto const Answer = sendFor("p1");
+  REQUIRE(awaitBytes(Run));
+  peer().write("HTTP/1.1 503 -\r\nId: head only\r\n\r\nbusy");
+  peer().close();
+  CHECK(awaitAnswer(*Answer));
+  CHECK(Server_.Peers_.size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "A call that is cancelled while its answer's end is "
+                          "verified tells nothing more") {
+  auto const Answer = beginAnswer(ProcessCheck::BeforeRequest);
+  peer().close();
+  REQUIRE(awaitBytes(Question, 2));
+  Call_->cancel();
+  CHECK(runUntil(Context_, [&] { return peer().IsClosed_; }));
+  CHECK_FALSE(Answer->isOver());
+}
--- a/Tests/StreamSoak/Troubles.cpp
+++ b/Tests/StreamSoak/Troubles.cpp
@@ -49,10 +49,10 @@
 void Troubles::addServers(std::uint64_t Seed) {
   if (plays(TroubleKind::Silent))
     Fleet_.setReports(VersionedFleet::ServerReports::None);
-  if (plays(TroubleKind::Closed))
-    Fleet_.setProcessEnd(VersionedFleet::ProcessEnd::Closes);
   if (plays(TroubleKind::Kept) || plays(TroubleKind::Odd))
-    Fleet_.setFraming(VersionedFleet::Framing::Chunked);
+    Fleet_.setFraming(plays(TroubleKind::Closed)
+                          ? VersionedFleet::Framing::ByTurns
+                          : VersionedFleet::Framing::Chunked);
   if (plays(TroubleKind::Odd))
     Fleet_.setOddities([Numbers = std::mt19937_64(Seed)]() mutable {
       using Oddity = VersionedFleet::Oddity;
@@ -193,10 +193,19 @@
   return Old.front() + std::to_string(1 + below(3));
 }
 
+void Troubles::chooseProcessEnd() {
+  using End = VersionedFleet::ProcessEnd;
+  if (plays(TroubleKind::Closed))
+    Fleet_.setProcessEnd(plays(TroubleKind::Crashes) && below(2) == 0
+                             ? End::Resets
+                             : End::Closes);
+}
+
 void Troubles::restartServer() {
   auto const Id = chooseServer();
   if (Id.empty())
     return;
+  chooseProcessEnd();
   BusyServers_.insert(Id);
   auto const Version = versionFor(Id);
   say("restart " + Id + " from " + Servers_[Id] + " at " + Version);
@@ -213,6 +222,7 @@
   auto const Id = chooseServer();
   if (Id.empty())
     return;
+  chooseProcessEnd();
   BusyServers_.insert(Id);
   say("crash " + Id);
   Fleet_.crashServer(Id);
--- a/Tests/StreamSoak/Troubles.h
+++ b/Tests/StreamSoak/Troubles.h
@@ -63,6 +63,8 @@
   void endInstance();
   void endAllInstances();
   void pauseInstance();
+  /// Decides how the connections of the next server end whose process ends.
+  void chooseProcessEnd();
   void restartServer();
   void crashServer();
   void moveRoute();
