LibTraffic: Join no stream with one that a server has begun anew

Callers got events of two runs in one stream, within an answer or over a take-up, where a server began the stream at its first event although the request said after which one to go on.

Cause: events up to the client's last one were skipped, whoever had sent them, and the first that followed was taken for the next piece. That a server goes on where it is asked to was believed without proof.

The first event of a continuation has to be the next one now, or the same as the last one, byte for byte. Otherwise the attempt ends and counts as a run: another server is tried, or the stream is cut.

The new case of TestExchangeFlow fails without the check (events of the other run are relayed).

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -3,6 +3,8 @@
 #include <LibModel/RunState.h>
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace laburnum {
 
@@ -40,6 +42,10 @@
   return std::string(Type.substr(0, Type.find_first_of("; ")));
 }
 
+std::size_t hashOf(StreamEvent const &Event) {
+  return std::hash<std::string>()(Event.Bytes_);
+}
+
 } // namespace
 
 ExchangeFlow::ExchangeFlow(FlowContext FlowContext, RetryGate &Gate)
@@ -89,6 +95,7 @@
   Access_ = Event.Access_;
   AttemptOrigin_ = {Event.Server_.Service_, Event.Server_.SoftwareVersion_};
   Answer_.reset();
+  IsContinuationUnproven_ = LastEventId_.has_value();
   Body_.clear();
   Splitter_ = EventStreamSplitter();
   Actions_.push_back(
@@ -141,6 +148,11 @@
 void ExchangeFlow::relay(std::vector<StreamEvent> Events) {
   std::string Bytes;
   for (auto &Event : Events) {
+    if (Event.Id_ && std::exchange(IsContinuationUnproven_, false) &&
+        isBegunAnew(Event)) {
+      Actions_.push_back(CancelAttempt{});
+      return endAttempt(true, "the server has begun the stream anew");
+    }
     if (Event.Id_ && LastEventId_) {
       if (*Event.Id_ <= *LastEventId_)
         continue;
@@ -150,8 +162,10 @@
         return fail("the server left out an event");
       }
     }
-    if (Event.Id_)
+    if (Event.Id_) {
       LastEventId_ = Event.Id_;
+      LastEventHash_ = hashOf(Event);
+    }
     Bytes += Event.Bytes_;
   }
   if (Bytes.empty())
@@ -167,6 +181,13 @@
   Actions_.push_back(RelayEvents{std::move(Bytes)});
 }
 
+bool ExchangeFlow::isBegunAnew(StreamEvent const &First) const {
+  // The last event may come again, if it is the same.
+  bool const IsRepeated =
+      First.Id_ == LastEventId_ && LastEventHash_ == hashOf(First);
+  return *First.Id_ <= *LastEventId_ && !IsRepeated;
+}
+
 void ExchangeFlow::rememberOrigin(StreamOrigin const &Origin) {
   Origin_ = Origin;
   if (Context_.Route_->Repeatability_ == Repeatability::Resumable &&
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -219,6 +219,8 @@
   void refuse(std::int32_t Status, std::string const &Reason,
               std::optional<Duration> RetryAfter);
   void relay(std::vector<StreamEvent> Events);
+  /// Whether the first event of a continuation begins a stream anew.
+  bool isBegunAnew(StreamEvent const &First) const;
   void completeStream();
   void countRun();
   void rememberOrigin(StreamOrigin const &Origin);
@@ -244,6 +246,9 @@
   StreamOrigin AttemptOrigin_; ///< What its server would begin.
   ServerAccess Access_ = ServerAccess::Direct;
   std::optional<ServerAnswer> Answer_;
+  /// The attempt has to go on after LastEventId_, and no event has shown yet
+  /// that it does.
+  bool IsContinuationUnproven_ = false;
   std::string Body_;
   EventStreamSplitter Splitter_;
   /// State of the answer sent to the client.
@@ -252,6 +257,7 @@
   std::string StreamType_; ///< Media type of the stream that has begun.
   bool HasCountedRun_ = false;
   std::optional<std::uint64_t> LastEventId_;
+  std::optional<std::size_t> LastEventHash_; ///< Set once one was relayed.
   /// The last failure answered by a server, sent to the client when no attempt
   /// is left.
   std::optional<exchange::SendCompleteAnswer> LastFailure_;
--- a/Tests/EntryProcess/VersionedFleet.cpp
+++ b/Tests/EntryProcess/VersionedFleet.cpp
@@ -286,7 +286,9 @@
                                                      : Framing::Closes;
     Peer.write(streamHead(AttemptId, Framed == Framing::Chunked));
     auto const Last =
-        std::strtoull(Peer.field("Last-Event-Id").c_str(), nullptr, 10);
+        Odd == Oddity::BeginsAnew
+            ? 0
+            : std::strtoull(Peer.field("Last-Event-Id").c_str(), nullptr, 10);
     auto const Stream = std::make_shared<Paced>(Paced{
         Peer.shared_from_this(),
         Version + ' ' + std::to_string(Last) + ' ' + std::to_string(++LastRun_),
--- a/Tests/EntryProcess/VersionedFleet.h
+++ b/Tests/EntryProcess/VersionedFleet.h
@@ -95,6 +95,7 @@
     RepeatsEvent,
     AnswersBefore, ///< An answer to another attempt comes before the stream.
     AnswersAfter,  ///< Another answer follows the complete one.
+    BeginsAnew,    ///< Begins at the first event, whatever is asked for.
   };
 
   enum class ServerReports { None, Given };
--- a/Tests/LibTraffic/TestExchangeFlow.cpp
+++ b/Tests/LibTraffic/TestExchangeFlow.cpp
@@ -205,6 +205,35 @@
   CHECK(Run.find<FinishStream>());
 }
 
+TEST_CASE("A server that begins a stream anew does not continue it") {
+  bool const IsTakenUp = GENERATE(false, true);
+  RequestMetadata Metadata;
+  if (IsTakenUp) {
+    Metadata.TakesUpStream_ = true;
+    Metadata.LastEventId_ = 2;
+  }
+  Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream),
+              Metadata);
+  if (IsTakenUp) {
+    Run.handle(OriginFound{StreamOrigin{}, {}});
+  } else {
+    Run.attempt("a");
+    Run.handle(HeadArrived{Signed});
+    Run.handle(BodyArrived{"id: 1\ndata: x\n\nid: 2\ndata: y\n\n"});
+    Run.handle(failure(AttemptProgress::AnswerBegun));
+  }
+  Run.attempt("b");
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{
+      GENERATE("id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\ndata: z\n\n",
+               "id: 2\ndata: other\n\nid: 3\ndata: z\n\n")});
+  CHECK_FALSE(Run.find<RelayEvents>());
+  CHECK(Run.find<CancelAttempt>());
+  // One run of two is left where this instance has not begun the stream.
+  CHECK((Run.find<RequestServer>() != nullptr) == IsTakenUp);
+  CHECK((Run.find<AbortStream>() != nullptr) == !IsTakenUp);
+}
+
 TEST_CASE("A stream that cannot be resumed is aborted, not finished") {
   Harness Run(routeOf(GENERATE(Repeatability::Never, Repeatability::Resumable),
                       AnswerForm::EventStream));
--- a/Tests/StreamSoak/Program/Main.cpp
+++ b/Tests/StreamSoak/Program/Main.cpp
@@ -23,7 +23,7 @@
   if (Kinds.empty())
     for (auto const &[Name, Kind] : troubleKinds())
       if (Kind != TroubleKind::Silent && Kind != TroubleKind::Slow &&
-          Kind != TroubleKind::Odd)
+          Kind != TroubleKind::Odd && Kind != TroubleKind::Anew)
         Kinds.insert(Kind);
   return Kinds;
 }
--- a/Tests/StreamSoak/Troubles.cpp
+++ b/Tests/StreamSoak/Troubles.cpp
@@ -19,7 +19,7 @@
       {"routes", TroubleKind::Routes}, {"rollouts", TroubleKind::Rollouts},
       {"slow", TroubleKind::Slow},     {"kept", TroubleKind::Kept},
       {"odd", TroubleKind::Odd},       {"outages", TroubleKind::Outages},
-      {"closed", TroubleKind::Closed},
+      {"closed", TroubleKind::Closed}, {"anew", TroubleKind::Anew},
   };
   return Kinds;
 }
@@ -60,6 +60,11 @@
       auto const Drawn = Numbers() % Answers;
       return Drawn < 4 ? static_cast<Oddity>(Drawn) : Oddity::None;
     });
+  if (plays(TroubleKind::Anew))
+    Fleet_.setOddities([Numbers = std::mt19937_64(Seed)]() mutable {
+      using Oddity = VersionedFleet::Oddity;
+      return Numbers() % 2 == 0 ? Oddity::BeginsAnew : Oddity::None;
+    });
   std::string const Second = Seed % 2 == 0 ? "v2" : "v1";
   Servers_ = {{"desk-1", "v1"},   {"desk-2", "v1"},    {"desk-3", Second},
               {"desk-4", Second}, {"archive-1", "w1"}, {"archive-2", "w1"}};
@@ -96,7 +101,7 @@
         return repeat(Least, Most, [this, Task] { (this->*Task)(); });
   };
   Add({TroubleKind::Breaks, TroubleKind::Slow, TroubleKind::Kept,
-       TroubleKind::Odd},
+       TroubleKind::Odd, TroubleKind::Anew},
       milliseconds(50), milliseconds(300), &Troubles::breakStreams);
   Add({TroubleKind::Kills}, milliseconds(300), milliseconds(1200),
       &Troubles::endInstance);
--- a/Tests/StreamSoak/Troubles.h
+++ b/Tests/StreamSoak/Troubles.h
@@ -28,6 +28,7 @@
   Outages,  ///< All instances are killed; other kinds go on meanwhile.
   Kept,     ///< Streams break; servers keep connections, as some do elsewhere.
   Odd,      ///< The same, and servers repeat events and send extra answers.
+  Anew,     ///< Streams break, and servers begin some anew that go on.
 };
 
 /// All kinds by name.
