--- a/Tests/EntryProcess/VersionedFleet.h
+++ b/Tests/EntryProcess/VersionedFleet.h
@@ -87,6 +87,7 @@
   enum class Framing {
     Closes,
     Chunked, ///< The connection is kept.
+    ByTurns, ///< Every other answer is chunked.
   };
   /// What a server of paced streams does wrong in some answers.
   enum class Oddity {
@@ -94,6 +95,7 @@
     RepeatsEvent,
     AnswersBefore, ///< An answer to another attempt comes before the stream.
     AnswersAfter,  ///< Another answer follows the complete one.
+    BeginsAnew,    ///< Begins at the first event, whatever is asked for.
   };
 
   enum class ServerReports { None, Given };
--- a/Tests/StreamSoak/Troubles.cpp
+++ b/Tests/StreamSoak/Troubles.cpp
@@ -19,7 +19,7 @@
       {"routes", TroubleKind::Routes}, {"rollouts", TroubleKind::Rollouts},
       {"slow", TroubleKind::Slow},     {"kept", TroubleKind::Kept},
       {"odd", TroubleKind::Odd},       {"outages", TroubleKind::Outages},
-      {"closed", TroubleKind::Closed},
+      {"closed", TroubleKind::Closed}, {"anew", TroubleKind::Anew},
   };
   return Kinds;
 }
@@ -49,10 +49,10 @@
 void Troubles::addServers(std::uint64_t Seed) {
   if (plays(TroubleKind::Silent))
     Fleet_.setReports(VersionedFleet::ServerReports::None);
-  if (plays(TroubleKind::Closed))
-    Fleet_.setProcessEnd(VersionedFleet::ProcessEnd::Closes);
   if (plays(TroubleKind::Kept) || plays(TroubleKind::Odd))
-    Fleet_.setFraming(VersionedFleet::Framing::Chunked);
+    Fleet_.setFraming(plays(TroubleKind::Closed)
+                          ? VersionedFleet::Framing::ByTurns
+                          : VersionedFleet::Framing::Chunked);
   if (plays(TroubleKind::Odd))
     Fleet_.setOddities([Numbers = std::mt19937_64(Seed)]() mutable {
       using Oddity = VersionedFleet::Oddity;
@@ -60,6 +60,11 @@
       auto const Drawn = Numbers() % Answers;
       return Drawn < 4 ? static_cast<Oddity>(Drawn) : Oddity::None;
     });
+  if (plays(TroubleKind::Anew))
+    Fleet_.setOddities([Numbers = std::mt19937_64(Seed)]() mutable {
+      using Oddity = VersionedFleet::Oddity;
+      return Numbers() % 2 == 0 ? Oddity::BeginsAnew : Oddity::None;
+    });
   std::string const Second = Seed % 2 == 0 ? "v2" : "v1";
   Servers_ = {{"desk-1", "v1"},   {"desk-2", "v1"},    {"desk-3", Second},
               {"desk-4", Second}, {"archive-1", "w1"}, {"archive-2", "w1"}};
@@ -96,7 +101,7 @@
         return repeat(Least, Most, [this, Task] { (this->*Task)(); });
   };
   Add({TroubleKind::Breaks, TroubleKind::Slow, TroubleKind::Kept,
-       TroubleKind::Odd},
+       TroubleKind::Odd, TroubleKind::Anew},
       milliseconds(50), milliseconds(300), &Troubles::breakStreams);
   Add({TroubleKind::Kills}, milliseconds(300), milliseconds(1200),
       &Troubles::endInstance);
@@ -193,10 +198,19 @@
   return Old.front() + std::to_string(1 + below(3));
 }
 
+void Troubles::chooseProcessEnd() {
+  using End = VersionedFleet::ProcessEnd;
+  if (plays(TroubleKind::Closed))
+    Fleet_.setProcessEnd(plays(TroubleKind::Crashes) && below(2) == 0
+                             ? End::Resets
+                             : End::Closes);
+}
+
 void Troubles::restartServer() {
   auto const Id = chooseServer();
   if (Id.empty())
     return;
+  chooseProcessEnd();
   BusyServers_.insert(Id);
   auto const Version = versionFor(Id);
   say("restart " + Id + " from " + Servers_[Id] + " at " + Version);
@@ -213,6 +227,7 @@
   auto const Id = chooseServer();
   if (Id.empty())
     return;
+  chooseProcessEnd();
   BusyServers_.insert(Id);
   say("crash " + Id);
   Fleet_.crashServer(Id);
