LibHttp, LibTraffic, laburnum-entry: Let no stream go on at or after an unidentified server

Callers got streams of two software versions, in an answer or over a take-up, where servers that don't state their start came back at another version before the list said so.

The software version of such a server is unknown now. Streams begin there, but a request that continues a stream is sent only to a process that has identified itself as the listed one, and what began at an unidentified process has an origin that no server is listed with, so that no instance, nor one of an older release, goes on with it. While such a server is known, "only version" does not decide for its service. A server that was found unidentified is asked again for each continuation, as its answer may have been wrong once.

"A stream that broke off is not continued with an error of the next server": its servers state their start now, as the stream would otherwise not be tried at the second one; the checks are unchanged.

--- a/Libraries/LibHttp/OutboundCall.cpp
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -65,13 +65,25 @@
 void OutboundCall::useConnection(std::shared_ptr<Connection> Open) {
   Connection_ = std::move(Open);
   Connection_->setObserver(shared_from_this());
-  needsIdentification() ? identify() : sendRequest();
+  if (needsIdentification())
+    return identify();
+  if (Process_ || !Pool_->Identifier_ ||
+      Request_.ProcessCheck_ == ProcessCheck::AtEndOfConnection)
+    return sendRequest();
+  // The observer must not be called from within start().
+  Progress_ = AttemptProgress::Connected;
+  asio::post(Pool_->Context_, [Self = shared_from_this()] {
+    if (!Self->isOver())
+      Self->proceedUnidentified();
+  });
 }
 
 bool OutboundCall::needsIdentification() const {
-  return Request_.Process_ &&
-         Request_.ProcessCheck_ == ProcessCheck::BeforeRequest && !Process_ &&
-         Pool_->Identifier_ && !Pool_->IsUnidentifiable_;
+  if (!Request_.Process_ || Process_ || !Pool_->Identifier_)
+    return false;
+  return Request_.ProcessCheck_ == ProcessCheck::Required ||
+         (Request_.ProcessCheck_ == ProcessCheck::BeforeRequest &&
+          !Pool_->IsUnidentifiable_);
 }
 
 void OutboundCall::identify() {
@@ -106,6 +118,7 @@
     return fail(AttemptEnd::Refused,
                 "another process has the server's address");
   }
+  Pool_->IsUnidentifiable_ = false;
   if (IsClean)
     return sendRequest();
   if (!mayAskAgain())
@@ -122,9 +135,19 @@
   // A single unusable answer may be an error of the server, or on a reused
   // connection a late answer to an earlier request.
   bool const IsUsable = IsConnectionClean && !IsReused_;
-  if (IsUsable || !mayAskAgain())
+  bool const IsFinal = IsUsable || !mayAskAgain();
+  if (IsFinal)
     Pool_->IsUnidentifiable_ = true;
-  IsUsable ? sendRequest() : reconnect();
+  bool const IsRequired = Request_.ProcessCheck_ == ProcessCheck::Required;
+  IsUsable || (IsFinal && IsRequired) ? proceedUnidentified() : reconnect();
+}
+
+void OutboundCall::proceedUnidentified() {
+  Observer_->onUnidentified();
+  if (Request_.ProcessCheck_ == ProcessCheck::Required)
+    return fail(AttemptEnd::Refused, "the server does not identify itself");
+  if (!isOver())
+    sendRequest();
 }
 
 void OutboundCall::reconnect() {
--- a/Libraries/LibHttp/OutboundCall.h
+++ b/Libraries/LibHttp/OutboundCall.h
@@ -34,11 +34,17 @@
   /// The process at the server's address is not the one that the request is
   /// for. onFailed() follows.
   virtual void onOtherProcess(std::string const & /*Process*/) {}
+  /// The process at the server's address does not identify itself. onFailed()
+  /// follows where that is required.
+  virtual void onUnidentified() {}
   virtual void onFailed(AttemptEvidence const &Evidence) = 0;
 };
 
 /// When the server has to identify itself as the process that a request is for.
 enum class ProcessCheck {
+  /// Another process does not get the request, nor does one that does not
+  /// identify itself.
+  Required,
   /// Another process does not get the request. A server that does not identify
   /// itself gets it all the same.
   BeforeRequest,
@@ -96,6 +102,8 @@
   void onIdentification();
   /// The answer to the question identifies no process.
   void onUnidentifiable(bool IsConnectionClean);
+  /// The process is not known, and asking it does not help.
+  void proceedUnidentified();
   /// Whether the question may be asked once more, on another connection.
   bool mayAskAgain() const;
   /// Continues on another connection.
--- a/Libraries/LibHttp/OutboundPool.cpp
+++ b/Libraries/LibHttp/OutboundPool.cpp
@@ -72,9 +72,10 @@
 std::shared_ptr<OutboundCall>
 OutboundPool::start(OutboundRequest Request,
                     std::shared_ptr<AnswerObserver> Observer) {
-  auto const Pooled = takeIdle(
-      Request.ProcessCheck_ == ProcessCheck::BeforeRequest ? Request.Process_
-                                                           : std::nullopt);
+  auto const Pooled =
+      takeIdle(Request.ProcessCheck_ == ProcessCheck::AtEndOfConnection
+                   ? std::nullopt
+                   : Request.Process_);
   auto const Call = std::make_shared<OutboundCall>(
       shared_from_this(), std::move(Request), std::move(Observer));
   if (Pooled) {
--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -173,6 +173,8 @@
   countRun();
   if (!HasBegunStream_) {
     HasBegunStream_ = true;
+    if (Answer_->IsProcessUnidentified_)
+      AttemptOrigin_.SoftwareVersion_ = UnidentifiedVersion;
     if (auto const Begun =
             isThroughPeer() ? Answer_->Origin_ : std::optional(AttemptOrigin_))
       rememberOrigin(*Begun);
--- a/Libraries/LibTraffic/StreamOrigins.h
+++ b/Libraries/LibTraffic/StreamOrigins.h
@@ -12,6 +12,11 @@
 
 namespace laburnum {
 
+/// Stands for the software version of a server whose process does not identify
+/// itself: the list may name the version of another process. No server is
+/// listed with it, so that no instance continues such a stream.
+inline constexpr char const *UnidentifiedVersion = "(unidentified)";
+
 /// What began a stream, and alone can continue it.
 struct StreamOrigin {
   ServiceName Service_;
--- a/Libraries/LibTraffic/TrafficRequest.h
+++ b/Libraries/LibTraffic/TrafficRequest.h
@@ -112,6 +112,8 @@
   /// The server crashes if it has to refuse more requests than this in a second
   /// for want of room, from all entry instances together.
   std::optional<double> MaxRefusalsPerSecond_;
+  /// The process that answers has not identified itself.
+  bool IsProcessUnidentified_ = false;
   /// What began the stream, if another entry instance states it.
   std::optional<StreamOrigin> Origin_;
 
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -159,6 +159,7 @@
   if (Plane_.Roster_.rateLimiter().isLimited(incarnationOf(*Server_)))
     Plane_.Dependencies_.Metrics_.AttemptsRateLimited_.add();
   Answer_.reset();
+  IsUnidentified_ = false;
   LastServer_ = Server_->Id_.text();
   LastIncarnationStart_ = Server_->IncarnationStartMilliseconds_;
   LastSoftwareVersion_ = Server_->SoftwareVersion_;
@@ -184,8 +185,10 @@
       FlowContext_.Route_->Form_ == AnswerForm::EventStream &&
       FlowContext_.Route_->Repeatability_ == Repeatability::Resumable;
   Outbound.Process_ = processName(*Server_);
-  Outbound.ProcessCheck_ = IsResumable ? ProcessCheck::BeforeRequest
-                                       : ProcessCheck::AtEndOfConnection;
+  Outbound.ProcessCheck_ = !IsResumable ? ProcessCheck::AtEndOfConnection
+                           : Action.Metadata_.Origin_
+                               ? ProcessCheck::Required
+                               : ProcessCheck::BeforeRequest;
   armStallTimer();
   IsAwaited_ = true;
   Plane_.AttemptingSessions_.insert(this);
@@ -237,6 +240,7 @@
   }
   Plane_.onServerContact(Server_->Service_);
   Answer_ = Codec.decode(Head);
+  Answer_->IsProcessUnidentified_ = IsUnidentified_;
   if (FirstAnswerAt_ == TimePoint())
     FirstAnswerAt_ = readBootClock();
   if (Answer_->Load_)
@@ -296,6 +300,11 @@
   Plane_.onOtherIncarnation(*Server_, Process);
 }
 
+void RequestSession::onUnidentified() {
+  IsUnidentified_ = true;
+  Plane_.Origins_.onUnidentified(*Server_);
+}
+
 void RequestSession::onFailed(AttemptEvidence const &Evidence) {
   Call_.reset();
   Plane_.Dependencies_.Metrics_.AttemptsFailed_.add();
@@ -320,7 +329,12 @@
     Plane_.onServerGone(*Server_, "a request");
   if (isDirect() && !Answer_ && Evidence.End_ != AttemptEnd::Refused)
     Plane_.Links_.onFailure(*Server_);
-  endAttempt(AttemptHealth::Failed, Evidence);
+  // It may serve other requests well.
+  bool const IsOnlyUnidentified =
+      IsUnidentified_ && Evidence.End_ == AttemptEnd::Refused;
+  endAttempt(IsOnlyUnidentified ? AttemptHealth::Unknown
+                                : AttemptHealth::Failed,
+             Evidence);
   handle(AttemptFailed{Evidence});
 }
 
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -31,6 +31,7 @@
   void onBody(std::string_view Bytes) override;
   void onComplete() override;
   void onOtherProcess(std::string const &Process) override;
+  void onUnidentified() override;
   void onFailed(AttemptEvidence const &Evidence) override;
 
 private:
@@ -86,6 +87,7 @@
   std::uint32_t Unconnected_ = 0; ///< Attempts without a connection.
   ServiceName QueuedService_;
   std::set<ServerId> Excluded_; ///< Incarnations.
+  bool IsUnidentified_ = false; ///< The process of the current attempt.
   std::optional<ServerAnswer> Answer_;
   std::shared_ptr<OutboundCall> Call_;
   std::string LastServer_;
--- a/Services/laburnum-entry/StreamOriginDirectory.cpp
+++ b/Services/laburnum-entry/StreamOriginDirectory.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Bounds the memory of the servers that were logged once.
+constexpr std::size_t MaxLoggedServers = 1000;
+
 std::string_view sourceName(OriginSource Source) {
   switch (Source) {
   case OriginSource::OnlyVersion:
@@ -50,6 +53,20 @@
     Listener_(Origins_.unfinished(Now));
 }
 
+void StreamOriginDirectory::onUnidentified(ServerRecord const &Server) {
+  auto const Incarnation = incarnationOf(Server);
+  if (LoggedUnidentified_.size() >= MaxLoggedServers)
+    LoggedUnidentified_.clear();
+  if (LoggedUnidentified_.insert(Incarnation).second)
+    Log_.write(LogLine("server_unidentified")
+                   .add("server", Server.Id_.text())
+                   .add("born", Server.IncarnationStartMilliseconds_)
+                   .add("software", Server.SoftwareVersion_)
+                   .add("outcome", "its streams do not go on"));
+  if (UnidentifiedListener_)
+    UnidentifiedListener_(Incarnation);
+}
+
 void StreamOriginDirectory::setListener(Listener Listener) {
   Listener_ = std::move(Listener);
   if (Listener_)
--- a/Services/laburnum-entry/StreamOriginDirectory.h
+++ b/Services/laburnum-entry/StreamOriginDirectory.h
@@ -8,6 +8,7 @@
 #include <asio/io_context.hpp>
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,15 @@
   using Listener = std::function<void(std::vector<BegunStream> const &)>;
   void setListener(Listener Listener);
 
+  /// Sets the listener for servers that do not identify themselves, called on
+  /// the traffic thread. To be set before traffic arrives.
+  using UnidentifiedListener = std::function<void(ServerId const &Incarnation)>;
+  void setUnidentifiedListener(UnidentifiedListener Listener) {
+    UnidentifiedListener_ = std::move(Listener);
+  }
+  /// A stream's server does not identify itself.
+  void onUnidentified(ServerRecord const &Server);
+
   using Done = std::function<void(exchange::OriginFound const &)>;
   void find(exchange::FlowContext const &FlowContext, Done Done);
   void onBegun(BegunStream const &Stream);
@@ -49,6 +59,8 @@
   StreamOrigins Origins_;
   Finder Finder_;
   Listener Listener_;
+  UnidentifiedListener UnidentifiedListener_;
+  std::set<ServerId> LoggedUnidentified_; ///< Incarnations.
 };
 
 } // namespace laburnum
--- a/Services/laburnum-entry/StreamOriginTasks.cpp
+++ b/Services/laburnum-entry/StreamOriginTasks.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds Period{50};
+/// A server that does not identify itself may do so later.
+constexpr std::chrono::seconds UnidentifiedTime{30};
 
 void readServerList(StreamOriginDependencies const &Dependencies,
                     Duration Timeout,
@@ -46,6 +48,26 @@
             Dependencies_.Context_,
             [this, Wanted, Done = std::move(Done)] { find(Wanted, Done); });
       });
+  Dependencies_.Traffic_.streamOrigins().setUnidentifiedListener(
+      [this](ServerId const &Incarnation) {
+        asio::post(Dependencies_.Context_,
+                   [this, Incarnation] { onUnidentified(Incarnation); });
+      });
+}
+
+void StreamOriginTasks::onUnidentified(ServerId const &Incarnation) {
+  bool const IsNew =
+      Unidentified_.insert_or_assign(Incarnation, readBootClock()).second;
+  if (IsNew)
+    serversChanged();
+}
+
+void StreamOriginTasks::forgetUnidentified(TimePoint Now) {
+  auto const Forgotten = std::erase_if(Unidentified_, [&](auto const &Entry) {
+    return Now - Entry.second >= UnidentifiedTime;
+  });
+  if (Forgotten > 0)
+    serversChanged();
 }
 
 void StreamOriginTasks::find(StreamTakeUp const &Wanted,
@@ -92,8 +114,14 @@
 
 void StreamOriginTasks::serversChanged() {
   std::vector<ServerRecord> Listed;
-  for (auto const &[Id, Server] : Servers_)
+  for (auto const &[Id, Server] : Servers_) {
+    Listed.push_back(Server);
+    if (!Unidentified_.contains(incarnationOf(Server)))
+      continue;
+    // Its streams may have begun at any version.
     Listed.push_back(Server);
+    Listed.back().SoftwareVersion_ = UnidentifiedVersion;
+  }
   auto const Now = readBootClock();
   Records_->setListed(Listed, timeOfDay(Now), Now);
   arm();
@@ -152,6 +180,7 @@
 
 void StreamOriginTasks::tick() {
   auto const Now = readBootClock();
+  forgetUnidentified(Now);
   Records_->tick(timeOfDay(Now), Now);
   arm();
 }
--- a/Services/laburnum-entry/StreamOriginTasks.h
+++ b/Services/laburnum-entry/StreamOriginTasks.h
@@ -49,6 +49,8 @@
 
 private:
   void serversChanged();
+  void onUnidentified(ServerId const &Incarnation);
+  void forgetUnidentified(TimePoint Now);
   void find(StreamTakeUp const &Wanted, StreamOriginRecords::Done const &Done);
   /// Whether this instance hears from most others, as of now.
   StreamOriginRecords::PeerReach peerReach(TimePoint Now);
@@ -64,6 +66,8 @@
   StreamOriginDependencies Dependencies_;
   std::shared_ptr<StreamOriginRecords> Records_;
   std::map<ServerId, ServerRecord> Servers_;
+  /// Incarnations whose processes did not identify themselves, and when.
+  std::map<ServerId, TimePoint> Unidentified_;
   ContactMonitor Contact_;
   std::size_t Live_ = 1;
   std::size_t Registered_ = 0;
--- a/Tests/EntryProcess/TestFaultyServers.cpp
+++ b/Tests/EntryProcess/TestFaultyServers.cpp
@@ -184,8 +184,9 @@
       Peer.write(Error);
     Peer.close();
   };
-  add("i-10", Script);
-  add("i-11", Script);
+  // A stream goes on only at servers that identify themselves.
+  for (auto *const Server : {&add("i-10", Script), &add("i-11", Script)})
+    on([Server] { Server->setReport("{\"born\":1700000000000}"); });
   Instance_->process().awaitLine("server_changed server=i-11");
   auto const Received = receiveAll(Instance_->address(), "/stream/x");
   CHECK(Streams == 2);
--- a/Tests/EntryProcess/TestRestartedServers.cpp
+++ b/Tests/EntryProcess/TestRestartedServers.cpp
@@ -91,3 +91,32 @@
   }
   CHECK(BegunLater > 0);
 }
+
+TEST_CASE("A stream goes on neither at nor after a server that does not "
+          "identify itself") {
+  using Reports = VersionedFleet::ServerReports;
+  VersionedFleet Fleet(2, Stop::Waits);
+  bool const BeginsThere = GENERATE(true, false);
+  Fleet.setReports(BeginsThere ? Reports::None : Reports::Given);
+  addServers(Fleet, {"a", "b"}, "v1");
+  Fleet.startInstances();
+  auto Begun = beginStreams(Fleet, 0);
+  // Others of the version that is listed, which go on with no stream of theirs.
+  Fleet.setReports(BeginsThere ? Reports::Given : Reports::None);
+  addServers(Fleet, {"c", "d"}, "v1");
+  Fleet.awaitList();
+  SECTION("within the answer") {
+    Fleet.crashServer("a");
+    Fleet.crashServer("b");
+    CHECK(countComplete(Begun) == 0);
+  }
+  SECTION("where the client takes it up") {
+    for (auto &Client : Begun)
+      Client.reset();
+    Fleet.removeServer("a");
+    Fleet.removeServer("b");
+    Fleet.awaitList();
+    CHECK(countTakenUp(Fleet, 0, Begun) == 0);
+    CHECK(countTakenUp(Fleet, 1, Begun) == 0);
+  }
+}
--- a/Tests/LibHttp/AnswerRecorder.h
+++ b/Tests/LibHttp/AnswerRecorder.h
@@ -21,6 +21,7 @@
     OtherProcess_ = Process;
     HasFailedBefore_ = Evidence_.has_value();
   }
+  void onUnidentified() override { IsUnidentified_ = true; }
   void onFailed(AttemptEvidence const &Evidence) override {
     Evidence_ = Evidence;
   }
@@ -30,6 +31,7 @@
   bool IsComplete_ = false;
   std::optional<AttemptEvidence> Evidence_;
   std::optional<std::string> OtherProcess_;
+  bool IsUnidentified_ = false;
   bool HasFailedBefore_ = false; ///< Before onOtherProcess().
 };
 
--- a/Tests/LibHttp/TestProcessIdentification.cpp
+++ b/Tests/LibHttp/TestProcessIdentification.cpp
@@ -396,3 +396,35 @@
   auto const Second = sendFor("p1");
   CHECK(awaitBytes(Question, 2));
 }
+
+TEST_CASE_METHOD(Fixture, "A request for a known process is not sent to one "
+                          "that does not identify itself") {
+  Check_ = ProcessCheck::Required;
+  auto const First = sendFor("p1");
+  REQUIRE(awaitBytes(Question));
+  peer().write(answer("404 Not Found", ""));
+  checkNotRun(*First);
+  CHECK(First->IsUnidentified_);
+  // The server is asked again, as it may identify itself by now.
+  auto const Second = sendFor("p1");
+  REQUIRE(awaitBytes(Question, 2));
+  SECTION("it does not") {
+    peer().write(answer("200 OK", "nothing"));
+    checkNotRun(*Second);
+  }
+  SECTION("it does") {
+    peer().write(identification("p1"));
+    REQUIRE(awaitBytes(Run, 2));
+    peer().write(Plain);
+    CHECK(awaitAnswer(*Second));
+    CHECK_FALSE(Second->IsUnidentified_);
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "A request for a known process is not sent where the "
+                          "list does not tell which it is") {
+  Check_ = ProcessCheck::Required;
+  auto const Observer = sendFor(std::nullopt);
+  checkNotRun(*Observer);
+  CHECK(Observer->IsUnidentified_);
+}
--- /dev/null
+++ b/Tests/LibTraffic/TestStreamFlow.cpp
@@ -0,0 +1,201 @@
+#include "FlowHarness.h"
+
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+using namespace laburnum::exchange;
+using namespace laburnum::test;
+
+using std::chrono::seconds;
+
+namespace {
+
+ServerRecord versionedServer(std::string const &Name,
+                             std::string const &Version) {
+  auto Made = server(Name);
+  Made.Service_ = ServiceName("writer");
+  Made.SoftwareVersion_ = Version;
+  return Made;
+}
+
+} // namespace
+
+TEST_CASE(
+    "A stream is resumed on another server after the last complete event") {
+  Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream));
+  Run.attempt("a");
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{"id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\nda"});
+  REQUIRE(Run.find<BeginStream>());
+  CHECK(Run.find<RelayEvents>()->Bytes_ ==
+        "id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
+  Run.handle(failure(AttemptProgress::AnswerBegun));
+  REQUIRE(Run.find<RequestServer>());
+  Run.attempt("b");
+  CHECK(Run.find<SendAttempt>()->Metadata_.LastEventId_ == 2);
+  Run.handle(HeadArrived{answer(AnswerClaim::Succeeded, 200)});
+  // An event that the client already has is not relayed again.
+  Run.handle(BodyArrived{"id: 2\ndata: y\n\nid: 3\ndata: z\n\n"});
+  CHECK_FALSE(Run.find<BeginStream>());
+  REQUIRE(Run.find<RelayEvents>());
+  CHECK(Run.find<RelayEvents>()->Bytes_ == "id: 3\ndata: z\n\n");
+  Run.handle(AnswerCompleted{});
+  CHECK(Run.find<FinishStream>());
+}
+
+TEST_CASE("A server that begins a stream anew does not continue it") {
+  bool const IsTakenUp = GENERATE(false, true);
+  RequestMetadata Metadata;
+  if (IsTakenUp) {
+    Metadata.TakesUpStream_ = true;
+    Metadata.LastEventId_ = 2;
+  }
+  Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream),
+              Metadata);
+  if (IsTakenUp) {
+    Run.handle(OriginFound{StreamOrigin{}, {}});
+  } else {
+    Run.attempt("a");
+    Run.handle(HeadArrived{Signed});
+    Run.handle(BodyArrived{"id: 1\ndata: x\n\nid: 2\ndata: y\n\n"});
+    Run.handle(failure(AttemptProgress::AnswerBegun));
+  }
+  Run.attempt("b");
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{
+      GENERATE("id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\ndata: z\n\n",
+               "id: 2\ndata: other\n\nid: 3\ndata: z\n\n")});
+  CHECK_FALSE(Run.find<RelayEvents>());
+  CHECK(Run.find<CancelAttempt>());
+  // One run of two is left where this instance has not begun the stream.
+  CHECK((Run.find<RequestServer>() != nullptr) == IsTakenUp);
+  CHECK((Run.find<AbortStream>() != nullptr) == !IsTakenUp);
+}
+
+TEST_CASE("A stream that began at a server which does not identify itself goes "
+          "on at no listed version") {
+  RequestMetadata Metadata;
+  Metadata.AttemptId_ = "first";
+  Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream),
+              Metadata);
+  Run.attempt("a");
+  auto Unidentified = Signed;
+  Unidentified.IsProcessUnidentified_ = true;
+  Run.handle(HeadArrived{Unidentified});
+  Run.handle(BodyArrived{"id: 1\ndata: x\n\n"});
+  REQUIRE(Run.find<RememberOrigin>());
+  CHECK(Run.find<RememberOrigin>()->Stream_.Origin_.SoftwareVersion_ ==
+        UnidentifiedVersion);
+  Run.handle(failure(AttemptProgress::AnswerBegun));
+  REQUIRE(Run.find<RequestServer>());
+  CHECK(Run.find<RequestServer>()->Origin_->SoftwareVersion_ ==
+        UnidentifiedVersion);
+}
+
+TEST_CASE("A stream that cannot be resumed is aborted, not finished") {
+  Harness Run(routeOf(GENERATE(Repeatability::Never, Repeatability::Resumable),
+                      AnswerForm::EventStream));
+  Run.attempt("a");
+  Run.handle(HeadArrived{Signed});
+  // Without event identifiers the stream cannot be resumed.
+  Run.handle(BodyArrived{"data: x\n\n"});
+  REQUIRE(Run.find<RelayEvents>());
+  SECTION("the server breaks off") {
+    Run.handle(failure(AttemptProgress::AnswerBegun));
+  }
+  SECTION("the stream ends inside an event") {
+    Run.handle(BodyArrived{"data: y"});
+    Run.handle(AnswerCompleted{});
+  }
+  SECTION("the time is over") {
+    Run.Now_ += seconds(3);
+    Run.handle(TimePassed{});
+    CHECK(Run.find<CancelAttempt>());
+  }
+  CHECK(Run.find<AbortStream>());
+  CHECK_FALSE(Run.find<FinishStream>());
+}
+
+TEST_CASE("A gap in a stream aborts it") {
+  Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream));
+  Run.attempt("a");
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{"id: 1\n\n"});
+  Run.handle(BodyArrived{"id: 3\n\n"});
+  CHECK(Run.find<AbortStream>());
+  CHECK(Run.find<CancelAttempt>());
+}
+
+TEST_CASE("A stream that has begun asks for servers of its software version") {
+  RequestMetadata Metadata;
+  Metadata.AttemptId_ = "first";
+  Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream),
+              Metadata);
+  CHECK_FALSE(Run.find<RequestServer>()->Origin_);
+  Run.handle(ServerAssigned{versionedServer("a", "v1")});
+  SECTION("not before its first event") {
+    Run.handle(failure(AttemptProgress::RequestSent));
+    CHECK_FALSE(Run.find<RequestServer>()->Origin_);
+  }
+  SECTION("after its first event") {
+    Run.handle(HeadArrived{answer(AnswerClaim::Succeeded, 200)});
+    Run.handle(BodyArrived{"id: 1\ndata: x\n\n"});
+    CHECK(Run.find<RememberOrigin>());
+    Run.handle(failure(AttemptProgress::AnswerBegun));
+    CHECK(Run.find<RequestServer>()->Origin_ ==
+          StreamOrigin{ServiceName("writer"), "v1"});
+  }
+}
+
+TEST_CASE("A stream that is taken up waits for its origin, and is refused at "
+          "once if it is not known") {
+  auto Stream = routeOf(Repeatability::Resumable, AnswerForm::EventStream);
+  RequestMetadata Metadata;
+  Metadata.AttemptId_ = "second";
+  Metadata.TakesUpStream_ = true;
+  Metadata.FirstAttemptId_ = "first";
+  Metadata.LastEventId_ = 1;
+  Harness Run(Stream, Metadata);
+  CHECK(Run.find<FindOrigin>());
+  CHECK_FALSE(Run.find<RequestServer>());
+  SECTION("known") {
+    StreamOrigin const Origin{ServiceName("writer"), "v1"};
+    Run.handle(OriginFound{Origin, {}});
+    CHECK(Run.find<RequestServer>()->Origin_ == Origin);
+    Run.handle(ServerAssigned{versionedServer("a", "v1")});
+    Run.handle(HeadArrived{answer(AnswerClaim::Succeeded, 200)});
+    Run.handle(BodyArrived{"id: 2\ndata: x\n\n"});
+    CHECK(Run.find<RememberOrigin>()->Stream_ == BegunStream{"first", Origin});
+  }
+  SECTION("not known") {
+    Run.handle(OriginFound{std::nullopt, "not known"});
+    CHECK(Run.find<Refuse>()->Status_ == 503);
+    CHECK(Run.Flow_->isOver());
+  }
+  SECTION("the client leaves before the answer") {
+    Run.handle(ClientLeft{});
+    Run.handle(OriginFound{StreamOrigin{}, {}});
+    CHECK(Run.Last_.empty());
+  }
+}
+
+TEST_CASE("A stream that began through another instance goes on if that one "
+          "states its origin") {
+  RequestMetadata Metadata;
+  Metadata.AttemptId_ = "a1";
+  Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream),
+              Metadata);
+  auto Answered = Signed;
+  bool const IsStated = GENERATE(false, true);
+  if (IsStated)
+    Answered.Origin_ = StreamOrigin{ServiceName("desk"), "v2"};
+  Run.handle(ServerAssigned{server("peer"), ServerAccess::ThroughPeer});
+  Run.handle(HeadArrived{Answered});
+  Run.handle(BodyArrived{"id: 1\n\n"});
+  Run.handle(failure(AttemptProgress::AnswerBegun));
+  REQUIRE((Run.find<RequestServer>() != nullptr) == IsStated);
+  if (IsStated)
+    CHECK(Run.find<RequestServer>()->Origin_ == Answered.Origin_);
+  else
+    CHECK(Run.find<AbortStream>());
+}
