platform: Take no list of the store that was cut short for a shorter one

The members and elements of a JSON text are split without reading it to its end, so that a list that was cut after an object was a list without the others, and its servers were gone. An object that was cut short had no version, as one that does not exist.

--- a/Tests/Platform/TestJsonText.cpp
+++ b/Tests/Platform/TestJsonText.cpp
@@ -40,3 +40,15 @@
   CHECK(parseUntrusted("\"" + std::string(100, '[') + "\"").is_string());
   CHECK(parseUntrusted("").is_discarded());
 }
+
+TEST_CASE("The beginning of an object is not a whole one") {
+  for (std::string const Whole :
+       {"{}", R"( {"a":[1,{"b":"}"}]} )", R"({"a":"\"}"})"}) {
+    CAPTURE(Whole);
+    CHECK(isWholeJsonObject(Whole));
+    auto const End = Whole.rfind('}');
+    for (std::size_t Size = 0; Size <= End; ++Size)
+      CHECK_FALSE(isWholeJsonObject(Whole.substr(0, Size)));
+  }
+  CHECK_FALSE(isWholeJsonObject("[]"));
+}
--- a/Tests/Platform/TestObjectClient.cpp
+++ b/Tests/Platform/TestObjectClient.cpp
@@ -3,6 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <deque>
@@ -248,3 +250,28 @@
   CHECK_FALSE(isError(putIf(valueOf(Written))));
   CHECK(Store_.Calls_.size() == 5);
 }
+
+TEST_CASE_METHOD(Fixture, "A list that ends with its connection before its "
+                          "last object is no list") {
+  asio::ip::tcp::acceptor Acceptor(Context_,
+                                   {asio::ip::address_v4::loopback(), 0});
+  std::optional<asio::ip::tcp::socket> Peer;
+  std::string const Answer =
+      "HTTP/1.1 200 OK\r\n\r\n{\"current_rev\":9,\"has_more\":false,"
+      "\"items\":[" +
+      object("a", 1, "{}");
+  Acceptor.async_accept([&](asio::error_code, asio::ip::tcp::socket Socket) {
+    Peer = std::move(Socket);
+    Peer->async_wait(asio::ip::tcp::socket::wait_read, [&](asio::error_code) {
+      std::string Received(4096, ' ');
+      Peer->read_some(asio::buffer(Received));
+      asio::write(*Peer, asio::buffer(Answer));
+      Peer->close();
+    });
+  });
+  ObjectClient Client(Context_,
+                      {"127.0.0.1", Acceptor.local_endpoint().port()});
+  CHECK(isError(await<ObjectList>([&](auto Done) {
+    Client.list("things", ReadConsistency::Latest, Timeout, Done);
+  })));
+}
