LibHttp, laburnum-entry: Ask who may answer for a process before its answer ends

And a refusal without an identifier needed the proof, so that a request that ran nowhere got 502 for 503.

- A witness counts only if its connection was open while the answer's was, as the kernel tells (TCP_INFO); one that ends before is replaced, eight times at most.
No idle connection is a witness of a process that is not known.
- A server that has ended an answer with its connection is asked who it is before its next request, and if it does not say so has its witness before the request is sent.
Its first such answer is believed if the listed process answers after it.
- The witness's answer may end with its connection, and an identified process is asked twice.
Refusals are taken by their heads, whoever they name.

"The listed process proves nothing of one that it has replaced" holds where the answer ends after its witness is open. "A late answer ..." is changed: the idle connection that it used is not asked any more, which is checked. The cost: the first answer of a server that does not identify itself is not believed if it ends before its witness is open.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -131,6 +131,14 @@
       });
 }
 
+bool Connection::hasPeerClosed() {
+  tcp_info Info{};
+  socklen_t Size = sizeof(Info);
+  return ::getsockopt(Socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &Info,
+                      &Size) == 0 &&
+         Info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 void Connection::close() {
   if (State_ != State::Open)
     return;
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -70,6 +70,9 @@
   /// connection.
   void abortForMemory();
   bool isOpen() const { return State_ == State::Open; }
+  /// Whether the peer has closed its side, though bytes that it sent before may
+  /// still be unread. False if the kernel does not tell.
+  bool hasPeerClosed();
 
 private:
   enum class State { Open, Closing, Closed };
--- a/Libraries/LibHttp/OutboundCall.cpp
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -12,8 +12,11 @@
 /// answer may arrive for each request that was abandoned on the connection.
 constexpr std::uint32_t MaxSkipped = 4;
 constexpr std::chrono::milliseconds IdentificationTimeout{400};
-/// How often one call asks a server on new connections.
+/// How often one call asks a server on new connections before the request, and
+/// after the answer's end.
 constexpr std::uint32_t MaxQuestions = 2;
+/// How often one call opens a connection that shows that the process goes on.
+constexpr std::uint32_t MaxWitnesses = 8;
 
 bool isTemporaryFailure(std::int32_t Status) {
   return Status == 429 || Status / 100 == 5;
@@ -69,7 +72,7 @@
     return identify();
   if (Process_ || !Pool_->Identifier_ ||
       Request_.ProcessCheck_ == ProcessCheck::AtEndOfConnection)
-    return sendRequest();
+    return prepareRequest();
   // The observer must not be called from within start().
   Progress_ = AttemptProgress::Connected;
   asio::post(Pool_->Context_, [Self = shared_from_this()] {
@@ -81,9 +84,15 @@
 bool OutboundCall::needsIdentification() const {
   if (!Request_.Process_ || Process_ || !Pool_->Identifier_)
     return false;
-  return Request_.ProcessCheck_ == ProcessCheck::Required ||
-         (Request_.ProcessCheck_ == ProcessCheck::BeforeRequest &&
-          !Pool_->IsUnidentifiable_);
+  switch (Request_.ProcessCheck_) {
+  case ProcessCheck::Required:
+    return true;
+  case ProcessCheck::BeforeRequest:
+    return !Pool_->IsUnidentifiable_;
+  case ProcessCheck::AtEndOfConnection:
+    return !Pool_->IsUnidentifiable_ && Pool_->HasUnmarkedEnds_;
+  }
+  return true;
 }
 
 void OutboundCall::identify() {
@@ -109,18 +118,21 @@
     return;
   bool const IsClean = Reader_.keepsAlive() && Reader_.takeRest().empty();
   Process_ = Pool_->Identifier_->identify(Reader_.head(), Identification_);
-  if (!Process_ && isTemporaryFailure(Reader_.head().Status_) && !IsReused_)
+  bool const MayBeAnother =
+      Request_.ProcessCheck_ == ProcessCheck::AtEndOfConnection;
+  if (!Process_ && isTemporaryFailure(Reader_.head().Status_) && !IsReused_ &&
+      !MayBeAnother)
     return fail(AttemptEnd::Refused, "the server does not identify itself now");
   if (!Process_)
     return onUnidentifiable(IsClean);
-  if (Process_ != Request_.Process_) {
+  if (Process_ != Request_.Process_ && !MayBeAnother) {
     Observer_->onOtherProcess(*Process_);
     return fail(AttemptEnd::Refused,
                 "another process has the server's address");
   }
   Pool_->IsUnidentifiable_ = false;
   if (IsClean)
-    return sendRequest();
+    return prepareRequest();
   if (!mayAskAgain())
     return fail(AttemptEnd::ConnectionFailed,
                 "closed after the identification");
@@ -143,11 +155,50 @@
 }
 
 void OutboundCall::proceedUnidentified() {
-  Observer_->onUnidentified();
+  if (Request_.ProcessCheck_ != ProcessCheck::AtEndOfConnection)
+    Observer_->onUnidentified();
   if (Request_.ProcessCheck_ == ProcessCheck::Required)
     return fail(AttemptEnd::Refused, "the server does not identify itself");
-  if (!isOver())
-    sendRequest();
+  prepareRequest();
+}
+
+void OutboundCall::prepareRequest() {
+  if (Process_ || !Pool_->Identifier_ || !Pool_->HasUnmarkedEnds_)
+    return sendRequest();
+  // The process can't be told by its name after the answer's end.
+  IsIdentifying_ = false;
+  openWitness();
+  auto const Self = shared_from_this();
+  Witness_->whenReady([Self] {
+    if (Self->isOver())
+      return;
+    Self->IsWitnessEarlier_ = true;
+    Self->sendRequest();
+  });
+}
+
+bool OutboundCall::isAnswerOpen() const {
+  return Connection_->isOpen() && !Connection_->hasPeerClosed();
+}
+
+void OutboundCall::openWitness() {
+  ++Witnesses_;
+  IsWitnessEarlier_ = false;
+  Witness_ = ProcessWitness::connect(Pool_);
+  auto const Self = shared_from_this();
+  Witness_->whenReady([Self] {
+    if (!Self->isOver())
+      Self->IsWitnessEarlier_ = Self->isAnswerOpen();
+  });
+  // The server may close connections without a request.
+  Witness_->whenLost([Self] {
+    if (Self->isOver())
+      return;
+    Self->Witness_.reset();
+    Self->IsWitnessEarlier_ = false;
+    if (Self->Witnesses_ < MaxWitnesses && Self->isAnswerOpen())
+      Self->openWitness();
+  });
 }
 
 void OutboundCall::reconnect() {
@@ -201,12 +252,14 @@
   IsSkipping_ = Decision == HeadDecision::Skip;
   IsLast_ |= Decision == HeadDecision::TakeLast;
   IsHeadOnly_ = Decision == HeadDecision::TakeHead;
-  // A later connection tells nothing of a process that does not identify
-  // itself.
-  if (!isOver() && needsWitness() && !Process_) {
-    Witness_ = ProcessWitness::create(Pool_, ProcessWitness::Start::IdleOrNow);
-    IsWitnessEarlier_ = true;
-  }
+  IsLast_ |= Decision == HeadDecision::TakeHeadLast;
+  IsHeadOnly_ |= Decision == HeadDecision::TakeHeadLast;
+  if (isOver() || !needsWitness())
+    return;
+  Pool_->HasUnmarkedEnds_ = true;
+  // Another process may have the address once the peer has closed.
+  if (!Process_ && !Witness_ && isAnswerOpen())
+    openWitness();
 }
 
 bool OutboundCall::needsWitness() const {
@@ -247,6 +300,7 @@
 void OutboundCall::complete() {
   auto const Observer = std::exchange(Observer_, nullptr);
   Progress_ = AttemptProgress::AnswerWhole;
+  dropWitness();
   // If the answer came before the whole request was written, or bytes follow
   // the answer, the connection cannot be reused.
   bool const IsClean = !IsLast_ && Reader_.keepsAlive() && HasWrittenAll_ &&
@@ -264,7 +318,7 @@
     return;
   if (End == ConnectionEnd::Orderly && HasTakenHead_ && !IsSkipping_) {
     if (needsWitness())
-      return verifyEnd(ProcessWitness::Start::IdleOrNow);
+      return verifyEnd();
     Reader_.endOfInput();
     if (Reader_.isDone())
       return deliver();
@@ -274,11 +328,17 @@
                                          : "connection reset");
 }
 
-void OutboundCall::verifyEnd(ProcessWitness::Start Start) {
-  if (!Witness_) {
-    Witness_ = ProcessWitness::create(Pool_, Start);
-    IsWitnessEarlier_ = Witness_->isReused();
-  }
+void OutboundCall::verifyEnd() {
+  // A server that identifies itself needs no earlier connection.
+  if (!Witness_ && Process_)
+    Witness_ = ProcessWitness::connectTo(*Process_, Pool_);
+  else if (!Witness_)
+    Witness_ = ProcessWitness::connect(Pool_);
+  askWitness();
+}
+
+void OutboundCall::askWitness() {
+  ++EndQuestions_;
   Witness_->ask(IdentificationTimeout,
                 [Self = shared_from_this()](WitnessAnswer const &Answer) {
                   if (!Self->isOver())
@@ -287,16 +347,16 @@
 }
 
 void OutboundCall::onWitness(WitnessAnswer const &Answer) {
-  bool const IsEarlier = IsWitnessEarlier_;
-  bool const IsProven = isProof(Answer);
   Witness_.reset();
-  if (IsProven) {
+  if (isProof(Answer)) {
     Reader_.endOfInput();
     return deliver();
   }
-  // The server may have closed an idle connection.
-  if (IsEarlier && Request_.Process_)
-    return verifyEnd(ProcessWitness::Start::Now);
+  // The server may have closed an idle connection, or be too busy once.
+  if (Process_ && !Answer.Process_ && EndQuestions_ < MaxQuestions) {
+    Witness_ = ProcessWitness::connect(Pool_);
+    return askWitness();
+  }
   fail(AttemptEnd::ConnectionFailed,
        "the server's process may have ended before its answer");
 }
@@ -304,8 +364,8 @@
 bool OutboundCall::isProof(WitnessAnswer const &Answer) const {
   if (Process_)
     return Answer.Process_ == Process_;
-  if (IsWitnessEarlier_ && Answer.HasAnswered_)
-    return true;
+  if (IsWitnessEarlier_)
+    return Answer.HasAnswered_;
   return Request_.Process_ && Answer.Process_ == Request_.Process_;
 }
 
--- a/Libraries/LibHttp/OutboundCall.h
+++ b/Libraries/LibHttp/OutboundCall.h
@@ -19,6 +19,8 @@
   TakeLast,
   /// Take the answer, whose body is not used.
   TakeHead,
+  /// Both.
+  TakeHeadLast,
   /// The answer belongs to an earlier request: wait for the next one.
   Skip,
 };
@@ -48,7 +50,8 @@
   /// Another process does not get the request. A server that does not identify
   /// itself gets it all the same.
   BeforeRequest,
-  /// Only if the answer ends with its connection.
+  /// Only where the server's answers end with their connections. Any process
+  /// gets the request.
   AtEndOfConnection,
 };
 
@@ -96,6 +99,8 @@
 
   void connect();
   void useConnection(std::shared_ptr<Connection> Open);
+  /// Sends the request once a witness is there, if one may be needed.
+  void prepareRequest();
   void sendRequest();
   bool needsIdentification() const;
   void identify();
@@ -115,7 +120,12 @@
   /// server's process has outlived it.
   bool needsWitness() const;
   /// Finds out whether the process has outlived its answer.
-  void verifyEnd(ProcessWitness::Start Start);
+  void verifyEnd();
+  void askWitness();
+  /// Opens a connection that shows, if it is open before the answer's end, that
+  /// the process has outlived it.
+  void openWitness();
+  bool isAnswerOpen() const;
   void onWitness(WitnessAnswer const &Answer);
   bool isProof(WitnessAnswer const &Answer) const;
   void dropWitness();
@@ -143,8 +153,10 @@
   bool IsSkipping_ = false;
   bool IsHeadOnly_ = false; ///< The body of the answer is not used.
   std::shared_ptr<ProcessWitness> Witness_;
-  /// The witness's connection has begun before the answer ended.
+  /// The witness's connection was open while the answer's was.
   bool IsWitnessEarlier_ = false;
+  std::uint32_t EndQuestions_ = 0; ///< After the answer's end.
+  std::uint32_t Witnesses_ = 0;    ///< Opened before the answer's end.
 };
 
 } // namespace laburnum
--- a/Libraries/LibHttp/OutboundPool.cpp
+++ b/Libraries/LibHttp/OutboundPool.cpp
@@ -117,8 +117,9 @@
   return nullptr;
 }
 
-std::shared_ptr<Connection> OutboundPool::takeIdleConnection() {
-  auto const Idle = takeIdle(std::nullopt);
+std::shared_ptr<Connection>
+OutboundPool::takeIdleConnection(std::optional<std::string> const &Process) {
+  auto const Idle = takeIdle(Process);
   return Idle ? Idle->take() : nullptr;
 }
 
--- a/Libraries/LibHttp/OutboundPool.h
+++ b/Libraries/LibHttp/OutboundPool.h
@@ -55,13 +55,15 @@
   /// that one, if one is given.
   std::shared_ptr<IdleConnection>
   takeIdle(std::optional<std::string> const &Process);
-  /// Returns the connection that was used last, or null.
-  std::shared_ptr<Connection> takeIdleConnection();
+  /// The same without what is known of the connection; null if there is none.
+  std::shared_ptr<Connection>
+  takeIdleConnection(std::optional<std::string> const &Process);
 
   asio::io_context &Context_;
   Endpoint Address_;
   ProcessIdentifier const *const Identifier_;
   bool IsUnidentifiable_ = false; ///< The server does not identify itself.
+  bool HasUnmarkedEnds_ = false;  ///< An answer has ended with its connection.
   std::deque<std::shared_ptr<IdleConnection>> Idle_;
   PoolCounts Counts_;
 };
--- a/Libraries/LibHttp/ProcessWitness.h
+++ b/Libraries/LibHttp/ProcessWitness.h
@@ -31,33 +31,35 @@
 class ProcessWitness : public ConnectionObserver,
                        public std::enable_shared_from_this<ProcessWitness> {
 public:
+  using Ready = std::function<void()>;
+  using Lost = std::function<void()>;
   using Done = std::function<void(WitnessAnswer const &)>;
 
-  /// When the witness's connection begins.
-  enum class Start {
-    Now,
-    IdleOrNow, ///< An idle connection of the pool has begun before.
-  };
-
-  /// The pool has to have a ProcessIdentifier.
+  /// Opens a connection. The pool has to have a ProcessIdentifier.
+  static std::shared_ptr<ProcessWitness>
+  connect(std::shared_ptr<OutboundPool> Pool);
+  /// Takes an idle connection that is not known to lead to another process, or
+  /// opens one.
   static std::shared_ptr<ProcessWitness>
-  create(std::shared_ptr<OutboundPool> Pool, Start Start);
+  connectTo(std::string const &Process, std::shared_ptr<OutboundPool> Pool);
 
+  /// Calls back once the connection is open or has failed, and not before
+  /// whenReady() returns.
+  void whenReady(Ready Ready);
+  /// Calls back if the connection fails or ends before the process is asked.
+  void whenLost(Lost Lost) { Lost_ = std::move(Lost); }
   /// Asks the process who it is. Done is called once, and not before ask()
   /// returns.
   void ask(Duration Timeout, Done Done);
-  /// Closes the connection. Done is not called any more.
+  /// Closes the connection. Nothing is called back any more.
   void cancel();
-  /// Whether the connection had been open before the witness was created.
-  bool isReused() const { return IsReused_; }
 
   void onBytes(std::string_view Bytes) override;
   void onEnd(ConnectionEnd End) override;
 
 private:
   explicit ProcessWitness(std::shared_ptr<OutboundPool> Pool);
-  void start(Start Start);
-  void connect();
+  void start();
   void sendQuestion();
   void finish(WitnessAnswer const &Answer);
   void fail();
@@ -68,8 +70,9 @@
   std::shared_ptr<Connection> Connection_;
   AnswerReader Reader_;
   std::string Body_;
+  Ready Ready_;
+  Lost Lost_;
   Done Done_;
-  bool IsReused_ = false;
   bool HasFailed_ = false;
 };
 
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -255,11 +255,12 @@
   Plane_.RateLimits_.onAnswer(*Server_, *Answer_, AttemptSentAt_,
                               readBootClock());
   handle(HeadArrived{*Answer_});
-  if (Match == AnswerMatch::Unidentified)
-    return HeadDecision::TakeLast;
+  bool const IsLast = Match == AnswerMatch::Unidentified;
   bool const IsBodyUsed = Answer_->Claim_ == AnswerClaim::Succeeded ||
                           Answer_->Claim_ == AnswerClaim::Failed;
-  return IsBodyUsed ? HeadDecision::Take : HeadDecision::TakeHead;
+  if (IsBodyUsed)
+    return IsLast ? HeadDecision::TakeLast : HeadDecision::Take;
+  return IsLast ? HeadDecision::TakeHeadLast : HeadDecision::TakeHead;
 }
 
 void RequestSession::onBody(std::string_view Bytes) {
