--- a/Tests/EntryProcess/ScriptedServer.cpp
+++ b/Tests/EntryProcess/ScriptedServer.cpp
@@ -23,7 +23,7 @@
                                std::uint16_t Port)
     : Acceptor_(Context, {asio::ip::address_v4::loopback(), Port}),
       Shared_(std::make_shared<Shared>(
-          Shared{std::move(Script), {}, 0, true, {}})) {
+          Shared{std::move(Script), {}, 0, {}, true, {}})) {
   accept();
 }
 
@@ -58,6 +58,7 @@
       return;
     auto const Accepted = std::make_shared<Peer>(std::move(Socket), Shared_);
     Shared_->Peers_.push_back(Accepted);
+    Accepted->limitIdleTime();
     Accepted->read();
     accept();
   });
@@ -69,11 +70,14 @@
       [Self = shared_from_this()](asio::error_code Failure, std::size_t Size) {
         if (Failure)
           return;
+        Self->IdleTimer_.cancel();
         // The tests send no bodies.
         Self->Head_ = Self->Received_.substr(0, Size);
         Self->Received_.erase(0, Size);
-        if (Self->answerReport())
+        if (Self->answerReport()) {
+          Self->limitIdleTime();
           return Self->read();
+        }
         Self->Shared_->Script_(*Self, Self->field("X-Attempt-Id"),
                                ++Self->Shared_->Requests_);
         if (Self->Socket_.is_open())
@@ -81,6 +85,16 @@
       });
 }
 
+void ScriptedServer::Peer::limitIdleTime() {
+  if (Shared_->IdleTime_.count() == 0)
+    return;
+  IdleTimer_.expires_after(Shared_->IdleTime_);
+  IdleTimer_.async_wait([Self = shared_from_this()](asio::error_code Failure) {
+    if (!Failure)
+      Self->close();
+  });
+}
+
 bool ScriptedServer::Peer::answerReport() {
   if (!Head_.starts_with("GET /laburnumpond/report "))
     return false;
@@ -92,6 +106,11 @@
   return true;
 }
 
+std::string ScriptedServer::Peer::path() const {
+  auto const Begin = Head_.find(' ') + 1;
+  return Head_.substr(Begin, Head_.find(' ', Begin) - Begin);
+}
+
 std::string ScriptedServer::Peer::field(std::string const &Name) const {
   return fieldOf(Head_, Name);
 }
--- a/Tests/EntryProcess/ScriptedServer.h
+++ b/Tests/EntryProcess/ScriptedServer.h
@@ -4,7 +4,9 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
+#include <chrono>
 #include <functional>
 #include <list>
 #include <memory>
@@ -33,6 +35,11 @@
   /// Sets what the server tells of itself when it is asked (JSON). Without it,
   /// and if it is empty, the server doesn't know the question.
   void setReport(std::string Report) { Shared_->Report_ = std::move(Report); }
+  /// Closes connections on which nothing was asked for so long after they were
+  /// opened or asked last; 0: never. Answers may last longer.
+  void setIdleTime(std::chrono::milliseconds Time) {
+    Shared_->IdleTime_ = Time;
+  }
   std::size_t requests() const { return Shared_->Requests_; }
   /// Accepts no more connections, as after a crash.
   void stopListening();
@@ -49,6 +56,7 @@
     Script Script_;
     std::string Report_;
     std::size_t Requests_ = 0;
+    std::chrono::milliseconds IdleTime_{0};
     bool IsListening_ = true;
     std::list<std::weak_ptr<Peer>> Peers_;
   };
@@ -63,7 +71,8 @@
 class ScriptedServer::Peer : public std::enable_shared_from_this<Peer> {
 public:
   Peer(asio::ip::tcp::socket Socket, std::shared_ptr<Shared> Shared)
-      : Socket_(std::move(Socket)), Shared_(std::move(Shared)) {
+      : Socket_(std::move(Socket)), IdleTimer_(Socket_.get_executor()),
+        Shared_(std::move(Shared)) {
     // On a kept connection an event would wait for the acknowledgement of the
     // head before it, up to 40 ms.
     asio::error_code Ignored;
@@ -71,6 +80,10 @@
   }
 
   void read();
+  /// Closes the connection unless a request follows in the idle time.
+  void limitIdleTime();
+  /// Returns the path of the request that was read last.
+  std::string path() const;
   /// Returns a header field of the request that was read last, or nothing.
   std::string field(std::string const &Name) const;
   void write(std::string const &Bytes);
@@ -85,6 +98,7 @@
   bool answerReport();
 
   asio::ip::tcp::socket Socket_;
+  asio::steady_timer IdleTimer_;
   std::shared_ptr<Shared> Shared_;
   std::string Received_;
   std::string Head_; ///< Of the request that was read last.
