Tests: Show that a crash of the last servers clears the request behind it

Fails, for a real fault.

Cause, from the instances' logs: two failures without a contact between start a probe of three servers (LinkMonitor); if just these are down, the link counts as cut, and 100 ms later TrafficPlane::onDisconnectClassified takes the open break for the link's: server_judged "reachable", crash_suspect "cleared", at all instances. A probe asks three servers whatever their number.

--- a/Tests/EntryProcess/TestCrashingRequests.cpp
+++ b/Tests/EntryProcess/TestCrashingRequests.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
+#include <thread>
+
 using namespace laburnum;
 using namespace laburnum::entry_process;
 using laburnum::processes::await;
@@ -55,6 +58,36 @@
   CHECK(Fleet.crashingRequestsReceived() - Before <= MaxLateRequests);
 }
 
+namespace {
+
+/// From a disconnect until the instances have judged it.
+constexpr std::chrono::milliseconds JudgingTime{400};
+
+/// Sends a deadly request again and again, each time when Prepare has returned.
+void sendDeadlyOften(EntryFleet &Fleet, std::function<void()> const &Prepare) {
+  Caller Caller{Fleet};
+  for (std::size_t Sent = 0; Sent < LaterRequests; ++Sent) {
+    Prepare();
+    CHECK(Caller.send("GET", "/read/deadly").Status_ >= 500);
+    std::this_thread::sleep_for(JudgingTime);
+    REQUIRE(await([&] { return Fleet.areServersUp(); }));
+  }
+  CHECK(Fleet.crashingRequestsReceived() <= CrashedServers + MaxLateRequests);
+}
+
+} // namespace
+
+// An instance took the crash of the last server for a cut of its own link, and
+// all forgot what they had seen of the request.
+TEST_CASE("A request that crashes the last server of a service again and again "
+          "is refused") {
+  EntryFleet Fleet(3, 3, {std::chrono::milliseconds(600), {}});
+  sendDeadlyOften(Fleet, [&] {
+    Fleet.crashServer(0);
+    Fleet.crashServer(1);
+  });
+}
+
 TEST_CASE("A request that crashed three servers is refused also after all "
           "instances were killed") {
   EntryFleet Fleet(3, 12, {Downtime, {}});
