Tests: Show that a crash counts as a broken link if a process is back at once

A server whose next process accepts at the address within 100 ms of the disconnect is judged "reachable" (TrafficPlane::onDisconnectClassified), since the probe doesn't ask which process answers, so its crash is not counted.

--- a/Tests/EntryProcess/TestCrashingRequests.cpp
+++ b/Tests/EntryProcess/TestCrashingRequests.cpp
@@ -88,6 +88,13 @@
   });
 }
 
+// The next process at a server's address was taken for the one that crashed.
+TEST_CASE("A request that crashed three servers reaches no others though each "
+          "is back before it is probed") {
+  EntryFleet Fleet(3, 12, {std::chrono::milliseconds(30), {}});
+  sendDeadlyOften(Fleet, [] {});
+}
+
 TEST_CASE("A request that crashed three servers is refused also after all "
           "instances were killed") {
   EntryFleet Fleet(3, 12, {Downtime, {}});
