Tests: Show that a server that returns to the list has lost its running count

ServerRoster::replaceAll and remove drop the entry with its running attempts; the same incarnation returns with 0, and the ends of the older attempts are taken from the newer ones. A server of two slots gets more than two requests.

--- a/Tests/LibTraffic/TestServerRoster.cpp
+++ b/Tests/LibTraffic/TestServerRoster.cpp
@@ -150,6 +150,28 @@
   }
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "Attempts at a server that vanishes from the list and "
+                 "returns as the same incarnation still count") {
+  Roster_.replaceAll({server("x"), server("far", "b-1")});
+  Roster_.onSent(server("x"), Now_);
+  Roster_.onSent(server("x"), Now_);
+  Roster_.replaceAll({server("far", "b-1")});
+  Roster_.replaceAll({server("x"), server("far", "b-1")});
+  SECTION("while they are in progress") {
+    CHECK(Roster_.running(ServerId("x")) == 2);
+    CHECK(choose() == "far");
+  }
+  SECTION("as one ends, which frees one slot") {
+    Roster_.onEnded(server("x"), AttemptHealth::Worked, Now_);
+    Roster_.onSent(server("x"), Now_);
+    Roster_.onEnded(server("x"), AttemptHealth::Worked, Now_);
+    Roster_.onSent(server("x"), Now_);
+    CHECK(Roster_.running(ServerId("x")) == 2);
+    CHECK(choose() == "far");
+  }
+}
+
 TEST_CASE_METHOD(
     Fixture, "A failing server is ejected for longer each time and returns") {
   Roster_.replaceAll({server("x"), server("y")});
