Tests: Show that a lagging instance's stream is joined 30 s after a move

The 30 s after a move count from when a keeper noticed it (RouteMoves); a stream that an instance with the older configuration begins later goes on at the new service elsewhere.

--- a/Tests/LibControl/TestStreamOriginRecords.cpp
+++ b/Tests/LibControl/TestStreamOriginRecords.cpp
@@ -485,3 +485,14 @@
   }
   CHECK(find(Keeper, "s1").Origin_ != origin("v1"));
 }
+
+TEST_CASE_METHOD(Fixture, "A stream that a lagging instance begins 30 s after "
+                          "its route has moved is not continued elsewhere") {
+  Table_ = table(1, Drafter);
+  auto const Keeper = start("k");
+  auto const Late = start("l", HistoryRole::Reads);
+  lead(2, Writer, {Keeper});
+  pass({Keeper, Late}, seconds(31));
+  setUnfinished(Late, {{"s1", {Drafter, "d1"}}});
+  CHECK(find(Keeper, "s1").Origin_ != origin("v1"));
+}
