--- a/Tests/EntryProcess/TestCrashingRequests.cpp
+++ b/Tests/EntryProcess/TestCrashingRequests.cpp
@@ -71,6 +71,7 @@
     CHECK(Caller.send("GET", "/read/deadly").Status_ >= 500);
     std::this_thread::sleep_for(JudgingTime);
     REQUIRE(await([&] { return Fleet.areServersUp(); }));
+    std::this_thread::sleep_for(JudgingTime);
   }
   CHECK(Fleet.crashingRequestsReceived() <= CrashedServers + MaxLateRequests);
 }
