stream-soak: Start the first instance from another build

--first-program starts the first instance from a program of its own, each time that it is launched, so that old and new instances need no script that chooses a build by the settings. VersionedFleet takes it as a last argument that may be left out.

--- a/Tests/EntryProcess/VersionedFleet.cpp
+++ b/Tests/EntryProcess/VersionedFleet.cpp
@@ -125,7 +125,8 @@
 }
 
 VersionedFleet::VersionedFleet(unsigned Instances, Stop Stop,
-                               std::string const &Program)
+                               std::string const &Program,
+                               std::string const &FirstProgram)
     : Stop_(Stop) {
   Thread_.on([&] {
     StoreListener_ = std::get<0>(
@@ -134,7 +135,8 @@
   configureStreams({"desk"});
   for (unsigned Number = 0; Number < Instances; ++Number)
     Instances_.push_back(std::make_unique<EntryProcess>(
-        Number, StoreListener_->localEndpoint().Port_, Program));
+        Number, StoreListener_->localEndpoint().Port_,
+        Number == 0 && !FirstProgram.empty() ? FirstProgram : Program));
 }
 
 void VersionedFleet::configureStreams(
--- a/Tests/EntryProcess/VersionedFleet.h
+++ b/Tests/EntryProcess/VersionedFleet.h
@@ -104,9 +104,11 @@
   enum class ProcessEnd { Resets, Closes };
 
   /// Program is that of the instances: a path or a name of this build. Only
-  /// cuttable-entry can be cut off.
+  /// cuttable-entry can be cut off. FirstProgram is that of the first instance,
+  /// where it is another one.
   VersionedFleet(unsigned Instances, Stop Stop,
-                 std::string const &Program = "cuttable-entry");
+                 std::string const &Program = "cuttable-entry",
+                 std::string const &FirstProgram = "");
   ~VersionedFleet();
   VersionedFleet(VersionedFleet const &) = delete;
   VersionedFleet &operator=(VersionedFleet const &) = delete;
--- a/Tests/StreamSoak/Program/Main.cpp
+++ b/Tests/StreamSoak/Program/Main.cpp
@@ -33,7 +33,8 @@
   auto const Kinds = kindsIn(Given["only"].as<std::string>());
   VersionedFleet Fleet(Given["instances"].as<unsigned>(),
                        VersionedFleet::Stop::Paced,
-                       Given["program"].as<std::string>());
+                       Given["program"].as<std::string>(),
+                       Given["first-program"].as<std::string>());
   Troubles Played(Fleet, Seed, Kinds, Given["logs"].as<std::string>());
   Played.addServers(Seed);
   Fleet.startInstances();
@@ -68,6 +69,8 @@
   auto Add = Options.add_options();
   Add("program", "path of laburnum-entry, or the name of a program here",
       cxxopts::value<std::string>()->default_value("laburnum-entry"));
+  Add("first-program", "the same for the first instance alone",
+      cxxopts::value<std::string>()->default_value(""));
   Add("seed", "seed of the clients and the troubles",
       cxxopts::value<std::uint64_t>()->default_value("1"));
   Add("seconds", "duration of the troubles",
