LibHttp: Bound the wait for a witness before a request

On a reused connection no timer ran while a witness connected, so that the request waited for it until its deadline if the server dropped the connection's opening. Found by reading the change; not shown. The time to connect bounds it now.

--- a/Libraries/LibHttp/OutboundCall.cpp
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -167,6 +167,7 @@
     return sendRequest();
   // The process can't be told by its name after the answer's end.
   IsIdentifying_ = false;
+  armTimer(Request_.ConnectTimeout_, "no second connection in time");
   openWitness();
   auto const Self = shared_from_this();
   Witness_->whenReady([Self] {
@@ -250,10 +251,10 @@
   Progress_ = std::max(Progress_, AttemptProgress::AnswerBegun);
   auto const Decision = Observer_->onHead(Reader_.head());
   IsSkipping_ = Decision == HeadDecision::Skip;
-  IsLast_ |= Decision == HeadDecision::TakeLast;
-  IsHeadOnly_ = Decision == HeadDecision::TakeHead;
-  IsLast_ |= Decision == HeadDecision::TakeHeadLast;
-  IsHeadOnly_ |= Decision == HeadDecision::TakeHeadLast;
+  IsHeadOnly_ = Decision == HeadDecision::TakeHead ||
+                Decision == HeadDecision::TakeHeadLast;
+  IsLast_ |= Decision == HeadDecision::TakeLast ||
+             Decision == HeadDecision::TakeHeadLast;
   if (isOver() || !needsWitness())
     return;
   Pool_->HasUnmarkedEnds_ = true;
