LibHttp: Believe the first answer of a plain service that ends at once

So each instance would fail the first such answer of each server, though it is sound as a rule.

Streams that may be resumed, and answers that outlast the opening of a witness, are proved as before.

--- a/Libraries/LibHttp/OutboundCall.cpp
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -213,6 +213,7 @@
 void OutboundCall::sendRequest() {
   ConnectTimer_.cancel();
   IsIdentifying_ = false;
+  IsEndExpected_ = Pool_->HasUnmarkedEnds_;
   Reader_ = AnswerReader(Request_.AnswerBounds_, Request_.Head_.Method_);
   Progress_ = AttemptProgress::RequestSent;
   HasWrittenAll_ = false;
@@ -367,7 +368,13 @@
     return Answer.Process_ == Process_;
   if (IsWitnessEarlier_)
     return Answer.HasAnswered_;
-  return Request_.Process_ && Answer.Process_ == Request_.Process_;
+  if (Answer.Process_)
+    return Answer.Process_ == Request_.Process_;
+  // A sound answer of a server that does not identify itself may be over before
+  // a witness is open. Its next one has the witness before the request.
+  bool const IsFirst = !IsEndExpected_ && Witnesses_ == 0;
+  return IsFirst && Answer.HasAnswered_ &&
+         Request_.ProcessCheck_ == ProcessCheck::AtEndOfConnection;
 }
 
 void OutboundCall::fail(AttemptEnd End, std::string Detail) {
--- a/Libraries/LibHttp/OutboundCall.h
+++ b/Libraries/LibHttp/OutboundCall.h
@@ -152,6 +152,9 @@
   std::uint32_t Skipped_ = 0; ///< Skipped answers to earlier requests.
   bool IsSkipping_ = false;
   bool IsHeadOnly_ = false; ///< The body of the answer is not used.
+  /// When the request was sent, the server was known to end its answers with
+  /// their connections.
+  bool IsEndExpected_ = false;
   std::shared_ptr<ProcessWitness> Witness_;
   /// The witness's connection was open while the answer's was.
   bool IsWitnessEarlier_ = false;
--- a/Tests/LibHttp/TestWitnessLimits.cpp
+++ b/Tests/LibHttp/TestWitnessLimits.cpp
@@ -1,8 +1,10 @@
-// Where the proof that a process has outlived its answer is wrong or missing.
+// Where the proof that a process has outlived its answer could be wrong or
+// missing.
 
 #include "IdentificationFixture.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -35,19 +37,25 @@
   void answerQuestions(AnswerRecorder const &Observer,
                        std::vector<std::string> const &Answers,
                        bool Closes = false) {
+    answerQuestionsUntil([&] { return Observer.isOver(); }, Answers, Closes);
+  }
+  void answerQuestionsUntil(std::function<bool()> const &Until,
+                            std::vector<std::string> const &Answers,
+                            bool Closes = false) {
     std::size_t Given = 0;
-    std::map<RawPeer *, std::size_t> Answered;
     REQUIRE(runUntil(Context_, [&] {
       for (auto const &Peer : Server_.Peers_)
-        while (Answered[Peer.get()] < countIn(Peer->Received_, Question)) {
-          ++Answered[Peer.get()];
+        while (Answered_[Peer.get()] < countIn(Peer->Received_, Question)) {
+          ++Answered_[Peer.get()];
           Peer->write(Answers[std::min(Given++, Answers.size() - 1)]);
           if (Closes)
             Peer->close();
         }
-      return Observer.isOver();
+      return Until();
     }));
   }
+
+  std::map<RawPeer *, std::size_t> Answered_;
 };
 
 } // namespace
@@ -61,8 +69,25 @@
   SECTION("another process that identifies itself") {
     answerQuestions(*Answer, {identification("p2")});
   }
-  SECTION("a process that does not identify itself") {
-    answerQuestions(*Answer, {answer("404 Not Found", "")});
+  SECTION("a process that does not identify itself, for the second time") {
+    std::vector<std::string> const Silent = {answer("404 Not Found", "")};
+    answerQuestions(*Answer, Silent);
+    // The first end can't be told from a sound one.
+    CHECK(Answer->IsComplete_);
+    auto const Second = sendFor("p1");
+    auto const Running = [&] {
+      return std::find_if(
+          Server_.Peers_.begin() + 1, Server_.Peers_.end(),
+          [](auto const &Peer) { return countIn(Peer->Received_, Run) > 0; });
+    };
+    answerQuestionsUntil([&] { return Running() != Server_.Peers_.end(); },
+                         Silent);
+    (*Running())->write(Unframed);
+    for (auto const &Peer : Server_.Peers_)
+      Peer->close();
+    answerQuestions(*Second, Silent);
+    CHECK_FALSE(Second->IsComplete_);
+    return;
   }
   CHECK_FALSE(Answer->IsComplete_);
 }
