--- a/Tests/EntryProcess/StreamServer/Main.cpp
+++ b/Tests/EntryProcess/StreamServer/Main.cpp
@@ -28,6 +28,9 @@
   std::string Term_;               ///< finishes, closes or breaks.
   std::uint64_t Lives_;            ///< Answers until it kills itself; 0: never.
   std::chrono::milliseconds Idle_; ///< Closes idle connections; 0: never.
+  std::uint64_t Step_;             ///< Between the identifiers of events.
+  std::uint64_t Cuts_;   ///< Ends every such answer too early; 0: none.
+  std::string Deadline_; ///< ignores, closes, finishes or resets.
 };
 
 /// An answer that is written piece by piece.
@@ -36,6 +39,7 @@
   std::vector<std::string> Pieces_;
   bool EndsLater_; ///< A gap after its last piece.
   asio::steady_timer Timer_;
+  asio::steady_timer Deadline_;
   std::size_t Next_ = 0;
 };
 
@@ -45,8 +49,8 @@
   return Text.str();
 }
 
-/// Serves streams on /stream/, answers of two pieces on /read/ and /order/, and
-/// says on stdout which request it runs.
+/// Serves streams on /stream/ and /once/, answers of two pieces on /read/ and
+/// /order/, and says on stdout which request it runs.
 class StreamServer {
 public:
   StreamServer(asio::io_context &Context, Settings Settings, std::uint16_t Port,
@@ -96,7 +100,8 @@
       return Peer.write("HTTP/1.1 421 -\r\n" + Identity +
                         "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
     auto const Path = Peer.path();
-    bool const IsStream = Path.starts_with("/stream/");
+    bool const IsStream =
+        Path.starts_with("/stream/") || Path.starts_with("/once/");
     if (!IsStream && !Path.starts_with("/read/") &&
         !Path.starts_with("/order/"))
       return Peer.write("HTTP/1.1 200 OK\r\n" + Identity +
@@ -107,21 +112,43 @@
     auto const Begun = std::make_shared<Answer>(Answer{
         Peer.shared_from_this(),
         IsStream ? events(Peer.field("Last-Event-Id"), Run) : parts(Path, Run),
-        Runs_ % 2 == 0, asio::steady_timer(Context_)});
+        Runs_ % 2 == 0, asio::steady_timer(Context_),
+        asio::steady_timer(Context_)});
+    if (Settings_.Cuts_ > 0 && Runs_ % Settings_.Cuts_ == 0)
+      Begun->Pieces_.resize(Begun->Pieces_.size() / 2);
     Peer.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + AttemptId +
                "\r\nX-Server-Stamp: stamp\r\nContent-Type: text/" +
                (IsStream ? "event-stream\r\n" : "plain\r\n") +
                framingFields(Begun->Pieces_) + "\r\n");
     Begun_.insert(Begun);
+    if (Settings_.Deadline_ != "ignores")
+      limit(Begun, Peer.field("X-Deadline-Ms"));
     writeNext(Begun);
   }
 
+  /// Stops work on the answer when the client's time is over.
+  void limit(std::shared_ptr<Answer> const &Begun, std::string const &Time) {
+    Begun->Deadline_.expires_after(
+        std::chrono::milliseconds(std::atoll(Time.c_str())));
+    Begun->Deadline_.async_wait([this, Begun](asio::error_code Failure) {
+      if (Failure || Begun_.erase(Begun) == 0)
+        return;
+      std::cout << "late answer" << std::endl;
+      if (Settings_.Deadline_ == "resets")
+        return Begun->Peer_->reset();
+      if (Settings_.Deadline_ == "finishes" && Settings_.Framing_ == "chunked")
+        Begun->Peer_->write("0\r\n\r\n");
+      Begun->Peer_->close();
+    });
+  }
+
   std::vector<std::string> events(std::string const &LastEventId,
                                   std::string const &Run) const {
     auto const Last = std::strtoull(LastEventId.c_str(), nullptr, 10);
     std::vector<std::string> Events;
-    for (auto Id = Last + 1; Id <= StreamLength; ++Id)
-      Events.push_back("id: " + std::to_string(Id) +
+    for (auto Number = Last / Settings_.Step_ + 1; Number <= StreamLength;
+         ++Number)
+      Events.push_back("id: " + std::to_string(Number * Settings_.Step_) +
                        "\ndata: " + Settings_.Version_ + ' ' +
                        std::to_string(Last) + ' ' + Run + "\n\n");
     return Events;
@@ -164,6 +191,7 @@
       Ended->Peer_->close();
     if (Settings_.Framing_ == "chunked")
       Ended->Peer_->write("0\r\n\r\n");
+    Ended->Deadline_.cancel();
     if (++Answered_ == Settings_.Lives_)
       std::raise(SIGKILL);
     Begun_.erase(Ended);
@@ -212,6 +240,13 @@
       Text("finishes"));
   Add("lives", "answers after which it kills itself; 0: never", Text("0"));
   Add("idle", "closes connections idle for so many ms; 0: never", Text("0"));
+  Add("step", "between the identifiers of events", Text("1"));
+  Add("cuts", "ends every such answer too early, and goes on; 0: none",
+      Text("0"));
+  Add("deadline",
+      "what it does with an answer when the client's time is over: "
+      "ignores, closes, finishes or resets",
+      Text("ignores"));
   Add("workers", "processes that accept on one port, 1 or 2", Text("1"));
   try {
     auto const Given = Options.parse(Count, Arguments);
@@ -223,7 +258,9 @@
         Context,
         {Value("id"), Value("version"), Value("framing"), Value("term"),
          std::stoull(Value("lives")),
-         std::chrono::milliseconds(std::stoll(Value("idle")))},
+         std::chrono::milliseconds(std::stoll(Value("idle"))),
+         std::stoull(Value("step")), std::stoull(Value("cuts")),
+         Value("deadline")},
         static_cast<std::uint16_t>(std::stoul(Value("port"))), Value("born"));
     if (Value("workers") == "2")
       addWorker(Context);
--- a/Tests/EntryProcess/StreamServers.cpp
+++ b/Tests/EntryProcess/StreamServers.cpp
@@ -11,7 +11,16 @@
   Thread_.on([&] {
     StoreListener_ = std::get<0>(
         HttpListener::create(Thread_.context(), {"127.0.0.1", 0}, Store_));
-    Store_.put("config", "main", configurationJson(1));
+    auto Configuration = configurationJson(1);
+    for (auto const &Route : Configuration["routes"])
+      if (Route.contains("stream_resume")) {
+        auto Once = Route;
+        Once["name"] = Once["path_prefix"] = "/once/";
+        Once["stream_resume"] = false;
+        Configuration["routes"].push_back(std::move(Once));
+        break;
+      }
+    Store_.put("config", "main", std::move(Configuration));
   });
   for (unsigned Number = 0; Number < Instances; ++Number)
     Instances_.push_back(std::make_unique<EntryProcess>(
@@ -36,6 +45,14 @@
 void StreamServers::add(std::string const &Id, Settings Settings) {
   Servers_[Id].Settings_ = std::move(Settings);
   launch(Id);
+  auto &Server = Servers_[Id];
+  if (Server.Settings_.IsProxied_) {
+    Server.Proxy_ = std::make_unique<processes::Process>(
+        "stream-proxy",
+        std::vector<std::string>{"--to=" + std::to_string(Server.Port_)});
+    Server.ProxyPort_ =
+        processes::portIn(Server.Proxy_->awaitLine("listening"), "port=");
+  }
   list(Id);
 }
 
@@ -69,9 +86,10 @@
 
 void StreamServers::list(std::string const &Id) {
   auto const &Server = Servers_.at(Id);
+  auto const Port = Server.Proxy_ ? Server.ProxyPort_ : Server.Port_;
   Thread_.on([&] {
     Store_.put("servers", Id,
-               serverJson({"127.0.0.1", Server.Port_}, "ready", Server.Born_,
+               serverJson({"127.0.0.1", Port}, "ready", Server.Born_,
                           ++Sequence_, Server.Settings_.Version_));
   });
 }
--- a/Tests/EntryProcess/StreamServers.h
+++ b/Tests/EntryProcess/StreamServers.h
@@ -27,6 +27,8 @@
     std::uint64_t Lives_ = 0;
     /// Options beside these.
     std::vector<std::string> Others_ = {};
+    /// Connections to it pass through another process.
+    bool IsProxied_ = false;
   };
 
   /// Program is that of the instances.
@@ -52,6 +54,9 @@
   processes::Process &process(std::string const &Id) {
     return *Servers_.at(Id).Process_;
   }
+  processes::Process &proxy(std::string const &Id) {
+    return *Servers_.at(Id).Proxy_;
+  }
   /// Returns how often servers began to run a request of each path that begins
   /// with Prefix.
   std::map<std::string, unsigned> runs(std::string const &Prefix);
@@ -62,6 +67,8 @@
     std::uint16_t Port_ = 0;
     std::int64_t Born_ = 0;
     std::unique_ptr<processes::Process> Process_;
+    std::unique_ptr<processes::Process> Proxy_;
+    std::uint16_t ProxyPort_ = 0;
   };
 
   void launch(std::string const &Id);
--- a/Tests/EntryProcess/VersionedFleet.cpp
+++ b/Tests/EntryProcess/VersionedFleet.cpp
@@ -55,15 +55,19 @@
 
 StreamClient::StreamClient(EntryProcess const &Instance, std::string AttemptId,
                            std::string const &Resumes,
-                           std::string const &LastEventId)
+                           std::string const &LastEventId,
+                           std::string const &Route,
+                           std::chrono::milliseconds Deadline)
     : AttemptId_(std::move(AttemptId)) {
   Socket_.connect(
       {asio::ip::make_address(Instance.address()), EntryProcess::TrafficPort});
   asio::write(Socket_,
-              asio::buffer("GET /stream/" +
+              asio::buffer("GET " + Route +
                            (Resumes.empty() ? AttemptId_ : Resumes) +
                            " HTTP/1.1\r\nHost: desk.example\r\n"
-                           "X-Deadline-Ms: 8000\r\nX-Key: k1\r\n"
+                           "X-Deadline-Ms: " +
+                           std::to_string(Deadline.count()) +
+                           "\r\nX-Key: k1\r\n"
                            "Connection: close\r\n" +
                            field("X-Attempt-Id", AttemptId_) +
                            field("Resumes", Resumes) +
--- a/Tests/EntryProcess/VersionedFleet.h
+++ b/Tests/EntryProcess/VersionedFleet.h
@@ -31,7 +31,9 @@
   /// Requests the stream; the field values are sent unless they are empty.
   StreamClient(EntryProcess const &Instance, std::string AttemptId,
                std::string const &Resumes = {},
-               std::string const &LastEventId = {});
+               std::string const &LastEventId = {},
+               std::string const &Route = "/stream/",
+               std::chrono::milliseconds Deadline = std::chrono::seconds(8));
 
   /// Reads until the stream has this many events, or its end.
   void readEvents(std::size_t Count);
