LibTraffic: Believe no end of an answer at the deadline that its server was given

Cause: a server stops work at the time left that it is told. Its time is over within a millisecond of the instance's own, as it counts from the arrival of the request and lacks a fraction of a millisecond. Where the server was first, its end was taken for the end of the answer: an end of the connection that its process had outlived, or a last chunk.

Why this works: an end that comes when the attempt's deadline is over proves nothing, whatever marks it; the stream is aborted, as it would have been a moment later. Plain answers are affected only without a length.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint32_t MaxSends = 4;
 /// A server cannot answer in less time than this.
 constexpr std::chrono::milliseconds MinTimeForAttempt{5};
+/// By how much a server's timer may be early.
+constexpr std::chrono::milliseconds TimerTolerance{2};
 /// Time left that makes a further attempt worthwhile.
 constexpr std::chrono::milliseconds MinTimeForRetry{30};
 /// Retry-After for a client whose request was refused by all servers tried.
@@ -95,13 +97,15 @@
   Access_ = Event.Access_;
   AttemptOrigin_ = {Event.Server_.Service_, Event.Server_.SoftwareVersion_};
   Answer_.reset();
+  auto const TimeLeft = std::max(Context_.Expiry_ - Now_, Duration(0));
+  AttemptDeadline_ =
+      Now_ + std::chrono::floor<std::chrono::milliseconds>(TimeLeft);
   IsContinuationUnproven_ = LastEventId_.has_value();
   Body_.clear();
   Splitter_ = EventStreamSplitter();
   Actions_.push_back(
       SendAttempt{Event.Server_,
-                  {Event.Server_.Id_, Context_.Account_,
-                   std::max(Context_.Expiry_ - Now_, Duration(0)), LastEventId_,
+                  {Event.Server_.Id_, Context_.Account_, TimeLeft, LastEventId_,
                    Origin_ ? firstAttemptId() : std::string(), Origin_},
                   Access_});
 }
@@ -217,7 +221,7 @@
   Actions_.push_back(CountRun{});
 }
 
-void ExchangeFlow::on(AnswerCompleted const & /*Event*/) {
+void ExchangeFlow::on(AnswerCompleted const &Event) {
   if (State_ != State::Attempting || !Answer_)
     return;
   auto const &Head = Answer_->Head_;
@@ -225,6 +229,8 @@
   case AnswerClaim::Succeeded:
     if (isStream())
       return completeStream();
+    if (Event.End_ == AnswerEnd::Unmarked && mayHaveStoppedAtDeadline())
+      return endAttempt(true, "the server may have stopped at the deadline");
     countRun();
     State_ = State::Over;
     Actions_.push_back(SendCompleteAnswer{Head, std::move(Body_)});
@@ -243,9 +249,15 @@
   }
 }
 
+bool ExchangeFlow::mayHaveStoppedAtDeadline() const {
+  return Now_ >= AttemptDeadline_ - TimerTolerance;
+}
+
 void ExchangeFlow::completeStream() {
   if (Splitter_.isInsideEvent())
     return endAttempt(true, "the stream ended inside an event");
+  if (mayHaveStoppedAtDeadline())
+    return endAttempt(true, "the server may have stopped at the deadline");
   countRun();
   State_ = State::Over;
   if (!HasBegunStream_)
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -34,7 +34,15 @@
 struct BodyArrived {
   std::string Bytes_;
 };
-struct AnswerCompleted {};
+/// How the end of an answer was found.
+enum class AnswerEnd {
+  Marked, ///< By a length or a last chunk.
+  /// By the end of its connection, which its server's process has outlived.
+  Unmarked,
+};
+struct AnswerCompleted {
+  AnswerEnd End_ = AnswerEnd::Marked;
+};
 struct AttemptFailed {
   AttemptEvidence Evidence_;
 };
@@ -221,6 +229,9 @@
   void relay(std::vector<StreamEvent> Events);
   /// Whether the first event of a continuation begins a stream anew.
   bool isBegunAnew(StreamEvent const &First) const;
+  /// Whether the server has stopped by now because of the deadline that it was
+  /// given.
+  bool mayHaveStoppedAtDeadline() const;
   void completeStream();
   void countRun();
   void rememberOrigin(StreamOrigin const &Origin);
@@ -246,6 +257,7 @@
   StreamOrigin AttemptOrigin_; ///< What its server would begin.
   ServerAccess Access_ = ServerAccess::Direct;
   std::optional<ServerAnswer> Answer_;
+  TimePoint AttemptDeadline_{}; ///< As its server was told.
   /// The attempt has to go on after LastEventId_, and no event has shown yet
   /// that it does.
   bool IsContinuationUnproven_ = false;
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -285,6 +285,7 @@
     return onFailed({AttemptProgress::AnswerBegun, AttemptEnd::ConnectionFailed,
                      Answer_->Head_.Status_,
                      "the stream ended inside an event"});
+  bool const IsMarked = !Call_ || Call_->framing() == AnswerFraming::Delimited;
   Call_.reset();
   auto const Claim = Answer_ ? Answer_->Claim_ : AnswerClaim::Untrusted;
   if (Claim == AnswerClaim::NotRun)
@@ -294,7 +295,7 @@
              : Claim == AnswerClaim::Failed  ? AttemptHealth::Worked
                                              : AttemptHealth::Failed,
              evidenceOf(Claim));
-  handle(AnswerCompleted{});
+  handle(AnswerCompleted{IsMarked ? AnswerEnd::Marked : AnswerEnd::Unmarked});
 }
 
 void RequestSession::onOtherProcess(std::string const &Process) {
