LibTraffic: Ask another server to go on after an end that is not marked

What callers saw: a stream that may be resumed ended as complete before its last event, where its server, or a proxy between, closed the connection too early and the server's process went on.

Cause: an answer without a length was whole if its server's process had outlived it. That shows that the process was not killed, not that the answer was whole.

Why this works: a stream that may be resumed is the one kind of answer whose rest can be asked for. Another server is asked to go on after the last event; it has nothing to add to a whole stream. That takes a run and a retry from the budget, only for answers without a length. Where no server can be asked, the end is believed as before; where the stream was found to go on once and no further server can be asked, it is aborted, and the client takes it up.

Weighed against: to abort all such streams (a service whose servers mark no ends would complete none).

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -167,6 +167,7 @@
       }
     }
     if (Event.Id_) {
+      HasEndedTooEarly_ |= std::exchange(IsEndUnconfirmed_, false);
       LastEventId_ = Event.Id_;
       LastEventHash_ = hashOf(Event);
     }
@@ -228,7 +229,7 @@
   switch (Answer_->Claim_) {
   case AnswerClaim::Succeeded:
     if (isStream())
-      return completeStream();
+      return endStream(Event.End_);
     if (Event.End_ == AnswerEnd::Unmarked && mayHaveStoppedAtDeadline())
       return endAttempt(true, "the server may have stopped at the deadline");
     countRun();
@@ -253,11 +254,33 @@
   return Now_ >= AttemptDeadline_ - TimerTolerance;
 }
 
-void ExchangeFlow::completeStream() {
+void ExchangeFlow::endStream(AnswerEnd End) {
   if (Splitter_.isInsideEvent())
     return endAttempt(true, "the stream ended inside an event");
   if (mayHaveStoppedAtDeadline())
     return endAttempt(true, "the server may have stopped at the deadline");
+  if (End == AnswerEnd::Unmarked && !IsEndUnconfirmed_) {
+    if (confirmEnd())
+      return;
+    if (HasEndedTooEarly_)
+      return fail("the stream's servers end their answers too early");
+  }
+  completeStream();
+}
+
+bool ExchangeFlow::confirmEnd() {
+  if (!HasBegunStream_)
+    return false;
+  ++Runs_;
+  if (!mayRetry(true))
+    return false;
+  IsEndUnconfirmed_ = true;
+  State_ = State::Waiting;
+  Actions_.push_back(RequestServer{Tried_, Origin_});
+  return true;
+}
+
+void ExchangeFlow::completeStream() {
   countRun();
   State_ = State::Over;
   if (!HasBegunStream_)
@@ -323,6 +346,9 @@
 }
 
 void ExchangeFlow::fail(std::string const &Reason) {
+  // No other server can tell whether the stream was whole.
+  if (IsEndUnconfirmed_)
+    return completeStream();
   State_ = State::Over;
   if (HasBegunStream_)
     Actions_.push_back(AbortStream{Reason});
@@ -356,11 +382,8 @@
     Actions_.push_back(CancelAttempt{});
   else
     Actions_.push_back(CancelServerRequest{});
-  if (HasBegunStream_) {
-    State_ = State::Over;
-    Actions_.push_back(AbortStream{"the time allowed is over"});
-    return;
-  }
+  if (HasBegunStream_)
+    return fail("the time allowed is over");
   if (!IsAttempting && Runs_ == 0)
     return refuse(ServiceUnavailable, "no server in the time allowed",
                   RetryAfterRefusals);
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -232,6 +232,10 @@
   /// Whether the server has stopped by now because of the deadline that it was
   /// given.
   bool mayHaveStoppedAtDeadline() const;
+  void endStream(exchange::AnswerEnd End);
+  /// Asks another server to go on, which has nothing to add if the stream is
+  /// whole. Returns whether that is possible.
+  bool confirmEnd();
   void completeStream();
   void countRun();
   void rememberOrigin(StreamOrigin const &Origin);
@@ -270,6 +274,10 @@
   bool HasCountedRun_ = false;
   std::optional<std::uint64_t> LastEventId_;
   std::optional<std::size_t> LastEventHash_; ///< Set once one was relayed.
+  /// A server has ended the stream after LastEventId_ without marking the end.
+  bool IsEndUnconfirmed_ = false;
+  /// Another server has gone on after such an end.
+  bool HasEndedTooEarly_ = false;
   /// The last failure answered by a server, sent to the client when no attempt
   /// is left.
   std::optional<exchange::SendCompleteAnswer> LastFailure_;
--- a/Tests/LibTraffic/TestStreamEnds.cpp
+++ b/Tests/LibTraffic/TestStreamEnds.cpp
@@ -18,8 +18,86 @@
   return routeOf(Repeat, AnswerForm::EventStream);
 }
 
+/// Begins a stream whose server ends it without marking the end.
+void endUnmarked(Harness &Run) {
+  Run.attempt("a");
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{"id: 1\ndata: x\n\nid: 2\ndata: y\n\n"});
+  Run.handle(Unmarked);
+}
+
 } // namespace
 
+TEST_CASE("A resumable stream whose end is not marked is complete only once "
+          "another server has nothing to add") {
+  Harness Run(stream());
+  endUnmarked(Run);
+  CHECK_FALSE(Run.find<FinishStream>());
+  REQUIRE(Run.find<RequestServer>());
+  CHECK(Run.find<RequestServer>()->Excluded_.size() == 1);
+  CHECK(Run.find<RequestServer>()->Origin_);
+  Run.attempt("b");
+  CHECK(Run.find<SendAttempt>()->Metadata_.LastEventId_ == 2);
+  Run.handle(HeadArrived{Signed});
+  SECTION("it has nothing to add") {
+    Run.handle(GENERATE(Marked, Unmarked));
+    CHECK_FALSE(Run.find<BeginStream>());
+    CHECK(Run.find<FinishStream>());
+  }
+  SECTION("it goes on") {
+    Run.handle(BodyArrived{"id: 3\ndata: z\n\n"});
+    REQUIRE(Run.find<RelayEvents>());
+    CHECK(Run.find<RelayEvents>()->Bytes_ == "id: 3\ndata: z\n\n");
+    Run.handle(Marked);
+    CHECK(Run.find<FinishStream>());
+  }
+  SECTION("it goes on and does not mark its end either") {
+    Run.handle(BodyArrived{"id: 3\ndata: z\n\n"});
+    Run.handle(Unmarked);
+    CHECK(Run.find<AbortStream>());
+  }
+  SECTION("it goes on and breaks off") {
+    Run.handle(BodyArrived{"id: 3\ndata: z\n\n"});
+    Run.handle(failure(AttemptProgress::AnswerBegun));
+    CHECK(Run.find<AbortStream>());
+  }
+}
+
+TEST_CASE("A stream whose end is not marked is complete where no other server "
+          "can tell") {
+  SECTION("it cannot be resumed") {
+    Harness Run(stream(Repeatability::Never));
+    endUnmarked(Run);
+    CHECK(Run.find<FinishStream>());
+  }
+  SECTION("the retry budget is spent") {
+    Harness Run(stream());
+    Run.RetryGate_.IsOpen_ = false;
+    endUnmarked(Run);
+    CHECK(Run.find<FinishStream>());
+  }
+  SECTION("no server is free") {
+    Harness Run(stream());
+    endUnmarked(Run);
+    Run.handle(NoServer{"all are busy", {}});
+    CHECK(Run.find<FinishStream>());
+  }
+  SECTION("the other server fails") {
+    Harness Run(stream());
+    endUnmarked(Run);
+    Run.attempt("b");
+    Run.handle(failure(AttemptProgress::RequestSent));
+    CHECK(Run.find<FinishStream>());
+  }
+  SECTION("the time is over meanwhile") {
+    Harness Run(stream());
+    endUnmarked(Run);
+    Run.Now_ += seconds(3);
+    Run.handle(TimePassed{});
+    CHECK(Run.find<FinishStream>());
+  }
+}
+
 TEST_CASE("An answer that its server may have ended because of the deadline is "
           "not complete") {
   constexpr milliseconds TimeAllowed{2000};
