LibTraffic: Take identifiers of events that grow by more than one

Cause: each identifier had to be the next number, within a server's own run too.

Why this works: what one server sends on one connection is whole or breaks off, so its identifiers show how the service counts. Only a continuation can leave out events: its first identifier may be larger than the last one by no more than the largest step that a run at this service has shown, which is one where events are numbered by one, as before. Where no step was seen yet, as at an instance that has just started, a continuation is taken as it is.

--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -2,6 +2,7 @@
 
 #include <LibGuard/RequestFingerprints.h>
 #include <LibModel/AttemptEvidence.h>
+#include <LibTraffic/EventNumbering.h>
 #include <LibTraffic/EventStreamSplitter.h>
 #include <LibTraffic/StreamOrigins.h>
 #include <LibTraffic/TrafficRequest.h>
@@ -180,7 +181,8 @@
 /// takes it up.
 class ExchangeFlow {
 public:
-  ExchangeFlow(exchange::FlowContext FlowContext, exchange::RetryGate &Gate);
+  ExchangeFlow(exchange::FlowContext FlowContext, exchange::RetryGate &Gate,
+               exchange::EventNumbering &Numbering);
 
   std::vector<exchange::Action> start(TimePoint Now);
   std::vector<exchange::Action> handle(exchange::Event const &Event,
@@ -227,8 +229,8 @@
   void refuse(std::int32_t Status, std::string const &Reason,
               std::optional<Duration> RetryAfter);
   void relay(std::vector<StreamEvent> Events);
-  /// Whether the first event of a continuation begins a stream anew.
-  bool isBegunAnew(StreamEvent const &First) const;
+  /// Whether the event may be the first one of a continuation.
+  bool goesOnAt(StreamEvent const &First) const;
   /// Whether the server has stopped by now because of the deadline that it was
   /// given.
   bool mayHaveStoppedAtDeadline() const;
@@ -251,6 +253,7 @@
 
   exchange::FlowContext Context_;
   exchange::RetryGate &RetryGate_;
+  exchange::EventNumbering &Numbering_;
   State State_ = State::Waiting;
   TimePoint Now_{};
   std::vector<exchange::Action> Actions_;
@@ -262,9 +265,8 @@
   ServerAccess Access_ = ServerAccess::Direct;
   std::optional<ServerAnswer> Answer_;
   TimePoint AttemptDeadline_{}; ///< As its server was told.
-  /// The attempt has to go on after LastEventId_, and no event has shown yet
-  /// that it does.
-  bool IsContinuationUnproven_ = false;
+  /// Its server has sent an event with an identifier.
+  bool HasSentEvent_ = false;
   std::string Body_;
   EventStreamSplitter Splitter_;
   /// State of the answer sent to the client.
--- a/Tests/LibTraffic/FlowHarness.h
+++ b/Tests/LibTraffic/FlowHarness.h
@@ -2,6 +2,7 @@
 
 #include <LibTraffic/ExchangeFlow.h>
 #include <LibTraffic/ServerRoster.h>
+#include <LibTraffic/ServiceNumbering.h>
 
 #include <chrono>
 #include <optional>
@@ -58,7 +59,7 @@
     FlowContext.Route_ = &Route_;
     FlowContext.Expiry_ = Now_ + std::chrono::seconds(2);
     FlowContext.Source_ = Source;
-    Flow_.emplace(FlowContext, RetryGate_);
+    Flow_.emplace(FlowContext, RetryGate_, Numbering_);
     Last_ = Flow_->start(Now_);
   }
 
@@ -83,6 +84,7 @@
 
   Route Route_;
   TestRetryGate RetryGate_;
+  ServiceNumbering Numbering_;
   TimePoint Now_{std::chrono::seconds(1000)};
   std::optional<ExchangeFlow> Flow_;
   std::vector<exchange::Action> Last_;
--- a/Tests/LibTraffic/TestStreamFlow.cpp
+++ b/Tests/LibTraffic/TestStreamFlow.cpp
@@ -116,12 +116,34 @@
   CHECK_FALSE(Run.find<FinishStream>());
 }
 
-TEST_CASE("A gap in a stream aborts it") {
+TEST_CASE("The identifiers of a server's events may grow by more than one") {
   Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream));
   Run.attempt("a");
   Run.handle(HeadArrived{Signed});
-  Run.handle(BodyArrived{"id: 1\n\n"});
-  Run.handle(BodyArrived{"id: 3\n\n"});
+  Run.handle(BodyArrived{"id: 8\n\nid: 16\n\n"});
+  Run.handle(BodyArrived{"id: 19\n\n"});
+  REQUIRE(Run.find<RelayEvents>());
+  CHECK(Run.find<RelayEvents>()->Bytes_ == "id: 19\n\n");
+  Run.handle(failure(AttemptProgress::AnswerBegun));
+  Run.attempt("b");
+  CHECK(Run.find<SendAttempt>()->Metadata_.LastEventId_ == 19);
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{"id: 27\n\n"});
+  CHECK(Run.find<RelayEvents>());
+}
+
+TEST_CASE("A continuation that leaves out an event is not relayed") {
+  bool const IsConsecutive = GENERATE(true, false);
+  Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream));
+  Run.attempt("a");
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{IsConsecutive ? "id: 1\n\nid: 2\n\n"
+                                       : "id: 8\n\nid: 16\n\n"});
+  Run.handle(failure(AttemptProgress::AnswerBegun));
+  Run.attempt("b");
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{IsConsecutive ? "id: 4\n\n" : "id: 32\n\n"});
+  CHECK_FALSE(Run.find<RelayEvents>());
   CHECK(Run.find<AbortStream>());
   CHECK(Run.find<CancelAttempt>());
 }
