LibHttp: Believe no end of an answer that its server's other connection shares

What callers saw: streams that may not be resumed, and plain answers, without a length ended as complete too early where something between the instance and the server closed all its connections in order and the server's process went on.

Cause: where the process was known by its start, no connection was open beside the answer. After the end a new one was asked, and the process confirmed itself.

Why this works: a second connection is now open beside each answer that ends with its own, once the head has come. If one was open it has to survive the end; if both are closed in order within 20 ms, in either order of events, the end is not believed. The connection is the one that unknown processes had before; it has a class of its own, AnswerWitness.

TestEndOfConnection asked for no second connection where the process is known, and for a third one to be believed where an idle one is closed right after the answer. That is what let the proxy through. The cases now ask for the second connection, for both orders of the two ends, and that nobody else is asked then; an idle connection that was closed earlier is replaced, and does not count.

--- a/Libraries/LibHttp/OutboundCall.cpp
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -15,8 +15,6 @@
 /// How often one call asks a server on new connections before the request, and
 /// after the answer's end.
 constexpr std::uint32_t MaxQuestions = 2;
-/// How often one call opens a connection that shows that the process goes on.
-constexpr std::uint32_t MaxWitnesses = 8;
 
 bool isTemporaryFailure(std::int32_t Status) {
   return Status == 429 || Status / 100 == 5;
@@ -168,13 +166,10 @@
   // The process can't be told by its name after the answer's end.
   IsIdentifying_ = false;
   armTimer(Request_.ConnectTimeout_, "no second connection in time");
-  openWitness();
-  auto const Self = shared_from_this();
-  Witness_->whenReady([Self] {
-    if (Self->isOver())
-      return;
-    Self->IsWitnessEarlier_ = true;
-    Self->sendRequest();
+  createAnswerWitness();
+  AnswerWitness_->openBeforeRequest([Self = shared_from_this()] {
+    if (!Self->isOver())
+      Self->sendRequest();
   });
 }
 
@@ -182,23 +177,10 @@
   return Connection_->isOpen() && !Connection_->hasPeerClosed();
 }
 
-void OutboundCall::openWitness() {
-  ++Witnesses_;
-  IsWitnessEarlier_ = false;
-  Witness_ = ProcessWitness::connect(Pool_);
-  auto const Self = shared_from_this();
-  Witness_->whenReady([Self] {
-    if (!Self->isOver())
-      Self->IsWitnessEarlier_ = Self->isAnswerOpen();
-  });
-  // The server may close connections without a request.
-  Witness_->whenLost([Self] {
-    if (Self->isOver())
-      return;
-    Self->Witness_.reset();
-    Self->IsWitnessEarlier_ = false;
-    if (Self->Witnesses_ < MaxWitnesses && Self->isAnswerOpen())
-      Self->openWitness();
+void OutboundCall::createAnswerWitness() {
+  AnswerWitness_ = AnswerWitness::create(Pool_, [Self = weak_from_this()] {
+    auto const Alive = Self.lock();
+    return Alive && !Alive->isOver() && Alive->isAnswerOpen();
   });
 }
 
@@ -238,6 +220,8 @@
 void OutboundCall::dropWitness() {
   if (auto const Dropped = std::exchange(Witness_, nullptr))
     Dropped->cancel();
+  if (auto const Dropped = std::exchange(AnswerWitness_, nullptr))
+    Dropped->cancel();
 }
 
 void OutboundCall::onBytes(std::string_view Bytes) {
@@ -260,8 +244,10 @@
     return;
   Pool_->HasUnmarkedEnds_ = true;
   // Another process may have the address once the peer has closed.
-  if (!Process_ && !Witness_ && isAnswerOpen())
-    openWitness();
+  if (AnswerWitness_ || !isAnswerOpen())
+    return;
+  createAnswerWitness();
+  AnswerWitness_->open(Process_);
 }
 
 bool OutboundCall::needsWitness() const {
@@ -331,7 +317,14 @@
 }
 
 void OutboundCall::verifyEnd() {
-  // A server that identifies itself needs no earlier connection.
+  if (AnswerWitness_) {
+    if (AnswerWitness_->wasClosedWithAnswer(readClock()))
+      return fail(AttemptEnd::ConnectionFailed,
+                  "the server's connections have ended together");
+    IsWitnessEarlier_ = AnswerWitness_->isEarlier();
+    Witness_ = AnswerWitness_->take();
+  }
+  // Where no connection is open any more, the process may identify itself.
   if (!Witness_ && Process_)
     Witness_ = ProcessWitness::connectTo(*Process_, Pool_);
   else if (!Witness_)
@@ -355,7 +348,10 @@
     return deliver();
   }
   // The server may have closed an idle connection, or be too busy once.
-  if (Process_ && !Answer.Process_ && EndQuestions_ < MaxQuestions) {
+  bool const HasEndedTogether = IsWitnessEarlier_ && Answer.IsClosed_;
+  if (Process_ && !Answer.Process_ && !HasEndedTogether &&
+      EndQuestions_ < MaxQuestions) {
+    IsWitnessEarlier_ = false;
     Witness_ = ProcessWitness::connect(Pool_);
     return askWitness();
   }
@@ -372,7 +368,7 @@
     return Answer.Process_ == Request_.Process_;
   // A sound answer of a server that does not identify itself may be over before
   // a witness is open. Its next one has the witness before the request.
-  bool const IsFirst = !IsEndExpected_ && Witnesses_ == 0;
+  bool const IsFirst = !IsEndExpected_ && !AnswerWitness_;
   return IsFirst && Answer.HasAnswered_ &&
          Request_.ProcessCheck_ == ProcessCheck::AtEndOfConnection;
 }
--- a/Libraries/LibHttp/OutboundCall.h
+++ b/Libraries/LibHttp/OutboundCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibHttp/AnswerWitness.h>
 #include <LibHttp/Connection.h>
 #include <LibHttp/MessageReader.h>
 #include <LibHttp/ProcessWitness.h>
@@ -122,9 +123,7 @@
   /// Finds out whether the process has outlived its answer.
   void verifyEnd();
   void askWitness();
-  /// Opens a connection that shows, if it is open before the answer's end, that
-  /// the process has outlived it.
-  void openWitness();
+  void createAnswerWitness();
   bool isAnswerOpen() const;
   void onWitness(WitnessAnswer const &Answer);
   bool isProof(WitnessAnswer const &Answer) const;
@@ -155,11 +154,11 @@
   /// When the request was sent, the server was known to end its answers with
   /// their connections.
   bool IsEndExpected_ = false;
-  std::shared_ptr<ProcessWitness> Witness_;
+  std::shared_ptr<AnswerWitness> AnswerWitness_;
+  std::shared_ptr<ProcessWitness> Witness_; ///< Asked after the answer's end.
   /// The witness's connection was open while the answer's was.
   bool IsWitnessEarlier_ = false;
   std::uint32_t EndQuestions_ = 0; ///< After the answer's end.
-  std::uint32_t Witnesses_ = 0;    ///< Opened before the answer's end.
 };
 
 } // namespace laburnum
--- a/Libraries/LibHttp/OutboundPool.h
+++ b/Libraries/LibHttp/OutboundPool.h
@@ -44,6 +44,7 @@
 
 private:
   friend class OutboundCall;
+  friend class AnswerWitness;
   friend class ProcessWitness;
 
   class IdleConnection;
--- a/Libraries/LibHttp/ProcessWitness.cpp
+++ b/Libraries/LibHttp/ProcessWitness.cpp
@@ -124,10 +124,11 @@
     Connection_.reset();
     return finish({true, Pool_->Identifier_->identify(Reader_.head(), Body_)});
   }
-  fail();
+  IsClosed_ = End == ConnectionEnd::Orderly;
+  fail(End);
 }
 
-void ProcessWitness::fail() {
+void ProcessWitness::fail(ConnectionEnd End) {
   HasFailed_ = true;
   asio::error_code Ignored;
   Connecting_.close(Ignored);
@@ -136,9 +137,11 @@
   if (auto const Ready = std::exchange(Ready_, nullptr))
     Ready();
   if (auto const Lost = std::exchange(Lost_, nullptr))
-    Lost();
+    Lost(End);
   // The head was sent after the question.
-  finish({Reader_.isHeadDone() && Reader_.fault() == MessageFault::None, {}});
+  finish({Reader_.isHeadDone() && Reader_.fault() == MessageFault::None,
+          {},
+          IsClosed_});
 }
 
 void ProcessWitness::finish(WitnessAnswer const &Answer) {
--- a/Libraries/LibHttp/ProcessWitness.h
+++ b/Libraries/LibHttp/ProcessWitness.h
@@ -20,6 +20,8 @@
   bool HasAnswered_ = false;
   /// Nothing if it has not identified itself.
   std::optional<std::string> Process_;
+  /// Whether the connection was closed in order without an answer.
+  bool IsClosed_ = false;
 
   auto operator<=>(WitnessAnswer const &) const = default;
 };
@@ -32,7 +34,7 @@
                        public std::enable_shared_from_this<ProcessWitness> {
 public:
   using Ready = std::function<void()>;
-  using Lost = std::function<void()>;
+  using Lost = std::function<void(ConnectionEnd)>;
   using Done = std::function<void(WitnessAnswer const &)>;
 
   /// Opens a connection. The pool has to have a ProcessIdentifier.
@@ -62,7 +64,7 @@
   void start();
   void sendQuestion();
   void finish(WitnessAnswer const &Answer);
-  void fail();
+  void fail(ConnectionEnd End = ConnectionEnd::Broken);
 
   std::shared_ptr<OutboundPool> Pool_;
   asio::ip::tcp::socket Connecting_;
@@ -74,6 +76,7 @@
   Lost Lost_;
   Done Done_;
   bool HasFailed_ = false;
+  bool IsClosed_ = false;
 };
 
 } // namespace laburnum
--- a/Tests/LibHttp/TestEndOfConnection.cpp
+++ b/Tests/LibHttp/TestEndOfConnection.cpp
@@ -21,8 +21,14 @@
     REQUIRE(awaitBytes(Run));
     peer().write(Unframed);
     REQUIRE(runUntil(Context_, [&] { return Observer->Body_ == "whole"; }));
+    // Another one is opened beside it.
+    REQUIRE(awaitConnections(2));
+    settle();
+    CHECK(peer().Received_.empty());
     return Observer;
   }
+  /// The connection of the answer that was begun first.
+  RawPeer &answering() { return *Server_.Peers_.front(); }
   bool awaitConnections(std::size_t Count) {
     return runUntil(Context_, [&] { return Server_.Peers_.size() == Count; });
   }
@@ -39,10 +45,8 @@
 TEST_CASE_METHOD(Fixture, "An answer that ends with its connection is whole "
                           "only if its process goes on running") {
   auto const Answer = beginAnswer(ProcessCheck::BeforeRequest);
-  settle();
-  CHECK(Server_.Peers_.size() == 1);
   SECTION("it goes on") {
-    peer().close();
+    answering().close();
     REQUIRE(awaitBytes(Question, 2));
     CHECK_FALSE(Answer->isOver());
     peer().write(identification("p1"));
@@ -52,37 +56,56 @@
     CHECK(awaitBytes(Run, 2));
   }
   SECTION("another process has its address") {
-    peer().close();
+    answering().close();
     REQUIRE(awaitBytes(Question, 2));
     peer().write(identification("p2"));
     checkBroken(*Answer);
   }
   SECTION("a process that does not identify itself has its address") {
-    peer().close();
+    answering().close();
     REQUIRE(awaitBytes(Question, 2));
     peer().write(answer("404 Not Found", ""));
     checkBroken(*Answer);
   }
-  SECTION("nothing listens at its address") {
-    peer().close();
+  SECTION("it was killed") {
     Server_.Acceptor_.close();
+    answering().close();
+    peer().close();
     checkBroken(*Answer);
   }
+  SECTION("both connections are closed, and its address is not") {
+    bool const IsAnswerFirst = GENERATE(true, false);
+    (IsAnswerFirst ? answering() : peer()).close();
+    (IsAnswerFirst ? peer() : answering()).close();
+    checkBroken(*Answer);
+    CHECK(Server_.Peers_.size() == 2);
+  }
   SECTION("it ends when it is asked") {
-    peer().close();
+    answering().close();
     REQUIRE(awaitBytes(Question, 2));
     peer().close();
     checkBroken(*Answer);
+    CHECK(Server_.Peers_.size() == 2);
   }
-  SECTION("it does not answer") {
+  SECTION("it closes the other connection earlier, and goes on") {
     peer().close();
+    REQUIRE(awaitConnections(3));
+    settle();
+    answering().close();
+    REQUIRE(awaitBytes(Question, 3));
+    peer().write(identification("p1"));
+    CHECK(awaitAnswer(*Answer));
+  }
+  SECTION("it does not answer") {
+    answering().close();
     REQUIRE(awaitBytes(Question, 2));
     checkBroken(*Answer);
   }
   SECTION("its connection is reset") {
-    peer().reset();
+    answering().reset();
     checkBroken(*Answer);
-    CHECK(Server_.Peers_.size() == 1);
+    CHECK(Server_.Peers_.size() == 2);
+    CHECK(peer().Received_.empty());
   }
 }
 
@@ -90,17 +113,14 @@
                  "A process that does not identify itself answers on "
                  "a connection that was open before the answer's end") {
   auto const Answer = beginAnswer(ProcessCheck::AtEndOfConnection);
-  REQUIRE(awaitConnections(2));
-  settle();
-  CHECK(peer().Received_.empty());
   SECTION("it goes on") {
-    Server_.Peers_.front()->close();
+    answering().close();
     REQUIRE(awaitBytes(Question, 2));
     peer().write(answer("404 Not Found", ""));
     CHECK(awaitAnswer(*Answer));
   }
   SECTION("it was killed") {
-    Server_.Peers_.front()->close();
+    answering().close();
     peer().close();
     checkBroken(*Answer);
     // Whoever answers on a later connection may be another process.
@@ -111,8 +131,7 @@
 TEST_CASE_METHOD(Fixture, "A server whose answers end with their connections "
                           "is asked who it is before the next request") {
   auto const First = beginAnswer(ProcessCheck::AtEndOfConnection);
-  REQUIRE(awaitConnections(2));
-  Server_.Peers_.front()->close();
+  answering().close();
   REQUIRE(awaitBytes(Question, 2));
   peer().write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 10\r\n"
                "\r\nprocess p1");
@@ -158,21 +177,32 @@
   REQUIRE(awaitAnswer(*Other));
   Server_.Peers_.front()->write(Unframed);
   REQUIRE(runUntil(Context_, [&] { return Answer->Body_ == "whole"; }));
-  Server_.Peers_.front()->close();
+  settle();
   SECTION("it answers") {
+    answering().close();
     REQUIRE(awaitBytes(Question, 2, 2));
     peer().write(identification("p1"));
     CHECK(awaitAnswer(*Answer));
     CHECK(Server_.Peers_.size() == 2);
   }
-  SECTION("the connection is closed, and another one answers") {
-    REQUIRE(awaitBytes(Question, 2, 2));
+  SECTION("it is closed before the answer, and another one answers") {
     peer().close();
+    REQUIRE(awaitConnections(3));
+    settle();
+    answering().close();
     REQUIRE(awaitBytes(Question, 3));
     peer().write(identification("p1"));
     CHECK(awaitAnswer(*Answer));
   }
+  SECTION("it is closed after the answer, and its address is not") {
+    answering().close();
+    REQUIRE(awaitBytes(Question, 2, 2));
+    peer().close();
+    checkBroken(*Answer);
+    CHECK(Server_.Peers_.size() == 2);
+  }
   SECTION("the process was killed") {
+    answering().close();
     REQUIRE(awaitBytes(Question, 2, 2));
     Server_.Acceptor_.close();
     peer().close();
@@ -194,7 +224,7 @@
 TEST_CASE_METHOD(Fixture, "A call that is cancelled while its answer's end is "
                           "verified tells nothing more") {
   auto const Answer = beginAnswer(ProcessCheck::BeforeRequest);
-  peer().close();
+  answering().close();
   REQUIRE(awaitBytes(Question, 2));
   Call_->cancel();
   CHECK(runUntil(Context_, [&] { return peer().IsClosed_; }));
