LibHttp: Replace a witness before its server closes it as idle

Cause: the next connection was opened only when one was lost.

Why this works: the first loss of a connection that was opened for an answer tells how long the server leaves it open. From then on the next one is opened when half of that time is over, and the old one is let go once it is open. The period is 50 ms at least, and an answer gets 32 of them at most; a next one that fails leaves the old one in place.

--- a/Libraries/LibHttp/AnswerWitness.cpp
+++ b/Libraries/LibHttp/AnswerWitness.cpp
@@ -2,6 +2,7 @@
 
 #include <LibHttp/OutboundPool.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace laburnum {
@@ -12,6 +13,9 @@
 constexpr std::uint32_t MaxLosses = 8;
 /// Connections that end within this time have ended together.
 constexpr std::chrono::milliseconds Simultaneous{20};
+/// Limits how many connections a server with a very short idle time gets.
+constexpr std::chrono::milliseconds MinRenewalPeriod{50};
+constexpr std::uint32_t MaxRenewals = 32;
 
 } // namespace
 
@@ -24,7 +28,8 @@
 
 AnswerWitness::AnswerWitness(std::shared_ptr<OutboundPool> Pool,
                              IsAnswerOpen IsAnswerOpen)
-    : Pool_(std::move(Pool)), IsAnswerOpen_(std::move(IsAnswerOpen)) {}
+    : Pool_(std::move(Pool)), IsAnswerOpen_(std::move(IsAnswerOpen)),
+      RenewalTimer_(Pool_->Context_) {}
 
 void AnswerWitness::openBeforeRequest(Ready Ready) {
   Current_ = ProcessWitness::connect(Pool_);
@@ -33,6 +38,8 @@
     if (Self->IsEnded_)
       return;
     Self->IsEarlier_ = true;
+    Self->OpenedAt_ = readClock();
+    Self->armRenewal();
     Ready();
   });
 }
@@ -40,11 +47,14 @@
 void AnswerWitness::open(std::optional<std::string> const &Process) {
   Current_ = Process ? ProcessWitness::connectTo(*Process, Pool_)
                      : ProcessWitness::connect(Pool_);
+  IsNew_ = !Process;
   follow(Current_);
   Current_->whenReady([Self = shared_from_this()] {
     if (Self->IsEnded_)
       return;
     Self->IsEarlier_ = Self->IsAnswerOpen_();
+    Self->OpenedAt_ = readClock();
+    Self->armRenewal();
   });
 }
 
@@ -53,18 +63,26 @@
       [Self = shared_from_this(), Lost = Opened.get()](ConnectionEnd End) {
         if (Self->IsEnded_)
           return;
-        if (Lost == Self->Current_.get())
+        if (Lost == Self->Next_.get()) {
+          Self->Next_.reset();
+          Self->armRenewal();
+        } else if (Lost == Self->Current_.get())
           Self->onLost(End, readClock());
       });
 }
 
 void AnswerWitness::onLost(ConnectionEnd End, TimePoint Now) {
   Current_.reset();
+  RenewalTimer_.cancel();
   bool const WasEarlier = std::exchange(IsEarlier_, false);
   if (WasEarlier && End == ConnectionEnd::Orderly)
     ClosedAt_ = Now;
   if (!IsAnswerOpen_())
     return;
+  if (WasEarlier && IsNew_ && End == ConnectionEnd::Orderly) {
+    auto const Lasted = Now - OpenedAt_;
+    Pool_->IdleTime_ = std::min(Pool_->IdleTime_.value_or(Lasted), Lasted);
+  }
   if (++Losses_ < MaxLosses)
     open(std::nullopt);
 }
@@ -73,8 +91,44 @@
   return !IsEarlier_ && ClosedAt_ && Now - *ClosedAt_ < Simultaneous;
 }
 
+void AnswerWitness::armRenewal() {
+  if (!Pool_->IdleTime_ || Renewals_ >= MaxRenewals)
+    return;
+  RenewalTimer_.expires_after(
+      std::max<Duration>(*Pool_->IdleTime_ / 2, MinRenewalPeriod));
+  RenewalTimer_.async_wait([Self = weak_from_this()](asio::error_code Failure) {
+    auto const Alive = Self.lock();
+    if (!Failure && Alive)
+      Alive->renew();
+  });
+}
+
+void AnswerWitness::renew() {
+  if (IsEnded_ || Next_ || !IsAnswerOpen_())
+    return;
+  ++Renewals_;
+  Next_ = ProcessWitness::connect(Pool_);
+  follow(Next_);
+  Next_->whenReady([Self = shared_from_this(), Opened = Next_.get()] {
+    if (Self->IsEnded_ || Opened != Self->Next_.get() || !Opened->isOpen())
+      return;
+    if (!Self->IsAnswerOpen_())
+      return std::exchange(Self->Next_, nullptr)->cancel();
+    if (auto const Old = std::exchange(Self->Current_, nullptr))
+      Old->cancel();
+    Self->Current_ = std::exchange(Self->Next_, nullptr);
+    Self->IsEarlier_ = true;
+    Self->IsNew_ = true;
+    Self->OpenedAt_ = readClock();
+    Self->armRenewal();
+  });
+}
+
 std::shared_ptr<ProcessWitness> AnswerWitness::take() {
   IsEnded_ = true;
+  RenewalTimer_.cancel();
+  if (auto const Next = std::exchange(Next_, nullptr))
+    Next->cancel();
   return std::exchange(Current_, nullptr);
 }
 
--- a/Libraries/LibHttp/AnswerWitness.h
+++ b/Libraries/LibHttp/AnswerWitness.h
@@ -3,6 +3,8 @@
 #include <LibCore/Time.h>
 #include <LibHttp/ProcessWitness.h>
 
+#include <asio/steady_timer.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -41,10 +43,19 @@
 
   void follow(std::shared_ptr<ProcessWitness> const &Opened);
   void onLost(ConnectionEnd End, TimePoint Now);
+  /// Opens the next connection before the server closes this one as idle.
+  void armRenewal();
+  void renew();
 
   std::shared_ptr<OutboundPool> Pool_;
   IsAnswerOpen IsAnswerOpen_;
   std::shared_ptr<ProcessWitness> Current_;
+  std::shared_ptr<ProcessWitness> Next_; ///< Replaces Current_ once it is open.
+  asio::steady_timer RenewalTimer_;
+  TimePoint OpenedAt_{}; ///< Of Current_.
+  /// Current_ was opened for this answer, so that its age is known.
+  bool IsNew_ = false;
+  std::uint32_t Renewals_ = 0;
   bool IsEarlier_ = false;
   bool IsEnded_ = false;
   std::optional<TimePoint> ClosedAt_; ///< Set while there is no connection.
--- a/Libraries/LibHttp/OutboundPool.h
+++ b/Libraries/LibHttp/OutboundPool.h
@@ -65,6 +65,9 @@
   ProcessIdentifier const *const Identifier_;
   bool IsUnidentifiable_ = false; ///< The server does not identify itself.
   bool HasUnmarkedEnds_ = false;  ///< An answer has ended with its connection.
+  /// How long the server leaves a connection open on which nothing is asked,
+  /// once it has closed one.
+  std::optional<Duration> IdleTime_;
   std::deque<std::shared_ptr<IdleConnection>> Idle_;
   PoolCounts Counts_;
 };
--- a/Libraries/LibHttp/ProcessWitness.h
+++ b/Libraries/LibHttp/ProcessWitness.h
@@ -48,6 +48,8 @@
   /// Calls back once the connection is open or has failed, and not before
   /// whenReady() returns.
   void whenReady(Ready Ready);
+  /// Whether its connection is open.
+  bool isOpen() const { return !HasFailed_ && Connection_; }
   /// Calls back if the connection fails or ends before the process is asked.
   void whenLost(Lost Lost) { Lost_ = std::move(Lost); }
   /// Asks the process who it is. Done is called once, and not before ask()
