LibHttp: Notice connections that end with an answer's in either order

An orderly end within 20 ms before the answer's counts whatever was opened since, one beside the answer's waiting end counts without a time, and an end of any kind counts once it was asked. TestEndOfConnection has two of these; a server that closes the second connection and goes on is still believed 20 ms later (TestWitnessLimits, which closed both at once), and at once where it resets it, as servers at their limit of connections do.

--- a/Libraries/LibHttp/AnswerWitness.cpp
+++ b/Libraries/LibHttp/AnswerWitness.cpp
@@ -11,8 +11,6 @@
 
 /// How often one answer's connection is opened again after it was lost.
 constexpr std::uint32_t MaxLosses = 8;
-/// Connections that end within this time have ended together.
-constexpr std::chrono::milliseconds Simultaneous{20};
 /// Limits how many connections a server with a very short idle time gets.
 constexpr std::chrono::milliseconds MinRenewalPeriod{50};
 constexpr std::uint32_t MaxRenewals = 32;
@@ -75,10 +73,13 @@
   Current_.reset();
   RenewalTimer_.cancel();
   bool const WasEarlier = std::exchange(IsEarlier_, false);
+  // A server at its limit of connections resets some at any time.
   if (WasEarlier && End == ConnectionEnd::Orderly)
     ClosedAt_ = Now;
-  if (!IsAnswerOpen_())
+  if (!IsAnswerOpen_()) {
+    HasEndedWithAnswer_ = WasEarlier;
     return;
+  }
   if (WasEarlier && IsNew_ && End == ConnectionEnd::Orderly) {
     auto const Lasted = Now - OpenedAt_;
     Pool_->IdleTime_ = std::min(Pool_->IdleTime_.value_or(Lasted), Lasted);
@@ -87,8 +88,8 @@
     open(std::nullopt);
 }
 
-bool AnswerWitness::wasClosedWithAnswer(TimePoint Now) const {
-  return !IsEarlier_ && ClosedAt_ && Now - *ClosedAt_ < Simultaneous;
+bool AnswerWitness::hasEndedWithAnswer(TimePoint Now) const {
+  return HasEndedWithAnswer_ || (ClosedAt_ && Now - *ClosedAt_ < Simultaneous);
 }
 
 void AnswerWitness::armRenewal() {
--- a/Libraries/LibHttp/AnswerWitness.h
+++ b/Libraries/LibHttp/AnswerWitness.h
@@ -20,6 +20,9 @@
   using IsAnswerOpen = std::function<bool()>;
   using Ready = std::function<void()>;
 
+  /// Connections that end within this time have ended together.
+  static constexpr std::chrono::milliseconds Simultaneous{20};
+
   /// The pool has to have a ProcessIdentifier.
   static std::shared_ptr<AnswerWitness>
   create(std::shared_ptr<OutboundPool> Pool, IsAnswerOpen IsAnswerOpen);
@@ -31,8 +34,9 @@
   void open(std::optional<std::string> const &Process);
   /// Whether a connection is open that was open while the answer was.
   bool isEarlier() const { return IsEarlier_; }
-  /// Whether the server has closed it in order, together with the answer's.
-  bool wasClosedWithAnswer(TimePoint Now) const;
+  /// Whether a connection that was open beside the answer's has ended together
+  /// with it.
+  bool hasEndedWithAnswer(TimePoint Now) const;
   /// Hands over the connection, or the one that is being opened; null if there
   /// is none. Opens no other one.
   std::shared_ptr<ProcessWitness> take();
@@ -58,7 +62,8 @@
   std::uint32_t Renewals_ = 0;
   bool IsEarlier_ = false;
   bool IsEnded_ = false;
-  std::optional<TimePoint> ClosedAt_; ///< Set while there is no connection.
+  bool HasEndedWithAnswer_ = false;
+  std::optional<TimePoint> ClosedAt_; ///< When a connection was closed last.
   std::uint32_t Losses_ = 0;
 };
 
--- a/Libraries/LibHttp/OutboundCall.cpp
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -318,7 +318,7 @@
 
 void OutboundCall::verifyEnd() {
   if (AnswerWitness_) {
-    if (AnswerWitness_->wasClosedWithAnswer(readClock()))
+    if (AnswerWitness_->hasEndedWithAnswer(readClock()))
       return fail(AttemptEnd::ConnectionFailed,
                   "the server's connections have ended together");
     IsWitnessEarlier_ = AnswerWitness_->isEarlier();
@@ -348,7 +348,7 @@
     return deliver();
   }
   // The server may have closed an idle connection, or be too busy once.
-  bool const HasEndedTogether = IsWitnessEarlier_ && Answer.IsClosed_;
+  bool const HasEndedTogether = IsWitnessEarlier_ && Answer.IsConnectionLost_;
   if (Process_ && !Answer.Process_ && !HasEndedTogether &&
       EndQuestions_ < MaxQuestions) {
     IsWitnessEarlier_ = false;
--- a/Libraries/LibHttp/ProcessWitness.cpp
+++ b/Libraries/LibHttp/ProcessWitness.cpp
@@ -124,7 +124,7 @@
     Connection_.reset();
     return finish({true, Pool_->Identifier_->identify(Reader_.head(), Body_)});
   }
-  IsClosed_ = End == ConnectionEnd::Orderly;
+  IsConnectionLost_ = true;
   fail(End);
 }
 
@@ -141,7 +141,7 @@
   // The head was sent after the question.
   finish({Reader_.isHeadDone() && Reader_.fault() == MessageFault::None,
           {},
-          IsClosed_});
+          IsConnectionLost_});
 }
 
 void ProcessWitness::finish(WitnessAnswer const &Answer) {
--- a/Libraries/LibHttp/ProcessWitness.h
+++ b/Libraries/LibHttp/ProcessWitness.h
@@ -20,8 +20,8 @@
   bool HasAnswered_ = false;
   /// Nothing if it has not identified itself.
   std::optional<std::string> Process_;
-  /// Whether the connection was closed in order without an answer.
-  bool IsClosed_ = false;
+  /// Whether the connection ended without an answer.
+  bool IsConnectionLost_ = false;
 
   auto operator<=>(WitnessAnswer const &) const = default;
 };
@@ -78,7 +78,7 @@
   Lost Lost_;
   Done Done_;
   bool HasFailed_ = false;
-  bool IsClosed_ = false;
+  bool IsConnectionLost_ = false;
 };
 
 } // namespace laburnum
--- a/Tests/LibHttp/IdentificationFixture.h
+++ b/Tests/LibHttp/IdentificationFixture.h
@@ -80,6 +80,11 @@
     Context_.restart();
     Context_.poll();
   }
+  /// Runs what comes until this time is over.
+  void passTime(Duration Time) {
+    REQUIRE(runUntil(
+        Context_, [End = readClock() + Time] { return readClock() >= End; }));
+  }
   bool awaitFailure(AnswerRecorder const &Observer) {
     return runUntil(Context_, [&] { return Observer.Evidence_.has_value(); });
   }
--- a/Tests/LibHttp/TestEndOfConnection.cpp
+++ b/Tests/LibHttp/TestEndOfConnection.cpp
@@ -1,5 +1,7 @@
 #include "IdentificationFixture.h"
 
+#include <LibHttp/AnswerWitness.h>
+
 using namespace laburnum;
 using namespace laburnum::test;
 
@@ -80,6 +82,20 @@
     checkBroken(*Answer);
     CHECK(Server_.Peers_.size() == 2);
   }
+  SECTION("it closes the other connection just before, and opens another") {
+    peer().close();
+    REQUIRE(awaitConnections(3));
+    settle();
+    answering().close();
+    checkBroken(*Answer);
+  }
+  SECTION("the other connection is reset when it is asked") {
+    answering().close();
+    REQUIRE(awaitBytes(Question, 2));
+    peer().reset();
+    checkBroken(*Answer);
+    CHECK(Server_.Peers_.size() == 2);
+  }
   SECTION("it ends when it is asked") {
     answering().close();
     REQUIRE(awaitBytes(Question, 2));
@@ -90,7 +106,7 @@
   SECTION("it closes the other connection earlier, and goes on") {
     peer().close();
     REQUIRE(awaitConnections(3));
-    settle();
+    passTime(AnswerWitness::Simultaneous);
     answering().close();
     REQUIRE(awaitBytes(Question, 3));
     peer().write(identification("p1"));
@@ -188,7 +204,7 @@
   SECTION("it is closed before the answer, and another one answers") {
     peer().close();
     REQUIRE(awaitConnections(3));
-    settle();
+    passTime(AnswerWitness::Simultaneous);
     answering().close();
     REQUIRE(awaitBytes(Question, 3));
     peer().write(identification("p1"));
--- a/Tests/LibHttp/TestWitnessLimits.cpp
+++ b/Tests/LibHttp/TestWitnessLimits.cpp
@@ -3,6 +3,8 @@
 
 #include "IdentificationFixture.h"
 
+#include <LibHttp/AnswerWitness.h>
+
 #include <algorithm>
 #include <functional>
 #include <map>
@@ -132,9 +134,12 @@
   auto const Answer = beginAnswer();
   // The answer takes longer than the server's timeout, or the server is at its
   // limit of connections.
-  GENERATE(false, true) ? peer().reset() : peer().close();
+  bool const IsAtLimit = GENERATE(false, true);
+  IsAtLimit ? peer().reset() : peer().close();
   settle();
   settle();
+  if (!IsAtLimit)
+    passTime(AnswerWitness::Simultaneous);
   Server_.Peers_.front()->close();
   answerQuestions(*Answer, {answer("404 Not Found", "")});
   CHECK(Answer->IsComplete_);
