LibTraffic: Abort a resumable stream whose end is doubtful

A review of the changes before found by reading that a stream still ended as complete where its end was not marked and then the server that was asked to go on failed or was at work until the deadline, where another server had already shown that the stream goes on, and where a stream ended without any event.

Such a stream is aborted, and the client takes it up; it is complete without a confirmation only where no server could be asked. A new stream without an event is begun elsewhere, and one that is taken up is asked for once more. An event without an identifier is not relayed from a server that was asked only to confirm the end. The log line of a stream that ends unconfirmed says so (why=).

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -154,7 +154,9 @@
   std::string Bytes;
   for (auto &Event : Events) {
     if (!Event.Id_) {
-      Bytes += Event.Bytes_;
+      // The client has what follows the last event of a whole stream.
+      if (!IsEndUnconfirmed_)
+        Bytes += Event.Bytes_;
       continue;
     }
     bool const IsFirst = !std::exchange(HasSentEvent_, true);
@@ -166,7 +168,7 @@
       continue;
     if (!IsFirst)
       Numbering_.onStep(AttemptOrigin_.Service_, *Event.Id_ - *LastEventId_);
-    HasEndedTooEarly_ |= std::exchange(IsEndUnconfirmed_, false);
+    IsEndDoubtful_ |= std::exchange(IsEndUnconfirmed_, false);
     LastEventId_ = Event.Id_;
     LastEventHash_ = hashOf(Event);
     Bytes += Event.Bytes_;
@@ -259,33 +261,38 @@
     return endAttempt(true, "the stream ended inside an event");
   if (mayHaveStoppedAtDeadline())
     return endAttempt(true, "the server may have stopped at the deadline");
-  if (End == AnswerEnd::Unmarked && !IsEndUnconfirmed_) {
-    if (confirmEnd())
-      return;
-    if (HasEndedTooEarly_)
-      return fail("the stream's servers end their answers too early");
-  }
-  completeStream();
+  if (End == AnswerEnd::Marked)
+    return completeStream(End);
+  if (!LastEventId_ && !HasBegunStream_)
+    return endAttempt(true, "the stream ended before its first event");
+  if (IsEndUnconfirmed_ && !IsEndDoubtful_)
+    return completeStream(AnswerEnd::Marked);
+  if (confirmEnd())
+    return;
+  if (IsEndDoubtful_)
+    return fail("the stream's servers end their answers too early");
+  completeStream(End);
 }
 
 bool ExchangeFlow::confirmEnd() {
-  if (!HasBegunStream_)
-    return false;
   ++Runs_;
-  if (!mayRetry(true))
+  if (!LastEventId_ || !mayRetry(true))
     return false;
   IsEndUnconfirmed_ = true;
+  // Of a stream that the client takes up, there may be nothing left.
+  if (!std::exchange(HasBegunStream_, true))
+    Actions_.push_back(BeginStream{Answer_->Head_});
   State_ = State::Waiting;
   Actions_.push_back(RequestServer{Tried_, Origin_});
   return true;
 }
 
-void ExchangeFlow::completeStream() {
+void ExchangeFlow::completeStream(AnswerEnd End) {
   countRun();
   State_ = State::Over;
   if (!HasBegunStream_)
     Actions_.push_back(BeginStream{Answer_->Head_});
-  Actions_.push_back(FinishStream{});
+  Actions_.push_back(FinishStream{End});
 }
 
 void ExchangeFlow::on(AttemptFailed const &Event) {
@@ -303,8 +310,10 @@
 }
 
 void ExchangeFlow::endAttempt(bool MayHaveRun, std::string const &Reason) {
-  if (MayHaveRun)
+  if (MayHaveRun) {
     ++Runs_;
+    IsEndDoubtful_ |= IsEndUnconfirmed_;
+  }
   // An instance that refused has put no load on a server.
   bool const IsFreeRetry = isThroughPeer() && !MayHaveRun && !HasBegunStream_;
   retryOrFail(IsFreeRetry ? hasTimeAndAttempts() : mayRetry(MayHaveRun),
@@ -346,9 +355,9 @@
 }
 
 void ExchangeFlow::fail(std::string const &Reason) {
-  // No other server can tell whether the stream was whole.
-  if (IsEndUnconfirmed_)
-    return completeStream();
+  // No other server could be asked whether the stream was whole.
+  if (IsEndUnconfirmed_ && !IsEndDoubtful_)
+    return completeStream(AnswerEnd::Unmarked);
   State_ = State::Over;
   if (HasBegunStream_)
     Actions_.push_back(AbortStream{Reason});
@@ -378,6 +387,7 @@
   if (Now_ < Context_.Expiry_)
     return;
   bool const IsAttempting = State_ == State::Attempting;
+  IsEndDoubtful_ |= IsAttempting && IsEndUnconfirmed_;
   if (IsAttempting)
     Actions_.push_back(CancelAttempt{});
   else
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -115,6 +115,9 @@
   auto operator<=>(RelayEvents const &) const = default;
 };
 struct FinishStream {
+  /// Unmarked if nothing but the end of the connection shows the stream's end.
+  AnswerEnd End_ = AnswerEnd::Marked;
+
   auto operator<=>(FinishStream const &) const = default;
 };
 /// Closes the client's connection before the stream is complete.
@@ -238,7 +241,7 @@
   /// Asks another server to go on, which has nothing to add if the stream is
   /// whole. Returns whether that is possible.
   bool confirmEnd();
-  void completeStream();
+  void completeStream(exchange::AnswerEnd End);
   void countRun();
   void rememberOrigin(StreamOrigin const &Origin);
   /// Whether another instance passes the stream on that does not state which
@@ -278,8 +281,8 @@
   std::optional<std::size_t> LastEventHash_; ///< Set once one was relayed.
   /// A server has ended the stream after LastEventId_ without marking the end.
   bool IsEndUnconfirmed_ = false;
-  /// Another server has gone on after such an end.
-  bool HasEndedTooEarly_ = false;
+  /// Another server has gone on after such an end, or could not confirm it.
+  bool IsEndDoubtful_ = false;
   /// The last failure answered by a server, sent to the client when no attempt
   /// is left.
   std::optional<exchange::SendCompleteAnswer> LastFailure_;
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -466,10 +466,11 @@
     Plane_.limitUnwritten(MaxUnwrittenInTotal);
 }
 
-void RequestSession::on(FinishStream const & /*Action*/) {
+void RequestSession::on(FinishStream const &Action) {
   Exchange_->finishStream();
   Plane_.Origins_.onFinished(BegunStream_);
-  finish(Outcome::Answered, RelayedStatus_, {});
+  finish(Outcome::Answered, RelayedStatus_,
+         Action.End_ == AnswerEnd::Unmarked ? "the end was not confirmed" : "");
 }
 
 void RequestSession::on(AbortStream const &Action) {
--- a/Tests/LibTraffic/TestStreamEnds.cpp
+++ b/Tests/LibTraffic/TestStreamEnds.cpp
@@ -82,11 +82,13 @@
     Run.handle(NoServer{"all are busy", {}});
     CHECK(Run.find<FinishStream>());
   }
-  SECTION("the other server fails") {
+  SECTION("the other server refuses") {
     Harness Run(stream());
     endUnmarked(Run);
     Run.attempt("b");
-    Run.handle(failure(AttemptProgress::RequestSent));
+    Run.handle(HeadArrived{answer(AnswerClaim::NotRun, 503)});
+    Run.handle(Marked);
+    Run.handle(NoServer{"no other server", {}});
     CHECK(Run.find<FinishStream>());
   }
   SECTION("the time is over meanwhile") {
@@ -98,6 +100,98 @@
   }
 }
 
+TEST_CASE("A resumable stream whose end another server does not confirm is "
+          "aborted") {
+  Harness Run(stream());
+  endUnmarked(Run);
+  Run.attempt("b");
+  SECTION("it breaks off") {
+    Run.handle(failure(AttemptProgress::RequestSent));
+  }
+  SECTION("it works until the time is over") {
+    Run.Now_ += seconds(3);
+    Run.handle(TimePassed{});
+  }
+  SECTION("it begins anew") {
+    Run.handle(HeadArrived{Signed});
+    Run.handle(BodyArrived{"id: 1\ndata: x\n\n"});
+  }
+  CHECK(Run.find<AbortStream>());
+}
+
+TEST_CASE("A stream that was found to go on is not complete at the next end "
+          "that is not marked") {
+  auto Three = stream();
+  Three.MaxAttempts_ = 3;
+  Harness Run(Three);
+  endUnmarked(Run);
+  Run.attempt("b");
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{"id: 3\ndata: z\n\n"});
+  Run.handle(Unmarked);
+  REQUIRE(Run.find<RequestServer>());
+  SECTION("nobody is left to ask") {
+    Run.handle(NoServer{"all are busy", {}});
+    CHECK(Run.find<AbortStream>());
+  }
+  SECTION("the next server ends without a mark and without an event") {
+    Run.attempt("c");
+    Run.handle(HeadArrived{Signed});
+    Run.handle(Unmarked);
+    CHECK(Run.find<AbortStream>());
+  }
+  SECTION("the next server has nothing to add") {
+    Run.attempt("c");
+    Run.handle(HeadArrived{Signed});
+    Run.handle(Marked);
+    CHECK(Run.find<FinishStream>());
+  }
+}
+
+TEST_CASE("A stream without an event is not complete by the end of its "
+          "connection") {
+  SECTION("a new one is begun elsewhere") {
+    Harness Run(stream());
+    Run.attempt("a");
+    Run.handle(HeadArrived{Signed});
+    Run.handle(Unmarked);
+    CHECK_FALSE(Run.find<FinishStream>());
+    REQUIRE(Run.find<RequestServer>());
+    Run.attempt("b");
+    CHECK_FALSE(Run.find<SendAttempt>()->Metadata_.LastEventId_);
+  }
+  SECTION("one that is taken up is asked for elsewhere") {
+    RequestMetadata Metadata;
+    Metadata.TakesUpStream_ = true;
+    Metadata.LastEventId_ = 3;
+    Harness Run(stream(), Metadata);
+    Run.handle(OriginFound{StreamOrigin{}, {}});
+    Run.attempt("a");
+    Run.handle(HeadArrived{Signed});
+    Run.handle(Unmarked);
+    CHECK_FALSE(Run.find<FinishStream>());
+    REQUIRE(Run.find<RequestServer>());
+    Run.attempt("b");
+    Run.handle(HeadArrived{Signed});
+    Run.handle(BodyArrived{"id: 4\ndata: z\n\n"});
+    CHECK(Run.find<RelayEvents>());
+    Run.handle(Marked);
+    CHECK(Run.find<FinishStream>());
+  }
+}
+
+TEST_CASE("What a server repeats after the last event of a whole stream is not "
+          "relayed") {
+  Harness Run(stream());
+  endUnmarked(Run);
+  Run.attempt("b");
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{"data: done\n\n"});
+  CHECK_FALSE(Run.find<RelayEvents>());
+  Run.handle(Unmarked);
+  CHECK(Run.find<FinishStream>());
+}
+
 TEST_CASE("An answer that its server may have ended because of the deadline is "
           "not complete") {
   constexpr milliseconds TimeAllowed{2000};
