--- a/Libraries/LibHttp/AnswerWitness.cpp
+++ b/Libraries/LibHttp/AnswerWitness.cpp
@@ -80,7 +80,9 @@
     HasEndedWithAnswer_ = WasEarlier;
     return;
   }
-  if (WasEarlier && IsNew_ && End == ConnectionEnd::Orderly) {
+  // An older connection was idle before, which is a lower bound.
+  bool const IsIdleTime = IsNew_ || !Pool_->IdleTime_;
+  if (WasEarlier && IsIdleTime && End == ConnectionEnd::Orderly) {
     auto const Lasted = Now - OpenedAt_;
     Pool_->IdleTime_ = std::min(Pool_->IdleTime_.value_or(Lasted), Lasted);
   }
