LibTraffic, laburnum-entry: Log why an instance stops reading a stream

CancelAttempt now has the reason, and the line attempt_cancelled names the attempt, the server's process and it. No decision changes: TestLibTraffic holds.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -144,10 +144,8 @@
     return;
   }
   relay(Splitter_.feed(Event.Bytes_));
-  if (State_ == State::Attempting && Splitter_.isOverlong()) {
-    Actions_.push_back(CancelAttempt{});
-    endAttempt(true, "event too long");
-  }
+  if (State_ == State::Attempting && Splitter_.isOverlong())
+    cancelAttempt("event too long");
 }
 
 void ExchangeFlow::relay(std::vector<StreamEvent> Events) {
@@ -160,10 +158,8 @@
       continue;
     }
     bool const IsFirst = !std::exchange(HasSentEvent_, true);
-    if (IsFirst && LastEventId_ && !goesOnAt(Event)) {
-      Actions_.push_back(CancelAttempt{});
-      return endAttempt(true, "the server does not go on after the last event");
-    }
+    if (IsFirst && LastEventId_ && !goesOnAt(Event))
+      return cancelAttempt("the server does not go on after the last event");
     if (Event.Id_ <= LastEventId_)
       continue;
     if (!IsFirst)
@@ -320,6 +316,11 @@
               Reason);
 }
 
+void ExchangeFlow::cancelAttempt(std::string const &Reason) {
+  Actions_.push_back(CancelAttempt{Reason});
+  endAttempt(true, Reason);
+}
+
 void ExchangeFlow::retryOrFail(bool MayRetry, std::string const &Reason) {
   if (!MayRetry)
     return fail(Reason);
@@ -377,7 +378,7 @@
 
 void ExchangeFlow::on(ClientLeft const & /*Event*/) {
   if (State_ == State::Attempting)
-    Actions_.push_back(CancelAttempt{});
+    Actions_.push_back(CancelAttempt{{}});
   else
     Actions_.push_back(CancelServerRequest{});
   State_ = State::Over;
@@ -389,7 +390,7 @@
   bool const IsAttempting = State_ == State::Attempting;
   IsEndDoubtful_ |= IsAttempting && IsEndUnconfirmed_;
   if (IsAttempting)
-    Actions_.push_back(CancelAttempt{});
+    Actions_.push_back(CancelAttempt{{}});
   else
     Actions_.push_back(CancelServerRequest{});
   if (HasBegunStream_)
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -86,6 +86,9 @@
 };
 /// Closes the attempt's connection, which cancels it at the server.
 struct CancelAttempt {
+  /// What is wrong with the server's answer, or nothing.
+  std::string Reason_;
+
   auto operator<=>(CancelAttempt const &) const = default;
 };
 /// The first event of the stream in this answer is about to be relayed.
@@ -221,6 +224,8 @@
   /// Ends an attempt without a usable answer. MayHaveRun tells whether the
   /// server may have begun the request.
   void endAttempt(bool MayHaveRun, std::string const &Reason);
+  /// Cancels an attempt whose server has begun the request.
+  void cancelAttempt(std::string const &Reason);
   /// Ends an attempt before the request was sent.
   void endUnconnectedAttempt(std::string const &Reason);
   void retryOrFail(bool MayRetry, std::string const &Reason);
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -418,7 +418,16 @@
   Plane_.advanceQueue();
 }
 
-void RequestSession::on(CancelAttempt const & /*Action*/) {
+void RequestSession::on(CancelAttempt const &Action) {
+  if (!Action.Reason_.empty())
+    Plane_.Dependencies_.Log_.write(
+        LogLine("attempt_cancelled")
+            .add("id", FlowContext_.Metadata_.AttemptId_)
+            .add("attempt", Flow_.attempts())
+            .add("server", LastServer_)
+            .add("born", LastIncarnationStart_)
+            .add("total_ms", readBootClock() - Request_.BegunAt_)
+            .add("why", Action.Reason_));
   if (auto const Call = std::exchange(Call_, nullptr))
     Call->cancel();
   // A server that sent no byte until the deadline has failed.
