LibTraffic: Ask elsewhere for an event that a server leaves out

Cause: the step was learned as a largest value, so that one gap was the service's numbering from then on. Now it is what nearly all recent steps of a service and software version are (ObservedConventions). A larger one ends the attempt after the last event before it: a stream that may be resumed goes on at another server, another one is aborted. Two servers that number alike settle it, so that a service with a rare larger step still completes. Irregular numbering is never cut once it was seen. One server no longer ends the check of where continuations begin.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -51,9 +51,10 @@
 } // namespace
 
 ExchangeFlow::ExchangeFlow(FlowContext FlowContext, RetryGate &Gate,
-                           EventNumbering &Numbering)
-    : Context_(std::move(FlowContext)), RetryGate_(Gate), Numbering_(Numbering),
-      LastEventId_(Context_.Metadata_.LastEventId_) {}
+                           StreamConventions &Conventions)
+    : Context_(std::move(FlowContext)), RetryGate_(Gate),
+      Conventions_(Conventions), LastEventId_(Context_.Metadata_.LastEventId_) {
+}
 
 std::vector<Action> ExchangeFlow::start(TimePoint Now) {
   Now_ = Now;
@@ -150,6 +151,7 @@
 
 void ExchangeFlow::relay(std::vector<StreamEvent> Events) {
   std::string Bytes;
+  std::string Fault;
   for (auto &Event : Events) {
     if (!Event.Id_) {
       // The client has what follows the last event of a whole stream.
@@ -158,17 +160,24 @@
       continue;
     }
     bool const IsFirst = !std::exchange(HasSentEvent_, true);
-    if (IsFirst && LastEventId_ && !goesOnAt(Event))
-      return cancelAttempt("the server does not go on after the last event");
+    Fault = faultOf(Event, IsFirst);
+    learnFrom(Event, IsFirst);
+    if (!Fault.empty())
+      break;
     if (Event.Id_ <= LastEventId_)
       continue;
-    if (!IsFirst)
-      Numbering_.onStep(AttemptOrigin_.Service_, *Event.Id_ - *LastEventId_);
     IsEndDoubtful_ |= std::exchange(IsEndUnconfirmed_, false);
     LastEventId_ = Event.Id_;
     LastEventHash_ = hashOf(Event);
+    SkippedTo_.reset();
     Bytes += Event.Bytes_;
   }
+  relay(std::move(Bytes));
+  if (!Fault.empty())
+    cancelAttempt(Fault);
+}
+
+void ExchangeFlow::relay(std::string Bytes) {
   if (Bytes.empty())
     return;
   countRun();
@@ -184,13 +193,38 @@
   Actions_.push_back(RelayEvents{std::move(Bytes)});
 }
 
+std::string ExchangeFlow::faultOf(StreamEvent const &Event, bool IsFirst) {
+  bool const IsRepeated = !IsFirst && Event.Id_ <= LastEventId_;
+  if (IsRepeated)
+    return {};
+  bool const Continues = IsFirst && LastEventId_;
+  bool const IsNext =
+      Continues ? goesOnAt(Event)
+      : LastEventId_
+          ? !Conventions_.isGap(AttemptOrigin_, *Event.Id_ - *LastEventId_)
+          : !Conventions_.isLateFirst(AttemptOrigin_, *Event.Id_);
+  // What two servers leave out does not exist.
+  if (IsNext || SkippedTo_ == Event.Id_)
+    return {};
+  if (Event.Id_ > LastEventId_)
+    SkippedTo_ = Event.Id_;
+  return Continues ? "the server does not go on after the last event"
+                   : "the server has left out an event";
+}
+
 bool ExchangeFlow::goesOnAt(StreamEvent const &First) const {
   // The last event may come again, if it is the same.
   if (First.Id_ == LastEventId_)
     return LastEventHash_ == hashOf(First);
   return First.Id_ > LastEventId_ &&
-         Numbering_.mayFollow(AttemptOrigin_.Service_,
-                              *First.Id_ - *LastEventId_);
+         Conventions_.mayFollow(AttemptOrigin_, *First.Id_ - *LastEventId_);
+}
+
+void ExchangeFlow::learnFrom(StreamEvent const &Event, bool IsFirst) {
+  if (!LastEventId_)
+    Conventions_.onFirst(AttemptOrigin_, *Event.Id_);
+  else if (!IsFirst && Event.Id_ > LastEventId_)
+    Conventions_.onStep(AttemptOrigin_, *Event.Id_ - *LastEventId_);
 }
 
 void ExchangeFlow::rememberOrigin(StreamOrigin const &Origin) {
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -2,8 +2,9 @@
 
 #include <LibGuard/RequestFingerprints.h>
 #include <LibModel/AttemptEvidence.h>
-#include <LibTraffic/EventNumbering.h>
+#include <LibTraffic/AnswerEnd.h>
 #include <LibTraffic/EventStreamSplitter.h>
+#include <LibTraffic/StreamConventions.h>
 #include <LibTraffic/StreamOrigins.h>
 #include <LibTraffic/TrafficRequest.h>
 
@@ -35,12 +36,6 @@
 struct BodyArrived {
   std::string Bytes_;
 };
-/// How the end of an answer was found.
-enum class AnswerEnd {
-  Marked, ///< By a length or a last chunk.
-  /// By the end of its connection, which its server's process has outlived.
-  Unmarked,
-};
 struct AnswerCompleted {
   AnswerEnd End_ = AnswerEnd::Marked;
 };
@@ -188,7 +183,7 @@
 class ExchangeFlow {
 public:
   ExchangeFlow(exchange::FlowContext FlowContext, exchange::RetryGate &Gate,
-               exchange::EventNumbering &Numbering);
+               exchange::StreamConventions &Conventions);
 
   std::vector<exchange::Action> start(TimePoint Now);
   std::vector<exchange::Action> handle(exchange::Event const &Event,
@@ -236,9 +231,15 @@
   void fail(std::string const &Reason);
   void refuse(std::int32_t Status, std::string const &Reason,
               std::optional<Duration> RetryAfter);
+  /// Relays the events up to one that is wrong.
   void relay(std::vector<StreamEvent> Events);
+  void relay(std::string Bytes);
+  /// Returns what is wrong with the place of an event in the stream, or
+  /// nothing. IsFirst tells whether it is the first one of its server.
+  std::string faultOf(StreamEvent const &Event, bool IsFirst);
   /// Whether the event may be the first one of a continuation.
   bool goesOnAt(StreamEvent const &First) const;
+  void learnFrom(StreamEvent const &Event, bool IsFirst);
   /// Whether the server has stopped by now because of the deadline that it was
   /// given.
   bool mayHaveStoppedAtDeadline() const;
@@ -261,7 +262,7 @@
 
   exchange::FlowContext Context_;
   exchange::RetryGate &RetryGate_;
-  exchange::EventNumbering &Numbering_;
+  exchange::StreamConventions &Conventions_;
   State State_ = State::Waiting;
   TimePoint Now_{};
   std::vector<exchange::Action> Actions_;
@@ -284,6 +285,9 @@
   bool HasCountedRun_ = false;
   std::optional<std::uint64_t> LastEventId_;
   std::optional<std::size_t> LastEventHash_; ///< Set once one was relayed.
+  /// What a server has sent after LastEventId_ although that may leave out
+  /// events.
+  std::optional<std::uint64_t> SkippedTo_;
   /// A server has ended the stream after LastEventId_ without marking the end.
   bool IsEndUnconfirmed_ = false;
   /// Another server has gone on after such an end, or could not confirm it.
--- /dev/null
+++ b/Libraries/LibTraffic/ObservedConventions.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <LibTraffic/RecentValues.h>
+#include <LibTraffic/StreamConventions.h>
+
+#include <map>
+
+namespace laburnum {
+
+/// Learns the conventions from the streams that this instance receives. What a
+/// few servers do otherwise does not change what is usual.
+class ObservedConventions : public exchange::StreamConventions {
+public:
+  void onFirst(StreamOrigin const &Origin, std::uint64_t Id) override;
+  void onStep(StreamOrigin const &Origin, std::uint64_t Step) override;
+  bool isLateFirst(StreamOrigin const &Origin, std::uint64_t Id) const override;
+  bool isGap(StreamOrigin const &Origin, std::uint64_t Step) const override;
+  bool mayFollow(StreamOrigin const &Origin, std::uint64_t Step) const override;
+
+private:
+  struct Observed {
+    RecentValues FirstIds_;
+    RecentValues Steps_;
+  };
+
+  Observed &observed(StreamOrigin const &Origin);
+  Observed const *find(StreamOrigin const &Origin) const;
+
+  std::map<StreamOrigin, Observed> Origins_;
+};
+
+} // namespace laburnum
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -51,7 +51,7 @@
       Request_(std::move(Request)), FlowContext_(std::move(FlowContext)),
       RetryGate_(Plane_.Retries_, Plane_.Dependencies_.Guard_,
                  FlowContext_.Fingerprints_),
-      Flow_(FlowContext_, RetryGate_, Plane_.Numbering_),
+      Flow_(FlowContext_, RetryGate_, Plane_.Conventions_),
       DeadlineTimer_(Plane_.Dependencies_.Context_),
       StallTimer_(Plane_.Dependencies_.Context_) {}
 
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -19,9 +19,9 @@
 #include <LibTraffic/AccountQuotaLimiter.h>
 #include <LibTraffic/AdmissionQueue.h>
 #include <LibTraffic/ExchangeFlow.h>
+#include <LibTraffic/ObservedConventions.h>
 #include <LibTraffic/PeerRoutes.h>
 #include <LibTraffic/RouteTable.h>
-#include <LibTraffic/ServiceNumbering.h>
 #include <LibTraffic/WindowedRetryBudget.h>
 
 #include <asio/io_context.hpp>
@@ -207,7 +207,7 @@
   std::set<RequestSession *> AttemptingSessions_;
   std::size_t BufferedBytes_ = 0; ///< Of all unfinished answers.
   StreamOriginDirectory Origins_;
-  ServiceNumbering Numbering_;
+  ObservedConventions Conventions_;
   asio::steady_timer QueueTimer_;
   bool IsQueueTimerArmed_ = false;
   std::uint64_t NextTicket_ = 1;
--- a/Tests/LibTraffic/FlowHarness.h
+++ b/Tests/LibTraffic/FlowHarness.h
@@ -2,7 +2,7 @@
 
 #include <LibTraffic/ExchangeFlow.h>
 #include <LibTraffic/ServerRoster.h>
-#include <LibTraffic/ServiceNumbering.h>
+#include <LibTraffic/ObservedConventions.h>
 
 #include <chrono>
 #include <optional>
@@ -59,7 +59,7 @@
     FlowContext.Route_ = &Route_;
     FlowContext.Expiry_ = Now_ + std::chrono::seconds(2);
     FlowContext.Source_ = Source;
-    Flow_.emplace(FlowContext, RetryGate_, Numbering_);
+    Flow_.emplace(FlowContext, RetryGate_, Conventions_);
     Last_ = Flow_->start(Now_);
   }
 
@@ -84,7 +84,7 @@
 
   Route Route_;
   TestRetryGate RetryGate_;
-  ServiceNumbering Numbering_;
+  ObservedConventions Conventions_;
   TimePoint Now_{std::chrono::seconds(1000)};
   std::optional<ExchangeFlow> Flow_;
   std::vector<exchange::Action> Last_;
--- a/Tests/LibTraffic/TestStreamFlow.cpp
+++ b/Tests/LibTraffic/TestStreamFlow.cpp
@@ -148,6 +148,72 @@
   CHECK(Run.find<CancelAttempt>());
 }
 
+TEST_CASE("An event that a server leaves out is asked for elsewhere") {
+  auto const Step = GENERATE(1, 8);
+  auto const Event = [Step](int Number) {
+    return "id: " + std::to_string(Number * Step) + "\n\n";
+  };
+  auto const Repeat = GENERATE(Repeatability::Resumable, Repeatability::Never);
+  Harness Run(routeOf(Repeat, AnswerForm::EventStream));
+  Run.attempt("a");
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{Event(1) + Event(2)});
+  Run.handle(BodyArrived{Event(3) + Event(4) + Event(6)});
+  REQUIRE(Run.find<RelayEvents>());
+  CHECK(Run.find<RelayEvents>()->Bytes_ == Event(3) + Event(4));
+  CHECK(Run.find<CancelAttempt>());
+  if (Repeat == Repeatability::Never) {
+    CHECK(Run.find<AbortStream>());
+    return;
+  }
+  REQUIRE(Run.find<RequestServer>());
+  Run.attempt("b");
+  CHECK(Run.find<SendAttempt>()->Metadata_.LastEventId_ == 4U * Step);
+  Run.handle(HeadArrived{Signed});
+  SECTION("another server has it") {
+    Run.handle(BodyArrived{Event(5) + Event(6)});
+    REQUIRE(Run.find<RelayEvents>());
+    CHECK(Run.find<RelayEvents>()->Bytes_ == Event(5) + Event(6));
+  }
+  SECTION("another server leaves it out too") {
+    Run.handle(BodyArrived{Event(6)});
+    REQUIRE(Run.find<RelayEvents>());
+  }
+}
+
+TEST_CASE("Streams whose identifiers grow irregularly are relayed") {
+  ObservedConventions Conventions;
+  StreamOrigin const Origin{ServiceName("writer"), "v1"};
+  for (auto const Step : {7U, 4U, 14U, 2U, 9U, 7U, 30U}) {
+    CHECK_FALSE(Conventions.isGap(Origin, Step));
+    Conventions.onStep(Origin, Step);
+  }
+}
+
+TEST_CASE("A few servers that leave out events do not change what is a gap") {
+  ObservedConventions Conventions;
+  StreamOrigin const Origin{ServiceName("writer"), "v1"};
+  constexpr std::uint64_t Steps = 1000;
+  for (std::uint64_t Number = 0; Number < Steps; ++Number) {
+    bool const IsGap = Number % 20 == 19;
+    if (IsGap)
+      CHECK(Conventions.isGap(Origin, 2));
+    Conventions.onStep(Origin, IsGap ? 2 : 1);
+  }
+  CHECK_FALSE(Conventions.isGap({ServiceName("writer"), "v2"}, 2));
+  CHECK_FALSE(Conventions.isGap({ServiceName("desk"), "v1"}, 2));
+}
+
+TEST_CASE("A new stream without its first event is begun elsewhere") {
+  ObservedConventions Conventions;
+  StreamOrigin const Origin{ServiceName("writer"), "v1"};
+  CHECK_FALSE(Conventions.isLateFirst(Origin, 2));
+  for (int Stream = 0; Stream < 20; ++Stream)
+    Conventions.onFirst(Origin, 1);
+  CHECK(Conventions.isLateFirst(Origin, 2));
+  CHECK_FALSE(Conventions.isLateFirst(Origin, 1));
+}
+
 TEST_CASE("A stream that has begun asks for servers of its software version") {
   RequestMetadata Metadata;
   Metadata.AttemptId_ = "first";
