LibTraffic: Leave a stream whose end nobody confirms to its client

Cause: the flow took "nobody could be asked" for "whole". A client's take-up is a request of its own, which no retry budget bounds, so the rest can be had whatever the budget: the stream is now aborted. A stream that is taken up, and to which its server has nothing to add, is complete without a further server, so that a service whose servers never mark an end serves its streams in two requests. Streams that can't be resumed, or whose server does not identify itself, are believed as before, as nobody can be asked.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -301,7 +301,25 @@
     return;
   if (IsEndDoubtful_)
     return fail("the stream's servers end their answers too early");
-  completeStream(End);
+  endUnconfirmed();
+}
+
+void ExchangeFlow::endUnconfirmed() {
+  if (!mayBeTakenUp() || hasNothingToAdd())
+    return completeStream(AnswerEnd::Unmarked);
+  // The client's next request takes no retry from the budget.
+  IsEndDoubtful_ = true;
+  fail("the end was not confirmed");
+}
+
+bool ExchangeFlow::mayBeTakenUp() const {
+  return Context_.Route_->Repeatability_ == Repeatability::Resumable &&
+         LastEventId_ && Origin_ &&
+         Origin_->SoftwareVersion_ != UnidentifiedVersion;
+}
+
+bool ExchangeFlow::hasNothingToAdd() const {
+  return LastEventId_ && LastEventId_ == Context_.Metadata_.LastEventId_;
 }
 
 bool ExchangeFlow::confirmEnd() {
@@ -392,7 +410,7 @@
 void ExchangeFlow::fail(std::string const &Reason) {
   // No other server could be asked whether the stream was whole.
   if (IsEndUnconfirmed_ && !IsEndDoubtful_)
-    return completeStream(AnswerEnd::Unmarked);
+    return endUnconfirmed();
   State_ = State::Over;
   if (HasBegunStream_)
     Actions_.push_back(AbortStream{Reason});
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -247,6 +247,12 @@
   /// Asks another server to go on, which has nothing to add if the stream is
   /// whole. Returns whether that is possible.
   bool confirmEnd();
+  /// Ends a stream of whose end no other server could be asked.
+  void endUnconfirmed();
+  /// Whether the client can get the rest of the stream with another request.
+  bool mayBeTakenUp() const;
+  /// Whether the client has taken the stream up and no server has gone on.
+  bool hasNothingToAdd() const;
   void completeStream(exchange::AnswerEnd End);
   void countRun();
   void rememberOrigin(StreamOrigin const &Origin);
--- a/Tests/LibTraffic/TestStreamEnds.cpp
+++ b/Tests/LibTraffic/TestStreamEnds.cpp
@@ -63,41 +63,72 @@
   }
 }
 
-TEST_CASE("A stream whose end is not marked is complete where no other server "
-          "can tell") {
-  SECTION("it cannot be resumed") {
-    Harness Run(stream(Repeatability::Never));
-    endUnmarked(Run);
-    CHECK(Run.find<FinishStream>());
-  }
+TEST_CASE("A resumable stream whose end no other server can confirm is left to "
+          "its client to take up") {
+  Harness Run(stream());
   SECTION("the retry budget is spent") {
-    Harness Run(stream());
     Run.RetryGate_.IsOpen_ = false;
     endUnmarked(Run);
-    CHECK(Run.find<FinishStream>());
   }
   SECTION("no server is free") {
-    Harness Run(stream());
     endUnmarked(Run);
     Run.handle(NoServer{"all are busy", {}});
-    CHECK(Run.find<FinishStream>());
   }
   SECTION("the other server refuses") {
-    Harness Run(stream());
     endUnmarked(Run);
     Run.attempt("b");
     Run.handle(HeadArrived{answer(AnswerClaim::NotRun, 503)});
     Run.handle(Marked);
     Run.handle(NoServer{"no other server", {}});
-    CHECK(Run.find<FinishStream>());
   }
   SECTION("the time is over meanwhile") {
-    Harness Run(stream());
     endUnmarked(Run);
     Run.Now_ += seconds(3);
     Run.handle(TimePassed{});
+  }
+  CHECK(Run.find<AbortStream>());
+  CHECK_FALSE(Run.find<FinishStream>());
+}
+
+TEST_CASE("A stream that its client cannot take up is complete at an end that "
+          "is not marked") {
+  SECTION("its route does not resume streams") {
+    Harness Run(stream(Repeatability::Never));
+    endUnmarked(Run);
     CHECK(Run.find<FinishStream>());
   }
+  SECTION("its server does not identify itself") {
+    Harness Run(stream());
+    Run.RetryGate_.IsOpen_ = false;
+    Run.attempt("a");
+    auto Unidentified = Signed;
+    Unidentified.IsProcessUnidentified_ = true;
+    Run.handle(HeadArrived{Unidentified});
+    Run.handle(BodyArrived{"id: 1\ndata: x\n\n"});
+    Run.handle(Unmarked);
+    CHECK(Run.find<FinishStream>());
+  }
+}
+
+TEST_CASE("A stream that is taken up after its last event completes though "
+          "servers mark no ends and the retry budget is spent") {
+  RequestMetadata Metadata;
+  Metadata.TakesUpStream_ = true;
+  Metadata.LastEventId_ = 2;
+  Harness Run(stream(), Metadata);
+  Run.RetryGate_.IsOpen_ = false;
+  Run.handle(OriginFound{StreamOrigin{}, {}});
+  Run.attempt("a");
+  Run.handle(HeadArrived{Signed});
+  SECTION("the server has nothing to add") {
+    Run.handle(Unmarked);
+    CHECK(Run.find<FinishStream>());
+  }
+  SECTION("the server goes on") {
+    Run.handle(BodyArrived{"id: 3\ndata: z\n\n"});
+    Run.handle(Unmarked);
+    CHECK(Run.find<AbortStream>());
+  }
 }
 
 TEST_CASE("A resumable stream whose end another server does not confirm is "
