LibTraffic: Believe no unmarked end of a stream where servers mark them

Nothing in the answer shows the difference, and nobody can be asked for the rest.

Where servers usually mark no ends, they are believed as before: to abort would serve nothing there. Weighed against: to believe them (a client takes a part for the whole), and to ask for a second run (the request must run once). Cost: whole answers without a length of such a service are lost to clients that may not repeat them.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -291,6 +291,9 @@
     return endAttempt(true, "the stream ended inside an event");
   if (mayHaveStoppedAtDeadline())
     return endAttempt(true, "the server may have stopped at the deadline");
+  // Another instance marks the ends that it has judged.
+  if (!isThroughPeer())
+    Conventions_.onEnd(AttemptOrigin_, End);
   if (End == AnswerEnd::Marked)
     return completeStream(End);
   if (!LastEventId_ && !HasBegunStream_)
@@ -305,9 +308,10 @@
 }
 
 void ExchangeFlow::endUnconfirmed() {
-  if (!mayBeTakenUp() || hasNothingToAdd())
+  if (!Conventions_.marksEnds(AttemptOrigin_) &&
+      (!mayBeTakenUp() || hasNothingToAdd()))
     return completeStream(AnswerEnd::Unmarked);
-  // The client's next request takes no retry from the budget.
+  // The client may take the stream up: that takes no retry from the budget.
   IsEndDoubtful_ = true;
   fail("the end was not confirmed");
 }
--- a/Libraries/LibTraffic/ObservedConventions.cpp
+++ b/Libraries/LibTraffic/ObservedConventions.cpp
@@ -10,6 +10,7 @@
 /// streams may begin alike.
 constexpr std::size_t MinEqualSteps = 2;
 constexpr std::size_t MinEqualFirstIds = 8;
+constexpr std::size_t MinEqualEnds = 8;
 
 } // namespace
 
@@ -36,6 +37,11 @@
   observed(Origin).Steps_.add(Step);
 }
 
+void ObservedConventions::onEnd(StreamOrigin const &Origin,
+                                exchange::AnswerEnd End) {
+  observed(Origin).Ends_.add(End == exchange::AnswerEnd::Marked ? 1 : 0);
+}
+
 bool ObservedConventions::isLateFirst(StreamOrigin const &Origin,
                                       std::uint64_t Id) const {
   auto const *const Known = find(Origin);
@@ -62,4 +68,9 @@
   return !Largest || Step <= *Largest;
 }
 
+bool ObservedConventions::marksEnds(StreamOrigin const &Origin) const {
+  auto const *const Known = find(Origin);
+  return Known && Known->Ends_.usual(MinEqualEnds) == 1;
+}
+
 } // namespace laburnum
--- a/Libraries/LibTraffic/ObservedConventions.h
+++ b/Libraries/LibTraffic/ObservedConventions.h
@@ -13,14 +13,17 @@
 public:
   void onFirst(StreamOrigin const &Origin, std::uint64_t Id) override;
   void onStep(StreamOrigin const &Origin, std::uint64_t Step) override;
+  void onEnd(StreamOrigin const &Origin, exchange::AnswerEnd End) override;
   bool isLateFirst(StreamOrigin const &Origin, std::uint64_t Id) const override;
   bool isGap(StreamOrigin const &Origin, std::uint64_t Step) const override;
   bool mayFollow(StreamOrigin const &Origin, std::uint64_t Step) const override;
+  bool marksEnds(StreamOrigin const &Origin) const override;
 
 private:
   struct Observed {
     RecentValues FirstIds_;
     RecentValues Steps_;
+    RecentValues Ends_; ///< 1 for each that is marked, else 0.
   };
 
   Observed &observed(StreamOrigin const &Origin);
--- a/Libraries/LibTraffic/StreamConventions.h
+++ b/Libraries/LibTraffic/StreamConventions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibTraffic/AnswerEnd.h>
 #include <LibTraffic/StreamOrigins.h>
 
 #include <cstdint>
@@ -16,6 +17,8 @@
   /// A server has sent two events one after the other whose identifiers differ
   /// by Step.
   virtual void onStep(StreamOrigin const &Origin, std::uint64_t Step) = 0;
+  /// A server has ended a stream in order.
+  virtual void onEnd(StreamOrigin const &Origin, AnswerEnd End) = 0;
   /// Returns whether a new stream that begins with this identifier lacks
   /// events.
   virtual bool isLateFirst(StreamOrigin const &Origin,
@@ -27,6 +30,9 @@
   /// larger by Step than that of the last event of another run.
   virtual bool mayFollow(StreamOrigin const &Origin,
                          std::uint64_t Step) const = 0;
+  /// Returns whether servers mark the ends of their streams, so that one that
+  /// does not has broken off.
+  virtual bool marksEnds(StreamOrigin const &Origin) const = 0;
 };
 
 } // namespace laburnum::exchange
--- a/Tests/LibTraffic/TestStreamEnds.cpp
+++ b/Tests/LibTraffic/TestStreamEnds.cpp
@@ -110,6 +110,23 @@
   }
 }
 
+TEST_CASE("A stream whose end is not marked is not complete where servers mark "
+          "the ends of their streams") {
+  auto const Repeat = GENERATE(Repeatability::Never, Repeatability::Resumable);
+  Harness Run(stream(Repeat));
+  Run.RetryGate_.IsOpen_ = false;
+  constexpr int Streams = 20;
+  auto const UnmarkedStreams = GENERATE(0, 1, 10);
+  for (int Number = 0; Number < Streams; ++Number)
+    Run.Conventions_.onEnd({}, Number < UnmarkedStreams ? AnswerEnd::Unmarked
+                                                        : AnswerEnd::Marked);
+  endUnmarked(Run);
+  bool const IsBelieved =
+      UnmarkedStreams == 10 && Repeat == Repeatability::Never;
+  CHECK((Run.find<FinishStream>() != nullptr) == IsBelieved);
+  CHECK((Run.find<AbortStream>() != nullptr) == !IsBelieved);
+}
+
 TEST_CASE("A stream that is taken up after its last event completes though "
           "servers mark no ends and the retry budget is spent") {
   RequestMetadata Metadata;
