LibTraffic: Hold back an event whose identifier a server has spoiled

What callers would see: where a server spoils the line of an event's identifier, they get its data without one, and then, since the gap after it is asked for elsewhere, the event once more. Such data now waits for the next event: it is dropped if that shows a gap, and relayed before it, or before the end, if it doesn't. Comments don't wait, nor does anything of a service whose events have no usual step. At most 64 KiB wait, and they count as buffered.

The new case of TestLibTraffic fails on the flow before (1 of 130); all 130 hold.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <utility>
 
 namespace laburnum {
@@ -27,6 +28,9 @@
 /// another instance may know it.
 constexpr std::chrono::milliseconds RetryAfterUnknownOrigin{500};
 
+/// Beyond it, data without an identifier is relayed at once.
+constexpr std::size_t MaxUnnumberedBytes = std::size_t{64} << 10;
+
 constexpr std::int32_t BadGateway = 502;
 constexpr std::int32_t ServiceUnavailable = 503;
 constexpr std::int32_t GatewayTimeout = 504;
@@ -44,6 +48,11 @@
   return std::string(Type.substr(0, Type.find_first_of("; ")));
 }
 
+bool hasData(StreamEvent const &Event) {
+  return Event.Bytes_.starts_with("data") ||
+         Event.Bytes_.find("\ndata") != std::string::npos;
+}
+
 std::size_t hashOf(StreamEvent const &Event) {
   return std::hash<std::string>()(Event.Bytes_);
 }
@@ -103,6 +112,8 @@
   AttemptDeadline_ =
       Now_ + std::chrono::floor<std::chrono::milliseconds>(TimeLeft);
   HasSentEvent_ = false;
+  if (!IsEndUnconfirmed_)
+    Unnumbered_.clear();
   Body_.clear();
   Splitter_ = EventStreamSplitter();
   Actions_.push_back(
@@ -156,7 +167,7 @@
     if (!Event.Id_) {
       // The client has what follows the last event of a whole stream.
       if (!IsEndUnconfirmed_)
-        Bytes += Event.Bytes_;
+        (mayBeSpoiled(Event) ? Unnumbered_ : Bytes) += Event.Bytes_;
       continue;
     }
     bool const IsFirst = !std::exchange(HasSentEvent_, true);
@@ -166,17 +177,27 @@
       break;
     if (Event.Id_ <= LastEventId_)
       continue;
-    IsEndDoubtful_ |= std::exchange(IsEndUnconfirmed_, false);
+    if (std::exchange(IsEndUnconfirmed_, false)) {
+      IsEndDoubtful_ = true;
+      Unnumbered_.clear();
+    }
     LastEventId_ = Event.Id_;
     LastEventHash_ = hashOf(Event);
     SkippedTo_.reset();
-    Bytes += Event.Bytes_;
+    Bytes += std::exchange(Unnumbered_, {}) + Event.Bytes_;
   }
   relay(std::move(Bytes));
   if (!Fault.empty())
     cancelAttempt(Fault);
 }
 
+bool ExchangeFlow::mayBeSpoiled(StreamEvent const &Event) const {
+  constexpr auto AnyGap = std::numeric_limits<std::uint64_t>::max();
+  return HasSentEvent_ && hasData(Event) &&
+         Unnumbered_.size() < MaxUnnumberedBytes &&
+         Conventions_.isGap(AttemptOrigin_, AnyGap);
+}
+
 void ExchangeFlow::relay(std::string Bytes) {
   if (Bytes.empty())
     return;
@@ -340,6 +361,7 @@
 }
 
 void ExchangeFlow::completeStream(AnswerEnd End) {
+  relay(std::exchange(Unnumbered_, {}));
   countRun();
   State_ = State::Over;
   if (!HasBegunStream_)
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -195,7 +195,7 @@
   /// Bytes of the current attempt's answer that are kept until it is complete.
   std::size_t bufferedBytes() const {
     return State_ == State::Attempting
-               ? Body_.size() + Splitter_.bufferedBytes()
+               ? Body_.size() + Unnumbered_.size() + Splitter_.bufferedBytes()
                : 0;
   }
   /// Whether the current attempt's stream has begun an event and not ended it.
@@ -234,6 +234,8 @@
   /// Relays the events up to one that is wrong.
   void relay(std::vector<StreamEvent> Events);
   void relay(std::string Bytes);
+  /// Whether an event without an identifier may have had one.
+  bool mayBeSpoiled(StreamEvent const &Event) const;
   /// Returns what is wrong with the place of an event in the stream, or
   /// nothing. IsFirst tells whether it is the first one of its server.
   std::string faultOf(StreamEvent const &Event, bool IsFirst);
@@ -284,6 +286,9 @@
   bool HasSentEvent_ = false;
   std::string Body_;
   EventStreamSplitter Splitter_;
+  /// Data without an identifier after the last event. It may be an event whose
+  /// identifier the server has spoiled, so that the next one shows a gap.
+  std::string Unnumbered_;
   /// State of the answer sent to the client.
   bool HasBegunStream_ = false;
   std::optional<StreamOrigin> Origin_; ///< Set once the stream has one.
--- a/Tests/LibTraffic/TestStreamFlow.cpp
+++ b/Tests/LibTraffic/TestStreamFlow.cpp
@@ -181,6 +181,40 @@
   }
 }
 
+TEST_CASE("An event whose identifier is spoiled is not relayed where the next "
+          "one shows a gap") {
+  Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream));
+  Run.attempt("a");
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+                         "id: 3\ndata: c\n\n"});
+  Run.handle(BodyArrived{"ix: 4\ndata: d\n\n: comment\n\n"});
+  REQUIRE(Run.find<RelayEvents>());
+  CHECK(Run.find<RelayEvents>()->Bytes_ == ": comment\n\n");
+  SECTION("a gap") {
+    Run.handle(BodyArrived{"id: 5\ndata: e\n\n"});
+    CHECK_FALSE(Run.find<RelayEvents>());
+    Run.attempt("b");
+    CHECK(Run.find<SendAttempt>()->Metadata_.LastEventId_ == 3);
+    Run.handle(HeadArrived{Signed});
+    Run.handle(BodyArrived{"id: 4\ndata: d\n\n"});
+    REQUIRE(Run.find<RelayEvents>());
+    CHECK(Run.find<RelayEvents>()->Bytes_ == "id: 4\ndata: d\n\n");
+  }
+  SECTION("an event without an identifier between two others") {
+    Run.handle(BodyArrived{"id: 4\ndata: e\n\n"});
+    REQUIRE(Run.find<RelayEvents>());
+    CHECK(Run.find<RelayEvents>()->Bytes_ ==
+          "ix: 4\ndata: d\n\nid: 4\ndata: e\n\n");
+  }
+  SECTION("an event without an identifier at the end") {
+    Run.handle(AnswerCompleted{});
+    REQUIRE(Run.find<RelayEvents>());
+    CHECK(Run.find<RelayEvents>()->Bytes_ == "ix: 4\ndata: d\n\n");
+    CHECK(Run.find<FinishStream>());
+  }
+}
+
 TEST_CASE("Streams whose identifiers grow irregularly are relayed") {
   ObservedConventions Conventions;
   StreamOrigin const Origin{ServiceName("writer"), "v1"};
