LibTraffic: Believe no end after which the next event would come too late

What callers saw: a stream that ends as complete before its last event, as its server has stopped for the deadline. disbelieves ends in the last 2 ms.

Cause: the bound was that of a timer. A server that makes events step by step knows earlier that its next one comes too late: a whole step, 260 ms for one that works 7.5 times as slowly at 35 ms an event. Now an end is doubtful if the next event, at the stream's longest pause so far or at that since the last one, would come after the deadline, and for 10 ms in any case. A stream that may be resumed is asked for elsewhere if there is time. Cost: whole streams that end within one pause of their deadline.

The section "before" of the case in TestStreamEnds had one event in 1.3 s, which is now doubtful; it asks the same (40 ms before the deadline is believed) of a stream that goes on every 30 ms. The new section fails on the flow before.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -19,7 +19,7 @@
 /// A server cannot answer in less time than this.
 constexpr std::chrono::milliseconds MinTimeForAttempt{5};
 /// By how much a server's timer may be early.
-constexpr std::chrono::milliseconds TimerTolerance{2};
+constexpr std::chrono::milliseconds TimerTolerance{10};
 /// Time left that makes a further attempt worthwhile.
 constexpr std::chrono::milliseconds MinTimeForRetry{30};
 /// Retry-After for a client whose request was refused by all servers tried.
@@ -111,6 +111,8 @@
   auto const TimeLeft = std::max(Context_.Expiry_ - Now_, Duration(0));
   AttemptDeadline_ =
       Now_ + std::chrono::floor<std::chrono::milliseconds>(TimeLeft);
+  LastProgressAt_ = Now_;
+  LongestPause_ = Duration(0);
   HasSentEvent_ = false;
   if (!IsEndUnconfirmed_)
     Unnumbered_.clear();
@@ -171,6 +173,9 @@
       continue;
     }
     bool const IsFirst = !std::exchange(HasSentEvent_, true);
+    if (!IsFirst)
+      LongestPause_ = std::max(LongestPause_, Now_ - LastProgressAt_);
+    LastProgressAt_ = Now_;
     Fault = faultOf(Event, IsFirst);
     learnFrom(Event, IsFirst);
     if (!Fault.empty())
@@ -304,7 +309,12 @@
 }
 
 bool ExchangeFlow::mayHaveStoppedAtDeadline() const {
-  return Now_ >= AttemptDeadline_ - TimerTolerance;
+  // A server may stop once its next event would come too late.
+  auto const NextEvent = isStream()
+                             ? std::max(LongestPause_, Now_ - LastProgressAt_)
+                             : Duration(0);
+  return Now_ >=
+         AttemptDeadline_ - std::max<Duration>(TimerTolerance, NextEvent);
 }
 
 void ExchangeFlow::endStream(AnswerEnd End) {
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -282,6 +282,9 @@
   ServerAccess Access_ = ServerAccess::Direct;
   std::optional<ServerAnswer> Answer_;
   TimePoint AttemptDeadline_{}; ///< As its server was told.
+  /// When the request or the last event with an identifier was sent.
+  TimePoint LastProgressAt_{};
+  Duration LongestPause_{}; ///< Between two such events.
   /// Its server has sent an event with an identifier.
   bool HasSentEvent_ = false;
   std::string Body_;
--- a/Tests/LibTraffic/TestStreamEnds.cpp
+++ b/Tests/LibTraffic/TestStreamEnds.cpp
@@ -256,8 +256,24 @@
     CHECK(Run.find<AbortStream>());
     CHECK_FALSE(Run.find<FinishStream>());
   }
+  auto const SendEvents = [&Run](milliseconds Pause, int Last) {
+    for (int Id = 2; Id <= Last; ++Id) {
+      Run.Now_ += Pause;
+      Run.handle(BodyArrived{"id: " + std::to_string(Id) + "\ndata: x\n\n"});
+    }
+  };
+  SECTION("as its next event would come after the deadline") {
+    SendEvents(milliseconds(100), 13);
+    Run.Now_ += TimeAllowed - milliseconds(700 + 1200 + 90);
+    Run.handle(End);
+    CHECK_FALSE(Run.find<FinishStream>());
+    bool const IsLost = Repeat == Repeatability::Never;
+    CHECK((Run.find<AbortStream>() != nullptr) == IsLost);
+    CHECK((Run.find<RequestServer>() != nullptr) == !IsLost);
+  }
   SECTION("before") {
-    Run.Now_ += TimeAllowed - milliseconds(740);
+    SendEvents(milliseconds(30), 42);
+    Run.Now_ += TimeAllowed - milliseconds(700 + 1230 + 40);
     Run.handle(End);
     CHECK_FALSE(Run.find<AbortStream>());
   }
