LibControl: Record a move where streams have begun after it, if no reader has

It happened where the instance that began the stream had applied the configuration and does not keep the history, and the keepers were behind, or had gone on to a later version without the one between.

Cause: only keepers recorded moves, and only by the version of the configuration. A keeper that is behind sees no move; one that skips a version never sees it; and a record of the later version left nobody anything to add.

Why it works: an instance that begins streams while it knows of a recent move compares that with what it last read of the record, and adds what is missing under the record's condition, never with an older version than is recorded. The record's form is unchanged.

Cost: nothing without streams or without a move. For a configuration that moves a route, each instance that keeps no history and has begun streams makes one conditional write, and one read if another one has recorded the move (test: 3 or 4 reads of 4 instances, one write in all). It writes its streams every 100 ms for these 30 s anyway.

Gap: until that call is done, streams can still be joined; a record before the first event would cost each stream a write in its path.

--- a/Libraries/LibControl/StreamOriginRecords.cpp
+++ b/Libraries/LibControl/StreamOriginRecords.cpp
@@ -138,6 +138,14 @@
   return true;
 }
 
+/// Returns whether all regions that have moved in One have moved in Other.
+bool coversRegions(MovedRoutes const &Other, MovedRoutes const &One) {
+  return std::all_of(One.Regions_.begin(), One.Regions_.end(),
+                     [&](auto const &Region) {
+                       return Other.Regions_.contains(Region.first);
+                     });
+}
+
 } // namespace
 
 void StreamOriginRecords::setTime(Duration TimeOfDay, TimePoint Now) {
@@ -211,15 +219,31 @@
 }
 
 bool StreamOriginRecords::areMovesOutdated() const {
-  return Recorded_->Moves_.ConfigurationVersion_ <
-         Moves_.moved().ConfigurationVersion_;
+  auto const &Known = Moves_.moved();
+  auto const &Recorded = Recorded_->Moves_;
+  return Recorded.ConfigurationVersion_ < Known.ConfigurationVersion_ ||
+         !coversRegions(Recorded, Known);
+}
+
+bool StreamOriginRecords::owesMoves(Duration TimeOfDay) const {
+  return !Unfinished_.empty() && Moves_.hasAnyMoved(TimeOfDay) &&
+         (!Recorded_ || areMovesOutdated());
+}
+
+bool StreamOriginRecords::owesHistory(Duration TimeOfDay) const {
+  if (!IsListed_)
+    return false;
+  if (!WasHistoryRead_ || owesMoves(TimeOfDay))
+    return true;
+  return HistoryRole_ == HistoryRole::Keeps &&
+         (!Recorded_ || isHistoryOutdated());
 }
 
 void StreamOriginRecords::updateHistory() {
-  if (!IsListed_ || IsHistoryCallOpen_ || Now_ < NextHistoryCallAt_)
+  if (!owesHistory(TimeOfDay_) || IsHistoryCallOpen_ ||
+      Now_ < NextHistoryCallAt_)
     return;
-  bool const Keeps = HistoryRole_ == HistoryRole::Keeps;
-  if (!WasHistoryRead_ || (Keeps && !Recorded_)) {
+  if (!WasHistoryRead_ || !Recorded_) {
     IsHistoryCallOpen_ = true;
     return readHistory(StoreTimeout, [Self = shared_from_this()](bool IsRead) {
       Self->IsHistoryCallOpen_ = false;
@@ -229,11 +253,9 @@
         Self->updateHistory();
     });
   }
-  if (!Keeps)
-    return;
   if (areMovesOutdated())
     writeMoves();
-  else if (areVersionsOutdated())
+  else
     writeVersions();
 }
 
@@ -253,7 +275,9 @@
 
 void StreamOriginRecords::writeMoves() {
   IsHistoryCallOpen_ = true;
-  auto const Sent = Moves_.moved();
+  auto Sent = Moves_.moved();
+  Sent.ConfigurationVersion_ = std::max(
+      Sent.ConfigurationVersion_, Recorded_->Moves_.ConfigurationVersion_);
   Store_.putIf(movesKey(), Recorded_->MovesVersion_, encode(Sent), StoreTimeout,
                [Self = shared_from_this(), Sent](Result<Version> const &Done) {
                  if (!isError(Done) && Self->Recorded_) {
@@ -387,6 +411,7 @@
   for (auto &Stream : Streams)
     Unfinished_.emplace(std::move(Stream.FirstAttemptId_),
                         std::move(Stream.Origin_));
+  updateHistory();
   if (isMixed(TimeOfDay))
     writeStreams();
 }
@@ -398,10 +423,7 @@
 }
 
 bool StreamOriginRecords::isBusy(Duration TimeOfDay) const {
-  bool const OwesHistory =
-      IsListed_ && (!WasHistoryRead_ || (HistoryRole_ == HistoryRole::Keeps &&
-                                         (!Recorded_ || isHistoryOutdated())));
-  return OwesHistory || isMixed(TimeOfDay) || IsSearching_ ||
+  return owesHistory(TimeOfDay) || isMixed(TimeOfDay) || IsSearching_ ||
          !Queries_.empty() || !DelayedQueries_.empty();
 }
 
--- a/Libraries/LibControl/StreamOriginRecords.h
+++ b/Libraries/LibControl/StreamOriginRecords.h
@@ -46,9 +46,10 @@
 /// which software versions serve or have served recently, and which routes were
 /// led to other services, in two objects that the readers of the server list
 /// keep, and, only while a stream's origin does not follow from these, the
-/// origins of each instance's unfinished streams. So nothing is written for
-/// streams while one version serves, and a stream that is taken up costs one
-/// read. Runs on one thread.
+/// origins of each instance's unfinished streams. An instance that begins
+/// streams after a move records the move if no reader has. So nothing is
+/// written for streams while one version serves, and a stream that is taken up
+/// costs one read. Runs on one thread.
 class StreamOriginRecords
     : public std::enable_shared_from_this<StreamOriginRecords> {
 public:
@@ -117,6 +118,11 @@
   bool isHistoryOutdated() const {
     return areVersionsOutdated() || areMovesOutdated();
   }
+  /// Whether this instance has begun streams while a move was recent that is
+  /// not recorded, whether or not it keeps the history: those who keep it may
+  /// not have seen the configuration.
+  bool owesMoves(Duration TimeOfDay) const;
+  bool owesHistory(Duration TimeOfDay) const;
   void updateHistory();
   void writeVersions();
   void writeMoves();
--- a/Tests/LibControl/TestStreamOriginRecords.cpp
+++ b/Tests/LibControl/TestStreamOriginRecords.cpp
@@ -486,6 +486,117 @@
   CHECK(find(Keeper, "s1").Origin_ != origin("v1"));
 }
 
+TEST_CASE_METHOD(Fixture, "A move that the keepers skipped is added to the "
+                          "later version that they recorded") {
+  Table_ = table(1, Writer);
+  auto const Keeper = start("k");
+  auto const Reader = start("r", HistoryRole::Reads);
+  Reader->setTable(table(2, Drafter), timeOfDay(), Now_);
+  lead(3, Writer, {Keeper});
+  StreamOrigin const Earlier{Drafter, "d1"};
+  setUnfinished(Reader, {{"s1", Earlier}});
+  Store_.deliver();
+  CHECK(stored(MovesKey).find("\"configuration\":3") != std::string::npos);
+  CHECK(find(Keeper, "s1") == OriginAnswer{Earlier, OriginSource::Record});
+  CHECK(find(start("c", HistoryRole::Reads), "s1").Origin_ == Earlier);
+}
+
+TEST_CASE_METHOD(Fixture, "Instances that keep no history record a move that "
+                          "the keepers lack once, and only with streams") {
+  Table_ = table(1, Drafter);
+  auto const Keeper = start("k");
+  std::vector<Records> Readers;
+  for (auto const *const Name : {"a", "b", "c", "d"})
+    Readers.push_back(start(Name, HistoryRole::Reads));
+  bool const DoesKeeperLag = GENERATE(false, true);
+  if (!DoesKeeperLag)
+    lead(2, Writer, {Keeper});
+  auto const Recorded = Store_.Objects_.find(MovesKey).Version_;
+  auto const Lists = Store_.Lists_;
+  lead(2, Writer, Readers);
+  pass(Readers, seconds(5));
+  CHECK(Store_.Lists_ == Lists);
+  CHECK(Store_.Objects_.find(MovesKey).Version_ == Recorded);
+  for (auto const &Reader : Readers)
+    setUnfinished(Reader, {{"s1", origin("v1")}});
+  pass(Readers, seconds(5));
+  CHECK(Store_.Lists_ - Lists == (DoesKeeperLag ? 3 : 4));
+  auto const Written = stored(MovesKey);
+  CHECK((Store_.Objects_.find(MovesKey).Version_ != Recorded) == DoesKeeperLag);
+  pass(Readers, seconds(31));
+  CHECK(Store_.Lists_ - Lists == (DoesKeeperLag ? 3 : 4));
+  CHECK(stored(MovesKey) == Written);
+}
+
+TEST_CASE_METHOD(Fixture, "Streams are not joined whatever configurations "
+                          "move their route, are skipped and come late") {
+  auto const Seed = GENERATE(range(1U, 41U));
+  CAPTURE(Seed);
+  std::mt19937 Generator(Seed);
+  auto const Pick = [&](std::size_t Options) {
+    return std::uniform_int_distribution<std::size_t>(0,
+                                                      Options - 1)(Generator);
+  };
+  Listed_.push_back(server("d1"));
+  Listed_.back().Service_ = Drafter;
+  std::map<ServiceName, StreamOrigin> const Origins{{Writer, origin("v1")},
+                                                    {Drafter, {Drafter, "d1"}}};
+  constexpr std::size_t Count = 6;
+  std::vector<ServiceName> Configurations{Writer, Writer};
+  std::vector<std::size_t> InForce(Count, 1);
+  Table_ = table(1, Writer);
+  std::vector<Records> Fleet;
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Fleet.push_back(start("i" + std::to_string(Index),
+                          Index < 2 ? HistoryRole::Keeps : HistoryRole::Reads));
+  struct Begun {
+    ServiceName Service_;
+    TimePoint At_;
+  };
+  std::map<std::string, Begun> Streams;
+  std::vector<std::vector<BegunStream>> Unfinished(Count);
+  std::size_t GoneOn = 0;
+  for (unsigned Step = 0; Step < 150; ++Step) {
+    if (Pick(12) == 0)
+      Configurations.push_back(Pick(2) == 0 ? Writer : Drafter);
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      if (InForce[Index] + 1 < Configurations.size() && Pick(4) == 0) {
+        InForce[Index] = Configurations.size() - 1;
+        Fleet[Index]->setTable(
+            table(InForce[Index], Configurations[InForce[Index]]), timeOfDay(),
+            Now_);
+      }
+    Store_.deliver();
+    auto const Beginner = Pick(Count);
+    auto const Name = "s" + std::to_string(Step);
+    auto const &Service = Configurations[InForce[Beginner]];
+    Streams.insert({Name, {Service, Now_}});
+    Unfinished[Beginner].push_back({Name, Origins.at(Service)});
+    if (Fleet[Beginner]->isMixed(timeOfDay()))
+      setUnfinished(Fleet[Beginner], Unfinished[Beginner]);
+    Store_.deliver();
+    pass(Fleet, milliseconds(250 * (1 + Pick(4))));
+    for (auto const &[Stream, First] : Streams) {
+      if (Now_ - First.At_ >= seconds(15) || Pick(4) > 0)
+        continue;
+      auto const Finder = Pick(Count);
+      std::optional<OriginAnswer> Answer;
+      Fleet[Finder]->find(
+          {Configurations[InForce[Finder]], "host", "/stream/", Stream},
+          timeOfDay(), Now_,
+          [&](OriginAnswer const &Found) { Answer = Found; });
+      Store_.deliver();
+      while (!Answer)
+        pass(Fleet, Tick);
+      CAPTURE(Step, Stream, Finder);
+      if (Answer->Origin_)
+        CHECK(*Answer->Origin_ == Origins.at(First.Service_));
+      GoneOn += Answer->Origin_ ? 1 : 0;
+    }
+  }
+  CHECK(GoneOn > 0);
+}
+
 TEST_CASE_METHOD(Fixture, "A stream that a lagging instance begins 30 s after "
                           "its route has moved is not continued elsewhere") {
   Table_ = table(1, Drafter);
