LibTraffic: Count attempts by incarnation while the list lacks their server

What callers saw: an entry of a server that expires and returns (the store was down, a heartbeat was late) made the instance forget its attempts there. It then sent as many again, and the end of an old attempt freed a slot that a new one held.

Cause: ServerRoster kept the counts in the entry of the list, which it erased with the server; ends of attempts at a server that is not listed were ignored.

Why it works: what is in progress belongs to an incarnation (identifier, start, version and address). Its counts are retained while it is not listed and any attempt is in progress, change with the attempts, and are taken back when it is listed. What else attempts show is still ignored meanwhile. A retained count ends with its last attempt.

Cost: no store calls, no messages.

--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -92,7 +92,10 @@
     update(Record);
   }
   std::erase_if(Servers_, [&](auto const &Pair) {
-    return !Present.contains(Pair.first);
+    if (Present.contains(Pair.first))
+      return false;
+    retainAttempts(Pair.second);
+    return true;
   });
 }
 
@@ -100,8 +103,11 @@
   auto const [Found, IsNew] = Servers_.try_emplace(Record.Id_);
   auto &Server = Found->second;
   if (IsNew || !isSameIncarnation(Server.Record_, Record)) {
+    retainAttempts(Server);
     Server = Entry{};
     Server.Incarnation_ = incarnationOf(Record);
+    if (auto const Retained = UnlistedAttempts_.extract(attemptKey(Record)))
+      Server.Attempts_ = Retained.mapped();
     if (auto const Known = Statuses_.find(Server.Incarnation_);
         Known != Statuses_.end())
       Server.Status_ = Known->second;
@@ -114,7 +120,30 @@
   ConnectionLimits_ = std::move(Limits);
 }
 
-void ServerRoster::remove(ServerId const &Id) { Servers_.erase(Id); }
+void ServerRoster::remove(ServerId const &Id) {
+  if (auto const Removed = Servers_.extract(Id))
+    retainAttempts(Removed.mapped());
+}
+
+ServerRoster::AttemptKey ServerRoster::attemptKey(ServerRecord const &Server) {
+  return {incarnationOf(Server), Server.SoftwareVersion_, Server.Endpoint_};
+}
+
+void ServerRoster::retainAttempts(Entry const &Server) {
+  if (Server.Attempts_ != Attempts())
+    UnlistedAttempts_[attemptKey(Server.Record_)] = Server.Attempts_;
+}
+
+template <typename Function>
+void ServerRoster::updateAttempts(ServerRecord const &Server, Function Change) {
+  if (auto *const Listed = find(Server))
+    return Change(Listed->Attempts_);
+  auto const Key = attemptKey(Server);
+  auto &Unlisted = UnlistedAttempts_[Key];
+  Change(Unlisted);
+  if (Unlisted == Attempts())
+    UnlistedAttempts_.erase(Key);
+}
 
 bool ServerRoster::isStaying(Entry const &Server) const {
   return Server.Record_.Phase_ == ServerPhase::Ready &&
@@ -162,11 +191,11 @@
 
 double ServerRoster::load(Entry const &Server, TimePoint Now) const {
   bool const IsFresh = Server.LoadReportedAt_ + LoadValidity > Now;
-  return Server.Running_ + (IsFresh ? Server.RemoteRunning_ : 0.0);
+  return Server.Attempts_.Running_ + (IsFresh ? Server.RemoteRunning_ : 0.0);
 }
 
 double ServerRoster::adjustedLoad(Entry const &Server, TimePoint Now) const {
-  return load(Server, Now) + SlowAttemptWeight * Server.SlowAttempts_;
+  return load(Server, Now) + SlowAttemptWeight * Server.Attempts_.Slow_;
 }
 
 double ServerRoster::distanceCost(DataCentre const &Centre) const {
@@ -202,8 +231,8 @@
   auto const Connections = connectionShare(Query.Service_);
   std::erase_if(Candidates, [&](Entry const *Server) {
     return load(*Server, Now) >= slotsOf(Server->Record_) ||
-           Server->Running_ >= Connections ||
-           Server->Running_ >= slotShare(*Server, Now);
+           Server->Attempts_.Running_ >= Connections ||
+           Server->Attempts_.Running_ >= slotShare(*Server, Now);
   });
   return Candidates;
 }
@@ -272,21 +301,21 @@
 }
 
 void ServerRoster::onSent(ServerRecord const &To, TimePoint Now) {
-  auto *const Found = find(To);
-  if (!Found)
-    return;
-  ++Found->Running_;
-  RateLimiter_.onSent(Found->Incarnation_, Now);
+  updateAttempts(To, [](Attempts &Counts) { ++Counts.Running_; });
+  if (auto const *const Found = find(To))
+    RateLimiter_.onSent(Found->Incarnation_, Now);
 }
 
 void ServerRoster::onEnded(ServerRecord const &At, AttemptHealth Health,
                            TimePoint Now) {
+  updateAttempts(At, [](Attempts &Counts) {
+    if (Counts.Running_ > 0)
+      --Counts.Running_;
+  });
   auto *const Found = find(At);
   if (!Found)
     return;
   auto &Server = *Found;
-  if (Server.Running_ > 0)
-    --Server.Running_;
   if (Health == AttemptHealth::Worked) {
     Server.Failures_ = 0;
     if (Server.Status_.UnreachableReports_ > 0)
@@ -311,7 +340,7 @@
     return;
   auto &Server = *Found;
   auto const Total = static_cast<double>(Load.Running_ + Load.Waiting_);
-  Server.RemoteRunning_ = std::max(0.0, Total - Server.Running_);
+  Server.RemoteRunning_ = std::max(0.0, Total - Server.Attempts_.Running_);
   Server.LoadReportedAt_ = Now;
 }
 
@@ -322,14 +351,14 @@
 }
 
 void ServerRoster::onSlowFirstByte(ServerRecord const &Of) {
-  if (auto *const Found = find(Of))
-    ++Found->SlowAttempts_;
+  updateAttempts(Of, [](Attempts &Counts) { ++Counts.Slow_; });
 }
 
 void ServerRoster::onFirstByteWaitEnded(ServerRecord const &Of) {
-  auto *const Found = find(Of);
-  if (Found && Found->SlowAttempts_ > 0)
-    --Found->SlowAttempts_;
+  updateAttempts(Of, [](Attempts &Counts) {
+    if (Counts.Slow_ > 0)
+      --Counts.Slow_;
+  });
 }
 
 template <typename Function>
@@ -461,13 +490,13 @@
 std::map<ServiceName, std::uint32_t> ServerRoster::runningByService() const {
   std::map<ServiceName, std::uint32_t> Running;
   for (auto const &[Id, Server] : Servers_)
-    Running[Server.Record_.Service_] += Server.Running_;
+    Running[Server.Record_.Service_] += Server.Attempts_.Running_;
   return Running;
 }
 
 std::uint32_t ServerRoster::running(ServerId const &Id) const {
   auto const Found = Servers_.find(Id);
-  return Found == Servers_.end() ? 0 : Found->second.Running_;
+  return Found == Servers_.end() ? 0 : Found->second.Attempts_.Running_;
 }
 
 } // namespace laburnum
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -94,7 +94,8 @@
   bool hasMatch(ServerQuery const &Query) const;
 
   /// Counts an attempt that is being sent to the server. What attempts show of
-  /// an incarnation is ignored once it is not listed any more.
+  /// an incarnation is ignored while it is not listed, but those in progress
+  /// still count if it is listed again.
   void onSent(ServerRecord const &To, TimePoint Now);
   void onEnded(ServerRecord const &At, AttemptHealth Health, TimePoint Now);
   void onLoad(ServerRecord const &Of, ServerLoad const &Load, TimePoint Now);
@@ -148,15 +149,32 @@
     TimePoint RetainUntil_{};
   };
 
+  /// Attempts of this instance at an incarnation.
+  struct Attempts {
+    std::uint32_t Running_ = 0; ///< In progress.
+    std::uint32_t Slow_ = 0;    ///< That wait long already.
+
+    auto operator<=>(Attempts const &) const = default;
+  };
+
+  /// What distinguishes the incarnations of all servers, also of those whose
+  /// start is not known.
+  struct AttemptKey {
+    ServerId Incarnation_;
+    std::string SoftwareVersion_;
+    Endpoint Endpoint_;
+
+    auto operator<=>(AttemptKey const &) const = default;
+  };
+
   struct Entry {
     ServerRecord Record_;
     ServerId Incarnation_;
     IncarnationStatus Status_;
-    std::uint32_t Running_ = 0;  ///< Attempts of this instance in progress.
+    Attempts Attempts_;
     double RemoteRunning_ = 0.0; ///< Of other instances, as last reported.
     TimePoint LoadReportedAt_ = TimePoint::min();
-    std::uint32_t SlowAttempts_ = 0; ///< Attempts that wait long already.
-    std::uint32_t Failures_ = 0;     ///< In a row.
+    std::uint32_t Failures_ = 0; ///< In a row.
     std::optional<double> MaxRefusalsPerSecond_;
     TimePoint EjectedUntil_ = TimePoint::min();
   };
@@ -164,6 +182,12 @@
   /// Returns the entry of the server, or nullptr if this incarnation of it is
   /// not listed.
   Entry *find(ServerRecord const &Server);
+  static AttemptKey attemptKey(ServerRecord const &Server);
+  /// Changes the attempts of an incarnation, whether or not it is listed.
+  template <typename Function>
+  void updateAttempts(ServerRecord const &Server, Function Change);
+  /// Retains the attempts of an incarnation that is not listed any more.
+  void retainAttempts(Entry const &Server);
   bool isStaying(Entry const &Server) const;
   static bool matches(Entry const &Server, ServerQuery const &Query);
   /// Returns the tokens of a rate limited server that can be used until then.
@@ -197,6 +221,8 @@
   std::size_t Registered_ = 0; ///< 0 until it is known.
   ServerRateLimiter RateLimiter_;
   std::map<ServerId, Entry> Servers_;
+  /// Of incarnations that are not listed while attempts are in progress.
+  std::map<AttemptKey, Attempts> UnlistedAttempts_;
   /// By incarnation, because a server may vanish from the list and return.
   std::map<ServerId, IncarnationStatus> Statuses_;
 };
--- a/Tests/LibTraffic/TestServerRoster.cpp
+++ b/Tests/LibTraffic/TestServerRoster.cpp
@@ -172,6 +172,58 @@
   }
 }
 
+TEST_CASE_METHOD(Fixture, "Attempts that begin, wait and end while their "
+                          "server is not listed count once it is") {
+  auto const Near = server("x");
+  Roster_.replaceAll({Near, server("far", "b-1")});
+  Roster_.onSent(Near, Now_);
+  SECTION("one that ended") {
+    Roster_.remove(Near.Id_);
+    Roster_.onEnded(Near, AttemptHealth::Failed, Now_);
+    Roster_.update(Near);
+    CHECK(Roster_.running(Near.Id_) == 0);
+    CHECK(choose() == "x");
+  }
+  SECTION("one that was sent") {
+    Roster_.remove(Near.Id_);
+    Roster_.onSent(Near, Now_);
+    Roster_.update(Near);
+    CHECK(Roster_.running(Near.Id_) == 2);
+    CHECK(choose() == "far");
+  }
+  SECTION("one that waits long for its first byte") {
+    Roster_.onSlowFirstByte(Near);
+    Roster_.remove(Near.Id_);
+    Roster_.update(Near);
+    CHECK(choose() == "far");
+    Roster_.remove(Near.Id_);
+    Roster_.onFirstByteWaitEnded(Near);
+    Roster_.onEnded(Near, AttemptHealth::Worked, Now_);
+    Roster_.update(Near);
+    CHECK(choose() == "x");
+  }
+  SECTION("another incarnation was listed meanwhile") {
+    Roster_.update(restarted(Near));
+    CHECK(Roster_.running(Near.Id_) == 0);
+    Roster_.update(Near);
+    CHECK(Roster_.running(Near.Id_) == 1);
+  }
+  SECTION("another incarnation whose start is not known is not concerned") {
+    auto const Unknown = [&](std::uint16_t Port) {
+      auto Made = Near;
+      Made.IncarnationStartMilliseconds_ = 0;
+      Made.Endpoint_.Port_ = Port;
+      return Made;
+    };
+    Roster_.update(Unknown(80));
+    Roster_.onSent(Unknown(80), Now_);
+    Roster_.update(Unknown(81));
+    CHECK(Roster_.running(Near.Id_) == 0);
+    Roster_.update(Unknown(80));
+    CHECK(Roster_.running(Near.Id_) == 1);
+  }
+}
+
 TEST_CASE_METHOD(
     Fixture, "A failing server is ejected for longer each time and returns") {
   Roster_.replaceAll({server("x"), server("y")});
