LibTraffic: Keep events in order where their identifiers are spoiled

Now what is held back is relayed before what exceeds the bound, all data is held back that the next event may show to be spoiled, and a step that two servers agree on leaves no step usual for a while.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -168,8 +168,14 @@
   for (auto &Event : Events) {
     if (!Event.Id_) {
       // The client has what follows the last event of a whole stream.
-      if (!IsEndUnconfirmed_)
-        (mayBeSpoiled(Event) ? Unnumbered_ : Bytes) += Event.Bytes_;
+      if (IsEndUnconfirmed_)
+        continue;
+      if (mayBeSpoiled(Event))
+        Unnumbered_ += Event.Bytes_;
+      else if (hasData(Event))
+        Bytes += std::exchange(Unnumbered_, {}) + Event.Bytes_;
+      else
+        Bytes += Event.Bytes_;
       continue;
     }
     bool const IsFirst = !std::exchange(HasSentEvent_, true);
@@ -198,9 +204,10 @@
 
 bool ExchangeFlow::mayBeSpoiled(StreamEvent const &Event) const {
   constexpr auto AnyGap = std::numeric_limits<std::uint64_t>::max();
-  return HasSentEvent_ && hasData(Event) &&
-         Unnumbered_.size() < MaxUnnumberedBytes &&
-         Conventions_.isGap(AttemptOrigin_, AnyGap);
+  return hasData(Event) &&
+         Unnumbered_.size() + Event.Bytes_.size() <= MaxUnnumberedBytes &&
+         (LastEventId_ ? Conventions_.isGap(AttemptOrigin_, AnyGap)
+                       : Conventions_.isLateFirst(AttemptOrigin_, AnyGap));
 }
 
 void ExchangeFlow::relay(std::string Bytes) {
@@ -229,9 +236,14 @@
       : LastEventId_
           ? !Conventions_.isGap(AttemptOrigin_, *Event.Id_ - *LastEventId_)
           : !Conventions_.isLateFirst(AttemptOrigin_, *Event.Id_);
+  if (IsNext)
+    return {};
   // What two servers leave out does not exist.
-  if (IsNext || SkippedTo_ == Event.Id_)
+  if (SkippedTo_ == Event.Id_) {
+    if (LastEventId_)
+      Conventions_.onAgreedStep(AttemptOrigin_, *Event.Id_ - *LastEventId_);
     return {};
+  }
   if (Event.Id_ > LastEventId_)
     SkippedTo_ = Event.Id_;
   return Continues ? "the server does not go on after the last event"
--- a/Libraries/LibTraffic/ObservedConventions.cpp
+++ b/Libraries/LibTraffic/ObservedConventions.cpp
@@ -9,6 +9,9 @@
 /// Two equal steps are rare where identifiers grow irregularly, while a few
 /// streams may begin alike.
 constexpr std::size_t MinEqualSteps = 2;
+/// More than a tenth of the steps that are remembered, so that no step is usual
+/// for a while.
+constexpr std::size_t StepsPerAgreement = 16;
 constexpr std::size_t MinEqualFirstIds = 8;
 constexpr std::size_t MinEqualEnds = 8;
 
@@ -37,6 +40,12 @@
   observed(Origin).Steps_.add(Step);
 }
 
+void ObservedConventions::onAgreedStep(StreamOrigin const &Origin,
+                                       std::uint64_t Step) {
+  for (std::size_t Each = 0; Each < StepsPerAgreement; ++Each)
+    onStep(Origin, Step);
+}
+
 void ObservedConventions::onEnd(StreamOrigin const &Origin,
                                 exchange::AnswerEnd End) {
   observed(Origin).Ends_.add(End == exchange::AnswerEnd::Marked ? 1 : 0);
--- a/Libraries/LibTraffic/ObservedConventions.h
+++ b/Libraries/LibTraffic/ObservedConventions.h
@@ -13,6 +13,7 @@
 public:
   void onFirst(StreamOrigin const &Origin, std::uint64_t Id) override;
   void onStep(StreamOrigin const &Origin, std::uint64_t Step) override;
+  void onAgreedStep(StreamOrigin const &Origin, std::uint64_t Step) override;
   void onEnd(StreamOrigin const &Origin, exchange::AnswerEnd End) override;
   bool isLateFirst(StreamOrigin const &Origin, std::uint64_t Id) const override;
   bool isGap(StreamOrigin const &Origin, std::uint64_t Step) const override;
--- a/Libraries/LibTraffic/StreamConventions.h
+++ b/Libraries/LibTraffic/StreamConventions.h
@@ -17,6 +17,8 @@
   /// A server has sent two events one after the other whose identifiers differ
   /// by Step.
   virtual void onStep(StreamOrigin const &Origin, std::uint64_t Step) = 0;
+  /// Two servers have left out the same identifiers.
+  virtual void onAgreedStep(StreamOrigin const &Origin, std::uint64_t Step) = 0;
   /// A server has ended a stream in order.
   virtual void onEnd(StreamOrigin const &Origin, AnswerEnd End) = 0;
   /// Returns whether a new stream that begins with this identifier lacks
--- a/Tests/LibTraffic/TestStreamFlow.cpp
+++ b/Tests/LibTraffic/TestStreamFlow.cpp
@@ -178,6 +178,7 @@
   SECTION("another server leaves it out too") {
     Run.handle(BodyArrived{Event(6)});
     REQUIRE(Run.find<RelayEvents>());
+    CHECK_FALSE(Run.Conventions_.isGap({}, 2U * Step));
   }
 }
 
@@ -207,6 +208,28 @@
     CHECK(Run.find<RelayEvents>()->Bytes_ ==
           "ix: 4\ndata: d\n\nid: 4\ndata: e\n\n");
   }
+  SECTION("more data than is held back") {
+    std::string const Large = "data: " + std::string(70000, 'x') + "\n\n";
+    Run.handle(BodyArrived{Large});
+    REQUIRE(Run.find<RelayEvents>());
+    CHECK(Run.find<RelayEvents>()->Bytes_ == "ix: 4\ndata: d\n\n" + Large);
+  }
+  SECTION("the first event of the server that goes on is spoiled too") {
+    Run.Route_.MaxAttempts_ = 3;
+    Run.handle(failure(AttemptProgress::AnswerBegun));
+    Run.attempt("b");
+    Run.handle(HeadArrived{Signed});
+    Run.handle(BodyArrived{"ix: 4\ndata: d\n\n"});
+    CHECK_FALSE(Run.find<RelayEvents>());
+    Run.handle(BodyArrived{"id: 5\ndata: e\n\n"});
+    CHECK_FALSE(Run.find<RelayEvents>());
+    Run.attempt("c");
+    Run.handle(HeadArrived{Signed});
+    Run.handle(BodyArrived{"id: 4\ndata: d\n\nid: 5\ndata: e\n\n"});
+    REQUIRE(Run.find<RelayEvents>());
+    CHECK(Run.find<RelayEvents>()->Bytes_ ==
+          "id: 4\ndata: d\n\nid: 5\ndata: e\n\n");
+  }
   SECTION("an event without an identifier at the end") {
     Run.handle(AnswerCompleted{});
     REQUIRE(Run.find<RelayEvents>());
