LibTraffic: Take no event whose identifier does not increase for a repeat

Found by the reviewer: an event with a smaller identifier than the one before in one answer was dropped as a repeat, as was another event under the same identifier. If a server spoils an identifier so, its event is missing and the stream still ends as complete, on every route and in every landing. Only the last event again, byte for byte, is a repeat; anything else ends the attempt, and the rest is asked for elsewhere. And what two servers leave out is taken not to exist only if the second one has sent nothing in its place.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -227,9 +227,11 @@
 }
 
 std::string ExchangeFlow::faultOf(StreamEvent const &Event, bool IsFirst) {
-  bool const IsRepeated = !IsFirst && Event.Id_ <= LastEventId_;
-  if (IsRepeated)
-    return {};
+  if (!IsFirst && Event.Id_ <= LastEventId_) {
+    bool const IsRepeated =
+        Event.Id_ == LastEventId_ && LastEventHash_ == hashOf(Event);
+    return IsRepeated ? "" : "the server's identifiers do not increase";
+  }
   bool const Continues = IsFirst && LastEventId_;
   bool const IsNext =
       Continues ? goesOnAt(Event)
@@ -238,8 +240,8 @@
           : !Conventions_.isLateFirst(AttemptOrigin_, *Event.Id_);
   if (IsNext)
     return {};
-  // What two servers leave out does not exist.
-  if (SkippedTo_ == Event.Id_) {
+  // What two servers leave out does not exist, unless one has spoiled it.
+  if (SkippedTo_ == Event.Id_ && Unnumbered_.empty()) {
     if (LastEventId_)
       Conventions_.onAgreedStep(AttemptOrigin_, *Event.Id_ - *LastEventId_);
     return {};
--- a/Tests/LibTraffic/TestStreamFlow.cpp
+++ b/Tests/LibTraffic/TestStreamFlow.cpp
@@ -182,9 +182,36 @@
   }
 }
 
+TEST_CASE("An answer whose identifiers go back is not taken for the stream's "
+          "rest") {
+  auto const Repeat = GENERATE(Repeatability::Resumable, Repeatability::Never);
+  Harness Run(routeOf(Repeat, AnswerForm::EventStream));
+  Run.attempt("a");
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+                         "id: 3\ndata: c\n\n"});
+  SECTION("an event that comes twice is relayed once") {
+    Run.handle(BodyArrived{"id: 3\ndata: c\n\nid: 4\ndata: d\n\n"});
+    REQUIRE(Run.find<RelayEvents>());
+    CHECK(Run.find<RelayEvents>()->Bytes_ == "id: 4\ndata: d\n\n");
+    CHECK_FALSE(Run.find<CancelAttempt>());
+  }
+  SECTION("another event under an identifier that was sent") {
+    Run.handle(
+        BodyArrived{GENERATE("id: 2\ndata: d\n\n", "id: 3\ndata: d\n\n")});
+    CHECK(Run.find<CancelAttempt>());
+    bool const IsLost = Repeat == Repeatability::Never;
+    CHECK((Run.find<AbortStream>() != nullptr) == IsLost);
+    CHECK((Run.find<RequestServer>() != nullptr) == !IsLost);
+  }
+}
+
 TEST_CASE("An event whose identifier is spoiled is not relayed where the next "
           "one shows a gap") {
   Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream));
+  constexpr int Steps = 100;
+  for (int Number = 0; Number < Steps; ++Number)
+    Run.Conventions_.onStep({}, 1);
   Run.attempt("a");
   Run.handle(HeadArrived{Signed});
   Run.handle(BodyArrived{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
@@ -202,6 +229,15 @@
     REQUIRE(Run.find<RelayEvents>());
     CHECK(Run.find<RelayEvents>()->Bytes_ == "id: 4\ndata: d\n\n");
   }
+  SECTION("one server leaves it out and the next one has spoiled it") {
+    Run.Route_.MaxAttempts_ = 3;
+    Run.handle(BodyArrived{"id: 5\ndata: e\n\n"});
+    Run.attempt("b");
+    Run.handle(HeadArrived{Signed});
+    Run.handle(BodyArrived{"ix: 4\ndata: d\n\nid: 5\ndata: e\n\n"});
+    CHECK_FALSE(Run.find<RelayEvents>());
+    CHECK(Run.find<RequestServer>());
+  }
   SECTION("an event without an identifier between two others") {
     Run.handle(BodyArrived{"id: 4\ndata: e\n\n"});
     REQUIRE(Run.find<RelayEvents>());
