--- a/Tests/EntryProcess/StreamServer/Main.cpp
+++ b/Tests/EntryProcess/StreamServer/Main.cpp
@@ -28,15 +28,34 @@
   std::string Term_;               ///< finishes, closes or breaks.
   std::uint64_t Lives_;            ///< Answers until it kills itself; 0: never.
   std::chrono::milliseconds Idle_; ///< Closes idle connections; 0: never.
-  std::uint64_t Step_;             ///< Between the identifiers of events.
+  std::vector<std::uint64_t> Identifiers_; ///< Of a stream's events.
   std::uint64_t Cuts_;   ///< Ends every such answer too early; 0: none.
   std::string Deadline_; ///< ignores, closes, finishes or resets.
+  std::uint64_t Skips_;  ///< Every such new stream lacks an event; 0: none.
+  /// Every such answer has no length and is ended too early; 0: none.
+  std::uint64_t Unframed_;
 };
 
+/// Returns the identifiers of a stream's events. Step is a number, or
+/// "irregular".
+std::vector<std::uint64_t> identifiers(std::string const &Step) {
+  if (Step == "irregular")
+    return {1, 2, 5, 6, 9, 12};
+  std::vector<std::uint64_t> Identifiers;
+  for (std::uint64_t Number = 1; Number <= StreamLength; ++Number)
+    Identifiers.push_back(Number * std::stoull(Step));
+  return Identifiers;
+}
+
+bool isEach(std::uint64_t Count, std::uint64_t Number) {
+  return Count > 0 && Number % Count == 0;
+}
+
 /// An answer that is written piece by piece.
 struct Answer {
   std::shared_ptr<ScriptedServer::Peer> Peer_;
   std::vector<std::string> Pieces_;
+  std::string Framing_;
   bool EndsLater_; ///< A gap after its last piece.
   asio::steady_timer Timer_;
   asio::steady_timer Deadline_;
@@ -112,14 +131,25 @@
     auto const Begun = std::make_shared<Answer>(Answer{
         Peer.shared_from_this(),
         IsStream ? events(Peer.field("Last-Event-Id"), Run) : parts(Path, Run),
-        Runs_ % 2 == 0, asio::steady_timer(Context_),
+        Settings_.Framing_, Runs_ % 2 == 0, asio::steady_timer(Context_),
         asio::steady_timer(Context_)});
-    if (Settings_.Cuts_ > 0 && Runs_ % Settings_.Cuts_ == 0)
+    bool const IsNew = IsStream && Peer.field("Last-Event-Id").empty();
+    if (IsNew && isEach(Settings_.Skips_, ++NewStreams_)) {
+      Begun->Pieces_.erase(Begun->Pieces_.begin() + 2);
+      std::cout << "left out an event" << std::endl;
+    }
+    bool const IsUnframed = isEach(Settings_.Unframed_, Runs_);
+    if (IsUnframed)
+      Begun->Framing_ = "closes";
+    if (!Begun->Pieces_.empty() &&
+        (IsUnframed || isEach(Settings_.Cuts_, Runs_))) {
       Begun->Pieces_.resize(Begun->Pieces_.size() / 2);
+      std::cout << "early end" << std::endl;
+    }
     Peer.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + AttemptId +
                "\r\nX-Server-Stamp: stamp\r\nContent-Type: text/" +
                (IsStream ? "event-stream\r\n" : "plain\r\n") +
-               framingFields(Begun->Pieces_) + "\r\n");
+               framingFields(*Begun) + "\r\n");
     Begun_.insert(Begun);
     if (Settings_.Deadline_ != "ignores")
       limit(Begun, Peer.field("X-Deadline-Ms"));
@@ -136,7 +166,7 @@
       std::cout << "late answer" << std::endl;
       if (Settings_.Deadline_ == "resets")
         return Begun->Peer_->reset();
-      if (Settings_.Deadline_ == "finishes" && Settings_.Framing_ == "chunked")
+      if (Settings_.Deadline_ == "finishes" && Begun->Framing_ == "chunked")
         Begun->Peer_->write("0\r\n\r\n");
       Begun->Peer_->close();
     });
@@ -146,11 +176,11 @@
                                   std::string const &Run) const {
     auto const Last = std::strtoull(LastEventId.c_str(), nullptr, 10);
     std::vector<std::string> Events;
-    for (auto Number = Last / Settings_.Step_ + 1; Number <= StreamLength;
-         ++Number)
-      Events.push_back("id: " + std::to_string(Number * Settings_.Step_) +
-                       "\ndata: " + Settings_.Version_ + ' ' +
-                       std::to_string(Last) + ' ' + Run + "\n\n");
+    for (auto const Identifier : Settings_.Identifiers_)
+      if (Identifier > Last)
+        Events.push_back("id: " + std::to_string(Identifier) +
+                         "\ndata: " + Settings_.Version_ + ' ' +
+                         std::to_string(Last) + ' ' + Run + "\n\n");
     return Events;
   }
 
@@ -160,13 +190,13 @@
     return {"begin" + Part, "end" + Part};
   }
 
-  std::string framingFields(std::vector<std::string> const &Pieces) const {
-    if (Settings_.Framing_ == "closes")
+  static std::string framingFields(Answer const &Begun) {
+    if (Begun.Framing_ == "closes")
       return {};
-    if (Settings_.Framing_ == "chunked")
+    if (Begun.Framing_ == "chunked")
       return "Keep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n";
     std::size_t Size = 0;
-    for (auto const &Piece : Pieces)
+    for (auto const &Piece : Begun.Pieces_)
       Size += Piece.size();
     return "Keep-Alive: timeout=5\r\nContent-Length: " + std::to_string(Size) +
            "\r\n";
@@ -178,7 +208,7 @@
     if (Begun->Next_ == Begun->Pieces_.size())
       return end(Begun);
     auto const &Piece = Begun->Pieces_[Begun->Next_++];
-    Begun->Peer_->write(Settings_.Framing_ == "chunked" ? chunk(Piece) : Piece);
+    Begun->Peer_->write(Begun->Framing_ == "chunked" ? chunk(Piece) : Piece);
     if (Begun->Next_ == Begun->Pieces_.size() && !Begun->EndsLater_)
       return end(Begun);
     Begun->Timer_.expires_after(Gap);
@@ -187,9 +217,9 @@
   }
 
   void end(std::shared_ptr<Answer> const &Ended) {
-    if (Settings_.Framing_ == "closes")
+    if (Ended->Framing_ == "closes")
       Ended->Peer_->close();
-    if (Settings_.Framing_ == "chunked")
+    if (Ended->Framing_ == "chunked")
       Ended->Peer_->write("0\r\n\r\n");
     Ended->Deadline_.cancel();
     if (++Answered_ == Settings_.Lives_)
@@ -206,6 +236,7 @@
   std::set<std::shared_ptr<Answer>> Begun_;
   asio::steady_timer EndTimer_{Context_};
   std::uint64_t Runs_ = 0;
+  std::uint64_t NewStreams_ = 0;
   std::uint64_t Answered_ = 0;
 };
 
@@ -240,9 +271,15 @@
       Text("finishes"));
   Add("lives", "answers after which it kills itself; 0: never", Text("0"));
   Add("idle", "closes connections idle for so many ms; 0: never", Text("0"));
-  Add("step", "between the identifiers of events", Text("1"));
+  Add("step", "between the identifiers of events; irregular: 1, 2, 5, 6, 9, 12",
+      Text("1"));
   Add("cuts", "ends every such answer too early, and goes on; 0: none",
       Text("0"));
+  Add("skips", "leaves out event 3 of every such new stream; 0: none",
+      Text("0"));
+  Add("unframed",
+      "every such answer has no length and is ended too early; 0: none",
+      Text("0"));
   Add("deadline",
       "what it does with an answer when the client's time is over: "
       "ignores, closes, finishes or resets",
@@ -259,8 +296,9 @@
         {Value("id"), Value("version"), Value("framing"), Value("term"),
          std::stoull(Value("lives")),
          std::chrono::milliseconds(std::stoll(Value("idle"))),
-         std::stoull(Value("step")), std::stoull(Value("cuts")),
-         Value("deadline")},
+         identifiers(Value("step")), std::stoull(Value("cuts")),
+         Value("deadline"), std::stoull(Value("skips")),
+         std::stoull(Value("unframed"))},
         static_cast<std::uint16_t>(std::stoul(Value("port"))), Value("born"));
     if (Value("workers") == "2")
       addWorker(Context);
