Tests: End unmarked answers too early beside answers with marked ends

TestEntryProcess "A stream without a marked end is not complete before its last event where other answers mark theirs": one of three servers ends each eighth answer without a length after half of its events; all other answers are chunked.

--- /dev/null
+++ b/Tests/EntryProcess/TestUnmarkedEnds.cpp
@@ -0,0 +1,53 @@
+#include "SentStreams.h"
+#include "StreamServers.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+using namespace laburnum;
+using namespace laburnum::entry_process;
+
+namespace {
+
+/// The program of the instances; another build can be named to try it.
+std::string program() {
+  auto const *Given = std::getenv("LABURNUM_ENTRY_PROGRAM");
+  return Given ? Given : "laburnum-entry";
+}
+
+constexpr std::size_t Servers = 3;
+std::vector<std::uint64_t> const Whole = {1, 2, 3, 4, 5, 6};
+
+} // namespace
+
+TEST_CASE("A stream without a marked end is not complete before its last event "
+          "where other answers mark theirs",
+          "[.]") {
+  constexpr std::size_t FirstStreams = 6;
+  constexpr std::size_t AtOnce = 12;
+  constexpr std::size_t Rounds = 6;
+  std::string const Route = GENERATE("/stream/", "/once/");
+  CAPTURE(Route);
+  StreamServers Chosen(2, program());
+  StreamServers::Settings Settings;
+  Settings.Framing_ = "chunked";
+  Chosen.add("s0", Settings);
+  Chosen.add("s1", Settings);
+  Settings.Others_ = {"--unframed=8"};
+  Chosen.add("s2", Settings);
+  Chosen.startInstances();
+  SentStreams Streams(Chosen, Route, Whole, Route == "/stream/" ? 3 : 0);
+  for (std::size_t Each = 0; Each < FirstStreams; ++Each)
+    Streams.send(1);
+  for (std::size_t Round = 0; Round < Rounds; ++Round)
+    Streams.send(AtOnce);
+  auto const Ended = countLines(Chosen, Servers, "early end");
+  INFO(Streams.describe() << ", ended early by the server " << Ended);
+  REQUIRE(Ended > 0);
+  CHECK(Streams.disordered() == 0);
+  CHECK(Streams.earlyEnds() == 0);
+  CHECK(Streams.complete() == Streams.sent() - (Route == "/once/" ? Ended : 0));
+}
