Tests: End unmarked answers too early while no retry budget is left

TestEntryProcess "Streams that may be resumed are not complete before their last event once the retry budget is spent": three servers end each fifth answer without a length too early; 300 streams on /stream/, 20 at a time, an aborted one is taken up once at another instance.

--- a/Tests/EntryProcess/TestUnmarkedEnds.cpp
+++ b/Tests/EntryProcess/TestUnmarkedEnds.cpp
@@ -51,3 +51,25 @@
   CHECK(Streams.earlyEnds() == 0);
   CHECK(Streams.complete() == Streams.sent() - (Route == "/once/" ? Ended : 0));
 }
+
+TEST_CASE("Streams that may be resumed are not complete before their last "
+          "event once the retry budget is spent",
+          "[.]") {
+  constexpr std::size_t AtOnce = 20;
+  constexpr std::size_t Rounds = 15;
+  StreamServers Chosen(2, program());
+  StreamServers::Settings Settings;
+  Settings.Others_ = {"--cuts=5"};
+  for (std::size_t Number = 0; Number < Servers; ++Number)
+    Chosen.add("s" + std::to_string(Number), Settings);
+  Chosen.startInstances();
+  SentStreams Streams(Chosen, "/stream/", Whole, 1);
+  for (std::size_t Round = 0; Round < Rounds; ++Round)
+    Streams.send(AtOnce);
+  auto const Ended = countLines(Chosen, Servers, "early end");
+  INFO(Streams.describe() << ", ended early by servers " << Ended);
+  REQUIRE(Ended > 0);
+  CHECK(Streams.disordered() == 0);
+  CHECK(Streams.earlyEnds() == 0);
+  CHECK(Streams.complete() > 0);
+}
