--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -2,8 +2,9 @@
 
 #include <LibGuard/RequestFingerprints.h>
 #include <LibModel/AttemptEvidence.h>
-#include <LibTraffic/EventNumbering.h>
+#include <LibTraffic/AnswerEnd.h>
 #include <LibTraffic/EventStreamSplitter.h>
+#include <LibTraffic/StreamConventions.h>
 #include <LibTraffic/StreamOrigins.h>
 #include <LibTraffic/TrafficRequest.h>
 
@@ -35,12 +36,6 @@
 struct BodyArrived {
   std::string Bytes_;
 };
-/// How the end of an answer was found.
-enum class AnswerEnd {
-  Marked, ///< By a length or a last chunk.
-  /// By the end of its connection, which its server's process has outlived.
-  Unmarked,
-};
 struct AnswerCompleted {
   AnswerEnd End_ = AnswerEnd::Marked;
 };
@@ -86,6 +81,9 @@
 };
 /// Closes the attempt's connection, which cancels it at the server.
 struct CancelAttempt {
+  /// What is wrong with the server's answer, or nothing.
+  std::string Reason_;
+
   auto operator<=>(CancelAttempt const &) const = default;
 };
 /// The first event of the stream in this answer is about to be relayed.
@@ -185,7 +183,7 @@
 class ExchangeFlow {
 public:
   ExchangeFlow(exchange::FlowContext FlowContext, exchange::RetryGate &Gate,
-               exchange::EventNumbering &Numbering);
+               exchange::StreamConventions &Conventions);
 
   std::vector<exchange::Action> start(TimePoint Now);
   std::vector<exchange::Action> handle(exchange::Event const &Event,
@@ -197,7 +195,7 @@
   /// Bytes of the current attempt's answer that are kept until it is complete.
   std::size_t bufferedBytes() const {
     return State_ == State::Attempting
-               ? Body_.size() + Splitter_.bufferedBytes()
+               ? Body_.size() + Unnumbered_.size() + Splitter_.bufferedBytes()
                : 0;
   }
   /// Whether the current attempt's stream has begun an event and not ended it.
@@ -221,6 +219,8 @@
   /// Ends an attempt without a usable answer. MayHaveRun tells whether the
   /// server may have begun the request.
   void endAttempt(bool MayHaveRun, std::string const &Reason);
+  /// Cancels an attempt whose server has begun the request.
+  void cancelAttempt(std::string const &Reason);
   /// Ends an attempt before the request was sent.
   void endUnconnectedAttempt(std::string const &Reason);
   void retryOrFail(bool MayRetry, std::string const &Reason);
@@ -231,9 +231,17 @@
   void fail(std::string const &Reason);
   void refuse(std::int32_t Status, std::string const &Reason,
               std::optional<Duration> RetryAfter);
+  /// Relays the events up to one that is wrong.
   void relay(std::vector<StreamEvent> Events);
+  void relay(std::string Bytes);
+  /// Whether an event without an identifier may have had one.
+  bool mayBeSpoiled(StreamEvent const &Event) const;
+  /// Returns what is wrong with the place of an event in the stream, or
+  /// nothing. IsFirst tells whether it is the first one of its server.
+  std::string faultOf(StreamEvent const &Event, bool IsFirst);
   /// Whether the event may be the first one of a continuation.
   bool goesOnAt(StreamEvent const &First) const;
+  void learnFrom(StreamEvent const &Event, bool IsFirst);
   /// Whether the server has stopped by now because of the deadline that it was
   /// given.
   bool mayHaveStoppedAtDeadline() const;
@@ -241,6 +249,12 @@
   /// Asks another server to go on, which has nothing to add if the stream is
   /// whole. Returns whether that is possible.
   bool confirmEnd();
+  /// Ends a stream of whose end no other server could be asked.
+  void endUnconfirmed();
+  /// Whether the client can get the rest of the stream with another request.
+  bool mayBeTakenUp() const;
+  /// Whether the client has taken the stream up and no server has gone on.
+  bool hasNothingToAdd() const;
   void completeStream(exchange::AnswerEnd End);
   void countRun();
   void rememberOrigin(StreamOrigin const &Origin);
@@ -256,7 +270,7 @@
 
   exchange::FlowContext Context_;
   exchange::RetryGate &RetryGate_;
-  exchange::EventNumbering &Numbering_;
+  exchange::StreamConventions &Conventions_;
   State State_ = State::Waiting;
   TimePoint Now_{};
   std::vector<exchange::Action> Actions_;
@@ -268,10 +282,16 @@
   ServerAccess Access_ = ServerAccess::Direct;
   std::optional<ServerAnswer> Answer_;
   TimePoint AttemptDeadline_{}; ///< As its server was told.
+  /// When the request or the last event with an identifier was sent.
+  TimePoint LastProgressAt_{};
+  Duration LongestPause_{}; ///< Between two such events.
   /// Its server has sent an event with an identifier.
   bool HasSentEvent_ = false;
   std::string Body_;
   EventStreamSplitter Splitter_;
+  /// Data without an identifier after the last event. It may be an event whose
+  /// identifier the server has spoiled, so that the next one shows a gap.
+  std::string Unnumbered_;
   /// State of the answer sent to the client.
   bool HasBegunStream_ = false;
   std::optional<StreamOrigin> Origin_; ///< Set once the stream has one.
@@ -279,6 +299,9 @@
   bool HasCountedRun_ = false;
   std::optional<std::uint64_t> LastEventId_;
   std::optional<std::size_t> LastEventHash_; ///< Set once one was relayed.
+  /// What a server has sent after LastEventId_ although that may leave out
+  /// events.
+  std::optional<std::uint64_t> SkippedTo_;
   /// A server has ended the stream after LastEventId_ without marking the end.
   bool IsEndUnconfirmed_ = false;
   /// Another server has gone on after such an end, or could not confirm it.
--- a/Tests/LibTraffic/TestStreamFlow.cpp
+++ b/Tests/LibTraffic/TestStreamFlow.cpp
@@ -148,6 +148,106 @@
   CHECK(Run.find<CancelAttempt>());
 }
 
+TEST_CASE("An event that a server leaves out is asked for elsewhere") {
+  auto const Step = GENERATE(1, 8);
+  auto const Event = [Step](int Number) {
+    return "id: " + std::to_string(Number * Step) + "\n\n";
+  };
+  auto const Repeat = GENERATE(Repeatability::Resumable, Repeatability::Never);
+  Harness Run(routeOf(Repeat, AnswerForm::EventStream));
+  Run.attempt("a");
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{Event(1) + Event(2)});
+  Run.handle(BodyArrived{Event(3) + Event(4) + Event(6)});
+  REQUIRE(Run.find<RelayEvents>());
+  CHECK(Run.find<RelayEvents>()->Bytes_ == Event(3) + Event(4));
+  CHECK(Run.find<CancelAttempt>());
+  if (Repeat == Repeatability::Never) {
+    CHECK(Run.find<AbortStream>());
+    return;
+  }
+  REQUIRE(Run.find<RequestServer>());
+  Run.attempt("b");
+  CHECK(Run.find<SendAttempt>()->Metadata_.LastEventId_ == 4U * Step);
+  Run.handle(HeadArrived{Signed});
+  SECTION("another server has it") {
+    Run.handle(BodyArrived{Event(5) + Event(6)});
+    REQUIRE(Run.find<RelayEvents>());
+    CHECK(Run.find<RelayEvents>()->Bytes_ == Event(5) + Event(6));
+  }
+  SECTION("another server leaves it out too") {
+    Run.handle(BodyArrived{Event(6)});
+    REQUIRE(Run.find<RelayEvents>());
+  }
+}
+
+TEST_CASE("An event whose identifier is spoiled is not relayed where the next "
+          "one shows a gap") {
+  Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream));
+  Run.attempt("a");
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+                         "id: 3\ndata: c\n\n"});
+  Run.handle(BodyArrived{"ix: 4\ndata: d\n\n: comment\n\n"});
+  REQUIRE(Run.find<RelayEvents>());
+  CHECK(Run.find<RelayEvents>()->Bytes_ == ": comment\n\n");
+  SECTION("a gap") {
+    Run.handle(BodyArrived{"id: 5\ndata: e\n\n"});
+    CHECK_FALSE(Run.find<RelayEvents>());
+    Run.attempt("b");
+    CHECK(Run.find<SendAttempt>()->Metadata_.LastEventId_ == 3);
+    Run.handle(HeadArrived{Signed});
+    Run.handle(BodyArrived{"id: 4\ndata: d\n\n"});
+    REQUIRE(Run.find<RelayEvents>());
+    CHECK(Run.find<RelayEvents>()->Bytes_ == "id: 4\ndata: d\n\n");
+  }
+  SECTION("an event without an identifier between two others") {
+    Run.handle(BodyArrived{"id: 4\ndata: e\n\n"});
+    REQUIRE(Run.find<RelayEvents>());
+    CHECK(Run.find<RelayEvents>()->Bytes_ ==
+          "ix: 4\ndata: d\n\nid: 4\ndata: e\n\n");
+  }
+  SECTION("an event without an identifier at the end") {
+    Run.handle(AnswerCompleted{});
+    REQUIRE(Run.find<RelayEvents>());
+    CHECK(Run.find<RelayEvents>()->Bytes_ == "ix: 4\ndata: d\n\n");
+    CHECK(Run.find<FinishStream>());
+  }
+}
+
+TEST_CASE("Streams whose identifiers grow irregularly are relayed") {
+  ObservedConventions Conventions;
+  StreamOrigin const Origin{ServiceName("writer"), "v1"};
+  for (auto const Step : {7U, 4U, 14U, 2U, 9U, 7U, 30U}) {
+    CHECK_FALSE(Conventions.isGap(Origin, Step));
+    Conventions.onStep(Origin, Step);
+  }
+}
+
+TEST_CASE("A few servers that leave out events do not change what is a gap") {
+  ObservedConventions Conventions;
+  StreamOrigin const Origin{ServiceName("writer"), "v1"};
+  constexpr std::uint64_t Steps = 1000;
+  for (std::uint64_t Number = 0; Number < Steps; ++Number) {
+    bool const IsGap = Number % 20 == 19;
+    if (IsGap)
+      CHECK(Conventions.isGap(Origin, 2));
+    Conventions.onStep(Origin, IsGap ? 2 : 1);
+  }
+  CHECK_FALSE(Conventions.isGap({ServiceName("writer"), "v2"}, 2));
+  CHECK_FALSE(Conventions.isGap({ServiceName("desk"), "v1"}, 2));
+}
+
+TEST_CASE("A new stream without its first event is begun elsewhere") {
+  ObservedConventions Conventions;
+  StreamOrigin const Origin{ServiceName("writer"), "v1"};
+  CHECK_FALSE(Conventions.isLateFirst(Origin, 2));
+  for (int Stream = 0; Stream < 20; ++Stream)
+    Conventions.onFirst(Origin, 1);
+  CHECK(Conventions.isLateFirst(Origin, 2));
+  CHECK_FALSE(Conventions.isLateFirst(Origin, 1));
+}
+
 TEST_CASE("A stream that has begun asks for servers of its software version") {
   RequestMetadata Metadata;
   Metadata.AttemptId_ = "first";
