LibTraffic: Judge spoiled last events, pauses and passed on streams

- A last event with a spoiled identifier was relayed and the stream ended as complete.
Where nearly no stream ends with data that has no identifier, such an end is asked for elsewhere.
- Data without identifiers waited for the next event also at services where most of it has none.
It waits only where nearly all data has one.
- One long pause early in a stream, as of a frozen instance or a server that let others go first, kept whole streams from completing for as long before the deadline.
It now counts for half with each event after it.
- A stream that ends after its only event has no pause of its own: the longest recent one of its service and version stands for it.
- Streams through another instance were judged as of no version, so that one version's numbering was taken for another's.
They are judged by the origin that the other instance states.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -112,7 +112,7 @@
   AttemptDeadline_ =
       Now_ + std::chrono::floor<std::chrono::milliseconds>(TimeLeft);
   LastProgressAt_ = Now_;
-  LongestPause_ = Duration(0);
+  Pause_.reset();
   HasSentEvent_ = false;
   if (!IsEndUnconfirmed_)
     Unnumbered_.clear();
@@ -170,6 +170,8 @@
       // The client has what follows the last event of a whole stream.
       if (IsEndUnconfirmed_)
         continue;
+      if (hasData(Event))
+        Conventions_.onData(writer(), false);
       if (mayBeSpoiled(Event))
         Unnumbered_ += Event.Bytes_;
       else if (hasData(Event))
@@ -179,9 +181,7 @@
       continue;
     }
     bool const IsFirst = !std::exchange(HasSentEvent_, true);
-    if (!IsFirst)
-      LongestPause_ = std::max(LongestPause_, Now_ - LastProgressAt_);
-    LastProgressAt_ = Now_;
+    noteProgress(IsFirst);
     Fault = faultOf(Event, IsFirst);
     learnFrom(Event, IsFirst);
     if (!Fault.empty())
@@ -203,11 +203,22 @@
 }
 
 bool ExchangeFlow::mayBeSpoiled(StreamEvent const &Event) const {
-  constexpr auto AnyGap = std::numeric_limits<std::uint64_t>::max();
-  return hasData(Event) &&
-         Unnumbered_.size() + Event.Bytes_.size() <= MaxUnnumberedBytes &&
-         (LastEventId_ ? Conventions_.isGap(AttemptOrigin_, AnyGap)
-                       : Conventions_.isLateFirst(AttemptOrigin_, AnyGap));
+  return hasData(Event) && Conventions_.numbersData(writer()) &&
+         Unnumbered_.size() + Event.Bytes_.size() <= MaxUnnumberedBytes;
+}
+
+void ExchangeFlow::noteProgress(bool IsFirst) {
+  auto const Since = Now_ - std::exchange(LastProgressAt_, Now_);
+  if (IsFirst)
+    return;
+  // A single long pause says little of the ones after it.
+  Pause_ = std::max(Since, Pause_.value_or(Duration(0)) / 2);
+  Conventions_.onPause(writer(), Since);
+}
+
+StreamOrigin const &ExchangeFlow::writer() const {
+  return isThroughPeer() && Answer_ && Answer_->Origin_ ? *Answer_->Origin_
+                                                        : AttemptOrigin_;
 }
 
 void ExchangeFlow::relay(std::string Bytes) {
@@ -234,16 +245,15 @@
   }
   bool const Continues = IsFirst && LastEventId_;
   bool const IsNext =
-      Continues ? goesOnAt(Event)
-      : LastEventId_
-          ? !Conventions_.isGap(AttemptOrigin_, *Event.Id_ - *LastEventId_)
-          : !Conventions_.isLateFirst(AttemptOrigin_, *Event.Id_);
+      Continues      ? goesOnAt(Event)
+      : LastEventId_ ? !Conventions_.isGap(writer(), *Event.Id_ - *LastEventId_)
+                     : !Conventions_.isLateFirst(writer(), *Event.Id_);
   if (IsNext)
     return {};
   // What two servers leave out does not exist, unless one has spoiled it.
   if (SkippedTo_ == Event.Id_ && Unnumbered_.empty()) {
     if (LastEventId_)
-      Conventions_.onAgreedStep(AttemptOrigin_, *Event.Id_ - *LastEventId_);
+      Conventions_.onAgreedStep(writer(), *Event.Id_ - *LastEventId_);
     return {};
   }
   if (Event.Id_ > LastEventId_)
@@ -257,14 +267,15 @@
   if (First.Id_ == LastEventId_)
     return LastEventHash_ == hashOf(First);
   return First.Id_ > LastEventId_ &&
-         Conventions_.mayFollow(AttemptOrigin_, *First.Id_ - *LastEventId_);
+         Conventions_.mayFollow(writer(), *First.Id_ - *LastEventId_);
 }
 
 void ExchangeFlow::learnFrom(StreamEvent const &Event, bool IsFirst) {
+  Conventions_.onData(writer(), true);
   if (!LastEventId_)
-    Conventions_.onFirst(AttemptOrigin_, *Event.Id_);
+    Conventions_.onFirst(writer(), *Event.Id_);
   else if (!IsFirst && Event.Id_ > LastEventId_)
-    Conventions_.onStep(AttemptOrigin_, *Event.Id_ - *LastEventId_);
+    Conventions_.onStep(writer(), *Event.Id_ - *LastEventId_);
 }
 
 void ExchangeFlow::rememberOrigin(StreamOrigin const &Origin) {
@@ -323,12 +334,13 @@
 }
 
 bool ExchangeFlow::mayHaveStoppedAtDeadline() const {
+  Duration Tolerance = TimerTolerance;
   // A server may stop once its next event would come too late.
-  auto const NextEvent = isStream()
-                             ? std::max(LongestPause_, Now_ - LastProgressAt_)
-                             : Duration(0);
-  return Now_ >=
-         AttemptDeadline_ - std::max<Duration>(TimerTolerance, NextEvent);
+  if (isStream())
+    Tolerance = std::max(
+        {Tolerance, Pause_ ? *Pause_ : Conventions_.longestPause(writer()),
+         Now_ - LastProgressAt_});
+  return Now_ >= AttemptDeadline_ - Tolerance;
 }
 
 void ExchangeFlow::endStream(AnswerEnd End) {
@@ -338,7 +350,9 @@
     return endAttempt(true, "the server may have stopped at the deadline");
   // Another instance marks the ends that it has judged.
   if (!isThroughPeer())
-    Conventions_.onEnd(AttemptOrigin_, End);
+    Conventions_.onEnd(writer(), End, Unnumbered_.empty());
+  if (!Unnumbered_.empty() && Conventions_.numbersLast(writer()))
+    return endAttempt(true, "the server has spoiled its last event");
   if (End == AnswerEnd::Marked)
     return completeStream(End);
   if (!LastEventId_ && !HasBegunStream_)
@@ -353,7 +367,7 @@
 }
 
 void ExchangeFlow::endUnconfirmed() {
-  if (!Conventions_.marksEnds(AttemptOrigin_) &&
+  if (!Conventions_.marksEnds(writer()) &&
       (!mayBeTakenUp() || hasNothingToAdd()))
     return completeStream(AnswerEnd::Unmarked);
   // The client may take the stream up: that takes no retry from the budget.
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -234,6 +234,10 @@
   /// Relays the events up to one that is wrong.
   void relay(std::vector<StreamEvent> Events);
   void relay(std::string Bytes);
+  /// Notes when the server sent an event with an identifier.
+  void noteProgress(bool IsFirst);
+  /// What writes the current attempt's answer.
+  StreamOrigin const &writer() const;
   /// Whether an event without an identifier may have had one.
   bool mayBeSpoiled(StreamEvent const &Event) const;
   /// Returns what is wrong with the place of an event in the stream, or
@@ -284,7 +288,8 @@
   TimePoint AttemptDeadline_{}; ///< As its server was told.
   /// When the request or the last event with an identifier was sent.
   TimePoint LastProgressAt_{};
-  Duration LongestPause_{}; ///< Between two such events.
+  /// Between two such events; a longer one before is heeded for a while.
+  std::optional<Duration> Pause_;
   /// Its server has sent an event with an identifier.
   bool HasSentEvent_ = false;
   std::string Body_;
--- a/Libraries/LibTraffic/ObservedConventions.cpp
+++ b/Libraries/LibTraffic/ObservedConventions.cpp
@@ -1,5 +1,7 @@
 #include <LibTraffic/ObservedConventions.h>
 
+#include <chrono>
+
 namespace laburnum {
 
 namespace {
@@ -13,6 +15,7 @@
 /// for a while.
 constexpr std::size_t StepsPerAgreement = 16;
 constexpr std::size_t MinEqualFirstIds = 8;
+constexpr std::size_t MinEqualData = 2;
 constexpr std::size_t MinEqualEnds = 8;
 
 } // namespace
@@ -46,9 +49,21 @@
     onStep(Origin, Step);
 }
 
+void ObservedConventions::onData(StreamOrigin const &Origin,
+                                 bool HasIdentifier) {
+  observed(Origin).HasDataIdentifier_.add(HasIdentifier ? 1 : 0);
+}
+
+void ObservedConventions::onPause(StreamOrigin const &Origin, Duration Pause) {
+  auto const Time = std::chrono::ceil<std::chrono::milliseconds>(Pause);
+  observed(Origin).Pauses_.add(static_cast<std::uint64_t>(Time.count()));
+}
+
 void ObservedConventions::onEnd(StreamOrigin const &Origin,
-                                exchange::AnswerEnd End) {
-  observed(Origin).Ends_.add(End == exchange::AnswerEnd::Marked ? 1 : 0);
+                                exchange::AnswerEnd End, bool HasIdentifier) {
+  auto &Observed = observed(Origin);
+  Observed.IsMarkedEnd_.add(End == exchange::AnswerEnd::Marked ? 1 : 0);
+  Observed.HasLastIdentifier_.add(HasIdentifier ? 1 : 0);
 }
 
 bool ObservedConventions::isLateFirst(StreamOrigin const &Origin,
@@ -77,9 +92,25 @@
   return !Largest || Step <= *Largest;
 }
 
+bool ObservedConventions::numbersData(StreamOrigin const &Origin) const {
+  auto const *const Known = find(Origin);
+  return Known && Known->HasDataIdentifier_.usual(MinEqualData) == 1;
+}
+
+bool ObservedConventions::numbersLast(StreamOrigin const &Origin) const {
+  auto const *const Known = find(Origin);
+  return Known && Known->HasLastIdentifier_.usual(MinEqualEnds) == 1;
+}
+
+Duration ObservedConventions::longestPause(StreamOrigin const &Origin) const {
+  auto const *const Known = find(Origin);
+  auto const Longest = Known ? Known->Pauses_.largest().value_or(0) : 0;
+  return std::chrono::milliseconds(Longest);
+}
+
 bool ObservedConventions::marksEnds(StreamOrigin const &Origin) const {
   auto const *const Known = find(Origin);
-  return Known && Known->Ends_.usual(MinEqualEnds) == 1;
+  return Known && Known->IsMarkedEnd_.usual(MinEqualEnds) == 1;
 }
 
 } // namespace laburnum
--- a/Tests/LibTraffic/TestStreamEnds.cpp
+++ b/Tests/LibTraffic/TestStreamEnds.cpp
@@ -118,8 +118,9 @@
   constexpr int Streams = 20;
   auto const UnmarkedStreams = GENERATE(0, 1, 10);
   for (int Number = 0; Number < Streams; ++Number)
-    Run.Conventions_.onEnd({}, Number < UnmarkedStreams ? AnswerEnd::Unmarked
-                                                        : AnswerEnd::Marked);
+    Run.Conventions_.onEnd(
+        {}, Number < UnmarkedStreams ? AnswerEnd::Unmarked : AnswerEnd::Marked,
+        true);
   endUnmarked(Run);
   bool const IsBelieved =
       UnmarkedStreams == 10 && Repeat == Repeatability::Never;
@@ -256,8 +257,9 @@
     CHECK(Run.find<AbortStream>());
     CHECK_FALSE(Run.find<FinishStream>());
   }
-  auto const SendEvents = [&Run](milliseconds Pause, int Last) {
-    for (int Id = 2; Id <= Last; ++Id) {
+  int Id = 2;
+  auto const SendEvents = [&Run, &Id](milliseconds Pause, int Last) {
+    for (; Id <= Last; ++Id) {
       Run.Now_ += Pause;
       Run.handle(BodyArrived{"id: " + std::to_string(Id) + "\ndata: x\n\n"});
     }
@@ -271,6 +273,13 @@
     CHECK((Run.find<AbortStream>() != nullptr) == IsLost);
     CHECK((Run.find<RequestServer>() != nullptr) == !IsLost);
   }
+  SECTION("before, though a pause was long") {
+    SendEvents(milliseconds(900), 2);
+    SendEvents(milliseconds(10), 21);
+    Run.Now_ += milliseconds(10);
+    Run.handle(End);
+    CHECK_FALSE(Run.find<AbortStream>());
+  }
   SECTION("before") {
     SendEvents(milliseconds(30), 42);
     Run.Now_ += TimeAllowed - milliseconds(700 + 1230 + 40);
@@ -279,6 +288,20 @@
   }
 }
 
+TEST_CASE("A stream that ends after its only event is not complete where the "
+          "next one would come after the deadline") {
+  Harness Run(stream(Repeatability::Never));
+  auto const Pause = GENERATE(0, 50, 100);
+  Run.Conventions_.onPause({}, milliseconds(Pause));
+  Run.attempt("a");
+  Run.handle(HeadArrived{Signed});
+  Run.Now_ += milliseconds(2000 - 90);
+  Run.handle(BodyArrived{"id: 1\ndata: x\n\n"});
+  Run.handle(Marked);
+  CHECK((Run.find<AbortStream>() != nullptr) == (Pause == 100));
+  CHECK((Run.find<FinishStream>() != nullptr) == (Pause < 100));
+}
+
 TEST_CASE("A plain answer without a marked end is not whole at the deadline") {
   Harness Run(routeOf(Repeatability::Never, AnswerForm::Complete));
   Run.attempt("a");
--- a/Tests/LibTraffic/TestStreamFlow.cpp
+++ b/Tests/LibTraffic/TestStreamFlow.cpp
@@ -210,8 +210,10 @@
           "one shows a gap") {
   Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream));
   constexpr int Steps = 100;
-  for (int Number = 0; Number < Steps; ++Number)
+  for (int Number = 0; Number < Steps; ++Number) {
     Run.Conventions_.onStep({}, 1);
+    Run.Conventions_.onData({}, true);
+  }
   Run.attempt("a");
   Run.handle(HeadArrived{Signed});
   Run.handle(BodyArrived{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
@@ -266,6 +268,16 @@
     CHECK(Run.find<RelayEvents>()->Bytes_ ==
           "id: 4\ndata: d\n\nid: 5\ndata: e\n\n");
   }
+  SECTION("an event without an identifier at the end, where none ends so") {
+    for (int Number = 0; Number < Steps; ++Number)
+      Run.Conventions_.onEnd({}, AnswerEnd::Marked, true);
+    Run.handle(AnswerCompleted{});
+    CHECK_FALSE(Run.find<RelayEvents>());
+    CHECK_FALSE(Run.find<FinishStream>());
+    REQUIRE(Run.find<RequestServer>());
+    Run.attempt("b");
+    CHECK(Run.find<SendAttempt>()->Metadata_.LastEventId_ == 3);
+  }
   SECTION("an event without an identifier at the end") {
     Run.handle(AnswerCompleted{});
     REQUIRE(Run.find<RelayEvents>());
@@ -274,6 +286,20 @@
   }
 }
 
+TEST_CASE("Data without identifiers is relayed at once where that is usual") {
+  Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream));
+  Run.attempt("a");
+  Run.handle(HeadArrived{Signed});
+  std::string const Data = "data: x\n\n";
+  for (int Id = 10; Id <= 50; Id += 10) {
+    Run.handle(BodyArrived{"id: " + std::to_string(Id) + "\n" + Data});
+    for (int Between = 0; Between < 4; ++Between) {
+      Run.handle(BodyArrived{Data});
+      REQUIRE(Run.find<RelayEvents>());
+    }
+  }
+}
+
 TEST_CASE("Streams whose identifiers grow irregularly are relayed") {
   ObservedConventions Conventions;
   StreamOrigin const Origin{ServiceName("writer"), "v1"};
