--- a/Libraries/LibControl/StreamOriginRecords.cpp
+++ b/Libraries/LibControl/StreamOriginRecords.cpp
@@ -24,6 +24,9 @@
 /// Records of instances that were removed are deleted after this time.
 constexpr std::chrono::minutes RecordLifetime{10};
 
+/// Within which instances notice the same move, by clocks that differ.
+constexpr std::chrono::seconds SameMoveTime{3};
+
 constexpr char const *StreamCollection = "entry-streams";
 
 constexpr char const *HistoryCollection = "entry-software-versions";
@@ -138,11 +141,14 @@
   return true;
 }
 
-/// Returns whether all regions that have moved in One have moved in Other.
-bool coversRegions(MovedRoutes const &Other, MovedRoutes const &One) {
+/// Returns whether all regions that have moved in One have moved in Other, and
+/// not much earlier: a later move may lead elsewhere.
+bool coversRegions(MovedRoutes const &One, MovedRoutes const &Other) {
   return std::all_of(One.Regions_.begin(), One.Regions_.end(),
                      [&](auto const &Region) {
-                       return Other.Regions_.contains(Region.first);
+                       auto const Found = Other.Regions_.find(Region.first);
+                       return Found != Other.Regions_.end() &&
+                              Found->second + SameMoveTime >= Region.second;
                      });
 }
 
@@ -222,7 +228,7 @@
   auto const &Known = Moves_.moved();
   auto const &Recorded = Recorded_->Moves_;
   return Recorded.ConfigurationVersion_ < Known.ConfigurationVersion_ ||
-         !coversRegions(Recorded, Known);
+         !coversRegions(Known, Recorded);
 }
 
 bool StreamOriginRecords::owesMoves(Duration TimeOfDay) const {
--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -20,6 +20,9 @@
 constexpr std::chrono::milliseconds MinTimeForAttempt{5};
 /// By how much a server's timer may be early.
 constexpr std::chrono::milliseconds TimerTolerance{10};
+/// Divisor of the time allowed, which bounds the pause for which an end before
+/// the deadline is doubtful.
+constexpr std::int64_t MaxPauseDivisor = 10;
 /// Time left that makes a further attempt worthwhile.
 constexpr std::chrono::milliseconds MinTimeForRetry{30};
 /// Retry-After for a client whose request was refused by all servers tried.
@@ -67,6 +70,7 @@
 
 std::vector<Action> ExchangeFlow::start(TimePoint Now) {
   Now_ = Now;
+  TimeAllowed_ = Context_.Expiry_ - Now;
   if (mayHideProgress()) {
     refuse(ServiceUnavailable, "passed on by an instance of an older release",
            RetryAfterUnknownOrigin);
@@ -334,13 +338,15 @@
 }
 
 bool ExchangeFlow::mayHaveStoppedAtDeadline() const {
-  Duration Tolerance = TimerTolerance;
+  Duration NextEvent{};
   // A server may stop once its next event would come too late.
   if (isStream())
-    Tolerance = std::max(
-        {Tolerance, Pause_ ? *Pause_ : Conventions_.longestPause(writer()),
-         Now_ - LastProgressAt_});
-  return Now_ >= AttemptDeadline_ - Tolerance;
+    NextEvent = std::max(Pause_ ? *Pause_ : Conventions_.longestPause(writer()),
+                         HasSentEvent_ ? Now_ - LastProgressAt_ : Duration(0));
+  auto const Longest = TimeAllowed_ / MaxPauseDivisor;
+  return Now_ >=
+         AttemptDeadline_ -
+             std::max<Duration>(TimerTolerance, std::min(NextEvent, Longest));
 }
 
 void ExchangeFlow::endStream(AnswerEnd End) {
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -277,6 +277,7 @@
   exchange::StreamConventions &Conventions_;
   State State_ = State::Waiting;
   TimePoint Now_{};
+  Duration TimeAllowed_{}; ///< From the start to the deadline.
   std::vector<exchange::Action> Actions_;
   std::set<ServerId> Tried_; ///< Incarnations.
   std::uint32_t Sent_ = 0;
@@ -286,7 +287,7 @@
   ServerAccess Access_ = ServerAccess::Direct;
   std::optional<ServerAnswer> Answer_;
   TimePoint AttemptDeadline_{}; ///< As its server was told.
-  /// When the request or the last event with an identifier was sent.
+  /// When the last event with an identifier was sent, or the request.
   TimePoint LastProgressAt_{};
   /// Between two such events; a longer one before is heeded for a while.
   std::optional<Duration> Pause_;
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -139,7 +139,15 @@
       return handle(NoServer{std::string(RequestRefuser::reasonOf(
                                  *Refusal, FlowContext_.Fingerprints_)),
                              Refusal->Until_ - Now});
-    return handle(ServerAssigned{Admission->Server_});
+    if (IsFinished_)
+      return;
+    auto const Attempts = Flow_.attempts();
+    handle(ServerAssigned{Admission->Server_});
+    // The deadline may be too close to send the request.
+    if (!IsFinished_ || Flow_.attempts() > Attempts)
+      return;
+    return Plane_.Roster_.onEnded(Admission->Server_, AttemptHealth::Unknown,
+                                  Now);
   }
   if (Plane_.Links_.isCut(QueuedService_) && passToPeer(Excluded_))
     return;
@@ -324,9 +332,10 @@
           .add("why", Evidence.Detail_));
   if (Evidence.Progress_ == AttemptProgress::NotConnected)
     ++Unconnected_;
-  if (!isDirect())
+  // An instance whose answer has begun reaches servers.
+  if (!isDirect() && Evidence.Progress_ < AttemptProgress::AnswerBegun)
     Plane_.PeerRoutes_.onRefused(QueuedService_, Server_->Id_, readBootClock());
-  else if (Evidence.Progress_ == AttemptProgress::NotConnected &&
+  else if (isDirect() && Evidence.Progress_ == AttemptProgress::NotConnected &&
            Evidence.End_ == AttemptEnd::ConnectionFailed)
     Plane_.onServerGone(*Server_, "a request");
   if (isDirect() && !Answer_ && Evidence.End_ != AttemptEnd::Refused)
--- a/Tests/LibControl/TestStreamOriginRecords.cpp
+++ b/Tests/LibControl/TestStreamOriginRecords.cpp
@@ -597,6 +597,37 @@
   CHECK(GoneOn > 0);
 }
 
+TEST_CASE_METHOD(Fixture, "A later move of a route whose earlier move is "
+                          "recorded is recorded too") {
+  Listed_.push_back(server("d1"));
+  Listed_.back().Service_ = Drafter;
+  Table_ = table(1, Writer);
+  auto const Keeper = start("k");
+  auto const Reader = start("r", HistoryRole::Reads);
+  lead(2, Drafter, {Keeper, Reader});
+  pass({Keeper, Reader}, seconds(10));
+  lead(4, Drafter, {Keeper});
+  pass({Keeper, Reader}, seconds(2));
+  Reader->setTable(table(3, Writer), timeOfDay(), Now_);
+  Store_.deliver();
+  setUnfinished(Reader, {{"s1", origin("v1")}});
+  Store_.deliver();
+  pass({Keeper, Reader}, seconds(1));
+  Reader->setTable(table(4, Drafter), timeOfDay(), Now_);
+  Store_.deliver();
+  pass({Keeper, Reader}, seconds(18));
+  std::optional<OriginAnswer> Answer;
+  Keeper->find({Drafter, "host", "/stream/", "s1"}, timeOfDay(), Now_,
+               [&](OriginAnswer const &Found) { Answer = Found; });
+  Store_.deliver();
+  for (int Ticks = 0; !Answer && Ticks < 40; ++Ticks)
+    pass({Keeper, Reader}, Tick);
+  REQUIRE(Answer);
+  CAPTURE(stored(MovesKey));
+  if (Answer->Origin_)
+    CHECK(*Answer->Origin_ == origin("v1"));
+}
+
 TEST_CASE_METHOD(Fixture, "A stream that a lagging instance begins 30 s after "
                           "its route has moved is not continued elsewhere") {
   Table_ = table(1, Drafter);
--- a/Tests/LibTraffic/TestStreamEnds.cpp
+++ b/Tests/LibTraffic/TestStreamEnds.cpp
@@ -302,6 +302,32 @@
   CHECK((Run.find<FinishStream>() != nullptr) == (Pause < 100));
 }
 
+TEST_CASE("A stream is complete that ends long before its deadline, however "
+          "long it has paused") {
+  SECTION("between events") {
+    Harness Run(stream(Repeatability::Never));
+    Run.attempt("a");
+    Run.handle(HeadArrived{Signed});
+    Run.handle(BodyArrived{"id: 1\ndata: x\n\n"});
+    Run.Now_ += milliseconds(1200);
+    Run.handle(BodyArrived{"id: 2\ndata: x\n\n"});
+    Run.handle(Marked);
+    CHECK(Run.find<FinishStream>());
+  }
+  SECTION("before it has nothing to add") {
+    RequestMetadata Metadata;
+    Metadata.TakesUpStream_ = true;
+    Metadata.LastEventId_ = 2;
+    Harness Run(stream(), Metadata);
+    Run.handle(OriginFound{StreamOrigin{}, {}});
+    Run.attempt("a");
+    Run.Now_ += milliseconds(1200);
+    Run.handle(HeadArrived{Signed});
+    Run.handle(Marked);
+    CHECK(Run.find<FinishStream>());
+  }
+}
+
 TEST_CASE("A plain answer without a marked end is not whole at the deadline") {
   Harness Run(routeOf(Repeatability::Never, AnswerForm::Complete));
   Run.attempt("a");
