Tests: Print what instances logged of early ended streams

SentStreams keeps the identifiers of streams that ended early or had events out of order, and the cases of TestLeftOutEvents and TestUnmarkedEnds show the instances' lines of them. No check changes.

--- a/Tests/EntryProcess/SentStreams.cpp
+++ b/Tests/EntryProcess/SentStreams.cpp
@@ -44,10 +44,12 @@
                    Identifiers_.begin());
     if (!IsOrdered) {
       ++Disordered_;
+      Faulty_.push_back(Stream.Id_);
     } else if (!Answer.IsComplete_) {
       Aborted.push_back(std::move(Stream));
     } else if (Stream.Events_.size() < Identifiers_.size()) {
       ++EarlyEnds_;
+      Faulty_.push_back(Stream.Id_);
     } else {
       ++Complete_;
       CompleteAtOnce_ += Try == 0 ? 1 : 0;
@@ -64,6 +66,16 @@
          std::to_string(Disordered_);
 }
 
+std::string SentStreams::log() const {
+  std::string Log;
+  for (std::size_t Number = 0; Number < Servers_.instances(); ++Number)
+    for (auto const &Line : Servers_.instance(Number).process().lines())
+      for (auto const &Id : Faulty_)
+        if (Line.find("=" + Id + '-') != std::string::npos)
+          Log += "\ninstance " + std::to_string(Number) + ": " + Line;
+  return Log;
+}
+
 std::size_t countLines(StreamServers &Servers, std::size_t Number,
                        std::string const &Text) {
   std::size_t Count = 0;
--- a/Tests/EntryProcess/SentStreams.h
+++ b/Tests/EntryProcess/SentStreams.h
@@ -33,6 +33,8 @@
   /// Streams in which an event was missing, came twice or out of order.
   std::size_t disordered() const { return Disordered_; }
   std::string describe() const;
+  /// Returns what the instances logged of early ended and disordered streams.
+  std::string log() const;
 
 private:
   struct Stream {
@@ -54,6 +56,7 @@
   std::size_t TakenUp_ = 0;
   std::size_t EarlyEnds_ = 0;
   std::size_t Disordered_ = 0;
+  std::vector<std::string> Faulty_; ///< Identifiers of such streams.
 };
 
 /// Counts the lines of this text that servers s0, s1 and so on have written.
--- a/Tests/EntryProcess/TestLeftOutEvents.cpp
+++ b/Tests/EntryProcess/TestLeftOutEvents.cpp
@@ -54,7 +54,7 @@
                       {Step, 2 * Step, 3 * Step, 4 * Step, 5 * Step, 6 * Step});
   send(Streams);
   auto const LeftOut = countLines(Chosen, Servers, "left out an event");
-  INFO(Streams.describe() << ", left out " << LeftOut);
+  INFO(Streams.describe() << ", left out " << LeftOut << Streams.log());
   REQUIRE(LeftOut > 0);
   CHECK(Streams.disordered() == 0);
   CHECK(Streams.earlyEnds() == 0);
@@ -69,7 +69,7 @@
   start(Chosen, {"--step=irregular"});
   SentStreams Streams(Chosen, Route, {1, 2, 5, 6, 9, 12});
   send(Streams);
-  INFO(Streams.describe());
+  INFO(Streams.describe() << Streams.log());
   CHECK(Streams.disordered() == 0);
   CHECK(Streams.earlyEnds() == 0);
   CHECK(Streams.complete() >= Streams.sent() - FirstStreams);
--- a/Tests/EntryProcess/TestUnmarkedEnds.cpp
+++ b/Tests/EntryProcess/TestUnmarkedEnds.cpp
@@ -45,7 +45,8 @@
   for (std::size_t Round = 0; Round < Rounds; ++Round)
     Streams.send(AtOnce);
   auto const Ended = countLines(Chosen, Servers, "early end");
-  INFO(Streams.describe() << ", ended early by the server " << Ended);
+  INFO(Streams.describe() << ", ended early by the server " << Ended
+                          << Streams.log());
   REQUIRE(Ended > 0);
   CHECK(Streams.disordered() == 0);
   CHECK(Streams.earlyEnds() == 0);
@@ -67,7 +68,8 @@
   for (std::size_t Round = 0; Round < Rounds; ++Round)
     Streams.send(AtOnce);
   auto const Ended = countLines(Chosen, Servers, "early end");
-  INFO(Streams.describe() << ", ended early by servers " << Ended);
+  INFO(Streams.describe() << ", ended early by servers " << Ended
+                          << Streams.log());
   REQUIRE(Ended > 0);
   CHECK(Streams.disordered() == 0);
   CHECK(Streams.earlyEnds() == 0);
