Tests: Play a deployment of many small instances with real processes

Its checker tells what a server spoiled itself (its own lines say so) from what was lost on the way.

stream-server learns lengths, gaps, slowness, faults and losses; stand-ins read request bodies; the store can reset.

--- a/Tests/EntryProcess/ScriptedServer.cpp
+++ b/Tests/EntryProcess/ScriptedServer.cpp
@@ -1,8 +1,10 @@
 #include "ScriptedServer.h"
 
+#include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
 
+#include <cstdlib>
 #include <utility>
 
 namespace laburnum::entry_process {
@@ -71,20 +73,40 @@
         if (Failure)
           return;
         Self->IdleTimer_.cancel();
-        // The tests send no bodies.
         Self->Head_ = Self->Received_.substr(0, Size);
         Self->Received_.erase(0, Size);
-        if (Self->answerReport()) {
-          Self->limitIdleTime();
-          return Self->read();
-        }
-        Self->Shared_->Script_(*Self, Self->field("X-Attempt-Id"),
-                               ++Self->Shared_->Requests_);
-        if (Self->Socket_.is_open())
-          Self->read();
+        Self->readBody();
       });
 }
 
+void ScriptedServer::Peer::readBody() {
+  auto const Length =
+      std::strtoull(field("Content-Length").c_str(), nullptr, 10);
+  if (Received_.size() >= Length) {
+    Received_.erase(0, Length);
+    return answer();
+  }
+  asio::async_read(Socket_, asio::dynamic_buffer(Received_),
+                   asio::transfer_exactly(Length - Received_.size()),
+                   [Self = shared_from_this(), Length](asio::error_code Failure,
+                                                       std::size_t) {
+                     if (Failure)
+                       return;
+                     Self->Received_.erase(0, Length);
+                     Self->answer();
+                   });
+}
+
+void ScriptedServer::Peer::answer() {
+  if (answerReport()) {
+    limitIdleTime();
+    return read();
+  }
+  Shared_->Script_(*this, field("X-Attempt-Id"), ++Shared_->Requests_);
+  if (Socket_.is_open())
+    read();
+}
+
 void ScriptedServer::Peer::limitIdleTime() {
   if (Shared_->IdleTime_.count() == 0)
     return;
--- a/Tests/EntryProcess/ScriptedServer.h
+++ b/Tests/EntryProcess/ScriptedServer.h
@@ -94,6 +94,9 @@
   void reset();
 
 private:
+  /// Answers the request once its body has arrived, which is dropped.
+  void readBody();
+  void answer();
   /// Answers a question for the server's report. Returns whether it was one.
   bool answerReport();
 
--- a/Tests/EntryProcess/StoreStandin.cpp
+++ b/Tests/EntryProcess/StoreStandin.cpp
@@ -29,6 +29,8 @@
                              ReceivedRequest Request) {
   if (Mode_ == StoreMode::Silent)
     return Unanswered_.push_back(std::move(Exchange));
+  if (Mode_ == StoreMode::Resets)
+    return Exchange->abort();
   if (Mode_ == StoreMode::Busy)
     return reply(*Exchange, 503, json::object());
   ++Calls_;
--- a/Tests/EntryProcess/StoreStandin.h
+++ b/Tests/EntryProcess/StoreStandin.h
@@ -19,6 +19,7 @@
   Normal,
   Silent,     ///< Accepts calls and never answers.
   Busy,       ///< Rejects every call with 503.
+  Resets,     ///< Aborts every call.
   LosesWrites ///< Applies writes but aborts the connection without an answer.
 };
 
--- a/Tests/EntryProcess/StreamServer/Main.cpp
+++ b/Tests/EntryProcess/StreamServer/Main.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <random>
 #include <set>
 #include <sstream>
 #include <sys/prctl.h>
@@ -18,9 +19,6 @@
 
 namespace {
 
-constexpr std::uint64_t StreamLength = 6;
-constexpr std::chrono::milliseconds Gap{50};
-
 struct Settings {
   std::string Id_;
   std::string Version_;
@@ -29,8 +27,22 @@
   std::uint64_t Lives_;            ///< Answers until it kills itself; 0: never.
   std::chrono::milliseconds Idle_; ///< Closes idle connections; 0: never.
   std::uint64_t Step_;             ///< Between the identifiers of events.
-  std::uint64_t Cuts_;   ///< Ends every such answer too early; 0: none.
-  std::string Deadline_; ///< ignores, closes, finishes or resets.
+  std::uint64_t Cuts_;       ///< Ends every such answer too early; 0: none.
+  std::string Deadline_;     ///< ignores, closes, finishes or resets.
+  std::uint64_t Events_;     ///< Of a stream on /stream/.
+  std::uint64_t OnceEvents_; ///< Of a stream on /once/.
+  std::chrono::microseconds Gap_;
+  std::int64_t Slowness_;         ///< Tenths of the gap after SIGUSR1.
+  std::uint64_t Faults_;          ///< One in so many answers; 0: none.
+  std::vector<std::string> Hows_; ///< Names of the faults.
+  std::uint64_t Lost_;            ///< Percentage of answers never sent.
+  std::uint64_t Seed_;
+};
+
+/// What is wrong with an answer.
+struct Fault {
+  std::string How_;
+  std::size_t Piece_ = 0; ///< The one at which it shows.
 };
 
 /// An answer that is written piece by piece.
@@ -38,6 +50,7 @@
   std::shared_ptr<ScriptedServer::Peer> Peer_;
   std::vector<std::string> Pieces_;
   bool EndsLater_; ///< A gap after its last piece.
+  Fault Fault_;
   asio::steady_timer Timer_;
   asio::steady_timer Deadline_;
   std::size_t Next_ = 0;
@@ -66,10 +79,21 @@
       Server_.setReport("{\"born\":" + Born + '}');
     Server_.setIdleTime(Settings_.Idle_);
     Signals_.async_wait([this](asio::error_code, int) { leave(); });
+    awaitSlowness();
     std::cout << "listening port=" << Server_.endpoint().Port_ << std::endl;
   }
 
 private:
+  /// SIGUSR1 makes it slow, or as fast as before.
+  void awaitSlowness() {
+    SlownessSignals_.async_wait([this](asio::error_code, int) {
+      IsSlow_ = !IsSlow_;
+      awaitSlowness();
+    });
+  }
+
+  bool draws(std::uint64_t Of) { return Of > 0 && Numbers_() % Of == 0; }
+
   void leave() {
     if (Settings_.Term_ == "breaks")
       return breakOff();
@@ -109,23 +133,119 @@
     auto const Run = Settings_.Id_ + '.' + std::to_string(getpid()) + '.' +
                      std::to_string(++Runs_);
     std::cout << "ran " << Path << " run=" << Run << std::endl;
-    auto const Begun = std::make_shared<Answer>(Answer{
-        Peer.shared_from_this(),
-        IsStream ? events(Peer.field("Last-Event-Id"), Run) : parts(Path, Run),
-        Runs_ % 2 == 0, asio::steady_timer(Context_),
-        asio::steady_timer(Context_)});
+    if (Numbers_() % 100 < Settings_.Lost_)
+      return lose(Peer);
+    auto const Length = lengthOf(Path);
+    auto const Begun = std::make_shared<Answer>(
+        Answer{Peer.shared_from_this(),
+               IsStream ? events(Peer.field("Last-Event-Id"), Run, Length)
+                        : parts(Path, Run),
+               Runs_ % 2 == 0,
+               {},
+               asio::steady_timer(Context_),
+               asio::steady_timer(Context_)});
     if (Settings_.Cuts_ > 0 && Runs_ % Settings_.Cuts_ == 0)
       Begun->Pieces_.resize(Begun->Pieces_.size() / 2);
+    // An answer that is broken off states the length of the whole one.
+    auto Framing = framingFields(Begun->Pieces_);
+    if (draws(Settings_.Faults_))
+      spoil(*Begun, Run, IsStream);
+    if (Begun->Fault_.How_ == "omit")
+      Framing = framingFields(Begun->Pieces_);
     Peer.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + AttemptId +
                "\r\nX-Server-Stamp: stamp\r\nContent-Type: text/" +
-               (IsStream ? "event-stream\r\n" : "plain\r\n") +
-               framingFields(Begun->Pieces_) + "\r\n");
+               (IsStream ? "event-stream\r\n" : "plain\r\n") + Framing +
+               "\r\n");
     Begun_.insert(Begun);
     if (Settings_.Deadline_ != "ignores")
       limit(Begun, Peer.field("X-Deadline-Ms"));
     writeNext(Begun);
   }
 
+  /// Returns the length that a path such as "/stream/s1.48" states, or the
+  /// usual one.
+  std::uint64_t lengthOf(std::string const &Path) const {
+    auto const Dot = Path.rfind('.');
+    if (Dot != std::string::npos)
+      return std::stoull(Path.substr(Dot + 1));
+    return Path.starts_with("/once/") ? Settings_.OnceEvents_
+                                      : Settings_.Events_;
+  }
+
+  /// Loses the answer with its connection, or alone.
+  void lose(ScriptedServer::Peer &Peer) {
+    if (draws(2))
+      Peer.close();
+  }
+
+  /// Draws a fault; says which one, and the event that it concerns.
+  void spoil(Answer &Spoiled, std::string const &Run, bool IsStream) {
+    auto How = Settings_.Hows_[Numbers_() % Settings_.Hows_.size()];
+    auto &Pieces = Spoiled.Pieces_;
+    if (Pieces.size() < 2)
+      return;
+    bool const IsBreak = How.ends_with("-reset") || How.ends_with("-close");
+    if (!IsBreak && !IsStream)
+      return;
+    if (How == "size" && Settings_.Framing_ != "chunked")
+      How = "id";
+    // A break leaves the first piece; the last has no blank line after it that
+    // separates it from another.
+    auto const At = How.ends_with("-close") || How.ends_with("-reset")
+                        ? 1 + Numbers_() % (Pieces.size() - 1)
+                        : Numbers_() % (Pieces.size() - 1);
+    auto const Concerned = How == "blank" ? At + 1 : At;
+    std::cout << "spoiled run=" << Run
+              << " event=" << (IsStream ? numberIn(Pieces[Concerned]) : "0")
+              << " how=" << How << " framing=" << Settings_.Framing_
+              << std::endl;
+    Spoiled.Fault_ = {How, At};
+    auto &Piece = Pieces[At];
+    if (How == "id")
+      Piece[Numbers_() % Piece.find('\n')] = 'x';
+    if (How == "blank")
+      Piece.back() = 'x';
+    if (How == "omit")
+      Pieces.erase(Pieces.begin() + static_cast<std::ptrdiff_t>(At));
+    if (How.starts_with("inside-"))
+      Piece.resize(Piece.size() / 2);
+  }
+
+  static std::string numberIn(std::string const &Piece) {
+    auto const Begin = Piece.find(' ') + 1;
+    return Piece.substr(Begin, Piece.find('\n') - Begin);
+  }
+
+  /// Whether the answer was broken off by a fault.
+  bool breaksBy(Answer const &Begun) {
+    auto const &[How, At] = Begun.Fault_;
+    bool const IsClose = How.ends_with("-close");
+    if (!IsClose && !How.ends_with("-reset"))
+      return false;
+    if (Begun.Next_ < At || (How.starts_with("inside-") && Begun.Next_ == At))
+      return false;
+    if (IsClose)
+      Begun.Peer_->close();
+    else
+      Begun.Peer_->reset();
+    return true;
+  }
+
+  /// Returns the bytes of a piece, in its chunk if there are chunks.
+  std::string framed(Answer const &Begun, std::string const &Piece) {
+    if (Settings_.Framing_ != "chunked")
+      return Piece;
+    auto Bytes = chunk(Piece);
+    if (Begun.Fault_.How_ == "size" && Begun.Next_ == Begun.Fault_.Piece_ + 1)
+      Bytes[Numbers_() % (Bytes.find('\n') + 1)] = "z07"[Numbers_() % 3];
+    return Bytes;
+  }
+
+  std::chrono::microseconds gap() const {
+    return IsSlow_ ? Settings_.Gap_ * Settings_.Slowness_ / std::int64_t{10}
+                   : Settings_.Gap_;
+  }
+
   /// Stops work on the answer when the client's time is over.
   void limit(std::shared_ptr<Answer> const &Begun, std::string const &Time) {
     Begun->Deadline_.expires_after(
@@ -143,11 +263,11 @@
   }
 
   std::vector<std::string> events(std::string const &LastEventId,
-                                  std::string const &Run) const {
+                                  std::string const &Run,
+                                  std::uint64_t Length) const {
     auto const Last = std::strtoull(LastEventId.c_str(), nullptr, 10);
     std::vector<std::string> Events;
-    for (auto Number = Last / Settings_.Step_ + 1; Number <= StreamLength;
-         ++Number)
+    for (auto Number = Last / Settings_.Step_ + 1; Number <= Length; ++Number)
       Events.push_back("id: " + std::to_string(Number * Settings_.Step_) +
                        "\ndata: " + Settings_.Version_ + ' ' +
                        std::to_string(Last) + ' ' + Run + "\n\n");
@@ -178,10 +298,15 @@
     if (Begun->Next_ == Begun->Pieces_.size())
       return end(Begun);
     auto const &Piece = Begun->Pieces_[Begun->Next_++];
-    Begun->Peer_->write(Settings_.Framing_ == "chunked" ? chunk(Piece) : Piece);
+    Begun->Peer_->write(framed(*Begun, Piece));
+    if (breaksBy(*Begun)) {
+      Begun->Deadline_.cancel();
+      Begun_.erase(Begun);
+      return endIfLeft();
+    }
     if (Begun->Next_ == Begun->Pieces_.size() && !Begun->EndsLater_)
       return end(Begun);
-    Begun->Timer_.expires_after(Gap);
+    Begun->Timer_.expires_after(gap());
     Begun->Timer_.async_wait(
         [this, Begun](asio::error_code) { writeNext(Begun); });
   }
@@ -202,6 +327,9 @@
   Settings const Settings_;
   ScriptedServer Server_;
   asio::signal_set Signals_{Context_, SIGTERM};
+  asio::signal_set SlownessSignals_{Context_, SIGUSR1};
+  bool IsSlow_ = false;
+  std::mt19937_64 Numbers_{Settings_.Seed_};
   bool IsLeaving_ = false;
   std::set<std::shared_ptr<Answer>> Begun_;
   asio::steady_timer EndTimer_{Context_};
@@ -209,6 +337,14 @@
   std::uint64_t Answered_ = 0;
 };
 
+std::vector<std::string> split(std::string const &Text) {
+  std::vector<std::string> Words;
+  std::istringstream Input(Text);
+  for (std::string Word; std::getline(Input, Word, ',');)
+    Words.push_back(Word);
+  return Words;
+}
+
 /// Starts another process that accepts connections on the same port. It ends
 /// with the first.
 void addWorker(asio::io_context &Context) {
@@ -247,6 +383,18 @@
       "what it does with an answer when the client's time is over: "
       "ignores, closes, finishes or resets",
       Text("ignores"));
+  Add("events", "events of a stream on /stream/", Text("6"));
+  Add("once-events", "events of a stream on /once/", Text("6"));
+  Add("gap", "microseconds between pieces", Text("50000"));
+  Add("slowness", "SIGUSR1 makes gaps so many tenths as long", Text("75"));
+  Add("faults", "spoils one in so many answers; 0: none", Text("0"));
+  Add("hows",
+      "faults to draw from: (inside|after)-(reset|close), id, blank, size, "
+      "omit",
+      Text("inside-reset,inside-close,after-reset,after-close,id,blank,size,"
+           "omit"));
+  Add("lost", "percentage of answers that are never sent", Text("0"));
+  Add("seed", "of faults and losses", Text("1"));
   Add("workers", "processes that accept on one port, 1 or 2", Text("1"));
   try {
     auto const Given = Options.parse(Count, Arguments);
@@ -260,7 +408,12 @@
          std::stoull(Value("lives")),
          std::chrono::milliseconds(std::stoll(Value("idle"))),
          std::stoull(Value("step")), std::stoull(Value("cuts")),
-         Value("deadline")},
+         Value("deadline"), std::stoull(Value("events")),
+         std::stoull(Value("once-events")),
+         std::chrono::microseconds(std::stoll(Value("gap"))),
+         std::stoll(Value("slowness")), std::stoull(Value("faults")),
+         split(Value("hows")), std::stoull(Value("lost")),
+         std::stoull(Value("seed"))},
         static_cast<std::uint16_t>(std::stoul(Value("port"))), Value("born"));
     if (Value("workers") == "2")
       addWorker(Context);
--- a/Tests/EntryProcess/StreamServers.cpp
+++ b/Tests/EntryProcess/StreamServers.cpp
@@ -2,6 +2,7 @@
 
 #include "StandinRecords.h"
 
+#include <csignal>
 #include <utility>
 #include <variant>
 
@@ -84,27 +85,47 @@
       processes::portIn(Server.Process_->awaitLine("listening"), "port=");
 }
 
-void StreamServers::list(std::string const &Id) {
+void StreamServers::list(std::string const &Id, std::string const &State) {
   auto const &Server = Servers_.at(Id);
   auto const Port = Server.Proxy_ ? Server.ProxyPort_ : Server.Port_;
   Thread_.on([&] {
     Store_.put("servers", Id,
-               serverJson({"127.0.0.1", Port}, "ready", Server.Born_,
-                          ++Sequence_, Server.Settings_.Version_));
+               serverJson({"127.0.0.1", Port}, State, Server.Born_, ++Sequence_,
+                          Server.Settings_.Version_,
+                          Server.Settings_.Service_));
   });
 }
 
-std::map<std::string, unsigned> StreamServers::runs(std::string const &Prefix) {
-  std::map<std::string, unsigned> Runs;
-  auto const Count = [&](processes::Process &Process) {
-    for (auto const &Line : Process.lines())
-      if (Line.starts_with("ran " + Prefix))
-        ++Runs[Line.substr(4, Line.find(' ', 4) - 4)];
+void StreamServers::remove(std::string const &Id) {
+  Thread_.on([&] { Store_.remove("servers", Id); });
+  auto &Server = Servers_.at(Id);
+  Server.Process_->signal(SIGKILL);
+  Replaced_.push_back(std::move(Server.Process_));
+  Servers_.erase(Id);
+}
+
+void StreamServers::configure(nlohmann::json Configuration) {
+  Thread_.on([&] { Store_.put("config", "main", std::move(Configuration)); });
+}
+
+std::vector<std::string> StreamServers::lines(std::string const &Text) {
+  std::vector<std::string> Found;
+  auto const Collect = [&](processes::Process &Process) {
+    for (auto &Line : Process.lines())
+      if (Line.find(Text) != std::string::npos)
+        Found.push_back(std::move(Line));
   };
   for (auto const &Process : Replaced_)
-    Count(*Process);
+    Collect(*Process);
   for (auto const &[Id, Server] : Servers_)
-    Count(*Server.Process_);
+    Collect(*Server.Process_);
+  return Found;
+}
+
+std::map<std::string, unsigned> StreamServers::runs(std::string const &Prefix) {
+  std::map<std::string, unsigned> Runs;
+  for (auto const &Line : lines("ran " + Prefix))
+    ++Runs[Line.substr(4, Line.find(' ', 4) - 4)];
   return Runs;
 }
 
--- a/Tests/EntryProcess/StreamServers.h
+++ b/Tests/EntryProcess/StreamServers.h
@@ -29,6 +29,7 @@
     std::vector<std::string> Others_ = {};
     /// Connections to it pass through another process.
     bool IsProxied_ = false;
+    std::string Service_ = "desk";
   };
 
   /// Program is that of the instances.
@@ -47,7 +48,13 @@
   /// Starts another process of the server at its port. The list does not say so
   /// until list(). The process before goes on unless it has been ended.
   void restart(std::string const &Id, std::string const &Version);
-  void list(std::string const &Id);
+  void list(std::string const &Id, std::string const &State = "ready");
+  /// Removes the server from the list and ends its process.
+  void remove(std::string const &Id);
+  void configure(nlohmann::json Configuration);
+  template <typename Function> auto onStore(Function Task) {
+    return Thread_.on([&] { return Task(Store_); });
+  }
   Settings const &settings(std::string const &Id) const {
     return Servers_.at(Id).Settings_;
   }
@@ -60,6 +67,8 @@
   /// Returns how often servers began to run a request of each path that begins
   /// with Prefix.
   std::map<std::string, unsigned> runs(std::string const &Prefix);
+  /// All lines with Text that servers have written.
+  std::vector<std::string> lines(std::string const &Text);
 
 private:
   struct Server {
--- a/Tests/StreamSoak/StreamHistory.cpp
+++ b/Tests/StreamSoak/StreamHistory.cpp
@@ -19,6 +19,9 @@
 
 } // namespace
 
+StreamHistory::StreamHistory()
+    : StreamHistory(entry_process::VersionedFleet::StreamLength) {}
+
 void StreamHistory::add(StreamTry Try) {
   bool IsFirst = true;
   for (auto const &Event : Try.Answer_.Events_) {
@@ -27,9 +30,11 @@
     check(Event, IsFirst);
     IsFirst = false;
   }
-  if (Try.Answer_.IsComplete_ &&
-      Last_ < entry_process::VersionedFleet::StreamLength)
-    Violations_.insert("early end");
+  if (Try.Answer_.IsComplete_ && Last_ < Length_ &&
+      !Faults_.areUnreadable(Run_, Last_ + 1, Length_ + 1))
+    Violations_.insert(Faults_.ShownWhole_.contains(Run_)
+                           ? "early end shown as whole by the server"
+                           : "early end");
   Tries_.push_back(std::move(Try));
 }
 
@@ -43,19 +48,31 @@
   if (Event.Id_ <= Last_)
     Violations_.insert("repeat" + Where);
   if (Event.Id_ > Last_ + 1)
-    Violations_.insert("gap" + Where);
+    checkGap(Last_ + 1, Event.Id_, Run, Where);
   if (!Version_.empty() && Version != Version_)
     Violations_.insert((Version.front() == Version_.front() ? "two versions"
                                                             : "two services") +
                        Where);
   // A server's piece has to begin after the last event that the client has.
-  if (Run != Run_ && Start + 1 != Event.Id_)
+  if (Run != Run_ && (Start >= Event.Id_ ||
+                      (!Faults_.areUnreadable(Run, Start + 1, Event.Id_) &&
+                       !Faults_.areLeftOut(Run, Start + 1, Event.Id_))))
     Violations_.insert("joined runs" + Where);
   Last_ = Event.Id_;
   Version_ = Version;
   Run_ = Run;
 }
 
+void StreamHistory::checkGap(std::uint64_t Begin, std::uint64_t End,
+                             std::string const &Run, std::string const &Where) {
+  if (Faults_.areUnreadable(Run, Begin, End) ||
+      Faults_.areUnreadable(Run_, Begin, End))
+    return;
+  Violations_.insert(Faults_.areLeftOut(Run, Begin, End)
+                         ? "gap left by the server"
+                         : "gap" + Where);
+}
+
 std::string StreamHistory::describe() const {
   std::ostringstream Text;
   for (auto const &Try : Tries_) {
--- a/Tests/StreamSoak/StreamHistory.h
+++ b/Tests/StreamSoak/StreamHistory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ServerFaults.h"
 #include "StreamAnswer.h"
 
 #include <chrono>
@@ -18,6 +19,7 @@
   std::string Resumes_;
   std::uint64_t LastEventId_ = 0; ///< 0: the stream is to begin.
   StreamAnswer Answer_;
+  bool IsUnsent_ = false; ///< There was no connection.
   WallTime BegunAt_{};
   WallTime EndedAt_{};
 };
@@ -27,12 +29,17 @@
 /// different services begin with different letters.
 class StreamHistory {
 public:
+  /// Length is the number of events of a complete stream.
+  StreamHistory();
+  explicit StreamHistory(std::uint64_t Length, ServerFaults const &Faults = {})
+      : Length_(Length), Faults_(Faults) {}
   /// Adds a try; checks its events after those of the tries before.
   void add(StreamTry Try);
   /// The last event so far, or 0.
   std::uint64_t last() const { return Last_; }
   std::string const &firstAttempt() const { return FirstAttempt_; }
   std::size_t tries() const { return Tries_.size(); }
+  std::vector<StreamTry> const &allTries() const { return Tries_; }
   std::set<std::string> const &violations() const { return Violations_; }
   /// The tries with their times, events and versions.
   std::string describe() const;
@@ -40,6 +47,11 @@
 private:
   void check(StreamEvent const &Event, bool IsFirstOfTry);
 
+  void checkGap(std::uint64_t Begin, std::uint64_t End, std::string const &Run,
+                std::string const &Where);
+
+  std::uint64_t Length_;
+  ServerFaults Faults_;
   std::vector<StreamTry> Tries_;
   std::uint64_t Last_ = 0;
   std::string FirstAttempt_; ///< The one that brought the first event.
--- a/Tests/StreamSoak/TestStreamHistory.cpp
+++ b/Tests/StreamSoak/TestStreamHistory.cpp
@@ -72,3 +72,51 @@
   CHECK_FALSE(decodeAnswer(First + "0\r\n").IsComplete_);
   CHECK(decodeAnswer("HTTP/1.1 503 -\r\n\r\n").Status_ == 503);
 }
+
+TEST_CASE("What a server spoiled itself is told apart from lost events") {
+  ServerFaults Faults;
+  Faults.Unreadable_["1"] = {3};
+  Faults.LeftOut_["2"] = {3};
+  Faults.ShownWhole_ = {"3"};
+  auto const Judged = [&](std::string const &Run, std::uint64_t From,
+                          std::uint64_t To) {
+    StreamHistory History(4, Faults);
+    History.add(tryOf(eventsOf(1, 2, "v1 0 " + Run), false));
+    History.add(tryOf(eventsOf(From, To, "v1 0 " + Run), true));
+    return History.violations();
+  };
+  CHECK(Judged("1", 4, 4).empty());
+  CHECK(Judged("2", 4, 4) == Names{"gap left by the server"});
+  CHECK(Judged("4", 4, 4) == Names{"gap over tries"});
+  CHECK(Judged("3", 3, 3) == Names{"early end shown as whole by the server"});
+  CHECK(Judged("4", 3, 3) == Names{"early end"});
+  CHECK(Judged("1", 5, 5) == Names{"gap over tries"});
+}
+
+TEST_CASE("An answer is complete when its framing says so") {
+  std::string const Event = "id: 1\ndata: v1 0 1\n\n";
+  std::string const Head = "HTTP/1.1 200 OK\r\n";
+  auto const Sized = Head + "Content-Length: 20\r\n\r\n" + Event;
+  REQUIRE(Event.size() == 20);
+  CHECK(decodeFramedAnswer(Sized, false).IsComplete_);
+  CHECK(decodeFramedAnswer(Sized, false).Events_.size() == 1);
+  CHECK_FALSE(
+      decodeFramedAnswer(Sized.substr(0, Sized.size() - 1), true).IsComplete_);
+  auto const Unsized = Head + "\r\n" + Event;
+  CHECK_FALSE(decodeFramedAnswer(Unsized, false).IsComplete_);
+  CHECK(decodeFramedAnswer(Unsized, true).IsComplete_);
+  auto const Chunked =
+      Head + "Transfer-Encoding: chunked\r\n\r\n14\r\n" + Event + "\r\n";
+  CHECK_FALSE(decodeFramedAnswer(Chunked, true).IsComplete_);
+  CHECK(decodeFramedAnswer(Chunked + "0\r\n\r\n", false).IsComplete_);
+}
+
+TEST_CASE("An event whose identifier can't be read is skipped") {
+  auto const Answer = decodeFramedAnswer("HTTP/1.1 200 OK\r\n\r\n"
+                                         "id: 1\ndata: v1 0 1\n\n"
+                                         "id: x\ndata: v1 0 1\n\n"
+                                         "id: 3x\ndata: v1 0 1\n\n",
+                                         true);
+  REQUIRE(Answer.Events_.size() == 1);
+  CHECK(Answer.Events_.front().Id_ == 1);
+}
