--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -22,7 +22,7 @@
 constexpr std::chrono::milliseconds TimerTolerance{10};
 /// Divisor of the time allowed, which bounds the pause for which an end before
 /// the deadline is doubtful.
-constexpr std::int64_t MaxPauseDivisor = 10;
+constexpr std::int64_t MaxPauseDivisor = 4;
 /// Time left that makes a further attempt worthwhile.
 constexpr std::chrono::milliseconds MinTimeForRetry{30};
 /// Retry-After for a client whose request was refused by all servers tried.
--- a/Tests/EntryProcess/TestUnprovenEnds.cpp
+++ b/Tests/EntryProcess/TestUnprovenEnds.cpp
@@ -88,9 +88,11 @@
   Chosen.Framing_ = GENERATE("closes", "chunked");
   Chosen.IsProxied_ = GENERATE(true, false);
   std::string const Stop = GENERATE("closes", "finishes", "resets");
-  Chosen.Others_ = {"--deadline=" + Stop};
+  // Events come every 50 ms.
+  std::string const Early = GENERATE("0", "40");
+  Chosen.Others_ = {"--deadline=" + Stop, "--early=" + Early};
   std::string const Route = GENERATE("/stream/", "/once/");
-  CAPTURE(Chosen.Framing_, Chosen.IsProxied_, Stop, Route);
+  CAPTURE(Chosen.Framing_, Chosen.IsProxied_, Stop, Early, Route);
   Deployment Deployment(Chosen);
   Deployment.begin(Route, ShortDeadline);
   CHECK(Deployment.countComplete() == 0);
