--- a/Tests/LibTraffic/FlowHarness.h
+++ b/Tests/LibTraffic/FlowHarness.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <LibTraffic/ExchangeFlow.h>
-#include <LibTraffic/ServerRoster.h>
 #include <LibTraffic/ObservedConventions.h>
+#include <LibTraffic/ServerRoster.h>
 
 #include <chrono>
 #include <optional>
