--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -51,9 +51,10 @@
 } // namespace
 
 ExchangeFlow::ExchangeFlow(FlowContext FlowContext, RetryGate &Gate,
-                           EventNumbering &Numbering)
-    : Context_(std::move(FlowContext)), RetryGate_(Gate), Numbering_(Numbering),
-      LastEventId_(Context_.Metadata_.LastEventId_) {}
+                           StreamConventions &Conventions)
+    : Context_(std::move(FlowContext)), RetryGate_(Gate),
+      Conventions_(Conventions), LastEventId_(Context_.Metadata_.LastEventId_) {
+}
 
 std::vector<Action> ExchangeFlow::start(TimePoint Now) {
   Now_ = Now;
@@ -144,14 +145,13 @@
     return;
   }
   relay(Splitter_.feed(Event.Bytes_));
-  if (State_ == State::Attempting && Splitter_.isOverlong()) {
-    Actions_.push_back(CancelAttempt{});
-    endAttempt(true, "event too long");
-  }
+  if (State_ == State::Attempting && Splitter_.isOverlong())
+    cancelAttempt("event too long");
 }
 
 void ExchangeFlow::relay(std::vector<StreamEvent> Events) {
   std::string Bytes;
+  std::string Fault;
   for (auto &Event : Events) {
     if (!Event.Id_) {
       // The client has what follows the last event of a whole stream.
@@ -160,19 +160,24 @@
       continue;
     }
     bool const IsFirst = !std::exchange(HasSentEvent_, true);
-    if (IsFirst && LastEventId_ && !goesOnAt(Event)) {
-      Actions_.push_back(CancelAttempt{});
-      return endAttempt(true, "the server does not go on after the last event");
-    }
+    Fault = faultOf(Event, IsFirst);
+    learnFrom(Event, IsFirst);
+    if (!Fault.empty())
+      break;
     if (Event.Id_ <= LastEventId_)
       continue;
-    if (!IsFirst)
-      Numbering_.onStep(AttemptOrigin_.Service_, *Event.Id_ - *LastEventId_);
     IsEndDoubtful_ |= std::exchange(IsEndUnconfirmed_, false);
     LastEventId_ = Event.Id_;
     LastEventHash_ = hashOf(Event);
+    SkippedTo_.reset();
     Bytes += Event.Bytes_;
   }
+  relay(std::move(Bytes));
+  if (!Fault.empty())
+    cancelAttempt(Fault);
+}
+
+void ExchangeFlow::relay(std::string Bytes) {
   if (Bytes.empty())
     return;
   countRun();
@@ -188,13 +193,38 @@
   Actions_.push_back(RelayEvents{std::move(Bytes)});
 }
 
+std::string ExchangeFlow::faultOf(StreamEvent const &Event, bool IsFirst) {
+  bool const IsRepeated = !IsFirst && Event.Id_ <= LastEventId_;
+  if (IsRepeated)
+    return {};
+  bool const Continues = IsFirst && LastEventId_;
+  bool const IsNext =
+      Continues ? goesOnAt(Event)
+      : LastEventId_
+          ? !Conventions_.isGap(AttemptOrigin_, *Event.Id_ - *LastEventId_)
+          : !Conventions_.isLateFirst(AttemptOrigin_, *Event.Id_);
+  // What two servers leave out does not exist.
+  if (IsNext || SkippedTo_ == Event.Id_)
+    return {};
+  if (Event.Id_ > LastEventId_)
+    SkippedTo_ = Event.Id_;
+  return Continues ? "the server does not go on after the last event"
+                   : "the server has left out an event";
+}
+
 bool ExchangeFlow::goesOnAt(StreamEvent const &First) const {
   // The last event may come again, if it is the same.
   if (First.Id_ == LastEventId_)
     return LastEventHash_ == hashOf(First);
   return First.Id_ > LastEventId_ &&
-         Numbering_.mayFollow(AttemptOrigin_.Service_,
-                              *First.Id_ - *LastEventId_);
+         Conventions_.mayFollow(AttemptOrigin_, *First.Id_ - *LastEventId_);
+}
+
+void ExchangeFlow::learnFrom(StreamEvent const &Event, bool IsFirst) {
+  if (!LastEventId_)
+    Conventions_.onFirst(AttemptOrigin_, *Event.Id_);
+  else if (!IsFirst && Event.Id_ > LastEventId_)
+    Conventions_.onStep(AttemptOrigin_, *Event.Id_ - *LastEventId_);
 }
 
 void ExchangeFlow::rememberOrigin(StreamOrigin const &Origin) {
@@ -261,6 +291,9 @@
     return endAttempt(true, "the stream ended inside an event");
   if (mayHaveStoppedAtDeadline())
     return endAttempt(true, "the server may have stopped at the deadline");
+  // Another instance marks the ends that it has judged.
+  if (!isThroughPeer())
+    Conventions_.onEnd(AttemptOrigin_, End);
   if (End == AnswerEnd::Marked)
     return completeStream(End);
   if (!LastEventId_ && !HasBegunStream_)
@@ -271,7 +304,26 @@
     return;
   if (IsEndDoubtful_)
     return fail("the stream's servers end their answers too early");
-  completeStream(End);
+  endUnconfirmed();
+}
+
+void ExchangeFlow::endUnconfirmed() {
+  if (!Conventions_.marksEnds(AttemptOrigin_) &&
+      (!mayBeTakenUp() || hasNothingToAdd()))
+    return completeStream(AnswerEnd::Unmarked);
+  // The client may take the stream up: that takes no retry from the budget.
+  IsEndDoubtful_ = true;
+  fail("the end was not confirmed");
+}
+
+bool ExchangeFlow::mayBeTakenUp() const {
+  return Context_.Route_->Repeatability_ == Repeatability::Resumable &&
+         LastEventId_ && Origin_ &&
+         Origin_->SoftwareVersion_ != UnidentifiedVersion;
+}
+
+bool ExchangeFlow::hasNothingToAdd() const {
+  return LastEventId_ && LastEventId_ == Context_.Metadata_.LastEventId_;
 }
 
 bool ExchangeFlow::confirmEnd() {
@@ -320,6 +372,11 @@
               Reason);
 }
 
+void ExchangeFlow::cancelAttempt(std::string const &Reason) {
+  Actions_.push_back(CancelAttempt{Reason});
+  endAttempt(true, Reason);
+}
+
 void ExchangeFlow::retryOrFail(bool MayRetry, std::string const &Reason) {
   if (!MayRetry)
     return fail(Reason);
@@ -357,7 +414,7 @@
 void ExchangeFlow::fail(std::string const &Reason) {
   // No other server could be asked whether the stream was whole.
   if (IsEndUnconfirmed_ && !IsEndDoubtful_)
-    return completeStream(AnswerEnd::Unmarked);
+    return endUnconfirmed();
   State_ = State::Over;
   if (HasBegunStream_)
     Actions_.push_back(AbortStream{Reason});
@@ -377,7 +434,7 @@
 
 void ExchangeFlow::on(ClientLeft const & /*Event*/) {
   if (State_ == State::Attempting)
-    Actions_.push_back(CancelAttempt{});
+    Actions_.push_back(CancelAttempt{{}});
   else
     Actions_.push_back(CancelServerRequest{});
   State_ = State::Over;
@@ -389,7 +446,7 @@
   bool const IsAttempting = State_ == State::Attempting;
   IsEndDoubtful_ |= IsAttempting && IsEndUnconfirmed_;
   if (IsAttempting)
-    Actions_.push_back(CancelAttempt{});
+    Actions_.push_back(CancelAttempt{{}});
   else
     Actions_.push_back(CancelServerRequest{});
   if (HasBegunStream_)
