--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <utility>
 
 namespace laburnum {
@@ -18,7 +19,7 @@
 /// A server cannot answer in less time than this.
 constexpr std::chrono::milliseconds MinTimeForAttempt{5};
 /// By how much a server's timer may be early.
-constexpr std::chrono::milliseconds TimerTolerance{2};
+constexpr std::chrono::milliseconds TimerTolerance{10};
 /// Time left that makes a further attempt worthwhile.
 constexpr std::chrono::milliseconds MinTimeForRetry{30};
 /// Retry-After for a client whose request was refused by all servers tried.
@@ -27,6 +28,9 @@
 /// another instance may know it.
 constexpr std::chrono::milliseconds RetryAfterUnknownOrigin{500};
 
+/// Beyond it, data without an identifier is relayed at once.
+constexpr std::size_t MaxUnnumberedBytes = std::size_t{64} << 10;
+
 constexpr std::int32_t BadGateway = 502;
 constexpr std::int32_t ServiceUnavailable = 503;
 constexpr std::int32_t GatewayTimeout = 504;
@@ -44,6 +48,11 @@
   return std::string(Type.substr(0, Type.find_first_of("; ")));
 }
 
+bool hasData(StreamEvent const &Event) {
+  return Event.Bytes_.starts_with("data") ||
+         Event.Bytes_.find("\ndata") != std::string::npos;
+}
+
 std::size_t hashOf(StreamEvent const &Event) {
   return std::hash<std::string>()(Event.Bytes_);
 }
@@ -102,7 +111,11 @@
   auto const TimeLeft = std::max(Context_.Expiry_ - Now_, Duration(0));
   AttemptDeadline_ =
       Now_ + std::chrono::floor<std::chrono::milliseconds>(TimeLeft);
+  LastProgressAt_ = Now_;
+  LongestPause_ = Duration(0);
   HasSentEvent_ = false;
+  if (!IsEndUnconfirmed_)
+    Unnumbered_.clear();
   Body_.clear();
   Splitter_ = EventStreamSplitter();
   Actions_.push_back(
@@ -156,27 +169,40 @@
     if (!Event.Id_) {
       // The client has what follows the last event of a whole stream.
       if (!IsEndUnconfirmed_)
-        Bytes += Event.Bytes_;
+        (mayBeSpoiled(Event) ? Unnumbered_ : Bytes) += Event.Bytes_;
       continue;
     }
     bool const IsFirst = !std::exchange(HasSentEvent_, true);
+    if (!IsFirst)
+      LongestPause_ = std::max(LongestPause_, Now_ - LastProgressAt_);
+    LastProgressAt_ = Now_;
     Fault = faultOf(Event, IsFirst);
     learnFrom(Event, IsFirst);
     if (!Fault.empty())
       break;
     if (Event.Id_ <= LastEventId_)
       continue;
-    IsEndDoubtful_ |= std::exchange(IsEndUnconfirmed_, false);
+    if (std::exchange(IsEndUnconfirmed_, false)) {
+      IsEndDoubtful_ = true;
+      Unnumbered_.clear();
+    }
     LastEventId_ = Event.Id_;
     LastEventHash_ = hashOf(Event);
     SkippedTo_.reset();
-    Bytes += Event.Bytes_;
+    Bytes += std::exchange(Unnumbered_, {}) + Event.Bytes_;
   }
   relay(std::move(Bytes));
   if (!Fault.empty())
     cancelAttempt(Fault);
 }
 
+bool ExchangeFlow::mayBeSpoiled(StreamEvent const &Event) const {
+  constexpr auto AnyGap = std::numeric_limits<std::uint64_t>::max();
+  return HasSentEvent_ && hasData(Event) &&
+         Unnumbered_.size() < MaxUnnumberedBytes &&
+         Conventions_.isGap(AttemptOrigin_, AnyGap);
+}
+
 void ExchangeFlow::relay(std::string Bytes) {
   if (Bytes.empty())
     return;
@@ -283,7 +309,12 @@
 }
 
 bool ExchangeFlow::mayHaveStoppedAtDeadline() const {
-  return Now_ >= AttemptDeadline_ - TimerTolerance;
+  // A server may stop once its next event would come too late.
+  auto const NextEvent = isStream()
+                             ? std::max(LongestPause_, Now_ - LastProgressAt_)
+                             : Duration(0);
+  return Now_ >=
+         AttemptDeadline_ - std::max<Duration>(TimerTolerance, NextEvent);
 }
 
 void ExchangeFlow::endStream(AnswerEnd End) {
@@ -340,6 +371,7 @@
 }
 
 void ExchangeFlow::completeStream(AnswerEnd End) {
+  relay(std::exchange(Unnumbered_, {}));
   countRun();
   State_ = State::Over;
   if (!HasBegunStream_)
