--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -20,6 +20,9 @@
 constexpr std::chrono::milliseconds MinTimeForAttempt{5};
 /// By how much a server's timer may be early.
 constexpr std::chrono::milliseconds TimerTolerance{10};
+/// Divisor of the time allowed, which bounds the pause for which an end before
+/// the deadline is doubtful.
+constexpr std::int64_t MaxPauseDivisor = 4;
 /// Time left that makes a further attempt worthwhile.
 constexpr std::chrono::milliseconds MinTimeForRetry{30};
 /// Retry-After for a client whose request was refused by all servers tried.
@@ -67,6 +70,7 @@
 
 std::vector<Action> ExchangeFlow::start(TimePoint Now) {
   Now_ = Now;
+  TimeAllowed_ = Context_.Expiry_ - Now;
   if (mayHideProgress()) {
     refuse(ServiceUnavailable, "passed on by an instance of an older release",
            RetryAfterUnknownOrigin);
@@ -112,7 +116,7 @@
   AttemptDeadline_ =
       Now_ + std::chrono::floor<std::chrono::milliseconds>(TimeLeft);
   LastProgressAt_ = Now_;
-  LongestPause_ = Duration(0);
+  Pause_.reset();
   HasSentEvent_ = false;
   if (!IsEndUnconfirmed_)
     Unnumbered_.clear();
@@ -168,14 +172,20 @@
   for (auto &Event : Events) {
     if (!Event.Id_) {
       // The client has what follows the last event of a whole stream.
-      if (!IsEndUnconfirmed_)
-        (mayBeSpoiled(Event) ? Unnumbered_ : Bytes) += Event.Bytes_;
+      if (IsEndUnconfirmed_)
+        continue;
+      if (hasData(Event))
+        Conventions_.onData(writer(), false);
+      if (mayBeSpoiled(Event))
+        Unnumbered_ += Event.Bytes_;
+      else if (hasData(Event))
+        Bytes += std::exchange(Unnumbered_, {}) + Event.Bytes_;
+      else
+        Bytes += Event.Bytes_;
       continue;
     }
     bool const IsFirst = !std::exchange(HasSentEvent_, true);
-    if (!IsFirst)
-      LongestPause_ = std::max(LongestPause_, Now_ - LastProgressAt_);
-    LastProgressAt_ = Now_;
+    noteProgress(IsFirst);
     Fault = faultOf(Event, IsFirst);
     learnFrom(Event, IsFirst);
     if (!Fault.empty())
@@ -197,10 +207,22 @@
 }
 
 bool ExchangeFlow::mayBeSpoiled(StreamEvent const &Event) const {
-  constexpr auto AnyGap = std::numeric_limits<std::uint64_t>::max();
-  return HasSentEvent_ && hasData(Event) &&
-         Unnumbered_.size() < MaxUnnumberedBytes &&
-         Conventions_.isGap(AttemptOrigin_, AnyGap);
+  return hasData(Event) && Conventions_.numbersData(writer()) &&
+         Unnumbered_.size() + Event.Bytes_.size() <= MaxUnnumberedBytes;
+}
+
+void ExchangeFlow::noteProgress(bool IsFirst) {
+  auto const Since = Now_ - std::exchange(LastProgressAt_, Now_);
+  if (IsFirst)
+    return;
+  // A single long pause says little of the ones after it.
+  Pause_ = std::max(Since, Pause_.value_or(Duration(0)) / 2);
+  Conventions_.onPause(writer(), Since);
+}
+
+StreamOrigin const &ExchangeFlow::writer() const {
+  return isThroughPeer() && Answer_ && Answer_->Origin_ ? *Answer_->Origin_
+                                                        : AttemptOrigin_;
 }
 
 void ExchangeFlow::relay(std::string Bytes) {
@@ -220,18 +242,24 @@
 }
 
 std::string ExchangeFlow::faultOf(StreamEvent const &Event, bool IsFirst) {
-  bool const IsRepeated = !IsFirst && Event.Id_ <= LastEventId_;
-  if (IsRepeated)
-    return {};
+  if (!IsFirst && Event.Id_ <= LastEventId_) {
+    bool const IsRepeated =
+        Event.Id_ == LastEventId_ && LastEventHash_ == hashOf(Event);
+    return IsRepeated ? "" : "the server's identifiers do not increase";
+  }
   bool const Continues = IsFirst && LastEventId_;
   bool const IsNext =
-      Continues ? goesOnAt(Event)
-      : LastEventId_
-          ? !Conventions_.isGap(AttemptOrigin_, *Event.Id_ - *LastEventId_)
-          : !Conventions_.isLateFirst(AttemptOrigin_, *Event.Id_);
-  // What two servers leave out does not exist.
-  if (IsNext || SkippedTo_ == Event.Id_)
+      Continues      ? goesOnAt(Event)
+      : LastEventId_ ? !Conventions_.isGap(writer(), *Event.Id_ - *LastEventId_)
+                     : !Conventions_.isLateFirst(writer(), *Event.Id_);
+  if (IsNext)
     return {};
+  // What two servers leave out does not exist, unless one has spoiled it.
+  if (SkippedTo_ == Event.Id_ && Unnumbered_.empty()) {
+    if (LastEventId_)
+      Conventions_.onAgreedStep(writer(), *Event.Id_ - *LastEventId_);
+    return {};
+  }
   if (Event.Id_ > LastEventId_)
     SkippedTo_ = Event.Id_;
   return Continues ? "the server does not go on after the last event"
@@ -243,14 +271,15 @@
   if (First.Id_ == LastEventId_)
     return LastEventHash_ == hashOf(First);
   return First.Id_ > LastEventId_ &&
-         Conventions_.mayFollow(AttemptOrigin_, *First.Id_ - *LastEventId_);
+         Conventions_.mayFollow(writer(), *First.Id_ - *LastEventId_);
 }
 
 void ExchangeFlow::learnFrom(StreamEvent const &Event, bool IsFirst) {
+  Conventions_.onData(writer(), true);
   if (!LastEventId_)
-    Conventions_.onFirst(AttemptOrigin_, *Event.Id_);
+    Conventions_.onFirst(writer(), *Event.Id_);
   else if (!IsFirst && Event.Id_ > LastEventId_)
-    Conventions_.onStep(AttemptOrigin_, *Event.Id_ - *LastEventId_);
+    Conventions_.onStep(writer(), *Event.Id_ - *LastEventId_);
 }
 
 void ExchangeFlow::rememberOrigin(StreamOrigin const &Origin) {
@@ -309,12 +338,15 @@
 }
 
 bool ExchangeFlow::mayHaveStoppedAtDeadline() const {
+  Duration NextEvent{};
   // A server may stop once its next event would come too late.
-  auto const NextEvent = isStream()
-                             ? std::max(LongestPause_, Now_ - LastProgressAt_)
-                             : Duration(0);
+  if (isStream())
+    NextEvent = std::max(Pause_ ? *Pause_ : Conventions_.longestPause(writer()),
+                         HasSentEvent_ ? Now_ - LastProgressAt_ : Duration(0));
+  auto const Longest = TimeAllowed_ / MaxPauseDivisor;
   return Now_ >=
-         AttemptDeadline_ - std::max<Duration>(TimerTolerance, NextEvent);
+         AttemptDeadline_ -
+             std::max<Duration>(TimerTolerance, std::min(NextEvent, Longest));
 }
 
 void ExchangeFlow::endStream(AnswerEnd End) {
@@ -324,7 +356,9 @@
     return endAttempt(true, "the server may have stopped at the deadline");
   // Another instance marks the ends that it has judged.
   if (!isThroughPeer())
-    Conventions_.onEnd(AttemptOrigin_, End);
+    Conventions_.onEnd(writer(), End, Unnumbered_.empty());
+  if (!Unnumbered_.empty() && Conventions_.numbersLast(writer()))
+    return endAttempt(true, "the server has spoiled its last event");
   if (End == AnswerEnd::Marked)
     return completeStream(End);
   if (!LastEventId_ && !HasBegunStream_)
@@ -339,7 +373,7 @@
 }
 
 void ExchangeFlow::endUnconfirmed() {
-  if (!Conventions_.marksEnds(AttemptOrigin_) &&
+  if (!Conventions_.marksEnds(writer()) &&
       (!mayBeTakenUp() || hasNothingToAdd()))
     return completeStream(AnswerEnd::Unmarked);
   // The client may take the stream up: that takes no retry from the budget.
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -234,6 +234,10 @@
   /// Relays the events up to one that is wrong.
   void relay(std::vector<StreamEvent> Events);
   void relay(std::string Bytes);
+  /// Notes when the server sent an event with an identifier.
+  void noteProgress(bool IsFirst);
+  /// What writes the current attempt's answer.
+  StreamOrigin const &writer() const;
   /// Whether an event without an identifier may have had one.
   bool mayBeSpoiled(StreamEvent const &Event) const;
   /// Returns what is wrong with the place of an event in the stream, or
@@ -273,6 +277,7 @@
   exchange::StreamConventions &Conventions_;
   State State_ = State::Waiting;
   TimePoint Now_{};
+  Duration TimeAllowed_{}; ///< From the start to the deadline.
   std::vector<exchange::Action> Actions_;
   std::set<ServerId> Tried_; ///< Incarnations.
   std::uint32_t Sent_ = 0;
@@ -282,9 +287,10 @@
   ServerAccess Access_ = ServerAccess::Direct;
   std::optional<ServerAnswer> Answer_;
   TimePoint AttemptDeadline_{}; ///< As its server was told.
-  /// When the request or the last event with an identifier was sent.
+  /// When the last event with an identifier was sent, or the request.
   TimePoint LastProgressAt_{};
-  Duration LongestPause_{}; ///< Between two such events.
+  /// Between two such events; a longer one before is heeded for a while.
+  std::optional<Duration> Pause_;
   /// Its server has sent an event with an identifier.
   bool HasSentEvent_ = false;
   std::string Body_;
--- a/Tests/LibTraffic/TestStreamFlow.cpp
+++ b/Tests/LibTraffic/TestStreamFlow.cpp
@@ -178,12 +178,42 @@
   SECTION("another server leaves it out too") {
     Run.handle(BodyArrived{Event(6)});
     REQUIRE(Run.find<RelayEvents>());
+    CHECK_FALSE(Run.Conventions_.isGap({}, 2U * Step));
+  }
+}
+
+TEST_CASE("An answer whose identifiers go back is not taken for the stream's "
+          "rest") {
+  auto const Repeat = GENERATE(Repeatability::Resumable, Repeatability::Never);
+  Harness Run(routeOf(Repeat, AnswerForm::EventStream));
+  Run.attempt("a");
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+                         "id: 3\ndata: c\n\n"});
+  SECTION("an event that comes twice is relayed once") {
+    Run.handle(BodyArrived{"id: 3\ndata: c\n\nid: 4\ndata: d\n\n"});
+    REQUIRE(Run.find<RelayEvents>());
+    CHECK(Run.find<RelayEvents>()->Bytes_ == "id: 4\ndata: d\n\n");
+    CHECK_FALSE(Run.find<CancelAttempt>());
+  }
+  SECTION("another event under an identifier that was sent") {
+    Run.handle(
+        BodyArrived{GENERATE("id: 2\ndata: d\n\n", "id: 3\ndata: d\n\n")});
+    CHECK(Run.find<CancelAttempt>());
+    bool const IsLost = Repeat == Repeatability::Never;
+    CHECK((Run.find<AbortStream>() != nullptr) == IsLost);
+    CHECK((Run.find<RequestServer>() != nullptr) == !IsLost);
   }
 }
 
 TEST_CASE("An event whose identifier is spoiled is not relayed where the next "
           "one shows a gap") {
   Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream));
+  constexpr int Steps = 100;
+  for (int Number = 0; Number < Steps; ++Number) {
+    Run.Conventions_.onStep({}, 1);
+    Run.Conventions_.onData({}, true);
+  }
   Run.attempt("a");
   Run.handle(HeadArrived{Signed});
   Run.handle(BodyArrived{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
@@ -201,12 +231,53 @@
     REQUIRE(Run.find<RelayEvents>());
     CHECK(Run.find<RelayEvents>()->Bytes_ == "id: 4\ndata: d\n\n");
   }
+  SECTION("one server leaves it out and the next one has spoiled it") {
+    Run.Route_.MaxAttempts_ = 3;
+    Run.handle(BodyArrived{"id: 5\ndata: e\n\n"});
+    Run.attempt("b");
+    Run.handle(HeadArrived{Signed});
+    Run.handle(BodyArrived{"ix: 4\ndata: d\n\nid: 5\ndata: e\n\n"});
+    CHECK_FALSE(Run.find<RelayEvents>());
+    CHECK(Run.find<RequestServer>());
+  }
   SECTION("an event without an identifier between two others") {
     Run.handle(BodyArrived{"id: 4\ndata: e\n\n"});
     REQUIRE(Run.find<RelayEvents>());
     CHECK(Run.find<RelayEvents>()->Bytes_ ==
           "ix: 4\ndata: d\n\nid: 4\ndata: e\n\n");
   }
+  SECTION("more data than is held back") {
+    std::string const Large = "data: " + std::string(70000, 'x') + "\n\n";
+    Run.handle(BodyArrived{Large});
+    REQUIRE(Run.find<RelayEvents>());
+    CHECK(Run.find<RelayEvents>()->Bytes_ == "ix: 4\ndata: d\n\n" + Large);
+  }
+  SECTION("the first event of the server that goes on is spoiled too") {
+    Run.Route_.MaxAttempts_ = 3;
+    Run.handle(failure(AttemptProgress::AnswerBegun));
+    Run.attempt("b");
+    Run.handle(HeadArrived{Signed});
+    Run.handle(BodyArrived{"ix: 4\ndata: d\n\n"});
+    CHECK_FALSE(Run.find<RelayEvents>());
+    Run.handle(BodyArrived{"id: 5\ndata: e\n\n"});
+    CHECK_FALSE(Run.find<RelayEvents>());
+    Run.attempt("c");
+    Run.handle(HeadArrived{Signed});
+    Run.handle(BodyArrived{"id: 4\ndata: d\n\nid: 5\ndata: e\n\n"});
+    REQUIRE(Run.find<RelayEvents>());
+    CHECK(Run.find<RelayEvents>()->Bytes_ ==
+          "id: 4\ndata: d\n\nid: 5\ndata: e\n\n");
+  }
+  SECTION("an event without an identifier at the end, where none ends so") {
+    for (int Number = 0; Number < Steps; ++Number)
+      Run.Conventions_.onEnd({}, AnswerEnd::Marked, true);
+    Run.handle(AnswerCompleted{});
+    CHECK_FALSE(Run.find<RelayEvents>());
+    CHECK_FALSE(Run.find<FinishStream>());
+    REQUIRE(Run.find<RequestServer>());
+    Run.attempt("b");
+    CHECK(Run.find<SendAttempt>()->Metadata_.LastEventId_ == 3);
+  }
   SECTION("an event without an identifier at the end") {
     Run.handle(AnswerCompleted{});
     REQUIRE(Run.find<RelayEvents>());
@@ -215,6 +286,20 @@
   }
 }
 
+TEST_CASE("Data without identifiers is relayed at once where that is usual") {
+  Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream));
+  Run.attempt("a");
+  Run.handle(HeadArrived{Signed});
+  std::string const Data = "data: x\n\n";
+  for (int Id = 10; Id <= 50; Id += 10) {
+    Run.handle(BodyArrived{"id: " + std::to_string(Id) + "\n" + Data});
+    for (int Between = 0; Between < 4; ++Between) {
+      Run.handle(BodyArrived{Data});
+      REQUIRE(Run.find<RelayEvents>());
+    }
+  }
+}
+
 TEST_CASE("Streams whose identifiers grow irregularly are relayed") {
   ObservedConventions Conventions;
   StreamOrigin const Origin{ServiceName("writer"), "v1"};
