--- a/Tests/LibTraffic/TestStreamFlow.cpp
+++ b/Tests/LibTraffic/TestStreamFlow.cpp
@@ -178,7 +178,8 @@
   SECTION("another server leaves it out too") {
     Run.handle(BodyArrived{Event(6)});
     REQUIRE(Run.find<RelayEvents>());
-    CHECK_FALSE(Run.Conventions_.isGap({}, 2U * Step));
+    CHECK_FALSE(Run.Conventions_.isGap(
+        {}, std::uint64_t{2} * static_cast<std::uint64_t>(Step)));
   }
 }
 
