LibTraffic, LibControl: Name what the flow and the records do as the field does

From the read-through and the reviewer's list: two overloads of relay() judged events and sent bytes; "unnumbered" data is data that is held back; comments that needed their author.

--- a/Libraries/LibControl/StreamOriginRecords.h
+++ b/Libraries/LibControl/StreamOriginRecords.h
@@ -118,9 +118,9 @@
   bool isHistoryOutdated() const {
     return areVersionsOutdated() || areMovesOutdated();
   }
-  /// Whether this instance has begun streams while a move was recent that is
-  /// not recorded, whether or not it keeps the history: those who keep it may
-  /// not have seen the configuration.
+  /// Whether a recent move is missing from the record although this instance
+  /// has unfinished streams. Those who keep the history may not have seen the
+  /// configuration.
   bool owesMoves(Duration TimeOfDay) const;
   bool owesHistory(Duration TimeOfDay) const;
   void updateHistory();
--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -31,8 +31,8 @@
 /// another instance may know it.
 constexpr std::chrono::milliseconds RetryAfterUnknownOrigin{500};
 
-/// Beyond it, data without an identifier is relayed at once.
-constexpr std::size_t MaxUnnumberedBytes = std::size_t{64} << 10;
+/// Limit of the data without an identifier that is held back.
+constexpr std::size_t MaxHeldBackBytes = std::size_t{64} << 10;
 
 constexpr std::int32_t BadGateway = 502;
 constexpr std::int32_t ServiceUnavailable = 503;
@@ -119,7 +119,7 @@
   Pause_.reset();
   HasSentEvent_ = false;
   if (!IsEndUnconfirmed_)
-    Unnumbered_.clear();
+    HeldBackData_.clear();
   Body_.clear();
   Splitter_ = EventStreamSplitter();
   Actions_.push_back(
@@ -161,12 +161,12 @@
     Body_ += Event.Bytes_;
     return;
   }
-  relay(Splitter_.feed(Event.Bytes_));
+  processEvents(Splitter_.feed(Event.Bytes_));
   if (State_ == State::Attempting && Splitter_.isOverlong())
     cancelAttempt("event too long");
 }
 
-void ExchangeFlow::relay(std::vector<StreamEvent> Events) {
+void ExchangeFlow::processEvents(std::vector<StreamEvent> Events) {
   std::string Bytes;
   std::string Fault;
   for (auto &Event : Events) {
@@ -176,10 +176,10 @@
         continue;
       if (hasData(Event))
         Conventions_.onData(writer(), false);
-      if (mayBeSpoiled(Event))
-        Unnumbered_ += Event.Bytes_;
+      if (mustHoldBack(Event))
+        HeldBackData_ += Event.Bytes_;
       else if (hasData(Event))
-        Bytes += std::exchange(Unnumbered_, {}) + Event.Bytes_;
+        Bytes += std::exchange(HeldBackData_, {}) + Event.Bytes_;
       else
         Bytes += Event.Bytes_;
       continue;
@@ -194,21 +194,21 @@
       continue;
     if (std::exchange(IsEndUnconfirmed_, false)) {
       IsEndDoubtful_ = true;
-      Unnumbered_.clear();
+      HeldBackData_.clear();
     }
     LastEventId_ = Event.Id_;
     LastEventHash_ = hashOf(Event);
     SkippedTo_.reset();
-    Bytes += std::exchange(Unnumbered_, {}) + Event.Bytes_;
+    Bytes += std::exchange(HeldBackData_, {}) + Event.Bytes_;
   }
-  relay(std::move(Bytes));
+  relayBytes(std::move(Bytes));
   if (!Fault.empty())
     cancelAttempt(Fault);
 }
 
-bool ExchangeFlow::mayBeSpoiled(StreamEvent const &Event) const {
+bool ExchangeFlow::mustHoldBack(StreamEvent const &Event) const {
   return hasData(Event) && Conventions_.numbersData(writer()) &&
-         Unnumbered_.size() + Event.Bytes_.size() <= MaxUnnumberedBytes;
+         HeldBackData_.size() + Event.Bytes_.size() <= MaxHeldBackBytes;
 }
 
 void ExchangeFlow::noteProgress(bool IsFirst) {
@@ -225,7 +225,7 @@
                                                         : AttemptOrigin_;
 }
 
-void ExchangeFlow::relay(std::string Bytes) {
+void ExchangeFlow::relayBytes(std::string Bytes) {
   if (Bytes.empty())
     return;
   countRun();
@@ -255,7 +255,7 @@
   if (IsNext)
     return {};
   // What two servers leave out does not exist, unless one has spoiled it.
-  if (SkippedTo_ == Event.Id_ && Unnumbered_.empty()) {
+  if (SkippedTo_ == Event.Id_ && HeldBackData_.empty()) {
     if (LastEventId_)
       Conventions_.onAgreedStep(writer(), *Event.Id_ - *LastEventId_);
     return {};
@@ -356,8 +356,8 @@
     return endAttempt(true, "the server may have stopped at the deadline");
   // Another instance marks the ends that it has judged.
   if (!isThroughPeer())
-    Conventions_.onEnd(writer(), End, Unnumbered_.empty());
-  if (!Unnumbered_.empty() && Conventions_.numbersLast(writer()))
+    Conventions_.onEnd(writer(), End, HeldBackData_.empty());
+  if (!HeldBackData_.empty() && Conventions_.numbersLast(writer()))
     return endAttempt(true, "the server has spoiled its last event");
   if (End == AnswerEnd::Marked)
     return completeStream(End);
@@ -405,7 +405,7 @@
 }
 
 void ExchangeFlow::completeStream(AnswerEnd End) {
-  relay(std::exchange(Unnumbered_, {}));
+  relayBytes(std::exchange(HeldBackData_, {}));
   countRun();
   State_ = State::Over;
   if (!HasBegunStream_)
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -195,7 +195,7 @@
   /// Bytes of the current attempt's answer that are kept until it is complete.
   std::size_t bufferedBytes() const {
     return State_ == State::Attempting
-               ? Body_.size() + Unnumbered_.size() + Splitter_.bufferedBytes()
+               ? Body_.size() + HeldBackData_.size() + Splitter_.bufferedBytes()
                : 0;
   }
   /// Whether the current attempt's stream has begun an event and not ended it.
@@ -232,14 +232,16 @@
   void refuse(std::int32_t Status, std::string const &Reason,
               std::optional<Duration> RetryAfter);
   /// Relays the events up to one that is wrong.
-  void relay(std::vector<StreamEvent> Events);
-  void relay(std::string Bytes);
+  void processEvents(std::vector<StreamEvent> Events);
+  /// Sends bytes of the stream to the client, which begins with the first.
+  void relayBytes(std::string Bytes);
   /// Notes when the server sent an event with an identifier.
   void noteProgress(bool IsFirst);
   /// What writes the current attempt's answer.
   StreamOrigin const &writer() const;
-  /// Whether an event without an identifier may have had one.
-  bool mayBeSpoiled(StreamEvent const &Event) const;
+  /// Whether to relay an event without an identifier only once the next one
+  /// shows that the server has not spoiled it.
+  bool mustHoldBack(StreamEvent const &Event) const;
   /// Returns what is wrong with the place of an event in the stream, or
   /// nothing. IsFirst tells whether it is the first one of its server.
   std::string faultOf(StreamEvent const &Event, bool IsFirst);
@@ -297,7 +299,7 @@
   EventStreamSplitter Splitter_;
   /// Data without an identifier after the last event. It may be an event whose
   /// identifier the server has spoiled, so that the next one shows a gap.
-  std::string Unnumbered_;
+  std::string HeldBackData_;
   /// State of the answer sent to the client.
   bool HasBegunStream_ = false;
   std::optional<StreamOrigin> Origin_; ///< Set once the stream has one.
@@ -305,8 +307,8 @@
   bool HasCountedRun_ = false;
   std::optional<std::uint64_t> LastEventId_;
   std::optional<std::size_t> LastEventHash_; ///< Set once one was relayed.
-  /// What a server has sent after LastEventId_ although that may leave out
-  /// events.
+  /// The identifier that a server sent next after LastEventId_ although that
+  /// looked like a gap.
   std::optional<std::uint64_t> SkippedTo_;
   /// A server has ended the stream after LastEventId_ without marking the end.
   bool IsEndUnconfirmed_ = false;
--- a/Libraries/LibTraffic/RecentValues.cpp
+++ b/Libraries/LibTraffic/RecentValues.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::size_t MaxValues = 128;
-/// Of all values, from which on one of them is the usual one.
+/// Least share of all values that the usual one has.
 constexpr std::size_t UsualPercent = 90;
 
 } // namespace
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -94,7 +94,7 @@
   bool hasMatch(ServerQuery const &Query) const;
 
   /// Counts an attempt that is being sent to the server. What attempts show of
-  /// an incarnation is ignored while it is not listed, but those in progress
+  /// an incarnation is ignored while it is not listed, but attempts in progress
   /// still count if it is listed again.
   void onSent(ServerRecord const &To, TimePoint Now);
   void onEnded(ServerRecord const &At, AttemptHealth Health, TimePoint Now);
@@ -157,8 +157,8 @@
     auto operator<=>(Attempts const &) const = default;
   };
 
-  /// What distinguishes the incarnations of all servers, also of those whose
-  /// start is not known.
+  /// Identifies an incarnation. The version and the address tell those apart
+  /// whose start is not known.
   struct AttemptKey {
     ServerId Incarnation_;
     std::string SoftwareVersion_;
