LibTraffic: Leave an unconfirmed end to the client only without a budget

Now the stream is aborted where the retry budget refused the question, which is the case that a take-up gets round. Where no other server or no attempt is left, or the others refuse, the end is believed as on, unless the servers of the service mark their ends. TestStreamEnds asks for that again in the sections that had changed.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -373,10 +373,11 @@
 }
 
 void ExchangeFlow::endUnconfirmed() {
-  if (!Conventions_.marksEnds(writer()) &&
-      (!mayBeTakenUp() || hasNothingToAdd()))
+  // If the client takes the stream up, that takes no retry from the budget.
+  bool const IsLeftToClient =
+      IsBudgetSpent_ && mayBeTakenUp() && !hasNothingToAdd();
+  if (!Conventions_.marksEnds(writer()) && !IsLeftToClient)
     return completeStream(AnswerEnd::Unmarked);
-  // The client may take the stream up: that takes no retry from the budget.
   IsEndDoubtful_ = true;
   fail("the end was not confirmed");
 }
@@ -393,6 +394,7 @@
 
 bool ExchangeFlow::confirmEnd() {
   ++Runs_;
+  IsBudgetSpent_ = false;
   if (!LastEventId_ || !mayRetry(true))
     return false;
   IsEndUnconfirmed_ = true;
@@ -474,7 +476,8 @@
     return false;
   if (Runs_ >= maxRuns() || !hasTimeAndAttempts())
     return false;
-  return RetryGate_.tryTake(Context_.Service_, Now_);
+  IsBudgetSpent_ = !RetryGate_.tryTake(Context_.Service_, Now_);
+  return !IsBudgetSpent_;
 }
 
 void ExchangeFlow::fail(std::string const &Reason) {
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -284,6 +284,8 @@
   std::set<ServerId> Tried_; ///< Incarnations.
   std::uint32_t Sent_ = 0;
   std::uint32_t Runs_ = 0; ///< Attempts that may have run.
+  /// The last retry was not allowed by the budget.
+  bool IsBudgetSpent_ = false;
   /// State of the current attempt.
   StreamOrigin AttemptOrigin_; ///< What its server would begin.
   ServerAccess Access_ = ServerAccess::Direct;
--- a/Tests/LibTraffic/TestStreamEnds.cpp
+++ b/Tests/LibTraffic/TestStreamEnds.cpp
@@ -63,31 +63,32 @@
   }
 }
 
-TEST_CASE("A resumable stream whose end no other server can confirm is left to "
-          "its client to take up") {
+TEST_CASE(
+    "A resumable stream whose end cannot be confirmed once the retry budget "
+    "is spent is left to its client to take up") {
   Harness Run(stream());
-  SECTION("the retry budget is spent") {
-    Run.RetryGate_.IsOpen_ = false;
-    endUnmarked(Run);
-  }
-  SECTION("no server is free") {
-    endUnmarked(Run);
-    Run.handle(NoServer{"all are busy", {}});
-  }
+  Run.RetryGate_.IsOpen_ = false;
+  endUnmarked(Run);
+  CHECK(Run.find<AbortStream>());
+  CHECK_FALSE(Run.find<FinishStream>());
+}
+
+TEST_CASE("A stream whose end is not marked is complete where no other server "
+          "can tell") {
+  Harness Run(stream());
+  endUnmarked(Run);
+  SECTION("no server is free") { Run.handle(NoServer{"all are busy", {}}); }
   SECTION("the other server refuses") {
-    endUnmarked(Run);
     Run.attempt("b");
     Run.handle(HeadArrived{answer(AnswerClaim::NotRun, 503)});
     Run.handle(Marked);
     Run.handle(NoServer{"no other server", {}});
   }
   SECTION("the time is over meanwhile") {
-    endUnmarked(Run);
     Run.Now_ += seconds(3);
     Run.handle(TimePassed{});
   }
-  CHECK(Run.find<AbortStream>());
-  CHECK_FALSE(Run.find<FinishStream>());
+  CHECK(Run.find<FinishStream>());
 }
 
 TEST_CASE("A stream that its client cannot take up is complete at an end that "
