LibTraffic: Take marked ends for usual after three streams

The process case of unmarked ends beside marked ones had an early end in one of eight runs, beside the whole of TestEntryProcess: read, the first answer without a length came before an instance had seen eight ends. Three without an exception are enough to doubt one that is not marked.

--- a/Libraries/LibTraffic/ObservedConventions.cpp
+++ b/Libraries/LibTraffic/ObservedConventions.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t StepsPerAgreement = 16;
 constexpr std::size_t MinEqualFirstIds = 8;
 constexpr std::size_t MinEqualData = 2;
-constexpr std::size_t MinEqualEnds = 8;
+constexpr std::size_t MinEqualEnds = 3;
 
 } // namespace
 
