--- a/Libraries/LibControl/ContactMonitor.h
+++ b/Libraries/LibControl/ContactMonitor.h
@@ -25,6 +25,12 @@
 
   bool hearsPeers(TimePoint Now);
   bool isListCurrent(TimePoint Now);
+  std::optional<TimePoint> const &peerMessageAt() const {
+    return PeerMessageAt_;
+  }
+  std::optional<TimePoint> const &listConfirmedAt() const {
+    return ListConfirmedAt_;
+  }
 
 private:
   bool isRecent(std::optional<TimePoint> const &At, TimePoint Now);
--- a/Libraries/LibControl/StreamOriginRecords.cpp
+++ b/Libraries/LibControl/StreamOriginRecords.cpp
@@ -154,6 +154,20 @@
 
 } // namespace
 
+std::string_view toString(OriginSource Source) {
+  switch (Source) {
+  case OriginSource::OnlyVersion:
+    return "only version";
+  case OriginSource::Record:
+    return "record";
+  case OriginSource::NotRecorded:
+    return "not recorded";
+  case OriginSource::StoreSilent:
+    return "store silent";
+  }
+  return "unknown";
+}
+
 void StreamOriginRecords::setTime(Duration TimeOfDay, TimePoint Now) {
   TimeOfDay_ = TimeOfDay;
   Now_ = Now;
--- a/Libraries/LibControl/StreamOriginRecords.h
+++ b/Libraries/LibControl/StreamOriginRecords.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace laburnum {
@@ -25,6 +26,9 @@
   StoreSilent, ///< The store cannot be read, and several versions may serve.
 };
 
+/// The name in logs.
+std::string_view toString(OriginSource Source);
+
 struct OriginAnswer {
   std::optional<StreamOrigin> Origin_;
   OriginSource Source_ = OriginSource::NotRecorded;
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -71,7 +71,7 @@
                       Seed + 5),
       StreamOriginTasks_({Dependencies.Context_, Dependencies.TrafficContext_,
                           Store_, Dependencies.Traffic_, Dependencies.Clock_,
-                          Dependencies.Codec_},
+                          Dependencies.Codec_, Dependencies.Log_},
                          Dependencies.Settings_.Name_),
       Peers_(std::make_shared<PeerNetwork>(
           Dependencies.Context_, Store_, Dependencies.Settings_.Name_,
--- a/Services/laburnum-entry/StreamOriginDirectory.cpp
+++ b/Services/laburnum-entry/StreamOriginDirectory.cpp
@@ -12,20 +12,6 @@
 /// Bounds the memory of the servers that were logged once.
 constexpr std::size_t MaxLoggedServers = 1000;
 
-std::string_view sourceName(OriginSource Source) {
-  switch (Source) {
-  case OriginSource::OnlyVersion:
-    return "only version";
-  case OriginSource::Record:
-    return "record";
-  case OriginSource::NotRecorded:
-    return "not recorded";
-  case OriginSource::StoreSilent:
-    return "store silent";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 void StreamOriginDirectory::find(exchange::FlowContext const &FlowContext,
@@ -41,7 +27,7 @@
        FlowContext.Target_.Path_, First},
       [this, FlowContext, Done = std::move(Done)](OriginAnswer const &Answer) {
         asio::post(Context_, [this, FlowContext, Done, Answer] {
-          onAnswer(FlowContext, Answer, sourceName(Answer.Source_), Done);
+          onAnswer(FlowContext, Answer, toString(Answer.Source_), Done);
         });
       });
 }
--- a/Services/laburnum-entry/StreamOriginTasks.cpp
+++ b/Services/laburnum-entry/StreamOriginTasks.cpp
@@ -77,10 +77,30 @@
   Records_->setListAge(Contact_.isListCurrent(Now)
                            ? StreamOriginRecords::ListAge::Current
                            : StreamOriginRecords::ListAge::Outdated);
-  Records_->find(Wanted, timeOfDay(Now), Now, Done);
+  Records_->find(Wanted, timeOfDay(Now), Now, logged(Wanted, Now, Done));
   arm();
 }
 
+StreamOriginRecords::Done
+StreamOriginTasks::logged(StreamTakeUp const &Wanted, TimePoint Now,
+                          StreamOriginRecords::Done Done) const {
+  LogLine Line("stream_origin");
+  Line.add("first_attempt", Wanted.FirstAttemptId_)
+      .add("live", Live_)
+      .add("registered", Registered_);
+  if (auto const At = Contact_.peerMessageAt())
+    Line.add("peer_age_ms", Now - *At);
+  if (auto const At = Contact_.listConfirmedAt())
+    Line.add("list_age_ms", Now - *At);
+  return [&Log = Dependencies_.Log_, Line, Now,
+          Done = std::move(Done)](OriginAnswer const &Answer) {
+    auto Complete = Line;
+    Log.write(Complete.add("source", toString(Answer.Source_))
+                  .add("search_ms", readBootClock() - Now));
+    Done(Answer);
+  };
+}
+
 StreamOriginRecords::PeerReach StreamOriginTasks::peerReach(TimePoint Now) {
   bool const IsAlone = Live_ <= 1;
   return 2 * Live_ > Registered_ && (IsAlone || Contact_.hearsPeers(Now))
--- a/Services/laburnum-entry/StreamOriginTasks.h
+++ b/Services/laburnum-entry/StreamOriginTasks.h
@@ -6,6 +6,7 @@
 #include <LibControl/ContactMonitor.h>
 #include <LibControl/StoreRelay.h>
 #include <LibControl/StreamOriginRecords.h>
+#include <LibLog/EventLog.h>
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -25,6 +26,7 @@
   TrafficPlane &Traffic_;
   MedianClock const &Clock_;
   RecordCodec const &Codec_;
+  EventLog &Log_;
 };
 
 /// Records the origins of this instance's streams in the store while several
@@ -52,6 +54,9 @@
   void onUnidentified(ServerId const &Incarnation);
   void forgetUnidentified(TimePoint Now);
   void find(StreamTakeUp const &Wanted, StreamOriginRecords::Done const &Done);
+  /// Logs what an answer rests on, as of the time of the question.
+  StreamOriginRecords::Done logged(StreamTakeUp const &Wanted, TimePoint Now,
+                                   StreamOriginRecords::Done Done) const;
   /// Whether this instance hears from most others, as of now.
   StreamOriginRecords::PeerReach peerReach(TimePoint Now);
   Duration timeOfDay(TimePoint Now) const {
