--- a/Tests/EntryProcess/CuttableFleet.cpp
+++ b/Tests/EntryProcess/CuttableFleet.cpp
@@ -32,7 +32,7 @@
     StorePort = Listen(Store_).Port_;
   });
   for (unsigned Number = 0; Number < Instances; ++Number) {
-    Cuts_.prepareStart(Number, Ports);
+    Cuts_.prepareStart(Number, Ports, StorePort);
     Instances_.push_back(
         std::make_unique<EntryProcess>(Number, StorePort, "cuttable-entry"));
     Instances_.back()->start();
--- a/Tests/EntryProcess/CuttableFleet.h
+++ b/Tests/EntryProcess/CuttableFleet.h
@@ -26,7 +26,7 @@
   EntryProcess &instance(std::size_t Number) { return *Instances_[Number]; }
   std::size_t instances() const { return Instances_.size(); }
   /// Cuts an instance off from all servers, or heals its links.
-  void cut(std::size_t Instance, Cut Cut) const { Cuts_.cut(Instance, Cut); }
+  void cut(std::size_t Instance, Cut Cut) { Cuts_.cut(Instance, Cut); }
   void setServerMode(ServerMode Mode);
   /// Returns how often requests of each path arrived at the servers.
   std::map<std::string, unsigned> runsByPath();
--- a/Tests/EntryProcess/LinkCuts.cpp
+++ b/Tests/EntryProcess/LinkCuts.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <stdexcept>
 #include <string>
+#include <utility>
 
 namespace laburnum::entry_process {
 
@@ -43,20 +44,38 @@
 
 LinkCuts::~LinkCuts() { std::filesystem::remove_all(Folder_); }
 
-void LinkCuts::prepareStart(
-    std::size_t Instance, std::vector<std::uint16_t> const &ServerPorts) const {
+void LinkCuts::prepareStart(std::size_t Instance,
+                            std::vector<std::uint16_t> const &ServerPorts,
+                            std::uint16_t StorePort) {
   std::string Ports;
   for (auto const Port : ServerPorts)
     Ports += (Ports.empty() ? "" : ",") + std::to_string(Port);
   setenv("LABURNUM_CUT_PORTS", Ports.c_str(), 1);
+  setenv("LABURNUM_STORE_PORT", std::to_string(StorePort).c_str(), 1);
   setenv("LABURNUM_BLACK_HOLE",
          std::to_string(BlackHole_.local_endpoint().port()).c_str(), 1);
   setenv("LABURNUM_CUT_FILE", file(Instance).c_str(), 1);
-  cut(Instance, Cut::None);
+  Cuts_[Instance] = {};
+  write(Instance);
 }
 
-void LinkCuts::cut(std::size_t Instance, Cut Cut) const {
-  std::ofstream(file(Instance).string() + ".new") << codeOf(Cut);
+void LinkCuts::cut(std::size_t Instance, Cut Cut) {
+  Cuts_[Instance].Servers_ = Cut;
+  write(Instance);
+}
+
+void LinkCuts::drop(std::size_t Instance, std::set<std::string> Dropped) {
+  Cuts_[Instance].Dropped_ = std::move(Dropped);
+  write(Instance);
+}
+
+void LinkCuts::write(std::size_t Instance) const {
+  auto const &Cuts = Cuts_.at(Instance);
+  std::ofstream File(file(Instance).string() + ".new");
+  File << codeOf(Cuts.Servers_) << '\n';
+  for (auto const &Link : Cuts.Dropped_)
+    File << Link << '\n';
+  File.close();
   std::filesystem::rename(file(Instance).string() + ".new", file(Instance));
 }
 
--- a/Tests/EntryProcess/VersionedFleet.cpp
+++ b/Tests/EntryProcess/VersionedFleet.cpp
@@ -179,11 +179,8 @@
 }
 
 void VersionedFleet::startInstances() {
-  std::vector<std::uint16_t> Ports;
-  for (auto const &[Id, Server] : Listed_)
-    Ports.push_back(Server.Endpoint_.Port_);
   for (std::size_t Number = 0; Number < Instances_.size(); ++Number) {
-    Cuts_.prepareStart(Number, Ports);
+    prepareStart(Number);
     Instances_[Number]->start();
   }
   for (auto const &Instance : Instances_)
@@ -191,6 +188,47 @@
                                   std::to_string(Instances_.size()));
 }
 
+void VersionedFleet::prepareStart(std::size_t Instance) {
+  std::vector<std::uint16_t> Ports;
+  for (auto const &[Id, Server] : Listed_)
+    Ports.push_back(Server.Endpoint_.Port_);
+  Cuts_.prepareStart(Instance, Ports, StoreListener_->localEndpoint().Port_);
+}
+
+void VersionedFleet::launch(std::size_t Instance) {
+  partition(Instance, Partition::None);
+  prepareStart(Instance);
+  Instances_[Instance]->launch();
+}
+
+void VersionedFleet::dropBetween(std::size_t From, std::size_t To) {
+  if (From != To)
+    Dropped_[From].insert(Instances_[To]->address());
+}
+
+void VersionedFleet::partition(std::size_t Instance, Partition Links) {
+  bool const IsSending =
+      Links != Partition::HearsOnly && Links != Partition::Store;
+  auto const Next = (Instance + 1) % Instances_.size();
+  auto const Address = Instances_[Instance]->address();
+  Dropped_[Instance].clear();
+  for (auto &[From, Dropped] : Dropped_)
+    Dropped.erase(Address);
+  for (std::size_t Other = 0; Other < Instances_.size(); ++Other) {
+    if (Links == Partition::None || Links == Partition::Store ||
+        (Links == Partition::ButOne && Other == Next))
+      continue;
+    if (Links != Partition::SendsOnly)
+      dropBetween(Instance, Other);
+    if (IsSending)
+      dropBetween(Other, Instance);
+  }
+  if (Links != Partition::None && Links != Partition::OthersOnly)
+    Dropped_[Instance].insert(LinkCuts::StoreLink);
+  for (auto const &[From, Dropped] : Dropped_)
+    Cuts_.drop(From, Dropped);
+}
+
 void VersionedFleet::breakStreams() {
   Thread_.on([this] {
     for (auto const &Peer : std::exchange(Open_, {})) {
--- a/Tests/EntryProcess/VersionedFleet.h
+++ b/Tests/EntryProcess/VersionedFleet.h
@@ -118,8 +118,23 @@
   /// Instances that are started later are cut off from the servers that are
   /// listed by then.
   void startInstances();
+  /// Starts an instance that has ended, without waiting for it. Its links are
+  /// whole.
+  void launch(std::size_t Instance);
   /// Cuts an instance off from all servers, or heals its links.
-  void cut(std::size_t Instance, Cut Cut) const { Cuts_.cut(Instance, Cut); }
+  void cut(std::size_t Instance, Cut Cut) { Cuts_.cut(Instance, Cut); }
+  /// Which links of an instance are cut.
+  enum class Partition {
+    None,
+    Whole,      ///< The store and all others.
+    ButOne,     ///< The store and all others but the next.
+    SendsOnly,  ///< The store, and what the others send.
+    HearsOnly,  ///< The store, and what the others would get.
+    Store,      ///< The store alone.
+    OthersOnly, ///< All others, but not the store.
+  };
+  /// Cuts links of an instance, or heals all. The others keep theirs.
+  void partition(std::size_t Instance, Partition Links);
   /// Ends the streams that wait inside their next event.
   void breakStreams();
   /// Breaks off those of the paced streams for which Choose returns true.
@@ -188,6 +203,9 @@
   void startServer(std::string const &Id, std::string const &Version,
                    std::string const &Service, std::uint16_t Port);
   void list(std::string const &Id, std::string const &State);
+  void prepareStart(std::size_t Instance);
+  /// Drops what the instance sends to the other one.
+  void dropBetween(std::size_t From, std::size_t To);
 
   Stop const Stop_;
   ServerReports Reports_ = ServerReports::Given;
@@ -209,6 +227,8 @@
   std::string LastChange_; ///< Of the list, as the instances log it.
   std::shared_ptr<HttpListener> StoreListener_;
   LinkCuts Cuts_{Thread_};
+  /// What each instance sends in vain, see LinkCuts::drop().
+  std::map<std::size_t, std::set<std::string>> Dropped_;
   std::vector<std::unique_ptr<EntryProcess>> Instances_;
 };
 
--- a/Tests/StreamSoak/Program/Main.cpp
+++ b/Tests/StreamSoak/Program/Main.cpp
@@ -67,8 +67,10 @@
                            "Plays streams through real laburnum-entry "
                            "processes amid troubles and checks rule ORDER");
   auto Add = Options.add_options();
-  Add("program", "path of laburnum-entry, or the name of a program here",
-      cxxopts::value<std::string>()->default_value("laburnum-entry"));
+  Add("program",
+      "path of laburnum-entry, or the name of a program here; only "
+      "cuttable-entry can be cut off",
+      cxxopts::value<std::string>()->default_value("cuttable-entry"));
   Add("first-program", "the same for the first instance alone",
       cxxopts::value<std::string>()->default_value(""));
   Add("seed", "seed of the clients and the troubles",
--- a/Tests/StreamSoak/Troubles.cpp
+++ b/Tests/StreamSoak/Troubles.cpp
@@ -20,6 +20,7 @@
       {"slow", TroubleKind::Slow},     {"kept", TroubleKind::Kept},
       {"odd", TroubleKind::Odd},       {"outages", TroubleKind::Outages},
       {"closed", TroubleKind::Closed}, {"anew", TroubleKind::Anew},
+      {"cuts", TroubleKind::Cuts},
   };
   return Kinds;
 }
@@ -117,6 +118,8 @@
       &Troubles::moveRoute);
   Add({TroubleKind::Rollouts}, milliseconds(400), milliseconds(1200),
       &Troubles::rollOut);
+  Add({TroubleKind::Cuts}, milliseconds(200), milliseconds(1500),
+      &Troubles::cutOff);
   while (!Tasks_.empty()) {
     std::this_thread::sleep_until(Tasks_.begin()->first);
     auto const Task = std::move(Tasks_.begin()->second);
@@ -131,6 +134,28 @@
   Fleet_.breakPaced(How, [this] { return below(3) == 0; });
 }
 
+void Troubles::cutOff() {
+  using Partition = VersionedFleet::Partition;
+  auto const Number = below(Fleet_.instances());
+  if (!BusyInstances_.insert(Number).second)
+    return;
+  auto const Links = static_cast<Partition>(
+      1 + below(static_cast<std::uint64_t>(Partition::OthersOnly)));
+  say("cut off " + std::to_string(Number + 1) + " as " +
+      std::to_string(static_cast<int>(Links)));
+  Fleet_.partition(Number, Links);
+  later(between(100, 3000), [this, Number] {
+    say("heal " + std::to_string(Number + 1));
+    Fleet_.partition(Number, Partition::None);
+    BusyInstances_.erase(Number);
+  });
+}
+
+void Troubles::restart(std::size_t Instance) {
+  saveLog(Instance);
+  Fleet_.launch(Instance);
+}
+
 void Troubles::endInstance() {
   auto const Number = below(Fleet_.instances());
   if (!BusyInstances_.insert(Number).second)
@@ -140,8 +165,7 @@
   Fleet_.instance(Number).process().signal(IsKilled ? SIGKILL : SIGTERM);
   later(between(100, 1500), [this, Number] {
     say("start " + std::to_string(Number + 1));
-    saveLog(Number);
-    Fleet_.instance(Number).launch();
+    restart(Number);
     later(milliseconds(1000), [this, Number] { BusyInstances_.erase(Number); });
   });
 }
@@ -163,10 +187,8 @@
     restartServer();
   later(between(100, 1000), [this] {
     say("start all");
-    for (std::size_t Number = 0; Number < Fleet_.instances(); ++Number) {
-      saveLog(Number);
-      Fleet_.instance(Number).launch();
-    }
+    for (std::size_t Number = 0; Number < Fleet_.instances(); ++Number)
+      restart(Number);
     later(milliseconds(1000), [this] { BusyInstances_.clear(); });
   });
 }
--- a/Tests/StreamSoak/Troubles.h
+++ b/Tests/StreamSoak/Troubles.h
@@ -29,6 +29,7 @@
   Kept,     ///< Streams break; servers keep connections, as some do elsewhere.
   Odd,      ///< The same, and servers repeat events and send extra answers.
   Anew,     ///< Streams break, and servers begin some anew that go on.
+  Cuts,     ///< Instances lose the store, others, or one direction.
 };
 
 /// All kinds by name.
@@ -61,6 +62,9 @@
   void say(std::string const &What) const;
 
   void breakStreams();
+  void cutOff();
+  /// Starts an instance that has ended.
+  void restart(std::size_t Instance);
   void endInstance();
   void endAllInstances();
   void pauseInstance();
