LibControl: Let streams begin only where the store's history says so

Cause: with a silent store an instance decided by the versions that it knew, if a peer or the list had been heard of within 1.5 s (ContactMonitor). A version may join within any such time, so that no other limit would do. The class of fault: something heard earlier is taken for a proof of the present.

Now a version is in the history in the store before any instance begins a stream at it that may be resumed (OriginHistory publishes RecordedOrigins, and ServerQuery asks for a recorded version), and a move of a route before streams begin on it. So a read of the history that is sent after a take-up tells all versions at which its stream may have begun, whatever the reader heard before. The history is followed like the server list, which tells all instances of a record. Instances that keep no history write a version that the keepers have not, after a second. A server that does not identify itself gets streams only once the history holds that, and a restored store proves nothing for 30 s.

With a silent store the origin is what StreamOriginCopies finds: the instance that sends a stream to its client sends a copy of its origin to two others, chosen by the attempt's identifier. An origin never changes, so that a copy is right however old it is. Without one the take-up is refused.

ContactMonitor goes with its tests, as nothing rests on ages any more. "While the store is away, streams go on where one version serves and most peers are in reach" asserted the fault. In their place: "While the store is away no origin follows from what was known before", the cases of TestOriginHistory (with an outdated list, lost keepers, a late record), those of TestStreamOriginCopies, and the play of an instance that stood still, as before. The records of moved routes are tested in a file of their own, unchanged.

--- a/Libraries/LibHttp/OutboundCall.cpp
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -153,11 +153,28 @@
 }
 
 void OutboundCall::proceedUnidentified() {
-  if (Request_.ProcessCheck_ != ProcessCheck::AtEndOfConnection)
-    Observer_->onUnidentified();
+  if (Request_.ProcessCheck_ == ProcessCheck::AtEndOfConnection)
+    return prepareRequest();
+  ConnectTimer_.cancel();
+  IsUndecided_ = true;
+  Observer_->onUnidentified(
+      [Self = shared_from_this()](AnswerObserver::UnidentifiedUse Use) {
+        if (!Self->isOver())
+          Self->onDecided(Use);
+      });
   if (Request_.ProcessCheck_ == ProcessCheck::Required)
-    return fail(AttemptEnd::Refused, "the server does not identify itself");
-  prepareRequest();
+    fail(AttemptEnd::Refused, "the server does not identify itself");
+}
+
+void OutboundCall::onDecided(AnswerObserver::UnidentifiedUse Use) {
+  if (!std::exchange(IsUndecided_, false) ||
+      Request_.ProcessCheck_ == ProcessCheck::Required)
+    return;
+  if (Use == AnswerObserver::UnidentifiedUse::Allowed)
+    prepareRequest();
+  else
+    fail(AttemptEnd::Refused,
+         "the server does not identify itself, and the store does not know");
 }
 
 void OutboundCall::prepareRequest() {
@@ -227,6 +244,8 @@
 void OutboundCall::onBytes(std::string_view Bytes) {
   if (isOver())
     return;
+  if (IsUndecided_)
+    return fail(AttemptEnd::ConnectionFailed, "bytes that were not asked for");
   Reader_.feed(Bytes);
   IsIdentifying_ ? onIdentification() : deliver();
 }
--- a/Libraries/LibHttp/OutboundCall.h
+++ b/Libraries/LibHttp/OutboundCall.h
@@ -6,6 +6,7 @@
 #include <LibHttp/ProcessWitness.h>
 #include <LibModel/AttemptEvidence.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -37,9 +38,15 @@
   /// The process at the server's address is not the one that the request is
   /// for. onFailed() follows.
   virtual void onOtherProcess(std::string const & /*Process*/) {}
-  /// The process at the server's address does not identify itself. onFailed()
-  /// follows where that is required.
-  virtual void onUnidentified() {}
+  /// Whether a process that does not identify itself gets the request.
+  enum class UnidentifiedUse { Allowed, Refused };
+  using DecideUnidentified = std::function<void(UnidentifiedUse)>;
+  /// The process at the server's address does not identify itself. Decide is to
+  /// be called, at any time, unless onFailed() follows because identification
+  /// is required.
+  virtual void onUnidentified(DecideUnidentified const &Decide) {
+    Decide(UnidentifiedUse::Allowed);
+  }
   virtual void onFailed(AttemptEvidence const &Evidence) = 0;
 };
 
@@ -110,6 +117,7 @@
   void onUnidentifiable(bool IsConnectionClean);
   /// The process is not known, and asking it does not help.
   void proceedUnidentified();
+  void onDecided(AnswerObserver::UnidentifiedUse Use);
   /// Whether the question may be asked once more, on another connection.
   bool mayAskAgain() const;
   /// Continues on another connection.
@@ -140,6 +148,7 @@
   std::shared_ptr<Connection> Connection_;
   std::optional<std::string> Process_; ///< At the connection's other end.
   bool IsIdentifying_ = false;
+  bool IsUndecided_ = false; ///< The observer has yet to decide on the process.
   std::uint32_t Questions_ = 0; ///< On new connections.
   std::string Identification_;  ///< Body of the answer that identifies it.
   AnswerReader Reader_;
--- a/Libraries/LibTraffic/AdmissionQueue.cpp
+++ b/Libraries/LibTraffic/AdmissionQueue.cpp
@@ -43,6 +43,12 @@
                         ? "every server asks for a pause"
                         : "every server is at its rate limit",
                     Exhausted->RetryAfter_};
+  if (Now >= Request.GiveUpAt_ &&
+      Request.Query_.VersionRequirement_ == VersionRequirement::Recorded &&
+      !Roster_.hasMatch(Request.Query_) && Roster_.isServed(Service, Now))
+    return Rejected{Request.Ticket_,
+                    "the servers' software version is not recorded yet",
+                    RetryAfterNoServer};
   if (Now >= Request.GiveUpAt_)
     return Roster_.isServed(Service, Now)
                ? Rejected{Request.Ticket_, "every server is full",
--- a/Libraries/LibTraffic/PeerFields.cpp
+++ b/Libraries/LibTraffic/PeerFields.cpp
@@ -61,7 +61,14 @@
   return Decoded;
 }
 
-std::optional<StreamOrigin> parseOrigin(std::string_view Text) {
+} // namespace
+
+std::string encodeOrigin(StreamOrigin const &Origin) {
+  return percentEncode(Origin.Service_.text()) + '/' +
+         percentEncode(Origin.SoftwareVersion_);
+}
+
+std::optional<StreamOrigin> decodeOrigin(std::string_view Text) {
   auto const Slash = Text.find('/');
   if (Slash == std::string_view::npos)
     return std::nullopt;
@@ -72,22 +79,17 @@
   return StreamOrigin{ServiceName(*Service), *Version};
 }
 
-} // namespace
-
 void removePeerFields(HeaderFields &Fields) { Fields.remove(OriginField); }
 
 void setPeerFields(HeaderFields &Fields,
                    std::optional<StreamOrigin> const &Origin) {
-  Fields.set(OriginField, Origin
-                              ? percentEncode(Origin->Service_.text()) + '/' +
-                                    percentEncode(Origin->SoftwareVersion_)
-                              : std::string());
+  Fields.set(OriginField, Origin ? encodeOrigin(*Origin) : std::string());
 }
 
 PeerState peerFields(HeaderFields const &Fields) {
   if (Fields.count(OriginField) != 1)
     return {};
-  return {PeerFieldSupport::Full, parseOrigin(Fields.valueOr(OriginField))};
+  return {PeerFieldSupport::Full, decodeOrigin(Fields.valueOr(OriginField))};
 }
 
 } // namespace laburnum
--- a/Libraries/LibTraffic/PeerFields.h
+++ b/Libraries/LibTraffic/PeerFields.h
@@ -5,6 +5,8 @@
 
 #include <compare>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace laburnum {
 
@@ -23,6 +25,11 @@
   auto operator<=>(PeerState const &) const = default;
 };
 
+/// Returns the origin as text for other instances.
+std::string encodeOrigin(StreamOrigin const &Origin);
+/// Returns nothing for a malformed text.
+std::optional<StreamOrigin> decodeOrigin(std::string_view Text);
+
 /// Replaces the fields that only instances exchange, so that a client's are
 /// never passed on.
 void setPeerFields(HeaderFields &Fields,
--- a/Libraries/LibTraffic/RouteMoves.h
+++ b/Libraries/LibTraffic/RouteMoves.h
@@ -52,6 +52,8 @@
   bool hasMoved(std::string_view Host, std::string_view Target,
                 Duration TimeOfDay) const;
   bool hasAnyMoved(Duration TimeOfDay) const;
+  /// Returns whether a version is recorded that is not in force here yet.
+  bool isTableOutdated() const;
 
 private:
   /// Whether moves that are not known may be recent.
@@ -59,8 +61,6 @@
   /// Moves between the recorded version and the first one that this instance
   /// has seen are not known.
   void noteUnseen(std::uint64_t RecordedVersion, Duration TimeOfDay);
-  /// Whether a version is recorded that is not in force here yet.
-  bool isTableOutdated() const;
   /// Notes what moves when the newer table takes effect.
   void compare(RouteTable const &Newer, Duration TimeOfDay);
   /// Returns when requests like this one were last led to another service, if
--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -279,11 +279,15 @@
   });
 }
 
-bool ServerRoster::matches(Entry const &Server, ServerQuery const &Query) {
+bool ServerRoster::matches(Entry const &Server,
+                           ServerQuery const &Query) const {
   return Server.Record_.Service_ == Query.Service_ &&
          !Query.Excluded_.contains(Server.Incarnation_) &&
          (!Query.SoftwareVersion_ ||
-          *Query.SoftwareVersion_ == Server.Record_.SoftwareVersion_);
+          *Query.SoftwareVersion_ == Server.Record_.SoftwareVersion_) &&
+         (Query.VersionRequirement_ == VersionRequirement::None ||
+          Recorded_.contains(
+              {Server.Record_.Service_, Server.Record_.SoftwareVersion_}));
 }
 
 bool ServerRoster::hasMatch(ServerQuery const &Query) const {
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -3,6 +3,7 @@
 #include <LibModel/AttemptEvidence.h>
 #include <LibTraffic/ServerRateLimiter.h>
 #include <LibTraffic/ServerRecord.h>
+#include <LibTraffic/StreamOrigins.h>
 
 #include <cstdint>
 #include <map>
@@ -22,6 +23,12 @@
   auto operator<=>(Geography const &) const = default;
 };
 
+/// Which servers' software versions a request may use.
+enum class VersionRequirement {
+  None,
+  Recorded, ///< The store's history holds it, so that a stream may begin at it.
+};
+
 /// Criteria for choosing a server.
 struct ServerQuery {
   ServiceName Service_;
@@ -31,6 +38,7 @@
   std::string Affinity_;
   /// Only servers of this software version are chosen. Nothing: any.
   std::optional<std::string> SoftwareVersion_ = std::nullopt;
+  VersionRequirement VersionRequirement_ = VersionRequirement::None;
 
   auto operator<=>(ServerQuery const &) const = default;
 };
@@ -85,6 +93,12 @@
   void setConnectionLimits(std::map<ServiceName, std::uint32_t> Limits);
   void setRegistered(std::size_t Instances) { Registered_ = Instances; }
 
+  /// Sets the services with the software versions that the store's history
+  /// holds.
+  void setRecorded(std::set<StreamOrigin> Versions) {
+    Recorded_ = std::move(Versions);
+  }
+
   /// Returns nothing when no server has free capacity.
   std::optional<ServerRecord> choose(ServerQuery const &Query, TimePoint Now);
   /// Returns whether any server of the service accepts requests, even if full.
@@ -189,7 +203,7 @@
   /// Retains the attempts of an incarnation that is not listed any more.
   void retainAttempts(Entry const &Server);
   bool isStaying(Entry const &Server) const;
-  static bool matches(Entry const &Server, ServerQuery const &Query);
+  bool matches(Entry const &Server, ServerQuery const &Query) const;
   /// Returns the tokens of a rate limited server that can be used until then.
   double usableTokens(Entry const &Server, TimePoint Until) const;
   /// Changes the status of an incarnation, whether or not it is listed.
@@ -220,6 +234,7 @@
   std::map<ServiceName, std::uint32_t> ConnectionLimits_;
   std::size_t Registered_ = 0; ///< 0 until it is known.
   ServerRateLimiter RateLimiter_;
+  std::set<StreamOrigin> Recorded_;
   std::map<ServerId, Entry> Servers_;
   /// Of incarnations that are not listed while attempts are in progress.
   std::map<AttemptKey, Attempts> UnlistedAttempts_;
--- a/Libraries/LibTraffic/SoftwareVersions.cpp
+++ b/Libraries/LibTraffic/SoftwareVersions.cpp
@@ -1,5 +1,7 @@
 #include <LibTraffic/SoftwareVersions.h>
 
+#include <LibTraffic/StreamOrigins.h>
+
 #include <algorithm>
 #include <set>
 
@@ -33,6 +35,11 @@
   forgetOld(TimeOfDay);
 }
 
+void SoftwareVersions::onUnidentified(ServiceName const &Service,
+                                      Duration TimeOfDay) {
+  History_[Service][UnidentifiedVersion] = TimeOfDay;
+}
+
 void SoftwareVersions::merge(VersionHistory const &Recorded,
                              Duration TimeOfDay) {
   for (auto const &[Service, Versions] : Recorded)
--- a/Libraries/LibTraffic/SoftwareVersions.h
+++ b/Libraries/LibTraffic/SoftwareVersions.h
@@ -24,6 +24,9 @@
 
   /// Sets the servers that are listed.
   void setListed(std::vector<ServerRecord> const &Servers, Duration TimeOfDay);
+  /// A stream is about to begin at a server of an unknown version. It counts as
+  /// a version that has just left the list.
+  void onUnidentified(ServiceName const &Service, Duration TimeOfDay);
   /// Adds what another instance or an earlier incarnation has recorded. A
   /// version that was listed then, and is not now, is taken as just gone.
   void merge(VersionHistory const &Recorded, Duration TimeOfDay);
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -1,6 +1,7 @@
 #include "ControlPlane.h"
 
 #include "ConfigurationReader.h"
+#include "HistoryReader.h"
 #include "ServerReader.h"
 
 #include <asio/post.hpp>
@@ -46,6 +47,7 @@
     : Dependencies_(Dependencies), Store_(Dependencies.Store_),
       ConfigurationReader_(std::make_unique<ConfigurationReader>(*this)),
       ServerReader_(std::make_unique<ServerReader>(*this)),
+      HistoryReader_(std::make_unique<HistoryReader>(*this)),
       ReadinessService_([this] { return readiness(); }),
       MetricsService_([this] { return metrics(); }),
       Incarnation_(Dependencies.Settings_.Name_ + "." +
@@ -72,7 +74,8 @@
       StreamOriginTasks_({Dependencies.Context_, Dependencies.TrafficContext_,
                           Store_, Dependencies.Traffic_, Dependencies.Clock_,
                           Dependencies.Codec_, Dependencies.Log_},
-                         Dependencies.Settings_.Name_),
+                         Dependencies.Settings_.Name_,
+                         localInstance(Dependencies.Settings_, Incarnation_)),
       Peers_(std::make_shared<PeerNetwork>(
           Dependencies.Context_, Store_, Dependencies.Settings_.Name_,
           localInstance(Dependencies.Settings_, Incarnation_), Seed + 4,
@@ -101,7 +104,8 @@
 StoreFollower::Callbacks ControlPlane::followerCallbacks() {
   return {{{Dependencies_.Codec_.configurationCollection(),
             ConfigurationReader_.get()},
-           {Dependencies_.Codec_.serverCollection(), ServerReader_.get()}},
+           {Dependencies_.Codec_.serverCollection(), ServerReader_.get()},
+           {detail::HistoryCollection, HistoryReader_.get()}},
           [this](SendToPeer const &Action) { Peers_->send(Action); },
           [this](relay::ReaderRoleChanged const &Change) {
             onReaderRoleChanged(Change);
@@ -156,7 +160,7 @@
   reportConsumption();
   CrashGuardTasks_.start(Peers_);
   RateLimitTasks_.start(Peers_);
-  StreamOriginTasks_.start();
+  StreamOriginTasks_.start(Peers_);
   awaitSignals();
   watchSettings();
   flushLog();
@@ -261,7 +265,7 @@
   LeaseHolderTasks_.setMembers(View.Members_, readBootClock());
   Follower_->setMembers(View.Members_);
   CrashGuardTasks_.setMembers(View.Members_);
-  StreamOriginTasks_.setPeers(Live, View.Registered_);
+  StreamOriginTasks_.setMembers(View.Members_);
   setPeerRoutes(View);
   RateLimitTasks_.setFleet(View,
                            IsStopping_ ? Liveness::Leaving : Liveness::Live);
@@ -290,7 +294,6 @@
 
 void ControlPlane::onPeerMessage(InstanceId const &From,
                                  PeerMessage const &Message) {
-  StreamOriginTasks_.contact().onPeerMessage(readBootClock());
   if (auto const *const Report = std::get_if<ConsumptionReport>(&Message))
     onReport(From, *Report);
   else if (auto const *const Sum = std::get_if<ConsumptionSum>(&Message))
@@ -305,9 +308,19 @@
   else if (auto const *const Limits = std::get_if<ServerRateLimits>(&Message))
     RateLimitTasks_.onPeer(*Limits);
   else if (auto const *const Update = std::get_if<StoreUpdate>(&Message))
-    Follower_->onStoreUpdate(*Update);
+    onStoreUpdate(*Update);
   else if (auto const *const Request = std::get_if<SnapshotRequest>(&Message))
-    Follower_->onRequest(*Request);
+    onSnapshotRequest(*Request);
+}
+
+void ControlPlane::onStoreUpdate(StoreUpdate const &Update) {
+  if (!StreamOriginTasks_.onPeer(Update))
+    Follower_->onStoreUpdate(Update);
+}
+
+void ControlPlane::onSnapshotRequest(SnapshotRequest const &Request) {
+  if (!StreamOriginTasks_.onPeer(Request))
+    Follower_->onRequest(Request);
 }
 
 void ControlPlane::notifyPeersOfServer(ServerLeavingNotice const &Notice) {
@@ -392,7 +405,6 @@
 
 void ControlPlane::tickLeaseHolderTasks() {
   auto const Now = readBootClock();
-  StreamOriginTasks_.contact().onTime(Now);
   Dependencies_.Clock_.setLocal(timeOfDay(), Now);
   LeaseHolderTasks_.tick(Now, Dependencies_.Clock_.read(Now),
                          Collector_.isComplete(Now)
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -55,6 +55,7 @@
 private:
   class ConfigurationReader;
   class ServerReader;
+  class HistoryReader;
 
   StoreFollower::Callbacks followerCallbacks();
 
@@ -69,6 +70,8 @@
   void onFleet(FleetView const &View);
   void setPeerRoutes(FleetView const &View);
   void onPeerMessage(InstanceId const &From, PeerMessage const &Message);
+  void onStoreUpdate(StoreUpdate const &Update);
+  void onSnapshotRequest(SnapshotRequest const &Request);
   /// Notifies the instances of the local data centre that a server is leaving,
   /// or all instances that one is gone.
   void notifyPeersOfServer(ServerLeavingNotice const &Notice);
@@ -93,6 +96,7 @@
   CountedStore Store_;
   std::unique_ptr<ConfigurationReader> ConfigurationReader_;
   std::unique_ptr<ServerReader> ServerReader_;
+  std::unique_ptr<HistoryReader> HistoryReader_;
   StatusService ReadinessService_;
   StatusService MetricsService_;
   std::shared_ptr<HttpListener> ReadinessListener_;
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -23,6 +23,8 @@
 constexpr std::int32_t ServiceUnavailable = 503;
 /// Retry-After where neither this instance nor another reaches a server.
 constexpr std::chrono::milliseconds RetryAfterCutOff{500};
+/// Retry-After of a stream that may not begin before the store knows.
+constexpr std::chrono::milliseconds RetryAfterUnrecorded{500};
 /// An attempt without a first byte after this percentage of the latency target
 /// counts as slow at its server.
 constexpr std::int64_t StallPercent = 60;
@@ -109,6 +111,27 @@
   // All other instances have refused or are out of reach.
   if (IsCutOff && Plane_.PeerRoutes_.hasPeers())
     return refuseCutOff();
+  if (!isResumable() || Action.Origin_)
+    return enqueue(Action);
+  Plane_.Origins_.awaitMove(
+      FlowContext_.Target_, QueuedService_,
+      [Self = shared_from_this(),
+       Action](StreamOriginDirectory::RecordState State) {
+        if (Self->IsFinished_)
+          return;
+        if (State == StreamOriginDirectory::RecordState::Recorded)
+          return Self->enqueue(Action);
+        Self->handle(NoServer{"the route's move is not recorded yet",
+                              RetryAfterUnrecorded});
+      });
+}
+
+bool RequestSession::isResumable() const {
+  return FlowContext_.Route_->Form_ == AnswerForm::EventStream &&
+         FlowContext_.Route_->Repeatability_ == Repeatability::Resumable;
+}
+
+void RequestSession::enqueue(RequestServer const &Action) {
   auto const Now = readBootClock();
   auto const &Route = *FlowContext_.Route_;
   auto const *const Account =
@@ -120,6 +143,8 @@
   if (Action.Origin_) {
     Waiting.Query_.Service_ = Action.Origin_->Service_;
     Waiting.Query_.SoftwareVersion_ = Action.Origin_->SoftwareVersion_;
+  } else if (isResumable()) {
+    Waiting.Query_.VersionRequirement_ = VersionRequirement::Recorded;
   }
   Waiting.Rank_ = Account ? Account->Rank_.value_or(Route.Rank_) : Route.Rank_;
   Waiting.GiveUpAt_ =
@@ -189,11 +214,8 @@
   }
   Outbound.Head_ = Codec.encode(Request_.Head_, Action.Metadata_);
   // Which software version begins or continues a stream has to be certain.
-  bool const IsResumable =
-      FlowContext_.Route_->Form_ == AnswerForm::EventStream &&
-      FlowContext_.Route_->Repeatability_ == Repeatability::Resumable;
   Outbound.Process_ = processName(*Server_);
-  Outbound.ProcessCheck_ = !IsResumable ? ProcessCheck::AtEndOfConnection
+  Outbound.ProcessCheck_ = !isResumable() ? ProcessCheck::AtEndOfConnection
                            : Action.Metadata_.Origin_
                                ? ProcessCheck::Required
                                : ProcessCheck::BeforeRequest;
@@ -310,9 +332,14 @@
   Plane_.onOtherIncarnation(*Server_, Process);
 }
 
-void RequestSession::onUnidentified() {
+void RequestSession::onUnidentified(DecideUnidentified const &Decide) {
   IsUnidentified_ = true;
-  Plane_.Origins_.onUnidentified(*Server_);
+  Plane_.Origins_.awaitUnidentified(
+      *Server_, [Decide](StreamOriginDirectory::RecordState State) {
+        Decide(State == StreamOriginDirectory::RecordState::Recorded
+                   ? UnidentifiedUse::Allowed
+                   : UnidentifiedUse::Refused);
+      });
 }
 
 void RequestSession::onFailed(AttemptEvidence const &Evidence) {
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -31,7 +31,7 @@
   void onBody(std::string_view Bytes) override;
   void onComplete() override;
   void onOtherProcess(std::string const &Process) override;
-  void onUnidentified() override;
+  void onUnidentified(DecideUnidentified const &Decide) override;
   void onFailed(AttemptEvidence const &Evidence) override;
 
 private:
@@ -54,6 +54,9 @@
   void on(exchange::AbortStream const &Action);
   void on(exchange::Refuse const &Action);
 
+  /// Whether clients may take the stream up at any instance.
+  bool isResumable() const;
+  void enqueue(exchange::RequestServer const &Action);
   bool isDirect() const { return Access_ == ServerAccess::Direct; }
   /// Passes the request to another instance. Returns whether there is one.
   bool passToPeer(std::set<ServerId> const &Excluded);
--- a/Services/laburnum-entry/ServerReader.h
+++ b/Services/laburnum-entry/ServerReader.h
@@ -28,7 +28,6 @@
       change(Object);
   }
   void onCurrent(Version StoreVersion) override {
-    Plane_.StreamOriginTasks_.contact().onListConfirmed(readBootClock());
     auto &Traffic = Plane_.Dependencies_.Traffic_;
     Plane_.onTraffic(
         [&Traffic, StoreVersion] { Traffic.onServersCurrent(StoreVersion); });
--- a/Services/laburnum-entry/StreamOriginDirectory.cpp
+++ b/Services/laburnum-entry/StreamOriginDirectory.cpp
@@ -11,6 +11,8 @@
 
 /// Bounds the memory of the servers that were logged once.
 constexpr std::size_t MaxLoggedServers = 1000;
+/// How long a stream waits for a record that allows it to begin.
+constexpr std::chrono::milliseconds MaxRecordWait{500};
 
 } // namespace
 
@@ -35,11 +37,12 @@
 void StreamOriginDirectory::onBegun(BegunStream const &Stream) {
   auto const Now = readBootClock();
   Origins_.onBegun(Stream, Now);
+  BegunListener_(Stream);
   if (Listener_)
     Listener_(Origins_.unfinished(Now));
 }
 
-void StreamOriginDirectory::onUnidentified(ServerRecord const &Server) {
+void StreamOriginDirectory::logUnidentified(ServerRecord const &Server) {
   auto const Incarnation = incarnationOf(Server);
   if (LoggedUnidentified_.size() >= MaxLoggedServers)
     LoggedUnidentified_.clear();
@@ -49,8 +52,70 @@
                    .add("born", Server.IncarnationStartMilliseconds_)
                    .add("software", Server.SoftwareVersion_)
                    .add("outcome", "its streams do not go on"));
-  if (UnidentifiedListener_)
-    UnidentifiedListener_(Incarnation);
+}
+
+void StreamOriginDirectory::setRecorded(RecordedOrigins Recorded) {
+  Recorded_ = std::move(Recorded);
+  std::vector<RecordDone> Ready;
+  std::erase_if(Waits_, [&](auto &Entry) {
+    bool const IsRecorded = Entry.second.IsRecorded_();
+    if (IsRecorded)
+      Ready.push_back(std::move(Entry.second.Done_));
+    return IsRecorded;
+  });
+  for (auto const &Done : Ready)
+    Done(RecordState::Recorded);
+}
+
+bool StreamOriginDirectory::isMoveRecorded(
+    exchange::RequestTarget const &Target) const {
+  auto const Host = normalizedHost(Target.Host_);
+  return Recorded_.OtherMoves_ == MoveRecord::Complete &&
+         std::none_of(Recorded_.UnrecordedMoves_.begin(),
+                      Recorded_.UnrecordedMoves_.end(),
+                      [&](RouteRegion const &Region) {
+                        return Region.Host_ == Host &&
+                               Target.Path_.starts_with(Region.PathPrefix_);
+                      });
+}
+
+void StreamOriginDirectory::awaitMove(exchange::RequestTarget const &Target,
+                                      ServiceName const &Service,
+                                      RecordDone const &Done) {
+  await([this, Target] { return isMoveRecorded(Target); }, Need::Move, Service,
+        Done);
+}
+
+void StreamOriginDirectory::awaitUnidentified(ServerRecord const &Server,
+                                              RecordDone const &Done) {
+  logUnidentified(Server);
+  await(
+      [this, Origin = StreamOrigin{Server.Service_, UnidentifiedVersion}] {
+        return Recorded_.Versions_.contains(Origin);
+      },
+      Need::UnidentifiedServer, Server.Service_, Done);
+}
+
+void StreamOriginDirectory::await(std::function<bool()> IsRecorded, Need Need,
+                                  ServiceName const &Service, RecordDone Done) {
+  // The record of unidentified servers is renewed as long as streams begin.
+  bool const IsKnown = IsRecorded();
+  if (!IsKnown || Need == Need::UnidentifiedServer)
+    NeedListener_(Need, Service);
+  if (IsKnown)
+    return Done(RecordState::Recorded);
+  auto const Number = ++LastWait_;
+  auto const At =
+      Waits_.emplace(Number, Wait{std::move(IsRecorded), std::move(Done),
+                                  asio::steady_timer(Context_)});
+  auto &Timer = At.first->second.Timer_;
+  Timer.expires_after(MaxRecordWait);
+  // A wait that has ended may still have its handler queued.
+  Timer.async_wait([this, Number](asio::error_code Failure) {
+    auto const Overdue = Failure ? WaitNode() : Waits_.extract(Number);
+    if (Overdue)
+      Overdue.mapped().Done_(RecordState::Missing);
+  });
 }
 
 void StreamOriginDirectory::setListener(Listener Listener) {
--- a/Services/laburnum-entry/StreamOriginDirectory.h
+++ b/Services/laburnum-entry/StreamOriginDirectory.h
@@ -3,11 +3,15 @@
 #include <LibControl/StreamOriginRecords.h>
 #include <LibLog/EventLog.h>
 #include <LibTraffic/ExchangeFlow.h>
+#include <LibTraffic/RecordedOrigins.h>
 #include <LibTraffic/StreamOrigins.h>
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -33,14 +37,34 @@
   using Listener = std::function<void(std::vector<BegunStream> const &)>;
   void setListener(Listener Listener);
 
-  /// Sets the listener for servers that do not identify themselves, called on
-  /// the traffic thread. To be set before traffic arrives.
-  using UnidentifiedListener = std::function<void(ServerId const &Incarnation)>;
-  void setUnidentifiedListener(UnidentifiedListener Listener) {
-    UnidentifiedListener_ = std::move(Listener);
+  /// Sets the listener for each stream that begins, called on the traffic
+  /// thread. To be set before traffic arrives.
+  using BegunListener = std::function<void(BegunStream const &)>;
+  void setBegunListener(BegunListener Listener) {
+    BegunListener_ = std::move(Listener);
   }
-  /// A stream's server does not identify itself.
-  void onUnidentified(ServerRecord const &Server);
+
+  /// What a stream that is about to begin waits for.
+  enum class Need { Move, UnidentifiedServer };
+  /// Sets the listener for streams that wait until the store knows that they
+  /// may begin, called on the traffic thread. To be set before traffic arrives.
+  using NeedListener = std::function<void(Need, ServiceName const &)>;
+  void setNeedListener(NeedListener Listener) {
+    NeedListener_ = std::move(Listener);
+  }
+  /// Sets what the store knows.
+  void setRecorded(RecordedOrigins Recorded);
+
+  enum class RecordState { Recorded, Missing };
+  using RecordDone = std::function<void(RecordState)>;
+  /// Waits a short time until the store knows that requests for the target were
+  /// led to another service, if they were.
+  void awaitMove(exchange::RequestTarget const &Target,
+                 ServiceName const &Service, RecordDone const &Done);
+  /// Waits a short time until the store knows that streams of the service may
+  /// have begun at a version that is not known, as the server does not identify
+  /// itself.
+  void awaitUnidentified(ServerRecord const &Server, RecordDone const &Done);
 
   using Done = std::function<void(exchange::OriginFound const &)>;
   void find(exchange::FlowContext const &FlowContext, Done Done);
@@ -50,6 +74,19 @@
   }
 
 private:
+  /// A stream that waits.
+  struct Wait {
+    std::function<bool()> IsRecorded_;
+    RecordDone Done_;
+    asio::steady_timer Timer_;
+  };
+
+  using WaitNode = std::map<std::uint64_t, Wait>::node_type;
+
+  void await(std::function<bool()> IsRecorded, Need Need,
+             ServiceName const &Service, RecordDone Done);
+  bool isMoveRecorded(exchange::RequestTarget const &Target) const;
+  void logUnidentified(ServerRecord const &Server);
   void onAnswer(exchange::FlowContext const &FlowContext,
                 OriginAnswer const &Answer, std::string_view Source,
                 Done const &Done);
@@ -59,7 +96,11 @@
   StreamOrigins Origins_;
   Finder Finder_;
   Listener Listener_;
-  UnidentifiedListener UnidentifiedListener_;
+  BegunListener BegunListener_;
+  NeedListener NeedListener_;
+  RecordedOrigins Recorded_;
+  std::map<std::uint64_t, Wait> Waits_; ///< By age.
+  std::uint64_t LastWait_ = 0;
   std::set<ServerId> LoggedUnidentified_; ///< Incarnations.
 };
 
--- a/Services/laburnum-entry/StreamOriginTasks.cpp
+++ b/Services/laburnum-entry/StreamOriginTasks.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace laburnum {
@@ -9,103 +10,115 @@
 namespace {
 
 constexpr std::chrono::milliseconds Period{50};
-/// A server that does not identify itself may do so later.
-constexpr std::chrono::seconds UnidentifiedTime{30};
-
-void readServerList(StreamOriginDependencies const &Dependencies,
-                    Duration Timeout,
-                    StreamOriginRecords::ServerListDone const &Done) {
-  Dependencies.Store_.list(
-      Dependencies.Codec_.serverCollection(), ReadConsistency::Latest, Timeout,
-      [&Codec = Dependencies.Codec_, Done](Result<ObjectList> const &Read) {
-        if (isError(Read))
-          return Done(std::nullopt);
-        std::vector<ServerRecord> Servers;
-        for (auto const &Object : valueOf(Read).Objects_)
-          if (auto const Server = Codec.decodeServer(Object))
-            Servers.push_back(*Server);
-        Done(Servers);
-      });
-}
 
 } // namespace
 
 StreamOriginTasks::StreamOriginTasks(StreamOriginDependencies Dependencies,
-                                     std::string const &Name)
+                                     std::string const &Name,
+                                     EntryInstance const &Self)
     : Dependencies_(Dependencies),
-      Records_(std::make_shared<StreamOriginRecords>(
-          Dependencies.Store_, Name,
-          [Dependencies](Duration Timeout,
-                         StreamOriginRecords::ServerListDone const &Done) {
-            readServerList(Dependencies, Timeout, Done);
-          })),
-      Timer_(Dependencies.Context_) {}
-
-void StreamOriginTasks::start() {
+      Records_(
+          std::make_shared<StreamOriginRecords>(Dependencies.Store_, Name)),
+      Copies_(Self), Timer_(Dependencies.Context_) {}
+
+void StreamOriginTasks::start(std::shared_ptr<PeerNetwork> Peers) {
+  Peers_ = std::move(Peers);
+  Dependencies_.Traffic_.streamOrigins().setBegunListener(
+      [this](BegunStream const &Stream) {
+        asio::post(Dependencies_.Context_, [this, Stream] { onBegun(Stream); });
+      });
   Dependencies_.Traffic_.streamOrigins().setFinder(
       [this](StreamTakeUp const &Wanted, StreamOriginRecords::Done Done) {
         asio::post(
             Dependencies_.Context_,
             [this, Wanted, Done = std::move(Done)] { find(Wanted, Done); });
       });
-  Dependencies_.Traffic_.streamOrigins().setUnidentifiedListener(
-      [this](ServerId const &Incarnation) {
+  Dependencies_.Traffic_.streamOrigins().setNeedListener(
+      [this](StreamOriginDirectory::Need Need, ServiceName const &Service) {
         asio::post(Dependencies_.Context_,
-                   [this, Incarnation] { onUnidentified(Incarnation); });
+                   [this, Need, Service] { onNeed(Need, Service); });
       });
+  Records_->setListener([this](RecordedOrigins const &Recorded) {
+    asio::post(Dependencies_.TrafficContext_,
+               [&Traffic = Dependencies_.Traffic_, Recorded] {
+                 Traffic.setRecordedOrigins(Recorded);
+               });
+  });
 }
 
-void StreamOriginTasks::onUnidentified(ServerId const &Incarnation) {
-  bool const IsNew =
-      Unidentified_.insert_or_assign(Incarnation, readBootClock()).second;
-  if (IsNew)
-    serversChanged();
+void StreamOriginTasks::onNeed(StreamOriginDirectory::Need Need,
+                               ServiceName const &Service) {
+  auto const Now = readBootClock();
+  if (Need == StreamOriginDirectory::Need::Move)
+    Records_->onStreamsWait(timeOfDay(Now), Now);
+  else
+    Records_->onUnidentified(Service, timeOfDay(Now), Now);
+  arm();
 }
 
-void StreamOriginTasks::forgetUnidentified(TimePoint Now) {
-  auto const Forgotten = std::erase_if(Unidentified_, [&](auto const &Entry) {
-    return Now - Entry.second >= UnidentifiedTime;
-  });
-  if (Forgotten > 0)
-    serversChanged();
+void StreamOriginTasks::onHistoryListed(ObjectList const &Listed) {
+  auto const Now = readBootClock();
+  Records_->onHistoryListed(Listed, timeOfDay(Now), Now);
+  arm();
+}
+
+void StreamOriginTasks::onHistoryChanged(
+    std::vector<StoredObject> const &Objects) {
+  auto const Now = readBootClock();
+  Records_->onHistoryChanged(Objects, timeOfDay(Now), Now);
+  arm();
 }
 
 void StreamOriginTasks::find(StreamTakeUp const &Wanted,
                              StreamOriginRecords::Done const &Done) {
   auto const Now = readBootClock();
-  Records_->setPeers(peerReach(Now), Live_);
-  Records_->setListAge(Contact_.isListCurrent(Now)
-                           ? StreamOriginRecords::ListAge::Current
-                           : StreamOriginRecords::ListAge::Outdated);
-  Records_->find(Wanted, timeOfDay(Now), Now, logged(Wanted, Now, Done));
+  auto const Report = logged(Wanted, Now, Done);
+  send(Copies_.find(Wanted.FirstAttemptId_, Now,
+                    [this, Wanted, Report](auto const &Copy) {
+                      if (Copy)
+                        return Report({Copy, OriginSource::Copy});
+                      auto const Now = readBootClock();
+                      Records_->find(Wanted, timeOfDay(Now), Now, Report);
+                    }));
   arm();
 }
 
+void StreamOriginTasks::onBegun(BegunStream const &Stream) {
+  send(Copies_.onBegun(Stream, readBootClock()));
+}
+
+void StreamOriginTasks::send(std::vector<SendToPeer> const &Messages) {
+  for (auto const &Message : Messages)
+    Peers_->send(Message);
+}
+
+bool StreamOriginTasks::onPeer(StoreUpdate const &Update) {
+  bool const IsOfCopies = Copies_.onUpdate(Update, readBootClock());
+  if (IsOfCopies)
+    arm();
+  return IsOfCopies;
+}
+
+bool StreamOriginTasks::onPeer(SnapshotRequest const &Request) {
+  auto const Answer = Copies_.onRequest(Request, readBootClock());
+  if (Answer)
+    Peers_->send(*Answer);
+  return Answer.has_value();
+}
+
 StreamOriginRecords::Done
 StreamOriginTasks::logged(StreamTakeUp const &Wanted, TimePoint Now,
                           StreamOriginRecords::Done Done) const {
-  LogLine Line("stream_origin");
-  Line.add("first_attempt", Wanted.FirstAttemptId_)
-      .add("live", Live_)
-      .add("registered", Registered_);
-  if (auto const At = Contact_.peerMessageAt())
-    Line.add("peer_age_ms", Now - *At);
-  if (auto const At = Contact_.listConfirmedAt())
-    Line.add("list_age_ms", Now - *At);
-  return [&Log = Dependencies_.Log_, Line, Now,
-          Done = std::move(Done)](OriginAnswer const &Answer) {
-    auto Complete = Line;
-    Log.write(Complete.add("source", toString(Answer.Source_))
-                  .add("search_ms", readBootClock() - Now));
-    Done(Answer);
-  };
-}
-
-StreamOriginRecords::PeerReach StreamOriginTasks::peerReach(TimePoint Now) {
-  bool const IsAlone = Live_ <= 1;
-  return 2 * Live_ > Registered_ && (IsAlone || Contact_.hearsPeers(Now))
-             ? StreamOriginRecords::PeerReach::Most
-             : StreamOriginRecords::PeerReach::Few;
+  return
+      [this, Wanted, Now, Done = std::move(Done)](OriginAnswer const &Answer) {
+        Dependencies_.Log_.write(
+            LogLine("stream_origin")
+                .add("first_attempt", Wanted.FirstAttemptId_)
+                .add("source", toString(Answer.Source_))
+                .add("search_ms", readBootClock() - Now)
+                .add("versions", Records_->versionsOf(Wanted.Service_)));
+        Done(Answer);
+      };
 }
 
 void StreamOriginTasks::replaceServers(
@@ -134,14 +147,8 @@
 
 void StreamOriginTasks::serversChanged() {
   std::vector<ServerRecord> Listed;
-  for (auto const &[Id, Server] : Servers_) {
-    Listed.push_back(Server);
-    if (!Unidentified_.contains(incarnationOf(Server)))
-      continue;
-    // Its streams may have begun at any version.
+  for (auto const &[Id, Server] : Servers_)
     Listed.push_back(Server);
-    Listed.back().SoftwareVersion_ = UnidentifiedVersion;
-  }
   auto const Now = readBootClock();
   Records_->setListed(Listed, timeOfDay(Now), Now);
   arm();
@@ -150,16 +157,18 @@
 void StreamOriginTasks::setReaderRole(relay::ReaderRole Role) {
   auto const Now = readBootClock();
   Records_->setHistoryRole(Role == relay::ReaderRole::None
-                               ? StreamOriginRecords::HistoryRole::Reads
-                               : StreamOriginRecords::HistoryRole::Keeps,
+                               ? OriginHistory::Role::Reads
+                               : OriginHistory::Role::Keeps,
                            timeOfDay(Now), Now);
   arm();
 }
 
-void StreamOriginTasks::setPeers(std::size_t Live, std::size_t Registered) {
-  Live_ = Live;
-  Registered_ = Registered;
-  Records_->setPeers(peerReach(readBootClock()), Live);
+void StreamOriginTasks::setMembers(std::vector<Member> const &Members) {
+  Copies_.setMembers(Members);
+  Records_->setLive(static_cast<std::size_t>(
+      std::count_if(Members.begin(), Members.end(), [](Member const &Member) {
+        return Member.Liveness_ == Liveness::Live;
+      })));
 }
 
 void StreamOriginTasks::onStoreRestored() {
@@ -187,7 +196,7 @@
 void StreamOriginTasks::arm() {
   auto const TimeOfDay = timeOfDay(readBootClock());
   setRecording(Records_->isMixed(TimeOfDay));
-  if (IsArmed_ || !Records_->isBusy(TimeOfDay))
+  if (IsArmed_ || !(Records_->isBusy(TimeOfDay) || Copies_.isBusy()))
     return;
   IsArmed_ = true;
   Timer_.expires_after(Period);
@@ -200,7 +209,7 @@
 
 void StreamOriginTasks::tick() {
   auto const Now = readBootClock();
-  forgetUnidentified(Now);
+  Copies_.tick(Now);
   Records_->tick(timeOfDay(Now), Now);
   arm();
 }
--- a/Services/laburnum-entry/StreamOriginTasks.h
+++ b/Services/laburnum-entry/StreamOriginTasks.h
@@ -3,8 +3,9 @@
 #include "RecordCodec.h"
 #include "TrafficPlane.h"
 
-#include <LibControl/ContactMonitor.h>
+#include <LibControl/PeerNetwork.h>
 #include <LibControl/StoreRelay.h>
+#include <LibControl/StreamOriginCopies.h>
 #include <LibControl/StreamOriginRecords.h>
 #include <LibLog/EventLog.h>
 
@@ -36,29 +37,33 @@
 public:
   /// Name is the instance's name, which its later incarnations keep.
   StreamOriginTasks(StreamOriginDependencies Dependencies,
-                    std::string const &Name);
+                    std::string const &Name, EntryInstance const &Self);
 
   /// Starts answering the traffic thread. To be called before traffic arrives.
-  void start();
+  void start(std::shared_ptr<PeerNetwork> Peers);
   void replaceServers(std::vector<ServerRecord> const &Servers);
   void updateServer(ServerRecord const &Server);
   void removeServer(ServerId const &Id);
   void setTable(std::shared_ptr<RouteTable const> Table);
   void setReaderRole(relay::ReaderRole Role);
-  void setPeers(std::size_t Live, std::size_t Registered);
-  ContactMonitor &contact() { return Contact_; }
+  void setMembers(std::vector<Member> const &Members);
+  /// Returns whether the message concerns copies of origins.
+  bool onPeer(StoreUpdate const &Update);
+  bool onPeer(SnapshotRequest const &Request);
+  /// The history as it was received from another instance.
+  void onHistoryListed(ObjectList const &Listed);
+  void onHistoryChanged(std::vector<StoredObject> const &Objects);
   void onStoreRestored();
 
 private:
   void serversChanged();
-  void onUnidentified(ServerId const &Incarnation);
-  void forgetUnidentified(TimePoint Now);
+  void onNeed(StreamOriginDirectory::Need Need, ServiceName const &Service);
+  void onBegun(BegunStream const &Stream);
   void find(StreamTakeUp const &Wanted, StreamOriginRecords::Done const &Done);
+  void send(std::vector<SendToPeer> const &Messages);
   /// Logs what an answer rests on, as of the time of the question.
   StreamOriginRecords::Done logged(StreamTakeUp const &Wanted, TimePoint Now,
                                    StreamOriginRecords::Done Done) const;
-  /// Whether this instance hears from most others, as of now.
-  StreamOriginRecords::PeerReach peerReach(TimePoint Now);
   Duration timeOfDay(TimePoint Now) const {
     return Dependencies_.Clock_.read(Now);
   }
@@ -70,12 +75,9 @@
 
   StreamOriginDependencies Dependencies_;
   std::shared_ptr<StreamOriginRecords> Records_;
+  StreamOriginCopies Copies_;
+  std::shared_ptr<PeerNetwork> Peers_;
   std::map<ServerId, ServerRecord> Servers_;
-  /// Incarnations whose processes did not identify themselves, and when.
-  std::map<ServerId, TimePoint> Unidentified_;
-  ContactMonitor Contact_;
-  std::size_t Live_ = 1;
-  std::size_t Registered_ = 0;
   asio::steady_timer Timer_;
   bool IsArmed_ = false;
   bool IsRecording_ = false;
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -106,6 +106,12 @@
   Roster_.setConnectionLimits(std::move(Limits));
 }
 
+void TrafficPlane::setRecordedOrigins(RecordedOrigins Recorded) {
+  Roster_.setRecorded(Recorded.Versions_);
+  Origins_.setRecorded(std::move(Recorded));
+  advanceQueue();
+}
+
 void TrafficPlane::applySettings(EntrySettings const &Settings) {
   Retries_.setBounds(retryBudgetSettings(Settings));
   QuotaLimiter_.setTolerances(quotaLimiterSettings(Settings));
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -89,6 +89,9 @@
 
   StreamOriginDirectory &streamOrigins() { return Origins_; }
 
+  /// Sets where streams may begin.
+  void setRecordedOrigins(RecordedOrigins Recorded);
+
   /// Sets the listener that sends changed rate limits of servers to the peers.
   void setRateLimitListener(RateLimitObserver::Listener Listener) {
     RateLimits_.setListener(std::move(Listener));
--- a/Tests/EntryProcess/TestPartitionedInstances.cpp
+++ b/Tests/EntryProcess/TestPartitionedInstances.cpp
@@ -24,10 +24,10 @@
 /// Begins streams at an instance until some have begun at the version.
 std::deque<StreamClient> beginAt(VersionedFleet &Fleet, std::size_t Instance,
                                  std::string const &Version) {
+  auto const Prefix = "at-" + std::to_string(Instance) + "-round-";
   std::deque<StreamClient> Begun;
   for (int Round = 0; Round < 40; ++Round) {
-    Begun =
-        beginStreams(Fleet, Instance, "round-" + std::to_string(Round) + "-");
+    Begun = beginStreams(Fleet, Instance, Prefix + std::to_string(Round) + "-");
     if (std::any_of(Begun.begin(), Begun.end(), [&](auto const &Client) {
           return versionsOf(Client.events()).contains(Version);
         }))
--- a/Tests/LibHttp/AnswerRecorder.h
+++ b/Tests/LibHttp/AnswerRecorder.h
@@ -21,7 +21,10 @@
     OtherProcess_ = Process;
     HasFailedBefore_ = Evidence_.has_value();
   }
-  void onUnidentified() override { IsUnidentified_ = true; }
+  void onUnidentified(DecideUnidentified const &Decide) override {
+    IsUnidentified_ = true;
+    Decide(UnidentifiedUse::Allowed);
+  }
   void onFailed(AttemptEvidence const &Evidence) override {
     Evidence_ = Evidence;
   }
