LibTraffic: Remember a stream's origin only where its client is

An instance that reaches no server passes a stream on. The one that began it remembered its origin, too, and recorded it for take-ups elsewhere. If the answer was lost between the two before the client had an event, and a third instance began the stream at another version, the store held two origins of one attempt, and a take-up might go on at the wrong one.

The instance that sends the stream to its client knows what began it from the answer that it relays, and now is the only one that remembers it. The new test was not run without the change.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -284,6 +284,10 @@
 
 void ExchangeFlow::rememberOrigin(StreamOrigin const &Origin) {
   Origin_ = Origin;
+  // The instance that passes a stream on may get it from another one in the
+  // end, and remembers what it sends to the client.
+  if (Context_.Source_ == RequestSource::Peer)
+    return;
   if (Context_.Route_->Repeatability_ == Repeatability::Resumable &&
       !firstAttemptId().empty())
     Actions_.push_back(RememberOrigin{{firstAttemptId(), *Origin_}});
--- a/Tests/LibTraffic/TestStreamFlow.cpp
+++ b/Tests/LibTraffic/TestStreamFlow.cpp
@@ -407,3 +407,22 @@
   else
     CHECK(Run.find<AbortStream>());
 }
+
+// Guards against two origins of one stream: the client got nothing of a run
+// that another instance had begun, and then the events of a second run.
+TEST_CASE("Only the instance that sends a stream to its client remembers what "
+          "began it") {
+  auto const Source = GENERATE(RequestSource::Client, RequestSource::Peer);
+  RequestMetadata Metadata;
+  Metadata.AttemptId_ = "first";
+  Metadata.Peer_.Support_ = PeerFieldSupport::Full;
+  Harness Run(routeOf(Repeatability::Resumable, AnswerForm::EventStream),
+              Metadata, Source);
+  Run.handle(ServerAssigned{versionedServer("a", "v1")});
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{"id: 1\ndata: x\n\n"});
+  REQUIRE(Run.find<RelayEvents>());
+  CHECK((Run.find<RememberOrigin>() != nullptr) ==
+        (Source == RequestSource::Client));
+  CHECK(Run.Flow_->origin() == StreamOrigin{ServiceName("writer"), "v1"});
+}
