LibHttp: Take an answer with a status that HTTP does not have for none

Here 000 to 099 counted as interim answers, so that the client waited for the final one until its deadline, and 600 to 999 were passed on.

A status outside 100 to 599, or 101, which nobody asked for, makes the answer malformed at once, and so does an interim answer that states a body: the attempt has failed after it may have run, and the client gets 502 or another server's answer. An interim status without a body is followed by the final answer and is waited for, as before.

Before the change "An answer whose status HTTP does not have is malformed" fails for all seven statuses and "An interim answer with a body is malformed" for both fields; the process test was run with the change only.

--- a/Libraries/LibHttp/MessageReader.cpp
+++ b/Libraries/LibHttp/MessageReader.cpp
@@ -18,6 +18,18 @@
 
 std::string toText(ParserText Text) { return {Text.data(), Text.size()}; }
 
+/// Returns whether HTTP has the status (RFC 9110, section 15), and a server may
+/// answer with it: none was asked to switch protocols.
+bool isAnswerStatus(int Status) {
+  constexpr int SwitchingProtocols = 101;
+  return Status >= 100 && Status <= 599 && Status != SwitchingProtocols;
+}
+
+bool framesBody(HeaderFields const &Fields) {
+  return Fields.count("Content-Length") > 0 ||
+         Fields.count("Transfer-Encoding") > 0;
+}
+
 MessageFault faultOf(ParserError Failure) {
   if (Failure == http::error::header_limit)
     return MessageFault::HeadTooLarge;
@@ -152,26 +164,30 @@
     this->skip(Method_ == "HEAD");
   }
 
-  bool isInterim() const {
-    constexpr std::int32_t FirstFinalStatus = 200;
-    return this->is_done() && Head_.Status_ < FirstFinalStatus;
-  }
+  bool isInterim() const { return this->is_done() && hasInterimStatus(); }
 
   AnswerHead Head_;
   std::string Method_;
 
 private:
+  bool hasInterimStatus() const {
+    constexpr std::int32_t FirstFinalStatus = 200;
+    return Head_.Status_ < FirstFinalStatus;
+  }
   void on_request_impl(http::verb /*Verb*/, ParserText /*Method*/,
                        ParserText /*Target*/, int /*Version*/,
                        ParserError & /*Failure*/) override {}
   void on_response_impl(int Status, ParserText /*Reason*/, int /*Version*/,
-                        ParserError & /*Failure*/) override {
+                        ParserError &Failure) override {
     Head_.Status_ = Status;
+    if (!isAnswerStatus(Status))
+      Failure = http::error::bad_status;
   }
   void on_header_impl(ParserError &Failure) override {
     Head_.Fields_ = std::move(Fields_);
     if (Head_.Fields_.count("Content-Length") > 1 ||
-        Head_.Fields_.count("Transfer-Encoding") > 1)
+        Head_.Fields_.count("Transfer-Encoding") > 1 ||
+        (hasInterimStatus() && framesBody(Head_.Fields_)))
       Failure = http::error::bad_transfer_encoding;
   }
 };
--- a/Tests/EntryProcess/TestFaultyServers.cpp
+++ b/Tests/EntryProcess/TestFaultyServers.cpp
@@ -219,6 +219,32 @@
   CHECK(Received.Body_.empty());
 }
 
+// Guards against a client that gets a server's broken status as an answer, or
+// waits for it until the deadline.
+TEST_CASE_METHOD(ScriptedFixture,
+                 "An answer whose status HTTP does not have is no answer") {
+  std::string const Status =
+      GENERATE("000", "099", "101", "199", "600", "777", "999");
+  auto const *const Ending = GENERATE("Content-Length: 5\r\n", "");
+  CAPTURE(Status, Ending);
+  // 199 without a length is an interim answer, and its final one may follow.
+  if (Status == "199" && std::string(Ending).empty())
+    return;
+  add("i-10", [&](ScriptedServer::Peer &Peer, std::string const &AttemptId,
+                  std::size_t) {
+    Peer.write("HTTP/1.1 " + Status + " Odd\r\nX-Attempt-Id: " + AttemptId +
+               "\r\nX-Server-Stamp: stamp\r\n" + Ending + "\r\nwhole");
+  });
+  Instance_->process().awaitLine("server_changed server=i-10");
+  auto const *const Path = GENERATE("/order/x", "/read/x", "/stream/x");
+  auto const SentAt = readClock();
+  auto const Received = send("POST", Path);
+  CHECK(Received.Status_ == 502);
+  CHECK(Received.Body_.empty());
+  // Well before the deadline.
+  CHECK(readClock() - SentAt < std::chrono::seconds(1));
+}
+
 namespace {
 
 /// The most memory that the process has used so far, in bytes.
--- a/Tests/LibHttp/TestMessageReader.cpp
+++ b/Tests/LibHttp/TestMessageReader.cpp
@@ -119,6 +119,25 @@
   CHECK(Reader.takeBody() == "ok");
 }
 
+// Guards against a server's broken status that a client gets, or that is taken
+// for an interim answer, so that the final one is waited for.
+TEST_CASE("An answer whose status HTTP does not have is malformed") {
+  std::string const Status =
+      GENERATE("000", "001", "099", "101", "600", "700", "999");
+  auto const Reader =
+      readAnswer("HTTP/1.1 " + Status + " Odd\r\nContent-Length: 2\r\n\r\nok");
+  CHECK(Reader.fault() == MessageFault::Malformed);
+  CHECK_FALSE(Reader.isDone());
+}
+
+TEST_CASE("An interim answer with a body is malformed") {
+  std::string const Field =
+      GENERATE("Content-Length: 5", "Transfer-Encoding: chunked");
+  auto const Reader =
+      readAnswer("HTTP/1.1 100 Continue\r\n" + Field + "\r\n\r\nwhole");
+  CHECK(Reader.fault() == MessageFault::Malformed);
+}
+
 TEST_CASE("Hop-by-hop fields are removed") {
   HeaderFields Fields;
   for (auto const *Name : {"Connection", "Keep-Alive", "Transfer-Encoding",
