LibHttp: Believe no answer that ends before its server has the request

Where the reset comes first it can't happen here: the attempt fails. But a server that closes its side and then resets is seen to end in order, its process lives, and the part counted as whole. Now such an end is not believed while a part of the request is unwritten or not acknowledged, or once the server has reset the connection, which is looked at again after the server's process was asked. The socket is kept until then.

Before the change "An answer without a length that ends while its upload is being written is not whole" fails where the server closes its side first, and "... if its connection is reset after the server has closed its side" fails; a reset at once, and an answer after the whole upload, pass before and after.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -4,7 +4,9 @@
 #include <asio/write.hpp>
 
 #include <array>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <utility>
 
 namespace laburnum {
@@ -139,7 +141,25 @@
          Info.tcpi_state == TCP_CLOSE_WAIT;
 }
 
+bool Connection::hasPeerRefusedBytes() {
+  if (IsBroken_ || Unwritten_ > 0)
+    return true;
+  if (State_ != State::Ended)
+    return false;
+  int Failure = 0;
+  socklen_t Size = sizeof(Failure);
+  // Where the kernel does not tell, nothing is known to be left.
+  int Untaken = 0;
+  return (::getsockopt(Socket_.native_handle(), SOL_SOCKET, SO_ERROR, &Failure,
+                       &Size) == 0 &&
+          Failure != 0) ||
+         (::ioctl(Socket_.native_handle(), SIOCOUTQ, &Untaken) == 0 &&
+          Untaken > 0);
+}
+
 void Connection::close() {
+  if (State_ == State::Ended)
+    return release();
   if (State_ != State::Open)
     return;
   State_ = State::Closing;
@@ -178,7 +198,11 @@
 
 void Connection::end(ConnectionEnd End) {
   auto const Observer = std::move(Observer_);
-  release();
+  IsBroken_ |= End == ConnectionEnd::Broken;
+  if (IsKeptAfterEnd_ && State_ == State::Open && End == ConnectionEnd::Orderly)
+    State_ = State::Ended;
+  else
+    release();
   if (Observer)
     Observer->onEnd(End);
 }
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -70,12 +70,18 @@
   /// connection.
   void abortForMemory();
   bool isOpen() const { return State_ == State::Open; }
+  /// Keeps the socket once the peer has closed its side, so that what follows
+  /// shows whether it has taken what was written.
+  void keepAfterEnd() { IsKeptAfterEnd_ = true; }
+  /// Whether the peer has closed its side without having taken everything that
+  /// was written: bytes are left, or it has reset the connection since.
+  bool hasPeerRefusedBytes();
   /// Whether the peer has closed its side, though bytes that it sent before may
   /// still be unread. False if the kernel does not tell.
   bool hasPeerClosed();
 
 private:
-  enum class State { Open, Closing, Closed };
+  enum class State { Open, Closing, Ended, Closed };
 
   explicit Connection(asio::ip::tcp::socket Socket);
   void waitForBytes();
@@ -94,6 +100,8 @@
   State State_ = State::Open;
   bool IsWaiting_ = false;
   bool IsWriting_ = false;
+  bool IsKeptAfterEnd_ = false;
+  bool IsBroken_ = false;
 };
 
 /// Sets the socket options that every connection uses: TCP_NODELAY, and
--- a/Libraries/LibHttp/OutboundCall.cpp
+++ b/Libraries/LibHttp/OutboundCall.cpp
@@ -199,6 +199,7 @@
   Reader_ = AnswerReader(Request_.AnswerBounds_, Request_.Head_.Method_);
   Progress_ = AttemptProgress::RequestSent;
   HasWrittenAll_ = false;
+  Connection_->keepAfterEnd();
   Connection_->write(
       serialize(Request_.Head_, Request_.Body_.size()).append(Request_.Body_));
 }
@@ -305,6 +306,9 @@
   if (isOver())
     return;
   if (End == ConnectionEnd::Orderly && HasTakenHead_ && !IsSkipping_) {
+    if (Reader_.framing() == AnswerFraming::EndsWithConnection &&
+        Connection_->hasPeerRefusedBytes())
+      return failUntaken();
     if (needsWitness())
       return verifyEnd();
     Reader_.endOfInput();
@@ -316,6 +320,11 @@
                                          : "connection reset");
 }
 
+void OutboundCall::failUntaken() {
+  fail(AttemptEnd::ConnectionFailed,
+       "closed before the server had taken the request");
+}
+
 void OutboundCall::verifyEnd() {
   if (AnswerWitness_) {
     if (AnswerWitness_->hasEndedWithAnswer(readClock()))
@@ -343,6 +352,8 @@
 
 void OutboundCall::onWitness(WitnessAnswer const &Answer) {
   Witness_.reset();
+  if (isProof(Answer) && Connection_->hasPeerRefusedBytes())
+    return failUntaken();
   if (isProof(Answer)) {
     Reader_.endOfInput();
     return deliver();
--- a/Libraries/LibHttp/OutboundCall.h
+++ b/Libraries/LibHttp/OutboundCall.h
@@ -120,6 +120,9 @@
   /// Whether the answer ends with its connection, and is used only if its
   /// server's process has outlived it.
   bool needsWitness() const;
+  /// Ends a call whose answer ended with its connection while the server had
+  /// not taken the whole request, so that it may have broken off.
+  void failUntaken();
   /// Finds out whether the process has outlived its answer.
   void verifyEnd();
   void askWitness();
--- a/Tests/LibHttp/Loopback.h
+++ b/Tests/LibHttp/Loopback.h
@@ -46,6 +46,12 @@
     asio::error_code Ignored;
     Socket_.close(Ignored);
   }
+  /// Closes this side; bytes are still received.
+  void closeSending() {
+    Socket_.shutdown(asio::ip::tcp::socket::shutdown_send);
+  }
+  /// Leaves what comes unread.
+  void stopReading() { Socket_.cancel(); }
   void reset() {
     Socket_.set_option(asio::socket_base::linger(true, 0));
     close();
