Tests: Let no streams of earlier rounds fill the servers of the cut play

Beside two soaks the play of cut-off instances failed in 8 checks with 0 versions instead of one: streams that had not begun. It begins rounds of 12 streams until some have the new version, and kept those of the round before, while two servers have room for 16. With the earlier round closed, rounds are short, and 40 of them ended before others read the store in place of readers that are cut off (once in two runs, in 8 of its rounds). It now goes on for 20 s. The checks are the same.

--- a/Tests/EntryProcess/TestPartitionedInstances.cpp
+++ b/Tests/EntryProcess/TestPartitionedInstances.cpp
@@ -15,6 +15,9 @@
 using Partition = VersionedFleet::Partition;
 using Stop = VersionedFleet::Stop;
 
+/// By then others read the store for those that are cut off from it.
+constexpr std::chrono::seconds BeginTime{20};
+
 /// Sends requests to an instance for this time.
 void sendFor(VersionedFleet &Fleet, std::size_t Instance, Duration Time) {
   for (auto const End = readClock() + Time; readClock() < End;)
@@ -26,7 +29,10 @@
                                  std::string const &Version) {
   auto const Prefix = "at-" + std::to_string(Instance) + "-round-";
   std::deque<StreamClient> Begun;
-  for (int Round = 0; Round < 40; ++Round) {
+  auto const End = readClock() + BeginTime;
+  for (int Round = 0; readClock() < End; ++Round) {
+    // The servers have no room for the streams of two rounds.
+    Begun.clear();
     Begun = beginStreams(Fleet, Instance, Prefix + std::to_string(Round) + "-");
     if (std::any_of(Begun.begin(), Begun.end(), [&](auto const &Client) {
           return versionsOf(Client.events()).contains(Version);
