LibTraffic: Give streams' servers more time than their clients

Cause: a stream that its server ended with a mark was aborted from three quarters of its client's time on, as its server might have stopped at the deadline.

Change: a stream's server gets 400 ms more than its client has. An instance that passes a stream on leaves the margin to the next one.

Ruled out: believing marked ends without more time.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -112,7 +112,10 @@
   Access_ = Event.Access_;
   AttemptOrigin_ = {Event.Server_.Service_, Event.Server_.SoftwareVersion_};
   Answer_.reset();
-  auto const TimeLeft = std::max(Context_.Expiry_ - Now_, Duration(0));
+  // Another instance adds the margin for the server that it chooses.
+  auto const Margin =
+      isThroughPeer() ? Duration(0) : Context_.ServerDeadlineMargin_;
+  auto const TimeLeft = std::max(Context_.Expiry_ - Now_, Duration(0)) + Margin;
   AttemptDeadline_ =
       Now_ + std::chrono::floor<std::chrono::milliseconds>(TimeLeft);
   LastProgressAt_ = Now_;
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -170,6 +170,9 @@
   TimePoint Expiry_; ///< Deadline of the complete answer.
   RequestSource Source_ = RequestSource::Client;
   RequestTarget Target_ = {};
+  /// By how much a server's deadline is later than Expiry_. What a server ends
+  /// before Expiry_ it has not stopped at its own deadline.
+  Duration ServerDeadlineMargin_{};
 };
 
 } // namespace exchange
@@ -290,7 +293,8 @@
   StreamOrigin AttemptOrigin_; ///< What its server would begin.
   ServerAccess Access_ = ServerAccess::Direct;
   std::optional<ServerAnswer> Answer_;
-  TimePoint AttemptDeadline_{}; ///< As its server was told.
+  /// As its server was told, who may have more time than the client.
+  TimePoint AttemptDeadline_{};
   /// When the last event with an identifier was sent, or the request.
   TimePoint LastProgressAt_{};
   /// Between two such events; a longer one before is heeded for a while.
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -13,6 +13,10 @@
 /// How often waiting requests are retried for admission, in addition to each
 /// time a local attempt ends: requests of other instances free slots too.
 constexpr std::chrono::milliseconds QueuePeriod{15};
+/// How much longer than its client a stream's server may work. The platform
+/// allows half a second, of which the way of the request to the server and a
+/// second attempt take a part.
+constexpr std::chrono::milliseconds StreamDeadlineMargin{400};
 /// Retry-After of requests that arrive before the first configuration.
 constexpr std::chrono::milliseconds RetryAfterNotReady{500};
 
@@ -312,6 +316,8 @@
   auto const Allowed = std::min(
       Route->Timeout_, Metadata.TimeAllowed_.value_or(Route->Timeout_));
   FlowContext.Expiry_ = Request.BegunAt_ + Allowed;
+  if (Route->Form_ == AnswerForm::EventStream)
+    FlowContext.ServerDeadlineMargin_ = StreamDeadlineMargin;
   Retries_.countRequest(FlowContext.Service_, readBootClock());
   ++RequestsByService_[FlowContext.Service_];
   return std::make_shared<RequestSession>(*this, Exchange, std::move(Request),
--- a/Tests/LibTraffic/FlowHarness.h
+++ b/Tests/LibTraffic/FlowHarness.h
@@ -52,13 +52,15 @@
 struct Harness {
   explicit Harness(
       Route Given, RequestMetadata Metadata = {},
-      exchange::RequestSource Source = exchange::RequestSource::Client)
+      exchange::RequestSource Source = exchange::RequestSource::Client,
+      Duration ServerDeadlineMargin = {})
       : Route_(std::move(Given)) {
     exchange::FlowContext FlowContext;
     FlowContext.Metadata_ = std::move(Metadata);
     FlowContext.Route_ = &Route_;
     FlowContext.Expiry_ = Now_ + std::chrono::seconds(2);
     FlowContext.Source_ = Source;
+    FlowContext.ServerDeadlineMargin_ = ServerDeadlineMargin;
     Flow_.emplace(FlowContext, RetryGate_, Conventions_);
     Last_ = Flow_->start(Now_);
   }
--- a/Tests/LibTraffic/TestStreamEnds.cpp
+++ b/Tests/LibTraffic/TestStreamEnds.cpp
@@ -329,6 +329,31 @@
   }
 }
 
+TEST_CASE("A stream that ends near its client's deadline is complete where its "
+          "server has more time than its pauses last") {
+  constexpr milliseconds Margin{400};
+  Harness Run(stream(Repeatability::Never), {}, RequestSource::Client, Margin);
+  Run.attempt("a");
+  CHECK(Run.find<SendAttempt>()->Metadata_.TimeLeft_ == seconds(2) + Margin);
+  Run.handle(HeadArrived{Signed});
+  Run.Now_ += milliseconds(1200);
+  Run.handle(BodyArrived{"id: 1\ndata: x\n\n"});
+  auto const Pause = GENERATE(350, 700);
+  Run.Now_ += milliseconds(Pause);
+  Run.handle(BodyArrived{"id: 2\ndata: x\n\n"});
+  Run.Now_ += milliseconds(1990 - 1200 - Pause);
+  Run.handle(Marked);
+  CHECK((Run.find<FinishStream>() != nullptr) == (Pause == 350));
+  CHECK((Run.find<AbortStream>() != nullptr) == (Pause == 700));
+}
+
+TEST_CASE("An instance that passes a stream on leaves the server's margin to "
+          "the next one") {
+  Harness Run(stream(), {}, RequestSource::Client, milliseconds(400));
+  Run.handle(ServerAssigned{server("b"), ServerAccess::ThroughPeer});
+  CHECK(Run.find<SendAttempt>()->Metadata_.TimeLeft_ == seconds(2));
+}
+
 TEST_CASE("A plain answer without a marked end is not whole at the deadline") {
   Harness Run(routeOf(Repeatability::Never, AnswerForm::Complete));
   Run.attempt("a");
