LibTraffic, LibControl: Place requests for model engines by their work

Cause: requests were counted against slots, and each instance knew only its own.

Change: instances report the prompt tokens that they have placed at each server and that are not read yet; the collectors add them up and broadcast the sums. A request goes to the server that is predicted to answer first of a few: two that are likely to keep its shared parts, and two drawn at random, as the sums are up to a second old and all instances use the same ones. Servers are ordered by tokens a second, learned speed and the latency targets. Only services with an engine whose memory is smaller than long prompts in all its slots are served so. The load header's fourth figure is read.

--- a/Libraries/LibControl/CapacityPlanner.cpp
+++ b/Libraries/LibControl/CapacityPlanner.cpp
@@ -21,6 +21,12 @@
 /// Limits the request duration used for the need to this multiple of the
 /// typical one.
 constexpr double MaxTimeFactor = 1.3;
+/// The mean wait for a server that reads prompts, as a fraction of the latency
+/// target. The longest waits are several times the mean.
+constexpr double WaitShareOfTarget = 0.2;
+/// Bounds of the part of their time that such servers read.
+constexpr double MinWorkUtilisation = 0.3;
+constexpr double MaxWorkUtilisation = 0.75;
 /// Time after its boot time until an ordered server appears in the list.
 constexpr std::chrono::milliseconds ListingAllowance{1500};
 /// Missing reclaimable servers are ordered again after this time.
@@ -91,8 +97,33 @@
                       Input.LatencyTarget_);
     Busy = std::min(Busy, PerSecond_ * *TypicalTime_ * MaxTimeFactor);
   }
-  return highest(Needs_, roundUp(Busy / (Settings_.Utilisation_ * Slots)),
-                 Settings_.NeedRetention_, Now);
+  LastNeedByWork_ = roundUp(serversForWork(Input));
+  return highest(
+      Needs_,
+      std::max(roundUp(Busy / (Settings_.Utilisation_ * Slots)),
+               LastNeedByWork_),
+      Settings_.NeedRetention_, Now);
+}
+
+/// Returns how many servers read the prompts so that a request waits a fraction
+/// of its latency target on average. In a queue with utilisation U a request
+/// finds the residual R of the one in progress and waits R * U / (1 - U)
+/// (Pollaczek and Khinchine).
+double CapacityPlanner::serversForWork(CapacityInput const &Input) {
+  if (!Input.Work_ || Input.Work_->ReadPerSecond_ == 0)
+    return 0.0;
+  auto const &Work = *Input.Work_;
+  TokensPerSecond_ +=
+      DemandWeight *
+      (static_cast<double>(Work.UnsharedPerSecond_) - TokensPerSecond_);
+  auto const Speed = static_cast<double>(Work.ReadPerSecond_);
+  auto const Residual = static_cast<double>(Work.ResidualTokens_) / Speed;
+  auto const Wait =
+      WaitShareOfTarget *
+      std::chrono::duration<double>(Input.LatencyTarget_).count();
+  auto const Utilisation = std::clamp(Wait / (Wait + Residual),
+                                      MinWorkUtilisation, MaxWorkUtilisation);
+  return TokensPerSecond_ / (Speed * Utilisation);
 }
 
 /// Counts the ready servers per pool. The list lags behind a scale-down order:
--- a/Libraries/LibControl/CapacityPlanner.h
+++ b/Libraries/LibControl/CapacityPlanner.h
@@ -2,6 +2,7 @@
 
 #include <LibControl/DemandView.h>
 #include <LibCore/Time.h>
+#include <LibPeer/EngineWork.h>
 #include <LibPlatform/FencedPlatformApi.h>
 #include <LibTraffic/Route.h>
 #include <LibTraffic/ServerRecord.h>
@@ -47,6 +48,9 @@
   std::uint32_t Slots_ = 1; ///< Concurrent requests of one server.
   FleetDemand Demand_;
   std::vector<ServerRecord> Servers_;
+  /// What the requests ask of servers that are busy reading before their slots
+  /// are in use.
+  std::optional<ServiceWork> Work_ = std::nullopt;
   /// The lowest latency target among the service's routes.
   Duration LatencyTarget_ = std::chrono::seconds(1);
 };
@@ -80,6 +84,8 @@
   void reset();
 
   std::uint32_t need() const { return LastNeed_; }
+  /// The servers that the work alone asks for, as a part of need().
+  std::uint32_t needByWork() const { return LastNeedByWork_; }
 
 private:
   struct ServerPool {
@@ -97,6 +103,7 @@
 
   std::uint32_t retainedNeed(CapacityInput const &Input, std::size_t Ready,
                              TimePoint Now);
+  double serversForWork(CapacityInput const &Input);
   void updateTypicalTime(double RequestTime, double Fullness, Duration Target);
   Counts ready(CapacityInput const &Input, TimePoint Now) const;
   Counts desired(CapacityInput const &Input, Counts const &Ready,
@@ -124,6 +131,8 @@
   std::map<ServerPool, TimePoint> RefusedUntil_;
   TimePoint LastShrink_{};
   std::uint32_t LastNeed_ = 0;
+  std::uint32_t LastNeedByWork_ = 0;
+  double TokensPerSecond_ = 0.0; ///< Smoothed.
 };
 
 } // namespace laburnum
--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -57,6 +57,21 @@
 auto fieldsOf(Of<ServerRateLimits> auto &Value) {
   return std::tie(Value.Limits_);
 }
+auto fieldsOf(Of<ServerWork> auto &Value) {
+  return std::tie(Value.Incarnation_, Value.UnreadTokens_, Value.MemoryTokens_,
+                  Value.PreferredPerSecond_);
+}
+auto fieldsOf(Of<ServiceWork> auto &Value) {
+  return std::tie(Value.Service_, Value.UnsharedPerSecond_,
+                  Value.ReadPerSecond_, Value.ResidualTokens_);
+}
+auto fieldsOf(Of<EngineWorkReport> auto &Value) {
+  return std::tie(Value.Servers_, Value.Services_);
+}
+auto fieldsOf(Of<EngineWorkSum> auto &Value) {
+  return std::tie(Value.Origin_, Value.Number_, Value.Servers_,
+                  Value.Services_);
+}
 auto fieldsOf(Of<Endpoint> auto &Value) {
   return std::tie(Value.Host_, Value.Port_);
 }
--- a/Libraries/LibTraffic/Route.h
+++ b/Libraries/LibTraffic/Route.h
@@ -63,9 +63,19 @@
 
 /// Capacity of a model engine.
 struct EngineTraits {
+  /// The length of a long prompt, in tokens.
+  static constexpr std::uint64_t LongPromptTokens = 12000;
+
   std::uint32_t Slots_ = 0;
   std::uint64_t MemoryTokens_ = 0;
 
+  /// Whether the engine has fewer tokens of memory than long prompts in all its
+  /// slots would fill. The slots of such an engine do not show its load: it is
+  /// busy reading long before they are full.
+  bool isWorkBound() const {
+    return MemoryTokens_ > 0 && MemoryTokens_ < Slots_ * LongPromptTokens;
+  }
+
   auto operator<=>(EngineTraits const &) const = default;
 };
 
--- a/Libraries/LibTraffic/ServerRecord.h
+++ b/Libraries/LibTraffic/ServerRecord.h
@@ -51,6 +51,8 @@
   std::uint32_t Running_ = 0;
   std::uint32_t Waiting_ = 0;
   std::uint32_t Slots_ = 0;
+  /// How much longer its work takes at this moment than usual, as a factor.
+  double Slowdown_ = 1.0;
 
   auto operator<=>(ServerLoad const &) const = default;
 };
--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -34,6 +34,9 @@
 /// Traffic between regions costs ten times that between data centres.
 constexpr double OtherDataCentreCost = 0.03;
 constexpr double OtherRegionCost = 0.3;
+/// Time that distance adds to an answer of a server that is placed by work.
+constexpr std::chrono::milliseconds OtherDataCentreTime{3};
+constexpr std::chrono::milliseconds OtherRegionTime{20};
 
 /// How long the status of an incarnation is retained: it has ended by then.
 constexpr std::chrono::minutes StatusRetention{10};
@@ -198,12 +201,16 @@
   return load(Server, Now) + SlowAttemptWeight * Server.Attempts_.Slow_;
 }
 
+bool ServerRoster::isInLocalRegion(DataCentre const &Centre) const {
+  return Centre == Geography_.Local_ ||
+         regionOf(Geography_, Centre) ==
+             regionOf(Geography_, Geography_.Local_);
+}
+
 double ServerRoster::distanceCost(DataCentre const &Centre) const {
   if (Centre == Geography_.Local_)
     return 0.0;
-  return regionOf(Geography_, Centre) == regionOf(Geography_, Geography_.Local_)
-             ? OtherDataCentreCost
-             : OtherRegionCost;
+  return isInLocalRegion(Centre) ? OtherDataCentreCost : OtherRegionCost;
 }
 
 double ServerRoster::cost(Entry const &Server, TimePoint Now) const {
@@ -256,11 +263,51 @@
   return Order.front();
 }
 
+PlacementCandidate ServerRoster::candidateOf(Entry const &Server,
+                                             TimePoint Now) const {
+  bool const IsFresh = Server.LoadReportedAt_ + LoadValidity > Now;
+  auto const &Centre = Server.Record_.DataCentre_;
+  auto const Distance =
+      Centre == Geography_.Local_ ? Duration(0)
+      : isInLocalRegion(Centre)   ? Duration(OtherDataCentreTime)
+                                  : Duration(OtherRegionTime);
+  return {Backlog_.load(Server.Incarnation_, Now),
+          IsFresh ? Server.Slowdown_ : 1.0, Distance};
+}
+
+ServerRoster::Entry const *
+ServerRoster::byWork(std::vector<Entry const *> Usable,
+                     ServerQuery const &Query, TimePoint Now) {
+  if (!Query.Affinity_.empty()) {
+    Usable = rendezvousOrder(Query.Affinity_, std::move(Usable),
+                             [](Entry const *Server) -> std::string const & {
+                               return Server->Record_.Id_.text();
+                             });
+    // Other regions keep the shared parts for their own requests.
+    std::stable_partition(
+        Usable.begin(), Usable.end(), [&](Entry const *Server) {
+          return isInLocalRegion(Server->Record_.DataCentre_);
+        });
+    Backlog_.onPreferred(Usable.front()->Incarnation_, *Query.Work_);
+  }
+  std::vector<PlacementCandidate> Candidates;
+  for (auto const *Server : Usable)
+    Candidates.push_back(candidateOf(*Server, Now));
+  auto const Speed = ReadingSpeeds_.find(Query.Service_);
+  EngineEstimate const Engine{
+      Speed == ReadingSpeeds_.end() ? 0.0 : Speed->second,
+      Engines_.at(Query.Service_).MemoryTokens_};
+  auto const Placed = placeByWork(Candidates, *Query.Work_, Engine, Generator_);
+  return Usable[Placed.Candidate_];
+}
+
 std::optional<ServerRecord> ServerRoster::choose(ServerQuery const &Query,
                                                  TimePoint Now) {
   auto Usable = usable(Query, Now);
   if (Usable.empty())
     return std::nullopt;
+  if (Query.Work_ && isWorkBound(Query.Service_))
+    return byWork(std::move(Usable), Query, Now)->Record_;
   if (!Query.Affinity_.empty())
     return byAffinity(Usable, Query.Affinity_, Now)->Record_;
   // Ties are broken at random, so that instances do not all choose one server.
@@ -345,6 +392,7 @@
   auto &Server = *Found;
   auto const Total = static_cast<double>(Load.Running_ + Load.Waiting_);
   Server.RemoteRunning_ = std::max(0.0, Total - Server.Attempts_.Running_);
+  Server.Slowdown_ = Load.Slowdown_;
   Server.LoadReportedAt_ = Now;
 }
 
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include <LibModel/AttemptEvidence.h>
+#include <LibTraffic/EngineBacklog.h>
+#include <LibTraffic/RequestWork.h>
+#include <LibTraffic/Route.h>
 #include <LibTraffic/ServerRateLimiter.h>
 #include <LibTraffic/ServerRecord.h>
 #include <LibTraffic/StreamOrigins.h>
+#include <LibTraffic/WorkPlacement.h>
 
 #include <cstdint>
 #include <map>
@@ -39,6 +43,8 @@
   /// Only servers of this software version are chosen. Nothing: any.
   std::optional<std::string> SoftwareVersion_ = std::nullopt;
   VersionRequirement VersionRequirement_ = VersionRequirement::None;
+  /// What the request asks of a model engine.
+  std::optional<RequestWork> Work_ = std::nullopt;
 
   auto operator<=>(ServerQuery const &) const = default;
 };
@@ -99,6 +105,19 @@
     Recorded_ = std::move(Versions);
   }
 
+  /// Sets the services whose requests are placed by their work.
+  void setWorkBoundEngines(std::map<ServiceName, EngineTraits> Engines) {
+    Engines_ = std::move(Engines);
+  }
+  bool isWorkBound(ServiceName const &Service) const {
+    return Engines_.contains(Service);
+  }
+  /// Sets how many tokens a server of the service reads in a second.
+  void setReadingSpeed(ServiceName const &Service, double TokensPerSecond) {
+    ReadingSpeeds_[Service] = TokensPerSecond;
+  }
+  EngineBacklog &backlog() { return Backlog_; }
+
   /// Returns nothing when no server has free capacity.
   std::optional<ServerRecord> choose(ServerQuery const &Query, TimePoint Now);
   /// Returns whether any server of the service accepts requests, even if full.
@@ -188,6 +207,7 @@
     Attempts Attempts_;
     double RemoteRunning_ = 0.0; ///< Of other instances, as last reported.
     TimePoint LoadReportedAt_ = TimePoint::min();
+    double Slowdown_ = 1.0; ///< As last reported.
     std::uint32_t Failures_ = 0; ///< In a row.
     std::optional<double> MaxRefusalsPerSecond_;
     TimePoint EjectedUntil_ = TimePoint::min();
@@ -222,12 +242,16 @@
   double load(Entry const &Server, TimePoint Now) const;
   /// The load, increased for slow and failing servers.
   double adjustedLoad(Entry const &Server, TimePoint Now) const;
+  bool isInLocalRegion(DataCentre const &Centre) const;
   double distanceCost(DataCentre const &Centre) const;
   double cost(Entry const &Server, TimePoint Now) const;
   std::vector<Entry const *> usable(ServerQuery const &Query,
                                     TimePoint Now) const;
   Entry const *byAffinity(std::vector<Entry const *> const &Usable,
                           std::string const &Affinity, TimePoint Now) const;
+  Entry const *byWork(std::vector<Entry const *> Usable,
+                      ServerQuery const &Query, TimePoint Now);
+  PlacementCandidate candidateOf(Entry const &Server, TimePoint Now) const;
 
   Geography Geography_;
   std::mt19937_64 Generator_;
@@ -235,6 +259,9 @@
   std::size_t Registered_ = 0; ///< 0 until it is known.
   ServerRateLimiter RateLimiter_;
   std::set<StreamOrigin> Recorded_;
+  std::map<ServiceName, EngineTraits> Engines_;
+  std::map<ServiceName, double> ReadingSpeeds_;
+  EngineBacklog Backlog_;
   std::map<ServerId, Entry> Servers_;
   /// Of incarnations that are not listed while attempts are in progress.
   std::map<AttemptKey, Attempts> UnlistedAttempts_;
--- a/Libraries/LibTraffic/TrafficRequest.h
+++ b/Libraries/LibTraffic/TrafficRequest.h
@@ -4,6 +4,7 @@
 #include <LibHttp/Exchange.h>
 #include <LibHttp/ProcessIdentifier.h>
 #include <LibTraffic/PeerFields.h>
+#include <LibTraffic/RequestWork.h>
 #include <LibTraffic/RouteTable.h>
 #include <LibTraffic/ServerRecord.h>
 
@@ -35,6 +36,7 @@
   /// Identifiers of the prompt's parts, in order, but for the last one, which
   /// no other request shares.
   std::vector<std::string> SharedParts_;
+  std::uint64_t SharedTokens_ = 0; ///< Of these parts.
   /// Last event that the client has received.
   std::optional<std::uint64_t> LastEventId_;
   /// Whether the client takes up a stream of which it has received a part.
@@ -48,6 +50,15 @@
   auto operator<=>(RequestMetadata const &) const = default;
 };
 
+/// Returns what a generation asks of a model engine, or nothing if the request
+/// does not state its size.
+inline std::optional<RequestWork> workOf(RequestMetadata const &Metadata) {
+  if (!Metadata.Tokens_)
+    return std::nullopt;
+  return RequestWork{Metadata.Tokens_->Prompt_, Metadata.SharedTokens_,
+                     Metadata.Tokens_->MaxOutput_};
+}
+
 /// Metadata that an attempt adds to the request sent to a server, or to another
 /// entry instance.
 struct AttemptMetadata {
@@ -60,6 +71,11 @@
   std::string FirstAttemptId_;
   /// What began that stream.
   std::optional<StreamOrigin> Origin_;
+  /// In which order the server takes waiting requests, if it is to be told: 0
+  /// is first, MaxServerPriority last.
+  std::optional<std::uint32_t> ServerPriority_ = std::nullopt;
+
+  static constexpr std::uint32_t MaxServerPriority = 9;
 
   auto operator<=>(AttemptMetadata const &) const = default;
 };
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -54,7 +54,10 @@
                    IdentifierSource(Seed + 2).next()),
       LeaseHolderTasks_({Dependencies.Settings_, Store_,
                          Dependencies.PlatformApi_, Dependencies.Usage_,
-                         Dependencies.Log_, Dependencies.Metrics_},
+                         Dependencies.Log_, Dependencies.Metrics_,
+                         [this](ServiceName const &Service, TimePoint Now) {
+                           return EngineWorkTasks_.work(Service, Now);
+                         }},
                         Incarnation_, Seed + 3),
       Collector_(localInstance(Dependencies.Settings_, Incarnation_)),
       CrashGuardTasks_({Dependencies.Context_, Store_, Dependencies.Guard_,
@@ -76,6 +79,9 @@
                           Dependencies.Codec_, Dependencies.Log_},
                          Dependencies.Settings_.Name_,
                          localInstance(Dependencies.Settings_, Incarnation_)),
+      EngineWorkTasks_({Dependencies.Context_, Dependencies.TrafficContext_,
+                        Dependencies.Traffic_, Dependencies.Log_},
+                       localInstance(Dependencies.Settings_, Incarnation_)),
       Peers_(std::make_shared<PeerNetwork>(
           Dependencies.Context_, Store_, Dependencies.Settings_.Name_,
           localInstance(Dependencies.Settings_, Incarnation_), Seed + 4,
@@ -161,6 +167,7 @@
   CrashGuardTasks_.start(Peers_);
   RateLimitTasks_.start(Peers_);
   StreamOriginTasks_.start(Peers_);
+  EngineWorkTasks_.start(Peers_);
   awaitSignals();
   watchSettings();
   flushLog();
@@ -205,6 +212,7 @@
   Dependencies_.Metrics_.ConfigurationsApplied_.add();
   LeaseHolderTasks_.setTable(Table);
   StreamOriginTasks_.setTable(Table);
+  EngineWorkTasks_.setTable(*Table);
   onTraffic(
       [&Traffic = Dependencies_.Traffic_, Table] { Traffic.setTable(Table); });
 }
@@ -270,6 +278,7 @@
   RateLimitTasks_.setFleet(View,
                            IsStopping_ ? Liveness::Leaving : Liveness::Live);
   Collector_.setMembers(View.Members_, readBootClock());
+  EngineWorkTasks_.setMembers(View.Members_, Collector_.collectors());
   if (Collector_.isDirect())
     LeaseHolderTasks_.setConnectivity(Live >= View.Registered_ && Live > 1
                                           ? PeerConnectivity::Full
@@ -307,6 +316,10 @@
     });
   else if (auto const *const Limits = std::get_if<ServerRateLimits>(&Message))
     RateLimitTasks_.onPeer(*Limits);
+  else if (auto const *const Work = std::get_if<EngineWorkReport>(&Message))
+    EngineWorkTasks_.onPeer(From, *Work);
+  else if (auto const *const Sum = std::get_if<EngineWorkSum>(&Message))
+    EngineWorkTasks_.onPeer(*Sum);
   else if (auto const *const Update = std::get_if<StoreUpdate>(&Message))
     onStoreUpdate(*Update);
   else if (auto const *const Request = std::get_if<SnapshotRequest>(&Message))
@@ -375,6 +388,9 @@
     auto const Report = Dependencies_.Traffic_.reportConsumption();
     asio::post(Dependencies_.Context_, [this, Report] { sendReport(Report); });
   });
+  EngineWorkTasks_.report({Collector_.isDirect(), Collector_.isCollector(),
+                           Collector_.targets(readBootClock())},
+                          Period);
   ReportTimer_.expires_after(Period);
   ReportTimer_.async_wait([this](asio::error_code Failure) {
     if (!Failure)
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CrashGuardTasks.h"
+#include "EngineWorkTasks.h"
 #include "LeaseHolderTasks.h"
 #include "RateLimitTasks.h"
 #include "RecordCodec.h"
@@ -107,6 +108,7 @@
   CrashGuardTasks CrashGuardTasks_;
   RateLimitTasks RateLimitTasks_;
   StreamOriginTasks StreamOriginTasks_;
+  EngineWorkTasks EngineWorkTasks_;
   std::shared_ptr<PeerNetwork> Peers_;
   std::shared_ptr<StoreFollower> Follower_;
   asio::steady_timer LeaseHolderTimer_;
--- a/Services/laburnum-entry/LeaseHolderTasks.cpp
+++ b/Services/laburnum-entry/LeaseHolderTasks.cpp
@@ -125,6 +125,8 @@
     if (!Input.Servers_.empty())
       Input.Slots_ = Input.Servers_.front().Slots_;
     Input.Demand_ = Demand_.demand(Name, Now);
+    if (Service.Engine_ && Service.Engine_->isWorkBound())
+      Input.Work_ = Dependencies_.WorkOf_(Name, Now);
     auto &Planner =
         Planners_.try_emplace(Name, CapacitySettings{}).first->second;
     Planner.observe(Input, Now);
@@ -140,6 +142,7 @@
                                  : "reclaimable")
               .add("count", Order.Count_)
               .add("need", Planner.need())
+              .add("need_by_work", Planner.needByWork())
               .add("requests",
                    static_cast<std::int64_t>(Input.Demand_.Requests_))
               .add("per_second",
--- a/Services/laburnum-entry/LeaseHolderTasks.h
+++ b/Services/laburnum-entry/LeaseHolderTasks.h
@@ -10,6 +10,7 @@
 #include <LibSettings/EntrySettings.h>
 #include <LibTraffic/RouteTable.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -32,6 +33,9 @@
     UsageCounter &Usage_;
     EventLog &Log_;
     EntryMetrics &Metrics_;
+    /// Returns what the requests for a service ask of its model servers.
+    std::function<std::optional<ServiceWork>(ServiceName const &, TimePoint)>
+        WorkOf_;
   };
 
   LeaseHolderTasks(Dependencies Dependencies, InstanceId const &Incarnation,
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -146,6 +146,7 @@
   } else if (isResumable()) {
     Waiting.Query_.VersionRequirement_ = VersionRequirement::Recorded;
   }
+  Waiting.Query_.Work_ = workOf(FlowContext_.Metadata_);
   Waiting.Rank_ = Account ? Account->Rank_.value_or(Route.Rank_) : Route.Rank_;
   Waiting.GiveUpAt_ =
       Now + std::min<Duration>(Route.LatencyTarget_ / QueueTimeDivisor,
@@ -220,6 +221,7 @@
                                ? ProcessCheck::Required
                                : ProcessCheck::BeforeRequest;
   armStallTimer();
+  beginWork();
   IsAwaited_ = true;
   Plane_.AttemptingSessions_.insert(this);
   Plane_.Links_.onSent(*Server_);
@@ -270,6 +272,8 @@
   }
   Plane_.onServerContact(Server_->Service_);
   Answer_ = Codec.decode(Head);
+  if (Answer_->Claim_ == AnswerClaim::Succeeded)
+    onPromptRead();
   Answer_->IsProcessUnidentified_ = IsUnidentified_;
   if (FirstAnswerAt_ == TimePoint())
     FirstAnswerAt_ = readBootClock();
@@ -376,6 +380,33 @@
   handle(AttemptFailed{Evidence});
 }
 
+void RequestSession::beginWork() {
+  Work_.reset();
+  if (!Plane_.Roster_.isWorkBound(Server_->Service_))
+    return;
+  Work_ = workOf(FlowContext_.Metadata_);
+  WorkProgress_ = EngineBacklog::Progress::Unread;
+  if (Work_)
+    Plane_.Roster_.backlog().onSent(incarnationOf(*Server_), *Work_);
+}
+
+void RequestSession::onPromptRead() {
+  if (!Work_ || WorkProgress_ == EngineBacklog::Progress::Read)
+    return;
+  WorkProgress_ = EngineBacklog::Progress::Read;
+  Plane_.Roster_.backlog().onRead(incarnationOf(*Server_), *Work_);
+  // A stream that goes on is read again, with what was generated.
+  if (!FlowContext_.Metadata_.TakesUpStream_ && Flow_.attempts() == 1)
+    Plane_.WorkMeter_.onFirstEvent(Server_->Service_, *Work_,
+                                   readBootClock() - AttemptSentAt_);
+}
+
+void RequestSession::endWork() {
+  if (auto const Work = std::exchange(Work_, std::nullopt))
+    Plane_.Roster_.backlog().onEnded(incarnationOf(*Server_), *Work,
+                                     WorkProgress_);
+}
+
 void RequestSession::armStallTimer() {
   StallTimer_.expires_after(FlowContext_.Route_->LatencyTarget_ * StallPercent /
                             100);
@@ -445,6 +476,7 @@
   if (!Server_)
     return;
   clearStall();
+  endWork();
   Plane_.AttemptingSessions_.erase(this);
   if (isDirect()) {
     Plane_.Roster_.onEnded(*Server_, Health, readBootClock());
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -67,6 +67,11 @@
   void countBuffered();
   /// Bounds what slow clients keep in memory.
   void limitUnwritten();
+  /// Counts the attempt's work at its server.
+  void beginWork();
+  /// The server has read the prompt.
+  void onPromptRead();
+  void endWork();
   void armStallTimer();
   void clearStall();
   void finish(Outcome Outcome, std::int32_t Status, std::string_view Reason);
@@ -83,6 +88,9 @@
   asio::steady_timer DeadlineTimer_;
   asio::steady_timer StallTimer_;
   bool IsStalled_ = false; ///< The roster counts the attempt as slow.
+  /// Work of the current attempt, where its service is placed by work.
+  std::optional<RequestWork> Work_;
+  EngineBacklog::Progress WorkProgress_ = EngineBacklog::Progress::Unread;
   std::uint64_t Ticket_ = 0;
   std::optional<ServerRecord> Server_; ///< Server of the current attempt.
   ServerAccess Access_ = ServerAccess::Direct;
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -105,9 +105,14 @@
   Table_ = std::move(Table);
   QuotaLimiter_.setTable(Table_, readBootClock());
   std::map<ServiceName, std::uint32_t> Limits;
-  for (auto const &[Name, Service] : Table_->services())
+  std::map<ServiceName, EngineTraits> WorkBound;
+  for (auto const &[Name, Service] : Table_->services()) {
     Limits[Name] = Service.ConnectionLimit_;
+    if (Service.Engine_ && Service.Engine_->isWorkBound())
+      WorkBound[Name] = *Service.Engine_;
+  }
   Roster_.setConnectionLimits(std::move(Limits));
+  Roster_.setWorkBoundEngines(std::move(WorkBound));
 }
 
 void TrafficPlane::setRecordedOrigins(RecordedOrigins Recorded) {
@@ -148,6 +153,19 @@
   QuotaLimiter_.onSum(Sum, readBootClock());
 }
 
+EngineWorkReport TrafficPlane::reportEngineWork(Duration Period) {
+  auto const Now = readBootClock();
+  Roster_.backlog().setReportPeriod(Period);
+  return {Roster_.backlog().report(Now), WorkMeter_.report(Now)};
+}
+
+void TrafficPlane::onEngineWork(EngineWorkSum const &Sum) {
+  Roster_.backlog().onSum(Sum.Servers_, readBootClock());
+  for (auto const &Work : Sum.Services_)
+    Roster_.setReadingSpeed(Work.Service_,
+                            static_cast<double>(Work.ReadPerSecond_));
+}
+
 std::optional<Duration>
 TrafficPlane::quotaRetryAfter(RoutedAccount const &Account,
                               RequestMetadata const &Metadata) {
@@ -320,6 +338,9 @@
     FlowContext.ServerDeadlineMargin_ = StreamDeadlineMargin;
   Retries_.countRequest(FlowContext.Service_, readBootClock());
   ++RequestsByService_[FlowContext.Service_];
+  if (auto const Work = workOf(Metadata);
+      Work && Roster_.isWorkBound(FlowContext.Service_))
+    WorkMeter_.onRequest(FlowContext.Service_, *Work);
   return std::make_shared<RequestSession>(*this, Exchange, std::move(Request),
                                           std::move(FlowContext));
 }
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -22,6 +22,7 @@
 #include <LibTraffic/ObservedConventions.h>
 #include <LibTraffic/PeerRoutes.h>
 #include <LibTraffic/RouteTable.h>
+#include <LibTraffic/ServiceWorkMeter.h>
 #include <LibTraffic/WindowedRetryBudget.h>
 
 #include <asio/io_context.hpp>
@@ -114,6 +115,11 @@
   void onConsumption(InstanceId const &From, ConsumptionReport const &Report);
   void onConsumptionSum(ConsumptionSum const &Sum);
   void setReportPeriod(Duration Period) { QuotaLimiter_.setPeriod(Period); }
+  /// Returns the work that this instance has placed at model servers, which it
+  /// reports once in each period.
+  EngineWorkReport reportEngineWork(Duration Period);
+  /// Takes in the work of all instances.
+  void onEngineWork(EngineWorkSum const &Sum);
 
   /// Starts a graceful shutdown: accepts no new connections and closes each
   /// open one after its answer.
@@ -200,6 +206,7 @@
   AdmissionQueue Queue_;
   WindowedRetryBudget Retries_;
   AccountQuotaLimiter QuotaLimiter_;
+  ServiceWorkMeter WorkMeter_;
   RequestRefuser Refuser_;
   std::unique_ptr<PeerService> PeerService_;
   std::shared_ptr<HttpListener> PeerListener_;
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -59,7 +59,13 @@
                      {{AccountName("a"), 7, 9}},
                      Duration(5)},
       ServerRateLimits{
-          {{ServerId("s@1"), RateLimitState::Lifted, 2250000, Duration(6)}}}};
+          {{ServerId("s@1"), RateLimitState::Lifted, 2250000, Duration(6)}}},
+      EngineWorkReport{{{ServerId("s@1"), 5000, 12000, 700}},
+                       {{ServiceName("s"), 9000, 50000, 3000}}},
+      EngineWorkSum{InstanceId("i1"),
+                    7,
+                    {{ServerId("s@1"), 5000, 12000, 700}},
+                    {{ServiceName("s"), 9000, 50000, 3000}}}};
 }
 
 TEST_CASE("Every message is unchanged by encoding and decoding") {
