LibTraffic: Tell engines whose first event is due sooner

Cause: long prompts hold up short ones on the same server. Servers took waiting requests by arrival.

Change: servers whose requests are placed by work get a priority: the configured rank first, then the latency target of the route.

--- a/Libraries/LibTraffic/TrafficRequest.h
+++ b/Libraries/LibTraffic/TrafficRequest.h
@@ -71,12 +71,9 @@
   std::string FirstAttemptId_;
   /// What began that stream.
   std::optional<StreamOrigin> Origin_;
-  /// In which order the server takes waiting requests, if it is to be told: 0
-  /// is first, MaxServerPriority last.
+  /// See serverPriority(). Nothing: the server is not told.
   std::optional<std::uint32_t> ServerPriority_ = std::nullopt;
 
-  static constexpr std::uint32_t MaxServerPriority = 9;
-
   auto operator<=>(AttemptMetadata const &) const = default;
 };
 
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -1,6 +1,7 @@
 #include "RequestSession.h"
 
 #include <LibModel/RunState.h>
+#include <LibTraffic/ServerPriority.h>
 
 namespace laburnum {
 
@@ -126,6 +127,13 @@
       });
 }
 
+std::int32_t RequestSession::rank() const {
+  auto const *const Account =
+      FlowContext_.Table_->accountByKey(FlowContext_.Metadata_.Key_);
+  return Account && Account->Rank_ ? *Account->Rank_
+                                   : FlowContext_.Route_->Rank_;
+}
+
 bool RequestSession::isResumable() const {
   return FlowContext_.Route_->Form_ == AnswerForm::EventStream &&
          FlowContext_.Route_->Repeatability_ == Repeatability::Resumable;
@@ -134,8 +142,6 @@
 void RequestSession::enqueue(RequestServer const &Action) {
   auto const Now = readBootClock();
   auto const &Route = *FlowContext_.Route_;
-  auto const *const Account =
-      FlowContext_.Table_->accountByKey(FlowContext_.Metadata_.Key_);
   WaitingRequest Waiting;
   Waiting.Ticket_ = Ticket_ = Plane_.NextTicket_++;
   Waiting.Query_ = {FlowContext_.Service_, Action.Excluded_,
@@ -147,7 +153,7 @@
     Waiting.Query_.VersionRequirement_ = VersionRequirement::Recorded;
   }
   Waiting.Query_.Work_ = workOf(FlowContext_.Metadata_);
-  Waiting.Rank_ = Account ? Account->Rank_.value_or(Route.Rank_) : Route.Rank_;
+  Waiting.Rank_ = rank();
   Waiting.GiveUpAt_ =
       Now + std::min<Duration>(Route.LatencyTarget_ / QueueTimeDivisor,
                                (FlowContext_.Expiry_ - Now) / QueueTimeDivisor);
@@ -213,7 +219,11 @@
                 ->start(std::move(Outbound), shared_from_this());
     return;
   }
-  Outbound.Head_ = Codec.encode(Request_.Head_, Action.Metadata_);
+  auto Metadata = Action.Metadata_;
+  if (Plane_.Roster_.isWorkBound(Server_->Service_))
+    Metadata.ServerPriority_ =
+        serverPriority(*FlowContext_.Table_, *FlowContext_.Route_, rank());
+  Outbound.Head_ = Codec.encode(Request_.Head_, Metadata);
   // Which software version begins or continues a stream has to be certain.
   Outbound.Process_ = processName(*Server_);
   Outbound.ProcessCheck_ = !isResumable() ? ProcessCheck::AtEndOfConnection
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -54,6 +54,8 @@
   void on(exchange::AbortStream const &Action);
   void on(exchange::Refuse const &Action);
 
+  /// Priority by configuration; 0 is served first.
+  std::int32_t rank() const;
   /// Whether clients may take the stream up at any instance.
   bool isResumable() const;
   void enqueue(exchange::RequestServer const &Action);
