LibTraffic: Learn an engine's speed from the slope of its answers

Cause: the speed was taken from the fastest answers. These are short prompts, whose time is not that of reading: 10 to 20 tokens a millisecond were found where 55 are read, and up to 177 servers were ordered.

Change: instances report sums over tokens and times of answers; the slope of the regression over all of them is the time for a token, whatever requests wait. Tokens of shared parts that have to be read again count twice in the choice, as they delay what comes behind them.

--- a/Libraries/LibControl/CapacityPlanner.cpp
+++ b/Libraries/LibControl/CapacityPlanner.cpp
@@ -1,5 +1,7 @@
 #include <LibControl/CapacityPlanner.h>
 
+#include <LibTraffic/ServiceWorkMeter.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -110,20 +112,22 @@
 /// finds the residual R of the one in progress and waits R * U / (1 - U)
 /// (Pollaczek and Khinchine).
 double CapacityPlanner::serversForWork(CapacityInput const &Input) {
-  if (!Input.Work_ || Input.Work_->ReadPerSecond_ == 0)
+  if (!Input.Work_)
     return 0.0;
   auto const &Work = *Input.Work_;
   TokensPerSecond_ +=
       DemandWeight *
       (static_cast<double>(Work.UnsharedPerSecond_) - TokensPerSecond_);
-  auto const Speed = static_cast<double>(Work.ReadPerSecond_);
-  auto const Residual = static_cast<double>(Work.ResidualTokens_) / Speed;
+  auto const Speed = readingSpeed(Work);
+  if (!Speed)
+    return 0.0;
+  auto const Residual = residualTokens(Work) / *Speed;
   auto const Wait =
       WaitShareOfTarget *
       std::chrono::duration<double>(Input.LatencyTarget_).count();
   auto const Utilisation = std::clamp(Wait / (Wait + Residual),
                                       MinWorkUtilisation, MaxWorkUtilisation);
-  return TokensPerSecond_ / (Speed * Utilisation);
+  return TokensPerSecond_ / (*Speed * Utilisation);
 }
 
 /// Counts the ready servers per pool. The list lags behind a scale-down order:
--- a/Libraries/LibControl/EngineWorkExchange.cpp
+++ b/Libraries/LibControl/EngineWorkExchange.cpp
@@ -45,7 +45,7 @@
       Sum.PreferredPerSecond_ += Work.PreferredPerSecond_;
     }
   }
-  EngineWorkSum Sum{Self_.Id_, ++Number_, {}, combineWork(Services)};
+  EngineWorkSum Sum{Self_.Id_, ++Number_, {}, sumOf(Services)};
   for (auto const &[Id, Work] : Servers)
     Sum.Servers_.push_back(Work);
   return Sum;
--- a/Libraries/LibPeer/EngineWork.h
+++ b/Libraries/LibPeer/EngineWork.h
@@ -22,15 +22,17 @@
   auto operator<=>(ServerWork const &) const = default;
 };
 
-/// What the requests for a service ask of its model servers.
+/// What the requests for a service ask of its model servers, and sums over the
+/// latest answers: older ones count less and less. All figures of several
+/// instances are added.
 struct ServiceWork {
   ServiceName Service_;
   std::uint64_t UnsharedPerSecond_ = 0; ///< Prompt tokens of new requests.
-  /// Prompt tokens that an idle server reads in a second; 0: not known yet.
-  std::uint64_t ReadPerSecond_ = 0;
-  /// Mean prompt tokens that are left of the request that a server reads when
-  /// another one arrives.
-  std::uint64_t ResidualTokens_ = 0;
+  std::uint64_t Answers_ = 0;
+  std::uint64_t Tokens_ = 0; ///< Prompt tokens that are not shared.
+  std::uint64_t SquaredTokens_ = 0;
+  std::uint64_t Milliseconds_ = 0; ///< From sending to the first event.
+  std::uint64_t TokenMilliseconds_ = 0;
 
   auto operator<=>(ServiceWork const &) const = default;
 };
--- a/Libraries/LibTraffic/ServiceWorkMeter.h
+++ b/Libraries/LibTraffic/ServiceWorkMeter.h
@@ -6,13 +6,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace laburnum {
 
-/// Measures what the requests for each service ask of its model servers, and
-/// how fast an idle server reads. Used by one instance; the collectors combine
-/// the instances' measurements.
+/// Measures what the requests that come to one instance ask of the model
+/// servers of each service.
 class ServiceWorkMeter {
 public:
   /// A request has come, whether or not it is served.
@@ -22,26 +22,36 @@
   void onFirstEvent(ServiceName const &Service, RequestWork const &Work,
                     Duration Took);
 
-  /// Returns the measurements since the last call.
+  /// Returns the measurements. To be called once for each report.
   std::vector<ServiceWork> report(TimePoint Now);
 
 private:
   struct Entry {
-    std::uint64_t Tokens_ = 0; ///< Since the last report.
+    std::uint64_t NewTokens_ = 0; ///< Since the last report.
     double TokensPerSecond_ = 0.0;
-    /// Smoothed sums over requests, for their mean residual.
-    double Size_ = 0.0;
-    double SquaredSize_ = 0.0;
-    double ReadPerSecond_ = 0.0; ///< 0: not known yet.
+    /// Sums over the answers, as in ServiceWork.
+    double Answers_ = 0.0;
+    double Tokens_ = 0.0;
+    double SquaredTokens_ = 0.0;
+    double Milliseconds_ = 0.0;
+    double TokenMilliseconds_ = 0.0;
   };
 
   std::map<ServiceName, Entry> Services_;
   TimePoint ReportedAt_ = TimePoint::min();
 };
 
-/// Combines the measurements of several instances: rates are added, speeds and
-/// sizes are averaged by the rates.
+/// Adds up the measurements of several instances.
 std::vector<ServiceWork>
-combineWork(std::vector<std::vector<ServiceWork>> const &Reports);
+sumOf(std::vector<std::vector<ServiceWork>> const &Reports);
+
+/// Returns how many more tokens a server reads in each further second, or
+/// nothing before that is known. It is the slope of the answers' times over
+/// their prompts: the time that requests wait for others does not change it.
+std::optional<double> readingSpeed(ServiceWork const &Work);
+
+/// Returns the mean of the tokens that are left of the prompt that a busy
+/// server reads when a request arrives.
+double residualTokens(ServiceWork const &Work);
 
 } // namespace laburnum
--- a/Libraries/LibTraffic/WorkPlacement.cpp
+++ b/Libraries/LibTraffic/WorkPlacement.cpp
@@ -15,6 +15,9 @@
 /// Fraction of what a server reads that requests may prefer it for. The rest is
 /// left for requests that are drawn to it.
 constexpr double PreferredFraction = 0.7;
+/// Weight of tokens that are read again: they delay the requests behind them,
+/// too.
+constexpr double RereadWeight = 2.0;
 /// Fraction of the shared tokens that the second preferred server is expected
 /// to keep.
 constexpr double SecondKeptFraction = 0.5;
@@ -62,8 +65,9 @@
   auto const Consider = [&](std::size_t Index, double KeptTokens) {
     auto const &Server = Candidates[Index];
     auto const Tokens =
-        static_cast<double>(Server.Load_.UnreadTokens_ + Work.PromptTokens_) -
-        KeptTokens;
+        static_cast<double>(Server.Load_.UnreadTokens_ +
+                            Work.unsharedTokens()) +
+        RereadWeight * (Shared - KeptTokens);
     std::chrono::duration<double> const Reading(Tokens * Server.Slowdown_ /
                                                 readingSpeed(Engine));
     Option const Found{{Index, Server.Distance_ +
--- a/Services/laburnum-entry/LeaseHolderTasks.cpp
+++ b/Services/laburnum-entry/LeaseHolderTasks.cpp
@@ -1,5 +1,7 @@
 #include "LeaseHolderTasks.h"
 
+#include <LibTraffic/ServiceWorkMeter.h>
+
 #include <algorithm>
 
 namespace laburnum {
@@ -143,6 +145,16 @@
               .add("count", Order.Count_)
               .add("need", Planner.need())
               .add("need_by_work", Planner.needByWork())
+              .add("tokens_per_second",
+                   Input.Work_ ? Input.Work_->UnsharedPerSecond_ : 0)
+              .add("read_per_second",
+                   Input.Work_ ? static_cast<std::int64_t>(
+                                     readingSpeed(*Input.Work_).value_or(0.0))
+                               : 0)
+              .add("residual_tokens",
+                   Input.Work_ ? static_cast<std::int64_t>(
+                                     residualTokens(*Input.Work_))
+                               : 0)
               .add("requests",
                    static_cast<std::int64_t>(Input.Demand_.Requests_))
               .add("per_second",
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -162,8 +162,8 @@
 void TrafficPlane::onEngineWork(EngineWorkSum const &Sum) {
   Roster_.backlog().onSum(Sum.Servers_, readBootClock());
   for (auto const &Work : Sum.Services_)
-    Roster_.setReadingSpeed(Work.Service_,
-                            static_cast<double>(Work.ReadPerSecond_));
+    if (auto const Speed = readingSpeed(Work))
+      Roster_.setReadingSpeed(Work.Service_, *Speed);
 }
 
 std::optional<Duration>
