LibControl: Order servers for waits by priority

Cause: the servers needed were computed for a queue by arrival and the tightest target; servers take urgent requests first.

Change: the largest utilisation is searched at which the mean waits of the urgent requests and of the others are a third of their targets.

--- a/Libraries/LibControl/CapacityPlanner.cpp
+++ b/Libraries/LibControl/CapacityPlanner.cpp
@@ -24,11 +24,13 @@
 /// typical one.
 constexpr double MaxTimeFactor = 1.3;
 /// The mean wait for a server that reads prompts, as a fraction of the latency
-/// target. The longest waits are several times the mean.
-constexpr double WaitShareOfTarget = 0.2;
-/// Bounds of the part of their time that such servers read.
+/// target: one wait in twenty is three times as long as their mean.
+constexpr double WaitShareOfTarget = 1.0 / 3.0;
+/// Bounds of the part of their time that such servers read, and the step in
+/// which it is searched.
 constexpr double MinWorkUtilisation = 0.3;
 constexpr double MaxWorkUtilisation = 0.75;
+constexpr double WorkUtilisationStep = 0.01;
 /// Time after its boot time until an ordered server appears in the list.
 constexpr std::chrono::milliseconds ListingAllowance{1500};
 /// Missing reclaimable servers are ordered again after this time.
@@ -45,6 +47,30 @@
   return Readings.front().second;
 }
 
+/// Returns the largest part of its time that a server may read. It takes urgent
+/// requests first and interrupts none. A request finds the residual of the
+/// one that is being read with the probability of the utilisation U, and the
+/// mean waits are, A being the urgent share (Cobham):
+///   urgent ones  U * Residual / (1 - A * U),
+///   the others   the same / (1 - U).
+double workUtilisation(std::chrono::duration<double> Residual,
+                       double UrgentShare, Duration UrgentTarget,
+                       Duration OtherTarget) {
+  auto const Seconds = [](Duration Target) {
+    return WaitShareOfTarget * std::chrono::duration<double>(Target).count();
+  };
+  auto Best = MinWorkUtilisation;
+  for (auto Part = MinWorkUtilisation; Part <= MaxWorkUtilisation;
+       Part += WorkUtilisationStep) {
+    auto const Urgent = Part * Residual.count() / (1.0 - UrgentShare * Part);
+    if (Urgent > Seconds(UrgentTarget) ||
+        Urgent / (1.0 - Part) > Seconds(OtherTarget))
+      break;
+    Best = Part;
+  }
+  return Best;
+}
+
 template <typename Counts>
 std::uint32_t countOf(Counts const &Ready, CapacityType Kind) {
   std::uint32_t Sum = 0;
@@ -107,10 +133,8 @@
       Settings_.NeedRetention_, Now);
 }
 
-/// Returns how many servers read the prompts so that a request waits a fraction
-/// of its latency target on average. In a queue with utilisation U a request
-/// finds the residual R of the one in progress and waits R * U / (1 - U)
-/// (Pollaczek and Khinchine).
+/// Returns how many servers read the prompts so that few requests wait longer
+/// than they may.
 double CapacityPlanner::serversForWork(CapacityInput const &Input) {
   if (!Input.Work_)
     return 0.0;
@@ -121,13 +145,13 @@
   auto const Speed = readingSpeed(Work);
   if (!Speed)
     return 0.0;
-  auto const Residual = residualTokens(Work) / *Speed;
-  auto const Wait =
-      WaitShareOfTarget *
-      std::chrono::duration<double>(Input.LatencyTarget_).count();
-  auto const Utilisation = std::clamp(Wait / (Wait + Residual),
-                                      MinWorkUtilisation, MaxWorkUtilisation);
-  return TokensPerSecond_ / (*Speed * Utilisation);
+  std::chrono::duration<double> const Residual(residualTokens(Work) / *Speed);
+  auto const UrgentShare =
+      static_cast<double>(Work.UrgentPerSecond_) /
+      std::max(1.0, static_cast<double>(Work.UnsharedPerSecond_));
+  return TokensPerSecond_ /
+         (*Speed * workUtilisation(Residual, std::min(UrgentShare, 1.0),
+                                   Input.LatencyTarget_, Input.LongestTarget_));
 }
 
 /// Counts the ready servers per pool. The list lags behind a scale-down order:
--- a/Libraries/LibControl/CapacityPlanner.h
+++ b/Libraries/LibControl/CapacityPlanner.h
@@ -53,6 +53,8 @@
   std::optional<ServiceWork> Work_ = std::nullopt;
   /// The lowest latency target among the service's routes.
   Duration LatencyTarget_ = std::chrono::seconds(1);
+  /// The highest one.
+  Duration LongestTarget_ = std::chrono::seconds(1);
 };
 
 /// Decides which servers to order for one service.
--- a/Libraries/LibPeer/EngineWork.h
+++ b/Libraries/LibPeer/EngineWork.h
@@ -28,6 +28,8 @@
 struct ServiceWork {
   ServiceName Service_;
   std::uint64_t UnsharedPerSecond_ = 0; ///< Prompt tokens of new requests.
+  /// Of these, those whose first event is due soonest.
+  std::uint64_t UrgentPerSecond_ = 0;
   std::uint64_t Answers_ = 0;
   std::uint64_t Tokens_ = 0; ///< Prompt tokens that are not shared.
   std::uint64_t SquaredTokens_ = 0;
--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -62,8 +62,9 @@
                   Value.PreferredPerSecond_);
 }
 auto fieldsOf(Of<ServiceWork> auto &Value) {
-  return std::tie(Value.Service_, Value.UnsharedPerSecond_, Value.Answers_,
-                  Value.Tokens_, Value.SquaredTokens_, Value.Milliseconds_,
+  return std::tie(Value.Service_, Value.UnsharedPerSecond_,
+                  Value.UrgentPerSecond_, Value.Answers_, Value.Tokens_,
+                  Value.SquaredTokens_, Value.Milliseconds_,
                   Value.TokenMilliseconds_);
 }
 auto fieldsOf(Of<EngineWorkReport> auto &Value) {
--- a/Libraries/LibTraffic/ServiceWorkMeter.cpp
+++ b/Libraries/LibTraffic/ServiceWorkMeter.cpp
@@ -20,11 +20,20 @@
   return static_cast<std::uint64_t>(std::max(Value, 0.0) + 0.5);
 }
 
+/// Averages the tokens of the last Seconds into a rate.
+void smooth(double &PerSecond, std::uint64_t Tokens, double Seconds) {
+  PerSecond +=
+      RateWeight * (static_cast<double>(Tokens) / Seconds - PerSecond);
+}
+
 } // namespace
 
 void ServiceWorkMeter::onRequest(ServiceName const &Service,
-                                 RequestWork const &Work) {
-  Services_[Service].NewTokens_ += Work.unsharedTokens();
+                                 RequestWork const &Work, Urgency Due) {
+  auto &Entry = Services_[Service];
+  Entry.NewTokens_ += Work.unsharedTokens();
+  if (Due == Urgency::Urgent)
+    Entry.NewUrgentTokens_ += Work.unsharedTokens();
 }
 
 void ServiceWorkMeter::onFirstEvent(ServiceName const &Service,
@@ -49,17 +58,17 @@
       std::exp(-Span / std::chrono::duration<double>(AnswerMemory).count());
   std::vector<ServiceWork> Reports;
   for (auto &[Service, Entry] : Services_) {
-    if (Span > 0.0)
-      Entry.TokensPerSecond_ +=
-          RateWeight * (static_cast<double>(Entry.NewTokens_) / Span -
-                        Entry.TokensPerSecond_);
-    Entry.NewTokens_ = 0;
+    if (Span > 0.0) {
+      smooth(Entry.TokensPerSecond_, Entry.NewTokens_, Span);
+      smooth(Entry.UrgentPerSecond_, Entry.NewUrgentTokens_, Span);
+    }
+    Entry.NewTokens_ = Entry.NewUrgentTokens_ = 0;
     for (auto *const Sum :
          {&Entry.Answers_, &Entry.Tokens_, &Entry.SquaredTokens_,
           &Entry.Milliseconds_, &Entry.TokenMilliseconds_})
       *Sum *= Retained;
     Reports.push_back({Service, rounded(Entry.TokensPerSecond_),
-                       rounded(Entry.Answers_), rounded(Entry.Tokens_),
+                       rounded(Entry.UrgentPerSecond_), rounded(Entry.Answers_), rounded(Entry.Tokens_),
                        rounded(Entry.SquaredTokens_),
                        rounded(Entry.Milliseconds_),
                        rounded(Entry.TokenMilliseconds_)});
@@ -75,6 +84,7 @@
       auto &Sum = Sums[Work.Service_];
       Sum.Service_ = Work.Service_;
       Sum.UnsharedPerSecond_ += Work.UnsharedPerSecond_;
+      Sum.UrgentPerSecond_ += Work.UrgentPerSecond_;
       Sum.Answers_ += Work.Answers_;
       Sum.Tokens_ += Work.Tokens_;
       Sum.SquaredTokens_ += Work.SquaredTokens_;
--- a/Libraries/LibTraffic/ServiceWorkMeter.h
+++ b/Libraries/LibTraffic/ServiceWorkMeter.h
@@ -15,8 +15,12 @@
 /// servers of each service.
 class ServiceWorkMeter {
 public:
+  /// Whether the first event of a request is due as soon as any of its
+  /// service's.
+  enum class Urgency { Urgent, Other };
   /// A request has come, whether or not it is served.
-  void onRequest(ServiceName const &Service, RequestWork const &Work);
+  void onRequest(ServiceName const &Service, RequestWork const &Work,
+                 Urgency Due);
   /// A server has begun to answer. Took is the time since the request was sent
   /// to it.
   void onFirstEvent(ServiceName const &Service, RequestWork const &Work,
@@ -28,7 +32,9 @@
 private:
   struct Entry {
     std::uint64_t NewTokens_ = 0; ///< Since the last report.
+    std::uint64_t NewUrgentTokens_ = 0;
     double TokensPerSecond_ = 0.0;
+    double UrgentPerSecond_ = 0.0;
     /// Sums over the answers, as in ServiceWork.
     double Answers_ = 0.0;
     double Tokens_ = 0.0;
--- a/Services/laburnum-entry/LeaseHolderTasks.cpp
+++ b/Services/laburnum-entry/LeaseHolderTasks.cpp
@@ -46,6 +46,15 @@
   return Minimum;
 }
 
+Duration maxLatencyTarget(RouteTable const &Table, ServiceName const &Service) {
+  Duration Maximum{};
+  for (auto const &Route : Table.routes())
+    for (auto const &Choice : Route.Services_)
+      if (Choice.Service_ == Service)
+        Maximum = std::max(Maximum, Route.LatencyTarget_);
+  return Maximum;
+}
+
 } // namespace
 
 LeaseHolderTasks::LeaseHolderTasks(Dependencies Dependencies,
@@ -124,6 +133,7 @@
       if (Record.Service_ == Name)
         Input.Servers_.push_back(Record);
     Input.LatencyTarget_ = minLatencyTarget(*Table_, Name);
+    Input.LongestTarget_ = maxLatencyTarget(*Table_, Name);
     if (!Input.Servers_.empty())
       Input.Slots_ = Input.Servers_.front().Slots_;
     Input.Demand_ = Demand_.demand(Name, Now);
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -207,6 +207,8 @@
   WindowedRetryBudget Retries_;
   AccountQuotaLimiter QuotaLimiter_;
   ServiceWorkMeter WorkMeter_;
+  /// The lowest latency target among the routes of each service.
+  std::map<ServiceName, Duration> TightestTargets_;
   RequestRefuser Refuser_;
   std::unique_ptr<PeerService> PeerService_;
   std::shared_ptr<HttpListener> PeerListener_;
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -61,11 +61,11 @@
       ServerRateLimits{
           {{ServerId("s@1"), RateLimitState::Lifted, 2250000, Duration(6)}}},
       EngineWorkReport{{{ServerId("s@1"), 5000, 12000, 700}},
-                       {{ServiceName("s"), 9000, 1, 2, 3, 4, 5}}},
+                       {{ServiceName("s"), 9000, 7000, 1, 2, 3, 4, 5}}},
       EngineWorkSum{InstanceId("i1"),
                     7,
                     {{ServerId("s@1"), 5000, 12000, 700}},
-                    {{ServiceName("s"), 9000, 1, 2, 3, 4, 5}}}};
+                    {{ServiceName("s"), 9000, 7000, 1, 2, 3, 4, 5}}}};
 }
 
 TEST_CASE("Every message is unchanged by encoding and decoding") {
