--- a/Tests/EntryProcess/EntryProcess.cpp
+++ b/Tests/EntryProcess/EntryProcess.cpp
@@ -77,14 +77,20 @@
   std::filesystem::rename(Folder_ / "node.conf.new", Folder_ / "node.conf");
 }
 
+void EntryProcess::addSettings(std::string const &Lines) const {
+  std::ofstream(Folder_ / "node.conf", std::ios::app) << Lines;
+}
+
 Response EntryProcess::sendTo(std::uint16_t Port, std::string const &Method,
                               std::string const &Path, std::string const &Key,
-                              Fields const &Additional) const {
+                              Fields const &Additional,
+                              std::string const &Body) const {
   httplib::Client Client(Address_, Port);
   Client.set_read_timeout(processes::TestTimeout);
   httplib::Request Request;
   Request.method = Method;
   Request.path = Path;
+  Request.body = Body;
   Request.headers = {{"Host", "desk.example"},
                      {"X-Attempt-Id", nextAttemptId()},
                      {"X-Deadline-Ms", "2000"},
@@ -104,6 +110,11 @@
   return sendTo(TrafficPort, Method, Path, Key, Additional);
 }
 
+Response EntryProcess::sendBody(std::string const &Path,
+                                std::string const &Body) const {
+  return sendTo(TrafficPort, "POST", Path, "k1", {}, Body);
+}
+
 bool EntryProcess::isReady() const {
   return sendTo(ReadinessPort, "GET", "/laburnumpond/readiness", "").Status_ ==
          200;
--- a/Tests/EntryProcess/EntryProcess.h
+++ b/Tests/EntryProcess/EntryProcess.h
@@ -36,6 +36,8 @@
   EntryProcess &operator=(EntryProcess const &) = delete;
 
   void writeSettings(std::string const &RetryRatio);
+  /// Adds lines to the settings, which take effect at the next start.
+  void addSettings(std::string const &Lines) const;
   /// Kills the running process, if any, starts another and waits until it is
   /// ready.
   void start();
@@ -47,13 +49,16 @@
   Response send(std::string const &Method, std::string const &Path,
                 std::string const &Key = "k1",
                 Fields const &Additional = {}) const;
+  /// Posts the body to the path.
+  Response sendBody(std::string const &Path, std::string const &Body) const;
   bool isReady() const;
   processes::Process &process() { return *Process_; }
 
 private:
   Response sendTo(std::uint16_t Port, std::string const &Method,
                   std::string const &Path, std::string const &Key,
-                  Fields const &Additional = {}) const;
+                  Fields const &Additional = {},
+                  std::string const &Body = {}) const;
 
   std::string const Program_;
   std::string const Name_;
