LibHttp: Bound what clients' requests and connections take of a process

Cause: a connection kept what its client had sent until the request was whole or timed out, so that memory grew with the number of clients; so did open descriptors.

Change: all requests that are read or served share a budget, a quarter of the machine's memory as the settings state it (32 MiB if they don't). Where there is no room the request that has been read for the longest time is refused with 503 and a time to come again: it has not run. A listener keeps to half of the machine's descriptors, less those reserved (4,096 if they are not stated): beyond that the connection is reset that has waited for its client for the longest time. Ordinary requests are whole within milliseconds, so that they are not the oldest.

Ruled out: not reading on. What the kernel holds meanwhile counts for the machine, too, and who waits for room keeps its descriptor.

--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -70,6 +70,8 @@
   /// connection.
   void abortForMemory();
   bool isOpen() const { return State_ == State::Open; }
+  /// Whether the socket is closed, too.
+  bool isReleased() const { return State_ == State::Closed; }
   /// Keeps the socket once the peer has closed its side, so that what follows
   /// shows whether it has taken what was written.
   void keepAfterEnd() { IsKeptAfterEnd_ = true; }
--- a/Libraries/LibHttp/HttpListener.cpp
+++ b/Libraries/LibHttp/HttpListener.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/HttpServerConnection.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace laburnum {
 
@@ -11,16 +12,20 @@
 
 } // namespace
 
-HttpListener::HttpListener(asio::io_context &Context, HttpService &Service)
-    : Acceptor_(Context), RetryTimer_(Context), Service_(Service) {}
+HttpListener::HttpListener(asio::io_context &Context, HttpService &Service,
+                           std::shared_ptr<IntakeBudget> Budget)
+    : Acceptor_(Context), RetryTimer_(Context), Service_(Service),
+      Budget_(Budget ? std::move(Budget) : std::make_shared<IntakeBudget>()) {}
 
 Result<std::shared_ptr<HttpListener>>
 HttpListener::create(asio::io_context &Context, Endpoint const &Address,
-                     HttpService &Service) {
+                     HttpService &Service,
+                     std::shared_ptr<IntakeBudget> Budget) {
   auto const Resolved = resolve(Address);
   if (isError(Resolved))
     return errorOf(Resolved);
-  std::shared_ptr<HttpListener> Listener(new HttpListener(Context, Service));
+  std::shared_ptr<HttpListener> Listener(
+      new HttpListener(Context, Service, std::move(Budget)));
   auto const &Local = valueOf(Resolved);
   asio::error_code Failure;
   auto &Acceptor = Listener->Acceptor_;
@@ -54,6 +59,7 @@
       return;
     if (Failure)
       return Self->retryLater();
+    Self->limitConnections();
     auto const Opened = std::make_shared<HttpServerConnection>(
         Self, Connection::create(std::move(Socket)));
     Self->Connections_.insert(Opened);
@@ -62,6 +68,27 @@
   });
 }
 
+void HttpListener::limitConnections() {
+  forgetReleased();
+  if (Connections_.size() + Closing_.size() < Budget_->limits().Connections_)
+    return;
+  if (!Closing_.empty()) {
+    if (auto const Open = Closing_.front().lock())
+      Open->abort();
+    return forgetReleased();
+  }
+  auto const Rank = [](auto const &Accepted) {
+    return std::pair(!Accepted->isWaitingForClient(), Accepted->waitingSince());
+  };
+  auto const Oldest =
+      *std::min_element(Connections_.begin(), Connections_.end(),
+                        [&](auto const &Left, auto const &Right) {
+                          return Rank(Left) < Rank(Right);
+                        });
+  Service_.onGivenUp();
+  Oldest->abortConnection();
+}
+
 void HttpListener::retryLater() {
   RetryTimer_.expires_after(AcceptRetryPause);
   RetryTimer_.async_wait([Self = shared_from_this()](asio::error_code Failure) {
@@ -84,12 +111,16 @@
 }
 
 void HttpListener::addClosing(std::shared_ptr<Connection> const &Closed) {
+  forgetReleased();
+  if (!Closed->isReleased())
+    Closing_.push_back(Closed);
+}
+
+void HttpListener::forgetReleased() {
   std::erase_if(Closing_, [](auto const &Entry) {
     auto const Open = Entry.lock();
-    return !Open || Open->unwrittenBytes() == 0;
+    return !Open || Open->isReleased();
   });
-  if (Closed->unwrittenBytes() > 0)
-    Closing_.push_back(Closed);
 }
 
 std::vector<std::shared_ptr<Connection>> HttpListener::unwritten() const {
--- a/Libraries/LibHttp/HttpListener.h
+++ b/Libraries/LibHttp/HttpListener.h
@@ -2,6 +2,7 @@
 
 #include <LibHttp/Connection.h>
 #include <LibHttp/Exchange.h>
+#include <LibHttp/IntakeBudget.h>
 #include <LibHttp/MessageReader.h>
 
 #include <asio/io_context.hpp>
@@ -34,6 +35,9 @@
                          ReceivedRequest Request) = 0;
   /// A request was rejected before it reached onRequest().
   virtual void onRejected(MessageFault /*Fault*/) {}
+  /// A request was refused, or its connection closed, as clients together took
+  /// more than the limits allow.
+  virtual void onGivenUp() {}
 };
 
 class HttpServerConnection;
@@ -42,11 +46,12 @@
 /// Used only on the thread of the io_context.
 class HttpListener : public std::enable_shared_from_this<HttpListener> {
 public:
-  /// Service must outlive the listener. Unavailable when the port cannot be
-  /// bound.
-  static Result<std::shared_ptr<HttpListener>> create(asio::io_context &Context,
-                                                      Endpoint const &Address,
-                                                      HttpService &Service);
+  /// Service must outlive the listener. Listeners of one thread may share a
+  /// budget; without one the listener has its own. Unavailable when the port
+  /// cannot be bound.
+  static Result<std::shared_ptr<HttpListener>>
+  create(asio::io_context &Context, Endpoint const &Address,
+         HttpService &Service, std::shared_ptr<IntakeBudget> Budget = nullptr);
 
   Endpoint localEndpoint() const;
   /// Accepts no further connections; those in the accept queue are reset.
@@ -65,18 +70,24 @@
 private:
   friend class HttpServerConnection;
 
-  HttpListener(asio::io_context &Context, HttpService &Service);
+  HttpListener(asio::io_context &Context, HttpService &Service,
+               std::shared_ptr<IntakeBudget> Budget);
   void accept();
+  /// Resets a connection if there are as many as allowed: one that is closing,
+  /// or else the one that has waited for its client for the longest time.
+  void limitConnections();
   void retryLater();
   void addClosing(std::shared_ptr<Connection> const &Closed);
+  void forgetReleased();
   /// Returns the connections with unwritten bytes.
   std::vector<std::shared_ptr<Connection>> unwritten() const;
 
   asio::ip::tcp::acceptor Acceptor_;
   asio::steady_timer RetryTimer_;
   HttpService &Service_;
+  std::shared_ptr<IntakeBudget> Budget_;
   std::set<std::shared_ptr<HttpServerConnection>> Connections_;
-  /// Closed by this side, with bytes still to be written.
+  /// Closed by this side, but not yet by the client, from the oldest on.
   std::vector<std::weak_ptr<Connection>> Closing_;
   bool IsDraining_ = false;
 };
--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -34,6 +34,12 @@
   std::uint64_t Number_;
 };
 
+/// Copies of a request's body while it is served: the request's, the call's to
+/// the server and the bytes that are written.
+constexpr std::size_t CopiesOfServed = 3;
+/// Seconds until a client may come again whose request found no room.
+constexpr char const *RetryAfterGivenUp = "1";
+
 std::int32_t statusOf(MessageFault Fault) {
   switch (Fault) {
   case MessageFault::HeadTooLarge:
@@ -51,7 +57,12 @@
     std::shared_ptr<HttpListener> Listener, std::shared_ptr<Connection> Opened)
     : Listener_(std::move(Listener)), Connection_(std::move(Opened)),
       Timer_(Listener_->Acceptor_.get_executor()),
-      Reader_(Listener_->Service_.bounds().Message_) {}
+      Reader_(Listener_->Service_.bounds().Message_),
+      WaitingSince_(readBootClock()) {}
+
+HttpServerConnection::~HttpServerConnection() {
+  Listener_->Budget_->remove(*this);
+}
 
 void HttpServerConnection::start() {
   armTimer(Listener_->Service_.bounds().IdleTimeout_);
@@ -74,7 +85,7 @@
   if (State_ == State::Idle) {
     State_ = State::Reading;
     ++Number_;
-    BegunAt_ = readBootClock();
+    WaitingSince_ = BegunAt_ = readBootClock();
     armTimer(Listener_->Service_.bounds().RequestTimeout_);
   }
   bool const HadHead = Reader_.isHeadDone();
@@ -83,6 +94,8 @@
     return reject(Reader_.fault());
   if (Reader_.isDone())
     return dispatchRequest();
+  if (!chargeReading())
+    return;
   if (Reader_.isHeadDone() && !HadHead) {
     armTimer(Listener_->Service_.bounds().RequestTimeout_);
     if (Reader_.head().Fields_.hasToken("Expect", "100-continue"))
@@ -97,6 +110,9 @@
       Listener_->IsDraining_)
     ClosesAfterAnswer_ = true;
   ReceivedRequest Request{Reader_.takeHead(), Reader_.takeBody(), BegunAt_};
+  if (!Listener_->Budget_->set(*this, CopiesOfServed * Request.Body_.capacity(),
+                               IntakeBudget::Stage::Serving, BegunAt_))
+    return giveUpRequest();
   Reader_ = RequestReader(Listener_->Service_.bounds().Message_);
   Listener_->Service_.onRequest(
       std::make_shared<ConnectionExchange>(shared_from_this(), Number_),
@@ -108,9 +124,28 @@
   sendError(statusOf(Fault));
 }
 
-void HttpServerConnection::sendError(std::int32_t Status) {
-  Connection_->write(
-      serialize(AnswerHead{Status, {}}, 0, ConnectionReuse::Close));
+bool HttpServerConnection::chargeReading() {
+  return Listener_->Budget_->set(*this, Reader_.heldBytes(),
+                                 IntakeBudget::Stage::Reading, BegunAt_);
+}
+
+void HttpServerConnection::giveUpRequest() {
+  constexpr std::int32_t ServiceUnavailable = 503;
+  Listener_->Service_.onGivenUp();
+  Reader_ = RequestReader(Listener_->Service_.bounds().Message_);
+  HeaderFields Fields;
+  Fields.add("Retry-After", RetryAfterGivenUp);
+  sendError(ServiceUnavailable, std::move(Fields));
+}
+
+void HttpServerConnection::abortConnection() {
+  Connection_->abort();
+  onEnd(ConnectionEnd::Broken);
+}
+
+void HttpServerConnection::sendError(std::int32_t Status, HeaderFields Fields) {
+  Connection_->write(serialize(AnswerHead{Status, std::move(Fields)}, 0,
+                               ConnectionReuse::Close));
   endConnection();
 }
 
@@ -192,6 +227,8 @@
 void HttpServerConnection::finishAnswer() {
   Observer_.reset();
   State_ = State::Idle;
+  WaitingSince_ = readBootClock();
+  Listener_->Budget_->remove(*this);
   if (ClosesAfterAnswer_)
     return endConnection();
   armTimer(Listener_->Service_.bounds().IdleTimeout_);
@@ -199,6 +236,7 @@
 
 void HttpServerConnection::endConnection() {
   State_ = State::Ended;
+  Listener_->Budget_->remove(*this);
   Timer_.cancel();
   Observer_.reset();
   Connection_->close();
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -12,10 +12,12 @@
 /// bytes before the answer has ended, the connection closes after that answer.
 class HttpServerConnection
     : public ConnectionObserver,
+      public IntakeBudget::Holder,
       public std::enable_shared_from_this<HttpServerConnection> {
 public:
   HttpServerConnection(std::shared_ptr<HttpListener> Listener,
                        std::shared_ptr<Connection> Opened);
+  ~HttpServerConnection() override;
 
   void start();
   /// Closes the connection after the current answer, or at once when idle.
@@ -24,6 +26,17 @@
   /// kernel has taken all of it.
   bool isBusy() const { return State_ != State::Idle || unwrittenBytes() > 0; }
 
+  /// Whether the next bytes are to come from the client: it is idle, or its
+  /// request is not whole.
+  bool isWaitingForClient() const {
+    return State_ == State::Idle || State_ == State::Reading;
+  }
+  TimePoint waitingSince() const { return WaitingSince_; }
+  /// Resets the connection at once.
+  void abortConnection();
+  /// Refuses the request that is being read.
+  void giveUpRequest() override;
+
   void onBytes(std::string_view Bytes) override;
   void onEnd(ConnectionEnd End) override;
 
@@ -45,7 +58,10 @@
   void feed(std::string_view Bytes);
   void dispatchRequest();
   void reject(MessageFault Fault);
-  void sendError(std::int32_t Status);
+  void sendError(std::int32_t Status, HeaderFields Fields = {});
+  /// Counts what the request takes while it is read. Returns whether it may go
+  /// on.
+  bool chargeReading();
   void armTimer(Duration After);
   void onTimeout();
   void finishAnswer();
@@ -59,6 +75,7 @@
   RequestReader Reader_;
   std::shared_ptr<ClientObserver> Observer_;
   TimePoint BegunAt_{};
+  TimePoint WaitingSince_{}; ///< For a request, or for its first byte.
   std::uint64_t Number_ = 0; ///< Of the request being read or answered.
   State State_ = State::Idle;
   bool ClosesAfterAnswer_ = false;
--- a/Libraries/LibHttp/MessageReader.cpp
+++ b/Libraries/LibHttp/MessageReader.cpp
@@ -196,6 +196,13 @@
 
 namespace {
 
+std::size_t heldBytesOf(HeaderFields const &Fields) {
+  auto Bytes = Fields.all().capacity() * sizeof(HeaderField);
+  for (auto const &Field : Fields.all())
+    Bytes += Field.Name_.size() + Field.Value_.size();
+  return Bytes;
+}
+
 /// Maximum number of interim answers to one request. Servers send at most one
 /// or two.
 constexpr std::uint32_t MaxInterim = 8;
@@ -213,6 +220,10 @@
 bool RequestReader::isDone() const { return Parser_->is_done(); }
 MessageFault RequestReader::fault() const { return Parser_->Fault_; }
 bool RequestReader::keepsAlive() const { return Parser_->keep_alive(); }
+std::size_t RequestReader::heldBytes() const {
+  return Parser_->Pending_.capacity() + Parser_->Body_.capacity() +
+         heldBytesOf(Parser_->Fields_) + heldBytesOf(Parser_->Head_.Fields_);
+}
 RequestHead const &RequestReader::head() const { return Parser_->Head_; }
 RequestHead RequestReader::takeHead() { return std::move(Parser_->Head_); }
 std::string RequestReader::takeBody() {
--- a/Libraries/LibHttp/MessageReader.h
+++ b/Libraries/LibHttp/MessageReader.h
@@ -52,6 +52,8 @@
   /// Whether the client wants the connection to stay open.
   bool keepsAlive() const;
 
+  /// Bytes of memory that the message takes so far, about.
+  std::size_t heldBytes() const;
   RequestHead const &head() const;
   RequestHead takeHead();
   std::string takeBody();
--- a/Libraries/LibSettings/EntrySettings.h
+++ b/Libraries/LibSettings/EntrySettings.h
@@ -23,6 +23,9 @@
   Endpoint CloudApi_;
   Endpoint Peers_; ///< For messages between instances.
 
+  std::uint64_t MemoryBytes_ = 0; ///< Of the machine; 0: not stated.
+  std::uint32_t Descriptors_ = 0; ///< Of the process; 0: not stated.
+
   Duration StopGracePeriod_{}; ///< From SIGTERM to SIGKILL.
   Duration LeaseLength_{};
   double RetryRatio_ = 0.0; ///< Retries allowed per request.
--- a/Services/laburnum-entry/EntryMetrics.cpp
+++ b/Services/laburnum-entry/EntryMetrics.cpp
@@ -27,6 +27,7 @@
       Aborted_(Registry_.counter("requests.aborted", "requests")),
       ClientLeft_(Registry_.counter("requests.client_left", "requests")),
       Rejected_(Registry_.counter("requests.rejected", "requests")),
+      GivenUp_(Registry_.counter("requests.given_up", "requests")),
       Unroutable_(Registry_.counter("requests.unroutable", "requests")),
       AttemptsSent_(Registry_.counter("attempts.sent", "attempts")),
       AttemptsFailed_(Registry_.counter("attempts.failed", "attempts")),
--- a/Services/laburnum-entry/EntryMetrics.h
+++ b/Services/laburnum-entry/EntryMetrics.h
@@ -27,6 +27,7 @@
   Counter &Aborted_;    ///< Streams aborted by this instance.
   Counter &ClientLeft_; ///< The client disconnected before the answer ended.
   Counter &Rejected_;   ///< Invalid HTTP, or over a size limit.
+  Counter &GivenUp_;    ///< Clients took more than the limits allow.
   Counter &Unroutable_; ///< 400, 401, 404.
   Counter &AttemptsSent_;
   Counter &AttemptsFailed_;
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -5,6 +5,7 @@
 #include <LibTraffic/ContentFingerprint.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace laburnum {
 
@@ -34,6 +35,25 @@
   return Limiter;
 }
 
+/// Fraction of the machine's memory that the requests of clients may take.
+constexpr std::uint64_t IntakeMemoryDivisor = 4;
+/// Descriptors that are left for files, as the platform's pages say.
+constexpr std::uint32_t ReservedDescriptors = 200;
+/// Fraction of the other descriptors that the connections of one listener may
+/// take. The rest is left for servers, the store and peers.
+constexpr std::uint32_t IntakeDescriptorDivisor = 2;
+constexpr std::chrono::seconds GivenUpLogPeriod{1};
+
+IntakeLimits intakeLimits(EntrySettings const &Settings) {
+  IntakeLimits Limits;
+  if (Settings.MemoryBytes_ > 0)
+    Limits.Bytes_ = Settings.MemoryBytes_ / IntakeMemoryDivisor;
+  if (Settings.Descriptors_ > ReservedDescriptors)
+    Limits.Connections_ =
+        (Settings.Descriptors_ - ReservedDescriptors) / IntakeDescriptorDivisor;
+  return Limits;
+}
+
 RetryBudgetSettings retryBudgetSettings(EntrySettings const &Settings) {
   return {Settings.RetryRatio_, Settings.RetrySlack_, Settings.RetryWindow_};
 }
@@ -78,19 +98,22 @@
                 advanceQueue();
               }}),
       Origins_(Dependencies.Context_, Dependencies.Log_),
-      QueueTimer_(Dependencies.Context_) {}
+      QueueTimer_(Dependencies.Context_),
+      Intake_(std::make_shared<IntakeBudget>(
+          intakeLimits(Dependencies.Settings_))) {}
 
 TrafficPlane::~TrafficPlane() = default;
 
 Result<Success> TrafficPlane::listen() {
-  auto Made = HttpListener::create(Dependencies_.Context_,
-                                   Dependencies_.Settings_.Traffic_, *this);
+  auto Made = HttpListener::create(
+      Dependencies_.Context_, Dependencies_.Settings_.Traffic_, *this, Intake_);
   if (isError(Made))
     return errorOf(Made);
   Listener_ = takeValue(std::move(Made));
-  Made = HttpListener::create(
-      Dependencies_.Context_,
-      peerServiceEndpoint(Dependencies_.Settings_.Peers_), *PeerService_);
+  Made =
+      HttpListener::create(Dependencies_.Context_,
+                           peerServiceEndpoint(Dependencies_.Settings_.Peers_),
+                           *PeerService_, Intake_);
   if (isError(Made))
     return errorOf(Made);
   PeerListener_ = takeValue(std::move(Made));
@@ -210,6 +233,23 @@
       LogLine("request_rejected").add("fault", static_cast<int>(Fault)));
 }
 
+void TrafficPlane::onGivenUp() {
+  Dependencies_.Metrics_.GivenUp_.add();
+  ++GivenUp_;
+  auto const Now = readBootClock();
+  if (GivenUpLoggedAt_ != TimePoint::min() &&
+      GivenUpLoggedAt_ + GivenUpLogPeriod > Now)
+    return;
+  GivenUpLoggedAt_ = Now;
+  Dependencies_.Log_.write(
+      LogLine("intake_limited")
+          .add("given_up", std::exchange(GivenUp_, 0))
+          .add("held_bytes", Intake_->heldBytes())
+          .add("max_bytes", Intake_->limits().Bytes_)
+          .add("connections", Listener_->openConnections())
+          .add("max_connections", Intake_->limits().Connections_));
+}
+
 void TrafficPlane::onPeerRateLimits(ServerRateLimits const &Received) {
   RateLimits_.onPeer(Received, readBootClock());
   advanceQueue();
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -124,6 +124,7 @@
   void onRequest(std::shared_ptr<Exchange> Exchange,
                  ReceivedRequest Request) override;
   void onRejected(MessageFault Fault) override;
+  void onGivenUp() override;
 
 private:
   friend class RequestSession;
@@ -219,6 +220,9 @@
   std::map<ServerId, ServerPool> Pools_;
   CrashListener CrashListener_;
   LeavingListener LeavingListener_;
+  std::shared_ptr<IntakeBudget> Intake_; ///< Of all listeners.
+  std::uint64_t GivenUp_ = 0;            ///< Requests that are not logged yet.
+  TimePoint GivenUpLoggedAt_ = TimePoint::min();
   std::set<ServerId> BrittleServers_; ///< Incarnations, for logging.
   std::set<ServerId> ProbedServers_;  ///< Incarnations with a probe in flight.
 };
