LibCallers: Bound the memory of all bodies of the daemon

Cause: each of the daemon's threads read a body of up to max_body_bytes, 2 GiB together with the default settings.

A body for which there is no room is refused as not run.

--- a/Libraries/LibCallers/CallerServer.cpp
+++ b/Libraries/LibCallers/CallerServer.cpp
@@ -1,11 +1,14 @@
 #include <LibCallers/CallerServer.h>
 
+#include <LibCallers/BodyMemory.h>
 #include <LibCallers/ElasticTaskQueue.h>
 #include <LibCallers/StoppableServer.h>
 #include <LibCore/Time.h>
 
 #include <httplib.h>
 
+#include <algorithm>
+
 namespace laburnum {
 
 namespace {
@@ -86,7 +89,9 @@
   Implementation(CallerServerSettings const &Settings, CallerHandler Handler,
                  RefusalWriter Refuse)
       : Settings_(Settings), Handler_(std::move(Handler)),
-        Refuse_(std::move(Refuse)) {
+        Refuse_(std::move(Refuse)),
+        BodyMemory_(
+            std::max(Settings_.BodyMemoryBytes_, Settings_.MaxBodyBytes_)) {
     setLimits();
     setRoutes();
     setErrors();
@@ -157,7 +162,12 @@
       return answer(Message, Response);
     auto const Deadline = readClock() + Settings_.BodyTimeout_;
     bool IsInTime = true;
+    bool HasRoom = true;
+    BodyMemory::Share Room(BodyMemory_);
     auto const IsComplete = Reader([&](char const *Data, std::size_t Size) {
+      HasRoom = Room.extend(Message.Body_.size() + Size);
+      if (!HasRoom)
+        return false;
       Message.Body_.append(Data, Size);
       IsInTime = readClock() < Deadline;
       return IsInTime && Message.Body_.size() <= Settings_.MaxBodyBytes_;
@@ -168,6 +178,11 @@
         Response.status == 413)
       return refuse(413, Response);
     Response.set_header("Connection", "close");
+    if (!HasRoom)
+      return write(Refuse_({ErrorKind::ResourceExhausted,
+                            "the bodies of all requests take too much memory",
+                            "send the request again in a second"}),
+                   Response);
     write(Refuse_({ErrorKind::DeadlineExceeded,
                    "the body did not arrive whole in time",
                    "send the body without long pauses"}),
@@ -189,6 +204,7 @@
   CallerServerSettings const Settings_;
   CallerHandler const Handler_;
   RefusalWriter const Refuse_;
+  BodyMemory BodyMemory_;
   StoppableServer Server_;
   Endpoint Endpoint_;
 };
--- a/Libraries/LibSettings/KeyDescription.cpp
+++ b/Libraries/LibSettings/KeyDescription.cpp
@@ -150,6 +150,11 @@
       "callers", "max_body_bytes", "8388608", {1, MaxBytes},
       "Requests with a larger body are refused.",
       accessor(&DaemonSettings::Callers_, &CallersSettings::MaxBodyBytes_)));
+  Keys.push_back(integerKey(
+      "callers", "body_memory_bytes", "67108864", {1, MaxBytes},
+      "Memory for the bodies of all requests together, max_body_bytes at "
+      "least; beyond it requests are refused as not run.",
+      accessor(&DaemonSettings::Callers_, &CallersSettings::BodyMemoryBytes_)));
   Keys.push_back(integerKey(
       "callers", "max_header_bytes", "65536", {1, MaxBytes},
       "Requests with larger headers are refused.",
--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -63,6 +63,7 @@
   Converted.Listen_ = Settings.Callers_.Endpoint_;
   Converted.MaxThreads_ = Settings.Callers_.Threads_;
   Converted.MaxBodyBytes_ = Settings.Callers_.MaxBodyBytes_;
+  Converted.BodyMemoryBytes_ = Settings.Callers_.BodyMemoryBytes_;
   Converted.ReadTimeout_ = Settings.Callers_.HeaderTimeout_;
   Converted.Head_ = {Settings.Callers_.MaxHeaderBytes_,
                      Settings.Callers_.HeaderTimeout_};
--- a/Tests/HostileClients/TestHostileClients.cpp
+++ b/Tests/HostileClients/TestHostileClients.cpp
@@ -7,6 +7,8 @@
 #include <EntryProcess/StandinThread.h>
 #include <EntryProcess/StoreStandin.h>
 
+#include <Processes/LocalDeployment.h>
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -172,3 +174,29 @@
   CHECK(Served.Status_ == 200);
   Machine.check();
 }
+
+TEST_CASE(
+    "Callers of the daemon that stop before the end of their bodies leave "
+    "room for others") {
+  constexpr std::size_t Callers = 200;
+  constexpr std::size_t DaemonMemory = std::size_t{160} << 20;
+  processes::LocalDeployment Deployment(
+      1, "max_body_bytes = " + std::to_string(MaxBody) +
+             "\nheader_timeout_ms = 20000\n");
+  auto const &Daemon = Deployment.instance(0);
+  auto const Head = "POST /services/entry-desk/status HTTP/1.1\r\n"
+                    "Host: desk.example\r\nAuthorization: " +
+                    Deployment.headers().find("Authorization")->second + "\r\n";
+  constexpr std::size_t ChunkBytes = 65000;
+  auto const Form =
+      GENERATE_REF(announcedBody(Head, MaxBody, 10),
+                   chunkedBody(Head, ChunkBytes, MaxBody / ChunkBytes),
+                   chunkedBody(Head, ChunkBytes, 8 * MaxBody / ChunkBytes));
+  Crowd Crowd({"127.0.0.1", Daemon.Callers_}, Callers, Form);
+  Crowd.send();
+  auto const Process = Daemon.Process_->id();
+  Deployment.status(0);
+  CHECK_FALSE(Daemon.Process_->hasEnded());
+  CHECK(peakMemory(Process) <= DaemonMemory);
+  CHECK(Deployment.status(0).Status_ == 200);
+}
--- a/Tests/Processes/LocalDeployment.cpp
+++ b/Tests/Processes/LocalDeployment.cpp
@@ -74,7 +74,9 @@
     throw std::runtime_error("the stand-in refused " + Fault.dump());
 }
 
-LocalDeployment::LocalDeployment(std::size_t Instances) {
+LocalDeployment::LocalDeployment(std::size_t Instances,
+                                 std::string CallersSettings)
+    : CallersSettings_(std::move(CallersSettings)) {
   auto Template =
       (std::filesystem::temp_directory_path() / "laburnum-processes-XXXXXX")
           .string();
@@ -124,8 +126,8 @@
     Seeds += (Seeds.empty() ? "" : ",") + std::string(Loopback) + ":" +
              std::to_string(Element->Peers_);
   std::ofstream(Path) << "[instance]\nid = " << Name << "\ndata_centre = wien-"
-                      << Number % 2 + 1
-                      << "\n[callers]\nport = 0\n[operators]\nport = 0\nkeys = "
+                      << Number % 2 + 1 << "\n[callers]\nport = 0\n"
+                      << CallersSettings_ << "[operators]\nport = 0\nkeys = "
                       << "tests:" << OperatorKey_
                       << "\n[peers]\nport = 0\nsecret = " << Secret_
                       << "\nseeds = " << Seeds
--- a/Tests/Processes/LocalDeployment.h
+++ b/Tests/Processes/LocalDeployment.h
@@ -51,7 +51,9 @@
 /// through the first instance.
 class LocalDeployment {
 public:
-  explicit LocalDeployment(std::size_t Instances);
+  /// CallersSettings are lines of that section of each instance's settings.
+  explicit LocalDeployment(std::size_t Instances,
+                           std::string CallersSettings = "");
   ~LocalDeployment();
 
   Standin &platform() { return *Platform_; }
@@ -88,6 +90,7 @@
   void applyServer(OperatorClient &Client, std::string const &Service,
                    Standin const &Server);
 
+  std::string const CallersSettings_;
   std::string Folder_;
   std::string const Secret_ = "peers-of-one-test-site";
   std::string const OperatorKey_ = "operator-of-one-test-site";
