LibControl, LibTraffic: Roll software versions out on the operator's order

Change: where the settings name that contract, all instances follow the orders. The lease's holder decides: a trial share, an enlarged one, all requests, and once the other versions are idle the order is completed. What it decides is written to the store by a conditional update before anything follows from it. Streams keep their version.

--- a/Libraries/LibControl/ConsumptionCollector.cpp
+++ b/Libraries/LibControl/ConsumptionCollector.cpp
@@ -47,10 +47,7 @@
   Live_ = liveInstances(Self_, Members);
   Collectors_ = rendezvousOrder("collectors", Live_, endpointKey);
   Collectors_.resize(std::min(Collectors_.size(), CollectorCount));
-  std::set<Endpoint> Origins;
-  for (auto const &Entry : Collectors_)
-    Origins.insert(Entry.Peers_);
-  Tree_.setMembers(Live_, std::move(Origins));
+  Tree_.setMembers(Live_, collectors());
   forget(Now);
   chooseCollectors(Now);
 }
@@ -79,10 +76,15 @@
     CollectorSince_ = Now;
 }
 
-std::vector<Endpoint> ConsumptionCollector::targets(TimePoint Now) const {
-  std::set<Endpoint> Targets;
+std::set<Endpoint> ConsumptionCollector::collectors() const {
+  std::set<Endpoint> Endpoints;
   for (auto const &Entry : Collectors_)
-    Targets.insert(Entry.Peers_);
+    Endpoints.insert(Entry.Peers_);
+  return Endpoints;
+}
+
+std::vector<Endpoint> ConsumptionCollector::targets(TimePoint Now) const {
+  auto Targets = collectors();
   for (auto const &[Id, Entry] : Origins_)
     if (isFresh(Entry.LastReceivedAt_, Now))
       Targets.insert(Entry.Peers_);
--- a/Libraries/LibControl/ConsumptionCollector.h
+++ b/Libraries/LibControl/ConsumptionCollector.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace laburnum {
@@ -33,6 +34,8 @@
   bool isCollector() const { return CollectorSince_.has_value(); }
   /// Time between two reports of an instance.
   Duration period() const;
+  /// The endpoints of the collectors by rendezvous order.
+  std::set<Endpoint> collectors() const;
   /// Receivers of this instance's reports unless isDirect().
   std::vector<Endpoint> targets(TimePoint Now) const;
 
--- a/Libraries/LibControl/CountedStore.cpp
+++ b/Libraries/LibControl/CountedStore.cpp
@@ -43,6 +43,13 @@
   Store_.putIf(Key, Expected, Value, Timeout, std::move(Done));
 }
 
+void CountedStore::putStatusIf(ObjectKey const &Key, Version Expected,
+                               std::string const &Status, Duration Timeout,
+                               Done<Version> Done) {
+  count("put", Key.Collection_);
+  Store_.putStatusIf(Key, Expected, Status, Timeout, std::move(Done));
+}
+
 void CountedStore::put(ObjectKey const &Key, std::string const &Value,
                        Duration Timeout, Done<Version> Done) {
   count("put", Key.Collection_);
--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -57,6 +57,19 @@
 auto fieldsOf(Of<ServerRateLimits> auto &Value) {
   return std::tie(Value.Limits_);
 }
+auto fieldsOf(Of<RolloutShare> auto &Value) {
+  return std::tie(Value.Service_, Value.Target_, Value.PartsPerMillion_);
+}
+auto fieldsOf(Of<RolloutShares> auto &Value) {
+  return std::tie(Value.Origin_, Value.Number_, Value.Fence_, Value.Shares_);
+}
+auto fieldsOf(Of<VersionAnswers> auto &Value) {
+  return std::tie(Value.Service_, Value.Version_, Value.Route_, Value.Answers_,
+                  Value.Failures_, Value.Slow_, Value.Running_);
+}
+auto fieldsOf(Of<VersionReport> auto &Value) {
+  return std::tie(Value.Answers_);
+}
 auto fieldsOf(Of<Endpoint> auto &Value) {
   return std::tie(Value.Host_, Value.Port_);
 }
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -7,6 +7,7 @@
 #include <LibPeer/ConsumptionSum.h>
 #include <LibPeer/CrashReports.h>
 #include <LibPeer/DemandReport.h>
+#include <LibPeer/Rollouts.h>
 #include <LibPeer/ServerRateLimits.h>
 #include <LibPeer/ServerReserved.h>
 #include <LibPeer/ShareGrant.h>
@@ -119,6 +120,6 @@
                  ServerReserved, DemandReport, ShareGrant, StreamCheckpoint,
                  StreamQuery, StreamState, StreamHandOver, ConsumptionReport,
                  StoreUpdate, SnapshotRequest, ConsumptionSum,
-                 ServerRateLimits>;
+                 ServerRateLimits, RolloutShares, VersionReport>;
 
 } // namespace laburnum
--- a/Libraries/LibPlatform/AsyncObjectStore.h
+++ b/Libraries/LibPlatform/AsyncObjectStore.h
@@ -32,6 +32,10 @@
   virtual void putIf(ObjectKey const &Key, Version Expected,
                      std::string const &Value, Duration Timeout,
                      Done<Version> Done) = 0;
+  /// Replaces the status of an object that has that version.
+  virtual void putStatusIf(ObjectKey const &Key, Version Expected,
+                           std::string const &Status, Duration Timeout,
+                           Done<Version> Done) = 0;
   /// Writes the object unconditionally and creates it if it does not exist.
   virtual void put(ObjectKey const &Key, std::string const &Value,
                    Duration Timeout, Done<Version> Done) = 0;
--- a/Libraries/LibSettings/EntrySettings.h
+++ b/Libraries/LibSettings/EntrySettings.h
@@ -23,6 +23,8 @@
   Endpoint CloudApi_;
   Endpoint Peers_; ///< For messages between instances.
 
+  /// Whether the operator may order software versions to be rolled out.
+  bool FollowsRollouts_ = false;
   Duration StopGracePeriod_{}; ///< From SIGTERM to SIGKILL.
   Duration LeaseLength_{};
   double RetryRatio_ = 0.0; ///< Retries allowed per request.
--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -219,8 +219,13 @@
 std::vector<ServerRoster::Entry const *>
 ServerRoster::usable(ServerQuery const &Query, TimePoint Now) const {
   std::vector<Entry const *> Candidates;
+  bool const AvoidsVersion =
+      !Query.AvoidedVersion_.empty() &&
+      hasOtherVersion(Query.Service_, Query.AvoidedVersion_);
   for (auto const &[Id, Server] : Servers_)
-    if (matches(Server, Query) && takesRequests(Server, Now))
+    if (matches(Server, Query) && takesRequests(Server, Now) &&
+        !(AvoidsVersion &&
+          Server.Record_.SoftwareVersion_ == Query.AvoidedVersion_))
       Candidates.push_back(&Server);
   auto const IsReachable = [&](Entry const *Server) {
     return Server->Status_.UnreachableUntil_ <= Now;
@@ -290,6 +295,15 @@
               {Server.Record_.Service_, Server.Record_.SoftwareVersion_}));
 }
 
+bool ServerRoster::hasOtherVersion(ServiceName const &Service,
+                                   std::string const &Version) const {
+  return std::any_of(Servers_.begin(), Servers_.end(), [&](auto const &Pair) {
+    return Pair.second.Record_.Service_ == Service &&
+           Pair.second.Record_.SoftwareVersion_ != Version &&
+           isStaying(Pair.second);
+  });
+}
+
 bool ServerRoster::hasMatch(ServerQuery const &Query) const {
   return std::any_of(Servers_.begin(), Servers_.end(), [&](auto const &Pair) {
     return matches(Pair.second, Query) && isStaying(Pair.second);
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -39,6 +39,8 @@
   /// Only servers of this software version are chosen. Nothing: any.
   std::optional<std::string> SoftwareVersion_ = std::nullopt;
   VersionRequirement VersionRequirement_ = VersionRequirement::None;
+  /// No server of this software version is chosen while the service has others.
+  std::string AvoidedVersion_ = {};
 
   auto operator<=>(ServerQuery const &) const = default;
 };
@@ -101,6 +103,10 @@
 
   /// Returns nothing when no server has free capacity.
   std::optional<ServerRecord> choose(ServerQuery const &Query, TimePoint Now);
+  /// Returns whether a server matches the query that has free capacity.
+  bool hasUsable(ServerQuery const &Query, TimePoint Now) const {
+    return !usable(Query, Now).empty();
+  }
   /// Returns whether any server of the service accepts requests, even if full.
   bool isServed(ServiceName const &Service, TimePoint Now) const;
   /// Returns whether a server matches the query that is not leaving, even if it
@@ -204,6 +210,9 @@
   void retainAttempts(Entry const &Server);
   bool isStaying(Entry const &Server) const;
   bool matches(Entry const &Server, ServerQuery const &Query) const;
+  /// Whether the service has a server that stays, of another version.
+  bool hasOtherVersion(ServiceName const &Service,
+                       std::string const &Version) const;
   /// Returns the tokens of a rate limited server that can be used until then.
   double usableTokens(Entry const &Server, TimePoint Until) const;
   /// Changes the status of an incarnation, whether or not it is listed.
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -76,6 +76,10 @@
                           Dependencies.Codec_, Dependencies.Log_},
                          Dependencies.Settings_.Name_,
                          localInstance(Dependencies.Settings_, Incarnation_)),
+      RolloutTasks_({Dependencies.Context_, Dependencies.TrafficContext_,
+                     Store_, Dependencies.Traffic_, Dependencies.Codec_,
+                     Dependencies.Log_},
+                    localInstance(Dependencies.Settings_, Incarnation_)),
       Peers_(std::make_shared<PeerNetwork>(
           Dependencies.Context_, Store_, Dependencies.Settings_.Name_,
           localInstance(Dependencies.Settings_, Incarnation_), Seed + 4,
@@ -102,10 +106,14 @@
 ControlPlane::~ControlPlane() = default;
 
 StoreFollower::Callbacks ControlPlane::followerCallbacks() {
-  return {{{Dependencies_.Codec_.configurationCollection(),
-            ConfigurationReader_.get()},
-           {Dependencies_.Codec_.serverCollection(), ServerReader_.get()},
-           {detail::HistoryCollection, HistoryReader_.get()}},
+  std::map<std::string, CollectionReader *> Readers = {
+      {Dependencies_.Codec_.configurationCollection(),
+       ConfigurationReader_.get()},
+      {Dependencies_.Codec_.serverCollection(), ServerReader_.get()},
+      {detail::HistoryCollection, HistoryReader_.get()}};
+  if (Dependencies_.Settings_.FollowsRollouts_)
+    Readers[Dependencies_.Codec_.rolloutCollection()] = &RolloutTasks_;
+  return {std::move(Readers),
           [this](SendToPeer const &Action) { Peers_->send(Action); },
           [this](relay::ReaderRoleChanged const &Change) {
             onReaderRoleChanged(Change);
@@ -161,6 +169,7 @@
   CrashGuardTasks_.start(Peers_);
   RateLimitTasks_.start(Peers_);
   StreamOriginTasks_.start(Peers_);
+  RolloutTasks_.start(Peers_);
   awaitSignals();
   watchSettings();
   flushLog();
@@ -270,6 +279,7 @@
   RateLimitTasks_.setFleet(View,
                            IsStopping_ ? Liveness::Leaving : Liveness::Live);
   Collector_.setMembers(View.Members_, readBootClock());
+  RolloutTasks_.setMembers(View.Members_, Collector_.collectors());
   if (Collector_.isDirect())
     LeaseHolderTasks_.setConnectivity(Live >= View.Registered_ && Live > 1
                                           ? PeerConnectivity::Full
@@ -307,6 +317,10 @@
     });
   else if (auto const *const Limits = std::get_if<ServerRateLimits>(&Message))
     RateLimitTasks_.onPeer(*Limits);
+  else if (auto const *const Shares = std::get_if<RolloutShares>(&Message))
+    RolloutTasks_.onPeer(*Shares);
+  else if (auto const *const Report = std::get_if<VersionReport>(&Message))
+    RolloutTasks_.onPeer(From, *Report);
   else if (auto const *const Update = std::get_if<StoreUpdate>(&Message))
     onStoreUpdate(*Update);
   else if (auto const *const Request = std::get_if<SnapshotRequest>(&Message))
@@ -375,6 +389,9 @@
     auto const Report = Dependencies_.Traffic_.reportConsumption();
     asio::post(Dependencies_.Context_, [this, Report] { sendReport(Report); });
   });
+  RolloutTasks_.report(Collector_.isDirect() ? std::nullopt
+                                             : std::optional(Collector_.targets(
+                                                   readBootClock())));
   ReportTimer_.expires_after(Period);
   ReportTimer_.async_wait([this](asio::error_code Failure) {
     if (!Failure)
@@ -410,6 +427,9 @@
                          Collector_.isComplete(Now)
                              ? PeerCoverage::AllInstances
                              : PeerCoverage::SomeInstances);
+  RolloutTasks_.setServers(LeaseHolderTasks_.servers());
+  RolloutTasks_.tick(LeaseHolderTasks_.fenceNumber(Now),
+                     Dependencies_.Clock_.read(Now));
   Collector_.setRole(LeaseHolderTasks_.holdsLease(Now)
                          ? CollectorRole::HoldsLease
                          : CollectorRole::None,
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -4,6 +4,7 @@
 #include "LeaseHolderTasks.h"
 #include "RateLimitTasks.h"
 #include "RecordCodec.h"
+#include "RolloutTasks.h"
 #include "StatusService.h"
 #include "StreamOriginTasks.h"
 #include "TrafficPlane.h"
@@ -107,6 +108,7 @@
   CrashGuardTasks CrashGuardTasks_;
   RateLimitTasks RateLimitTasks_;
   StreamOriginTasks StreamOriginTasks_;
+  RolloutTasks RolloutTasks_;
   std::shared_ptr<PeerNetwork> Peers_;
   std::shared_ptr<StoreFollower> Follower_;
   asio::steady_timer LeaseHolderTimer_;
--- a/Services/laburnum-entry/LeaseHolderTasks.h
+++ b/Services/laburnum-entry/LeaseHolderTasks.h
@@ -55,6 +55,17 @@
   }
   void setReportPeriod(Duration Period) { Demand_.setPeriod(Period); }
   bool holdsLease(TimePoint Now) const { return Lease_->held(Now).has_value(); }
+  /// The lease's fencing number, while this instance holds it.
+  std::optional<std::uint64_t> fenceNumber(TimePoint Now) const {
+    auto const Held = Lease_->held(Now);
+    return Held ? std::optional(Held->Fencing_) : std::nullopt;
+  }
+  std::vector<ServerRecord> servers() const {
+    std::vector<ServerRecord> List;
+    for (auto const &[Id, Record] : Servers_)
+      List.push_back(Record);
+    return List;
+  }
   /// Publishes the usage counts that only this instance has, then calls Done.
   void publishUsage(std::function<void()> Done) {
     Reporter_->publishAll(std::move(Done));
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -146,6 +146,8 @@
   } else if (isResumable()) {
     Waiting.Query_.VersionRequirement_ = VersionRequirement::Recorded;
   }
+  if (!Action.Origin_)
+    chooseVersion(Waiting.Query_);
   Waiting.Rank_ = Account ? Account->Rank_.value_or(Route.Rank_) : Route.Rank_;
   Waiting.GiveUpAt_ =
       Now + std::min<Duration>(Route.LatencyTarget_ / QueueTimeDivisor,
@@ -153,6 +155,30 @@
   Plane_.enqueue(shared_from_this(), std::move(Waiting));
 }
 
+void RequestSession::chooseVersion(ServerQuery &Query) {
+  auto &Shares = Plane_.VersionShares_;
+  auto const Now = readBootClock();
+  auto const Choice = Shares.choose(Query.Service_, Now);
+  if (!Choice)
+    return;
+  if (Choice->Use_ == VersionShares::Choice::Use::Target) {
+    auto OnlyTarget = Query;
+    OnlyTarget.SoftwareVersion_ = Choice->Target_;
+    // A second attempt goes to what has proved itself.
+    if (Flow_.attempts() == 0 && Plane_.Roster_.hasUsable(OnlyTarget, Now)) {
+      Query = std::move(OnlyTarget);
+      return;
+    }
+    Shares.returnCredit(Query.Service_);
+  }
+  Query.AvoidedVersion_ = Choice->Target_;
+}
+
+VersionTally::Key RequestSession::tallyKey() const {
+  return {Server_->Service_, Server_->SoftwareVersion_,
+          FlowContext_.Route_->Name_};
+}
+
 void RequestSession::onAdmission(AdmissionOutcome const &Outcome) {
   if (auto const *const Admission = std::get_if<Admitted>(&Outcome)) {
     auto const Now = readBootClock();
@@ -220,6 +246,7 @@
                                ? ProcessCheck::Required
                                : ProcessCheck::BeforeRequest;
   armStallTimer();
+  Plane_.VersionTally_.onSent(tallyKey());
   IsAwaited_ = true;
   Plane_.AttemptingSessions_.insert(this);
   Plane_.Links_.onSent(*Server_);
@@ -270,6 +297,7 @@
   }
   Plane_.onServerContact(Server_->Service_);
   Answer_ = Codec.decode(Head);
+  AnswerBegunAt_ = readBootClock();
   Answer_->IsProcessUnidentified_ = IsUnidentified_;
   if (FirstAnswerAt_ == TimePoint())
     FirstAnswerAt_ = readBootClock();
@@ -447,6 +475,16 @@
   clearStall();
   Plane_.AttemptingSessions_.erase(this);
   if (isDirect()) {
+    auto const Claim = Answer_ ? Answer_->Claim_ : AnswerClaim::NotRun;
+    bool const IsBad = Health == AttemptHealth::Failed ||
+                       Claim == AnswerClaim::Failed ||
+                       Claim == AnswerClaim::Untrusted;
+    Plane_.VersionTally_.onEnded(tallyKey(),
+                                 IsBad ? VersionTally::Result::Failed
+                                 : Claim == AnswerClaim::Succeeded
+                                     ? VersionTally::Result::Answered
+                                     : VersionTally::Result::Neither,
+                                 AnswerBegunAt_ - AttemptSentAt_);
     Plane_.Roster_.onEnded(*Server_, Health, readBootClock());
     Plane_.onAttemptEnded(FlowContext_.Fingerprints_, *Server_, Evidence);
   }
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -57,6 +57,9 @@
   /// Whether clients may take the stream up at any instance.
   bool isResumable() const;
   void enqueue(exchange::RequestServer const &Action);
+  /// Keeps the request to the versions that a roll-out leaves it.
+  void chooseVersion(ServerQuery &Query);
+  VersionTally::Key tallyKey() const;
   bool isDirect() const { return Access_ == ServerAccess::Direct; }
   /// Passes the request to another instance. Returns whether there is one.
   bool passToPeer(std::set<ServerId> const &Excluded);
@@ -92,6 +95,7 @@
   std::set<ServerId> Excluded_; ///< Incarnations.
   bool IsUnidentified_ = false; ///< The process of the current attempt.
   std::optional<ServerAnswer> Answer_;
+  TimePoint AnswerBegunAt_{}; ///< Of the current attempt.
   std::shared_ptr<OutboundCall> Call_;
   std::string LastServer_;
   std::int64_t LastIncarnationStart_ = 0; ///< Unix milliseconds.
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -112,6 +112,16 @@
   advanceQueue();
 }
 
+void TrafficPlane::setRolloutTargets(
+    std::map<ServiceName, std::string> const &Targets) {
+  VersionShares_.setTargets(Targets);
+  VersionTally_.setTargets(Targets);
+}
+
+void TrafficPlane::onRolloutShares(RolloutShares const &Shares) {
+  VersionShares_.onShares(Shares, readBootClock());
+}
+
 void TrafficPlane::applySettings(EntrySettings const &Settings) {
   Retries_.setBounds(retryBudgetSettings(Settings));
   QuotaLimiter_.setTolerances(quotaLimiterSettings(Settings));
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -22,6 +22,8 @@
 #include <LibTraffic/ObservedConventions.h>
 #include <LibTraffic/PeerRoutes.h>
 #include <LibTraffic/RouteTable.h>
+#include <LibTraffic/VersionShares.h>
+#include <LibTraffic/VersionTally.h>
 #include <LibTraffic/WindowedRetryBudget.h>
 
 #include <asio/io_context.hpp>
@@ -89,6 +91,12 @@
 
   StreamOriginDirectory &streamOrigins() { return Origins_; }
 
+  /// Sets the software versions that are being rolled out.
+  void setRolloutTargets(std::map<ServiceName, std::string> const &Targets);
+  void onRolloutShares(RolloutShares const &Shares);
+  /// What this instance has seen of the versions in roll-outs.
+  VersionReport reportVersions() const { return VersionTally_.report(); }
+
   /// Sets where streams may begin.
   void setRecordedOrigins(RecordedOrigins Recorded);
 
@@ -211,6 +219,8 @@
   std::size_t BufferedBytes_ = 0; ///< Of all unfinished answers.
   StreamOriginDirectory Origins_;
   ObservedConventions Conventions_;
+  VersionShares VersionShares_;
+  VersionTally VersionTally_;
   asio::steady_timer QueueTimer_;
   bool IsQueueTimerArmed_ = false;
   std::uint64_t NextTicket_ = 1;
--- a/Services/laburnum-entry/main.cpp
+++ b/Services/laburnum-entry/main.cpp
@@ -5,6 +5,7 @@
 #include <HeaderCodec.h>
 #include <NodeFile.h>
 #include <ObjectClient.h>
+#include <RolloutRecord.h>
 
 #include <cxxopts.hpp>
 
@@ -59,6 +60,17 @@
       return std::shared_ptr<RouteTable const>();
     return platform::decodeConfiguration(Object.Value_);
   }
+  std::string rolloutCollection() const override {
+    return platform::RolloutCollection;
+  }
+  std::variant<RolloutOrder, std::string>
+  decodeRollout(StoredObject const &Object) const override {
+    return platform::decodeRollout(Object.Key_.Name_, Object.Value_);
+  }
+  std::string encodeRolloutStatus(std::string const &Target,
+                                  RolloutStage Stage) const override {
+    return platform::encodeRolloutStatus(Target, Stage);
+  }
   std::optional<ServerRecord>
   decodeServer(StoredObject const &Object) const override {
     return platform::decodeServer(Object.Key_.Name_, Object.Value_);
--- a/Tests/Fakes/FakeAsyncStore.cpp
+++ b/Tests/Fakes/FakeAsyncStore.cpp
@@ -58,6 +58,17 @@
   });
 }
 
+void FakeAsyncStore::putStatusIf(ObjectKey const &Key, Version Expected,
+                                 std::string const &Status,
+                                 Duration /*Timeout*/, Done<Version> Done) {
+  Answers_.push_back([this, Key, Expected, Status, Done = std::move(Done)] {
+    auto const Found = Objects_.find(Key);
+    if (Found.Version_ == Expected && Fault_ != StoreFault::Down)
+      Statuses_[Key] = Status;
+    Done(write(Key, Expected, Found.Value_));
+  });
+}
+
 void FakeAsyncStore::put(ObjectKey const &Key, std::string const &Value,
                          Duration /*Timeout*/, Done<Version> Done) {
   Answers_.push_back([this, Key, Value, Done = std::move(Done)] {
--- a/Tests/Fakes/FakeAsyncStore.h
+++ b/Tests/Fakes/FakeAsyncStore.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <deque>
 #include <functional>
+#include <map>
 #include <string>
 
 namespace laburnum::test {
@@ -33,6 +34,9 @@
            Done<StoredObject> Done) override;
   void putIf(ObjectKey const &Key, Version Expected, std::string const &Value,
              Duration Timeout, Done<Version> Done) override;
+  void putStatusIf(ObjectKey const &Key, Version Expected,
+                   std::string const &Status, Duration Timeout,
+                   Done<Version> Done) override;
   void put(ObjectKey const &Key, std::string const &Value, Duration Timeout,
            Done<Version> Done) override;
   void remove(ObjectKey const &Key, Duration Timeout,
@@ -46,6 +50,7 @@
 
   StoreFault Fault_ = StoreFault::None;
   VersionedStore Objects_;
+  std::map<ObjectKey, std::string> Statuses_; ///< As last written.
   StoreEra Era_ = 0;      ///< In the answers to get().
   std::size_t Lists_ = 0; ///< Calls of list() so far.
 
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -59,7 +59,10 @@
                      {{AccountName("a"), 7, 9}},
                      Duration(5)},
       ServerRateLimits{
-          {{ServerId("s@1"), RateLimitState::Lifted, 2250000, Duration(6)}}}};
+          {{ServerId("s@1"), RateLimitState::Lifted, 2250000, Duration(6)}}},
+      RolloutShares{
+          InstanceId("i1"), 7, 8, {{ServiceName("s"), "v2", 40000}}},
+      VersionReport{{{ServiceName("s"), "v2", "/r/", 1, 2, 3, 4}}}};
 }
 
 TEST_CASE("Every message is unchanged by encoding and decoding") {
