--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -8,6 +8,7 @@
 #include <LibPeer/CrashReports.h>
 #include <LibPeer/DemandReport.h>
 #include <LibPeer/EngineWork.h>
+#include <LibPeer/Rollouts.h>
 #include <LibPeer/ServerRateLimits.h>
 #include <LibPeer/ServerReserved.h>
 #include <LibPeer/ShareGrant.h>
@@ -120,6 +121,6 @@
                  ServerReserved, DemandReport, ShareGrant, StreamCheckpoint,
                  StreamQuery, StreamState, StreamHandOver, ConsumptionReport,
                  StoreUpdate, SnapshotRequest, ConsumptionSum, ServerRateLimits,
-                 EngineWorkReport, EngineWorkSum>;
+                 EngineWorkReport, EngineWorkSum, RolloutShares, VersionReport>;
 
 } // namespace laburnum
--- a/Libraries/LibSettings/EntrySettings.h
+++ b/Libraries/LibSettings/EntrySettings.h
@@ -25,7 +25,8 @@
 
   std::uint64_t MemoryBytes_ = 0; ///< Of the machine; 0: not stated.
   std::uint32_t Descriptors_ = 0; ///< Of the process; 0: not stated.
-
+  /// Whether the operator may order software versions to be rolled out.
+  bool FollowsRollouts_ = false;
   Duration StopGracePeriod_{}; ///< From SIGTERM to SIGKILL.
   Duration LeaseLength_{};
   double RetryRatio_ = 0.0; ///< Retries allowed per request.
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -45,6 +45,8 @@
   VersionRequirement VersionRequirement_ = VersionRequirement::None;
   /// What the request asks of a model engine.
   std::optional<RequestWork> Work_ = std::nullopt;
+  /// No server of this software version is chosen while the service has others.
+  std::string AvoidedVersion_ = {};
 
   auto operator<=>(ServerQuery const &) const = default;
 };
@@ -120,6 +122,10 @@
 
   /// Returns nothing when no server has free capacity.
   std::optional<ServerRecord> choose(ServerQuery const &Query, TimePoint Now);
+  /// Returns whether a server matches the query that has free capacity.
+  bool hasUsable(ServerQuery const &Query, TimePoint Now) const {
+    return !usable(Query, Now).empty();
+  }
   /// Returns whether any server of the service accepts requests, even if full.
   bool isServed(ServiceName const &Service, TimePoint Now) const;
   /// Returns whether a server matches the query that is not leaving, even if it
@@ -224,6 +230,9 @@
   void retainAttempts(Entry const &Server);
   bool isStaying(Entry const &Server) const;
   bool matches(Entry const &Server, ServerQuery const &Query) const;
+  /// Whether the service has a server that stays, of another version.
+  bool hasOtherVersion(ServiceName const &Service,
+                       std::string const &Version) const;
   /// Returns the tokens of a rate limited server that can be used until then.
   double usableTokens(Entry const &Server, TimePoint Until) const;
   /// Changes the status of an incarnation, whether or not it is listed.
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -82,6 +82,10 @@
       EngineWorkTasks_({Dependencies.Context_, Dependencies.TrafficContext_,
                         Dependencies.Traffic_, Dependencies.Log_},
                        localInstance(Dependencies.Settings_, Incarnation_)),
+      RolloutTasks_({Dependencies.Context_, Dependencies.TrafficContext_,
+                     Store_, Dependencies.Traffic_, Dependencies.Codec_,
+                     Dependencies.Log_},
+                    localInstance(Dependencies.Settings_, Incarnation_)),
       Peers_(std::make_shared<PeerNetwork>(
           Dependencies.Context_, Store_, Dependencies.Settings_.Name_,
           localInstance(Dependencies.Settings_, Incarnation_), Seed + 4,
@@ -108,10 +112,14 @@
 ControlPlane::~ControlPlane() = default;
 
 StoreFollower::Callbacks ControlPlane::followerCallbacks() {
-  return {{{Dependencies_.Codec_.configurationCollection(),
-            ConfigurationReader_.get()},
-           {Dependencies_.Codec_.serverCollection(), ServerReader_.get()},
-           {detail::HistoryCollection, HistoryReader_.get()}},
+  std::map<std::string, CollectionReader *> Readers = {
+      {Dependencies_.Codec_.configurationCollection(),
+       ConfigurationReader_.get()},
+      {Dependencies_.Codec_.serverCollection(), ServerReader_.get()},
+      {detail::HistoryCollection, HistoryReader_.get()}};
+  if (Dependencies_.Settings_.FollowsRollouts_)
+    Readers[Dependencies_.Codec_.rolloutCollection()] = &RolloutTasks_;
+  return {std::move(Readers),
           [this](SendToPeer const &Action) { Peers_->send(Action); },
           [this](relay::ReaderRoleChanged const &Change) {
             onReaderRoleChanged(Change);
@@ -168,6 +176,7 @@
   RateLimitTasks_.start(Peers_);
   StreamOriginTasks_.start(Peers_);
   EngineWorkTasks_.start(Peers_);
+  RolloutTasks_.start(Peers_);
   awaitSignals();
   watchSettings();
   flushLog();
@@ -279,6 +288,7 @@
                            IsStopping_ ? Liveness::Leaving : Liveness::Live);
   Collector_.setMembers(View.Members_, readBootClock());
   EngineWorkTasks_.setMembers(View.Members_, Collector_.collectors());
+  RolloutTasks_.setMembers(View.Members_, Collector_.collectors());
   if (Collector_.isDirect())
     LeaseHolderTasks_.setConnectivity(Live >= View.Registered_ && Live > 1
                                           ? PeerConnectivity::Full
@@ -320,6 +330,10 @@
     EngineWorkTasks_.onPeer(From, *Work);
   else if (auto const *const Sum = std::get_if<EngineWorkSum>(&Message))
     EngineWorkTasks_.onPeer(*Sum);
+  else if (auto const *const Shares = std::get_if<RolloutShares>(&Message))
+    RolloutTasks_.onPeer(*Shares);
+  else if (auto const *const Report = std::get_if<VersionReport>(&Message))
+    RolloutTasks_.onPeer(From, *Report);
   else if (auto const *const Update = std::get_if<StoreUpdate>(&Message))
     onStoreUpdate(*Update);
   else if (auto const *const Request = std::get_if<SnapshotRequest>(&Message))
@@ -391,6 +405,9 @@
   EngineWorkTasks_.report({Collector_.isDirect(), Collector_.isCollector(),
                            Collector_.targets(readBootClock())},
                           Period);
+  RolloutTasks_.report(Collector_.isDirect() ? std::nullopt
+                                             : std::optional(Collector_.targets(
+                                                   readBootClock())));
   ReportTimer_.expires_after(Period);
   ReportTimer_.async_wait([this](asio::error_code Failure) {
     if (!Failure)
@@ -426,6 +443,9 @@
                          Collector_.isComplete(Now)
                              ? PeerCoverage::AllInstances
                              : PeerCoverage::SomeInstances);
+  RolloutTasks_.setServers(LeaseHolderTasks_.servers());
+  RolloutTasks_.tick(LeaseHolderTasks_.fenceNumber(Now),
+                     Dependencies_.Clock_.read(Now));
   Collector_.setRole(LeaseHolderTasks_.holdsLease(Now)
                          ? CollectorRole::HoldsLease
                          : CollectorRole::None,
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -5,6 +5,7 @@
 #include "LeaseHolderTasks.h"
 #include "RateLimitTasks.h"
 #include "RecordCodec.h"
+#include "RolloutTasks.h"
 #include "StatusService.h"
 #include "StreamOriginTasks.h"
 #include "TrafficPlane.h"
@@ -109,6 +110,7 @@
   RateLimitTasks RateLimitTasks_;
   StreamOriginTasks StreamOriginTasks_;
   EngineWorkTasks EngineWorkTasks_;
+  RolloutTasks RolloutTasks_;
   std::shared_ptr<PeerNetwork> Peers_;
   std::shared_ptr<StoreFollower> Follower_;
   asio::steady_timer LeaseHolderTimer_;
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -23,6 +23,8 @@
 #include <LibTraffic/PeerRoutes.h>
 #include <LibTraffic/RouteTable.h>
 #include <LibTraffic/ServiceWorkMeter.h>
+#include <LibTraffic/VersionShares.h>
+#include <LibTraffic/VersionTally.h>
 #include <LibTraffic/WindowedRetryBudget.h>
 
 #include <asio/io_context.hpp>
@@ -90,6 +92,12 @@
 
   StreamOriginDirectory &streamOrigins() { return Origins_; }
 
+  /// Sets the software versions that are being rolled out.
+  void setRolloutTargets(std::map<ServiceName, std::string> const &Targets);
+  void onRolloutShares(RolloutShares const &Shares);
+  /// What this instance has seen of the versions in roll-outs.
+  VersionReport reportVersions() const { return VersionTally_.report(); }
+
   /// Sets where streams may begin.
   void setRecordedOrigins(RecordedOrigins Recorded);
 
@@ -221,6 +229,8 @@
   std::size_t BufferedBytes_ = 0; ///< Of all unfinished answers.
   StreamOriginDirectory Origins_;
   ObservedConventions Conventions_;
+  VersionShares VersionShares_;
+  VersionTally VersionTally_;
   asio::steady_timer QueueTimer_;
   bool IsQueueTimerArmed_ = false;
   std::uint64_t NextTicket_ = 1;
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -24,48 +24,56 @@
       Epoch,  {ServiceName("s"), 7, "prompt", 9, -1, Duration(6)},
       0,      {"one", "two"},
       2,      StreamPhase::Complete};
-  return {
-      Hello{"secret", instance()},
-      Heartbeat{HeartbeatKind::PingRequest, 7, InstanceId("x"), {Update}},
-      ConfigurationDigest{4, 5, {"127.0.0.1", 6}},
-      ConfigurationObjects{{Object}},
-      ConfigurationRequest{{{{ObjectKind::Account, "a"}, 2}}, {}},
-      ServerLeavingNotice{ServerId("s"), Liveness::Gone, Duration(-1), 4},
-      CrashReports{
-          {{1, 2, ServerId("s"), CrashEvidence::Cleared, Duration(3)}}},
-      ServerReserved{ServerId("s"), 5, InstanceId("i1"),
-                     ReservationState::Released, Duration(6)},
-      DemandReport{{{AccountName("a"), 7, 8}}},
-      ShareGrant{{{AccountName("a"), 250000}}, Duration(9)},
-      Checkpoint,
-      StreamQuery{Stream, 7, instance(), 3, StreamQueryMode::Adopt},
-      StreamState{Stream, 3, StreamKnowledge::KeyReused, Epoch, instance(), 2},
-      StreamHandOver{Checkpoint, 3},
-      ConsumptionReport{{{AccountName("a"), 7, 9}},
-                        {{ServiceName("s"), 1, 2, 3}},
-                        {{340000000, AccountName("a"), 4}},
-                        Duration(5)},
-      StoreUpdate{
-          InstanceId("i1"),
-          7,
-          Propagation::None,
-          {"127.0.0.1", 6},
-          {{"servers", 3, 9, Duration(4), {{"s", 8, "{}"}, {"t", 0, ""}}}}},
-      SnapshotRequest{{"127.0.0.1", 6}, {"servers"}},
-      ConsumptionSum{InstanceId("i1"),
-                     7,
-                     CollectorRole::HoldsLease,
-                     23,
-                     {{AccountName("a"), 7, 9}},
-                     Duration(5)},
-      ServerRateLimits{
-          {{ServerId("s@1"), RateLimitState::Lifted, 2250000, Duration(6)}}},
-      EngineWorkReport{{{ServerId("s@1"), 5000, 12000, 700}},
-                       {{ServiceName("s"), 9000, 7000, 1, 2, 3, 4, 5}}},
-      EngineWorkSum{InstanceId("i1"),
-                    7,
-                    {{ServerId("s@1"), 5000, 12000, 700}},
-                    {{ServiceName("s"), 9000, 7000, 1, 2, 3, 4, 5}}}};
+  return {Hello{"secret", instance()},
+          Heartbeat{HeartbeatKind::PingRequest, 7, InstanceId("x"), {Update}},
+          ConfigurationDigest{4, 5, {"127.0.0.1", 6}},
+          ConfigurationObjects{{Object}},
+          ConfigurationRequest{{{{ObjectKind::Account, "a"}, 2}}, {}},
+          ServerLeavingNotice{ServerId("s"), Liveness::Gone, Duration(-1), 4},
+          CrashReports{
+              {{1, 2, ServerId("s"), CrashEvidence::Cleared, Duration(3)}}},
+          ServerReserved{ServerId("s"), 5, InstanceId("i1"),
+                         ReservationState::Released, Duration(6)},
+          DemandReport{{{AccountName("a"), 7, 8}}},
+          ShareGrant{{{AccountName("a"), 250000}}, Duration(9)},
+          Checkpoint,
+          StreamQuery{Stream, 7, instance(), 3, StreamQueryMode::Adopt},
+          StreamState{Stream, 3, StreamKnowledge::KeyReused, Epoch, instance(),
+                      2},
+          StreamHandOver{Checkpoint, 3},
+          ConsumptionReport{{{AccountName("a"), 7, 9}},
+                            {{ServiceName("s"), 1, 2, 3}},
+                            {{340000000, AccountName("a"), 4}},
+                            Duration(5)},
+          StoreUpdate{
+              InstanceId("i1"),
+              7,
+              Propagation::None,
+              {"127.0.0.1", 6},
+              {{"servers", 3, 9, Duration(4), {{"s", 8, "{}"}, {"t", 0, ""}}}}},
+          SnapshotRequest{{"127.0.0.1", 6}, {"servers"}},
+          ConsumptionSum{InstanceId("i1"),
+                         7,
+                         CollectorRole::HoldsLease,
+                         23,
+                         {{AccountName("a"), 7, 9}},
+                         Duration(5)},
+          ServerRateLimits{{{ServerId("s@1"), RateLimitState::Lifted, 2250000,
+                             Duration(6)}}},
+          EngineWorkReport{{{ServerId("s@1"), 5000, 12000, 700}},
+                           {{ServiceName("s"), 9000, 7000, 1, 2, 3, 4, 5}}},
+          EngineWorkSum{InstanceId("i1"),
+                        7,
+                        {{ServerId("s@1"), 5000, 12000, 700}},
+                        {{ServiceName("s"), 9000, 7000, 1, 2, 3, 4, 5}}}},
+         RolloutShares{
+             InstanceId("i1"), 7, 8, {{ServiceName("s"), "v2", 40000}}},
+         VersionReport {
+    {
+      { ServiceName("s"), "v2", "/r/", 1, 2, 3, 4 }
+    }
+  }
+};
 }
 
 TEST_CASE("Every message is unchanged by encoding and decoding") {
