--- a/Tests/EntryProcess/ServerStandin.h
+++ b/Tests/EntryProcess/ServerStandin.h
@@ -13,6 +13,7 @@
   Leaving,          ///< Announces in its answers that it is leaving.
   RequestsBackoff,  ///< Rejects requests and requests a backoff.
   Overloaded,       ///< Rejects each request as not run.
+  Failing,          ///< Runs each request and reports a failure.
   Hanging,          ///< Reads requests and never answers.
   ResetsConnection, ///< Resets the connection after reading the request.
   Misdirected,      ///< Answers 421 as another server that now has the address.
@@ -45,6 +46,10 @@
       Head.Status_ = Mode_ == ServerMode::Misdirected ? 421 : 503;
       Head.Fields_.add("X-Not-Executed", "1");
       return Exchange->answer(Head, "");
+    case ServerMode::Failing:
+      Head.Status_ = 500;
+      Head.Fields_.add("X-Server-Stamp", "stamp");
+      return Exchange->answer(Head, "failed");
     case ServerMode::Hanging:
       return Unanswered_.push_back(std::move(Exchange));
     case ServerMode::ResetsConnection:
--- a/Tests/EntryProcess/StoreStandin.cpp
+++ b/Tests/EntryProcess/StoreStandin.cpp
@@ -71,7 +71,23 @@
 
 json StoreStandin::show(std::string const &Name, Object const &Shown) const {
   return {{"metadata", {{"name", Name}, {"revision", Shown.Revision_}}},
-          {"specification", Shown.Specification_}};
+          {"specification", Shown.Specification_},
+          {"status", Shown.Status_}};
+}
+
+void StoreStandin::writeStatus(Exchange &To, std::string const &Kind,
+                               std::string const &Name, json const &Body) {
+  auto const Found = Objects_[Kind].find(Name);
+  if (Found == Objects_[Kind].end() || Found->second.IsDeleted_)
+    return reply(To, 404, json::object());
+  auto const &Metadata = Body.at("metadata");
+  if (Metadata.contains("revision") &&
+      Metadata["revision"] != Found->second.Revision_)
+    return reply(To, 409, json::object());
+  Found->second.Status_ = Body.at("status");
+  Found->second.Revision_ = ++Revision_;
+  changed(Kind);
+  reply(To, 200, show(Name, Found->second));
 }
 
 void StoreStandin::read(std::shared_ptr<Exchange> const &To,
@@ -129,6 +145,10 @@
     remove(Kind, Name);
     return reply(To, 200, json::object());
   }
+  constexpr std::string_view StatusSuffix = "/status";
+  if (Name.ends_with(StatusSuffix))
+    return writeStatus(To, Kind,
+                       Name.substr(0, Name.size() - StatusSuffix.size()), Body);
   auto const &Metadata = Body.at("metadata");
   auto const ObjectName =
       Name.empty() ? Metadata.at("name").get<std::string>() : Name;
@@ -149,7 +169,7 @@
 
 void StoreStandin::put(std::string const &Kind, std::string const &Name,
                        json Specification) {
-  Objects_[Kind][Name] = {++Revision_, std::move(Specification), false};
+  Objects_[Kind][Name] = {++Revision_, std::move(Specification), false, {}};
   changed(Kind);
 }
 
--- a/Tests/EntryProcess/StoreStandin.h
+++ b/Tests/EntryProcess/StoreStandin.h
@@ -32,6 +32,7 @@
     std::uint64_t Revision_ = 0;
     nlohmann::json Specification_;
     bool IsDeleted_ = false;
+    nlohmann::json Status_ = {};
   };
 
   explicit StoreStandin(asio::io_context &Context) : Context_(Context) {}
@@ -66,6 +67,11 @@
                         std::string const &Name) const {
     return Objects_.at(Kind).at(Name).Specification_;
   }
+  /// Returns the object's status, as the system has last written it.
+  nlohmann::json status(std::string const &Kind,
+                        std::string const &Name) const {
+    return Objects_.at(Kind).at(Name).Status_;
+  }
   std::size_t count(std::string const &Kind) const;
   /// Returns paths and bodies of the calls to the platform API, which shares
   /// the store's address here.
@@ -90,6 +96,8 @@
              std::uint64_t From, Duration Wait);
   void write(Exchange &To, std::string const &Method, std::string const &Kind,
              std::string const &Name, nlohmann::json const &Body);
+  void writeStatus(Exchange &To, std::string const &Kind,
+                   std::string const &Name, nlohmann::json const &Body);
   void answerWatch(Watch const &Pending);
   void changed(std::string const &Kind);
 
