LibTraffic: Take no answer for slow that is a few milliseconds late

Cause: a good version was rolled back in a play with processes: an answer of 3 ms where 1 ms is usual counted as slow, and a version's first answers come on new connections.

Change: an answer is slow that takes two and a half times the usual time and 20 ms more than it.

--- a/Libraries/LibTraffic/VersionTally.cpp
+++ b/Libraries/LibTraffic/VersionTally.cpp
@@ -6,6 +6,9 @@
 
 /// An answer is slow that takes this multiple of the usual time.
 constexpr double SlowFactor = 2.5;
+/// Seconds by which it is later at least: less than that callers hardly notice,
+/// and new connections take it.
+constexpr double MinDelay = 0.02;
 /// Smoothing weight of the newest answer in the usual time.
 constexpr double UsualWeight = 0.05;
 
@@ -41,7 +44,8 @@
   auto const Seconds = std::chrono::duration<double>(Took).count();
   auto const [Usual, IsFirst] =
       Usual_.try_emplace({Of.Service_, Of.Route_}, Seconds);
-  if (!IsFirst && Seconds > SlowFactor * Usual->second)
+  if (!IsFirst && Seconds > SlowFactor * Usual->second &&
+      Seconds > MinDelay + Usual->second)
     ++Counts.Slow_;
   if (!isTarget(Of))
     Usual->second += UsualWeight * (Seconds - Usual->second);
--- a/Tests/LibTraffic/TestStreamEnds.cpp
+++ b/Tests/LibTraffic/TestStreamEnds.cpp
@@ -336,12 +336,12 @@
   Run.attempt("a");
   CHECK(Run.find<SendAttempt>()->Metadata_.TimeLeft_ == seconds(2) + Margin);
   Run.handle(HeadArrived{Signed});
-  Run.Now_ += milliseconds(1200);
-  Run.handle(BodyArrived{"id: 1\ndata: x\n\n"});
   auto const Pause = GENERATE(350, 700);
+  Run.Now_ += milliseconds(1850 - Pause);
+  Run.handle(BodyArrived{"id: 1\ndata: x\n\n"});
   Run.Now_ += milliseconds(Pause);
   Run.handle(BodyArrived{"id: 2\ndata: x\n\n"});
-  Run.Now_ += milliseconds(1990 - 1200 - Pause);
+  Run.Now_ += milliseconds(1990 - 1850);
   Run.handle(Marked);
   CHECK((Run.find<FinishStream>() != nullptr) == (Pause == 350));
   CHECK((Run.find<AbortStream>() != nullptr) == (Pause == 700));
