LibTraffic: Leave the quota's tolerance for late sums where collectors are used

Change: in fleets with collectors nothing is admitted beyond the quota on purpose, and nine tenths of the burst are used.

--- a/Libraries/LibTraffic/AccountQuotaLimiter.cpp
+++ b/Libraries/LibTraffic/AccountQuotaLimiter.cpp
@@ -28,6 +28,9 @@
 /// While the bucket holds more than the remote demand of this many periods,
 /// local requests cannot empty it before the next report.
 constexpr double ReservedPeriods = 2.0;
+/// Fraction of a burst that is used where collectors sum up the reports: until
+/// a sum shows a sudden demand, all instances admit it.
+constexpr double UsedBurstWithCollectors = 0.9;
 /// A request is small if it costs at most this fraction of the refill per
 /// second.
 constexpr double SmallRequestFraction = 0.02;
@@ -76,8 +79,9 @@
 }
 
 double AccountQuotaLimiter::rate(AccountQuota const &Quota) const {
-  return Quota.RatePerSecond_ * (1.0 + Settings_.RateTolerance_) *
-         reachableShare();
+  // What is admitted until a sum shows it takes the tolerance.
+  auto const Tolerance = Collectors_.empty() ? Settings_.RateTolerance_ : 0.0;
+  return Quota.RatePerSecond_ * (1.0 + Tolerance) * reachableShare();
 }
 
 double AccountQuotaLimiter::periodSeconds() const {
@@ -187,8 +191,10 @@
   auto &Usage = Found->second;
   // The burst counts towards what a window permits, so it is divided among the
   // instances like the rate.
-  auto const Depth =
-      (Quota.Burst_ + Settings_.BurstTolerance_) * reachableShare();
+  auto const Burst = Collectors_.empty()
+                         ? Quota.Burst_ + Settings_.BurstTolerance_
+                         : Quota.Burst_ * UsedBurstWithCollectors;
+  auto const Depth = Burst * reachableShare();
   if (IsNew) {
     Usage.Level_ = Depth;
     Usage.Filled_ = Now;
--- a/Tests/LibTraffic/TestAccountQuotaLimiter.cpp
+++ b/Tests/LibTraffic/TestAccountQuotaLimiter.cpp
@@ -259,3 +259,27 @@
   CHECK(One.Large_.admittedFraction() > 0.5 * One.Small_.admittedFraction());
   CHECK(maxIn8Seconds(One.Periods_) <= Allowed);
 }
+
+TEST_CASE("Where collectors sum up the reports, the tolerance is left for what "
+          "other instances admit meanwhile") {
+  constexpr double Rate = 100000.0;
+  AccountQuotaLimiter::Settings Settings;
+  Settings.RateTolerance_ = 0.04;
+  Settings.BurstTolerance_ = 20000.0;
+  TimePoint const Now{std::chrono::seconds(1000)};
+  auto const AdmittedAtOnce = [&](AccountQuotaLimiter &Limiter) {
+    double Sum = 0.0;
+    while (!Limiter.admit(AccountName("a"), 500.0, Now))
+      Sum += 500.0;
+    return Sum;
+  };
+  AccountQuotaLimiter Alone(Settings);
+  Alone.setTable(test::tableWith(Rate), Now);
+  Alone.setRegistered(1);
+  CHECK(AdmittedAtOnce(Alone) >= Rate);
+  AccountQuotaLimiter Collected(Settings);
+  Collected.setTable(test::tableWith(Rate), Now);
+  Collected.setRegistered(1);
+  Collected.onSum({InstanceId("c"), 1, CollectorRole::None, 1, {}, {}}, Now);
+  CHECK(AdmittedAtOnce(Collected) <= Rate);
+}
