laburnum-entry, LibHttp: Mend what a reading of the parts found

A listener whose connections are all being answered resets none of them for a new one. The record of an order that is gone keeps its service's name, so that it is written to the right object. Unchanged shares of a roll-out are sent three times before they lapse, not five times a second, and servers are only counted by version while there is an order.

--- a/Libraries/LibControl/RolloutController.cpp
+++ b/Libraries/LibControl/RolloutController.cpp
@@ -173,6 +173,7 @@
     return write(Kept, std::move(First), *Fault, {});
   }
   First.What_ = std::get<RolloutOrder>(Ordered.Decoded_);
+  First.What_.Service_ = Service;
   write(Kept, std::move(First),
         Ordered.Identifier_ == 0 ? "the order is gone" : "ordered", {});
 }
--- a/Libraries/LibHttp/HttpListener.cpp
+++ b/Libraries/LibHttp/HttpListener.cpp
@@ -59,34 +59,35 @@
       return;
     if (Failure)
       return Self->retryLater();
-    Self->limitConnections();
-    auto const Opened = std::make_shared<HttpServerConnection>(
-        Self, Connection::create(std::move(Socket)));
-    Self->Connections_.insert(Opened);
-    Opened->start();
+    if (Self->makeRoom()) {
+      auto const Opened = std::make_shared<HttpServerConnection>(
+          Self, Connection::create(std::move(Socket)));
+      Self->Connections_.insert(Opened);
+      Opened->start();
+    }
     Self->accept();
   });
 }
 
-void HttpListener::limitConnections() {
+bool HttpListener::makeRoom() {
   forgetReleased();
   if (Connections_.size() + Closing_.size() < Budget_->limits().Connections_)
-    return;
+    return true;
+  Service_.onGivenUp();
   if (!Closing_.empty()) {
     if (auto const Open = Closing_.front().lock())
       Open->abort();
-    return forgetReleased();
+    return true;
   }
-  auto const Rank = [](auto const &Accepted) {
-    return std::pair(!Accepted->isWaitingForClient(), Accepted->waitingSince());
-  };
-  auto const Oldest =
-      *std::min_element(Connections_.begin(), Connections_.end(),
-                        [&](auto const &Left, auto const &Right) {
-                          return Rank(Left) < Rank(Right);
-                        });
-  Service_.onGivenUp();
+  std::shared_ptr<HttpServerConnection> Oldest;
+  for (auto const &Accepted : Connections_)
+    if (Accepted->isWaitingForClient() &&
+        (!Oldest || Accepted->waitingSince() < Oldest->waitingSince()))
+      Oldest = Accepted;
+  if (!Oldest)
+    return false;
   Oldest->abortConnection();
+  return true;
 }
 
 void HttpListener::retryLater() {
--- a/Libraries/LibHttp/HttpListener.h
+++ b/Libraries/LibHttp/HttpListener.h
@@ -73,9 +73,10 @@
   HttpListener(asio::io_context &Context, HttpService &Service,
                std::shared_ptr<IntakeBudget> Budget);
   void accept();
-  /// Resets a connection if there are as many as allowed: one that is closing,
+  /// If there are as many connections as allowed, resets one that is closing,
   /// or else the one that has waited for its client for the longest time.
-  void limitConnections();
+  /// Returns whether there is room for another one.
+  bool makeRoom();
   void retryLater();
   void addClosing(std::shared_ptr<Connection> const &Closed);
   void forgetReleased();
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -443,9 +443,10 @@
                          Collector_.isComplete(Now)
                              ? PeerCoverage::AllInstances
                              : PeerCoverage::SomeInstances);
-  RolloutTasks_.setServers(LeaseHolderTasks_.servers());
+  if (RolloutTasks_.hasOrders())
+    RolloutTasks_.setServers(LeaseHolderTasks_.servers());
   RolloutTasks_.tick(LeaseHolderTasks_.fenceNumber(Now),
-                     Dependencies_.Clock_.read(Now));
+                     Dependencies_.Clock_.read(Now), Now);
   Collector_.setRole(LeaseHolderTasks_.holdsLease(Now)
                          ? CollectorRole::HoldsLease
                          : CollectorRole::None,
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -1,7 +1,6 @@
 #include "RequestSession.h"
 
 #include <LibModel/RunState.h>
-#include <LibTraffic/ServerPriority.h>
 
 namespace laburnum {
 
@@ -127,13 +126,6 @@
       });
 }
 
-std::int32_t RequestSession::rank() const {
-  auto const *const Account =
-      FlowContext_.Table_->accountByKey(FlowContext_.Metadata_.Key_);
-  return Account && Account->Rank_ ? *Account->Rank_
-                                   : FlowContext_.Route_->Rank_;
-}
-
 bool RequestSession::isResumable() const {
   return FlowContext_.Route_->Form_ == AnswerForm::EventStream &&
          FlowContext_.Route_->Repeatability_ == Repeatability::Resumable;
@@ -162,30 +154,6 @@
   Plane_.enqueue(shared_from_this(), std::move(Waiting));
 }
 
-void RequestSession::chooseVersion(ServerQuery &Query) {
-  auto &Shares = Plane_.VersionShares_;
-  auto const Now = readBootClock();
-  auto const Choice = Shares.choose(Query.Service_, Now);
-  if (!Choice)
-    return;
-  if (Choice->Use_ == VersionShares::Choice::Use::Target) {
-    auto OnlyTarget = Query;
-    OnlyTarget.SoftwareVersion_ = Choice->Target_;
-    // A second attempt goes to what has proved itself.
-    if (Flow_.attempts() == 0 && Plane_.Roster_.hasUsable(OnlyTarget, Now)) {
-      Query = std::move(OnlyTarget);
-      return;
-    }
-    Shares.returnCredit(Query.Service_);
-  }
-  Query.AvoidedVersion_ = Choice->Target_;
-}
-
-VersionTally::Key RequestSession::tallyKey() const {
-  return {Server_->Service_, Server_->SoftwareVersion_,
-          FlowContext_.Route_->Name_};
-}
-
 void RequestSession::onAdmission(AdmissionOutcome const &Outcome) {
   if (auto const *const Admission = std::get_if<Admitted>(&Outcome)) {
     auto const Now = readBootClock();
@@ -246,9 +214,7 @@
     return;
   }
   auto Metadata = Action.Metadata_;
-  if (Plane_.Roster_.isWorkBound(Server_->Service_))
-    Metadata.ServerPriority_ =
-        serverPriority(*FlowContext_.Table_, *FlowContext_.Route_, rank());
+  Metadata.ServerPriority_ = priorityAtServer();
   Outbound.Head_ = Codec.encode(Request_.Head_, Metadata);
   // Which software version begins or continues a stream has to be certain.
   Outbound.Process_ = processName(*Server_);
@@ -258,7 +224,7 @@
                                : ProcessCheck::BeforeRequest;
   armStallTimer();
   beginWork();
-  Plane_.VersionTally_.onSent(tallyKey());
+  tallySent();
   IsAwaited_ = true;
   Plane_.AttemptingSessions_.insert(this);
   Plane_.Links_.onSent(*Server_);
@@ -418,33 +384,6 @@
   handle(AttemptFailed{Evidence});
 }
 
-void RequestSession::beginWork() {
-  Work_.reset();
-  if (!Plane_.Roster_.isWorkBound(Server_->Service_))
-    return;
-  Work_ = workOf(FlowContext_.Metadata_);
-  WorkProgress_ = EngineBacklog::Progress::Unread;
-  if (Work_)
-    Plane_.Roster_.backlog().onSent(incarnationOf(*Server_), *Work_);
-}
-
-void RequestSession::onPromptRead() {
-  if (!Work_ || WorkProgress_ == EngineBacklog::Progress::Read)
-    return;
-  WorkProgress_ = EngineBacklog::Progress::Read;
-  Plane_.Roster_.backlog().onRead(incarnationOf(*Server_), *Work_);
-  // A stream that goes on is read again, with what was generated.
-  if (!FlowContext_.Metadata_.TakesUpStream_ && Flow_.attempts() == 1)
-    Plane_.WorkMeter_.onFirstEvent(Server_->Service_, *Work_,
-                                   readBootClock() - AttemptSentAt_);
-}
-
-void RequestSession::endWork() {
-  if (auto const Work = std::exchange(Work_, std::nullopt))
-    Plane_.Roster_.backlog().onEnded(incarnationOf(*Server_), *Work,
-                                     WorkProgress_);
-}
-
 void RequestSession::armStallTimer() {
   StallTimer_.expires_after(FlowContext_.Route_->LatencyTarget_ * StallPercent /
                             100);
@@ -517,16 +456,7 @@
   endWork();
   Plane_.AttemptingSessions_.erase(this);
   if (isDirect()) {
-    auto const Claim = Answer_ ? Answer_->Claim_ : AnswerClaim::NotRun;
-    bool const IsBad = Health == AttemptHealth::Failed ||
-                       Claim == AnswerClaim::Failed ||
-                       Claim == AnswerClaim::Untrusted;
-    Plane_.VersionTally_.onEnded(tallyKey(),
-                                 IsBad ? VersionTally::Result::Failed
-                                 : Claim == AnswerClaim::Succeeded
-                                     ? VersionTally::Result::Answered
-                                     : VersionTally::Result::Neither,
-                                 AnswerBegunAt_ - AttemptSentAt_);
+    tallyEnd(Health);
     Plane_.Roster_.onEnded(*Server_, Health, readBootClock());
     Plane_.onAttemptEnded(FlowContext_.Fingerprints_, *Server_, Evidence);
   }
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -62,6 +62,11 @@
   /// Keeps the request to the versions that a roll-out leaves it.
   void chooseVersion(ServerQuery &Query);
   VersionTally::Key tallyKey() const;
+  /// Count the attempt for its server's software version.
+  void tallySent();
+  void tallyEnd(AttemptHealth Health);
+  /// Nothing unless the service's requests are placed by work.
+  std::optional<std::uint32_t> priorityAtServer() const;
   bool isDirect() const { return Access_ == ServerAccess::Direct; }
   /// Passes the request to another instance. Returns whether there is one.
   bool passToPeer(std::set<ServerId> const &Excluded);
--- a/Services/laburnum-entry/RolloutTasks.cpp
+++ b/Services/laburnum-entry/RolloutTasks.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds StoreTimeout{1500};
+/// How often unchanged shares are sent again: three times before they lapse.
+constexpr Duration SharePeriod = VersionShares::Validity / 3;
 
 ObjectKey recordKey(ServiceName const &Service) {
   return {detail::RolloutRecordCollection, Service.text()};
@@ -75,8 +77,8 @@
              });
 }
 
-void RolloutTasks::tick(std::optional<std::uint64_t> Fence,
-                        Duration TimeOfDay) {
+void RolloutTasks::tick(std::optional<std::uint64_t> Fence, Duration TimeOfDay,
+                        TimePoint Now) {
   if (Fence != Fence_)
     Records_ = Records::Unknown;
   Fence_ = Fence;
@@ -88,7 +90,7 @@
     return;
   for (auto const &Action : Controller_.advance(TimeOfDay))
     std::visit([this](auto const &Kind) { perform(Kind); }, Action);
-  sendShares();
+  sendShares(Now);
 }
 
 void RolloutTasks::readRecords() {
@@ -151,9 +153,14 @@
           .add("why", Action.Reason_));
 }
 
-void RolloutTasks::sendShares() {
-  RolloutShares const Shares{Self_.Id_, ++Number_, *Fence_,
-                             Controller_.shares()};
+void RolloutTasks::sendShares(TimePoint Now) {
+  auto Current = Controller_.shares();
+  bool const IsRenewal = Current == SentShares_;
+  if (Current.empty() || (IsRenewal && SharesSentAt_ + SharePeriod > Now))
+    return;
+  SharesSentAt_ = Now;
+  SentShares_ = Current;
+  RolloutShares const Shares{Self_.Id_, ++Number_, *Fence_, std::move(Current)};
   for (auto const &Child : Tree_.rootChildren())
     Peers_->send({Child, Shares});
   apply(Shares);
--- a/Services/laburnum-entry/RolloutTasks.h
+++ b/Services/laburnum-entry/RolloutTasks.h
@@ -37,10 +37,12 @@
   void start(std::shared_ptr<PeerNetwork> Peers) { Peers_ = std::move(Peers); }
   void setMembers(std::vector<Member> const &Members,
                   std::set<Endpoint> Collectors);
+  bool hasOrders() const { return Controller_.hasOrders(); }
   void setServers(std::vector<ServerRecord> const &Servers);
   /// To be called a few times a second. Fence is the lease's number while this
   /// instance holds it.
-  void tick(std::optional<std::uint64_t> Fence, Duration TimeOfDay);
+  void tick(std::optional<std::uint64_t> Fence, Duration TimeOfDay,
+            TimePoint Now);
   /// Sends what this instance has seen. Without targets it goes to all.
   void report(std::optional<std::vector<Endpoint>> const &Targets);
   void onPeer(InstanceId const &From, VersionReport const &Report);
@@ -59,7 +61,8 @@
   void perform(rollout::WriteRecord const &Action);
   void perform(rollout::WriteStatus const &Action);
   void perform(rollout::StageDecided const &Action);
-  void sendShares();
+  /// Sends the shares if they have changed, or are to be renewed.
+  void sendShares(TimePoint Now);
   void apply(RolloutShares const &Shares);
 
   RolloutDependencies Dependencies_;
@@ -71,7 +74,9 @@
   std::map<ServiceName, std::string> Targets_;
   std::optional<std::uint64_t> Fence_; ///< While the lease is held.
   enum class Records { Unknown, Reading, Known } Records_ = Records::Unknown;
-  std::uint64_t Number_ = 0;
+  std::uint64_t Number_ = 0; ///< Of the shares that were sent last.
+  std::vector<RolloutShare> SentShares_;
+  TimePoint SharesSentAt_ = TimePoint::min();
 };
 
 } // namespace laburnum
--- a/Tests/LibControl/TestRolloutController.cpp
+++ b/Tests/LibControl/TestRolloutController.cpp
@@ -205,6 +205,7 @@
     CHECK(Run.Controller_->shares().empty());
     Run.advanceTo(seconds(16));
     CHECK(Run.Record_->Order_ == 0);
+    CHECK(Run.Record_->What_.Service_ == Service);
   }
 }
 
