laburnum-entry: Show placements by work and roll-outs in logs and metrics

The line of a request says how many tokens of its prompt are unshared and how many were unread at its server when it was sent; counters for attempts placed by work and for stages of roll-outs.

--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -84,7 +84,7 @@
                        localInstance(Dependencies.Settings_, Incarnation_)),
       RolloutTasks_({Dependencies.Context_, Dependencies.TrafficContext_,
                      Store_, Dependencies.Traffic_, Dependencies.Codec_,
-                     Dependencies.Log_},
+                     Dependencies.Log_, Dependencies.Metrics_},
                     localInstance(Dependencies.Settings_, Incarnation_)),
       Peers_(std::make_shared<PeerNetwork>(
           Dependencies.Context_, Store_, Dependencies.Settings_.Name_,
--- a/Services/laburnum-entry/EntryMetrics.cpp
+++ b/Services/laburnum-entry/EntryMetrics.cpp
@@ -30,6 +30,7 @@
       GivenUp_(Registry_.counter("requests.given_up", "requests")),
       Unroutable_(Registry_.counter("requests.unroutable", "requests")),
       AttemptsSent_(Registry_.counter("attempts.sent", "attempts")),
+      AttemptsByWork_(Registry_.counter("attempts.by_work", "attempts")),
       AttemptsFailed_(Registry_.counter("attempts.failed", "attempts")),
       AttemptsBrokenOff_(Registry_.counter("attempts.broken_off", "attempts")),
       AttemptsRefused_(Registry_.counter("attempts.refused", "attempts")),
@@ -49,6 +50,7 @@
       LinksBroken_(Registry_.counter("servers.links_broken", "breaks")),
       MismatchedAnswers_(
           Registry_.counter("attempts.foreign_answers", "answers")),
+      RolloutSteps_(Registry_.counter("rollouts.steps", "steps")),
       ConfigurationsApplied_(
           Registry_.counter("configuration.applied", "versions")),
       ServersOrdered_(Registry_.counter("orders.sent", "orders")),
--- a/Services/laburnum-entry/EntryMetrics.h
+++ b/Services/laburnum-entry/EntryMetrics.h
@@ -30,6 +30,7 @@
   Counter &GivenUp_;    ///< Clients took more than the limits allow.
   Counter &Unroutable_; ///< 400, 401, 404.
   Counter &AttemptsSent_;
+  Counter &AttemptsByWork_; ///< Placed by what they ask of a model server.
   Counter &AttemptsFailed_;
   Counter &AttemptsBrokenOff_; ///< Failed attempts that may have run.
   Counter &AttemptsRefused_;   ///< Refused by the server before running.
@@ -44,6 +45,7 @@
   Counter &LinksBroken_;          ///< Reachable when probed after a disconnect.
   Counter &MismatchedAnswers_; ///< Of another request; skipped on a kept-alive
                                ///< connection.
+  Counter &RolloutSteps_;      ///< Stages that this instance has decided.
   Counter &ConfigurationsApplied_;
   Counter &ServersOrdered_;
   Counter &OrdersFailed_;
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -101,6 +101,8 @@
   /// Work of the current attempt, where its service is placed by work.
   std::optional<RequestWork> Work_;
   EngineBacklog::Progress WorkProgress_ = EngineBacklog::Progress::Unread;
+  /// At the server when the last attempt was sent, this request's included.
+  std::optional<std::uint64_t> UnreadTokens_;
   std::uint64_t Ticket_ = 0;
   std::optional<ServerRecord> Server_; ///< Server of the current attempt.
   ServerAccess Access_ = ServerAccess::Direct;
--- a/Services/laburnum-entry/RequestSessionOutcome.cpp
+++ b/Services/laburnum-entry/RequestSessionOutcome.cpp
@@ -84,6 +84,9 @@
                             ? "connection"
                             : "delimited")
         .add("process", IsLastIdentified_ ? "identified" : "as listed");
+  if (auto const Work = workOf(FlowContext_.Metadata_); Work && UnreadTokens_)
+    Line.add("unshared_tokens", Work->unsharedTokens())
+        .add("unread_tokens", *UnreadTokens_);
   if (FirstSentAt_ != TimePoint())
     Line.add("queued_ms", FirstSentAt_ - Request_.BegunAt_);
   if (FirstAnswerAt_ != TimePoint())
--- a/Services/laburnum-entry/RequestSessionServers.cpp
+++ b/Services/laburnum-entry/RequestSessionServers.cpp
@@ -28,8 +28,13 @@
     return;
   Work_ = workOf(FlowContext_.Metadata_);
   WorkProgress_ = EngineBacklog::Progress::Unread;
-  if (Work_)
-    Plane_.Roster_.backlog().onSent(incarnationOf(*Server_), *Work_);
+  if (!Work_)
+    return;
+  auto const Incarnation = incarnationOf(*Server_);
+  auto &Backlog = Plane_.Roster_.backlog();
+  Backlog.onSent(Incarnation, *Work_);
+  UnreadTokens_ = Backlog.load(Incarnation, AttemptSentAt_).UnreadTokens_;
+  Plane_.Dependencies_.Metrics_.AttemptsByWork_.add();
 }
 
 void RequestSession::onPromptRead() {
--- a/Services/laburnum-entry/RolloutTasks.cpp
+++ b/Services/laburnum-entry/RolloutTasks.cpp
@@ -140,6 +140,7 @@
 }
 
 void RolloutTasks::perform(rollout::StageDecided const &Action) {
+  Dependencies_.Metrics_.RolloutSteps_.add();
   Dependencies_.Log_.write(
       LogLine("rollout")
           .add("service", Action.Service_.text())
--- a/Services/laburnum-entry/RolloutTasks.h
+++ b/Services/laburnum-entry/RolloutTasks.h
@@ -24,6 +24,7 @@
   TrafficPlane &Traffic_;
   RecordCodec const &Codec_;
   EventLog &Log_;
+  EntryMetrics &Metrics_;
 };
 
 /// Carries out the operator's orders to roll software versions out. Every
