--- a/Libraries/LibTraffic/ServiceWorkMeter.cpp
+++ b/Libraries/LibTraffic/ServiceWorkMeter.cpp
@@ -17,7 +17,7 @@
 constexpr std::uint64_t MinAnswers = 40;
 
 std::uint64_t rounded(double Value) {
-  return static_cast<std::uint64_t>(std::max(Value, 0.0) + 0.5);
+  return static_cast<std::uint64_t>(std::llround(std::max(Value, 0.0)));
 }
 
 /// Averages the tokens of the last Seconds into a rate.
