--- a/Tests/Platform/TestHeaderCodec.cpp
+++ b/Tests/Platform/TestHeaderCodec.cpp
@@ -183,7 +183,7 @@
 TEST_CASE("A server is told the priority of a request only if there is one") {
   AttemptMetadata Attempt;
   auto const Received =
-      request({{"X-Attempt-Id", "id1"}, {"X-Request-Priority", "0"}});
+      requestWith({{"X-Attempt-Id", "id1"}, {"X-Request-Priority", "0"}});
   CHECK_FALSE(
       Codec.encode(Received, Attempt).Fields_.find("X-Request-Priority"));
   Attempt.ServerPriority_ = 4;
