Tests: Let requests be in progress where a roll-out is not to be completed yet

Two cases of the controller took the full stage for granted at 15 s; without requests in progress the roll-out is rightly completed by then.

--- a/Tests/LibControl/TestRolloutController.cpp
+++ b/Tests/LibControl/TestRolloutController.cpp
@@ -106,7 +106,9 @@
 TEST_CASE("A version whose answers are worse is rolled back at once") {
   Rollouts Run;
   auto const Begun = GENERATE(1, 13, 15);
-  Run.Controller_->onReport(InstanceId("i1"), reportOf({100, 1}, {9000, 90}));
+  // The other versions have requests in progress.
+  Run.Controller_->onReport(InstanceId("i1"),
+                            reportOf({100, 1}, {9000, 90}, 3));
   Run.advanceTo(seconds(Begun));
   SECTION("everywhere") {
     Run.Controller_->onReport(InstanceId("i1"),
@@ -190,6 +192,8 @@
 
 TEST_CASE("A second order begins anew, and an order that is gone ends") {
   Rollouts Run;
+  Run.Controller_->onReport(InstanceId("i1"),
+                            reportOf({100, 1}, {9000, 90}, 3));
   Run.advanceTo(seconds(15));
   REQUIRE(Run.Record_->Stage_ == RolloutStage::Full);
   SECTION("a second order") {
