--- a/Services/laburnum-entry/RolloutTasks.cpp
+++ b/Services/laburnum-entry/RolloutTasks.cpp
@@ -39,12 +39,12 @@
 }
 
 void RolloutTasks::onListed(ObjectList const &Listed) {
-  for (auto const &[Service, Target] : Targets_)
+  for (auto const &Known : Targets_)
     if (std::none_of(Listed.Objects_.begin(), Listed.Objects_.end(),
                      [&](StoredObject const &Object) {
-                       return Object.Key_.Name_ == Service.text();
+                       return Object.Key_.Name_ == Known.first.text();
                      }))
-      Controller_.removeOrder(Service);
+      Controller_.removeOrder(Known.first);
   Targets_.clear();
   for (auto const &Object : Listed.Objects_)
     setOrder(Object);
