--- a/Libraries/LibCallers/CallerServer.cpp
+++ b/Libraries/LibCallers/CallerServer.cpp
@@ -15,6 +15,8 @@
 
 constexpr char EventStreamType[] = "text/event-stream";
 constexpr std::size_t RequestsPerConnection = 1000000;
+/// Bytes of memory for each byte of a body, whose buffer doubles as it grows.
+constexpr std::size_t BytesForGrowth = 2;
 
 CallerMessage messageOf(httplib::Request const &Request) {
   CallerMessage Message;
@@ -90,8 +92,8 @@
                  RefusalWriter Refuse)
       : Settings_(Settings), Handler_(std::move(Handler)),
         Refuse_(std::move(Refuse)),
-        BodyMemory_(
-            std::max(Settings_.BodyMemoryBytes_, Settings_.MaxBodyBytes_)) {
+        BodyMemory_(std::max(Settings_.BodyMemoryBytes_,
+                             BytesForGrowth * Settings_.MaxBodyBytes_)) {
     setLimits();
     setRoutes();
     setErrors();
@@ -165,7 +167,7 @@
     bool HasRoom = true;
     BodyMemory::Share Room(BodyMemory_);
     auto const IsComplete = Reader([&](char const *Data, std::size_t Size) {
-      HasRoom = Room.extend(Message.Body_.size() + Size);
+      HasRoom = Room.extend(BytesForGrowth * (Message.Body_.size() + Size));
       if (!HasRoom)
         return false;
       Message.Body_.append(Data, Size);
--- a/Libraries/LibCallers/CallerServer.h
+++ b/Libraries/LibCallers/CallerServer.h
@@ -28,7 +28,7 @@
   Endpoint Listen_;
   std::size_t MaxThreads_ = 256; ///< One per open connection.
   std::size_t MaxBodyBytes_ = std::size_t(1) << 20;
-  /// Of all bodies together; never less than MaxBodyBytes_.
+  /// Of all bodies together; never less than twice MaxBodyBytes_.
   std::size_t BodyMemoryBytes_ = std::size_t(32) << 20;
   Duration BodyTimeout_ = std::chrono::seconds(10);
   Duration ReadTimeout_ = std::chrono::seconds(5);
