laburnum-entry: Show why an instance is not ready and what its lists cost

Change: the event readiness and the page of the readiness check name the reason; a list's further pages are counted, each of which is a call that the platform charges for; a failed start is logged before the process ends.

--- a/Libraries/LibControl/CountedStore.cpp
+++ b/Libraries/LibControl/CountedStore.cpp
@@ -12,6 +12,14 @@
 
 } // namespace
 
+CountedStore::CountedStore(AsyncObjectStore &Store) : Store_(Store) {
+  Store_.setPageListener([this](std::string const &Collection) {
+    count("list-page", Collection);
+  });
+}
+
+CountedStore::~CountedStore() { Store_.setPageListener({}); }
+
 void CountedStore::count(std::string const &Verb,
                          std::string const &Collection) {
   ++Calls_[Verb + '/' + Collection];
--- a/Libraries/LibControl/CountedStore.h
+++ b/Libraries/LibControl/CountedStore.h
@@ -14,7 +14,10 @@
 class CountedStore : public AsyncObjectStore {
 public:
   /// The store outlives this one.
-  explicit CountedStore(AsyncObjectStore &Store) : Store_(Store) {}
+  explicit CountedStore(AsyncObjectStore &Store);
+  ~CountedStore() override;
+  CountedStore(CountedStore const &) = delete;
+  CountedStore &operator=(CountedStore const &) = delete;
 
   void setRestoreListener(RestoreListener Listener) override {
     Store_.setRestoreListener(std::move(Listener));
@@ -37,7 +40,8 @@
 
   /// Calls since the start by operation and collection, such as
   /// "watch/servers". Reads that may lag are counted separately, as they cost
-  /// less.
+  /// less. The pages of a list after its first one are counted as
+  /// "list-page/servers".
   std::map<std::string, std::uint64_t> const &calls() const { return Calls_; }
 
 private:
--- a/Libraries/LibPlatform/AsyncObjectStore.h
+++ b/Libraries/LibPlatform/AsyncObjectStore.h
@@ -22,6 +22,11 @@
   using RestoreListener = std::function<void(StoreEra)>;
   virtual void setRestoreListener(RestoreListener Listener) = 0;
 
+  /// A list takes one more call for a further page of the collection. Called
+  /// before that call; never by a store that has no pages.
+  using PageListener = std::function<void(std::string const &Collection)>;
+  virtual void setPageListener(PageListener /*Listener*/) {}
+
   virtual void list(std::string const &Collection, ReadConsistency Consistency,
                     Duration Timeout, Done<ObjectList> Done) = 0;
   /// A deleted object is reported with Version_ 0.
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -226,13 +226,30 @@
       [&Traffic = Dependencies_.Traffic_, Table] { Traffic.setTable(Table); });
 }
 
-bool ControlPlane::isReady() const {
-  return ConfigurationVersion_ != 0 && HasServerList_ && !IsStopping_;
+std::optional<std::string_view> ControlPlane::unreadyReason() const {
+  if (IsStopping_)
+    return "stopping";
+  if (ConfigurationVersion_ == 0)
+    return "no configuration yet";
+  if (!HasServerList_)
+    return "no list of servers yet";
+  return std::nullopt;
 }
 
 StatusService::Page ControlPlane::readiness() const {
-  return isReady() ? StatusService::Page{200, "ready\n"}
-                   : StatusService::Page{503, "not ready\n"};
+  if (auto const Reason = unreadyReason())
+    return {503, "not ready: " + std::string(*Reason) + '\n'};
+  return {200, "ready\n"};
+}
+
+void ControlPlane::logReadiness() {
+  auto const Reason = unreadyReason();
+  if (Reason == LastUnreadyReason_)
+    return;
+  LastUnreadyReason_ = Reason;
+  Dependencies_.Log_.write(LogLine("readiness")
+                               .add("ready", Reason ? "no" : "yes")
+                               .add("why", Reason.value_or("complete")));
 }
 
 StatusService::Page ControlPlane::metrics() const {
@@ -261,6 +278,7 @@
 }
 
 void ControlPlane::flushLog() {
+  logReadiness();
   Dependencies_.Log_.flush();
   LogTimer_.expires_after(LogPeriod);
   LogTimer_.async_wait([this](asio::error_code Failure) {
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -20,7 +20,9 @@
 #include <asio/signal_set.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace laburnum {
@@ -64,7 +66,10 @@
   /// The store came back from an older copy.
   void onStoreRestored(StoreEra Era);
   void applyConfiguration(StoredObject const &Object);
-  bool isReady() const;
+  /// Returns why this instance is not ready; nothing if it is.
+  std::optional<std::string_view> unreadyReason() const;
+  /// Logs each change between ready and the reasons against it.
+  void logReadiness();
   StatusService::Page readiness() const;
   StatusService::Page metrics() const;
   void flushLog();
@@ -125,6 +130,7 @@
   /// Numbers of live and of registered instances, as last logged.
   std::pair<std::size_t, std::size_t> LastFleet_;
   bool HasServerList_ = false;
+  std::optional<std::string_view> LastUnreadyReason_ = ""; ///< As logged.
   bool IsStopping_ = false;
   TimePoint StopBegunAt_{};
 };
--- a/Services/laburnum-entry/main.cpp
+++ b/Services/laburnum-entry/main.cpp
@@ -105,6 +105,8 @@
   if (!isError(Started))
     Started = Control.start();
   if (isError(Started)) {
+    Log.write(LogLine("start_failed").add("why", toString(errorOf(Started))));
+    Log.flush();
     std::cerr << "laburnum-entry: " << toString(errorOf(Started)) << '\n';
     return ExitStart;
   }
--- a/Tests/Platform/TestObjectClient.cpp
+++ b/Tests/Platform/TestObjectClient.cpp
@@ -91,10 +91,15 @@
                               R"(],"has_more":true,"current_rev":9})"},
                     {200, R"({"items":[)" + object("c", 5, "\"x\"") +
                               R"(],"has_more":false,"current_rev":11})"}};
+  std::vector<std::string> FurtherPages;
+  Client_.setPageListener([&](std::string const &Collection) {
+    FurtherPages.push_back(Collection);
+  });
   auto const Listed = await<ObjectList>([&](auto Done) {
     Client_.list("things", ReadConsistency::Latest, Timeout, Done);
   });
   REQUIRE_FALSE(isError(Listed));
+  CHECK(FurtherPages == std::vector<std::string>{"things"});
   CHECK(valueOf(Listed).Objects_.size() == 3);
   CHECK(valueOf(Listed).Objects_[2] ==
         StoredObject{{"things", "c"}, 5, "\"x\""});
