Tests: Show that lists do not end where names need encoding in a URL

The stand-in of the store lists in pages and decodes URLs now, as the platform's pages say.

The log of the instance decides between the hypotheses: readiness says "no list of servers yet" after configuration_applied, list-page/servers grows without end, and there is neither dependency_lost nor start_failed.

--- a/Tests/EntryProcess/StoreStandin.cpp
+++ b/Tests/EntryProcess/StoreStandin.cpp
@@ -1,5 +1,6 @@
 #include "StoreStandin.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace laburnum::entry_process {
@@ -10,6 +11,25 @@
 
 constexpr std::string_view ObjectsPath = "/laburnumpond/objects/";
 
+/// Decodes a part of a URL; in a query a plus sign stands for a space.
+std::string decodeUrl(std::string const &Text) {
+  std::string Decoded;
+  for (std::size_t At = 0; At < Text.size(); ++At)
+    if (Text[At] == '%' && At + 2 < Text.size()) {
+      Decoded +=
+          static_cast<char>(std::stoi(Text.substr(At + 1, 2), nullptr, 16));
+      At += 2;
+    } else {
+      Decoded += Text[At];
+    }
+  return Decoded;
+}
+
+std::string decodeQuery(std::string Text) {
+  std::replace(Text.begin(), Text.end(), '+', ' ');
+  return decodeUrl(Text);
+}
+
 std::map<std::string, std::string> parseQuery(std::string const &Text) {
   std::map<std::string, std::string> Found;
   for (std::size_t At = 0; At < Text.size();) {
@@ -17,7 +37,7 @@
     auto const Pair = Text.substr(At, End - At);
     auto const Equals = Pair.find('=');
     Found[Pair.substr(0, Equals)] =
-        Equals == std::string::npos ? "" : Pair.substr(Equals + 1);
+        Equals == std::string::npos ? "" : decodeQuery(Pair.substr(Equals + 1));
     At = End + 1;
   }
   return Found;
@@ -46,15 +66,17 @@
   auto const Path =
       Target.substr(ObjectsPath.size(), QueryStart - ObjectsPath.size());
   auto const Slash = std::min(Path.find('/'), Path.size());
-  auto const Kind = Path.substr(0, Slash);
-  auto Name = Slash == Path.size() ? std::string() : Path.substr(Slash + 1);
+  auto const Kind = decodeUrl(Path.substr(0, Slash));
+  auto const Name =
+      Slash == Path.size() ? std::string() : decodeUrl(Path.substr(Slash + 1));
   if (Request.Head_.Method_ != "GET")
     return write(*Exchange, Request.Head_.Method_, Kind, Name,
                  json::parse(Request.Body_, nullptr, false));
   if (Query.contains("watch"))
     return watch(Exchange, Kind, std::stoull(Query.at("watch")),
                  std::chrono::milliseconds(std::stoll(Query.at("wait_ms"))));
-  read(Exchange, Kind, Name);
+  read(Exchange, Kind, Name,
+       Query.contains("after") ? Query.at("after") : std::string());
 }
 
 void StoreStandin::reply(Exchange &To, std::int32_t Status,
@@ -91,19 +113,33 @@
 }
 
 void StoreStandin::read(std::shared_ptr<Exchange> const &To,
-                        std::string const &Kind, std::string const &Name) {
+                        std::string const &Kind, std::string const &Name,
+                        std::string const &After) {
   if (!Name.empty()) {
     auto const Found = Objects_[Kind].find(Name);
     if (Found == Objects_[Kind].end() || Found->second.IsDeleted_)
       return reply(*To, 404, json::object());
     return reply(*To, 200, show(Name, Found->second));
   }
+  ++PagesRead_[Kind];
   auto Items = json::array();
-  for (auto const &[Each, Object] : Objects_[Kind])
-    if (!Object.IsDeleted_)
-      Items.push_back(show(Each, Object));
+  bool HasMore = false;
+  auto const &Objects = Objects_[Kind];
+  for (auto Each = Objects.upper_bound(After); Each != Objects.end(); ++Each) {
+    if (Each->second.IsDeleted_)
+      continue;
+    HasMore = Items.size() == PageSize_;
+    if (HasMore)
+      break;
+    Items.push_back(show(Each->first, Each->second));
+  }
   reply(*To, 200,
-        {{"items", Items}, {"has_more", false}, {"current_rev", Revision_}});
+        {{"items", Items}, {"has_more", HasMore}, {"current_rev", Revision_}});
+}
+
+std::size_t StoreStandin::pagesRead(std::string const &Kind) const {
+  auto const Found = PagesRead_.find(Kind);
+  return Found == PagesRead_.end() ? 0 : Found->second;
 }
 
 void StoreStandin::watch(std::shared_ptr<Exchange> const &To,
--- a/Tests/EntryProcess/StoreStandin.h
+++ b/Tests/EntryProcess/StoreStandin.h
@@ -58,6 +58,10 @@
   /// Drops the history so far: watches from older revisions get 410.
   void dropHistory();
   void setMode(StoreMode Mode) { Mode_ = Mode; }
+  /// Lists at most that many objects in one answer.
+  void setPageSize(std::size_t Objects) { PageSize_ = Objects; }
+  /// How many pages of a kind have been asked for.
+  std::size_t pagesRead(std::string const &Kind) const;
   /// Replaces the string What by the bytes With in all answers, as another
   /// writer might have written them.
   void replaceInAnswers(std::string const &What, std::string With) {
@@ -91,7 +95,7 @@
              nlohmann::json const &Body) const;
   nlohmann::json show(std::string const &Name, Object const &Shown) const;
   void read(std::shared_ptr<Exchange> const &To, std::string const &Kind,
-            std::string const &Name);
+            std::string const &Name, std::string const &After);
   void watch(std::shared_ptr<Exchange> const &To, std::string const &Kind,
              std::uint64_t From, Duration Wait);
   void write(Exchange &To, std::string const &Method, std::string const &Kind,
@@ -111,6 +115,8 @@
   std::list<std::shared_ptr<Exchange>> Unanswered_;
   std::vector<std::string> PlatformApiCalls_;
   StoreMode Mode_ = StoreMode::Normal;
+  std::size_t PageSize_ = 500;
+  std::map<std::string, std::size_t> PagesRead_;
   std::pair<std::string, std::string> Replaced_;
 };
 
--- /dev/null
+++ b/Tests/EntryProcess/TestNamesInStore.cpp
@@ -0,0 +1,55 @@
+#include "EntryFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace laburnum;
+using namespace laburnum::entry_process;
+
+namespace {
+
+/// Names that mean something else where a URL holds them without encoding.
+std::vector<std::string> const Names = {
+    "a00%20", "a01%",         "a02&b=", "a03+",        "a04%C3%A9", "a05 b",
+    "a06/b",  "a07?after=z#", "a08;b",  "a09\xc3\xa9", "a10\"\\",   "a11%2F"};
+
+/// Lists that end have far fewer pages.
+constexpr std::size_t MaxPages = 200;
+
+std::set<std::string> serversUsed(EntryFixture &Fixture) {
+  return Fixture.on([&] {
+    std::set<std::string> Used;
+    for (auto const &Request : Fixture.Server_.Requests_)
+      Used.emplace(Request.Head_.Fields_.valueOr("X-Expect-Instance"));
+    return Used;
+  });
+}
+
+} // namespace
+
+TEST_CASE_METHOD(EntryFixture,
+                 "An instance becomes ready and uses all servers whatever "
+                 "the names at which pages of the list end") {
+  auto const PageSize = GENERATE(1U, 3U);
+  for (auto const &Name : Names)
+    writeServer(Name, "ready");
+  on([&] { Store_.setPageSize(PageSize); });
+  Instance_->launch();
+  auto const PagesBefore = on([&] { return Store_.pagesRead("servers"); });
+  bool const HasEnded = processes::await([&] {
+    return Instance_->isReady() || on([&] {
+                                     return Store_.pagesRead("servers");
+                                   }) > PagesBefore + MaxPages;
+  });
+  REQUIRE(HasEnded);
+  REQUIRE(Instance_->isReady());
+  CHECK(Instance_->process().hasWritten("servers=" +
+                                        std::to_string(Names.size() + 1)));
+  constexpr int RequestsPerServer = 20;
+  for (std::size_t Sent = 0; Sent < RequestsPerServer * Names.size(); ++Sent)
+    CHECK(send("GET", "/read/1").Status_ == 200);
+  auto Expected = std::set<std::string>(Names.begin(), Names.end());
+  Expected.insert("i-1");
+  CHECK(serversUsed(*this) == Expected);
+}
--- a/Tests/Platform/TestObjectClient.cpp
+++ b/Tests/Platform/TestObjectClient.cpp
@@ -110,6 +110,72 @@
                                  "GET /laburnumpond/objects/things?after=b"});
 }
 
+TEST_CASE_METHOD(Fixture, "A list goes on after a name that has to be encoded "
+                          "in a URL") {
+  auto const [Name, Encoded] = GENERATE(
+      table<std::string, std::string>({{"a00%20", "a00%2520"},
+                                       {"a02&b=", "a02%26b%3D"},
+                                       {"a03+", "a03%2B"},
+                                       {"a04%C3%A9", "a04%25C3%25A9"},
+                                       {"a05 HTTP/1.1", "a05%20HTTP%2F1.1"}}));
+  auto const [Consistency, Query] =
+      GENERATE(table<ReadConsistency, std::string>(
+          {{ReadConsistency::Latest, "?after="},
+           {ReadConsistency::MayLag, "?allow_stale=1&after="}}));
+  Store_.Script_ = {{200, R"({"items":[)" + object(Name, 3, "1") +
+                              R"(],"has_more":true,"current_rev":9})"},
+                    {200, R"({"items":[],"has_more":false,"current_rev":9})"}};
+  await<ObjectList>(
+      [&](auto Done) { Client_.list("things", Consistency, Timeout, Done); });
+  CHECK(Store_.Calls_.back() ==
+        "GET /laburnumpond/objects/things" + Query + Encoded);
+}
+
+TEST_CASE_METHOD(Fixture, "A list whose pages do not advance fails") {
+  auto const Page = [](std::string const &Name) {
+    return std::pair<std::int32_t, std::string>(
+        200, R"({"items":[)" + object(Name, 3, "1") +
+                 R"(],"has_more":true,"current_rev":9})");
+  };
+  SECTION("the same page comes again") {
+    Store_.Script_ = {Page("a"), Page("a"), Page("a")};
+  }
+  SECTION("an earlier page comes again") {
+    Store_.Script_ = {Page("a"), Page("b"), Page("a"), Page("b"), Page("a")};
+  }
+  SECTION("no object of a page has a name that can be read") {
+    Store_.Script_ = {Page("a"),
+                      {200, R"({"items":[{"metadata":{"name":7}}],)"
+                            R"("has_more":true,"current_rev":9})"}};
+  }
+  auto const Calls = Store_.Script_.size();
+  CHECK(isError(await<ObjectList>([&](auto Done) {
+    Client_.list("things", ReadConsistency::Latest, Timeout, Done);
+  })));
+  CHECK(Store_.Calls_.size() <= Calls);
+}
+
+TEST_CASE_METHOD(Fixture, "An object is read and written at its own path "
+                          "whatever its name") {
+  ObjectKey const Odd{"things", "a/b?c=1&d+e%20"};
+  auto const Path = "/laburnumpond/objects/things/a%2Fb%3Fc%3D1%26d%2Be%2520";
+  Store_.Script_ = {
+      {404, ""}, {200, object("x", 2, "7")}, {200, object("x", 3, "7")}};
+  await<StoredObject>([&](auto Done) {
+    Client_.get(Odd, ReadConsistency::MayLag, Timeout, Done);
+  });
+  await<Version>([&](auto Done) { Client_.putIf(Odd, 1, "7", Timeout, Done); });
+  await<Version>(
+      [&](auto Done) { Client_.putStatusIf(Odd, 2, "{}", Timeout, Done); });
+  Store_.Script_ = {{200, ""}};
+  await<Success>([&](auto Done) { Client_.remove(Odd, Timeout, Done); });
+  CHECK(Store_.Calls_ ==
+        std::vector<std::string>{"GET " + std::string(Path) + "?allow_stale=1",
+                                 "PUT " + std::string(Path),
+                                 "PUT " + std::string(Path) + "/status",
+                                 "DELETE " + std::string(Path)});
+}
+
 TEST_CASE_METHOD(Fixture, "A watch yields changes, deletions and gaps") {
   Store_.Script_ = {{200, R"({"events":[{"deleted":false,"object":)" +
                               object("a", 6, "1") +
