platform: Use no server whose name cannot be sent in a header

Cause: requests name their server in a header field. A name with a line break in an entry of the store ended the field, so that the rest of the name became fields of the request: with "i-2\r\nX-Tenant: b" the server ran a caller's request as that of another account.

Change: an entry with such a name, or without one, is none that names a server, as entries with unreadable fields are.

--- a/Libraries/LibHttp/HeaderFields.cpp
+++ b/Libraries/LibHttp/HeaderFields.cpp
@@ -31,6 +31,13 @@
 
 } // namespace
 
+bool isFieldValue(std::string_view Text) {
+  return trimmed(Text).size() == Text.size() &&
+         std::none_of(Text.begin(), Text.end(), [](unsigned char Character) {
+           return std::iscntrl(Character) != 0;
+         });
+}
+
 bool equalsIgnoringCase(std::string_view Left, std::string_view Right) {
   return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
                     [](unsigned char One, unsigned char Other) {
--- a/Libraries/LibHttp/HeaderFields.h
+++ b/Libraries/LibHttp/HeaderFields.h
@@ -15,6 +15,10 @@
   auto operator<=>(HeaderField const &) const = default;
 };
 
+/// Whether a field can have that value: it holds no control characters, which
+/// could end the field, and no white space that the receiver would remove.
+bool isFieldValue(std::string_view Text);
+
 /// Compares two texts without regard to ASCII case.
 bool equalsIgnoringCase(std::string_view Left, std::string_view Right);
 
--- a/Tests/EntryProcess/StoreStandin.cpp
+++ b/Tests/EntryProcess/StoreStandin.cpp
@@ -125,7 +125,8 @@
   auto Items = json::array();
   bool HasMore = false;
   auto const &Objects = Objects_[Kind];
-  for (auto Each = Objects.upper_bound(After); Each != Objects.end(); ++Each) {
+  for (auto Each = After.empty() ? Objects.begin() : Objects.upper_bound(After);
+       Each != Objects.end(); ++Each) {
     if (Each->second.IsDeleted_)
       continue;
     HasMore = Items.size() == PageSize_;
--- a/Tests/EntryProcess/TestNamesInStore.cpp
+++ b/Tests/EntryProcess/TestNamesInStore.cpp
@@ -53,3 +53,15 @@
   Expected.insert("i-1");
   CHECK(serversUsed(*this) == Expected);
 }
+
+TEST_CASE_METHOD(EntryFixture, "A server whose name cannot be sent in a "
+                               "header is not used") {
+  auto const Name =
+      GENERATE(std::string("i-2\r\nX-Tenant: b"), std::string("i-2\n"),
+               std::string(), std::string("i-2\0", 4));
+  on([&] { Store_.remove("servers", "i-1"); });
+  writeServer(Name, "ready");
+  Instance_->start();
+  CHECK(send("GET", "/read/1").Status_ == 503);
+  CHECK(requestsAtServer() == 0);
+}
