LibControl: Record streams whatever their identifiers

What callers saw: one request with bytes in X-Attempt-Id that are not UTF-8 ended the process of its instance, with all connections and streams that it had, while a service had servers of two software versions.

Cause: the record of unfinished streams holds the identifiers that clients chose, as JSON. nlohmann's dump() throws type_error 316 for texts that are not UTF-8, in a handler on the control thread, where nothing catches it. HTTP field values may hold such bytes.

Change: identifiers are percent-encoded in the record, so that each is found again as it was sent; replacing the bytes would give two streams one name. Usual identifiers (hexadecimal digits) stand in the record as before, and identifiers that earlier releases recorded are read. While an earlier release runs beside this one, a stream whose identifier needs encoding is not found by the other's record. Service and version are replaced where they are no UTF-8: one may come from a peer's field.

--- a/Libraries/LibControl/StreamOriginRecords.cpp
+++ b/Libraries/LibControl/StreamOriginRecords.cpp
@@ -1,5 +1,7 @@
 #include <LibControl/StreamOriginRecords.h>
 
+#include <LibCore/PercentEncoding.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -31,13 +33,20 @@
 
 using Origins = std::map<std::string, StreamOrigin>;
 
+/// Clients choose the identifiers, which need not be UTF-8 as JSON texts are,
+/// so they are percent-encoded. Invalid UTF-8 in the other texts is replaced.
 std::string encode(Origins const &Streams, Duration TimeOfDay) {
   auto Services = json::object();
   for (auto const &[FirstAttemptId, Origin] : Streams)
     Services[Origin.Service_.text()][Origin.SoftwareVersion_].push_back(
-        FirstAttemptId);
+        percentEncode(FirstAttemptId));
   return json{{"written_ms", milliseconds(TimeOfDay)}, {"streams", Services}}
-      .dump();
+      .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+/// Earlier releases recorded identifiers as they are.
+std::string decodeIdentifier(std::string const &Text) {
+  return percentDecode(Text).value_or(Text);
 }
 
 /// Returns the time of writing. An object that this system did not write holds
@@ -48,7 +57,8 @@
     for (auto const &[Service, Versions] : Value.at("streams").items())
       for (auto const &[Version, Streams] : Versions.items())
         for (auto const &Stream : Streams)
-          Into[Stream.get<std::string>()] = {ServiceName(Service), Version};
+          Into[decodeIdentifier(Stream.get<std::string>())] = {
+              ServiceName(Service), Version};
     return std::chrono::milliseconds(
         Value.at("written_ms").get<std::int64_t>());
   } catch (json::exception const &) {
--- a/Tests/EntryProcess/TestNamesInStore.cpp
+++ b/Tests/EntryProcess/TestNamesInStore.cpp
@@ -1,4 +1,5 @@
 #include "EntryFixture.h"
+#include "StreamChecks.h"
 
 #include <catch2/catch.hpp>
 
@@ -65,3 +66,23 @@
   CHECK(send("GET", "/read/1").Status_ == 503);
   CHECK(requestsAtServer() == 0);
 }
+
+TEST_CASE("A stream whose identifier is not UTF-8 neither ends its instance "
+          "nor is lost when another takes it up") {
+  auto const Prefix = GENERATE(std::string("\xff\xfe-"), std::string("\xc3-"));
+  VersionedFleet Fleet(2, VersionedFleet::Stop::Waits);
+  for (std::string const Version : {"v1", "v2"})
+    for (std::string const Number : {"-1", "-2"})
+      Fleet.addServer(Version + Number, Version);
+  Fleet.startInstances();
+  auto Begun = beginStreams(Fleet, 0, Prefix);
+  REQUIRE(processes::await([&] {
+    return Fleet.onStore([&](StoreStandin &Store) {
+      return Store.count("entry-streams") > 0;
+    }) || !Fleet.instance(0).isReady();
+  }));
+  CHECK(Fleet.instance(0).isReady());
+  for (auto &Client : Begun)
+    Client.reset();
+  CHECK(countTakenUp(Fleet, 1, Begun) == Streams);
+}
--- a/Tests/LibControl/TestStreamOriginRecords.cpp
+++ b/Tests/LibControl/TestStreamOriginRecords.cpp
@@ -113,6 +113,46 @@
   CHECK_FALSE(find(First, "s1").Origin_);
 }
 
+// Guards against identifiers of clients that end the process or name another
+// stream in its record.
+TEST_CASE_METHOD(OriginFixture,
+                 "A stream is found by its record whatever its identifier") {
+  std::vector<std::string> const Identifiers = {
+      "\xff\xfe", "\xff",   "\xc3", "\xc3\xa9",  "a00%20", "a00 ", "a01%",
+      "%FF",      "a02&b=", "a03+", "a04%C3%A9", "a/b",    "\"\\", "s1"};
+  auto const First = start("a");
+  auto const Second = start("b");
+  list({"v1", "v2"}, {First, Second});
+  std::vector<BegunStream> Begun;
+  for (auto const &Identifier : Identifiers)
+    Begun.push_back({Identifier, origin(Begun.size() % 2 ? "v1" : "v2")});
+  setUnfinished(First, Begun);
+  pass({First, Second}, seconds(1));
+  for (auto const &Stream : Begun) {
+    CAPTURE(Stream.FirstAttemptId_);
+    CHECK(find(Second, Stream.FirstAttemptId_) ==
+          OriginAnswer{Stream.Origin_, OriginSource::Record});
+  }
+  CHECK(find(Second, "\xef\xbf\xbd").Source_ == OriginSource::NotRecorded);
+}
+
+TEST_CASE_METHOD(OriginFixture,
+                 "A stream that a release without encoding has recorded is "
+                 "found") {
+  auto const *const Identifier = GENERATE("9c41d07be2a35f68", "a/b", "a01%");
+  Store_.Objects_.putIf(
+      {"entry-streams", "z"}, 0,
+      std::string("{\"streams\":{\"writer\":{\"v1\":[\"") + Identifier +
+          "\"]}},\"written_ms\":" +
+          std::to_string(
+              std::chrono::duration_cast<milliseconds>(timeOfDay()).count()) +
+          "}");
+  auto const First = start("a");
+  list({"v1", "v2"}, {First});
+  CHECK(find(First, Identifier) ==
+        OriginAnswer{origin("v1"), OriginSource::Record});
+}
+
 TEST_CASE_METHOD(OriginFixture, "Streams are not joined whatever instances and "
                                 "versions come and go") {
   auto const Count = GENERATE(1U, 8U, 24U, 77U);
