--- a/Tests/EntryProcess/TestNamesInStore.cpp
+++ b/Tests/EntryProcess/TestNamesInStore.cpp
@@ -1,4 +1,5 @@
 #include "EntryFixture.h"
+#include "StandinRecords.h"
 #include "StreamChecks.h"
 
 #include <catch2/catch.hpp>
@@ -86,3 +87,17 @@
     Client.reset();
   CHECK(countTakenUp(Fleet, 1, Begun) == Streams);
 }
+
+TEST_CASE_METHOD(EntryFixture, "An account whose name cannot be sent in a "
+                               "header runs no requests as another") {
+  auto const Name =
+      GENERATE(std::string("b\r\nX-Tenant: a"), std::string("a\r\n"),
+               std::string(" a"), std::string("a\0", 2));
+  auto Configuration = configurationJson(2);
+  Configuration["tenants"].push_back({{"name", Name}, {"api_keys", {"k2"}}});
+  on([&] { Store_.put("config", "main", Configuration); });
+  Instance_->process().awaitLine("configuration_applied version=2");
+  CHECK(send("GET", "/read/1", "k2").Status_ == 401);
+  CHECK(requestsAtServer() == 0);
+  CHECK(send("GET", "/read/1").Status_ == 200);
+}
