LibControl, platform: Write what peers send as JSON whatever its bytes

What callers would see: a peer's report that names an account or a server in bytes that are not UTF-8 ends the process of the lease's holder, and then of each next one.

Cause: peers' messages are MessagePack, whose texts may hold any bytes. Counts of usage and records of crashes are written as JSON, and dump() throws type_error 316 in a handler on the control thread, where nothing catches it. No way is known by which a sound peer sends such a text: the names come from JSON, which is checked.

Change: invalid UTF-8 is replaced there, as it is in the records of orders and leases.

--- a/Libraries/LibControl/CrashRecords.cpp
+++ b/Libraries/LibControl/CrashRecords.cpp
@@ -136,6 +136,7 @@
                                   }));
 }
 
+/// Peers send names, too: invalid UTF-8 is replaced.
 std::string CrashRecords::encode(Records const &Stored) {
   auto Crashes = json::array();
   for (auto const &[Name, Item] : Stored)
@@ -144,7 +145,8 @@
                        {"server", Item.Report_.Server_.text()},
                        {"evidence", nameOf(Item.Report_.Evidence_)},
                        {"at_ms", milliseconds(Item.At_)}});
-  return json{{"crashes", Crashes}}.dump();
+  return json{{"crashes", Crashes}}.dump(-1, ' ', false,
+                                         json::error_handler_t::replace);
 }
 
 CrashRecords::Records CrashRecords::decode(std::string const &Text) {
--- a/Libraries/LibControl/UsageReporter.cpp
+++ b/Libraries/LibControl/UsageReporter.cpp
@@ -53,8 +53,10 @@
 
 } // namespace
 
+/// Peers send names, too: invalid UTF-8 is replaced.
 std::string encodeUsage(UsageRecord const &Record) {
-  return encodeWindows(Record.Windows_).dump();
+  return encodeWindows(Record.Windows_)
+      .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::optional<UsageRecord> decodeUsage(std::string const &Text) {
--- a/Tests/LibControl/TestCrashRecords.cpp
+++ b/Tests/LibControl/TestCrashRecords.cpp
@@ -64,6 +64,20 @@
   CHECK(Second.Restored_[1] == report(2, seconds(30)));
 }
 
+// Guards against a peer's text that ends the process where it is written as
+// JSON.
+TEST_CASE_METHOD(Fixture, "A server that is not UTF-8 does not keep the other "
+                          "crashes from the store") {
+  auto Odd = report(2);
+  Odd.Server_ = ServerId("\xff");
+  save(First_, {report(1), Odd});
+  pass(First_, seconds(2));
+  Incarnation Second(Store_);
+  pass(Second, seconds(1));
+  REQUIRE(Second.Restored_.size() == 2);
+  CHECK(Second.Restored_[0].Server_ == report(1).Server_);
+}
+
 TEST_CASE_METHOD(Fixture, "Crashes saved by several instances are merged") {
   Incarnation Second(Store_);
   save(First_, {report(1)});
--- a/Tests/LibControl/TestUsageReporter.cpp
+++ b/Tests/LibControl/TestUsageReporter.cpp
@@ -102,6 +102,22 @@
   CHECK(IsReported);
 }
 
+// Guards against a peer's text that ends the process where it is written as
+// JSON.
+TEST_CASE_METHOD(Fixture, "An account that is not UTF-8 in a peer's report "
+                          "does not keep the others' counts from the store") {
+  First_.Counter_.count(A, Now_ + seconds(1));
+  First_.Reporter_->onPeer("killed.1", {{1000, AccountName("\xff"), 4}},
+                           Now_ + seconds(3));
+  pass(Window + seconds(7), &First_);
+  auto const Stored = decodeUsage(
+      Store_.Objects_.find({"entry-usage-settled", "windows"}).Value_);
+  REQUIRE(Stored);
+  REQUIRE(Stored->Windows_.contains(1000));
+  CHECK(Stored->Windows_.at(1000).at(A) == 1);
+  CHECK_FALSE(Duties_.Sent_.empty());
+}
+
 TEST_CASE_METHOD(Fixture, "A second holder reports the same counts even if it "
                           "received more in between") {
   First_.Counter_.count(A, Now_ + seconds(1));
