LibPlacement: Take over no lease of a name that begins alike

What would be seen: where nodes are named "i" and "i.b", an instance of "i" that starts takes the lease of the living "i.b" for one of its own earlier process and writes it at once, so that two instances hold it until the other reads the object.

Cause: an incarnation is named NAME.RANDOM, and earlier ones were recognised by the prefix "NAME." alone. The node's name is free text and may hold dots.

Change: what follows the prefix, up to the lease's own nonce, holds no dot.

--- a/Libraries/LibPlacement/LeaseHolder.cpp
+++ b/Libraries/LibPlacement/LeaseHolder.cpp
@@ -4,6 +4,7 @@
 #include <LibPlacement/LeaseRecord.h>
 
 #include <algorithm>
+#include <string_view>
 
 namespace laburnum {
 
@@ -16,6 +17,14 @@
 /// The rank of an instance that has not received the live members yet.
 constexpr std::size_t UnknownRank = 1000;
 
+/// Whether a holder, "INCARNATION/NONCE", is one of the incarnations that are
+/// the prefix and a text without a dot.
+bool isIncarnationOf(std::string_view Holder, std::string_view Prefix) {
+  auto const Incarnation = Holder.substr(0, Holder.rfind('/'));
+  return !Prefix.empty() && Incarnation.starts_with(Prefix) &&
+         Incarnation.find('.', Prefix.size()) == std::string_view::npos;
+}
+
 } // namespace
 
 ObjectKey lease::leaseKey() { return {"lease", "controller"}; }
@@ -203,8 +212,7 @@
   if (!isError(Record)) {
     auto const &Holder = valueOf(Record).Holder_;
     if (Holder == Incarnation_ ||
-        (!Settings_.PreviousIncarnations_.empty() &&
-         Holder.text().starts_with(Settings_.PreviousIncarnations_)))
+        isIncarnationOf(Holder.text(), Settings_.PreviousIncarnations_))
       return true;
   }
   return Now_ - Observed_->Since_ >= Settings_.Length_ + Settings_.Margin_;
--- a/Libraries/LibPlacement/LeaseHolder.h
+++ b/Libraries/LibPlacement/LeaseHolder.h
@@ -69,7 +69,8 @@
 struct Settings {
   InstanceId Self_;
   /// Prefix of the identifiers of this instance's previous incarnations, all
-  /// of which have ended because this one runs. Empty when they cannot be
+  /// of which have ended because this one runs. What follows it holds no dot,
+  /// so that names which begin alike differ. Empty when they cannot be
   /// recognised.
   std::string PreviousIncarnations_;
   FirstRead FirstRead_ = FirstRead::ByRank;
--- a/Tests/LibPlacement/TestLeaseHolder.cpp
+++ b/Tests/LibPlacement/TestLeaseHolder.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <iostream>
 
 using namespace laburnum;
@@ -296,3 +297,32 @@
   Fleet.run(seconds(20));
   CHECK(Fleet.MaxHolders_ == 1);
 }
+
+// Guards against two holders at once where the name of one instance begins with
+// another's.
+TEST_CASE("A lease of an instance whose name begins with this one's is not "
+          "taken over at once") {
+  auto const [Holder, IsOwn] =
+      GENERATE(table<std::string, bool>({{"i.7f3a/9b", true},
+                                         {"i.9b/7f3a.1", true},
+                                         {"i.b.7f3a/9b", false},
+                                         {"i.b/c.7f3a/9b", false},
+                                         {"ib.7f3a/9b", false}}));
+  lease::Settings Own;
+  Own.Self_ = InstanceId("i.11");
+  Own.PreviousIncarnations_ = "i.";
+  Own.Length_ = Length;
+  LeaseHolder Candidate(Own);
+  Member Self;
+  Self.Instance_.Id_ = Own.Self_;
+  TimePoint const Start(seconds(1000));
+  Candidate.handle(lease::MembersChanged{{Self}}, Start);
+  Candidate.handle(lease::TimePassed{}, Start);
+  auto const Actions = Candidate.handle(
+      lease::LeaseRead{{lease::leaseKey(), 7,
+                        encodeLease({InstanceId(Holder), Nonce("n")})}},
+      Start);
+  CHECK(std::any_of(Actions.begin(), Actions.end(), [](auto const &Action) {
+          return std::holds_alternative<lease::WriteLease>(Action);
+        }) == IsOwn);
+}
