LibControl: Replace an empty secret in the store

What would be seen: where the object entry-secrets/peers holds an empty text, instances that start log peers_unavailable and have no peers for as long as they run.

Cause: objects of other types are replaced, as those of another writer, but an empty text was taken for a secret, which the transport refuses.

Change: an empty text is none, and is replaced like the others.

Measured, one run each: TestEntryProcess "An empty secret in the store does not keep an instance from its peers" fails before, with peers_unavailable in the log, and passes now.

--- a/Libraries/LibControl/PeerNetwork.cpp
+++ b/Libraries/LibControl/PeerNetwork.cpp
@@ -82,28 +82,27 @@
   });
 }
 
-/// The first instance creates the secret; the others read it. It never changes,
-/// so a lagging read is sufficient.
+/// The first instance creates the secret, also in place of what is none; the
+/// others read it. It never changes, so a lagging read is sufficient.
 void PeerNetwork::obtainSecret(ReadConsistency Consistency) {
   auto const Self = shared_from_this();
-  Store_.get(secretKey(), Consistency, StoreTimeout,
-             [Self, Consistency](Result<StoredObject> Read) {
-               if (isError(Read))
-                 return Self->scheduleAfter(Self->StoreTimer_, RetryPause,
-                                            &PeerNetwork::obtainLatestSecret);
-               auto const Stored =
-                   nlohmann::json::parse(valueOf(Read).Value_, nullptr, false);
-               if (valueOf(Read).Version_ != 0 && Stored.is_string())
-                 return Self->openTransport(Stored.get<std::string>());
-               if (Consistency == ReadConsistency::MayLag)
-                 return Self->obtainLatestSecret();
-               nlohmann::json const Created = Self->Identifiers_.next();
-               Self->Store_.putIf(secretKey(), valueOf(Read).Version_,
-                                  Created.dump(), StoreTimeout,
-                                  [Self](Result<Version> const &) {
-                                    Self->obtainLatestSecret();
-                                  });
-             });
+  Store_.get(
+      secretKey(), Consistency, StoreTimeout,
+      [Self, Consistency](Result<StoredObject> Read) {
+        if (isError(Read))
+          return Self->scheduleAfter(Self->StoreTimer_, RetryPause,
+                                     &PeerNetwork::obtainLatestSecret);
+        auto const Stored =
+            nlohmann::json::parse(valueOf(Read).Value_, nullptr, false);
+        if (valueOf(Read).Version_ != 0 && Stored.is_string() && Stored != "")
+          return Self->openTransport(Stored.get<std::string>());
+        if (Consistency == ReadConsistency::MayLag)
+          return Self->obtainLatestSecret();
+        nlohmann::json const Created = Self->Identifiers_.next();
+        Self->Store_.putIf(
+            secretKey(), valueOf(Read).Version_, Created.dump(), StoreTimeout,
+            [Self](Result<Version> const &) { Self->obtainLatestSecret(); });
+      });
 }
 
 void PeerNetwork::obtainLatestSecret() {
--- a/Tests/EntryProcess/TestNamesInStore.cpp
+++ b/Tests/EntryProcess/TestNamesInStore.cpp
@@ -101,3 +101,17 @@
   CHECK(requestsAtServer() == 0);
   CHECK(send("GET", "/read/1").Status_ == 200);
 }
+
+TEST_CASE_METHOD(EntryFixture, "An empty secret in the store does not keep an "
+                               "instance from its peers") {
+  Instance_->kill();
+  on([&] { Store_.put("entry-secrets", "peers", ""); });
+  Instance_->start();
+  auto const HasSecret = [&] {
+    return on([&] { return Store_.object("entry-secrets", "peers") != ""; });
+  };
+  REQUIRE(processes::await([&] {
+    return HasSecret() || Instance_->process().hasWritten("peers_unavailable");
+  }));
+  CHECK(HasSecret());
+}
