--- a/Tests/Platform/TestHeaderCodec.cpp
+++ b/Tests/Platform/TestHeaderCodec.cpp
@@ -242,8 +242,14 @@
 TEST_CASE("A brittle server states how many refusals it stands") {
   AnswerHead Head{200, {}};
   CHECK_FALSE(Codec.decode(Head).MaxRefusalsPerSecond_);
-  auto const [Text, Expected] = GENERATE(table<std::string, double>(
-      {{"6", 6.0}, {"0", 0.0}, {"-1", 0.0}, {"many", 0.0}, {"", 0.0}}));
+  auto const [Text, Expected] =
+      GENERATE(table<std::string, double>({{"6", 6.0},
+                                           {"0", 0.0},
+                                           {"-1", 0.0},
+                                           {"many", 0.0},
+                                           {"", 0.0},
+                                           {"nan", 0.0},
+                                           {"-nan", 0.0}}));
   Head.Fields_.add("Server-Brittle", Text);
   CHECK(Codec.decode(Head).MaxRefusalsPerSecond_ == Expected);
   Head.Status_ = 421;
