--- a/Tests/Platform/TestHeaderCodec.cpp
+++ b/Tests/Platform/TestHeaderCodec.cpp
@@ -239,6 +239,19 @@
   CHECK_FALSE(Codec.decode(answer(421, {{"Server-Limit", "2"}})).RateLimit_);
 }
 
+TEST_CASE("A client's deadline that is far away is not taken for one that has "
+          "passed") {
+  auto const *const Text = GENERATE("18446744073709551615",
+                                    "9223372036854775807", "9223372036854776");
+  RequestHead Head{"GET", "/", {}};
+  Head.Fields_.add("X-Attempt-Id", "a");
+  Head.Fields_.add("X-Deadline-Ms", Text);
+  auto const Decoded = Codec.decode(Head);
+  REQUIRE_FALSE(isError(Decoded));
+  REQUIRE(valueOf(Decoded).TimeAllowed_);
+  CHECK(*valueOf(Decoded).TimeAllowed_ >= std::chrono::hours(1));
+}
+
 TEST_CASE("A brittle server states how many refusals it stands") {
   AnswerHead Head{200, {}};
   CHECK_FALSE(Codec.decode(Head).MaxRefusalsPerSecond_);
