--- a/Tests/EntryProcess/TestNamesInStore.cpp
+++ b/Tests/EntryProcess/TestNamesInStore.cpp
@@ -1,4 +1,6 @@
 #include "EntryFixture.h"
+#include "StandinRecords.h"
+#include "StreamChecks.h"
 
 #include <catch2/catch.hpp>
 
@@ -65,3 +67,51 @@
   CHECK(send("GET", "/read/1").Status_ == 503);
   CHECK(requestsAtServer() == 0);
 }
+
+TEST_CASE("A stream whose identifier is not UTF-8 neither ends its instance "
+          "nor is lost when another takes it up") {
+  auto const Prefix = GENERATE(std::string("\xff\xfe-"), std::string("\xc3-"));
+  VersionedFleet Fleet(2, VersionedFleet::Stop::Waits);
+  for (std::string const Version : {"v1", "v2"})
+    for (std::string const Number : {"-1", "-2"})
+      Fleet.addServer(Version + Number, Version);
+  Fleet.startInstances();
+  auto Begun = beginStreams(Fleet, 0, Prefix);
+  REQUIRE(processes::await([&] {
+    return Fleet.onStore([&](StoreStandin &Store) {
+      return Store.count("entry-streams") > 0;
+    }) || !Fleet.instance(0).isReady();
+  }));
+  CHECK(Fleet.instance(0).isReady());
+  for (auto &Client : Begun)
+    Client.reset();
+  CHECK(countTakenUp(Fleet, 1, Begun) == Streams);
+}
+
+TEST_CASE_METHOD(EntryFixture, "An account whose name cannot be sent in a "
+                               "header runs no requests as another") {
+  auto const Name =
+      GENERATE(std::string("b\r\nX-Tenant: a"), std::string("a\r\n"),
+               std::string(" a"), std::string("a\0", 2));
+  auto Configuration = configurationJson(2);
+  Configuration["tenants"].push_back({{"name", Name}, {"api_keys", {"k2"}}});
+  on([&] { Store_.put("config", "main", Configuration); });
+  Instance_->process().awaitLine("configuration_applied version=2");
+  CHECK(send("GET", "/read/1", "k2").Status_ == 401);
+  CHECK(requestsAtServer() == 0);
+  CHECK(send("GET", "/read/1").Status_ == 200);
+}
+
+TEST_CASE_METHOD(EntryFixture, "An empty secret in the store does not keep an "
+                               "instance from its peers") {
+  Instance_->kill();
+  on([&] { Store_.put("entry-secrets", "peers", ""); });
+  Instance_->start();
+  auto const HasSecret = [&] {
+    return on([&] { return Store_.object("entry-secrets", "peers") != ""; });
+  };
+  REQUIRE(processes::await([&] {
+    return HasSecret() || Instance_->process().hasWritten("peers_unavailable");
+  }));
+  CHECK(HasSecret());
+}
