LibControl: Let peers introduce instances that start while the store is away

What callers saw: an instance that starts while the platform's store is away is not ready and refuses with 503 until the store is back, although its peers serve and know configuration and servers.

Cause: the network of peers read the fleet's secret from the store before it listened, and the other instances only from there. The peers go on to send to the address of the previous incarnation, where nobody listened.

Change: if the store has not answered within 500 ms, the instance listens without a secret and sends nothing. It takes the secret of the first peer that contacts it from the host that its Hello names, and joins through that peer; the relay of the store then asks for what is missing, as at each start. For the host to be checked, connections to peers start from the address that the instance listens on. The secret is read from the store as soon as it answers, replaces the one taken (connections that rely on another one are closed), and only then the instance lists the others and registers itself. If the store has lost the secret, the one taken is written, not a new one. Until the list is read, the number of registered instances is that of the endpoints known, not one, so that shares of quotas and retries are not those of an instance alone. A start with the store there takes the path of before: it waits 500 ms for the store, because an instance of a large fleet that knows a few peers only would read all collections itself.

Calls of a usual start were not counted.

--- a/Libraries/LibControl/PeerNetwork.cpp
+++ b/Libraries/LibControl/PeerNetwork.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace laburnum {
@@ -12,6 +13,9 @@
 constexpr char const *InstanceCollection = "entry-instances";
 constexpr std::chrono::milliseconds StoreTimeout{1500};
 constexpr std::chrono::milliseconds RetryPause{500};
+/// A store that is there has answered by then. Waiting for it saves calls: an
+/// instance that knows only a part of a large fleet reads more itself.
+constexpr std::chrono::milliseconds IntroductionPause{500};
 /// Newly registered instances contact those that they find in the list;
 /// periodic listings find any that were missed and those that are gone.
 constexpr std::chrono::seconds ListPeriod{20};
@@ -49,6 +53,14 @@
   return Decoded;
 }
 
+/// An endpoint belongs to one instance, whatever its incarnations.
+std::size_t countInstances(std::vector<Member> const &Members) {
+  std::set<Endpoint> Endpoints;
+  for (auto const &Known : Members)
+    Endpoints.insert(Known.Instance_.Peers_);
+  return Endpoints.size();
+}
+
 membership::Settings membershipOf(EntryInstance const &Self,
                                   std::uint64_t Seed) {
   membership::Settings Settings;
@@ -66,11 +78,14 @@
     : Context_(Context), Store_(Store), Name_(std::move(Name)),
       Self_(std::move(Self)), Membership_(membershipOf(Self_, Seed)),
       Identifiers_(Seed + 1), Callbacks_(std::move(Callbacks)),
-      TickTimer_(Context), StoreTimer_(Context), RegisterTimer_(Context) {}
+      TickTimer_(Context), StoreTimer_(Context), RegisterTimer_(Context),
+      IntroductionTimer_(Context) {}
 
 void PeerNetwork::start() {
   View_.Members_ = Membership_.members();
   obtainSecret(ReadConsistency::MayLag);
+  scheduleAfter(IntroductionTimer_, IntroductionPause,
+                &PeerNetwork::awaitIntroduction);
 }
 
 void PeerNetwork::scheduleAfter(asio::steady_timer &Timer, Duration Pause,
@@ -83,7 +98,8 @@
 }
 
 /// The first instance creates the secret; the others read it. It never changes,
-/// so a lagging read is sufficient.
+/// so a lagging read is sufficient. A secret known from a peer, which the store
+/// may have lost, is not replaced by another one.
 void PeerNetwork::obtainSecret(ReadConsistency Consistency) {
   auto const Self = shared_from_this();
   Store_.get(secretKey(), Consistency, StoreTimeout,
@@ -94,10 +110,12 @@
                auto const Stored =
                    nlohmann::json::parse(valueOf(Read).Value_, nullptr, false);
                if (valueOf(Read).Version_ != 0 && Stored.is_string())
-                 return Self->openTransport(Stored.get<std::string>());
+                 return Self->onStoredSecret(Stored.get<std::string>());
                if (Consistency == ReadConsistency::MayLag)
                  return Self->obtainLatestSecret();
-               nlohmann::json const Created = Self->Identifiers_.next();
+               nlohmann::json const Created = Self->Secret_.empty()
+                                                  ? Self->Identifiers_.next()
+                                                  : Self->Secret_;
                Self->Store_.putIf(secretKey(), valueOf(Read).Version_,
                                   Created.dump(), StoreTimeout,
                                   [Self](Result<Version> const &) {
@@ -111,7 +129,7 @@
 }
 
 void PeerNetwork::onStoreRestored(SecretKeeper Keeper) {
-  if (!Transport_ || IsLeaving_)
+  if (!Transport_ || !IsSecretStored_ || IsLeaving_)
     return;
   WasRegistered_ = true;
   registerSelf();
@@ -123,11 +141,38 @@
                  });
 }
 
-void PeerNetwork::openTransport(std::string const &Secret) {
+void PeerNetwork::onStoredSecret(std::string const &Secret) {
+  if (!Secret_.empty() && Secret_ != Secret)
+    Callbacks_.Failed_(
+        {ErrorKind::Conflict,
+         "a peer had another secret than the store, whose secret is now used",
+         "restart the instances that don't reach the others"});
   Secret_ = Secret;
+  IsSecretStored_ = true;
+  if (!Transport_)
+    return openTransport();
+  Transport_->setSecret(Secret_);
+  listInstances();
+}
+
+void PeerNetwork::awaitIntroduction() {
+  if (!Transport_ && !IsLeaving_)
+    openTransport();
+}
+
+void PeerNetwork::onIntroduced(Hello const &Greeting) {
+  Secret_ = Greeting.Secret_;
+  handle(membership::IntroducedByPeer{Greeting.Sender_.Peers_});
+}
+
+void PeerNetwork::openTransport() {
   PeerTransportSettings Settings;
-  Settings.Secret_ = Secret;
+  Settings.Secret_ = Secret_;
   Settings.Self_ = Self_;
+  Settings.Introduced_ = [Self = weak_from_this()](Hello const &Greeting) {
+    if (auto const Network = Self.lock())
+      Network->onIntroduced(Greeting);
+  };
   auto Created = AsioPeerTransport::create(
       Context_, Settings,
       [Self = weak_from_this()](InstanceId const &From,
@@ -143,7 +188,8 @@
   if (isError(Created))
     return Callbacks_.Failed_(errorOf(Created));
   Transport_ = takeValue(std::move(Created));
-  listInstances();
+  if (IsSecretStored_)
+    listInstances();
   tick();
 }
 
@@ -197,6 +243,7 @@
     if (auto const Instance = decodeInstance(Object.Value_))
       Listing.EntryInstances_.push_back({*Instance, Liveness::Live});
   }
+  HasList_ = true;
   View_.Registered_ = std::max<std::size_t>(1, Listing.EntryInstances_.size());
   handle(membership::InstancesListed{Listing});
   Callbacks_.Changed_(View_);
@@ -219,6 +266,8 @@
 
 void PeerNetwork::on(membership::MembersChanged const &Action) {
   View_.Members_ = Action.Members_;
+  if (!HasList_)
+    View_.Registered_ = countInstances(View_.Members_);
   Callbacks_.Changed_(View_);
 }
 
--- a/Libraries/LibControl/PeerNetwork.h
+++ b/Libraries/LibControl/PeerNetwork.h
@@ -17,7 +17,7 @@
 
 /// The fleet as this instance sees it. Members_ are the reachable instances,
 /// this one included; Registered_ counts the instances in the store's list,
-/// reachable or not.
+/// reachable or not. Until the list is read it counts the known instances.
 struct FleetView {
   std::vector<Member> Members_;
   std::size_t Registered_ = 1;
@@ -26,7 +26,9 @@
 };
 
 /// Connects the entry instances: each registers in the store and discovers the
-/// others there; from then on they communicate directly.
+/// others there; from then on they communicate directly. While the store is
+/// away, an instance that starts is introduced by those that know its address
+/// from its previous incarnation.
 class PeerNetwork : public std::enable_shared_from_this<PeerNetwork> {
 public:
   struct Callbacks {
@@ -58,7 +60,10 @@
   /// none, the latest state is read; if there is none either, it is created.
   void obtainSecret(ReadConsistency Consistency);
   void obtainLatestSecret();
-  void openTransport(std::string const &Secret);
+  void onStoredSecret(std::string const &Secret);
+  void awaitIntroduction();
+  void onIntroduced(Hello const &Greeting);
+  void openTransport();
   void registerSelf();
   void unregisterSelf();
   void listInstances();
@@ -75,7 +80,8 @@
   AsyncObjectStore &Store_;
   std::string Name_;
   EntryInstance Self_;
-  std::string Secret_;
+  std::string Secret_;          ///< Empty until it is known.
+  bool IsSecretStored_ = false; ///< It was read from the store.
   Membership Membership_;
   IdentifierSource Identifiers_;
   Callbacks Callbacks_;
@@ -84,7 +90,9 @@
   asio::steady_timer TickTimer_;
   asio::steady_timer StoreTimer_;
   asio::steady_timer RegisterTimer_;
-  std::uint32_t Listings_ = 0; ///< Lists read so far.
+  asio::steady_timer IntroductionTimer_;
+  std::uint32_t Listings_ = 0; ///< Attempts to read the list so far.
+  bool HasList_ = false;
   bool WasRegistered_ = false; ///< By a previous incarnation.
   bool IsLeaving_ = false;
 };
--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -119,6 +119,12 @@
   answer(Message.Updates_.front().Instance_.Peers_, Event.From_, Message);
 }
 
+/// Joins through the peer, whose own messages carry only a part of the members.
+void Membership::on(IntroducedByPeer const &Event) {
+  Settings_.Seeds_.push_back(Event.Peer_);
+  contactSeeds();
+}
+
 void Membership::answer(Endpoint const &To, InstanceId const &Asker,
                         Heartbeat const &Message) {
   Heartbeat const Answer{HeartbeatKind::Acknowledge, Message.Sequence_, {}, {}};
--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -24,6 +24,10 @@
   InstanceId From_;
   Heartbeat Heartbeat_;
 };
+/// A member of the fleet has contacted this instance.
+struct IntroducedByPeer {
+  Endpoint Peer_;
+};
 /// The configuration that this instance holds has changed.
 struct LocalConfigurationChanged {
   Version Version_ = 0;
@@ -35,8 +39,8 @@
 struct TimePassed {};
 
 using Event =
-    std::variant<InstancesListed, HeartbeatFromPeer, LocalConfigurationChanged,
-                 LocalInstanceLeaving, TimePassed>;
+    std::variant<InstancesListed, HeartbeatFromPeer, IntroducedByPeer,
+                 LocalConfigurationChanged, LocalInstanceLeaving, TimePassed>;
 
 /// members() differs in instances or liveness. Members_ includes this one.
 struct MembersChanged {
@@ -100,6 +104,7 @@
 
   void on(membership::InstancesListed const &Event);
   void on(membership::HeartbeatFromPeer const &Event);
+  void on(membership::IntroducedByPeer const &Event);
   void on(membership::LocalConfigurationChanged const &Event);
   void on(membership::LocalInstanceLeaving const &Event);
   void on(membership::TimePassed const &Event);
--- a/Libraries/LibPeer/AsioPeerTransport.cpp
+++ b/Libraries/LibPeer/AsioPeerTransport.cpp
@@ -42,6 +42,7 @@
   Result<Success> listen();
   void accept();
   void send(Endpoint const &To, PeerMessage const &Message);
+  void setSecret(std::string Secret);
   void stop();
 
   PeerTransportCounters const &counters() const { return State_->Counters_; }
@@ -49,6 +50,7 @@
 
 private:
   void onAccepted(Tcp::socket Socket);
+  void closeConnections();
   std::shared_ptr<detail::OutboundPeer> outbound(Endpoint const &To);
 
   asio::io_context &Context_;
@@ -117,17 +119,28 @@
 void AsioPeerTransport::Implementation::send(Endpoint const &To,
                                              PeerMessage const &Message) {
   auto Frame = encodePeerFrame(Message);
-  if (isError(Frame)) {
+  if (isError(Frame) || State_->Settings_.Secret_.empty()) {
     ++State_->Counters_.Dropped_;
     return;
   }
   outbound(To)->send(takeValue(std::move(Frame)));
 }
 
+void AsioPeerTransport::Implementation::setSecret(std::string Secret) {
+  if (State_->Settings_.Secret_ == Secret)
+    return;
+  State_->Settings_.Secret_ = std::move(Secret);
+  closeConnections();
+}
+
 void AsioPeerTransport::Implementation::stop() {
   State_->IsStopped_ = true;
   asio::error_code Ignored;
   Acceptor_.close(Ignored);
+  closeConnections();
+}
+
+void AsioPeerTransport::Implementation::closeConnections() {
   for (auto const &Peer : Inbound_)
     Peer->close();
   for (auto const &[Remote, Peer] : Outbound_)
@@ -138,7 +151,7 @@
 AsioPeerTransport::create(asio::io_context &Context,
                           PeerTransportSettings Settings,
                           PeerReceiver Receiver) {
-  if (Settings.Secret_.empty())
+  if (Settings.Secret_.empty() && !Settings.Introduced_)
     return Error{ErrorKind::InvalidArgument, "the peers' secret is empty",
                  "configure the same secret on every entry instance"};
   auto Owned = std::make_shared<Implementation>(Context, std::move(Settings),
@@ -160,6 +173,10 @@
   Implementation_->send(To, Message);
 }
 
+void AsioPeerTransport::setSecret(std::string Secret) {
+  Implementation_->setSecret(std::move(Secret));
+}
+
 PeerTransportCounters AsioPeerTransport::counters() const {
   return Implementation_->counters();
 }
--- a/Libraries/LibPeer/AsioPeerTransport.h
+++ b/Libraries/LibPeer/AsioPeerTransport.h
@@ -6,19 +6,25 @@
 
 #include <asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 
 namespace laburnum {
 
 struct PeerTransportSettings {
-  std::string Secret_; ///< Shared by all entry instances; must not be empty.
+  /// Shared by all entry instances; empty only if Introduced_ is set.
+  std::string Secret_;
   EntryInstance Self_; ///< The transport listens on its Peers_ endpoint.
   Duration IdleTimeout_ = std::chrono::seconds(20);
   Duration ConnectTimeout_ = std::chrono::seconds(2);
   Duration InitialBackoff_ = std::chrono::milliseconds(100);
   Duration MaxBackoff_ = std::chrono::seconds(5);
   std::size_t QueueLimit_ = 256; ///< Messages queued per peer.
+  /// If set, a transport without a secret sends nothing until a peer contacts
+  /// it from the host that its Hello names. It takes that peer's secret and
+  /// calls this function.
+  std::function<void(Hello const &Greeting)> Introduced_;
 };
 
 /// Transport over TCP with length-prefixed msgpack messages. All work,
@@ -38,6 +44,9 @@
   void send(Endpoint const &To, PeerMessage const &Message) override;
   PeerTransportCounters counters() const override;
 
+  /// Replaces the secret. Connections that rely on another one are closed.
+  void setSecret(std::string Secret);
+
   /// The endpoint it listens on, with the port chosen by the system.
   Endpoint localEndpoint() const;
 
--- a/Libraries/LibPeer/InboundPeer.cpp
+++ b/Libraries/LibPeer/InboundPeer.cpp
@@ -96,15 +96,36 @@
 }
 
 void InboundPeer::onHello(Hello const &Greeting) {
-  if (!equalSecrets(Greeting.Secret_, State_->Settings_.Secret_))
+  auto &Settings = State_->Settings_;
+  bool const IsIntroduction = Settings.Secret_.empty();
+  if (Greeting.Secret_.empty() ||
+      (!IsIntroduction && !equalSecrets(Greeting.Secret_, Settings.Secret_)))
     return reject("the shared secret is wrong");
   if (Greeting.Sender_.Id_.isEmpty())
     return reject("the sender has no identifier");
+  if (IsIntroduction && !isFromNamedHost(Greeting))
+    return reject("the sender names another host than it connects from");
   Sender_ = Greeting.Sender_.Id_;
-  closeAfter(State_->Settings_.IdleTimeout_ * IdleFactor);
+  closeAfter(Settings.IdleTimeout_ * IdleFactor);
+  if (IsIntroduction) {
+    Settings.Secret_ = Greeting.Secret_;
+    Settings.Introduced_(Greeting);
+  }
+  if (!Socket_.is_open())
+    return;
   readHeader();
 }
 
+bool InboundPeer::isFromNamedHost(Hello const &Greeting) const {
+  asio::error_code Failure;
+  auto const Remote = Socket_.remote_endpoint(Failure);
+  if (Failure)
+    return false;
+  auto const Named =
+      asio::ip::make_address(Greeting.Sender_.Peers_.Host_, Failure);
+  return !Failure && Named == Remote.address();
+}
+
 void InboundPeer::reject(std::string const &Reason) {
   // Only the first rejection is logged; the counter covers the others.
   if (State_->Counters_.Rejected_++ == 0)
--- a/Libraries/LibPeer/InboundPeer.h
+++ b/Libraries/LibPeer/InboundPeer.h
@@ -27,6 +27,8 @@
   void readBody(std::size_t Size);
   void onBody();
   void onHello(Hello const &Greeting);
+  /// Whether the connection comes from the host that the Hello names.
+  bool isFromNamedHost(Hello const &Greeting) const;
   void reject(std::string const &Reason);
   void closeAfter(Duration Span);
 
--- a/Libraries/LibPeer/OutboundPeer.cpp
+++ b/Libraries/LibPeer/OutboundPeer.cpp
@@ -47,9 +47,11 @@
   auto const Address = asio::ip::make_address(Remote_.Host_, Failure);
   if (Failure)
     return fail();
+  asio::ip::tcp::endpoint const Target(Address, Remote_.Port_);
   Phase_ = Phase::Connecting;
   armDeadline(State_->Settings_.ConnectTimeout_);
-  Socket_.async_connect({Address, Remote_.Port_},
+  bindTo(Target.protocol());
+  Socket_.async_connect(Target,
                         [Self = shared_from_this(),
                          Generation = Generation_](asio::error_code Outcome) {
                           if (Generation != Self->Generation_)
@@ -60,6 +62,18 @@
                         });
 }
 
+void OutboundPeer::bindTo(asio::ip::tcp const &Protocol) {
+  asio::error_code Failure;
+  asio::ip::tcp::endpoint const Local(
+      asio::ip::make_address(State_->Settings_.Self_.Peers_.Host_, Failure), 0);
+  if (Failure || Local.protocol() != Protocol)
+    return;
+  Socket_.open(Protocol, Failure);
+  // Without it the system chooses the address.
+  if (!Failure)
+    Socket_.bind(Local, Failure);
+}
+
 void OutboundPeer::onConnected() {
   asio::error_code Ignored;
   Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
--- a/Libraries/LibPeer/OutboundPeer.h
+++ b/Libraries/LibPeer/OutboundPeer.h
@@ -29,6 +29,8 @@
 
   bool isFull(std::string const &Frame) const;
   void connect();
+  /// Connects from the address that peers listen on, which the Hello names.
+  void bindTo(asio::ip::tcp const &Protocol);
   void onConnected();
   void write();
   void onWritten(std::size_t Bytes);
--- a/Tests/LibFleet/TestMembership.cpp
+++ b/Tests/LibFleet/TestMembership.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <iostream>
 #include <set>
@@ -361,3 +362,27 @@
   Members_.handle(HeartbeatFromPeer{instance(1).Id_, Message}, Now_);
   CHECK(livenessOf(Members_, laterIncarnation(0)) == std::nullopt);
 }
+
+TEST_CASE("An instance that was introduced by a peer joins through it, again "
+          "if the join is lost") {
+  Settings Subject;
+  Subject.Self_ = instance(0);
+  Membership Members(Subject);
+  TimePoint Now{std::chrono::hours(1)};
+  auto const Joins = [&](Event const &Event) {
+    auto const Actions = Members.handle(Event, Now);
+    return std::count_if(Actions.begin(), Actions.end(), [](auto const &Each) {
+      auto const *Sent = std::get_if<SendToPeer>(&Each);
+      return Sent && Sent->To_ == instance(1).Peers_ &&
+             std::get<Heartbeat>(Sent->Message_).Kind_ == HeartbeatKind::Join;
+    });
+  };
+  CHECK(Joins(TimePassed{}) == 0);
+  CHECK(Joins(IntroducedByPeer{instance(1).Peers_}) == 1);
+  Now += Subject.Period_;
+  CHECK(Joins(TimePassed{}) == 1);
+  Members.handle(HeartbeatFromPeer{instance(1).Id_, gossipOf(instance(1))},
+                 Now);
+  Now += Subject.Period_;
+  CHECK(Joins(TimePassed{}) == 0);
+}
--- a/Tests/LibPeer/TestAsioPeerTransport.cpp
+++ b/Tests/LibPeer/TestAsioPeerTransport.cpp
@@ -23,6 +23,25 @@
   return Made;
 }
 
+/// Sends the frame on a connection of its own.
+asio::ip::tcp::socket sendRaw(asio::io_context &Context, Node const &To,
+                              PeerMessage const &Message) {
+  asio::ip::tcp::socket Socket(Context);
+  Socket.connect({asio::ip::make_address("127.0.0.1"),
+                  To.Transport_->localEndpoint().Port_});
+  asio::write(Socket, asio::buffer(valueOf(encodePeerFrame(Message))));
+  return Socket;
+}
+
+/// The settings of an instance that has no secret yet. Greetings are added to
+/// By.
+PeerTransportSettings introducible(std::string const &Name,
+                                   std::vector<Hello> &By) {
+  auto Made = settings(Name, "");
+  Made.Introduced_ = [&By](Hello const &Greeting) { By.push_back(Greeting); };
+  return Made;
+}
+
 std::unique_ptr<Node> node(asio::io_context &Context,
                            PeerTransportSettings const &Settings) {
   auto Made = std::make_unique<Node>();
@@ -155,3 +174,102 @@
     CHECK(Bytes > 0);
   }
 }
+
+TEST_CASE("A transport without a secret that cannot be introduced is not "
+          "created") {
+  asio::io_context Context;
+  auto const Created =
+      AsioPeerTransport::create(Context, settings("left", ""), {});
+  REQUIRE(isError(Created));
+  CHECK(errorOf(Created).Kind_ == ErrorKind::InvalidArgument);
+}
+
+TEST_CASE("A transport without a secret sends nothing before it is introduced, "
+          "and then communicates like others") {
+  asio::io_context Context;
+  std::vector<Hello> By;
+  auto const New = node(Context, introducible("new", By));
+  auto PeerSettings = settings("peer");
+  PeerSettings.Self_.Peers_.Host_ = "127.0.0.2";
+  auto const Peer = node(Context, PeerSettings);
+  auto const PeerEndpoint = Peer->Transport_->localEndpoint();
+  New->Transport_->send(PeerEndpoint, message(1));
+  CHECK(New->Transport_->counters().Dropped_ == 1);
+
+  Peer->Transport_->send(New->Transport_->localEndpoint(), message(2));
+  runUntil(Context, [&] { return New->Received_.size() == 1; });
+  REQUIRE(By.size() == 1);
+  CHECK(By.front().Secret_ == "secret");
+  CHECK(By.front().Sender_.Peers_ == PeerEndpoint);
+  New->Transport_->send(PeerEndpoint, message(3));
+  runUntil(Context, [&] { return Peer->Received_.size() == 1; });
+  CHECK(Peer->Received_.front().second == message(3));
+}
+
+TEST_CASE("A transport without a secret takes none from a Hello that names "
+          "another host than it comes from, no sender or no secret") {
+  asio::io_context Context;
+  std::vector<Hello> By;
+  auto const New = node(Context, introducible("new", By));
+  EntryInstance Sender;
+  Sender.Id_ = InstanceId("peer");
+  Sender.Peers_ = {"127.0.0.1", 7500};
+  auto Elsewhere = Sender;
+  Elsewhere.Peers_.Host_ = "127.0.0.2";
+  auto Nowhere = Sender;
+  Nowhere.Peers_.Host_ = "";
+  auto Nameless = Sender;
+  Nameless.Id_ = {};
+  std::vector<Hello> const Greetings = {{"secret", Elsewhere},
+                                        {"secret", Nowhere},
+                                        {"secret", Nameless},
+                                        {"", Sender}};
+  std::uint64_t Rejected = 0;
+  for (auto const &Greeting : Greetings) {
+    auto const Socket = sendRaw(Context, *New, Greeting);
+    ++Rejected;
+    runUntil(Context,
+             [&] { return New->Transport_->counters().Rejected_ == Rejected; });
+  }
+  CHECK(By.empty());
+  auto const Socket = sendRaw(Context, *New, Hello{"secret", Sender});
+  runUntil(Context, [&] { return !By.empty(); });
+}
+
+TEST_CASE("After an introduction another secret is rejected") {
+  asio::io_context Context;
+  std::vector<Hello> By;
+  auto const New = node(Context, introducible("new", By));
+  auto const First = node(Context, settings("first"));
+  auto const Other = node(Context, settings("other", "guess"));
+  First->Transport_->send(New->Transport_->localEndpoint(), message(1));
+  runUntil(Context, [&] { return New->Received_.size() == 1; });
+  Other->Transport_->send(New->Transport_->localEndpoint(), message(2));
+  runUntil(Context, [&] { return New->Transport_->counters().Rejected_ == 1; });
+  CHECK(New->Received_.size() == 1);
+  CHECK(By.size() == 1);
+}
+
+TEST_CASE("Connections that rely on a replaced secret are closed") {
+  asio::io_context Context;
+  std::vector<Hello> By;
+  auto Settings = settings("other", "guess");
+  Settings.InitialBackoff_ = Duration(0);
+  Settings.MaxBackoff_ = Duration(0);
+  auto const New = node(Context, introducible("new", By));
+  auto const Other = node(Context, Settings);
+  auto const Remote = New->Transport_->localEndpoint();
+  Other->Transport_->send(Remote, message(1));
+  runUntil(Context, [&] { return New->Received_.size() == 1; });
+  New->Transport_->setSecret("secret");
+  std::uint64_t Sequence = 2;
+  runUntil(Context, [&] {
+    Other->Transport_->send(Remote, message(Sequence++));
+    return New->Transport_->counters().Rejected_ > 0;
+  });
+  CHECK(New->Received_.size() == 1);
+  auto const Peer = node(Context, settings("peer"));
+  Peer->Transport_->send(Remote, message(1));
+  runUntil(Context, [&] { return New->Received_.size() == 2; });
+  CHECK(New->Received_.back().first == InstanceId("peer"));
+}
