LibFleet: Contact no previous incarnation of a member that is there

What callers saw: nothing yet; found by review. An instance that starts while the store is away waits until a peer contacts its address. Once its previous incarnation is gone to the peers, each contacts one gone member in ten periods, at random.

Cause: gone members are remembered for ten minutes, also the previous incarnations of members that are there. Where instances are restarted often these are most of the gone, and a member that could answer is contacted late.

Change: a gone member is not contacted while another has its endpoint.

--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -341,7 +341,11 @@
 /// The ping carries the update that the member is Gone, which the member
 /// refutes if it is still running.
 void Membership::pingGone() {
-  auto const Gone = withState(MemberState::Gone, MemberState::Gone);
+  auto Gone = withState(MemberState::Gone, MemberState::Gone);
+  // A previous incarnation of a member that is there never answers.
+  std::erase_if(Gone, [&](InstanceId const &Id) {
+    return isEndpointTaken(Others_[Id].Update_.Instance_);
+  });
   if (Gone.empty())
     return;
   auto const &Id = Gone[Generator_() % Gone.size()];
--- a/Tests/LibFleet/TestMembership.cpp
+++ b/Tests/LibFleet/TestMembership.cpp
@@ -386,3 +386,35 @@
   Now += Subject.Period_;
   CHECK(Joins(TimePassed{}) == 0);
 }
+
+TEST_CASE_METHOD(Restart,
+                 "A gone instance is contacted though others that were "
+                 "restarted often have gone incarnations") {
+  auto Previous = instance(2);
+  for (unsigned Each = 0; Each < 50; ++Each) {
+    Previous.Id_ = InstanceId("restarted." + std::to_string(Each));
+    Members_.handle(HeartbeatFromPeer{Previous.Id_, gossipOf(Previous)}, Now_);
+  }
+  auto Gone = gossipOf(instance(1));
+  Gone.Updates_.front().State_ = MemberState::Gone;
+  Gone.Updates_.insert(Gone.Updates_.begin(),
+                       gossipOf(Previous).Updates_.front());
+  Members_.handle(HeartbeatFromPeer{Previous.Id_, Gone}, Now_);
+  REQUIRE(livenessOf(Members_, instance(1)) == Liveness::Gone);
+  bool IsContacted = false;
+  for (unsigned Each = 0; Each < 11; ++Each) {
+    Now_ += std::chrono::seconds(1);
+    for (auto const &Action : Members_.handle(TimePassed{}, Now_)) {
+      auto const *Sent = std::get_if<SendToPeer>(&Action);
+      if (!Sent)
+        continue;
+      IsContacted |= Sent->To_ == instance(1).Peers_;
+      auto Answer = gossipOf(Previous);
+      Answer.Kind_ = HeartbeatKind::Acknowledge;
+      Answer.Sequence_ = std::get<Heartbeat>(Sent->Message_).Sequence_;
+      if (Sent->To_ == Previous.Peers_)
+        Members_.handle(HeartbeatFromPeer{Previous.Id_, Answer}, Now_);
+    }
+  }
+  CHECK(IsContacted);
+}
