--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -119,6 +119,12 @@
   answer(Message.Updates_.front().Instance_.Peers_, Event.From_, Message);
 }
 
+/// Joins through the peer, whose own messages carry only a part of the members.
+void Membership::on(IntroducedByPeer const &Event) {
+  Settings_.Seeds_.push_back(Event.Peer_);
+  contactSeeds();
+}
+
 void Membership::answer(Endpoint const &To, InstanceId const &Asker,
                         Heartbeat const &Message) {
   Heartbeat const Answer{HeartbeatKind::Acknowledge, Message.Sequence_, {}, {}};
@@ -335,7 +341,11 @@
 /// The ping carries the update that the member is Gone, which the member
 /// refutes if it is still running.
 void Membership::pingGone() {
-  auto const Gone = withState(MemberState::Gone, MemberState::Gone);
+  auto Gone = withState(MemberState::Gone, MemberState::Gone);
+  // A previous incarnation of a member that is there never answers.
+  std::erase_if(Gone, [&](InstanceId const &Id) {
+    return isEndpointTaken(Others_[Id].Update_.Instance_);
+  });
   if (Gone.empty())
     return;
   auto const &Id = Gone[Generator_() % Gone.size()];
--- a/Tests/LibFleet/TestMembership.cpp
+++ b/Tests/LibFleet/TestMembership.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <iostream>
 #include <set>
@@ -361,3 +362,59 @@
   Members_.handle(HeartbeatFromPeer{instance(1).Id_, Message}, Now_);
   CHECK(livenessOf(Members_, laterIncarnation(0)) == std::nullopt);
 }
+
+TEST_CASE("An instance that was introduced by a peer joins through it, again "
+          "if the join is lost") {
+  Settings Subject;
+  Subject.Self_ = instance(0);
+  Membership Members(Subject);
+  TimePoint Now{std::chrono::hours(1)};
+  auto const Joins = [&](Event const &Event) {
+    auto const Actions = Members.handle(Event, Now);
+    return std::count_if(Actions.begin(), Actions.end(), [](auto const &Each) {
+      auto const *Sent = std::get_if<SendToPeer>(&Each);
+      return Sent && Sent->To_ == instance(1).Peers_ &&
+             std::get<Heartbeat>(Sent->Message_).Kind_ == HeartbeatKind::Join;
+    });
+  };
+  CHECK(Joins(TimePassed{}) == 0);
+  CHECK(Joins(IntroducedByPeer{instance(1).Peers_}) == 1);
+  Now += Subject.Period_;
+  CHECK(Joins(TimePassed{}) == 1);
+  Members.handle(HeartbeatFromPeer{instance(1).Id_, gossipOf(instance(1))},
+                 Now);
+  Now += Subject.Period_;
+  CHECK(Joins(TimePassed{}) == 0);
+}
+
+TEST_CASE_METHOD(Restart,
+                 "A gone instance is contacted though others that were "
+                 "restarted often have gone incarnations") {
+  auto Previous = instance(2);
+  for (unsigned Each = 0; Each < 50; ++Each) {
+    Previous.Id_ = InstanceId("restarted." + std::to_string(Each));
+    Members_.handle(HeartbeatFromPeer{Previous.Id_, gossipOf(Previous)}, Now_);
+  }
+  auto Gone = gossipOf(instance(1));
+  Gone.Updates_.front().State_ = MemberState::Gone;
+  Gone.Updates_.insert(Gone.Updates_.begin(),
+                       gossipOf(Previous).Updates_.front());
+  Members_.handle(HeartbeatFromPeer{Previous.Id_, Gone}, Now_);
+  REQUIRE(livenessOf(Members_, instance(1)) == Liveness::Gone);
+  bool IsContacted = false;
+  for (unsigned Each = 0; Each < 11; ++Each) {
+    Now_ += std::chrono::seconds(1);
+    for (auto const &Action : Members_.handle(TimePassed{}, Now_)) {
+      auto const *Sent = std::get_if<SendToPeer>(&Action);
+      if (!Sent)
+        continue;
+      IsContacted |= Sent->To_ == instance(1).Peers_;
+      auto Answer = gossipOf(Previous);
+      Answer.Kind_ = HeartbeatKind::Acknowledge;
+      Answer.Sequence_ = std::get<Heartbeat>(Sent->Message_).Sequence_;
+      if (Sent->To_ == Previous.Peers_)
+        Members_.handle(HeartbeatFromPeer{Previous.Id_, Answer}, Now_);
+    }
+  }
+  CHECK(IsContacted);
+}
