LibControl: Compare the store's secret as text

The comparison of a JSON value with a literal, as merged, is ambiguous to the linter's compiler; so is the one in its test. No change in behaviour.

--- a/Libraries/LibControl/PeerNetwork.cpp
+++ b/Libraries/LibControl/PeerNetwork.cpp
@@ -111,8 +111,11 @@
                                      &PeerNetwork::obtainLatestSecret);
         auto const Stored =
             nlohmann::json::parse(valueOf(Read).Value_, nullptr, false);
-        if (valueOf(Read).Version_ != 0 && Stored.is_string() && Stored != "")
-          return Self->onStoredSecret(Stored.get<std::string>());
+        auto const Secret = valueOf(Read).Version_ != 0 && Stored.is_string()
+                                ? Stored.get<std::string>()
+                                : std::string();
+        if (!Secret.empty())
+          return Self->onStoredSecret(Secret);
         if (Consistency == ReadConsistency::MayLag)
           return Self->obtainLatestSecret();
         nlohmann::json const Created =
--- a/Tests/EntryProcess/TestNamesInStore.cpp
+++ b/Tests/EntryProcess/TestNamesInStore.cpp
@@ -108,7 +108,11 @@
   on([&] { Store_.put("entry-secrets", "peers", ""); });
   Instance_->start();
   auto const HasSecret = [&] {
-    return on([&] { return Store_.object("entry-secrets", "peers") != ""; });
+    return on([&] {
+      return !Store_.object("entry-secrets", "peers")
+                  .get<std::string>()
+                  .empty();
+    });
   };
   REQUIRE(processes::await([&] {
     return HasSecret() || Instance_->process().hasWritten("peers_unavailable");
