laburnum-entry: Wait for ports that are still held

What callers saw: an instance that started while another process or socket held one of its ports was away. With the port for requests of clients (8360), for readiness checks (8365) or for requests of peers (7501) the process ended at once; with the one for messages of peers (7500) it had no peers for as long as it lived, and with the one for metrics (9464) no metrics.

Cause: each port was tried once, at the start.

Held 8360, 8365 and 7501: event=start_failed why="unavailable: cannot listen on ...: Address already in use", exit status 4. Held 7500: one peers_unavailable line, and no fleet_changed within 60 s of the release. Held 9464: one metrics_unavailable line, and nothing more within 60 s of the release. A process that started while the one before it served was not ready 60 s after that had been killed.

Now a port that cannot be bound is tried until it is free, each 0.1 s (0.5 s for messages of peers), unless this process may not bind it or the address is not one. Readiness says "a port for requests is still held" until 8360 and 7501 are open. The lines port_held (at once, then each 10 s) and port_open say which port, for what, why and for how long. SIGTERM ends a waiting process as it ends any other.

Without the port for messages of peers an instance is ready, as before: it serves as one does that has lost its peers.

No run has had a port that the process may not bind.

--- a/Libraries/LibControl/PeerNetwork.cpp
+++ b/Libraries/LibControl/PeerNetwork.cpp
@@ -66,7 +66,8 @@
     : Context_(Context), Store_(Store), Name_(std::move(Name)),
       Self_(std::move(Self)), Membership_(membershipOf(Self_, Seed)),
       Identifiers_(Seed + 1), Callbacks_(std::move(Callbacks)),
-      TickTimer_(Context), StoreTimer_(Context), RegisterTimer_(Context) {}
+      OpenTimer_(Context), TickTimer_(Context), StoreTimer_(Context),
+      RegisterTimer_(Context) {}
 
 void PeerNetwork::start() {
   View_.Members_ = Membership_.members();
@@ -140,13 +141,22 @@
               membership::HeartbeatFromPeer{From, *Received});
         Network->Callbacks_.Received_(From, Message);
       });
-  if (isError(Created))
+  if (isError(Created)) {
+    if (errorOf(Created).Kind_ == ErrorKind::Unavailable)
+      scheduleAfter(OpenTimer_, RetryPause, &PeerNetwork::reopenTransport);
     return Callbacks_.Failed_(errorOf(Created));
+  }
   Transport_ = takeValue(std::move(Created));
+  Callbacks_.Opened_();
   listInstances();
   tick();
 }
 
+void PeerNetwork::reopenTransport() {
+  if (!IsLeaving_)
+    openTransport(Secret_);
+}
+
 void PeerNetwork::registerSelf() {
   if (IsLeaving_)
     return;
--- a/Libraries/LibControl/PeerNetwork.h
+++ b/Libraries/LibControl/PeerNetwork.h
@@ -32,7 +32,9 @@
   struct Callbacks {
     std::function<void(FleetView const &)> Changed_;
     PeerReceiver Received_;
+    /// The port for messages cannot be opened: tried again if Unavailable.
     std::function<void(Error const &)> Failed_;
+    std::function<void()> Opened_; ///< The port for messages is open.
   };
 
   /// The context and the store have to outlive the network. Name is the
@@ -59,6 +61,7 @@
   void obtainSecret(ReadConsistency Consistency);
   void obtainLatestSecret();
   void openTransport(std::string const &Secret);
+  void reopenTransport();
   void registerSelf();
   void unregisterSelf();
   void listInstances();
@@ -81,6 +84,7 @@
   Callbacks Callbacks_;
   FleetView View_;
   std::shared_ptr<AsioPeerTransport> Transport_;
+  asio::steady_timer OpenTimer_;
   asio::steady_timer TickTimer_;
   asio::steady_timer StoreTimer_;
   asio::steady_timer RegisterTimer_;
--- a/Libraries/LibHttp/HttpListener.cpp
+++ b/Libraries/LibHttp/HttpListener.cpp
@@ -37,7 +37,9 @@
   if (!Failure)
     Acceptor.listen(asio::socket_base::max_listen_connections, Failure);
   if (Failure)
-    return Error{ErrorKind::Unavailable,
+    return Error{Failure == asio::error::access_denied
+                     ? ErrorKind::PermissionDenied
+                     : ErrorKind::Unavailable,
                  "cannot listen on " + Address.Host_ + ":" +
                      std::to_string(Address.Port_) + ": " + Failure.message(),
                  "free the port or change the settings"};
--- a/Libraries/LibHttp/HttpListener.h
+++ b/Libraries/LibHttp/HttpListener.h
@@ -47,8 +47,10 @@
 class HttpListener : public std::enable_shared_from_this<HttpListener> {
 public:
   /// Service must outlive the listener. Listeners of one thread may share a
-  /// budget; without one the listener has its own. Unavailable when the port
-  /// cannot be bound.
+  /// budget; without one the listener has its own. Errors: Unavailable when the
+  /// port cannot be bound now, for example as another socket holds it,
+  /// PermissionDenied when this process may not bind it, InvalidArgument for a
+  /// host that is not an IP address.
   static Result<std::shared_ptr<HttpListener>>
   create(asio::io_context &Context, Endpoint const &Address,
          HttpService &Service, std::shared_ptr<IntakeBudget> Budget = nullptr);
--- a/Libraries/LibPeer/AsioPeerTransport.cpp
+++ b/Libraries/LibPeer/AsioPeerTransport.cpp
@@ -19,7 +19,8 @@
 constexpr std::size_t MaxInboundConnections = 2048;
 
 Error cannotListen(Endpoint const &Local, asio::error_code Failure) {
-  return {ErrorKind::Unavailable,
+  return {Failure == asio::error::access_denied ? ErrorKind::PermissionDenied
+                                                : ErrorKind::Unavailable,
           "cannot listen for peers on " + Local.Host_ + ":" +
               std::to_string(Local.Port_) + ": " + Failure.message(),
           "free the port or configure another"};
--- a/Libraries/LibPeer/AsioPeerTransport.h
+++ b/Libraries/LibPeer/AsioPeerTransport.h
@@ -28,8 +28,9 @@
 class AsioPeerTransport : public PeerTransport {
 public:
   /// Listens on Settings.Self_.Peers_ (port 0: any free port). Errors:
-  /// InvalidArgument for a bad address or an empty secret, Unavailable when
-  /// the port cannot be bound.
+  /// InvalidArgument for a bad address or an empty secret, PermissionDenied
+  /// when this process may not bind the port, Unavailable when it cannot be
+  /// bound now, for example as another socket holds it.
   static Result<std::shared_ptr<AsioPeerTransport>>
   create(asio::io_context &Context, PeerTransportSettings Settings,
          PeerReceiver Receiver);
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -50,6 +50,15 @@
       HistoryReader_(std::make_unique<HistoryReader>(*this)),
       ReadinessService_([this] { return readiness(); }),
       MetricsService_([this] { return metrics(); }),
+      ReadinessListener_(
+          Dependencies.Context_, Dependencies.Log_,
+          {Dependencies.Settings_.Readiness_, "readiness checks"},
+          ReadinessService_),
+      MetricsListener_(Dependencies.Context_, Dependencies.Log_,
+                       {Dependencies.Settings_.Metrics_, "metrics"},
+                       MetricsService_),
+      PeersPort_(Dependencies.Log_, Dependencies.Settings_.Peers_,
+                 "messages of peers"),
       Incarnation_(Dependencies.Settings_.Name_ + "." +
                    IdentifierSource(Seed + 2).next()),
       LeaseHolderTasks_({Dependencies.Settings_, Store_,
@@ -95,9 +104,12 @@
                 onPeerMessage(From, Message);
               },
               [this](Error const &Failure) {
+                if (Failure.Kind_ == ErrorKind::Unavailable)
+                  return PeersPort_.onFailure(Failure, readBootClock());
                 Dependencies_.Log_.write(
                     LogLine("peers_unavailable").add("why", toString(Failure)));
-              }})),
+              },
+              [this] { PeersPort_.onOpened(readBootClock()); }})),
       Follower_(std::make_shared<StoreFollower>(
           Dependencies.Context_, Store_,
           localInstance(Dependencies.Settings_, Incarnation_), Seed,
@@ -143,20 +155,13 @@
 }
 
 Result<Success> ControlPlane::start() {
-  auto Readiness = HttpListener::create(Dependencies_.Context_,
-                                        Dependencies_.Settings_.Readiness_,
-                                        ReadinessService_);
-  if (isError(Readiness))
-    return errorOf(Readiness);
-  ReadinessListener_ = takeValue(std::move(Readiness));
-  auto Metrics =
-      HttpListener::create(Dependencies_.Context_,
-                           Dependencies_.Settings_.Metrics_, MetricsService_);
+  auto const Opened = ReadinessListener_.open();
+  if (isError(Opened))
+    return errorOf(Opened);
+  auto const Metrics = MetricsListener_.open();
   if (isError(Metrics))
     Dependencies_.Log_.write(
         LogLine("metrics_unavailable").add("why", errorOf(Metrics).Message_));
-  else
-    MetricsListener_ = takeValue(std::move(Metrics));
   Store_.setRestoreListener([this](StoreEra Era) { onStoreRestored(Era); });
   Follower_->start();
   Dependencies_.Clock_.setLocal(timeOfDay(), readBootClock());
@@ -233,6 +238,8 @@
     return "no configuration yet";
   if (!HasServerList_)
     return "no list of servers yet";
+  if (!Dependencies_.Traffic_.isListening())
+    return "a port for requests is still held";
   return std::nullopt;
 }
 
--- a/Services/laburnum-entry/ControlPlane.h
+++ b/Services/laburnum-entry/ControlPlane.h
@@ -53,7 +53,8 @@
   ~ControlPlane();
 
   /// Listens for readiness checks and metrics requests and starts following the
-  /// store. Fails when the readiness address cannot be bound.
+  /// store. Ports that are held are opened once they are free. Fails where
+  /// waiting for the readiness address does not help.
   Result<Success> start();
 
 private:
@@ -106,8 +107,9 @@
   std::unique_ptr<HistoryReader> HistoryReader_;
   StatusService ReadinessService_;
   StatusService MetricsService_;
-  std::shared_ptr<HttpListener> ReadinessListener_;
-  std::shared_ptr<HttpListener> MetricsListener_;
+  ListenerOpener ReadinessListener_;
+  ListenerOpener MetricsListener_;
+  HeldPortLog PeersPort_;
   InstanceId Incarnation_; ///< Identifies this incarnation of the instance.
   LeaseHolderTasks LeaseHolderTasks_;
   ConsumptionCollector Collector_;
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -103,25 +103,25 @@
               }}),
       Origins_(Dependencies.Context_, Dependencies.Log_),
       QueueTimer_(Dependencies.Context_),
-      Intake_(std::make_shared<IntakeBudget>(
-          intakeLimits(Dependencies.Settings_))) {}
+      Intake_(
+          std::make_shared<IntakeBudget>(intakeLimits(Dependencies.Settings_))),
+      Listener_(
+          Dependencies.Context_, Dependencies.Log_,
+          {Dependencies.Settings_.Traffic_, "requests of clients"}, *this,
+          [this] { --ClosedPorts_; }, Intake_),
+      PeerListener_(
+          Dependencies.Context_, Dependencies.Log_,
+          {peerServiceEndpoint(Dependencies.Settings_.Peers_),
+           "requests of peers"},
+          *PeerService_, [this] { --ClosedPorts_; }, Intake_) {}
 
 TrafficPlane::~TrafficPlane() = default;
 
 Result<Success> TrafficPlane::listen() {
-  auto Made = HttpListener::create(
-      Dependencies_.Context_, Dependencies_.Settings_.Traffic_, *this, Intake_);
-  if (isError(Made))
-    return errorOf(Made);
-  Listener_ = takeValue(std::move(Made));
-  Made =
-      HttpListener::create(Dependencies_.Context_,
-                           peerServiceEndpoint(Dependencies_.Settings_.Peers_),
-                           *PeerService_, Intake_);
-  if (isError(Made))
-    return errorOf(Made);
-  PeerListener_ = takeValue(std::move(Made));
-  return Success{};
+  auto Opened = Listener_.open();
+  if (!isError(Opened))
+    Opened = PeerListener_.open();
+  return Opened;
 }
 
 void TrafficPlane::setTable(std::shared_ptr<RouteTable const> Table) {
@@ -248,18 +248,19 @@
 }
 
 void TrafficPlane::drain() {
-  if (!Listener_)
-    return;
-  Listener_->stopAccepting();
-  Listener_->drainConnections();
-  PeerListener_->stopAccepting();
-  PeerListener_->drainConnections();
+  for (auto *const Opener : {&Listener_, &PeerListener_}) {
+    Opener->stopAccepting();
+    if (auto *const Listener = Opener->listener())
+      Listener->drainConnections();
+  }
 }
 
 std::size_t TrafficPlane::busyConnections() const {
-  return Listener_
-             ? Listener_->busyConnections() + PeerListener_->busyConnections()
-             : 0;
+  std::size_t Busy = 0;
+  for (auto const *const Opener : {&Listener_, &PeerListener_})
+    if (auto const *const Listener = Opener->listener())
+      Busy += Listener->busyConnections();
+  return Busy;
 }
 
 ClientBounds TrafficPlane::bounds() const {
@@ -285,7 +286,7 @@
           .add("given_up", std::exchange(GivenUp_, 0))
           .add("held_bytes", Intake_->heldBytes())
           .add("max_bytes", Intake_->limits().Bytes_)
-          .add("connections", Listener_->openConnections())
+          .add("connections", Listener_.listener()->openConnections())
           .add("max_connections", Intake_->limits().Connections_));
 }
 
@@ -453,11 +454,15 @@
 }
 
 void TrafficPlane::limitUnwritten(std::size_t MaxBytes) {
-  for (auto const &Listener : {Listener_, PeerListener_})
+  for (auto const *const Opener : {&Listener_, &PeerListener_}) {
+    auto *const Listener = Opener->listener();
+    if (!Listener)
+      continue;
     if (auto const Aborted = Listener->limitUnwritten(MaxBytes); Aborted > 0)
       Dependencies_.Log_.write(LogLine("slow_clients_aborted")
                                    .add("connections", Aborted)
                                    .add("max_bytes", MaxBytes));
+  }
 }
 
 OutboundPool &TrafficPlane::poolOf(ServerRecord const &Server) {
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "EntryMetrics.h"
+#include "ListenerOpener.h"
 #include "RateLimitObserver.h"
 #include "RequestRefuser.h"
 #include "ServerLinks.h"
@@ -30,6 +31,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -60,8 +62,11 @@
   TrafficPlane(TrafficDependencies Dependencies, std::uint64_t Seed);
   ~TrafficPlane() override;
 
-  /// Fails when the traffic address cannot be bound.
+  /// Opens the ports for requests of clients and of peers, or tries until they
+  /// are free. Fails where waiting does not help.
   Result<Success> listen();
+  /// Whether all ports for requests are open. Thread-safe.
+  bool isListening() const { return ClosedPorts_ == 0; }
 
   /// Called on the traffic thread when an incarnation of a server is leaving or
   /// gone.
@@ -201,7 +206,6 @@
                           std::string const &Process);
 
   TrafficDependencies Dependencies_;
-  std::shared_ptr<HttpListener> Listener_;
   /// Adds the version and the age of the server list.
   void addServerListState(LogLine &Line) const;
   /// Adds what is known of the rate limits of the service's servers, if any.
@@ -220,7 +224,6 @@
   std::map<ServiceName, Duration> TightestTargets_;
   RequestRefuser Refuser_;
   std::unique_ptr<PeerService> PeerService_;
-  std::shared_ptr<HttpListener> PeerListener_;
   PeerRoutes PeerRoutes_;
   ServerLinks Links_; ///< Refers to Roster_.
   /// Servers found gone since the last contact with a server.
@@ -240,7 +243,10 @@
   CrashListener CrashListener_;
   LeavingListener LeavingListener_;
   std::shared_ptr<IntakeBudget> Intake_; ///< Of all listeners.
-  std::uint64_t GivenUp_ = 0;            ///< Requests that are not logged yet.
+  std::atomic<int> ClosedPorts_ = 2;
+  ListenerOpener Listener_;
+  ListenerOpener PeerListener_;
+  std::uint64_t GivenUp_ = 0; ///< Requests that are not logged yet.
   TimePoint GivenUpLoggedAt_ = TimePoint::min();
   std::set<ServerId> BrittleServers_; ///< Incarnations, for logging.
   std::set<ServerId> ProbedServers_;  ///< Incarnations with a probe in flight.
--- a/Tests/EntryProcess/EntryFixture.h
+++ b/Tests/EntryProcess/EntryFixture.h
@@ -32,6 +32,9 @@
     return Instance_->send(Method, Path, Key, Additional);
   }
   std::size_t requestsAtServer();
+  std::uint16_t storePort() const {
+    return StoreListener_->localEndpoint().Port_;
+  }
 
   StandinThread Thread_;
   StoreStandin Store_{Thread_.context()};
