--- a/Libraries/LibControl/PeerNetwork.cpp
+++ b/Libraries/LibControl/PeerNetwork.cpp
@@ -78,14 +78,13 @@
     : Context_(Context), Store_(Store), Name_(std::move(Name)),
       Self_(std::move(Self)), Membership_(membershipOf(Self_, Seed)),
       Identifiers_(Seed + 1), Callbacks_(std::move(Callbacks)),
-      TickTimer_(Context), StoreTimer_(Context), RegisterTimer_(Context),
-      IntroductionTimer_(Context) {}
+      OpenTimer_(Context), TickTimer_(Context), StoreTimer_(Context),
+      RegisterTimer_(Context) {}
 
 void PeerNetwork::start() {
   View_.Members_ = Membership_.members();
   obtainSecret(ReadConsistency::MayLag);
-  scheduleAfter(IntroductionTimer_, IntroductionPause,
-                &PeerNetwork::awaitIntroduction);
+  scheduleAfter(OpenTimer_, IntroductionPause, &PeerNetwork::openTransport);
 }
 
 void PeerNetwork::scheduleAfter(asio::steady_timer &Timer, Duration Pause,
@@ -157,17 +156,14 @@
   listInstances();
 }
 
-void PeerNetwork::awaitIntroduction() {
-  if (!Transport_ && !IsLeaving_)
-    openTransport();
-}
-
 void PeerNetwork::onIntroduced(Hello const &Greeting) {
   Secret_ = Greeting.Secret_;
   handle(membership::IntroducedByPeer{Greeting.Sender_.Peers_});
 }
 
 void PeerNetwork::openTransport() {
+  if (Transport_ || IsLeaving_)
+    return;
   PeerTransportSettings Settings;
   Settings.Secret_ = Secret_;
   Settings.Self_ = Self_;
@@ -187,9 +183,13 @@
               membership::HeartbeatFromPeer{From, *Received});
         Network->Callbacks_.Received_(From, Message);
       });
-  if (isError(Created))
+  if (isError(Created)) {
+    if (errorOf(Created).Kind_ == ErrorKind::Unavailable)
+      scheduleAfter(OpenTimer_, RetryPause, &PeerNetwork::openTransport);
     return Callbacks_.Failed_(errorOf(Created));
+  }
   Transport_ = takeValue(std::move(Created));
+  Callbacks_.Opened_();
   if (IsSecretStored_)
     listInstances();
   tick();
--- a/Libraries/LibControl/PeerNetwork.h
+++ b/Libraries/LibControl/PeerNetwork.h
@@ -34,7 +34,9 @@
   struct Callbacks {
     std::function<void(FleetView const &)> Changed_;
     PeerReceiver Received_;
+    /// The port for messages cannot be opened: tried again if Unavailable.
     std::function<void(Error const &)> Failed_;
+    std::function<void()> Opened_; ///< The port for messages is open.
   };
 
   /// The context and the store have to outlive the network. Name is the
@@ -61,8 +63,9 @@
   void obtainSecret(ReadConsistency Consistency);
   void obtainLatestSecret();
   void onStoredSecret(std::string const &Secret);
-  void awaitIntroduction();
   void onIntroduced(Hello const &Greeting);
+  /// Does nothing if it is open. Without a secret yet, it can be introduced by
+  /// a peer.
   void openTransport();
   void registerSelf();
   void unregisterSelf();
@@ -87,10 +90,10 @@
   Callbacks Callbacks_;
   FleetView View_;
   std::shared_ptr<AsioPeerTransport> Transport_;
+  asio::steady_timer OpenTimer_;
   asio::steady_timer TickTimer_;
   asio::steady_timer StoreTimer_;
   asio::steady_timer RegisterTimer_;
-  asio::steady_timer IntroductionTimer_;
   std::uint32_t Listings_ = 0; ///< Attempts to read the list so far.
   bool HasList_ = false;
   bool WasRegistered_ = false; ///< By a previous incarnation.
