laburnum-entry: Log limited intake while the clients' port is still held

Cause: the log line asked the listener for clients for its connections, which does not exist while its port is held, also when a request of a peer was given up: the process would have ended. Found by reading the merge; not seen in a run.

--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -281,12 +281,14 @@
       GivenUpLoggedAt_ + GivenUpLogPeriod > Now)
     return;
   GivenUpLoggedAt_ = Now;
+  // Peers' requests may be given up while the port for clients' is still held.
+  auto const *const Listener = Listener_.listener();
   Dependencies_.Log_.write(
       LogLine("intake_limited")
           .add("given_up", std::exchange(GivenUp_, 0))
           .add("held_bytes", Intake_->heldBytes())
           .add("max_bytes", Intake_->limits().Bytes_)
-          .add("connections", Listener_.listener()->openConnections())
+          .add("connections", Listener ? Listener->openConnections() : 0)
           .add("max_connections", Intake_->limits().Connections_));
 }
 
