--- a/Tests/Platform/TestHeaderCodec.cpp
+++ b/Tests/Platform/TestHeaderCodec.cpp
@@ -1,5 +1,7 @@
 #include <HeaderCodec.h>
 
+#include <LibTraffic/AccountQuotaLimiter.h>
+
 #include <catch2/catch.hpp>
 
 using namespace laburnum;
@@ -180,6 +182,39 @@
     CHECK(Shared(Text) == 410);
 }
 
+// Guards against counts whose sum wraps around, so that the request is charged
+// nothing.
+TEST_CASE("A request that states more tokens than any engine can hold is "
+          "charged for as many as can be stated") {
+  auto const Charge = [](std::string const &Counts) {
+    auto const Tokens =
+        valueOf(Codec.decode(requestWith(
+                    {{"X-Attempt-Id", "id1"}, {"X-Token-Counts", Counts}})))
+            .Tokens_;
+    REQUIRE(Tokens);
+    return quotaCost({QuotaUnit::Tokens, 500.0, 600.0, 200.0},
+                     Tokens->Prompt_ + Tokens->MaxOutput_);
+  };
+  constexpr double Max = 4294967296.0;
+  CHECK(Charge("4294967296,4294967296") == 2 * Max);
+  CHECK(Charge("4294967295,1") == Max);
+  for (auto const *Text :
+       {"4294967297,1", "18446744073709551615,1", "18446744073709551616,1",
+        "99999999999999999999999999,1", "1,18446744073709551615",
+        "1,99999999999999999999999999"})
+    CHECK(Charge(Text) == Max + 1);
+  CHECK(Charge("18446744073709551615,18446744073709551615") == 2 * Max);
+}
+
+TEST_CASE("Token counts that are no numbers are not taken for any") {
+  for (auto const *Text :
+       {"", "1460", ",", "1460,", ",80", "-1,80", "1460,80,3", "1460,many",
+        "99999999999999999999999999x,80", "1460, 80"})
+    CHECK_FALSE(valueOf(Codec.decode(requestWith({{"X-Attempt-Id", "id1"},
+                                                  {"X-Token-Counts", Text}})))
+                    .Tokens_);
+}
+
 TEST_CASE("A server is told the priority of a request only if there is one") {
   AttemptMetadata Attempt;
   auto const Received =
