LibPeer: Take no secret from a peer that no instance creates

What callers would see: an instance that starts while the store is away takes its secret from the first peer that contacts it from the named host, whatever the bytes. Once the store is back without a secret, the instance writes it there: a foreign text becomes the secret of the fleet, and bytes that are not UTF-8 end the process with type_error 316, thrown by dump() on the control thread.

Cause: the Hello is MessagePack, whose texts may hold any bytes, and nothing checked the form of an introduction's secret.

Change: an introduction is refused unless its secret has the form of the identifiers that IdentifierSource generates, from which every instance creates the fleet's secret. The check is beside that class. Greetings after an introduction, and those of a fleet whose secret is in the settings, are compared as before.

That the process ended is by reading; no run of a process showed it.

--- a/Libraries/LibCore/IdentifierSource.cpp
+++ b/Libraries/LibCore/IdentifierSource.cpp
@@ -4,8 +4,9 @@
 
 namespace laburnum {
 
+static constexpr std::size_t HexDigits = 32;
+
 std::string IdentifierSource::next() {
-  constexpr std::size_t HexDigits = 32;
   char Text[HexDigits + 1];
   auto const High = Generator_();
   auto const Low = Generator_();
@@ -15,4 +16,9 @@
   return {Text, HexDigits};
 }
 
+bool isGeneratedIdentifier(std::string_view Text) {
+  return Text.size() == HexDigits &&
+         Text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
 } // namespace laburnum
--- a/Libraries/LibCore/IdentifierSource.h
+++ b/Libraries/LibCore/IdentifierSource.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <random>
 #include <string>
+#include <string_view>
 
 namespace laburnum {
 
@@ -19,4 +20,8 @@
   std::mt19937_64 Generator_;
 };
 
+/// Whether the text is of the form of the identifiers that
+/// IdentifierSource::next() returns.
+bool isGeneratedIdentifier(std::string_view Text);
+
 } // namespace laburnum
--- a/Libraries/LibPeer/InboundPeer.cpp
+++ b/Libraries/LibPeer/InboundPeer.cpp
@@ -1,5 +1,7 @@
 #include <LibPeer/InboundPeer.h>
 
+#include <LibCore/IdentifierSource.h>
+
 #include <asio/read.hpp>
 #include <glog/logging.h>
 #include <openssl/crypto.h>
@@ -103,6 +105,9 @@
     return reject("the shared secret is wrong");
   if (Greeting.Sender_.Id_.isEmpty())
     return reject("the sender has no identifier");
+  // It becomes this instance's secret, which may have to go into the store.
+  if (IsIntroduction && !isGeneratedIdentifier(Greeting.Secret_))
+    return reject("the secret is not one that instances create");
   if (IsIntroduction && !isFromNamedHost(Greeting))
     return reject("the sender names another host than it connects from");
   Sender_ = Greeting.Sender_.Id_;
