LibControl, platform: Write all that peers send as JSON by one function

What callers would see: an order of a rollout, or a service, version or route in it, that a peer sends in bytes that are not UTF-8 ends the process of the lease's holder where it writes its record, its status or a history, and then of each next one.

Cause: as for counts of usage and records of crashes before: peers' messages are MessagePack, whose texts may hold any bytes, and dump() throws type_error 316 for those that are not UTF-8, on the control thread, where nothing catches it. No way is known by which a sound peer sends such a text.

Change: LibCore's dumpJson() writes JSON with invalid UTF-8 replaced, in one place.

--- a/Libraries/LibControl/CrashRecords.cpp
+++ b/Libraries/LibControl/CrashRecords.cpp
@@ -1,5 +1,7 @@
 #include <LibControl/CrashRecords.h>
 
+#include <LibCore/JsonDump.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -136,7 +138,6 @@
                                   }));
 }
 
-/// Peers send names, too: invalid UTF-8 is replaced.
 std::string CrashRecords::encode(Records const &Stored) {
   auto Crashes = json::array();
   for (auto const &[Name, Item] : Stored)
@@ -145,8 +146,7 @@
                        {"server", Item.Report_.Server_.text()},
                        {"evidence", nameOf(Item.Report_.Evidence_)},
                        {"at_ms", milliseconds(Item.At_)}});
-  return json{{"crashes", Crashes}}.dump(-1, ' ', false,
-                                         json::error_handler_t::replace);
+  return dumpJson({{"crashes", Crashes}});
 }
 
 CrashRecords::Records CrashRecords::decode(std::string const &Text) {
--- a/Libraries/LibControl/OriginHistoryCodec.cpp
+++ b/Libraries/LibControl/OriginHistoryCodec.cpp
@@ -1,5 +1,7 @@
 #include <LibControl/OriginHistoryCodec.h>
 
+#include <LibCore/JsonDump.h>
+
 #include <nlohmann/json.hpp>
 
 #include <chrono>
@@ -25,7 +27,7 @@
     for (auto const &[Version, LeftAt] : Versions)
       Services[Service.text()][Version] =
           LeftAt ? json(milliseconds(*LeftAt)) : json();
-  return json{{"services", Services}}.dump();
+  return dumpJson({{"services", Services}});
 }
 
 VersionHistory decodeVersions(std::string const &Text) {
@@ -54,7 +56,7 @@
              {"regions", Regions}};
   if (Moved.UnknownAt_)
     Value["unknown_ms"] = milliseconds(*Moved.UnknownAt_);
-  return Value.dump();
+  return dumpJson(Value);
 }
 
 MovedRoutes decodeMoves(std::string const &Text) {
--- a/Libraries/LibControl/PeerNetwork.cpp
+++ b/Libraries/LibControl/PeerNetwork.cpp
@@ -1,5 +1,7 @@
 #include <LibControl/PeerNetwork.h>
 
+#include <LibCore/JsonDump.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -35,7 +37,7 @@
   Value["data_centre"] = Instance.DataCentre_.text();
   Value["host"] = Instance.Peers_.Host_;
   Value["port"] = Instance.Peers_.Port_;
-  return Value.dump();
+  return dumpJson(Value);
 }
 
 std::optional<EntryInstance> decodeInstance(std::string const &Text) {
--- a/Libraries/LibControl/RolloutRecordCodec.cpp
+++ b/Libraries/LibControl/RolloutRecordCodec.cpp
@@ -1,5 +1,7 @@
 #include <LibControl/RolloutRecordCodec.h>
 
+#include <LibCore/JsonDump.h>
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -38,13 +40,12 @@
 }
 
 std::string encode(RolloutRecord const &Record) {
-  return json{{"order", Record.Order_},
-              {"service", Record.What_.Service_.text()},
-              {"version", Record.What_.Target_},
-              {"time_ms", milliseconds(Record.What_.Time_)},
-              {"stage", toString(Record.Stage_)},
-              {"begun_ms", milliseconds(Record.BegunAt_)}}
-      .dump();
+  return dumpJson({{"order", Record.Order_},
+                   {"service", Record.What_.Service_.text()},
+                   {"version", Record.What_.Target_},
+                   {"time_ms", milliseconds(Record.What_.Time_)},
+                   {"stage", toString(Record.Stage_)},
+                   {"begun_ms", milliseconds(Record.BegunAt_)}});
 }
 
 std::optional<RolloutRecord> decodeRolloutRecord(std::string const &Text) {
--- a/Libraries/LibControl/UsageReporter.cpp
+++ b/Libraries/LibControl/UsageReporter.cpp
@@ -1,5 +1,7 @@
 #include <LibControl/UsageReporter.h>
 
+#include <LibCore/JsonDump.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -53,10 +55,8 @@
 
 } // namespace
 
-/// Peers send names, too: invalid UTF-8 is replaced.
 std::string encodeUsage(UsageRecord const &Record) {
-  return encodeWindows(Record.Windows_)
-      .dump(-1, ' ', false, Json::error_handler_t::replace);
+  return dumpJson(encodeWindows(Record.Windows_));
 }
 
 std::optional<UsageRecord> decodeUsage(std::string const &Text) {
--- a/Tests/LibControl/TestOriginHistory.cpp
+++ b/Tests/LibControl/TestOriginHistory.cpp
@@ -1,5 +1,6 @@
 #include "OriginFixture.h"
 
+#include <LibControl/OriginHistoryCodec.h>
 #include <LibTraffic/StreamOrigins.h>
 
 #include <algorithm>
@@ -228,3 +229,21 @@
   bool const MayBegin = mayBegin("c", "v1");
   CHECK_FALSE((MayBegin && find(Keeper, "s1").Origin_));
 }
+
+// Guards against a peer's text that ends the process where it is written as
+// JSON.
+TEST_CASE("A history with names that are not UTF-8 is written") {
+  VersionHistory const History = {
+      {ServiceName("s"), {{"v1", std::nullopt}, {"v\xff", seconds(2)}}},
+      {ServiceName("s\xff"), {{"v1", seconds(1)}}}};
+  CHECK(detail::decodeVersions(detail::encode(History)) ==
+        VersionHistory{
+            {ServiceName("s"), {{"v1", std::nullopt}, {"v\uFFFD", seconds(2)}}},
+            {ServiceName("s\uFFFD"), {{"v1", seconds(1)}}}});
+  MovedRoutes Moved;
+  Moved.Regions_[{"h\xff", "/a\xff"}] = seconds(3);
+  MovedRoutes Expected;
+  Expected.Regions_[{"h\uFFFD", "/a\uFFFD"}] = seconds(3);
+  CHECK(detail::decodeMoves(detail::encode(Moved)).Regions_ ==
+        Expected.Regions_);
+}
--- a/Tests/LibControl/TestRolloutController.cpp
+++ b/Tests/LibControl/TestRolloutController.cpp
@@ -218,3 +218,16 @@
   for (auto const *const Text : {"", "{}", "[1]", "{\"order\":\"x\"}"})
     CHECK_FALSE(detail::decodeRolloutRecord(Text));
 }
+
+// Guards against a peer's text that ends the process where it is written as
+// JSON.
+TEST_CASE("The record of an order that is not UTF-8 is written") {
+  RolloutRecord Record;
+  Record.What_ = {ServiceName("s\xff"), "v\xff", seconds(20)};
+  Record.Stage_ = RolloutStage::Trial;
+  auto const Stored = detail::decodeRolloutRecord(detail::encode(Record));
+  REQUIRE(Stored);
+  CHECK(Stored->What_ ==
+        RolloutOrder{ServiceName("s\uFFFD"), "v\uFFFD", seconds(20)});
+  CHECK(Stored->Stage_ == RolloutStage::Trial);
+}
--- a/Tests/Platform/TestObjectClient.cpp
+++ b/Tests/Platform/TestObjectClient.cpp
@@ -176,6 +176,24 @@
                                  "DELETE " + std::string(Path)});
 }
 
+// Guards against a peer's text that ends the process where it is written as
+// JSON.
+TEST_CASE_METHOD(Fixture, "An object whose name is not UTF-8 is written") {
+  ObjectKey const Odd{"things", "\xff"};
+  Store_.Script_ = {{200, object("x", 2, "7")}, {200, object("x", 3, "7")}};
+  CHECK(valueOf(await<Version>([&](auto Done) {
+          Client_.putIf(Odd, 1, "7", Timeout, Done);
+        })) == 2);
+  CHECK(valueOf(await<Version>([&](auto Done) {
+          Client_.putStatusIf(Odd, 2, "{}", Timeout, Done);
+        })) == 3);
+  CHECK(Store_.Calls_ == std::vector<std::string>{
+                             "PUT /laburnumpond/objects/things/%FF",
+                             "PUT /laburnumpond/objects/things/%FF/status"});
+  for (auto const &Body : Store_.Bodies_)
+    CHECK(nlohmann::json::parse(Body)["metadata"]["name"] == "\uFFFD");
+}
+
 TEST_CASE_METHOD(Fixture, "A watch yields changes, deletions and gaps") {
   Store_.Script_ = {{200, R"({"events":[{"deleted":false,"object":)" +
                               object("a", 6, "1") +
--- a/Tests/Platform/TestRolloutRecord.cpp
+++ b/Tests/Platform/TestRolloutRecord.cpp
@@ -34,3 +34,10 @@
   CHECK(encodeRolloutStatus("v2", RolloutStage::RolledBack) ==
         R"({"state":"rolled_back","target":"v2"})");
 }
+
+// Guards against a peer's text that ends the process where it is written as
+// JSON.
+TEST_CASE("The status of an order that is not UTF-8 is written") {
+  CHECK(encodeRolloutStatus("v\xff", RolloutStage::Full) ==
+        "{\"state\":\"running\",\"target\":\"v\uFFFD\"}");
+}
