--- a/Tests/Platform/TestObjectClient.cpp
+++ b/Tests/Platform/TestObjectClient.cpp
@@ -155,6 +155,59 @@
   CHECK(Store_.Calls_.size() <= Calls);
 }
 
+// Guards against another writer's metadata that hides an object's name, without
+// which a list cannot go on after its page.
+TEST_CASE_METHOD(Fixture, "An object's name and revision are read whatever the "
+                          "rest of its metadata") {
+  auto const *const Odd = GENERATE(
+      "\"finalizers\":[\"\xff\"]", R"("weight":1e999)", R"("labels":tru)",
+      R"("generation":99999999999999999999999999999999)");
+  auto const Metadata = [&](std::string const &Name, Version Revision) {
+    return R"({"metadata":{)" + std::string(Odd) + R"(,"name":")" + Name +
+           R"(","revision":)" + std::to_string(Revision) + "," + Odd +
+           R"(},"specification":7})";
+  };
+  Store_.Script_ = {{200, R"({"items":[)" + Metadata("a", 3) +
+                              R"(],"has_more":true,"current_rev":9})"},
+                    {200, R"({"items":[)" + Metadata("b", 4) +
+                              R"(],"has_more":false,"current_rev":9})"},
+                    {200, R"({"events":[{"deleted":false,"object":)" +
+                              Metadata("a", 11) + R"(}],"current_rev":11})"},
+                    {200, Metadata("one", 12)}};
+  auto const Listed = await<ObjectList>([&](auto Done) {
+    Client_.list("things", ReadConsistency::Latest, Timeout, Done);
+  });
+  REQUIRE_FALSE(isError(Listed));
+  CHECK(valueOf(Listed).Objects_ ==
+        std::vector<StoredObject>{{{"things", "a"}, 3, "7"},
+                                  {{"things", "b"}, 4, "7"}});
+  CHECK(Store_.Calls_.back() == "GET /laburnumpond/objects/things?after=a");
+  auto const Batch = await<WatchBatch>([&](auto Done) {
+    Client_.watch("things", 9, std::chrono::milliseconds(1500), Done);
+  });
+  REQUIRE_FALSE(isError(Batch));
+  CHECK(valueOf(Batch).Objects_ ==
+        std::vector<StoredObject>{{{"things", "a"}, 11, "7"}});
+  CHECK(valueOf(get(ReadConsistency::Latest)).Version_ == 12);
+}
+
+// Guards against a neighbour that is taken for the name or the revision.
+TEST_CASE_METHOD(Fixture, "A name or a revision that cannot be read does not "
+                          "hide the other") {
+  Store_.Script_ = {
+      {200, "{\"items\":[{\"metadata\":{\"name\":\"\xff\",\"revision\":5},"
+            "\"specification\":7},{\"metadata\":{\"name\":\"b\","
+            "\"revision\":1e999},\"specification\":7}],\"has_more\":false,"
+            "\"current_rev\":9}"}};
+  auto const Listed = await<ObjectList>([&](auto Done) {
+    Client_.list("things", ReadConsistency::Latest, Timeout, Done);
+  });
+  REQUIRE_FALSE(isError(Listed));
+  CHECK(valueOf(Listed).Objects_ ==
+        std::vector<StoredObject>{{{"things", ""}, 5, "7"},
+                                  {{"things", "b"}, 0, "7"}});
+}
+
 TEST_CASE_METHOD(Fixture, "An object is read and written at its own path "
                           "whatever its name") {
   ObjectKey const Odd{"things", "a/b?c=1&d+e%20"};
