--- a/Tests/Platform/TestObjectClient.cpp
+++ b/Tests/Platform/TestObjectClient.cpp
@@ -32,6 +32,8 @@
                  ReceivedRequest Request) override {
     Calls_.push_back(Request.Head_.Method_ + ' ' + Request.Head_.Target_);
     Bodies_.push_back(Request.Body_);
+    if (EndlessPageBytes_ > 0)
+      return Exchange->answer({200, {}}, nextEndlessPage());
     auto const [Status, Body] = Script_.front();
     Script_.pop_front();
     if (Status == 0)
@@ -42,6 +44,15 @@
     Exchange->answer(Head, Body);
   }
 
+  /// A page of about EndlessPageBytes_ with a name that no page had before.
+  std::string nextEndlessPage() const {
+    return R"({"items":[)" +
+           object(std::to_string(Calls_.size()), 3,
+                  '"' + std::string(EndlessPageBytes_, 'x') + '"') +
+           R"(],"has_more":true,"current_rev":9})";
+  }
+
+  std::size_t EndlessPageBytes_ = 0; ///< Above 0: lists have no end.
   std::deque<std::pair<std::int32_t, std::string>> Script_;
   std::vector<std::string> Calls_;
   std::vector<std::string> Bodies_;
@@ -155,6 +166,26 @@
   CHECK(Store_.Calls_.size() <= Calls);
 }
 
+// Guards against a list that takes all of the memory.
+TEST_CASE_METHOD(Fixture, "A list without end fails at 32 MiB") {
+  auto const [PageMebibytes, Pages] =
+      GENERATE(table<std::size_t, std::size_t>({{1, 32}, {15, 3}}));
+  Store_.EndlessPageBytes_ = PageMebibytes << 20;
+  constexpr std::size_t TooMany = 40;
+  std::size_t FurtherPages = 0;
+  Client_.setPageListener([&](std::string const &) {
+    if (++FurtherPages == TooMany)
+      Store_.EndlessPageBytes_ = 0;
+  });
+  Store_.Script_ = {{500, ""}};
+  auto const Listed = await<ObjectList>([&](auto Done) {
+    Client_.list("things", ReadConsistency::Latest, Timeout, Done);
+  });
+  REQUIRE(isError(Listed));
+  CHECK(errorOf(Listed).Kind_ == ErrorKind::Unavailable);
+  CHECK(Store_.Calls_.size() == Pages);
+}
+
 // Guards against another writer's metadata that hides an object's name, without
 // which a list cannot go on after its page.
 TEST_CASE_METHOD(Fixture, "An object's name and revision are read whatever the "
