platform: Let an account without a name open nothing

What callers saw: a key of an account whose name is empty, missing or no text opens routes, and its requests reach servers in no account's name: nobody is told whose they are.

Cause: an empty text is a field's value, and only that was checked.

Decision: no account answers for such a request, so that it is refused with 401 as one with an unknown key; the configuration's other accounts are not affected.

--- a/Tests/EntryProcess/TestNamesInStore.cpp
+++ b/Tests/EntryProcess/TestNamesInStore.cpp
@@ -92,7 +92,7 @@
                                "header runs no requests as another") {
   auto const Name =
       GENERATE(std::string("b\r\nX-Tenant: a"), std::string("a\r\n"),
-               std::string(" a"), std::string("a\0", 2));
+               std::string(" a"), std::string("a\0", 2), std::string());
   auto Configuration = configurationJson(2);
   Configuration["tenants"].push_back({{"name", Name}, {"api_keys", {"k2"}}});
   on([&] { Store_.put("config", "main", Configuration); });
--- a/Tests/Platform/TestRecords.cpp
+++ b/Tests/Platform/TestRecords.cpp
@@ -121,6 +121,18 @@
   CHECK(Table.bounds().IdleTimeout_ == std::chrono::seconds(15));
 }
 
+// Guards against requests that no account answers for.
+TEST_CASE("The keys of an account without a name open nothing") {
+  auto const *const Name =
+      GENERATE("", R"("name":"",)", R"("name":7,)", R"("name":null,)");
+  auto const Decoded = decodeConfiguration(
+      R"({"version":7,"tenants":[{)" + std::string(Name) +
+      R"("api_keys":["k0"]},{"name":"a","api_keys":["k1"]}]})");
+  REQUIRE_FALSE(isError(Decoded));
+  CHECK_FALSE(valueOf(Decoded)->accountByKey("k0"));
+  CHECK(valueOf(Decoded)->accountByKey("k1"));
+}
+
 TEST_CASE("A configuration without a version is an error") {
   CHECK(isError(decodeConfiguration("{}")));
   CHECK(isError(decodeConfiguration("")));
