--- a/Tests/Platform/TestObjectClient.cpp
+++ b/Tests/Platform/TestObjectClient.cpp
@@ -32,6 +32,8 @@
                  ReceivedRequest Request) override {
     Calls_.push_back(Request.Head_.Method_ + ' ' + Request.Head_.Target_);
     Bodies_.push_back(Request.Body_);
+    if (EndlessPageBytes_ > 0)
+      return Exchange->answer({200, {}}, nextEndlessPage());
     auto const [Status, Body] = Script_.front();
     Script_.pop_front();
     if (Status == 0)
@@ -42,6 +44,15 @@
     Exchange->answer(Head, Body);
   }
 
+  /// A page of about EndlessPageBytes_ with a name that no page had before.
+  std::string nextEndlessPage() const {
+    return R"({"items":[)" +
+           object(std::to_string(Calls_.size()), 3,
+                  '"' + std::string(EndlessPageBytes_, 'x') + '"') +
+           R"(],"has_more":true,"current_rev":9})";
+  }
+
+  std::size_t EndlessPageBytes_ = 0; ///< Above 0: lists have no end.
   std::deque<std::pair<std::int32_t, std::string>> Script_;
   std::vector<std::string> Calls_;
   std::vector<std::string> Bodies_;
@@ -137,22 +148,99 @@
         200, R"({"items":[)" + object(Name, 3, "1") +
                  R"(],"has_more":true,"current_rev":9})");
   };
+  std::size_t Read = 0;
   SECTION("the same page comes again") {
+    Read = 2;
     Store_.Script_ = {Page("a"), Page("a"), Page("a")};
   }
   SECTION("an earlier page comes again") {
+    Read = 3;
     Store_.Script_ = {Page("a"), Page("b"), Page("a"), Page("b"), Page("a")};
   }
   SECTION("no object of a page has a name that can be read") {
+    Read = 2;
     Store_.Script_ = {Page("a"),
                       {200, R"({"items":[{"metadata":{"name":7}}],)"
-                            R"("has_more":true,"current_rev":9})"}};
+                            R"("has_more":true,"current_rev":9})"},
+                      Page("c")};
   }
-  auto const Calls = Store_.Script_.size();
   CHECK(isError(await<ObjectList>([&](auto Done) {
     Client_.list("things", ReadConsistency::Latest, Timeout, Done);
   })));
-  CHECK(Store_.Calls_.size() <= Calls);
+  CHECK(Store_.Calls_.size() == Read);
+}
+
+// Guards against a list that takes all of the memory.
+TEST_CASE_METHOD(Fixture, "A list without end fails at 32 MiB") {
+  auto const [PageMebibytes, Pages] =
+      GENERATE(table<std::size_t, std::size_t>({{1, 32}, {15, 3}}));
+  Store_.EndlessPageBytes_ = PageMebibytes << 20;
+  constexpr std::size_t TooMany = 40;
+  std::size_t FurtherPages = 0;
+  Client_.setPageListener([&](std::string const &) {
+    if (++FurtherPages == TooMany)
+      Store_.EndlessPageBytes_ = 0;
+  });
+  Store_.Script_ = {{500, ""}};
+  auto const Listed = await<ObjectList>([&](auto Done) {
+    Client_.list("things", ReadConsistency::Latest, Timeout, Done);
+  });
+  REQUIRE(isError(Listed));
+  CHECK(errorOf(Listed).Kind_ == ErrorKind::Unavailable);
+  CHECK(Store_.Calls_.size() == Pages);
+}
+
+// Guards against another writer's metadata that hides an object's name, without
+// which a list cannot go on after its page.
+TEST_CASE_METHOD(Fixture, "An object's name and revision are read whatever the "
+                          "rest of its metadata") {
+  auto const *const Odd = GENERATE(
+      "\"finalizers\":[\"\xff\"]", R"("weight":1e999)", R"("labels":tru)",
+      R"("generation":99999999999999999999999999999999)");
+  auto const Metadata = [&](std::string const &Name, Version Revision) {
+    return R"({"metadata":{)" + std::string(Odd) + R"(,"name":")" + Name +
+           R"(","revision":)" + std::to_string(Revision) + "," + Odd +
+           R"(},"specification":7})";
+  };
+  Store_.Script_ = {{200, R"({"items":[)" + Metadata("a", 3) +
+                              R"(],"has_more":true,"current_rev":9})"},
+                    {200, R"({"items":[)" + Metadata("b", 4) +
+                              R"(],"has_more":false,"current_rev":9})"},
+                    {200, R"({"events":[{"deleted":false,"object":)" +
+                              Metadata("a", 11) + R"(}],"current_rev":11})"},
+                    {200, Metadata("one", 12)}};
+  auto const Listed = await<ObjectList>([&](auto Done) {
+    Client_.list("things", ReadConsistency::Latest, Timeout, Done);
+  });
+  REQUIRE_FALSE(isError(Listed));
+  CHECK(valueOf(Listed).Objects_ ==
+        std::vector<StoredObject>{{{"things", "a"}, 3, "7"},
+                                  {{"things", "b"}, 4, "7"}});
+  CHECK(Store_.Calls_.back() == "GET /laburnumpond/objects/things?after=a");
+  auto const Batch = await<WatchBatch>([&](auto Done) {
+    Client_.watch("things", 9, std::chrono::milliseconds(1500), Done);
+  });
+  REQUIRE_FALSE(isError(Batch));
+  CHECK(valueOf(Batch).Objects_ ==
+        std::vector<StoredObject>{{{"things", "a"}, 11, "7"}});
+  CHECK(valueOf(get(ReadConsistency::Latest)).Version_ == 12);
+}
+
+// Guards against a neighbour that is taken for the name or the revision.
+TEST_CASE_METHOD(Fixture, "A name or a revision that cannot be read does not "
+                          "hide the other") {
+  Store_.Script_ = {
+      {200, "{\"items\":[{\"metadata\":{\"name\":\"\xff\",\"revision\":5},"
+            "\"specification\":7},{\"metadata\":{\"name\":\"b\","
+            "\"revision\":1e999},\"specification\":7}],\"has_more\":false,"
+            "\"current_rev\":9}"}};
+  auto const Listed = await<ObjectList>([&](auto Done) {
+    Client_.list("things", ReadConsistency::Latest, Timeout, Done);
+  });
+  REQUIRE_FALSE(isError(Listed));
+  CHECK(valueOf(Listed).Objects_ ==
+        std::vector<StoredObject>{{{"things", ""}, 5, "7"},
+                                  {{"things", "b"}, 0, "7"}});
 }
 
 TEST_CASE_METHOD(Fixture, "An object is read and written at its own path "
@@ -176,6 +264,24 @@
                                  "DELETE " + std::string(Path)});
 }
 
+// Guards against a peer's text that ends the process where it is written as
+// JSON.
+TEST_CASE_METHOD(Fixture, "An object whose name is not UTF-8 is written") {
+  ObjectKey const Odd{"things", "\xff"};
+  Store_.Script_ = {{200, object("x", 2, "7")}, {200, object("x", 3, "7")}};
+  CHECK(valueOf(await<Version>([&](auto Done) {
+          Client_.putIf(Odd, 1, "7", Timeout, Done);
+        })) == 2);
+  CHECK(valueOf(await<Version>([&](auto Done) {
+          Client_.putStatusIf(Odd, 2, "{}", Timeout, Done);
+        })) == 3);
+  CHECK(Store_.Calls_ == std::vector<std::string>{
+                             "PUT /laburnumpond/objects/things/%FF",
+                             "PUT /laburnumpond/objects/things/%FF/status"});
+  for (auto const &Body : Store_.Bodies_)
+    CHECK(nlohmann::json::parse(Body)["metadata"]["name"] == "\uFFFD");
+}
+
 TEST_CASE_METHOD(Fixture, "A watch yields changes, deletions and gaps") {
   Store_.Script_ = {{200, R"({"events":[{"deleted":false,"object":)" +
                               object("a", 6, "1") +
