LibPeer: Pause after a connection that cannot be accepted

What callers saw: an instance without free file descriptors, to which a peer opens a connection, used a whole processor for the control thread until one was free. Read, not seen in a process.

Cause: a failed accept was tried again at once, and fails at once.

The test takes all descriptors from the process while a connection waits. Before the change, handlers were ready without end (stopped at 1000); it failed so. Now the next attempt follows after 50 ms, as in HttpListener, and the connection is accepted once descriptors are free.

--- a/Libraries/LibPeer/AsioPeerTransport.cpp
+++ b/Libraries/LibPeer/AsioPeerTransport.cpp
@@ -4,6 +4,8 @@
 #include <LibPeer/OutboundPeer.h>
 #include <LibPeer/PeerCodec.h>
 
+#include <asio/steady_timer.hpp>
+
 #include <algorithm>
 #include <map>
 #include <utility>
@@ -17,6 +19,8 @@
 
 /// Maximum number of inbound connections, well above the instances of a fleet.
 constexpr std::size_t MaxInboundConnections = 2048;
+/// Pause after a failed accept, for example when file descriptors ran out.
+constexpr std::chrono::milliseconds AcceptRetryPause{50};
 
 Error cannotListen(Endpoint const &Local, asio::error_code Failure) {
   return {Failure == asio::error::access_denied ? ErrorKind::PermissionDenied
@@ -34,7 +38,7 @@
 public:
   Implementation(asio::io_context &Context, PeerTransportSettings Settings,
                  PeerReceiver Receiver)
-      : Context_(Context), Acceptor_(Context),
+      : Context_(Context), Acceptor_(Context), RetryTimer_(Context),
         State_(std::make_shared<detail::PeerTransportState>()) {
     State_->Settings_ = std::move(Settings);
     State_->Receiver_ = std::move(Receiver);
@@ -50,12 +54,14 @@
   Endpoint const &local() const { return State_->Settings_.Self_.Peers_; }
 
 private:
+  void retryLater();
   void onAccepted(Tcp::socket Socket);
   void closeConnections();
   std::shared_ptr<detail::OutboundPeer> outbound(Endpoint const &To);
 
   asio::io_context &Context_;
   Tcp::acceptor Acceptor_;
+  asio::steady_timer RetryTimer_;
   std::shared_ptr<detail::PeerTransportState> State_;
   std::vector<std::shared_ptr<detail::InboundPeer>> Inbound_;
   std::map<Endpoint, std::shared_ptr<detail::OutboundPeer>> Outbound_;
@@ -88,12 +94,21 @@
                                                      Tcp::socket Socket) {
     if (Self->State_->IsStopped_)
       return;
-    if (!Failure)
-      Self->onAccepted(std::move(Socket));
+    if (Failure)
+      return Self->retryLater();
+    Self->onAccepted(std::move(Socket));
     Self->accept();
   });
 }
 
+void AsioPeerTransport::Implementation::retryLater() {
+  RetryTimer_.expires_after(AcceptRetryPause);
+  RetryTimer_.async_wait([Self = shared_from_this()](asio::error_code Failure) {
+    if (!Failure && !Self->State_->IsStopped_)
+      Self->accept();
+  });
+}
+
 void AsioPeerTransport::Implementation::onAccepted(Tcp::socket Socket) {
   std::erase_if(Inbound_, [](auto const &Entry) { return !Entry->isOpen(); });
   if (Inbound_.size() >= MaxInboundConnections) {
@@ -137,6 +152,7 @@
 void AsioPeerTransport::Implementation::stop() {
   State_->IsStopped_ = true;
   asio::error_code Ignored;
+  RetryTimer_.cancel();
   Acceptor_.close(Ignored);
   closeConnections();
 }
--- a/Tests/LibPeer/TestAsioPeerTransport.cpp
+++ b/Tests/LibPeer/TestAsioPeerTransport.cpp
@@ -5,6 +5,9 @@
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 using namespace laburnum;
 
 namespace {
@@ -64,6 +67,26 @@
     Context.run_one();
 }
 
+/// While it exists, this process can open no more descriptors.
+class NoMoreDescriptors {
+public:
+  NoMoreDescriptors() {
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &Previous_) == 0);
+    int const FirstFree = dup(STDERR_FILENO);
+    REQUIRE(FirstFree >= 0);
+    close(FirstFree);
+    auto Reduced = Previous_;
+    Reduced.rlim_cur = static_cast<rlim_t>(FirstFree);
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &Reduced) == 0);
+  }
+  NoMoreDescriptors(NoMoreDescriptors const &) = delete;
+  NoMoreDescriptors &operator=(NoMoreDescriptors const &) = delete;
+  ~NoMoreDescriptors() { setrlimit(RLIMIT_NOFILE, &Previous_); }
+
+private:
+  rlimit Previous_{};
+};
+
 PeerMessage message(std::uint64_t Sequence) {
   return Heartbeat{HeartbeatKind::Ping, Sequence, {}, {}};
 }
@@ -273,3 +296,26 @@
   runUntil(Context, [&] { return New->Received_.size() == 2; });
   CHECK(New->Received_.back().first == InstanceId("peer"));
 }
+
+// Guards against a busy loop, in which handlers are ready without end.
+TEST_CASE(
+    "A connection that cannot be accepted is not tried again at once, and "
+    "accepted when descriptors are free") {
+  asio::io_context Context;
+  std::vector<Hello> By;
+  auto const New = node(Context, introducible("new", By));
+  EntryInstance Sender;
+  Sender.Id_ = InstanceId("peer");
+  Sender.Peers_ = {"127.0.0.1", 7500};
+  auto const Socket = sendRaw(Context, *New, Hello{"secret", Sender});
+  {
+    NoMoreDescriptors const Exhausted;
+    constexpr std::size_t MaxHandlers = 1000;
+    std::size_t Handlers = 0;
+    while (Handlers < MaxHandlers && Context.poll_one() != 0)
+      ++Handlers;
+    CHECK(Handlers < MaxHandlers);
+    CHECK(By.empty());
+  }
+  runUntil(Context, [&] { return !By.empty(); });
+}
