LibControl: Leave long identifiers out of the records of streams

What callers saw: while two software versions serve, one client whose streams have identifiers of 2 KB makes the instance's record of its streams larger than an object of the store may be (1,048,576 bytes), as bytes that are encoded take three each. From then on no stream of the instance was recorded, so that others refused to take any up, and over 1 MB was sent again every 100 ms. Read and reproduced in tests of the class, not seen in a process.

Cause: identifiers are recorded at any length, and a write that fails is repeated after the usual period.

Now identifiers of more than 256 bytes are not recorded; a client that takes such a stream up at another instance gets "not recorded". After each failed call the pause doubles, up to 3.2 s.

Both tests failed before the change: a common stream was not found, and there were 31 writes in 3 s and 351 in 35 s where 4 and 14 are allowed. Open: 1400 and more unfinished streams with identifiers of 256 such bytes still make a record too large.

--- a/Libraries/LibControl/StreamOriginRecords.cpp
+++ b/Libraries/LibControl/StreamOriginRecords.cpp
@@ -20,6 +20,12 @@
 /// How often one instance records its streams, and all of them together.
 constexpr std::chrono::milliseconds MinRecordPeriod{100};
 constexpr std::chrono::milliseconds RecordPeriodPerInstance{12};
+/// Maximum pause after failed calls, after each of which it doubles.
+constexpr std::chrono::milliseconds MaxPause{3200};
+constexpr std::uint32_t MaxDoublings = 5;
+/// Clients choose identifiers. Longer ones are not recorded, as they would make
+/// the record too large for the store.
+constexpr std::size_t MaxIdentifierSize = 256;
 /// Time for a record to be written after its period.
 constexpr std::chrono::milliseconds RecordDelay{100};
 /// Records of instances that were removed are deleted after this time.
@@ -38,8 +44,9 @@
 std::string encode(Origins const &Streams, Duration TimeOfDay) {
   auto Services = json::object();
   for (auto const &[FirstAttemptId, Origin] : Streams)
-    Services[Origin.Service_.text()][Origin.SoftwareVersion_].push_back(
-        percentEncode(FirstAttemptId));
+    if (FirstAttemptId.size() <= MaxIdentifierSize)
+      Services[Origin.Service_.text()][Origin.SoftwareVersion_].push_back(
+          percentEncode(FirstAttemptId));
   return json{{"written_ms", milliseconds(TimeOfDay)}, {"streams", Services}}
       .dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -276,10 +283,8 @@
     return putStreams();
   Store_.get({StreamCollection, Name_}, ReadConsistency::Latest, StoreTimeout,
              [Self = shared_from_this()](Result<StoredObject> const &Read) {
-               if (isError(Read)) {
-                 Self->IsStreamCallOpen_ = false;
-                 return;
-               }
+               if (isError(Read))
+                 return Self->onStreamCallFailed();
                Self->Inherited_.emplace();
                Self->InheritedUntil_ =
                    Self->Now_ + StreamOrigins::RetentionTime;
@@ -296,10 +301,21 @@
   All.insert(Inherited_->begin(), Inherited_->end());
   Store_.put({StreamCollection, Name_}, encode(All, TimeOfDay_), StoreTimeout,
              [Self = shared_from_this(), Sent](Result<Version> const &Done) {
+               if (isError(Done))
+                 return Self->onStreamCallFailed();
                Self->IsStreamCallOpen_ = false;
-               if (!isError(Done))
-                 Self->Written_ = Sent;
+               Self->Failures_ = 0;
+               Self->Written_ = Sent;
              });
 }
 
+void StreamOriginRecords::onStreamCallFailed() {
+  IsStreamCallOpen_ = false;
+  Failures_ = std::min(Failures_ + 1, MaxDoublings);
+  auto const Period = recordPeriod();
+  auto const Pause = std::min<Duration>(Period * (1U << Failures_),
+                                        std::max<Duration>(Period, MaxPause));
+  NextStreamCallAt_ = Now_ + Pause;
+}
+
 } // namespace laburnum
--- a/Libraries/LibControl/StreamOriginRecords.h
+++ b/Libraries/LibControl/StreamOriginRecords.h
@@ -5,6 +5,7 @@
 #include <LibPlatform/AsyncObjectStore.h>
 #include <LibTraffic/StreamOrigins.h>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -129,6 +130,7 @@
   bool isRecordOutdated() const;
   void writeStreams();
   void putStreams();
+  void onStreamCallFailed();
 
   AsyncObjectStore &Store_;
   std::string const Name_;
@@ -146,6 +148,7 @@
   TimePoint InheritedUntil_{};
   Origins Written_;
   bool IsStreamCallOpen_ = false;
+  std::uint32_t Failures_ = 0; ///< Since the last successful write.
   TimePoint NextStreamCallAt_ = TimePoint::min();
 };
 
--- a/Tests/LibControl/TestStreamOriginRecords.cpp
+++ b/Tests/LibControl/TestStreamOriginRecords.cpp
@@ -6,6 +6,21 @@
 using namespace laburnum;
 using namespace laburnum::test;
 
+namespace {
+
+/// Refuses the records of streams.
+struct RefusingStore : FakeAsyncStore {
+  void put(ObjectKey const &, std::string const &, Duration,
+           Done<Version> Done) override {
+    ++Refused_;
+    Done(Error{ErrorKind::InvalidArgument, "the value is too large", ""});
+  }
+
+  std::size_t Refused_ = 0;
+};
+
+} // namespace
+
 TEST_CASE_METHOD(OriginFixture, "With one version a stream goes on at it, and "
                                 "nothing is written for streams") {
   auto const First = start("a");
@@ -221,3 +236,46 @@
   }
   CHECK(GoneOn > 0);
 }
+
+// Guards against clients whose identifiers make the record too large for the
+// store, so that the origin of no other stream is known.
+TEST_CASE_METHOD(OriginFixture, "Long identifiers of streams are not recorded, "
+                                "and do not keep others from it") {
+  constexpr std::size_t MaxValueBytes = 1048576;
+  auto const First = start("a");
+  auto const Second = start("b");
+  list({"v1", "v2"}, {First, Second});
+  std::vector<BegunStream> Streams{{"s1", origin("v1")},
+                                   {std::string(256, '\xff'), origin("v2")}};
+  for (int Number = 0; Number < 200; ++Number)
+    Streams.push_back(
+        {std::string(2048, '\xff') + std::to_string(Number), origin("v1")});
+  setUnfinished(First, Streams);
+  pass({First, Second}, seconds(1));
+  CHECK(stored({"entry-streams", "a"}).size() <= MaxValueBytes);
+  CHECK(find(Second, "s1").Origin_ == origin("v1"));
+  CHECK(find(Second, std::string(256, '\xff')).Origin_ == origin("v2"));
+  CHECK(find(Second, Streams.back().FirstAttemptId_) == NotRecorded);
+}
+
+TEST_CASE_METHOD(OriginFixture, "A record of streams that the store refuses is "
+                                "written again after pauses that double") {
+  RefusingStore Refusing;
+  auto const Records = std::make_shared<StreamOriginRecords>(Refusing, "a");
+  auto const Pass = [&](Duration Time) {
+    for (auto const End = Now_ + Time; Now_ < End;) {
+      Now_ += milliseconds(50);
+      Records->tick(timeOfDay(), Now_);
+      Refusing.deliver();
+    }
+  };
+  Records->setListed({server("v1"), server("v2")}, timeOfDay(), Now_);
+  Records->setHistoryRole(HistoryRole::Keeps, timeOfDay(), Now_);
+  Refusing.deliver();
+  setUnfinished(Records, {{"s1", origin("v1")}});
+  // 0.2, 0.4, 0.8, 1.6 and then 3.2 s.
+  Pass(seconds(3));
+  CHECK(Refusing.Refused_ == 4);
+  Pass(seconds(32));
+  CHECK(Refusing.Refused_ == 14);
+}
