LibControl: Pause between writes of roll-outs that the store refuses

What callers saw: the holder of the lease sent the store the same write of a roll-out's record or status with every tick, five times a second, as long as the store refused it, and read the list of records as often, also while that failed. Found by reading.

Cause: a failed write or list was repeated without a pause.

Now each service's record and status have a pause of their own, and the list has one: 1 s, doubled by each refusal up to 16 s. After a call that found the store away it is 1 s, as the store may be back at any time: the case "Nothing is decided that the store has not taken", which asks for a decision within 1 s, failed with a doubled one. A status that is refused delays no decision, and one service none of another. Shares are sent meanwhile as before.

The fixture of the tests reads the record again after a failed write, as the process does. The pause after a failed list has no test.

--- a/Libraries/LibControl/RolloutController.cpp
+++ b/Libraries/LibControl/RolloutController.cpp
@@ -76,15 +76,30 @@
                                   std::optional<RolloutRecord> Stored,
                                   Version Version) {
   auto &Kept = Records_[Service];
+  if (Kept.Version_ != Version)
+    Kept.WritePause_.onSuccess();
   Kept.Stored_ = std::move(Stored);
   Kept.Version_ = Version;
   Kept.IsWriting_ = false;
 }
 
-void RolloutController::onWriteFailed(ServiceName const &Service) {
+void RolloutController::onWriteFailed(ServiceName const &Service, ErrorKind Why,
+                                      TimePoint Now) {
   auto &Kept = Records_[Service];
   Kept.IsWriting_ = false;
   Kept.IsStatusWritten_ = false;
+  Kept.WritePause_.onFailure(Why, Now);
+}
+
+void RolloutController::onStatusWritten(ServiceName const &Service) {
+  Records_[Service].StatusPause_.onSuccess();
+}
+
+void RolloutController::onStatusFailed(ServiceName const &Service,
+                                       ErrorKind Why, TimePoint Now) {
+  auto &Kept = Records_[Service];
+  Kept.IsStatusWritten_ = false;
+  Kept.StatusPause_.onFailure(Why, Now);
 }
 
 void RolloutController::onReport(InstanceId const &From,
@@ -180,8 +195,8 @@
 
 void RolloutController::advance(ServiceName const &Service,
                                 Order const &Ordered, Record &Kept,
-                                Duration TimeOfDay) {
-  if (Kept.IsWriting_)
+                                Duration TimeOfDay, TimePoint Now) {
+  if (Kept.IsWriting_ || !Kept.WritePause_.isOver(Now))
     return;
   auto const Known = Kept.Stored_ ? Kept.Stored_->Order_ : 0;
   if (Known != Ordered.Identifier_)
@@ -189,7 +204,8 @@
   if (Known == 0)
     return;
   auto const &Stored = *Kept.Stored_;
-  if (!std::exchange(Kept.IsStatusWritten_, true))
+  if (Kept.StatusPause_.isOver(Now) &&
+      !std::exchange(Kept.IsStatusWritten_, true))
     Actions_.push_back(WriteStatus{Service, Ordered.Version_,
                                    Stored.What_.Target_, Stored.Stage_});
   if (isFinal(Stored.Stage_))
@@ -201,9 +217,10 @@
   }
 }
 
-std::vector<Action> RolloutController::advance(Duration TimeOfDay) {
+std::vector<Action> RolloutController::advance(Duration TimeOfDay,
+                                               TimePoint Now) {
   for (auto const &[Service, Ordered] : Orders_)
-    advance(Service, Ordered, Records_[Service], TimeOfDay);
+    advance(Service, Ordered, Records_[Service], TimeOfDay, Now);
   return std::exchange(Actions_, {});
 }
 
--- a/Libraries/LibControl/RolloutController.h
+++ b/Libraries/LibControl/RolloutController.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibControl/RetryPause.h>
 #include <LibControl/VersionJudge.h>
 #include <LibCore/Time.h>
 #include <LibPeer/Rollouts.h>
@@ -101,11 +102,15 @@
     Servers_ = std::move(Servers);
   }
   void onReport(InstanceId const &From, VersionReport const &Report);
-  /// A write has failed: the store is to be read again.
-  void onWriteFailed(ServiceName const &Service);
+  /// A write of the record has failed: the store is to be read again. The next
+  /// write follows after a pause.
+  void onWriteFailed(ServiceName const &Service, ErrorKind Why, TimePoint Now);
+  /// A status was written, or is to be written again after a pause.
+  void onStatusWritten(ServiceName const &Service);
+  void onStatusFailed(ServiceName const &Service, ErrorKind Why, TimePoint Now);
 
   /// To be called a few times a second while this instance holds the lease.
-  std::vector<rollout::Action> advance(Duration TimeOfDay);
+  std::vector<rollout::Action> advance(Duration TimeOfDay, TimePoint Now);
   /// The shares that follow from the records, to be sent by the holder.
   std::vector<RolloutShare> shares() const;
   bool hasOrders() const { return !Orders_.empty(); }
@@ -124,6 +129,8 @@
     bool IsWriting_ = false;
     /// The final state was written to the order's status by this instance.
     bool IsStatusWritten_ = false;
+    RetryPause WritePause_;
+    RetryPause StatusPause_;
   };
   struct Evidence {
     AnswerCounts Target_;
@@ -134,7 +141,7 @@
   };
 
   void advance(ServiceName const &Service, Order const &Ordered, Record &Kept,
-               Duration TimeOfDay);
+               Duration TimeOfDay, TimePoint Now);
   /// Returns the next stage with the reason for it, or nothing.
   struct Step {
     RolloutStage Stage_ = RolloutStage::Trial;
--- a/Services/laburnum-entry/RolloutTasks.cpp
+++ b/Services/laburnum-entry/RolloutTasks.cpp
@@ -79,16 +79,18 @@
 
 void RolloutTasks::tick(std::optional<std::uint64_t> Fence, Duration TimeOfDay,
                         TimePoint Now) {
-  if (Fence != Fence_)
+  if (Fence != Fence_) {
     Records_ = Records::Unknown;
+    ReadPause_ = {};
+  }
   Fence_ = Fence;
   if (!Fence_ || !Controller_.hasOrders() || !Peers_)
     return;
-  if (Records_ == Records::Unknown)
+  if (Records_ == Records::Unknown && ReadPause_.isOver(Now))
     return readRecords();
   if (Records_ != Records::Known)
     return;
-  for (auto const &Action : Controller_.advance(TimeOfDay))
+  for (auto const &Action : Controller_.advance(TimeOfDay, Now))
     std::visit([this](auto const &Kind) { perform(Kind); }, Action);
   sendShares(Now);
 }
@@ -100,8 +102,10 @@
       [this](Result<ObjectList> const &Read) {
         if (isError(Read)) {
           Records_ = Records::Unknown;
+          ReadPause_.onFailure(errorOf(Read).Kind_, readBootClock());
           return;
         }
+        ReadPause_.onSuccess();
         for (auto const &Object : valueOf(Read).Objects_)
           Controller_.setRecord(ServiceName(Object.Key_.Name_),
                                 detail::decodeRolloutRecord(Object.Value_),
@@ -122,7 +126,8 @@
         Dependencies_.Log_.write(LogLine("rollout_write_failed")
                                      .add("service", Service.text())
                                      .add("why", toString(errorOf(Written))));
-        Controller_.onWriteFailed(Service);
+        Controller_.onWriteFailed(Service, errorOf(Written).Kind_,
+                                  readBootClock());
         Records_ = Records::Unknown;
       });
 }
@@ -135,7 +140,9 @@
       StoreTimeout,
       [this, Service = Action.Service_](Result<Version> const &Written) {
         if (isError(Written))
-          Controller_.onWriteFailed(Service);
+          return Controller_.onStatusFailed(Service, errorOf(Written).Kind_,
+                                            readBootClock());
+        Controller_.onStatusWritten(Service);
       });
 }
 
--- a/Services/laburnum-entry/RolloutTasks.h
+++ b/Services/laburnum-entry/RolloutTasks.h
@@ -6,6 +6,7 @@
 #include <LibControl/BroadcastTree.h>
 #include <LibControl/CollectionReader.h>
 #include <LibControl/PeerNetwork.h>
+#include <LibControl/RetryPause.h>
 #include <LibControl/RolloutController.h>
 #include <LibLog/EventLog.h>
 
@@ -75,6 +76,7 @@
   std::map<ServiceName, std::string> Targets_;
   std::optional<std::uint64_t> Fence_; ///< While the lease is held.
   enum class Records { Unknown, Reading, Known } Records_ = Records::Unknown;
+  RetryPause ReadPause_;
   std::uint64_t Number_ = 0; ///< Of the shares that were sent last.
   std::vector<RolloutShare> SentShares_;
   TimePoint SharesSentAt_ = TimePoint::min();
--- a/Tests/LibControl/TestRolloutController.cpp
+++ b/Tests/LibControl/TestRolloutController.cpp
@@ -40,21 +40,35 @@
   /// Lets time pass until After, and carries out what is decided.
   void advanceTo(Duration After) {
     for (; Time_ <= After; Time_ += std::chrono::milliseconds(200))
-      for (auto const &Action : Controller_->advance(Begin + Time_)) {
+      for (auto const &Action : Controller_->advance(Begin + Time_, now())) {
         if (auto const *const Write = std::get_if<WriteRecord>(&Action))
           write(*Write);
         if (auto const *const Status = std::get_if<WriteStatus>(&Action))
-          Status_ = Status->Stage_;
+          write(*Status);
         if (auto const *const Decided = std::get_if<StageDecided>(&Action))
           Reason_ = Decided->Reason_;
       }
   }
   void write(WriteRecord const &Write) {
-    if (IsStoreDown_ || Write.Expected_ != Version_)
-      return Controller_->onWriteFailed(Service);
+    ++Writes_;
+    if (WriteFailure_ || Write.Expected_ != Version_) {
+      Controller_->onWriteFailed(
+          Service, WriteFailure_.value_or(ErrorKind::Conflict), now());
+      // What the store holds is read again.
+      return Controller_->setRecord(Service, Record_, Version_);
+    }
     Record_ = detail::decodeRolloutRecord(detail::encode(Write.Record_));
     Controller_->setRecord(Service, Record_, ++Version_);
   }
+  void write(WriteStatus const &Write) {
+    ++StatusWrites_;
+    if (IsStatusRefused_)
+      return Controller_->onStatusFailed(Service, ErrorKind::InvalidArgument,
+                                         now());
+    Status_ = Write.Stage_;
+    Controller_->onStatusWritten(Service);
+  }
+  TimePoint now() const { return TimePoint(Time_); }
   double share() const {
     for (auto const &Share : Controller_->shares())
       if (Share.Service_ == Service && Share.Target_ == "v2")
@@ -68,7 +82,10 @@
   Duration Time_{};
   std::optional<RolloutStage> Status_;
   std::string Reason_;
-  bool IsStoreDown_ = false;
+  std::optional<ErrorKind> WriteFailure_;
+  bool IsStatusRefused_ = false;
+  std::size_t Writes_ = 0;
+  std::size_t StatusWrites_ = 0;
 };
 
 } // namespace
@@ -149,11 +166,11 @@
 TEST_CASE("Nothing is decided that the store has not taken") {
   Rollouts Run;
   Run.advanceTo(seconds(1));
-  Run.IsStoreDown_ = true;
+  Run.WriteFailure_ = ErrorKind::Unavailable;
   Run.advanceTo(seconds(15));
   CHECK(Run.share() <= 0.05);
   CHECK(Run.Record_->Stage_ == RolloutStage::Trial);
-  Run.IsStoreDown_ = false;
+  Run.WriteFailure_.reset();
   Run.advanceTo(seconds(16));
   CHECK(Run.Record_->Stage_ != RolloutStage::Trial);
 }
@@ -166,7 +183,7 @@
   Run.Controller_->onReport(InstanceId("i1"), reportOf({100, 60}, {9000, 90}));
   Run.advanceTo(seconds(2));
   REQUIRE(Run.Record_->Stage_ == RolloutStage::RolledBack);
-  for (auto const &Action : Older.advance(Begin + seconds(13)))
+  for (auto const &Action : Older.advance(Begin + seconds(13), Run.now()))
     if (auto const *const Write = std::get_if<WriteRecord>(&Action))
       CHECK(Write->Expected_ != Run.Version_);
 }
@@ -218,3 +235,33 @@
   for (auto const *const Text : {"", "{}", "[1]", "{\"order\":\"x\"}"})
     CHECK_FALSE(detail::decodeRolloutRecord(Text));
 }
+
+// Guards against the store being sent the same write several times a second.
+TEST_CASE("Writes that the store refuses are repeated after pauses that double "
+          "up to 16 s") {
+  Rollouts Run;
+  // After 1, 2, 4, 8 and then 16 s.
+  SECTION("of the record") {
+    Run.WriteFailure_ = ErrorKind::InvalidArgument;
+    Run.advanceTo(seconds(16));
+    CHECK(Run.Writes_ == 5);
+    Run.advanceTo(seconds(64));
+    CHECK(Run.Writes_ == 8);
+    Run.WriteFailure_.reset();
+    Run.advanceTo(seconds(80));
+    CHECK(Run.Status_);
+  }
+  SECTION("of the status, which delays no decision") {
+    Run.IsStatusRefused_ = true;
+    Run.advanceTo(seconds(10));
+    CHECK(Run.StatusWrites_ == 4);
+    Run.Controller_->onReport(InstanceId("i1"),
+                              reportOf({200, 90}, {9000, 90}));
+    Run.advanceTo(seconds(11));
+    CHECK(Run.Record_->Stage_ == RolloutStage::RolledBack);
+    Run.IsStatusRefused_ = false;
+    Run.advanceTo(seconds(30));
+    CHECK(Run.Status_ == RolloutStage::RolledBack);
+    CHECK(Run.StatusWrites_ == 5);
+  }
+}
