LibPeer: Let listeners bind ports that connections to peers have

What callers saw: an instance whose port for requests or peers was the local port of a connection to a peer, open or closed up to a minute before, could not listen on it. Found by reading; such ports are among those that the system chooses only where its range was widened.

Cause: since connections to peers start from the address that the instance listens on, their sockets are bound without the option to share the address, and the choice of a port at the bind reserves it for all destinations.

Now these sockets share their address, as the listeners do, and the port is chosen as they connect. Failures to set either are ignored.

That no port is reserved was not tested.

--- a/Libraries/LibPeer/OutboundPeer.cpp
+++ b/Libraries/LibPeer/OutboundPeer.cpp
@@ -3,6 +3,8 @@
 #include <LibPeer/PeerCodec.h>
 
 #include <asio/write.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <utility>
@@ -16,6 +18,16 @@
 /// Timeout of a write; the connection is closed when it expires.
 constexpr Duration WriteTimeout = std::chrono::seconds(10);
 
+/// Lets listeners bind the port that the socket will have, and the system
+/// choose it as late as it connects. Without that the socket works, too.
+void shareLocalPort(asio::ip::tcp::socket &Socket) {
+  asio::error_code Ignored;
+  Socket.set_option(asio::socket_base::reuse_address(true), Ignored);
+  int const IsOn = 1;
+  setsockopt(Socket.native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &IsOn,
+             sizeof IsOn);
+}
+
 } // namespace
 
 OutboundPeer::OutboundPeer(asio::io_context &Context, Endpoint Remote,
@@ -69,9 +81,11 @@
   if (Failure || Local.protocol() != Protocol)
     return;
   Socket_.open(Protocol, Failure);
+  if (Failure)
+    return;
+  shareLocalPort(Socket_);
   // Without it the system chooses the address.
-  if (!Failure)
-    Socket_.bind(Local, Failure);
+  Socket_.bind(Local, Failure);
 }
 
 void OutboundPeer::onConnected() {
--- a/Tests/LibPeer/TestAsioPeerTransport.cpp
+++ b/Tests/LibPeer/TestAsioPeerTransport.cpp
@@ -8,6 +8,8 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <array>
+
 using namespace laburnum;
 
 namespace {
@@ -319,3 +321,39 @@
   }
   runUntil(Context, [&] { return !By.empty(); });
 }
+
+// Guards against an instance whose ports for requests are taken by connections
+// of the system itself.
+TEST_CASE(
+    "A connection to a peer does not keep a listener from its local port") {
+  asio::io_context Context;
+  asio::ip::tcp::acceptor Peer(Context,
+                               {asio::ip::make_address("127.0.0.1"), 0});
+  auto Settings = settings("left");
+  // An address at which no other process has connections.
+  Settings.Self_.Peers_.Host_ = "127.81.12.7";
+  auto Left = node(Context, Settings);
+  Left->Transport_->send({"127.0.0.1", Peer.local_endpoint().port()},
+                         message(1));
+  asio::ip::tcp::socket Accepted(Context);
+  bool IsAccepted = false;
+  Peer.async_accept(Accepted, [&](asio::error_code Failure) {
+    CHECK_FALSE(Failure);
+    IsAccepted = true;
+  });
+  runUntil(Context, [&] {
+    return IsAccepted && Left->Transport_->counters().Sent_ == 1;
+  });
+  auto const Local = Accepted.remote_endpoint();
+  SECTION("while it is open") {}
+  SECTION("after this side has closed it") {
+    Left.reset();
+    asio::error_code Ended;
+    std::array<char, 1024> Read{};
+    while (!Ended)
+      Accepted.read_some(asio::buffer(Read), Ended);
+    CHECK(Ended == asio::error::eof);
+    Accepted.close();
+  }
+  CHECK_NOTHROW(asio::ip::tcp::acceptor(Context, Local));
+}
