LibPeer: Stop a write when its connection is closed

What callers saw: a peer whose connection was closed while a message was being written, as the secret was replaced, could get bytes of freed memory ahead of the Hello on the next connection, and rejected it. Found by reading.

Cause: a write of several parts goes on by itself after each part. When the connection was closed and the next one begun between a part and its handler, the rest of the message, by then freed, went to the new connection.

Now each part is a call of its own, whose handler asks whether the connection is still the same before the next one. A new connection may still follow at once, as a replaced secret is no failure of the peer.

--- a/Libraries/LibPeer/OutboundPeer.cpp
+++ b/Libraries/LibPeer/OutboundPeer.cpp
@@ -2,7 +2,7 @@
 
 #include <LibPeer/PeerCodec.h>
 
-#include <asio/write.hpp>
+#include <asio/buffer.hpp>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -110,24 +110,35 @@
     return;
   IsWriting_ = true;
   armDeadline(WriteTimeout);
-  asio::async_write(Socket_, asio::buffer(Queue_.front()),
-                    [Self = shared_from_this(), Generation = Generation_](
-                        asio::error_code Outcome, std::size_t Bytes) {
-                      if (Generation != Self->Generation_)
-                        return;
-                      if (Outcome)
-                        return Self->fail();
-                      Self->onWritten(Bytes);
-                    });
-}
-
-void OutboundPeer::onWritten(std::size_t Bytes) {
+  writeFrom(0);
+}
+
+/// Not async_write, which would go on after a part of the frame without asking
+/// whether the connection is still the same.
+void OutboundPeer::writeFrom(std::size_t Begin) {
+  auto const Rest = asio::buffer(Queue_.front()) + Begin;
+  Socket_.async_write_some(
+      Rest, [Self = shared_from_this(), Generation = Generation_,
+             Begin](asio::error_code Outcome, std::size_t Bytes) {
+        if (Generation != Self->Generation_)
+          return;
+        if (Outcome)
+          return Self->fail();
+        auto const End = Begin + Bytes;
+        if (End < Self->Queue_.front().size())
+          return Self->writeFrom(End);
+        Self->onWritten();
+      });
+}
+
+void OutboundPeer::onWritten() {
+  auto const Bytes = Queue_.front().size();
   IsWriting_ = false;
   if (IsHelloSent_)
     ++State_->Counters_.Sent_;
   IsHelloSent_ = true;
   State_->Counters_.BytesSent_ += Bytes;
-  QueuedBytes_ -= Queue_.front().size();
+  QueuedBytes_ -= Bytes;
   Queue_.pop_front();
   armDeadline(State_->Settings_.IdleTimeout_);
   write();
--- a/Libraries/LibPeer/OutboundPeer.h
+++ b/Libraries/LibPeer/OutboundPeer.h
@@ -33,7 +33,8 @@
   void bindTo(asio::ip::tcp const &Protocol);
   void onConnected();
   void write();
-  void onWritten(std::size_t Bytes);
+  void writeFrom(std::size_t Begin);
+  void onWritten();
   void watchForClose();
   void fail();
   void shut();
--- a/Tests/LibPeer/TestAsioPeerTransport.cpp
+++ b/Tests/LibPeer/TestAsioPeerTransport.cpp
@@ -2,6 +2,7 @@
 #include <LibPeer/PeerCodec.h>
 
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
@@ -357,3 +358,44 @@
   }
   CHECK_NOTHROW(asio::ip::tcp::acceptor(Context, Local));
 }
+
+// Guards against a write of a closed connection that goes on on the next one,
+// with memory that was freed.
+TEST_CASE("A connection that follows one closed during a write begins with a "
+          "Hello") {
+  asio::io_context Context;
+  asio::ip::tcp::acceptor Peer(Context,
+                               {asio::ip::make_address("127.0.0.1"), 0});
+  Endpoint const Remote{"127.0.0.1", Peer.local_endpoint().port()};
+  auto const Left = node(Context, settings("left"));
+  // Larger than what one call of the system writes.
+  ServerLeavingNotice Large;
+  Large.Server_ = ServerId(std::string(100000, 'x'));
+  Left->Transport_->send(Remote, Large);
+  asio::ip::tcp::socket First(Context);
+  Peer.async_accept(First, [](asio::error_code) {});
+  runUntil(Context,
+           [&] { return Left->Transport_->counters().BytesSent_ > 0; });
+  Left->Transport_->setSecret("other");
+  Left->Transport_->send(Remote, message(2));
+
+  asio::ip::tcp::socket Second(Context);
+  bool IsAccepted = false;
+  Peer.async_accept(Second, [&](asio::error_code) { IsAccepted = true; });
+  runUntil(Context, [&] { return IsAccepted; });
+  auto const Read = [&](std::size_t Size) {
+    std::string Bytes(Size, '\0');
+    bool IsRead = false;
+    asio::async_read(Second, asio::buffer(Bytes),
+                     [&](asio::error_code, std::size_t) { IsRead = true; });
+    runUntil(Context, [&] { return IsRead; });
+    return Bytes;
+  };
+  auto const Size = decodePeerHeader(Read(PeerHeaderSize));
+  REQUIRE_FALSE(isError(Size));
+  auto const Begin = decodePeerBody(Read(valueOf(Size)));
+  REQUIRE_FALSE(isError(Begin));
+  auto const *const Greeting = std::get_if<Hello>(&valueOf(Begin));
+  REQUIRE(Greeting);
+  CHECK(Greeting->Secret_ == "other");
+}
