laburnum-entry: Log who introduced an instance

What operators could not see: which peer an instance took its secret from, while the store was away. Now there is a line, event=introduced, with the sender and its address.

--- a/Libraries/LibControl/PeerNetwork.cpp
+++ b/Libraries/LibControl/PeerNetwork.cpp
@@ -158,6 +158,7 @@
 
 void PeerNetwork::onIntroduced(Hello const &Greeting) {
   Secret_ = Greeting.Secret_;
+  Callbacks_.Introduced_(Greeting.Sender_);
   handle(membership::IntroducedByPeer{Greeting.Sender_.Peers_});
 }
 
--- a/Libraries/LibControl/PeerNetwork.h
+++ b/Libraries/LibControl/PeerNetwork.h
@@ -37,6 +37,8 @@
     /// The port for messages cannot be opened: tried again if Unavailable.
     std::function<void(Error const &)> Failed_;
     std::function<void()> Opened_; ///< The port for messages is open.
+    /// A peer has introduced this instance, which uses its secret from now on.
+    std::function<void(EntryInstance const &Peer)> Introduced_;
   };
 
   /// The context and the store have to outlive the network. Name is the
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -109,7 +109,14 @@
                 Dependencies_.Log_.write(
                     LogLine("peers_unavailable").add("why", toString(Failure)));
               },
-              [this] { PeersPort_.onOpened(readBootClock()); }})),
+              [this] { PeersPort_.onOpened(readBootClock()); },
+              [this](EntryInstance const &Peer) {
+                Dependencies_.Log_.write(
+                    LogLine("introduced")
+                        .add("sender", Peer.Id_.text())
+                        .add("address", Peer.Peers_.Host_ + ':' +
+                                            std::to_string(Peer.Peers_.Port_)));
+              }})),
       Follower_(std::make_shared<StoreFollower>(
           Dependencies.Context_, Store_,
           localInstance(Dependencies.Settings_, Incarnation_), Seed,
--- a/Tests/EntryProcess/TestStoreAwayAtStart.cpp
+++ b/Tests/EntryProcess/TestStoreAwayAtStart.cpp
@@ -51,6 +51,9 @@
   Restarted.launch();
   REQUIRE(await([&] { return Restarted.isReady(); }));
   CHECK(Restarted.send("GET", "/read/x").Status_ == 200);
+  auto const Introduction = Restarted.process().awaitLine("event=introduced");
+  CHECK(Introduction.find(" sender=") != std::string::npos);
+  CHECK(Introduction.find(":7500") != std::string::npos);
   CHECK(await([&] {
     return knowsLive(Fleet.instance(0), 3) && knowsLive(Fleet.instance(2), 3);
   }));
