LibControl: Count stored crashes of the future as of now

What callers saw: reports of crashes in the store with a time far in the future were never forgotten, and 300 of them displaced all others, so that nothing was remembered over a restart of all instances. Only a foreign writer or a clock far ahead makes such reports. Found by reading.

Cause: only old reports are removed, and the oldest where there are too many.

Now a time in the future is taken for the present as the reports are read, so they are forgotten after ten minutes. They are compared in milliseconds, as larger numbers do not fit the type of the times.

--- a/Libraries/LibControl/CrashRecords.cpp
+++ b/Libraries/LibControl/CrashRecords.cpp
@@ -83,8 +83,9 @@
                ++Self->CompletedLoads_;
                Self->NextLoadAt_ = Self->Now_ + LoadInterval;
                auto const &Object = valueOf(Read);
-               auto Stored =
-                   Object.Version_ == 0 ? Records() : decode(Object.Value_);
+               auto Stored = Object.Version_ == 0
+                                 ? Records()
+                                 : decode(Object.Value_, TimeOfDay);
                prune(Stored, TimeOfDay);
                std::vector<CrashReport> Reports;
                for (auto const &[Name, Item] : Stored) {
@@ -149,7 +150,8 @@
                                          json::error_handler_t::replace);
 }
 
-CrashRecords::Records CrashRecords::decode(std::string const &Text) {
+CrashRecords::Records CrashRecords::decode(std::string const &Text,
+                                           Duration TimeOfDay) {
   Records Stored;
   auto const Value = json::parse(Text, nullptr, false);
   try {
@@ -158,8 +160,9 @@
       Item.Report_.Incident_ = Entry.at("incident").get<std::uint64_t>();
       Item.Report_.Fingerprint_ = Entry.at("content").get<std::uint64_t>();
       Item.Report_.Server_ = ServerId(Entry.at("server").get<std::string>());
-      Item.At_ =
-          std::chrono::milliseconds(Entry.at("at_ms").get<std::int64_t>());
+      // Compared in milliseconds, as it may be too large for a Duration.
+      Item.At_ = std::chrono::milliseconds(std::min(
+          Entry.at("at_ms").get<std::int64_t>(), milliseconds(TimeOfDay)));
       if (auto const Evidence =
               evidenceOf(Entry.at("evidence").get<std::string>())) {
         Item.Report_.Evidence_ = *Evidence;
--- a/Libraries/LibControl/CrashRecords.h
+++ b/Libraries/LibControl/CrashRecords.h
@@ -42,7 +42,9 @@
   void backOff(TimePoint Now);
   static void prune(Records &Held, Duration TimeOfDay);
   static std::string encode(Records const &Held);
-  static Records decode(std::string const &Text);
+  /// A time in the future, which no instance of this system writes, counts as
+  /// the present.
+  static Records decode(std::string const &Text, Duration TimeOfDay);
 
   AsyncObjectStore &Store_;
   Restored Restored_;
--- a/Tests/LibControl/TestCrashRecords.cpp
+++ b/Tests/LibControl/TestCrashRecords.cpp
@@ -4,6 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
+#include <set>
+
 using namespace laburnum;
 using test::FakeAsyncStore;
 using test::StoreFault;
@@ -122,3 +125,38 @@
   REQUIRE(Second.Restored_.size() == 1);
   CHECK(Second.Restored_[0].Incident_ == 1);
 }
+
+// Guards against a foreign text whose reports last for ever and displace all
+// others.
+TEST_CASE_METHOD(Fixture,
+                 "Stored crashes of the future count as of now, and do "
+                 "not displace others") {
+  constexpr int MaxRecords = 300;
+  std::int64_t const AtMs = GENERATE(std::int64_t(4000000000000),
+                                     std::numeric_limits<std::int64_t>::max());
+  std::string Crashes;
+  for (int Number = 0; Number < MaxRecords; ++Number)
+    Crashes += (Crashes.empty() ? "" : ",") +
+               ("{\"incident\":" + std::to_string(1000 + Number)) +
+               ",\"content\":7,\"server\":\"s\",\"evidence\":\"crashed\","
+               "\"at_ms\":" +
+               std::to_string(AtMs) + "}";
+  Store_.put({"entry-crashes", "contents"}, "{\"crashes\":[" + Crashes + "]}",
+             seconds(1), [](Result<Version> const &) {});
+  Store_.deliver();
+  Now_ += seconds(1);
+  save(First_, {report(1)});
+  pass(First_, seconds(10));
+  // The others have grown old since they were first read and written.
+  Now_ += minutes(9);
+  save(First_, {report(2)});
+  pass(First_, minutes(2));
+  save(First_, {report(3)});
+  pass(First_, seconds(2));
+  Incarnation Second(Store_);
+  pass(Second, seconds(1));
+  std::set<std::uint64_t> Incidents;
+  for (auto const &Restored : Second.Restored_)
+    Incidents.insert(Restored.Incident_);
+  CHECK(Incidents == std::set<std::uint64_t>{2, 3});
+}
