LibControl: Read the list of instances while the port for peers is held

What callers saw: an instance whose port for peers' messages was still held served as if it were alone: it took whole quotas and retry budgets, though the others took their parts of them.

Cause: the list of instances was read only once the port was open.

Now it is read once the secret is. Until the port is open only the number of registered instances follows from it; the instances are contacted, and this one is registered, after that.

That no more than a part of a quota is taken was not tested.

--- a/Libraries/LibControl/PeerNetwork.cpp
+++ b/Libraries/LibControl/PeerNetwork.cpp
@@ -150,9 +150,10 @@
          "restart the instances that don't reach the others"});
   Secret_ = Secret;
   IsSecretStored_ = true;
-  if (!Transport_)
-    return openTransport();
-  Transport_->setSecret(Secret_);
+  if (Transport_)
+    Transport_->setSecret(Secret_);
+  else
+    openTransport();
   listInstances();
 }
 
@@ -191,8 +192,10 @@
   }
   Transport_ = takeValue(std::move(Created));
   Callbacks_.Opened_();
-  if (IsSecretStored_)
-    listInstances();
+  if (Listings_ > 0)
+    registerSelf();
+  if (HasList_)
+    applyListing();
   tick();
 }
 
@@ -223,7 +226,7 @@
               [Self = shared_from_this()](Result<ObjectList> const &Listed) {
                 if (!isError(Listed))
                   Self->onListing(valueOf(Listed));
-                if (Self->Listings_++ == 0)
+                if (Self->Listings_++ == 0 && Self->Transport_)
                   Self->registerSelf();
                 Self->scheduleAfter(Self->StoreTimer_, Self->listPause(),
                                     &PeerNetwork::listInstances);
@@ -240,15 +243,25 @@
 }
 
 void PeerNetwork::onListing(ObjectList const &Listed) {
-  InstanceListing Listing;
+  Listing_ = {};
   for (auto const &Object : Listed.Objects_) {
     WasRegistered_ |= Object.Key_.Name_ == Name_;
     if (auto const Instance = decodeInstance(Object.Value_))
-      Listing.EntryInstances_.push_back({*Instance, Liveness::Live});
+      Listing_.EntryInstances_.push_back({*Instance, Liveness::Live});
   }
   HasList_ = true;
-  View_.Registered_ = std::max<std::size_t>(1, Listing.EntryInstances_.size());
-  handle(membership::InstancesListed{Listing});
+  auto const Before =
+      std::exchange(View_.Registered_,
+                    std::max<std::size_t>(1, Listing_.EntryInstances_.size()));
+  if (Transport_)
+    return applyListing();
+  // Others can't be reached yet, but take their part of quotas.
+  if (View_.Registered_ != Before)
+    Callbacks_.Changed_(View_);
+}
+
+void PeerNetwork::applyListing() {
+  handle(membership::InstancesListed{Listing_});
   Callbacks_.Changed_(View_);
 }
 
--- a/Libraries/LibControl/PeerNetwork.h
+++ b/Libraries/LibControl/PeerNetwork.h
@@ -74,6 +74,8 @@
   void listInstances();
   Duration listPause() const;
   void onListing(ObjectList const &Listed);
+  /// Contacts the listed instances.
+  void applyListing();
   void tick();
   void handle(membership::Event const &Event);
   void on(SendToPeer const &Action) { send(Action); }
@@ -98,6 +100,7 @@
   asio::steady_timer RegisterTimer_;
   std::uint32_t Listings_ = 0; ///< Attempts to read the list so far.
   bool HasList_ = false;
+  InstanceListing Listing_;    ///< As last read.
   bool WasRegistered_ = false; ///< By a previous incarnation.
   bool IsLeaving_ = false;
 };
--- a/Tests/EntryProcess/TestHeldPorts.cpp
+++ b/Tests/EntryProcess/TestHeldPorts.cpp
@@ -109,6 +109,27 @@
   CHECK(send("GET", "/read/1").Status_ == 200);
 }
 
+// Guards against whole quotas and retry budgets being taken by an instance that
+// is not alone.
+TEST_CASE_METHOD(WaitingInstance,
+                 "An instance knows how many are registered while the port for "
+                 "messages of its peers is held") {
+  on([this] {
+    Store_.put("entry-instances", "elsewhere",
+               {{"id", "elsewhere"},
+                {"data_centre", "x"},
+                {"host", "127.0.0.250"},
+                {"port", PeerMessagesPort}});
+  });
+  auto const Held = holdPort(PeerMessagesPort);
+  CHECK_NOTHROW(
+      Instance_->process().awaitLine("fleet_changed live=1 registered=2"));
+  REQUIRE(processes::await([&] { return Instance_->isReady(); }));
+  Held->release();
+  Instance_->process().awaitLine("port_open");
+  CHECK(send("GET", "/read/1").Status_ == 200);
+}
+
 TEST_CASE_METHOD(WaitingInstance, "An instance serves while the port of its "
                                   "metrics is held, and the metrics once it "
                                   "is free") {
