--- a/Libraries/LibControl/PeerNetwork.h
+++ b/Libraries/LibControl/PeerNetwork.h
@@ -37,6 +37,8 @@
     /// The port for messages cannot be opened: tried again if Unavailable.
     std::function<void(Error const &)> Failed_;
     std::function<void()> Opened_; ///< The port for messages is open.
+    /// A peer has introduced this instance, which uses its secret from now on.
+    std::function<void(EntryInstance const &Peer)> Introduced_;
   };
 
   /// The context and the store have to outlive the network. Name is the
@@ -72,6 +74,8 @@
   void listInstances();
   Duration listPause() const;
   void onListing(ObjectList const &Listed);
+  /// Contacts the listed instances.
+  void applyListing();
   void tick();
   void handle(membership::Event const &Event);
   void on(SendToPeer const &Action) { send(Action); }
@@ -96,6 +100,7 @@
   asio::steady_timer RegisterTimer_;
   std::uint32_t Listings_ = 0; ///< Attempts to read the list so far.
   bool HasList_ = false;
+  InstanceListing Listing_;    ///< As last read.
   bool WasRegistered_ = false; ///< By a previous incarnation.
   bool IsLeaving_ = false;
 };
--- a/Tests/LibPeer/TestAsioPeerTransport.cpp
+++ b/Tests/LibPeer/TestAsioPeerTransport.cpp
@@ -2,9 +2,15 @@
 #include <LibPeer/PeerCodec.h>
 
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <array>
+
 using namespace laburnum;
 
 namespace {
@@ -68,6 +74,26 @@
     Context.run_one();
 }
 
+/// While it exists, this process can open no more descriptors.
+class NoMoreDescriptors {
+public:
+  NoMoreDescriptors() {
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &Previous_) == 0);
+    int const FirstFree = dup(STDERR_FILENO);
+    REQUIRE(FirstFree >= 0);
+    close(FirstFree);
+    auto Reduced = Previous_;
+    Reduced.rlim_cur = static_cast<rlim_t>(FirstFree);
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &Reduced) == 0);
+  }
+  NoMoreDescriptors(NoMoreDescriptors const &) = delete;
+  NoMoreDescriptors &operator=(NoMoreDescriptors const &) = delete;
+  ~NoMoreDescriptors() { setrlimit(RLIMIT_NOFILE, &Previous_); }
+
+private:
+  rlimit Previous_{};
+};
+
 PeerMessage message(std::uint64_t Sequence) {
   return Heartbeat{HeartbeatKind::Ping, Sequence, {}, {}};
 }
@@ -309,3 +335,103 @@
   runUntil(Context, [&] { return New->Received_.size() == 2; });
   CHECK(New->Received_.back().first == InstanceId("peer"));
 }
+
+// Guards against a busy loop, in which handlers are ready without end.
+TEST_CASE(
+    "A connection that cannot be accepted is not tried again at once, and "
+    "accepted when descriptors are free") {
+  asio::io_context Context;
+  std::vector<Hello> By;
+  auto const New = node(Context, introducible("new", By));
+  EntryInstance Sender;
+  Sender.Id_ = InstanceId("peer");
+  Sender.Peers_ = {"127.0.0.1", 7500};
+  auto const Socket = sendRaw(Context, *New, Hello{"secret", Sender});
+  {
+    NoMoreDescriptors const Exhausted;
+    constexpr std::size_t MaxHandlers = 1000;
+    std::size_t Handlers = 0;
+    while (Handlers < MaxHandlers && Context.poll_one() != 0)
+      ++Handlers;
+    CHECK(Handlers < MaxHandlers);
+    CHECK(By.empty());
+  }
+  runUntil(Context, [&] { return !By.empty(); });
+}
+
+// Guards against an instance whose ports for requests are taken by connections
+// of the system itself.
+TEST_CASE(
+    "A connection to a peer does not keep a listener from its local port") {
+  asio::io_context Context;
+  asio::ip::tcp::acceptor Peer(Context,
+                               {asio::ip::make_address("127.0.0.1"), 0});
+  auto Settings = settings("left");
+  // An address at which no other process has connections.
+  Settings.Self_.Peers_.Host_ = "127.81.12.7";
+  auto Left = node(Context, Settings);
+  Left->Transport_->send({"127.0.0.1", Peer.local_endpoint().port()},
+                         message(1));
+  asio::ip::tcp::socket Accepted(Context);
+  bool IsAccepted = false;
+  Peer.async_accept(Accepted, [&](asio::error_code Failure) {
+    CHECK_FALSE(Failure);
+    IsAccepted = true;
+  });
+  runUntil(Context, [&] {
+    return IsAccepted && Left->Transport_->counters().Sent_ == 1;
+  });
+  auto const Local = Accepted.remote_endpoint();
+  SECTION("while it is open") {}
+  SECTION("after this side has closed it") {
+    Left.reset();
+    asio::error_code Ended;
+    std::array<char, 1024> Read{};
+    while (!Ended)
+      Accepted.read_some(asio::buffer(Read), Ended);
+    CHECK(Ended == asio::error::eof);
+    Accepted.close();
+  }
+  CHECK_NOTHROW(asio::ip::tcp::acceptor(Context, Local));
+}
+
+// Guards against a write of a closed connection that goes on on the next one,
+// with memory that was freed.
+TEST_CASE("A connection that follows one closed during a write begins with a "
+          "Hello") {
+  asio::io_context Context;
+  asio::ip::tcp::acceptor Peer(Context,
+                               {asio::ip::make_address("127.0.0.1"), 0});
+  Endpoint const Remote{"127.0.0.1", Peer.local_endpoint().port()};
+  auto const Left = node(Context, settings("left"));
+  // Larger than what one call of the system writes.
+  ServerLeavingNotice Large;
+  Large.Server_ = ServerId(std::string(100000, 'x'));
+  Left->Transport_->send(Remote, Large);
+  asio::ip::tcp::socket First(Context);
+  Peer.async_accept(First, [](asio::error_code) {});
+  runUntil(Context,
+           [&] { return Left->Transport_->counters().BytesSent_ > 0; });
+  Left->Transport_->setSecret("other");
+  Left->Transport_->send(Remote, message(2));
+
+  asio::ip::tcp::socket Second(Context);
+  bool IsAccepted = false;
+  Peer.async_accept(Second, [&](asio::error_code) { IsAccepted = true; });
+  runUntil(Context, [&] { return IsAccepted; });
+  auto const Read = [&](std::size_t Size) {
+    std::string Bytes(Size, '\0');
+    bool IsRead = false;
+    asio::async_read(Second, asio::buffer(Bytes),
+                     [&](asio::error_code, std::size_t) { IsRead = true; });
+    runUntil(Context, [&] { return IsRead; });
+    return Bytes;
+  };
+  auto const Size = decodePeerHeader(Read(PeerHeaderSize));
+  REQUIRE_FALSE(isError(Size));
+  auto const Begin = decodePeerBody(Read(valueOf(Size)));
+  REQUIRE_FALSE(isError(Begin));
+  auto const *const Greeting = std::get_if<Hello>(&valueOf(Begin));
+  REQUIRE(Greeting);
+  CHECK(Greeting->Secret_ == "other");
+}
