Tests: Play clients that do not read their answers

The hostile clients sent and never read. Readers plays clients that ask and leave their answers unread, with so small a receive buffer and segments that the kernel takes little of them. The small machine moves to files of its own, and takes a server of the test's choice.

Four plays hold as the code stands: streams (96 of 0.9 MB), 8 connections that ask 64 times for 256 KiB without reading, and a single largest answer and a single stream in calm.

--- /dev/null
+++ b/Tests/HostileClients/SizedAnswers.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <LibHttp/HttpListener.h>
+
+#include <cstdlib>
+#include <memory>
+#include <string>
+
+namespace laburnum::hostile_clients {
+
+/// Stand-in for a backend server whose answers are as long as the number at the
+/// end of the request's path says. Answers to /flow/ are streams.
+class SizedAnswers : public HttpService {
+public:
+  ClientBounds bounds() const override { return {}; }
+  void onRequest(std::shared_ptr<Exchange> Exchange,
+                 ReceivedRequest Request) override {
+    AnswerHead Head{200, {}};
+    Head.Fields_.add("X-Attempt-Id", std::string(Request.Head_.Fields_.valueOr(
+                                         "X-Attempt-Id")));
+    Head.Fields_.add("X-Server-Stamp", "stamp");
+    Head.Fields_.add("X-Instance-Load", "1,0,256");
+    auto const &Path = Request.Head_.Target_;
+    auto const Bytes =
+        std::strtoull(Path.c_str() + Path.rfind('/') + 1, nullptr, 10);
+    if (Path.find("/flow/") != 0)
+      return Exchange->answer(Head, std::string(Bytes, 'x'));
+    Head.Fields_.add("Content-Type", "text/event-stream");
+    Exchange->beginStream(Head);
+    for (std::size_t Sent = 0; Sent < Bytes; Sent += event().size())
+      Exchange->send(event());
+    Exchange->finishStream();
+  }
+
+  static std::string const &event() {
+    constexpr std::size_t DataBytes = 1000;
+    static std::string const Event =
+        "data: " + std::string(DataBytes, 'x') + "\n\n";
+    return Event;
+  }
+};
+
+} // namespace laburnum::hostile_clients
--- a/Tests/HostileClients/TestHostileClients.cpp
+++ b/Tests/HostileClients/TestHostileClients.cpp
@@ -1,112 +1,24 @@
 #include "Crowd.h"
 #include "ProcessUsage.h"
-
-#include <EntryProcess/EntryProcess.h>
-#include <EntryProcess/ServerStandin.h>
-#include <EntryProcess/StandinRecords.h>
-#include <EntryProcess/StandinThread.h>
-#include <EntryProcess/StoreStandin.h>
+#include "SmallMachine.h"
 
 #include <Processes/LocalDeployment.h>
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
-#include <memory>
 #include <string>
-#include <variant>
 
 using namespace laburnum;
-using namespace laburnum::entry_process;
 using namespace laburnum::hostile_clients;
 
 namespace {
 
-/// The machine that the settings describe.
-constexpr std::size_t MemoryMegabytes = 64;
-constexpr std::size_t MachineMemory = MemoryMegabytes << 20;
-constexpr std::size_t MachineDescriptors = 400;
 /// The largest body that the configuration allows.
-constexpr std::size_t MaxBody = std::size_t{1} << 20;
+constexpr std::size_t MaxBody = SmallMachine::MaxBody;
 /// Their bodies exceed the machine's memory.
 constexpr std::size_t Clients = 96;
 /// Connections that exceed the machine's descriptors.
 constexpr std::size_t Connections = 450;
-/// Longer than any of these tests, so that stopped bodies stay open.
-constexpr int TimeoutMilliseconds = 120000;
-
-/// A laburnum-entry process on a small machine, with one server.
-class SmallMachine {
-public:
-  SmallMachine() {
-    Thread_.on([this] {
-      StoreListener_ = std::get<0>(
-          HttpListener::create(Thread_.context(), {"127.0.0.1", 0}, Store_));
-      ServerListener_ = std::get<0>(
-          HttpListener::create(Thread_.context(), {"127.0.0.1", 0}, Server_));
-      auto Configuration = configurationJson(1);
-      Configuration["limits"] = {{"max_header_bytes", 16384},
-                                 {"max_body_bytes", MaxBody},
-                                 {"header_timeout_ms", TimeoutMilliseconds},
-                                 {"idle_timeout_ms", TimeoutMilliseconds}};
-      Store_.put("config", "main", Configuration);
-      Store_.put("servers", "i-1",
-                 serverJson(ServerListener_->localEndpoint(), "ready",
-                            1700000000000, 1));
-    });
-    Instance_ = std::make_unique<EntryProcess>(
-        0, StoreListener_->localEndpoint().Port_);
-    Instance_->addSettings(
-        "limits.memory_mb=" + std::to_string(MemoryMegabytes) +
-        "\nlimits.file_descriptors=" + std::to_string(MachineDescriptors) +
-        '\n');
-    Instance_->start();
-  }
-  ~SmallMachine() {
-    Instance_.reset();
-    Thread_.on([this] {
-      StoreListener_->stopAccepting();
-      ServerListener_->stopAccepting();
-    });
-    Thread_.stop();
-  }
-  SmallMachine(SmallMachine const &) = delete;
-  SmallMachine &operator=(SmallMachine const &) = delete;
-
-  Endpoint traffic() const {
-    return {Instance_->address(), EntryProcess::TrafficPort};
-  }
-
-  /// Checks what has to hold whatever clients have sent, until the process has
-  /// read everything.
-  void check() {
-    auto const Process = Instance_->process().id();
-    std::size_t MostDescriptors = 0;
-    bool HasReadAll = false;
-    // An answer shows that the process goes on reading.
-    for (auto const End = readClock() + processes::TestTimeout;
-         !HasReadAll && readClock() < End;) {
-      REQUIRE_FALSE(Instance_->process().hasEnded());
-      MostDescriptors = std::max(MostDescriptors, openDescriptors(Process));
-      Instance_->isReady();
-      HasReadAll = leftInKernel(traffic()) == 0;
-    }
-    CHECK(HasReadAll);
-    CHECK(peakMemory(Process) <= MachineMemory);
-    CHECK(MostDescriptors <= MachineDescriptors);
-    CHECK(Instance_->send("GET", "/read/1").Status_ == 200);
-  }
-
-  EntryProcess &instance() { return *Instance_; }
-
-private:
-  StandinThread Thread_;
-  StoreStandin Store_{Thread_.context()};
-  ServerStandin Server_;
-  std::shared_ptr<HttpListener> StoreListener_;
-  std::shared_ptr<HttpListener> ServerListener_;
-  std::unique_ptr<EntryProcess> Instance_;
-};
 
 std::string postHead() {
   return "POST /order/1 HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: h\r\n"
