laburnum-entry: Limit answers by the machine's memory

Callers saw nothing yet; a process on a small machine exceeded its memory, for which the platform kills it, when clients asked for large answers and did not read them.

Cause: unfinished answers and unread ones could take 32 MiB each, whatever the machine's memory, and the part of an answer that was given up kept its memory while its request waited for another server: clearing a string does not free it, and nothing counted it.

Change: both limits are an eighth of the machine's memory, at least room for two answers of the largest size, and 32 MiB as before if the settings do not state the memory. The part that was given up is freed.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -453,6 +453,8 @@
 }
 
 void ExchangeFlow::retryOrFail(bool MayRetry, std::string const &Reason) {
+  // Clearing would keep its memory while the request waits for a server.
+  std::string().swap(Body_);
   if (!MayRetry)
     return fail(Reason);
   State_ = State::Waiting;
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -10,12 +10,7 @@
 
 /// Streams with more unwritten bytes are aborted: the client is not reading.
 constexpr std::size_t MaxUnwrittenBytes = std::size_t{1} << 20;
-/// Unwritten bytes of all clients. Beyond it those are aborted that have not
-/// read for the longest time.
-constexpr std::size_t MaxUnwrittenInTotal = std::size_t{32} << 20;
-/// Bytes of unfinished answers that are kept at a time. Beyond it large answers
-/// are given up.
-constexpr std::size_t MaxBufferedBytes = std::size_t{32} << 20;
+/// Smaller answers are not given up: that would free little.
 constexpr std::size_t MinLargeAnswer = std::size_t{64} << 10;
 /// Divisor of the latency target and of the time left to the deadline, which
 /// gives the maximum wait in the queue. The rest is left for the server.
@@ -304,7 +299,7 @@
 void RequestSession::onBody(std::string_view Bytes) {
   handle(BodyArrived{std::string(Bytes)});
   if (Call_ && BufferedBytes_ > MinLargeAnswer &&
-      Plane_.BufferedBytes_ > MaxBufferedBytes) {
+      Plane_.BufferedBytes_ > Plane_.AnswerLimits_.BufferedBytes_) {
     std::exchange(Call_, nullptr)->cancel();
     onFailed({AttemptProgress::AnswerBegun, AttemptEnd::ConnectionFailed,
               Answer_ ? Answer_->Head_.Status_ : 0,
@@ -518,7 +513,7 @@
 
 void RequestSession::limitUnwritten() {
   if (Exchange_->unwrittenBytes() > MinLargeAnswer)
-    Plane_.limitUnwritten(MaxUnwrittenInTotal);
+    Plane_.limitUnwritten();
 }
 
 void RequestSession::on(FinishStream const &Action) {
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -101,6 +101,7 @@
                 flushGoneNotices();
                 advanceQueue();
               }}),
+      AnswerLimits_(answerLimits(Dependencies.Settings_)),
       Origins_(Dependencies.Context_, Dependencies.Log_),
       QueueTimer_(Dependencies.Context_),
       Intake_(std::make_shared<IntakeBudget>(
@@ -452,7 +453,8 @@
   });
 }
 
-void TrafficPlane::limitUnwritten(std::size_t MaxBytes) {
+void TrafficPlane::limitUnwritten() {
+  auto const MaxBytes = AnswerLimits_.UnwrittenBytes_;
   for (auto const &Listener : {Listener_, PeerListener_})
     if (auto const Aborted = Listener->limitUnwritten(MaxBytes); Aborted > 0)
       Dependencies_.Log_.write(LogLine("slow_clients_aborted")
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AnswerLimits.h"
 #include "EntryMetrics.h"
 #include "RateLimitObserver.h"
 #include "RequestRefuser.h"
@@ -194,7 +195,7 @@
   void advanceQueue();
   void armQueueTimer();
   /// Aborts connections until their unwritten bytes are within the limit.
-  void limitUnwritten(std::size_t MaxBytes);
+  void limitUnwritten();
   OutboundPool &poolOf(ServerRecord const &Server);
   /// Another incarnation than the listed one answers at a server's address.
   void onOtherIncarnation(ServerRecord const &Server,
@@ -226,6 +227,7 @@
   /// Servers found gone since the last contact with a server.
   std::vector<std::pair<ServerId, std::string>> GoneNotices_;
   std::set<RequestSession *> AttemptingSessions_;
+  AnswerLimits const AnswerLimits_;
   std::size_t BufferedBytes_ = 0; ///< Of all unfinished answers.
   StreamOriginDirectory Origins_;
   ObservedConventions Conventions_;
--- a/Tests/HostileClients/TestSlowReaders.cpp
+++ b/Tests/HostileClients/TestSlowReaders.cpp
@@ -21,6 +21,7 @@
 constexpr int TargetMilliseconds = 10000;
 /// Requests that the server takes at a time, which it also states.
 constexpr std::size_t Slots = 256;
+constexpr std::size_t LargeAnswer = std::size_t{1} << 20;
 /// The largest answer that is relayed.
 constexpr std::size_t LargestAnswer = std::size_t{4} << 20;
 /// A stream that is not too far behind to be kept.
@@ -58,6 +59,15 @@
 
 } // namespace
 
+TEST_CASE("Clients that do not read large answers leave room for others") {
+  ask(96, "/read/" + std::to_string(LargeAnswer));
+}
+
+TEST_CASE("Clients that do not read the largest answers leave room for "
+          "others") {
+  ask(24, "/read/" + std::to_string(LargestAnswer));
+}
+
 TEST_CASE("Clients that do not read streams leave room for others") {
   ask(96, "/flow/" + std::to_string(Stream));
 }
