LibHttp: Count all answers that clients have not read

Callers saw nothing yet; a process on a small machine exceeded its memory when many clients asked for answers of less than 64 KiB each and did not read them.

Cause: the unread answers were added up only after one of more than 64 KiB, as that took a pass over all connections. A machine with 4,100 descriptors has 1,950 connections for clients, 122 MiB of such answers. The listener for peers had the whole limit for itself, too.

Change: connections keep a running total, which the listeners of a budget share, so that each answer can be checked. What a write takes besides its bytes is counted as 64 bytes.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t ReadBufferBytes = 32768;
 /// How long the peer may take to close after this side has closed.
 constexpr std::chrono::seconds CloseLinger{1};
+/// What a write takes besides its bytes: its place in the queue, and its
+/// memory's rounding.
+constexpr std::size_t BytesOfWrite = 64;
 
 std::array<char, ReadBufferBytes> &readBuffer() {
   thread_local std::array<char, ReadBufferBytes> Buffer;
@@ -54,14 +57,19 @@
   return asio::ip::tcp::endpoint(Host, Address.Port_);
 }
 
-Connection::Connection(asio::ip::tcp::socket Socket)
-    : Socket_(std::move(Socket)), CloseTimer_(Socket_.get_executor()) {}
+Connection::Connection(asio::ip::tcp::socket Socket,
+                       std::shared_ptr<UnwrittenTotal> Total)
+    : Socket_(std::move(Socket)), CloseTimer_(Socket_.get_executor()),
+      Total_(std::move(Total)) {}
 
-std::shared_ptr<Connection> Connection::create(asio::ip::tcp::socket Socket) {
+std::shared_ptr<Connection>
+Connection::create(asio::ip::tcp::socket Socket,
+                   std::shared_ptr<UnwrittenTotal> Total) {
   configureSocket(Socket);
   asio::error_code Ignored;
   Socket.non_blocking(true, Ignored);
-  return std::shared_ptr<Connection>(new Connection(std::move(Socket)));
+  return std::shared_ptr<Connection>(
+      new Connection(std::move(Socket), std::move(Total)));
 }
 
 void Connection::start(std::shared_ptr<ConnectionObserver> Observer) {
@@ -107,10 +115,21 @@
     return;
   Unwritten_ += Bytes.size();
   Writes_.push_back(std::move(Bytes));
+  count();
   if (!IsWriting_)
     writeNext();
 }
 
+void Connection::count() {
+  if (!Total_)
+    return;
+  Total_->remove(Counted_);
+  Counted_ = unwrittenBytes();
+  if (Counted_ > 0)
+    Counted_ += Writes_.size() * BytesOfWrite;
+  Total_->add(Counted_);
+}
+
 void Connection::writeNext() {
   IsWriting_ = true;
   WriteBegunAt_ = readBootClock();
@@ -124,6 +143,7 @@
           return Self->end(ConnectionEnd::Broken);
         Self->Unwritten_ -= Count;
         Self->Writes_.pop_front();
+        Self->count();
         if (!Self->Writes_.empty())
           return Self->writeNext();
         if (Self->State_ == State::Closing)
@@ -211,6 +231,7 @@
   if (State_ == State::Closed)
     return;
   State_ = State::Closed;
+  count();
   Observer_.reset();
   CloseTimer_.cancel();
   asio::error_code Ignored;
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Result.h>
 #include <LibCore/Time.h>
+#include <LibHttp/UnwrittenTotal.h>
 #include <LibModel/Endpoint.h>
 
 #include <asio/ip/tcp.hpp>
@@ -43,7 +44,10 @@
   /// which the platform expects an instance to reconnect.
   static constexpr Duration SilenceLimit = std::chrono::seconds(3);
 
-  static std::shared_ptr<Connection> create(asio::ip::tcp::socket Socket);
+  /// What the connection has not written counts for Total, too.
+  static std::shared_ptr<Connection>
+  create(asio::ip::tcp::socket Socket,
+         std::shared_ptr<UnwrittenTotal> Total = nullptr);
 
   /// Starts reading. Holds the observer until the connection has ended.
   void start(std::shared_ptr<ConnectionObserver> Observer);
@@ -85,10 +89,13 @@
 private:
   enum class State { Open, Closing, Ended, Closed };
 
-  explicit Connection(asio::ip::tcp::socket Socket);
+  Connection(asio::ip::tcp::socket Socket,
+             std::shared_ptr<UnwrittenTotal> Total);
   void waitForBytes();
   void readAvailable();
   void writeNext();
+  /// Updates what this connection adds to Total_.
+  void count();
   void finishClosing();
   void end(ConnectionEnd End);
   void release();
@@ -98,6 +105,8 @@
   std::shared_ptr<ConnectionObserver> Observer_;
   std::deque<std::string> Writes_;
   std::size_t Unwritten_ = 0;
+  std::shared_ptr<UnwrittenTotal> Total_;
+  std::size_t Counted_ = 0; ///< Of this connection in Total_.
   TimePoint WriteBegunAt_{};
   State State_ = State::Open;
   bool IsWaiting_ = false;
--- a/Libraries/LibHttp/HttpListener.cpp
+++ b/Libraries/LibHttp/HttpListener.cpp
@@ -61,7 +61,8 @@
       return Self->retryLater();
     if (Self->makeRoom()) {
       auto const Opened = std::make_shared<HttpServerConnection>(
-          Self, Connection::create(std::move(Socket)));
+          Self,
+          Connection::create(std::move(Socket), Self->Budget_->unwritten()));
       Self->Connections_.insert(Opened);
       Opened->start();
     }
@@ -136,20 +137,17 @@
 }
 
 std::size_t HttpListener::limitUnwritten(std::size_t MaxBytes) {
-  auto Open = unwritten();
-  std::size_t Total = 0;
-  for (auto const &One : Open)
-    Total += One->unwrittenBytes();
-  if (Total <= MaxBytes)
+  auto const &Total = *Budget_->unwritten();
+  if (Total.bytes() <= MaxBytes)
     return 0;
+  auto Open = unwritten();
   std::sort(Open.begin(), Open.end(), [](auto const &Left, auto const &Right) {
     return Left->writeBegunAt() < Right->writeBegunAt();
   });
   std::size_t Aborted = 0;
   for (auto const &One : Open) {
-    if (Total <= MaxBytes)
+    if (Total.bytes() <= MaxBytes)
       break;
-    Total -= One->unwrittenBytes();
     One->abortForMemory();
     ++Aborted;
   }
--- a/Libraries/LibHttp/HttpListener.h
+++ b/Libraries/LibHttp/HttpListener.h
@@ -64,7 +64,8 @@
   /// including those that are closed once their answer is written.
   std::size_t busyConnections() const;
   /// Aborts the connections whose clients have not read for the longest time
-  /// until at most MaxBytes are unwritten. Returns their number.
+  /// until at most MaxBytes are unwritten on those of all listeners that share
+  /// the budget. Returns their number.
   std::size_t limitUnwritten(std::size_t MaxBytes);
 
 private:
--- a/Libraries/LibHttp/IntakeBudget.h
+++ b/Libraries/LibHttp/IntakeBudget.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibHttp/UnwrittenTotal.h>
 
 #include <compare>
 #include <cstddef>
+#include <memory>
 #include <unordered_map>
 
 namespace laburnum {
@@ -45,6 +47,10 @@
   /// The holder's request takes no memory any more.
   void remove(Holder &Of);
   std::size_t heldBytes() const { return HeldBytes_; }
+  /// Of the answers on all connections.
+  std::shared_ptr<UnwrittenTotal> const &unwritten() const {
+    return Unwritten_;
+  }
 
 private:
   struct Entry {
@@ -59,6 +65,8 @@
 
   IntakeLimits Limits_;
   std::size_t HeldBytes_ = 0;
+  std::shared_ptr<UnwrittenTotal> Unwritten_ =
+      std::make_shared<UnwrittenTotal>();
   std::unordered_map<Holder *, Entry> Entries_;
 };
 
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -490,7 +490,7 @@
 void RequestSession::on(SendCompleteAnswer const &Action) {
   Exchange_->answer(Action.Head_, Action.Body_);
   finish(Outcome::Answered, Action.Head_.Status_, {});
-  limitUnwritten();
+  Plane_.limitUnwritten();
 }
 
 void RequestSession::on(BeginStream const &Action) {
@@ -504,18 +504,13 @@
 void RequestSession::on(RelayEvents const &Action) {
   Exchange_->send(Action.Bytes_);
   if (Exchange_->unwrittenBytes() <= MaxUnwrittenBytes)
-    return limitUnwritten();
+    return Plane_.limitUnwritten();
   Exchange_->abort();
   handle(ClientLeft{});
   finish(Outcome::Aborted, RelayedStatus_,
          "the client does not read its stream");
 }
 
-void RequestSession::limitUnwritten() {
-  if (Exchange_->unwrittenBytes() > MinLargeAnswer)
-    Plane_.limitUnwritten();
-}
-
 void RequestSession::on(FinishStream const &Action) {
   Exchange_->finishStream();
   Plane_.Origins_.onFinished(BegunStream_);
--- a/Services/laburnum-entry/RequestSession.h
+++ b/Services/laburnum-entry/RequestSession.h
@@ -75,8 +75,6 @@
   void endAttempt(AttemptHealth Health, AttemptEvidence const &Evidence);
   /// Updates what this answer adds to TrafficPlane::BufferedBytes_.
   void countBuffered();
-  /// Bounds what slow clients keep in memory.
-  void limitUnwritten();
   /// Counts the attempt's work at its server.
   void beginWork();
   /// The server has read the prompt.
--- a/Tests/HostileClients/TestSlowReaders.cpp
+++ b/Tests/HostileClients/TestSlowReaders.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t LargeAnswer = std::size_t{1} << 20;
 /// The largest answer that is relayed.
 constexpr std::size_t LargestAnswer = std::size_t{4} << 20;
+/// Too small for an answer to be worth giving up.
+constexpr std::size_t SmallAnswer = 60000;
 /// A stream that is not too far behind to be kept.
 constexpr std::size_t Stream = 900000;
 
@@ -68,6 +70,12 @@
   ask(24, "/read/" + std::to_string(LargestAnswer));
 }
 
+TEST_CASE("Clients that do not read small answers leave room for others") {
+  constexpr std::size_t Clients = 1150;
+  constexpr std::size_t Descriptors = 2600;
+  ask(Clients, "/read/" + std::to_string(SmallAnswer), Descriptors);
+}
+
 TEST_CASE("Clients that do not read streams leave room for others") {
   ask(96, "/flow/" + std::to_string(Stream));
 }
