LibHttp: Serve no other request before the answer is read

Callers saw nothing yet; found by review. A client that asks again and again on one connection without reading let its answers pile up there. Refusals that need no server were not even limited by the total of unread bytes: that is checked where a server's answer or a stream's event is passed on.

Cause: a connection was idle again once an answer was queued, though the kernel had not taken it.

Change: a request that arrives while bytes are unwritten is treated like a pipelined one. It is not served, and the connection closes after the answer; it counts as given up. Clients that read an answer before they ask again are not concerned, as the kernel had to take all of it before they could read it.

--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -76,6 +76,8 @@
 }
 
 void HttpServerConnection::onBytes(std::string_view Bytes) {
+  if (State_ == State::Idle && unwrittenBytes() > 0)
+    return endWithUnreadAnswer();
   if (State_ == State::Idle || State_ == State::Reading)
     return feed(Bytes);
   ClosesAfterAnswer_ = true;
@@ -138,6 +140,11 @@
   sendError(ServiceUnavailable, std::move(Fields));
 }
 
+void HttpServerConnection::endWithUnreadAnswer() {
+  Listener_->Service_.onGivenUp();
+  endConnection();
+}
+
 void HttpServerConnection::abortConnection() {
   Connection_->abort();
   onEnd(ConnectionEnd::Broken);
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -9,7 +9,9 @@
 
 /// One client's connection: reads a request, passes it to the service and
 /// writes the answer. Pipelining is not supported: if the client sends more
-/// bytes before the answer has ended, the connection closes after that answer.
+/// bytes before the answer has ended, or before the kernel has taken all of it,
+/// the connection closes after that answer. So a client has one unread answer
+/// at a time.
 class HttpServerConnection
     : public ConnectionObserver,
       public IntakeBudget::Holder,
@@ -64,6 +66,8 @@
   bool chargeReading();
   void armTimer(Duration After);
   void onTimeout();
+  /// Serves no other request to a client that has not read its answer.
+  void endWithUnreadAnswer();
   void finishAnswer();
   void endConnection();
   bool isCurrent(std::uint64_t Number) const;
--- a/Tests/HostileClients/SmallMachine.cpp
+++ b/Tests/HostileClients/SmallMachine.cpp
@@ -75,25 +75,33 @@
   Thread_.stop();
 }
 
-std::size_t SmallMachine::settledRequests() const {
+std::size_t
+SmallMachine::countRequests(std::vector<std::string> const &Outcomes) const {
   httplib::Client Client(Instance_->address(), MetricsPort);
   auto const Page = Client.Get("/metrics");
   if (!Page)
     return 0;
-  std::size_t Settled = 0;
+  std::size_t Sum = 0;
   std::istringstream Lines(Page->body);
   for (std::string Line; std::getline(Lines, Line);) {
     std::istringstream Words(Line);
     std::string Name;
     std::size_t Value = 0;
     Words >> Name >> Value;
-    for (auto const *const Outcome :
-         {"answered", "refused", "failed", "aborted", "client_left", "given_up",
-          "rejected", "unroutable"})
-      if (Name == "laburnum_requests_" + std::string(Outcome) + "_total")
-        Settled += Value;
+    for (auto const &Outcome : Outcomes)
+      if (Name == "laburnum_requests_" + Outcome + "_total")
+        Sum += Value;
   }
-  return Settled;
+  return Sum;
+}
+
+std::size_t SmallMachine::settledRequests() const {
+  return countRequests({"answered", "refused", "failed", "aborted",
+                        "client_left", "given_up", "rejected", "unroutable"});
+}
+
+std::size_t SmallMachine::givenUpRequests() const {
+  return countRequests({"given_up"});
 }
 
 void SmallMachine::check() {
--- a/Tests/HostileClients/SmallMachine.h
+++ b/Tests/HostileClients/SmallMachine.h
@@ -8,6 +8,8 @@
 #include <compare>
 #include <cstddef>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace laburnum::hostile_clients {
 
@@ -42,6 +44,8 @@
   }
   /// Returns how many requests of clients have been answered or given up.
   std::size_t settledRequests() const;
+  /// Returns how many of them were given up for want of room.
+  std::size_t givenUpRequests() const;
   /// Checks what has to hold whatever clients have sent, until the process has
   /// read everything.
   void check();
@@ -49,6 +53,9 @@
   entry_process::EntryProcess &instance() { return *Instance_; }
 
 private:
+  /// Returns the sum of the counters of requests with these outcomes.
+  std::size_t countRequests(std::vector<std::string> const &Outcomes) const;
+
   MachineShape const Shape_;
   entry_process::StandinThread Thread_;
   entry_process::StoreStandin Store_{Thread_.context()};
--- a/Tests/LibHttp/TestHttpListener.cpp
+++ b/Tests/LibHttp/TestHttpListener.cpp
@@ -27,9 +27,11 @@
     Requests_.push_back(std::move(Request));
   }
   void onRejected(MessageFault Fault) override { Fault_ = Fault; }
+  void onGivenUp() override { ++GivenUp_; }
 
   ClientBounds Bounds_;
   MessageFault Fault_ = MessageFault::None;
+  std::size_t GivenUp_ = 0;
   std::shared_ptr<DisconnectFlag> Disconnect_ =
       std::make_shared<DisconnectFlag>();
   std::vector<std::shared_ptr<Exchange>> Exchanges_;
@@ -175,6 +177,37 @@
   CHECK(Service_.Exchanges_[2]->unwrittenBytes() > 0);
 }
 
+// Guards against answers that pile up on a connection, refusals among them.
+TEST_CASE_METHOD(Fixture, "A client that asks again without having read its "
+                          "answer gets no other") {
+  constexpr std::size_t AnswerBytes = std::size_t{16} << 20;
+  SilentReader Silent(Context_, Listener_->localEndpoint());
+  REQUIRE(wait([&] { return !Service_.Requests_.empty(); }));
+  Service_.Exchanges_.back()->answer({200, {}}, std::string(AnswerBytes, 'x'));
+  asio::write(Silent.Socket_, asio::buffer(std::string(Get)));
+  REQUIRE(wait([&] {
+    return Service_.Requests_.size() == 2 || Listener_->openConnections() == 1;
+  }));
+  CHECK(Service_.Requests_.size() == 1);
+  CHECK(Service_.GivenUp_ == 1);
+  // The first answer is still whole.
+  std::size_t Received = 0;
+  bool HasEnded = false;
+  std::array<char, 65536> Buffer{};
+  std::function<void()> const Read = [&] {
+    Silent.Socket_.async_read_some(
+        asio::buffer(Buffer), [&](asio::error_code Failure, std::size_t Count) {
+          Received += Count;
+          HasEnded = Failure == asio::error::eof;
+          if (!Failure)
+            Read();
+        });
+  };
+  Read();
+  CHECK(wait([&] { return HasEnded; }));
+  CHECK(Received > AnswerBytes);
+}
+
 // Guards against a process that ends while a client still reads its answer.
 TEST_CASE_METHOD(Fixture, "A connection is busy until its answer is written") {
   constexpr std::size_t AnswerBytes = std::size_t{16} << 20;
