--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -101,6 +101,7 @@
                 flushGoneNotices();
                 advanceQueue();
               }}),
+      AnswerLimits_(answerLimits(Dependencies.Settings_)),
       Origins_(Dependencies.Context_, Dependencies.Log_),
       QueueTimer_(Dependencies.Context_),
       Intake_(
@@ -455,7 +456,8 @@
   });
 }
 
-void TrafficPlane::limitUnwritten(std::size_t MaxBytes) {
+void TrafficPlane::limitUnwritten() {
+  auto const MaxBytes = AnswerLimits_.UnwrittenBytes_;
   for (auto const *const Opener : {&Listener_, &PeerListener_}) {
     auto *const Listener = Opener->listener();
     if (!Listener)
