laburnumd: Return the memory of freed bodies to the system

Callers that sent bodies in chunks far over the limit made the daemon take more memory than its bound although it had already freed what they had sent.

Cause: glibc raises its mmap threshold to the size of each large buffer that is freed, up to 32 MiB. The rest of the daemon counts bodies correctly: sampled with mallinfo2() every 5 ms, a daemon with 189 MiB resident had 5 MiB in use and 200 MiB freed but kept in arenas; one with 156 MiB had 4 MiB in use and 163 MiB freed.

A threshold that is set stays where it is, so buffers of 128 KiB and more are unmapped when they are freed.

--- a/Services/laburnumd/main.cpp
+++ b/Services/laburnumd/main.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <malloc.h>
 #include <thread>
 
 using namespace laburnum;
@@ -43,7 +44,16 @@
   FLAGS_minloglevel = static_cast<int>(Level);
 }
 
+/// Returns the memory of large buffers to the system when they are freed. By
+/// default glibc raises this threshold to the size of each large buffer that is
+/// freed, and then every thread's arena keeps the freed bodies of its requests.
+void returnLargeBuffers() {
+  constexpr int ThresholdBytes = 128 << 10;
+  mallopt(M_MMAP_THRESHOLD, ThresholdBytes);
+}
+
 int serve(DaemonSettings Settings) {
+  returnLargeBuffers();
   auto const Signals = stopSignals();
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
