LibCallers: Limit the lines between the chunks of a body

A caller that sent the size line of a chunk without ever ending it made the daemon keep all that it sent, uncounted and without a limit.

Cause: the HTTP library reads such a line into a buffer that grows until the line ends; the limit on bodies counts only what chunks carry. The library reads these lines byte by byte, so the connection's stream counts them and breaks off a body with a longer line than max_header_bytes, with the refusal of a body that did not arrive whole.

The case of TestLibCallers failed before: a line of twice the limit was not refused.

--- a/Libraries/LibCallers/ConnectionStream.cpp
+++ b/Libraries/LibCallers/ConnectionStream.cpp
@@ -38,6 +38,8 @@
 void ConnectionStream::beginHead(HeadBounds const &Bounds, TimePoint Now) {
   HeadDeadline_ = Now + Bounds.Timeout_;
   HeadBytesLeft_ = Bounds.MaxBytes_;
+  MaxLineBytes_ = Bounds.MaxBytes_;
+  LineBytes_ = 0;
   Body_ = RequestBody::Present;
 }
 
@@ -61,7 +63,16 @@
   Begin_ += Taken;
   if (HeadDeadline_)
     HeadBytesLeft_ -= Taken;
-  return static_cast<ssize_t>(Taken);
+  else if (!countLine(Data, Size))
+    IsBroken_ = true;
+  return IsBroken_ ? 0 : static_cast<ssize_t>(Taken);
+}
+
+/// The library reads the lines between chunks byte by byte, however long they
+/// are, and all else in larger pieces.
+bool ConnectionStream::countLine(char const *Data, size_t Size) {
+  LineBytes_ = Size > 1 || *Data == '\n' ? 0 : LineBytes_ + 1;
+  return LineBytes_ <= MaxLineBytes_;
 }
 
 std::size_t ConnectionStream::allowance() const {
--- a/Libraries/LibCallers/ConnectionStream.h
+++ b/Libraries/LibCallers/ConnectionStream.h
@@ -50,6 +50,8 @@
   bool fill();
   /// How many bytes may still be read within the bounds of the head.
   std::size_t allowance() const;
+  /// Counts what was read of a body; false if a line in it is too long.
+  bool countLine(char const *Data, size_t Size);
 
   socket_t const Socket_;
   Duration const ReadTimeout_;
@@ -60,6 +62,8 @@
   /// Set while a head is being read.
   std::optional<TimePoint> HeadDeadline_;
   std::size_t HeadBytesLeft_ = 0;
+  std::size_t MaxLineBytes_ = 0;
+  std::size_t LineBytes_ = 0;
   RequestBody Body_ = RequestBody::Present;
   bool IsBroken_ = false;
 };
--- a/Libraries/LibSettings/KeyDescription.cpp
+++ b/Libraries/LibSettings/KeyDescription.cpp
@@ -157,7 +157,8 @@
       accessor(&DaemonSettings::Callers_, &CallersSettings::BodyMemoryBytes_)));
   Keys.push_back(integerKey(
       "callers", "max_header_bytes", "65536", {1, MaxBytes},
-      "Requests with larger headers are refused.",
+      "Requests with larger headers, or with a longer line between the chunks "
+      "of a body, are refused.",
       accessor(&DaemonSettings::Callers_, &CallersSettings::MaxHeaderBytes_)));
   Keys.push_back(durationKey(
       "callers", "header_timeout_ms", "5000",
--- /dev/null
+++ b/Tests/HostileClients/TestDaemonCrowds.cpp
@@ -0,0 +1,71 @@
+#include "Crowd.h"
+#include "ProcessUsage.h"
+
+#include <Processes/LocalDeployment.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace laburnum;
+using namespace laburnum::hostile_clients;
+
+namespace {
+
+constexpr std::size_t DaemonMemory = std::size_t{160} << 20;
+constexpr std::size_t MaxBody = std::size_t{1} << 20;
+/// Callers that each have a thread of the daemon.
+constexpr std::size_t Callers = 200;
+
+/// A daemon between stand-ins, in whose settings timeouts are longer than any
+/// of these tests.
+class SmallDaemon {
+public:
+  explicit SmallDaemon(std::string const &Settings)
+      : Deployment_(1, "header_timeout_ms = 120000\nmax_body_bytes = " +
+                           std::to_string(MaxBody) + '\n' + Settings) {}
+
+  std::string postHead() const {
+    return "POST /services/entry-desk/status HTTP/1.1\r\n"
+           "Host: desk.example\r\nAuthorization: " +
+           Deployment_.headers().find("Authorization")->second + "\r\n";
+  }
+  Endpoint callers() { return {"127.0.0.1", daemon().Callers_}; }
+
+  /// Checks what has to hold whatever callers have sent, once the daemon has
+  /// read everything.
+  void check() {
+    CHECK(processes::await([this] { return leftInKernel(callers()) == 0; }));
+    CHECK(Deployment_.status(0).Status_ == 200);
+    CHECK_FALSE(daemon().Process_->hasEnded());
+    CHECK(peakMemory(daemon().Process_->id()) <= DaemonMemory);
+  }
+
+private:
+  processes::DaemonProcess &daemon() { return Deployment_.instance(0); }
+
+  processes::LocalDeployment Deployment_;
+};
+
+} // namespace
+
+TEST_CASE("Callers of the daemon that send very small chunks leave room for "
+          "others") {
+  constexpr std::size_t Senders = 96;
+  SmallDaemon Daemon("");
+  Crowd Crowd(Daemon.callers(), Senders,
+              chunkedBody(Daemon.postHead(), 1, MaxBody));
+  Crowd.send();
+  Daemon.check();
+}
+
+TEST_CASE("Callers of the daemon that send a chunk's size without an end leave "
+          "room for others") {
+  constexpr std::size_t PieceBytes = 65536;
+  SmallDaemon Daemon("");
+  Crowd Crowd(Daemon.callers(), Callers,
+              {Daemon.postHead() + "Transfer-Encoding: chunked\r\n\r\n5;",
+               std::string(PieceBytes, 'x'), 2 * MaxBody / PieceBytes, ""});
+  Crowd.send();
+  Daemon.check();
+}
--- a/Tests/LibCallers/TestCallerServer.cpp
+++ b/Tests/LibCallers/TestCallerServer.cpp
@@ -234,6 +234,22 @@
   CHECK(Answer.starts_with("HTTP/1.1 413"));
 }
 
+TEST_CASE("A line between chunks is limited like the head, so that it cannot "
+          "take up the memory") {
+  RunningServer const Server(echo);
+  auto const Exchange = [&](std::size_t LineBytes) {
+    return Server.exchange("POST /x HTTP/1.1\r\nHost: x\r\n"
+                           "Connection: close\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n4;" +
+                           std::string(LineBytes - 4, 'x') +
+                           "\r\nbody\r\n0\r\n\r\n");
+  };
+  CHECK(Exchange(HeadLimit).ends_with("POSTbody"));
+  auto const Answer = Exchange(2 * HeadLimit);
+  // The unread rest of the body may cause a reset before the answer is read.
+  CHECK((Answer.empty() || Answer.starts_with("HTTP/1.1 504")));
+}
+
 TEST_CASE("A request without a body length keeps its connection open") {
   RunningServer const Server(echo);
   auto const Answer =
