LibCallers: Close the connection of a body that is not read to its end

A caller whose chunked body exceeded the limit got 413, and what followed in the body was read as further requests on the same connection: a request hidden in a refused body was run. Bodies that were refused for lack of memory or time announced "Connection: close", but were left open in the same way.

Cause: the HTTP library closes a connection only where the request asks for it; the field in the answer doesn't matter to it. The server now breaks off the connection's stream when a body was not read to its end.

The case of TestLibCallers failed before: the hidden request reached the handler.

--- a/Libraries/LibCallers/CallerServer.cpp
+++ b/Libraries/LibCallers/CallerServer.cpp
@@ -176,10 +176,11 @@
     });
     if (IsComplete)
       return answer(Message, Response);
+    Server_.closeAfterAnswer();
+    Response.set_header("Connection", "close");
     if (Message.Body_.size() > Settings_.MaxBodyBytes_ ||
         Response.status == 413)
       return refuse(413, Response);
-    Response.set_header("Connection", "close");
     if (!HasRoom)
       return write(Refuse_({ErrorKind::ResourceExhausted,
                             "the bodies of all requests take too much memory",
--- a/Libraries/LibCallers/ConnectionStream.h
+++ b/Libraries/LibCallers/ConnectionStream.h
@@ -42,6 +42,8 @@
   void beginHead(HeadBounds const &Bounds, TimePoint Now);
   /// Ends reading the head; Body says whether a body follows.
   void endHead(RequestBody Body);
+  /// Reads nothing more, as the rest of a body will not be read.
+  void breakOff() { IsBroken_ = true; }
   /// A bound was exceeded or a body refused, so that the start of the next
   /// request is unknown.
   bool isBroken() const { return IsBroken_; }
--- a/Libraries/LibCallers/StoppableServer.cpp
+++ b/Libraries/LibCallers/StoppableServer.cpp
@@ -12,6 +12,10 @@
          std::chrono::microseconds(Microseconds);
 }
 
+/// Of the connection that this thread serves; the library's handlers don't get
+/// it.
+thread_local ConnectionStream *CurrentStream = nullptr;
+
 } // namespace
 
 void StoppableServer::enlargeBacklog() {
@@ -30,10 +34,13 @@
   stop();
 }
 
+void StoppableServer::closeAfterAnswer() { CurrentStream->breakOff(); }
+
 bool StoppableServer::process_and_close_socket(socket_t Socket) {
   ConnectionStream Stream(Socket,
                           toDuration(read_timeout_sec_, read_timeout_usec_),
                           toDuration(write_timeout_sec_, write_timeout_usec_));
+  CurrentStream = &Stream;
   auto const KeepAlive = toDuration(keep_alive_timeout_sec_, 0);
   auto IsOpen = true;
   for (auto RequestsLeft = keep_alive_max_count_; RequestsLeft > 0 && IsOpen;
@@ -50,6 +57,7 @@
     IsOpen = process_request(Stream, RequestsLeft == 1, IsLast, HeadRead) &&
              !IsLast && !Stream.isBroken();
   }
+  CurrentStream = nullptr;
   release(Socket);
   return true;
 }
--- a/Libraries/LibCallers/StoppableServer.h
+++ b/Libraries/LibCallers/StoppableServer.h
@@ -25,6 +25,10 @@
   /// their current request.
   void close();
 
+  /// Ends the connection that the calling thread serves after its answer, since
+  /// the rest of its body would be read as further requests.
+  void closeAfterAnswer();
+
 private:
   enum class Use { Idle, Busy };
 
--- a/Tests/LibCallers/TestCallerServer.cpp
+++ b/Tests/LibCallers/TestCallerServer.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <future>
 #include <thread>
 
@@ -250,6 +251,21 @@
   CHECK((Answer.empty() || Answer.starts_with("HTTP/1.1 504")));
 }
 
+TEST_CASE("What follows in a chunked body that was refused is not a request") {
+  std::atomic<int> Calls = 0;
+  RunningServer const Server([&](CallerMessage const &Message) {
+    ++Calls;
+    return echo(Message);
+  });
+  auto const Answer = Server.exchange(
+      "POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "80\r\n" +
+      std::string(2 * BodyLimit, 'x') +
+      "\r\n40\r\nGET /y HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  CHECK((Answer.empty() || Answer.starts_with("HTTP/1.1 413")));
+  CHECK(Calls == 0);
+}
+
 TEST_CASE("A request without a body length keeps its connection open") {
   RunningServer const Server(echo);
   auto const Answer =
