Tests: Show the memory of daemon callers' heads of many short fields

The HTTP library keeps each field in a map of two strings, several times its bytes, and only the bytes of one head are limited.

--- a/Tests/HostileClients/TestDaemonCrowds.cpp
+++ b/Tests/HostileClients/TestDaemonCrowds.cpp
@@ -102,3 +102,15 @@
   Crowd.send();
   Daemon.check();
 }
+
+TEST_CASE("Callers of the daemon that stop in heads of many short fields leave "
+          "room for others") {
+  constexpr std::size_t HeadBytes = 65000;
+  SmallDaemon Daemon("");
+  auto Head = Get;
+  while (Head.size() < HeadBytes)
+    Head += "a:b\r\n";
+  Crowd Crowd(Daemon.callers(), Callers, {Head, "", 0, ""});
+  Crowd.send();
+  Daemon.check();
+}
