LibCallers: Bound the memory of all requests' heads

Callers that stopped in heads of many short fields, inside max_header_bytes, made the daemon take more memory than its bound.

Cause: the HTTP library keeps each field as two strings in a node of a map, some hundred bytes for a field of five; only the bytes of each head were limited. Heads now take their memory from the bound of the bodies (body_memory_bytes), the first 64 KiB of each free as before; the bound is never less than one request of the largest head and body needs. Where there is no room the connection is closed without an answer, since the refusals for heads would call the request invalid.

--- a/Libraries/LibCallers/BodyMemory.h
+++ b/Libraries/LibCallers/BodyMemory.h
@@ -5,13 +5,13 @@
 
 namespace laburnum {
 
-/// Bounds the memory that the bodies of all requests of a process take
-/// together. Thread-safe.
+/// Bounds the memory that the heads and bodies of all requests of a process
+/// take together. Thread-safe.
 class BodyMemory {
 public:
   explicit BodyMemory(std::size_t MaxBytes) : MaxBytes_(MaxBytes) {}
 
-  /// The memory of one body, which is returned when this is destroyed.
+  /// The memory of one head or body, which is returned when this is destroyed.
   class Share {
   public:
     /// The first bytes of every body are free, so that clients with large
--- a/Libraries/LibCallers/CallerServer.cpp
+++ b/Libraries/LibCallers/CallerServer.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t RequestsPerConnection = 1000000;
 /// Bytes of memory for each byte of a body, whose buffer doubles as it grows.
 constexpr std::size_t BytesForGrowth = 2;
+/// Bytes of memory for each byte of a head, if its fields are as short as can
+/// be.
+constexpr std::size_t BytesForFields = 66;
 
 CallerMessage messageOf(httplib::Request const &Request) {
   CallerMessage Message;
@@ -93,7 +96,8 @@
       : Settings_(Settings), Handler_(std::move(Handler)),
         Refuse_(std::move(Refuse)),
         BodyMemory_(std::max(Settings_.BodyMemoryBytes_,
-                             BytesForGrowth * Settings_.MaxBodyBytes_)) {
+                             BytesForGrowth * Settings_.MaxBodyBytes_ +
+                                 BytesForFields * Settings_.Head_.MaxBytes_)) {
     setLimits();
     setRoutes();
     setErrors();
@@ -216,7 +220,7 @@
   CallerHandler const Handler_;
   RefusalWriter const Refuse_;
   BodyMemory BodyMemory_;
-  StoppableServer Server_;
+  StoppableServer Server_{BodyMemory_};
   Endpoint Endpoint_;
 };
 
--- a/Libraries/LibCallers/ConnectionStream.cpp
+++ b/Libraries/LibCallers/ConnectionStream.cpp
@@ -40,6 +40,8 @@
   HeadBytesLeft_ = Bounds.MaxBytes_;
   MaxLineBytes_ = Bounds.MaxBytes_;
   LineBytes_ = 0;
+  FieldBytes_ = 0;
+  Fields_.emplace(Memory_);
   Body_ = RequestBody::Present;
 }
 
@@ -61,13 +63,23 @@
   auto const Taken = std::min(Allowed, End_ - Begin_);
   std::copy_n(Buffer_.data() + Begin_, Taken, Data);
   Begin_ += Taken;
-  if (HeadDeadline_)
+  if (HeadDeadline_) {
     HeadBytesLeft_ -= Taken;
-  else if (!countLine(Data, Size))
+    IsSilent_ = !countFields(Data, Taken);
+    IsBroken_ = IsSilent_;
+  } else if (!countLine(Data, Size))
     IsBroken_ = true;
   return IsBroken_ ? 0 : static_cast<ssize_t>(Taken);
 }
 
+/// The library and the message each keep a field as two strings in a node.
+bool ConnectionStream::countFields(char const *Data, size_t Size) {
+  constexpr std::size_t BytesPerField = 256;
+  auto const Lines = std::count(Data, Data + Size, '\n');
+  FieldBytes_ += 2 * Size + BytesPerField * static_cast<std::size_t>(Lines);
+  return Fields_->extend(FieldBytes_);
+}
+
 /// The library reads the lines between chunks byte by byte, however long they
 /// are, and all else in larger pieces.
 bool ConnectionStream::countLine(char const *Data, size_t Size) {
@@ -94,7 +106,7 @@
 }
 
 ssize_t ConnectionStream::write(char const *Data, size_t Size) {
-  if (!waitFor(Socket_, POLLOUT, WriteTimeout_))
+  if (IsSilent_ || !waitFor(Socket_, POLLOUT, WriteTimeout_))
     return -1;
   return ::send(Socket_, Data, Size, MSG_NOSIGNAL);
 }
--- a/Libraries/LibCallers/ConnectionStream.h
+++ b/Libraries/LibCallers/ConnectionStream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCallers/BodyMemory.h>
 #include <LibCallers/HeadBounds.h>
 
 #include <httplib.h>
@@ -22,9 +23,11 @@
 class ConnectionStream : public httplib::Stream {
 public:
   /// The timeouts apply to each single wait for the peer.
-  ConnectionStream(socket_t Socket, Duration ReadTimeout, Duration WriteTimeout)
-      : Socket_(Socket), ReadTimeout_(ReadTimeout),
-        WriteTimeout_(WriteTimeout) {}
+  /// Memory counts what the fields of heads take.
+  ConnectionStream(socket_t Socket, Duration ReadTimeout, Duration WriteTimeout,
+                   BodyMemory &Memory)
+      : Socket_(Socket), ReadTimeout_(ReadTimeout), WriteTimeout_(WriteTimeout),
+        Memory_(Memory) {}
 
   bool is_readable() const override;
   /// False also when the peer has closed the connection.
@@ -44,6 +47,8 @@
   void endHead(RequestBody Body);
   /// Reads nothing more, as the rest of a body will not be read.
   void breakOff() { IsBroken_ = true; }
+  /// Returns the memory of the last request.
+  void endRequest() { Fields_.reset(); }
   /// A bound was exceeded or a body refused, so that the start of the next
   /// request is unknown.
   bool isBroken() const { return IsBroken_; }
@@ -52,12 +57,17 @@
   bool fill();
   /// How many bytes may still be read within the bounds of the head.
   std::size_t allowance() const;
+  /// Counts the memory of a head's fields; false if there is no room.
+  bool countFields(char const *Data, std::size_t Size);
   /// Counts what was read of a body; false if a line in it is too long.
   bool countLine(char const *Data, size_t Size);
 
   socket_t const Socket_;
   Duration const ReadTimeout_;
   Duration const WriteTimeout_;
+  BodyMemory &Memory_;
+  std::optional<BodyMemory::Share> Fields_;
+  std::size_t FieldBytes_ = 0;
   std::array<char, 4096> Buffer_{};
   size_t Begin_ = 0;
   size_t End_ = 0;
@@ -68,6 +78,8 @@
   std::size_t LineBytes_ = 0;
   RequestBody Body_ = RequestBody::Present;
   bool IsBroken_ = false;
+  /// Nothing is written, as a refusal would blame the request.
+  bool IsSilent_ = false;
 };
 
 } // namespace laburnum
--- a/Libraries/LibCallers/StoppableServer.cpp
+++ b/Libraries/LibCallers/StoppableServer.cpp
@@ -70,9 +70,9 @@
 void StoppableServer::closeAfterAnswer() { CurrentStream->breakOff(); }
 
 bool StoppableServer::process_and_close_socket(socket_t Socket) {
-  ConnectionStream Stream(Socket,
-                          toDuration(read_timeout_sec_, read_timeout_usec_),
-                          toDuration(write_timeout_sec_, write_timeout_usec_));
+  ConnectionStream Stream(
+      Socket, toDuration(read_timeout_sec_, read_timeout_usec_),
+      toDuration(write_timeout_sec_, write_timeout_usec_), Memory_);
   CurrentStream = &Stream;
   auto const KeepAlive = toDuration(keep_alive_timeout_sec_, 0);
   auto IsOpen = true;
@@ -89,6 +89,7 @@
     };
     IsOpen = process_request(Stream, RequestsLeft == 1, IsLast, HeadRead) &&
              !IsLast && !Stream.isBroken();
+    Stream.endRequest();
   }
   CurrentStream = nullptr;
   release(Socket);
--- a/Libraries/LibCallers/StoppableServer.h
+++ b/Libraries/LibCallers/StoppableServer.h
@@ -16,6 +16,8 @@
 /// its caller cannot keep others from being served.
 class StoppableServer : public httplib::Server {
 public:
+  explicit StoppableServer(BodyMemory &Memory) : Memory_(Memory) {}
+
   /// Must be called before listening.
   void setHeadBounds(HeadBounds const &Bounds) { HeadBounds_ = Bounds; }
 
@@ -60,6 +62,7 @@
   void release(socket_t Socket);
   RequestBody bodyAfter(httplib::Request const &Head) const;
 
+  BodyMemory &Memory_;
   HeadBounds HeadBounds_;
 
   std::mutex Mutex_; ///< Guards all members below.
--- a/Libraries/LibSettings/KeyDescription.cpp
+++ b/Libraries/LibSettings/KeyDescription.cpp
@@ -153,8 +153,9 @@
       accessor(&DaemonSettings::Callers_, &CallersSettings::MaxBodyBytes_)));
   Keys.push_back(integerKey(
       "callers", "body_memory_bytes", "33554432", {1, MaxBytes},
-      "Memory for the bodies of all requests together, twice "
-      "max_body_bytes at least; beyond it requests are refused as not run.",
+      "Memory for the headers and bodies of all requests together, twice "
+      "max_body_bytes and 66 times max_header_bytes at least; beyond it "
+      "requests are refused as not run, or closed while they send headers.",
       accessor(&DaemonSettings::Callers_, &CallersSettings::BodyMemoryBytes_)));
   Keys.push_back(integerKey(
       "callers", "max_header_bytes", "65536", {1, MaxBytes},
--- a/Tests/HostileClients/TestDaemonCrowds.cpp
+++ b/Tests/HostileClients/TestDaemonCrowds.cpp
@@ -37,6 +37,18 @@
   }
   Endpoint callers() { return {"127.0.0.1", daemon().Callers_}; }
 
+  /// Sends a request with so many short fields and the largest body, and
+  /// returns the status of its answer.
+  int sendLargest(int Fields) {
+    auto Head = Deployment_.headers();
+    for (int Number = 0; Number < Fields; ++Number)
+      Head.emplace("a", "b");
+    return processes::call(daemon().Callers_, "POST",
+                           "/services/entry-desk/status",
+                           std::string(MaxBody, 'x'), Head)
+        .Status_;
+  }
+
   /// Checks what has to hold whatever callers have sent, once the daemon has
   /// read everything.
   void check() {
@@ -114,3 +126,11 @@
   Crowd.send();
   Daemon.check();
 }
+
+TEST_CASE("A single request with a head of many short fields and the largest "
+          "body is served in calm by the daemon") {
+  constexpr int Fields = 10000;
+  SmallDaemon Daemon("body_memory_bytes = 1\n");
+  CHECK(Daemon.sendLargest(Fields) == 200);
+  Daemon.check();
+}
