--- a/Libraries/LibCallers/CallerServer.cpp
+++ b/Libraries/LibCallers/CallerServer.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t RequestsPerConnection = 1000000;
 /// Bytes of memory for each byte of a body, whose buffer doubles as it grows.
 constexpr std::size_t BytesForGrowth = 2;
+/// Bytes of memory for each byte of a head, if its fields are as short as can
+/// be.
+constexpr std::size_t BytesForFields = 66;
 
 CallerMessage messageOf(httplib::Request const &Request) {
   CallerMessage Message;
@@ -93,7 +96,8 @@
       : Settings_(Settings), Handler_(std::move(Handler)),
         Refuse_(std::move(Refuse)),
         BodyMemory_(std::max(Settings_.BodyMemoryBytes_,
-                             BytesForGrowth * Settings_.MaxBodyBytes_)) {
+                             BytesForGrowth * Settings_.MaxBodyBytes_ +
+                                 BytesForFields * Settings_.Head_.MaxBytes_)) {
     setLimits();
     setRoutes();
     setErrors();
@@ -107,8 +111,8 @@
     Server_.set_keep_alive_timeout(Settings_.KeepAlive_.count());
     Server_.set_keep_alive_max_count(RequestsPerConnection);
     auto const Threads = Settings_.MaxThreads_;
-    Server_.new_task_queue = [Threads] {
-      return new ElasticTaskQueue(Threads);
+    Server_.new_task_queue = [this, Threads] {
+      return new ElasticTaskQueue(Threads, [this] { Server_.makeRoom(); });
     };
   }
 
@@ -176,10 +180,11 @@
     });
     if (IsComplete)
       return answer(Message, Response);
+    Server_.closeAfterAnswer();
+    Response.set_header("Connection", "close");
     if (Message.Body_.size() > Settings_.MaxBodyBytes_ ||
         Response.status == 413)
       return refuse(413, Response);
-    Response.set_header("Connection", "close");
     if (!HasRoom)
       return write(Refuse_({ErrorKind::ResourceExhausted,
                             "the bodies of all requests take too much memory",
@@ -198,6 +203,14 @@
   }
 
   void answer(CallerMessage const &Message, httplib::Response &Response) {
+    if (!Server_.beginServing()) {
+      Server_.closeAfterAnswer();
+      Response.set_header("Connection", "close");
+      return write(Refuse_({ErrorKind::ResourceExhausted,
+                            "too many connections are open",
+                            "send the request again in a second"}),
+                   Response);
+    }
     auto const Answer = Handler_(Message);
     std::visit([&](auto const &Alternative) { write(Alternative, Response); },
                Answer);
@@ -207,7 +220,7 @@
   CallerHandler const Handler_;
   RefusalWriter const Refuse_;
   BodyMemory BodyMemory_;
-  StoppableServer Server_;
+  StoppableServer Server_{BodyMemory_};
   Endpoint Endpoint_;
 };
 
--- a/Libraries/LibSettings/KeyDescription.cpp
+++ b/Libraries/LibSettings/KeyDescription.cpp
@@ -144,7 +144,8 @@
               accessor(&DaemonSettings::Callers_, &CallersSettings::Endpoint_));
   Keys.push_back(integerKey(
       "callers", "threads", "256", {1, MaxThreads},
-      "Connections served at once, one thread each.",
+      "Connections served at once, one thread each; further ones replace "
+      "those that have waited longest for their callers.",
       accessor(&DaemonSettings::Callers_, &CallersSettings::Threads_)));
   Keys.push_back(integerKey(
       "callers", "max_body_bytes", "8388608", {1, MaxBytes},
@@ -152,12 +153,14 @@
       accessor(&DaemonSettings::Callers_, &CallersSettings::MaxBodyBytes_)));
   Keys.push_back(integerKey(
       "callers", "body_memory_bytes", "33554432", {1, MaxBytes},
-      "Memory for the bodies of all requests together, twice "
-      "max_body_bytes at least; beyond it requests are refused as not run.",
+      "Memory for the headers and bodies of all requests together, twice "
+      "max_body_bytes and 66 times max_header_bytes at least; beyond it "
+      "requests are refused as not run, or closed while they send headers.",
       accessor(&DaemonSettings::Callers_, &CallersSettings::BodyMemoryBytes_)));
   Keys.push_back(integerKey(
       "callers", "max_header_bytes", "65536", {1, MaxBytes},
-      "Requests with larger headers are refused.",
+      "Requests with larger headers, or with a longer line between the chunks "
+      "of a body, are refused.",
       accessor(&DaemonSettings::Callers_, &CallersSettings::MaxHeaderBytes_)));
   Keys.push_back(durationKey(
       "callers", "header_timeout_ms", "5000",
--- a/Tests/LibCallers/TestCallerServer.cpp
+++ b/Tests/LibCallers/TestCallerServer.cpp
@@ -9,7 +9,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <future>
+#include <list>
 #include <thread>
 
 using namespace laburnum;
@@ -202,6 +204,33 @@
   CHECK(Answer->body == "GET");
 }
 
+TEST_CASE("Idle connections that hold all threads are closed for others, and "
+          "requests in progress are not") {
+  std::promise<void> Entered;
+  std::promise<void> MayEnd;
+  RunningServer const Server([&](CallerMessage const &Message) -> CallerAnswer {
+    if (Message.Target_ == "/held") {
+      Entered.set_value();
+      MayEnd.get_future().wait();
+    }
+    return echo(Message);
+  });
+  auto Held = std::async(std::launch::async, [&] {
+    auto const Answer = Server.client().Get("/held");
+    return Answer ? Answer->status : 0;
+  });
+  Entered.get_future().wait();
+  std::list<httplib::Client> Idle;
+  for (int Number = 0; Number < 8; ++Number) {
+    Idle.push_back(Server.client());
+    Idle.back().set_keep_alive(true);
+    auto const Answer = Idle.back().Get("/x");
+    CHECK((Answer && Answer->status == 200));
+  }
+  MayEnd.set_value();
+  CHECK(Held.get() == 200);
+}
+
 TEST_CASE("A request without body and length is served") {
   auto const *Method = GENERATE("PUT", "POST", "PATCH", "DELETE");
   RunningServer const Server(echo);
@@ -234,6 +263,37 @@
   CHECK(Answer.starts_with("HTTP/1.1 413"));
 }
 
+TEST_CASE("A line between chunks is limited like the head, so that it cannot "
+          "take up the memory") {
+  RunningServer const Server(echo);
+  auto const Exchange = [&](std::size_t LineBytes) {
+    return Server.exchange("POST /x HTTP/1.1\r\nHost: x\r\n"
+                           "Connection: close\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n4;" +
+                           std::string(LineBytes - 4, 'x') +
+                           "\r\nbody\r\n0\r\n\r\n");
+  };
+  CHECK(Exchange(HeadLimit).ends_with("POSTbody"));
+  auto const Answer = Exchange(2 * HeadLimit);
+  // The unread rest of the body may cause a reset before the answer is read.
+  CHECK((Answer.empty() || Answer.starts_with("HTTP/1.1 504")));
+}
+
+TEST_CASE("What follows in a chunked body that was refused is not a request") {
+  std::atomic<int> Calls = 0;
+  RunningServer const Server([&](CallerMessage const &Message) {
+    ++Calls;
+    return echo(Message);
+  });
+  auto const Answer = Server.exchange(
+      "POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "80\r\n" +
+      std::string(2 * BodyLimit, 'x') +
+      "\r\n40\r\nGET /y HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  CHECK((Answer.empty() || Answer.starts_with("HTTP/1.1 413")));
+  CHECK(Calls == 0);
+}
+
 TEST_CASE("A request without a body length keeps its connection open") {
   RunningServer const Server(echo);
   auto const Answer =
