--- a/Tests/Platform/TestObjectClient.cpp
+++ b/Tests/Platform/TestObjectClient.cpp
@@ -136,8 +136,9 @@
   Store_.Script_ = {{200, R"({"items":[)" + object(Name, 3, "1") +
                               R"(],"has_more":true,"current_rev":9})"},
                     {200, R"({"items":[],"has_more":false,"current_rev":9})"}};
-  await<ObjectList>(
-      [&](auto Done) { Client_.list("things", Consistency, Timeout, Done); });
+  await<ObjectList>([&, Wanted = Consistency](auto Done) {
+    Client_.list("things", Wanted, Timeout, Done);
+  });
   CHECK(Store_.Calls_.back() ==
         "GET /laburnumpond/objects/things" + Query + Encoded);
 }
