--- a/Tests/LibPeer/TestAsioPeerTransport.cpp
+++ b/Tests/LibPeer/TestAsioPeerTransport.cpp
@@ -346,7 +346,7 @@
   EntryInstance Sender;
   Sender.Id_ = InstanceId("peer");
   Sender.Peers_ = {"127.0.0.1", 7500};
-  auto const Socket = sendRaw(Context, *New, Hello{"secret", Sender});
+  auto const Socket = sendRaw(Context, *New, Hello{Secret, Sender});
   {
     NoMoreDescriptors const Exhausted;
     constexpr std::size_t MaxHandlers = 1000;
