--- a/Libraries/LibLog/LogLine.cpp
+++ b/Libraries/LibLog/LogLine.cpp
@@ -1,8 +1,8 @@
 #include <LibLog/LogLine.h>
 
-#include <algorithm>
+#include <LibLog/LogValue.h>
+
 #include <array>
-#include <cctype>
 #include <cinttypes>
 #include <cstdio>
 
@@ -10,15 +10,6 @@
 
 namespace {
 
-bool isPlain(std::string_view Value) {
-  return !Value.empty() &&
-         std::all_of(Value.begin(), Value.end(), [](unsigned char Character) {
-           return std::isalnum(Character) ||
-                  std::string_view("._:/-+,").find(
-                      static_cast<char>(Character)) != std::string_view::npos;
-         });
-}
-
 std::string hexadecimal(std::uint64_t Value) {
   std::array<char, 17> Text{};
   std::snprintf(Text.data(), Text.size(), "%016" PRIx64, Value);
@@ -32,19 +23,7 @@
 LogLine &LogLine::add(std::string_view Name, std::string_view Value) {
   if (!Text_.empty())
     Text_ += ' ';
-  Text_.append(Name).append("=");
-  if (isPlain(Value)) {
-    Text_.append(Value);
-    return *this;
-  }
-  Text_ += '"';
-  for (char const Character : Value) {
-    if (Character == '"' || Character == '\\')
-      Text_ += '\\';
-    Text_ +=
-        std::iscntrl(static_cast<unsigned char>(Character)) ? ' ' : Character;
-  }
-  Text_ += '"';
+  Text_.append(Name).append("=").append(logValue(Value));
   return *this;
 }
 
--- a/Services/laburnumd/ControlPlane.cpp
+++ b/Services/laburnumd/ControlPlane.cpp
@@ -1,5 +1,7 @@
 #include "ControlPlane.h"
 
+#include <LibLog/LogValue.h>
+
 #include <asio/post.hpp>
 #include <glog/logging.h>
 
@@ -240,8 +242,8 @@
 }
 
 void ControlPlane::perform(configuration::RaiseAlarm const &Action) {
-  LOG(ERROR) << "instance=" << Self_.text() << " alarm=\"" << Action.Message_
-             << "\"";
+  LOG(ERROR) << "instance=" << Self_.text()
+             << " alarm=" << logValue(Action.Message_);
 }
 
 void ControlPlane::perform(membership::MembersChanged const &Action) {
@@ -255,7 +257,7 @@
   OnViewChanged_();
   for (auto const &Server : Action.ChangedServers_)
     LOG(INFO) << "instance=" << Self_.text()
-              << " server_departure=" << Server.text();
+              << " server_departure=" << logValue(Server.text());
 }
 
 void ControlPlane::readInstanceList() {
--- a/Services/laburnumd/CrashService.cpp
+++ b/Services/laburnumd/CrashService.cpp
@@ -4,6 +4,7 @@
 
 #include <LibCore/Hash.h>
 #include <LibFleet/UnusableServers.h>
+#include <LibLog/LogValue.h>
 
 #include <asio/post.hpp>
 #include <glog/logging.h>
@@ -117,7 +118,7 @@
       return BrokenLinks_.add();
     Crashes_.add();
     LOG(WARNING) << "instance=" << Self_.text()
-                 << " server_gone=" << Server.Id_.text() << " cause="
+                 << " server_gone=" << logValue(Server.Id_.text()) << " cause="
                  << (Cause == DisconnectCause::Crash     ? "crash"
                      : Cause == DisconnectCause::Reclaim ? "reclaim"
                                                          : "machine_lost");
