laburnumd: Wait for a listening port that is held

What operators saw: a laburnumd that was started while one of its ports was still held, for example by its previous process, ended at once with status 4. The callers' port was opened twice where both daemons use it (SO_REUSEPORT, the default of the HTTP library), so that each got a part of the connections.

The process now waits until no process listens on its ports, says which one is held at once and every 10 s (`port_held=ADDRESS:PORT`), and ends on SIGTERM or SIGINT meanwhile. The callers' port is opened with SO_REUSEADDR alone; a port that is taken between the check and the opening still ends the start.

--- a/Libraries/LibCallers/CallerServer.cpp
+++ b/Libraries/LibCallers/CallerServer.cpp
@@ -98,11 +98,21 @@
         BodyMemory_(std::max(Settings_.BodyMemoryBytes_,
                              BytesForGrowth * Settings_.MaxBodyBytes_ +
                                  BytesForFields * Settings_.Head_.MaxBytes_)) {
+    setSocketOptions();
     setLimits();
     setRoutes();
     setErrors();
   }
 
+  /// With the library's SO_REUSEPORT a second daemon could bind the same port
+  /// and receive half of the connections.
+  void setSocketOptions() {
+    Server_.set_socket_options([](socket_t Socket) {
+      int const IsOn = 1;
+      ::setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &IsOn, sizeof(IsOn));
+    });
+  }
+
   void setLimits() {
     Server_.set_tcp_nodelay(true);
     Server_.set_read_timeout(Settings_.ReadTimeout_);
--- a/Services/laburnumd/main.cpp
+++ b/Services/laburnumd/main.cpp
@@ -1,4 +1,5 @@
 #include "Daemon.h"
+#include "HeldPorts.h"
 
 #include <cxxopts.hpp>
 #include <glog/logging.h>
@@ -58,6 +59,10 @@
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   startLog(Settings.Instance_.LogLevel_);
+  if (awaitFreePorts({Settings.Callers_.Endpoint_,
+                      Settings.Operators_.Endpoint_, Settings.Peers_.Endpoint_},
+                     Signals) == PortWait::Stopped)
+    return 0;
   auto Created = Daemon::create(std::move(Settings));
   if (isError(Created)) {
     std::cerr << "laburnumd: " << toString(errorOf(Created)) << '\n';
--- a/Tests/Processes/LocalDeployment.cpp
+++ b/Tests/Processes/LocalDeployment.cpp
@@ -117,25 +117,40 @@
   return Created;
 }
 
-DaemonProcess &LocalDeployment::addInstance() {
-  auto const Number = Instances_.size() + 1;
-  auto const Name = "entry-" + std::to_string(Number);
-  auto const Path = Folder_ + "/" + Name + ".ini";
+std::string LocalDeployment::writeSettings(DaemonProcess const &Instance,
+                                           std::size_t Number) const {
+  auto Path = Folder_ + "/" + Instance.Name_ + ".ini";
   std::string Seeds;
-  for (auto const &Element : Instances_)
+  for (std::size_t Index = 0; Index + 1 < Number; ++Index)
     Seeds += (Seeds.empty() ? "" : ",") + std::string(Loopback) + ":" +
-             std::to_string(Element->Peers_);
-  std::ofstream(Path) << "[instance]\nid = " << Name << "\ndata_centre = wien-"
-                      << Number % 2 + 1 << "\n[callers]\nport = 0\n"
-                      << CallersSettings_ << "[operators]\nport = 0\nkeys = "
-                      << "tests:" << OperatorKey_
-                      << "\n[peers]\nport = 0\nsecret = " << Secret_
-                      << "\nseeds = " << Seeds
+             std::to_string(Instances_[Index]->Peers_);
+  std::ofstream(Path) << "[instance]\nid = " << Instance.Name_
+                      << "\ndata_centre = wien-" << Number % 2 + 1
+                      << "\n[callers]\nport = " << Instance.Callers_ << '\n'
+                      << CallersSettings_
+                      << "[operators]\nport = " << Instance.Operators_
+                      << "\nkeys = tests:" << OperatorKey_
+                      << "\n[peers]\nport = " << Instance.Peers_
+                      << "\nsecret = " << Secret_ << "\nseeds = " << Seeds
                       << "\n[platform]\nendpoint = 127.0.0.1:"
                       << Platform_->Port_ << "\nwrites_per_second = 1000"
                       << "\n[backends]\nstall_timeout_ms = 1500\n";
+  return Path;
+}
+
+void LocalDeployment::launchAgain(std::size_t Index) {
+  auto &Instance = *Instances_[Index];
+  auto const Path = writeSettings(Instance, Index + 1);
+  Instance.Process_ = std::make_unique<Process>(
+      "laburnumd", std::vector<std::string>{"--settings", Path});
+}
+
+DaemonProcess &LocalDeployment::addInstance() {
+  auto const Number = Instances_.size() + 1;
+  auto const Name = "entry-" + std::to_string(Number);
   auto Created = std::make_unique<DaemonProcess>();
   Created->Name_ = Name;
+  auto const Path = writeSettings(*Created, Number);
   Created->Process_ = std::make_unique<Process>(
       "laburnumd", std::vector<std::string>{"--settings", Path});
   auto const Line = Created->Process_->awaitLine("state=serving");
--- a/Tests/Processes/LocalDeployment.h
+++ b/Tests/Processes/LocalDeployment.h
@@ -64,6 +64,9 @@
 
   /// Starts another instance with the existing ones as its seeds.
   DaemonProcess &addInstance();
+  /// Starts an instance that has ended at the same ports as before, without
+  /// waiting for it.
+  void launchAgain(std::size_t Index);
   /// Applies a plain service with a new server through an instance.
   void applyService(std::size_t Index, std::string const &Name);
 
@@ -85,6 +88,9 @@
   std::unique_ptr<Standin> startStandin(std::string const &Program,
                                         std::string const &Name,
                                         std::vector<std::string> Arguments);
+  /// Returns the path. A port of 0 leaves the choice to the system.
+  std::string writeSettings(DaemonProcess const &Instance,
+                            std::size_t Number) const;
   OperatorClient operatorOf(std::size_t Index) const;
   void configure();
   void applyServer(OperatorClient &Client, std::string const &Service,
