LibCallers, LibBackend: Limit the memory of answers that callers don't read

What operators would have seen: callers of laburnumd that ask for large answers and do not read them took all memory.

Answers that arrive from plain services now hold shares of one limit until they are passed on to their connections, where those that are being written count for another one. An answer without a share fails; the connections whose answers have been written for longest are closed. Both are callers.answer_memory_bytes, 32 MiB unless it is set. A single answer of the largest size always has room. The answer is moved to the library instead of copied.

--- a/Libraries/LibBackend/BackendClient.h
+++ b/Libraries/LibBackend/BackendClient.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -82,6 +83,8 @@
   AttemptEvidence Evidence_;
   PlainAnswer Answer_; ///< Complete only if the evidence says so.
   std::optional<LoadReport> Load_;
+  /// The memory that the answer takes, as long as anything holds this.
+  std::shared_ptr<void const> Memory_;
 
   auto operator<=>(PlainResult const &) const = default;
 };
--- a/Libraries/LibBackend/HttpBackendClient.cpp
+++ b/Libraries/LibBackend/HttpBackendClient.cpp
@@ -12,9 +12,14 @@
 static constexpr int MaxCancelAttempts = 2;
 static constexpr int ServiceUnavailable = 503;
 static constexpr int Ok = 200;
+/// Bytes of memory for each byte of an answer, whose buffer doubles as it
+/// grows.
+static constexpr std::size_t BytesForGrowth = 2;
 
 HttpBackendClient::HttpBackendClient(BackendClientSettings Settings)
     : Settings_(Settings),
+      AnswerMemory_(std::max(Settings.AnswerMemoryBytes_,
+                             BytesForGrowth * Settings.MaxAnswerBytes_)),
       Pool_(Settings.MaxIdlePerEndpoint_, Settings.MaxIdle_) {}
 
 /// The timeouts of httplib limit single reads and writes. The deadline watch,
@@ -117,14 +122,22 @@
   }
   httplib::Request Request = plainRequest(Call);
   httplib::Response Response;
+  auto const Room = std::make_shared<BodyMemory::Share>(AnswerMemory_);
+  Result.Memory_ = Room;
+  bool HasRoom = true;
   auto const Take = [&](char const *Bytes, std::size_t Size) {
-    Result.Answer_.Body_.append(Bytes, Size);
-    return Result.Answer_.Body_.size() <= Settings_.MaxAnswerBytes_;
+    auto &Body = Result.Answer_.Body_;
+    HasRoom = Room->extend(BytesForGrowth * (Body.size() + Size));
+    if (HasRoom)
+      Body.append(Bytes, Size);
+    return HasRoom && Body.size() <= Settings_.MaxAnswerBytes_;
   };
   auto const Exchanged =
       exchange(Server.Endpoint_, Request, Response, Call.Timeout_, Take);
   Result.Evidence_ = evidenceOf(Exchanged, Response);
   classifyAnswer(Result.Evidence_, Request, Response, Exchanged);
+  if (!HasRoom)
+    Result.Evidence_.Detail_ = "the answers take too much memory";
   if (!Exchanged.hasAnswer())
     return Result;
   Result.Answer_.Status_ = Response.status;
--- a/Libraries/LibBackend/HttpBackendClient.h
+++ b/Libraries/LibBackend/HttpBackendClient.h
@@ -3,6 +3,7 @@
 #include <LibBackend/BackendClient.h>
 #include <LibBackend/DeadlineWatch.h>
 #include <LibBackend/HttpClientPool.h>
+#include <LibCore/BodyMemory.h>
 
 #include <cstddef>
 
@@ -16,6 +17,9 @@
   std::size_t MaxIdlePerEndpoint_ = 16; ///< Idle connections per endpoint.
   std::size_t MaxIdle_ = 256;           ///< Idle connections in total.
   std::size_t MaxAnswerBytes_ = std::size_t{16} << 20; ///< Of a plain answer.
+  /// Of all plain answers while they arrive; never less than twice
+  /// MaxAnswerBytes_.
+  std::size_t AnswerMemoryBytes_ = std::size_t{32} << 20;
 
   auto operator<=>(BackendClientSettings const &) const = default;
 };
@@ -59,6 +63,7 @@
   void cancel(Endpoint const &Target, CompletionCall const &Call);
 
   BackendClientSettings const Settings_;
+  BodyMemory AnswerMemory_;
   HttpClientPool Pool_;
   DeadlineWatch Watch_;
 };
--- a/Libraries/LibCallers/CallerServer.cpp
+++ b/Libraries/LibCallers/CallerServer.cpp
@@ -1,13 +1,14 @@
 #include <LibCallers/CallerServer.h>
 
-#include <LibCallers/BodyMemory.h>
 #include <LibCallers/ElasticTaskQueue.h>
 #include <LibCallers/StoppableServer.h>
+#include <LibCore/BodyMemory.h>
 #include <LibCore/Time.h>
 
 #include <httplib.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace laburnum {
 
@@ -30,11 +31,13 @@
   return Message;
 }
 
-void write(HttpAnswer const &Answer, httplib::Response &Response) {
+void write(HttpAnswer Answer, httplib::Response &Response) {
   Response.status = Answer.Status_;
   for (auto const &Field : Answer.Fields_)
     Response.set_header(Field.Name_, Field.Value_);
-  Response.set_content(Answer.Body_, Answer.ContentType_);
+  Response.set_content("", Answer.ContentType_);
+  // The library would copy it.
+  Response.body = std::move(Answer.Body_);
 }
 
 /// Writes one item; false ends the stream.
@@ -117,6 +120,7 @@
     Server_.set_tcp_nodelay(true);
     Server_.set_read_timeout(Settings_.ReadTimeout_);
     Server_.setHeadBounds(Settings_.Head_);
+    Server_.setMaxUnwritten(Settings_.AnswerMemoryBytes_);
     Server_.set_payload_max_length(Settings_.MaxBodyBytes_);
     Server_.set_keep_alive_timeout(Settings_.KeepAlive_.count());
     Server_.set_keep_alive_max_count(RequestsPerConnection);
@@ -221,9 +225,12 @@
                             "send the request again in a second"}),
                    Response);
     }
-    auto const Answer = Handler_(Message);
-    std::visit([&](auto const &Alternative) { write(Alternative, Response); },
-               Answer);
+    auto Answer = Handler_(Message);
+    if (auto *const Whole = std::get_if<HttpAnswer>(&Answer)) {
+      Server_.beginAnswer(Whole->Body_.size());
+      return write(std::move(*Whole), Response);
+    }
+    write(std::get<StreamAnswer>(Answer), Response);
   }
 
   CallerServerSettings const Settings_;
--- a/Libraries/LibCallers/CallerServer.h
+++ b/Libraries/LibCallers/CallerServer.h
@@ -30,6 +30,9 @@
   std::size_t MaxBodyBytes_ = std::size_t(1) << 20;
   /// Of all bodies together; never less than twice MaxBodyBytes_.
   std::size_t BodyMemoryBytes_ = std::size_t(32) << 20;
+  /// Of all answers that are being written, beside the first 64 KiB of each; a
+  /// single one may be larger.
+  std::size_t AnswerMemoryBytes_ = std::size_t(32) << 20;
   Duration BodyTimeout_ = std::chrono::seconds(10);
   Duration ReadTimeout_ = std::chrono::seconds(5);
   HeadBounds Head_;
--- a/Libraries/LibCallers/ConnectionStream.h
+++ b/Libraries/LibCallers/ConnectionStream.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibCallers/BodyMemory.h>
 #include <LibCallers/HeadBounds.h>
+#include <LibCore/BodyMemory.h>
 
 #include <httplib.h>
 
--- a/Libraries/LibCallers/FlowRunner.cpp
+++ b/Libraries/LibCallers/FlowRunner.cpp
@@ -1,6 +1,7 @@
 #include <LibCallers/FlowRunner.h>
 
 #include <thread>
+#include <utility>
 
 namespace laburnum {
 
@@ -28,7 +29,7 @@
                              "report this with the request identifier"},
                             RunState::MayHaveRun,
                             std::nullopt}};
-  return {*End_, Flow_.counts()};
+  return {std::move(*End_), Flow_.counts(), AnswerMemory_};
 }
 
 /// Cancelling, sending and recording are performed at once; other actions are
@@ -59,6 +60,7 @@
 
 void FlowRunner::perform(flow::StartPlainAttempt const &Action) {
   auto Outcome = Resources_.Backends_.call(Action.Server_, Action.Call_);
+  AnswerMemory_ = Outcome.Memory_;
   feed(flow::PlainAttemptEnded{Action.Call_.Attempt_, std::move(Outcome)});
 }
 
--- a/Libraries/LibCallers/FlowRunner.h
+++ b/Libraries/LibCallers/FlowRunner.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <variant>
 
@@ -42,6 +43,7 @@
 struct FlowReport {
   FlowEnd End_;
   FlowCounts Counts_;
+  std::shared_ptr<void const> AnswerMemory_; ///< See PlainResult.
 
   auto operator<=>(FlowReport const &) const = default;
 };
@@ -91,6 +93,7 @@
   bool IsCurrentCancelled_ = false;
   bool HasReportedLeaving_ = false;
   std::optional<FlowEnd> End_;
+  std::shared_ptr<void const> AnswerMemory_;
 };
 
 } // namespace laburnum
--- a/Libraries/LibCallers/StoppableServer.cpp
+++ b/Libraries/LibCallers/StoppableServer.cpp
@@ -3,6 +3,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace laburnum {
 
 namespace {
@@ -40,15 +43,21 @@
   closeOwed();
 }
 
+std::map<socket_t, StoppableServer::Connection>::iterator
+StoppableServer::longestIn(std::initializer_list<Use> Uses) {
+  auto Longest = Open_.end();
+  for (auto Each = Open_.begin(); Each != Open_.end(); ++Each) {
+    auto const &Current = Each->second;
+    if (std::find(Uses.begin(), Uses.end(), Current.Use_) != Uses.end() &&
+        (Longest == Open_.end() || Current.Since_ < Longest->second.Since_))
+      Longest = Each;
+  }
+  return Longest;
+}
+
 void StoppableServer::closeOwed() {
   while (Owed_ > 0) {
-    auto Longest = Open_.end();
-    for (auto Each = Open_.begin(); Each != Open_.end(); ++Each) {
-      auto const &[Now, Since] = Each->second;
-      if ((Now == Use::Idle || Now == Use::Reading) &&
-          (Longest == Open_.end() || Since < Longest->second.Since_))
-        Longest = Each;
-    }
+    auto const Longest = longestIn({Use::Idle, Use::Reading});
     if (Longest == Open_.end())
       return;
     --Owed_;
@@ -67,6 +76,22 @@
   return true;
 }
 
+void StoppableServer::beginAnswer(std::size_t Bytes) {
+  if (Bytes <= BodyMemory::Share::FreeBytes)
+    return;
+  std::lock_guard const Lock(Mutex_);
+  auto const Longest = [this] { return longestIn({Use::Answering}); };
+  for (auto Next = Longest();
+       Unwritten_ + Bytes > MaxUnwritten_ && Next != Open_.end();
+       Next = Longest()) {
+    Next->second.Use_ = Use::Closing;
+    Unwritten_ -= std::exchange(Next->second.Unwritten_, 0);
+    ::shutdown(Next->first, SHUT_RDWR);
+  }
+  Open_.at(CurrentStream->socket()) = {Use::Answering, ++Changes_, Bytes};
+  Unwritten_ += Bytes;
+}
+
 void StoppableServer::closeAfterAnswer() { CurrentStream->breakOff(); }
 
 bool StoppableServer::process_and_close_socket(socket_t Socket) {
@@ -112,6 +137,7 @@
 bool StoppableServer::setUse(socket_t Socket, Use Now) {
   std::lock_guard const Lock(Mutex_);
   auto &Current = Open_[Socket];
+  Unwritten_ -= std::exchange(Current.Unwritten_, 0);
   if (IsClosed_ || Current.Use_ == Use::Closing)
     return false;
   Current = {Now, ++Changes_};
@@ -122,8 +148,10 @@
 
 void StoppableServer::release(socket_t Socket) {
   std::lock_guard const Lock(Mutex_);
-  if (Owed_ > 0 && Open_.at(Socket).Use_ != Use::Closing)
+  auto const &Current = Open_.at(Socket);
+  if (Owed_ > 0 && Current.Use_ != Use::Closing)
     --Owed_;
+  Unwritten_ -= Current.Unwritten_;
   Open_.erase(Socket);
   ::shutdown(Socket, SHUT_RDWR);
   ::close(Socket);
--- a/Libraries/LibCallers/StoppableServer.h
+++ b/Libraries/LibCallers/StoppableServer.h
@@ -5,15 +5,17 @@
 #include <httplib.h>
 
 #include <cstdint>
+#include <initializer_list>
 #include <map>
 #include <mutex>
 
 namespace laburnum {
 
-/// The HTTP library's server with three changes: a stop does not wait for idle
+/// The HTTP library's server with four changes: a stop does not wait for idle
 /// connections, which the library keeps until their timeout; the backlog is
-/// long enough for bursts of new connections; and a connection that waits for
-/// its caller cannot keep others from being served.
+/// long enough for bursts of new connections; a connection that waits for
+/// its caller cannot keep others from being served; and the answers that
+/// callers do not read take limited memory.
 class StoppableServer : public httplib::Server {
 public:
   explicit StoppableServer(BodyMemory &Memory) : Memory_(Memory) {}
@@ -21,6 +23,10 @@
   /// Must be called before listening.
   void setHeadBounds(HeadBounds const &Bounds) { HeadBounds_ = Bounds; }
 
+  /// Must be called before listening. Limits the answers that are being written
+  /// together, but not a single one.
+  void setMaxUnwritten(std::size_t Bytes) { MaxUnwritten_ = Bytes; }
+
   /// Raises the backlog above the library's 5. Must be called between binding
   /// and listening.
   void enlargeBacklog();
@@ -38,23 +44,34 @@
   /// false if its connection has been chosen to make room.
   bool beginServing();
 
+  /// Must be called before the calling thread writes an answer of this size.
+  /// Closes the connections whose answers have been written for longest if all
+  /// answers together exceed the limit.
+  void beginAnswer(std::size_t Bytes);
+
   /// Ends the connection that the calling thread serves after its answer, since
   /// the rest of its body would be read as further requests.
   void closeAfterAnswer();
 
 private:
   enum class Use {
-    Idle,    ///< Waits for a request.
-    Reading, ///< A request has begun to arrive.
-    Serving, ///< A request has arrived whole.
-    Closing, ///< Chosen to make room.
+    Idle,      ///< Waits for a request.
+    Reading,   ///< A request has begun to arrive.
+    Serving,   ///< A request has arrived whole.
+    Answering, ///< A large answer is being written.
+    Closing,   ///< Chosen to make room.
   };
   struct Connection {
     Use Use_ = Use::Idle;
-    std::uint64_t Since_ = 0; ///< Orders the changes of use.
+    std::uint64_t Since_ = 0;   ///< Orders the changes of use.
+    std::size_t Unwritten_ = 0; ///< Bytes of the answer while Answering.
   };
 
   bool process_and_close_socket(socket_t Socket) override;
+  /// Returns the connection that has been in one of these uses for longest, or
+  /// Open_.end().
+  std::map<socket_t, Connection>::iterator
+  longestIn(std::initializer_list<Use> Uses);
   /// Closes as many connections that wait for their callers as are owed.
   void closeOwed();
   /// False when the connection must end.
@@ -64,10 +81,12 @@
 
   BodyMemory &Memory_;
   HeadBounds HeadBounds_;
+  std::size_t MaxUnwritten_ = 0;
 
   std::mutex Mutex_; ///< Guards all members below.
   std::map<socket_t, Connection> Open_;
   std::uint64_t Changes_ = 0;
+  std::size_t Unwritten_ = 0; ///< Bytes of all answers being written.
   /// Connections that still have to end for those that wait for a thread.
   std::size_t Owed_ = 0;
   bool IsClosed_ = false;
--- a/Libraries/LibCallers/BodyMemory.cpp
+++ b/Libraries/LibCore/BodyMemory.cpp
@@ -1,4 +1,4 @@
-#include <LibCallers/BodyMemory.h>
+#include <LibCore/BodyMemory.h>
 
 namespace laburnum {
 
--- a/Libraries/LibCallers/BodyMemory.h
+++ b/Libraries/LibCore/BodyMemory.h
@@ -5,8 +5,8 @@
 
 namespace laburnum {
 
-/// Bounds the memory that the heads and bodies of all requests of a process
-/// take together. Thread-safe.
+/// Bounds the memory that the heads and bodies of all messages of a process
+/// take together, each of which holds a share. Thread-safe.
 class BodyMemory {
 public:
   explicit BodyMemory(std::size_t MaxBytes) : MaxBytes_(MaxBytes) {}
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -27,6 +27,7 @@
   std::uint32_t Threads_ = 0; ///< Each serves one open connection.
   std::uint64_t MaxBodyBytes_ = 0;
   std::uint64_t BodyMemoryBytes_ = 0;
+  std::uint64_t AnswerMemoryBytes_ = 0;
   std::uint64_t MaxHeaderBytes_ = 0;
   Duration HeaderTimeout_{};
   Duration MaxDeadline_{};
--- a/Libraries/LibSettings/KeyDescription.cpp
+++ b/Libraries/LibSettings/KeyDescription.cpp
@@ -157,6 +157,14 @@
       "max_body_bytes and 66 times max_header_bytes at least; beyond it "
       "requests are refused as not run, or closed while they send headers.",
       accessor(&DaemonSettings::Callers_, &CallersSettings::BodyMemoryBytes_)));
+  Keys.push_back(integerKey(
+      "callers", "answer_memory_bytes", "33554432", {1, MaxBytes},
+      "Memory for the answers that arrive from servers, and as much for those "
+      "that callers have not read, beside the first 64 KiB of each; beyond it "
+      "answers fail, and callers that have not read theirs for longest are "
+      "disconnected. A single answer always has room.",
+      accessor(&DaemonSettings::Callers_,
+               &CallersSettings::AnswerMemoryBytes_)));
   Keys.push_back(integerKey(
       "callers", "max_header_bytes", "65536", {1, MaxBytes},
       "Requests with larger headers, or with a longer line between the chunks "
--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -64,6 +64,7 @@
   Converted.MaxThreads_ = Settings.Callers_.Threads_;
   Converted.MaxBodyBytes_ = Settings.Callers_.MaxBodyBytes_;
   Converted.BodyMemoryBytes_ = Settings.Callers_.BodyMemoryBytes_;
+  Converted.AnswerMemoryBytes_ = Settings.Callers_.AnswerMemoryBytes_;
   Converted.ReadTimeout_ = Settings.Callers_.HeaderTimeout_;
   Converted.Head_ = {Settings.Callers_.MaxHeaderBytes_,
                      Settings.Callers_.HeaderTimeout_};
@@ -73,6 +74,7 @@
 BackendClientSettings backendSettings(DaemonSettings const &Settings) {
   BackendClientSettings Converted;
   Converted.StallTimeout_ = Settings.Backends_.StallTimeout_;
+  Converted.AnswerMemoryBytes_ = Settings.Callers_.AnswerMemoryBytes_;
   Converted.MaxIdlePerEndpoint_ = Settings.Backends_.ConnectionsPerServer_;
   return Converted;
 }
--- a/Services/laburnumd/RequestService.cpp
+++ b/Services/laburnumd/RequestService.cpp
@@ -16,10 +16,10 @@
   return {Status, "text/plain", Body, {}};
 }
 
-HttpAnswer answerOfPlain(PlainAnswer const &Answer, RequestId const &Id) {
+HttpAnswer answerOfPlain(PlainAnswer Answer, RequestId const &Id) {
   return {static_cast<int>(Answer.Status_),
-          Answer.ContentType_,
-          Answer.Body_,
+          std::move(Answer.ContentType_),
+          std::move(Answer.Body_),
           {{"Laburnum-Request-Id", Id.text()}}};
 }
 
@@ -140,12 +140,11 @@
 
 CallerAnswer RequestService::answerPlain(ParsedRequest const &Parsed) {
   auto const &Request = Parsed.Request_;
-  auto const Report =
-      Flows_.run(Request, [](std::uint32_t, std::string const &) {
-        return Continue::Yes;
-      });
-  if (auto const *Plain = std::get_if<flow::FinishPlain>(&Report.End_))
-    return answerOfPlain(Plain->Answer_, Request.Id_);
+  auto Report = Flows_.run(Request, [](std::uint32_t, std::string const &) {
+    return Continue::Yes;
+  });
+  if (auto *Plain = std::get_if<flow::FinishPlain>(&Report.End_))
+    return answerOfPlain(std::move(Plain->Answer_), Request.Id_);
   return answerOf(std::get<flow::FinishFailed>(Report.End_).Failure_,
                   Request.Id_);
 }
--- a/Tests/HostileClients/TestDaemonCrowds.cpp
+++ b/Tests/HostileClients/TestDaemonCrowds.cpp
@@ -1,10 +1,15 @@
 #include "Crowd.h"
 #include "ProcessUsage.h"
+#include "Readers.h"
+#include "SizedAnswers.h"
 
+#include <EntryProcess/StandinThread.h>
 #include <Processes/LocalDeployment.h>
 
 #include <catch2/catch.hpp>
 
+#include <memory>
+#include <stdexcept>
 #include <string>
 
 using namespace laburnum;
@@ -19,6 +24,8 @@
 /// Connections that exceed the daemon's threads.
 constexpr std::size_t Threads = 16;
 constexpr std::size_t Connections = 450;
+/// The largest plain answer that is passed on.
+constexpr std::size_t LargestAnswer = std::size_t{16} << 20;
 /// Of the daemon with so many threads, some of them waiting for servers.
 constexpr std::size_t Descriptors = 200;
 
@@ -59,10 +66,59 @@
   }
   std::size_t descriptors() { return openDescriptors(daemon().Process_->id()); }
 
+protected:
+  processes::LocalDeployment Deployment_;
+
 private:
   processes::DaemonProcess &daemon() { return Deployment_.instance(0); }
+};
 
-  processes::LocalDeployment Deployment_;
+/// A daemon with a server whose answers are as long as the path says.
+class AnsweringDaemon : public SmallDaemon {
+public:
+  AnsweringDaemon() : SmallDaemon("") {
+    Thread_.on([this] {
+      Listener_ = std::get<0>(
+          HttpListener::create(Thread_.context(), {"127.0.0.1", 0}, Server_));
+    });
+    Deployment_.applyService(0, "sized", Listener_->localEndpoint(), Capacity);
+    if (!processes::await([this] { return read(1).size() == 1; }))
+      throw std::runtime_error("the service of sized answers is not served");
+  }
+  ~AnsweringDaemon() {
+    Thread_.on([this] { Listener_->stopAccepting(); });
+    Thread_.stop();
+  }
+
+  std::string request(std::size_t AnswerBytes) const {
+    return "GET " + path(AnswerBytes) +
+           " HTTP/1.1\r\nHost: desk.example\r\nAuthorization: " +
+           Deployment_.headers().find("Authorization")->second + "\r\n\r\n";
+  }
+  /// Returns the body of the answer.
+  std::string read(std::size_t AnswerBytes) {
+    return processes::call(callers().Port_, "GET", path(AnswerBytes), "",
+                           Deployment_.headers())
+        .Body_;
+  }
+
+  /// Lets callers ask for one answer each without reading it.
+  void ask(std::size_t Askers, std::size_t AnswerBytes) {
+    Readers Readers(callers(), Askers);
+    Readers.ask([&](std::size_t) { return request(AnswerBytes); });
+    check();
+  }
+
+private:
+  static constexpr std::uint32_t Capacity = 1000;
+
+  static std::string path(std::size_t AnswerBytes) {
+    return "/services/sized/read/" + std::to_string(AnswerBytes);
+  }
+
+  entry_process::StandinThread Thread_;
+  SizedAnswers Server_;
+  std::shared_ptr<HttpListener> Listener_;
 };
 
 /// More connections than the daemon has threads, which all send the form.
@@ -134,3 +190,20 @@
   CHECK(Daemon.sendLargest(Fields) == 200);
   Daemon.check();
 }
+
+TEST_CASE("Callers of the daemon that do not read large answers leave room for "
+          "others") {
+  AnsweringDaemon().ask(Callers, std::size_t{1} << 20);
+}
+
+TEST_CASE("Callers of the daemon that do not read the largest answers leave "
+          "room for others") {
+  AnsweringDaemon().ask(24, LargestAnswer);
+}
+
+TEST_CASE("A single answer of the largest size is served in calm by the "
+          "daemon") {
+  AnsweringDaemon Daemon;
+  CHECK(Daemon.read(LargestAnswer).size() == LargestAnswer);
+  Daemon.check();
+}
--- a/Tests/Processes/LocalDeployment.cpp
+++ b/Tests/Processes/LocalDeployment.cpp
@@ -228,6 +228,27 @@
   require(Client.applyService({Id, 0, ""}, Added));
 }
 
+void LocalDeployment::applyService(std::size_t Index, std::string const &Name,
+                                   Endpoint const &Server,
+                                   std::uint32_t Capacity) {
+  auto Client = operatorOf(Index);
+  auto const Next = [this] {
+    return OperatorChange{ChangeId("change-" + std::to_string(++Changes_)), 0,
+                          ""};
+  };
+  BackendServer Value;
+  Value.Id_ = ServerId("of-" + Name);
+  Value.Service_ = ServiceName(Name);
+  Value.DataCentre_ = DataCentre("wien-1");
+  Value.Endpoint_ = Server;
+  Value.Capacity_ = Capacity;
+  require(Client.applyServer(Next(), Value));
+  Service Added;
+  Added.Name_ = ServiceName(Name);
+  Added.Kind_ = ServiceKind::Plain;
+  require(Client.applyService(Next(), Added));
+}
+
 httplib::Headers LocalDeployment::headers(std::string const &Key) const {
   httplib::Headers Created = {{"Authorization", "Bearer " + AccountKey_}};
   if (!Key.empty())
--- a/Tests/Processes/LocalDeployment.h
+++ b/Tests/Processes/LocalDeployment.h
@@ -69,6 +69,9 @@
   void launchAgain(std::size_t Index);
   /// Applies a plain service with a new server through an instance.
   void applyService(std::size_t Index, std::string const &Name);
+  /// Applies a plain service with a server of the caller's.
+  void applyService(std::size_t Index, std::string const &Name,
+                    Endpoint const &Server, std::uint32_t Capacity);
 
   httplib::Headers headers(std::string const &Key = "") const;
   Answer status(std::size_t Index) const;
