--- a/Tests/HostileClients/SizedAnswers.h
+++ b/Tests/HostileClients/SizedAnswers.h
@@ -9,7 +9,8 @@
 namespace laburnum::hostile_clients {
 
 /// Stand-in for a backend server whose answers are as long as the number at the
-/// end of the request's path says. Answers to /flow/ are streams.
+/// end of the request's path says. Answers to /flow/ are streams; those to
+/// /flow/drops/ have very small events.
 class SizedAnswers : public HttpService {
 public:
   ClientBounds bounds() const override { return {}; }
@@ -27,8 +28,10 @@
       return Exchange->answer(Head, std::string(Bytes, 'x'));
     Head.Fields_.add("Content-Type", "text/event-stream");
     Exchange->beginStream(Head);
-    for (std::size_t Sent = 0; Sent < Bytes; Sent += event().size())
-      Exchange->send(event());
+    auto const &Piece =
+        Path.find("/flow/drops/") == 0 ? smallEvents() : event();
+    for (std::size_t Sent = 0; Sent < Bytes; Sent += Piece.size())
+      Exchange->send(Piece);
     Exchange->finishStream();
   }
 
@@ -38,6 +41,18 @@
         "data: " + std::string(DataBytes, 'x') + "\n\n";
     return Event;
   }
+
+  /// Many events that are sent together.
+  static std::string const &smallEvents() {
+    static std::string const Events = [] {
+      constexpr int Count = 100;
+      std::string Text;
+      for (int Number = 0; Number < Count; ++Number)
+        Text += "data:x\n\n";
+      return Text;
+    }();
+    return Events;
+  }
 };
 
 } // namespace laburnum::hostile_clients
--- a/Tests/HostileClients/TestSlowReaders.cpp
+++ b/Tests/HostileClients/TestSlowReaders.cpp
@@ -1,3 +1,4 @@
+#include "Crowd.h"
 #include "Readers.h"
 #include "SizedAnswers.h"
 #include "SmallMachine.h"
@@ -80,6 +81,32 @@
   ask(96, "/flow/" + std::to_string(Stream));
 }
 
+TEST_CASE("Clients that do not read streams of very small events leave room "
+          "for others") {
+  ask(96, "/flow/drops/" + std::to_string(Stream));
+}
+
+TEST_CASE("Clients that do not read leave room for others beside clients that "
+          "stop in their bodies") {
+  constexpr std::size_t Clients = 96;
+  AnsweringMachine Machine;
+  auto const Before = Machine.settledRequests();
+  Readers Readers(Machine.traffic(), Clients);
+  Readers.ask([&](std::size_t Number) {
+    return request("/read/" + std::to_string(LargeAnswer),
+                   "h" + std::to_string(Number));
+  });
+  REQUIRE(processes::await(
+      [&] { return Machine.settledRequests() >= Before + Clients; }));
+  Crowd Senders(Machine.traffic(), Clients,
+                announcedBody("POST /order/1 HTTP/1.1\r\n"
+                              "Host: desk.example\r\nX-Attempt-Id: s\r\n"
+                              "X-Deadline-Ms: 2000\r\nX-Key: k1\r\n",
+                              SmallMachine::MaxBody, 10));
+  Senders.send();
+  Machine.check();
+}
+
 TEST_CASE("Clients that ask again and again without reading leave room for "
           "others") {
   constexpr std::size_t Clients = 8;
