LibHttp, laburnum-entry: Tell others where a stream began before its client

What callers saw: a stream whose instance was killed as it had just begun could not be taken up again while the store was away, though one version served.

Cause: the copies of a stream's origin, which decide while the store is silent, were sent on the control thread beside the stream's first bytes on the traffic thread. Where the control thread got its processor later, the client had its events, and the instance its SIGKILL, before the copies were sent. Traced in with the refused attempts printed: in five of six failures the streams refused were the last ones begun (the last of twelve, once the last three), in one all twelve. The class is an event that is passed on before what it depends on is recorded.

The connection to the client now holds its writes from the moment at which the stream's origin is known until the copies are passed to the connections of the other instances. The copies' own writes that wait for a handler run before, as handlers run in order.

TestLibHttp "Writes that are held reach the client once they are resumed" is new.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -116,7 +116,19 @@
   Unwritten_ += Bytes.size();
   Writes_.push_back(std::move(Bytes));
   count();
-  if (!IsWriting_)
+  if (!IsWriting_ && !AreWritesHeld_)
+    writeNext();
+}
+
+void Connection::holdWrites() {
+  AreWritesHeld_ = true;
+  WriteBegunAt_ = readBootClock();
+}
+
+void Connection::resumeWrites() {
+  AreWritesHeld_ = false;
+  bool const CanWrite = State_ == State::Open || State_ == State::Closing;
+  if (CanWrite && !IsWriting_ && !Writes_.empty())
     writeNext();
 }
 
@@ -144,8 +156,11 @@
         Self->Unwritten_ -= Count;
         Self->Writes_.pop_front();
         Self->count();
-        if (!Self->Writes_.empty())
-          return Self->writeNext();
+        if (!Self->Writes_.empty()) {
+          if (!Self->AreWritesHeld_)
+            Self->writeNext();
+          return;
+        }
         if (Self->State_ == State::Closing)
           return Self->finishClosing();
         if (auto const Observer = Self->Observer_)
@@ -184,7 +199,7 @@
     return;
   State_ = State::Closing;
   Observer_.reset();
-  if (!IsWriting_)
+  if (Writes_.empty())
     finishClosing();
 }
 
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -57,6 +57,10 @@
   }
 
   void write(std::string Bytes);
+  /// Keeps what is passed to write() from now on, also what precedes close(),
+  /// until resumeWrites().
+  void holdWrites();
+  void resumeWrites();
   /// Bytes passed to write() that the kernel has not taken yet.
   std::size_t unwrittenBytes() const {
     return State_ == State::Closed ? 0 : Unwritten_;
@@ -111,6 +115,7 @@
   State State_ = State::Open;
   bool IsWaiting_ = false;
   bool IsWriting_ = false;
+  bool AreWritesHeld_ = false;
   bool IsKeptAfterEnd_ = false;
   bool IsBroken_ = false;
 };
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -45,6 +45,11 @@
   /// incomplete.
   virtual void abort() = 0;
 
+  /// Keeps the rest of the answer from the client until resumeWrites(), which
+  /// may be called after the answer has ended.
+  virtual void holdWrites() = 0;
+  virtual void resumeWrites() = 0;
+
   /// Bytes of the answer that the kernel has not taken yet.
   virtual std::size_t unwrittenBytes() const = 0;
 };
--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -25,6 +25,8 @@
   void send(std::string_view Bytes) override { Owner_->send(Number_, Bytes); }
   void finishStream() override { Owner_->finishStream(Number_); }
   void abort() override { Owner_->abort(Number_); }
+  void holdWrites() override { Owner_->holdWrites(Number_); }
+  void resumeWrites() override { Owner_->resumeWrites(); }
   std::size_t unwrittenBytes() const override {
     return Owner_->unwrittenBytes();
   }
@@ -231,6 +233,13 @@
   endConnection();
 }
 
+void HttpServerConnection::holdWrites(std::uint64_t Number) {
+  if (isCurrent(Number))
+    Connection_->holdWrites();
+}
+
+void HttpServerConnection::resumeWrites() { Connection_->resumeWrites(); }
+
 void HttpServerConnection::finishAnswer() {
   Observer_.reset();
   State_ = State::Idle;
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -51,6 +51,8 @@
   void send(std::uint64_t Number, std::string_view Bytes);
   void finishStream(std::uint64_t Number);
   void abort(std::uint64_t Number);
+  void holdWrites(std::uint64_t Number);
+  void resumeWrites();
   std::size_t unwrittenBytes() const { return Connection_->unwrittenBytes(); }
   std::shared_ptr<Connection> const &connection() const { return Connection_; }
 
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -90,7 +90,10 @@
 
 void RequestSession::on(RememberOrigin const &Action) {
   BegunStream_ = Action.Stream_.FirstAttemptId_;
-  Plane_.Origins_.onBegun(Action.Stream_);
+  // Were this instance to end first, nobody could tell where the stream began.
+  Exchange_->holdWrites();
+  Plane_.Origins_.onBegun(Action.Stream_,
+                          [Exchange = Exchange_] { Exchange->resumeWrites(); });
 }
 
 void RequestSession::on(RequestServer const &Action) {
--- a/Services/laburnum-entry/StreamOriginDirectory.cpp
+++ b/Services/laburnum-entry/StreamOriginDirectory.cpp
@@ -34,10 +34,11 @@
       });
 }
 
-void StreamOriginDirectory::onBegun(BegunStream const &Stream) {
+void StreamOriginDirectory::onBegun(BegunStream const &Stream,
+                                    std::function<void()> Told) {
   auto const Now = readBootClock();
   Origins_.onBegun(Stream, Now);
-  BegunListener_(Stream);
+  BegunListener_(Stream, std::move(Told));
   if (Listener_)
     Listener_(Origins_.unfinished(Now));
 }
--- a/Services/laburnum-entry/StreamOriginDirectory.h
+++ b/Services/laburnum-entry/StreamOriginDirectory.h
@@ -38,8 +38,10 @@
   void setListener(Listener Listener);
 
   /// Sets the listener for each stream that begins, called on the traffic
-  /// thread. To be set before traffic arrives.
-  using BegunListener = std::function<void(BegunStream const &)>;
+  /// thread. It calls the function on the traffic thread once other instances
+  /// have been told. To be set before traffic arrives.
+  using BegunListener =
+      std::function<void(BegunStream const &, std::function<void()> Told)>;
   void setBegunListener(BegunListener Listener) {
     BegunListener_ = std::move(Listener);
   }
@@ -68,7 +70,8 @@
 
   using Done = std::function<void(exchange::OriginFound const &)>;
   void find(exchange::FlowContext const &FlowContext, Done Done);
-  void onBegun(BegunStream const &Stream);
+  /// Told is called once other instances have been told.
+  void onBegun(BegunStream const &Stream, std::function<void()> Told);
   void onFinished(std::string const &FirstAttemptId) {
     Origins_.onFinished(FirstAttemptId);
   }
--- a/Services/laburnum-entry/StreamOriginTasks.cpp
+++ b/Services/laburnum-entry/StreamOriginTasks.cpp
@@ -24,8 +24,11 @@
 void StreamOriginTasks::start(std::shared_ptr<PeerNetwork> Peers) {
   Peers_ = std::move(Peers);
   Dependencies_.Traffic_.streamOrigins().setBegunListener(
-      [this](BegunStream const &Stream) {
-        asio::post(Dependencies_.Context_, [this, Stream] { onBegun(Stream); });
+      [this](BegunStream const &Stream, std::function<void()> Told) {
+        asio::post(Dependencies_.Context_,
+                   [this, Stream, Told = std::move(Told)]() mutable {
+                     onBegun(Stream, std::move(Told));
+                   });
       });
   Dependencies_.Traffic_.streamOrigins().setFinder(
       [this](StreamTakeUp const &Wanted, StreamOriginRecords::Done Done) {
@@ -83,8 +86,13 @@
   arm();
 }
 
-void StreamOriginTasks::onBegun(BegunStream const &Stream) {
+void StreamOriginTasks::onBegun(BegunStream const &Stream,
+                                std::function<void()> Told) {
   send(Copies_.onBegun(Stream, readBootClock()));
+  // Copies may wait for writes whose handlers are queued by now.
+  asio::post(Dependencies_.Context_, [this, Told = std::move(Told)]() mutable {
+    asio::post(Dependencies_.TrafficContext_, std::move(Told));
+  });
 }
 
 void StreamOriginTasks::send(std::vector<SendToPeer> const &Messages) {
--- a/Services/laburnum-entry/StreamOriginTasks.h
+++ b/Services/laburnum-entry/StreamOriginTasks.h
@@ -12,6 +12,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -58,7 +59,8 @@
 private:
   void serversChanged();
   void onNeed(StreamOriginDirectory::Need Need, ServiceName const &Service);
-  void onBegun(BegunStream const &Stream);
+  /// Told is called on the traffic thread, after the copies were sent.
+  void onBegun(BegunStream const &Stream, std::function<void()> Told);
   void find(StreamTakeUp const &Wanted, StreamOriginRecords::Done const &Done);
   void send(std::vector<SendToPeer> const &Messages);
   /// Logs what an answer rests on, as of the time of the question.
--- a/Tests/LibHttp/TestHttpListener.cpp
+++ b/Tests/LibHttp/TestHttpListener.cpp
@@ -85,6 +85,31 @@
   CHECK(Listener_->openConnections() == 0);
 }
 
+TEST_CASE_METHOD(Fixture, "Writes that are held reach the client once they are "
+                          "resumed") {
+  bool const IsLast = GENERATE(false, true);
+  Client_.write(IsLast ? "GET /a HTTP/1.1\r\nHost: h\r\n"
+                         "Connection: close\r\n\r\n"
+                       : Get);
+  REQUIRE(wait([&] { return !Service_.Exchanges_.empty(); }));
+  auto const Held = Service_.Exchanges_.back();
+  Held->holdWrites();
+  Held->beginStream({200, {}});
+  Held->send("event");
+  Held->finishStream();
+  CHECK(Held->unwrittenBytes() > 0);
+  RawPeer Other(Context_, Listener_->localEndpoint());
+  Other.write(Get);
+  REQUIRE(wait([&] { return Service_.Exchanges_.size() == 2; }));
+  Service_.Exchanges_.back()->answer({200, {}}, "other");
+  REQUIRE(wait([&] { return Other.Received_.ends_with("other"); }));
+  CHECK(Client_.Received_.empty());
+  CHECK(Listener_->busyConnections() == 1);
+  Held->resumeWrites();
+  CHECK(wait([&] { return Client_.Received_.ends_with("0\r\n\r\n"); }));
+  CHECK(Client_.Received_.find("event") != std::string::npos);
+}
+
 TEST_CASE_METHOD(Fixture, "An aborted stream does not look complete") {
   Client_.write(Get);
   REQUIRE(wait([&] { return !Service_.Requests_.empty(); }));
