LibPeer, LibHttp, laburnum-entry: Bound how long a begun stream is held

The review of found, by reading: a burst of streams resumed their clients before their copies were written, as a peer's frames are written one by one; an answer that exceeded 1 MiB while it was held was aborted as that of a client that does not read; nothing bounded the hold in time; a client that left while held kept its bytes until the control thread ran; and at the end of the process the control thread's queue could own connections of the traffic thread.

The transport now tells when everything sent to a peer was passed to the kernel or dropped (whenWritten). Writes are held for 100 ms and 64 KiB at most, an abort writes what is held first, a released connection drops its unwritten bytes, and what crosses the threads is a number.

TestLibPeer "A sender learns that each message of a burst was written or dropped" and TestLibHttp "Large writes are not held" are new and hold. What a lost machine had in its kernel is still lost with it.

--- a/Libraries/LibControl/PeerNetwork.cpp
+++ b/Libraries/LibControl/PeerNetwork.cpp
@@ -289,6 +289,12 @@
   Callbacks_.Changed_(View_);
 }
 
+void PeerNetwork::whenWritten(Endpoint const &To, std::function<void()> Done) {
+  if (!Transport_)
+    return Done();
+  Transport_->whenWritten(To, std::move(Done));
+}
+
 void PeerNetwork::sendToAll(PeerMessage const &Message) {
   if (!Transport_)
     return;
--- a/Libraries/LibControl/PeerNetwork.h
+++ b/Libraries/LibControl/PeerNetwork.h
@@ -56,6 +56,8 @@
   /// Notifies the other instances that this one leaves.
   void leave();
   void send(SendToPeer const &Action);
+  /// See PeerTransport::whenWritten().
+  void whenWritten(Endpoint const &To, std::function<void()> Done);
   void sendToAll(PeerMessage const &Message);
   FleetView const &view() const { return View_; }
 
--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -116,13 +116,16 @@
   Unwritten_ += Bytes.size();
   Writes_.push_back(std::move(Bytes));
   count();
+  if (Unwritten_ > MaxHeldBytes)
+    AreWritesHeld_ = false;
   if (!IsWriting_ && !AreWritesHeld_)
     writeNext();
 }
 
 void Connection::holdWrites() {
   AreWritesHeld_ = true;
-  WriteBegunAt_ = readBootClock();
+  if (Writes_.empty())
+    WriteBegunAt_ = readBootClock();
 }
 
 void Connection::resumeWrites() {
@@ -246,6 +249,8 @@
   if (State_ == State::Closed)
     return;
   State_ = State::Closed;
+  if (!IsWriting_)
+    Writes_.clear();
   count();
   Observer_.reset();
   CloseTimer_.cancel();
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -44,6 +44,8 @@
   /// which the platform expects an instance to reconnect.
   static constexpr Duration SilenceLimit = std::chrono::seconds(3);
 
+  static constexpr std::size_t MaxHeldBytes = std::size_t{64} << 10;
+
   /// What the connection has not written counts for Total, too.
   static std::shared_ptr<Connection>
   create(asio::ip::tcp::socket Socket,
@@ -58,7 +60,7 @@
 
   void write(std::string Bytes);
   /// Keeps what is passed to write() from now on, also what precedes close(),
-  /// until resumeWrites().
+  /// until resumeWrites() or until it exceeds MaxHeldBytes.
   void holdWrites();
   void resumeWrites();
   /// Bytes passed to write() that the kernel has not taken yet.
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -46,7 +46,7 @@
   virtual void abort() = 0;
 
   /// Keeps the rest of the answer from the client until resumeWrites(), which
-  /// may be called after the answer has ended.
+  /// may be called after the answer has ended, or until it is large.
   virtual void holdWrites() = 0;
   virtual void resumeWrites() = 0;
 
--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -26,7 +26,7 @@
   void finishStream() override { Owner_->finishStream(Number_); }
   void abort() override { Owner_->abort(Number_); }
   void holdWrites() override { Owner_->holdWrites(Number_); }
-  void resumeWrites() override { Owner_->resumeWrites(); }
+  void resumeWrites() override { Owner_->resumeWrites(Number_); }
   std::size_t unwrittenBytes() const override {
     return Owner_->unwrittenBytes();
   }
@@ -229,6 +229,7 @@
 void HttpServerConnection::abort(std::uint64_t Number) {
   if (!isCurrent(Number))
     return;
+  Connection_->resumeWrites();
   Connection_->abort();
   endConnection();
 }
@@ -238,7 +239,10 @@
     Connection_->holdWrites();
 }
 
-void HttpServerConnection::resumeWrites() { Connection_->resumeWrites(); }
+void HttpServerConnection::resumeWrites(std::uint64_t Number) {
+  if (Number == Number_)
+    Connection_->resumeWrites();
+}
 
 void HttpServerConnection::finishAnswer() {
   Observer_.reset();
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -52,7 +52,7 @@
   void finishStream(std::uint64_t Number);
   void abort(std::uint64_t Number);
   void holdWrites(std::uint64_t Number);
-  void resumeWrites();
+  void resumeWrites(std::uint64_t Number);
   std::size_t unwrittenBytes() const { return Connection_->unwrittenBytes(); }
   std::shared_ptr<Connection> const &connection() const { return Connection_; }
 
--- a/Libraries/LibPeer/AsioPeerTransport.cpp
+++ b/Libraries/LibPeer/AsioPeerTransport.cpp
@@ -47,6 +47,7 @@
   Result<Success> listen();
   void accept();
   void send(Endpoint const &To, PeerMessage const &Message);
+  void whenWritten(Endpoint const &To, std::function<void()> Done);
   void setSecret(std::string Secret);
   void stop();
 
@@ -142,6 +143,14 @@
   outbound(To)->send(takeValue(std::move(Frame)));
 }
 
+void AsioPeerTransport::Implementation::whenWritten(
+    Endpoint const &To, std::function<void()> Done) {
+  auto const Found = Outbound_.find(To);
+  if (Found == Outbound_.end())
+    return Done();
+  Found->second->whenWritten(std::move(Done));
+}
+
 void AsioPeerTransport::Implementation::setSecret(std::string Secret) {
   if (State_->Settings_.Secret_ == Secret)
     return;
@@ -190,6 +199,11 @@
   Implementation_->send(To, Message);
 }
 
+void AsioPeerTransport::whenWritten(Endpoint const &To,
+                                    std::function<void()> Done) {
+  Implementation_->whenWritten(To, std::move(Done));
+}
+
 void AsioPeerTransport::setSecret(std::string Secret) {
   Implementation_->setSecret(std::move(Secret));
 }
--- a/Libraries/LibPeer/AsioPeerTransport.h
+++ b/Libraries/LibPeer/AsioPeerTransport.h
@@ -43,6 +43,7 @@
   ~AsioPeerTransport() override;
 
   void send(Endpoint const &To, PeerMessage const &Message) override;
+  void whenWritten(Endpoint const &To, std::function<void()> Done) override;
   PeerTransportCounters counters() const override;
 
   /// Replaces the secret. Connections that rely on another one are closed.
--- a/Libraries/LibPeer/OutboundPeer.cpp
+++ b/Libraries/LibPeer/OutboundPeer.cpp
@@ -54,6 +54,14 @@
     write();
 }
 
+void OutboundPeer::whenWritten(std::function<void()> Done) {
+  bool const HasHello = Phase_ == Phase::Open && !IsHelloSent_;
+  auto const Frames = Queue_.size() - (HasHello ? 1 : 0);
+  if (Frames == 0 || Waiting_.size() >= State_->Settings_.QueueLimit_)
+    return Done();
+  Waiting_.emplace_back(WrittenFrames_ + Frames, std::move(Done));
+}
+
 void OutboundPeer::connect() {
   asio::error_code Failure;
   auto const Address = asio::ip::make_address(Remote_.Host_, Failure);
@@ -134,13 +142,20 @@
 void OutboundPeer::onWritten() {
   auto const Bytes = Queue_.front().size();
   IsWriting_ = false;
-  if (IsHelloSent_)
+  if (IsHelloSent_) {
     ++State_->Counters_.Sent_;
+    ++WrittenFrames_;
+  }
   IsHelloSent_ = true;
   State_->Counters_.BytesSent_ += Bytes;
   QueuedBytes_ -= Bytes;
   Queue_.pop_front();
   armDeadline(State_->Settings_.IdleTimeout_);
+  while (!Waiting_.empty() && Waiting_.front().first <= WrittenFrames_) {
+    auto const Done = std::move(Waiting_.front().second);
+    Waiting_.pop_front();
+    Done();
+  }
   write();
 }
 
@@ -178,6 +193,8 @@
   IsWriting_ = false;
   IsHelloSent_ = false;
   Phase_ = Phase::Closed;
+  for (auto const &[Frames, Done] : std::exchange(Waiting_, {}))
+    Done();
 }
 
 void OutboundPeer::close() { shut(); }
--- a/Libraries/LibPeer/OutboundPeer.h
+++ b/Libraries/LibPeer/OutboundPeer.h
@@ -6,9 +6,12 @@
 #include <asio/steady_timer.hpp>
 
 #include <array>
+#include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace laburnum::detail {
 
@@ -20,6 +23,8 @@
                std::shared_ptr<PeerTransportState> State);
 
   void send(std::string Frame);
+  /// See PeerTransport::whenWritten().
+  void whenWritten(std::function<void()> Done);
   void close();
   /// Whether the object holds no state that is still needed.
   bool isForgettable() const;
@@ -50,7 +55,10 @@
   std::deque<std::string> Queue_; ///< Frames; the first one is being written.
   std::size_t QueuedBytes_ = 0;
   bool IsWriting_ = false;
-  bool IsHelloSent_ = false; ///< The Hello was written.
+  bool IsHelloSent_ = false;        ///< The Hello was written.
+  std::uint64_t WrittenFrames_ = 0; ///< Without Hellos.
+  /// What is called once so many frames were written.
+  std::deque<std::pair<std::uint64_t, std::function<void()>>> Waiting_;
   /// Identifies handlers of a previous connection, which are ignored.
   std::uint64_t Generation_ = 0;
   Duration Backoff_{};
--- a/Libraries/LibPeer/PeerTransport.h
+++ b/Libraries/LibPeer/PeerTransport.h
@@ -34,6 +34,10 @@
   /// dropped and counted.
   virtual void send(Endpoint const &To, PeerMessage const &Message) = 0;
 
+  /// Calls Done, possibly at once, when everything that was sent to the
+  /// endpoint before was passed to the kernel or dropped.
+  virtual void whenWritten(Endpoint const &To, std::function<void()> Done) = 0;
+
   virtual PeerTransportCounters counters() const = 0;
 };
 
--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -90,10 +90,7 @@
 
 void RequestSession::on(RememberOrigin const &Action) {
   BegunStream_ = Action.Stream_.FirstAttemptId_;
-  // Were this instance to end first, nobody could tell where the stream began.
-  Exchange_->holdWrites();
-  Plane_.Origins_.onBegun(Action.Stream_,
-                          [Exchange = Exchange_] { Exchange->resumeWrites(); });
+  Plane_.Origins_.onBegun(Action.Stream_, Exchange_);
 }
 
 void RequestSession::on(RequestServer const &Action) {
--- a/Services/laburnum-entry/StreamOriginDirectory.cpp
+++ b/Services/laburnum-entry/StreamOriginDirectory.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t MaxLoggedServers = 1000;
 /// How long a stream waits for a record that allows it to begin.
 constexpr std::chrono::milliseconds MaxRecordWait{500};
+/// How long a stream is kept from its client while other instances are told.
+constexpr std::chrono::milliseconds MaxHold{100};
 
 } // namespace
 
@@ -35,14 +37,31 @@
 }
 
 void StreamOriginDirectory::onBegun(BegunStream const &Stream,
-                                    std::function<void()> Told) {
+                                    std::shared_ptr<Exchange> const &Client) {
   auto const Now = readBootClock();
   Origins_.onBegun(Stream, Now);
-  BegunListener_(Stream, std::move(Told));
+  auto const Number = ++LastHold_;
+  Client->holdWrites();
+  auto const At =
+      Holds_.emplace(Number, Hold{Client, asio::steady_timer(Context_)});
+  auto &Timer = At.first->second.Timer_;
+  Timer.expires_after(MaxHold);
+  Timer.async_wait([this, Number](asio::error_code Failure) {
+    if (!Failure)
+      resume(Number);
+  });
+  BegunListener_(Stream, [this, Number] {
+    asio::post(Context_, [this, Number] { resume(Number); });
+  });
   if (Listener_)
     Listener_(Origins_.unfinished(Now));
 }
 
+void StreamOriginDirectory::resume(std::uint64_t Hold) {
+  if (auto const Ended = Holds_.extract(Hold))
+    Ended.mapped().Client_->resumeWrites();
+}
+
 void StreamOriginDirectory::logUnidentified(ServerRecord const &Server) {
   auto const Incarnation = incarnationOf(Server);
   if (LoggedUnidentified_.size() >= MaxLoggedServers)
--- a/Services/laburnum-entry/StreamOriginDirectory.h
+++ b/Services/laburnum-entry/StreamOriginDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibControl/StreamOriginRecords.h>
+#include <LibHttp/Exchange.h>
 #include <LibLog/EventLog.h>
 #include <LibTraffic/ExchangeFlow.h>
 #include <LibTraffic/RecordedOrigins.h>
@@ -12,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,8 +40,8 @@
   void setListener(Listener Listener);
 
   /// Sets the listener for each stream that begins, called on the traffic
-  /// thread. It calls the function on the traffic thread once other instances
-  /// have been told. To be set before traffic arrives.
+  /// thread. It calls the function, on any thread, once other instances have
+  /// been told where the stream began. To be set before traffic arrives.
   using BegunListener =
       std::function<void(BegunStream const &, std::function<void()> Told)>;
   void setBegunListener(BegunListener Listener) {
@@ -70,8 +72,10 @@
 
   using Done = std::function<void(exchange::OriginFound const &)>;
   void find(exchange::FlowContext const &FlowContext, Done Done);
-  /// Told is called once other instances have been told.
-  void onBegun(BegunStream const &Stream, std::function<void()> Told);
+  /// Keeps the stream from its client for a short time, until other instances
+  /// have been told where it began: nobody else knows if this one ends.
+  void onBegun(BegunStream const &Stream,
+               std::shared_ptr<Exchange> const &Client);
   void onFinished(std::string const &FirstAttemptId) {
     Origins_.onFinished(FirstAttemptId);
   }
@@ -84,10 +88,17 @@
     asio::steady_timer Timer_;
   };
 
+  /// A stream that is kept from its client.
+  struct Hold {
+    std::shared_ptr<Exchange> Client_;
+    asio::steady_timer Timer_;
+  };
+
   using WaitNode = std::map<std::uint64_t, Wait>::node_type;
 
   void await(std::function<bool()> IsRecorded, Need Need,
              ServiceName const &Service, RecordDone Done);
+  void resume(std::uint64_t Hold);
   bool isMoveRecorded(exchange::RequestTarget const &Target) const;
   void logUnidentified(ServerRecord const &Server);
   void onAnswer(exchange::FlowContext const &FlowContext,
@@ -104,6 +115,8 @@
   RecordedOrigins Recorded_;
   std::map<std::uint64_t, Wait> Waits_; ///< By age.
   std::uint64_t LastWait_ = 0;
+  std::map<std::uint64_t, Hold> Holds_; ///< By age.
+  std::uint64_t LastHold_ = 0;
   std::set<ServerId> LoggedUnidentified_; ///< Incarnations.
 };
 
--- a/Services/laburnum-entry/StreamOriginTasks.cpp
+++ b/Services/laburnum-entry/StreamOriginTasks.cpp
@@ -88,11 +88,16 @@
 
 void StreamOriginTasks::onBegun(BegunStream const &Stream,
                                 std::function<void()> Told) {
-  send(Copies_.onBegun(Stream, readBootClock()));
-  // Copies may wait for writes whose handlers are queued by now.
-  asio::post(Dependencies_.Context_, [this, Told = std::move(Told)]() mutable {
-    asio::post(Dependencies_.TrafficContext_, std::move(Told));
-  });
+  auto const Copies = Copies_.onBegun(Stream, readBootClock());
+  send(Copies);
+  auto const Left = std::make_shared<std::size_t>(Copies.size() + 1);
+  auto const OnWritten = [Left, Told = std::move(Told)] {
+    if (--*Left == 0)
+      Told();
+  };
+  for (auto const &Copy : Copies)
+    Peers_->whenWritten(Copy.To_, OnWritten);
+  OnWritten();
 }
 
 void StreamOriginTasks::send(std::vector<SendToPeer> const &Messages) {
--- a/Services/laburnum-entry/StreamOriginTasks.h
+++ b/Services/laburnum-entry/StreamOriginTasks.h
@@ -59,7 +59,7 @@
 private:
   void serversChanged();
   void onNeed(StreamOriginDirectory::Need Need, ServiceName const &Service);
-  /// Told is called on the traffic thread, after the copies were sent.
+  /// Told is called once the copies were passed to the kernel or dropped.
   void onBegun(BegunStream const &Stream, std::function<void()> Told);
   void find(StreamTakeUp const &Wanted, StreamOriginRecords::Done const &Done);
   void send(std::vector<SendToPeer> const &Messages);
--- a/Tests/LibHttp/TestHttpListener.cpp
+++ b/Tests/LibHttp/TestHttpListener.cpp
@@ -110,6 +110,17 @@
   CHECK(Client_.Received_.find("event") != std::string::npos);
 }
 
+TEST_CASE_METHOD(Fixture, "Large writes are not held") {
+  Client_.write(Get);
+  REQUIRE(wait([&] { return !Service_.Exchanges_.empty(); }));
+  auto const Held = Service_.Exchanges_.back();
+  Held->holdWrites();
+  Held->beginStream({200, {}});
+  Held->send(std::string(Connection::MaxHeldBytes, 'x'));
+  Held->finishStream();
+  CHECK(wait([&] { return Client_.Received_.ends_with("0\r\n\r\n"); }));
+}
+
 TEST_CASE_METHOD(Fixture, "An aborted stream does not look complete") {
   Client_.write(Get);
   REQUIRE(wait([&] { return !Service_.Requests_.empty(); }));
--- a/Tests/LibPeer/TestAsioPeerTransport.cpp
+++ b/Tests/LibPeer/TestAsioPeerTransport.cpp
@@ -166,6 +166,37 @@
   CHECK(Left->Transport_->counters().Dropped_ == 5);
 }
 
+TEST_CASE("A sender learns that each message of a burst was written or "
+          "dropped") {
+  constexpr std::uint64_t Burst = 12;
+  asio::io_context Context;
+  auto const Left = node(Context, settings("left"));
+  auto const Right = node(Context, settings("right"));
+  auto const Remote = Right->Transport_->localEndpoint();
+  bool const IsConnected = GENERATE(false, true);
+  if (IsConnected) {
+    Left->Transport_->send(Remote, message(0));
+    runUntil(Context, [&] { return Left->Transport_->counters().Sent_ == 1; });
+  }
+  auto const Before = Left->Transport_->counters().Sent_;
+  std::uint64_t Told = 0;
+  for (std::uint64_t Number = 1; Number <= Burst; ++Number) {
+    Left->Transport_->send(Remote, message(Number));
+    Left->Transport_->whenWritten(Remote, [&, Number] {
+      CHECK(Left->Transport_->counters().Sent_ == Before + Number);
+      ++Told;
+    });
+  }
+  CHECK(Told == 0);
+  runUntil(Context, [&] { return Told == Burst; });
+
+  Endpoint const Unreachable{"127.0.0.1", 1};
+  Left->Transport_->send(Unreachable, message(0));
+  Left->Transport_->whenWritten(Unreachable, [&] { ++Told; });
+  runUntil(Context, [&] { return Told == Burst + 1; });
+  CHECK(Left->Transport_->counters().Dropped_ == 1);
+}
+
 TEST_CASE("A peer restarted on the same port is reached again") {
   asio::io_context Context;
   auto Settings = settings("left");
