laburnum-entry: Keep requests that search their origin on the traffic thread

The function that ends a search held its request and was copied to the control thread. Only the search's number crosses the threads now.

--- a/Services/laburnum-entry/StreamOriginDirectory.cpp
+++ b/Services/laburnum-entry/StreamOriginDirectory.cpp
@@ -26,14 +26,19 @@
     return onAnswer(FlowContext, {Stated, OriginSource::Record}, "peer", Done);
   if (auto const Known = Origins_.find(First, readBootClock()))
     return onAnswer(FlowContext, {Known, OriginSource::Record}, "local", Done);
-  Finder_(
-      {FlowContext.Service_, FlowContext.Target_.Host_,
-       FlowContext.Target_.Path_, First},
-      [this, FlowContext, Done = std::move(Done)](OriginAnswer const &Answer) {
-        asio::post(Context_, [this, FlowContext, Done, Answer] {
-          onAnswer(FlowContext, Answer, toString(Answer.Source_), Done);
-        });
-      });
+  // The requests stay on this thread, which alone may destroy them.
+  auto const Number = ++LastSearch_;
+  Searches_.emplace(Number, Search{FlowContext, std::move(Done)});
+  Finder_({FlowContext.Service_, FlowContext.Target_.Host_,
+           FlowContext.Target_.Path_, First},
+          [this, Number](OriginAnswer const &Answer) {
+            asio::post(Context_, [this, Number, Answer] {
+              auto const Ended = Searches_.extract(Number);
+              if (Ended)
+                onAnswer(Ended.mapped().FlowContext_, Answer,
+                         toString(Answer.Source_), Ended.mapped().Done_);
+            });
+          });
 }
 
 void StreamOriginDirectory::onBegun(BegunStream const &Stream,
--- a/Services/laburnum-entry/StreamOriginDirectory.h
+++ b/Services/laburnum-entry/StreamOriginDirectory.h
@@ -88,6 +88,12 @@
     asio::steady_timer Timer_;
   };
 
+  /// A search for an origin.
+  struct Search {
+    exchange::FlowContext FlowContext_;
+    Done Done_;
+  };
+
   /// A stream that is kept from its client.
   struct Hold {
     std::shared_ptr<Exchange> Client_;
@@ -115,6 +121,8 @@
   RecordedOrigins Recorded_;
   std::map<std::uint64_t, Wait> Waits_; ///< By age.
   std::uint64_t LastWait_ = 0;
+  std::map<std::uint64_t, Search> Searches_; ///< By age.
+  std::uint64_t LastSearch_ = 0;
   std::map<std::uint64_t, Hold> Holds_; ///< By age.
   std::uint64_t LastHold_ = 0;
   std::set<ServerId> LoggedUnidentified_; ///< Incarnations.
