laburnumd: Ask for all ports again after a wait for one

Found by the review, by reading: a port that was found free was not asked for again after a long wait for the next one, and an io_context was made for each question, which throws where descriptors have run out.

--- a/Services/laburnumd/HeldPorts.cpp
+++ b/Services/laburnumd/HeldPorts.cpp
@@ -6,6 +6,7 @@
 #include <asio/ip/tcp.hpp>
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <ctime>
 
 namespace laburnum {
@@ -15,12 +16,11 @@
 constexpr std::chrono::milliseconds RetryPause{100};
 constexpr std::chrono::seconds LogPeriod{10};
 
-bool isHeld(Endpoint const &Local) {
+bool isHeld(asio::io_context &Context, Endpoint const &Local) {
   asio::error_code Failure;
   auto const Address = asio::ip::make_address(Local.Host_, Failure);
   if (Failure || Local.Port_ == 0)
     return false;
-  asio::io_context Context;
   asio::ip::tcp::acceptor Acceptor(Context);
   Acceptor.open(Address.is_v6() ? asio::ip::tcp::v6() : asio::ip::tcp::v4(),
                 Failure);
@@ -42,19 +42,22 @@
 
 PortWait awaitFreePorts(std::vector<Endpoint> const &Endpoints,
                         sigset_t const &StopSignals) {
-  for (auto const &Local : Endpoints) {
-    auto LogAt = TimePoint::min();
-    while (isHeld(Local)) {
-      auto const Now = readClock();
-      if (Now >= LogAt) {
-        LOG(WARNING) << "port_held=" << Local.Host_ << ':' << Local.Port_;
-        LogAt = Now + LogPeriod;
-      }
-      if (isStopped(StopSignals, RetryPause))
-        return PortWait::Stopped;
+  asio::io_context Context;
+  auto LogAt = TimePoint::min();
+  while (true) {
+    auto const Held = std::find_if(
+        Endpoints.begin(), Endpoints.end(),
+        [&](Endpoint const &Local) { return isHeld(Context, Local); });
+    if (Held == Endpoints.end())
+      return PortWait::Free;
+    auto const Now = readClock();
+    if (Now >= LogAt) {
+      LOG(WARNING) << "port_held=" << Held->Host_ << ':' << Held->Port_;
+      LogAt = Now + LogPeriod;
     }
+    if (isStopped(StopSignals, RetryPause))
+      return PortWait::Stopped;
   }
-  return PortWait::Free;
 }
 
 } // namespace laburnum
