laburnum-entry: Don't blame servers for answers without room

Found by the review, by reading: an attempt that this instance ends as the answers take too much memory was reported as a broken connection, so that the server was counted as failing, and its content as one that may crash servers. It counts as cancelled now, and says nothing of the server's health.

--- a/Services/laburnum-entry/RequestSession.cpp
+++ b/Services/laburnum-entry/RequestSession.cpp
@@ -301,7 +301,7 @@
   if (Call_ && BufferedBytes_ > MinLargeAnswer &&
       Plane_.BufferedBytes_ > Plane_.AnswerLimits_.BufferedBytes_) {
     std::exchange(Call_, nullptr)->cancel();
-    onFailed({AttemptProgress::AnswerBegun, AttemptEnd::ConnectionFailed,
+    onFailed({AttemptProgress::AnswerBegun, AttemptEnd::Cancelled,
               Answer_ ? Answer_->Head_.Status_ : 0,
               "the answers take too much memory"});
   }
@@ -373,8 +373,9 @@
   // It may serve other requests well.
   bool const IsOnlyUnidentified =
       IsUnidentified_ && Evidence.End_ == AttemptEnd::Refused;
-  endAttempt(IsOnlyUnidentified ? AttemptHealth::Unknown
-                                : AttemptHealth::Failed,
+  bool const IsServerAtFault =
+      !IsOnlyUnidentified && Evidence.End_ != AttemptEnd::Cancelled;
+  endAttempt(IsServerAtFault ? AttemptHealth::Failed : AttemptHealth::Unknown,
              Evidence);
   handle(AttemptFailed{Evidence});
 }
