--- a/Libraries/LibBackend/HttpBackendClient.cpp
+++ b/Libraries/LibBackend/HttpBackendClient.cpp
@@ -136,8 +136,11 @@
       exchange(Server.Endpoint_, Request, Response, Call.Timeout_, Take);
   Result.Evidence_ = evidenceOf(Exchanged, Response);
   classifyAnswer(Result.Evidence_, Request, Response, Exchanged);
-  if (!HasRoom)
+  // No fault of the server.
+  if (!HasRoom) {
+    Result.Evidence_.End_ = AttemptEnd::Cancelled;
     Result.Evidence_.Detail_ = "the answers take too much memory";
+  }
   if (!Exchanged.hasAnswer())
     return Result;
   Result.Answer_.Status_ = Response.status;
--- a/Libraries/LibCallers/CallerServer.cpp
+++ b/Libraries/LibCallers/CallerServer.cpp
@@ -227,7 +227,7 @@
     }
     auto Answer = Handler_(Message);
     if (auto *const Whole = std::get_if<HttpAnswer>(&Answer)) {
-      Server_.beginAnswer(Whole->Body_.size());
+      Server_.beginAnswer(Whole->Body_.size(), readClock());
       return write(std::move(*Whole), Response);
     }
     write(std::get<StreamAnswer>(Answer), Response);
--- a/Libraries/LibCallers/ConnectionStream.cpp
+++ b/Libraries/LibCallers/ConnectionStream.cpp
@@ -108,7 +108,10 @@
 ssize_t ConnectionStream::write(char const *Data, size_t Size) {
   if (IsSilent_ || !waitFor(Socket_, POLLOUT, WriteTimeout_))
     return -1;
-  return ::send(Socket_, Data, Size, MSG_NOSIGNAL);
+  auto const Sent = ::send(Socket_, Data, Size, MSG_NOSIGNAL);
+  if (Sent > 0)
+    noteProgress(readClock());
+  return Sent;
 }
 
 } // namespace laburnum
--- a/Libraries/LibCallers/ConnectionStream.h
+++ b/Libraries/LibCallers/ConnectionStream.h
@@ -6,6 +6,7 @@
 #include <httplib.h>
 
 #include <array>
+#include <atomic>
 #include <optional>
 
 namespace laburnum {
@@ -38,6 +39,10 @@
   void get_local_ip_and_port(std::string &, int &) const override {}
   socket_t socket() const override { return Socket_; }
 
+  /// When the peer has last taken bytes, as this was noted or written.
+  TimePoint lastProgress() const { return LastProgress_; }
+  void noteProgress(TimePoint Now) { LastProgress_ = Now; }
+
   /// Waits for the first byte of the next request.
   bool waitForRequest(Duration Timeout) const;
 
@@ -80,6 +85,7 @@
   bool IsBroken_ = false;
   /// Nothing is written, as a refusal would blame the request.
   bool IsSilent_ = false;
+  std::atomic<TimePoint> LastProgress_{}; ///< Read by other threads.
 };
 
 } // namespace laburnum
--- a/Libraries/LibCallers/FlowRunner.cpp
+++ b/Libraries/LibCallers/FlowRunner.cpp
@@ -59,6 +59,7 @@
 }
 
 void FlowRunner::perform(flow::StartPlainAttempt const &Action) {
+  AnswerMemory_.reset();
   auto Outcome = Resources_.Backends_.call(Action.Server_, Action.Call_);
   AnswerMemory_ = Outcome.Memory_;
   feed(flow::PlainAttemptEnded{Action.Call_.Attempt_, std::move(Outcome)});
--- a/Libraries/LibCallers/StoppableServer.cpp
+++ b/Libraries/LibCallers/StoppableServer.cpp
@@ -3,7 +3,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <utility>
 
 namespace laburnum {
@@ -43,21 +42,15 @@
   closeOwed();
 }
 
-std::map<socket_t, StoppableServer::Connection>::iterator
-StoppableServer::longestIn(std::initializer_list<Use> Uses) {
-  auto Longest = Open_.end();
-  for (auto Each = Open_.begin(); Each != Open_.end(); ++Each) {
-    auto const &Current = Each->second;
-    if (std::find(Uses.begin(), Uses.end(), Current.Use_) != Uses.end() &&
-        (Longest == Open_.end() || Current.Since_ < Longest->second.Since_))
-      Longest = Each;
-  }
-  return Longest;
-}
-
 void StoppableServer::closeOwed() {
   while (Owed_ > 0) {
-    auto const Longest = longestIn({Use::Idle, Use::Reading});
+    auto Longest = Open_.end();
+    for (auto Each = Open_.begin(); Each != Open_.end(); ++Each) {
+      auto const &Current = Each->second;
+      if ((Current.Use_ == Use::Idle || Current.Use_ == Use::Reading) &&
+          (Longest == Open_.end() || Current.Since_ < Longest->second.Since_))
+        Longest = Each;
+    }
     if (Longest == Open_.end())
       return;
     --Owed_;
@@ -76,19 +69,31 @@
   return true;
 }
 
-void StoppableServer::beginAnswer(std::size_t Bytes) {
+std::map<socket_t, StoppableServer::Connection>::iterator
+StoppableServer::stalest() {
+  auto Stalest = Open_.end();
+  for (auto Each = Open_.begin(); Each != Open_.end(); ++Each)
+    if (Each->second.Use_ == Use::Answering &&
+        (Stalest == Open_.end() || Each->second.Stream_->lastProgress() <
+                                       Stalest->second.Stream_->lastProgress()))
+      Stalest = Each;
+  return Stalest;
+}
+
+void StoppableServer::beginAnswer(std::size_t Bytes, TimePoint Now) {
   if (Bytes <= BodyMemory::Share::FreeBytes)
     return;
   std::lock_guard const Lock(Mutex_);
-  auto const Longest = [this] { return longestIn({Use::Answering}); };
-  for (auto Next = Longest();
+  for (auto Next = stalest();
        Unwritten_ + Bytes > MaxUnwritten_ && Next != Open_.end();
-       Next = Longest()) {
-    Next->second.Use_ = Use::Closing;
+       Next = stalest()) {
+    Next->second.Use_ = Use::GivenUp;
     Unwritten_ -= std::exchange(Next->second.Unwritten_, 0);
     ::shutdown(Next->first, SHUT_RDWR);
   }
-  Open_.at(CurrentStream->socket()) = {Use::Answering, ++Changes_, Bytes};
+  CurrentStream->noteProgress(Now);
+  Open_.at(CurrentStream->socket()) = {Use::Answering, ++Changes_, Bytes,
+                                       CurrentStream};
   Unwritten_ += Bytes;
 }
 
@@ -138,7 +143,7 @@
   std::lock_guard const Lock(Mutex_);
   auto &Current = Open_[Socket];
   Unwritten_ -= std::exchange(Current.Unwritten_, 0);
-  if (IsClosed_ || Current.Use_ == Use::Closing)
+  if (IsClosed_ || Current.Use_ == Use::Closing || Current.Use_ == Use::GivenUp)
     return false;
   Current = {Now, ++Changes_};
   // Those that wait for a thread may have been too early to find one to close.
--- a/Libraries/LibCallers/StoppableServer.h
+++ b/Libraries/LibCallers/StoppableServer.h
@@ -5,7 +5,6 @@
 #include <httplib.h>
 
 #include <cstdint>
-#include <initializer_list>
 #include <map>
 #include <mutex>
 
@@ -45,9 +44,9 @@
   bool beginServing();
 
   /// Must be called before the calling thread writes an answer of this size.
-  /// Closes the connections whose answers have been written for longest if all
-  /// answers together exceed the limit.
-  void beginAnswer(std::size_t Bytes);
+  /// If all answers together exceed the limit, closes the connections whose
+  /// callers have taken nothing for longest.
+  void beginAnswer(std::size_t Bytes, TimePoint Now);
 
   /// Ends the connection that the calling thread serves after its answer, since
   /// the rest of its body would be read as further requests.
@@ -59,19 +58,20 @@
     Reading,   ///< A request has begun to arrive.
     Serving,   ///< A request has arrived whole.
     Answering, ///< A large answer is being written.
-    Closing,   ///< Chosen to make room.
+    Closing,   ///< Chosen to make room for a connection.
+    GivenUp,   ///< Chosen to make room for an answer.
   };
   struct Connection {
     Use Use_ = Use::Idle;
     std::uint64_t Since_ = 0;   ///< Orders the changes of use.
     std::size_t Unwritten_ = 0; ///< Bytes of the answer while Answering.
+    ConnectionStream const *Stream_ = nullptr; ///< While Answering.
   };
 
   bool process_and_close_socket(socket_t Socket) override;
-  /// Returns the connection that has been in one of these uses for longest, or
-  /// Open_.end().
-  std::map<socket_t, Connection>::iterator
-  longestIn(std::initializer_list<Use> Uses);
+  /// Returns the answering connection whose caller has taken nothing for
+  /// longest, or Open_.end().
+  std::map<socket_t, Connection>::iterator stalest();
   /// Closes as many connections that wait for their callers as are owed.
   void closeOwed();
   /// False when the connection must end.
--- a/Libraries/LibSettings/KeyDescription.cpp
+++ b/Libraries/LibSettings/KeyDescription.cpp
@@ -159,10 +159,11 @@
       accessor(&DaemonSettings::Callers_, &CallersSettings::BodyMemoryBytes_)));
   Keys.push_back(integerKey(
       "callers", "answer_memory_bytes", "33554432", {1, MaxBytes},
-      "Memory for the answers that arrive from servers, and as much for those "
-      "that callers have not read, beside the first 64 KiB of each; beyond it "
-      "answers fail, and callers that have not read theirs for longest are "
-      "disconnected. A single answer always has room.",
+      "Memory for the answers that arrive from servers, twice the largest "
+      "answer (16 MiB) at least, and as much for those that callers have not "
+      "read whole, beside the first 32 or 64 KiB of each; beyond it answers "
+      "fail, and callers that have taken nothing for longest are "
+      "disconnected.",
       accessor(&DaemonSettings::Callers_,
                &CallersSettings::AnswerMemoryBytes_)));
   Keys.push_back(integerKey(
--- a/Services/laburnumd/Daemon.cpp
+++ b/Services/laburnumd/Daemon.cpp
@@ -28,6 +28,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <future>
 #include <random>
@@ -64,7 +65,9 @@
   Converted.MaxThreads_ = Settings.Callers_.Threads_;
   Converted.MaxBodyBytes_ = Settings.Callers_.MaxBodyBytes_;
   Converted.BodyMemoryBytes_ = Settings.Callers_.BodyMemoryBytes_;
-  Converted.AnswerMemoryBytes_ = Settings.Callers_.AnswerMemoryBytes_;
+  Converted.AnswerMemoryBytes_ =
+      std::max<std::size_t>(Settings.Callers_.AnswerMemoryBytes_,
+                            2 * BackendClientSettings().MaxAnswerBytes_);
   Converted.ReadTimeout_ = Settings.Callers_.HeaderTimeout_;
   Converted.Head_ = {Settings.Callers_.MaxHeaderBytes_,
                      Settings.Callers_.HeaderTimeout_};
