--- a/Tests/FaultMatrix/BackendFake.cpp
+++ b/Tests/FaultMatrix/BackendFake.cpp
@@ -99,7 +99,7 @@
     return deliver(ActiveAttempt,
                    flow::CompletionAttemptEnded{ActiveAttempt->Owner_.Attempt_,
                                                 {Evidence, 0, {}}});
-  PlainResult Result{Evidence, {}, {}};
+  PlainResult Result{Evidence, {}, {}, {}};
   if (EndKind == AttemptEnd::Answered)
     Result.Answer_ = {200, "text/plain",
                       answerText(ActiveAttempt->Owner_.Key_)};
