LibHttp, laburnum-entry: Report requests that cross the close of their connection

Neither log nor metrics told requests that arrive after a close (and were read and thrown away) from those that never came. request_crossed_close names the close (drain or idle timeout), how long the connection was idle and how long ago it was closed; laburnum_requests_crossed_close_total counts them.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -107,6 +107,8 @@
     // caused another connection to read.
     Observer->onBytes(std::string_view(Buffer.data(), Count));
   }
+  if (auto const OnCrossed = std::exchange(OnCrossed_, nullptr))
+    OnCrossed();
   waitForBytes();
 }
 
@@ -206,6 +208,12 @@
     finishClosing();
 }
 
+void Connection::closeIdle(std::function<void()> OnCrossed) {
+  if (State_ == State::Open)
+    OnCrossed_ = std::move(OnCrossed);
+  close();
+}
+
 void Connection::finishClosing() {
   asio::error_code Ignored;
   Socket_.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -73,6 +74,9 @@
   /// Shuts the connection down gracefully: pending writes are still sent, and
   /// the peer gets a second to close its side.
   void close();
+  /// Like close(), for a connection whose peer sends the next message. Calls
+  /// OnCrossed once if one arrives all the same.
+  void closeIdle(std::function<void()> OnCrossed);
   /// Resets the connection at once, so that a truncated answer cannot be taken
   /// for a complete one.
   void abort();
@@ -109,6 +113,7 @@
   asio::ip::tcp::socket Socket_;
   asio::steady_timer CloseTimer_;
   std::shared_ptr<ConnectionObserver> Observer_;
+  std::function<void()> OnCrossed_; ///< Set by closeIdle().
   std::deque<std::string> Writes_;
   std::size_t Unwritten_ = 0;
   std::shared_ptr<UnwrittenTotal> Total_;
--- a/Libraries/LibHttp/HttpListener.h
+++ b/Libraries/LibHttp/HttpListener.h
@@ -25,6 +25,18 @@
   auto operator<=>(ClientBounds const &) const = default;
 };
 
+/// Why a connection was closed that waited for its client's next request.
+enum class IdleClose { Drain, IdleTimeout };
+
+/// A client's bytes that arrived when their connection had been closed.
+struct CrossedClose {
+  IdleClose Why_ = IdleClose::Drain;
+  Duration Idle_{};  ///< From the last answer to the close.
+  Duration Since_{}; ///< From the close to the arrival.
+
+  auto operator<=>(CrossedClose const &) const = default;
+};
+
 /// Handles the requests that a listener receives.
 class HttpService {
 public:
@@ -38,6 +50,8 @@
   /// A request was refused, or its connection closed, as clients together took
   /// more than the limits allow.
   virtual void onGivenUp() {}
+  /// A client's request and the close of its connection have crossed.
+  virtual void onCrossedClose(CrossedClose const & /*Crossed*/) {}
 };
 
 class HttpServerConnection;
--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -74,7 +74,7 @@
 void HttpServerConnection::drain() {
   ClosesAfterAnswer_ = true;
   if (State_ == State::Idle)
-    endConnection();
+    endIdle(IdleClose::Drain);
 }
 
 void HttpServerConnection::onBytes(std::string_view Bytes) {
@@ -170,7 +170,7 @@
 void HttpServerConnection::onTimeout() {
   constexpr std::int32_t RequestTimeout = 408;
   if (State_ == State::Idle)
-    endConnection();
+    endIdle(IdleClose::IdleTimeout);
   else if (State_ == State::Reading)
     sendError(RequestTimeout);
 }
@@ -254,6 +254,15 @@
   armTimer(Listener_->Service_.bounds().IdleTimeout_);
 }
 
+void HttpServerConnection::endIdle(IdleClose Why) {
+  auto const Now = readBootClock();
+  Connection_->closeIdle(
+      [Listener = Listener_, Why, Idle = Now - WaitingSince_, Now] {
+        Listener->Service_.onCrossedClose({Why, Idle, readBootClock() - Now});
+      });
+  endConnection();
+}
+
 void HttpServerConnection::endConnection() {
   State_ = State::Ended;
   Listener_->Budget_->remove(*this);
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -71,6 +71,8 @@
   /// Serves no other request to a client that has not read its answer.
   void endWithUnreadAnswer();
   void finishAnswer();
+  /// Ends the connection of a client that owes the next request.
+  void endIdle(IdleClose Why);
   void endConnection();
   bool isCurrent(std::uint64_t Number) const;
   ConnectionReuse reuse() const;
--- a/Services/laburnum-entry/EntryMetrics.cpp
+++ b/Services/laburnum-entry/EntryMetrics.cpp
@@ -28,6 +28,7 @@
       ClientLeft_(Registry_.counter("requests.client_left", "requests")),
       Rejected_(Registry_.counter("requests.rejected", "requests")),
       GivenUp_(Registry_.counter("requests.given_up", "requests")),
+      CrossedCloses_(Registry_.counter("requests.crossed_close", "requests")),
       Unroutable_(Registry_.counter("requests.unroutable", "requests")),
       AttemptsSent_(Registry_.counter("attempts.sent", "attempts")),
       AttemptsByWork_(Registry_.counter("attempts.by_work", "attempts")),
--- a/Services/laburnum-entry/EntryMetrics.h
+++ b/Services/laburnum-entry/EntryMetrics.h
@@ -20,15 +20,16 @@
       Registry_; ///< Declared first: the references below point into it.
 
 public:
-  Counter &Answered_;   ///< Answered by a server, with any status.
-  Counter &Refused_;    ///< 503: the request was not run.
-  Counter &OverQuota_;  ///< 429.
-  Counter &Failed_;     ///< 502 and 504.
-  Counter &Aborted_;    ///< Streams aborted by this instance.
-  Counter &ClientLeft_; ///< The client disconnected before the answer ended.
-  Counter &Rejected_;   ///< Invalid HTTP, or over a size limit.
-  Counter &GivenUp_;    ///< Clients took more than the limits allow.
-  Counter &Unroutable_; ///< 400, 401, 404.
+  Counter &Answered_;      ///< Answered by a server, with any status.
+  Counter &Refused_;       ///< 503: the request was not run.
+  Counter &OverQuota_;     ///< 429.
+  Counter &Failed_;        ///< 502 and 504.
+  Counter &Aborted_;       ///< Streams aborted by this instance.
+  Counter &ClientLeft_;    ///< The client disconnected before the answer ended.
+  Counter &Rejected_;      ///< Invalid HTTP, or over a size limit.
+  Counter &GivenUp_;       ///< Clients took more than the limits allow.
+  Counter &CrossedCloses_; ///< Requests that crossed a close, not read.
+  Counter &Unroutable_;    ///< 400, 401, 404.
   Counter &AttemptsSent_;
   Counter &AttemptsByWork_; ///< Placed by what they ask of a model server.
   Counter &AttemptsFailed_;
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -76,6 +76,9 @@
             Plane_.admit(Exchange, Request, exchange::RequestSource::Peer))
       Session->start();
   }
+  void onCrossedClose(CrossedClose const &Crossed) override {
+    Plane_.onCrossedClose(Crossed);
+  }
 
 private:
   TrafficPlane &Plane_;
@@ -293,6 +296,16 @@
           .add("max_connections", Intake_->limits().Connections_));
 }
 
+void TrafficPlane::onCrossedClose(CrossedClose const &Crossed) {
+  Dependencies_.Metrics_.CrossedCloses_.add();
+  Dependencies_.Log_.write(LogLine("request_crossed_close")
+                               .add("close", Crossed.Why_ == IdleClose::Drain
+                                                 ? "drain"
+                                                 : "idle timeout")
+                               .add("idle_ms", Crossed.Idle_)
+                               .add("since_close_ms", Crossed.Since_));
+}
+
 void TrafficPlane::onPeerRateLimits(ServerRateLimits const &Received) {
   RateLimits_.onPeer(Received, readBootClock());
   advanceQueue();
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -145,6 +145,7 @@
                  ReceivedRequest Request) override;
   void onRejected(MessageFault Fault) override;
   void onGivenUp() override;
+  void onCrossedClose(CrossedClose const &Crossed) override;
 
 private:
   friend class RequestSession;
