LibHttp: Leave requests unread that cross the close of their connection

Callers lost requests that they had sent whole: the connection ended with no answer, 0.2 to 0.6 s later, and nothing told whether the request had run, so that one that may not be repeated was not sent again.

Cause: after the close of an idle connection (drain, idle timeout) its socket was read for another second and what came was thrown away, so that no reset would overtake the last answer.

Such a request now stays unread and its connection is reset at once: by then the client has taken the last answer whole. Clients may send a request again whose connection was closed unread, also a non-idempotent one.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -90,7 +90,18 @@
                      });
 }
 
+std::size_t Connection::unreadBytes() const {
+  asio::error_code Ignored;
+  return Socket_.available(Ignored);
+}
+
 void Connection::readAvailable() {
+  // A reset would cut an answer that is still being written.
+  if (OnCrossed_ && Writes_.empty() && unreadBytes() > 0) {
+    auto const OnCrossed = std::exchange(OnCrossed_, nullptr);
+    abort();
+    return OnCrossed();
+  }
   auto &Buffer = readBuffer();
   asio::error_code Failure;
   auto const Count = Socket_.read_some(asio::buffer(Buffer), Failure);
@@ -107,8 +118,6 @@
     // caused another connection to read.
     Observer->onBytes(std::string_view(Buffer.data(), Count));
   }
-  if (auto const OnCrossed = std::exchange(OnCrossed_, nullptr))
-    OnCrossed();
   waitForBytes();
 }
 
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -68,14 +68,17 @@
   std::size_t unwrittenBytes() const {
     return State_ == State::Closed ? 0 : Unwritten_;
   }
+  /// Bytes of the peer that the kernel holds and the observer did not get yet.
+  std::size_t unreadBytes() const;
   /// When the oldest of these bytes were passed to write().
   TimePoint writeBegunAt() const { return WriteBegunAt_; }
 
   /// Shuts the connection down gracefully: pending writes are still sent, and
   /// the peer gets a second to close its side.
   void close();
-  /// Like close(), for a connection whose peer sends the next message. Calls
-  /// OnCrossed once if one arrives all the same.
+  /// Like close(), for a connection whose peer sends the next message. One that
+  /// crosses the close stays unread: OnCrossed is called, and the reset of the
+  /// connection shows the peer that its message was not processed.
   void closeIdle(std::function<void()> OnCrossed);
   /// Resets the connection at once, so that a truncated answer cannot be taken
   /// for a complete one.
--- a/Tests/LibHttp/Loopback.h
+++ b/Tests/LibHttp/Loopback.h
@@ -52,6 +52,16 @@
   }
   /// Leaves what comes unread.
   void stopReading() { Socket_.cancel(); }
+  /// Whether the other side has reset the connection, also after it closed its
+  /// side.
+  bool wasReset() {
+    int Failure = 0;
+    socklen_t Size = sizeof(Failure);
+    ::getsockopt(Socket_.native_handle(), SOL_SOCKET, SO_ERROR, &Failure,
+                 &Size);
+    WasReset_ |= Failure == ECONNRESET || Failure == EPIPE;
+    return WasReset_;
+  }
   void reset() {
     Socket_.set_option(asio::socket_base::linger(true, 0));
     close();
--- a/Tests/LibHttp/TestUnreadRequests.cpp
+++ b/Tests/LibHttp/TestUnreadRequests.cpp
@@ -54,7 +54,8 @@
 
 } // namespace
 
-TEST_CASE("A request that crosses the close of its connection is reported") {
+TEST_CASE("A request that crosses the close of its connection is left "
+          "unread") {
   Fixture On;
   auto const Close = GENERATE(IdleClose::Drain, IdleClose::IdleTimeout);
   if (Close == IdleClose::IdleTimeout)
@@ -71,4 +72,6 @@
                               ? On.Service_.Bounds_.IdleTimeout_
                               : Duration(0)));
   CHECK(On.Service_.Requests_ == 0);
+  // Only the reset shows the client that it may send its request again.
+  CHECK(On.wait([&] { return Client->wasReset(); }));
 }
