LibHttp: Answer requests that are unread when their connection would be closed

Callers lost requests that were waiting in the kernel's buffer, or in the accept queue, when an instance drained.

Cause: a connection counted as idle by what the process had read of it. On a slow processor a request can wait unread while drain(), the idle timeout or makeRoom() closes its connection.

A connection is idle only if the kernel holds no bytes of its client. A stop accepts what is in the accept queue before it closes the port; an idle connection with unread bytes counts as busy until their request is answered, with Connection: close.

--- a/Libraries/LibHttp/HttpListener.cpp
+++ b/Libraries/LibHttp/HttpListener.cpp
@@ -54,22 +54,29 @@
 }
 
 void HttpListener::accept() {
-  Acceptor_.async_accept([Self = shared_from_this()](
-                             asio::error_code Failure,
-                             asio::ip::tcp::socket Socket) {
-    if (Failure == asio::error::operation_aborted || !Self->Acceptor_.is_open())
-      return;
-    if (Failure)
-      return Self->retryLater();
-    if (Self->makeRoom()) {
-      auto const Opened = std::make_shared<HttpServerConnection>(
-          Self,
-          Connection::create(std::move(Socket), Self->Budget_->unwritten()));
-      Self->Connections_.insert(Opened);
-      Opened->start();
-    }
-    Self->accept();
-  });
+  Acceptor_.async_accept(
+      [Self = shared_from_this()](asio::error_code Failure,
+                                  asio::ip::tcp::socket Socket) {
+        if (!Failure)
+          Self->open(std::move(Socket));
+        if (!Self->Acceptor_.is_open())
+          return;
+        if (Failure)
+          return Self->retryLater();
+        Self->accept();
+      });
+}
+
+void HttpListener::open(asio::ip::tcp::socket Socket) {
+  if (!makeRoom())
+    return;
+  auto const Opened = std::make_shared<HttpServerConnection>(
+      shared_from_this(),
+      Connection::create(std::move(Socket), Budget_->unwritten()));
+  Connections_.insert(Opened);
+  Opened->start();
+  if (IsDraining_)
+    Opened->drain();
 }
 
 bool HttpListener::makeRoom() {
@@ -84,8 +91,8 @@
   }
   std::shared_ptr<HttpServerConnection> Oldest;
   for (auto const &Accepted : Connections_)
-    if (Accepted->isWaitingForClient() &&
-        (!Oldest || Accepted->waitingSince() < Oldest->waitingSince()))
+    if ((!Oldest || Accepted->waitingSince() < Oldest->waitingSince()) &&
+        Accepted->isWaitingForClient())
       Oldest = Accepted;
   if (!Oldest)
     return false;
@@ -104,6 +111,15 @@
 void HttpListener::stopAccepting() {
   asio::error_code Ignored;
   RetryTimer_.cancel();
+  // Their clients may have sent requests, which a reset would lose.
+  Acceptor_.non_blocking(true, Ignored);
+  while (Acceptor_.is_open()) {
+    asio::error_code Failure;
+    auto Socket = Acceptor_.accept(Failure);
+    if (Failure)
+      break;
+    open(std::move(Socket));
+  }
   Acceptor_.close(Ignored);
 }
 
--- a/Libraries/LibHttp/HttpListener.h
+++ b/Libraries/LibHttp/HttpListener.h
@@ -70,7 +70,7 @@
          HttpService &Service, std::shared_ptr<IntakeBudget> Budget = nullptr);
 
   Endpoint localEndpoint() const;
-  /// Accepts no further connections; those in the accept queue are reset.
+  /// Accepts those in the accept queue and no further connections.
   void stopAccepting();
   /// Closes idle connections at once and every other one after its current
   /// answer.
@@ -90,6 +90,7 @@
   HttpListener(asio::io_context &Context, HttpService &Service,
                std::shared_ptr<IntakeBudget> Budget);
   void accept();
+  void open(asio::ip::tcp::socket Socket);
   /// If there are as many connections as allowed, resets one that is closing,
   /// or else the one that has waited for its client for the longest time.
   /// Returns whether there is room for another one.
--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -255,6 +255,8 @@
 }
 
 void HttpServerConnection::endIdle(IdleClose Why) {
+  if (Connection_->unreadBytes() > 0)
+    return armTimer(Listener_->Service_.bounds().RequestTimeout_);
   auto const Now = readBootClock();
   Connection_->closeIdle(
       [Listener = Listener_, Why, Idle = Now - WaitingSince_, Now] {
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -22,16 +22,20 @@
   ~HttpServerConnection() override;
 
   void start();
-  /// Closes the connection after the current answer, or at once when idle.
+  /// Closes the connection after the current answer, or at once when idle. A
+  /// request that has arrived unread is answered first.
   void drain();
-  /// Whether a request is being read or answered. An answer lasts until the
-  /// kernel has taken all of it.
-  bool isBusy() const { return State_ != State::Idle || unwrittenBytes() > 0; }
+  /// Whether a request is being read or answered, or waits unread for the last
+  /// answer. An answer lasts until the kernel has taken all of it.
+  bool isBusy() const {
+    return State_ != State::Idle || ClosesAfterAnswer_ || unwrittenBytes() > 0;
+  }
 
   /// Whether the next bytes are to come from the client: it is idle, or its
-  /// request is not whole.
+  /// request is not whole, and nothing of it is unread.
   bool isWaitingForClient() const {
-    return State_ == State::Idle || State_ == State::Reading;
+    return (State_ == State::Idle || State_ == State::Reading) &&
+           Connection_->unreadBytes() == 0;
   }
   TimePoint waitingSince() const { return WaitingSince_; }
   /// Resets the connection at once.
@@ -71,7 +75,7 @@
   /// Serves no other request to a client that has not read its answer.
   void endWithUnreadAnswer();
   void finishAnswer();
-  /// Ends the connection of a client that owes the next request.
+  /// Ends an idle connection, unless its client's next request is unread.
   void endIdle(IdleClose Why);
   void endConnection();
   bool isCurrent(std::uint64_t Number) const;
--- a/Tests/LibHttp/TestUnreadRequests.cpp
+++ b/Tests/LibHttp/TestUnreadRequests.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace laburnum;
 using test::RawPeer;
 using test::runUntil;
@@ -47,6 +49,19 @@
     REQUIRE(wait([&] { return Listener_->openConnections() == Open + 1; }));
     return Client;
   }
+  /// Runs the task after the reactor has found what is ready, and before the
+  /// handlers of timers that expire later.
+  void runWithExpiredTimers(std::function<void()> Task) {
+    asio::steady_timer Timer(Context_, std::chrono::milliseconds(1));
+    bool IsDone = false;
+    Timer.async_wait([&](asio::error_code) {
+      Task();
+      IsDone = true;
+    });
+    std::this_thread::sleep_for(2 * Service_.Bounds_.IdleTimeout_);
+    REQUIRE(wait([&] { return IsDone; }));
+  }
+
   asio::io_context Context_;
   PromptService Service_;
   std::shared_ptr<HttpListener> Listener_;
@@ -75,3 +90,50 @@
   // Only the reset shows the client that it may send its request again.
   CHECK(On.wait([&] { return Client->wasReset(); }));
 }
+
+TEST_CASE("A request that is unread when the listener drains is answered") {
+  Fixture On;
+  auto const Client = On.connect();
+  Client->write(Get);
+  On.Listener_->stopAccepting();
+  On.Listener_->drainConnections();
+  CHECK(On.Listener_->busyConnections() == 1);
+  REQUIRE(On.wait([&] { return Client->IsClosed_; }));
+  CHECK(Client->Received_.ends_with("whole"));
+  CHECK(Client->Received_.find("Connection: close") != std::string::npos);
+  CHECK(On.Listener_->busyConnections() == 0);
+}
+
+TEST_CASE("A request in the accept queue when the listener stops accepting is "
+          "answered") {
+  Fixture On;
+  RawPeer Client(On.Context_, On.Listener_->localEndpoint());
+  Client.write(Get);
+  On.Listener_->stopAccepting();
+  On.Listener_->drainConnections();
+  REQUIRE(On.wait([&] { return Client.IsClosed_; }));
+  CHECK(Client.Received_.ends_with("whole"));
+}
+
+TEST_CASE("A request that is unread when its connection's idle timeout expires "
+          "is answered") {
+  Fixture On;
+  On.Service_.Bounds_.IdleTimeout_ = std::chrono::milliseconds(20);
+  auto const Client = On.connect();
+  On.runWithExpiredTimers([&] { Client->write(Get); });
+  REQUIRE(
+      On.wait([&] { return Client->IsClosed_ || !Client->Received_.empty(); }));
+  CHECK(Client->Received_.ends_with("whole"));
+}
+
+TEST_CASE("A connection with an unread request does not make room for others") {
+  Fixture On(2);
+  auto const Asking = On.connect();
+  auto const Idle = On.connect();
+  RawPeer Late(On.Context_, On.Listener_->localEndpoint());
+  Asking->write(Get);
+  Late.write(Get);
+  REQUIRE(On.wait([&] { return Late.Received_.ends_with("whole"); }));
+  CHECK(Asking->Received_.ends_with("whole"));
+  CHECK(Idle->IsClosed_);
+}
