LibHttp: Measure a client's idle time from the arrival of its answer

Callers lost requests on connections that they had not left idle for longer than the configured timeout allows.

Cause: the idle timeout began when the kernel had taken the answer and ended when the next request had been read. A timeout that is raised while a connection is idle had no effect on it either.

--- a/Libraries/LibHttp/HttpListener.h
+++ b/Libraries/LibHttp/HttpListener.h
@@ -19,8 +19,11 @@
 struct ClientBounds {
   MessageBounds Message_;
   Duration RequestTimeout_ =
-      std::chrono::seconds(5);                      ///< Each of head and body.
-  Duration IdleTimeout_ = std::chrono::seconds(15); ///< Between requests.
+      std::chrono::seconds(5); ///< Each of head and body.
+  /// Between requests, as clients see it.
+  Duration IdleTimeout_ = std::chrono::seconds(15);
+  /// Added to it: a client's idle time begins when the last answer has arrived.
+  Duration AnswerTransit_ = Connection::SilenceLimit;
 
   auto operator<=>(ClientBounds const &) const = default;
 };
--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -67,7 +67,7 @@
 }
 
 void HttpServerConnection::start() {
-  armTimer(Listener_->Service_.bounds().IdleTimeout_);
+  armIdleTimer();
   Connection_->start(shared_from_this());
 }
 
@@ -167,9 +167,22 @@
   });
 }
 
+TimePoint HttpServerConnection::idleUntil() const {
+  auto const Bounds = Listener_->Service_.bounds();
+  return WaitingSince_ + Bounds.IdleTimeout_ + Bounds.AnswerTransit_;
+}
+
+void HttpServerConnection::armIdleTimer() {
+  armTimer(idleUntil() - readBootClock());
+}
+
 void HttpServerConnection::onTimeout() {
   constexpr std::int32_t RequestTimeout = 408;
-  if (State_ == State::Idle)
+  // The timeout may have been raised since the timer was armed.
+  if (State_ == State::Idle && !ClosesAfterAnswer_ &&
+      readBootClock() < idleUntil())
+    armIdleTimer();
+  else if (State_ == State::Idle)
     endIdle(IdleClose::IdleTimeout);
   else if (State_ == State::Reading)
     sendError(RequestTimeout);
@@ -251,7 +264,7 @@
   Listener_->Budget_->remove(*this);
   if (ClosesAfterAnswer_)
     return endConnection();
-  armTimer(Listener_->Service_.bounds().IdleTimeout_);
+  armIdleTimer();
 }
 
 void HttpServerConnection::endIdle(IdleClose Why) {
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -71,6 +71,8 @@
   /// on.
   bool chargeReading();
   void armTimer(Duration After);
+  void armIdleTimer();
+  TimePoint idleUntil() const;
   void onTimeout();
   /// Serves no other request to a client that has not read its answer.
   void endWithUnreadAnswer();
--- a/Tests/LibHttp/TestUnreadRequests.cpp
+++ b/Tests/LibHttp/TestUnreadRequests.cpp
@@ -34,10 +34,12 @@
 
 struct Fixture {
   explicit Fixture(std::size_t MaxConnections = 4096)
-      : Listener_(std::get<0>(HttpListener::create(
-            Context_, Endpoint{"127.0.0.1", 0}, Service_,
-            std::make_shared<IntakeBudget>(
-                IntakeLimits{std::size_t{1} << 20, MaxConnections})))) {}
+      : Listener_(std::get<0>(
+            HttpListener::create(Context_, Endpoint{"127.0.0.1", 0}, Service_,
+                                 std::make_shared<IntakeBudget>(IntakeLimits{
+                                     std::size_t{1} << 20, MaxConnections})))) {
+    Service_.Bounds_.AnswerTransit_ = Duration(0);
+  }
 
   bool wait(std::function<bool()> const &Done) {
     return runUntil(Context_, Done);
@@ -62,6 +64,11 @@
     REQUIRE(wait([&] { return IsDone; }));
   }
 
+  void runReady() {
+    Context_.restart();
+    Context_.poll();
+  }
+
   asio::io_context Context_;
   PromptService Service_;
   std::shared_ptr<HttpListener> Listener_;
@@ -137,3 +144,27 @@
   CHECK(Asking->Received_.ends_with("whole"));
   CHECK(Idle->IsClosed_);
 }
+
+TEST_CASE("A connection is not idle for a client that gets its answer late") {
+  Fixture On;
+  On.Service_.Bounds_.IdleTimeout_ = std::chrono::milliseconds(20);
+  On.Service_.Bounds_.AnswerTransit_ = std::chrono::seconds(10);
+  auto const Client = On.connect();
+  On.runWithExpiredTimers([] {});
+  On.runReady();
+  CHECK(On.Listener_->openConnections() == 1);
+  Client->write(Get);
+  CHECK(On.wait([&] { return Client->Received_.ends_with("whole"); }));
+}
+
+TEST_CASE("An idle timeout that is raised holds for idle connections, too") {
+  Fixture On;
+  On.Service_.Bounds_.IdleTimeout_ = std::chrono::milliseconds(20);
+  auto const Client = On.connect();
+  On.runWithExpiredTimers(
+      [&] { On.Service_.Bounds_.IdleTimeout_ = std::chrono::seconds(10); });
+  On.runReady();
+  CHECK(On.Listener_->openConnections() == 1);
+  Client->write(Get);
+  CHECK(On.wait([&] { return Client->Received_.ends_with("whole"); }));
+}
