LibControl, LibPeer: Compress large values that instances pass on

A change of a configuration with 1,400 routes was 400 to 500 KB, which every instance got and passed on to two others, most of them over links of 10 Mbit/s: 0.4 s for each copy. Answers and ends of connections waited behind them for up to seconds.

Cause: values travel as stored. Damaged data changes nothing and is asked for again, like a gap. Plain values have the same form as before, so that earlier releases read them; they reject a message with a compressed one, and then read the store themselves.

--- a/Libraries/LibControl/CollectionState.cpp
+++ b/Libraries/LibControl/CollectionState.cpp
@@ -1,13 +1,38 @@
 #include <LibControl/CollectionState.h>
 
+#include <LibPeer/Compression.h>
+
+#include <utility>
+
 namespace laburnum {
 
+namespace {
+
+/// Smaller values gain little.
+constexpr std::size_t MinCompressedBytes = 4096;
+/// Above what the platform's store allows for one value.
+constexpr std::size_t MaxValueBytes = std::size_t{16} << 20;
+
+} // namespace
+
 UpdatedObject updatedObject(StoredObject const &Object) {
-  return {Object.Key_.Name_, Object.Version_, Object.Value_};
+  if (Object.Value_.size() < MinCompressedBytes)
+    return {Object.Key_.Name_, Object.Version_, Object.Value_};
+  return {Object.Key_.Name_, Object.Version_, compress(Object.Value_),
+          ValueEncoding::Compressed};
 }
 
-StoredObject CollectionState::stored(UpdatedObject const &Object) const {
-  return {{Collection_, Object.Name_}, Object.Version_, Object.Value_};
+std::optional<StoredObject>
+CollectionState::stored(UpdatedObject const &Object) const {
+  StoredObject Stored{
+      {Collection_, Object.Name_}, Object.Version_, Object.Value_};
+  if (Object.Encoding_ == ValueEncoding::Plain)
+    return Stored;
+  auto Value = decompress(Object.Value_, MaxValueBytes);
+  if (!Value)
+    return std::nullopt;
+  Stored.Value_ = std::move(*Value);
+  return Stored;
 }
 
 collection::Outcome CollectionState::apply(CollectionUpdate const &Update) {
@@ -23,18 +48,24 @@
   for (auto const &Object : Update.Objects_)
     Last[Object.Name_] = Object;
   collection::Applied Outcome;
-  Outcome.Changes_.StoreVersion_ = Version_ = Update.To_;
-  for (auto const &[Name, Object] : Last) {
-    auto const Held = Objects_.find(Name);
+  std::erase_if(Last, [&](auto const &Entry) {
+    auto const Held = Objects_.find(Entry.first);
     auto const HeldVersion =
         Held == Objects_.end() ? Version(0) : Held->second.Version_;
-    if (HeldVersion == Object.Version_)
-      continue;
+    return HeldVersion == Entry.second.Version_;
+  });
+  for (auto const &[Name, Object] : Last) {
+    auto Changed = stored(Object);
+    if (!Changed)
+      return collection::Gap{};
+    Outcome.Changes_.Objects_.push_back(std::move(*Changed));
+  }
+  Outcome.Changes_.StoreVersion_ = Version_ = Update.To_;
+  for (auto &[Name, Object] : Last) {
     if (Object.Version_ == 0)
-      Objects_.erase(Held);
+      Objects_.erase(Name);
     else
-      Objects_[Name] = Object;
-    Outcome.Changes_.Objects_.push_back(stored(Object));
+      Objects_[Name] = std::move(Object);
   }
   if (!Outcome.Changes_.Objects_.empty())
     UnchangedSince_ = Version_;
@@ -42,16 +73,20 @@
 }
 
 collection::Outcome CollectionState::replace(CollectionUpdate const &Update) {
-  Version_ = UnchangedSince_ = Update.To_;
-  Objects_.clear();
   collection::Replaced Outcome;
-  Outcome.All_.StoreVersion_ = Version_;
+  Outcome.All_.StoreVersion_ = Update.To_;
+  std::map<std::string, UpdatedObject> Objects;
   for (auto const &Object : Update.Objects_) {
     if (Object.Version_ == 0)
       continue;
-    Objects_[Object.Name_] = Object;
-    Outcome.All_.Objects_.push_back(stored(Object));
+    auto Known = stored(Object);
+    if (!Known)
+      return collection::Gap{};
+    Objects[Object.Name_] = Object;
+    Outcome.All_.Objects_.push_back(std::move(*Known));
   }
+  Version_ = UnchangedSince_ = Update.To_;
+  Objects_ = std::move(Objects);
   return Outcome;
 }
 
--- a/Libraries/LibControl/CollectionState.h
+++ b/Libraries/LibControl/CollectionState.h
@@ -16,8 +16,8 @@
 struct Unchanged {
   auto operator<=>(Unchanged const &) const = default;
 };
-/// The update starts after the known version: changes are missing in between
-/// and nothing was applied.
+/// The update starts after the known version, or a value cannot be read:
+/// changes are missing and nothing was applied.
 struct Gap {
   auto operator<=>(Gap const &) const = default;
 };
@@ -38,8 +38,8 @@
 
 } // namespace collection
 
-/// Converts an object to the form that updates carry; the update names the
-/// collection once for all its objects.
+/// Converts an object to the form that updates carry, which compresses a large
+/// value; the update names the collection once for all its objects.
 UpdatedObject updatedObject(StoredObject const &Object);
 
 /// One collection of the store as of one version of the store. The version
@@ -67,7 +67,8 @@
 
 private:
   collection::Outcome replace(CollectionUpdate const &Update);
-  StoredObject stored(UpdatedObject const &Object) const;
+  /// Returns nothing if the value cannot be read.
+  std::optional<StoredObject> stored(UpdatedObject const &Object) const;
 
   std::string Collection_;
   Version Version_ = 0;
--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -33,7 +33,7 @@
                   Value.TimeOfDay_);
 }
 auto fieldsOf(Of<UpdatedObject> auto &Value) {
-  return std::tie(Value.Name_, Value.Version_, Value.Value_);
+  return std::tie(Value.Name_, Value.Version_, Value.Value_, Value.Encoding_);
 }
 auto fieldsOf(Of<CollectionUpdate> auto &Value) {
   return std::tie(Value.Collection_, Value.From_, Value.To_, Value.Age_,
@@ -182,6 +182,9 @@
   return RateLimitState::Lifted;
 }
 constexpr Propagation lastOf(Propagation /*Any*/) { return Propagation::None; }
+constexpr ValueEncoding lastOf(ValueEncoding /*Any*/) {
+  return ValueEncoding::Compressed;
+}
 constexpr MemberState lastOf(MemberState /*Any*/) { return MemberState::Gone; }
 constexpr HeartbeatKind lastOf(HeartbeatKind /*Any*/) {
   return HeartbeatKind::Gossip;
@@ -204,6 +207,17 @@
   return StreamKnowledge::KeyReused;
 }
 
+/// The fields that releases before the last one do not know. They are packed
+/// only if one of them is not at its default, so that these releases read all
+/// other values.
+template <typename Value> constexpr std::size_t AddedFields = 0;
+template <> inline constexpr std::size_t AddedFields<UpdatedObject> = 1;
+
+constexpr bool hasAddedFields(auto const & /*Value*/) { return true; }
+inline bool hasAddedFields(UpdatedObject const &Value) {
+  return Value.Encoding_ != ValueEncoding::Plain;
+}
+
 template <typename Value> struct IsVector : std::false_type {};
 template <typename Item> struct IsVector<std::vector<Item>> : std::true_type {};
 
@@ -231,9 +245,15 @@
       packFields(Into, Item);
   } else {
     auto const Fields = fieldsOf(From);
-    Into.pack_array(std::tuple_size_v<decltype(Fields)>);
-    std::apply([&](auto const &...Each) { (packFields(Into, Each), ...); },
-               Fields);
+    auto const Count = std::tuple_size_v<decltype(Fields)> -
+                       (hasAddedFields(From) ? 0 : AddedFields<Value>);
+    Into.pack_array(static_cast<std::uint32_t>(Count));
+    std::size_t Index = 0;
+    auto const PackNext = [&](auto const &Each) {
+      if (Index++ < Count)
+        packFields(Into, Each);
+    };
+    std::apply([&](auto const &...Each) { (PackNext(Each), ...); }, Fields);
   }
 }
 
@@ -265,11 +285,15 @@
   } else {
     auto const Fields = fieldsOf(To);
     auto const &Items = itemsOf(From);
-    if (Items.size != std::tuple_size_v<decltype(Fields)>)
+    constexpr auto Count = std::tuple_size_v<decltype(Fields)>;
+    if (Items.size != Count && Items.size != Count - AddedFields<Value>)
       throw msgpack::type_error();
-    auto const *Next = Items.ptr;
-    std::apply([&](auto &...Each) { (unpackFields(*Next++, Each), ...); },
-               Fields);
+    std::uint32_t Index = 0;
+    auto const UnpackNext = [&](auto &Each) {
+      if (Index < Items.size)
+        unpackFields(Items.ptr[Index++], Each);
+    };
+    std::apply([&](auto &...Each) { (UnpackNext(Each), ...); }, Fields);
   }
 }
 
--- a/Libraries/LibPeer/StoreUpdate.h
+++ b/Libraries/LibPeer/StoreUpdate.h
@@ -10,11 +10,16 @@
 
 namespace laburnum {
 
-/// One object of the platform's store; the value as stored.
+/// How an object's value is sent.
+enum class ValueEncoding { Plain, Compressed };
+
+/// One object of the platform's store. A large value is compressed once, by the
+/// instance that has read it.
 struct UpdatedObject {
   std::string Name_;
   std::uint64_t Version_ = 0; ///< 0 when it is gone.
   std::string Value_;
+  ValueEncoding Encoding_ = ValueEncoding::Plain;
 
   auto operator<=>(UpdatedObject const &) const = default;
 };
--- a/Meta/Laburnum.cmake
+++ b/Meta/Laburnum.cmake
@@ -2,6 +2,7 @@
 
 find_package(Threads REQUIRED)
 find_package(OpenSSL REQUIRED)
+find_package(ZLIB REQUIRED)
 find_package(PkgConfig REQUIRED)
 # cpp-httplib must be built with the flags it was compiled with; without them
 # its threads crash when they are joined.
--- a/Tests/LibControl/TestCollectionState.cpp
+++ b/Tests/LibControl/TestCollectionState.cpp
@@ -116,3 +116,52 @@
   CHECK(std::holds_alternative<collection::Unchanged>(
       State_.apply({"servers", 0, 1000, {}, {{"old", 900, "1"}}})));
 }
+
+namespace {
+
+/// A value as large as a configuration with many routes, which differ.
+std::string largeValue() {
+  std::string Value;
+  for (int Number = 0; Number < 1400; ++Number)
+    Value += "{\"name\":\"r-" + std::to_string(Number * 7919) +
+             "\",\"host\":\"a.example\",\"path_prefix\":\"/p" +
+             std::to_string(Number * 104729) +
+             "/\",\"timeout_ms\":15000,\"priority\":1,\"service\":\"s\"},";
+  return Value;
+}
+
+} // namespace
+
+TEST_CASE("A large value is sent in a small part of its bytes and arrives "
+          "whole") {
+  StoredObject const Large{{"config", "main"}, 12, largeValue()};
+  CollectionState Sender("config");
+  auto const Whole = Sender.difference({20, {Large}});
+  Sender.apply(Whole);
+  auto const Delta = GENERATE(false, true);
+  CollectionState Receiver("config");
+  if (Delta)
+    Receiver.apply({"config", 0, 10, Duration(0), {{"main", 9, "{}"}}});
+  auto const Update =
+      Delta ? CollectionUpdate{"config", 10, 20, Duration(0), Whole.Objects_}
+            : Sender.snapshot(Duration(0));
+  REQUIRE(Update.Objects_.size() == 1);
+  CHECK(Update.Objects_.front().Value_.size() < Large.Value_.size() / 5);
+  auto const Outcome = Receiver.apply(Update);
+  auto const *const Applied = std::get_if<collection::Applied>(&Outcome);
+  auto const *const Replaced = std::get_if<collection::Replaced>(&Outcome);
+  REQUIRE((Delta ? Applied != nullptr : Replaced != nullptr));
+  CHECK((Delta ? Applied->Changes_.Objects_ : Replaced->All_.Objects_) ==
+        std::vector<StoredObject>{Large});
+  // What is passed on needs no second compression.
+  CHECK(Receiver.snapshot(Duration(0)).Objects_ == Update.Objects_);
+}
+
+TEST_CASE_METHOD(Fixture, "An update with a damaged value changes nothing") {
+  UpdatedObject Damaged{"c", 13, "no zlib data", ValueEncoding::Compressed};
+  auto const From = GENERATE(Version(0), Version(10));
+  CHECK(State_.apply(update(From, 14, {{"a", 0, ""}, Damaged})) ==
+        collection::Outcome(collection::Gap{}));
+  CHECK(held() == std::map<std::string, Version>{{"a", 5}, {"b", 8}});
+  CHECK(State_.version() == 10);
+}
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -45,12 +45,17 @@
                         {{ServiceName("s"), 1, 2, 3}},
                         {{340000000, AccountName("a"), 4}},
                         Duration(5)},
-      StoreUpdate{
-          InstanceId("i1"),
-          7,
-          Propagation::None,
-          {"127.0.0.1", 6},
-          {{"servers", 3, 9, Duration(4), {{"s", 8, "{}"}, {"t", 0, ""}}}}},
+      StoreUpdate{InstanceId("i1"),
+                  7,
+                  Propagation::None,
+                  {"127.0.0.1", 6},
+                  {{"servers",
+                    3,
+                    9,
+                    Duration(4),
+                    {{"s", 8, "{}"},
+                     {"t", 0, ""},
+                     {"u", 9, "x", ValueEncoding::Compressed}}}}},
       SnapshotRequest{{"127.0.0.1", 6}, {"servers"}},
       ConsumptionSum{InstanceId("i1"),
                      7,
@@ -117,3 +122,19 @@
   Object.Specification_ = std::string(MaxPeerBodySize, 'x');
   CHECK(isError(encodePeerFrame(ConfigurationObjects{{Object}})));
 }
+
+TEST_CASE("Earlier releases can read an object whose value is plain") {
+  auto const Encode = [](ValueEncoding Encoding) {
+    return valueOf(encodePeerBody(
+        StoreUpdate{InstanceId("i"),
+                    1,
+                    Propagation::None,
+                    {},
+                    {{"c", 1, 2, Duration(0), {{"name", 3, "v", Encoding}}}}}));
+  };
+  // An array of three fields: name, version and value.
+  CHECK(Encode(ValueEncoding::Plain).find("\x93\xa4name\x03\xa1v") !=
+        std::string::npos);
+  CHECK(Encode(ValueEncoding::Compressed).find("\x94\xa4name\x03\xa1v") !=
+        std::string::npos);
+}
