LibCallers: Answer requests that laburnumd's stop or making room finds unread

A stop reset connections whose next request had arrived, and making room for a waiting connection chose those with unread requests, too.

That making room leaves such connections alone has no test of its own.

--- a/Libraries/LibCallers/StoppableServer.cpp
+++ b/Libraries/LibCallers/StoppableServer.cpp
@@ -1,5 +1,6 @@
 #include <LibCallers/StoppableServer.h>
 
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -18,6 +19,12 @@
 /// it.
 thread_local ConnectionStream *CurrentStream = nullptr;
 
+/// Whether the kernel holds bytes of the caller that no thread has read.
+bool hasUnreadBytes(socket_t Socket) {
+  int Bytes = 0;
+  return ::ioctl(Socket, FIONREAD, &Bytes) == 0 && Bytes > 0;
+}
+
 } // namespace
 
 void StoppableServer::enlargeBacklog() {
@@ -48,7 +55,8 @@
     for (auto Each = Open_.begin(); Each != Open_.end(); ++Each) {
       auto const &Current = Each->second;
       if ((Current.Use_ == Use::Idle || Current.Use_ == Use::Reading) &&
-          (Longest == Open_.end() || Current.Since_ < Longest->second.Since_))
+          (Longest == Open_.end() || Current.Since_ < Longest->second.Since_) &&
+          !hasUnreadBytes(Each->first))
         Longest = Each;
     }
     if (Longest == Open_.end())
@@ -113,11 +121,12 @@
     auto IsLast = false;
     if (!IsOpen)
       break;
+    bool const ClosesAfterAnswer = RequestsLeft == 1 || isClosed();
     Stream.beginHead(HeadBounds_, readClock());
     auto const HeadRead = [&](httplib::Request &Head) {
       Stream.endHead(bodyAfter(Head));
     };
-    IsOpen = process_request(Stream, RequestsLeft == 1, IsLast, HeadRead) &&
+    IsOpen = process_request(Stream, ClosesAfterAnswer, IsLast, HeadRead) &&
              !IsLast && !Stream.isBroken();
     Stream.endRequest();
   }
@@ -139,11 +148,18 @@
                                       : RequestBody::Present;
 }
 
+bool StoppableServer::isClosed() {
+  std::lock_guard const Lock(Mutex_);
+  return IsClosed_;
+}
+
 bool StoppableServer::setUse(socket_t Socket, Use Now) {
   std::lock_guard const Lock(Mutex_);
   auto &Current = Open_[Socket];
   Unwritten_ -= std::exchange(Current.Unwritten_, 0);
-  if (IsClosed_ || Current.Use_ == Use::Closing || Current.Use_ == Use::GivenUp)
+  if (Current.Use_ == Use::Closing || Current.Use_ == Use::GivenUp)
+    return false;
+  if (IsClosed_ && Now == Use::Idle && !hasUnreadBytes(Socket))
     return false;
   Current = {Now, ++Changes_};
   // Those that wait for a thread may have been too early to find one to close.
--- a/Libraries/LibCallers/StoppableServer.h
+++ b/Libraries/LibCallers/StoppableServer.h
@@ -31,7 +31,7 @@
   void enlargeBacklog();
 
   /// Accepts no more connections; closes idle ones at once and the others after
-  /// their current request.
+  /// their current request. Requests that have arrived unread are answered.
   void close();
 
   /// Makes room for a connection that waits for a thread: closes the one that
@@ -74,6 +74,8 @@
   std::map<socket_t, Connection>::iterator stalest();
   /// Closes as many connections that wait for their callers as are owed.
   void closeOwed();
+  /// Whether the next request is the last one of its connection.
+  bool isClosed();
   /// False when the connection must end.
   bool setUse(socket_t Socket, Use Now);
   void release(socket_t Socket);
--- a/Tests/LibCallers/TestCallerServer.cpp
+++ b/Tests/LibCallers/TestCallerServer.cpp
@@ -55,8 +55,7 @@
     return Client;
   }
 
-  /// Sends the raw text and reads until the server closes the connection.
-  std::string exchange(std::string const &Sent) const {
+  int connect() const {
     auto const Socket = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
@@ -64,12 +63,33 @@
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     REQUIRE(::connect(Socket, reinterpret_cast<sockaddr *>(&Address),
                       sizeof(Address)) == 0);
+    return Socket;
+  }
+
+  static void send(int Socket, std::string const &Sent) {
     REQUIRE(::send(Socket, Sent.data(), Sent.size(), 0) ==
             static_cast<ssize_t>(Sent.size()));
+  }
+
+  /// Reads until the text ends with End, or until the server ends the
+  /// connection.
+  static std::string readTo(std::string const &End, int Socket) {
     std::string Answer;
     char Buffer[256];
-    for (ssize_t Read = 0; (Read = ::recv(Socket, Buffer, 256, 0)) > 0;)
+    while (End.empty() || !Answer.ends_with(End)) {
+      auto const Read = ::recv(Socket, Buffer, sizeof(Buffer), 0);
+      if (Read <= 0)
+        break;
       Answer.append(Buffer, static_cast<std::size_t>(Read));
+    }
+    return Answer;
+  }
+
+  /// Sends the raw text and reads until the server closes the connection.
+  std::string exchange(std::string const &Sent) const {
+    auto const Socket = connect();
+    send(Socket, Sent);
+    auto Answer = readTo("", Socket);
     ::close(Socket);
     return Answer;
   }
@@ -204,6 +224,20 @@
   CHECK(Answer->body == "GET");
 }
 
+TEST_CASE("A stop answers a request that it finds unread") {
+  // Whether the connection's thread has seen the request is left to chance.
+  for (int Play = 0; Play < 300; ++Play) {
+    RunningServer Server(echo);
+    auto const Caller = Server.connect();
+    RunningServer::send(Caller, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(RunningServer::readTo("GET", Caller).ends_with("GET"));
+    RunningServer::send(Caller, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    Server.stop();
+    CHECK(RunningServer::readTo("GET", Caller).ends_with("GET"));
+    ::close(Caller);
+  }
+}
+
 TEST_CASE("Idle connections that hold all threads are closed for others, and "
           "requests in progress are not") {
   std::promise<void> Entered;
