laburnum-entry, docs: Name the stream that a request over its quota takes up

Whether streams that clients take up end at quotas or for want of their origin could not be told: a refusal over the quota did not name the stream.

--- a/Services/laburnum-entry/RequestRefuser.cpp
+++ b/Services/laburnum-entry/RequestRefuser.cpp
@@ -39,19 +39,20 @@
   Exchange.answer(
       Codec_.refusal(TooManyRequests, RetryAfter, Metadata.AttemptId_), {});
   auto const QuotaState = Limiter.quotaState(Account);
-  Log_.write(
-      LogLine("request")
-          .add("id", Metadata.AttemptId_)
-          .add("outcome", "refused")
-          .add("status", TooManyRequests)
-          .add("account", Account.text())
-          .add("config", FlowContext.Table_->version())
-          .add("level", static_cast<std::int64_t>(QuotaState.Level_))
-          .add("allowance", static_cast<std::int64_t>(QuotaState.Allowance_))
-          .add("reachable", QuotaState.Reachable_)
-          .add("registered", QuotaState.Registered_)
-          .add("retry_after_ms", RetryAfter)
-          .add("why", "over the account's quota"));
+  LogLine Line("request");
+  Line.add("id", Metadata.AttemptId_)
+      .add("outcome", "refused")
+      .add("status", TooManyRequests)
+      .add("account", Account.text())
+      .add("config", FlowContext.Table_->version())
+      .add("level", static_cast<std::int64_t>(QuotaState.Level_))
+      .add("allowance", static_cast<std::int64_t>(QuotaState.Allowance_))
+      .add("reachable", QuotaState.Reachable_)
+      .add("registered", QuotaState.Registered_);
+  if (Metadata.TakesUpStream_)
+    Line.add("first_attempt", Metadata.FirstAttemptId_);
+  Line.add("retry_after_ms", RetryAfter).add("why", "over the account's quota");
+  Log_.write(Line);
 }
 
 std::string_view
