LibHttp, LibCallers: Mend what the review of the lost requests found

By reading, confirmed by tests where named: - a stream that began before a drain had told its client to keep the connection, but the close after it read a crossing request and threw it away, as in the incident; - the reset for a crossing request could cut an answer that the kernel still held; it now waits for the end of the linger time (no test: loopback takes all at once); - a client that was still taking a large answer counted as idle; - a stop of laburnumd shut down the reading side of connections with unread requests. Compression that fails or does not shrink sends the value plain; values below 32 KB are sent plain, so that earlier releases reject messages only with large configurations.

TestLibHttp "A request that crosses the close after a stream that began before a drain is left unread" and "A client that is still taking its answer is not idle": one assertion each fails before; five runs of all 84 cases pass after.

--- a/Libraries/LibCallers/StoppableServer.cpp
+++ b/Libraries/LibCallers/StoppableServer.cpp
@@ -37,7 +37,7 @@
     std::lock_guard const Lock(Mutex_);
     IsClosed_ = true;
     for (auto const &[Socket, Current] : Open_)
-      if (Current.Use_ == Use::Idle)
+      if (Current.Use_ == Use::Idle && !hasUnreadBytes(Socket))
         ::shutdown(Socket, SHUT_RD);
   }
   stop();
--- a/Libraries/LibCallers/StoppableServer.h
+++ b/Libraries/LibCallers/StoppableServer.h
@@ -74,7 +74,8 @@
   std::map<socket_t, Connection>::iterator stalest();
   /// Closes as many connections that wait for their callers as are owed.
   void closeOwed();
-  /// Whether the next request is the last one of its connection.
+  /// Whether close() was called, so that each connection serves at most one
+  /// request more.
   bool isClosed();
   /// False when the connection must end.
   bool setUse(socket_t Socket, Use Now);
--- a/Libraries/LibControl/CollectionState.cpp
+++ b/Libraries/LibControl/CollectionState.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Smaller values gain little.
-constexpr std::size_t MinCompressedBytes = 4096;
+/// Smaller values are sent as they are, so that earlier releases read them.
+constexpr std::size_t MinCompressedBytes = std::size_t{32} << 10;
 /// Above what the platform's store allows for one value.
 constexpr std::size_t MaxValueBytes = std::size_t{16} << 20;
 
@@ -18,7 +18,10 @@
 UpdatedObject updatedObject(StoredObject const &Object) {
   if (Object.Value_.size() < MinCompressedBytes)
     return {Object.Key_.Name_, Object.Version_, Object.Value_};
-  return {Object.Key_.Name_, Object.Version_, compress(Object.Value_),
+  auto Data = compress(Object.Value_);
+  if (Data.empty() || Data.size() >= Object.Value_.size())
+    return {Object.Key_.Name_, Object.Version_, Object.Value_};
+  return {Object.Key_.Name_, Object.Version_, std::move(Data),
           ValueEncoding::Compressed};
 }
 
--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -95,12 +95,24 @@
   return Socket_.available(Ignored);
 }
 
+bool Connection::hasUntakenBytes() {
+  // The end of the connection counts as a byte.
+  int const EndBytes = State_ == State::Open ? 0 : 1;
+  int Untaken = 0;
+  return unwrittenBytes() > 0 ||
+         (::ioctl(Socket_.native_handle(), SIOCOUTQ, &Untaken) == 0 &&
+          Untaken > EndBytes);
+}
+
 void Connection::readAvailable() {
-  // A reset would cut an answer that is still being written.
-  if (OnCrossed_ && Writes_.empty() && unreadBytes() > 0) {
-    auto const OnCrossed = std::exchange(OnCrossed_, nullptr);
-    abort();
-    return OnCrossed();
+  if (LeavesUnread_ && State_ == State::Closing && unreadBytes() > 0) {
+    // A reset would cut what the peer has yet to take. The end of the linger
+    // time resets the connection, too.
+    if (!hasUntakenBytes())
+      abort();
+    if (auto const OnCrossed = std::exchange(OnCrossed_, nullptr))
+      OnCrossed();
+    return;
   }
   auto &Buffer = readBuffer();
   asio::error_code Failure;
@@ -218,8 +230,10 @@
 }
 
 void Connection::closeIdle(std::function<void()> OnCrossed) {
-  if (State_ == State::Open)
+  if (State_ == State::Open) {
+    LeavesUnread_ = true;
     OnCrossed_ = std::move(OnCrossed);
+  }
   close();
 }
 
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -70,6 +70,9 @@
   }
   /// Bytes of the peer that the kernel holds and the observer did not get yet.
   std::size_t unreadBytes() const;
+  /// Whether the peer has yet to take bytes that were passed to write(). False
+  /// if the kernel does not tell.
+  bool hasUntakenBytes();
   /// When the oldest of these bytes were passed to write().
   TimePoint writeBegunAt() const { return WriteBegunAt_; }
 
@@ -117,6 +120,7 @@
   asio::steady_timer CloseTimer_;
   std::shared_ptr<ConnectionObserver> Observer_;
   std::function<void()> OnCrossed_; ///< Set by closeIdle().
+  bool LeavesUnread_ = false;       ///< After closeIdle().
   std::deque<std::string> Writes_;
   std::size_t Unwritten_ = 0;
   std::shared_ptr<UnwrittenTotal> Total_;
--- a/Libraries/LibHttp/HttpListener.h
+++ b/Libraries/LibHttp/HttpListener.h
@@ -22,7 +22,8 @@
       std::chrono::seconds(5); ///< Each of head and body.
   /// Between requests, as clients see it.
   Duration IdleTimeout_ = std::chrono::seconds(15);
-  /// Added to it: a client's idle time begins when the last answer has arrived.
+  /// Added to it: a client's idle time begins when the last answer has arrived,
+  /// whose bytes may stay unacknowledged for this long.
   Duration AnswerTransit_ = Connection::SilenceLimit;
 
   auto operator<=>(ClientBounds const &) const = default;
--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -182,6 +182,8 @@
   if (State_ == State::Idle && !ClosesAfterAnswer_ &&
       readBootClock() < idleUntil())
     armIdleTimer();
+  else if (State_ == State::Idle && Connection_->hasUntakenBytes())
+    armTimer(Listener_->Service_.bounds().IdleTimeout_);
   else if (State_ == State::Idle)
     endIdle(IdleClose::IdleTimeout);
   else if (State_ == State::Reading)
@@ -212,6 +214,7 @@
   if (!isCurrent(Number))
     return;
   auto const Reuse = reuse();
+  Announced_ = Reuse;
   ClosesAfterAnswer_ = Reuse == ConnectionReuse::Close;
   Connection_->write(serialize(Head, Body.size(), Reuse).append(Body));
   finishAnswer();
@@ -223,6 +226,7 @@
     return;
   State_ = State::Streaming;
   auto const Reuse = reuse();
+  Announced_ = Reuse;
   ClosesAfterAnswer_ = Reuse == ConnectionReuse::Close;
   Connection_->write(serializeChunked(Head, Reuse));
 }
@@ -262,9 +266,12 @@
   State_ = State::Idle;
   WaitingSince_ = readBootClock();
   Listener_->Budget_->remove(*this);
-  if (ClosesAfterAnswer_)
-    return endConnection();
-  armIdleTimer();
+  if (!ClosesAfterAnswer_)
+    return armIdleTimer();
+  // A client that was told to keep the connection may send its next request.
+  if (Announced_ == ConnectionReuse::KeepOpen)
+    return endIdle(IdleClose::Drain);
+  endConnection();
 }
 
 void HttpServerConnection::endIdle(IdleClose Why) {
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -25,8 +25,9 @@
   /// Closes the connection after the current answer, or at once when idle. A
   /// request that has arrived unread is answered first.
   void drain();
-  /// Whether a request is being read or answered, or waits unread for the last
-  /// answer. An answer lasts until the kernel has taken all of it.
+  /// Whether a request is being read or answered. An answer lasts until the
+  /// kernel has taken all of it. After drain() an idle connection is still open
+  /// only because its next request is unread, which counts, too.
   bool isBusy() const {
     return State_ != State::Idle || ClosesAfterAnswer_ || unwrittenBytes() > 0;
   }
@@ -77,7 +78,8 @@
   /// Serves no other request to a client that has not read its answer.
   void endWithUnreadAnswer();
   void finishAnswer();
-  /// Ends an idle connection, unless its client's next request is unread.
+  /// Ends an idle connection. If its client's next request is unread, that is
+  /// served first.
   void endIdle(IdleClose Why);
   void endConnection();
   bool isCurrent(std::uint64_t Number) const;
@@ -93,6 +95,8 @@
   std::uint64_t Number_ = 0; ///< Of the request being read or answered.
   State State_ = State::Idle;
   bool ClosesAfterAnswer_ = false;
+  /// What the head of the last answer has told the client.
+  ConnectionReuse Announced_ = ConnectionReuse::KeepOpen;
 };
 
 } // namespace laburnum
--- a/Libraries/LibPeer/Compression.cpp
+++ b/Libraries/LibPeer/Compression.cpp
@@ -10,10 +10,10 @@
 std::string compress(std::string_view Text) {
   auto Size = compressBound(Text.size());
   std::string Data(Size, '\0');
-  // Fails only for lack of memory or room, and there is room.
-  compress2(reinterpret_cast<Bytef *>(Data.data()), &Size,
-            reinterpret_cast<Bytef const *>(Text.data()), Text.size(),
-            Z_BEST_SPEED);
+  if (compress2(reinterpret_cast<Bytef *>(Data.data()), &Size,
+                reinterpret_cast<Bytef const *>(Text.data()), Text.size(),
+                Z_BEST_SPEED) != Z_OK)
+    return {};
   Data.resize(Size);
   Data.shrink_to_fit();
   return Data;
--- a/Libraries/LibPeer/Compression.h
+++ b/Libraries/LibPeer/Compression.h
@@ -7,7 +7,8 @@
 
 namespace laburnum {
 
-/// Compresses text in the zlib format (RFC 1950).
+/// Compresses text in the zlib format (RFC 1950). Returns nothing for lack of
+/// memory.
 std::string compress(std::string_view Text);
 
 /// Returns what compress() was given; nothing if the data is damaged or would
--- a/Libraries/LibPeer/PeerFields.h
+++ b/Libraries/LibPeer/PeerFields.h
@@ -207,9 +207,9 @@
   return StreamKnowledge::KeyReused;
 }
 
-/// The fields that releases before the last one do not know. They are packed
-/// only if one of them is not at its default, so that these releases read all
-/// other values.
+/// How many fields at the end of a type were added to a release. They are
+/// packed only if one of them is not at its default, so that earlier releases
+/// read all other values.
 template <typename Value> constexpr std::size_t AddedFields = 0;
 template <> inline constexpr std::size_t AddedFields<UpdatedObject> = 1;
 
--- a/Tests/LibHttp/TestUnreadRequests.cpp
+++ b/Tests/LibHttp/TestUnreadRequests.cpp
@@ -14,12 +14,17 @@
 
 constexpr char const *Get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
-/// Answers every request at once.
+/// Answers every request at once, except those that ask for a stream.
 struct PromptService : HttpService {
   ClientBounds bounds() const override { return Bounds_; }
   void onRequest(std::shared_ptr<Exchange> Exchange,
-                 ReceivedRequest /*Request*/) override {
+                 ReceivedRequest Request) override {
     ++Requests_;
+    if (Request.Head_.Target_ == "/stream") {
+      Exchange->beginStream({200, {}});
+      Stream_ = std::move(Exchange);
+      return;
+    }
     Exchange->answer({200, {}}, "whole");
   }
 
@@ -28,6 +33,7 @@
   }
 
   ClientBounds Bounds_;
+  std::shared_ptr<Exchange> Stream_; ///< The last one that has begun.
   std::size_t Requests_ = 0;
   std::vector<CrossedClose> Crossed_;
 };
@@ -168,3 +174,35 @@
   Client->write(Get);
   CHECK(On.wait([&] { return Client->Received_.ends_with("whole"); }));
 }
+
+TEST_CASE("A request that crosses the close after a stream that began before a "
+          "drain is left unread") {
+  Fixture On;
+  auto const Client = On.connect();
+  Client->write("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(On.wait([&] { return On.Service_.Stream_ != nullptr; }));
+  On.Listener_->drainConnections();
+  On.Service_.Stream_->finishStream();
+  // The head of the stream has told the client that it may send another one.
+  Client->write(Get);
+  REQUIRE(On.wait([&] { return Client->IsClosed_; }));
+  CHECK(Client->Received_.ends_with(LastChunk));
+  CHECK(On.wait([&] { return Client->wasReset(); }));
+  CHECK(On.Service_.Requests_ == 1);
+}
+
+TEST_CASE("A client that is still taking its answer is not idle") {
+  Fixture On;
+  On.Service_.Bounds_.IdleTimeout_ = std::chrono::milliseconds(20);
+  asio::ip::tcp::socket Client(On.Context_);
+  Client.connect(std::get<asio::ip::tcp::endpoint>(
+      resolve(On.Listener_->localEndpoint())));
+  asio::write(Client, asio::buffer(std::string(
+                          "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")));
+  REQUIRE(On.wait([&] { return On.Service_.Stream_ != nullptr; }));
+  On.Service_.Stream_->send(std::string(std::size_t{16} << 20, 'x'));
+  On.Service_.Stream_->finishStream();
+  std::this_thread::sleep_for(3 * On.Service_.Bounds_.IdleTimeout_);
+  On.runReady();
+  CHECK(On.Listener_->openConnections() == 1);
+}
