LibTraffic: Count what instances admit while one collector takes over from another

Cause, found in a simulation of 74 limiters with collectors and stops: an instance counts the sums of one collector. Another one's moved its totals on without counting them, and is used once the first has missed two sums: only its last interval counted. The first counted sum also gave back all consumption that had been assumed meanwhile. 0.8 s of an account's rate were lost with each collector that stopped.

What a collector has reported is now compared with what it had reported when a sum last counted, whichever collector's it was; where the new collector was not known, the assumed consumption stays deducted.

--- a/Libraries/LibTraffic/AccountQuotaLimiter.cpp
+++ b/Libraries/LibTraffic/AccountQuotaLimiter.cpp
@@ -147,9 +147,10 @@
     IsSumDue_ = false;
   for (auto const &One : Sum.Accounts_) {
     auto const Remote = withoutLocal(One);
-    auto const Last = std::exchange(Collector.Remote_[One.Account_], Remote);
+    Collector.Remote_[One.Account_] = Remote;
     if (!Counts)
       continue;
+    auto const Last = std::exchange(Collector.Counted_[One.Account_], Remote);
     // The sum includes the consumption that was assumed meanwhile.
     auto const Known = Usage_.find(One.Account_);
     auto const Assumed = Known == Usage_.end()
@@ -158,6 +159,18 @@
     countRemote(One.Account_, Remote.Admitted_ - Last.Admitted_ - Assumed,
                 std::max(0.0, Remote.Asked_ - Last.Asked_), Now);
   }
+  if (ActiveCollector_ == Sum.Origin_)
+    beginCounting(IsNew);
+}
+
+/// What the collectors report from now on counts, whichever is active then.
+void AccountQuotaLimiter::beginCounting(bool IsFirstSum) {
+  for (auto &[Id, Collector] : Collectors_)
+    Collector.Counted_ = Collector.Remote_;
+  // The first sum of a collector shows no growth that could replace it.
+  if (IsFirstSum)
+    for (auto &[Account, Usage] : Usage_)
+      Usage.Assumed_ = 0.0;
 }
 
 /// The sum reflects the last local report to within one report; the next sum
--- a/Libraries/LibTraffic/AccountQuotaLimiter.h
+++ b/Libraries/LibTraffic/AccountQuotaLimiter.h
@@ -106,12 +106,15 @@
   };
   struct Collector {
     std::map<AccountName, RemoteTotal> Remote_; ///< As of its last sum.
+    /// As of the last sum that counted, of whichever collector.
+    std::map<AccountName, RemoteTotal> Counted_;
     std::size_t Incarnations_ = 1;
     TimePoint LastReceivedAt_{};
   };
 
   void countReachable(TimePoint Now);
   bool isFresh(Collector const &One, TimePoint Now) const;
+  void beginCounting(bool IsFirstSum);
   RemoteTotal withoutLocal(AccountConsumption const &Sum) const;
   /// Counts consumption and demand that other instances reported.
   void countRemote(AccountName const &Account, double Admitted, double Asked,
--- a/Tests/LibTraffic/TestAccountQuotaLimiter.cpp
+++ b/Tests/LibTraffic/TestAccountQuotaLimiter.cpp
@@ -283,3 +283,40 @@
   Collected.onSum({InstanceId("c"), 1, CollectorRole::None, 1, {}, {}}, Now);
   CHECK(AdmittedAtOnce(Collected) <= Rate);
 }
+
+TEST_CASE("What instances admit between the last sum of a lost collector and "
+          "the first of the next one counts") {
+  constexpr Duration SumPeriod = milliseconds(400);
+  constexpr std::uint64_t FleetSize = 74;
+  AccountQuotaLimiter Limiter{AccountQuotaLimiter::Settings{SumPeriod}};
+  TimePoint Now{seconds(1000)};
+  Limiter.setTable(tableWith(Rate), Now);
+  Limiter.setRegistered(FleetSize);
+  std::uint64_t Admitted = 0;
+  auto const PassPeriods = [&](int Count, std::uint64_t AdmittedEach,
+                               std::vector<std::string> const &Collectors) {
+    for (int Period = 0; Period < Count; ++Period) {
+      Now += SumPeriod;
+      Admitted += AdmittedEach;
+      Limiter.report(Now);
+      for (auto const &Name : Collectors)
+        Limiter.onSum({InstanceId(Name),
+                       1,
+                       CollectorRole::None,
+                       FleetSize,
+                       {{AccountName("a"), Admitted, 3 * Admitted}},
+                       {}},
+                      Now);
+    }
+  };
+  // The other instances empty the bucket and then admit its refill.
+  constexpr std::uint64_t Refill = 40000;
+  PassPeriods(1, 0, {"first", "second"});
+  PassPeriods(4, Refill * 3 / 2, {"first", "second"});
+  PassPeriods(20, Refill, {"first", "second"});
+  auto const Before = Limiter.quotaState(AccountName("a")).Level_;
+  PassPeriods(10, Refill, {"second"});
+  auto const After = Limiter.quotaState(AccountName("a")).Level_;
+  CAPTURE(Before, After);
+  CHECK(After <= Before + 0.02 * Rate);
+}
