--- a/review/standins-2/Standins.cpp
+++ b/review/standins-2/Standins.cpp
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <netinet/tcp.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -520,6 +521,8 @@
   Process_ = ::fork();
   if (Process_ != 0)
     return;
+  // It ends with this process, also if that is killed.
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
   if (!std::freopen(Log.c_str(), "a", stdout))
     std::_Exit(2);
   std::string Name = "target/bin/laburnum-entry";
