review: case 10, a request that crashes its service's only runner is never refused

Cause: where no runner of a service accepts connections, the instance takes its link for cut and clears the request of the crash.

Runners of the stand-ins can start again at their address.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 6 to 9 into target/review-2. Run it after
+# Builds the stand-ins of the cases 6 to 10 into target/review-2. Run it after
 # the build of the deploy file; it needs only the packages that are named there.
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
@@ -12,7 +12,7 @@
   compile -c "$Source" -o "$Object"
   Objects+=("$Object")
 done
-for Main in review/{6,7,8,9}/Main.cpp; do
+for Main in review/{6,7,8,9,10}/Main.cpp; do
   [ -e "$Main" ] || continue
   Case=$(basename "$(dirname "$Main")")
   compile "$Main" "${Objects[@]}" -o "$Out/case-$Case"
--- a/review/standins-2/Standins.cpp
+++ b/review/standins-2/Standins.cpp
@@ -225,11 +225,15 @@
 
 // Servers.
 
-bool Server::start(std::string const &Host, Handler Handler) {
+bool Server::start(std::string const &Host, std::uint16_t Port,
+                   Handler Handler) {
   constexpr int Backlog = 512;
   Handler_ = std::move(Handler);
+  IsStopped_ = false;
   Descriptor_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  auto Address = addressOf(Host, 0);
+  int const On = 1;
+  ::setsockopt(Descriptor_, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  auto Address = addressOf(Host, Port);
   socklen_t Size = sizeof(Address);
   if (::bind(Descriptor_, reinterpret_cast<sockaddr *>(&Address), Size) != 0 ||
       ::listen(Descriptor_, Backlog) != 0 ||
@@ -283,7 +287,7 @@
 // The store.
 
 bool Store::start() {
-  return Server_.start("127.0.0.1",
+  return Server_.start("127.0.0.1", 0,
                        [this](Connection &Client) { serve(Client); });
 }
 
@@ -411,6 +415,11 @@
   change(Kind, Name, Specification, false);
 }
 
+void Store::remove(std::string const &Kind, std::string const &Name) {
+  std::lock_guard const Lock(Mutex_);
+  change(Kind, Name, Json::object(), true);
+}
+
 std::vector<std::string> Store::cloudCalls() {
   std::lock_guard const Lock(Mutex_);
   return CloudCalls_;
@@ -421,13 +430,21 @@
 Runner::Runner(Store &Store, std::string Id, std::string Service,
                unsigned Slots, Handler Handler)
     : Store_(Store), Id_(std::move(Id)), Service_(std::move(Service)),
-      Slots_(Slots), Handler_(std::move(Handler)),
-      Born_(std::chrono::duration_cast<std::chrono::milliseconds>(
-                std::chrono::system_clock::now().time_since_epoch())
-                .count()) {}
+      Slots_(Slots), Handler_(std::move(Handler)) {}
+
+bool Runner::start() { return listen(0); }
+
+bool Runner::restart(std::string Id) {
+  Store_.remove("servers", std::exchange(Id_, std::move(Id)));
+  return listen(Server_.port());
+}
 
-bool Runner::start() {
-  if (!Server_.start("127.0.0.1",
+bool Runner::listen(std::uint16_t Port) {
+  Born_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+              std::chrono::system_clock::now().time_since_epoch())
+              .count();
+  Sequence_ = 0;
+  if (!Server_.start("127.0.0.1", Port,
                      [this](Connection &Client) { serve(Client); }))
     return false;
   list("ready");
@@ -443,7 +460,7 @@
               {"slots", Slots_},
               {"state", State},
               {"cold_remaining_ms", 0},
-              {"born", Born_},
+              {"born", Born_.load()},
               {"sequence", ++Sequence_}});
 }
 
@@ -454,7 +471,7 @@
                            {"busy", false},   {"sequence", 0},
                            {"queued", 0},     {"active", 0},
                            {"kv_used", 0},    {"kv_total", 444000},
-                           {"handles", 0},    {"born", Born_}};
+                           {"handles", 0},    {"born", Born_.load()}};
       if (!Client.send(jsonAnswer(200, Report)))
         return;
       continue;
--- a/review/standins-2/Standins.h
+++ b/review/standins-2/Standins.h
@@ -93,7 +93,8 @@
   using Handler = std::function<void(Connection &)>;
 
   ~Server() { stop(); }
-  bool start(std::string const &Host, Handler Handler);
+  /// Port 0 selects a free one.
+  bool start(std::string const &Host, std::uint16_t Port, Handler Handler);
   void stop();
   std::uint16_t port() const { return Port_; }
 
@@ -118,6 +119,7 @@
   std::uint16_t port() const { return Server_.port(); }
   void put(std::string const &Kind, std::string const &Name,
            Json const &Specification);
+  void remove(std::string const &Kind, std::string const &Name);
   /// Returns the calls to the cloud API.
   std::vector<std::string> cloudCalls();
 
@@ -159,6 +161,8 @@
          Handler Handler);
   bool start();
   void stop() { Server_.stop(); }
+  /// Starts again, after stop(), at the same address and under another id.
+  bool restart(std::string Id);
   std::string const &id() const { return Id_; }
   /// The head of a 200 answer of this runner, up to its framing.
   std::string head(Message const &Request) const;
@@ -166,13 +170,14 @@
 
 private:
   void serve(Connection &Client);
+  bool listen(std::uint16_t Port);
 
   Store &Store_;
   std::string Id_;
   std::string Service_;
   unsigned Slots_;
   Handler Handler_;
-  std::int64_t Born_;
+  std::atomic<std::int64_t> Born_ = 0;
   std::uint64_t Sequence_ = 0;
   Server Server_;
 };
