review: cases 8 and 9 judge streams around planned work

Cause: both counted a connection that is closed in the middle of an answer as one closed "without an answer". The clause on planned work says "without a complete answer" and allows none. Done: the stand-in of the streams sends SIGTERM or SIGHUP to instances, starts them again, and judges by that clause with its excuses; the other count is kept, for connections without any answer. Runners are no longer disturbed: some streams are long (8), some answers have no length (9).

--- a/review/8/Main.cpp
+++ b/review/8/Main.cpp
@@ -1,8 +1,10 @@
-// A runner works four times as long for five seconds. Its streams end whole
-// before their clients' deadline.
+// One of two instances is stopped and starts again, while some streams end
+// whole shortly before their clients' deadline.
 
 #include "../standins-2/StreamCase.h"
 
+#include <csignal>
+
 using namespace review;
 
 namespace {
@@ -10,19 +12,14 @@
 constexpr double FirstEventMs = 240;
 constexpr double PauseMs = 170;
 constexpr int Events = 3;
-constexpr double Slowdown = 4; ///< The dose of srv_slow.
-constexpr double TroubleAtMs = 6000;
-constexpr double TroubleMs = 5000;
+constexpr int Every = 10;
+constexpr double LongPace = 4; ///< One stream in 10 takes 2.32 s.
 
-/// One runner of seven is slow: 0.15 of them.
-bool serve(Runner &Self, Message const &Asked, Connection &To, Runs &Seen,
-           double SinceMs) {
+bool serve(Runner &Self, Message const &Asked, Connection &To, Runs &Seen) {
+  static std::atomic<int> Streams = 0;
   auto const &Id = Asked.Fields_.at("x-attempt-id");
   Seen.begin(Id, Self.id());
-  bool const IsSlow = hasTrouble() && Self.id() == "i-0" &&
-                      SinceMs >= TroubleAtMs &&
-                      SinceMs < TroubleAtMs + TroubleMs;
-  auto const Pace = IsSlow ? Slowdown : 1.0;
+  auto const Pace = ++Streams % Every == 0 ? LongPace : 1.0;
   sleepMs(FirstEventMs * Pace);
   if (!To.send(Self.head(Asked) + "Content-Type: text/event-stream\r\n"
                                   "Transfer-Encoding: chunked\r\n\r\n"))
@@ -45,7 +42,9 @@
   limitRun();
   Record Into(Count > 1 ? Arguments[1] : "record.txt");
   StreamCase Case;
-  Case.Trouble_ = "runner i-0 works 4 times as long from 6 s to 11 s";
+  Case.EndAtMs_ = 16000;
+  Case.Load_ = "one stream in 10 takes 2.32 s, the others 0.58 s";
+  Case.Signals_ = {{0, SIGTERM, 6000}};
   Case.Serve_ = serve;
   return play(Case, Into);
 }
--- a/review/9/Main.cpp
+++ b/review/9/Main.cpp
@@ -1,8 +1,11 @@
-// Some answers of three runners have no length for five seconds. They are whole
-// and end with their connection, which the runner closes in order.
+// Instances get SIGHUP in turn, while some answers of three runners have no
+// length. They are whole and end with their connection, which the runner closes
+// in order.
 
 #include "../standins-2/StreamCase.h"
 
+#include <csignal>
+
 using namespace review;
 
 namespace {
@@ -10,23 +13,18 @@
 constexpr double FirstEventMs = 240;
 constexpr double PauseMs = 170;
 constexpr int Events = 3;
-constexpr int Every = 20; ///< One answer in 20: 0.05, the dose of garble.
-constexpr double TroubleAtMs = 6000;
-constexpr double TroubleMs = 5000;
+constexpr int Every = 20;
 
-/// Three runners of seven: less than half of them.
+/// Three runners of seven.
 bool isAffected(Runner const &Self) {
   return Self.id() == "i-0" || Self.id() == "i-1" || Self.id() == "i-2";
 }
 
-bool serve(Runner &Self, Message const &Asked, Connection &To, Runs &Seen,
-           double SinceMs) {
+bool serve(Runner &Self, Message const &Asked, Connection &To, Runs &Seen) {
   static std::atomic<int> Answers = 0;
   auto const &Id = Asked.Fields_.at("x-attempt-id");
   Seen.begin(Id, Self.id());
-  bool const HasNoLength =
-      hasTrouble() && isAffected(Self) && SinceMs >= TroubleAtMs &&
-      SinceMs < TroubleAtMs + TroubleMs && ++Answers % Every == 0;
+  bool const HasNoLength = isAffected(Self) && ++Answers % Every == 0;
   sleepMs(FirstEventMs);
   std::string const Framing =
       HasNoLength ? "Connection: close" : "Transfer-Encoding: chunked";
@@ -52,8 +50,12 @@
   limitRun();
   Record Into(Count > 1 ? Arguments[1] : "record.txt");
   StreamCase Case;
-  Case.Trouble_ = "one answer in 20 of the runners i-0, i-1 and i-2 has no "
-                  "length from 6 s to 11 s";
+  Case.EndAtMs_ = 19000;
+  Case.Load_ = "one answer in 20 of the runners i-0, i-1 and i-2 has no length";
+  Case.Signals_ = {{0, SIGHUP, 6000},
+                   {1, SIGHUP, 9000},
+                   {0, SIGHUP, 12000},
+                   {1, SIGHUP, 15000}};
   Case.Serve_ = serve;
   return play(Case, Into);
 }
--- a/review/standins-2/Standins.cpp
+++ b/review/standins-2/Standins.cpp
@@ -575,6 +575,10 @@
     ::kill(Process_, Number);
 }
 
+void Entry::addSetting(std::string const &Line) const {
+  std::ofstream(Folder_ + "/node.conf", std::ios::app) << Line << '\n';
+}
+
 bool Entry::hasEnded() {
   if (Process_ <= 0)
     return true;
--- a/review/standins-2/Standins.h
+++ b/review/standins-2/Standins.h
@@ -196,6 +196,8 @@
   void start();
   bool awaitReady() const;
   void signal(int Number) const;
+  /// Adds a line to the settings file.
+  void addSetting(std::string const &Line) const;
   /// Whether the process has ended; reaps it.
   bool hasEnded();
   std::string const &address() const { return Address_; }
--- a/review/standins-2/StreamCase.cpp
+++ b/review/standins-2/StreamCase.cpp
@@ -1,6 +1,7 @@
 #include "StreamCase.h"
 
 #include <algorithm>
+#include <csignal>
 #include <cstdio>
 #include <memory>
 
@@ -8,10 +9,15 @@
 
 namespace {
 
+constexpr double GraceMs = 8000;
+constexpr double ConfigApplyMs = 2500;
+
 struct Counts {
   std::atomic<int> Sent_ = 0;
   std::atomic<int> Whole_ = 0;
-  std::atomic<int> Lost_ = 0; ///< As the rule LOST counts.
+  std::atomic<int> Planned_ = 0;    ///< LOST, around planned work.
+  std::atomic<int> Unanswered_ = 0; ///< LOST, at any time.
+  std::atomic<int> Cut_ = 0;        ///< Cut at another time; not judged.
   std::atomic<int> Other_ = 0;
 };
 
@@ -22,9 +28,9 @@
 class Client {
 public:
   Client(StreamCase const &Case, Entry const &Instance, int Number, Runs &Seen,
-         Record &Into, Counts &Counted)
+         PlannedWork &Planned, Record &Into, Counts &Counted)
       : Case_(Case), Instance_(Instance), Number_(Number), Seen_(Seen),
-        Into_(Into), Counted_(Counted) {}
+        Planned_(Planned), Into_(Into), Counted_(Counted) {}
 
   void play(double Since) {
     sleepMs(Number_ * 10.0);
@@ -53,61 +59,117 @@
     auto const Got = exchange(Kept_, Asked);
     sleepMs(20);
     auto const Ran = Seen_.of(Asked.Id_);
-    note(Asked, Got, Ran, SentAt);
-    if (Got.IsWhole_) {
-      ++Counted_.Whole_;
+    note(Asked, Got, Ran, SentAt, count(Got, Ran, SentAt));
+    if (Got.IsWhole_)
       ++Answered_;
-      return;
+    auto const Close = Got.Fields_.find("connection");
+    if (!Got.IsWhole_ ||
+        (Close != Got.Fields_.end() && Close->second == "close"))
+      Kept_.close();
+  }
+
+  char const *count(Answer const &Got, Run const &Ran, double SentAt) {
+    if (Got.IsWhole_) {
+      ++(Got.Status_ == 200 ? Counted_.Whole_ : Counted_.Other_);
+      return "whole";
     }
     bool const HasRunnerEnded =
         Ran.EndedAtMs_ > 0 && Ran.EndedAtMs_ < SentAt + Case_.DeadlineMs_;
-    if (Answered_ > 0 && !Got.IsTimedOut_ && HasRunnerEnded)
-      ++Counted_.Lost_;
-    else
+    if (Got.IsTimedOut_ || !HasRunnerEnded) {
       ++Counted_.Other_;
-    Kept_.close();
+      return "closed before the end; not counted: its deadline passed, or no "
+             "runner has sent its whole answer";
+    }
+    auto const Instance = static_cast<unsigned>(Number_) % Case_.Instances_;
+    if (Planned_.covers(Instance, SentAt, Got.EndedAtMs_, Ran.EndedAtMs_)) {
+      ++Counted_.Planned_;
+      return "closed before the end; LOST, around planned work";
+    }
+    if (Answered_ > 0 && Got.Status_ == 0) {
+      ++Counted_.Unanswered_;
+      return "closed without an answer; LOST, at any time";
+    }
+    ++Counted_.Cut_;
+    return "closed before the end; not counted: no planned work";
   }
 
   void note(Request const &Asked, Answer const &Got, Run const &Ran,
-            double SentAt) {
-    auto const *const Outcome = Got.IsWhole_      ? "whole"
-                                : Got.IsTimedOut_ ? "its deadline passed"
-                                                  : "closed before the end";
-    Into_.add(Asked.Id_ + ": sent at " + milliseconds(SentAt) + " as request " +
-              std::to_string(Answered_ + 1) + " of its connection; runner " +
-              Ran.Runner_ +
-              (Ran.EndedAtMs_ > 0
-                   ? " sent its whole answer (" + Ran.Form_ + ") within " +
-                         milliseconds(Ran.EndedAtMs_ - SentAt)
-                   : std::string(" sent no whole answer")) +
-              "; client: status " + std::to_string(Got.Status_) + ", " +
-              Outcome + " after " + milliseconds(Got.EndedAtMs_ - SentAt));
+            double SentAt, char const *Outcome) {
+    Into_.add(
+        Asked.Id_ + ": sent at " + milliseconds(SentAt) + " to instance " +
+        std::to_string(static_cast<unsigned>(Number_) % Case_.Instances_) +
+        " as request " + std::to_string(Answered_ + 1) +
+        " of its connection; runner " + Ran.Runner_ +
+        (Ran.EndedAtMs_ > 0
+             ? " sent its whole answer (" + Ran.Form_ + ") within " +
+                   milliseconds(Ran.EndedAtMs_ - SentAt)
+             : std::string(" sent no whole answer")) +
+        "; client: status " + std::to_string(Got.Status_) + ", " +
+        std::to_string(Got.Body_.size()) + " bytes of events, after " +
+        milliseconds(Got.EndedAtMs_ - SentAt) + ": " + Outcome);
   }
 
   StreamCase const &Case_;
   Entry const &Instance_;
   int Number_;
   Runs &Seen_;
+  PlannedWork &Planned_;
   Record &Into_;
   Counts &Counted_;
   Connection Kept_;
   int Answered_ = 0; ///< Whole answers on this connection.
 };
 
+/// Sends the signals, and starts an instance again that has ended.
+void disrupt(StreamCase const &Case,
+             std::vector<std::unique_ptr<Entry>> const &Instances, double Since,
+             PlannedWork &Planned, Record &Into) {
+  for (auto Next : Case.Signals_) {
+    sleepMs(Since + Next.AtMs_ - nowMs());
+    auto &Instance = *Instances[Next.Instance_];
+    Next.AtMs_ = nowMs();
+    Planned.add(Next);
+    if (Next.Signal_ == SIGHUP)
+      Instance.addSetting("changed_at_ms=" +
+                          std::to_string(static_cast<int>(Next.AtMs_)));
+    Instance.signal(Next.Signal_);
+    auto const Name = "instance " + std::to_string(Next.Instance_);
+    if (Next.Signal_ != SIGTERM) {
+      Into.add(Name + " gets SIGHUP, with a new field in its settings");
+      continue;
+    }
+    Into.add(Name + " gets SIGTERM");
+    while (!Instance.hasEnded() && nowMs() < Next.AtMs_ + GraceMs)
+      sleepMs(50);
+    Instance.signal(SIGKILL);
+    while (!Instance.hasEnded())
+      sleepMs(10);
+    Into.add(Name + " has ended, " + milliseconds(nowMs() - Next.AtMs_) +
+             " after it, and starts again");
+    Instance.start();
+  }
+}
+
 int judge(StreamCase const &Case, Counts const &Counted, Record &Into) {
   auto const Summary =
       std::to_string(Counted.Sent_) +
-      " requests: " + std::to_string(Counted.Whole_) + " answered whole, " +
-      std::to_string(Counted.Lost_) +
-      " on kept connections that were closed without the whole answer, which "
-      "the runner had sent in time (" +
-      std::to_string(Case.Allowed_) + " are allowed), " +
+      " requests: " + std::to_string(Counted.Whole_) +
+      " answered whole; whose runner had " +
+      "sent its whole answer in time: " + std::to_string(Counted.Planned_) +
+      " without a complete answer around planned work (none is allowed), " +
+      std::to_string(Counted.Unanswered_) +
+      " on kept connections without any answer at other times (" +
+      std::to_string(Case.AllowedAtAnyTime_) + " are allowed), " +
+      std::to_string(Counted.Cut_) +
+      " cut in the answer at other times (not judged); " +
       std::to_string(Counted.Other_) + " others";
   Into.add(Summary);
   std::puts(Summary.c_str());
   if (Counted.Whole_ <= Case.Clients_)
     return 2;
-  return Counted.Lost_ > Case.Allowed_ ? 1 : 0;
+  return Counted.Planned_ > 0 || Counted.Unanswered_ > Case.AllowedAtAnyTime_
+             ? 1
+             : 0;
 }
 
 } // namespace
@@ -128,6 +190,28 @@
   return Runs_[Id];
 }
 
+void PlannedWork::add(PlannedSignal const &Sent) {
+  std::lock_guard const Lock(Mutex_);
+  Sent_.push_back(Sent);
+}
+
+bool PlannedWork::covers(unsigned Instance, double SentAtMs, double CutAtMs,
+                         double RunEndedAtMs) {
+  constexpr double AfterGraceMs = 1000;
+  constexpr double SoonMs = 3000;
+  std::lock_guard const Lock(Mutex_);
+  return std::any_of(
+      Sent_.begin(), Sent_.end(), [&](PlannedSignal const &Each) {
+        if (Each.Instance_ != Instance || CutAtMs < Each.AtMs_)
+          return false;
+        if (Each.Signal_ != SIGTERM)
+          return SentAtMs <= Each.AtMs_ + ConfigApplyMs;
+        bool const IsTooLong = SentAtMs <= Each.AtMs_ + SoonMs &&
+                               RunEndedAtMs > Each.AtMs_ + GraceMs * 5 / 6;
+        return CutAtMs <= Each.AtMs_ + GraceMs + AfterGraceMs && !IsTooLong;
+      });
+}
+
 std::string chunk(std::string const &Bytes) {
   char Size[24];
   std::snprintf(Size, sizeof(Size), "%zx\r\n", Bytes.size());
@@ -149,14 +233,13 @@
   Stream["sticky_sessions"] = true;
   Platform.put("config", "main",
                configuration(1, Json::array({Stream}), {"sprachdienst"}));
-  std::atomic<double> Since = 1e9;
   Runs Seen;
   std::vector<std::unique_ptr<Runner>> Runners;
   for (int Number = 0; Number < Case.Runners_; ++Number) {
     Runners.push_back(std::make_unique<Runner>(
         Platform, "i-" + std::to_string(Number), "sprachdienst", Case.Slots_,
         [&](Runner &Self, Message const &Asked, Connection &To) {
-          return Case.Serve_(Self, Asked, To, Seen, nowMs() - Since);
+          return Case.Serve_(Self, Asked, To, Seen);
         }));
     if (!Runners.back()->start())
       return 2;
@@ -169,18 +252,21 @@
   bool const AreReady =
       std::all_of(Instances.begin(), Instances.end(),
                   [](auto const &Instance) { return Instance->awaitReady(); });
+  PlannedWork Planned;
   Counts Counted;
   if (AreReady) {
-    Since = nowMs();
-    Into.add(hasTrouble() ? Case.Trouble_ : "no disruption");
+    auto const Since = nowMs();
+    Into.add(Case.Load_ + (hasTrouble() ? "" : "; no disruption"));
     std::vector<std::thread> Threads;
     for (int Number = 0; Number < Case.Clients_; ++Number)
       Threads.emplace_back([&, Number] {
         Client(Case,
                *Instances[static_cast<std::size_t>(Number) % Instances.size()],
-               Number, Seen, Into, Counted)
+               Number, Seen, Planned, Into, Counted)
             .play(Since);
       });
+    if (hasTrouble())
+      disrupt(Case, Instances, Since, Planned, Into);
     for (auto &Thread : Threads)
       Thread.join();
   }
--- a/review/standins-2/StreamCase.h
+++ b/review/standins-2/StreamCase.h
@@ -23,22 +23,42 @@
   std::map<std::string, Run> Runs_;
 };
 
-/// A load of streams on a route that does not allow them to be resumed, and the
-/// check of the rule LOST for connections that clients keep.
+/// A signal to an instance, as planned work sends it.
+struct PlannedSignal {
+  unsigned Instance_ = 0;
+  int Signal_ = 0; ///< SIGTERM, after which the instance starts again; SIGHUP.
+  double AtMs_ = 0;
+};
+
+/// The signals that were sent. Thread-safe.
+class PlannedWork {
+public:
+  void add(PlannedSignal const &Sent);
+  /// Whether the rule LOST counts a request that an instance has cut as one
+  /// around planned work.
+  bool covers(unsigned Instance, double SentAtMs, double CutAtMs,
+              double RunEndedAtMs);
+
+private:
+  std::mutex Mutex_;
+  std::vector<PlannedSignal> Sent_;
+};
+
+/// A load of streams on a route that does not allow them to be resumed, planned
+/// work on the instances, and the check of the rule LOST.
 struct StreamCase {
   int Runners_ = 7;
   unsigned Slots_ = 32;
   unsigned Instances_ = 2;
   int Clients_ = 56;
   double DeadlineMs_ = 2500;
-  double EndAtMs_ = 14000;
-  int Allowed_ = 3;
-  std::string Trouble_; ///< What the disruption is, for the record.
-  /// Answers one stream; SinceMs is the time since the clients began, negative
-  /// before that. Returns whether the connection stays open.
-  std::function<bool(Runner &, Message const &, Connection &, Runs &,
-                     double SinceMs)>
-      Serve_;
+  double EndAtMs_ = 0;
+  int AllowedAtAnyTime_ = 3;
+  std::string Load_; ///< What the runners do, for the record.
+  /// The disruption. Times are since the clients began.
+  std::vector<PlannedSignal> Signals_;
+  /// Answers one stream. Returns whether the connection stays open.
+  std::function<bool(Runner &, Message const &, Connection &, Runs &)> Serve_;
 };
 
 /// One chunk of a chunked body.
