--- a/review/8/Main.cpp
+++ b/review/8/Main.cpp
@@ -1,4 +1,4 @@
-// One of two instances is stopped and starts again, while some streams end
+// One of four instances is stopped and starts again, while some streams end
 // whole shortly before their clients' deadline.
 
 #include "../standins-2/StreamCase.h"
--- a/review/9/Main.cpp
+++ b/review/9/Main.cpp
@@ -1,6 +1,6 @@
-// Instances get SIGHUP in turn, while some answers of three runners have no
-// length. They are whole and end with their connection, which the runner closes
-// in order.
+// Four instances get SIGHUP in turn, while some answers of three runners have
+// no length. They are whole and end with their connection, which the runner
+// closes in order.
 
 #include "../standins-2/StreamCase.h"
 
@@ -54,8 +54,8 @@
   Case.Load_ = "one answer in 20 of the runners i-0, i-1 and i-2 has no length";
   Case.Signals_ = {{0, SIGHUP, 6000},
                    {1, SIGHUP, 9000},
-                   {0, SIGHUP, 12000},
-                   {1, SIGHUP, 15000}};
+                   {2, SIGHUP, 12000},
+                   {3, SIGHUP, 15000}};
   Case.Serve_ = serve;
   return play(Case, Into);
 }
--- a/review/standins-2/StreamCase.h
+++ b/review/standins-2/StreamCase.h
@@ -49,8 +49,8 @@
 struct StreamCase {
   int Runners_ = 7;
   unsigned Slots_ = 32;
-  unsigned Instances_ = 2;
-  int Clients_ = 56;
+  unsigned Instances_ = 4;
+  int Clients_ = 112;
   double DeadlineMs_ = 2500;
   double EndAtMs_ = 0;
   int AllowedAtAnyTime_ = 3;
