LibTraffic: Believe ends that come before the server's deadline

Cause: an end was taken for a stop at the deadline if the stream's next event, at its longest pause, would have come after it. A stream that pauses 0.68 s and ends 0.58 s before its server's deadline was always cut.

Why this works: a server stops work at the time that it was told, so an end that comes earlier is the answer's. From 10 ms before that time on, an end proves nothing, as before; streams' servers have 400 ms more than their clients, so only an instance that was held reads such an end.

TestEntryProcess "A stream is not complete because its server has stopped at the deadline" holds.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -20,9 +20,6 @@
 constexpr std::chrono::milliseconds MinTimeForAttempt{5};
 /// By how much a server's timer may be early.
 constexpr std::chrono::milliseconds TimerTolerance{10};
-/// Divisor of the time allowed, which bounds the pause for which an end before
-/// the deadline is doubtful.
-constexpr std::int64_t MaxPauseDivisor = 4;
 /// Time left that makes a further attempt worthwhile.
 constexpr std::chrono::milliseconds MinTimeForRetry{30};
 /// Retry-After for a client whose request was refused by all servers tried.
@@ -70,7 +67,6 @@
 
 std::vector<Action> ExchangeFlow::start(TimePoint Now) {
   Now_ = Now;
-  TimeAllowed_ = Context_.Expiry_ - Now;
   if (mayHideProgress()) {
     refuse(ServiceUnavailable, "passed on by an instance of an older release",
            RetryAfterUnknownOrigin);
@@ -118,8 +114,6 @@
   auto const TimeLeft = std::max(Context_.Expiry_ - Now_, Duration(0)) + Margin;
   AttemptDeadline_ =
       Now_ + std::chrono::floor<std::chrono::milliseconds>(TimeLeft);
-  LastProgressAt_ = Now_;
-  Pause_.reset();
   HasSentEvent_ = false;
   if (!IsEndUnconfirmed_)
     HeldBackData_.clear();
@@ -188,7 +182,6 @@
       continue;
     }
     bool const IsFirst = !std::exchange(HasSentEvent_, true);
-    noteProgress(IsFirst);
     Fault = faultOf(Event, IsFirst);
     learnFrom(Event, IsFirst);
     if (!Fault.empty())
@@ -214,15 +207,6 @@
          HeldBackData_.size() + Event.Bytes_.size() <= MaxHeldBackBytes;
 }
 
-void ExchangeFlow::noteProgress(bool IsFirst) {
-  auto const Since = Now_ - std::exchange(LastProgressAt_, Now_);
-  if (IsFirst)
-    return;
-  // A single long pause says little of the ones after it.
-  Pause_ = std::max(Since, Pause_.value_or(Duration(0)) / 2);
-  Conventions_.onPause(writer(), Since);
-}
-
 StreamOrigin const &ExchangeFlow::writer() const {
   return isThroughPeer() && Answer_ && Answer_->Origin_ ? *Answer_->Origin_
                                                         : AttemptOrigin_;
@@ -345,15 +329,7 @@
 }
 
 bool ExchangeFlow::mayHaveStoppedAtDeadline() const {
-  Duration NextEvent{};
-  // A server may stop once its next event would come too late.
-  if (isStream())
-    NextEvent = std::max(Pause_ ? *Pause_ : Conventions_.longestPause(writer()),
-                         HasSentEvent_ ? Now_ - LastProgressAt_ : Duration(0));
-  auto const Longest = TimeAllowed_ / MaxPauseDivisor;
-  return Now_ >=
-         AttemptDeadline_ -
-             std::max<Duration>(TimerTolerance, std::min(NextEvent, Longest));
+  return Now_ >= AttemptDeadline_ - TimerTolerance;
 }
 
 void ExchangeFlow::endStream(AnswerEnd End) {
--- a/Libraries/LibTraffic/ExchangeFlow.h
+++ b/Libraries/LibTraffic/ExchangeFlow.h
@@ -238,8 +238,6 @@
   void processEvents(std::vector<StreamEvent> Events);
   /// Sends bytes of the stream to the client, which begins with the first.
   void relayBytes(std::string Bytes);
-  /// Notes when the server sent an event with an identifier.
-  void noteProgress(bool IsFirst);
   /// What writes the current attempt's answer.
   StreamOrigin const &writer() const;
   /// Whether to relay an event without an identifier only once the next one
@@ -251,8 +249,8 @@
   /// Whether the event may be the first one of a continuation.
   bool goesOnAt(StreamEvent const &First) const;
   void learnFrom(StreamEvent const &Event, bool IsFirst);
-  /// Whether the server has stopped by now because of the deadline that it was
-  /// given.
+  /// Whether the server may have stopped by now because of the deadline that it
+  /// was given. Before that deadline, nothing makes a server stop in order.
   bool mayHaveStoppedAtDeadline() const;
   void endStream(exchange::AnswerEnd End);
   /// Asks another server to go on, which has nothing to add if the stream is
@@ -282,7 +280,6 @@
   exchange::StreamConventions &Conventions_;
   State State_ = State::Waiting;
   TimePoint Now_{};
-  Duration TimeAllowed_{}; ///< From the start to the deadline.
   std::vector<exchange::Action> Actions_;
   std::set<ServerId> Tried_; ///< Incarnations.
   std::uint32_t Sent_ = 0;
@@ -295,10 +292,6 @@
   std::optional<ServerAnswer> Answer_;
   /// As its server was told, who may have more time than the client.
   TimePoint AttemptDeadline_{};
-  /// When the last event with an identifier was sent, or the request.
-  TimePoint LastProgressAt_{};
-  /// Between two such events; a longer one before is heeded for a while.
-  std::optional<Duration> Pause_;
   /// Its server has sent an event with an identifier.
   bool HasSentEvent_ = false;
   std::string Body_;
--- a/Libraries/LibTraffic/ObservedConventions.cpp
+++ b/Libraries/LibTraffic/ObservedConventions.cpp
@@ -1,7 +1,5 @@
 #include <LibTraffic/ObservedConventions.h>
 
-#include <chrono>
-
 namespace laburnum {
 
 namespace {
@@ -54,11 +52,6 @@
   observed(Origin).HasDataIdentifier_.add(HasIdentifier ? 1 : 0);
 }
 
-void ObservedConventions::onPause(StreamOrigin const &Origin, Duration Pause) {
-  auto const Time = std::chrono::ceil<std::chrono::milliseconds>(Pause);
-  observed(Origin).Pauses_.add(static_cast<std::uint64_t>(Time.count()));
-}
-
 void ObservedConventions::onEnd(StreamOrigin const &Origin,
                                 exchange::AnswerEnd End, bool HasIdentifier) {
   auto &Observed = observed(Origin);
@@ -102,12 +95,6 @@
   return Known && Known->HasLastIdentifier_.usual(MinEqualEnds) == 1;
 }
 
-Duration ObservedConventions::longestPause(StreamOrigin const &Origin) const {
-  auto const *const Known = find(Origin);
-  auto const Longest = Known ? Known->Pauses_.largest().value_or(0) : 0;
-  return std::chrono::milliseconds(Longest);
-}
-
 bool ObservedConventions::marksEnds(StreamOrigin const &Origin) const {
   auto const *const Known = find(Origin);
   return Known && Known->IsMarkedEnd_.usual(MinEqualEnds) == 1;
--- a/Libraries/LibTraffic/ObservedConventions.h
+++ b/Libraries/LibTraffic/ObservedConventions.h
@@ -15,7 +15,6 @@
   void onStep(StreamOrigin const &Origin, std::uint64_t Step) override;
   void onAgreedStep(StreamOrigin const &Origin, std::uint64_t Step) override;
   void onData(StreamOrigin const &Origin, bool HasIdentifier) override;
-  void onPause(StreamOrigin const &Origin, Duration Pause) override;
   void onEnd(StreamOrigin const &Origin, exchange::AnswerEnd End,
              bool HasIdentifier) override;
   bool isLateFirst(StreamOrigin const &Origin, std::uint64_t Id) const override;
@@ -23,14 +22,12 @@
   bool mayFollow(StreamOrigin const &Origin, std::uint64_t Step) const override;
   bool numbersData(StreamOrigin const &Origin) const override;
   bool numbersLast(StreamOrigin const &Origin) const override;
-  Duration longestPause(StreamOrigin const &Origin) const override;
   bool marksEnds(StreamOrigin const &Origin) const override;
 
 private:
   struct Observed {
     RecentValues FirstIds_;
     RecentValues Steps_;
-    RecentValues Pauses_; ///< In milliseconds.
     /// The others: 1 for each that is or has it, else 0.
     RecentValues IsMarkedEnd_;
     RecentValues HasDataIdentifier_;
--- a/Libraries/LibTraffic/StreamConventions.h
+++ b/Libraries/LibTraffic/StreamConventions.h
@@ -19,8 +19,6 @@
   virtual void onStep(StreamOrigin const &Origin, std::uint64_t Step) = 0;
   /// A server has sent data with an identifier or without one.
   virtual void onData(StreamOrigin const &Origin, bool HasIdentifier) = 0;
-  /// A server has sent two events one after the other.
-  virtual void onPause(StreamOrigin const &Origin, Duration Pause) = 0;
   /// Two servers have left out the same identifiers.
   virtual void onAgreedStep(StreamOrigin const &Origin, std::uint64_t Step) = 0;
   /// A server has ended a stream in order, after an event with an identifier or
@@ -42,8 +40,6 @@
   virtual bool numbersData(StreamOrigin const &Origin) const = 0;
   /// Returns whether streams end with an event that has an identifier.
   virtual bool numbersLast(StreamOrigin const &Origin) const = 0;
-  /// Returns the longest recent pause between two events.
-  virtual Duration longestPause(StreamOrigin const &Origin) const = 0;
   /// Returns whether servers mark the ends of their streams, so that one that
   /// does not has broken off.
   virtual bool marksEnds(StreamOrigin const &Origin) const = 0;
