LibTraffic: Complete streams without a length that their clients cannot take up

Cause: where nearly all recent streams of a service have marked ends, an end without a mark counted as a break.

Why this works: the checks of the process and of the second connection tell an end from a crash, and a reset never gets here. A stream that its client can take up loses nothing by an abort, so those are judged as before.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -356,9 +356,13 @@
 }
 
 void ExchangeFlow::endUnconfirmed() {
+  // The server's process lives on and has closed the connection in order, which
+  // ends an answer without a length. To abort a stream that nobody can take up
+  // would lose it.
+  if (!mayBeTakenUp())
+    return completeStream(AnswerEnd::Unmarked);
   // If the client takes the stream up, that takes no retry from the budget.
-  bool const IsLeftToClient =
-      IsBudgetSpent_ && mayBeTakenUp() && !hasNothingToAdd();
+  bool const IsLeftToClient = IsBudgetSpent_ && !hasNothingToAdd();
   if (!Conventions_.marksEnds(writer()) && !IsLeftToClient)
     return completeStream(AnswerEnd::Unmarked);
   IsEndDoubtful_ = true;
--- a/Libraries/LibTraffic/StreamConventions.h
+++ b/Libraries/LibTraffic/StreamConventions.h
@@ -40,8 +40,8 @@
   virtual bool numbersData(StreamOrigin const &Origin) const = 0;
   /// Returns whether streams end with an event that has an identifier.
   virtual bool numbersLast(StreamOrigin const &Origin) const = 0;
-  /// Returns whether servers mark the ends of their streams, so that one that
-  /// does not has broken off.
+  /// Returns whether servers mark the ends of nearly all of their streams, so
+  /// that an end without a mark is doubtful.
   virtual bool marksEnds(StreamOrigin const &Origin) const = 0;
 };
 
--- a/Tests/EntryProcess/StreamServer/Main.cpp
+++ b/Tests/EntryProcess/StreamServer/Main.cpp
@@ -30,9 +30,9 @@
   std::uint64_t Cuts_;   ///< Ends every such answer too early; 0: none.
   std::string Deadline_; ///< ignores, closes, finishes or resets.
   std::chrono::milliseconds Early_; ///< By which it stops before the deadline.
-  std::uint64_t Skips_; ///< Every such new stream lacks an event; 0: none.
-  /// Every such answer has no length and is ended too early; 0: none.
-  std::uint64_t Unframed_;
+  std::uint64_t Skips_;      ///< Every such new stream lacks an event; 0: none.
+  std::uint64_t Unframed_;   ///< Every such answer has no length; 0: none.
+  std::string UnframedEnd_;  ///< whole, closes or resets.
   std::uint64_t Events_;     ///< Of a stream on /stream/.
   std::uint64_t OnceEvents_; ///< Of a stream on /once/.
   std::chrono::microseconds Gap_;
@@ -171,11 +171,16 @@
       std::cout << "left out an event" << std::endl;
     }
     bool const IsUnframed = isEach(Settings_.Unframed_, Runs_);
-    if (IsUnframed)
+    if (IsUnframed) {
       Begun->Framing_ = "closes";
-    if (!Begun->Pieces_.empty() &&
-        (IsUnframed || isEach(Settings_.Cuts_, Runs_))) {
+      std::cout << "no length" << std::endl;
+    }
+    bool const IsWhole = IsUnframed ? Settings_.UnframedEnd_ == "whole"
+                                    : !isEach(Settings_.Cuts_, Runs_);
+    if (!Begun->Pieces_.empty() && !IsWhole) {
       Begun->Pieces_.resize(Begun->Pieces_.size() / 2);
+      if (IsUnframed && Settings_.UnframedEnd_ == "resets")
+        Begun->Fault_ = {"after-reset", Begun->Pieces_.size()};
       std::cout << "early end" << std::endl;
     }
     // An answer that is broken off states the length of the whole one.
@@ -415,9 +420,11 @@
       Text("0"));
   Add("skips", "leaves out event 3 of every such new stream; 0: none",
       Text("0"));
-  Add("unframed",
-      "every such answer has no length and is ended too early; 0: none",
-      Text("0"));
+  Add("unframed", "every such answer has no length; 0: none", Text("0"));
+  Add("unframed-end",
+      "how it ends such an answer: whole, too early in order (closes), or too "
+      "early by a reset (resets)",
+      Text("closes"));
   Add("deadline",
       "what it does with an answer when the client's time is over: "
       "ignores, closes, finishes or resets",
@@ -456,6 +463,7 @@
          std::chrono::milliseconds(std::stoll(Value("early"))),
          std::stoull(Value("skips")),
          std::stoull(Value("unframed")),
+         Value("unframed-end"),
          std::stoull(Value("events")),
          std::stoull(Value("once-events")),
          std::chrono::microseconds(std::stoll(Value("gap"))),
--- a/Tests/LibTraffic/TestStreamEnds.cpp
+++ b/Tests/LibTraffic/TestStreamEnds.cpp
@@ -111,24 +111,60 @@
   }
 }
 
-TEST_CASE("A stream whose end is not marked is not complete where servers mark "
-          "the ends of their streams") {
+// Guards against cutting whole streams without a length at a service whose
+// other streams have marked ends.
+TEST_CASE(
+    "A stream whose end is not marked is complete where its client cannot "
+    "take it up, however other streams end") {
   auto const Repeat = GENERATE(Repeatability::Never, Repeatability::Resumable);
+  bool const IsUnidentified = GENERATE(true, false);
   Harness Run(stream(Repeat));
   Run.RetryGate_.IsOpen_ = false;
   constexpr int Streams = 20;
   auto const UnmarkedStreams = GENERATE(0, 1, 10);
-  for (int Number = 0; Number < Streams; ++Number)
-    Run.Conventions_.onEnd(
-        {}, Number < UnmarkedStreams ? AnswerEnd::Unmarked : AnswerEnd::Marked,
-        true);
-  endUnmarked(Run);
-  bool const IsBelieved =
-      UnmarkedStreams == 10 && Repeat == Repeatability::Never;
+  StreamOrigin const Unidentified{{}, UnidentifiedVersion};
+  for (auto const &Origin : {StreamOrigin(), Unidentified})
+    for (int Number = 0; Number < Streams; ++Number)
+      Run.Conventions_.onEnd(Origin,
+                             Number < UnmarkedStreams ? AnswerEnd::Unmarked
+                                                      : AnswerEnd::Marked,
+                             true);
+  Run.attempt("a");
+  auto Answer = Signed;
+  Answer.IsProcessUnidentified_ = IsUnidentified;
+  Run.handle(HeadArrived{Answer});
+  Run.handle(BodyArrived{"id: 1\ndata: x\n\nid: 2\ndata: y\n\n"});
+  Run.handle(Unmarked);
+  bool const IsBelieved = Repeat == Repeatability::Never || IsUnidentified;
   CHECK((Run.find<FinishStream>() != nullptr) == IsBelieved);
   CHECK((Run.find<AbortStream>() != nullptr) == !IsBelieved);
 }
 
+TEST_CASE("A stream that its client can take up is not complete at an end that "
+          "is neither marked nor confirmed where servers mark the ends of "
+          "their streams") {
+  Harness Run(stream());
+  for (int Number = 0; Number < 20; ++Number)
+    Run.Conventions_.onEnd({}, AnswerEnd::Marked, true);
+  endUnmarked(Run);
+  Run.handle(NoServer{"all are busy", {}});
+  CHECK_FALSE(Run.find<FinishStream>());
+  CHECK(Run.find<AbortStream>());
+}
+
+TEST_CASE("A stream without a length whose connection breaks off is not "
+          "complete") {
+  auto const Repeat = GENERATE(Repeatability::Never, Repeatability::Resumable);
+  Harness Run(stream(Repeat));
+  Run.RetryGate_.IsOpen_ = false;
+  Run.attempt("a");
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{"id: 1\ndata: x\n\n"});
+  Run.handle(failure(AttemptProgress::AnswerBegun));
+  CHECK_FALSE(Run.find<FinishStream>());
+  CHECK(Run.find<AbortStream>());
+}
+
 TEST_CASE("A stream that is taken up after its last event completes though "
           "servers mark no ends and the retry budget is spent") {
   RequestMetadata Metadata;
