LibGuard, laburnum-entry: Leave disconnects undecided while the link is cut

Cause: where no server accepts a connection, the instance takes its own link for cut, and every disconnect was then judged as a lost link, which clears the content.

Why this works: such a disconnect stays undecided and counts on. Once a server is reached again, the list tells a crash from a cut, as it comes another way: a crashed server's next process has its identifier or address and a later start. A probe asks the list first, so a replaced server has crashed whatever accepts there now.

--- a/Libraries/LibGuard/CrashGuard.cpp
+++ b/Libraries/LibGuard/CrashGuard.cpp
@@ -154,6 +154,8 @@
 std::vector<CrashReport>
 CrashGuard::onDisconnectClassified(BackendServer const &Server,
                                    DisconnectCause Cause, TimePoint Now) {
+  if (Cause == DisconnectCause::Undecided)
+    return {};
   if (Cause == DisconnectCause::Crash)
     return onCrash(Server, Now);
   std::lock_guard const Lock(Mutex_);
--- a/Libraries/LibGuard/CrashGuard.h
+++ b/Libraries/LibGuard/CrashGuard.h
@@ -120,8 +120,8 @@
                                    AttemptEvidence const &Evidence,
                                    TimePoint Now);
 
-  /// Applies a cause to the server's unclassified disconnects. Returns reports
-  /// to send to peers at once.
+  /// Applies a cause to the server's unclassified disconnects. They go on
+  /// counting while it is undecided. Returns reports to send to peers at once.
   std::vector<CrashReport> onDisconnectClassified(BackendServer const &Server,
                                                   DisconnectCause Cause,
                                                   TimePoint Now);
--- a/Libraries/LibGuard/DisconnectClassifier.cpp
+++ b/Libraries/LibGuard/DisconnectClassifier.cpp
@@ -22,6 +22,10 @@
 } // namespace
 
 DisconnectCause classifyDisconnect(DisconnectProbes const &Probes) {
+  if (Probes.Listed_ == ListedProcess::Replaced)
+    return DisconnectCause::Crash;
+  if (Probes.Link_ == ProberLink::Cut)
+    return DisconnectCause::Undecided;
   auto const HasRefused = contains(Probes.Server_, ProbeAnswer::Refused);
   if (!HasRefused && contains(Probes.Server_, ProbeAnswer::Accepted))
     return DisconnectCause::Link;
--- a/Libraries/LibTraffic/ServerRoster.cpp
+++ b/Libraries/LibTraffic/ServerRoster.cpp
@@ -537,6 +537,15 @@
          !isStaying(Found->second);
 }
 
+bool ServerRoster::isReplaced(ServerRecord const &Server) const {
+  return std::any_of(Servers_.begin(), Servers_.end(), [&](auto const &Pair) {
+    auto const &Listed = Pair.second.Record_;
+    return (Listed.Id_ == Server.Id_ || Listed.Endpoint_ == Server.Endpoint_) &&
+           Listed.IncarnationStartMilliseconds_ >
+               Server.IncarnationStartMilliseconds_;
+  });
+}
+
 std::vector<ServerRecord> ServerRoster::records() const {
   std::vector<ServerRecord> Records;
   for (auto const &[Id, Server] : Servers_)
--- a/Libraries/LibTraffic/ServerRoster.h
+++ b/Libraries/LibTraffic/ServerRoster.h
@@ -171,6 +171,10 @@
   /// leaving, or is not listed.
   bool isLeaving(ServerRecord const &Server) const;
 
+  /// Returns whether a later process is listed under the server's identifier or
+  /// at its address.
+  bool isReplaced(ServerRecord const &Server) const;
+
   std::vector<ServerRecord> records() const;
   /// Returns the servers of the service that are not leaving, shuffled.
   std::vector<ServerRecord> staying(ServiceName const &Service);
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -100,10 +100,7 @@
           Seed + 1),
       Links_(Dependencies.Context_, Roster_, Dependencies.Log_,
              {[this](ServiceName const &Service) { onLinkCut(Service); },
-              [this] {
-                flushGoneNotices();
-                advanceQueue();
-              }}),
+              [this] { onLinkUp(); }}),
       AnswerLimits_(answerLimits(Dependencies.Settings_)),
       Origins_(Dependencies.Context_, Dependencies.Log_),
       QueueTimer_(Dependencies.Context_),
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -192,7 +192,10 @@
   void onMaxRefusals(ServerRecord const &Server,
                      std::optional<double> PerSecond);
   void startDisconnectProbe(ServerRecord const &Server);
-  void onDisconnectClassified(ServerRecord const &Server, ProbeAnswer Answer);
+  void probeAfter(Duration Delay, ServerRecord const &Server);
+  void onDisconnectProbed(ServerRecord const &Server, ProbeAnswer Answer);
+  /// A service's link that was cut is up again.
+  void onLinkUp();
   void report(std::vector<CrashReport> const &Reports);
   void enqueue(std::shared_ptr<RequestSession> const &Session,
                WaitingRequest Request);
@@ -252,7 +255,10 @@
   std::uint64_t GivenUp_ = 0; ///< Requests that are not logged yet.
   TimePoint GivenUpLoggedAt_ = TimePoint::min();
   std::set<ServerId> BrittleServers_; ///< Incarnations, for logging.
-  std::set<ServerId> ProbedServers_;  ///< Incarnations with a probe in flight.
+  /// Incarnations whose disconnects are not classified yet.
+  std::set<ServerId> ProbedServers_;
+  /// Those of them that were probed while the link to their service was cut.
+  std::vector<ServerRecord> UndecidedServers_;
 };
 
 } // namespace laburnum
--- a/Services/laburnum-entry/TrafficPlaneServers.cpp
+++ b/Services/laburnum-entry/TrafficPlaneServers.cpp
@@ -14,6 +14,9 @@
 /// may still accept connections for a moment.
 constexpr std::chrono::milliseconds ProbeDelay{100};
 constexpr std::chrono::milliseconds ProbeTimeout{1000};
+/// Delay between the end of a cut and the probes of servers that were
+/// disconnected in it: by then their next processes are listed.
+constexpr std::chrono::seconds ProbeDelayAfterCut{2};
 
 } // namespace
 
@@ -154,22 +157,46 @@
 }
 
 void TrafficPlane::startDisconnectProbe(ServerRecord const &Server) {
-  if (!ProbedServers_.insert(incarnationOf(Server)).second)
-    return;
-  ConnectProbe::start(Dependencies_.Context_, Server.Endpoint_, ProbeDelay,
+  if (ProbedServers_.insert(incarnationOf(Server)).second)
+    probeAfter(ProbeDelay, Server);
+}
+
+void TrafficPlane::probeAfter(Duration Delay, ServerRecord const &Server) {
+  ConnectProbe::start(Dependencies_.Context_, Server.Endpoint_, Delay,
                       ProbeTimeout, [this, Server](ProbeAnswer Answer) {
-                        onDisconnectClassified(Server, Answer);
+                        onDisconnectProbed(Server, Answer);
                       });
 }
 
-void TrafficPlane::onDisconnectClassified(ServerRecord const &Server,
-                                          ProbeAnswer Answer) {
+void TrafficPlane::onLinkUp() {
+  flushGoneNotices();
+  advanceQueue();
+  for (auto const &Server : std::exchange(UndecidedServers_, {})) {
+    if (Links_.isCut(Server.Service_))
+      UndecidedServers_.push_back(Server);
+    else
+      probeAfter(ProbeDelayAfterCut, Server);
+  }
+}
+
+void TrafficPlane::onDisconnectProbed(ServerRecord const &Server,
+                                      ProbeAnswer Answer) {
   auto const Incarnation = incarnationOf(Server);
+  auto const Listed = Roster_.isReplaced(Server) ? ListedProcess::Replaced
+                                                 : ListedProcess::Same;
+  auto const Link =
+      Links_.isCut(Server.Service_) ? ProberLink::Cut : ProberLink::Up;
+  auto const Cause = classifyDisconnect({{Answer}, {}, Listed, Link});
+  if (Cause == DisconnectCause::Undecided) {
+    UndecidedServers_.push_back(Server);
+    Dependencies_.Log_.write(
+        LogLine("server_judged")
+            .add("server", Server.Id_.text())
+            .add("born", Server.IncarnationStartMilliseconds_)
+            .add("outcome", "undecided"));
+    return;
+  }
   ProbedServers_.erase(Incarnation);
-  // An instance that reaches no server learns nothing of one.
-  auto const Cause = Links_.isCut(Server.Service_)
-                         ? DisconnectCause::Link
-                         : classifyDisconnect({{Answer}, {}});
   BackendServer ProbedServer;
   ProbedServer.Id_ = Incarnation;
   ProbedServer.DataCentre_ = Server.DataCentre_;
--- a/Tests/EntryProcess/TestCrashingRequests.cpp
+++ b/Tests/EntryProcess/TestCrashingRequests.cpp
@@ -89,6 +89,23 @@
   });
 }
 
+// The same, as the request crashes one server after the other.
+TEST_CASE(
+    "A request that crashes all servers of a service in turn is refused") {
+  constexpr std::size_t Sent = 60;
+  EntryFleet Fleet(3, 3, {std::chrono::milliseconds(1500), {}});
+  Caller Caller{Fleet};
+  for (std::size_t Each = 0; Each < Sent; ++Each) {
+    CHECK(Caller.send("GET", "/read/deadly").Status_ >= 500);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  }
+  CHECK(Fleet.crashingRequestsReceived() <= CrashedServers + MaxLateRequests);
+  REQUIRE(await([&] { return Fleet.areServersUp(); }));
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  for (std::size_t Each = 0; Each < LaterRequests; ++Each)
+    CHECK(Caller.send("GET", "/read/sound").Status_ == 200);
+}
+
 // The next process at a server's address was taken for the one that crashed.
 TEST_CASE("A request that crashed three servers reaches no others though each "
           "is back before it is probed") {
--- a/Tests/LibGuard/TestSharedCrashes.cpp
+++ b/Tests/LibGuard/TestSharedCrashes.cpp
@@ -76,6 +76,23 @@
   CHECK(isRefused(seconds(3)));
 }
 
+TEST_CASE_METHOD(SharedGuard,
+                 "Disconnects count while their cause is undecided") {
+  for (auto const *Server : {"a", "b", "c"}) {
+    run(Server, Broken, seconds(0));
+    classify(Server, DisconnectCause::Undecided, seconds(1));
+  }
+  CHECK(isRefused(seconds(1)));
+  SECTION("and no longer once the link is found to have broken") {
+    classify("b", DisconnectCause::Link, seconds(2));
+    CHECK_FALSE(isRefused(seconds(2)));
+  }
+  SECTION("and then as crashes") {
+    classify("b", DisconnectCause::Crash, seconds(2));
+    CHECK(isRefused(seconds(2)));
+  }
+}
+
 TEST_CASE_METHOD(SharedGuard, "A lost link, a copy on the same server and a "
                               "cancelled attempt do not count as crashes") {
   run("a", Broken, seconds(0));
--- a/Tests/LibServing/TestCrashGuard.cpp
+++ b/Tests/LibServing/TestCrashGuard.cpp
@@ -169,3 +169,16 @@
   CHECK(classifyDisconnect({{A::Silent}, {A::Silent}}) ==
         DisconnectCause::Reclaim);
 }
+
+// Guards against taking a crash of all servers for a cut of the prober's link,
+// and the other way round.
+TEST_CASE("A disconnect is a crash if its server is replaced, and undecided "
+          "while the prober's link is cut") {
+  auto const Answer = GENERATE(ProbeAnswer::Accepted, ProbeAnswer::Refused,
+                               ProbeAnswer::Silent);
+  auto const Link = GENERATE(ProberLink::Up, ProberLink::Cut);
+  CHECK(classifyDisconnect({{Answer}, {}, ListedProcess::Replaced, Link}) ==
+        DisconnectCause::Crash);
+  CHECK((classifyDisconnect({{Answer}, {}, ListedProcess::Same, Link}) ==
+         DisconnectCause::Undecided) == (Link == ProberLink::Cut));
+}
--- a/Tests/LibTraffic/TestServerRoster.cpp
+++ b/Tests/LibTraffic/TestServerRoster.cpp
@@ -395,3 +395,27 @@
     CHECK(choose() == "x");
   }
 }
+
+TEST_CASE_METHOD(Fixture, "A server is replaced by a later process of its "
+                          "identifier or address only") {
+  auto const At = [](std::string const &Name, std::string const &Address,
+                     std::int64_t Start) {
+    auto Made = server(Name);
+    Made.Endpoint_.Host_ = Address;
+    Made.IncarnationStartMilliseconds_ = Start;
+    return Made;
+  };
+  auto const Judged = At("x", "10.0.0.1", 5);
+  CHECK_FALSE(Roster_.isReplaced(Judged));
+  Roster_.replaceAll({Judged, At("y", "10.0.0.2", 9), At("z", "10.0.0.1", 4)});
+  CHECK_FALSE(Roster_.isReplaced(Judged));
+  SECTION("a later start") {
+    Roster_.replaceAll({At("x", "10.0.0.3", 6)});
+    CHECK(Roster_.isReplaced(Judged));
+  }
+  SECTION("another server at its address") {
+    Roster_.replaceAll({Judged, At("y", "10.0.0.1", 6)});
+    CHECK(Roster_.isReplaced(Judged));
+    CHECK_FALSE(Roster_.isReplaced(At("y", "10.0.0.1", 6)));
+  }
+}
