LibTraffic: Count consumption anew where its source changes

Cause: AccountQuotaLimiter kept what it knew from a source that was gone. After a fleet has shrunk to peers that report directly, it took the collectors' sums for missing and deducted what it assumed besides what peers reported; the totals of the other source were charged at the next change; and without any collector, an instance deducted from its own share what others consume of theirs, then and once more when a collector was heard again.

Why this works: the limiter is told its source and counts anew from a new one. It assumes consumption only until others miss this instance, and sets the refill that it left to them against the first sums.

--- a/Libraries/LibTraffic/AccountQuotaLimiter.cpp
+++ b/Libraries/LibTraffic/AccountQuotaLimiter.cpp
@@ -102,16 +102,22 @@
     if (Peer.LastReceivedAt_ + Settings_.ReportPeriod_ * MaxMissedReports >=
         Now)
       ++Reachable;
-  for (auto const &[Id, Collector] : Collectors_)
-    if (isFresh(Collector, Now))
-      Reachable = std::max(Reachable, Collector.Incarnations_);
-  if (Reachable == Reachable_)
+  bool IsCollectorHeard = false;
+  for (auto const &[Id, Collector] : Collectors_) {
+    if (!isFresh(Collector, Now))
+      continue;
+    IsCollectorHeard = true;
+    Reachable = std::max(Reachable, Collector.Incarnations_);
+  }
+  if (Reachable == Reachable_ && IsCollectorHeard == IsCollectorHeard_)
     return;
   // The refill up to now was at the old rate.
   for (auto const &[Account, Usage] : Usage_)
     if (auto const *const Quota = quotaOf(Account))
       fill(*Quota, Account, Now);
   Reachable_ = Reachable;
+  if (std::exchange(IsCollectorHeard_, IsCollectorHeard) != IsCollectorHeard)
+    CollectorHeardChangedAt_ = Now;
   std::erase_if(Peers_, [&](auto const &One) {
     return One.second.LastReceivedAt_ + PeerRetention < Now;
   });
@@ -120,6 +126,48 @@
   });
 }
 
+bool AccountQuotaLimiter::hasLostCollectors() const {
+  return Source_ == Source::Collectors && !IsCollectorHeard_;
+}
+
+double AccountQuotaLimiter::takeLeftToOthers(AccountName const &Account,
+                                             double Growth, TimePoint Now) {
+  auto const Found = Usage_.find(Account);
+  auto const *const Quota = quotaOf(Account);
+  if (Found == Usage_.end() || !Quota)
+    return 0.0;
+  auto &Left = Found->second.LeftToOthers_;
+  // A collector has the reports of all instances only some periods after it
+  // was heard again.
+  if (CollectorHeardChangedAt_ + Settings_.ReportPeriod_ * MaxMissedReports <
+      Now)
+    Left = 0.0;
+  auto const Taken = std::clamp(Growth - inflow(*Quota), 0.0, Left);
+  Left -= Taken;
+  return Taken;
+}
+
+void AccountQuotaLimiter::setSource(Source New, TimePoint Now) {
+  if (std::exchange(Source_, New) == New)
+    return;
+  for (auto &[Account, Usage] : Usage_)
+    if (auto const *const Quota = quotaOf(Account)) {
+      fill(*Quota, Account, Now);
+      // The first report of each peer counts nothing.
+      if (New == Source::Peers)
+        assumeRemote(*Quota, Usage);
+      Usage.Assumed_ = 0.0;
+      Usage.LeftToOthers_ = 0.0;
+    }
+  for (auto &[Id, Peer] : Peers_)
+    Peer.Consumption_ = IncarnationConsumption();
+  Collectors_.clear();
+  ActiveCollector_ = InstanceId();
+  IsSumDue_ = New == Source::Collectors;
+  IsCollectorHeard_ = false;
+  CollectorHeardChangedAt_ = Now;
+}
+
 void AccountQuotaLimiter::setPeriod(Duration Period) {
   if (Period == Settings_.ReportPeriod_)
     return;
@@ -134,6 +182,7 @@
 }
 
 void AccountQuotaLimiter::onSum(ConsumptionSum const &Sum, TimePoint Now) {
+  setSource(Source::Collectors, Now);
   auto const [Found, IsNew] = Collectors_.try_emplace(Sum.Origin_);
   auto &Collector = Found->second;
   Collector.LastReceivedAt_ = Now;
@@ -158,14 +207,18 @@
     auto const Assumed = Known == Usage_.end()
                              ? 0.0
                              : std::exchange(Known->second.Assumed_, 0.0);
-    countRemote(One.Account_, Remote.Admitted_ - Last.Admitted_ - Assumed,
+    auto const Growth = Remote.Admitted_ - Last.Admitted_ - Assumed;
+    countRemote(One.Account_,
+                Growth - takeLeftToOthers(One.Account_, Growth, Now),
                 std::max(0.0, Remote.Asked_ - Last.Asked_), Now);
   }
   // The growth that this collector will show does not include what was assumed
   // before its first sum.
   if (IsNew)
-    for (auto &[Account, Usage] : Usage_)
+    for (auto &[Account, Usage] : Usage_) {
       Usage.Assumed_ = 0.0;
+      Usage.LeftToOthers_ = 0.0;
+    }
   if (ActiveCollector_ != Sum.Origin_)
     return;
   // Should another one take over, what it has reported until now counts
@@ -216,8 +269,10 @@
   }
   auto const Elapsed =
       std::chrono::duration<double>(Now - Usage.Filled_).count();
-  Usage.Level_ =
-      std::min(Depth, Usage.Level_ + std::max(0.0, Elapsed) * rate(Quota));
+  auto const Refill = std::max(0.0, Elapsed) * rate(Quota);
+  Usage.Level_ = std::min(Depth, Usage.Level_ + Refill);
+  if (hasLostCollectors())
+    Usage.LeftToOthers_ += Refill / reachableShare() - Refill;
   Usage.Filled_ = Now;
   return Usage;
 }
@@ -296,7 +351,7 @@
           Registered_};
 }
 
-/// Without a collector's sum, the bucket must not appear to fill while other
+/// While a sum is missing, the bucket must not appear to fill while other
 /// instances consume from it.
 void AccountQuotaLimiter::assumeRemote(AccountQuota const &Quota,
                                        Usage &Account) {
@@ -307,8 +362,15 @@
 
 ConsumptionReport AccountQuotaLimiter::report(TimePoint Now) {
   countReachable(Now);
-  bool const IsSumMissing =
-      std::exchange(IsSumDue_, true) && Collectors_.contains(ActiveCollector_);
+  // Without collectors, the bucket gets only this instance's share, from which
+  // the others do not consume. Those that still hear one consume this share too
+  // until they miss this instance.
+  bool const IsShareLeft =
+      hasLostCollectors() &&
+      CollectorHeardChangedAt_ + Settings_.ReportPeriod_ * MaxMissedReports <=
+          Now;
+  bool const IsSumMissing = std::exchange(IsSumDue_, true) &&
+                            Source_ == Source::Collectors && !IsShareLeft;
   ConsumptionReport Report;
   for (auto &[Account, Usage] : Usage_) {
     auto const *const Quota = quotaOf(Account);
@@ -339,6 +401,7 @@
 void AccountQuotaLimiter::onReport(InstanceId const &From,
                                    ConsumptionReport const &Report,
                                    TimePoint Now) {
+  setSource(Source::Peers, Now);
   auto &Peer = Peers_[From];
   Peer.LastReceivedAt_ = Now;
   countReachable(Now);
--- a/Libraries/LibTraffic/AccountQuotaLimiter.h
+++ b/Libraries/LibTraffic/AccountQuotaLimiter.h
@@ -40,6 +40,9 @@
     double BurstTolerance_ = 0.0;
   };
 
+  /// Where the consumption of other instances is known from.
+  enum class Source { Peers, Collectors };
+
   explicit AccountQuotaLimiter(Settings Settings) : Settings_(Settings) {}
 
   /// Updates the tolerances and leaves the report period unchanged.
@@ -68,6 +71,7 @@
                                 TimePoint Now);
   /// Returns the report for the other instances and begins a new period.
   ConsumptionReport report(TimePoint Now);
+  /// Handles the report of a peer, in a fleet without collectors.
   void onReport(InstanceId const &From, ConsumptionReport const &Report,
                 TimePoint Now);
   /// Handles a collector's sum over all instances, including this one. Only one
@@ -75,6 +79,9 @@
   void onSum(ConsumptionSum const &Sum, TimePoint Now);
   /// Changes the interval between reports.
   void setPeriod(Duration Period);
+  /// Starts counting anew if the source changes: what one source has counted is
+  /// part of the totals of the other. Reports and sums change it, too.
+  void setSource(Source New, TimePoint Now);
 
 private:
   struct Usage {
@@ -89,6 +96,9 @@
     /// Estimated remote consumption already deducted from the bucket; replaced
     /// by the reported value when the next sum arrives.
     double Assumed_ = 0.0;
+    /// Refill that was left to the other instances while no collector was
+    /// heard.
+    double LeftToOthers_ = 0.0;
     double LocalDemand_ = 0.0;      ///< Per period, smoothed.
     double LocalSmallDemand_ = 0.0; ///< Share of small requests in it.
     double RemoteDemand_ = 0.0;
@@ -113,6 +123,12 @@
   };
 
   void countReachable(TimePoint Now);
+  bool hasLostCollectors() const;
+  /// Returns how much of the growth that a collector reports the other
+  /// instances have consumed of their own shares while no collector was heard.
+  /// The bucket here never got that part of the refill.
+  double takeLeftToOthers(AccountName const &Account, double Growth,
+                          TimePoint Now);
   bool isFresh(Collector const &One, TimePoint Now) const;
   RemoteTotal withoutLocal(AccountConsumption const &Sum) const;
   /// Counts consumption and demand that other instances reported.
@@ -140,6 +156,11 @@
   std::map<AccountName, Usage> Usage_;
   std::map<InstanceId, Peer> Peers_;
   std::map<InstanceId, Collector> Collectors_;
+  Source Source_ = Source::Peers;
+  /// Whether a collector is heard, as of the last count of instances, and since
+  /// when that has been so.
+  bool IsCollectorHeard_ = false;
+  TimePoint CollectorHeardChangedAt_{};
   InstanceId ActiveCollector_; ///< Collector whose sums count; empty: none.
   bool IsSumDue_ = false;      ///< None arrived since the last report.
 };
--- a/Services/laburnum-entry/ControlPlane.cpp
+++ b/Services/laburnum-entry/ControlPlane.cpp
@@ -429,8 +429,11 @@
 void ControlPlane::reportConsumption() {
   auto const Period = Collector_.period();
   LeaseHolderTasks_.setReportPeriod(Period);
-  onTraffic([this, Period] {
-    Dependencies_.Traffic_.setReportPeriod(Period);
+  auto const Source = Collector_.isDirect()
+                          ? AccountQuotaLimiter::Source::Peers
+                          : AccountQuotaLimiter::Source::Collectors;
+  onTraffic([this, Source, Period] {
+    Dependencies_.Traffic_.setReporting(Source, Period);
     auto const Report = Dependencies_.Traffic_.reportConsumption();
     asio::post(Dependencies_.Context_, [this, Report] { sendReport(Report); });
   });
--- a/Services/laburnum-entry/TrafficPlane.cpp
+++ b/Services/laburnum-entry/TrafficPlane.cpp
@@ -173,6 +173,12 @@
   Roster_.setRegistered(Instances);
 }
 
+void TrafficPlane::setReporting(AccountQuotaLimiter::Source Source,
+                                Duration Period) {
+  QuotaLimiter_.setPeriod(Period);
+  QuotaLimiter_.setSource(Source, readBootClock());
+}
+
 ConsumptionReport TrafficPlane::reportConsumption() {
   auto Report = QuotaLimiter_.report(readBootClock());
   auto const Waiting = Queue_.waitingByService();
--- a/Services/laburnum-entry/TrafficPlane.h
+++ b/Services/laburnum-entry/TrafficPlane.h
@@ -128,7 +128,8 @@
   ConsumptionReport reportConsumption();
   void onConsumption(InstanceId const &From, ConsumptionReport const &Report);
   void onConsumptionSum(ConsumptionSum const &Sum);
-  void setReportPeriod(Duration Period) { QuotaLimiter_.setPeriod(Period); }
+  /// Sets how the instances report their consumption, and how often.
+  void setReporting(AccountQuotaLimiter::Source Source, Duration Period);
   /// Returns the work that this instance has placed at model servers, which it
   /// reports once in each period.
   EngineWorkReport reportEngineWork(Duration Period);
