--- a/Tests/EntryProcess/StreamServer/Main.cpp
+++ b/Tests/EntryProcess/StreamServer/Main.cpp
@@ -396,11 +396,7 @@
   std::cout << "worker id=" << getpid() << std::endl;
 }
 
-} // namespace
-
-int main(int Count, char **Arguments) {
-  cxxopts::Options Options("stream-server",
-                           "Stands in for a server's process in tests");
+void addOptions(cxxopts::Options &Options) {
   auto Add = Options.add_options();
   auto const Text = [](char const *Default) {
     return cxxopts::value<std::string>()->default_value(Default);
@@ -443,6 +439,14 @@
   Add("seed", "of faults and losses", Text("1"));
   Add("early", "milliseconds by which it stops before the deadline", Text("0"));
   Add("workers", "processes that accept on one port, 1 or 2", Text("1"));
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  cxxopts::Options Options("stream-server",
+                           "Stands in for a server's process in tests");
+  addOptions(Options);
   try {
     auto const Given = Options.parse(Count, Arguments);
     auto const Value = [&](char const *Name) {
