LibTraffic: Complete streams without a length where nobody can be asked

Cause: where nobody could confirm an end without a mark, the habit of other streams still decided.

Why this works: the end has passed the checks of the process and the second connection, and another server is asked where one may be. StreamConventions no longer records how streams end. A stream whose question the retry budget refuses is left to its client as before.

TestUnmarkedEnds holds.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -339,7 +339,7 @@
     return endAttempt(true, "the server may have stopped at the deadline");
   // Another instance marks the ends that it has judged.
   if (!isThroughPeer())
-    Conventions_.onEnd(writer(), End, HeldBackData_.empty());
+    Conventions_.onEnd(writer(), HeldBackData_.empty());
   if (!HeldBackData_.empty() && Conventions_.numbersLast(writer()))
     return endAttempt(true, "the server has spoiled its last event");
   if (End == AnswerEnd::Marked)
@@ -356,14 +356,12 @@
 }
 
 void ExchangeFlow::endUnconfirmed() {
-  // The server's process lives on and has closed the connection in order, which
-  // ends an answer without a length. To abort a stream that nobody can take up
-  // would lose it.
-  if (!mayBeTakenUp())
-    return completeStream(AnswerEnd::Unmarked);
   // If the client takes the stream up, that takes no retry from the budget.
-  bool const IsLeftToClient = IsBudgetSpent_ && !hasNothingToAdd();
-  if (!Conventions_.marksEnds(writer()) && !IsLeftToClient)
+  bool const IsLeftToClient =
+      IsBudgetSpent_ && mayBeTakenUp() && !hasNothingToAdd();
+  // The server's process lives on and has closed the connection in order, which
+  // ends an answer without a length.
+  if (!IsLeftToClient)
     return completeStream(AnswerEnd::Unmarked);
   IsEndDoubtful_ = true;
   fail("the end was not confirmed");
--- a/Libraries/LibTraffic/ObservedConventions.cpp
+++ b/Libraries/LibTraffic/ObservedConventions.cpp
@@ -53,10 +53,8 @@
 }
 
 void ObservedConventions::onEnd(StreamOrigin const &Origin,
-                                exchange::AnswerEnd End, bool HasIdentifier) {
-  auto &Observed = observed(Origin);
-  Observed.IsMarkedEnd_.add(End == exchange::AnswerEnd::Marked ? 1 : 0);
-  Observed.HasLastIdentifier_.add(HasIdentifier ? 1 : 0);
+                                bool HasIdentifier) {
+  observed(Origin).HasLastIdentifier_.add(HasIdentifier ? 1 : 0);
 }
 
 bool ObservedConventions::isLateFirst(StreamOrigin const &Origin,
@@ -95,9 +93,4 @@
   return Known && Known->HasLastIdentifier_.usual(MinEqualEnds) == 1;
 }
 
-bool ObservedConventions::marksEnds(StreamOrigin const &Origin) const {
-  auto const *const Known = find(Origin);
-  return Known && Known->IsMarkedEnd_.usual(MinEqualEnds) == 1;
-}
-
 } // namespace laburnum
--- a/Libraries/LibTraffic/ObservedConventions.h
+++ b/Libraries/LibTraffic/ObservedConventions.h
@@ -15,21 +15,18 @@
   void onStep(StreamOrigin const &Origin, std::uint64_t Step) override;
   void onAgreedStep(StreamOrigin const &Origin, std::uint64_t Step) override;
   void onData(StreamOrigin const &Origin, bool HasIdentifier) override;
-  void onEnd(StreamOrigin const &Origin, exchange::AnswerEnd End,
-             bool HasIdentifier) override;
+  void onEnd(StreamOrigin const &Origin, bool HasIdentifier) override;
   bool isLateFirst(StreamOrigin const &Origin, std::uint64_t Id) const override;
   bool isGap(StreamOrigin const &Origin, std::uint64_t Step) const override;
   bool mayFollow(StreamOrigin const &Origin, std::uint64_t Step) const override;
   bool numbersData(StreamOrigin const &Origin) const override;
   bool numbersLast(StreamOrigin const &Origin) const override;
-  bool marksEnds(StreamOrigin const &Origin) const override;
 
 private:
   struct Observed {
     RecentValues FirstIds_;
     RecentValues Steps_;
-    /// The others: 1 for each that is or has it, else 0.
-    RecentValues IsMarkedEnd_;
+    /// The others: 1 for each that has it, else 0.
     RecentValues HasDataIdentifier_;
     RecentValues HasLastIdentifier_;
   };
--- a/Libraries/LibTraffic/StreamConventions.h
+++ b/Libraries/LibTraffic/StreamConventions.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <LibTraffic/AnswerEnd.h>
 #include <LibTraffic/StreamOrigins.h>
 
 #include <cstdint>
@@ -23,8 +22,7 @@
   virtual void onAgreedStep(StreamOrigin const &Origin, std::uint64_t Step) = 0;
   /// A server has ended a stream in order, after an event with an identifier or
   /// after data without one.
-  virtual void onEnd(StreamOrigin const &Origin, AnswerEnd End,
-                     bool HasIdentifier) = 0;
+  virtual void onEnd(StreamOrigin const &Origin, bool HasIdentifier) = 0;
   /// Returns whether a new stream that begins with this identifier lacks
   /// events.
   virtual bool isLateFirst(StreamOrigin const &Origin,
@@ -40,9 +38,6 @@
   virtual bool numbersData(StreamOrigin const &Origin) const = 0;
   /// Returns whether streams end with an event that has an identifier.
   virtual bool numbersLast(StreamOrigin const &Origin) const = 0;
-  /// Returns whether servers mark the ends of nearly all of their streams, so
-  /// that an end without a mark is doubtful.
-  virtual bool marksEnds(StreamOrigin const &Origin) const = 0;
 };
 
 } // namespace laburnum::exchange
--- a/Tests/LibTraffic/TestStreamFlow.cpp
+++ b/Tests/LibTraffic/TestStreamFlow.cpp
@@ -271,7 +271,7 @@
   }
   SECTION("an event without an identifier at the end, where none ends so") {
     for (int Number = 0; Number < Steps; ++Number)
-      Run.Conventions_.onEnd({}, AnswerEnd::Marked, true);
+      Run.Conventions_.onEnd({}, true);
     Run.handle(AnswerCompleted{});
     CHECK_FALSE(Run.find<RelayEvents>());
     CHECK_FALSE(Run.find<FinishStream>());
