Tests: Wait for judged crashes and listed servers, not for a time

TestCrashingRequests slept 0.4 s twice a round and 0.2 s between requests. It now waits for the line that says how the crash was judged, and until all instances have the entries of all servers. Its bounds are as before.

--- a/Tests/EntryProcess/CrashableServer.h
+++ b/Tests/EntryProcess/CrashableServer.h
@@ -61,13 +61,14 @@
   /// Returns the answer to a request that does not crash the server.
   static std::string expectedAnswer(std::string_view AttemptId);
   bool isDown() const { return !Listener_; }
+  /// Returns the identifier of the current incarnation.
+  std::string id() const { return Name_ + '-' + std::to_string(Incarnations_); }
   std::size_t incarnations() const { return Incarnations_; }
   /// Returns the number of crashing requests that this server received.
   std::size_t crashingRequests() const { return CrashingRequests_; }
 
 private:
   static bool isCrashing(RequestHead const &Head);
-  std::string id() const { return Name_ + '-' + std::to_string(Incarnations_); }
   void work(std::shared_ptr<Exchange> const &Exchange, AnswerHead const &Head);
 
   asio::io_context &Context_;
--- a/Tests/EntryProcess/EntryFleet.cpp
+++ b/Tests/EntryProcess/EntryFleet.cpp
@@ -88,6 +88,33 @@
   });
 }
 
+bool EntryFleet::areServersKnown() {
+  if (!areServersUp())
+    return false;
+  auto const Ids = Thread_.on([this] {
+    std::vector<std::string> Ids;
+    // Instances read the first incarnations with their first list.
+    for (auto const &Server : Servers_)
+      if (Server.incarnations() > 1)
+        Ids.push_back(Server.id());
+    return Ids;
+  });
+  return std::all_of(
+      Instances_.begin(), Instances_.end(), [&](auto const &Instance) {
+        return std::all_of(Ids.begin(), Ids.end(), [&](auto const &Id) {
+          return Instance->process().hasWritten("server_changed server=" + Id);
+        });
+      });
+}
+
+std::size_t EntryFleet::countLines(std::string const &Text) {
+  std::size_t Count = 0;
+  for (auto const &Instance : Instances_)
+    for (auto const &Line : Instance->process().lines())
+      Count += Line.find(Text) == std::string::npos ? 0 : 1;
+  return Count;
+}
+
 bool EntryFleet::areServersUp() {
   return Thread_.on([this] {
     return std::none_of(Servers_.begin(), Servers_.end(),
--- a/Tests/EntryProcess/EntryFleet.h
+++ b/Tests/EntryProcess/EntryFleet.h
@@ -27,6 +27,10 @@
   void restart();
   std::size_t crashingRequestsReceived();
   bool areServersUp();
+  /// Whether all servers are up and all instances have their entries.
+  bool areServersKnown();
+  /// Counts the lines with Text that the instances have written.
+  std::size_t countLines(std::string const &Text);
   void setRunListener(CrashableServer::RunListener const &Listener);
   template <typename Function> auto onStore(Function Task) {
     return Thread_.on([&] { return Task(Store_); });
