LibTraffic: Believe ends that another instance has judged

What callers would see: a whole stream that another instance passes on is cut in the last 10 ms before its client's deadline.

The other one gave the server more time, and marks only ends that it has judged, but the first one judged them again by a deadline that no server had.

Why this works: a marked end through an instance is its judgement; an end of the connection to it is none and is judged as before.

TestLibTraffic "A stream that another instance has judged whole is complete until its client's deadline" fails before (4 assertions). The case of unmarked ends on routes with one attempt now sees other streams first, so that it fails on.

--- a/Libraries/LibTraffic/ExchangeFlow.cpp
+++ b/Libraries/LibTraffic/ExchangeFlow.cpp
@@ -335,9 +335,11 @@
 void ExchangeFlow::endStream(AnswerEnd End) {
   if (Splitter_.isInsideEvent())
     return endAttempt(true, "the stream ended inside an event");
-  if (mayHaveStoppedAtDeadline())
+  // Another instance marks the ends that it has judged, and gave the server
+  // more time.
+  bool const IsJudged = isThroughPeer() && End == AnswerEnd::Marked;
+  if (!IsJudged && mayHaveStoppedAtDeadline())
     return endAttempt(true, "the server may have stopped at the deadline");
-  // Another instance marks the ends that it has judged.
   if (!isThroughPeer())
     Conventions_.onEnd(writer(), HeldBackData_.empty());
   if (!HeldBackData_.empty() && Conventions_.numbersLast(writer()))
--- a/Tests/LibTraffic/TestStreamEnds.cpp
+++ b/Tests/LibTraffic/TestStreamEnds.cpp
@@ -113,10 +113,20 @@
 
 // Guards against cutting whole streams without a length.
 TEST_CASE("A stream whose end is not marked is complete where its route allows "
-          "no second attempt") {
+          "no second attempt, however other streams end") {
   auto Once = stream(GENERATE(Repeatability::Never, Repeatability::Resumable));
   Once.MaxAttempts_ = 1;
+  auto const OtherEnd = GENERATE(Marked, Unmarked);
   Harness Run(Once);
+  for (int Number = 0; Number < 20; ++Number) {
+    Harness Other(stream(Repeatability::Never));
+    Other.Conventions_ = Run.Conventions_;
+    Other.attempt("a");
+    Other.handle(HeadArrived{Signed});
+    Other.handle(BodyArrived{"id: 1\ndata: x\n\n"});
+    Other.handle(OtherEnd);
+    Run.Conventions_ = Other.Conventions_;
+  }
   endUnmarked(Run);
   CHECK(Run.find<FinishStream>());
   CHECK_FALSE(Run.find<AbortStream>());
@@ -368,6 +378,27 @@
   }
 }
 
+// Guards against cutting whole streams that another instance has passed on.
+TEST_CASE("A stream that another instance has judged whole is complete until "
+          "its client's deadline") {
+  auto const Repeat = GENERATE(Repeatability::Never, Repeatability::Resumable);
+  Harness Run(stream(Repeat), {}, RequestSource::Client, milliseconds(400));
+  Run.handle(ServerAssigned{server("b"), ServerAccess::ThroughPeer});
+  Run.handle(HeadArrived{Signed});
+  Run.handle(BodyArrived{"id: 1\ndata: x\n\n"});
+  Run.Now_ += milliseconds(1999);
+  SECTION("its end is marked") {
+    Run.handle(Marked);
+    CHECK(Run.find<FinishStream>());
+    CHECK_FALSE(Run.find<AbortStream>());
+  }
+  SECTION("its connection ends") {
+    Run.handle(Unmarked);
+    CHECK(Run.find<AbortStream>());
+    CHECK_FALSE(Run.find<FinishStream>());
+  }
+}
+
 TEST_CASE("An instance that passes a stream on leaves the server's margin to "
           "the next one") {
   Harness Run(stream(), {}, RequestSource::Client, milliseconds(400));
