LibTraffic: Charge no peer's own share to the others once it is heard again

What callers would see: in a fleet of up to twelve, accounts within their quota are refused for some seconds after instances that did not hear each other do so again.

A peer that counts as unreachable keeps its share of the refill; what it consumed of that was charged to the bucket of the others, which had never got it, once it reported again.

Why this works: its share for the time in which it counted as unreachable is set against its first report.

--- a/Libraries/LibTraffic/AccountQuotaLimiter.cpp
+++ b/Libraries/LibTraffic/AccountQuotaLimiter.cpp
@@ -78,6 +78,14 @@
          static_cast<double>(std::max(Registered_, Reachable_));
 }
 
+double AccountQuotaLimiter::shareOfOne(AccountName const &Account,
+                                       Duration Time) const {
+  auto const *const Quota = quotaOf(Account);
+  return Quota ? rate(*Quota) / static_cast<double>(Reachable_) *
+                     std::chrono::duration<double>(Time).count()
+               : 0.0;
+}
+
 double AccountQuotaLimiter::rate(AccountQuota const &Quota) const {
   // What is admitted until a sum shows it takes the tolerance.
   auto const Tolerance = Collectors_.empty() ? Settings_.RateTolerance_ : 0.0;
@@ -98,10 +106,13 @@
 
 void AccountQuotaLimiter::countReachable(TimePoint Now) {
   std::size_t Reachable = 1;
-  for (auto const &[Id, Peer] : Peers_)
+  for (auto &[Id, Peer] : Peers_) {
     if (Peer.LastReceivedAt_ + Settings_.ReportPeriod_ * MaxMissedReports >=
         Now)
       ++Reachable;
+    else if (!Peer.UnreachableSince_)
+      Peer.UnreachableSince_ = Now;
+  }
   bool IsCollectorHeard = false;
   for (auto const &[Id, Collector] : Collectors_) {
     if (!isFresh(Collector, Now))
@@ -404,9 +415,17 @@
   setSource(Source::Peers, Now);
   auto &Peer = Peers_[From];
   Peer.LastReceivedAt_ = Now;
+  auto const UnreachableSince =
+      std::exchange(Peer.UnreachableSince_, std::nullopt);
+  auto const Unreachable =
+      UnreachableSince ? Now - *UnreachableSince : Duration(0);
   countReachable(Now);
+  // The bucket here got no refill for the share of a peer while it counted as
+  // unreachable.
   for (auto const &Growth : Peer.Consumption_.take(Report.Accounts_))
-    countRemote(Growth.Account_, static_cast<double>(Growth.Admitted_),
+    countRemote(Growth.Account_,
+                std::max(0.0, static_cast<double>(Growth.Admitted_) -
+                                  shareOfOne(Growth.Account_, Unreachable)),
                 static_cast<double>(Growth.Asked_), Now);
 }
 
--- a/Libraries/LibTraffic/AccountQuotaLimiter.h
+++ b/Libraries/LibTraffic/AccountQuotaLimiter.h
@@ -107,6 +107,8 @@
   struct Peer {
     IncarnationConsumption Consumption_;
     TimePoint LastReceivedAt_{};
+    /// Set while it counts as unreachable.
+    std::optional<TimePoint> UnreachableSince_;
   };
 
   /// A collector's sum for an account without this instance's contribution.
@@ -139,6 +141,8 @@
   AccountQuota const *quotaOf(AccountName const &Account) const;
   /// The share of the quota that belongs to the reachable instances.
   double reachableShare() const;
+  /// What a peer may have consumed of its own share in that time.
+  double shareOfOne(AccountName const &Account, Duration Time) const;
   double rate(AccountQuota const &Quota) const;
   double periodSeconds() const;
   /// The refill of the bucket between two reports.
--- a/Tests/LibTraffic/TestQuotaInResizedFleets.cpp
+++ b/Tests/LibTraffic/TestQuotaInResizedFleets.cpp
@@ -85,6 +85,9 @@
            ((Rate * 8 + Rate) * 1.1 + AllowedSlack);
   }
 
+  /// Cuts the fleet into halves that do not hear each other.
+  void cut(bool IsCut) { IsCut_ = IsCut; }
+
   /// While collectors are silent, neither their sums nor reports to them
   /// arrive.
   void silenceCollectors(bool IsSilent) { AreCollectorsSilent_ = IsSilent; }
@@ -101,6 +104,12 @@
     TimePoint NextReport_{};
   };
   using Instances = std::vector<std::unique_ptr<Instance>>;
+  struct Sender {
+    InstanceId Id_;
+    int Side_;
+  };
+
+  static int sideOf(std::uint16_t Port) { return Port % 2; }
 
   static EntryInstance selfOf(std::size_t Number) {
     EntryInstance Self;
@@ -135,8 +144,9 @@
       updateMembers();
     for (auto const &[From, To, Message] : std::exchange(Messages_, {}))
       for (auto const &One : Instances_)
-        if (One->Self_.Peers_.Port_ == To)
-          receive(*One, From, Message);
+        if (One->Self_.Peers_.Port_ == To &&
+            !(IsCut_ && From.Side_ != sideOf(To)))
+          receive(*One, From.Id_, Message);
     for (auto const &One : Instances_)
       if (Now_ >= One->NextReport_)
         report(*One);
@@ -172,7 +182,9 @@
 
   void send(Instance const &From, Endpoint const &To,
             PeerMessage const &Message) {
-    Messages_.emplace_back(From.Self_.Id_, To.Port_, Message);
+    Messages_.emplace_back(
+        Sender{From.Self_.Id_, sideOf(From.Self_.Peers_.Port_)}, To.Port_,
+        Message);
   }
 
   void receive(Instance &One, InstanceId const &From,
@@ -192,10 +204,11 @@
   }
 
   Instances Instances_;
-  std::vector<std::tuple<InstanceId, std::uint16_t, PeerMessage>> Messages_;
+  std::vector<std::tuple<Sender, std::uint16_t, PeerMessage>> Messages_;
   std::vector<double> Periods_; ///< Tokens admitted in each step.
   std::optional<TimePoint> NoticedAt_;
   bool AreCollectorsSilent_ = false;
+  bool IsCut_ = false;
   std::size_t Started_ = 0;
   std::size_t Sent_ = 0;
   TimePoint Now_{std::chrono::hours(1)};
@@ -271,3 +284,35 @@
   CHECK(Fleet.pass(seconds(10), 0.55 * Rate) > 0.99);
   CHECK(Fleet.maxShareOfLimit() <= 1.0);
 }
+
+namespace {
+
+/// Cuts a fleet into halves that do not hear each other for that long, and
+/// checks that they serve their shares of the quota, and all of it afterwards.
+void checkHalves(std::size_t Size, Duration Length) {
+  CAPTURE(Size, Length.count());
+  constexpr double Asked = 0.45 * Rate;
+  ResizedFleet Fleet(Size);
+  REQUIRE(Fleet.pass(seconds(10), Asked) > 0.99);
+  Fleet.cut(true);
+  Fleet.pass(seconds(2), Asked);
+  CHECK(Fleet.pass(Length, Asked) > 0.9);
+  Fleet.cut(false);
+  Fleet.pass(seconds(2), Asked);
+  CHECK(Fleet.pass(seconds(10), Asked) > 0.99);
+  CHECK(Fleet.maxShareOfLimit() <= 1.0);
+}
+
+} // namespace
+
+// Guards against charging instances once more for what others consumed of their
+// own shares while they did not hear each other.
+TEST_CASE("Halves of a fleet of up to twelve serve their shares while they do "
+          "not hear each other, and all of the quota once they do") {
+  checkHalves(GENERATE(2U, 6U, 12U), GENERATE(seconds(2), seconds(15)));
+}
+
+TEST_CASE("Halves of a fleet with collectors serve their shares while they do "
+          "not hear each other, and all of the quota once they do") {
+  checkHalves(GENERATE(13U, 20U), GENERATE(seconds(2), seconds(15)));
+}
