--- a/Libraries/LibGuard/DisconnectClassifier.cpp
+++ b/Libraries/LibGuard/DisconnectClassifier.cpp
@@ -24,7 +24,7 @@
 DisconnectCause classifyDisconnect(DisconnectProbes const &Probes) {
   if (Probes.Listed_ == ListedProcess::Replaced)
     return DisconnectCause::Crash;
-  if (Probes.Link_ == ProberLink::Cut)
+  if (Probes.Link_ == LinkState::Cut)
     return DisconnectCause::Undecided;
   auto const HasRefused = contains(Probes.Server_, ProbeAnswer::Refused);
   if (!HasRefused && contains(Probes.Server_, ProbeAnswer::Accepted))
--- a/Libraries/LibGuard/DisconnectClassifier.h
+++ b/Libraries/LibGuard/DisconnectClassifier.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibModel/LinkState.h>
+
 #include <compare>
 #include <vector>
 
@@ -27,9 +29,6 @@
   Replaced, ///< A later one has its identifier or its address.
 };
 
-/// Whether the prober reaches any server of the service.
-enum class ProberLink { Up, Cut };
-
 /// Results of the probes after a disconnect. A terminating process may briefly
 /// accept connections, so its server is probed repeatedly.
 struct DisconnectProbes {
@@ -37,7 +36,8 @@
   /// Servers of the same data centre that were healthy before the disconnect.
   std::vector<ProbeAnswer> Neighbours_;
   ListedProcess Listed_ = ListedProcess::Same;
-  ProberLink Link_ = ProberLink::Up;
+  /// Of the prober to the service.
+  LinkState Link_ = LinkState::Up;
 
   auto operator<=>(DisconnectProbes const &) const = default;
 };
--- a/Libraries/LibTraffic/LinkMonitor.h
+++ b/Libraries/LibTraffic/LinkMonitor.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifier.h>
 #include <LibCore/Time.h>
+#include <LibModel/LinkState.h>
 
 #include <cstddef>
 #include <map>
@@ -9,12 +10,6 @@
 
 namespace laburnum {
 
-/// Whether this instance reaches the servers of a service.
-enum class LinkState {
-  Up,
-  Cut, ///< It reached none of several servers.
-};
-
 /// Decides whether this instance is cut off from the servers of one service,
 /// which it cannot tell from a crash of them all. Failed connections, or
 /// silence while requests wait, only call for a probe of several servers: the
--- a/Services/laburnum-entry/TrafficPlaneServers.cpp
+++ b/Services/laburnum-entry/TrafficPlaneServers.cpp
@@ -185,7 +185,7 @@
   auto const Listed = Roster_.isReplaced(Server) ? ListedProcess::Replaced
                                                  : ListedProcess::Same;
   auto const Link =
-      Links_.isCut(Server.Service_) ? ProberLink::Cut : ProberLink::Up;
+      Links_.isCut(Server.Service_) ? LinkState::Cut : LinkState::Up;
   auto const Cause = classifyDisconnect({{Answer}, {}, Listed, Link});
   if (Cause == DisconnectCause::Undecided) {
     UndecidedServers_.push_back(Server);
--- a/Tests/LibServing/TestCrashGuard.cpp
+++ b/Tests/LibServing/TestCrashGuard.cpp
@@ -176,9 +176,9 @@
           "while the prober's link is cut") {
   auto const Answer = GENERATE(ProbeAnswer::Accepted, ProbeAnswer::Refused,
                                ProbeAnswer::Silent);
-  auto const Link = GENERATE(ProberLink::Up, ProberLink::Cut);
+  auto const Link = GENERATE(LinkState::Up, LinkState::Cut);
   CHECK(classifyDisconnect({{Answer}, {}, ListedProcess::Replaced, Link}) ==
         DisconnectCause::Crash);
   CHECK((classifyDisconnect({{Answer}, {}, ListedProcess::Same, Link}) ==
-         DisconnectCause::Undecided) == (Link == ProberLink::Cut));
+         DisconnectCause::Undecided) == (Link == LinkState::Cut));
 }
